--- /dev/null
+++ b/internal/raft/types.go
@@ -0,0 +1,203 @@
+// Package raft is tamarindring's consensus protocol as a pure state machine: messages, ticks and
+// proposals go in; messages to send, state to persist and entries to apply come out. It has no clock,
+// no goroutine and no I/O, so the code that runs in a server runs unchanged under the simulator.
+//
+// The driver's contract, per group:
+//
+//  1. Call Tick, Step, Propose and the like; they never block.
+//  2. Take Ready. Persist its Snapshot, Entries and HardState in one synced write, if MustSync.
+//  3. Only after that write is synced, send Messages. EarlyMessages may be sent before the write: they
+//     are a leader's appends and heartbeats, which claim nothing about the sender's own disk.
+//  4. Apply Committed in order, then call Advance with the same Ready.
+//
+// The log since the last compaction is held in memory; New gets it back from the driver's storage.
+package raft
+
+import "math/rand"
+
+// None is the identity of no node.
+const None uint64 = 0
+
+// EntryKind says what an entry's data is.
+type EntryKind uint32
+
+// The kinds of entry.
+const (
+	EntryCommand       EntryKind = iota // a command of the state machine; empty data is a leader's first entry
+	EntryConfiguration                  // an encoded ConfigurationChange
+)
+
+// Entry is one position of the replicated log.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Kind  EntryKind
+	Data  []byte
+}
+
+// Configuration is the group's membership. A node is in at most one of the two lists.
+type Configuration struct {
+	Voters   []uint64
+	Learners []uint64
+}
+
+// ChangeKind says what a ConfigurationChange does. Changes are one at a time: a leader refuses a second
+// one until the first is applied, and any before an entry of its own term is committed.
+type ChangeKind uint32
+
+// The kinds of configuration change.
+const (
+	AddLearner ChangeKind = iota
+	PromoteLearner
+	RemoveNode
+)
+
+// ConfigurationChange adds, promotes or removes one node.
+type ConfigurationChange struct {
+	Kind ChangeKind
+	Node uint64
+}
+
+// HardState is what a node must never forget: persisted before any message that depends on it.
+type HardState struct {
+	Term   uint64
+	Vote   uint64
+	Commit uint64
+}
+
+// Snapshot is the state machine's state as of Index, with the configuration at that point.
+type Snapshot struct {
+	Index         uint64
+	Term          uint64
+	Configuration Configuration
+	Data          []byte
+}
+
+// MessageKind names a protocol message.
+type MessageKind uint32
+
+// The protocol messages.
+const (
+	MessagePreVote MessageKind = iota + 1
+	MessagePreVoteReply
+	MessageVote
+	MessageVoteReply
+	MessageAppend
+	MessageAppendReply
+	MessageHeartbeat
+	MessageHeartbeatReply
+	MessageSnapshot
+	MessageTimeoutNow // leadership transfer: campaign at once
+)
+
+// Message is one protocol message between two nodes of a group. Which fields count depends on Kind.
+type Message struct {
+	Kind       MessageKind
+	To         uint64
+	From       uint64
+	Term       uint64
+	LogTerm    uint64 // term of the entry at Index, for appends and votes
+	Index      uint64 // entry before Entries; last index in votes; match index in replies
+	Entries    []Entry
+	Commit     uint64
+	Snapshot   *Snapshot
+	Reject     bool
+	RejectHint uint64 // where a rejected append may start over
+	Context    uint64 // read round in heartbeats and replies; leadership transfer mark in votes
+}
+
+// Role is a node's part in the current term.
+type Role uint32
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Config holds a node's fixed parameters.
+type Config struct {
+	// ID is this node's identity in the group, never reused: a node whose disk was lost or is older
+	// than it was comes back under a new ID as a learner.
+	ID uint64
+	// ElectionTicks is the number of ticks without a leader's message after which a follower asks for
+	// pre-votes; the real timeout is drawn from [ElectionTicks, 2*ElectionTicks). Default 10.
+	ElectionTicks int
+	// HeartbeatTicks is the number of ticks between a leader's heartbeats. Default 1.
+	HeartbeatTicks int
+	// MaxAppendBytes bounds the entry data of one append message. Default 1 MiB.
+	MaxAppendBytes int
+	// MaxInflightAppends bounds unacknowledged appends per follower (pipelining). Default 64.
+	MaxInflightAppends int
+	// MaxUncommittedBytes bounds proposals that are not yet committed; above it Propose returns
+	// ErrOverloaded. Default 64 MiB.
+	MaxUncommittedBytes int
+	// Random draws election timeouts. Required, so that a simulated run can be repeated.
+	Random *rand.Rand
+}
+
+// Restored is what a node found on its disk. The zero value with a Configuration in Snapshot starts a
+// new group; a learner that joins starts with all of it empty.
+type Restored struct {
+	HardState HardState
+	Snapshot  Snapshot
+	Entries   []Entry // contiguous, the first at Snapshot.Index+1
+}
+
+// ReadState confirms that a read round was served: state applied up to Index is current for every
+// request made before ReadIndex(Context) was called.
+type ReadState struct {
+	Context uint64
+	Index   uint64
+}
+
+// Ready is the work that a node hands to its driver.
+type Ready struct {
+	HardState     HardState
+	MustSync      bool      // Entries, Snapshot, Term or Vote changed: sync before sending Messages
+	Entries       []Entry   // append to storage, dropping whatever stands at or after the first index
+	Snapshot      *Snapshot // replace storage and state machine with it
+	EarlyMessages []Message // may be sent before the sync
+	Messages      []Message // only after the sync
+	Committed     []Entry   // apply in order
+	ReadStates    []ReadState
+}
+
+// Status is a node's view of its group, for operators and for deciding who serves.
+type Status struct {
+	ID            uint64
+	Role          Role
+	Leader        uint64
+	Term          uint64
+	Commit        uint64
+	Applied       uint64
+	LastIndex     uint64
+	FirstIndex    uint64
+	Configuration Configuration
+	Match         []Progress // leader only
+}
+
+// Progress is what a leader knows of one other node.
+type Progress struct {
+	Node         uint64
+	Match        uint64
+	Learner      bool
+	RecentActive bool
+}
+
+// The public operations of Node, implemented in the other files of this package:
+//
+//	New(Config, Restored) (*Node, error)
+//	(*Node) Tick()
+//	(*Node) Step(Message) error
+//	(*Node) Propose(data []byte) (index, term uint64, err error)      ErrNotLeader, ErrOverloaded
+//	(*Node) ProposeChange(ConfigurationChange) (index, term uint64, err error) + ErrChangePending
+//	(*Node) ReadIndex(context uint64) error                           ErrNotLeader
+//	(*Node) TransferLeadership(to uint64) error
+//	(*Node) HasReady() bool
+//	(*Node) Ready() Ready
+//	(*Node) Advance(Ready)
+//	(*Node) Compact(index uint64, data []byte) (Snapshot, error)      index <= applied
+//	(*Node) Status() Status
