Add settings files: strict YAML whose keys are the flags' names

Cause: every process learns addresses and limits from a file or flags, and two definitions of one setting drift apart. Change: a settings file is checked by the flags it stands for; flags win; unknown keys name file, line and remedy. Weighed: structs with yaml tags per role (two sources of truth).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,7 +72,12 @@
 		fmt.Fprintf(stderr, "tamarindring: %v\n", err)
 		return ExitFailure
 	}
-	_, err := parser.ParseArgs(arguments)
+	arguments, err := withSettings(parser, arguments)
+	if err != nil {
+		fmt.Fprintf(stderr, "tamarindring: %v\n", err)
+		return ExitUsage
+	}
+	_, err = parser.ParseArgs(arguments)
 	return exitCode(err, stdout, stderr)
 }
 
@@ -112,6 +117,9 @@
 		if _, err := added.AddGroup(entry.name+" options", "", wrapped.command); err != nil {
 			return nil, err
 		}
+		if _, err := added.AddGroup("settings", "", &settingsOption{}); err != nil {
+			return nil, err
+		}
 	} else {
 		added.SubcommandsOptional = false
 	}
