--- /dev/null
+++ b/internal/dispatch/codes.go
@@ -0,0 +1,16 @@
+package dispatch
+
+// The stable error codes of Outcome.Code.
+const (
+	CodeDeadline          = "deadline_passed"
+	CodeNoBackend         = "no_backend"
+	CodeLeaseLapsed       = "lease_lapsed"
+	CodeBackendRefused    = "backend_refused"
+	CodeBackendLost       = "backend_lost"
+	CodeLedgerUnavailable = "ledger_unavailable"
+	CodeKeyReused         = "key_reused_with_other_body"
+	CodeKeyRunning        = "key_running"
+	CodeOutcomeUnknown    = "outcome_unknown"
+	CodeAnswerExpired     = "answer_no_longer_held"
+	CodeRefusedEarlier    = "refused_earlier"
+)
