--- /dev/null
+++ b/internal/raft/cluster_test.go
@@ -0,0 +1,241 @@
+package raft
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"math/rand"
+	"slices"
+)
+
+// disk is a machine's synced storage.
+type disk struct {
+	hard     HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+func (d *disk) write(ready Ready) {
+	if ready.Snapshot != nil {
+		d.snapshot, d.entries = *ready.Snapshot, nil
+	}
+	if len(ready.Entries) > 0 {
+		keep := ready.Entries[0].Index - d.snapshot.Index - 1
+		d.entries = append(slices.Clone(d.entries[:keep]), ready.Entries...)
+	}
+	d.hard = ready.HardState
+}
+
+// compact stores a snapshot of the node's own state and drops what it covers.
+func (d *disk) compact(snapshot Snapshot) {
+	d.entries = slices.Clone(d.entries[snapshot.Index-d.snapshot.Index:])
+	d.snapshot = snapshot
+}
+
+// machine is one process with its disk.
+type machine struct {
+	id      uint64
+	node    *Node // nil while it is down
+	disk    disk
+	ready   *Ready // taken and not yet advanced
+	applied []byte // the state machine: a digest of all commands so far
+}
+
+// cluster is a group over a network that loses, repeats and reorders, with a checker of what must hold.
+type cluster struct {
+	random   *rand.Rand
+	base     Config
+	machines []*machine
+	network  []Message
+	cut      map[uint64]bool // machines that nobody can reach
+	next     uint64          // next proposal
+	check    checker
+}
+
+func newCluster(random *rand.Rand, base Config, voters int) *cluster {
+	c := &cluster{random: random, base: base, cut: map[uint64]bool{}, check: newChecker()}
+	configuration := Configuration{}
+	for id := range voters {
+		configuration.Voters = append(configuration.Voters, uint64(id)+1)
+	}
+	for _, id := range configuration.Voters {
+		c.add(id, Snapshot{Configuration: configuration})
+	}
+	return c
+}
+
+func (c *cluster) add(id uint64, snapshot Snapshot) *machine {
+	m := &machine{id: id, disk: disk{snapshot: snapshot}}
+	c.machines = append(c.machines, m)
+	c.start(m)
+	return m
+}
+
+func (c *cluster) start(m *machine) {
+	config := c.base
+	config.ID, config.Random = m.id, rand.New(rand.NewSource(c.random.Int63()))
+	node, err := New(config, Restored{HardState: m.disk.hard, Snapshot: m.disk.snapshot, Entries: slices.Clone(m.disk.entries)})
+	if err != nil {
+		c.check.fail("node %d refused its own disk: %v", m.id, err)
+		return
+	}
+	m.node, m.ready, m.applied = node, nil, m.disk.snapshot.Data
+}
+
+func (c *cluster) crash(m *machine) { m.node, m.ready = nil, nil }
+
+func (c *cluster) machine(id uint64) *machine {
+	for _, m := range c.machines {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *cluster) leader() *machine {
+	var leader *machine
+	for _, m := range c.machines {
+		if m.node != nil && m.node.role == Leader && (leader == nil || m.node.term > leader.node.term) {
+			leader = m
+		}
+	}
+	return leader
+}
+
+func (c *cluster) send(messages []Message) { c.network = append(c.network, messages...) }
+
+// take begins a machine's next round of work: its early messages leave.
+func (c *cluster) take(m *machine) {
+	if m.node == nil || m.ready != nil || !m.node.HasReady() {
+		return
+	}
+	ready := m.node.Ready()
+	m.ready = &ready
+	c.send(ready.EarlyMessages)
+}
+
+// finish ends it: sync, send, apply, advance.
+func (c *cluster) finish(m *machine) {
+	if m.node == nil || m.ready == nil {
+		return
+	}
+	ready := *m.ready
+	m.ready = nil
+	m.disk.write(ready)
+	c.send(ready.Messages)
+	c.apply(m, ready)
+	m.node.Advance(ready)
+}
+
+// finishPartly syncs and perhaps sends, and then crashes.
+func (c *cluster) finishPartly(m *machine, send bool) {
+	if m.node == nil || m.ready == nil {
+		return
+	}
+	m.disk.write(*m.ready)
+	if send {
+		c.send(m.ready.Messages)
+	}
+	c.crash(m)
+}
+
+func (c *cluster) apply(m *machine, ready Ready) {
+	if ready.Snapshot != nil {
+		m.applied = ready.Snapshot.Data
+		c.check.snapshot(m.id, ready.Snapshot)
+	}
+	for _, entry := range ready.Committed {
+		m.applied = digest(m.applied, entry)
+		c.check.applied(m.id, entry, m.applied)
+	}
+	for _, state := range ready.ReadStates {
+		c.check.read(m.id, state)
+	}
+}
+
+func digest(before []byte, entry Entry) []byte {
+	sum := binary.BigEndian.AppendUint64(nil, entry.Index)
+	for i, b := range append(bytes.Clone(before), entry.Data...) {
+		sum[i%len(sum)] = sum[i%len(sum)]*31 + b
+	}
+	return sum
+}
+
+// deliver hands over the message at position i of the network.
+func (c *cluster) deliver(i int, keep bool) {
+	message := c.network[i]
+	if !keep {
+		c.network = slices.Delete(c.network, i, i+1)
+	}
+	m := c.machine(message.To)
+	if m == nil || m.node == nil || c.cut[message.To] || c.cut[message.From] {
+		return
+	}
+	if err := m.node.Step(message); err != nil {
+		c.check.fail("node %d: %v", m.id, err)
+	}
+}
+
+func (c *cluster) propose(m *machine) error {
+	c.next++
+	_, _, err := m.node.Propose(binary.BigEndian.AppendUint64(nil, c.next))
+	return err
+}
+
+func (c *cluster) compact(m *machine) {
+	if m.node == nil || m.ready != nil || m.node.log.applied <= m.node.snapshot.Index {
+		return
+	}
+	snapshot, err := m.node.Compact(m.node.log.applied, m.applied)
+	if err != nil {
+		c.check.fail("compaction: %v", err)
+		return
+	}
+	m.disk.compact(snapshot)
+}
+
+func (c *cluster) read(m *machine) {
+	if m.node.ReadIndex(c.check.nextRead) == nil {
+		c.check.readAsked()
+	}
+}
+
+// settle runs without faults for a number of ticks.
+func (c *cluster) settle(ticks int) {
+	for range ticks {
+		for _, m := range c.machines {
+			if m.node != nil {
+				m.node.Tick()
+			}
+		}
+		c.drain()
+	}
+}
+
+// drain works until nothing is left to do at this tick.
+func (c *cluster) drain() {
+	for busy := true; busy; {
+		busy = false
+		for _, m := range c.machines {
+			c.take(m)
+			busy = busy || m.ready != nil
+			c.finish(m)
+		}
+		for len(c.network) > 0 {
+			busy = true
+			c.deliver(0, false)
+		}
+	}
+	c.check.observe(c)
+}
+
+func (c *cluster) describe() string {
+	text := ""
+	for _, m := range c.machines {
+		if m.node != nil {
+			text += fmt.Sprintf("%+v\n", m.node.Status())
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/raft/heartbeat.go
@@ -0,0 +1,59 @@
+package raft
+
+// tickLeader sends heartbeats, retries lost snapshots, and steps down if no quorum was heard from within
+// an election timeout: a leader that is cut off must not go on believing that it leads.
+func (n *Node) tickLeader() {
+	alive := 0
+	configuration := n.configuration()
+	for _, p := range n.progress {
+		p.silentTicks++
+		n.retrySnapshot(p)
+		if configuration.IsVoter(p.node) && n.active(p) {
+			alive++
+		}
+	}
+	if alive < configuration.Quorum() {
+		n.becomeFollower(n.term, None)
+		return
+	}
+	n.electionElapsed++
+	if n.electionElapsed >= n.config.ElectionTicks {
+		n.electionElapsed, n.transferTarget = 0, None
+	}
+	n.heartbeatElapsed++
+	if n.heartbeatElapsed >= n.config.HeartbeatTicks {
+		n.heartbeatElapsed = 0
+		n.heartbeatCommit = n.log.commit
+		n.sendHeartbeats()
+	}
+}
+
+// sendHeartbeats tells every member that this node leads. They carry the newest read round, so that a
+// lost one is made good by the next.
+func (n *Node) sendHeartbeats() {
+	for _, p := range n.progress {
+		if p.node != n.id {
+			n.sendEarly(Message{Kind: MessageHeartbeat, To: p.node, Commit: min(p.match, n.log.commit), Context: n.readRound})
+		}
+	}
+}
+
+// handleHeartbeatReply confirms read rounds and makes good what was lost on the way.
+func (n *Node) handleHeartbeatReply(m Message) {
+	p := n.progressOf(m.From)
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.silentTicks = 0
+	p.probeSent = false
+	stalled := p.match == p.heartbeatMark && p.match < n.log.last()
+	p.heartbeatMark = p.match
+	p.nudge = p.nudge || stalled
+	if p.state == probing || stalled {
+		n.flushNeeded = true
+	}
+	if m.Context > p.readRound && m.Context <= n.readRound {
+		p.readRound = m.Context
+		n.finishReads()
+	}
+}
--- /dev/null
+++ b/internal/raft/node_test.go
@@ -0,0 +1,74 @@
+package raft
+
+import (
+	"math/rand"
+	"testing"
+)
+
+func testCluster(t *testing.T, voters int, unsafe Unsafe) *cluster {
+	t.Helper()
+	c := newCluster(rand.New(rand.NewSource(1)), Config{RetainedEntries: 1, Unsafe: unsafe}, voters)
+	t.Cleanup(func() {
+		if c.check.violation != "" {
+			t.Errorf("%s\n%s", c.check.violation, c.describe())
+		}
+	})
+	return c
+}
+
+func (c *cluster) mustLead(t *testing.T, ticks int) *machine {
+	t.Helper()
+	c.settle(ticks)
+	leader := c.leader()
+	if leader == nil {
+		t.Fatalf("no leader after %d ticks:\n%s", ticks, c.describe())
+	}
+	return leader
+}
+
+func TestReplicatesToAll(t *testing.T) {
+	for _, voters := range []int{1, 3, 5} {
+		c := testCluster(t, voters, Unsafe{})
+		leader := c.mustLead(t, 60)
+		for range 100 {
+			if err := c.propose(leader); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.read(leader)
+		c.settle(2)
+		if c.check.entries != voters*101 || c.check.reads != 1 {
+			t.Fatalf("%d voters applied %d entries and served %d reads", voters, c.check.entries, c.check.reads)
+		}
+	}
+}
+
+func TestLearnerGetsSnapshotAndIsPromoted(t *testing.T) {
+	c := testCluster(t, 3, Unsafe{})
+	leader := c.mustLead(t, 60)
+	for range 50 {
+		if err := c.propose(leader); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.settle(2)
+	c.compact(leader)
+	c.add(9, Snapshot{})
+	change := func(kind ChangeKind, node uint64) {
+		t.Helper()
+		if _, _, err := leader.node.ProposeChange(ConfigurationChange{Kind: kind, Node: node}); err != nil {
+			t.Fatalf("%v\n%s", err, c.describe())
+		}
+		c.settle(5)
+	}
+	change(AddLearner, 9)
+	if c.check.snapshots != 1 {
+		t.Fatalf("%d snapshots", c.check.snapshots)
+	}
+	change(PromoteLearner, 9)
+	removed := leader.id%3 + 1
+	change(RemoveNode, removed)
+	if got := c.machine(9).node.configuration(); !got.IsVoter(9) || got.IsVoter(removed) || len(got.Voters) != 3 {
+		t.Fatalf("configuration %+v", got)
+	}
+}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -10,6 +10,10 @@
 //     are a leader's appends and heartbeats, which claim nothing about the sender's own disk.
 //  4. Apply Committed in order, then call Advance with the same Ready.
 //
+// Ready and Advance alternate strictly; Tick, Step, Propose and the like may come between them. A node's
+// own copy of an entry, and its own vote, count only from Advance on. Reads that were waiting when a
+// leader steps down get no ReadState: a driver fails them when Status no longer says Leader.
+//
 // The log since the last compaction is held in memory; New gets it back from the driver's storage.
 package raft
 
@@ -56,6 +60,9 @@
 type ConfigurationChange struct {
 	Kind ChangeKind
 	Node uint64
+	// Result is the whole configuration after the change. The leader fills it in, so that a learner that
+	// starts with an empty log never derives a configuration from nothing.
+	Result Configuration
 }
 
 // HardState is what a node must never forget: persisted before any message that depends on it.
@@ -97,12 +104,12 @@
 	From       uint64
 	Term       uint64
 	LogTerm    uint64 // term of the entry at Index, for appends and votes
-	Index      uint64 // entry before Entries; last index in votes; match index in replies
+	Index      uint64 // entry before Entries; last index in votes; match index in replies, or the rejected one
 	Entries    []Entry
 	Commit     uint64
 	Snapshot   *Snapshot
 	Reject     bool
-	RejectHint uint64 // where a rejected append may start over
+	RejectHint uint64 // where a rejected append may start over; LogTerm is then that entry's term
 	Context    uint64 // read round in heartbeats and replies; leadership transfer mark in votes
 }
 
@@ -134,8 +141,42 @@
 	// MaxUncommittedBytes bounds proposals that are not yet committed; above it Propose returns
 	// ErrOverloaded. Default 64 MiB.
 	MaxUncommittedBytes int
+	// RetainedEntries is the number of entries before a compaction's index that stay in memory, so that
+	// a follower that is a little behind needs no snapshot. Default 1000.
+	RetainedEntries int
+	// SnapshotRetryTicks is the number of ticks after which a snapshot that was not acknowledged is sent
+	// again. Default five times ElectionTicks; a transport with large snapshots may need more.
+	SnapshotRetryTicks int
 	// Random draws election timeouts. Required, so that a simulated run can be repeated.
 	Random *rand.Rand
+	// Unsafe switches safety steps off. For tests that show that the checks find faults; zero otherwise.
+	Unsafe Unsafe
+}
+
+// Unsafe switches off single safety steps of the protocol. It is for tests that show that the checks find
+// faults: with any field set, committed entries can be lost.
+type Unsafe struct {
+	// CommitOldTermEntries lets a leader commit entries of earlier terms by counting their copies.
+	CommitOldTermEntries bool
+	// IgnorePersistedVote makes a restarted node forget whom it voted for.
+	IgnorePersistedVote bool
+	// SkipLogUpToDateCheck grants votes to candidates whose log is behind.
+	SkipLogUpToDateCheck bool
+	// ReadWithoutQuorum serves reads without asking whether the leader still leads.
+	ReadWithoutQuorum bool
+	// CountUnsyncedSelf counts a leader's own copy of an entry before its disk has it.
+	CountUnsyncedSelf bool
+	// ReplyBeforeSync sends votes and acknowledgements before the disk has what they promise.
+	ReplyBeforeSync bool
+	// ChangeWithoutOwnCommit accepts a configuration change before the leader has committed an entry of
+	// its own term.
+	ChangeWithoutOwnCommit bool
+	// ConcurrentChanges accepts a configuration change while another is pending.
+	ConcurrentChanges bool
+	// CountLearners counts learners as voters when entries are committed.
+	CountLearners bool
+	// SkipAppendMatchCheck takes a leader's entries without comparing the entry before them.
+	SkipAppendMatchCheck bool
 }
 
 // Restored is what a node found on its disk. The zero value with a Configuration in Snapshot starts a
@@ -184,20 +225,5 @@
 	Node         uint64
 	Match        uint64
 	Learner      bool
-	RecentActive bool
+	RecentActive bool // heard from within the last ElectionTicks
 }
-
-// The public operations of Node, implemented in the other files of this package:
-//
-//	New(Config, Restored) (*Node, error)
-//	(*Node) Tick()
-//	(*Node) Step(Message) error
-//	(*Node) Propose(data []byte) (index, term uint64, err error)      ErrNotLeader, ErrOverloaded
-//	(*Node) ProposeChange(ConfigurationChange) (index, term uint64, err error) + ErrChangePending
-//	(*Node) ReadIndex(context uint64) error                           ErrNotLeader
-//	(*Node) TransferLeadership(to uint64) error
-//	(*Node) HasReady() bool
-//	(*Node) Ready() Ready
-//	(*Node) Advance(Ready)
-//	(*Node) Compact(index uint64, data []byte) (Snapshot, error)      index <= applied
-//	(*Node) Status() Status
