Add storage: one data folder, synced checksummed writes for all groups

Cause: what a consensus node promises has to outlive its process, and a disk that lies must be noticed before the node votes on what it says. Change: a data folder with lock, identity and one bbolt file; one synced transaction for all groups; a checksum per record that covers its key; a failed write or sync poisons the store, a full disk keeps the old state; format 1 is upgraded to 2; Check verifies offline. RaftBatch names its sender, so that peers can tell a lost or older folder. Tests: model against a slice (rapid), garbled and cut files, damaged and swapped records, foreign and newer folders, failed sync, full disk.

--- /dev/null
+++ b/internal/storage/guard.go
@@ -0,0 +1,58 @@
+package storage
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"go.etcd.io/bbolt"
+)
+
+// guarded runs a read of the data file and turns a panic or a memory fault, which bbolt answers a
+// damaged page with, into an error.
+func guarded(path string, read func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &DamageError{Record: path, Reason: fmt.Sprint(cause)}
+		}
+	}()
+	return read()
+}
+
+// verify reads every page and record of a data file without writing to it. It goes before the open for
+// writing, which rebuilds the free list and would panic in a goroutine of bbolt's on a damaged page.
+func verify(path string) error {
+	info, err := os.Stat(path)
+	if err != nil || info.Size() == 0 {
+		return nil // about to be made
+	}
+	return guarded(path, func() error {
+		database, err := openReadOnly(path)
+		if err != nil {
+			return err
+		}
+		defer database.Close()
+		return database.View(func(tx *bbolt.Tx) error { return walk(tx) })
+	})
+}
+
+func openReadOnly(path string) (*bbolt.DB, error) {
+	database, err := bbolt.Open(path, fileMode, &bbolt.Options{ReadOnly: true, Timeout: openTimeout})
+	if err != nil {
+		return nil, openError(path, err)
+	}
+	return database, nil
+}
+
+// walk touches every page of every bucket.
+func walk(tx *bbolt.Tx) error {
+	return tx.ForEach(func(name []byte, bucket *bbolt.Bucket) error {
+		return bucket.ForEach(func(key, record []byte) error {
+			if len(key) == 0 {
+				return &DamageError{Record: string(name), Reason: "it has an empty key"}
+			}
+			return nil
+		})
+	})
+}
--- /dev/null
+++ b/internal/storage/record.go
@@ -0,0 +1,120 @@
+package storage
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const checksumBytes = 8
+
+// seal prepends the checksum of key and payload, so that a record under a wrong key is found too.
+func seal(key, payload []byte) []byte {
+	record := make([]byte, checksumBytes, checksumBytes+len(payload))
+	record = append(record, payload...)
+	binary.BigEndian.PutUint64(record, checksum(key, payload))
+	return record
+}
+
+// unseal returns the payload of a record, which is valid as long as record is.
+func unseal(name string, key, record []byte) ([]byte, error) {
+	if len(record) < checksumBytes {
+		return nil, &DamageError{Record: name, Reason: fmt.Sprintf("%d bytes are too few", len(record))}
+	}
+	payload := record[checksumBytes:]
+	if binary.BigEndian.Uint64(record) != checksum(key, payload) {
+		return nil, &DamageError{Record: name, Reason: "the checksum does not match"}
+	}
+	return payload, nil
+}
+
+func checksum(key, payload []byte) uint64 {
+	digest := xxhash.New()
+	digest.Write(key)
+	digest.Write(payload)
+	return digest.Sum64()
+}
+
+const entryHeaderBytes = 12
+
+func encodeEntry(key []byte, entry raft.Entry) []byte {
+	record := make([]byte, checksumBytes+entryHeaderBytes, checksumBytes+entryHeaderBytes+len(entry.Data))
+	binary.BigEndian.PutUint64(record[checksumBytes:], entry.Term)
+	binary.BigEndian.PutUint32(record[checksumBytes+8:], uint32(entry.Kind))
+	record = append(record, entry.Data...)
+	binary.BigEndian.PutUint64(record, checksum(key, record[checksumBytes:]))
+	return record
+}
+
+func decodeEntry(name string, key, record []byte) (raft.Entry, error) {
+	payload, err := unseal(name, key, record)
+	if err != nil {
+		return raft.Entry{}, err
+	}
+	if len(payload) < entryHeaderBytes || len(key) != entryKeyBytes {
+		return raft.Entry{}, &DamageError{Record: name, Reason: "it is too short"}
+	}
+	entry := raft.Entry{
+		Index: binary.BigEndian.Uint64(key[groupKeyBytes:]),
+		Term:  binary.BigEndian.Uint64(payload),
+		Kind:  raft.EntryKind(binary.BigEndian.Uint32(payload[8:])),
+	}
+	if len(payload) > entryHeaderBytes {
+		entry.Data = append([]byte(nil), payload[entryHeaderBytes:]...)
+	}
+	return entry, nil
+}
+
+const hardStateBytes = 24
+
+func encodeHardState(state raft.HardState) []byte {
+	payload := make([]byte, hardStateBytes)
+	binary.BigEndian.PutUint64(payload, state.Term)
+	binary.BigEndian.PutUint64(payload[8:], state.Vote)
+	binary.BigEndian.PutUint64(payload[16:], state.Commit)
+	return payload
+}
+
+func decodeHardState(name string, payload []byte) (raft.HardState, error) {
+	if len(payload) != hardStateBytes {
+		return raft.HardState{}, &DamageError{Record: name, Reason: "it has a wrong length"}
+	}
+	return raft.HardState{
+		Term:   binary.BigEndian.Uint64(payload),
+		Vote:   binary.BigEndian.Uint64(payload[8:]),
+		Commit: binary.BigEndian.Uint64(payload[16:]),
+	}, nil
+}
+
+func encodeSnapshot(snapshot raft.Snapshot) ([]byte, error) {
+	return proto.Marshal(&wire.RaftSnapshot{
+		Index: snapshot.Index,
+		Term:  snapshot.Term,
+		Configuration: &wire.RaftConfiguration{
+			Voters:   snapshot.Configuration.Voters,
+			Learners: snapshot.Configuration.Learners,
+		},
+		Data: snapshot.Data,
+	})
+}
+
+func decodeSnapshot(name string, payload []byte) (raft.Snapshot, error) {
+	message := &wire.RaftSnapshot{}
+	if err := proto.Unmarshal(payload, message); err != nil {
+		return raft.Snapshot{}, &DamageError{Record: name, Reason: err.Error()}
+	}
+	return raft.Snapshot{
+		Index: message.Index,
+		Term:  message.Term,
+		Configuration: raft.Configuration{
+			Voters:   message.Configuration.GetVoters(),
+			Learners: message.Configuration.GetLearners(),
+		},
+		Data: message.Data,
+	}, nil
+}
