--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,187 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func uniformPool(n int) *Pool {
+	pool := NewPool(Settings{})
+	configs := make([]ReplicaConfig, n)
+	for i := range configs {
+		configs[i] = ReplicaConfig{Name: fmt.Sprintf("r%d", i), Weight: 100, Distance: Distance(i % 2)}
+	}
+	pool.SetReplicas(configs)
+	return pool
+}
+
+func policies() map[string]Policy {
+	return map[string]Policy{"balanced": Balanced{}, "random": UniformRandom{}, "round robin": &RoundRobin{},
+		"least requests": LeastRequests{}}
+}
+
+// TestNoPolicyChoosesAnUnusableReplica throws arbitrary states and reports at every policy.
+func TestNoPolicyChoosesAnUnusableReplica(t *testing.T) {
+	examined := 0
+	rapid.Check(t, func(t *rapid.T) {
+		pool := uniformPool(rapid.IntRange(1, 12).Draw(t, "replicas"))
+		now := time.Duration(0)
+		request := &Request{Work: 100, Urgent: rapid.Bool().Draw(t, "urgent"), Blocks: []uint64{1, 2}}
+		configs := make([]ReplicaConfig, pool.Len())
+		for i := range configs {
+			configs[i] = ReplicaConfig{Name: pool.Name(i), Weight: rapid.SampledFrom([]float64{0, 1, 100, 1000}).Draw(t, "weight"),
+				MaxInFlight: rapid.IntRange(0, 2).Draw(t, "limit"), Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0}
+		}
+		pool.SetReplicas(configs)
+		random := rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))
+		for range 40 {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "millis")) * time.Millisecond
+			name := pool.Name(rapid.IntRange(0, pool.Len()-1).Draw(t, "replica"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				pool.Failed(name, now)
+			case 1:
+				work := rapid.SampledFrom([]float64{0, -5, 1e300, math.NaN(), math.Inf(1), 500}).Draw(t, "work")
+				pool.Report(name, LoadReport{Work: work, Leaving: rapid.Bool().Draw(t, "leaving")}, now)
+			case 2:
+				pool.RefusedLeaving(name, now)
+			case 3:
+				pool.Ended(name, request, now)
+			}
+			for policyName, policy := range policies() {
+				anyOpen := false
+				for i := range pool.Len() {
+					anyOpen = anyOpen || pool.open(i, request)
+				}
+				chosen := policy.Choose(pool, request, now, random)
+				if chosen == None {
+					if anyOpen {
+						t.Fatalf("%s chose none of an open pool", policyName)
+					}
+					continue
+				}
+				examined++
+				if !pool.open(chosen, request) {
+					t.Fatalf("%s chose %d, which is not open", policyName, chosen)
+				}
+				pool.Sent(chosen, request, now)
+			}
+		}
+	})
+	if examined == 0 {
+		t.Fatal("no choice was examined")
+	}
+}
+
+// spread sends n requests that never end and returns the number per replica.
+func spread(pool *Pool, n int, request *Request, now time.Duration) []int {
+	random := rand.NewPCG(1, 2)
+	counts := make([]int, pool.Len())
+	for range n {
+		i := Balanced{}.Choose(pool, request, now, random)
+		pool.Sent(i, request, now)
+		counts[i]++
+	}
+	return counts
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	pool := NewPool(Settings{})
+	pool.SetReplicas([]ReplicaConfig{{Name: "a", Weight: 100}, {Name: "b", Weight: 300}})
+	counts := spread(pool, 4000, &Request{Work: 100}, 0)
+	if ratio := float64(counts[1]) / float64(counts[0]); ratio < 2.7 || ratio > 3.3 {
+		t.Fatalf("weights 1:3 gave %v", counts)
+	}
+}
+
+func TestLyingReportNeitherAttractsNorStarves(t *testing.T) {
+	pool := uniformPool(10)
+	for i := range 10 {
+		pool.Report(pool.Name(i), LoadReport{Work: 1000}, time.Second)
+	}
+	pool.Report("r0", LoadReport{Work: 0}, time.Second)    // looks idle
+	pool.Report("r1", LoadReport{Work: 1e12}, time.Second) // looks buried
+	counts := spread(pool, 2000, &Request{Work: 100}, time.Second)
+	if counts[0] > 600 {
+		t.Fatalf("a replica that looks idle took %v", counts)
+	}
+	if counts[1] == 0 {
+		t.Fatalf("a replica that looks buried got nothing: %v", counts)
+	}
+}
+
+func TestReplicaComesBackSlowly(t *testing.T) {
+	pool := uniformPool(10)
+	for range 3 {
+		pool.Failed("r0", 0)
+	}
+	request := &Request{Work: 100}
+	if got := spread(pool, 500, request, 500*time.Millisecond)[0]; got != 0 {
+		t.Fatalf("a quarantined replica got %d", got)
+	}
+	back := spread(pool, 500, request, 1100*time.Millisecond)[0]
+	if back == 0 || back > 50 {
+		t.Fatalf("a replica just back got %d of 500 while its fair share is 50", back)
+	}
+	pool.Failed("r0", 1200*time.Millisecond)
+	if !pool.Quarantined(0, 3*time.Second) {
+		t.Fatal("one failure in the slow return must quarantine again, for longer")
+	}
+}
+
+func TestPrefixHolderIsPreferredUntilItIsBusy(t *testing.T) {
+	pool := uniformPool(10)
+	request := &Request{Work: 50, Blocks: []uint64{11, 12, 13, 14, 15, 16, 17, 18}}
+	counts := spread(pool, 2, request, time.Second)
+	same := false
+	for _, count := range counts {
+		same = same || count == 2
+	}
+	if !same {
+		t.Fatalf("the second of a group did not follow the prefix: %v", counts)
+	}
+	more := spread(pool, 40, request, time.Second)
+	for i, count := range more {
+		if count > 20 {
+			t.Fatalf("replica %d took %d of 40 for the prefix's sake", i, count)
+		}
+	}
+}
+
+func TestStoppedReportsMoveToTheMean(t *testing.T) {
+	pool := uniformPool(4)
+	for i := range 4 {
+		pool.Report(pool.Name(i), LoadReport{Work: 1000}, time.Second)
+	}
+	pool.Report("r0", LoadReport{Work: 0}, time.Second)
+	fresh, stale := pool.foreign(&pool.replicas[0], time.Second), pool.foreign(&pool.replicas[0], 20*time.Second)
+	if fresh >= stale || stale != 750 {
+		t.Fatalf("fresh %v, stale %v; want the pool's mean 750 when stale", fresh, stale)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 600} {
+		for name, policy := range policies() {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				pool, random := uniformPool(n), rand.NewPCG(1, 2)
+				for i := range n {
+					pool.Report(pool.Name(i), LoadReport{Work: float64(i)}, 0)
+				}
+				request := &Request{Work: 100, Urgent: true, Blocks: []uint64{1, 2, 3, 4}}
+				b.ReportAllocs()
+				for i := range b.N {
+					now := time.Duration(i) * time.Microsecond
+					chosen := policy.Choose(pool, request, now, random)
+					pool.Sent(chosen, request, now)
+					pool.Ended(pool.Name(chosen), request, now)
+				}
+			})
+		}
+	}
+}
