--- /dev/null
+++ b/internal/claim/snapshot.go
@@ -0,0 +1,93 @@
+package claim
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Snapshot returns the whole state. Equal stores give equal snapshots. It shares answers with the store:
+// encode it before the next command.
+func (s *Store) Snapshot() *wire.ClaimSnapshot {
+	snapshot := &wire.ClaimSnapshot{
+		Floor: s.floor, ClockUnixMillis: s.clock,
+		Records: make([]*wire.ClaimRecord, 0, len(s.records)),
+	}
+	for _, held := range s.runningByKey() {
+		snapshot.Records = append(snapshot.Records, held.message())
+	}
+	for _, list := range []*retentionList{&s.aged, &s.young} {
+		for r := list.first; r != nil; r = r.next {
+			snapshot.Records = append(snapshot.Records, r.message())
+		}
+	}
+	for _, mark := range s.marks {
+		snapshot.Marks = append(snapshot.Marks, &wire.ClaimMark{AtUnixMillis: mark.at, Index: mark.index})
+	}
+	return snapshot
+}
+
+func (s *Store) runningByKey() []*record {
+	var held []*record
+	for _, ofOwner := range s.running {
+		for _, r := range ofOwner {
+			held = append(held, r)
+		}
+	}
+	sort.Slice(held, func(i, j int) bool { return held[i].key < held[j].key })
+	return held
+}
+
+func (r *record) message() *wire.ClaimRecord {
+	return &wire.ClaimRecord{
+		Key: r.key, BodyHash: []byte(r.bodyHash), State: r.state, Owner: r.owner, Attempt: r.attempt,
+		Answer: r.answer, RefusedIndex: r.refusedIndex, LastIndex: r.lastIndex, AtUnixMillis: r.at,
+		Released: slices.Clone(r.released), Aged: r.aged,
+	}
+}
+
+// Restore replaces the state with a snapshot's. On an error the store is unchanged. The store keeps the
+// snapshot's answers.
+func (s *Store) Restore(snapshot *wire.ClaimSnapshot) error {
+	restored := NewUnsafe(s.unsafe)
+	restored.floor, restored.clock = snapshot.GetFloor(), snapshot.GetClockUnixMillis()
+	for _, message := range snapshot.GetRecords() {
+		if err := restored.restoreRecord(message); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	for _, message := range snapshot.GetMarks() {
+		restored.marks = append(restored.marks, mark{at: message.GetAtUnixMillis(), index: message.GetIndex()})
+	}
+	*s = *restored
+	return nil
+}
+
+func (s *Store) restoreRecord(message *wire.ClaimRecord) error {
+	if message.GetKey() == "" || s.records[message.GetKey()] != nil {
+		return trace.BadParameter("snapshot has a claim without a key or twice: %q", message.GetKey())
+	}
+	r := &record{
+		key: message.GetKey(), bodyHash: string(message.GetBodyHash()), state: message.GetState(),
+		owner: message.GetOwner(), attempt: message.GetAttempt(), answer: message.GetAnswer(),
+		refusedIndex: message.GetRefusedIndex(), lastIndex: message.GetLastIndex(),
+		at: message.GetAtUnixMillis(), released: message.GetReleased(), aged: message.GetAged(),
+	}
+	switch r.state {
+	case running:
+		if r.aged {
+			return trace.BadParameter("snapshot has a running claim past retention: %q", r.key)
+		}
+		s.startRunning(r)
+	case idle, wire.ClaimState_CLAIM_STATE_DONE, wire.ClaimState_CLAIM_STATE_ANSWER_EXPIRED,
+		wire.ClaimState_CLAIM_STATE_UNKNOWN_OUTCOME:
+		s.listOf(r).push(r)
+	default:
+		return trace.BadParameter("snapshot has a claim in no storable state: %q", r.key)
+	}
+	s.records[r.key] = r
+	return nil
+}
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,194 @@
+// Package state is the replicated state machine of every consensus group. It composes the table, members
+// and fences of the control group (group 0) with the claims and samples of the ledger groups (1 to N), and
+// routes each command to its part. Equal sequences of commands give equal states and equal snapshots, byte
+// for byte, on every node.
+//
+// The package is pure. Apply commands in log order; a Machine is not safe for concurrent use.
+package state
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/claim"
+	"github.com/tamarindring/tamarindring/internal/fence"
+	"github.com/tamarindring/tamarindring/internal/ledger"
+	"github.com/tamarindring/tamarindring/internal/member"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// ControlGroup is the consensus group of the table, members and fences.
+const ControlGroup uint32 = 0
+
+// LedgerGroup returns the group, 1 to ledgerGroups, of a claim's key or a trainer's name. The number of
+// groups is fixed for the life of a cluster.
+func LedgerGroup(key string, ledgerGroups int) uint32 {
+	if ledgerGroups <= 1 {
+		return 1
+	}
+	return 1 + uint32(xxhash.Sum64String(key)%uint64(ledgerGroups))
+}
+
+// Unsafe switches safety steps off. Only tests set it, to show that the checks find the fault.
+type Unsafe struct {
+	Table  table.Unsafe
+	Claim  claim.Unsafe
+	Ledger ledger.Unsafe
+	Fence  fence.Unsafe
+}
+
+// Machine is one group's state.
+type Machine struct {
+	applied uint64
+	table   *table.Table
+	members *member.List
+	fences  *fence.Registry
+	claims  *claim.Store
+	ledger  *ledger.Ledger
+}
+
+// New returns an empty Machine.
+func New() *Machine { return NewUnsafe(Unsafe{}) }
+
+// NewUnsafe returns an empty Machine with safety steps switched off.
+func NewUnsafe(unsafe Unsafe) *Machine {
+	return &Machine{
+		table:   table.NewUnsafe(unsafe.Table),
+		members: member.New(),
+		fences:  fence.NewUnsafe(unsafe.Fence),
+		claims:  claim.NewUnsafe(unsafe.Claim),
+		ledger:  ledger.NewUnsafe(unsafe.Ledger),
+	}
+}
+
+// AppliedIndex returns the log index of the last command that was applied or skipped; 0 if there was none.
+func (m *Machine) AppliedIndex() uint64 { return m.applied }
+
+// TableVersion returns the version of the table.
+func (m *Machine) TableVersion() uint64 { return m.table.Version() }
+
+// TableUpdate returns what moves a holder of the table from a version to the current one.
+func (m *Machine) TableUpdate(fromVersion uint64) *wire.TableUpdate {
+	return m.table.Update(fromVersion)
+}
+
+// Members returns the list of members and its version.
+func (m *Machine) Members() *wire.MembersView { return m.members.View() }
+
+// Apply applies the command at a log index and returns its result, never nil. A malformed or unknown
+// command, and one at an index that was applied before, changes nothing and gets Result.invalid. The
+// Machine may keep parts of the command: the caller must not change it afterwards.
+func (m *Machine) Apply(index uint64, command *wire.Command) *wire.Result {
+	if index <= m.applied {
+		return invalid(trace.BadParameter("index %d was applied before, up to %d", index, m.applied))
+	}
+	m.applied = index
+	switch kind := command.GetKind().(type) {
+	case *wire.Command_TableChange:
+		return &wire.Result{Kind: &wire.Result_Table{Table: m.table.Apply(kind.TableChange)}}
+	case *wire.Command_MemberUpdate:
+		result, err := m.members.Apply(kind.MemberUpdate)
+		if err != nil {
+			return invalid(err)
+		}
+		return &wire.Result{Kind: &wire.Result_Member{Member: result}}
+	case *wire.Command_FenceAcquire:
+		result, err := m.fences.Acquire(kind.FenceAcquire)
+		if err != nil {
+			return invalid(err)
+		}
+		return &wire.Result{Kind: &wire.Result_Fence{Fence: result}}
+	}
+	if result, known := m.applyClaim(index, command); known {
+		return result
+	}
+	if result, known := m.applySample(command); known {
+		return result
+	}
+	return invalid(trace.BadParameter("command has no known kind"))
+}
+
+func (m *Machine) applyClaim(index uint64, command *wire.Command) (*wire.Result, bool) {
+	var result *wire.ClaimResult
+	var err error
+	switch kind := command.GetKind().(type) {
+	case *wire.Command_ClaimBegin:
+		result, err = m.claims.Begin(index, kind.ClaimBegin)
+	case *wire.Command_ClaimFinish:
+		result, err = m.claims.Finish(index, kind.ClaimFinish)
+	case *wire.Command_ClaimRelease:
+		result, err = m.claims.Release(index, kind.ClaimRelease)
+	case *wire.Command_ClaimRefuse:
+		result, err = m.claims.Refuse(index, kind.ClaimRefuse)
+	case *wire.Command_ClaimOrphan:
+		result, err = m.claims.Orphan(index, kind.ClaimOrphan)
+	case *wire.Command_ClaimExpire:
+		result, err = m.claims.Expire(index, kind.ClaimExpire)
+	default:
+		return nil, false
+	}
+	if err != nil {
+		return invalid(err), true
+	}
+	return &wire.Result{Kind: &wire.Result_Claim{Claim: result}}, true
+}
+
+func (m *Machine) applySample(command *wire.Command) (*wire.Result, bool) {
+	var result *wire.SampleResult
+	var err error
+	switch kind := command.GetKind().(type) {
+	case *wire.Command_StepOpen:
+		result, err = m.ledger.Open(kind.StepOpen)
+	case *wire.Command_SampleStore:
+		result, err = m.ledger.Store(kind.SampleStore)
+	case *wire.Command_BatchSeal:
+		result, err = m.ledger.Seal(kind.BatchSeal)
+	case *wire.Command_BatchDiscard:
+		result, err = m.ledger.Discard(kind.BatchDiscard)
+	case *wire.Command_BatchAcknowledge:
+		result, err = m.ledger.Acknowledge(kind.BatchAcknowledge)
+	default:
+		return nil, false
+	}
+	if err != nil {
+		return invalid(err), true
+	}
+	return &wire.Result{Kind: &wire.Result_Sample{Sample: result}}, true
+}
+
+func invalid(err error) *wire.Result {
+	return &wire.Result{Kind: &wire.Result_Invalid{Invalid: err.Error()}}
+}
+
+// Query answers from the state as it is; a caller that needs a linearizable answer passes a read barrier
+// first. A query of no known kind gets an empty View. A StatusView has only what the state machine knows.
+func (m *Machine) Query(query *wire.Query) *wire.View {
+	switch kind := query.GetKind().(type) {
+	case *wire.Query_Table:
+		return &wire.View{Kind: &wire.View_Table{Table: m.table.Update(kind.Table.GetKnownVersion())}}
+	case *wire.Query_History:
+		entries := m.table.History(kind.History.GetRow(), kind.History.GetColumn(), int(kind.History.GetLimit()))
+		return &wire.View{Kind: &wire.View_History{History: &wire.HistoryView{Entries: entries}}}
+	case *wire.Query_Members:
+		return &wire.View{Kind: &wire.View_Members{Members: m.members.View()}}
+	case *wire.Query_Claim:
+		result := m.claims.Get(kind.Claim.GetKey())
+		result.Index = m.applied
+		return &wire.View{Kind: &wire.View_Claim{Claim: result}}
+	case *wire.Query_Trainer:
+		view := m.ledger.View(kind.Trainer.GetTrainer(), kind.Trainer.GetWithSamples())
+		return &wire.View{Kind: &wire.View_Trainer{Trainer: view}}
+	case *wire.Query_Status:
+		return &wire.View{Kind: &wire.View_Status{Status: m.status()}}
+	default:
+		return &wire.View{}
+	}
+}
+
+func (m *Machine) status() *wire.StatusView {
+	return &wire.StatusView{
+		AppliedIndex: m.applied, TableVersion: m.table.Version(),
+		Claims: uint64(m.claims.Len()), ClaimOwners: m.claims.Owners(),
+	}
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,65 @@
+package state
+
+import (
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// SnapshotFormat is the version of the snapshot's encoding. A program reads its own format and every older
+// one; it refuses a newer one.
+const SnapshotFormat uint32 = 1
+
+// Snapshot encodes the whole state. Equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	snapshot := &wire.MachineSnapshot{
+		Format:       SnapshotFormat,
+		AppliedIndex: m.applied,
+		Table:        m.table.Snapshot(),
+		Members:      m.members.Snapshot(),
+		Fences:       m.fences.Snapshot(),
+		Claims:       m.claims.Snapshot(),
+		Ledger:       m.ledger.Snapshot(),
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	if err != nil {
+		return nil, trace.Wrap(err, "encoding a snapshot")
+	}
+	return data, nil
+}
+
+// Restore replaces the state with a snapshot's. Errors: data that is not a snapshot, or of a newer format;
+// the Machine is then unchanged.
+func (m *Machine) Restore(data []byte) error {
+	snapshot := &wire.MachineSnapshot{}
+	if err := proto.Unmarshal(data, snapshot); err != nil {
+		return trace.BadParameter("data is not a snapshot: %v", err)
+	}
+	if snapshot.GetFormat() == 0 {
+		return trace.BadParameter("data is not a snapshot: it has no format")
+	}
+	if snapshot.GetFormat() > SnapshotFormat {
+		return trace.BadParameter("snapshot has format %d; this program reads up to %d: use a newer program", snapshot.GetFormat(), SnapshotFormat)
+	}
+	return trace.Wrap(m.restoreParts(snapshot))
+}
+
+// restoreParts restores copies first, so that an error in a later part leaves the earlier ones alone.
+func (m *Machine) restoreParts(snapshot *wire.MachineSnapshot) error {
+	tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy := *m.table, *m.members, *m.fences, *m.claims, *m.ledger
+	for _, restore := range []func() error{
+		func() error { return tableCopy.Restore(snapshot.GetTable()) },
+		func() error { return membersCopy.Restore(snapshot.GetMembers()) },
+		func() error { return fencesCopy.Restore(snapshot.GetFences()) },
+		func() error { return claimsCopy.Restore(snapshot.GetClaims()) },
+		func() error { return ledgerCopy.Restore(snapshot.GetLedger()) },
+	} {
+		if err := restore(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	*m.table, *m.members, *m.fences, *m.claims, *m.ledger = tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy
+	m.applied = snapshot.GetAppliedIndex()
+	return nil
+}
--- /dev/null
+++ b/internal/table/commit.go
@@ -0,0 +1,134 @@
+package table
+
+import (
+	"sort"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// commit makes a checked draft the table's next version.
+func (t *Table) commit(d *draft, change *wire.TableChange) {
+	t.version++
+	for _, name := range d.removed {
+		t.removeRow(name, change)
+	}
+	for _, cell := range d.cells {
+		t.setCell(cell, change)
+	}
+	t.trim()
+}
+
+func (t *Table) removeRow(name string, change *wire.TableChange) {
+	stored := t.rows[name]
+	for _, column := range sortedColumns(stored.cells) {
+		if cell := stored.cells[column]; cell.value != "" {
+			t.remember(change, name, column, cell.value, "")
+		}
+	}
+	delete(t.rows, name)
+	t.removed = append(t.removed, removedRow{name: name, version: t.version, operator: change.GetOperator()})
+}
+
+func (t *Table) setCell(cell *wire.CellChange, change *wire.TableChange) {
+	stored := t.rows[cell.GetRow()]
+	if stored == nil {
+		stored = &storedRow{cells: map[string]storedCell{}}
+		t.rows[cell.GetRow()] = stored
+		t.forgetRemoval(cell.GetRow())
+	}
+	stored.version = t.version
+	t.remember(change, cell.GetRow(), cell.GetColumn(), stored.cells[cell.GetColumn()].value, cell.GetValue())
+	stored.cells[cell.GetColumn()] = storedCell{value: cell.GetValue(), version: t.version, operator: change.GetOperator()}
+}
+
+// forgetRemoval drops the mark of an earlier removal once the row exists again. The row's own cells cannot
+// stand in for it in conflicts, so each column without a cell keeps the removal as a cleared cell.
+func (t *Table) forgetRemoval(name string) {
+	kept := t.removed[:0]
+	for _, removal := range t.removed {
+		if removal.name != name {
+			kept = append(kept, removal)
+			continue
+		}
+		for position := range columns {
+			t.rows[name].cells[columns[position].Name] = storedCell{version: removal.version, operator: removal.operator}
+		}
+	}
+	t.removed = kept
+}
+
+func (t *Table) remember(change *wire.TableChange, row, column, from, to string) {
+	t.history = append(t.history, &wire.HistoryEntry{
+		Version: t.version, Operator: change.GetOperator(), AtUnixMillis: change.GetAtUnixMillis(),
+		Row: row, Column: column, From: from, To: to, ChangeId: change.GetChangeId(), Note: change.GetNote(),
+	})
+}
+
+// trim keeps the history and the memory of removals within their bounds.
+func (t *Table) trim() {
+	if surplus := len(t.history) - MaximumHistory; surplus > 0 {
+		t.history = append([]*wire.HistoryEntry(nil), t.history[surplus:]...)
+	}
+	if surplus := len(t.removed) - MaximumRemoved; surplus > 0 {
+		t.removalFloor = t.removed[surplus-1].version
+		t.removed = append([]removedRow(nil), t.removed[surplus:]...)
+	}
+}
+
+// Update returns what moves a holder from fromVersion to the current version: a delta when every removal
+// since is known, else the whole table. A holder that is up to date, or ahead of this copy, gets an update
+// that moves nothing.
+func (t *Table) Update(fromVersion uint64) *wire.TableUpdate {
+	if fromVersion >= t.version && fromVersion > 0 {
+		return &wire.TableUpdate{FromVersion: fromVersion, ToVersion: fromVersion}
+	}
+	if fromVersion < t.removalFloor {
+		fromVersion = 0
+	}
+	update := &wire.TableUpdate{FromVersion: fromVersion, ToVersion: t.version}
+	for _, name := range t.sortedRows() {
+		if stored := t.rows[name]; stored.version > fromVersion {
+			update.Rows = append(update.Rows, wireRow(name, stored, false))
+		}
+	}
+	if fromVersion == 0 {
+		return update
+	}
+	for _, removal := range t.removed {
+		if removal.version > fromVersion {
+			update.RemovedRows = append(update.RemovedRows, removal.name)
+		}
+	}
+	sort.Strings(update.RemovedRows)
+	return update
+}
+
+// wireRow returns a row's cells by column; cleared ones only if asked for.
+func wireRow(name string, stored *storedRow, cleared bool) *wire.TableRow {
+	row := &wire.TableRow{Name: name}
+	for _, column := range sortedColumns(stored.cells) {
+		cell := stored.cells[column]
+		if cell.value != "" || cleared {
+			row.Cells = append(row.Cells, &wire.TableCell{
+				Column: column, Value: cell.value, Version: cell.version, Operator: cell.operator,
+			})
+		}
+	}
+	return row
+}
+
+// History returns up to limit entries, newest first, of a row and column; empty text stands for any, and
+// limit 0 for all that are kept (MaximumHistory).
+func (t *Table) History(row, column string, limit int) []*wire.HistoryEntry {
+	var found []*wire.HistoryEntry
+	for position := len(t.history) - 1; position >= 0; position-- {
+		entry := t.history[position]
+		if (row == "" || row == entry.GetRow()) && (column == "" || column == entry.GetColumn()) {
+			found = append(found, entry)
+		}
+		if limit > 0 && len(found) == limit {
+			break
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/table/row.go
@@ -0,0 +1,73 @@
+package table
+
+import "time"
+
+// Row is one row with every column typed and defaults and inheritance resolved. It is never changed once
+// a View holds it. Columns that do not apply to the row's kind are zero, or the pool's for a back end.
+type Row struct {
+	Name           string
+	Kind           RowKind
+	Pool           string // of a back end; a pool's own name for a pool
+	Address        string // IP:port; empty for a pool
+	Zone           string // may be empty
+	State          State  // a back end's is never more willing than its pool's
+	Service        Service
+	Weight         uint32 // relative share, 0 to 1000
+	MaxInFlight    uint32 // requests at one back end, over all gateways
+	QueueLimit     uint32 // waiting requests
+	QueueWait      time.Duration
+	LiveRoom       uint32 // slots that rollout work may not use
+	RolloutShare   uint32 // percent of the slots that rollout work may hold
+	ClassOrder     []string
+	StalenessBound uint32 // weight versions
+	Deadline       time.Duration
+
+	explicit map[string]string // the row's own cells, canonical, without cleared ones
+}
+
+// Serving reports whether the row takes new work: it is active and has a weight above 0.
+func (r *Row) Serving() bool { return r.State == Active && r.Weight > 0 }
+
+// Explicit returns the row's own value of a column, and whether it has one.
+func (r *Row) Explicit(column string) (string, bool) {
+	value, ok := r.explicit[column]
+	return value, ok
+}
+
+// resolve builds the typed row from its own cells and, for a back end, its pool's (nil if unknown).
+func resolve(name string, own, pool map[string]string) *Row {
+	row := &Row{Name: name, explicit: own}
+	kind := RowKind(own[ColumnKind])
+	for position := range columns {
+		column := &columns[position]
+		value, ok := own[column.Name]
+		if !ok && column.Inherited && kind == Backend {
+			value, ok = pool[column.Name]
+		}
+		if !ok {
+			value = column.Default
+		}
+		if value == "" || (!column.AppliesTo(kind) && !column.Inherited) {
+			continue
+		}
+		column.assign(row, value)
+	}
+	if kind == Pool {
+		row.Pool = name
+	}
+	if poolState := State(pool[ColumnState]); kind == Backend && stateRank(poolState) > stateRank(row.State) {
+		row.State = poolState
+	}
+	return row
+}
+
+func stateRank(state State) int {
+	switch state {
+	case Removed:
+		return 2
+	case Draining:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/table/snapshot.go
@@ -0,0 +1,70 @@
+package table
+
+import (
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Snapshot returns the whole state. Equal tables give equal snapshots. It shares messages with the table:
+// encode it before the next Apply.
+func (t *Table) Snapshot() *wire.TableSnapshot {
+	snapshot := &wire.TableSnapshot{
+		Version: t.version, RemovalFloor: t.removalFloor,
+		History: t.history, Changes: t.changes.records(),
+	}
+	for _, name := range t.sortedRows() {
+		snapshot.Rows = append(snapshot.Rows, wireRow(name, t.rows[name], true))
+	}
+	for _, removal := range t.removed {
+		snapshot.Removed = append(snapshot.Removed, &wire.RemovedRow{
+			Name: removal.name, Version: removal.version, Operator: removal.operator,
+		})
+	}
+	return snapshot
+}
+
+// Restore replaces the state with a snapshot's. On an error the table is unchanged. The table keeps the
+// snapshot's messages.
+func (t *Table) Restore(snapshot *wire.TableSnapshot) error {
+	restored := NewUnsafe(t.unsafe)
+	restored.version, restored.removalFloor = snapshot.GetVersion(), snapshot.GetRemovalFloor()
+	restored.history = snapshot.GetHistory()
+	for _, row := range snapshot.GetRows() {
+		stored, err := restoreRow(row, snapshot.GetVersion())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		restored.rows[row.GetName()] = stored
+	}
+	for _, removal := range snapshot.GetRemoved() {
+		restored.removed = append(restored.removed, removedRow{
+			name: removal.GetName(), version: removal.GetVersion(), operator: removal.GetOperator(),
+		})
+	}
+	for _, record := range snapshot.GetChanges() {
+		if record.GetResult().GetChangeId() == "" {
+			return trace.BadParameter("snapshot remembers a change without an id")
+		}
+		restored.changes.put(record.GetDigest(), record.GetResult())
+	}
+	*t = *restored
+	return nil
+}
+
+func restoreRow(row *wire.TableRow, version uint64) (*storedRow, error) {
+	stored := &storedRow{cells: make(map[string]storedCell, len(row.GetCells()))}
+	for _, cell := range row.GetCells() {
+		if _, known := columnIndex[cell.GetColumn()]; !known {
+			return nil, trace.BadParameter("snapshot has an unknown column %q in row %q", cell.GetColumn(), row.GetName())
+		}
+		if cell.GetVersion() > version {
+			return nil, trace.BadParameter("snapshot has a cell of row %q above its version", row.GetName())
+		}
+		stored.cells[cell.GetColumn()] = storedCell{
+			value: cell.GetValue(), version: cell.GetVersion(), operator: cell.GetOperator(),
+		}
+		stored.version = max(stored.version, cell.GetVersion())
+	}
+	return stored, nil
+}
