--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,137 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+)
+
+// newInertParser builds a parser of all subcommands whose handler runs nothing, to look at settings.
+func newInertParser() (*flags.Parser, error) {
+	parser := flags.NewNamedParser("tamarindring", flags.HelpFlag|flags.PassDoubleDash)
+	parser.CommandHandler = func(flags.Commander, []string) error { return nil }
+	return parser, addCommands(parser, &Environment{Stdout: io.Discard, Stderr: io.Discard})
+}
+
+type configCheckCommand struct {
+	Positional struct {
+		Role string `positional-arg-name:"ROLE" description:"Subcommand the file is for, such as gateway"`
+		File string `positional-arg-name:"FILE" description:"Settings file"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run checks a settings file as the role's process would, without starting anything.
+func (c *configCheckCommand) Run(environment Environment, _ []string) error {
+	parser, err := newInertParser()
+	if err != nil {
+		return err
+	}
+	arguments := append(strings.Fields(c.Positional.Role), "--"+settingsFlag+"="+c.Positional.File)
+	if command, _ := findCommand(parser, arguments); command == nil {
+		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("no subcommand %q", c.Positional.Role)}
+	}
+	merged, err := withSettings(parser, arguments)
+	if err == nil {
+		_, err = parser.ParseArgs(merged)
+	}
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("%s is not valid for %s: %v", c.Positional.File, c.Positional.Role, err)}
+	}
+	_, err = fmt.Fprintf(environment.Stdout, "%s is valid for %s\n", c.Positional.File, c.Positional.Role)
+	return trace.Wrap(err)
+}
+
+type configPrintCommand struct {
+	Positional struct {
+		Role string `positional-arg-name:"ROLE" description:"Subcommand to print the settings of"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run prints a role's settings with their defaults and comments, as a file to start from.
+func (c *configPrintCommand) Run(environment Environment, _ []string) error {
+	parser, err := newInertParser()
+	if err != nil {
+		return err
+	}
+	command, _ := findCommand(parser, strings.Fields(c.Positional.Role))
+	if command == nil {
+		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("no subcommand %q", c.Positional.Role)}
+	}
+	for _, option := range settingOptions(command) {
+		fmt.Fprintf(environment.Stdout, "# %s\n", option.Description)
+		fmt.Fprintf(environment.Stdout, "%s\n", settingLine(option))
+	}
+	return nil
+}
+
+// settingLine is an option as a line of YAML; one without a default is commented out.
+func settingLine(option *flags.Option) string {
+	value := strings.Join(option.Default, ", ")
+	if value == "" {
+		if _, boolean := option.Value().(bool); boolean {
+			return option.LongName + ": false"
+		}
+		return "# " + option.LongName + ":"
+	}
+	return option.LongName + ": " + value
+}
+
+// settingOptions lists a subcommand's options that a settings file may name.
+func settingOptions(command *flags.Command) []*flags.Option {
+	var options []*flags.Option
+	for _, option := range commandOptions(command) {
+		if option.LongName != "" && option.LongName != settingsFlag && option.LongName != "help" {
+			options = append(options, option)
+		}
+	}
+	return options
+}
+
+type configReferenceCommand struct{}
+
+// Run prints the reference page of all settings, docs/operations/settings.md.
+func (*configReferenceCommand) Run(environment Environment, _ []string) error {
+	return writeReference(environment.Stdout)
+}
+
+// referenceRoles are the subcommands whose settings the reference page lists: the long-running ones.
+var referenceRoles = []string{"control", "gateway", "coordinator"}
+
+func writeReference(output io.Writer) error {
+	parser, err := newInertParser()
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(output, `# Settings
+
+Made by `+"`tamarindring config reference`"+`; a test holds this page against the code. A settings file is
+one strict YAML mapping per process (`+"`--settings FILE`"+`); its keys are the flags' long names, and a flag
+on the command line wins. `+"`tamarindring config check ROLE FILE`"+` checks a file without starting anything;
+`+"`tamarindring config print ROLE`"+` prints a file to start from. Every setting is read at the start of the
+process: change the file, then drain and restart the process. What changes while running is in the table.
+`)
+	for _, role := range referenceRoles {
+		command := parser.Find(role)
+		if command == nil {
+			continue
+		}
+		fmt.Fprintf(output, "\n## %s\n\n| setting | default | meaning |\n|---|---|---|\n", role)
+		for _, option := range settingOptions(command) {
+			fmt.Fprintf(output, "| `%s` | %s | %s |\n", option.LongName, defaultText(option), option.Description)
+		}
+	}
+	return nil
+}
+
+func defaultText(option *flags.Option) string {
+	if len(option.Default) > 0 {
+		return "`" + strings.Join(option.Default, ", ") + "`"
+	}
+	if option.Required {
+		return "required"
+	}
+	return "none"
+}
