admission: slots, class order and yielding of a pool's requests

Cause: gateways must refuse early and give live traffic the room that rollouts hold. Change: Queue grants, queues or refuses by class; live arrivals displace waiting rollouts and ask the youngest running ones to yield; a yielded request queues at the front. Shares of fleet-wide limits add up. dispatch: a gap in a resumed stream goes to another replica instead of resuming for ever; tokens that the caller brought count in offsets; a table change between choice and send leads to a new choice. Conclusion: rapid tests hold for limits, shares and effects.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,182 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func liveRequest(id uint64) Request {
+	return Request{ID: id, Class: "live", Deadline: time.Hour}
+}
+
+func rolloutRequest(id uint64) Request {
+	return Request{ID: id, Class: "rollout", Rollout: true, Preemptible: true, Deadline: time.Hour}
+}
+
+func limits(slots, rollouts, queue int) Limits {
+	return Limits{Slots: slots, RolloutSlots: rollouts, QueueLimit: queue, QueueWait: time.Second,
+		ClassOrder: []string{"live", "rollout"}}
+}
+
+// TestQueueKeepsItsLimits drives a queue at random and checks every limit after each step.
+func TestQueueKeepsItsLimits(t *testing.T) {
+	granted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		bounds := limits(rapid.IntRange(0, 5).Draw(t, "slots"), rapid.IntRange(0, 5).Draw(t, "rollout slots"),
+			rapid.IntRange(0, 4).Draw(t, "queue"))
+		queue := New(bounds)
+		now := time.Duration(0)
+		state := map[uint64]string{} // waiting, running, ended
+		isRollout := map[uint64]bool{}
+		next, resumed := uint64(0), 0
+		absorb := func(effects *Effects) {
+			for _, id := range effects.Granted {
+				if state[id] != "waiting" {
+					t.Fatalf("request %d granted while %q", id, state[id])
+				}
+				state[id] = "running"
+				granted++
+			}
+			for _, refusal := range effects.Refused {
+				if state[refusal.ID] != "waiting" || refusal.RetryAfter <= 0 {
+					t.Fatalf("refusal %+v while %q", refusal, state[refusal.ID])
+				}
+				state[refusal.ID] = "ended"
+			}
+			for _, id := range effects.Yield {
+				if state[id] != "running" || !isRollout[id] {
+					t.Fatalf("request %d asked to yield while %q", id, state[id])
+				}
+			}
+		}
+		pick := func(label, want string) (uint64, bool) {
+			id := uint64(rapid.IntRange(0, int(next)).Draw(t, label))
+			return id, state[id] == want
+		}
+		for range 60 {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "millis")) * time.Millisecond
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				next++
+				request := liveRequest(next)
+				if rapid.Bool().Draw(t, "rollout") {
+					request = rolloutRequest(next)
+					request.Resumed = rapid.IntRange(0, 5).Draw(t, "resumed") == 0
+					if request.Resumed {
+						resumed++
+					}
+				}
+				state[next], isRollout[next] = "waiting", request.Rollout
+				effects, _ := queue.Arrive(now, request)
+				absorb(effects)
+			case 2:
+				if id, ok := pick("ended", "running"); ok {
+					state[id] = "ended"
+					absorb(queue.Done(now, id))
+				}
+			case 3:
+				if id, ok := pick("expired", "waiting"); ok {
+					absorb(queue.Expire(now, id))
+				}
+			case 4:
+				if id, ok := pick("left", "waiting"); ok {
+					state[id] = "ended"
+					absorb(queue.Leave(now, id))
+				}
+			}
+			running, rollouts, waiting := 0, 0, 0
+			for id, at := range state {
+				switch at {
+				case "running":
+					running++
+					if isRollout[id] {
+						rollouts++
+					}
+				case "waiting":
+					waiting++
+				}
+			}
+			if running > bounds.Slots || rollouts > bounds.RolloutSlots || waiting > bounds.QueueLimit+resumed {
+				t.Fatalf("running %d, rollouts %d, waiting %d under %+v", running, rollouts, waiting, bounds)
+			}
+			if running != queue.InFlight() || waiting != queue.Waiting() {
+				t.Fatalf("queue counts %d and %d, want %d and %d", queue.InFlight(), queue.Waiting(), running, waiting)
+			}
+		}
+	})
+	if granted == 0 {
+		t.Fatal("no grant was examined")
+	}
+}
+
+func TestLiveTakesTheRoomOfTheYoungestRollout(t *testing.T) {
+	queue := New(limits(2, 2, 4))
+	queue.Arrive(0, rolloutRequest(1))
+	queue.Arrive(0, rolloutRequest(2))
+	effects, _ := queue.Arrive(0, liveRequest(3))
+	if len(effects.Yield) != 1 || effects.Yield[0] != 2 {
+		t.Fatalf("yield %v, want the youngest rollout 2", effects.Yield)
+	}
+	if effects = queue.Done(0, 2); len(effects.Granted) != 1 || effects.Granted[0] != 3 {
+		t.Fatalf("granted %v, want the live request 3", effects.Granted)
+	}
+	back := rolloutRequest(2)
+	back.Resumed = true
+	queue.Arrive(0, rolloutRequest(4))
+	queue.Arrive(0, back)
+	if effects = queue.Done(0, 3); len(effects.Granted) != 1 || effects.Granted[0] != 2 {
+		t.Fatalf("granted %v, want the rollout 2 that yielded", effects.Granted)
+	}
+}
+
+func TestUrgentArrivalDisplacesAWaitingRollout(t *testing.T) {
+	queue := New(limits(1, 1, 1))
+	queue.Arrive(0, liveRequest(1))
+	queue.Arrive(0, rolloutRequest(2))
+	effects, _ := queue.Arrive(0, liveRequest(3))
+	if len(effects.Refused) != 1 || effects.Refused[0].ID != 2 || effects.Refused[0].Reason != Displaced {
+		t.Fatalf("refused %+v, want rollout 2 displaced", effects.Refused)
+	}
+	effects, _ = queue.Arrive(0, liveRequest(4))
+	if len(effects.Refused) != 1 || effects.Refused[0].ID != 4 || effects.Refused[0].Reason != QueueFull {
+		t.Fatalf("refused %+v, want 4 for a full queue", effects.Refused)
+	}
+}
+
+func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
+	queue := New(limits(1, 1, 100))
+	now := time.Duration(0)
+	for id := uint64(1); id <= 20; id++ { // one slot, 300ms each
+		queue.Arrive(now, liveRequest(id))
+		now += 300 * time.Millisecond
+		queue.Done(now, id)
+	}
+	refused := 0
+	for id := uint64(100); id < 110; id++ {
+		effects, _ := queue.Arrive(now, liveRequest(id))
+		for _, refusal := range effects.Refused {
+			if refusal.Reason != WaitTooLong {
+				t.Fatalf("refusal %+v", refusal)
+			}
+			refused++
+		}
+	}
+	if refused < 5 || refused > 7 { // three fit into the queue wait of one second
+		t.Fatalf("%d of 10 refused early", refused)
+	}
+}
+
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit, count := rapid.IntRange(0, 500).Draw(t, "limit"), rapid.IntRange(1, 9).Draw(t, "gateways")
+		salt, sum := rapid.Uint64Range(0, 1<<40).Draw(t, "salt"), 0
+		for rank := range count {
+			sum += Share(limit, count, rank, salt)
+		}
+		if sum != limit {
+			t.Fatalf("shares add up to %d, want %d", sum, limit)
+		}
+	})
+}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -19,6 +19,7 @@
 	BackendChosen                         // Backend
 	BackendNone                           // no back end may take the request now: RetryAfter (may be 0)
 	LeaseLapsed                           // the last Send, Resume or Replay was not made: no valid lease
+	TableMoved                            // the last Send or Replay was not made: the choice was made on an older table
 	SendFailed                            // no byte of the last Send, Resume or Replay reached the back end
 	SendUnknown                           // the connection failed after a byte was written and before a whole answer
 	RefusedByBackend                      // the back end says that it did not run: RetryAfter (may be 0)
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -40,7 +40,7 @@
 	backend string
 	tried   []string
 	tries   int    // sends without progress
-	tokens  uint64 // tokens forwarded to the caller
+	tokens  uint64 // tokens that the caller has, those it brought included
 	touched bool   // a byte of some send may have reached a back end
 
 	claim   claimProgress
@@ -52,13 +52,13 @@
 
 // New returns the machine of one request. Settings must have its defaults filled in and outlive the machine.
 func New(request Request, settings *Settings) *Machine {
-	return &Machine{request: request, settings: settings}
+	return &Machine{request: request, settings: settings, tokens: request.FirstToken}
 }
 
 // Request returns the request's description.
 func (m *Machine) Request() *Request { return &m.request }
 
-// Tokens returns how many tokens went to the caller.
+// Tokens returns how many tokens of the answer the caller has, those it brought included.
 func (m *Machine) Tokens() uint64 { return m.tokens }
 
 // Backend returns the row name of the back end that was chosen last.
@@ -82,7 +82,7 @@
 	m.actions = m.actions[:0]
 	switch event.Kind {
 	case Chunk:
-		m.onChunk(event)
+		m.onChunk(now, event)
 	case Arrived:
 		m.onArrived(now)
 	case Admitted:
@@ -97,6 +97,8 @@
 		m.onNone(now, event)
 	case LeaseLapsed:
 		m.onLeaseLapsed()
+	case TableMoved:
+		m.onTableMoved()
 	case SendFailed, RefusedByBackend:
 		m.onNotRun(now, event)
 	case SendUnknown, StreamCut:
@@ -116,6 +118,9 @@
 	return m.actions
 }
 
+// forwarded tells whether a part of the answer went to the caller.
+func (m *Machine) forwarded() bool { return m.tokens > m.request.FirstToken }
+
 func (m *Machine) act(action Action) { m.actions = append(m.actions, action) }
 
 // active tells whether a send, resume or replay is outstanding.
@@ -198,7 +203,7 @@
 func (m *Machine) dispatch(unchecked bool) {
 	m.state = stateSending
 	kind := Send
-	if m.tokens > 0 {
+	if m.forwarded() {
 		kind = Replay
 	}
 	m.act(Action{Kind: kind, Backend: m.backend, Offset: m.tokens, Unchecked: unchecked})
@@ -231,6 +236,14 @@
 		RetryAfter: m.settings.RetryAfter})
 }
 
+// onTableMoved chooses again on the table that is in force now; nothing was sent.
+func (m *Machine) onTableMoved() {
+	if m.state == stateSending {
+		m.tries--
+		m.choose()
+	}
+}
+
 // onNotRun handles a send that certainly did not run at the chosen back end.
 func (m *Machine) onNotRun(now time.Duration, event *Event) {
 	if !m.active() {
@@ -334,7 +347,7 @@
 		return
 	}
 	m.replied = true
-	outcome.InStream = m.tokens > 0
+	outcome.InStream = m.forwarded()
 	m.act(Action{Kind: Reply, Outcome: outcome})
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -35,6 +35,9 @@
 	Replayable bool
 	// Continuable means that the back end resumes streams and continues from generated tokens.
 	Continuable bool
+	// FirstToken is the number of generated tokens that the caller brought with its prompt; offsets count
+	// from the start of the whole answer.
+	FirstToken uint64
 	// Deadline is the moment after which the answer is worth nothing.
 	Deadline time.Duration
 }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -10,21 +10,23 @@
 
 // onChunk forwards what the caller does not have yet. After a resume or a replay chunks may overlap what
 // was forwarded before; a gap means that a chunk was lost and the stream counts as cut.
-func (m *Machine) onChunk(event *Event) {
+func (m *Machine) onChunk(now time.Duration, event *Event) {
 	if !m.active() || m.replied {
 		return
 	}
 	m.touched = true
+	if event.Count > 0 && m.state == stateSending {
+		m.state = stateStreaming
+	}
 	end := event.Offset + event.Count
 	switch {
 	case event.Count == 0:
-		if m.tokens == 0 {
+		if !m.forwarded() {
 			m.act(Action{Kind: Forward})
 		}
 		return
 	case event.Offset > m.tokens:
-		m.act(Action{Kind: Cancel, Backend: m.backend})
-		m.resume()
+		m.onBroken(now, &Event{Kind: StreamCut})
 		return
 	case end <= m.tokens:
 		return
@@ -62,7 +64,7 @@
 	m.state = stateSendEnded
 	failure := Outcome{Status: http.StatusBadGateway, Code: CodeBackendLost,
 		Reason: "the connection to the back end broke before the answer was whole", RetryAfter: m.settings.RetryAfter}
-	if !m.mayRepeat() || (m.tokens > 0 && !m.request.Continuable) {
+	if !m.mayRepeat() || (m.forwarded() && !m.request.Continuable) {
 		m.giveUp(failure)
 		return
 	}
@@ -83,7 +85,7 @@
 	m.touched = true
 	m.state = stateSendEnded
 	answer := event.Answer
-	if answer.GetStatus() >= http.StatusInternalServerError && m.tokens == 0 {
+	if answer.GetStatus() >= http.StatusInternalServerError && !m.forwarded() {
 		failure := Outcome{Status: int(answer.GetStatus()), Answer: answer}
 		if m.mayRepeat() {
 			m.retryElsewhere(now, failure, false)
