Add deterministic answer texts for engine stand-ins

Cause: tests, load tools and trainers must be able to tell a whole answer from a cut or mixed one. Change: each token is a function of the whole context before it, so a replay of prompt plus generated prefix continues identically; lengths are fixed by [tokens=N] or drawn with a long tail.

--- /dev/null
+++ b/internal/engine/text/text.go
@@ -0,0 +1,282 @@
+// Package text generates and checks the answers of the model engine stand-ins. A token is one word that
+// ends in a space. An answer's first word has a capital. Each token is a function of every byte of the context before it, so prompt plus a
+// generated prefix continues on any replica exactly as the uninterrupted answer does, and whoever knows
+// the request can tell the whole answer.
+package text
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+)
+
+// DefaultMaxTokens bounds an answer when the request names no max_tokens.
+const DefaultMaxTokens = 4096
+
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+	mixer     = 0x9e3779b97f4a7c15
+
+	directivePrefix = "[tokens="
+	directiveSuffix = "]"
+)
+
+// Lengths of answers without a directive: lognormal around a prompt's own median, so that the samples of
+// one prompt resemble each other, with a long tail.
+const (
+	medianTokens     = 96
+	promptSpread     = 0.7 // sigma of the logarithm between prompts
+	sampleSpread     = 0.5 // sigma of the logarithm between samples of one prompt
+	smallestDrawn    = 4
+	largestDrawn     = 16384
+	promptLengthSalt = 0x51ed270b
+	sampleLengthSalt = 0x2545f491
+)
+
+// Request is what an answer depends on.
+type Request struct {
+	Prompt    string // the original prompt, without any generated continuation
+	Seed      uint64 // distinguishes samples of one prompt; 0 is the default answer
+	MaxTokens int    // bound of the whole answer, a continuation's prefix included; 0 means DefaultMaxTokens
+}
+
+// Generator yields the tokens of one answer in order.
+type Generator struct {
+	state uint64
+	begun bool
+}
+
+// Start returns a generator that stands before the answer's first token.
+func (r Request) Start() Generator {
+	return Generator{state: hashBytes(fnvOffset^mix(r.Seed*mixer), r.Prompt)}
+}
+
+// Skip moves the generator over text that is already generated.
+func (g *Generator) Skip(generated string) {
+	g.state = hashBytes(g.state, generated)
+	g.begun = g.begun || generated != ""
+}
+
+// Append appends the next count tokens to buffer.
+func (g *Generator) Append(buffer []byte, count int) []byte {
+	for ; count > 0; count-- {
+		word := words[mix(g.state)%uint64(len(words))]
+		start := len(buffer)
+		buffer = append(buffer, word...)
+		if !g.begun {
+			buffer[start] -= 'a' - 'A'
+			g.begun = true
+		}
+		g.state = hashBytes(g.state, buffer[start:])
+	}
+	return buffer
+}
+
+// Length returns the number of tokens of the whole answer and whether max_tokens cut it short.
+func (r Request) Length() (tokens int, cut bool) {
+	limit := r.MaxTokens
+	if limit <= 0 {
+		limit = DefaultMaxTokens
+	}
+	wanted, ok := directive(r.Prompt)
+	if !ok {
+		wanted = r.drawLength()
+	}
+	if wanted > limit {
+		return limit, true
+	}
+	return wanted, false
+}
+
+// Digest identifies the request in checksums.
+func (r Request) Digest() uint64 {
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], r.Seed)
+	digest := xxhash.New()
+	_, _ = digest.WriteString(r.Prompt)
+	_, _ = digest.Write(seed[:])
+	return digest.Sum64()
+}
+
+// Text returns the whole answer.
+func (r Request) Text() string {
+	tokens, _ := r.Length()
+	generator := r.Start()
+	return string(generator.Append(make([]byte, 0, tokens*averageWord), tokens))
+}
+
+// ExpectedText returns the whole answer to prompt under seed 0.
+func ExpectedText(prompt string, maxTokens int) string {
+	return Request{Prompt: prompt, MaxTokens: maxTokens}.Text()
+}
+
+// Checksum returns the checksum of a whole answer: hex of xxhash64 over the request's digest (eight
+// bytes, little endian) and the content.
+func (r Request) Checksum(content string) string {
+	running := NewChecksum(r)
+	running.Write(content)
+	return running.Sum()
+}
+
+// Checksum returns the checksum of a whole answer to prompt under seed 0.
+func Checksum(prompt, content string) string { return Request{Prompt: prompt}.Checksum(content) }
+
+// Running computes a checksum over content that arrives in parts.
+type Running struct {
+	digest *xxhash.Digest
+}
+
+// NewChecksum starts the checksum of an answer to r.
+func NewChecksum(r Request) Running {
+	var head [8]byte
+	binary.LittleEndian.PutUint64(head[:], r.Digest())
+	digest := xxhash.New()
+	_, _ = digest.Write(head[:])
+	return Running{digest: digest}
+}
+
+// Write adds a part of the content.
+func (c Running) Write(part string) { _, _ = c.digest.WriteString(part) }
+
+// WriteBytes adds a part of the content.
+func (c Running) WriteBytes(part []byte) { _, _ = c.digest.Write(part) }
+
+// Sum returns the checksum's text form.
+func (c Running) Sum() string {
+	var sum [8]byte
+	binary.BigEndian.PutUint64(sum[:], c.digest.Sum64())
+	return hex.EncodeToString(sum[:])
+}
+
+// Count returns the number of tokens in content.
+func Count(content string) int { return len(strings.Fields(content)) }
+
+// SplitContinuation separates the last count words of prompt, which are an already generated
+// continuation, from the original prompt. An answer's first word has a capital, which tells it from a
+// prompt that ends in letters.
+func SplitContinuation(prompt string, count int) (original, generated string, err error) {
+	if count == 0 {
+		return prompt, "", nil
+	}
+	position := len(prompt)
+	for found := 0; found < count; found++ {
+		if position == 0 || prompt[position-1] != ' ' {
+			return "", "", trace.BadParameter("prefix_tokens is %d but the prompt ends in %d generated words", count, found)
+		}
+		position--
+		for position > 0 && isLower(prompt[position-1]) {
+			position--
+		}
+	}
+	if position == 0 || !isUpper(prompt[position-1]) {
+		return "", "", trace.BadParameter("the last %d words of the prompt are not the beginning of an answer", count)
+	}
+	position--
+	return prompt[:position], prompt[position:], nil
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// RenderChat returns the prompt that a chat stands for. With continued set, the last message must be the
+// assistant's and holds the generated continuation: the prompt then ends in its content.
+func RenderChat(messages []Message, continued bool) (string, error) {
+	var prompt strings.Builder
+	last := len(messages)
+	if continued {
+		if last == 0 || messages[last-1].Role != "assistant" {
+			return "", trace.BadParameter("a continued chat must end in the assistant's message")
+		}
+		last--
+	}
+	for _, message := range messages[:last] {
+		prompt.WriteString("<" + message.Role + ">" + message.Content + "\n")
+	}
+	prompt.WriteString("<assistant>")
+	if continued {
+		prompt.WriteString(messages[last].Content)
+	}
+	return prompt.String(), nil
+}
+
+func isLower(b byte) bool { return b >= 'a' && b <= 'z' }
+
+func isUpper(b byte) bool { return b >= 'A' && b <= 'Z' }
+
+// directive reads the first [tokens=N] of prompt.
+func directive(prompt string) (int, bool) {
+	_, rest, found := strings.Cut(prompt, directivePrefix)
+	if !found {
+		return 0, false
+	}
+	number, _, found := strings.Cut(rest, directiveSuffix)
+	if !found {
+		return 0, false
+	}
+	tokens, err := strconv.Atoi(number)
+	if err != nil || tokens < 1 {
+		return 0, false
+	}
+	return tokens, true
+}
+
+func (r Request) drawLength() int {
+	promptHash := hashBytes(fnvOffset, r.Prompt)
+	logarithm := math.Log(medianTokens) +
+		promptSpread*gaussian(promptHash^promptLengthSalt) +
+		sampleSpread*gaussian(promptHash^mix(r.Seed+sampleLengthSalt))
+	tokens := int(math.Exp(logarithm))
+	return min(max(tokens, smallestDrawn), largestDrawn)
+}
+
+// gaussian maps a hash to a normally distributed number (Box and Muller).
+func gaussian(hash uint64) float64 {
+	first := float64(mix(hash)>>11)/(1<<53) + 1e-12
+	second := float64(mix(hash+mixer)>>11) / (1 << 53)
+	return math.Sqrt(-2*math.Log(first)) * math.Cos(2*math.Pi*second)
+}
+
+func hashBytes[T string | []byte](state uint64, content T) uint64 {
+	for index := 0; index < len(content); index++ {
+		state = (state ^ uint64(content[index])) * fnvPrime
+	}
+	return state
+}
+
+// mix is the finaliser of splitmix64: FNV alone leaves its low bits too regular.
+func mix(value uint64) uint64 {
+	value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9
+	value = (value ^ (value >> 27)) * 0x94d049bb133111eb
+	return value ^ (value >> 31)
+}
+
+// PrefixHashes counts the tokens of a context, words by white space, and returns the chained hash of each
+// whole block of blockTokens of them.
+func PrefixHashes(context string, blockTokens int) (tokens int, hashes []uint64) {
+	state := uint64(fnvOffset)
+	inWord := false
+	for index := 0; index < len(context); index++ {
+		space := context[index] == ' ' || context[index] == '\n' || context[index] == '\t'
+		if inWord && space {
+			tokens++
+			if tokens%blockTokens == 0 {
+				hashes = append(hashes, mix(state))
+			}
+		}
+		inWord = !space
+		state = (state ^ uint64(context[index])) * fnvPrime
+	}
+	if inWord {
+		tokens++
+	}
+	return tokens, hashes
+}
--- /dev/null
+++ b/internal/engine/text/words.go
@@ -0,0 +1,24 @@
+package text
+
+import "strings"
+
+// averageWord is a generous size of one token in bytes, for buffers.
+const averageWord = 7
+
+// words is the vocabulary; every word is lower-case letters and one closing space.
+var words = strings.SplitAfter(vocabulary, " ")
+
+const vocabulary = "about after again along also among apple apron arch arrow ash aunt autumn badge baker barn " +
+	"basil basket beach bench berry birch bird blue boat bread bridge brook broom brown button cabin candle carpet " +
+	"cedar chair cherry clay cliff cloud clover coat comb copper corn cotton crane cream creek crow cup dawn day " +
+	"deer desk dew door dove drum dune dusk earth east echo edge elm ember fern field fig finch fire fish flag flax " +
+	"flour fog fox frost garden gate glass glove gold goose grain grape grass green grove hall harbor hat hawk hay " +
+	"hazel hedge heron hill honey hour house ice iron island ivy jar jasmine jug june kettle kite lake lamp lane " +
+	"lantern lark leaf lemon light lilac lime linen lion loaf maple march meadow milk mill mint mist moon moss " +
+	"mountain nest night north oak oat ocean olive onion orange orchard otter owl oyster paper path peach pear " +
+	"pebble pepper pine plum pond poppy prairie quail quartz quiet quilt rain raven reed ribbon river road robin " +
+	"roof rose rust sage sail salt sand seed shade shell ship shore silk silver sky snow soap south sparrow spoon " +
+	"spring square star stone storm stream summer sun swan table tea thistle thyme tide timber tower town trail " +
+	"tree tulip valley vine violet wagon walnut water wave west wheat willow wind window winter wolf wood wool yard "
+
+func init() { words = words[:len(words)-1] }
