Add the engine emulator in virtual time

Cause: stand-in and experiments need one model of a continuous-batching engine. Change: batching with chunked prefill, KV blocks with a prefix cache, priorities with preemption, fenced weight swaps and their failures; time is an argument. The property on urgency found that a less urgent prefill could use up the step's chunk; the chunk now goes to the most urgent first. Memory and tokens are conserved under random schedules.

--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,314 @@
+package engine
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// smallParameters make memory and batch scarce, so that every mechanism is exercised.
+func smallParameters() Parameters {
+	parameters := DefaultParameters()
+	parameters.MaxBatch = 4
+	parameters.Blocks = 24
+	parameters.BlockTokens = 4
+	parameters.PrefillChunk = 16
+	parameters.MaxWaiting = 16
+	parameters.StageTime = 30 * time.Millisecond
+	parameters.SwapTime = 50 * time.Millisecond
+	return parameters
+}
+
+func newEngine(t interface{ Fatal(...any) }, parameters Parameters) *Engine {
+	made, err := New(parameters, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return made
+}
+
+// prefixOf gives requests of one family equal prefixes.
+func prefixOf(family, tokens, blockTokens int) []uint64 {
+	var prefix []uint64
+	for block := 0; block < tokens/blockTokens; block++ {
+		prefix = append(prefix, uint64(family)<<32|uint64(block+1))
+	}
+	return prefix
+}
+
+// model is what a test expects of the requests it submitted.
+type model struct {
+	wanted   map[uint64]int
+	received map[uint64]int
+	finished map[uint64]bool
+	gone     map[uint64]bool
+}
+
+func (m *model) apply(t *rapid.T, events []Event) {
+	for _, event := range events {
+		if m.gone[event.Request] || m.finished[event.Request] {
+			t.Fatalf("event %+v for a request that is over", event)
+		}
+		switch event.Kind {
+		case EventTokens:
+			m.received[event.Request] += event.Count
+		case EventFinished:
+			m.finished[event.Request] = true
+			if m.received[event.Request] != m.wanted[event.Request] {
+				t.Fatalf("request %d finished with %d of %d tokens", event.Request, m.received[event.Request], m.wanted[event.Request])
+			}
+		case EventFailed:
+			m.gone[event.Request] = true
+		}
+	}
+}
+
+func checkMemory(t *rapid.T, e *Engine) {
+	pool := &e.pool
+	if pool.free < 0 || pool.idle < 0 || pool.free+pool.idle > pool.capacity {
+		t.Fatalf("memory out of bounds: free %d, idle %d of %d", pool.free, pool.idle, pool.capacity)
+	}
+	private := 0
+	shared := map[int32]int32{}
+	for _, entered := range e.sequences {
+		private += entered.private
+		for _, slot := range entered.shared {
+			shared[slot]++
+		}
+	}
+	if got := pool.free + pool.idle + private + len(shared); got != pool.capacity {
+		t.Fatalf("blocks are not conserved: free %d, idle %d, private %d, shared %d of %d", pool.free, pool.idle, private, len(shared), pool.capacity)
+	}
+	for slot, holders := range shared {
+		if pool.entries[slot].holders != holders {
+			t.Fatalf("slot %d has %d holders, counted %d", slot, pool.entries[slot].holders, holders)
+		}
+	}
+	if len(e.running) > e.parameters.MaxBatch {
+		t.Fatalf("%d sequences run", len(e.running))
+	}
+}
+
+func TestTokensAndMemoryAreConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := newEngine(t, smallParameters())
+		m := model{wanted: map[uint64]int{}, received: map[uint64]int{}, finished: map[uint64]bool{}, gone: map[uint64]bool{}}
+		now, id, version := time.Duration(0), uint64(0), uint64(1)
+		steps := rapid.IntRange(1, 80).Draw(t, "steps")
+		for step := 0; step < steps; step++ {
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0, 1, 2, 3:
+				id++
+				prompt := rapid.IntRange(1, 40).Draw(t, "prompt")
+				request := Request{
+					ID: id, Priority: rapid.IntRange(0, 2).Draw(t, "priority"), PromptTokens: prompt,
+					OutputTokens: rapid.IntRange(1, 60).Draw(t, "output"),
+					Prefix:       prefixOf(rapid.IntRange(0, 2).Draw(t, "family"), prompt, 4),
+				}
+				if e.Submit(now, request) == nil {
+					m.wanted[id] = request.OutputTokens
+				}
+			case 4:
+				victim := uint64(rapid.IntRange(0, int(id)).Draw(t, "victim"))
+				if e.Cancel(now, victim) == nil {
+					m.gone[victim] = true
+				}
+			case 5:
+				version++
+				e.FailNextSwap(SwapFailure(rapid.IntRange(0, 3).Draw(t, "failure")))
+				if err := e.SwapWeights(now, version, 1); err != nil {
+					t.Fatal(err)
+				}
+			default:
+				now += time.Duration(rapid.IntRange(0, 200).Draw(t, "millis")) * time.Millisecond
+				m.apply(t, e.Advance(now))
+			}
+			checkMemory(t, e)
+		}
+		for round := 0; round < 100000; round++ {
+			at, ok := e.NextEvent()
+			if !ok {
+				break
+			}
+			m.apply(t, e.Advance(at))
+		}
+		checkMemory(t, e)
+		for request := range m.wanted {
+			if !m.finished[request] && !m.gone[request] {
+				t.Fatalf("request %d never ended", request)
+			}
+		}
+	})
+}
+
+func TestMoreUrgentTakesRoomWithinOneStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := newEngine(t, smallParameters())
+		for id := uint64(1); id <= 8; id++ {
+			if err := e.Submit(0, Request{ID: id, Priority: 5, PromptTokens: rapid.IntRange(1, 20).Draw(t, "prompt"), OutputTokens: 70}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		now := time.Duration(rapid.IntRange(0, 1000).Draw(t, "millis")) * time.Millisecond
+		e.Advance(now)
+		urgent := Request{ID: 100, Priority: 1, PromptTokens: rapid.IntRange(1, 12).Draw(t, "urgent"), OutputTokens: 3}
+		if err := e.Submit(now, urgent); err != nil {
+			t.Fatal(err)
+		}
+		boundary, _ := e.NextEvent()
+		e.Advance(boundary)
+		if !e.sequences[100].running {
+			t.Fatal("the urgent request does not run after the step in which it arrived")
+		}
+		end, _ := e.NextEvent()
+		for _, event := range e.Advance(end) {
+			if event.Kind == EventTokens && event.Request == 100 {
+				return
+			}
+		}
+		t.Fatal("the urgent request got no token from its first step")
+	})
+}
+
+func TestVersionPerTokenAcrossSwap(t *testing.T) {
+	e := newEngine(t, smallParameters())
+	if err := e.Submit(0, Request{ID: 1, PromptTokens: 4, OutputTokens: 40}); err != nil {
+		t.Fatal(err)
+	}
+	if err := e.SwapWeights(100*time.Millisecond, 2, 1); err != nil {
+		t.Fatal(err)
+	}
+	var swappedAt time.Duration
+	byVersion := map[uint64]int{}
+	for {
+		at, ok := e.NextEvent()
+		if !ok {
+			break
+		}
+		for _, event := range e.Advance(at) {
+			switch event.Kind {
+			case EventSwapped:
+				swappedAt = event.At
+			case EventTokens:
+				byVersion[event.Version] += event.Count
+				if (swappedAt > 0) != (event.Version == 2) {
+					t.Fatalf("token at %v under version %d, swapped at %v", event.At, event.Version, swappedAt)
+				}
+			}
+		}
+	}
+	if byVersion[1] == 0 || byVersion[2] == 0 || byVersion[1]+byVersion[2] != 40 {
+		t.Fatalf("tokens by version: %v", byVersion)
+	}
+}
+
+func TestFailedSwaps(t *testing.T) {
+	for _, failure := range []SwapFailure{SwapKeepsOld, SwapRefuses, SwapIsSilent} {
+		e := newEngine(t, smallParameters())
+		if err := e.Submit(0, Request{ID: 1, PromptTokens: 4, OutputTokens: 20}); err != nil {
+			t.Fatal(err)
+		}
+		e.FailNextSwap(failure)
+		if err := e.SwapWeights(0, 2, 1); err != nil {
+			t.Fatal(err)
+		}
+		lost := false
+		for _, event := range e.Advance(time.Minute) {
+			lost = lost || event.Kind == EventFailed
+			if event.Kind == EventTokens && event.Version != 1 {
+				t.Errorf("failure %d: token under version %d", failure, event.Version)
+			}
+		}
+		if lost != (failure == SwapRefuses) {
+			t.Errorf("failure %d: running request lost is %v", failure, lost)
+		}
+		refused := errors.Is(e.Submit(time.Minute, Request{ID: 2, PromptTokens: 1, OutputTokens: 1}), ErrRefusing)
+		if refused != (failure == SwapRefuses) {
+			t.Errorf("failure %d: refused is %v", failure, refused)
+		}
+		if e.Load(time.Minute).Version != 1 {
+			t.Errorf("failure %d: version %d", failure, e.Version())
+		}
+		if err := e.SwapWeights(time.Minute, 3, 1); err != nil {
+			t.Fatal(err)
+		}
+		e.Advance(2 * time.Minute)
+		if load := e.Load(2 * time.Minute); load.Version != 3 || load.Refusing {
+			t.Errorf("failure %d: not repaired by the next swap: %+v", failure, load)
+		}
+	}
+}
+
+func TestStaleFences(t *testing.T) {
+	e := newEngine(t, smallParameters())
+	if err := e.SwapWeights(0, 5, 7); err != nil {
+		t.Fatal(err)
+	}
+	if err := e.SwapWeights(0, 6, 6); !errors.Is(err, ErrStaleFence) {
+		t.Errorf("lower fence: %v", err)
+	}
+	if err := e.SwapWeights(0, 4, 7); !errors.Is(err, ErrStaleFence) {
+		t.Errorf("older version under the same fence: %v", err)
+	}
+	if err := e.SwapWeights(0, 5, 7); err != nil {
+		t.Errorf("repeated order: %v", err)
+	}
+	if err := e.SwapWeights(0, 4, 8); err != nil {
+		t.Errorf("rollback under a higher fence: %v", err)
+	}
+}
+
+func TestPrefixCacheSavesPrefill(t *testing.T) {
+	e := newEngine(t, smallParameters())
+	prefix := prefixOf(1, 20, 4)
+	for id := uint64(1); id <= 2; id++ {
+		if err := e.Submit(e.now, Request{ID: id, PromptTokens: 20, OutputTokens: 2, Prefix: prefix}); err != nil {
+			t.Fatal(err)
+		}
+		e.Advance(e.now + time.Second)
+	}
+	load := e.Load(e.now)
+	if load.PrefixHits != 16 || load.Prefilled != 24 {
+		t.Errorf("hits %d, prefilled %d", load.PrefixHits, load.Prefilled)
+	}
+	events := e.CacheEvents(0, 100)
+	if len(events) != 5 || events[0].Kind != CacheStored || events[4].Sequence != 5 {
+		t.Errorf("cache events: %+v", events)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	e := newEngine(t, smallParameters())
+	cases := []struct {
+		request Request
+		want    error
+	}{
+		{Request{ID: 1, PromptTokens: 90, OutputTokens: 10}, ErrTooLarge},
+		{Request{ID: 1, PromptTokens: 1}, ErrEmpty},
+		{Request{ID: 1, PromptTokens: 1, OutputTokens: 1}, nil},
+		{Request{ID: 1, PromptTokens: 1, OutputTokens: 1}, ErrDuplicate},
+	}
+	for _, test := range cases {
+		if err := e.Submit(0, test.request); !errors.Is(err, test.want) {
+			t.Errorf("%+v: %v, want %v", test.request, err, test.want)
+		}
+	}
+	for id := uint64(2); id <= 16; id++ {
+		if err := e.Submit(0, Request{ID: id, PromptTokens: 1, OutputTokens: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := e.Submit(0, Request{ID: 99, PromptTokens: 1, OutputTokens: 1}); !errors.Is(err, ErrOverloaded) {
+		t.Errorf("full queue: %v", err)
+	}
+	e.Crash(0)
+	if err := e.Submit(0, Request{ID: 100, PromptTokens: 1, OutputTokens: 1}); !errors.Is(err, ErrCrashed) {
+		t.Errorf("crashed: %v", err)
+	}
+	e.Restart(0, 9)
+	if err := e.Submit(0, Request{ID: 1, PromptTokens: 1, OutputTokens: 1}); err != nil || e.Version() != 9 {
+		t.Errorf("after restart: %v, version %d", err, e.Version())
+	}
+}
--- /dev/null
+++ b/internal/engine/journal.go
@@ -0,0 +1,52 @@
+package engine
+
+// CacheEventKind says what happened to the prefix cache.
+type CacheEventKind uint8
+
+// The kinds of cache event.
+const (
+	CacheStored  CacheEventKind = iota + 1 // the block Hash can be reused
+	CacheRemoved                           // the block Hash is gone
+	CacheCleared                           // every block is gone
+)
+
+// CacheEvent is one change of the prefix cache. Sequence numbers are contiguous; a reader that sees a
+// jump has lost events.
+type CacheEvent struct {
+	Sequence uint64
+	Kind     CacheEventKind
+	Hash     uint64
+}
+
+// cacheJournal keeps the latest events in a ring.
+type cacheJournal struct {
+	ring []CacheEvent
+	last uint64 // sequence of the latest event
+}
+
+func newCacheJournal(size int) *cacheJournal {
+	return &cacheJournal{ring: make([]CacheEvent, max(size, 0))}
+}
+
+func (j *cacheJournal) record(kind CacheEventKind, hash uint64) {
+	if len(j.ring) == 0 {
+		return
+	}
+	j.last++
+	j.ring[j.last%uint64(len(j.ring))] = CacheEvent{Sequence: j.last, Kind: kind, Hash: hash}
+}
+
+// CacheEvents returns the kept events after a sequence number, oldest first, at most limit of them.
+func (e *Engine) CacheEvents(after uint64, limit int) []CacheEvent {
+	journal := e.journal
+	size := uint64(len(journal.ring))
+	first := after + 1
+	if journal.last >= size && first <= journal.last-size {
+		first = journal.last - size + 1
+	}
+	var events []CacheEvent
+	for sequence := first; sequence <= journal.last && len(events) < limit; sequence++ {
+		events = append(events, journal.ring[sequence%size])
+	}
+	return events
+}
