--- /dev/null
+++ b/internal/standin/engine/admin.go
@@ -0,0 +1,265 @@
+package engine
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	emulator "github.com/tamarindring/tamarindring/internal/engine"
+	"github.com/tamarindring/tamarindring/internal/standin/endpoint"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+// LoadReport is the body of GET /v1/load.
+type LoadReport struct {
+	Name          string  `json:"name"`
+	Zone          string  `json:"zone"`
+	AtUnixMillis  int64   `json:"at_unix_millis"` // of the figures, one lag before the answer
+	Leaving       bool    `json:"leaving"`
+	Refusing      bool    `json:"refusing"`
+	Role          string  `json:"role"`
+	Adapter       string  `json:"adapter,omitempty"`
+	WeightVersion string  `json:"weight_version"`
+	VersionNumber uint64  `json:"version_number"`
+	StagedNumber  uint64  `json:"staged_number"`
+	Fence         uint64  `json:"fence"`
+	Running       int     `json:"running"`
+	Waiting       int     `json:"waiting"`
+	WaitingTokens int     `json:"waiting_tokens"`
+	MaxBatch      int     `json:"max_batch"`
+	BlocksHeld    int     `json:"kv_blocks_held"`
+	BlocksCached  int     `json:"kv_blocks_cached"`
+	BlocksTotal   int     `json:"kv_blocks_total"`
+	BlockTokens   int     `json:"block_tokens"`
+	StepMillis    float64 `json:"step_millis"` // of the last step, real time
+	Steps         uint64  `json:"steps"`
+	Tokens        uint64  `json:"tokens"`
+	PrefixHits    uint64  `json:"prefix_hit_tokens"`
+	Preemptions   uint64  `json:"preemptions"`
+}
+
+func (s *Server) report() LoadReport {
+	load, at := s.reportedLoad()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return LoadReport{
+		Name: s.config.Name, Zone: s.config.Zone, AtUnixMillis: at.UnixMilli(), Leaving: s.leaving, Refusing: load.Refusing,
+		Role: s.role, Adapter: s.adapter, WeightVersion: s.versions[load.Version], VersionNumber: load.Version,
+		StagedNumber: load.Staged, Fence: load.Fence, Running: load.Running, Waiting: load.Waiting,
+		WaitingTokens: load.WaitingTokens, MaxBatch: load.MaxBatch, BlocksHeld: load.BlocksHeld,
+		BlocksCached: load.BlocksCached, BlocksTotal: load.BlocksTotal, BlockTokens: s.config.Parameters.BlockTokens,
+		StepMillis: s.realTime(load.StepTime).Seconds() * 1000, Steps: load.Steps, Tokens: load.Tokens,
+		PrefixHits: load.PrefixHits, Preemptions: load.Preemptions,
+	}
+}
+
+// weightsOrder is the body of POST /v1/admin/weights.
+type weightsOrder struct {
+	Version       string `json:"version"`
+	VersionNumber uint64 `json:"version_number"`
+	Fence         uint64 `json:"fence"`
+	Stage         bool   `json:"stage"` // only stage it; a later order without it swaps
+}
+
+// weightsAnswer says what is served after an order.
+type weightsAnswer struct {
+	WeightVersion string `json:"weight_version"`
+	VersionNumber uint64 `json:"version_number"`
+	Staged        bool   `json:"staged"`
+	Swapped       bool   `json:"swapped"`
+}
+
+type orderOutcome uint8
+
+const (
+	orderSwapped orderOutcome = iota + 1
+	orderFailed
+	orderSuperseded
+)
+
+// weightOrder waits for its version's swap.
+type weightOrder struct {
+	number uint64
+	done   chan orderOutcome
+}
+
+func (s *Server) handleWeights(ctx *fasthttp.RequestCtx) {
+	var order weightsOrder
+	if !endpoint.DecodeJSON(ctx, &order) {
+		return
+	}
+	if order.Version == "" || order.Fence == 0 {
+		endpoint.Refuse(ctx, fasthttp.StatusBadRequest, verdict.DidNotRun, "bad_order", "version, version_number and fence are required", 0)
+		return
+	}
+	s.mutex.Lock()
+	err := s.emulated.CheckOrder(order.VersionNumber, order.Fence)
+	known := s.fetched[order.VersionNumber] || s.config.WeightStore == ""
+	s.mutex.Unlock()
+	if err != nil {
+		refuseStale(ctx)
+		return
+	}
+	if !known && !s.fetch(ctx, order) {
+		return
+	}
+	s.execute(ctx, order)
+}
+
+func refuseStale(ctx *fasthttp.RequestCtx) {
+	endpoint.Refuse(ctx, fasthttp.StatusConflict, verdict.DidNotRun, "stale_fence", emulator.ErrStaleFence.Error(), 0)
+}
+
+// fetch loads a version's data from the weight store, or answers its refusal and returns false.
+func (s *Server) fetch(ctx *fasthttp.RequestCtx, order weightsOrder) bool {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + s.config.WeightStore + "/v1/versions/" + url.PathEscape(order.Version))
+	err := s.client.DoTimeout(request, response, defaultOrderTimeout)
+	switch {
+	case err != nil:
+		endpoint.Refuse(ctx, fasthttp.StatusBadGateway, verdict.DidNotRun, "weight_store", "weight store: "+err.Error(), 0)
+	case response.StatusCode() == fasthttp.StatusOK:
+		s.mutex.Lock()
+		s.fetched[order.VersionNumber] = true
+		s.mutex.Unlock()
+		return true
+	case response.StatusCode() == fasthttp.StatusTooManyRequests:
+		seconds, _ := strconv.Atoi(string(response.Header.Peek("Retry-After")))
+		wait := max(time.Duration(seconds)*time.Second, time.Second)
+		endpoint.Refuse(ctx, fasthttp.StatusTooManyRequests, verdict.DidNotRun, "throttled", "the weight store throttles", wait)
+	case response.StatusCode() == fasthttp.StatusNotFound:
+		endpoint.Refuse(ctx, fasthttp.StatusNotFound, verdict.DidNotRun, "unknown_version", "the weight store has no such version", 0)
+	default:
+		endpoint.Refuse(ctx, fasthttp.StatusBadGateway, verdict.DidNotRun, "weight_store",
+			"the weight store answered "+strconv.Itoa(response.StatusCode()), 0)
+	}
+	return false
+}
+
+// execute gives the order to the emulator and, for a swap, waits for its outcome.
+func (s *Server) execute(ctx *fasthttp.RequestCtx, order weightsOrder) {
+	waiting, err := s.submitOrder(order)
+	if err != nil {
+		refuseStale(ctx)
+		return
+	}
+	s.poke()
+	if waiting == nil {
+		s.answerWeights(ctx, fasthttp.StatusOK)
+		return
+	}
+	timeout := time.NewTimer(defaultOrderTimeout)
+	defer timeout.Stop()
+	select {
+	case outcome := <-waiting.done:
+		s.answerOrder(ctx, outcome)
+	case <-timeout.C:
+		endpoint.Refuse(ctx, fasthttp.StatusGatewayTimeout, verdict.MayHaveRun, "swap_slow", "the swap is not done yet", 0)
+	}
+}
+
+// submitOrder returns nil without an error when there is nothing to wait for.
+func (s *Server) submitOrder(order weightsOrder) (*weightOrder, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.versions[order.VersionNumber] = order.Version
+	if order.Stage {
+		return nil, s.emulated.StageWeights(s.elapsed(), order.VersionNumber, order.Fence)
+	}
+	if err := s.emulated.SwapWeights(s.elapsed(), order.VersionNumber, order.Fence); err != nil {
+		return nil, err
+	}
+	load := s.emulated.Load(s.elapsed())
+	if load.Version == order.VersionNumber && !load.Refusing && load.Staged == 0 {
+		return nil, nil
+	}
+	waiting := &weightOrder{number: order.VersionNumber, done: make(chan orderOutcome, 1)}
+	s.orders = append(s.orders, waiting)
+	return waiting, nil
+}
+
+func (s *Server) answerOrder(ctx *fasthttp.RequestCtx, outcome orderOutcome) {
+	switch outcome {
+	case orderSwapped:
+		s.answerWeights(ctx, fasthttp.StatusOK)
+	case orderSuperseded:
+		endpoint.Refuse(ctx, fasthttp.StatusConflict, verdict.DidNotRun, "superseded", "another version was ordered meanwhile", 0)
+	default:
+		endpoint.Refuse(ctx, fasthttp.StatusInternalServerError, verdict.MayHaveRun, "swap_failed", "the weight swap failed; see /v1/load for what is served", 0)
+	}
+}
+
+func (s *Server) answerWeights(ctx *fasthttp.RequestCtx, status int) {
+	s.mutex.Lock()
+	load := s.emulated.Load(s.elapsed())
+	answer := weightsAnswer{
+		WeightVersion: s.versions[load.Version], VersionNumber: load.Version, Staged: load.Staged != 0, Swapped: load.Staged == 0,
+	}
+	s.mutex.Unlock()
+	endpoint.WriteJSON(ctx, status, answer)
+}
+
+// finishOrders tells the orders that wait for a swap. The caller holds the mutex.
+func (s *Server) finishOrders(event emulator.Event) {
+	kept := s.orders[:0]
+	for _, order := range s.orders {
+		switch {
+		case order.number != event.Version && event.Kind == emulator.EventSwapFailed:
+			kept = append(kept, order)
+		case order.number > event.Version:
+			kept = append(kept, order)
+		case order.number < event.Version:
+			order.done <- orderSuperseded
+		case event.Kind == emulator.EventSwapped:
+			order.done <- orderSwapped
+		default:
+			order.done <- orderFailed
+		}
+	}
+	s.orders = kept
+}
+
+// failOrders ends every waiting order. The caller holds the mutex.
+func (s *Server) failOrders() {
+	for _, order := range s.orders {
+		order.done <- orderFailed
+	}
+	s.orders = nil
+}
+
+// fencedOrder is the body of the adapter and role orders.
+type fencedOrder struct {
+	Adapter string `json:"adapter"`
+	Role    string `json:"role"`
+	Fence   uint64 `json:"fence"`
+}
+
+func (s *Server) handleAdapter(ctx *fasthttp.RequestCtx) {
+	s.handleFenced(ctx, func(order fencedOrder) { s.adapter = order.Adapter })
+}
+
+func (s *Server) handleRole(ctx *fasthttp.RequestCtx) {
+	s.handleFenced(ctx, func(order fencedOrder) { s.role = order.Role })
+}
+
+func (s *Server) handleFenced(ctx *fasthttp.RequestCtx, change func(fencedOrder)) {
+	var order fencedOrder
+	if !endpoint.DecodeJSON(ctx, &order) {
+		return
+	}
+	s.mutex.Lock()
+	err := s.emulated.RaiseFence(order.Fence)
+	if err == nil {
+		change(order)
+	}
+	s.mutex.Unlock()
+	if err != nil {
+		refuseStale(ctx)
+		return
+	}
+	endpoint.WriteJSON(ctx, fasthttp.StatusOK, s.report())
+}
--- /dev/null
+++ b/internal/standin/engine/faults.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"math/rand"
+	"sync"
+	"time"
+)
+
+// Faults are misbehaviours that a test switches on. Probabilities are per streamed answer.
+type Faults struct {
+	// RefuseAll answers every new request 503 did-not-run.
+	RefuseAll bool
+	// CutAfterTokens cuts the connection of each streamed answer after that many tokens; 0 never.
+	CutAfterTokens int
+	// CutProbability cuts a streamed answer at a random token.
+	CutProbability float64
+	// CutCleanly ends a cut answer's body properly, without its last chunk and without [DONE].
+	CutCleanly bool
+	// ChunkDelay delays every chunk.
+	ChunkDelay time.Duration
+	// DuplicateProbability sends a chunk of a streamed answer twice.
+	DuplicateProbability float64
+}
+
+type faultSwitches struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	faults Faults
+}
+
+// streamFaults is what was drawn for one streamed answer.
+type streamFaults struct {
+	cutAfter  int // tokens sent by this answer; 0 never
+	cleanly   bool
+	delay     time.Duration
+	duplicate bool
+}
+
+func (f *faultSwitches) seed(seed uint64) { f.random = rand.New(rand.NewSource(int64(seed))) }
+
+func (f *faultSwitches) set(faults Faults) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.faults = faults
+}
+
+func (f *faultSwitches) refuses() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.faults.RefuseAll
+}
+
+func (f *faultSwitches) draw(tokens int) streamFaults {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	drawn := streamFaults{cutAfter: f.faults.CutAfterTokens, cleanly: f.faults.CutCleanly, delay: f.faults.ChunkDelay}
+	if f.random.Float64() < f.faults.CutProbability {
+		drawn.cutAfter = 1 + f.random.Intn(max(tokens, 1))
+	}
+	drawn.duplicate = f.random.Float64() < f.faults.DuplicateProbability
+	return drawn
+}
--- /dev/null
+++ b/internal/standin/engine/server_test.go
@@ -0,0 +1,328 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	emulator "github.com/tamarindring/tamarindring/internal/engine"
+	"github.com/tamarindring/tamarindring/internal/engine/text"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	// Both belong to fasthttp: a process-wide clock, and a cleaner that notices the stop after its sleep.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+func quietLog() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
+
+// startServer runs a stand-in that emulates fifty times faster than real time.
+func startServer(t *testing.T, change func(*Config)) *Server {
+	t.Helper()
+	config := Config{
+		Name: "engine-1", Listen: "127.0.0.1:0", InitialVersion: "v1", InitialVersionNumber: 1, TimeScale: 50, Log: quietLog(),
+	}
+	if change != nil {
+		change(&config)
+	}
+	server, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Run(context.Background()) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return server
+}
+
+func post(t *testing.T, server *Server, path string, body any) *http.Response {
+	t.Helper()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post("http://"+server.Address()+path, "application/json", bytes.NewReader(encoded))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+// chunk is what a client reads of one server-sent event.
+type chunk struct {
+	Choices []struct {
+		Text          string
+		Delta         struct{ Content string }
+		FinishReason  *string `json:"finish_reason"`
+		WeightVersion string  `json:"weight_version"`
+		VersionNumber uint64  `json:"version_number"`
+		TokenOffset   int     `json:"token_offset"`
+		TokenCount    int     `json:"token_count"`
+		Checksum      string
+	}
+}
+
+// answer is a whole streamed answer as a client puts it together.
+type answer struct {
+	content  string
+	next     int // token after the last one read
+	segments []Segment
+	finish   string
+	checksum string
+	done     bool
+}
+
+func readStream(t *testing.T, body io.Reader, next int) answer {
+	t.Helper()
+	read := answer{next: next}
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			read.done = true
+			continue
+		}
+		var parsed chunk
+		if err := json.Unmarshal([]byte(data), &parsed); err != nil {
+			t.Fatalf("%q: %v", data, err)
+		}
+		choice := parsed.Choices[0]
+		if choice.TokenOffset != read.next {
+			t.Fatalf("token offset %d, want %d", choice.TokenOffset, read.next)
+		}
+		read.content += choice.Text + choice.Delta.Content
+		read.next += choice.TokenCount
+		if choice.TokenCount > 0 {
+			read.addSegment(choice.WeightVersion, choice.VersionNumber, choice.TokenOffset, choice.TokenCount)
+		}
+		if choice.FinishReason != nil {
+			read.finish, read.checksum = *choice.FinishReason, choice.Checksum
+		}
+	}
+	return read
+}
+
+func (a *answer) addSegment(version string, number uint64, from, count int) {
+	if last := len(a.segments) - 1; last >= 0 && a.segments[last].VersionNumber == number {
+		a.segments[last].Count += count
+		return
+	}
+	a.segments = append(a.segments, Segment{Version: version, VersionNumber: number, From: from, Count: count})
+}
+
+func TestStreamedAnswerIsWhole(t *testing.T) {
+	server := startServer(t, nil)
+	prompt := "offer for shoes [tokens=40]"
+	response := post(t, server, "/v1/completions", map[string]any{"model": "copy", "prompt": prompt, "stream": true, "request_id": "r1"})
+	read := readStream(t, response.Body, 0)
+	if !read.done || read.finish != "stop" || read.content != text.ExpectedText(prompt, 0) {
+		t.Fatalf("read %+v", read)
+	}
+	if read.checksum != text.Checksum(prompt, read.content) {
+		t.Error("checksum differs")
+	}
+	log := server.Log()
+	if len(log) != 1 || log[0].Outcome != OutcomeFinished || log[0].Tokens != 40 || log[0].RequestID != "r1" {
+		t.Errorf("log %+v", log)
+	}
+}
+
+func TestWholeAndChatAnswers(t *testing.T) {
+	server := startServer(t, nil)
+	messages := []text.Message{{Role: "user", Content: "summary [tokens=12]"}}
+	prompt, err := text.RenderChat(messages, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	expected := text.ExpectedText(prompt, 8)
+	response := post(t, server, "/v1/chat/completions", map[string]any{"messages": messages, "max_tokens": 8})
+	var whole completionAnswer
+	if err := json.NewDecoder(response.Body).Decode(&whole); err != nil {
+		t.Fatal(err)
+	}
+	choice := whole.Choices[0]
+	if choice.Message.Content != expected || choice.FinishReason != "length" || choice.Checksum != text.Checksum(prompt, expected) {
+		t.Errorf("whole answer %+v", choice)
+	}
+	if len(choice.Segments) != 1 || choice.Segments[0].Version != "v1" || choice.Segments[0].Count != 8 {
+		t.Errorf("segments %+v", choice.Segments)
+	}
+	streamed := post(t, server, "/v1/chat/completions", map[string]any{"messages": messages, "max_tokens": 8, "stream": true})
+	if read := readStream(t, streamed.Body, 0); read.content != expected || !read.done {
+		t.Errorf("streamed chat %+v", read)
+	}
+}
+
+func TestCutStreamResumesAndReplays(t *testing.T) {
+	server := startServer(t, nil)
+	other := startServer(t, func(config *Config) {
+		config.Name, config.InitialVersion, config.InitialVersionNumber = "engine-2", "v2", 2
+	})
+	prompt := "long answer [tokens=60]"
+	expected := text.ExpectedText(prompt, 0)
+	server.SetFaults(Faults{CutAfterTokens: 20})
+	first := readStream(t, post(t, server, "/v1/completions", map[string]any{"prompt": prompt, "stream": true, "request_id": "cut"}).Body, 0)
+	if first.done || first.next > 20 {
+		t.Fatalf("the cut stream gave %+v", first)
+	}
+	server.SetFaults(Faults{})
+	resumed := readStream(t, post(t, server, "/v1/streams/cut/resume?from="+itoa(first.next), nil).Body, first.next)
+	if first.content+resumed.content != expected || resumed.checksum != text.Checksum(prompt, expected) || !resumed.done {
+		t.Errorf("resumed %+v", resumed)
+	}
+	replayed := readStream(t, post(t, other, "/v1/completions", map[string]any{
+		"prompt": prompt + first.content, "stream": true, "prefix_tokens": first.next,
+	}).Body, first.next)
+	if first.content+replayed.content != expected || replayed.checksum != text.Checksum(prompt, expected) {
+		t.Errorf("replayed %+v", replayed)
+	}
+	if replayed.segments[0].Version != "v2" || replayed.segments[0].From != first.next {
+		t.Errorf("segments of the replay %+v", replayed.segments)
+	}
+}
+
+func itoa(number int) string {
+	encoded, _ := json.Marshal(number)
+	return string(encoded)
+}
+
+func TestCleanCutDoesNotLookFinished(t *testing.T) {
+	server := startServer(t, nil)
+	server.SetFaults(Faults{CutAfterTokens: 5, CutCleanly: true})
+	response := post(t, server, "/v1/completions", map[string]any{"prompt": "[tokens=20]", "stream": true})
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatalf("a clean cut ended in %v", err)
+	}
+	if read := readStream(t, bytes.NewReader(body), 0); read.done || read.finish != "" || read.next != 5 {
+		t.Errorf("read %+v", read)
+	}
+}
+
+func TestSwapSplitsSegmentsAsLogged(t *testing.T) {
+	server := startServer(t, func(config *Config) {
+		config.Parameters = emulator.DefaultParameters()
+		config.Parameters.SwapTime, config.Parameters.StageTime = time.Millisecond, time.Millisecond
+	})
+	response := post(t, server, "/v1/completions", map[string]any{"prompt": "[tokens=400]", "stream": true, "request_id": "s"})
+	ordered := post(t, server, "/v1/admin/weights", map[string]any{"version": "v2", "version_number": 2, "fence": 1})
+	if ordered.StatusCode != http.StatusOK {
+		t.Fatalf("order: %d", ordered.StatusCode)
+	}
+	read := readStream(t, response.Body, 0)
+	if len(read.segments) != 2 || read.segments[1].Version != "v2" {
+		t.Fatalf("segments %+v", read.segments)
+	}
+	logged := server.Log()[0].Segments
+	for index, segment := range read.segments {
+		if logged[index] != segment {
+			t.Errorf("segment %d: read %+v, logged %+v", index, segment, logged[index])
+		}
+	}
+	stale := post(t, server, "/v1/admin/weights", map[string]any{"version": "v1", "version_number": 1, "fence": 1})
+	if stale.StatusCode != http.StatusConflict {
+		t.Errorf("stale order: %d", stale.StatusCode)
+	}
+}
+
+func TestFailedSwapIsReported(t *testing.T) {
+	server := startServer(t, nil)
+	server.FailNextSwap(emulator.SwapKeepsOld)
+	failed := post(t, server, "/v1/admin/weights", map[string]any{"version": "v2", "version_number": 2, "fence": 1})
+	if failed.StatusCode != http.StatusInternalServerError {
+		t.Errorf("failed swap: %d", failed.StatusCode)
+	}
+	if version, _ := server.Served(); version != "v1" {
+		t.Errorf("served %q", version)
+	}
+	repaired := post(t, server, "/v1/admin/weights", map[string]any{"version": "v2", "version_number": 2, "fence": 1})
+	if version, _ := server.Served(); repaired.StatusCode != http.StatusOK || version != "v2" {
+		t.Errorf("repair: %d, served %q", repaired.StatusCode, version)
+	}
+}
+
+func TestLeavingRefusesAndCounts(t *testing.T) {
+	server := startServer(t, nil)
+	post(t, server, "/v1/admin/leave", nil)
+	refused := post(t, server, "/v1/completions", map[string]any{"prompt": "x"})
+	if refused.StatusCode != http.StatusServiceUnavailable || refused.Header.Get(verdict.Header) != verdict.DidNotRun.String() {
+		t.Errorf("refusal %d, %q", refused.StatusCode, refused.Header.Get(verdict.Header))
+	}
+	log := server.Log()
+	if len(log) != 1 || log[0].Outcome != OutcomeRefused || log[0].AfterLeave <= 0 {
+		t.Errorf("log %+v", log)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	server := startServer(t, func(config *Config) { config.TimeScale = 1 })
+	response := post(t, server, "/v1/completions", map[string]any{"prompt": "[tokens=4000]", "stream": true, "request_id": "c"})
+	var cancelled cancelledStream
+	if err := json.NewDecoder(post(t, server, "/v1/streams/c/cancel", nil).Body).Decode(&cancelled); err != nil {
+		t.Fatal(err)
+	}
+	if cancelled.Outcome != OutcomeCancelled {
+		t.Errorf("cancelled %+v", cancelled)
+	}
+	if read := readStream(t, response.Body, 0); read.done || read.next != cancelled.Tokens {
+		t.Errorf("read %d tokens, cancelled at %d, done %v", read.next, cancelled.Tokens, read.done)
+	}
+}
+
+func TestCrashCutsStreamsAndRestarts(t *testing.T) {
+	server := startServer(t, func(config *Config) { config.TimeScale = 1 })
+	response := post(t, server, "/v1/completions", map[string]any{"prompt": "[tokens=4000]", "stream": true})
+	server.Crash()
+	if read := readStream(t, response.Body, 0); read.done {
+		t.Error("the crashed engine's stream looks finished")
+	}
+	if log := server.Log(); len(log) != 1 || log[0].Outcome != OutcomeCrashed {
+		t.Errorf("log %+v", log)
+	}
+	server.Restart("v3", 3)
+	whole := post(t, server, "/v1/completions", map[string]any{"prompt": "[tokens=2]"})
+	if whole.StatusCode != http.StatusOK {
+		t.Errorf("after the restart: %d", whole.StatusCode)
+	}
+}
+
+func TestBadBodiesAreRefused(t *testing.T) {
+	server := startServer(t, nil)
+	bodies := []string{`{`, `{"prompt":5}`, `{"prompt":"x","n":2}`, `{"prompt":"x y","prefix_tokens":3}`, `{"prompt":"x","max_tokens":-1}`}
+	for _, body := range bodies {
+		response, err := http.Post("http://"+server.Address()+"/v1/completions", "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusBadRequest || response.Header.Get(verdict.Header) != "did-not-run" {
+			t.Errorf("%s: %d", body, response.StatusCode)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/scorer/scorer_test.go
@@ -0,0 +1,50 @@
+package scorer
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+)
+
+func TestScoresAreFunctionsOfTheText(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	server, err := New(Config{Listen: "127.0.0.1:0", Log: logrus.NewEntry(logger)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Run(context.Background()) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	for body, samples := range map[string]int{
+		`{"samples":[{"id":"a","prompt":"p","text":"t"},{"id":"b","prompt":"p","text":"u"}]}`: 2,
+		`{"id":"a","prompt":"p","text":"t"}`:                                                  1,
+	} {
+		response, err := http.Post("http://"+server.Address()+"/v1/score", "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var answer Answer
+		err = json.NewDecoder(response.Body).Decode(&answer)
+		response.Body.Close()
+		if err != nil || len(answer.Scores) != samples {
+			t.Fatalf("%s: %+v, %v", body, answer, err)
+		}
+		if answer.Score != Score("p", "t") || answer.Scores[0] != answer.Score {
+			t.Errorf("%s: %+v", body, answer)
+		}
+	}
+	if server.Scored("a") != 2 {
+		t.Errorf("scored %d times", server.Scored("a"))
+	}
+}
--- /dev/null
+++ b/internal/standin/weightstore/weightstore.go
@@ -0,0 +1,201 @@
+// Package weightstore is the stand-in of the rate-limited weight store: PUT and GET /v1/versions/{version}.
+package weightstore
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+
+	"github.com/tamarindring/tamarindring/internal/standin/endpoint"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+const versionsPath = "/v1/versions/"
+
+// Config holds a stand-in's settings.
+type Config struct {
+	// Listen is IP:port, port 0 allowed; ignored when Listener is set.
+	Listen   string
+	Listener net.Listener
+	// ReadsPerSecond bounds the reads; those above it get 429 with Retry-After. Default 0, unlimited.
+	ReadsPerSecond float64
+	// Burst is how many reads may come at once. Default 1 when reads are limited.
+	Burst int
+	// ReadTime is how long a read takes. Default 0.
+	ReadTime time.Duration
+	// Log is required.
+	Log *logrus.Entry
+}
+
+// Version is the description of one version; the weights themselves are not modelled.
+type Version struct {
+	Version       string `json:"version"`
+	VersionNumber uint64 `json:"version_number"`
+	Trainer       string `json:"trainer,omitempty"`
+}
+
+// Stats counts what the store was asked.
+type Stats struct {
+	Reads     int `json:"reads"`
+	Throttled int `json:"throttled"`
+	Writes    int `json:"writes"`
+}
+
+// Server is one weight store stand-in.
+type Server struct {
+	config   Config
+	endpoint *endpoint.Endpoint
+	closed   chan struct{}
+	closing  sync.Once
+
+	mutex    sync.Mutex // guards what follows
+	limiter  *rate.Limiter
+	readTime time.Duration
+	versions map[string]Version
+	stats    Stats
+}
+
+// New binds the listener.
+func New(config Config) (*Server, error) {
+	if config.Log == nil {
+		return nil, trace.BadParameter("weight store stand-in needs a log")
+	}
+	server := &Server{
+		config: config, versions: make(map[string]Version), closed: make(chan struct{}), readTime: config.ReadTime,
+		limiter: newLimiter(config.ReadsPerSecond, config.Burst),
+	}
+	bound, err := endpoint.New(endpoint.Config{
+		Listen: config.Listen, Listener: config.Listener, Handler: server.handle, Log: config.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	server.endpoint = bound
+	return server, nil
+}
+
+func newLimiter(readsPerSecond float64, burst int) *rate.Limiter {
+	if readsPerSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(readsPerSecond), max(burst, 1))
+}
+
+// Address is the bound IP:port.
+func (s *Server) Address() string { return s.endpoint.Address() }
+
+// Run serves until ctx ends or the server is drained or closed.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.stop()
+	return s.endpoint.Run(ctx)
+}
+
+// Drain waits for the requests in flight.
+func (s *Server) Drain(ctx context.Context) error {
+	defer s.stop()
+	return s.endpoint.Drain(ctx)
+}
+
+// Close ends the stand-in abruptly: every connection is cut.
+func (s *Server) Close() error {
+	s.stop()
+	return s.endpoint.Close()
+}
+
+func (s *Server) stop() { s.closing.Do(func() { close(s.closed) }) }
+
+// SetReads changes the limit and the duration of reads.
+func (s *Server) SetReads(readsPerSecond float64, burst int, readTime time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limiter, s.readTime = newLimiter(readsPerSecond, burst), readTime
+}
+
+// Put adds a version, as PUT does.
+func (s *Server) Put(version Version) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.versions[version.Version] = version
+	s.stats.Writes++
+}
+
+// Stats returns the counts so far.
+func (s *Server) Stats() Stats {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.stats
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	escaped, ok := strings.CutPrefix(string(ctx.Path()), versionsPath)
+	name, err := url.PathUnescape(escaped)
+	if !ok || err != nil || name == "" {
+		endpoint.Refuse(ctx, fasthttp.StatusNotFound, verdict.DidNotRun, "not_found", "use /v1/versions/{version}", 0)
+		return
+	}
+	switch {
+	case ctx.IsGet():
+		s.read(ctx, name)
+	case ctx.IsPut():
+		s.write(ctx, name)
+	default:
+		endpoint.Refuse(ctx, fasthttp.StatusMethodNotAllowed, verdict.DidNotRun, "bad_method", "use GET or PUT", 0)
+	}
+}
+
+func (s *Server) read(ctx *fasthttp.RequestCtx, name string) {
+	wait, throttled := s.throttle()
+	if throttled {
+		endpoint.Refuse(ctx, fasthttp.StatusTooManyRequests, verdict.DidNotRun, "throttled", "too many reads", wait)
+		return
+	}
+	s.mutex.Lock()
+	found, known := s.versions[name]
+	readTime := s.readTime
+	s.mutex.Unlock()
+	if !known {
+		endpoint.Refuse(ctx, fasthttp.StatusNotFound, verdict.DidNotRun, "unknown_version", "no version "+name, 0)
+		return
+	}
+	timer := time.NewTimer(readTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.closed:
+	}
+	endpoint.WriteJSON(ctx, fasthttp.StatusOK, found)
+}
+
+// throttle takes one read from the limit, or says how long to wait.
+func (s *Server) throttle() (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stats.Reads++
+	reserved := s.limiter.Reserve()
+	wait := reserved.Delay()
+	if wait == 0 {
+		return 0, false
+	}
+	reserved.Cancel()
+	s.stats.Throttled++
+	return wait, true
+}
+
+func (s *Server) write(ctx *fasthttp.RequestCtx, name string) {
+	version := Version{Version: name}
+	if err := json.Unmarshal(ctx.PostBody(), &version); err != nil || version.Version != name {
+		endpoint.Refuse(ctx, fasthttp.StatusBadRequest, verdict.DidNotRun, "bad_body", "the body must describe version "+name, 0)
+		return
+	}
+	s.Put(version)
+	endpoint.WriteJSON(ctx, fasthttp.StatusOK, version)
+}
--- /dev/null
+++ b/internal/standin/weightstore/weightstore_test.go
@@ -0,0 +1,68 @@
+package weightstore
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+)
+
+func startServer(t *testing.T, config Config) *Server {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	config.Listen, config.Log = "127.0.0.1:0", logrus.NewEntry(logger)
+	server, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Run(context.Background()) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return server
+}
+
+func status(t *testing.T, server *Server, method, name, body string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+server.Address()+"/v1/versions/"+name, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	return response
+}
+
+func TestWritesAndLimitedReads(t *testing.T) {
+	server := startServer(t, Config{ReadsPerSecond: 0.001, Burst: 2})
+	if got := status(t, server, http.MethodPut, "v1", `{"version":"v1","version_number":1}`); got.StatusCode != http.StatusOK {
+		t.Errorf("write: %d", got.StatusCode)
+	}
+	if got := status(t, server, http.MethodPut, "v2", `{"version":"v1"}`); got.StatusCode != http.StatusBadRequest {
+		t.Errorf("write under another name: %d", got.StatusCode)
+	}
+	if got := status(t, server, http.MethodGet, "v1", ""); got.StatusCode != http.StatusOK {
+		t.Errorf("read: %d", got.StatusCode)
+	}
+	if got := status(t, server, http.MethodGet, "v9", ""); got.StatusCode != http.StatusNotFound {
+		t.Errorf("unknown version: %d", got.StatusCode)
+	}
+	throttled := status(t, server, http.MethodGet, "v1", "")
+	if throttled.StatusCode != http.StatusTooManyRequests || throttled.Header.Get("Retry-After") == "" {
+		t.Errorf("third read: %d, Retry-After %q", throttled.StatusCode, throttled.Header.Get("Retry-After"))
+	}
+	if stats := server.Stats(); stats.Throttled != 1 || stats.Writes != 1 {
+		t.Errorf("stats %+v", stats)
+	}
+}
