--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -12,6 +12,13 @@
 		{name: "standin", short: "Stand-ins for outside systems, for tests and demonstrations"},
 		{name: "simulate", short: "Simulated fleets in virtual time"},
 		{name: "table", short: "Show and change the table of weights and limits"},
+		{parent: "table", name: "show", short: "Print the table", constructor: func() command { return &tableShowCommand{} }},
+		{parent: "table", name: "set", short: "Set one cell", constructor: func() command { return &tableSetCommand{} }},
+		{parent: "table", name: "apply", short: "Apply an edited sheet as one change", constructor: func() command { return &tableApplyCommand{} }},
+		{parent: "table", name: "diff", short: "Show what applying a sheet would change", constructor: func() command { return &tableDiffCommand{} }},
+		{parent: "table", name: "history", short: "Show who changed what", constructor: func() command { return &tableHistoryCommand{} }},
+		{parent: "table", name: "revert", short: "Undo one version by a new change", constructor: func() command { return &tableRevertCommand{} }},
+		{parent: "table", name: "watch", short: "Print changes as they are made", constructor: func() command { return &tableWatchCommand{} }},
 		{name: "data", short: "Check and convert data folders offline"},
 	}
 }
--- /dev/null
+++ b/internal/cli/controlaccess.go
@@ -0,0 +1,62 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+// controlAccess holds the flags of every command that speaks to the control nodes.
+type controlAccess struct {
+	Control []string      `long:"control" required:"true" value-name:"IP:PORT" env:"TAMARINDRING_CONTROL" env-delim:"," description:"Control nodes; comma list or repeated"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"Longest time to wait for an answer"`
+}
+
+// use calls work with a client of the control nodes and a context that ends after the timeout.
+func (a *controlAccess) use(environment Environment, work func(context.Context, *controlclient.Client) error) error {
+	client, err := controlclient.New(controlclient.Config{Addresses: splitList(a.Control)})
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(environment.Context, a.Timeout)
+	defer cancel()
+	return exitErrorOf(work(ctx, client))
+}
+
+// exitErrorOf gives an error its exit code: bad input, unknown outcome, or plain failure.
+func exitErrorOf(err error) error {
+	var known *ExitError
+	var carrier *verdict.Error
+	switch {
+	case err == nil || errors.As(err, &known):
+		return err
+	case errors.As(err, &carrier) && carrier.Verdict == verdict.MayHaveRun:
+		return &ExitError{Code: ExitUnknown, Message: err.Error()}
+	case errors.As(err, &carrier):
+		return &ExitError{Code: ExitFailure, Message: err.Error()}
+	case trace.IsBadParameter(err):
+		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+	default:
+		return err
+	}
+}
+
+// splitList splits comma lists and drops empty items.
+func splitList(texts []string) []string {
+	var items []string
+	for _, text := range texts {
+		for item := range strings.SplitSeq(text, ",") {
+			if item = strings.TrimSpace(item); item != "" {
+				items = append(items, item)
+			}
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/internal/operator/sheet.go
@@ -0,0 +1,183 @@
+// Package operator is what operators do with the table and the members: show and export the sheet, work
+// out which cells a file changes, send changes so that a lost answer can always be settled, and say what
+// came of it. The command line and the page are thin shells around it.
+package operator
+
+import (
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// controlGroup is the group that holds the table.
+const controlGroup uint32 = 0
+
+// rowColumn heads the column of row names in every format.
+const rowColumn = "row"
+
+// versionMark starts the first line of an exported file, which names the version that it shows.
+const versionMark = "# version "
+
+// Control is what this package needs of a client of the control nodes.
+type Control interface {
+	Query(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error)
+	ChangeTable(ctx context.Context, change *wire.TableChange, wait bool) (*wire.TableResult, uint64, error)
+}
+
+// Cell is one explicit cell of a sheet.
+type Cell struct {
+	Value    string `json:"value"`
+	Version  uint64 `json:"version"`  // table version that set it
+	Operator string `json:"operator"` // who set it
+}
+
+// Row is one row of a sheet.
+type Row struct {
+	Name  string          `json:"name"`
+	Cells map[string]Cell `json:"cells"` // by column; explicit cells only
+}
+
+// Sheet is the table at one version.
+type Sheet struct {
+	Version uint64 `json:"version"`
+	Rows    []Row  `json:"rows"` // by name
+}
+
+// ReadSheet returns the current table.
+func ReadSheet(ctx context.Context, control Control) (*Sheet, error) {
+	view, err := control.Query(ctx, controlGroup, &wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{}}})
+	if err != nil {
+		return nil, err
+	}
+	update := view.GetTable()
+	if update == nil {
+		return nil, verdict.New(verdict.DidNotRun, "the control group answered without a table; are its nodes older than this program?")
+	}
+	return NewSheet(update), nil
+}
+
+// NewSheet makes a sheet of a whole snapshot of the table.
+func NewSheet(update *wire.TableUpdate) *Sheet {
+	sheet := &Sheet{Version: update.GetToVersion()}
+	for _, row := range update.GetRows() {
+		cells := make(map[string]Cell, len(row.Cells))
+		for _, cell := range row.Cells {
+			if cell.Value != "" {
+				cells[cell.Column] = Cell{Value: cell.Value, Version: cell.Version, Operator: cell.Operator}
+			}
+		}
+		sheet.Rows = append(sheet.Rows, Row{Name: row.Name, Cells: cells})
+	}
+	sort.Slice(sheet.Rows, func(i, j int) bool { return sheet.Rows[i].Name < sheet.Rows[j].Name })
+	return sheet
+}
+
+// Row returns the row of a name.
+func (s *Sheet) Row(name string) (Row, bool) {
+	position := sort.Search(len(s.Rows), func(i int) bool { return s.Rows[i].Name >= name })
+	if position < len(s.Rows) && s.Rows[position].Name == name {
+		return s.Rows[position], true
+	}
+	return Row{}, false
+}
+
+// columns returns the columns that any row sets, in the operators' order; all of them with all.
+func (s *Sheet) columns(all bool) []string {
+	var names []string
+	for _, column := range table.Schema() {
+		used := all
+		for _, row := range s.Rows {
+			_, set := row.Cells[column.Name]
+			used = used || set
+		}
+		if used {
+			names = append(names, column.Name)
+		}
+	}
+	return names
+}
+
+// records returns the sheet as lines of text, the heading first.
+func (s *Sheet) records(all bool) [][]string {
+	columns := s.columns(all)
+	records := [][]string{append([]string{rowColumn}, columns...)}
+	for _, row := range s.Rows {
+		record := []string{row.Name}
+		for _, column := range columns {
+			record = append(record, row.Cells[column].Value)
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
+// Format is how a sheet is written.
+type Format string
+
+// The formats.
+const (
+	FormatTable Format = "table" // aligned columns
+	FormatCSV   Format = "csv"   // for spreadsheets; can be edited and applied
+	FormatJSON  Format = "json"  // with version and operator of each cell
+)
+
+// Write writes the sheet. Columns that no row sets are left out unless all is set.
+func (s *Sheet) Write(out io.Writer, format Format, all bool) error {
+	switch format {
+	case FormatTable:
+		if err := writeAligned(out, s.records(all)); err != nil {
+			return trace.Wrap(err)
+		}
+		_, err := io.WriteString(out, "version "+strconv.FormatUint(s.Version, 10)+"\n")
+		return trace.Wrap(err)
+	case FormatCSV:
+		if _, err := io.WriteString(out, versionMark+strconv.FormatUint(s.Version, 10)+"\n"); err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(csv.NewWriter(out).WriteAll(s.records(all)))
+	case FormatJSON:
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return trace.Wrap(encoder.Encode(s))
+	default:
+		return trace.BadParameter("format %q: want table, csv or json", format)
+	}
+}
+
+// writeAligned pads each column to its widest text.
+func writeAligned(out io.Writer, records [][]string) error {
+	var widths []int
+	for _, record := range records {
+		for position, text := range record {
+			if position == len(widths) {
+				widths = append(widths, 0)
+			}
+			widths[position] = max(widths[position], len([]rune(text)))
+		}
+	}
+	var lines strings.Builder
+	for _, record := range records {
+		var line strings.Builder
+		for position, text := range record {
+			if text == "" {
+				text = "-"
+			}
+			line.WriteString(text)
+			line.WriteString(strings.Repeat(" ", max(0, widths[position]-len([]rune(text)))+2))
+		}
+		lines.WriteString(strings.TrimRight(line.String(), " "))
+		lines.WriteByte('\n')
+	}
+	_, err := io.WriteString(out, lines.String())
+	return err
+}
