Name file, line and field in refused YAML files

Cause: the YAML library reports a malformed duration without any position, and a wrong type without the field. Change: strictyaml decodes strictly, checks durations itself and gives every error as file:line: field; engine parameters use it.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -312,3 +313,20 @@
 		t.Errorf("after restart: %v, version %d", err, e.Version())
 	}
 }
+
+func TestParseParameters(t *testing.T) {
+	parsed, err := ParseParameters("e.yaml", []byte("step_base: 40ms\nmax_batch: 8\n"))
+	if err != nil || parsed.StepBase != 40*time.Millisecond || parsed.MaxBatch != 8 || parsed.BlockTokens != 16 {
+		t.Errorf("parsed %+v, %v", parsed, err)
+	}
+	for content, want := range map[string]string{
+		"max_batch: 8\nkv_blocks: -3\n": "e.yaml:2: kv_blocks",
+		"step_bace: 10ms\n":             "e.yaml:1: step_bace",
+		"step_base: -1s\n":              "e.yaml:1: step_base",
+		"swap_time: long\n":             "e.yaml:1: swap_time",
+	} {
+		if _, err := ParseParameters("e.yaml", []byte(content)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", content, err, want)
+		}
+	}
+}
--- a/internal/engine/parameters.go
+++ b/internal/engine/parameters.go
@@ -4,8 +4,9 @@
 	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/strictyaml"
 )
 
 // Parameters describe one model engine. The zero value of a field in a file means its default, except
@@ -48,7 +49,9 @@
 
 // DefaultParameters returns the documented defaults.
 func DefaultParameters() Parameters {
-	return Parameters{}.withDefaults()
+	var parameters Parameters
+	parameters.SetDefaults()
+	return parameters
 }
 
 // LoadParameters reads a YAML file; unknown fields and impossible values are refused with file, line and
@@ -58,18 +61,23 @@
 	if err != nil {
 		return Parameters{}, trace.ConvertSystemError(err)
 	}
+	return ParseParameters(path, content)
+}
+
+// ParseParameters reads parameters from YAML. Errors call the content file.
+func ParseParameters(file string, content []byte) (Parameters, error) {
 	var parameters Parameters
-	if err := yaml.UnmarshalWithOptions(content, &parameters, yaml.Strict()); err != nil {
-		return Parameters{}, trace.BadParameter("%s: %s", path, yaml.FormatError(err, false, true))
+	if err := strictyaml.Decode(file, content, &parameters); err != nil {
+		return Parameters{}, err
 	}
-	parameters = parameters.withDefaults()
+	parameters.SetDefaults()
 	if err := parameters.Validate(); err != nil {
-		return Parameters{}, trace.BadParameter("%s: %v", path, err)
+		return Parameters{}, strictyaml.Locate(file, content, err)
 	}
 	return parameters, nil
 }
 
-// Validate refuses impossible values and names the field.
+// Validate refuses impossible values with a strictyaml.FieldError.
 func (p Parameters) Validate() error {
 	durations := []struct {
 		field string
@@ -82,7 +90,7 @@
 	}
 	for _, duration := range durations {
 		if duration.value < 0 {
-			return trace.BadParameter("%s is %v; it must not be negative", duration.field, duration.value)
+			return strictyaml.Fieldf(duration.field, "%v must not be negative", duration.value)
 		}
 	}
 	counts := []struct {
@@ -94,19 +102,20 @@
 	}
 	for _, count := range counts {
 		if count.value < 1 {
-			return trace.BadParameter("%s is %d; it must be at least 1", count.field, count.value)
+			return strictyaml.Fieldf(count.field, "%d must be at least 1", count.value)
 		}
 	}
 	if p.StepBase <= 0 {
-		return trace.BadParameter("step_base is %v; a step must take time", p.StepBase)
+		return strictyaml.Fieldf("step_base", "%v: a step must take time", p.StepBase)
 	}
 	if !(p.PrefillRate > 0) {
-		return trace.BadParameter("prefill_tokens_per_second is %v; it must be above 0", p.PrefillRate)
+		return strictyaml.Fieldf("prefill_tokens_per_second", "%v must be above 0", p.PrefillRate)
 	}
 	return nil
 }
 
-func (p Parameters) withDefaults() Parameters {
+// SetDefaults gives fields that are zero their documented defaults.
+func (p *Parameters) SetDefaults() {
 	setDefault(&p.StepBase, 20*time.Millisecond)
 	setDefault(&p.StepPerSequence, 100*time.Microsecond)
 	setDefault(&p.StepPerThousandContext, 50*time.Microsecond)
@@ -121,7 +130,6 @@
 	setDefault(&p.TransferBase, 5*time.Millisecond)
 	setDefault(&p.TransferPerThousand, 8*time.Millisecond)
 	setDefault(&p.CacheEvents, 4096)
-	return p
 }
 
 func setDefault[T comparable](field *T, value T) {
