gateway: thin whole path for completions and non-repeatable calls

Cause: callers, the coordinator and the fleet runner need a gateway early. Change: internal/gateway drives admission, routing and dispatch on the caller's connection: streamed and whole completions, claims around pushes, resume and replay of cut streams, drain, load polls, metrics, dispatch log. Own connections to back ends never repeat a request and never carry a late answer over. routing: load reports count requests, which are weighed with the own mean work per request.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -8,6 +8,7 @@
 		{parent: "config", name: "check", short: "Check a settings file without starting anything", constructor: func() command { return &configCheckCommand{} }},
 		{parent: "config", name: "print", short: "Print a role's settings with defaults and comments", constructor: func() command { return &configPrintCommand{} }},
 		{parent: "config", name: "reference", short: "Print the reference page of all settings", constructor: func() command { return &configReferenceCommand{} }},
+		{name: "gateway", short: "Run a gateway for callers", constructor: func() command { return &gatewayCommand{} }},
 		{name: "bench", short: "Measurements; each prints JSON"},
 		{name: "standin", short: "Stand-ins for outside systems, for tests and demonstrations"},
 		{name: "simulate", short: "Simulated fleets in virtual time"},
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -22,7 +22,7 @@
 	TableMoved                            // the last Send or Replay was not made: the choice was made on an older table
 	SendFailed                            // no byte of the last Send, Resume or Replay reached the back end
 	SendUnknown                           // the connection failed after a byte was written and before a whole answer
-	RefusedByBackend                      // the back end says that it did not run: RetryAfter (may be 0)
+	RefusedByBackend                      // the back end says that it did not run: RetryAfter (may be 0); Status, Answer
 	Chunk                                 // tokens of the stream: Offset, Count
 	StreamCut                             // the stream ended without its end mark
 	Completed                             // the whole answer or the stream's end mark is here: Answer
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -256,9 +256,19 @@
 		m.giveUp(failure) // a resume failed; the request itself ran or runs
 		return
 	}
+	if permanent(event.Status) {
+		m.giveUp(Outcome{Status: event.Status, Answer: event.Answer})
+		return
+	}
 	m.retryElsewhere(now, failure, event.Kind == SendFailed)
 }
 
+// permanent tells whether a refusal is about the request itself, so that no other back end would take it.
+func permanent(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
+		status != http.StatusTooManyRequests && status != http.StatusConflict
+}
+
 // retryElsewhere tries another back end while tries, budget and deadline last, and else gives up. A body
 // of which nothing was sent is intact even when it is not held.
 func (m *Machine) retryElsewhere(now time.Duration, failure Outcome, intact bool) {
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,144 @@
+// Package gateway is the server that callers talk to. It drives admission, routing and one dispatch
+// machine per request under the lease of a control session, streams answers back, and keeps claims of
+// non-repeatable requests in the ledger.
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/dispatch"
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/routing"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxBodyBytes    = 256 << 20
+	DefaultBufferBytes     = 1 << 20
+	DefaultMaxAnswerBytes  = 16 << 20
+	DefaultStoredAnswer    = 64 << 10
+	DefaultMaxConnections  = 16384
+	DefaultReadTimeout     = 30 * time.Second
+	DefaultIdleTimeout     = 2 * time.Minute
+	DefaultWriteTimeout    = 30 * time.Second
+	DefaultConnectTimeout  = 500 * time.Millisecond
+	DefaultClaimTimeout    = 2 * time.Second
+	DefaultLoadInterval    = 250 * time.Millisecond
+	DefaultRetriesPerSec   = 50
+	DefaultRetryBurst      = 200
+	DefaultLogEntries      = 65536
+	DefaultMaxSettlements  = 8192
+	defaultShutdownRetry   = time.Second
+	maxHeaderBytes         = 16 << 10
+	refreshInterval        = 200 * time.Millisecond
+	maxConcurrentLoadPolls = 32
+)
+
+// Config holds a gateway's settings. Control is required, everything else has a default.
+type Config struct {
+	// Name is the gateway's unique member name. Required.
+	Name string
+	// Listen is the callers' IP:port; port 0 takes a free one. Ignored when Listener is set.
+	Listen string
+	// Listener is an already bound listener; the gateway closes it.
+	Listener net.Listener
+	// Zone and Region of this gateway; back ends of the same zone are preferred.
+	Zone   string
+	Region string
+	// Control is the session with the control group. Required.
+	Control Control
+	// Policy chooses among replicas. Default routing.Balanced.
+	Policy routing.Policy
+	// Routing are the parameters of the choice; zero fields take their defaults.
+	Routing routing.Settings
+	// MaxBodyBytes bounds a request's body. Default 256 MiB: an hour of call audio.
+	MaxBodyBytes int64
+	// BufferBytes is how much of a body is held, so that it can be sent again; a larger body is streamed
+	// through and sent once. Default 1 MiB.
+	BufferBytes int
+	// MaxAnswerBytes bounds an answer that is not streamed. Default 16 MiB.
+	MaxAnswerBytes int
+	// StoredAnswerBytes bounds the answers that are kept under a key; a larger one is not kept, and a
+	// resend of its key learns only that it ran. Default 64 KiB.
+	StoredAnswerBytes int
+	// MaxConnections bounds the callers' connections; more are closed at once. Default 16384.
+	MaxConnections int
+	// ReadTimeout bounds reading one request, so that a slow sender holds a connection no longer. Default 30s.
+	ReadTimeout time.Duration
+	// IdleTimeout closes connections without requests. Default 2m.
+	IdleTimeout time.Duration
+	// WriteTimeout bounds writing one part of an answer to a caller that does not read. Default 30s.
+	WriteTimeout time.Duration
+	// ConnectTimeout bounds connecting to a back end. Default 500ms.
+	ConnectTimeout time.Duration
+	// ClaimTimeout bounds one ledger command. Default 2s.
+	ClaimTimeout time.Duration
+	// LoadInterval is the time between two polls of a back end's load report. Default 250ms.
+	LoadInterval time.Duration
+	// RetriesPerSecond and RetryBurst are the budget of retries over all requests. Defaults 50 and 200: a
+	// crash of an engine with 200 streams is survived at once, a failing pool is not buried.
+	RetriesPerSecond float64
+	RetryBurst       float64
+	// LogEntries is how many dispatches GET /v1/log remembers. Default 65536.
+	LogEntries int
+	// MaxSettlements bounds the requests that are answered but still have to tell the ledger how they
+	// ended; at the bound new requests with a key are refused. Default 8192.
+	MaxSettlements int
+	// Dispatch are the parameters of a request's life; Random and Budget are set by the gateway.
+	Dispatch dispatch.Settings
+	// Log receives short sentences. Default: nothing.
+	Log *logrus.Entry
+}
+
+func (c *Config) setDefaults() error {
+	if c.Name == "" {
+		return trace.BadParameter("gateway: a name is required")
+	}
+	if c.Control == nil {
+		return trace.BadParameter("gateway %s: a control session is required", c.Name)
+	}
+	if c.MaxBodyBytes < 0 || c.BufferBytes < 0 || c.MaxAnswerBytes < 0 || c.MaxConnections < 0 {
+		return trace.BadParameter("gateway %s: size limits must not be negative", c.Name)
+	}
+	c.setSizes()
+	c.setTimes()
+	if c.Policy == nil {
+		c.Policy = routing.Balanced{}
+	}
+	if c.Log == nil {
+		c.Log = logging.Discard()
+	}
+	return nil
+}
+
+func (c *Config) setSizes() {
+	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&c.BufferBytes, DefaultBufferBytes)
+	setDefault(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	setDefault(&c.StoredAnswerBytes, DefaultStoredAnswer)
+	setDefault(&c.MaxConnections, DefaultMaxConnections)
+	setDefault(&c.RetriesPerSecond, DefaultRetriesPerSec)
+	setDefault(&c.RetryBurst, DefaultRetryBurst)
+	setDefault(&c.LogEntries, DefaultLogEntries)
+	setDefault(&c.MaxSettlements, DefaultMaxSettlements)
+}
+
+func (c *Config) setTimes() {
+	setDefault(&c.ReadTimeout, DefaultReadTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.ConnectTimeout, DefaultConnectTimeout)
+	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
+	setDefault(&c.LoadInterval, DefaultLoadInterval)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -47,8 +47,8 @@
 
 // LoadReport is a replica's own word about its load, counted over all gateways.
 type LoadReport struct {
-	Work    float64 // tokens in flight and queued
-	Leaving bool    // it takes no new work
+	Requests float64 // in flight and queued
+	Leaving  bool    // it takes no new work
 }
 
 // Settings are a pool's parameters.
@@ -115,10 +115,10 @@
 	inFlight int
 	work     float64 // own tokens in flight
 	urgent   float64 // part of work that is not rollout work
-	smoothed float64 // work as it was about one report lag ago
+	smoothed float64 // inFlight as it was about one report lag ago
 	changed  time.Duration
 
-	others     float64 // work of other gateways, from the last report
+	others     float64 // requests of other gateways, from the last report
 	reportedAt time.Duration
 	reported   bool
 
@@ -136,6 +136,7 @@
 	local      []int     // replicas of this zone
 	othersSum  float64   // over the replicas that reported
 	reporters  int
+	meanWork   float64 // tokens per request, smoothed
 	prefixes   prefixTable
 }
 
@@ -228,8 +229,10 @@
 // Sent counts a request that was sent to a replica; the caller gives the same request to Ended.
 func (p *Pool) Sent(i int, request *Request, now time.Duration) {
 	r := &p.replicas[i]
+	p.smooth(r, now)
 	r.inFlight++
-	p.addWork(r, request, 1, now)
+	addWork(r, request, 1)
+	p.learnWork(request.Work)
 	p.prefixes.record(request.Blocks, i, now)
 }
 
@@ -240,12 +243,23 @@
 		return
 	}
 	r := &p.replicas[i]
+	p.smooth(r, now)
 	r.inFlight = max(r.inFlight-1, 0)
-	p.addWork(r, request, -1, now)
+	addWork(r, request, -1)
 }
 
-func (p *Pool) addWork(r *replica, request *Request, sign float64, now time.Duration) {
-	p.smooth(r, now)
+// workWeight is the share of one request in the smoothed mean.
+const workWeight = 1.0 / 64
+
+func (p *Pool) learnWork(work float64) {
+	if p.meanWork == 0 {
+		p.meanWork = work
+		return
+	}
+	p.meanWork += (work - p.meanWork) * workWeight
+}
+
+func addWork(r *replica, request *Request, sign float64) {
 	r.work = max(r.work+sign*request.Work, 0)
 	if request.Urgent {
 		r.urgent = max(r.urgent+sign*request.Work, 0)
@@ -259,12 +273,12 @@
 func (p *Pool) smooth(r *replica, now time.Duration) {
 	if now > r.changed {
 		share := 1 - math.Exp(-float64(now-r.changed)/float64(p.settings.ReportLag))
-		r.smoothed += (r.work - r.smoothed) * share
+		r.smoothed += (float64(r.inFlight) - r.smoothed) * share
 		r.changed = now
 	}
 }
 
-// outlierFactor bounds one replica's reported foreign work, in multiples of the pool's mean: a wrong report
+// outlierFactor bounds one replica's reported foreign requests, in multiples of the pool's mean: a wrong report
 // can at most make a replica look this much busier than the others.
 const outlierFactor = 8
 
@@ -279,7 +293,7 @@
 	if !report.Leaving && now >= r.refusedUntil {
 		r.setLeaving(SourceRefusal, false)
 	}
-	if !(report.Work >= 0) || math.IsInf(report.Work, 0) {
+	if !(report.Requests >= 0) || math.IsInf(report.Requests, 0) {
 		return
 	}
 	p.smooth(r, now)
@@ -288,7 +302,7 @@
 	} else {
 		p.reporters++
 	}
-	r.others = max(report.Work-r.smoothed, 0)
+	r.others = max(report.Requests-r.smoothed, 0)
 	r.reportedAt, r.reported = now, true
 	p.othersSum += r.others
 }
@@ -301,7 +315,7 @@
 	}
 	mean := max(p.othersSum, 0) / float64(p.reporters)
 	if !r.reported {
-		return mean
+		return mean * p.meanWork
 	}
 	fresh := 1 - float64(now-r.reportedAt)/float64(p.settings.ReportLife)
 	fresh = min(max(fresh, 0), 1)
@@ -311,13 +325,13 @@
 	}
 	others := r.others
 	if p.reporters > 1 {
-		others = min(others, outlierFactor*(rest+r.work+outlierFloor))
+		others = min(others, outlierFactor*(rest+float64(r.inFlight)+outlierFloor))
 	}
-	return mean + (others-mean)*fresh
+	return (mean + (others-mean)*fresh) * p.meanWork
 }
 
-// outlierFloor is foreign work, in tokens, that is always believed.
-const outlierFloor = 256
+// outlierFloor is a number of foreign requests that is always believed.
+const outlierFloor = 2
 
 // draw returns a replica with probability by weight; u is uniform in [0, 1).
 func (p *Pool) draw(u float64) int {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -46,8 +46,8 @@
 			case 0:
 				pool.Failed(name, now)
 			case 1:
-				work := rapid.SampledFrom([]float64{0, -5, 1e300, math.NaN(), math.Inf(1), 500}).Draw(t, "work")
-				pool.Report(name, LoadReport{Work: work, Leaving: rapid.Bool().Draw(t, "leaving")}, now)
+				requests := rapid.SampledFrom([]float64{0, -5, 1e300, math.NaN(), math.Inf(1), 500}).Draw(t, "requests")
+				pool.Report(name, LoadReport{Requests: requests, Leaving: rapid.Bool().Draw(t, "leaving")}, now)
 			case 2:
 				pool.RefusedLeaving(name, now)
 			case 3:
@@ -102,10 +102,10 @@
 func TestLyingReportNeitherAttractsNorStarves(t *testing.T) {
 	pool := uniformPool(10)
 	for i := range 10 {
-		pool.Report(pool.Name(i), LoadReport{Work: 1000}, time.Second)
+		pool.Report(pool.Name(i), LoadReport{Requests: 10}, time.Second)
 	}
-	pool.Report("r0", LoadReport{Work: 0}, time.Second)    // looks idle
-	pool.Report("r1", LoadReport{Work: 1e12}, time.Second) // looks buried
+	pool.Report("r0", LoadReport{Requests: 0}, time.Second)    // looks idle
+	pool.Report("r1", LoadReport{Requests: 1e12}, time.Second) // looks buried
 	counts := spread(pool, 2000, &Request{Work: 100}, time.Second)
 	if counts[0] > 600 {
 		t.Fatalf("a replica that looks idle took %v", counts)
@@ -156,9 +156,10 @@
 func TestStoppedReportsMoveToTheMean(t *testing.T) {
 	pool := uniformPool(4)
 	for i := range 4 {
-		pool.Report(pool.Name(i), LoadReport{Work: 1000}, time.Second)
+		pool.Report(pool.Name(i), LoadReport{Requests: 10}, time.Second)
 	}
-	pool.Report("r0", LoadReport{Work: 0}, time.Second)
+	pool.Report("r0", LoadReport{Requests: 0}, time.Second)
+	pool.learnWork(100)
 	fresh, stale := pool.foreign(&pool.replicas[0], time.Second), pool.foreign(&pool.replicas[0], 20*time.Second)
 	if fresh >= stale || stale != 750 {
 		t.Fatalf("fresh %v, stale %v; want the pool's mean 750 when stale", fresh, stale)
@@ -171,7 +172,7 @@
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
 				pool, random := uniformPool(n), rand.NewPCG(1, 2)
 				for i := range n {
-					pool.Report(pool.Name(i), LoadReport{Work: float64(i)}, 0)
+					pool.Report(pool.Name(i), LoadReport{Requests: float64(i)}, 0)
 				}
 				request := &Request{Work: 100, Urgent: true, Blocks: []uint64{1, 2, 3, 4}}
 				b.ReportAllocs()
