Add consensus: a host that runs many raft groups over drpc and one store

Cause: raft is a pure state machine; something has to give it ticks, messages, a synced disk and state machines, for all groups of a process at once. A greeting binds each node ID to its data folder: a lost, replaced or older folder is refused by those who know it, and a new voter takes part only once every voter durably knows its folder.

--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,288 @@
+package consensus
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/tamarindring/tamarindring/internal/storage"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds waits in tests; nothing asserts on how much of it is used.
+const patience = 20 * time.Second
+
+// journal is a state machine that lists the request IDs that it applied.
+type journal struct{ applied []string }
+
+func (j *journal) Apply(index uint64, command *wire.Command) *wire.Result {
+	j.applied = append(j.applied, command.RequestId)
+	return &wire.Result{Kind: &wire.Result_Fence{Fence: &wire.FenceResult{Token: index, Owner: command.RequestId}}}
+}
+
+func (j *journal) Query(*wire.Query) *wire.View {
+	text, err := json.Marshal(j.applied)
+	if err != nil {
+		return nil
+	}
+	return &wire.View{Kind: &wire.View_Trainer{Trainer: &wire.TrainerView{Trainer: string(text)}}}
+}
+
+func (j *journal) Snapshot() ([]byte, error) { return json.Marshal(j.applied) }
+
+func (j *journal) Restore(data []byte) error { return json.Unmarshal(data, &j.applied) }
+
+func listOf(t *testing.T, view *wire.View) []string {
+	t.Helper()
+	var applied []string
+	if err := json.Unmarshal([]byte(view.GetTrainer().GetTrainer()), &applied); err != nil {
+		t.Fatal(err)
+	}
+	return applied
+}
+
+// network dials between nodes and can cut links.
+type network struct {
+	mutex sync.Mutex
+	cut   map[[2]uint64]bool
+	open  map[[2]uint64][]net.Conn
+}
+
+func (n *network) dialer(from uint64) DialFunc {
+	return func(ctx context.Context, peer Peer) (net.Conn, error) {
+		link := [2]uint64{from, peer.ID}
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		if n.cut[link] {
+			return nil, errors.New("the link is cut")
+		}
+		connection, err := dialTCP(ctx, peer)
+		if err == nil {
+			n.open[link] = append(n.open[link], connection)
+		}
+		return connection, err
+	}
+}
+
+// isolate cuts or heals all links of a node.
+func (n *network) isolate(node uint64, cut bool, others ...uint64) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, other := range others {
+		for _, link := range [][2]uint64{{node, other}, {other, node}} {
+			n.cut[link] = cut
+			for _, connection := range n.open[link] {
+				connection.Close()
+			}
+			delete(n.open, link)
+		}
+	}
+}
+
+// testNode is one node; it can be stopped and started on the same folder and address.
+type testNode struct {
+	cluster  *testCluster
+	id       uint64
+	folder   string
+	address  string
+	join     bool
+	change   func(*Config)
+	store    *storage.Store
+	host     *Host
+	stop     context.CancelFunc
+	finished chan error
+}
+
+type testCluster struct {
+	t       *testing.T
+	network *network
+	peers   []Peer
+	nodes   map[uint64]*testNode
+	groups  []uint32
+}
+
+func newCluster(t *testing.T, size int, change func(*Config)) *testCluster {
+	t.Helper()
+	c := &testCluster{t: t, groups: []uint32{0, 1}, nodes: map[uint64]*testNode{},
+		network: &network{cut: map[[2]uint64]bool{}, open: map[[2]uint64][]net.Conn{}}}
+	for id := uint64(1); id <= uint64(size); id++ {
+		c.add(id, change)
+	}
+	for _, peer := range c.peers {
+		c.nodes[peer.ID].start()
+	}
+	return c
+}
+
+// add prepares a node with a reserved address.
+func (c *testCluster) add(id uint64, change func(*Config)) *testNode {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	node := &testNode{cluster: c, id: id, folder: filepath.Join(c.t.TempDir(), fmt.Sprint(id)),
+		address: listener.Addr().String(), change: change}
+	listener.Close()
+	c.peers = append(c.peers, Peer{ID: id, Name: fmt.Sprintf("n%d", id), Address: node.address})
+	c.nodes[id] = node
+	c.t.Cleanup(node.kill)
+	return node
+}
+
+func (n *testNode) start() {
+	t := n.cluster.t
+	t.Helper()
+	var err error
+	name := fmt.Sprintf("n%d", n.id)
+	n.store, err = storage.Open(storage.Options{Folder: n.folder, ClusterID: "test", NodeID: n.id, NodeName: name})
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := Config{NodeID: n.id, ClusterID: "test", Name: name, Address: n.address, Peers: n.cluster.peers,
+		Join: n.join, Groups: n.cluster.groups, Store: n.store, Tick: 20 * time.Millisecond,
+		NewStateMachine: func(uint32) StateMachine { return &journal{} }, Dial: n.cluster.network.dialer(n.id)}
+	if n.change != nil {
+		n.change(&config)
+	}
+	n.host, err = New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterRaft(mux, n.host); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", n.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	n.finished = make(chan error, 1)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = drpcserver.New(mux).Serve(ctx, listener)
+	}()
+	go func() {
+		err := n.host.Run(ctx)
+		n.stop()
+		<-served
+		n.finished <- err
+	}()
+}
+
+// kill stops a node abruptly and returns Run's error.
+func (n *testNode) kill() {
+	if n.host == nil {
+		return
+	}
+	n.stop()
+	if err := <-n.finished; err != nil {
+		n.cluster.t.Logf("node %d ended with %v", n.id, err)
+	}
+	n.close()
+}
+
+func (n *testNode) close() {
+	if err := n.store.Close(); err != nil {
+		n.cluster.t.Error(err)
+	}
+	n.host = nil
+}
+
+// running lists the hosts that are up.
+func (c *testCluster) running() []*testNode {
+	var nodes []*testNode
+	for _, peer := range c.peers {
+		if node := c.nodes[peer.ID]; node.host != nil {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// leader waits until a running node leads the group and can confirm it.
+func (c *testCluster) leader(group uint32) *testNode {
+	c.t.Helper()
+	return c.leaderAmong(group, c.running()...)
+}
+
+func (c *testCluster) leaderAmong(group uint32, nodes ...*testNode) *testNode {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		for _, node := range nodes {
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			err := node.host.Read(ctx, group)
+			cancel()
+			if err == nil {
+				return node
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.t.Fatalf("group %d has no leader", group)
+	return nil
+}
+
+func named(name string) *wire.Command {
+	return &wire.Command{RequestId: name,
+		Kind: &wire.Command_FenceAcquire{FenceAcquire: &wire.FenceAcquire{Resource: name}}}
+}
+
+// commit proposes to whoever leads until it is committed; a command may be applied more than once.
+func (c *testCluster) commit(group uint32, name string) {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		node := c.leader(group)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		result, _, err := node.host.Propose(ctx, group, named(name))
+		cancel()
+		if err == nil {
+			if result.GetFence().GetOwner() != name {
+				c.t.Fatalf("%s was answered with %v", name, result)
+			}
+			return
+		}
+	}
+	c.t.Fatalf("%s was not committed", name)
+}
+
+// wait polls until the condition holds.
+func (c *testCluster) wait(what string, condition func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// localList returns what a node has applied.
+func (n *testNode) localList(group uint32) []string {
+	n.cluster.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	view, err := n.host.LocalQuery(ctx, group, &wire.Query{})
+	if err != nil {
+		n.cluster.t.Fatal(err)
+	}
+	return listOf(n.cluster.t, view)
+}
--- /dev/null
+++ b/internal/consensus/config.go
@@ -0,0 +1,177 @@
+package consensus
+
+import (
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/storage"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Peer is a node of the cluster: this one or another.
+type Peer struct {
+	ID      uint64 // raft node ID, positive, never reused
+	Name    string // for logs
+	Address string // IP:port of its drpc listener
+}
+
+// StateMachine is what a group replicates. It is called from one goroutine at a time and must be
+// deterministic.
+type StateMachine interface {
+	// Apply carries out the command at a log index.
+	Apply(index uint64, command *wire.Command) *wire.Result
+	// Query answers from the applied state.
+	Query(query *wire.Query) *wire.View
+	// Snapshot encodes the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by an encoded one.
+	Restore(data []byte) error
+}
+
+// Store is the durable state of a node; *storage.Store is one, a simulated disk another.
+type Store interface {
+	// Load returns what a group has on disk.
+	Load(group uint32) (raft.Restored, error)
+	// Groups lists the groups that were founded or joined on this disk.
+	Groups() ([]uint32, error)
+	// Write makes a batch durable as a whole. storage.ErrNoSpace says that nothing of it was written
+	// and that it may be repeated; any other error ends the host.
+	Write(batch []storage.GroupWrite) error
+	// HasHeadroom tells whether there is room for new work.
+	HasHeadroom() bool
+	// Peers and PutPeer keep what is known of other nodes.
+	Peers() ([]storage.PeerRecord, error)
+	PutPeer(record storage.PeerRecord) error
+	// Identity and Starts tell this folder from a lost or older one.
+	Identity() storage.Identity
+	Starts() uint64
+}
+
+// Config holds a host's settings.
+type Config struct {
+	// NodeID is this node's raft ID, unique in the cluster for ever. Required.
+	NodeID uint64
+	// ClusterID must be the same on all nodes; messages of another cluster are refused. Required.
+	ClusterID string
+	// Name is used in logs. Default: the name in Peers.
+	Name string
+	// Address is the IP:port under which other nodes reach this one. Default: the address in Peers.
+	Address string
+	// Peers lists the nodes known at the start, this one included unless Join is set. At the first start
+	// without Join they are the voters of every group; later, the replicated membership counts and
+	// Peers only helps to find the others.
+	Peers []Peer
+	// Join starts a node with an empty folder as one that waits to be added as a learner. Default false.
+	Join bool
+	// Groups lists the groups' IDs; the same on all nodes, fixed at the first start. Required.
+	Groups []uint32
+	// Store is the node's durable state. The host does not close it. Required.
+	Store Store
+	// NewStateMachine makes the empty state machine of a group. Required.
+	NewStateMachine func(group uint32) StateMachine
+	// Tick is the unit of the timeouts. Default 50ms: with 10 election ticks a dead leader is replaced
+	// in 0.5 s to 1 s and a pause of a few hundred milliseconds passes unnoticed.
+	Tick time.Duration
+	// ElectionTicks is the least number of ticks without a leader before a node stands for election.
+	// Default 10.
+	ElectionTicks int
+	// HeartbeatTicks is the number of ticks between heartbeats. Default 2.
+	HeartbeatTicks int
+	// SnapshotEntries is the number of applied entries after which a group takes a snapshot and
+	// compacts its log. Default 10000: a restart replays them in well under a second.
+	SnapshotEntries int
+	// SnapshotBytes is the size of applied entries after which a group takes a snapshot. Default 64 MiB.
+	SnapshotBytes int
+	// MaxPendingProposals bounds the proposals that wait for their answer, over all groups; above it
+	// Propose returns ErrOverloaded. Default 16384.
+	MaxPendingProposals int
+	// MaxBatchProposals bounds the proposals of one synced write. Default 1024. One gives a sync per
+	// proposal, the baseline of the bench.
+	MaxBatchProposals int
+	// Dial connects to a peer. Default: TCP. Tests cut links with it.
+	Dial DialFunc
+	// OnLeaderChange is called from the loop when a group's leader or this node's role changes. It must
+	// not block. Optional.
+	OnLeaderChange func(group uint32, leadership Leadership)
+	// OnApply is called from the loop, in order, for each command applied, also while a restart replays
+	// the log. It must not block. Optional.
+	OnApply func(group uint32, index uint64, command *wire.Command, result *wire.Result)
+	// OnRestore is called from the loop after a snapshot replaced a group's state. It must not block.
+	// Optional.
+	OnRestore func(group uint32, index uint64)
+	// Log receives what operators should know. Default: nothing is logged.
+	Log *logrus.Entry
+}
+
+// Leadership is what this node knows of a group's leader.
+type Leadership struct {
+	Term    uint64
+	Leader  uint64 // raft.None if unknown
+	Leading bool   // this node is the leader
+}
+
+// The defaults of Config.
+const (
+	DefaultTick                = 50 * time.Millisecond
+	DefaultElectionTicks       = 10
+	DefaultHeartbeatTicks      = 2
+	DefaultSnapshotEntries     = 10_000
+	DefaultSnapshotBytes       = 64 << 20
+	DefaultMaxPendingProposals = 16_384
+	DefaultMaxBatchProposals   = 1024
+)
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Tick, DefaultTick)
+	setDefault(&c.ElectionTicks, DefaultElectionTicks)
+	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
+	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
+	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
+	setDefault(&c.MaxPendingProposals, DefaultMaxPendingProposals)
+	setDefault(&c.MaxBatchProposals, DefaultMaxBatchProposals)
+	for _, peer := range c.Peers {
+		if peer.ID == c.NodeID {
+			setDefault(&c.Name, peer.Name)
+			setDefault(&c.Address, peer.Address)
+		}
+	}
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
+	if c.Log == nil {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		c.Log = logrus.NewEntry(logger)
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c *Config) check() error {
+	switch {
+	case c.NodeID == raft.None:
+		return trace.BadParameter("consensus: a node ID is required")
+	case c.ClusterID == "":
+		return trace.BadParameter("consensus: a cluster ID is required")
+	case c.Store == nil || c.NewStateMachine == nil:
+		return trace.BadParameter("consensus: a store and state machines are required")
+	case len(c.Groups) == 0:
+		return trace.BadParameter("consensus: at least one group is required")
+	case c.Address == "":
+		return trace.BadParameter("consensus: node %d is not among the peers and has no address", c.NodeID)
+	}
+	if identity := c.Store.Identity(); identity.NodeID != c.NodeID || identity.ClusterID != c.ClusterID {
+		return trace.BadParameter("consensus: the store belongs to node %d of cluster %q, not to node %d of cluster %q",
+			identity.NodeID, identity.ClusterID, c.NodeID, c.ClusterID)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/consensus/convert.go
@@ -0,0 +1,136 @@
+package consensus
+
+import (
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// chunkBytes is the size of one piece of a snapshot on its way to another node.
+const chunkBytes = 512 << 10
+
+// toWire encodes a message. The entries' data is shared; raft never changes it.
+func toWire(group uint32, message *raft.Message) *wire.RaftMessage {
+	encoded := &wire.RaftMessage{
+		Group:      group,
+		Kind:       uint32(message.Kind),
+		To:         message.To,
+		From:       message.From,
+		Term:       message.Term,
+		LogTerm:    message.LogTerm,
+		Index:      message.Index,
+		Commit:     message.Commit,
+		Reject:     message.Reject,
+		RejectHint: message.RejectHint,
+		Context:    message.Context,
+	}
+	if len(message.Entries) == 0 {
+		return encoded
+	}
+	entries := make([]wire.RaftEntry, len(message.Entries))
+	encoded.Entries = make([]*wire.RaftEntry, len(message.Entries))
+	for i := range message.Entries {
+		entry := &message.Entries[i]
+		entries[i].Index, entries[i].Term, entries[i].Kind, entries[i].Data = entry.Index, entry.Term, uint32(entry.Kind), entry.Data
+		encoded.Entries[i] = &entries[i]
+	}
+	return encoded
+}
+
+// snapshotChunks encodes a snapshot message as several, each with a piece of the data.
+func snapshotChunks(group uint32, message *raft.Message) []*wire.RaftMessage {
+	snapshot := message.Snapshot
+	count := max(1, (len(snapshot.Data)+chunkBytes-1)/chunkBytes)
+	chunks := make([]*wire.RaftMessage, count)
+	for i := range chunks {
+		chunks[i] = toWire(group, message)
+		chunks[i].Snapshot = &wire.RaftSnapshot{
+			Index: snapshot.Index,
+			Term:  snapshot.Term,
+			Configuration: &wire.RaftConfiguration{
+				Voters:   snapshot.Configuration.Voters,
+				Learners: snapshot.Configuration.Learners,
+			},
+			Data:       snapshot.Data[i*chunkBytes : min((i+1)*chunkBytes, len(snapshot.Data))],
+			Chunk:      uint32(i),
+			ChunkCount: uint32(count),
+		}
+	}
+	return chunks
+}
+
+// fromWire decodes a message from a node; one that cannot come from it is an error.
+func fromWire(from uint64, encoded *wire.RaftMessage) (raft.Message, error) {
+	if encoded.From != from {
+		return raft.Message{}, trace.BadParameter("node %d sent a message of node %d", from, encoded.From)
+	}
+	kind := raft.MessageKind(encoded.Kind)
+	if kind < raft.MessagePreVote || kind > raft.MessageTimeoutNow {
+		return raft.Message{}, trace.BadParameter("unknown kind %d of message", encoded.Kind)
+	}
+	if (kind == raft.MessageSnapshot) != (encoded.Snapshot != nil) {
+		return raft.Message{}, trace.BadParameter("a message of kind %d with or without a snapshot", encoded.Kind)
+	}
+	message := raft.Message{
+		Kind:       kind,
+		To:         encoded.To,
+		From:       encoded.From,
+		Term:       encoded.Term,
+		LogTerm:    encoded.LogTerm,
+		Index:      encoded.Index,
+		Commit:     encoded.Commit,
+		Reject:     encoded.Reject,
+		RejectHint: encoded.RejectHint,
+		Context:    encoded.Context,
+	}
+	if len(encoded.Entries) > 0 {
+		message.Entries = make([]raft.Entry, len(encoded.Entries))
+		for i, entry := range encoded.Entries {
+			message.Entries[i] = raft.Entry{Index: entry.GetIndex(), Term: entry.GetTerm(),
+				Kind: raft.EntryKind(entry.GetKind()), Data: entry.GetData()}
+		}
+	}
+	return message, nil
+}
+
+// assembler puts the chunks of snapshots that come over one stream together.
+type assembler struct {
+	partial map[uint32]*partialSnapshot // by group
+}
+
+type partialSnapshot struct {
+	index, term uint64
+	next, count uint32
+	data        []byte
+}
+
+// add returns the whole snapshot once its last chunk is there, else nil. Chunks come in order; one out of
+// order drops what was gathered, and the leader sends the snapshot again.
+func (a *assembler) add(group uint32, chunk *wire.RaftSnapshot) *raft.Snapshot {
+	gathered := a.partial[group]
+	if chunk.Chunk == 0 {
+		gathered = &partialSnapshot{index: chunk.Index, term: chunk.Term, count: max(1, chunk.ChunkCount)}
+		a.partial[group] = gathered
+	}
+	if gathered == nil || gathered.index != chunk.Index || gathered.term != chunk.Term || gathered.next != chunk.Chunk ||
+		chunk.Chunk >= gathered.count {
+		delete(a.partial, group)
+		return nil
+	}
+	gathered.data = append(gathered.data, chunk.Data...)
+	gathered.next++
+	if gathered.next < gathered.count {
+		return nil
+	}
+	delete(a.partial, group)
+	return &raft.Snapshot{
+		Index: chunk.Index,
+		Term:  chunk.Term,
+		Configuration: raft.Configuration{
+			Voters:   chunk.Configuration.GetVoters(),
+			Learners: chunk.Configuration.GetLearners(),
+		},
+		Data: gathered.data,
+	}
+}
--- /dev/null
+++ b/internal/consensus/group.go
@@ -0,0 +1,259 @@
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/storage"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// hostedGroup is one raft node with its state machine and everybody who waits for it. The loop owns it.
+type hostedGroup struct {
+	config  *Config
+	id      uint32
+	node    *raft.Node
+	machine StateMachine
+
+	ready      *raft.Ready    // taken and not yet durable
+	writing    *raft.Ready    // the same while the writer has it
+	queued     bool           // waits for the next write
+	hardState  raft.HardState // newest one handed out
+	stateDirty bool           // hardState is newer than the stored one
+	applied    uint64
+	leadership Leadership
+
+	snapshotIndex uint64
+	appliedBytes  int            // since the last snapshot
+	compaction    *raft.Snapshot // waits to be written
+
+	pending map[uint64]*proposal // proposed, by log index
+	reads   readQueue
+}
+
+func newGroup(config *Config, id uint32, restored raft.Restored) (*hostedGroup, error) {
+	g := &hostedGroup{
+		config:        config,
+		id:            id,
+		machine:       config.NewStateMachine(id),
+		hardState:     restored.HardState,
+		applied:       restored.Snapshot.Index,
+		snapshotIndex: restored.Snapshot.Index,
+		pending:       map[uint64]*proposal{},
+	}
+	if len(restored.Snapshot.Data) > 0 {
+		if err := g.machine.Restore(restored.Snapshot.Data); err != nil {
+			return nil, trace.Wrap(err, "consensus: group %d cannot restore its snapshot at %d", id, restored.Snapshot.Index)
+		}
+	}
+	var err error
+	g.node, err = raft.New(raft.Config{
+		ID:             config.NodeID,
+		ElectionTicks:  config.ElectionTicks,
+		HeartbeatTicks: config.HeartbeatTicks,
+		Random:         rand.New(rand.NewSource(electionSeed(config, id))),
+	}, restored)
+	if err != nil {
+		return nil, trace.Wrap(err, "consensus: group %d", id)
+	}
+	return g, nil
+}
+
+// electionSeed differs between nodes and groups, so that they draw different timeouts.
+func electionSeed(config *Config, group uint32) int64 {
+	hash := fnv.New64a()
+	fmt.Fprintf(hash, "%s/%d/%d/%d", config.ClusterID, config.NodeID, group, config.Store.Starts())
+	return int64(hash.Sum64())
+}
+
+// propose hands a command to raft, or answers its proposer.
+func (g *hostedGroup) propose(p *proposal) {
+	index, term, err := g.node.Propose(p.data)
+	switch {
+	case err == nil:
+		p.term = term
+		g.pending[index] = p
+	case errors.Is(err, raft.ErrNotLeader):
+		p.answer(nil, 0, &ErrNotLeader{Leader: g.node.Status().Leader})
+	case errors.Is(err, raft.ErrOverloaded):
+		p.answer(nil, 0, ErrOverloaded)
+	default:
+		p.answer(nil, 0, trace.Wrap(ErrInvalid, "%v", err))
+	}
+}
+
+// takeReady returns raft's next work, if there is any and the last is done.
+func (g *hostedGroup) takeReady() *raft.Ready {
+	if g.ready != nil || !g.node.HasReady() {
+		return nil
+	}
+	ready := g.node.Ready()
+	if ready.HardState != g.hardState {
+		g.hardState, g.stateDirty = ready.HardState, true
+	}
+	return &ready
+}
+
+// write returns what has to be made durable for the group now.
+func (g *hostedGroup) write() storage.GroupWrite {
+	write := storage.GroupWrite{Group: g.id, Compaction: g.compaction}
+	if g.ready != nil {
+		write.Snapshot = g.ready.Snapshot
+		write.Entries = g.ready.Entries
+	}
+	if g.stateDirty {
+		state := g.hardState
+		write.HardState = &state
+	}
+	g.writing, g.queued, g.stateDirty, g.compaction = g.ready, false, false, nil
+	return write
+}
+
+// applyDurable applies the committed entries that this node already holds durably. They are committed
+// by a quorum and no sync of this node is needed before their proposers hear of it.
+func (g *hostedGroup) applyDurable(ready *raft.Ready) error {
+	if ready.Snapshot != nil {
+		return nil
+	}
+	committed := ready.Committed
+	if len(ready.Entries) > 0 {
+		first := ready.Entries[0].Index
+		for len(committed) > 0 && committed[len(committed)-1].Index >= first {
+			committed = committed[:len(committed)-1]
+		}
+	}
+	return g.apply(committed)
+}
+
+// finishReady applies the rest once the Ready is durable, and lets raft go on.
+func (g *hostedGroup) finishReady(ready *raft.Ready) error {
+	if ready.Snapshot != nil {
+		if err := g.restore(ready.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := g.apply(ready.Committed); err != nil {
+		return err
+	}
+	g.ready = nil
+	g.node.Advance(*ready)
+	g.reads.confirm(ready.ReadStates)
+	g.reads.serve(g)
+	return nil
+}
+
+func (g *hostedGroup) restore(snapshot *raft.Snapshot) error {
+	if err := g.machine.Restore(snapshot.Data); err != nil {
+		return trace.Wrap(err, "consensus: group %d cannot restore a snapshot at %d", g.id, snapshot.Index)
+	}
+	g.applied, g.snapshotIndex, g.appliedBytes = snapshot.Index, snapshot.Index, 0
+	if g.config.OnRestore != nil {
+		g.config.OnRestore(g.id, snapshot.Index)
+	}
+	for index, p := range g.pending {
+		if index <= snapshot.Index {
+			delete(g.pending, index)
+			p.answer(nil, 0, ErrUnknownOutcome)
+		}
+	}
+	return nil
+}
+
+// apply applies entries in order; those applied before are skipped.
+func (g *hostedGroup) apply(entries []raft.Entry) error {
+	for i := range entries {
+		entry := &entries[i]
+		if entry.Index <= g.applied {
+			continue
+		}
+		if entry.Index != g.applied+1 {
+			return trace.Errorf("consensus: group %d is at %d and was given entry %d", g.id, g.applied, entry.Index)
+		}
+		g.applyEntry(entry)
+		g.applied = entry.Index
+	}
+	return nil
+}
+
+func (g *hostedGroup) applyEntry(entry *raft.Entry) {
+	g.appliedBytes += len(entry.Data)
+	waiting := g.pending[entry.Index]
+	delete(g.pending, entry.Index)
+	if waiting != nil && waiting.term != entry.Term {
+		// Another leader's entry took its place: it can never be applied.
+		waiting.answer(nil, 0, &ErrNotLeader{Leader: g.leadership.Leader})
+		waiting = nil
+	}
+	if entry.Kind != raft.EntryCommand || len(entry.Data) == 0 {
+		if waiting != nil {
+			waiting.answer(nil, entry.Index, nil)
+		}
+		return
+	}
+	command := &wire.Command{}
+	var result *wire.Result
+	if err := proto.Unmarshal(entry.Data, command); err != nil {
+		result = &wire.Result{Kind: &wire.Result_Invalid{Invalid: "malformed command: " + err.Error()}}
+	} else {
+		result = g.machine.Apply(entry.Index, command)
+	}
+	if g.config.OnApply != nil {
+		g.config.OnApply(g.id, entry.Index, command, result)
+	}
+	if waiting != nil {
+		waiting.answer(result, entry.Index, nil)
+	}
+}
+
+// observeLeadership reports whether the leader, the term or this node's role changed.
+func (g *hostedGroup) observeLeadership() bool {
+	status := g.node.Status()
+	now := Leadership{Term: status.Term, Leader: status.Leader, Leading: status.Role == raft.Leader}
+	if now == g.leadership {
+		return false
+	}
+	lost := g.leadership.Leading && (!now.Leading || now.Term != g.leadership.Term)
+	g.leadership = now
+	if lost {
+		g.failPending(ErrUnknownOutcome)
+	}
+	if !now.Leading {
+		g.failReads(&ErrNotLeader{Leader: now.Leader})
+	}
+	return true
+}
+
+// failPending answers all proposals whose fate this node will not learn in time.
+func (g *hostedGroup) failPending(err error) {
+	for index, p := range g.pending {
+		delete(g.pending, index)
+		p.answer(nil, 0, err)
+	}
+}
+
+func (g *hostedGroup) failReads(err error) { g.reads.fail(err) }
+
+// compactIfDue takes a snapshot when enough was applied since the last one. No Ready may be out.
+func (g *hostedGroup) compactIfDue() error {
+	due := g.applied-g.snapshotIndex >= uint64(g.config.SnapshotEntries) || g.appliedBytes >= g.config.SnapshotBytes
+	if !due || g.ready != nil || g.compaction != nil || g.applied == g.snapshotIndex {
+		return nil
+	}
+	data, err := g.machine.Snapshot()
+	if err != nil {
+		return trace.Wrap(err, "consensus: group %d cannot take a snapshot", g.id)
+	}
+	snapshot, err := g.node.Compact(g.applied, data)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	g.compaction = &snapshot
+	g.snapshotIndex, g.appliedBytes = g.applied, 0
+	return nil
+}
--- /dev/null
+++ b/internal/consensus/loop.go
@@ -0,0 +1,230 @@
+package consensus
+
+import (
+	"context"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/storage"
+)
+
+// headroomTicks is the number of ticks between two looks at the disk's free space.
+const headroomTicks = 20
+
+// loop drives all groups until ctx ends or something fails.
+func (h *Host) loop(ctx context.Context) error {
+	// A ticker keeps at most one tick for a slow receiver: after a pause of the process one tick passes,
+	// not all that were missed.
+	ticker := time.NewTicker(h.config.Tick)
+	defer ticker.Stop()
+	ticks := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return errStopped
+		case err := <-h.failed:
+			return err
+		case <-ticker.C:
+			if ticks%headroomTicks == 0 {
+				h.watchDisk()
+			}
+			ticks++
+			h.tick()
+		case err := <-h.writer.done:
+			if err := h.finishWrite(err); err != nil {
+				return err
+			}
+		case <-h.inbox.notify:
+		}
+		h.takeWork()
+		if err := h.advance(); err != nil {
+			return err
+		}
+		if !h.writer.busy && h.inbox.hasProposals() {
+			h.inbox.wake()
+		}
+	}
+}
+
+func (h *Host) tick() {
+	if !h.book.takesPart() {
+		return
+	}
+	for _, g := range h.groups {
+		g.node.Tick()
+	}
+}
+
+func (h *Host) watchDisk() {
+	full := !h.config.Store.HasHeadroom()
+	if full != h.diskFull {
+		h.diskFull = full
+		if full {
+			h.config.Log.Error("the disk is nearly full, new work is refused")
+		} else {
+			h.config.Log.Info("the disk has room again")
+		}
+	}
+}
+
+// takeWork feeds raft with all that came since the last round.
+func (h *Host) takeWork() {
+	taken := h.inbox.take(h.config.MaxBatchProposals - h.proposed)
+	h.proposed += len(taken.proposals)
+	for i := range taken.messages {
+		h.step(&taken.messages[i])
+	}
+	for _, p := range taken.proposals {
+		h.propose(p)
+	}
+	h.startReads(taken.reads)
+	for _, call := range taken.calls {
+		call(false)
+	}
+}
+
+func (h *Host) step(received *envelope) {
+	g := h.groupByID[received.group]
+	if g == nil {
+		return
+	}
+	if h.diskFull && len(received.message.Entries) > 0 {
+		return // taken for lost: the leader sends it again when there may be room
+	}
+	if err := g.node.Step(received.message); err != nil {
+		h.config.Log.Warnf("group %d dropped a message: %v", g.id, err)
+	}
+}
+
+func (h *Host) propose(p *proposal) {
+	g := h.groupByID[p.group]
+	if h.diskFull {
+		p.answer(nil, 0, ErrDiskFull)
+		return
+	}
+	g.propose(p)
+}
+
+// startReads begins one barrier per group for all reads of this round.
+func (h *Host) startReads(reads []*readRequest) {
+	if len(reads) == 0 {
+		return
+	}
+	byGroup := map[uint32][]*readRequest{}
+	for _, request := range reads {
+		if request.local {
+			h.groupByID[request.group].answerRead(request)
+			continue
+		}
+		byGroup[request.group] = append(byGroup[request.group], request)
+	}
+	for _, g := range h.groups {
+		if requests := byGroup[g.id]; len(requests) > 0 {
+			g.reads.start(g, requests)
+		}
+	}
+}
+
+// advance takes every group's Ready until none has more to do without a sync, then starts the next
+// write if the writer is idle.
+func (h *Host) advance() error {
+	for _, g := range h.groups {
+		if err := h.advanceGroup(g); err != nil {
+			return err
+		}
+	}
+	h.startWrite()
+	return nil
+}
+
+func (h *Host) advanceGroup(g *hostedGroup) error {
+	for ready := g.takeReady(); ready != nil; ready = g.takeReady() {
+		h.send(g, ready.EarlyMessages)
+		if err := g.applyDurable(ready); err != nil {
+			return err
+		}
+		if ready.MustSync {
+			g.ready = ready
+			h.queueWrite(g)
+			break
+		}
+		h.send(g, ready.Messages)
+		if err := g.finishReady(ready); err != nil {
+			return err
+		}
+	}
+	if g.observeLeadership() {
+		h.announce(g)
+	}
+	if err := g.compactIfDue(); err != nil {
+		return err
+	}
+	if g.compaction != nil {
+		h.queueWrite(g)
+	}
+	return nil
+}
+
+func (h *Host) queueWrite(g *hostedGroup) {
+	if !g.queued {
+		g.queued = true
+		h.nextWrite = append(h.nextWrite, g)
+	}
+}
+
+func (h *Host) announce(g *hostedGroup) {
+	leadership := g.leadership
+	switch {
+	case leadership.Leading:
+		h.config.Log.Infof("group %d is led by this node in term %d", g.id, leadership.Term)
+	case leadership.Leader != raft.None:
+		h.config.Log.Infof("group %d is led by node %d in term %d", g.id, leadership.Leader, leadership.Term)
+	}
+	if h.config.OnLeaderChange != nil {
+		h.config.OnLeaderChange(g.id, leadership)
+	}
+}
+
+// startWrite hands the waiting Readies of all groups to the writer as one batch.
+func (h *Host) startWrite() {
+	if h.writer.busy {
+		return
+	}
+	h.proposed = 0
+	if len(h.nextWrite) == 0 {
+		return
+	}
+	batch := make([]storage.GroupWrite, 0, len(h.nextWrite))
+	for _, g := range h.nextWrite {
+		batch = append(batch, g.write())
+	}
+	h.inWrite, h.nextWrite = h.nextWrite, h.inWrite[:0]
+	h.writer.submit(batch)
+}
+
+// finishWrite sends and applies what had to wait for the sync. A failed write ends the host: nobody can
+// tell what reached the disk.
+func (h *Host) finishWrite(err error) error {
+	h.writer.busy = false
+	if err != nil {
+		return err
+	}
+	for _, g := range h.inWrite {
+		ready := g.writing
+		if ready == nil {
+			continue // only a compaction
+		}
+		g.writing = nil
+		h.send(g, ready.Messages)
+		if err := g.finishReady(ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Host) send(g *hostedGroup, messages []raft.Message) {
+	for i := range messages {
+		h.peers.send(g.id, &messages[i])
+	}
+}
--- /dev/null
+++ b/internal/consensus/requests.go
@@ -0,0 +1,187 @@
+package consensus
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Propose sends a command through a group's log and returns the result of applying it and its log index.
+//
+// Errors: *ErrNotLeader, ErrOverloaded, ErrDiskFull and ErrInvalid say that the command was not and will
+// not be applied; ErrUnknownOutcome, also when ctx ends first, that it may be: send the same command
+// again. ErrClosed is given only for commands that were not proposed.
+func (h *Host) Propose(ctx context.Context, group uint32, command *wire.Command) (*wire.Result, uint64, error) {
+	if err := h.knows(group); err != nil {
+		return nil, 0, err
+	}
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, 0, trace.Wrap(ErrInvalid, "%v", err)
+	}
+	if len(data) == 0 || len(data) > MaxCommandBytes {
+		return nil, 0, trace.Wrap(ErrInvalid, "a command of %d bytes, want 1 to %d", len(data), MaxCommandBytes)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, 0, trace.Wrap(ErrOverloaded, "%v", err)
+	}
+	waiting := &proposal{group: group, data: data, done: make(chan proposalOutcome, 1)}
+	if err := h.inbox.addProposal(waiting); err != nil {
+		return nil, 0, err
+	}
+	select {
+	case outcome := <-waiting.done:
+		return outcome.result, outcome.index, h.withAddress(outcome.err)
+	case <-ctx.Done():
+		return nil, 0, ErrUnknownOutcome
+	}
+}
+
+// MaxCommandBytes bounds one command, so that it fits into one frame between nodes.
+const MaxCommandBytes = 2 << 20
+
+// Read returns once the state on this node, the leader, holds everything that was committed before the
+// call (a linearizable barrier). Errors: *ErrNotLeader, ErrOverloaded, ErrInvalid, ErrClosed, ctx's.
+func (h *Host) Read(ctx context.Context, group uint32) error {
+	_, err := h.read(ctx, &readRequest{group: group})
+	return err
+}
+
+// Query answers a query after a linearizable barrier. Errors: those of Read.
+func (h *Host) Query(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error) {
+	return h.read(ctx, &readRequest{group: group, query: query})
+}
+
+// LocalQuery answers a query from what this node has applied, which may be old. Errors: those of Read,
+// except *ErrNotLeader.
+func (h *Host) LocalQuery(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error) {
+	return h.read(ctx, &readRequest{group: group, query: query, local: true})
+}
+
+func (h *Host) read(ctx context.Context, request *readRequest) (*wire.View, error) {
+	if err := h.knows(request.group); err != nil {
+		return nil, err
+	}
+	request.done = make(chan readOutcome, 1)
+	if err := h.inbox.addRead(request); err != nil {
+		return nil, err
+	}
+	select {
+	case outcome := <-request.done:
+		return outcome.view, h.withAddress(outcome.err)
+	case <-ctx.Done():
+		return nil, trace.Wrap(ctx.Err())
+	}
+}
+
+func (h *Host) knows(group uint32) error {
+	if h.groupByID[group] == nil {
+		return trace.Wrap(ErrInvalid, "unknown group %d", group)
+	}
+	return nil
+}
+
+// withAddress adds the leader's address, as far as it is known.
+func (h *Host) withAddress(err error) error {
+	var notLeader *ErrNotLeader
+	if !errors.As(err, &notLeader) {
+		return err
+	}
+	return &ErrNotLeader{Leader: notLeader.Leader, LeaderAddress: h.book.address(notLeader.Leader)}
+}
+
+// Status returns this node's view of a group. Errors: ErrInvalid, ErrClosed, ctx's.
+func (h *Host) Status(ctx context.Context, group uint32) (raft.Status, error) {
+	var status raft.Status
+	err := h.call(ctx, group, func(g *hostedGroup) error {
+		status = g.node.Status()
+		return nil
+	})
+	return status, err
+}
+
+// AddLearner adds a node that receives the log and has no vote. It has to run with Config.Join. Errors:
+// *ErrNotLeader, raft.ErrChangePending, raft.ErrAlreadyMember, ErrUnknownOutcome and those of Status.
+func (h *Host) AddLearner(ctx context.Context, group uint32, node uint64) error {
+	return h.change(ctx, group, raft.ConfigurationChange{Kind: raft.AddLearner, Node: node})
+}
+
+// Promote makes a learner a voter. Errors: those of AddLearner, raft.ErrNotCaughtUp, raft.ErrQuorumAtRisk
+// and raft.ErrNotMember.
+func (h *Host) Promote(ctx context.Context, group uint32, node uint64) error {
+	return h.change(ctx, group, raft.ConfigurationChange{Kind: raft.PromoteLearner, Node: node})
+}
+
+// Remove takes a node out of the group. Errors: those of Promote and raft.ErrLastVoter.
+func (h *Host) Remove(ctx context.Context, group uint32, node uint64) error {
+	return h.change(ctx, group, raft.ConfigurationChange{Kind: raft.RemoveNode, Node: node})
+}
+
+// change proposes a configuration change and waits until it is applied.
+func (h *Host) change(ctx context.Context, group uint32, change raft.ConfigurationChange) error {
+	waiting := &proposal{group: group, done: make(chan proposalOutcome, 1), inflight: &h.inbox.inflight}
+	err := h.call(ctx, group, func(g *hostedGroup) error {
+		index, term, err := g.node.ProposeChange(change)
+		if err != nil {
+			return g.translate(err)
+		}
+		h.inbox.inflight.Add(1)
+		waiting.term = term
+		g.pending[index] = waiting
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case outcome := <-waiting.done:
+		return h.withAddress(outcome.err)
+	case <-ctx.Done():
+		return ErrUnknownOutcome
+	}
+}
+
+// TransferLeadership asks a voter to take over. It returns at once; OnLeaderChange tells the outcome.
+func (h *Host) TransferLeadership(ctx context.Context, group uint32, node uint64) error {
+	return h.call(ctx, group, func(g *hostedGroup) error { return g.translate(g.node.TransferLeadership(node)) })
+}
+
+// translate turns raft's errors of requests into this package's where callers act on them.
+func (g *hostedGroup) translate(err error) error {
+	switch {
+	case errors.Is(err, raft.ErrNotLeader):
+		return &ErrNotLeader{Leader: g.node.Status().Leader}
+	case errors.Is(err, raft.ErrOverloaded):
+		return ErrOverloaded
+	}
+	return err
+}
+
+// call runs a function on the loop and waits for it.
+func (h *Host) call(ctx context.Context, group uint32, function func(*hostedGroup) error) error {
+	if err := h.knows(group); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	err := h.inbox.addCall(func(closed bool) {
+		if closed {
+			done <- ErrClosed
+			return
+		}
+		done <- function(h.groupByID[group])
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return h.withAddress(err)
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/consensus/sender.go
@@ -0,0 +1,177 @@
+package consensus
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// sender keeps one stream to another node and sends it the messages of all groups.
+type sender struct {
+	host   *Host
+	nonce  uint64
+	node   uint64
+	notify chan struct{} // has a token when the queue may have work
+	wake   chan struct{} // has a token when the node was heard from: dial at once
+
+	mutex sync.Mutex
+	queue queue
+}
+
+func newSender(host *Host, nonce, node uint64) *sender {
+	return &sender{host: host, nonce: nonce, node: node, notify: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
+}
+
+func (s *sender) enqueue(group uint32, message *raft.Message) {
+	s.mutex.Lock()
+	if message.Snapshot != nil {
+		s.queue.addChunks(snapshotChunks(group, message))
+	} else {
+		s.queue.add(toWire(group, message))
+	}
+	s.mutex.Unlock()
+	signal(s.notify)
+}
+
+func (s *sender) met(news bool) {
+	if news {
+		s.mutex.Lock()
+		s.queue.greeting = true
+		s.mutex.Unlock()
+		signal(s.notify)
+	}
+	signal(s.wake)
+}
+
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+// run connects again and again until ctx ends.
+func (s *sender) run(ctx context.Context) {
+	backoff := firstBackoff
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		connected, err := s.serve(ctx, attempt)
+		if drpcerr.Code(err) == refusedCode {
+			s.host.fail(&ErrRefused{Peer: s.node, Reason: err.Error()})
+		}
+		if connected {
+			backoff = firstBackoff
+			s.host.config.Log.Debugf("lost the stream to node %d: %v", s.node, err)
+		}
+		s.forget()
+		select {
+		case <-ctx.Done():
+		case <-s.wake:
+		case <-time.After(backoff):
+			backoff = min(2*backoff, lastBackoff)
+		}
+	}
+}
+
+// forget drops what waited for a connection that failed: raft sends anew what still matters.
+func (s *sender) forget() {
+	s.mutex.Lock()
+	s.queue = queue{}
+	s.mutex.Unlock()
+}
+
+// serve dials one of the node's addresses, greets and sends until the stream breaks.
+func (s *sender) serve(ctx context.Context, attempt int) (connected bool, err error) {
+	addresses := s.host.book.addresses(s.node)
+	if len(addresses) == 0 {
+		return false, errors.New("no address is known")
+	}
+	connection, err := s.host.config.Dial(ctx, Peer{ID: s.node, Address: addresses[attempt%len(addresses)]})
+	if err != nil {
+		return false, err
+	}
+	conn := drpcconn.New(connection)
+	defer conn.Close()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stream, err := wire.NewDRPCRaftClient(conn).Exchange(ctx)
+	if err != nil {
+		return false, err
+	}
+	if err := stream.Send(s.greeting()); err != nil {
+		return false, err
+	}
+	var watching sync.WaitGroup
+	watching.Go(func() { cancel(watch(stream)) })
+	defer watching.Wait()
+	defer conn.Close()
+	return true, s.pump(ctx, stream)
+}
+
+// watch returns why the other side ended the stream.
+func watch(stream drpc.Stream) error {
+	err := stream.MsgRecv(&wire.RaftAcknowledgement{}, protoEncoding{})
+	if err == nil {
+		err = errors.New("the peer ended the stream")
+	}
+	return err
+}
+
+// pump sends what is queued until the stream breaks, and returns why.
+func (s *sender) pump(ctx context.Context, stream wire.DRPCRaft_ExchangeClient) error {
+	for {
+		batch := &wire.RaftBatch{}
+		s.mutex.Lock()
+		if s.queue.greeting {
+			s.queue.greeting = false
+			batch = s.greeting()
+		}
+		any := s.queue.take(batch)
+		s.mutex.Unlock()
+		if !any && batch.ClusterId == "" {
+			select {
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			case <-s.notify:
+			}
+			continue
+		}
+		if err := stream.Send(batch); err != nil {
+			<-ctx.Done() // the watcher knows why
+			return context.Cause(ctx)
+		}
+	}
+}
+
+func (s *sender) greeting() *wire.RaftBatch {
+	return &wire.RaftBatch{
+		ClusterId:     s.host.config.ClusterID,
+		FromIdentity:  s.host.config.Store.Identity().Folder,
+		FromNode:      s.host.config.NodeID,
+		FromAddress:   s.host.config.Address,
+		Starts:        s.host.config.Store.Starts(),
+		StartNonce:    s.nonce,
+		KnownIdentity: s.host.book.knownFolder(s.node),
+	}
+}
+
+// protoEncoding encodes protobuf messages for drpc.
+type protoEncoding struct{}
+
+// Marshal implements drpc.Encoding.
+func (protoEncoding) Marshal(message drpc.Message) ([]byte, error) {
+	return proto.Marshal(message.(proto.Message))
+}
+
+// Unmarshal implements drpc.Encoding.
+func (protoEncoding) Unmarshal(data []byte, message drpc.Message) error {
+	return proto.Unmarshal(data, message.(proto.Message))
+}
--- a/internal/storage/peers.go
+++ b/internal/storage/peers.go
@@ -19,6 +19,8 @@
 	// that start: a lower number, or the same with another nonce, is an older copy of its folder.
 	Starts     uint64 `json:"starts"`
 	StartNonce uint64 `json:"start_nonce,string"`
+	// KnowsThisFolder is set once the peer has shown that it durably knows this node's folder.
+	KnowsThisFolder bool `json:"knows_this_folder"`
 }
 
 // PutPeer durably remembers a peer in place of what was known of it.
