--- a/internal/raft/append.go
+++ b/internal/raft/append.go
@@ -231,11 +231,12 @@
 
 // replicate sends appends to one member until the window is full or nothing is left.
 func (n *Node) replicate(p *progress) {
+	if p.next <= n.log.offset && p.state != snapshotting {
+		// Also with a full window: its appends were from before the log and cannot be sent again.
+		n.sendSnapshot(p)
+		return
+	}
 	for p.canSend() {
-		if p.next <= n.log.offset {
-			n.sendSnapshot(p)
-			return
-		}
 		entries := n.log.batch(p.next, n.config.MaxAppendBytes)
 		if len(entries) == 0 && p.state == replicating && p.sentCommit >= n.log.commit {
 			break
