member: follow the list of members by changes

At 340 members a whole list is some 27 KB, and each restart changes it three times; sent whole to every holder that would cost more than the node's budget.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -142,10 +142,16 @@
 }
 
 // View returns copies of all members by name, also those that have gone.
-func (l *List) View() *wire.MembersView {
-	view := &wire.MembersView{MembersVersion: l.version}
+func (l *List) View() *wire.MembersView { return l.Changes(0) }
+
+// Changes returns copies of the members that changed after a version of the list, by name. Members that
+// were forgotten since are not mentioned: they had gone.
+func (l *List) Changes(known uint64) *wire.MembersView {
+	view := &wire.MembersView{MembersVersion: l.version, FromVersion: known}
 	for _, name := range l.names() {
-		view.Members = append(view.Members, proto.CloneOf(l.members[name].member))
+		if entry := l.members[name]; entry.version > known {
+			view.Members = append(view.Members, proto.CloneOf(entry.member))
+		}
 	}
 	return view
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -171,7 +171,7 @@
 		entries := m.table.History(kind.History.GetRow(), kind.History.GetColumn(), int(kind.History.GetLimit()))
 		return &wire.View{Kind: &wire.View_History{History: &wire.HistoryView{Entries: entries}}}
 	case *wire.Query_Members:
-		return &wire.View{Kind: &wire.View_Members{Members: m.members.View()}}
+		return &wire.View{Kind: &wire.View_Members{Members: m.members.Changes(kind.Members.GetKnownVersion())}}
 	case *wire.Query_Claim:
 		result := m.claims.Get(kind.Claim.GetKey())
 		result.Index = m.applied
