controlclient: members by changes, group changes and node statuses

Sessions keep the members that they know over a change of the control node, so a new leader sends only what is new.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // ControlGroup is the group of the table, members and fences; ledger groups are numbered from 1.
-const ControlGroup uint32 = 0
+const ControlGroup = state.ControlGroup
 
 // immediateRedirects is the number of times that one request follows a leader's address without a wait.
 const immediateRedirects = 2
@@ -75,15 +76,7 @@
 
 // ClaimGroup returns the ledger group that holds the claims of key; samples use it with the trainer's name.
 func (c *Client) ClaimGroup(key string) uint32 {
-	return LedgerGroup(key, c.config.LedgerGroups)
-}
-
-// LedgerGroup returns which of groups 1 to count holds key, or 0 when there are none.
-func LedgerGroup(key string, count int) uint32 {
-	if count <= 0 {
-		return ControlGroup
-	}
-	return 1 + uint32(xxhash.Sum64String(key)%uint64(count))
+	return state.LedgerGroup(key, c.config.LedgerGroups)
 }
 
 // LedgerGroups returns the number of ledger groups.
@@ -132,6 +125,32 @@
 	return reply.View, nil
 }
 
+// ChangeGroup changes which control nodes carry a group; safe to repeat. Errors carry a verdict.
+func (c *Client) ChangeGroup(ctx context.Context, group uint32, change *wire.GroupChange) error {
+	_, err := c.request(ctx, requestTemplate{group: group, change: change})
+	return err
+}
+
+// NodeStatus asks one control node for its own view of group, which may be old.
+func (c *Client) NodeStatus(ctx context.Context, address string, group uint32) (*wire.StatusView, error) {
+	query := &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}}
+	reply, _, err := c.attempt(ctx, address, requestTemplate{group: group, query: query})
+	if err != nil {
+		return nil, verdict.Wrap(verdict.DidNotRun, err, "control node %s did not answer", address)
+	}
+	if reply.View.GetStatus() == nil {
+		return nil, verdict.New(verdict.DidNotRun, "control node %s has no status: %s", address, reply.Error)
+	}
+	return reply.View.GetStatus(), nil
+}
+
+// Addresses returns the control nodes known so far.
+func (c *Client) Addresses() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.addresses)
+}
+
 // ChangeTable makes a table change and returns its result and the version known to be in force
 // everywhere. Resending a change with its change id is always safe, so an error with verdict MayHaveRun
 // is settled by calling again. With wait an accepted change is answered once it is in force everywhere,
--- a/internal/controlclient/request.go
+++ b/internal/controlclient/request.go
@@ -20,6 +20,7 @@
 	group       uint32
 	command     *wire.Command
 	query       *wire.Query
+	change      *wire.GroupChange
 	waitInForce bool
 	bulk        bool
 }
@@ -45,7 +46,7 @@
 		address := c.pick(template.group)
 		reply, sent, err := c.attempt(ctx, address, template)
 		if err != nil {
-			state.proposed = state.proposed || sent && template.command != nil
+			state.proposed = state.proposed || sent && template.query == nil
 			state.last = err
 			if ctx.Err() == nil { // else the caller's time ran out, which says nothing about the node
 				c.forgetLeader(template.group, address)
@@ -93,10 +94,10 @@
 		c.rotate(address)
 	case wire.ExecuteStatus_EXECUTE_STATUS_OVERLOADED:
 		state.redirects = 0
-		state.last = trace.LimitExceeded("control node %s is overloaded", address)
+		state.last = trace.LimitExceeded("control node %s takes no more now: %s", address, reply.Error)
 	default:
 		state.redirects = 0
-		state.proposed = state.proposed || template.command != nil
+		state.proposed = state.proposed || template.query == nil
 		state.last = trace.ConnectionProblem(nil, "control node %s does not know the outcome: %s", address, reply.Error)
 	}
 	return false
@@ -140,6 +141,7 @@
 		TimeoutMillis: uint32(duration.Milliseconds()),
 		Command:       template.command,
 		Query:         template.query,
+		Change:        template.change,
 		WaitInForce:   template.waitInForce,
 	})
 	if sent && err != nil && duration >= c.config.AttemptTimeout && !connection.heardSince(started) {
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -26,6 +26,7 @@
 
 	view    atomic.Pointer[table.View]
 	members atomic.Pointer[wire.MembersView]
+	renewer atomic.Pointer[string] // address of the node that granted the lease last
 
 	mutex     sync.Mutex // guards what follows, and keeps view and holder in step
 	holder    *lease.Holder
@@ -86,6 +87,14 @@
 // Members returns the members as last heard from the leader. Callers must not change it.
 func (s *Session) Members() *wire.MembersView { return s.members.Load() }
 
+// RenewedBy returns the address of the control node that granted the lease last.
+func (s *Session) RenewedBy() string {
+	if address := s.renewer.Load(); address != nil {
+		return *address
+	}
+	return ""
+}
+
 // Ticket returns the highest ledger index of group that this process has learned.
 func (s *Session) Ticket(group uint32) uint64 { return s.client.Ticket(group) }
 
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/member"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -26,6 +27,7 @@
 // attachment is one stream to one control node.
 type attachment struct {
 	session  *Session
+	address  string
 	stream   wire.DRPCControl_SessionClient
 	replies  chan *wire.SessionReply
 	failed   chan error
@@ -91,7 +93,7 @@
 		return false, "", trace.Wrap(err)
 	}
 	a := &attachment{
-		session: s, stream: stream,
+		session: s, address: address, stream: stream,
 		replies: make(chan *wire.SessionReply),
 		failed:  make(chan error, 1),
 		heard:   s.client.config.Clock(),
@@ -166,7 +168,7 @@
 		s.client.learnTicket(known.Group, known.Index)
 	}
 	if reply.Members != nil {
-		s.members.Store(reply.Members)
+		s.members.Store(member.Merge(s.Members(), reply.Members))
 	}
 	if reply.LeaderAddress != "" && !reply.Granted {
 		return false, true, nil
@@ -177,6 +179,7 @@
 	}
 	if reply.Granted && reply.Sequence+sentMemory > a.sequence && reply.Sequence <= a.sequence {
 		a.lease = time.Duration(reply.LeaseMillis) * time.Millisecond
+		s.renewer.Store(&a.address)
 		s.grant(a.sentAt[reply.Sequence%sentMemory], a.lease)
 		granted = true
 	}
@@ -205,6 +208,8 @@
 		Sequence:     a.sequence,
 		ActedVersion: s.view.Load().Version(),
 		Leaving:      leaving,
+
+		MembersVersion: s.Members().MembersVersion,
 	}
 	if err := a.stream.Send(request); err != nil {
 		return trace.Wrap(err)
--- a/internal/operator/sheet.go
+++ b/internal/operator/sheet.go
@@ -14,13 +14,14 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // controlGroup is the group that holds the table.
-const controlGroup uint32 = 0
+const controlGroup = state.ControlGroup
 
 // rowColumn heads the column of row names in every format.
 const rowColumn = "row"
