Add the control node: commands, leases on the table, members

A control node serves consensus and the control service on one listener. Renewals that wait share one read round begun after their arrival, so a deposed leader grants nothing; a change is in force once each holder has acknowledged it or its lease has lapsed. A planned stop hands leaderships over first.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -12,6 +12,7 @@
 		{name: "bench", short: "Measurements; each prints JSON"},
 		{name: "standin", short: "Stand-ins for outside systems, for tests and demonstrations"},
 		{name: "simulate", short: "Simulated fleets in virtual time"},
+		{name: "control", short: "Run a control node", constructor: func() command { return &controlCommand{} }},
 		{name: "table", short: "Show and change the table of weights and limits"},
 		{parent: "table", name: "show", short: "Print the table", constructor: func() command { return &tableShowCommand{} }},
 		{parent: "table", name: "set", short: "Set one cell", constructor: func() command { return &tableSetCommand{} }},
--- /dev/null
+++ b/internal/cli/control.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/control"
+	"github.com/tamarindring/tamarindring/internal/logging"
+)
+
+// controlCommand runs a control node.
+type controlCommand struct {
+	Name         string        `long:"name" required:"true" description:"Unique name of this node"`
+	ID           uint64        `long:"id" required:"true" description:"Identity of this node in every group, above 0; never used again after its disk was lost"`
+	Cluster      string        `long:"cluster" required:"true" description:"Cluster id; equal on all nodes, others are refused"`
+	Listen       string        `long:"listen" required:"true" value-name:"IP:PORT" description:"Address for other nodes, gateways, coordinators and operators' commands"`
+	Peers        []string      `long:"peers" value-name:"ID=NAME@IP:PORT" description:"Control nodes that found the cluster, this one included; comma list or repeated"`
+	Join         bool          `long:"join" description:"Start with an empty data folder and wait to be added with 'member add'"`
+	Data         string        `long:"data" required:"true" value-name:"FOLDER" description:"Data folder; holds all that must survive"`
+	Zone         string        `long:"zone" description:"Zone of this node"`
+	Region       string        `long:"region" description:"Region of this node"`
+	LedgerGroups int           `long:"ledger-groups" default:"2" description:"Groups that share the claims and samples; equal on all nodes and clients, fixed at the first start"`
+	Lease        time.Duration `long:"lease" default:"1200ms" description:"How long a process may act on the table after its last renewal; an accepted change is in force everywhere within one and a half times this"`
+	Tick         time.Duration `long:"tick" default:"50ms" description:"Step of the consensus clock; a dead leader is replaced after 10 to 20 of them"`
+	HTTP         string        `long:"http" value-name:"IP:PORT" description:"Address of the operators' page, metrics and health; none if empty"`
+	DrainTimeout time.Duration `long:"drain-timeout" default:"10s" description:"Longest time to hand leaderships over when stopped by SIGINT or SIGTERM"`
+	LogLevel     string        `long:"log-level" default:"info" description:"debug, info, warning or error"`
+	LogFormat    string        `long:"log-format" default:"text" description:"text or json"`
+}
+
+// Run serves until the first SIGINT or SIGTERM, then hands leaderships over and stops.
+func (c *controlCommand) Run(environment Environment, _ []string) error {
+	peers, err := parsePeers(c.Peers)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+	}
+	logger, err := logging.New(logging.Config{Level: c.LogLevel, Format: c.LogFormat, Output: environment.Stderr})
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+	}
+	server, err := control.New(control.Config{
+		Name: c.Name, NodeID: c.ID, ClusterID: c.Cluster, Listen: c.Listen, Peers: peers, Join: c.Join,
+		Zone: c.Zone, Region: c.Region, DataFolder: c.Data, LedgerGroups: c.LedgerGroups,
+		LeaseDuration: c.Lease, Tick: c.Tick, HTTPListen: c.HTTP, Log: logging.Part(logger, "control"),
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	finished := make(chan error, 1)
+	go func() { finished <- server.Run(context.Background()) }()
+	select {
+	case err := <-finished:
+		return trace.NewAggregate(err, server.Close())
+	case <-environment.Context.Done():
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.DrainTimeout)
+	defer cancel()
+	drainError := server.Drain(ctx)
+	return trace.NewAggregate(drainError, <-finished)
+}
+
+// parsePeers reads ID=NAME@IP:PORT, several to a text if separated by commas.
+func parsePeers(texts []string) ([]control.Peer, error) {
+	var peers []control.Peer
+	for _, text := range splitList(texts) {
+		peer, err := parsePeer(text)
+		if err != nil {
+			return nil, trace.BadParameter("peer %q: %v", text, err)
+		}
+		peers = append(peers, peer)
+	}
+	return peers, nil
+}
+
+func parsePeer(text string) (control.Peer, error) {
+	identity, rest, found := strings.Cut(text, "=")
+	if !found {
+		return control.Peer{}, errors.New("want ID=NAME@IP:PORT")
+	}
+	name, address, found := strings.Cut(rest, "@")
+	if !found {
+		return control.Peer{}, errors.New("want ID=NAME@IP:PORT")
+	}
+	id, err := strconv.ParseUint(identity, 10, 64)
+	if err != nil {
+		return control.Peer{}, errors.New("the id is not a whole number")
+	}
+	return control.Peer{ID: id, Name: name, Address: address}, nil
+}
--- /dev/null
+++ b/internal/control/config.go
@@ -0,0 +1,126 @@
+// Package control is the server of a control node: it serves the consensus transport and the control
+// service on one listener, executes commands and queries on the replicated groups, grants leases on the
+// table, pushes table changes to the holders and watches which members are alive.
+package control
+
+import (
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/monotonic"
+)
+
+// Defaults of Config.
+const (
+	DefaultLedgerGroups  = 2
+	DefaultLeaseDuration = 1200 * time.Millisecond
+	DefaultTick          = 50 * time.Millisecond
+)
+
+// Peer is a control node.
+type Peer struct {
+	ID      uint64
+	Name    string
+	Address string // IP:port of its listener
+}
+
+// Config says what one control node is.
+type Config struct {
+	// Name is this node's unique member name. Required.
+	Name string
+	// NodeID is this node's identity in every group; never reused after its disk was lost. Required.
+	NodeID uint64
+	// ClusterID must be equal on all nodes of the cluster; others' messages are refused. Required.
+	ClusterID string
+	// Listen is IP:port; port 0 takes any. Ignored when Listener is set.
+	Listen string
+	// Listener is an already bound listener, for tests and for inherited sockets.
+	Listener net.Listener
+	// Peers are the control nodes that form the groups at the first start, this one included.
+	Peers []Peer
+	// Join starts with an empty folder as a node that waits to be added to the groups.
+	Join bool
+	// Zone and Region say where this node stands.
+	Zone   string
+	Region string
+	// DataFolder holds everything that must survive. Required.
+	DataFolder string
+	// LedgerGroups is the number of ledger groups; fixed for the life of a cluster. Default
+	// DefaultLedgerGroups: one busy group may not hold up all keys.
+	LedgerGroups int
+	// LeaseDuration is how long a holder may act on the table after its last renewal. An accepted change
+	// is in force everywhere within one and a half times this, also where a holder can't be reached.
+	// Default DefaultLeaseDuration, for the bound of 2 s at today's size.
+	LeaseDuration time.Duration
+	// Tick is the consensus clock's step; an election needs ten to twenty. Default DefaultTick.
+	Tick time.Duration
+	// HTTPListen serves the operators' page, metrics and health on IP:port; empty for none.
+	HTTPListen string
+	// HTTPListener is an already bound listener in place of HTTPListen.
+	HTTPListener net.Listener
+	// Clock judges leases. Default monotonic.Now.
+	Clock monotonic.Clock
+	// Log receives short sentences. Default: nothing.
+	Log *logrus.Entry
+}
+
+func (c *Config) setDefaults() error {
+	switch {
+	case c.Name == "":
+		return trace.BadParameter("a control node needs a name")
+	case c.NodeID == 0:
+		return trace.BadParameter("control node %s needs an id above 0", c.Name)
+	case c.ClusterID == "":
+		return trace.BadParameter("control node %s needs a cluster id", c.Name)
+	case c.DataFolder == "":
+		return trace.BadParameter("control node %s needs a data folder", c.Name)
+	case c.LedgerGroups < 0:
+		return trace.BadParameter("ledger groups: %d is negative", c.LedgerGroups)
+	case c.Listener == nil && c.Listen == "":
+		return trace.BadParameter("control node %s needs an address to listen on", c.Name)
+	}
+	if c.LedgerGroups == 0 {
+		c.LedgerGroups = DefaultLedgerGroups
+	}
+	if c.LeaseDuration == 0 {
+		c.LeaseDuration = DefaultLeaseDuration
+	}
+	if c.Tick == 0 {
+		c.Tick = DefaultTick
+	}
+	if c.LeaseDuration < 4*c.Tick {
+		return trace.BadParameter("lease of %s is too short for a tick of %s: want at least four ticks", c.LeaseDuration, c.Tick)
+	}
+	if c.Clock == nil {
+		c.Clock = monotonic.Now
+	}
+	if c.Log == nil {
+		c.Log = logging.Discard()
+	}
+	return c.checkPeers()
+}
+
+func (c *Config) checkPeers() error {
+	identities := make(map[uint64]bool)
+	names := make(map[string]bool)
+	for _, peer := range c.Peers {
+		if peer.ID == 0 || peer.Name == "" {
+			return trace.BadParameter("peer %q: want an id above 0 and a name", peer.Name)
+		}
+		if identities[peer.ID] || names[peer.Name] {
+			return trace.BadParameter("peer %d (%s) is listed twice", peer.ID, peer.Name)
+		}
+		if _, _, err := net.SplitHostPort(peer.Address); err != nil {
+			return trace.BadParameter("peer %s: address %q: want IP:port", peer.Name, peer.Address)
+		}
+		identities[peer.ID], names[peer.Name] = true, true
+	}
+	if !identities[c.NodeID] && !c.Join {
+		return trace.BadParameter("control node %d (%s) is not among its peers", c.NodeID, c.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/execute.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// concurrentRequests bounds the requests of one stream that are worked on at a time; the stream is
+	// not read further until one of them is answered.
+	concurrentRequests = 2048
+	// defaultTimeout bounds a request that names no timeout, and maximumTimeout all others.
+	defaultTimeout = 2 * time.Second
+	maximumTimeout = 30 * time.Second
+	// replyQueueLength is the number of replies that may wait for a stream's writer.
+	replyQueueLength = 256
+	// inForcePoll is how often a waiting change looks again whether leases have lapsed.
+	inForcePoll = 10 * time.Millisecond
+)
+
+// executeStream answers the pipelined requests of one client.
+type executeStream struct {
+	server   *Server
+	stream   wire.DRPCControl_ExecuteStream
+	replies  chan *wire.ExecuteReply
+	slots    chan struct{}
+	handlers sync.WaitGroup
+}
+
+// Execute implements wire.DRPCControlServer.
+func (s *Server) Execute(stream wire.DRPCControl_ExecuteStream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	e := &executeStream{
+		server: s, stream: stream,
+		replies: make(chan *wire.ExecuteReply, replyQueueLength),
+		slots:   make(chan struct{}, concurrentRequests),
+	}
+	writerDone := make(chan struct{})
+	go func() {
+		defer close(writerDone)
+		e.write()
+	}()
+	err := e.read(ctx)
+	cancel()
+	e.handlers.Wait()
+	close(e.replies)
+	<-writerDone
+	return err
+}
+
+func (e *executeStream) read(ctx context.Context) error {
+	for {
+		request, err := e.stream.Recv()
+		if err != nil {
+			return endOfStream(err)
+		}
+		select {
+		case e.slots <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		e.handlers.Add(1)
+		go e.handle(ctx, request)
+	}
+}
+
+func (e *executeStream) handle(ctx context.Context, request *wire.ExecuteRequest) {
+	defer e.handlers.Done()
+	reply := e.server.execute(ctx, request)
+	<-e.slots
+	if reply.Status == wire.ExecuteStatus_EXECUTE_STATUS_OK && request.WaitInForce {
+		e.server.waitInForce(ctx, request, reply)
+	}
+	reply.Id = request.Id
+	e.replies <- reply
+}
+
+// write sends replies and flushes when none is waiting. After a failure it goes on taking replies, so
+// that no handler is stuck.
+func (e *executeStream) write() {
+	broken := false
+	for reply := range e.replies {
+		if broken {
+			continue
+		}
+		err := e.stream.Send(reply)
+		if err == nil && len(e.replies) == 0 {
+			err = flush(e.stream)
+		}
+		broken = err != nil
+	}
+}
+
+// execute works on one request and returns its reply, without its id.
+func (s *Server) execute(ctx context.Context, request *wire.ExecuteRequest) *wire.ExecuteReply {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout(request))
+	defer cancel()
+	if reason := s.malformed(request); reason != "" {
+		return &wire.ExecuteReply{Status: wire.ExecuteStatus_EXECUTE_STATUS_INVALID, Error: reason}
+	}
+	if request.Query != nil {
+		return s.query(ctx, request)
+	}
+	if request.Change != nil {
+		return s.changeGroup(ctx, request)
+	}
+	result, index, err := s.replicas.Propose(ctx, request.Group, request.Command)
+	if err != nil {
+		return s.failure(request.Group, err)
+	}
+	reply := &wire.ExecuteReply{Status: wire.ExecuteStatus_EXECUTE_STATUS_OK, Result: result, AppliedIndex: index}
+	return s.withInForce(request.Group, reply)
+}
+
+func (s *Server) query(ctx context.Context, request *wire.ExecuteRequest) *wire.ExecuteReply {
+	ask := s.replicas.Query
+	if request.Query.GetStatus() != nil {
+		ask = func(ctx context.Context, group uint32, _ *wire.Query) (*wire.View, error) {
+			return s.statusView(ctx, group)
+		}
+	}
+	view, err := ask(ctx, request.Group, request.Query)
+	if err != nil {
+		return s.failure(request.Group, err)
+	}
+	return s.withInForce(request.Group, &wire.ExecuteReply{Status: wire.ExecuteStatus_EXECUTE_STATUS_OK, View: view})
+}
+
+// withInForce adds to a reply of the control group how far the table is in force.
+func (s *Server) withInForce(group uint32, reply *wire.ExecuteReply) *wire.ExecuteReply {
+	if group == controlGroup {
+		reply.InForceVersion = s.leases.inForce()
+		reply.InForceWithinMillis = uint32(s.settings.Bound().Milliseconds())
+	}
+	return reply
+}
+
+func requestTimeout(request *wire.ExecuteRequest) time.Duration {
+	timeout := time.Duration(request.TimeoutMillis) * time.Millisecond
+	if timeout <= 0 {
+		return defaultTimeout
+	}
+	return min(timeout, maximumTimeout)
+}
+
+// malformed returns why a request can't be worked on, or "".
+func (s *Server) malformed(request *wire.ExecuteRequest) string {
+	switch {
+	case kinds(request) != 1:
+		return "want exactly one of command, query and change"
+	case int(request.Group) > s.config.LedgerGroups:
+		return "no such group: the clients' number of ledger groups must equal the control nodes'"
+	case request.Command != nil && request.Command.Kind == nil:
+		return "the command is empty or newer than this control node"
+	case request.Command != nil && isControlCommand(request.Command) != (request.Group == controlGroup):
+		return "the command does not belong to this group"
+	}
+	return ""
+}
+
+// kinds counts what a request asks for.
+func kinds(request *wire.ExecuteRequest) int {
+	count := 0
+	for _, set := range []bool{request.Command != nil, request.Query != nil, request.Change != nil} {
+		if set {
+			count++
+		}
+	}
+	return count
+}
+
+// isControlCommand says whether a command belongs to the control group.
+func isControlCommand(command *wire.Command) bool {
+	switch command.Kind.(type) {
+	case *wire.Command_TableChange, *wire.Command_MemberUpdate, *wire.Command_FenceAcquire:
+		return true
+	}
+	return false
+}
+
+// waitInForce holds an accepted table change's reply back until the change is in force everywhere or
+// the request's time is over; the reply says how far it has got.
+func (s *Server) waitInForce(ctx context.Context, request *wire.ExecuteRequest, reply *wire.ExecuteReply) {
+	result := reply.Result.GetTable()
+	if result.GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout(request))
+	defer cancel()
+	reply.InForceVersion = s.leases.waitInForce(ctx, result.Version)
+}
--- /dev/null
+++ b/internal/control/flush.go
@@ -0,0 +1,29 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"storj.io/drpc"
+)
+
+// flush sends what a stream has buffered; the server's streams are flushed by their writers, so that
+// many messages share one system call.
+func flush(stream drpc.Stream) error {
+	if holder, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
+		stream = holder.GetStream()
+	}
+	if out, ok := stream.(interface{ RawFlush() error }); ok {
+		return out.RawFlush()
+	}
+	return nil
+}
+
+// endOfStream hides the errors of a stream that ended as planned.
+func endOfStream(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/control/granting.go
@@ -0,0 +1,90 @@
+package control
+
+import "context"
+
+// grantLoop judges waiting renewals, all that wait in one read round, until ctx ends.
+func (s *Server) grantLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-s.renewals:
+			s.grantRound(ctx, s.waiting(first))
+		}
+	}
+}
+
+// waiting takes all renewals that have arrived.
+func (s *Server) waiting(first renewal) []renewal {
+	batch := []renewal{first}
+	for {
+		select {
+		case next := <-s.renewals:
+			batch = append(batch, next)
+		default:
+			return batch
+		}
+	}
+}
+
+// grantRound confirms the leadership after the arrival of the renewals, then grants them. When the
+// leadership can't be confirmed nobody is answered: holders turn to another node by themselves.
+func (s *Server) grantRound(ctx context.Context, batch []renewal) {
+	term, leading := s.confirmLeadership(ctx)
+	if !leading {
+		s.redirect(ctx, batch)
+		return
+	}
+	for _, waiting := range batch {
+		s.judge(term, waiting)
+	}
+}
+
+// confirmLeadership runs a read round of the control group and returns the term that it confirmed.
+func (s *Server) confirmLeadership(ctx context.Context) (uint64, bool) {
+	before := s.states[controlGroup].leader()
+	if !before.Leading {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Lease/2)
+	defer cancel()
+	if err := s.replicas.Read(ctx, controlGroup); err != nil {
+		return 0, false
+	}
+	after := s.states[controlGroup].leader()
+	if !after.Leading || after.Term != before.Term {
+		return 0, false
+	}
+	if !s.leases.leads(after.Term) {
+		s.publisher.refresh()
+		s.leases.lead(after.Term)
+		s.detector.lead()
+	}
+	return after.Term, true
+}
+
+// redirect tells holders which node leads, if that is another one and known.
+func (s *Server) redirect(ctx context.Context, batch []renewal) {
+	address := s.otherLeader(ctx, controlGroup)
+	if address == "" {
+		return
+	}
+	for _, waiting := range batch {
+		waiting.session.redirectTo(address)
+	}
+}
+
+// judge answers one renewal whose leadership was confirmed in term.
+func (s *Server) judge(term uint64, waiting renewal) {
+	holder, request := waiting.session.holder, waiting.request
+	if request.Leaving {
+		s.leases.release(holder)
+		s.detector.leave(waiting)
+		return // answered once that is recorded
+	}
+	if !s.detector.registered(waiting) {
+		return // answered once the member is registered
+	}
+	granted := s.leases.renew(term, holder, request.ActedVersion)
+	waiting.session.answerRenewal(request.Sequence, granted)
+}
--- /dev/null
+++ b/internal/control/hosted.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"errors"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/consensus"
+	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/storage"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// openHost opens the data folder and the replicated groups in it.
+func (s *Server) openHost() error {
+	store, err := storage.Open(storage.Options{
+		Folder: s.config.DataFolder, ClusterID: s.config.ClusterID,
+		NodeID: s.config.NodeID, NodeName: s.config.Name,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	host, err := consensus.New(consensus.Config{
+		NodeID: s.config.NodeID, ClusterID: s.config.ClusterID,
+		Name: s.config.Name, Address: s.Address(),
+		Peers: s.consensusPeers(), Join: s.config.Join, Groups: s.groups(),
+		Store:           store,
+		NewStateMachine: func(uint32) consensus.StateMachine { return state.New() },
+		Tick:            s.config.Tick,
+		OnLeaderChange:  s.leaderChanged,
+		OnApply:         s.applied,
+		OnRestore:       s.restored,
+		Log:             s.log,
+	})
+	if err != nil {
+		return trace.NewAggregate(err, store.Close())
+	}
+	s.store, s.replicas = store, host
+	return nil
+}
+
+func (s *Server) consensusPeers() []consensus.Peer {
+	peers := make([]consensus.Peer, 0, len(s.config.Peers))
+	for _, peer := range s.config.Peers {
+		address := peer.Address
+		if peer.ID == s.config.NodeID {
+			address = s.Address()
+		}
+		peers = append(peers, consensus.Peer{ID: peer.ID, Name: peer.Name, Address: address})
+	}
+	return peers
+}
+
+// groups are the control group and the ledger groups.
+func (s *Server) groups() []uint32 {
+	groups := []uint32{controlGroup}
+	for group := uint32(1); int(group) <= s.config.LedgerGroups; group++ {
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+// leaderChanged is called from the host's loop.
+func (s *Server) leaderChanged(group uint32, leadership consensus.Leadership) {
+	s.states[group].leadership.Store(&leadership)
+	if group != controlGroup {
+		return
+	}
+	select {
+	case s.moved <- struct{}{}:
+	default:
+	}
+}
+
+// applied is called from the host's loop.
+func (s *Server) applied(group uint32, index uint64, command *wire.Command, _ *wire.Result) {
+	s.states[group].applied.Store(index)
+	if group == controlGroup && (command.GetTableChange() != nil || command.GetMemberUpdate() != nil) {
+		s.publisher.applied()
+	}
+}
+
+// restored is called from the host's loop.
+func (s *Server) restored(group uint32, index uint64) {
+	s.states[group].applied.Store(index)
+	if group == controlGroup {
+		s.publisher.applied()
+	}
+}
+
+// failure is the reply to a request that the groups did not carry out.
+func (s *Server) failure(group uint32, err error) *wire.ExecuteReply {
+	reply := &wire.ExecuteReply{Status: wire.ExecuteStatus_EXECUTE_STATUS_UNKNOWN, Error: err.Error()}
+	var notLeader *consensus.ErrNotLeader
+	switch {
+	case errors.As(err, &notLeader):
+		reply.Status = wire.ExecuteStatus_EXECUTE_STATUS_NOT_LEADER
+		reply.LeaderAddress = notLeader.LeaderAddress
+	case errors.Is(err, consensus.ErrOverloaded), errors.Is(err, consensus.ErrDiskFull):
+		reply.Status = wire.ExecuteStatus_EXECUTE_STATUS_OVERLOADED
+	case errors.Is(err, consensus.ErrInvalid):
+		reply.Status = wire.ExecuteStatus_EXECUTE_STATUS_INVALID
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/control/publisher.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/member"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// localTimeout bounds a question to this node's own state.
+const localTimeout = time.Second
+
+// publisher brings applied changes of the table and the members to the sessions. One update serves all
+// holders that are at the same version.
+type publisher struct {
+	server *Server
+	wake   chan struct{} // capacity 1: something was applied
+
+	mutex   sync.Mutex
+	table   uint64                       // table version that deltas lead to
+	deltas  map[uint64]*wire.TableUpdate // by the version that they start from
+	members *wire.MembersView
+	// changedAt is the members version at which a member was last seen to change, by name.
+	changedAt    map[string]uint64
+	memberDeltas map[uint64]*wire.MembersView // by the version that they start from
+}
+
+func newPublisher(server *Server) *publisher {
+	return &publisher{
+		server: server, wake: make(chan struct{}, 1),
+		deltas:       make(map[uint64]*wire.TableUpdate),
+		members:      &wire.MembersView{},
+		changedAt:    make(map[string]uint64),
+		memberDeltas: make(map[uint64]*wire.MembersView),
+	}
+}
+
+// applied is called after each command of the control group.
+func (p *publisher) applied() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run pushes changes to all sessions until ctx ends.
+func (p *publisher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		}
+		if p.refresh() {
+			p.server.sessions.each((*session).wakeUp)
+		}
+	}
+}
+
+// refresh takes over what is applied here and says whether anything is new.
+func (p *publisher) refresh() bool {
+	tableChanged := p.refreshTable()
+	membersChanged := p.refreshMembers()
+	return tableChanged || membersChanged
+}
+
+func (p *publisher) refreshTable() bool {
+	p.mutex.Lock()
+	known := p.table
+	p.mutex.Unlock()
+	update := p.queryTable(known)
+	if update == nil || update.ToVersion <= known {
+		return false
+	}
+	p.mutex.Lock()
+	if update.ToVersion > p.table {
+		p.table = update.ToVersion
+		clear(p.deltas)
+		p.deltas[known] = update
+	}
+	p.mutex.Unlock()
+	p.server.leases.tableApplied(update.ToVersion)
+	return true
+}
+
+func (p *publisher) refreshMembers() bool {
+	known := p.currentMembers().MembersVersion
+	view, err := p.local(&wire.Query{Kind: &wire.Query_Members{Members: &wire.MembersQuery{KnownVersion: known}}})
+	if err != nil {
+		p.server.log.WithError(err).Warn("the members can't be read")
+		return false
+	}
+	changes := view.GetMembers()
+	if changes.GetMembersVersion() <= known {
+		return false
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.members = member.Merge(p.members, changes)
+	for _, changed := range changes.Members {
+		p.changedAt[changed.Name] = changes.MembersVersion
+	}
+	clear(p.memberDeltas)
+	return true
+}
+
+// local asks the control group's state here.
+func (p *publisher) local(query *wire.Query) (*wire.View, error) {
+	ctx, cancel := context.WithTimeout(p.server.context, localTimeout)
+	defer cancel()
+	return p.server.replicas.LocalQuery(ctx, controlGroup, query)
+}
+
+func (p *publisher) queryTable(known uint64) *wire.TableUpdate {
+	view, err := p.local(&wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{KnownVersion: known}}})
+	if err != nil {
+		p.server.log.WithError(err).Warn("the table can't be read")
+		return nil
+	}
+	return view.GetTable()
+}
+
+// updateFrom returns what brings a holder of version known to the newest one; nil if it has that.
+func (p *publisher) updateFrom(known uint64) *wire.TableUpdate {
+	p.mutex.Lock()
+	current, update := p.table, p.deltas[known]
+	p.mutex.Unlock()
+	if known >= current {
+		return nil
+	}
+	if update != nil {
+		return update
+	}
+	update = p.queryTable(known)
+	if update == nil || update.ToVersion <= known {
+		return nil
+	}
+	p.server.leases.tableApplied(update.ToVersion)
+	p.mutex.Lock()
+	if update.ToVersion == p.table {
+		p.deltas[known] = update
+	}
+	p.mutex.Unlock()
+	return update
+}
+
+// membersAfter returns what changed after version known of the members; nil if nothing did.
+func (p *publisher) membersAfter(known uint64) *wire.MembersView {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if known >= p.members.MembersVersion {
+		return nil
+	}
+	if delta := p.memberDeltas[known]; delta != nil {
+		return delta
+	}
+	delta := &wire.MembersView{FromVersion: known, MembersVersion: p.members.MembersVersion}
+	for _, candidate := range p.members.Members {
+		if known == 0 || p.changedAt[candidate.Name] > known {
+			delta.Members = append(delta.Members, candidate)
+		}
+	}
+	p.memberDeltas[known] = delta
+	return delta
+}
+
+// currentMembers returns the members as applied here; they must not be changed.
+func (p *publisher) currentMembers() *wire.MembersView {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.members
+}
+
+// member returns the member of a name, or nil.
+func (p *publisher) member(name string) *wire.Member {
+	for _, candidate := range p.currentMembers().Members {
+		if candidate.Name == name {
+			return candidate
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/replicas.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/tamarindring/tamarindring/internal/consensus"
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// controlGroup is the group of the table, members and fences; ledger groups are numbered from 1.
+const controlGroup = state.ControlGroup
+
+// Replicas is what this package needs of the replicated groups; *consensus.Host is the usual one.
+type Replicas interface {
+	wire.DRPCRaftServer
+	groupChanger
+	// Run drives the groups until ctx ends or the node must stop.
+	Run(ctx context.Context) error
+	// Close stops abruptly.
+	Close()
+	// Propose replicates command and returns its result and log index once it is applied here.
+	Propose(ctx context.Context, group uint32, command *wire.Command) (*wire.Result, uint64, error)
+	// Read returns nil once the state applied here covers all that was committed when it was called.
+	Read(ctx context.Context, group uint32) error
+	// Query answers from state that is current as of the call.
+	Query(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error)
+	// LocalQuery answers from the state applied here, which may be old unless Read came first.
+	LocalQuery(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error)
+	// Status is this node's view of group.
+	Status(ctx context.Context, group uint32) (raft.Status, error)
+	// TransferLeadership asks a voter to take over group.
+	TransferLeadership(ctx context.Context, group uint32, node uint64) error
+}
+
+// groupState is what the groups' loop has told last of one group, to be read without asking it.
+type groupState struct {
+	leadership atomic.Pointer[consensus.Leadership]
+	applied    atomic.Uint64
+}
+
+// leader returns who leads, as far as is known here.
+func (g *groupState) leader() consensus.Leadership {
+	if known := g.leadership.Load(); known != nil {
+		return *known
+	}
+	return consensus.Leadership{}
+}
--- /dev/null
+++ b/internal/control/session_set.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"sync"
+)
+
+// sessionSet holds the open sessions.
+type sessionSet struct {
+	mutex    sync.Mutex
+	sessions map[*session]struct{}
+}
+
+func (set *sessionSet) add(added *session) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	if set.sessions == nil {
+		set.sessions = make(map[*session]struct{})
+	}
+	set.sessions[added] = struct{}{}
+}
+
+func (set *sessionSet) remove(removed *session) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	delete(set.sessions, removed)
+}
+
+// each calls visit with every open session.
+func (set *sessionSet) each(visit func(*session)) {
+	set.mutex.Lock()
+	open := make([]*session, 0, len(set.sessions))
+	for holder := range set.sessions {
+		open = append(open, holder)
+	}
+	set.mutex.Unlock()
+	for _, holder := range open {
+		visit(holder)
+	}
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"context"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// statusView is this node's view of one group, which may be old when it does not lead it.
+func (s *Server) statusView(ctx context.Context, group uint32) (*wire.View, error) {
+	status, err := s.replicas.Status(ctx, group)
+	if err != nil {
+		return nil, err
+	}
+	view := &wire.StatusView{
+		Leader:       status.Leader,
+		Term:         status.Term,
+		CommitIndex:  status.Commit,
+		AppliedIndex: status.Applied,
+		Voters:       status.Configuration.Voters,
+		Learners:     status.Configuration.Learners,
+		Node:         s.config.NodeID,
+		NodeName:     s.config.Name,
+	}
+	for _, other := range status.Match {
+		view.Nodes = append(view.Nodes, &wire.NodeStatus{
+			Node: other.Node, MatchIndex: other.Match, Learner: other.Learner, Active: other.RecentActive,
+		})
+	}
+	if group != controlGroup {
+		return s.ledgerStatus(ctx, group, view)
+	}
+	view.TableVersion = s.leases.version()
+	view.InForceVersion = s.leases.inForce()
+	view.Holders = s.leases.holders()
+	return &wire.View{Kind: &wire.View_Status{Status: view}}, nil
+}
+
+// ledgerStatus adds what the ledger group's state knows of its claims.
+func (s *Server) ledgerStatus(ctx context.Context, group uint32, view *wire.StatusView) (*wire.View, error) {
+	local, err := s.replicas.LocalQuery(ctx, group, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}})
+	if err != nil {
+		return nil, err
+	}
+	view.Claims, view.ClaimOwners = local.GetStatus().GetClaims(), local.GetStatus().GetClaimOwners()
+	return &wire.View{Kind: &wire.View_Status{Status: view}}, nil
+}
