--- a/internal/standin/application/application.go
+++ b/internal/standin/application/application.go
@@ -54,13 +54,13 @@
 // Faults are misbehaviours that a test switches on. Probabilities are per call.
 type Faults struct {
 	// RefuseProbability answers 503 did-not-run before running.
-	RefuseProbability float64
+	RefuseProbability float64 `json:"refuse_probability"`
 	// CrashAfterRunProbability cuts the connection after running, before the answer.
-	CrashAfterRunProbability float64
+	CrashAfterRunProbability float64 `json:"crash_after_run_probability"`
 	// CrashBeforeRunProbability cuts the connection before running.
-	CrashBeforeRunProbability float64
+	CrashBeforeRunProbability float64 `json:"crash_before_run_probability"`
 	// Stall delays each answer after the run.
-	Stall time.Duration
+	Stall time.Duration `json:"stall_nanos"`
 }
 
 // Server is one application stand-in.
--- a/internal/standin/application/handle.go
+++ b/internal/standin/application/handle.go
@@ -50,6 +50,12 @@
 	case path == "/v1/log" && ctx.IsGet():
 		after, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
 		endpoint.WriteJSON(ctx, fasthttp.StatusOK, logAnswer{Executions: s.logAfter(after)})
+	case path == "/v1/admin/faults" && ctx.IsPost():
+		var faults Faults
+		if endpoint.DecodeJSON(ctx, &faults) {
+			s.SetFaults(faults)
+			endpoint.WriteJSON(ctx, fasthttp.StatusOK, faults)
+		}
 	case path == "/v1/admin/leave" && ctx.IsPost():
 		s.Leave()
 		endpoint.WriteJSON(ctx, fasthttp.StatusOK, s.LateArrivals())
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -9,17 +9,17 @@
 // Faults are misbehaviours that a test switches on. Probabilities are per streamed answer.
 type Faults struct {
 	// RefuseAll answers every new request 503 did-not-run.
-	RefuseAll bool
+	RefuseAll bool `json:"refuse_all"`
 	// CutAfterTokens cuts the connection of each streamed answer after that many tokens; 0 never.
-	CutAfterTokens int
+	CutAfterTokens int `json:"cut_after_tokens"`
 	// CutProbability cuts a streamed answer at a random token.
-	CutProbability float64
+	CutProbability float64 `json:"cut_probability"`
 	// CutCleanly ends a cut answer's body properly, without its last chunk and without [DONE].
-	CutCleanly bool
+	CutCleanly bool `json:"cut_cleanly"`
 	// ChunkDelay delays every chunk.
-	ChunkDelay time.Duration
+	ChunkDelay time.Duration `json:"chunk_delay_nanos"`
 	// DuplicateProbability sends a chunk of a streamed answer twice.
-	DuplicateProbability float64
+	DuplicateProbability float64 `json:"duplicate_probability"`
 }
 
 type faultSwitches struct {
--- a/internal/standin/engine/handle.go
+++ b/internal/standin/engine/handle.go
@@ -38,6 +38,8 @@
 		s.handleAdapter(ctx)
 	case "/v1/admin/role":
 		s.handleRole(ctx)
+	case "/v1/admin/faults":
+		s.handleFaults(ctx)
 	case "/v1/admin/leave":
 		s.Leave()
 		endpoint.WriteJSON(ctx, fasthttp.StatusOK, leaveAnswer{Leaving: true})
@@ -62,6 +64,16 @@
 	}
 }
 
+// handleFaults replaces the injected faults of a stand-in that runs as its own process.
+func (s *Server) handleFaults(ctx *fasthttp.RequestCtx) {
+	var faults Faults
+	if !endpoint.DecodeJSON(ctx, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	endpoint.WriteJSON(ctx, fasthttp.StatusOK, faults)
+}
+
 type leaveAnswer struct {
 	Leaving bool `json:"leaving"`
 }
--- a/internal/workload/caller/record.go
+++ b/internal/workload/caller/record.go
@@ -52,6 +52,8 @@
 type Stats struct {
 	Seconds        float64       `json:"seconds"`
 	Total          SourceStats   `json:"total"`
+	Live           SourceStats   `json:"live"`       // all sources that call model pools
+	Operations     SourceStats   `json:"operations"` // all sources that call application pools
 	Sources        []SourceStats `json:"sources"`
 	Doubled        int           `json:"doubled"`         // keys sent through two gateways at once
 	WrongExamples  []string      `json:"wrong_examples"`  // at most 20
@@ -90,6 +92,7 @@
 	began    time.Time
 	ended    time.Time
 	total    *sourceRecord
+	services map[workload.Service]*sourceRecord
 	sources  map[string]*sourceRecord
 	order    []string
 	doubles  int
@@ -100,7 +103,12 @@
 }
 
 func newRecorder(config Config) *recorder {
-	made := &recorder{total: newSourceRecord("total"), sources: make(map[string]*sourceRecord), keep: config.KeepCalls}
+	made := &recorder{
+		total: newSourceRecord("total"), sources: make(map[string]*sourceRecord), keep: config.KeepCalls,
+		services: map[workload.Service]*sourceRecord{
+			workload.ServiceEngine: newSourceRecord("live"), workload.ServiceApplication: newSourceRecord("operations"),
+		},
+	}
 	for _, source := range config.Workload.Sources {
 		made.sources[source.Name] = newSourceRecord(source.Name)
 		made.order = append(made.order, source.Name)
@@ -120,11 +128,17 @@
 	r.ended = now
 }
 
+// of lists the records that a source's calls count in.
+func (r *recorder) of(source *workload.Source) [3]*sourceRecord {
+	return [3]*sourceRecord{r.total, r.services[source.Service], r.sources[source.Name]}
+}
+
 func (r *recorder) unsent(source *workload.Source) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.total.stats.Unsent++
-	r.sources[source.Name].stats.Unsent++
+	for _, record := range r.of(source) {
+		record.stats.Unsent++
+	}
 }
 
 func (r *recorder) doubled(prepared *preparedCall, first, second result) {
@@ -143,8 +157,9 @@
 	now := time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.total.add(last, intended, now)
-	r.sources[prepared.source.Name].add(last, intended, now)
+	for _, record := range r.of(prepared.source) {
+		record.add(last, intended, now)
+	}
 	switch last.kind {
 	case wrong:
 		r.wrongs = keepExample(r.wrongs, prepared.source.Name+" "+prepared.key+": "+last.detail)
@@ -221,7 +236,8 @@
 		ended = time.Now()
 	}
 	stats := Stats{
-		Total: r.total.summary(), Doubled: r.doubles, WrongExamples: append([]string{}, r.wrongs...),
+		Total: r.total.summary(), Live: r.services[workload.ServiceEngine].summary(),
+		Operations: r.services[workload.ServiceApplication].summary(), Doubled: r.doubles, WrongExamples: append([]string{}, r.wrongs...),
 		FailedExamples: append([]string{}, r.failures...),
 	}
 	if !r.began.IsZero() {
