Keep expired keys until every attempt of their time is below the floor

Cause: a random test of retention granted a key twice: an attempt that arrived while the key was known was held up in an idle stretch of the log, in which no ticket moved, until the key had been dropped.

--- a/internal/claim/retention.go
+++ b/internal/claim/retention.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// mark notes that the log had reached index when the store's clock was at.
+// mark notes the first command at or after a time: an attempt that arrived before has a lower ticket.
 type mark struct {
 	at    int64
 	index uint64
@@ -85,33 +85,38 @@
 	s.marks = append(s.marks, mark{at: s.clock, index: index})
 }
 
-// Expire advances retention by at most MaximumExpired records. The floor rises with every key that is
-// dropped, so that no attempt that arrived while the key was known can be granted it. Running claims never
-// expire. Errors: malformed command, nothing changed.
+// Expire advances retention by at most MaximumExpired records. A key that ran is dropped only once every
+// attempt that arrived within its retention is below the floor; where no commands come, the floor stands
+// still and the keys stay. Running claims never expire. Errors: malformed command, nothing changed.
 func (s *Store) Expire(index uint64, command *wire.ClaimExpire) (*wire.ClaimResult, error) {
-	if command.GetKeysBeforeUnixMillis() > command.GetAnswersBeforeUnixMillis() {
-		return nil, trace.BadParameter("keys must be kept at least as long as answers")
+	answersBefore, keysBefore := command.GetAnswersBeforeUnixMillis(), command.GetKeysBeforeUnixMillis()
+	attemptsBefore := command.GetAttemptsBeforeUnixMillis()
+	if keysBefore > answersBefore || keysBefore > attemptsBefore {
+		return nil, trace.BadParameter("keys must be kept at least as long as answers and attempts")
 	}
 	behind := max(0, command.GetNowUnixMillis()-s.clock)
-	s.raiseFloor(command.GetAttemptsBeforeUnixMillis() - behind)
+	s.raiseFloor(attemptsBefore - behind)
+	retention := attemptsBefore - keysBefore
 	budget := MaximumExpired
-	for budget > 0 && s.aged.expired(command.GetKeysBeforeUnixMillis()-behind) {
+	for budget > 0 && s.aged.expired(min(keysBefore-behind, s.floorAt-retention)) {
 		s.drop(s.aged.first)
 		budget--
 	}
-	for budget > 0 && s.young.expired(command.GetAnswersBeforeUnixMillis()-behind) {
+	for budget > 0 && s.young.expired(answersBefore-behind) {
 		s.age(s.young.first)
 		budget--
 	}
 	return answerOnly(idle, index), nil
 }
 
+// raiseFloor refuses every attempt that arrived before the last mark that is older than attemptsBefore.
 func (s *Store) raiseFloor(attemptsBefore int64) {
 	passed := sort.Search(len(s.marks), func(i int) bool { return s.marks[i].at >= attemptsBefore })
 	if passed == 0 {
 		return
 	}
 	s.floor = max(s.floor, s.marks[passed-1].index)
+	s.floorAt = s.marks[passed-1].at
 	s.marks = append([]mark(nil), s.marks[passed:]...)
 }
 
--- a/internal/claim/snapshot.go
+++ b/internal/claim/snapshot.go
@@ -13,7 +13,7 @@
 // encode it before the next command.
 func (s *Store) Snapshot() *wire.ClaimSnapshot {
 	snapshot := &wire.ClaimSnapshot{
-		Floor: s.floor, ClockUnixMillis: s.clock,
+		Floor: s.floor, FloorUnixMillis: s.floorAt, ClockUnixMillis: s.clock,
 		Records: make([]*wire.ClaimRecord, 0, len(s.records)),
 	}
 	for _, held := range s.runningByKey() {
@@ -53,7 +53,8 @@
 // snapshot's answers.
 func (s *Store) Restore(snapshot *wire.ClaimSnapshot) error {
 	restored := NewUnsafe(s.unsafe)
-	restored.floor, restored.clock = snapshot.GetFloor(), snapshot.GetClockUnixMillis()
+	restored.floor, restored.floorAt = snapshot.GetFloor(), snapshot.GetFloorUnixMillis()
+	restored.clock = snapshot.GetClockUnixMillis()
 	for _, message := range snapshot.GetRecords() {
 		if err := restored.restoreRecord(message); err != nil {
 			return trace.Wrap(err)
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -41,6 +41,7 @@
 	young   retentionList                 // not running, answers kept
 	aged    retentionList                 // answers dropped
 	floor   uint64                        // attempts with a lower ticket are refused
+	floorAt int64                         // every attempt that arrived before this is below the floor
 	clock   int64                         // highest proposer's clock so far, Unix milliseconds
 	marks   []mark                        // oldest first
 }
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/tamarindring/tamarindring/internal/claim"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -86,3 +91,88 @@
 		t.Fatal("nothing was restored")
 	}
 }
+
+// TestRestoreIsInvisible applies random commands to three machines: one of them is restored from its own
+// snapshot at random points, one runs through, one repeats it. Answers and snapshots must stay equal.
+func TestRestoreIsInvisible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machines := []*Machine{New(), New()}
+		for index := range rapid.IntRange(1, 60).Draw(t, "commands") {
+			command := drawCommand(t, index)
+			first := machines[0].Apply(uint64(index+1), proto.CloneOf(command))
+			second := machines[1].Apply(uint64(index+1), proto.CloneOf(command))
+			if !proto.Equal(first, second) {
+				t.Fatalf("%v: %v, on the restored machine %v", command, first, second)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "restore") > 0 {
+				continue
+			}
+			data, err := machines[0].Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			other, err := machines[1].Snapshot()
+			if err != nil || !bytes.Equal(data, other) {
+				t.Fatalf("equal machines have different snapshots (%v)", err)
+			}
+			machines[1] = New()
+			if err := machines[1].Restore(other); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// drawCommand returns a command that is likely to meet earlier ones.
+func drawCommand(t *rapid.T, index int) *wire.Command {
+	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
+	attempt := fmt.Sprint("a", rapid.IntRange(max(0, index-9), index).Draw(t, "attempt"))
+	now := int64(index) * 700
+	sample := &wire.Sample{Id: "t/1/p/0/0", Trainer: "t", Step: 1, PromptId: "p/0", Edition: uint32(rapid.IntRange(0, 2).Draw(t, "edition"))}
+	commands := append(exampleCommands(),
+		tableCommand(attempt, uint64(rapid.IntRange(0, index).Draw(t, "base")), "chat weight "+fmt.Sprint(index), "x"+attempt+" kind pool"),
+		&wire.Command{Kind: &wire.Command_TableChange{TableChange: &wire.TableChange{ChangeId: "r" + attempt, BaseVersion: uint64(index), RemoveRows: []string{"x" + attempt}}}},
+		&wire.Command{Kind: &wire.Command_ClaimBegin{ClaimBegin: &wire.ClaimBegin{Key: key, Owner: "o", Attempt: attempt, Ticket: uint64(index), NowUnixMillis: now}}},
+		&wire.Command{Kind: &wire.Command_ClaimFinish{ClaimFinish: &wire.ClaimFinish{Key: key, Attempt: attempt, Outcome: wire.ClaimState_CLAIM_STATE_DONE, NowUnixMillis: now}}},
+		&wire.Command{Kind: &wire.Command_ClaimRelease{ClaimRelease: &wire.ClaimRelease{Key: key, Attempt: attempt, NowUnixMillis: now}}},
+		&wire.Command{Kind: &wire.Command_ClaimRefuse{ClaimRefuse: &wire.ClaimRefuse{Key: key, Attempt: attempt, NowUnixMillis: now}}},
+		&wire.Command{Kind: &wire.Command_ClaimOrphan{ClaimOrphan: &wire.ClaimOrphan{Owner: "o"}}},
+		&wire.Command{Kind: &wire.Command_ClaimExpire{ClaimExpire: claim.Retention{Answers: 3e9, Keys: 6e9, Attempts: 2e9}.Command(now)}},
+		&wire.Command{Kind: &wire.Command_FenceAcquire{FenceAcquire: &wire.FenceAcquire{Resource: key, Owner: "o", RequestId: attempt}}},
+		&wire.Command{Kind: &wire.Command_SampleStore{SampleStore: &wire.SampleStore{Sample: sample, Fence: uint64(index)}}},
+		&wire.Command{Kind: &wire.Command_BatchDiscard{BatchDiscard: &wire.BatchDiscard{Trainer: "t", SampleIds: []string{sample.GetId()}, DiscardedTokens: 3, Fence: uint64(index)}}},
+	)
+	return rapid.SampledFrom(commands).Draw(t, "command")
+}
+
+func TestNewerSnapshotIsRefused(t *testing.T) {
+	machine := New()
+	machine.Apply(1, exampleCommands()[0])
+	for _, snapshot := range []*wire.MachineSnapshot{
+		{Format: SnapshotFormat + 1},
+		{Format: 1, Claims: &wire.ClaimSnapshot{Records: []*wire.ClaimRecord{{}}}},
+		{Format: 1, Ledger: &wire.LedgerSnapshot{Trainers: []*wire.TrainerRecord{{Name: "a/b"}}}},
+	} {
+		data, err := proto.Marshal(snapshot)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := machine.Restore(data); err == nil || machine.TableVersion() != 1 || machine.AppliedIndex() != 1 {
+			t.Fatalf("%v: error %v, version %d", snapshot, err, machine.TableVersion())
+		}
+	}
+}
+
+func TestLedgerGroupsCoverAllGroups(t *testing.T) {
+	seen := map[uint32]bool{}
+	for key := range 200 {
+		group := LedgerGroup(fmt.Sprint(key), 5)
+		if group < 1 || group > 5 || group != LedgerGroup(fmt.Sprint(key), 5) {
+			t.Fatalf("group %d", group)
+		}
+		seen[group] = true
+	}
+	if len(seen) != 5 || LedgerGroup("x", 0) != 1 {
+		t.Fatal("groups are left out")
+	}
+}
