Add bench consensus and data check

Cause: the aims (10,000 durable claims a second, leader loss under 1 s) need a measurement that sets them beside a bare synced write and one sync per claim.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -10,6 +10,7 @@
 		{parent: "config", name: "reference", short: "Print the reference page of all settings", constructor: func() command { return &configReferenceCommand{} }},
 		{name: "gateway", short: "Run a gateway for callers", constructor: func() command { return &gatewayCommand{} }},
 		{name: "bench", short: "Measurements; each prints JSON"},
+		{parent: "bench", name: "consensus", short: "Durable claims a second, latency, failover and recovery of three local nodes", constructor: func() command { return &benchConsensusCommand{} }},
 		{name: "standin", short: "Stand-ins for outside systems, for tests and demonstrations"},
 		{parent: "standin", name: "engine", short: "Model engine", constructor: func() command { return &standinEngineCommand{} }},
 		{parent: "standin", name: "application", short: "Application replica: push gateway and conference bridge", constructor: func() command { return &standinApplicationCommand{} }},
@@ -29,5 +30,6 @@
 		{parent: "table", name: "revert", short: "Undo one version by a new change", constructor: func() command { return &tableRevertCommand{} }},
 		{parent: "table", name: "watch", short: "Print changes as they are made", constructor: func() command { return &tableWatchCommand{} }},
 		{name: "data", short: "Check and convert data folders offline"},
+		{parent: "data", name: "check", short: "Verify a stopped node's data folder", constructor: func() command { return &dataCheckCommand{} }},
 	}
 }
--- /dev/null
+++ b/internal/cli/data.go
@@ -0,0 +1,31 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/tamarindring/tamarindring/internal/storage"
+)
+
+type dataCheckCommand struct {
+	Positional struct {
+		Folder string `positional-arg-name:"DIR" description:"data folder of a stopped node"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Run verifies a data folder offline, prints what it holds as JSON and fails on damage.
+func (c *dataCheckCommand) Run(environment Environment, _ []string) error {
+	report, err := storage.Check(c.Positional.Folder)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(environment.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(report); err != nil {
+		return err
+	}
+	if !report.Sound() {
+		return &ExitError{Code: ExitFailure, Message: fmt.Sprintf("data check: %d damaged parts in %s", len(report.Damage), c.Positional.Folder)}
+	}
+	return nil
+}
