Add status, drain and member commands

Operators need to see the control nodes' health, let a row or a member finish its work, and replace a control node. Each is safe to repeat: a replaced node becomes a learner, catches up, becomes a voter, and only then the old one goes; a run cut short is continued by the next. Status asks every node for its own view, so a dead one hides nobody.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -29,6 +29,12 @@
 		{parent: "table", name: "history", short: "Show who changed what", constructor: func() command { return &tableHistoryCommand{} }},
 		{parent: "table", name: "revert", short: "Undo one version by a new change", constructor: func() command { return &tableRevertCommand{} }},
 		{parent: "table", name: "watch", short: "Print changes as they are made", constructor: func() command { return &tableWatchCommand{} }},
+		{name: "status", short: "Show the control nodes, members, leases and versions", constructor: func() command { return &statusCommand{} }},
+		{name: "drain", short: "Let a back end or a member finish its work and leave", constructor: func() command { return &drainCommand{} }},
+		{name: "member", short: "Change which control nodes form the cluster"},
+		{parent: "member", name: "add", short: "Make a control node that was started with --join a voter", constructor: func() command { return &memberAddCommand{} }},
+		{parent: "member", name: "remove", short: "Take a control node out", constructor: func() command { return &memberRemoveCommand{} }},
+		{parent: "member", name: "replace", short: "Put a control node that was started with --join in another's place", constructor: func() command { return &memberReplaceCommand{} }},
 		{name: "data", short: "Check and convert data folders offline"},
 		{parent: "data", name: "check", short: "Verify a stopped node's data folder", constructor: func() command { return &dataCheckCommand{} }},
 	}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,28 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/operator"
+)
+
+// statusCommand prints the health of the control nodes and members.
+type statusCommand struct {
+	controlAccess
+	Format string `long:"format" default:"table" choice:"table" choice:"json" description:"table for reading, json for programs"`
+}
+
+// Run asks every known control node; unreachable ones are shown as such.
+func (c *statusCommand) Run(environment Environment, _ []string) error {
+	return c.use(environment, func(ctx context.Context, client *controlclient.Client) error {
+		status := operator.ReadStatus(ctx, client)
+		if err := status.Write(environment.Stdout, operator.Format(c.Format)); err != nil {
+			return err
+		}
+		if status.MembersError != "" {
+			return &ExitError{Code: ExitFailure, Message: "no leader of the control group was reached"}
+		}
+		return nil
+	})
+}
--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -148,7 +148,7 @@
 		defer d.end(member.Name)
 		if d.propose(ctx, member, state) {
 			d.server.orphans.look()
-			d.server.log.Infof("member %s is %s", wire.OwnerName(member), stateText(state))
+			d.server.log.Infof("member %s is %s", wire.OwnerName(member), wire.MemberStateText(state))
 		}
 	}()
 }
@@ -230,18 +230,3 @@
 		}
 	}()
 }
-
-func stateText(state wire.MemberState) string {
-	switch state {
-	case wire.MemberState_MEMBER_STATE_ALIVE:
-		return "alive"
-	case wire.MemberState_MEMBER_STATE_SUSPECT:
-		return "suspect"
-	case wire.MemberState_MEMBER_STATE_LEAVING:
-		return "leaving"
-	case wire.MemberState_MEMBER_STATE_GONE:
-		return "gone"
-	default:
-		return "unknown"
-	}
-}
--- /dev/null
+++ b/internal/control/replace_test.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"context"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/operator"
+)
+
+// startJoining runs a node with an empty folder that waits to be added.
+func (c *cluster) startJoining(id uint64, name string) *Server {
+	c.t.Helper()
+	server, err := New(Config{
+		Name: name, NodeID: id, ClusterID: "test", Listen: "127.0.0.1:0", Peers: c.peers, Join: true,
+		DataFolder: filepath.Join(c.folder, name), Tick: 20 * time.Millisecond,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	run := make(chan error, 1)
+	go func() { run <- server.Run(context.Background()) }()
+	c.peers = append(c.peers, Peer{ID: id, Name: name, Address: server.Address()})
+	c.servers, c.runs = append(c.servers, server), append(c.runs, run)
+	return server
+}
+
+// TestLeaderIsReplaced puts a new node in the leader's place, twice over, then loses another one at once.
+func TestLeaderIsReplaced(t *testing.T) {
+	c := startCluster(t)
+	client := c.client(controlclient.Config{})
+	base, _ := mustAccept(t, client, poolChange("base", 0, "1"), false)
+	old := c.leader()
+	c.startJoining(4, "control-4")
+	for range 2 { // safe to repeat
+		if err := operator.AddNode(testContext(t), client, 4); err != nil {
+			t.Fatal(err)
+		}
+		if err := operator.RemoveNode(testContext(t), client, c.peers[old].ID); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.kill(old)
+	for _, server := range c.servers {
+		if server == nil {
+			continue
+		}
+		for group := range uint32(DefaultLedgerGroups + 1) {
+			status, err := server.replicas.Status(testContext(t), group)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if voters := status.Configuration.Voters; len(voters) != 3 || slices.Contains(voters, c.peers[old].ID) {
+				t.Errorf("node %s: voters of group %d are %v", server.config.Name, group, voters)
+			}
+		}
+	}
+	c.kill(c.leader()) // two of three voters are left
+	if version, _ := mustAccept(t, client, weightChange("after", base, "2"), false); version != base+1 {
+		t.Fatalf("version %d after the losses, want %d", version, base+1)
+	}
+	status := operator.ReadStatus(testContext(t), client)
+	if status.MembersError != "" || status.TableVersion != base+1 {
+		t.Fatalf("status after the losses: %+v", status)
+	}
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -21,6 +21,7 @@
 		Learners:     status.Configuration.Learners,
 		Node:         s.config.NodeID,
 		NodeName:     s.config.Name,
+		LedgerGroups: uint32(s.config.LedgerGroups),
 	}
 	for _, other := range status.Match {
 		view.Nodes = append(view.Nodes, &wire.NodeStatus{
--- /dev/null
+++ b/internal/wire/member.go
@@ -0,0 +1,39 @@
+package wire
+
+import "strconv"
+
+// OwnerName names one start of a process as the owner of claims and the holder of a lease: a restarted
+// process is another owner.
+func OwnerName(member *Member) string {
+	return member.GetName() + "#" + strconv.FormatUint(member.GetIncarnation(), 10)
+}
+
+// MemberRoleText is a member's role for people.
+func MemberRoleText(role MemberRole) string {
+	switch role {
+	case MemberRole_MEMBER_ROLE_CONTROL:
+		return "control"
+	case MemberRole_MEMBER_ROLE_GATEWAY:
+		return "gateway"
+	case MemberRole_MEMBER_ROLE_COORDINATOR:
+		return "coordinator"
+	default:
+		return "unknown"
+	}
+}
+
+// MemberStateText is a member's state for people.
+func MemberStateText(state MemberState) string {
+	switch state {
+	case MemberState_MEMBER_STATE_ALIVE:
+		return "alive"
+	case MemberState_MEMBER_STATE_SUSPECT:
+		return "suspect"
+	case MemberState_MEMBER_STATE_LEAVING:
+		return "leaving"
+	case MemberState_MEMBER_STATE_GONE:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
