--- a/internal/workload/caller/attempt.go
+++ b/internal/workload/caller/attempt.go
@@ -37,6 +37,7 @@
 	verdict    verdict.Verdict
 	status     int
 	detail     string // of a refusal, a loss or a wrong answer
+	code       string // of a refusal
 	retryAfter time.Duration
 	attempts   int
 	firstToken time.Time
@@ -149,8 +150,10 @@
 	if err != nil {
 		known = verdict.MayHaveRun
 	}
+	code, _ := d.Code.(string)
 	return result{
-		kind: refused, verdict: known, detail: d.Message, retryAfter: time.Duration(d.RetryAfterSeconds * float64(time.Second)),
+		kind: refused, verdict: known, detail: d.Message, code: code,
+		retryAfter: time.Duration(d.RetryAfterSeconds * float64(time.Second)),
 	}
 }
 
--- a/internal/workload/caller/caller.go
+++ b/internal/workload/caller/caller.go
@@ -138,12 +138,19 @@
 	if last.kind == lost {
 		return wait, true
 	}
+	if last.verdict == verdict.DidNotRun && sendsElsewhere(last.code) {
+		return max(wait, last.retryAfter), true
+	}
 	if !c.config.RetryRefused || last.verdict != verdict.DidNotRun || prepared.key != "" || last.retryAfter == 0 {
 		return 0, false
 	}
 	return max(wait, last.retryAfter), true
 }
 
+// sendsElsewhere tells whether a refusal asks for the same call at another gateway: one that stops by plan,
+// or one whose knowledge of the key's refusal there was still on its way.
+func sendsElsewhere(code string) bool { return code == "draining" || code == "refused_earlier" }
+
 func (c *Caller) gateway() string {
 	addresses := c.config.Gateways()
 	if len(addresses) == 0 {
--- a/internal/workload/caller/config.go
+++ b/internal/workload/caller/config.go
@@ -38,7 +38,8 @@
 	// RetryPause is the mean pause before an attempt is repeated; it doubles. Default 50ms.
 	RetryPause time.Duration
 	// RetryRefused also repeats calls that were refused as "did not run" and told when to come back,
-	// within their deadline. Non-repeatable calls are never repeated after a refusal. Default false.
+	// within their deadline. Default false. A non-repeatable call is repeated after a refusal only when a
+	// gateway that stops sends it elsewhere, which repeats any call whatever this setting.
 	RetryRefused bool
 	// DoubleProbability sends a non-repeatable call through two gateways at once, under one key.
 	DoubleProbability float64
