emulator: report a request's tokens once per advance and skip uniform steps

Cause: one event per token and step is the cost of an experiment over hundreds of engines. Change: within one Advance a request's tokens under one version are one event; steps in which nothing but decoding happens are run at once; NextMilestone tells how long a driver may let an engine be.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -16,6 +16,8 @@
 	running   bool
 	cancelled bool
 	imported  int
+	reported  uint64  // call of Advance that event belongs to
+	event     int     // index of the sequence's last token event in that call
 	shared    []int32 // cache entries it holds
 	private   int     // blocks of its own
 	position  int     // in the waiting heap
@@ -40,6 +42,7 @@
 	retired    []*sequence // for reuse
 	arrivals   uint64
 	events     []Event
+	advances   uint64 // calls of Advance
 
 	stepping bool
 	swapping bool // the step that runs is a swap
@@ -145,6 +148,7 @@
 // next call.
 func (e *Engine) Advance(now time.Duration) []Event {
 	e.events = e.events[:0]
+	e.advances++
 	for {
 		at, ok := e.NextEvent()
 		if !ok || at > now {
@@ -155,6 +159,7 @@
 			e.finishStep(at)
 		}
 		e.startStep(at)
+		e.skipSteps(now)
 	}
 	e.now = max(e.now, now)
 	return e.events
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -330,3 +331,119 @@
 		}
 	}
 }
+
+// schedule is a drawn sequence of calls that can be replayed.
+type schedule struct {
+	at      []time.Duration
+	request []Request
+	swap    []bool
+}
+
+// outcome is what an engine did with a schedule, independent of how often it was advanced.
+type outcome struct {
+	finished map[uint64]time.Duration
+	tokens   map[[2]uint64]int // by request and version
+	steps    uint64
+	swapped  time.Duration
+}
+
+// runSchedule advances to the given times between the schedule's calls.
+func runSchedule(t *rapid.T, drawn schedule, step func(e *Engine, until time.Duration) time.Duration) outcome {
+	e := newEngine(t, smallParameters())
+	result := outcome{finished: map[uint64]time.Duration{}, tokens: map[[2]uint64]int{}}
+	collect := func(events []Event) {
+		for _, event := range events {
+			switch event.Kind {
+			case EventTokens:
+				result.tokens[[2]uint64{event.Request, event.Version}] += event.Count
+			case EventFinished:
+				result.finished[event.Request] = event.At
+			case EventSwapped:
+				result.swapped = event.At
+			}
+		}
+	}
+	advance := func(until time.Duration) {
+		for e.now < until {
+			collect(e.Advance(min(step(e, until), until)))
+		}
+	}
+	for index, at := range drawn.at {
+		advance(at)
+		collect(e.Advance(at))
+		if drawn.swap[index] {
+			if err := e.SwapWeights(at, uint64(index+2), 1); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		_ = e.Submit(at, drawn.request[index])
+	}
+	advance(e.now + 10*time.Minute)
+	result.steps = e.steps
+	return result
+}
+
+func TestCoarseAdvancesEqualFineOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var drawn schedule
+		now := time.Duration(0)
+		for index := range rapid.IntRange(1, 12).Draw(t, "calls") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond
+			drawn.at = append(drawn.at, now)
+			drawn.swap = append(drawn.swap, rapid.IntRange(0, 5).Draw(t, "swap") == 0)
+			drawn.request = append(drawn.request, Request{
+				ID: uint64(index + 1), Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
+				PromptTokens: rapid.IntRange(1, 30).Draw(t, "prompt"), OutputTokens: rapid.IntRange(1, 60).Draw(t, "output"),
+			})
+		}
+		fine := runSchedule(t, drawn, func(e *Engine, until time.Duration) time.Duration {
+			if at, ok := e.NextEvent(); ok && at > e.now {
+				return at
+			}
+			return until
+		})
+		coarse := runSchedule(t, drawn, func(_ *Engine, until time.Duration) time.Duration { return until })
+		milestones := runSchedule(t, drawn, func(e *Engine, until time.Duration) time.Duration {
+			if at, ok := e.NextMilestone(); ok && at > e.now {
+				return at
+			}
+			return until
+		})
+		if !reflect.DeepEqual(fine, coarse) {
+			t.Fatalf("fine %+v, coarse %+v", fine, coarse)
+		}
+		if !reflect.DeepEqual(fine, milestones) {
+			t.Fatalf("fine %+v, by milestones %+v", fine, milestones)
+		}
+	})
+}
+
+func TestMilestoneIsNoLaterThanTheNextFinish(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := newEngine(t, smallParameters())
+		for id := uint64(1); id <= 6; id++ {
+			if err := e.Submit(0, Request{ID: id, PromptTokens: rapid.IntRange(1, 20).Draw(t, "prompt"), OutputTokens: rapid.IntRange(1, 50).Draw(t, "output")}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		finished := 0
+		for finished < 6 {
+			milestone, ok := e.NextMilestone()
+			if !ok {
+				t.Fatalf("nothing to do with %d finished", finished)
+			}
+			for _, event := range e.Advance(milestone) {
+				if event.Kind == EventTokens {
+					continue
+				}
+				if event.At < milestone {
+					t.Fatalf("event %+v before the milestone %v", event, milestone)
+				}
+				if event.Kind == EventFinished {
+					finished++
+				}
+			}
+		}
+	})
+}
--- a/internal/engine/schedule.go
+++ b/internal/engine/schedule.go
@@ -251,7 +251,7 @@
 			continue
 		}
 		if e.computeStep(entered) {
-			e.emit(at, entered)
+			e.emit(at, at, entered, 1)
 		}
 		if entered.generated >= entered.request.OutputTokens {
 			e.finish(at, entered)
@@ -290,10 +290,21 @@
 	entered.private -= len(entered.shared) - before
 }
 
-func (e *Engine) emit(at time.Duration, entered *sequence) {
-	entered.generated++
-	e.tokens++
-	e.events = append(e.events, Event{At: at, Kind: EventTokens, Request: entered.request.ID, Count: 1, Version: e.version})
+// emit reports count tokens, the first of which was generated at first and the last at last.
+func (e *Engine) emit(first, last time.Duration, entered *sequence, count int) {
+	entered.generated += count
+	e.tokens += uint64(count)
+	if entered.reported == e.advances {
+		if event := &e.events[entered.event]; event.Version == e.version {
+			event.At = last
+			event.Count += count
+			return
+		}
+	}
+	entered.reported, entered.event = e.advances, len(e.events)
+	e.events = append(e.events, Event{
+		At: last, First: first, Kind: EventTokens, Request: entered.request.ID, Count: count, Version: e.version,
+	})
 }
 
 func (e *Engine) finish(at time.Duration, entered *sequence) {
--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -52,9 +52,11 @@
 	EventSwapFailed                      // the swap to Version failed
 )
 
-// Event is one thing that happened at a time.
+// Event is one thing that happened. Within one call of Advance, the tokens that a request received under
+// one version are one event: Count of them, the first at First and the last at At.
 type Event struct {
 	At      time.Duration
+	First   time.Duration // EventTokens only
 	Kind    EventKind
 	Request uint64
 	Count   int
