engine stand-in: export a running request's KV cache, and say why a stream ends early

Cause: moving a sample off a crowded replica needs export and import with a cost; a cancelled or exported stream was cut by a reset, which can lose tokens that were already sent. Change: the emulator exports what a running request has computed; the stand-in passes it on and the importer skips that prefill. Cancelled, exported and failed streams end in an error event, without finish reason and end mark; only a crash resets.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -129,6 +129,26 @@
 	return nil
 }
 
+// KV describes the KV cache of an exported request.
+type KV struct {
+	Tokens    int // of context whose KV is held
+	Generated int // tokens generated here before the export
+}
+
+// Export ends a request without an event and returns its KV cache, whose transfer takes TransferTime. A
+// request that waits has none: its KV.Tokens is 0.
+func (e *Engine) Export(now time.Duration, id uint64) (KV, error) {
+	entered, ok := e.sequences[id]
+	if !ok {
+		return KV{}, ErrUnknown
+	}
+	exported := KV{Generated: entered.generated}
+	if entered.running {
+		exported.Tokens = entered.computed
+	}
+	return exported, e.Cancel(now, id)
+}
+
 // NextEvent returns when Advance has something to do next.
 func (e *Engine) NextEvent() (time.Duration, bool) {
 	switch {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -447,3 +447,36 @@
 		}
 	})
 }
+
+func TestExportedCacheSavesPrefillElsewhere(t *testing.T) {
+	from, to := newEngine(t, smallParameters()), newEngine(t, smallParameters())
+	if err := from.Submit(0, Request{ID: 1, PromptTokens: 40, OutputTokens: 30}); err != nil {
+		t.Fatal(err)
+	}
+	if waiting, err := from.Export(0, 1); err != nil || waiting != (KV{}) {
+		t.Errorf("a waiting request exported %+v, %v", waiting, err)
+	}
+	if err := from.Submit(0, Request{ID: 2, PromptTokens: 40, OutputTokens: 30}); err != nil {
+		t.Fatal(err)
+	}
+	from.Advance(400 * time.Millisecond)
+	exported, err := from.Export(400*time.Millisecond, 2)
+	if err != nil || exported.Generated == 0 || exported.Tokens != 40+exported.Generated-1 {
+		t.Fatalf("exported %+v, %v", exported, err)
+	}
+	if _, err := from.Export(400*time.Millisecond, 2); !errors.Is(err, ErrUnknown) {
+		t.Errorf("second export: %v", err)
+	}
+	from.Advance(time.Second)
+	if load := from.Load(time.Second); load.Running != 0 || load.BlocksHeld != 0 {
+		t.Errorf("load after the export %+v", load)
+	}
+	rest := Request{ID: 1, PromptTokens: 40 + exported.Generated, OutputTokens: 30 - exported.Generated, ImportedTokens: exported.Tokens}
+	if err := to.Submit(0, rest); err != nil {
+		t.Fatal(err)
+	}
+	to.Advance(time.Minute)
+	if load := to.Load(time.Minute); load.Prefilled != 1 || load.Tokens != uint64(30-exported.Generated) {
+		t.Errorf("load of the importer %+v", load)
+	}
+}
--- a/internal/standin/engine/log.go
+++ b/internal/standin/engine/log.go
@@ -13,9 +13,10 @@
 	OutcomeRunning   Outcome = "running"
 	OutcomeFinished  Outcome = "finished"
 	OutcomeCancelled Outcome = "cancelled"
-	OutcomeFailed    Outcome = "failed"  // lost to a failed weight swap
-	OutcomeCrashed   Outcome = "crashed" // lost to a crash
-	OutcomeRefused   Outcome = "refused" // never ran
+	OutcomeFailed    Outcome = "failed"   // lost to a failed weight swap
+	OutcomeCrashed   Outcome = "crashed"  // lost to a crash
+	OutcomeExported  Outcome = "exported" // its KV cache left for another engine
+	OutcomeRefused   Outcome = "refused"  // never ran
 )
 
 // Segment is a run of tokens that one version of the weights generated. From counts from the beginning of
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -65,71 +64,6 @@
 	return response
 }
 
-// chunk is what a client reads of one server-sent event.
-type chunk struct {
-	Choices []struct {
-		Text          string
-		Delta         struct{ Content string }
-		FinishReason  *string `json:"finish_reason"`
-		WeightVersion string  `json:"weight_version"`
-		VersionNumber uint64  `json:"version_number"`
-		TokenOffset   int     `json:"token_offset"`
-		TokenCount    int     `json:"token_count"`
-		Checksum      string
-	}
-}
-
-// answer is a whole streamed answer as a client puts it together.
-type answer struct {
-	content  string
-	next     int // token after the last one read
-	segments []Segment
-	finish   string
-	checksum string
-	done     bool
-}
-
-func readStream(t *testing.T, body io.Reader, next int) answer {
-	t.Helper()
-	read := answer{next: next}
-	scanner := bufio.NewScanner(body)
-	for scanner.Scan() {
-		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			read.done = true
-			continue
-		}
-		var parsed chunk
-		if err := json.Unmarshal([]byte(data), &parsed); err != nil {
-			t.Fatalf("%q: %v", data, err)
-		}
-		choice := parsed.Choices[0]
-		if choice.TokenOffset != read.next {
-			t.Fatalf("token offset %d, want %d", choice.TokenOffset, read.next)
-		}
-		read.content += choice.Text + choice.Delta.Content
-		read.next += choice.TokenCount
-		if choice.TokenCount > 0 {
-			read.addSegment(choice.WeightVersion, choice.VersionNumber, choice.TokenOffset, choice.TokenCount)
-		}
-		if choice.FinishReason != nil {
-			read.finish, read.checksum = *choice.FinishReason, choice.Checksum
-		}
-	}
-	return read
-}
-
-func (a *answer) addSegment(version string, number uint64, from, count int) {
-	if last := len(a.segments) - 1; last >= 0 && a.segments[last].VersionNumber == number {
-		a.segments[last].Count += count
-		return
-	}
-	a.segments = append(a.segments, Segment{Version: version, VersionNumber: number, From: from, Count: count})
-}
-
 func TestStreamedAnswerIsWhole(t *testing.T) {
 	server := startServer(t, nil)
 	prompt := "offer for shoes [tokens=40]"
@@ -284,7 +218,7 @@
 	if cancelled.Outcome != OutcomeCancelled {
 		t.Errorf("cancelled %+v", cancelled)
 	}
-	if read := readStream(t, response.Body, 0); read.done || read.next != cancelled.Tokens {
+	if read := readStream(t, response.Body, 0); read.done || read.finish != "" || read.next != cancelled.Tokens || read.failure != "cancelled" {
 		t.Errorf("read %d tokens, cancelled at %d, done %v", read.next, cancelled.Tokens, read.done)
 	}
 }
--- a/internal/standin/engine/transfer.go
+++ b/internal/standin/engine/transfer.go
@@ -15,10 +15,11 @@
 
 // KVCache stands for the exported KV blocks of one request.
 type KVCache struct {
-	ID        string `json:"id"`
-	RequestID string `json:"request_id"`
-	Tokens    int    `json:"tokens"` // of the context it holds, prompt and answer
-	Answer    int    `json:"answer"` // of the answer generated so far
+	ID        string    `json:"id"`
+	RequestID string    `json:"request_id"`
+	Tokens    int       `json:"tokens"`        // of the context it holds, prompt and answer
+	Answer    int       `json:"answer_tokens"` // of the whole answer so far: the prefix_tokens of its continuation
+	Segments  []Segment `json:"segments"`      // of the tokens generated at the exporter
 }
 
 // importedCaches hold what was imported until a request with kv_import uses it.
@@ -49,33 +50,57 @@
 	return tokens
 }
 
+type exportOrder struct {
+	RequestID string `json:"request_id"`
+}
+
 // handleExport stops a running stream and answers with its KV cache after the transfer's cost.
 func (s *Server) handleExport(ctx *fasthttp.RequestCtx) {
-	var body struct {
-		RequestID string `json:"request_id"`
-	}
-	if !endpoint.DecodeJSON(ctx, &body) {
+	var order exportOrder
+	if !endpoint.DecodeJSON(ctx, &order) {
 		return
 	}
-	s.mutex.Lock()
-	found := s.streams[body.RequestID]
-	running := found != nil && s.byHandle[found.handle] == found
-	s.mutex.Unlock()
+	exported, running := s.export(order.RequestID)
 	if !running {
 		endpoint.Refuse(ctx, fasthttp.StatusNotFound, verdict.DidNotRun, "unknown_stream", "no such request is running", 0)
 		return
 	}
-	s.cancel(found)
+	s.pause(s.config.Parameters.TransferTime(exported.Tokens))
+	endpoint.WriteJSON(ctx, fasthttp.StatusOK, exported)
+}
+
+// export ends a running stream; its reader is cut and continues at the importer.
+func (s *Server) export(requestID string) (KVCache, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	found := s.streams[requestID]
+	if found == nil || s.byHandle[found.handle] != found {
+		return KVCache{}, false
+	}
+	for _, event := range s.emulated.Advance(s.elapsed()) {
+		s.apply(event)
+	}
+	cache, err := s.emulated.Export(s.elapsed(), found.handle)
+	if err != nil {
+		return KVCache{}, false
+	}
+	s.endStream(found, OutcomeExported)
 	entry := found.execution()
-	context := len(entry.Prompt)/averageWordBytes + entry.Tokens
-	time.Sleep(s.realTime(s.config.Parameters.TransferTime(context)))
-	endpoint.WriteJSON(ctx, fasthttp.StatusOK, KVCache{
-		ID: s.config.Name + "-" + strconv.FormatUint(found.handle, 10), RequestID: body.RequestID, Tokens: context, Answer: entry.Tokens,
-	})
+	return KVCache{
+		ID: s.config.Name + "-" + strconv.FormatUint(found.handle, 10), RequestID: requestID, Tokens: cache.Tokens,
+		Answer: entry.Tokens, Segments: entry.Segments,
+	}, true
 }
 
-// averageWordBytes estimates a prompt's tokens from its bytes.
-const averageWordBytes = 6
+// pause waits for an emulated duration, or until the server stops.
+func (s *Server) pause(emulated time.Duration) {
+	timer := time.NewTimer(s.realTime(emulated))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.closed:
+	}
+}
 
 // handleImport takes a KV cache; a request that names its id in kv_import skips that much prefill.
 func (s *Server) handleImport(ctx *fasthttp.RequestCtx) {
@@ -87,7 +112,7 @@
 		endpoint.Refuse(ctx, fasthttp.StatusBadRequest, verdict.DidNotRun, "bad_cache", "id and tokens are required", 0)
 		return
 	}
-	time.Sleep(s.realTime(s.config.Parameters.TransferTime(cache.Tokens)))
+	s.pause(s.config.Parameters.TransferTime(cache.Tokens))
 	s.mutex.Lock()
 	s.imports.add(cache)
 	s.mutex.Unlock()
--- a/internal/standin/engine/write.go
+++ b/internal/standin/engine/write.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/engine/text"
+	"github.com/tamarindring/tamarindring/internal/standin/endpoint"
+	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
 const doneEvent = "data: [DONE]\n\n"
@@ -48,10 +50,14 @@
 		if progress.outcome == OutcomeRunning {
 			continue
 		}
-		if progress.outcome != OutcomeFinished {
+		switch progress.outcome {
+		case OutcomeFinished:
+			return w.writeLast() == nil
+		case OutcomeCrashed:
 			return false
+		default:
+			return w.writeError(progress.outcome) == nil
 		}
-		return w.writeLast() == nil
 	}
 }
 
@@ -103,6 +109,20 @@
 	return w.writer.Flush()
 }
 
+// writeError says in the stream why it ends early; there is neither a finish reason nor the end mark.
+func (w *streamWriter) writeError(outcome Outcome) error {
+	body, err := json.Marshal(endpoint.ErrorBody{Error: endpoint.ErrorDetail{
+		Message: "the request was " + string(outcome), Type: "server_error", Code: string(outcome), Verdict: verdict.MayHaveRun.String(),
+	}})
+	if err != nil {
+		return err
+	}
+	if _, err := w.writer.WriteString("data: " + string(body) + "\n\n"); err != nil {
+		return err
+	}
+	return w.writer.Flush()
+}
+
 func (w *streamWriter) appendChunk(line []byte, segment Segment) []byte {
 	line = append(line, w.head...)
 	if w.stream.chat {
