gateway: bounded memory, drain, yielding and misbehaving peers

Change: the rest of an unread body is discarded behind the answer, within bounds. One budget bounds bodies and held texts. Requests that arrive during a drain do not hold it up. A granted request whose caller left while it waited is not sent. Rollout limits hold per replica too. A refusal releases its attempt in the same ledger entry. Queued live work is not refused early while rollouts can yield to it.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -61,10 +61,11 @@
 	WaitTooLong                   // it would not get a slot in time
 	Displaced                     // a more urgent request took its place in the queue
 	TimedOut                      // it waited as long as it may
+	NoSlots                       // the limits leave no slot at all
 )
 
 var reasonTexts = [...]string{QueueFull: "the queue is full", WaitTooLong: "the wait for a slot would be too long",
-	Displaced: "more urgent requests took the room", TimedOut: "no slot became free in time"}
+	Displaced: "more urgent requests took the room", TimedOut: "no slot became free in time", NoSlots: "the table leaves no room for this class"}
 
 // String returns the reason for a person.
 func (r Reason) String() string {
@@ -174,8 +175,12 @@
 		q.start(now, request)
 		return &q.effects, until
 	}
+	if q.limits.Slots == 0 || (request.Rollout && q.limits.RolloutSlots == 0) {
+		q.refuse(request.ID, NoSlots, q.limits.QueueWait)
+		return &q.effects, until
+	}
 	if !request.Resumed {
-		if expected := q.expectedWait(rank); now+expected > until {
+		if expected := q.expectedWait(rank); now+expected > until && !q.canTakeOver(&request) {
 			q.refuse(request.ID, WaitTooLong, now+expected-until)
 			return &q.effects, until
 		}
@@ -229,6 +234,11 @@
 	return count
 }
 
+// canTakeOver tells whether a running rollout would yield to the request.
+func (q *Queue) canTakeOver(request *Request) bool {
+	return !request.Rollout && len(q.order) > q.urgentWaiting()
+}
+
 // displace refuses the youngest waiting request of the least urgent class behind rank, to make a place.
 func (q *Queue) displace(rank int) bool {
 	for behind := len(q.waiting) - 1; behind > rank; behind-- {
--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -43,7 +43,7 @@
 // ClaimAction is one ledger command of a request.
 type ClaimAction struct {
 	Kind    ClaimKind
-	Attempt string          // for all but ClaimRefuse and ClaimQuery
+	Attempt string          // for all but ClaimQuery; of ClaimRefuse the attempt to release, or empty
 	Outcome wire.ClaimState // for ClaimFinish
 	Answer  *wire.Answer    // for ClaimFinish; nil when it is not kept
 }
@@ -93,7 +93,7 @@
 			Key: r.Key, Attempt: action.Attempt, NowUnixMillis: nowUnixMillis}}}
 	case ClaimRefuse:
 		return &wire.Command{Kind: &wire.Command_ClaimRefuse{ClaimRefuse: &wire.ClaimRefuse{
-			Key: r.Key, BodyHash: r.BodyHash, NowUnixMillis: nowUnixMillis}}}
+			Key: r.Key, BodyHash: r.BodyHash, Attempt: action.Attempt, NowUnixMillis: nowUnixMillis}}}
 	}
 	return nil
 }
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -88,6 +88,8 @@
 	switch {
 	case m.claim.finish:
 		m.command(ClaimAction{Kind: ClaimFinish, Attempt: attempt, Outcome: m.claim.outcome, Answer: m.claim.answer})
+	case m.claim.refuse && !m.replied && m.claim.release:
+		m.command(ClaimAction{Kind: ClaimRefuse, Attempt: attempt}) // releases the attempt in the same entry
 	case m.claim.release:
 		m.command(ClaimAction{Kind: ClaimRelease, Attempt: attempt})
 	case m.claim.refuse && !m.replied:
@@ -125,7 +127,7 @@
 		m.claim.release = false
 		m.onReleased()
 	case ClaimRefuse:
-		m.claim.refuse = false
+		m.claim.refuse, m.claim.release = false, false
 		m.onRefusalRecorded(event.Claim)
 	}
 }
@@ -149,6 +151,10 @@
 	case ClaimRefuse:
 		m.claim.refuse = false
 		m.replyLedgerUnavailable()
+		if m.claim.release {
+			m.settleLater()
+			return
+		}
 		m.settle()
 	case ClaimRelease:
 		m.freeSlot()
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -46,6 +46,12 @@
 			l.state = 0
 		}
 	case ClaimRefuse:
+		if action.Attempt != "" {
+			l.ended[action.Attempt] = true
+			if l.state == wire.ClaimState_CLAIM_STATE_RUNNING && l.attempt == action.Attempt {
+				l.state = 0
+			}
+		}
 		if l.state == 0 {
 			l.refusedAt = l.index
 		}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -56,7 +56,7 @@
 			m.onCompleted(now, &Event{Kind: Completed, Answer: &wire.Answer{Status: http.StatusOK}})
 			return
 		}
-		if m.request.Continuable && m.state == stateStreaming {
+		if m.request.Continuable && m.state != stateResuming {
 			m.resume()
 			return
 		}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -19,6 +19,7 @@
 const (
 	DefaultMaxBodyBytes    = 256 << 20
 	DefaultBufferBytes     = 1 << 20
+	DefaultMaxBuffered     = 512 << 20
 	DefaultMaxAnswerBytes  = 16 << 20
 	DefaultStoredAnswer    = 64 << 10
 	DefaultMaxConnections  = 16384
@@ -60,6 +61,10 @@
 	// BufferBytes is how much of a body is held, so that it can be sent again; a larger body is streamed
 	// through and sent once. Default 1 MiB.
 	BufferBytes int
+	// MaxBufferedBytes bounds what all requests together hold of bodies and streamed texts. At the bound
+	// a new body is refused as not run, and a stream that grows is no longer held for a replay. Default
+	// 512 MiB.
+	MaxBufferedBytes int64
 	// MaxAnswerBytes bounds an answer that is not streamed. Default 16 MiB.
 	MaxAnswerBytes int
 	// StoredAnswerBytes bounds the answers that are kept under a key; a larger one is not kept, and a
@@ -118,6 +123,7 @@
 func (c *Config) setSizes() {
 	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&c.BufferBytes, DefaultBufferBytes)
+	setDefault(&c.MaxBufferedBytes, DefaultMaxBuffered)
 	setDefault(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	setDefault(&c.StoredAnswerBytes, DefaultStoredAnswer)
 	setDefault(&c.MaxConnections, DefaultMaxConnections)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,6 +33,8 @@
 	priority  int
 
 	events []dispatch.Event  // not yet given to the machine
+	late   bool              // it arrived while the gateway drains
+	unread bool              // the caller's body was not read
 	rest   []dispatch.Action // to be done after the caller has its answer
 	ended  bool              // the machine needs nothing more
 
@@ -43,7 +45,8 @@
 
 	admission chan admissionAnswer
 	yield     atomic.Bool
-	upMutex   sync.Mutex // guards up against askToYield
+	pinned    atomic.Bool // the answer so far is not held, so that it cannot be replayed
+	upMutex   sync.Mutex  // guards up against askToYield
 	up        *upstream
 	streamID  string
 
@@ -139,6 +142,9 @@
 // caller has its answer.
 func (x *exchange) step(event *dispatch.Event) {
 	actions := x.machine.Step(x.server.now(), event)
+	if event.Kind == dispatch.CallerGone && x.machine.Replied() && !x.answered {
+		x.answered, x.outcome = true, dispatch.Outcome{Status: statusCallerGone, Code: CodeCallerGone}
+	}
 	for i := range actions {
 		if x.answered && !immediate(actions[i].Kind) {
 			x.rest = append(x.rest, actions[i])
@@ -148,6 +154,9 @@
 	}
 }
 
+// statusCallerGone is the status of metrics for a request whose caller did not wait; nobody reads it.
+const statusCallerGone = 499
+
 // immediate tells whether an action never blocks.
 func immediate(kind dispatch.ActionKind) bool {
 	return kind == dispatch.FreeSlot || kind == dispatch.Cancel || kind == dispatch.Finish || kind == dispatch.Reply
@@ -187,6 +196,11 @@
 	until := x.pool.arrive(began, x, admission.Request{ID: x.id, Class: x.call.class, Rollout: x.call.class == ClassRollout,
 		Deadline: x.deadline, Preemptible: x.call.repeatable && x.call.whole(), Resumed: resumed})
 	answer := x.awaitAdmission(until)
+	if answer.granted && !x.stream.opened && x.server.now()-began > callerCheckWait && callerGone(x.caller.Conn()) {
+		x.feed(dispatch.Event{Kind: dispatch.Admitted})
+		x.feed(dispatch.Event{Kind: dispatch.CallerGone})
+		return
+	}
 	if answer.granted {
 		x.feed(dispatch.Event{Kind: dispatch.Admitted})
 		return
@@ -196,6 +210,9 @@
 		Reason: answer.refusal.Reason.String(), RetryAfter: answer.refusal.RetryAfter})
 }
 
+// callerCheckWait is the wait in the queue after which it pays to look whether the caller is still there.
+const callerCheckWait = 10 * time.Millisecond
+
 func (x *exchange) awaitAdmission(until time.Duration) admissionAnswer {
 	select {
 	case answer := <-x.admission:
@@ -215,6 +232,9 @@
 
 // askToYield interrupts the wait for the back end, so that the slot can be given back. The pool calls it.
 func (x *exchange) askToYield() {
+	if x.pinned.Load() {
+		return
+	}
 	x.yield.Store(true)
 	x.upMutex.Lock()
 	defer x.upMutex.Unlock()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -96,15 +96,23 @@
 
 // handleCall runs one request's life up to its answer, or up to the opened stream.
 func (s *Server) handleCall(ctx *fasthttp.RequestCtx) {
-	s.inFlight.Add(1)
 	c, err := s.readCall(ctx)
-	if errors.Is(err, errBodyBroken) {
+	s.inFlight.Add(1)
+	draining := s.draining.Load() // after the count: Drain sees every request that did not see it
+	if draining {
 		s.inFlight.Add(-1)
+	}
+	if errors.Is(err, errBodyBroken) {
+		s.memory.give(c.reserved)
+		if !draining {
+			s.inFlight.Add(-1)
+		}
 		ctx.SetConnectionClose()
 		writeRefusal(ctx, http.StatusBadRequest, "body_incomplete", err.Error())
 		return
 	}
 	x := s.newExchange(ctx, c, s.pool(c.pool))
+	x.late = draining
 	if refusal := s.refusal(x, err); refusal != nil {
 		x.feed(*refusal)
 	} else {
@@ -114,6 +122,10 @@
 	if x.answered {
 		x.writeOutcome()
 		x.finishExchange()
+		if x.unread {
+			s.linger(ctx)
+			return
+		}
 		_ = ctx.Conn().SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
 		return
 	}
@@ -125,11 +137,15 @@
 	var wrong *badCall
 	switch {
 	case errors.As(err, &wrong):
-		if x.call.rest != nil || wrong.status == http.StatusRequestEntityTooLarge {
-			x.caller.SetConnectionClose() // the body was not read
+		if x.call.rest != nil || (len(x.call.body) == 0 && x.call.bodyLength != 0) {
+			x.unread = true
 		}
-		return &dispatch.Event{Kind: dispatch.Refused, Status: wrong.status, Code: wrong.code, Reason: wrong.reason}
-	case s.draining.Load():
+		event := &dispatch.Event{Kind: dispatch.Refused, Status: wrong.status, Code: wrong.code, Reason: wrong.reason}
+		if wrong.status == http.StatusServiceUnavailable {
+			event.RetryAfter = defaultShutdownRetry
+		}
+		return event
+	case x.late:
 		return &dispatch.Event{Kind: dispatch.Refused, Status: http.StatusServiceUnavailable, Code: CodeDraining,
 			Reason: "this gateway is stopping; use another one", RetryAfter: defaultShutdownRetry}
 	case x.pool == nil || x.pool.settings().Service != x.call.service || x.pool.settings().State == table.Removed:
@@ -159,5 +175,8 @@
 	x.dropUpstream()
 	x.leaveBackend(outcomeNeutral)
 	x.server.metrics.count(x, x.server.now()-x.arrived)
-	x.server.inFlight.Add(-1)
+	x.server.memory.give(x.call.reserved + x.stream.reserved)
+	if !x.late {
+		x.server.inFlight.Add(-1)
+	}
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -69,7 +69,11 @@
 		if slots == 0 {
 			weight = 0 // other gateways hold all of its slots
 		}
-		configs = append(configs, routing.ReplicaConfig{Name: backend.Name, Weight: weight, MaxInFlight: slots,
+		background := rolloutSlots(backend, slots)
+		if background == 0 {
+			background = -1
+		}
+		configs = append(configs, routing.ReplicaConfig{Name: backend.Name, Weight: weight, MaxInFlight: slots, MaxBackground: background,
 			Distance: place.distance(backend.Zone), Draining: backend.State != table.Active})
 		addresses[backend.Name] = backend.Address
 		if backend.Serving() {
--- a/internal/gateway/quiet_linux.go
+++ b/internal/gateway/quiet_linux.go
@@ -26,3 +26,23 @@
 	})
 	return err == nil && quiet
 }
+
+// callerGone tells whether the other side has closed the connection.
+func callerGone(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	gone := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var buffer [1]byte
+		n, _, receiveErr := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		gone = (receiveErr == nil && n == 0) || receiveErr == unix.ECONNRESET
+		return true
+	})
+	return err == nil && gone
+}
--- a/internal/gateway/quiet_other.go
+++ b/internal/gateway/quiet_other.go
@@ -17,3 +17,6 @@
 	timeout, ok := err.(net.Error)
 	return ok && timeout.Timeout() && conn.SetReadDeadline(time.Time{}) == nil
 }
+
+// callerGone tells whether the other side has closed the connection; it is not known here.
+func callerGone(net.Conn) bool { return false }
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -19,6 +19,7 @@
 	CodeDraining    = "draining"
 	CodeUnknownPool = "unknown_pool"
 	CodeMalformed   = "malformed_request"
+	CodeCallerGone  = "caller_gone"
 )
 
 // ErrorBody is the OpenAI form of an error.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -69,6 +69,7 @@
 	body        []byte    // the whole body, or its beginning when rest is set
 	rest        io.Reader // what follows body; nil when body is whole
 	bodyLength  int64     // -1 when not known
+	reserved    int64     // bytes of the memory budget
 	blocks      []uint64
 }
 
@@ -215,6 +216,9 @@
 		return nil
 	}
 	limit := s.config.BufferBytes
+	if !s.reserve(c, min(int64(limit), max(c.bodyLength, memoryStep))) {
+		return bad(http.StatusServiceUnavailable, CodeOverloaded, "too many bodies are held")
+	}
 	if c.bodyLength >= 0 && c.bodyLength <= int64(limit) {
 		c.body = make([]byte, c.bodyLength)
 		if _, err := io.ReadFull(stream, c.body); err != nil {
@@ -222,9 +226,9 @@
 		}
 		return nil
 	}
-	held, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	held, err := s.readBeginning(c, stream)
 	if err != nil {
-		return errBodyBroken
+		return err
 	}
 	c.body = held
 	if len(held) <= limit {
@@ -238,6 +242,34 @@
 	return nil
 }
 
+// reserve takes bytes of the memory budget for the call; finishExchange gives them back.
+func (s *Server) reserve(c *call, bytes int64) bool {
+	if !s.memory.take(bytes) {
+		return false
+	}
+	c.reserved += bytes
+	return true
+}
+
+// readBeginning reads up to one byte more than the buffer takes, reserving memory as the body grows.
+func (s *Server) readBeginning(c *call, stream io.Reader) ([]byte, error) {
+	limit := int64(s.config.BufferBytes) + 1
+	var held bytes.Buffer
+	for int64(held.Len()) < limit {
+		n, err := io.CopyN(&held, stream, min(memoryStep, limit-int64(held.Len())))
+		if err == io.EOF {
+			return held.Bytes(), nil
+		}
+		if err != nil {
+			return nil, errBodyBroken
+		}
+		if int64(held.Len()) > c.reserved && !s.reserve(c, n) {
+			return nil, bad(http.StatusServiceUnavailable, CodeOverloaded, "too many bodies are held")
+		}
+	}
+	return held.Bytes(), nil
+}
+
 // errBodyTooLarge stops a body of unknown length at the limit.
 var errBodyTooLarge = errors.New("the body is larger than the limit")
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -35,6 +35,7 @@
 	attemptPrefix string
 	streamPrefix  string
 	cancels       chan struct{} // bounds cancel calls under way
+	lingers       chan struct{} // bounds connections whose unread body is discarded
 
 	nextID      atomic.Uint64
 	inFlight    atomic.Int64 // requests whose life is not over
@@ -44,6 +45,7 @@
 	updateMutex sync.Mutex // one table update at a time
 	share       share
 	callers     callers
+	memory      memoryBudget
 }
 
 // callers are the open connections, so that Close can cut them.
@@ -98,7 +100,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: config, listener: listener, transport: newTransport(config.ConnectTimeout),
 		metrics: newMetrics(), log: newDispatchLog(config.LogEntries), started: time.Now(),
-		callers: callers{open: map[net.Conn]struct{}{}}, context: ctx, cancel: cancel, cancels: make(chan struct{}, maxCancels)}
+		memory: memoryBudget{limit: config.MaxBufferedBytes}, callers: callers{open: map[net.Conn]struct{}{}}, context: ctx, cancel: cancel, cancels: make(chan struct{}, maxCancels),
+		lingers: make(chan struct{}, maxLingers)}
 	s.attemptPrefix = config.Control.Owner() + "/"
 	s.streamPrefix = randomName() + "-"
 	s.dispatch = config.Dispatch.WithDefaults()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,6 +29,7 @@
 	sent      int    // of out
 	text      []byte // escaped text of the answer so far, for a replay
 	overflow  bool   // text is not whole
+	reserved  int64  // bytes of the memory budget
 	counted   uint64 // tokens seen of a stream that states no offsets
 	finished  bool   // a finish reason was passed on
 	first     string // back end named in the header
@@ -218,13 +219,29 @@
 	if !ok {
 		return
 	}
-	if len(s.text)+to-from > maxHeldText {
+	if !x.holdText(to - from) {
 		s.overflow, s.text = true, nil
+		x.pinned.Store(true)
 		return
 	}
 	s.text = append(s.text, event[from:to]...)
 }
 
+// holdText reserves memory for more text; it fails at the stream's own or the common bound.
+func (x *exchange) holdText(more int) bool {
+	s := &x.stream
+	if len(s.text)+more > maxHeldText {
+		return false
+	}
+	for int64(len(s.text)+more) > s.reserved {
+		if !x.server.memory.take(memoryStep) {
+			return false
+		}
+		s.reserved += memoryStep
+	}
+	return true
+}
+
 // collect keeps the stream that a key's resend will get.
 func (x *exchange) collect(part []byte) {
 	if x.machine.Request().Key == "" || len(x.stream.collected) > x.server.config.StoredAnswerBytes {
@@ -246,8 +263,9 @@
 func (x *exchange) Close() error {
 	if !x.answered {
 		x.events = nil
-		x.step(&dispatch.Event{Kind: dispatch.CallerGone})
-		if !x.ended {
+		x.feed(dispatch.Event{Kind: dispatch.CallerGone})
+		x.drive()
+		if !x.answered {
 			x.runOn()
 			return nil
 		}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -35,6 +35,9 @@
 	if r.config.MaxInFlight > 0 && r.inFlight >= r.config.MaxInFlight {
 		return false
 	}
+	if limit := r.config.MaxBackground; !request.Urgent && limit != 0 && r.background >= limit {
+		return false
+	}
 	for _, excluded := range request.Excluded {
 		if excluded == i {
 			return false
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -38,11 +38,14 @@
 
 // ReplicaConfig is what the table says about one replica.
 type ReplicaConfig struct {
-	Name        string   // row name, unique in the pool
-	Weight      float64  // relative share of requests; 0 takes none
-	MaxInFlight int      // this gateway's share of the row's limit; 0 is no limit
-	Distance    Distance // from this gateway
-	Draining    bool     // row state draining
+	Name        string  // row name, unique in the pool
+	Weight      float64 // relative share of requests; 0 takes none
+	MaxInFlight int     // this gateway's share of the row's limit; 0 is no limit
+	// MaxBackground is this gateway's share of the requests that rollout work may have there; 0 is no
+	// limit, below 0 means none at all.
+	MaxBackground int
+	Distance      Distance // from this gateway
+	Draining      bool     // row state draining
 }
 
 // LoadReport is a replica's own word about its load, counted over all gateways.
@@ -111,12 +114,13 @@
 
 // replica is the state of one back end.
 type replica struct {
-	config   ReplicaConfig
-	inFlight int
-	work     float64 // own tokens in flight
-	urgent   float64 // part of work that is not rollout work
-	smoothed float64 // inFlight as it was about one report lag ago
-	changed  time.Duration
+	config     ReplicaConfig
+	inFlight   int
+	background int     // of inFlight, rollout work
+	work       float64 // own tokens in flight
+	urgent     float64 // part of work that is not rollout work
+	smoothed   float64 // inFlight as it was about one report lag ago
+	changed    time.Duration
 
 	others     float64 // requests of other gateways, from the last report
 	reportedAt time.Duration
@@ -231,6 +235,9 @@
 	r := &p.replicas[i]
 	p.smooth(r, now)
 	r.inFlight++
+	if !request.Urgent {
+		r.background++
+	}
 	addWork(r, request, 1)
 	p.learnWork(request.Work)
 	p.prefixes.record(request.Blocks, i, now)
@@ -245,6 +252,9 @@
 	r := &p.replicas[i]
 	p.smooth(r, now)
 	r.inFlight = max(r.inFlight-1, 0)
+	if !request.Urgent {
+		r.background = max(r.background-1, 0)
+	}
 	addWork(r, request, -1)
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -35,7 +35,8 @@
 		configs := make([]ReplicaConfig, pool.Len())
 		for i := range configs {
 			configs[i] = ReplicaConfig{Name: pool.Name(i), Weight: rapid.SampledFrom([]float64{0, 1, 100, 1000}).Draw(t, "weight"),
-				MaxInFlight: rapid.IntRange(0, 2).Draw(t, "limit"), Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0}
+				MaxBackground: rapid.IntRange(-1, 2).Draw(t, "background limit"),
+				MaxInFlight:   rapid.IntRange(0, 2).Draw(t, "limit"), Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0}
 		}
 		pool.SetReplicas(configs)
 		random := rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))
@@ -69,6 +70,9 @@
 				if !pool.open(chosen, request) {
 					t.Fatalf("%s chose %d, which is not open", policyName, chosen)
 				}
+				if limit := configs[chosen].MaxBackground; !request.Urgent && (limit < 0 || limit > 0 && pool.replicas[chosen].background >= limit) {
+					t.Fatalf("%s put rollout work on %d beyond its limit %d", policyName, chosen, limit)
+				}
 				pool.Sent(chosen, request, now)
 			}
 		}
