--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -123,6 +123,18 @@
 				if err := e.SwapWeights(now, version, 1); err != nil {
 					t.Fatal(err)
 				}
+			case 6:
+				if rapid.IntRange(0, 3).Draw(t, "crash") > 0 {
+					continue
+				}
+				e.Crash(now)
+				if _, busy := e.NextEvent(); busy {
+					t.Fatal("a crashed engine has something to do")
+				}
+				e.Restart(now, version)
+				for request := range m.wanted {
+					m.gone[request] = m.gone[request] || !m.finished[request]
+				}
 			default:
 				now += time.Duration(rapid.IntRange(0, 200).Draw(t, "millis")) * time.Millisecond
 				m.apply(t, e.Advance(now))
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -118,3 +119,20 @@
 		t.Errorf("prompts %q and %q", first, second)
 	}
 }
+
+// TestDocumentedExampleIsValid keeps the operators' page true.
+func TestDocumentedExampleIsValid(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/load-testing.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, found := strings.Cut(string(page), "```yaml\n")
+	example, _, closed := strings.Cut(rest, "```")
+	if !found || !closed {
+		t.Fatal("the page has no YAML example")
+	}
+	parsed, err := Parse("load-testing.md", []byte(example))
+	if err != nil || len(parsed.Sources) != 2 {
+		t.Errorf("%d sources, %v", len(parsed.Sources), err)
+	}
+}
