stand-ins: a drain finishes the streams in flight

Cause: a new test showed that draining the engine stand-in cut its streams: serving returns as soon as the listener closes, and the stand-in stopped its clock then. Change: Run returns only after a drain that has begun is over. The weight store is read with net/http, whose connections can be closed at the end; fasthttp's client leaves goroutines behind.

--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -41,6 +41,9 @@
 type Endpoint struct {
 	listener *trackedListener
 	server   *fasthttp.Server
+
+	mutex   sync.Mutex
+	drained chan struct{} // set when a drain begins, closed when it is over
 }
 
 // New binds the listener; nothing is served before Run.
@@ -69,11 +72,15 @@
 // Address is the bound IP:port.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
-// Run serves until ctx ends, then closes abruptly; a drained or closed endpoint returns nil.
+// Run serves until ctx ends, then closes abruptly; a drained or closed endpoint returns nil. It returns
+// only after a drain that has begun is over.
 func (e *Endpoint) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = e.Close() })
 	defer stop()
 	err := e.server.Serve(e.listener)
+	if draining := e.draining(); draining != nil {
+		<-draining
+	}
 	if err == nil || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -82,7 +89,23 @@
 
 // Drain stops accepting and waits for the requests in flight.
 func (e *Endpoint) Drain(ctx context.Context) error {
-	return trace.Wrap(e.server.ShutdownWithContext(ctx))
+	e.mutex.Lock()
+	first := e.drained == nil
+	if first {
+		e.drained = make(chan struct{})
+	}
+	e.mutex.Unlock()
+	err := e.server.ShutdownWithContext(ctx)
+	if first {
+		close(e.drained)
+	}
+	return trace.Wrap(err)
+}
+
+func (e *Endpoint) draining() <-chan struct{} {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.drained
 }
 
 // Close cuts every connection and stops accepting.
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"net/http"
 	"net/url"
 	"strconv"
 	"time"
@@ -114,28 +115,26 @@
 
 // fetch loads a version's data from the weight store, or answers its refusal and returns false.
 func (s *Server) fetch(ctx *fasthttp.RequestCtx, order weightsOrder) bool {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + s.config.WeightStore + "/v1/versions/" + url.PathEscape(order.Version))
-	err := s.client.DoTimeout(request, response, defaultOrderTimeout)
-	switch {
-	case err != nil:
+	response, err := s.client.Get("http://" + s.config.WeightStore + "/v1/versions/" + url.PathEscape(order.Version))
+	if err != nil {
 		endpoint.Refuse(ctx, fasthttp.StatusBadGateway, verdict.DidNotRun, "weight_store", "weight store: "+err.Error(), 0)
-	case response.StatusCode() == fasthttp.StatusOK:
+		return false
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
 		s.mutex.Lock()
 		s.fetched[order.VersionNumber] = true
 		s.mutex.Unlock()
 		return true
-	case response.StatusCode() == fasthttp.StatusTooManyRequests:
-		seconds, _ := strconv.Atoi(string(response.Header.Peek("Retry-After")))
+	case http.StatusTooManyRequests:
+		seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
 		wait := max(time.Duration(seconds)*time.Second, time.Second)
 		endpoint.Refuse(ctx, fasthttp.StatusTooManyRequests, verdict.DidNotRun, "throttled", "the weight store throttles", wait)
-	case response.StatusCode() == fasthttp.StatusNotFound:
+	case http.StatusNotFound:
 		endpoint.Refuse(ctx, fasthttp.StatusNotFound, verdict.DidNotRun, "unknown_version", "the weight store has no such version", 0)
 	default:
-		endpoint.Refuse(ctx, fasthttp.StatusBadGateway, verdict.DidNotRun, "weight_store",
-			"the weight store answered "+strconv.Itoa(response.StatusCode()), 0)
+		endpoint.Refuse(ctx, fasthttp.StatusBadGateway, verdict.DidNotRun, "weight_store", "the weight store answered "+response.Status, 0)
 	}
 	return false
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	emulator "github.com/tamarindring/tamarindring/internal/engine"
@@ -20,7 +20,7 @@
 // Defaults of Config.
 const (
 	defaultDetachGrace   = 2 * time.Second
-	defaultRetain        = 30 * time.Second
+	defaultRetain        = 30 * time.Second // of ended streams, for resumes
 	defaultRetainStreams = 4096
 	defaultOrderTimeout  = 30 * time.Second
 	loadSampleInterval   = 20 * time.Millisecond
@@ -62,7 +62,7 @@
 type Server struct {
 	config   Config
 	endpoint *endpoint.Endpoint
-	client   *fasthttp.Client
+	client   *http.Client // of the weight store
 	started  time.Time
 	wake     chan struct{}
 	closed   chan struct{}
@@ -109,7 +109,7 @@
 	}
 	server := &Server{
 		config: config, emulated: emulated, started: time.Now(), wake: make(chan struct{}, 1), closed: make(chan struct{}),
-		client:   &fasthttp.Client{NoDefaultUserAgentHeader: true, MaxResponseBodySize: endpoint.DefaultMaxBody},
+		client:   &http.Client{Transport: &http.Transport{}, Timeout: defaultOrderTimeout},
 		streams:  make(map[string]*stream),
 		byHandle: make(map[uint64]*stream),
 		versions: map[uint64]string{config.InitialVersionNumber: config.InitialVersion},
@@ -234,7 +234,12 @@
 // SetFaults replaces the injected faults.
 func (s *Server) SetFaults(faults Faults) { s.faults.set(faults) }
 
-func (s *Server) stop() { s.closing.Do(func() { close(s.closed) }) }
+func (s *Server) stop() {
+	s.closing.Do(func() {
+		close(s.closed)
+		s.client.CloseIdleConnections()
+	})
+}
 
 // elapsed is the emulated time.
 func (s *Server) elapsed() time.Duration {
