--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -10,6 +10,7 @@
 		{parent: "config", name: "reference", short: "Print the reference page of all settings", constructor: func() command { return &configReferenceCommand{} }},
 		{name: "gateway", short: "Run a gateway for callers", constructor: func() command { return &gatewayCommand{} }},
 		{name: "bench", short: "Measurements; each prints JSON"},
+		{parent: "bench", name: "gateway", short: "Measure the gateway's added latency and its cost", constructor: func() command { return &benchGatewayCommand{} }},
 		{parent: "bench", name: "consensus", short: "Durable claims a second, latency, failover and recovery of three local nodes", constructor: func() command { return &benchConsensusCommand{} }},
 		{name: "standin", short: "Stand-ins for outside systems, for tests and demonstrations"},
 		{parent: "standin", name: "engine", short: "Model engine", constructor: func() command { return &standinEngineCommand{} }},
