engine stand-in: wake whole-answer readers once, tidy every 5 ms

Cause: a reader of a whole answer was woken by every token, and every step walked all streams. Change: readers of whole answers wait for the end; abandoned streams, retained ones, load samples and cache events are looked at every 5 ms. Measured (4 s of 200 calls/s with 200 tokens each at 20 times real time, CPU of the stand-in's process, machine busy): whole answers 0.84 s before, 0.43 s after; streamed 2.07 s and 2.11 s, no change.

--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -77,7 +77,7 @@
 	prepared := &stream{
 		requestID: body.RequestID, model: body.Model, chat: chat, generated: generated, prefix: body.PrefixTokens,
 		request: text.Request{Prompt: original, Seed: body.Seed, MaxTokens: max(body.MaxTokens, body.MaxCompletionTokens)},
-		tokens:  body.PrefixTokens, outcome: OutcomeRunning,
+		tokens:  body.PrefixTokens, outcome: OutcomeRunning, over: make(chan struct{}),
 	}
 	prepared.changed.L = &prepared.mutex
 	prepared.total, prepared.cut = prepared.request.Length()
--- a/internal/standin/engine/drive.go
+++ b/internal/standin/engine/drive.go
@@ -7,7 +7,10 @@
 	emulator "github.com/tamarindring/tamarindring/internal/engine"
 )
 
-const idleInterval = 20 * time.Millisecond
+const (
+	idleInterval = 20 * time.Millisecond
+	tidyInterval = 5 * time.Millisecond // between looks at what is not about single steps
+)
 
 // loadSample is one remembered load, for reports that lag.
 type loadSample struct {
@@ -49,10 +52,13 @@
 	for _, event := range s.emulated.Advance(s.elapsed()) {
 		s.apply(event)
 	}
-	s.cancelAbandoned(now)
-	s.forgetRetained(now)
-	s.sampleLoad(now)
-	s.cache.collect(now, s.emulated)
+	if now.Sub(s.tidied) >= tidyInterval {
+		s.tidied = now
+		s.cancelAbandoned(now)
+		s.forgetRetained(now)
+		s.sampleLoad(now)
+		s.cache.collect(now, s.emulated)
+	}
 	next, ok := s.emulated.NextEvent()
 	if !ok {
 		return idleInterval
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -81,6 +81,7 @@
 	fetched  map[uint64]bool
 	orders   []*weightOrder
 	history  []loadSample
+	tidied   time.Time
 	leaving  bool
 	leftAt   time.Time
 	role     string
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -23,9 +23,10 @@
 	arrived   time.Time
 	lateBy    time.Duration // how long after the leave mark it arrived; 0 when before
 
+	over        chan struct{} // closed at the end
 	mutex       sync.Mutex
-	changed     sync.Cond
-	tokens      int // of the whole answer, prefix included
+	changed     sync.Cond // more tokens, or the end
+	tokens      int       // of the whole answer, prefix included
 	segments    []Segment
 	outcome     Outcome
 	ended       time.Time
@@ -67,6 +68,7 @@
 		return false
 	}
 	s.outcome, s.ended = outcome, now
+	close(s.over)
 	s.changed.Broadcast()
 	return true
 }
@@ -110,11 +112,9 @@
 
 // awaitEnd blocks until the stream has ended.
 func (s *stream) awaitEnd() snapshot {
+	<-s.over
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for s.outcome == OutcomeRunning {
-		s.changed.Wait()
-	}
 	return snapshot{tokens: s.tokens, outcome: s.outcome}
 }
 
--- a/internal/standin/engine/transfer_test.go
+++ b/internal/standin/engine/transfer_test.go
@@ -62,7 +62,9 @@
 		prompt := strings.Repeat("word"+itoa(number)+" ", 200) + "[tokens=1]"
 		post(t, server, "/v1/completions", map[string]any{"prompt": prompt})
 	}
-	server.advance()
+	server.mutex.Lock()
+	server.cache.collect(time.Now(), server.emulated)
+	server.mutex.Unlock()
 	if early := server.cache.after(0, time.Now()); len(early) != 0 {
 		t.Errorf("%d events before their lag", len(early))
 	}
