--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"reflect"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -41,22 +42,40 @@
 		if flagGiven(arguments, field.Key) {
 			continue
 		}
-		for _, value := range field.Values {
-			merged = append(merged, flagText(option, field.Key, value)...)
+		texts, err := flagTexts(option, field)
+		if err != nil {
+			return nil, trace.BadParameter("settings file %s:%d: %v", path, field.Line, err)
 		}
+		merged = append(merged, texts...)
 	}
 	return append(merged, arguments[depth:]...), nil
 }
 
-// flagText returns the arguments that set an option; a boolean flag takes no value.
-func flagText(option *flags.Option, key, value string) []string {
+// flagTexts returns the arguments that set an option to a field's values. A boolean flag takes no value
+// on the command line; a list is for options that may be repeated.
+func flagTexts(option *flags.Option, field settings.Field) ([]string, error) {
+	if field.List && reflect.TypeOf(option.Value()).Kind() != reflect.Slice {
+		return nil, trace.BadParameter("%s takes one value, not a list", field.Key)
+	}
 	if _, boolean := option.Value().(bool); boolean {
-		if value == "true" {
-			return []string{"--" + key}
-		}
-		return nil
+		return booleanTexts(field)
+	}
+	var texts []string
+	for _, value := range field.Values {
+		texts = append(texts, "--"+field.Key+"="+value)
+	}
+	return texts, nil
+}
+
+func booleanTexts(field settings.Field) ([]string, error) {
+	switch field.Values[0] {
+	case "true":
+		return []string{"--" + field.Key}, nil
+	case "false":
+		return nil, nil
+	default:
+		return nil, trace.BadParameter("%s is %q: want true or false", field.Key, field.Values[0])
 	}
-	return []string{"--" + key + "=" + value}
 }
 
 // findCommand returns the subcommand that the arguments name and how many arguments name it.
--- a/internal/cli/settings_test.go
+++ b/internal/cli/settings_test.go
@@ -64,6 +64,18 @@
 	}
 }
 
+func TestAListForASingleValueIsRefused(t *testing.T) {
+	if _, err := parseSample(t, "name: [a, b]\n"); err == nil || !strings.Contains(err.Error(), "not a list") {
+		t.Fatalf("error %v", err)
+	}
+}
+
+func TestABooleanThatIsNeitherTrueNorFalseIsRefused(t *testing.T) {
+	if _, err := parseSample(t, "name: a\nslow: yes\n"); err == nil || !strings.Contains(err.Error(), "true or false") {
+		t.Fatalf("error %v", err)
+	}
+}
+
 func TestAMissingSettingsFileIsAUsageError(t *testing.T) {
 	var stdout, stderr bytes.Buffer
 	code := Main([]string{"version", "--settings", filepath.Join(t.TempDir(), "none.yaml")}, &stdout, &stderr)
