--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"reflect"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
@@ -111,21 +113,41 @@
 one strict YAML mapping per process (`+"`--settings FILE`"+`); its keys are the flags' long names, and a flag
 on the command line wins. `+"`tamarindring config check ROLE FILE`"+` checks a file without starting anything;
 `+"`tamarindring config print ROLE`"+` prints a file to start from. Every setting is read at the start of the
-process: change the file, then drain and restart the process. What changes while running is in the table.
+process: change the file, then drain and restart the process. What changes while running is in the table. A duration is written
+as `+"`1500ms`, `2s` or `1m30s`"+`.
 `)
 	for _, role := range referenceRoles {
 		command := parser.Find(role)
 		if command == nil {
 			continue
 		}
-		fmt.Fprintf(output, "\n## %s\n\n| setting | default | meaning |\n|---|---|---|\n", role)
+		fmt.Fprintf(output, "\n## %s\n\n| setting | type | default | meaning |\n|---|---|---|---|\n", role)
 		for _, option := range settingOptions(command) {
-			fmt.Fprintf(output, "| `%s` | %s | %s |\n", option.LongName, defaultText(option), option.Description)
+			fmt.Fprintf(output, "| `%s` | %s | %s | %s |\n", option.LongName, typeText(option), defaultText(option), option.Description)
 		}
 	}
 	return nil
 }
 
+// typeText names what an option's values are.
+func typeText(option *flags.Option) string {
+	value := reflect.TypeOf(option.Value())
+	switch kind := value.Kind(); {
+	case value == reflect.TypeFor[time.Duration]():
+		return "duration"
+	case kind == reflect.Slice:
+		return "list"
+	case kind == reflect.Bool:
+		return "true or false"
+	case kind == reflect.String:
+		return "text"
+	case kind == reflect.Float64:
+		return "number"
+	default:
+		return "whole number"
+	}
+}
+
 func defaultText(option *flags.Option) string {
 	if len(option.Default) > 0 {
 		return "`" + strings.Join(option.Default, ", ") + "`"
@@ -133,5 +155,8 @@
 	if option.Required {
 		return "required"
 	}
+	if _, boolean := option.Value().(bool); boolean {
+		return "`false`"
+	}
 	return "none"
 }
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -27,7 +27,6 @@
 	LedgerGroups int           `long:"ledger-groups" default:"2" description:"Groups that share the claims and samples; equal on all nodes and clients, fixed at the first start"`
 	Lease        time.Duration `long:"lease" default:"1200ms" description:"How long a process may act on the table after its last renewal; an accepted change is in force everywhere within one and a half times this"`
 	Tick         time.Duration `long:"tick" default:"50ms" description:"Step of the consensus clock; a dead leader is replaced after 10 to 20 of them"`
-	HTTP         string        `long:"http" value-name:"IP:PORT" description:"Address of the operators' page, metrics and health; none if empty"`
 	DrainTimeout time.Duration `long:"drain-timeout" default:"10s" description:"Longest time to hand leaderships over when stopped by SIGINT or SIGTERM"`
 	LogLevel     string        `long:"log-level" default:"info" description:"debug, info, warning or error"`
 	LogFormat    string        `long:"log-format" default:"text" description:"text or json"`
@@ -46,7 +45,7 @@
 	server, err := control.New(control.Config{
 		Name: c.Name, NodeID: c.ID, ClusterID: c.Cluster, Listen: c.Listen, Peers: peers, Join: c.Join,
 		Zone: c.Zone, Region: c.Region, DataFolder: c.Data, LedgerGroups: c.LedgerGroups,
-		LeaseDuration: c.Lease, Tick: c.Tick, HTTPListen: c.HTTP, Log: logging.Part(logger, "control"),
+		LeaseDuration: c.Lease, Tick: c.Tick, Log: logging.Part(logger, "control"),
 	})
 	if err != nil {
 		return trace.Wrap(err)
