stand-ins: share one life cycle

Cause: the scorer, weight store and platform stand-ins each repeated Address, Run, Drain, Close and a closed channel. Change: endpoint.Endpoint offers Closed, and the three embed it. Conclusion: one place decides how a stand-in stops.

--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -44,6 +44,9 @@
 
 	mutex   sync.Mutex
 	drained chan struct{} // set when a drain begins, closed when it is over
+
+	closed  chan struct{}
+	closing sync.Once
 }
 
 // New binds the listener; nothing is served before Run.
@@ -60,6 +63,7 @@
 		config.MaxBody = DefaultMaxBody
 	}
 	return &Endpoint{
+		closed:   make(chan struct{}),
 		listener: &trackedListener{Listener: listener, open: make(map[*trackedConnection]struct{})},
 		server: &fasthttp.Server{
 			Handler: config.Handler, Logger: quietLogger{config.Log}, NoDefaultServerHeader: true,
@@ -72,9 +76,15 @@
 // Address is the bound IP:port.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
+// Closed is closed once the endpoint stops: handlers that wait give up then.
+func (e *Endpoint) Closed() <-chan struct{} { return e.closed }
+
+func (e *Endpoint) stop() { e.closing.Do(func() { close(e.closed) }) }
+
 // Run serves until ctx ends, then closes abruptly; a drained or closed endpoint returns nil. It returns
 // only after a drain that has begun is over.
 func (e *Endpoint) Run(ctx context.Context) error {
+	defer e.stop()
 	stop := context.AfterFunc(ctx, func() { _ = e.Close() })
 	defer stop()
 	err := e.server.Serve(e.listener)
@@ -89,6 +99,7 @@
 
 // Drain stops accepting and waits for the requests in flight.
 func (e *Endpoint) Drain(ctx context.Context) error {
+	defer e.stop()
 	e.mutex.Lock()
 	first := e.drained == nil
 	if first {
@@ -110,6 +121,7 @@
 
 // Close cuts every connection and stops accepting.
 func (e *Endpoint) Close() error {
+	e.stop()
 	err := e.listener.Close()
 	e.listener.cutAll()
 	return err
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"context"
 	"math/rand"
 	"net"
 	"slices"
@@ -69,8 +68,8 @@
 
 // Server is one platform stand-in.
 type Server struct {
-	config   Config
-	endpoint *endpoint.Endpoint
+	*endpoint.Endpoint // address and life cycle
+	config             Config
 
 	mutex   sync.Mutex // guards what follows
 	random  *rand.Rand
@@ -89,22 +88,10 @@
 	if err != nil {
 		return nil, err
 	}
-	server.endpoint = bound
+	server.Endpoint = bound
 	return server, nil
 }
 
-// Address is the bound IP:port.
-func (s *Server) Address() string { return s.endpoint.Address() }
-
-// Run serves until ctx ends or the server is drained or closed.
-func (s *Server) Run(ctx context.Context) error { return s.endpoint.Run(ctx) }
-
-// Drain waits for the requests in flight.
-func (s *Server) Drain(ctx context.Context) error { return s.endpoint.Drain(ctx) }
-
-// Close ends the stand-in abruptly: every connection is cut.
-func (s *Server) Close() error { return s.endpoint.Close() }
-
 // Set adds a machine or changes it.
 func (s *Server) Set(machine Machine) {
 	s.edit(func(machines []Machine) []Machine {
--- a/internal/standin/scorer/scorer.go
+++ b/internal/standin/scorer/scorer.go
@@ -2,7 +2,6 @@
 package scorer
 
 import (
-	"context"
 	"net"
 	"sync"
 	"time"
@@ -50,13 +49,11 @@
 
 // Server is one scorer stand-in.
 type Server struct {
-	config   Config
-	endpoint *endpoint.Endpoint
-	closed   chan struct{}
-	closing  sync.Once
-	mutex    sync.Mutex
-	stalled  time.Time // no answer leaves before this time
-	scored   map[string]int
+	*endpoint.Endpoint // address and life cycle
+	config             Config
+	mutex              sync.Mutex
+	stalled            time.Time // no answer leaves before this time
+	scored             map[string]int
 }
 
 // New binds the listener.
@@ -64,40 +61,17 @@
 	if config.Log == nil {
 		return nil, trace.BadParameter("scorer stand-in needs a log")
 	}
-	server := &Server{config: config, scored: make(map[string]int), closed: make(chan struct{})}
+	server := &Server{config: config, scored: make(map[string]int)}
 	bound, err := endpoint.New(endpoint.Config{
 		Listen: config.Listen, Listener: config.Listener, Handler: server.handle, Log: config.Log,
 	})
 	if err != nil {
 		return nil, err
 	}
-	server.endpoint = bound
+	server.Endpoint = bound
 	return server, nil
 }
 
-// Address is the bound IP:port.
-func (s *Server) Address() string { return s.endpoint.Address() }
-
-// Run serves until ctx ends or the server is drained or closed.
-func (s *Server) Run(ctx context.Context) error {
-	defer s.stop()
-	return s.endpoint.Run(ctx)
-}
-
-// Drain waits for the requests in flight.
-func (s *Server) Drain(ctx context.Context) error {
-	defer s.stop()
-	return s.endpoint.Drain(ctx)
-}
-
-// Close ends the stand-in abruptly: every connection is cut.
-func (s *Server) Close() error {
-	s.stop()
-	return s.endpoint.Close()
-}
-
-func (s *Server) stop() { s.closing.Do(func() { close(s.closed) }) }
-
 // Stall keeps every answer back for a time.
 func (s *Server) Stall(duration time.Duration) {
 	s.mutex.Lock()
@@ -105,9 +79,6 @@
 	s.stalled = time.Now().Add(duration)
 }
 
-// SetDown makes the stand-in behave like a dead process, or brings it back.
-func (s *Server) SetDown(down bool) { s.endpoint.SetDown(down) }
-
 // Scored returns how often a sample was rated.
 func (s *Server) Scored(id string) int {
 	s.mutex.Lock()
@@ -150,7 +121,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-s.closed:
+	case <-s.Closed():
 	}
 }
 
--- a/internal/standin/weightstore/weightstore.go
+++ b/internal/standin/weightstore/weightstore.go
@@ -2,7 +2,6 @@
 package weightstore
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/url"
@@ -52,10 +51,8 @@
 
 // Server is one weight store stand-in.
 type Server struct {
-	config   Config
-	endpoint *endpoint.Endpoint
-	closed   chan struct{}
-	closing  sync.Once
+	*endpoint.Endpoint // address and life cycle
+	config             Config
 
 	mutex    sync.Mutex // guards what follows
 	limiter  *rate.Limiter
@@ -70,7 +67,7 @@
 		return nil, trace.BadParameter("weight store stand-in needs a log")
 	}
 	server := &Server{
-		config: config, versions: make(map[string]Version), closed: make(chan struct{}), readTime: config.ReadTime,
+		config: config, versions: make(map[string]Version), readTime: config.ReadTime,
 		limiter: newLimiter(config.ReadsPerSecond, config.Burst),
 	}
 	bound, err := endpoint.New(endpoint.Config{
@@ -79,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server.endpoint = bound
+	server.Endpoint = bound
 	return server, nil
 }
 
@@ -90,29 +87,6 @@
 	return rate.NewLimiter(rate.Limit(readsPerSecond), max(burst, 1))
 }
 
-// Address is the bound IP:port.
-func (s *Server) Address() string { return s.endpoint.Address() }
-
-// Run serves until ctx ends or the server is drained or closed.
-func (s *Server) Run(ctx context.Context) error {
-	defer s.stop()
-	return s.endpoint.Run(ctx)
-}
-
-// Drain waits for the requests in flight.
-func (s *Server) Drain(ctx context.Context) error {
-	defer s.stop()
-	return s.endpoint.Drain(ctx)
-}
-
-// Close ends the stand-in abruptly: every connection is cut.
-func (s *Server) Close() error {
-	s.stop()
-	return s.endpoint.Close()
-}
-
-func (s *Server) stop() { s.closing.Do(func() { close(s.closed) }) }
-
 // SetReads changes the limit and the duration of reads.
 func (s *Server) SetReads(readsPerSecond float64, burst int, readTime time.Duration) {
 	s.mutex.Lock()
@@ -170,7 +144,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-s.closed:
+	case <-s.Closed():
 	}
 	endpoint.WriteJSON(ctx, fasthttp.StatusOK, found)
 }
