Add defaults.Set in place of six copies

Change: one package, defaults, with Set; the copies are gone. Conclusion: a setting's default is filled in by one function.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/storage"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -126,17 +127,17 @@
 )
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Tick, DefaultTick)
-	setDefault(&c.ElectionTicks, DefaultElectionTicks)
-	setDefault(&c.HeartbeatTicks, DefaultHeartbeatTicks)
-	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
-	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
-	setDefault(&c.MaxPendingProposals, DefaultMaxPendingProposals)
-	setDefault(&c.MaxBatchProposals, DefaultMaxBatchProposals)
+	defaults.Set(&c.Tick, DefaultTick)
+	defaults.Set(&c.ElectionTicks, DefaultElectionTicks)
+	defaults.Set(&c.HeartbeatTicks, DefaultHeartbeatTicks)
+	defaults.Set(&c.SnapshotEntries, DefaultSnapshotEntries)
+	defaults.Set(&c.SnapshotBytes, DefaultSnapshotBytes)
+	defaults.Set(&c.MaxPendingProposals, DefaultMaxPendingProposals)
+	defaults.Set(&c.MaxBatchProposals, DefaultMaxBatchProposals)
 	for _, peer := range c.Peers {
 		if peer.ID == c.NodeID {
-			setDefault(&c.Name, peer.Name)
-			setDefault(&c.Address, peer.Address)
+			defaults.Set(&c.Name, peer.Name)
+			defaults.Set(&c.Address, peer.Address)
 		}
 	}
 	if c.Dial == nil {
@@ -149,13 +150,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (c *Config) check() error {
 	switch {
 	case c.NodeID == raft.None:
--- a/internal/engine/parameters.go
+++ b/internal/engine/parameters.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/strictyaml"
 )
 
@@ -116,27 +117,20 @@
 
 // SetDefaults gives fields that are zero their documented defaults.
 func (p *Parameters) SetDefaults() {
-	setDefault(&p.StepBase, 20*time.Millisecond)
-	setDefault(&p.StepPerSequence, 100*time.Microsecond)
-	setDefault(&p.StepPerThousandContext, 50*time.Microsecond)
-	setDefault(&p.PrefillRate, 20000)
-	setDefault(&p.PrefillChunk, 512)
-	setDefault(&p.MaxBatch, 64)
-	setDefault(&p.MaxWaiting, 1024)
-	setDefault(&p.BlockTokens, 16)
-	setDefault(&p.Blocks, 16384)
-	setDefault(&p.SwapTime, 500*time.Millisecond)
-	setDefault(&p.StageTime, time.Second)
-	setDefault(&p.TransferBase, 5*time.Millisecond)
-	setDefault(&p.TransferPerThousand, 8*time.Millisecond)
-	setDefault(&p.CacheEvents, 4096)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaults.Set(&p.StepBase, 20*time.Millisecond)
+	defaults.Set(&p.StepPerSequence, 100*time.Microsecond)
+	defaults.Set(&p.StepPerThousandContext, 50*time.Microsecond)
+	defaults.Set(&p.PrefillRate, 20000)
+	defaults.Set(&p.PrefillChunk, 512)
+	defaults.Set(&p.MaxBatch, 64)
+	defaults.Set(&p.MaxWaiting, 1024)
+	defaults.Set(&p.BlockTokens, 16)
+	defaults.Set(&p.Blocks, 16384)
+	defaults.Set(&p.SwapTime, 500*time.Millisecond)
+	defaults.Set(&p.StageTime, time.Second)
+	defaults.Set(&p.TransferBase, 5*time.Millisecond)
+	defaults.Set(&p.TransferPerThousand, 8*time.Millisecond)
+	defaults.Set(&p.CacheEvents, 4096)
 }
 
 // TransferTime is the cost of moving the KV blocks of that many tokens to another engine.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/routing"
@@ -121,30 +122,23 @@
 }
 
 func (c *Config) setSizes() {
-	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&c.BufferBytes, DefaultBufferBytes)
-	setDefault(&c.MaxBufferedBytes, DefaultMaxBuffered)
-	setDefault(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	setDefault(&c.StoredAnswerBytes, DefaultStoredAnswer)
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.RetriesPerSecond, DefaultRetriesPerSec)
-	setDefault(&c.RetryBurst, DefaultRetryBurst)
-	setDefault(&c.LogEntries, DefaultLogEntries)
-	setDefault(&c.MaxSettlements, DefaultMaxSettlements)
+	defaults.Set(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	defaults.Set(&c.BufferBytes, DefaultBufferBytes)
+	defaults.Set(&c.MaxBufferedBytes, DefaultMaxBuffered)
+	defaults.Set(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	defaults.Set(&c.StoredAnswerBytes, DefaultStoredAnswer)
+	defaults.Set(&c.MaxConnections, DefaultMaxConnections)
+	defaults.Set(&c.RetriesPerSecond, DefaultRetriesPerSec)
+	defaults.Set(&c.RetryBurst, DefaultRetryBurst)
+	defaults.Set(&c.LogEntries, DefaultLogEntries)
+	defaults.Set(&c.MaxSettlements, DefaultMaxSettlements)
 }
 
 func (c *Config) setTimes() {
-	setDefault(&c.ReadTimeout, DefaultReadTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.ConnectTimeout, DefaultConnectTimeout)
-	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
-	setDefault(&c.LoadInterval, DefaultLoadInterval)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaults.Set(&c.ReadTimeout, DefaultReadTimeout)
+	defaults.Set(&c.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&c.WriteTimeout, DefaultWriteTimeout)
+	defaults.Set(&c.ConnectTimeout, DefaultConnectTimeout)
+	defaults.Set(&c.ClaimTimeout, DefaultClaimTimeout)
+	defaults.Set(&c.LoadInterval, DefaultLoadInterval)
 }
--- a/internal/standin/trainer/config.go
+++ b/internal/standin/trainer/config.go
@@ -9,6 +9,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/defaults"
 )
 
 // Defaults of Config.
@@ -74,11 +76,11 @@
 	if c.Name == "" || c.Pool == "" || len(c.Coordinators) == 0 || c.Log == nil {
 		return c, trace.BadParameter("a trainer needs name, pool, coordinators and a log")
 	}
-	setDefault(&c.PromptsPerStep, defaultPromptsPerStep)
-	setDefault(&c.SamplesPerPrompt, defaultSamplesPerPrompt)
-	setDefault(&c.MaxTokens, defaultMaxTokens)
-	setDefault(&c.TrainTime, defaultTrainTime)
-	setDefault(&c.FetchWait, defaultFetchWait)
+	defaults.Set(&c.PromptsPerStep, defaultPromptsPerStep)
+	defaults.Set(&c.SamplesPerPrompt, defaultSamplesPerPrompt)
+	defaults.Set(&c.MaxTokens, defaultMaxTokens)
+	defaults.Set(&c.TrainTime, defaultTrainTime)
+	defaults.Set(&c.FetchWait, defaultFetchWait)
 	if c.Prompt == nil {
 		name := c.Name
 		c.Prompt = func(step uint64, index int) string {
@@ -87,10 +89,3 @@
 	}
 	return c, nil
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/workload/caller/config.go
+++ b/internal/workload/caller/config.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/workload"
 )
 
@@ -56,16 +57,9 @@
 	if err := c.Workload.Validate(); err != nil {
 		return c, trace.Wrap(err)
 	}
-	setDefault(&c.MaxInFlight, defaultMaxInFlight)
-	setDefault(&c.MaxAttempts, defaultMaxAttempts)
-	setDefault(&c.RetryPause, defaultRetryPause)
-	setDefault(&c.Run, defaultRunName)
+	defaults.Set(&c.MaxInFlight, defaultMaxInFlight)
+	defaults.Set(&c.MaxAttempts, defaultMaxAttempts)
+	defaults.Set(&c.RetryPause, defaultRetryPause)
+	defaults.Set(&c.Run, defaultRunName)
 	return c, nil
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/strictyaml"
 )
 
@@ -136,16 +137,16 @@
 }
 
 func (s *Source) setDefaults() {
-	setDefault(&s.Service, ServiceEngine)
-	setDefault(&s.Class, "live")
-	setDefault(&s.Deadline, 30*time.Second)
-	setDefault(&s.Arrival.Process, ProcessPoisson)
+	defaults.Set(&s.Service, ServiceEngine)
+	defaults.Set(&s.Class, "live")
+	defaults.Set(&s.Deadline, 30*time.Second)
+	defaults.Set(&s.Arrival.Process, ProcessPoisson)
 	s.Prompt.SetDefaults(64)
 	s.Output.SetDefaults(48)
-	setDefault(&s.BodyBytes, 256)
+	defaults.Set(&s.BodyBytes, 256)
 	if s.Sharing.Prefixes > 0 {
-		setDefault(&s.Sharing.PrefixTokens, 256)
-		setDefault(&s.Sharing.Share, 1)
+		defaults.Set(&s.Sharing.PrefixTokens, 256)
+		defaults.Set(&s.Sharing.Share, 1)
 	}
 }
 
@@ -153,18 +154,11 @@
 func (l *Length) SetDefaults(median float64) {
 	if l.Median == 0 {
 		l.Median = median
-		setDefault(&l.Sigma, 0.6)
-	}
-	setDefault(&l.TailFrom, 4*l.Median)
-	setDefault(&l.TailAlpha, 1.5)
-	setDefault(&l.Max, 4096)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		defaults.Set(&l.Sigma, 0.6)
 	}
+	defaults.Set(&l.TailFrom, 4*l.Median)
+	defaults.Set(&l.TailAlpha, 1.5)
+	defaults.Set(&l.Max, 4096)
 }
 
 // Validate refuses impossible values with a strictyaml.FieldError.
