--- a/internal/dispatch/codes.go
+++ b/internal/dispatch/codes.go
@@ -9,7 +9,6 @@
 	CodeBackendLost       = "backend_lost"
 	CodeLedgerUnavailable = "ledger_unavailable"
 	CodeKeyReused         = "key_reused_with_other_body"
-	CodeKeyRunning        = "key_running"
 	CodeOutcomeUnknown    = "outcome_unknown"
 	CodeAnswerExpired     = "answer_no_longer_held"
 	CodeRefusedEarlier    = "refused_earlier"
