--- a/internal/rolecost/rolecost.go
+++ b/internal/rolecost/rolecost.go
@@ -68,6 +68,22 @@
 	return 0
 }
 
+// Apportioned returns a role's part of the whole process's processor time, in cores: the operating system's
+// total, runtime included, divided among the labelled roles by their profile samples. It is 0 when no
+// labelled sample was taken.
+func (c Cost) Apportioned(role string) float64 {
+	labelled := 0.0
+	for _, share := range c.Roles {
+		if share.Role != Unlabelled {
+			labelled += share.Cores
+		}
+	}
+	if labelled == 0 || role == Unlabelled {
+		return 0
+	}
+	return c.TotalCores * c.Cores(role) / labelled
+}
+
 // Stop ends the measurement.
 func (r *Recorder) Stop() (Cost, error) {
 	pprof.StopCPUProfile()
