Add the fleet: a whole deployment in one process, examined as it runs

The caller counts attempts cut after their connection was made, and a trainer can be told to open no further step.

--- /dev/null
+++ b/internal/fleet/operator.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/invariant"
+	"github.com/tamarindring/tamarindring/internal/operator"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	changeInterval = 250 * time.Millisecond
+	changeLimit    = 15 * time.Second // until the answer to a change must be known
+	resendPause    = 50 * time.Millisecond
+	raceShare      = 0.2 // of the changes that two operators make under one version at once
+)
+
+// tableOperator changes cells several times a second, sends each change twice and lets two operators race.
+type tableOperator struct {
+	client   *controlclient.Client
+	evidence *tableEvidence
+	registry *invariant.Registry
+	random   *rand.Rand
+	engines  []string // rows whose weight it changes
+	bound    uint64   // least staleness bound
+	number   int
+
+	mutex   sync.Mutex
+	busy    map[string]bool // cells with a change under way
+	running sync.WaitGroup
+}
+
+func newTableOperator(f *fleet) *tableOperator {
+	made := &tableOperator{client: f.client, evidence: &f.evidence.table, registry: f.registry, busy: map[string]bool{},
+		random: rand.New(rand.NewSource(f.config.Seed)), bound: f.config.Deployment.Trainer.StalenessBound}
+	for _, part := range f.engines {
+		made.engines = append(made.engines, part.name)
+	}
+	return made
+}
+
+// run makes changes until ctx ends, then waits for the answers to those under way.
+func (o *tableOperator) run(ctx context.Context) {
+	ticker := time.NewTicker(changeInterval)
+	defer ticker.Stop()
+	defer o.running.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.next(context.WithoutCancel(ctx))
+		}
+	}
+}
+
+// next starts one change of a cell that no other change is at.
+func (o *tableOperator) next(ctx context.Context) {
+	row, column, value := o.draw()
+	cell := row + " " + column
+	o.mutex.Lock()
+	taken := o.busy[cell]
+	o.busy[cell] = true
+	o.mutex.Unlock()
+	if taken {
+		return
+	}
+	race := column != table.ColumnStalenessBound && o.random.Float64() < raceShare
+	o.number++
+	number := o.number
+	o.running.Go(func() {
+		defer func() {
+			o.mutex.Lock()
+			defer o.mutex.Unlock()
+			delete(o.busy, cell)
+		}()
+		if race {
+			o.race(ctx, number, operator.Edit{Row: row, Column: column, To: value})
+			return
+		}
+		o.change(ctx, number, "alice", o.evidence.latest(), operator.Edit{Row: row, Column: column, To: value})
+	})
+}
+
+func (o *tableOperator) draw() (row, column, value string) {
+	switch o.random.Intn(4) {
+	case 0:
+		return poolModel, table.ColumnLiveRoom, strconv.Itoa(8 + o.random.Intn(16))
+	case 1:
+		return poolModel, table.ColumnStalenessBound, strconv.FormatUint(o.bound+uint64(o.random.Intn(2)), 10)
+	default:
+		return o.engines[o.random.Intn(len(o.engines))], table.ColumnWeight, strconv.Itoa(50 + o.random.Intn(100))
+	}
+}
+
+// race lets two operators change one cell under the same version: one of them must be refused.
+func (o *tableOperator) race(ctx context.Context, number int, edit operator.Edit) {
+	base := o.evidence.latest()
+	other := edit
+	other.To += "0"
+	var second bool
+	var waiting sync.WaitGroup
+	waiting.Go(func() { second = o.change(ctx, number, "boris", base, other) })
+	first := o.change(ctx, number, "alice", base, edit)
+	waiting.Wait()
+	o.registry.Examine(invariant.TableNoReversal, !first || !second,
+		"change %d: two changes of %s %s under version %d were both accepted", number, edit.Row, edit.Column, base)
+}
+
+// change makes one change and sends it again, as an operator who lost the answer does: it must be made once.
+func (o *tableOperator) change(ctx context.Context, number int, author string, base uint64, edit operator.Edit) bool {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	plan := &operator.Plan{Base: base, Edits: []operator.Edit{edit}}
+	change := operator.NewChange(plan, operator.Author{Operator: author, Note: fmt.Sprintf("change %d", number)}, time.Now())
+	o.evidence.sending(change)
+	result, _, err := o.send(ctx, change, false)
+	if err != nil {
+		o.evidence.unknown(change)
+		return false
+	}
+	o.evidence.answered(change, result, time.Now())
+	again, inForce, err := o.send(ctx, change, true)
+	if err != nil {
+		return accepted(result)
+	}
+	o.registry.Examine(invariant.TableNoReversal, again.Outcome == result.Outcome && (!accepted(result) || again.Version == result.Version),
+		"change %d was answered %v version %d, then %v version %d", number, result.Outcome, result.Version, again.Outcome, again.Version)
+	if accepted(result) && inForce >= result.Version {
+		o.evidence.inForce(result.Version, time.Now())
+	}
+	return accepted(result)
+}
+
+// send repeats a change until its answer is known.
+func (o *tableOperator) send(ctx context.Context, change *wire.TableChange, wait bool) (*wire.TableResult, uint64, error) {
+	for {
+		result, inForce, err := o.client.ChangeTable(ctx, change, wait)
+		if err == nil || ctx.Err() != nil {
+			return result, inForce, err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(resendPause):
+		}
+	}
+}
+
+func accepted(result *wire.TableResult) bool {
+	return result.GetOutcome() == wire.TableOutcome_TABLE_OUTCOME_ACCEPTED
+}
--- /dev/null
+++ b/internal/fleet/rollouts.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/rolecost"
+	"github.com/tamarindring/tamarindring/internal/standin/engine"
+	"github.com/tamarindring/tamarindring/internal/standin/trainer"
+)
+
+const (
+	// trainersLimit is how long trainers may take for the steps that are open when the load ends.
+	trainersLimit   = 30 * time.Second
+	loseReplyShare  = 0.05
+	trainerFetch    = time.Second
+	trainerMaxBatch = 16
+)
+
+// rollouts are the coordinators and the trainers that they serve.
+type rollouts struct {
+	fleet        *fleet
+	coordinators []*process[coordinatorServer]
+	trainers     []*trainer.Trainer
+	cancel       context.CancelFunc
+	running      sync.WaitGroup
+}
+
+// coordinatorServer is what the fleet needs of a coordinator.
+type coordinatorServer interface {
+	server
+	// Discarded returns the tokens that were generated and thrown away.
+	Discarded() uint64
+}
+
+func newRollouts(f *fleet) *rollouts {
+	made := &rollouts{fleet: f}
+	if openCoordinator == nil {
+		return made
+	}
+	for index := range f.config.Deployment.Coordinators {
+		part := &process[coordinatorServer]{name: fmt.Sprintf("coordinator-%d", index+1), zone: f.config.Deployment.zone(index)}
+		part.open = func(ctx context.Context, listener net.Listener) (coordinatorServer, error) {
+			return openCoordinator(ctx, f, part.name, part.zone, listener)
+		}
+		made.coordinators = append(made.coordinators, part)
+	}
+	return made
+}
+
+// start starts the coordinators and the trainers.
+func (r *rollouts) start(ctx context.Context) error {
+	if len(r.coordinators) == 0 {
+		return nil
+	}
+	if err := startAll(ctx, r.coordinators); err != nil {
+		return err
+	}
+	made, err := r.newTrainer()
+	if err != nil {
+		return err
+	}
+	r.trainers = append(r.trainers, made)
+	running, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	for _, one := range r.trainers {
+		r.running.Go(func() {
+			rolecost.Do(running, "trainer", func(ctx context.Context) {
+				if err := one.Run(ctx); err != nil {
+					r.fleet.log("trainer").WithError(err).Error("trainer ended")
+				}
+			})
+		})
+	}
+	return nil
+}
+
+func (r *rollouts) newTrainer() (*trainer.Trainer, error) {
+	f := r.fleet
+	shape := f.config.Deployment.Trainer
+	var addresses []string
+	for _, part := range r.coordinators {
+		addresses = append(addresses, part.address)
+	}
+	var engines []*engine.Server
+	for _, part := range f.engines {
+		engines = append(engines, part.current)
+	}
+	return trainer.New(trainer.Config{Name: "trainer-1", Coordinators: addresses, Pool: poolModel, PromptsPerStep: shape.Prompts,
+		SamplesPerPrompt: shape.SamplesPerPrompt, MaxTokens: shape.MaxTokens, TrainTime: shape.TrainTime, StepsAhead: shape.StepsAhead,
+		MaxSamples: trainerMaxBatch, FetchWait: trainerFetch, InitialVersionNumber: initialVersion, WeightStore: f.store.address,
+		LoseReplyProbability: loseReplyShare, StalenessBound: f.evidence.table.boundNow, Truth: trainer.NewEngines(engines...),
+		Seed: uint64(f.config.Seed), Log: f.log("trainer")})
+}
+
+// restartFirst drains and restarts the first coordinator.
+func (r *rollouts) restartFirst(ctx context.Context) error {
+	if len(r.coordinators) == 0 {
+		return nil
+	}
+	return restart(ctx, r.coordinators[0])
+}
+
+// finish lets the trainers end the steps that are open.
+func (r *rollouts) finish() {
+	for _, one := range r.trainers {
+		one.Finish()
+	}
+	over := make(chan struct{})
+	go func() {
+		r.running.Wait()
+		close(over)
+	}()
+	timer := time.NewTimer(trainersLimit)
+	defer timer.Stop()
+	select {
+	case <-over:
+	case <-timer.C:
+		r.cancel()
+		<-over
+	}
+}
+
+// stop stops the coordinators; the trainers are over.
+func (r *rollouts) stop(ctx context.Context) []error {
+	if r.cancel != nil {
+		r.cancel()
+	}
+	r.running.Wait()
+	return stopAll(ctx, r.coordinators)
+}
+
+// discarded returns the tokens that all coordinators threw away.
+func (r *rollouts) discarded() uint64 {
+	var total uint64
+	for _, part := range r.coordinators {
+		part.each(func(one coordinatorServer) { total += one.Discarded() })
+	}
+	return total
+}
+
+// openCoordinator is nil while there is no coordinator: the rollouts' invariants then stay unexamined.
+var openCoordinator func(ctx context.Context, f *fleet, name, zone string, listener net.Listener) (coordinatorServer, error)
--- /dev/null
+++ b/internal/fleet/stops.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/invariant"
+	"github.com/tamarindring/tamarindring/internal/workload/caller"
+)
+
+const (
+	firstStop = 2 * time.Second
+	// directoryLag is how long callers are still sent to a gateway that has begun to stop.
+	directoryLag = 100 * time.Millisecond
+	// settleTime passes after each restart, so that the requests that a stop met are over.
+	settleTime = time.Second
+)
+
+// plannedStops drains and restarts one part of each role, one after another, and lets one engine and one
+// application replica leave. No request may fail meanwhile.
+func (f *fleet) plannedStops(ctx context.Context, calls *caller.Caller) error {
+	if !pause(ctx, firstStop) {
+		return nil
+	}
+	f.leaveBackends()
+	stops := []struct {
+		name string
+		stop func(context.Context) error
+	}{
+		{"gateway-2", f.restartGateway},
+		{"control-1", func(ctx context.Context) error { return restart(ctx, f.control[0]) }},
+		{"coordinator-1", f.rollouts.restartFirst},
+	}
+	for _, planned := range stops {
+		before := calls.Stats()
+		f.events.add("planned stop of %s", planned.name)
+		if err := planned.stop(context.WithoutCancel(ctx)); err != nil {
+			return err
+		}
+		f.events.add("%s is back", planned.name)
+		running := pause(ctx, settleTime)
+		f.examineStop(planned.name, before, calls.Stats())
+		if !running {
+			return nil
+		}
+	}
+	return nil
+}
+
+func restart[S server](ctx context.Context, part *process[S]) error {
+	if err := part.drain(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	return part.start(ctx)
+}
+
+// restartGateway stops the second gateway; callers learn of it with a lag.
+func (f *fleet) restartGateway(ctx context.Context) error {
+	part := f.gateways[1]
+	forget := time.AfterFunc(directoryLag, func() { f.directory.remove(part.address) })
+	defer forget.Stop()
+	if err := restart(ctx, part); err != nil {
+		return err
+	}
+	forget.Stop()
+	f.directory.add(part.address)
+	return nil
+}
+
+// leaveBackends lets the last engine and the last application replica leave.
+func (f *fleet) leaveBackends() {
+	engine, application := f.engines[len(f.engines)-1], f.applications[len(f.applications)-1]
+	engine.current.Leave()
+	f.evidence.left(time.Now(), engine.name)
+	application.current.Leave()
+	f.evidence.left(time.Now(), application.name, narrowRow(application.name))
+	f.events.add("%s and %s leave", engine.name, application.name)
+}
+
+// examineStop compares the callers' accounts from before and after a planned stop. Every call that ended
+// meanwhile must have been answered, and no attempt cut off.
+func (f *fleet) examineStop(name string, before, after caller.Stats) {
+	for index, source := range after.Sources {
+		earlier := before.Sources[index]
+		if source.Name == sourceBursts {
+			source.Refused = earlier.Refused // the narrow pool refuses by its limits, whoever stops
+		}
+		failed := source.Refused + source.Lost + source.Cut - earlier.Refused - earlier.Lost - earlier.Cut
+		for count := range source.Requests - earlier.Requests {
+			f.registry.Examine(invariant.PlannedStop, count >= failed, "a call of %s failed while %s stopped: %v", source.Name, name, after.FailedExamples)
+		}
+	}
+}
+
+// pause waits; false means that ctx ended first.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fleet/tableevidence.go
@@ -0,0 +1,197 @@
+package fleet
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// inForceBound is the promise at today's size: an accepted change is in force everywhere after it.
+	inForceBound = 2 * time.Second
+	// logSlack is the time between a dispatch's admission under the lease and its entry in the log, on a
+	// busy machine.
+	logSlack = 100 * time.Millisecond
+)
+
+// acceptedChange is a change that the control group accepted.
+type acceptedChange struct {
+	id         string
+	version    uint64
+	cells      []*wire.CellChange
+	acceptedAt time.Time // when the answer was there, not before the acceptance
+	// effective is when no process may act on an older version any more.
+	effective time.Time
+}
+
+// boundValue is a staleness bound that may be in force.
+type boundValue struct {
+	changeID string
+	value    uint64
+	expires  time.Time // zero while nothing later was accepted
+}
+
+// tableEvidence is what the operators were told about their changes.
+type tableEvidence struct {
+	mutex     sync.Mutex
+	accepted  []*acceptedChange
+	conflicts int
+	unknowns  map[string]bool // change ids whose answers were never known
+	bounds    []boundValue
+	waits     *hdrhistogram.Histogram // from acceptance to in force, in ms
+}
+
+// created records the first version.
+func (e *tableEvidence) created(version uint64, cells []*wire.CellChange) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := time.Now()
+	e.waits = hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
+	e.unknowns = map[string]bool{}
+	e.accepted = append(e.accepted, &acceptedChange{id: "create", version: version, cells: cells, acceptedAt: now, effective: now})
+	if value, ok := stalenessBound(cells); ok {
+		e.bounds = []boundValue{{value: value}}
+	}
+}
+
+func stalenessBound(cells []*wire.CellChange) (uint64, bool) {
+	for _, cell := range cells {
+		if cell.Column == table.ColumnStalenessBound {
+			value, err := strconv.ParseUint(cell.Value, 10, 64)
+			return value, err == nil
+		}
+	}
+	return 0, false
+}
+
+// latest is the highest version known to be accepted.
+func (e *tableEvidence) latest() uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var highest uint64
+	for _, change := range e.accepted {
+		highest = max(highest, change.version)
+	}
+	return highest
+}
+
+// sending notes that a change may be accepted from now on.
+func (e *tableEvidence) sending(change *wire.TableChange) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if value, ok := stalenessBound(change.Cells); ok {
+		e.bounds = append(e.bounds, boundValue{changeID: change.ChangeId, value: value})
+	}
+}
+
+// answered records what became of a change.
+func (e *tableEvidence) answered(change *wire.TableChange, result *wire.TableResult, now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !accepted(result) {
+		e.conflicts++
+		e.bounds = slices.DeleteFunc(e.bounds, func(bound boundValue) bool { return bound.changeID == change.ChangeId })
+		return
+	}
+	e.accepted = append(e.accepted, &acceptedChange{id: change.ChangeId, version: result.Version, cells: change.Cells,
+		acceptedAt: now, effective: now.Add(inForceBound)})
+	e.expireBounds(change.ChangeId, now.Add(inForceBound))
+}
+
+// unknown records a change whose answer never came; it may have been made.
+func (e *tableEvidence) unknown(change *wire.TableChange) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.unknowns[change.ChangeId] = true
+}
+
+// inForce records that a version was said to be in force everywhere.
+func (e *tableEvidence) inForce(version uint64, now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, change := range e.accepted {
+		if change.version == version {
+			_ = e.waits.RecordValue(max(now.Sub(change.acceptedAt).Milliseconds(), 1))
+			change.effective = earlier(change.effective, now.Add(logSlack))
+			e.expireBounds(change.id, now.Add(logSlack))
+		}
+	}
+}
+
+// expireBounds ends the bounds that came before a change's own. The caller holds the mutex.
+func (e *tableEvidence) expireBounds(changeID string, at time.Time) {
+	own := slices.IndexFunc(e.bounds, func(bound boundValue) bool { return bound.changeID == changeID })
+	for index := range own {
+		if e.bounds[index].expires.IsZero() {
+			e.bounds[index].expires = at
+		}
+		e.bounds[index].expires = earlier(e.bounds[index].expires, at)
+	}
+}
+
+func earlier(first, second time.Time) time.Time {
+	if second.Before(first) {
+		return second
+	}
+	return first
+}
+
+// boundNow is the largest staleness bound that a coordinator may still act on.
+func (e *tableEvidence) boundNow() (uint64, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := time.Now()
+	var largest uint64
+	known := false
+	for _, bound := range e.bounds {
+		if bound.expires.IsZero() || now.Before(bound.expires) {
+			largest, known = max(largest, bound.value), true
+		}
+	}
+	return largest, known
+}
+
+// required is the lowest version that a dispatch at the given time may act on.
+func (e *tableEvidence) required(at time.Time) uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var lowest uint64
+	for _, change := range e.accepted {
+		if !change.effective.After(at) {
+			lowest = max(lowest, change.version)
+		}
+	}
+	return lowest
+}
+
+// changes returns the accepted changes by version.
+func (e *tableEvidence) changes() []acceptedChange {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var all []acceptedChange
+	for _, change := range e.accepted {
+		all = append(all, *change)
+	}
+	slices.SortFunc(all, func(a, b acceptedChange) int { return int(a.version) - int(b.version) })
+	return all
+}
+
+func (e *tableEvidence) maybeMade(changeID string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.unknowns[changeID]
+}
+
+// report sums the changes up.
+func (e *tableEvidence) report() TableReport {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return TableReport{Accepted: len(e.accepted), Conflicts: e.conflicts, Unknown: len(e.unknowns),
+		InForceP50: float64(e.waits.ValueAtQuantile(50)), InForceMax: float64(e.waits.Max())}
+}
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,6 +30,8 @@
 	version uint64 // weights that the next training starts from
 	opened  uint64 // highest step opened
 
+	finishing atomic.Bool // no further step is opened
+
 	mutex sync.Mutex
 	truth ledger
 }
@@ -45,13 +48,22 @@
 	}, nil
 }
 
-// Run trains until ctx ends or MaxSteps are done. An error means that a coordinator refused for good.
+// errFinished ends a trainer that was told to finish.
+var errFinished = errors.New("no further step is opened")
+
+// Finish makes Run open no further step and return after the last one that is open.
+func (t *Trainer) Finish() { t.finishing.Store(true) }
+
+// Run trains until ctx ends, MaxSteps are done, or those that were open at Finish. An error means that a coordinator refused for good.
 func (t *Trainer) Run(ctx context.Context) error {
 	defer t.client.CloseIdleConnections()
 	t.start(time.Now())
 	defer t.finish()
 	for step := uint64(1); t.config.MaxSteps == 0 || step <= t.config.MaxSteps; step++ {
 		if err := t.runStep(ctx, step); err != nil {
+			if errors.Is(err, errFinished) {
+				break
+			}
 			if ctx.Err() != nil {
 				return nil
 			}
@@ -65,6 +77,9 @@
 	if err := t.openUpTo(ctx, step); err != nil {
 		return err
 	}
+	if t.opened < step {
+		return errFinished
+	}
 	if err := t.collect(ctx, step); err != nil {
 		return err
 	}
@@ -82,7 +97,7 @@
 	if t.config.MaxSteps > 0 {
 		last = min(last, t.config.MaxSteps)
 	}
-	for t.opened < last {
+	for t.opened < last && !t.finishing.Load() {
 		step := t.opened + 1
 		body := stepBody{Pool: t.config.Pool, SamplesPerPrompt: t.config.SamplesPerPrompt}
 		for index := range t.config.PromptsPerStep {
--- a/internal/workload/caller/attempt.go
+++ b/internal/workload/caller/attempt.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,7 +40,9 @@
 	detail     string // of a refusal, a loss or a wrong answer
 	code       string // of a refusal
 	retryAfter time.Duration
+	unreached  bool // no connection was made
 	attempts   int
+	cuts       int // attempts whose connection broke after it was made, this one included
 	firstToken time.Time
 	backend    string
 	tokens     int
@@ -107,7 +110,8 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return result{kind: lost, detail: err.Error()}
+		var failed *net.OpError
+		return result{kind: lost, detail: err.Error(), unreached: errors.As(err, &failed) && failed.Op == "dial"}
 	}
 	defer response.Body.Close()
 	read := c.read(prepared, response)
--- a/internal/workload/caller/caller.go
+++ b/internal/workload/caller/caller.go
@@ -117,10 +117,13 @@
 // attempts repeats a call while its answer is lost.
 func (c *Caller) attempts(ctx context.Context, prepared *preparedCall) result {
 	pause := c.config.RetryPause
-	var last result
+	cuts := 0
 	for attempt := 1; ; attempt++ {
-		last = c.attempt(ctx, prepared, c.gateway())
-		last.attempts = attempt
+		last := c.attempt(ctx, prepared, c.gateway())
+		if last.kind == lost && !last.unreached {
+			cuts++
+		}
+		last.attempts, last.cuts = attempt, cuts
 		wait, again := c.retry(prepared, last, attempt, pause)
 		if !again || !sleep(ctx, wait) {
 			return last
--- a/internal/workload/caller/record.go
+++ b/internal/workload/caller/record.go
@@ -42,6 +42,7 @@
 	Wrong      int      `json:"wrong"`    // looked whole and was not: a broken promise
 	Unsent     int      `json:"unsent"`   // not sent, too many in flight
 	Resent     int      `json:"resent"`   // attempts beyond the first
+	Cut        int      `json:"cut"`      // attempts whose connection broke after it was made
 	Tokens     int      `json:"tokens"`
 	ByVerdict  Verdicts `json:"by_verdict"`
 	Latency    Latency  `json:"latency"`
@@ -184,6 +185,7 @@
 func (s *sourceRecord) add(last result, intended, now time.Time) {
 	s.stats.Requests++
 	s.stats.Resent += last.attempts - 1
+	s.stats.Cut += last.cuts
 	s.stats.Tokens += last.tokens
 	switch last.verdict {
 	case verdict.Ran:
