--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -22,6 +22,7 @@
 		{parent: "standin", name: "weight-store", short: "Rate-limited weight store", constructor: func() command { return &standinWeightStoreCommand{} }},
 		{parent: "standin", name: "platform", short: "Lagging list of machines", constructor: func() command { return &standinPlatformCommand{} }},
 		{name: "load", short: "Drive gateways with a workload and check every answer", constructor: func() command { return &loadCommand{} }},
+		{name: "experiment", short: "Compare scheduling and routing policies in virtual time", constructor: func() command { return &experimentCommand{} }},
 		{name: "simulate", short: "Simulated fleets in virtual time"},
 		{name: "control", short: "Run a control node", constructor: func() command { return &controlCommand{} }},
 		{name: "table", short: "Show and change the table of weights and limits"},
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,189 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/workload"
+)
+
+// small is a scenario that exercises everything in little time.
+const small = `
+name: small
+duration: 4m
+warmup: 30s
+seeds: [1, 2]
+fleet:
+  zones:
+    - {name: a, region: x, replicas: 2}
+    - {name: b, region: y, replicas: 2}
+  gateways: 2
+  engine: {max_batch: 16}
+table: {staleness_bound: 2}
+live:
+  - name: chat
+    arrival: {per_second: 8}
+    output_tokens: {median: 30, sigma: 0.5, max: 200}
+    sharing: {prefixes: 3}
+trainers:
+  - name: t
+    prompts_per_step: 8
+    samples_per_prompt: 4
+    output_tokens: {median: 100, sigma: 0.5, tail_share: 0.05, max: 800}
+    train_time: 10s
+faults:
+  - {kind: replica-crash, first: 40s, every: 30s, duration: 5s}
+  - {kind: swap-failure, first: 5s, every: 10s, swap: refuses, replicas: 2}
+  - {kind: swap-failure, first: 8s, every: 20s, swap: silent}
+  - {kind: late-reports, first: 50s, lag: 4s}
+  - {kind: scorer-stall, first: 1m, duration: 3s}
+policies:
+  - {name: paced}
+  - {name: cut, disable: [continuation], routing: least-requests}
+  - {name: synchronous, scheduling: synchronous, routing: random}
+  - {name: asynchronous, scheduling: asynchronous, routing: round-robin}
+  - {name: off, scheduling: none}
+`
+
+func mustParse(t *testing.T, content string) Scenario {
+	t.Helper()
+	scenario, err := Parse("small.yaml", []byte(content))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return scenario
+}
+
+func execute(t *testing.T, scenario Scenario, parallel int) *Report {
+	t.Helper()
+	report, err := Execute(context.Background(), scenario, Options{Parallel: parallel})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func TestSameSeedGivesSameReport(t *testing.T) {
+	var reports [2]string
+	for index, parallel := range []int{1, 3} {
+		content, err := json.Marshal(execute(t, mustParse(t, small), parallel))
+		if err != nil {
+			t.Fatal(err)
+		}
+		reports[index] = string(content)
+	}
+	if reports[0] != reports[1] {
+		t.Fatalf("two reports of one scenario differ:\n%s\n%s", reports[0], reports[1])
+	}
+}
+
+// TestRunsUnderFaults checks what must hold for every policy under every fault, and that faults were met.
+func TestRunsUnderFaults(t *testing.T) {
+	report := execute(t, mustParse(t, small), 4)
+	for _, run := range report.Runs {
+		if run.Live.Answered < run.Live.Calls*9/10 || run.Live.Answered+run.Live.Refused+run.Live.Lost > run.Live.Calls {
+			t.Errorf("%s: live traffic %+v", run.Policy, run.Live)
+		}
+		if run.Policy == "off" {
+			if run.Steps != 0 || run.RolloutRate != 0 {
+				t.Errorf("rollouts ran while off: %+v", run)
+			}
+			continue
+		}
+		if run.Steps < 5 {
+			t.Errorf("%s, seed %d: only %d steps", run.Policy, run.Seed, run.Steps)
+		}
+		if run.Staleness.Max > 2 {
+			t.Errorf("%s: a sample of age %d was delivered, the bound is 2", run.Policy, run.Staleness.Max)
+		}
+		if run.Policy == "synchronous" && run.Staleness.Max > 0 {
+			t.Errorf("the synchronous baseline delivered old samples: %v", run.Staleness)
+		}
+		if run.Policy == "cut" && run.ThrownAway == 0 {
+			t.Error("without continuation nothing was thrown away: no swap met a running sample")
+		}
+		if run.StepTime < run.Bound.StepTime*95/100 {
+			t.Errorf("%s: step time %v beats the lower bound %+v", run.Policy, run.StepTime, run.Bound)
+		}
+	}
+}
+
+func TestReportIsWritten(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "out")
+	if err := execute(t, mustParse(t, small), 4).Write(folder); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"report.json", "report.md"} {
+		content, err := os.ReadFile(filepath.Join(folder, name))
+		if err != nil || len(content) == 0 {
+			t.Fatalf("%s: %d bytes, %v", name, len(content), err)
+		}
+	}
+}
+
+func TestBadScenarioIsRefusedWithFileLineAndField(t *testing.T) {
+	cases := map[string]struct{ from, to, want string }{
+		"unknown field": {"duration: 4m", "duraton: 4m", "small.yaml:3: duraton"},
+		"duration":      {"warmup: 30s", "warmup: soon", "small.yaml:4: warmup"},
+		"zone":          {"name: b, region: y", "name: a, region: y", "small.yaml:9: fleet.zones[1].name"},
+		"engine":        {"max_batch: 16", "max_batch: -1", "small.yaml:11: fleet.engine.max_batch"},
+		"live":          {"per_second: 8", "per_second: -8", "small.yaml:15: live[0].arrival.per_second"},
+		"trainer":       {"prompts_per_step: 8", "prompts_per_step: -8", "small.yaml:20: trainers[0].prompts_per_step"},
+		"fault":         {"kind: scorer-stall", "kind: earthquake", "small.yaml:29: faults[4].kind"},
+		"policy":        {"scheduling: none", "scheduling: lucky", "small.yaml:35: policies[4].scheduling"},
+	}
+	for name, one := range cases {
+		broken := strings.Replace(small, one.from, one.to, 1)
+		if broken == small {
+			t.Fatalf("%s: %q does not occur", name, one.from)
+		}
+		if _, err := Parse("small.yaml", []byte(broken)); err == nil || !strings.HasPrefix(err.Error(), one.want) {
+			t.Errorf("%s: got %v, want %s", name, err, one.want)
+		}
+	}
+}
+
+func TestShippedScenariosLoad(t *testing.T) {
+	files, err := filepath.Glob("../../experiments/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		if _, err := Load(file); err != nil {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
+
+// TestEveryFieldIsDocumented compares the page with the types.
+func TestEveryFieldIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/experiments.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[reflect.Type]bool{reflect.TypeOf(workload.Source{}): true} // documented with the load tool
+	var check func(reflect.Type)
+	check = func(kind reflect.Type) {
+		if kind.Kind() == reflect.Slice {
+			kind = kind.Elem()
+		}
+		if kind.Kind() != reflect.Struct || seen[kind] || kind == reflect.TypeOf(time.Duration(0)) {
+			return
+		}
+		seen[kind] = true
+		for index := range kind.NumField() {
+			name := kind.Field(index).Tag.Get("yaml")
+			if name != "" && !strings.Contains(string(page), "`"+name+"`") {
+				t.Errorf("field %s of %s is not documented", name, kind)
+			}
+			check(kind.Field(index).Type)
+		}
+	}
+	check(reflect.TypeOf(Scenario{}))
+}
--- /dev/null
+++ b/internal/experiment/markdown.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Markdown returns the report as a page.
+func (r *Report) Markdown() string {
+	var page strings.Builder
+	fmt.Fprintf(&page, "# %s\n\n", r.Scenario)
+	if r.Description != "" {
+		fmt.Fprintf(&page, "%s\n\n", r.Description)
+	}
+	fmt.Fprintf(&page, "%d replicas, %v of virtual time, the first %v not measured, seeds %v. Means over the seeds, least and greatest in brackets.\n\n",
+		r.scenario.Fleet.Replicas(), asDuration(r.Duration), asDuration(r.Warmup), r.Seeds)
+	r.trainerTable(&page)
+	r.liveTable(&page)
+	return page.String()
+}
+
+func (r *Report) trainerTable(page *strings.Builder) {
+	page.WriteString("## Trainers\n\n")
+	page.WriteString("| policy | idle % | bound % | step s | over bound | staleness | max | thrown away % | tokens/s | of room % |\n")
+	page.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
+	for index := range r.Policies {
+		one := &r.Policies[index]
+		if r.scenario.Policies[index].Scheduling == SchedulingNone {
+			continue
+		}
+		fmt.Fprintf(page, "| %s | %s | %s | %s | %s | %s | %.0f | %s | %.0f | %.0f |\n", one.Policy,
+			one.IdleShare.text(100, 1), one.BoundIdleShare.text(100, 1), one.StepTime.text(1, 1), one.StepTimeOverBound.text(1, 2),
+			one.StalenessMean.text(1, 2), one.StalenessMax.Max, one.ThrownAway.text(100, 2), one.RolloutRate.Mean,
+			100*one.CapacityUsed.Mean)
+	}
+	page.WriteString("\n")
+}
+
+func (r *Report) liveTable(page *strings.Builder) {
+	if len(r.scenario.Live) == 0 {
+		return
+	}
+	page.WriteString("## Live traffic\n\n")
+	page.WriteString("| policy | p50 s | p99 s | p99.9 s | p99 over rollouts off | first token p99 s | refused or lost | weights everywhere p99 s |\n")
+	page.WriteString("|---|---|---|---|---|---|---|---|\n")
+	for index := range r.Policies {
+		one := &r.Policies[index]
+		fmt.Fprintf(page, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", one.Policy, one.LiveP50.text(1, 2), one.LiveP99.text(1, 2),
+			one.LiveP999.text(1, 2), one.LiveP99OverOff.text(1, 3), one.FirstTokenP99.text(1, 3), one.LiveFailed.text(1, 0),
+			one.WeightsEverywhere.text(1, 1))
+	}
+	page.WriteString("\n")
+}
+
+// text shows a spread, each figure multiplied.
+func (s Spread) text(factor float64, digits int) string {
+	if s.Min == s.Max {
+		return fmt.Sprintf("%.*f", digits, s.Mean*factor)
+	}
+	return fmt.Sprintf("%.*f (%.*f-%.*f)", digits, s.Mean*factor, digits, s.Min*factor, digits, s.Max*factor)
+}
+
+func asDuration(seconds Seconds) time.Duration {
+	return time.Duration(float64(seconds) * float64(time.Second)).Round(time.Second)
+}
--- /dev/null
+++ b/internal/experiment/policy.go
@@ -0,0 +1,170 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/engine"
+	"github.com/tamarindring/tamarindring/internal/rollout"
+	"github.com/tamarindring/tamarindring/internal/routing"
+	"github.com/tamarindring/tamarindring/internal/strictyaml"
+)
+
+// Scheduling names a way of scheduling rollouts.
+type Scheduling string
+
+// The ways of scheduling rollouts.
+const (
+	SchedulingPaced        Scheduling = "paced"        // rollout.Paced
+	SchedulingAsynchronous Scheduling = "asynchronous" // rollout.Asynchronous, a baseline
+	SchedulingSynchronous  Scheduling = "synchronous"  // rollout.Synchronous, a baseline
+	SchedulingNone         Scheduling = "none"         // no rollouts at all: what live traffic sees then
+)
+
+// Routing names a routing policy.
+type Routing string
+
+// The routing policies.
+const (
+	RoutingBalanced      Routing = "balanced"       // routing.Balanced
+	RoutingRandom        Routing = "random"         // routing.UniformRandom, a baseline
+	RoutingRoundRobin    Routing = "round-robin"    // routing.RoundRobin, a baseline
+	RoutingLeastRequests Routing = "least-requests" // routing.LeastRequests, a baseline
+)
+
+// Mechanism names a part of the paced policy that can be switched off.
+type Mechanism string
+
+// The mechanisms.
+const (
+	MechanismPacing       Mechanism = "pacing"
+	MechanismLongestFirst Mechanism = "longest-first"
+	MechanismContinuation Mechanism = "continuation"
+)
+
+// Policy is one combination to measure.
+type Policy struct {
+	// Name appears in the report; unique. Required.
+	Name string `yaml:"name"`
+	// Scheduling is paced, asynchronous, synchronous or none. Default paced.
+	Scheduling Scheduling `yaml:"scheduling"`
+	// Routing is balanced, random, round-robin or least-requests. Default balanced.
+	Routing Routing `yaml:"routing"`
+	// Disable lists mechanisms of paced that are off: pacing, longest-first, continuation.
+	Disable []Mechanism `yaml:"disable"`
+}
+
+func (p *Policy) setDefaults() {
+	setDefault(&p.Scheduling, SchedulingPaced)
+	setDefault(&p.Routing, RoutingBalanced)
+}
+
+func (p *Policy) validate(names map[string]bool) error {
+	if p.Name == "" || names[p.Name] {
+		return strictyaml.Fieldf("name", "%q is empty or used twice", p.Name)
+	}
+	names[p.Name] = true
+	schedulings := []Scheduling{SchedulingPaced, SchedulingAsynchronous, SchedulingSynchronous, SchedulingNone}
+	if !slices.Contains(schedulings, p.Scheduling) {
+		return strictyaml.Fieldf("scheduling", "%q is none of %v", p.Scheduling, schedulings)
+	}
+	routings := []Routing{RoutingBalanced, RoutingRandom, RoutingRoundRobin, RoutingLeastRequests}
+	if !slices.Contains(routings, p.Routing) {
+		return strictyaml.Fieldf("routing", "%q is none of %v", p.Routing, routings)
+	}
+	mechanisms := []Mechanism{MechanismPacing, MechanismLongestFirst, MechanismContinuation}
+	for _, mechanism := range p.Disable {
+		if !slices.Contains(mechanisms, mechanism) {
+			return strictyaml.Fieldf("disable", "%q is none of %v", mechanism, mechanisms)
+		}
+	}
+	if len(p.Disable) > 0 && p.Scheduling != SchedulingPaced {
+		return strictyaml.Fieldf("disable", "only the paced policy has mechanisms to switch off")
+	}
+	return nil
+}
+
+func (p *Policy) off(mechanism Mechanism) bool { return slices.Contains(p.Disable, mechanism) }
+
+func (p *Policy) rolloutPolicy() rollout.Policy {
+	switch p.Scheduling {
+	case SchedulingAsynchronous:
+		return rollout.Asynchronous{}
+	case SchedulingSynchronous:
+		return rollout.Synchronous{}
+	}
+	return rollout.Paced{
+		NoPacing: p.off(MechanismPacing), NoLongestFirst: p.off(MechanismLongestFirst),
+		NoContinuation: p.off(MechanismContinuation),
+	}
+}
+
+func (p *Policy) routingPolicy() routing.Policy {
+	switch p.Routing {
+	case RoutingRandom:
+		return routing.UniformRandom{}
+	case RoutingRoundRobin:
+		return &routing.RoundRobin{}
+	case RoutingLeastRequests:
+		return routing.LeastRequests{}
+	}
+	return routing.Balanced{}
+}
+
+// FaultKind names a fault.
+type FaultKind string
+
+// The faults.
+const (
+	FaultCrash       FaultKind = "replica-crash" // replicas lose everything and are away for the duration
+	FaultSwap        FaultKind = "swap-failure"  // the next swap of the replicas fails
+	FaultLateReports FaultKind = "late-reports"  // load reports are as old as lag for the duration
+	FaultScorer      FaultKind = "scorer-stall"  // no score is given for the duration
+)
+
+// Fault is something that goes wrong, once or again and again.
+type Fault struct {
+	// Kind is replica-crash, swap-failure, late-reports or scorer-stall. Required.
+	Kind FaultKind `yaml:"kind"`
+	// First is when it strikes first. Default 5m.
+	First time.Duration `yaml:"first"`
+	// Every is the mean time between strikes, exponentially drawn; 0 is once.
+	Every time.Duration `yaml:"every"`
+	// Duration is how long it lasts; does not apply to swap-failure. Default 30s.
+	Duration time.Duration `yaml:"duration"`
+	// Replicas is how many replicas one strike hits; does not apply to late-reports and scorer-stall. Default 1.
+	Replicas int `yaml:"replicas"`
+	// Lag is the age of reports under late-reports. Default 5s.
+	Lag time.Duration `yaml:"lag"`
+	// Swap is how a swap fails: keeps-old, refuses or silent. Default keeps-old.
+	Swap string `yaml:"swap"`
+}
+
+var swapFailures = map[string]engine.SwapFailure{
+	"keeps-old": engine.SwapKeepsOld, "refuses": engine.SwapRefuses, "silent": engine.SwapIsSilent,
+}
+
+func (f *Fault) setDefaults() {
+	setDefault(&f.First, 5*time.Minute)
+	setDefault(&f.Duration, 30*time.Second)
+	setDefault(&f.Replicas, 1)
+	setDefault(&f.Lag, 5*time.Second)
+	setDefault(&f.Swap, "keeps-old")
+}
+
+func (f *Fault) validate() error {
+	kinds := []FaultKind{FaultCrash, FaultSwap, FaultLateReports, FaultScorer}
+	if !slices.Contains(kinds, f.Kind) {
+		return strictyaml.Fieldf("kind", "%q is none of %v", f.Kind, kinds)
+	}
+	if _, known := swapFailures[f.Swap]; !known {
+		return strictyaml.Fieldf("swap", "%q is not keeps-old, refuses or silent", f.Swap)
+	}
+	if f.Every < 0 {
+		return strictyaml.Fieldf("every", "%v must not be negative", f.Every)
+	}
+	if f.Replicas < 1 {
+		return strictyaml.Fieldf("replicas", "%d must be at least 1", f.Replicas)
+	}
+	return validateDurations([]namedDuration{{"first", f.First}, {"duration", f.Duration}, {"lag", f.Lag}})
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,150 @@
+package experiment
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+)
+
+// Report is the result of one experiment.
+type Report struct {
+	Scenario    string    `json:"scenario"`
+	Description string    `json:"description"`
+	Duration    Seconds   `json:"duration_seconds"`
+	Warmup      Seconds   `json:"warmup_seconds"`
+	Seeds       []uint64  `json:"seeds"`
+	Policies    []Summary `json:"policies"`
+	Runs        []Run     `json:"runs"`
+
+	scenario *Scenario
+}
+
+// Spread is a figure's mean over the seeds, and its least and greatest value.
+type Spread struct {
+	Mean float64 `json:"mean"`
+	Min  float64 `json:"min"`
+	Max  float64 `json:"max"`
+}
+
+// Summary is one policy over all seeds.
+type Summary struct {
+	Policy         string `json:"policy"`
+	IdleShare      Spread `json:"idle_share"`
+	BoundIdleShare Spread `json:"lower_bound_idle_share"`
+	StepTime       Spread `json:"step_time_seconds"`
+	// StepTimeOverBound is the step time in multiples of the lower bound.
+	StepTimeOverBound Spread `json:"step_time_over_lower_bound"`
+	StalenessMean     Spread `json:"staleness_mean"`
+	StalenessMax      Spread `json:"staleness_max"`
+	ThrownAway        Spread `json:"thrown_away"`
+	RolloutRate       Spread `json:"rollout_tokens_per_second"`
+	CapacityUsed      Spread `json:"capacity_used"`
+	LiveP50           Spread `json:"live_p50_seconds"`
+	LiveP99           Spread `json:"live_p99_seconds"`
+	LiveP999          Spread `json:"live_p999_seconds"`
+	FirstTokenP99     Spread `json:"live_first_token_p99_seconds"`
+	// LiveP99OverOff is the live p99 in multiples of that of the policy without rollouts and the same
+	// seed; 0 when no policy is without rollouts.
+	LiveP99OverOff    Spread `json:"live_p99_over_rollouts_off"`
+	LiveFailed        Spread `json:"live_refused_or_lost"`
+	WeightsEverywhere Spread `json:"weights_everywhere_p99_seconds"`
+	// Speed is the virtual time simulated per wall time; depends on the machine.
+	Speed float64 `json:"-"`
+}
+
+func newReport(scenario *Scenario, runs []Run) *Report {
+	report := &Report{
+		Scenario: scenario.Name, Description: scenario.Description, Seeds: scenario.Seeds, Runs: runs, scenario: scenario,
+		Duration: Seconds(scenario.Duration.Seconds()), Warmup: Seconds(scenario.Warmup.Seconds()),
+	}
+	seeds := len(scenario.Seeds)
+	var off []Run
+	for index := range scenario.Policies {
+		if scenario.Policies[index].Scheduling == SchedulingNone {
+			off = runs[index*seeds : (index+1)*seeds]
+		}
+	}
+	for index := range scenario.Policies {
+		report.Policies = append(report.Policies, summarize(scenario, runs[index*seeds:(index+1)*seeds], off))
+	}
+	return report
+}
+
+func summarize(scenario *Scenario, runs, off []Run) Summary {
+	over := func(figure func(index int, run *Run) float64) Spread {
+		values := make([]float64, len(runs))
+		for index := range runs {
+			values[index] = figure(index, &runs[index])
+		}
+		return newSpread(values)
+	}
+	each := func(figure func(run *Run) float64) Spread {
+		return over(func(_ int, run *Run) float64 { return figure(run) })
+	}
+	wall := 0.0
+	for index := range runs {
+		wall += float64(runs[index].WallTime)
+	}
+	return Summary{
+		Policy:            runs[0].Policy,
+		IdleShare:         each(func(r *Run) float64 { return r.IdleShare }),
+		BoundIdleShare:    each(func(r *Run) float64 { return r.Bound.IdleShare }),
+		StepTime:          each(func(r *Run) float64 { return float64(r.StepTime) }),
+		StepTimeOverBound: each(func(r *Run) float64 { return ratio(float64(r.StepTime), float64(r.Bound.StepTime)) }),
+		StalenessMean:     each(func(r *Run) float64 { return r.Staleness.Mean }),
+		StalenessMax:      each(func(r *Run) float64 { return float64(r.Staleness.Max) }),
+		ThrownAway:        each(func(r *Run) float64 { return r.ThrownAway }),
+		RolloutRate:       each(func(r *Run) float64 { return r.RolloutRate }),
+		CapacityUsed:      each(func(r *Run) float64 { return r.CapacityUsed }),
+		LiveP50:           each(func(r *Run) float64 { return float64(r.Live.Latency.P50) }),
+		LiveP99:           each(func(r *Run) float64 { return float64(r.Live.Latency.P99) }),
+		LiveP999:          each(func(r *Run) float64 { return float64(r.Live.Latency.P999) }),
+		FirstTokenP99:     each(func(r *Run) float64 { return float64(r.Live.FirstToken.P99) }),
+		LiveP99OverOff: over(func(index int, r *Run) float64 {
+			if off == nil {
+				return 0
+			}
+			return ratio(float64(r.Live.Latency.P99), float64(off[index].Live.Latency.P99))
+		}),
+		LiveFailed:        each(func(r *Run) float64 { return float64(r.Live.Refused + r.Live.Lost) }),
+		WeightsEverywhere: each(func(r *Run) float64 { return float64(r.WeightsEverywhere.P99) }),
+		Speed:             ratio(scenario.Duration.Seconds()*float64(len(runs)), wall),
+	}
+}
+
+func ratio(value, base float64) float64 {
+	if base == 0 {
+		return 0
+	}
+	return value / base
+}
+
+func newSpread(values []float64) Spread {
+	spread := Spread{Min: values[0], Max: values[0]}
+	for _, value := range values {
+		spread.Mean += value / float64(len(values))
+		spread.Min = min(spread.Min, value)
+		spread.Max = max(spread.Max, value)
+	}
+	return spread
+}
+
+// Write writes report.json, report.md and the plots into a folder, which is made if need be.
+func (r *Report) Write(folder string) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	content, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "report.json"), append(content, '\n'), 0o644); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "report.md"), []byte(r.Markdown()), 0o644); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return nil
+}
