--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -121,6 +121,9 @@
 	return q
 }
 
+// Slots returns the number of requests that may be in flight.
+func (q *Queue) Slots() int { return q.limits.Slots }
+
 // InFlight returns the number of requests in flight.
 func (q *Queue) InFlight() int { return len(q.running) }
 
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -218,6 +218,7 @@
 	if refused.status != 503 || refused.header.Get(verdict.Header) != "did-not-run" || refused.header.Get(HeaderRetryAfter) == "" {
 		t.Fatalf("%+v", refused)
 	}
+	f.expectNotReady(t, errDraining)
 	streamedText(t, long, (<-streamed).body)
 	if err := <-drained; err != nil {
 		t.Fatal(err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -188,6 +190,21 @@
 	if got.status != 503 || got.header.Get(verdict.Header) != "did-not-run" || len(f.engines[0].Log()) != 0 {
 		t.Fatalf("%+v", got)
 	}
+	f.expectNotReady(t, errNoLease)
+}
+
+// expectNotReady fails unless the first gateway says on the callers' listener that it takes no work and why.
+func (f *fixture) expectNotReady(t *testing.T, reason error) {
+	t.Helper()
+	response, err := http.Get("http://" + f.gateways[0].Address() + "/readyz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(body), reason.Error()) {
+		t.Fatalf("%d %q %v", response.StatusCode, body, err)
+	}
 }
 
 func TestUnreachableLedgerAnswersBeforeTheDeadline(t *testing.T) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -1,17 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/tamarindring/tamarindring/internal/dispatch"
+	"github.com/tamarindring/tamarindring/internal/metrics"
 	"github.com/tamarindring/tamarindring/internal/table"
 )
 
@@ -29,9 +29,9 @@
 	case "/healthz":
 		ctx.SetBodyString("ok\n")
 	case "/readyz":
-		s.handleReady(ctx)
+		metrics.WriteReady(ctx, s.Ready(context.Background()))
 	case "/metrics":
-		fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))(ctx)
+		s.scrape(ctx)
 	case "/v1/models":
 		s.handleModels(ctx)
 	case "/v1/log":
@@ -68,17 +68,6 @@
 	writeJSON(ctx, list)
 }
 
-// handleReady tells whether the gateway takes requests: it holds a lease and does not drain.
-func (s *Server) handleReady(ctx *fasthttp.RequestCtx) {
-	_, leased := s.config.Control.Admit()
-	if s.draining.Load() || !leased {
-		ctx.SetStatusCode(http.StatusServiceUnavailable)
-		ctx.SetBodyString("not ready\n")
-		return
-	}
-	ctx.SetBodyString("ready\n")
-}
-
 // handleMalformed answers bytes that are no HTTP request, too large headers and slow senders.
 func (s *Server) handleMalformed(ctx *fasthttp.RequestCtx, err error) {
 	status := http.StatusBadRequest
@@ -174,7 +163,7 @@
 func (x *exchange) finishExchange() {
 	x.dropUpstream()
 	x.leaveBackend(outcomeNeutral)
-	x.server.metrics.count(x, x.server.now()-x.arrived)
+	x.server.counts.count(x, x.server.now()-x.arrived)
 	x.server.memory.give(x.call.reserved + x.stream.reserved)
 	if !x.late {
 		x.server.inFlight.Add(-1)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,39 +4,56 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tamarindring/tamarindring/internal/dispatch"
+	"github.com/tamarindring/tamarindring/internal/metrics"
 )
 
-// metrics are the gateway's counters, served in the Prometheus text form.
-type metrics struct {
-	registry   *prometheus.Registry
+const metricsSubsystem = "gateway"
+
+// counts are the gateway's counters, served in the Prometheus text form.
+type counts struct {
 	requests   *prometheus.CounterVec
 	dispatches *prometheus.CounterVec
 	tokens     *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	stages     *prometheus.HistogramVec
+	refused    prometheus.Counter // retries that the budget did not allow
 }
 
-func newMetrics() *metrics {
+func newCounts() *counts {
 	buckets := prometheus.ExponentialBuckets(0.0005, 2, 18)
-	m := &metrics{
-		registry: prometheus.NewRegistry(),
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarindring_gateway_requests_total",
-			Help: "Requests by pool, class, verdict and error code (empty for an answer of the back end)."}, []string{"pool", "class", "verdict", "code"}),
-		dispatches: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarindring_gateway_dispatches_total",
-			Help: "Sends, resumes and replays to back ends."}, []string{"pool"}),
-		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarindring_gateway_tokens_total",
-			Help: "Streamed tokens passed to callers."}, []string{"pool", "class"}),
-		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarindring_gateway_request_seconds",
-			Help: "Time from a request's arrival to its last byte handed to the connection.", Buckets: buckets}, []string{"pool", "class"}),
-		stages: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarindring_gateway_stage_seconds",
-			Help: "Time of one stage of a request with a claim.", Buckets: buckets}, []string{"stage"}),
+	return &counts{
+		requests: counters("requests_total",
+			"Requests by pool, class, verdict and error code (empty for an answer of the back end).", "pool", "class", "verdict", "code"),
+		dispatches: counters("dispatches_total",
+			"Dispatches to back ends by kind: send, resume of a stream, replay at another back end.", "pool", "kind"),
+		tokens: counters("tokens_total", "Streamed tokens passed to callers.", "pool", "class"),
+		latency: histograms("request_duration_seconds",
+			"Time from a request's arrival to its last byte handed to the connection.", buckets, "pool", "class"),
+		stages: histograms("stage_duration_seconds", "Time of one stage of a request with a claim.", buckets, "stage"),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
+			Name: "retries_refused_total", Help: "Retries that were not made because the retry budget was used up."}),
 	}
-	m.registry.MustRegister(m.requests, m.dispatches, m.tokens, m.latency, m.stages)
-	return m
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
+		Name: name, Help: help}, labels)
+}
+
+func histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
+		Name: name, Help: help, Buckets: buckets}, labels)
+}
+
+// all lists the collectors.
+func (m *counts) all() []prometheus.Collector {
+	return []prometheus.Collector{m.requests, m.dispatches, m.tokens, m.latency, m.stages, m.refused}
 }
 
 // count records a request that is over.
-func (m *metrics) count(x *exchange, took time.Duration) {
+func (m *counts) count(x *exchange, took time.Duration) {
 	pool, class := x.poolLabel(), x.classLabel()
 	m.requests.WithLabelValues(pool, class, x.outcome.Verdict.String(), x.outcome.Code).Inc()
 	m.latency.WithLabelValues(pool, class).Observe(took.Seconds())
@@ -51,6 +68,11 @@
 	}
 }
 
+// countDispatch records one dispatch.
+func (m *counts) countDispatch(x *exchange, kind dispatch.ActionKind) {
+	m.dispatches.WithLabelValues(x.call.pool, dispatchKinds[kind]).Inc()
+}
+
 // poolLabel bounds the label values to pools of the table.
 func (x *exchange) poolLabel() string {
 	if x.pool == nil {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -57,7 +57,7 @@
 	}
 	x.sends++
 	x.server.log.add(x, action, version)
-	x.server.metrics.dispatches.WithLabelValues(x.call.pool).Inc()
+	x.server.counts.countDispatch(x, action.Kind)
 	x.exchangeWith(up, payload, action)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,8 +12,11 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/tamarindring/tamarindring/internal/dispatch"
@@ -27,7 +30,8 @@
 	http          *fasthttp.Server
 	transport     *transport
 	dispatch      dispatch.Settings
-	metrics       *metrics
+	counts        *counts
+	scrape        fasthttp.RequestHandler
 	log           *dispatchLog
 	started       time.Time
 	context       context.Context // of background work; ends with Close
@@ -66,6 +70,12 @@
 	}
 }
 
+func (c *callers) count() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.open)
+}
+
 func (c *callers) cut() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -99,14 +109,15 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: config, listener: listener, transport: newTransport(config.ConnectTimeout),
-		metrics: newMetrics(), log: newDispatchLog(config.LogEntries), started: time.Now(),
+		counts: newCounts(), log: newDispatchLog(config.LogEntries), started: time.Now(),
 		memory: memoryBudget{limit: config.MaxBufferedBytes}, callers: callers{open: map[net.Conn]struct{}{}}, context: ctx, cancel: cancel, cancels: make(chan struct{}, maxCancels),
 		lingers: make(chan struct{}, maxLingers)}
 	s.attemptPrefix = config.Control.Owner() + "/"
 	s.streamPrefix = randomName() + "-"
 	s.dispatch = config.Dispatch.WithDefaults()
 	s.dispatch.Random = rand.Float64
-	s.dispatch.Budget = &sharedBudget{budget: dispatch.NewRetryBudget(config.RetriesPerSecond, config.RetryBurst)}
+	s.dispatch.Budget = &sharedBudget{budget: dispatch.NewRetryBudget(config.RetriesPerSecond, config.RetryBurst),
+		refused: s.counts.refused}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "tamarindring", Logger: quietLogger{config.Log}, StreamRequestBody: true,
 		MaxRequestBodySize: prefetchBytes, DisablePreParseMultipartForm: true, ReadTimeout: config.ReadTimeout,
@@ -114,12 +125,18 @@
 		ReadBufferSize: maxHeaderBytes, NoDefaultServerHeader: true, ErrorHandler: s.handleMalformed,
 		ConnState: s.callers.follow,
 	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(s.Collector())
+	s.scrape = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
 	s.pools.Store(&poolSet{byName: map[string]*pool{}})
 	config.Control.OnUpdate(func(view *table.View) { s.update(view, false) })
 	s.update(config.Control.View(), true)
 	return s, nil
 }
 
+// maxScrapes bounds the scrapes under way on the callers' listener.
+const maxScrapes = 4
+
 // prefetchBytes is how much of a body the HTTP library reads before the handler runs.
 const prefetchBytes = 16 << 10
 
@@ -133,15 +150,20 @@
 
 // sharedBudget makes the retry budget safe for all requests.
 type sharedBudget struct {
-	mutex  sync.Mutex
-	budget *dispatch.RetryBudget
+	mutex   sync.Mutex
+	budget  *dispatch.RetryBudget
+	refused prometheus.Counter
 }
 
 // Take implements dispatch.Budget.
 func (b *sharedBudget) Take(now time.Duration) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.budget.Take(now)
+	if b.budget.Take(now) {
+		return true
+	}
+	b.refused.Inc()
+	return false
 }
 
 // quietLogger passes the HTTP library's complaints about callers to debug level.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -207,6 +207,9 @@
 // Work returns this gateway's tokens in flight at a replica.
 func (p *Pool) Work(i int) float64 { return p.replicas[i].work }
 
+// Leaving tells whether some source says that a replica is leaving.
+func (p *Pool) Leaving(i int) bool { return p.replicas[i].leaving != 0 }
+
 // SetLeaving notes what one source says about a replica.
 func (p *Pool) SetLeaving(name string, source Source, leaving bool) {
 	if i := p.Index(name); i >= 0 {
