--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -30,6 +30,7 @@
 	DrainTimeout time.Duration `long:"drain-timeout" default:"10s" description:"Longest time to hand leaderships over when stopped by SIGINT or SIGTERM"`
 	LogLevel     string        `long:"log-level" default:"info" description:"debug, info, warning or error"`
 	LogFormat    string        `long:"log-format" default:"text" description:"text or json"`
+	adminOptions
 }
 
 // Run serves until the first SIGINT or SIGTERM, then hands leaderships over and stops.
@@ -42,14 +43,23 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 	}
+	log := logging.Part(logger, "control")
+	admin, err := c.open("control", c.Name, log)
+	if err != nil {
+		return err
+	}
+	defer closeAdmin(admin)
 	server, err := control.New(control.Config{
 		Name: c.Name, NodeID: c.ID, ClusterID: c.Cluster, Listen: c.Listen, Peers: peers, Join: c.Join,
 		Zone: c.Zone, Region: c.Region, DataFolder: c.Data, LedgerGroups: c.LedgerGroups,
-		LeaseDuration: c.Lease, Tick: c.Tick, Log: logging.Part(logger, "control"),
+		LeaseDuration: c.Lease, Tick: c.Tick, Log: log,
 	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if err := showAdmin(admin, server); err != nil {
+		return trace.NewAggregate(err, server.Close())
+	}
 	finished := make(chan error, 1)
 	go func() { finished <- server.Run(context.Background()) }()
 	select {
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -27,6 +27,7 @@
 	StartTime    time.Duration `long:"start-time" default:"30s" description:"Longest time to wait for the first lease"`
 	LogLevel     string        `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
 	LogFormat    string        `long:"log-format" default:"text" description:"Log format: text or json"`
+	adminOptions
 }
 
 // Run implements command.
@@ -39,18 +40,26 @@
 		return &ExitError{Code: ExitUsage, Message: err.Error()}
 	}
 	log := logging.Part(logger, "gateway")
-	server, err := c.open(environment.Context, log)
+	admin, err := c.adminOptions.open("gateway", c.Name, log)
+	if err != nil {
+		return err
+	}
+	defer closeAdmin(admin)
+	server, err := c.openServer(environment.Context, log)
 	if err != nil {
 		if trace.IsBadParameter(err) {
 			return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 		}
 		return err
 	}
+	if err := showAdmin(admin, server); err != nil {
+		return trace.NewAggregate(err, server.Close())
+	}
 	log.Infof("serving on %s", server.Address())
 	return c.serve(environment.Context, server)
 }
 
-func (c *gatewayCommand) open(ctx context.Context, log *logrus.Entry) (*gateway.Server, error) {
+func (c *gatewayCommand) openServer(ctx context.Context, log *logrus.Entry) (*gateway.Server, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.StartTime)
 	defer cancel()
 	return gateway.Open(ctx, gateway.Config{Name: c.Name, Listen: c.Listen, Zone: c.Zone, Region: c.Region,
--- /dev/null
+++ b/internal/cli/metrics_page_test.go
@@ -0,0 +1,148 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/gateway"
+	"github.com/tamarindring/tamarindring/internal/metrics"
+	"github.com/tamarindring/tamarindring/internal/strictyaml"
+)
+
+// startGateway runs a gateway under the control node at address.
+func startGateway(t *testing.T, address string) *gateway.Server {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	server, err := gateway.Open(ctx, gateway.Config{Name: "g1", Listen: "127.0.0.1:0"},
+		controlclient.Config{Addresses: []string{address}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	finished := make(chan error, 1)
+	go func() { finished <- server.Run(context.Background()) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-finished
+	})
+	return server
+}
+
+// processMetrics are the project's metrics of every process, which package metrics makes itself.
+var processMetrics = []string{"tamarindring_build_info", "tamarindring_ready"}
+
+// exportedMetrics returns the names that the roles describe.
+func exportedMetrics(t *testing.T) map[string]bool {
+	t.Helper()
+	control := startControlServer(t)
+	names := map[string]bool{}
+	for _, name := range processMetrics {
+		names[name] = true
+	}
+	for _, process := range []metrics.Process{control, startGateway(t, control.Address())} {
+		for name := range described(process.Collector()) {
+			names[name] = true
+		}
+	}
+	return names
+}
+
+var descName = regexp.MustCompile(`fqName: "([a-z_]+)"`)
+
+func described(collector prometheus.Collector) map[string]bool {
+	descs := make(chan *prometheus.Desc)
+	go func() {
+		defer close(descs)
+		collector.Describe(descs)
+	}()
+	names := map[string]bool{}
+	for desc := range descs {
+		names[descName.FindStringSubmatch(desc.String())[1]] = true
+	}
+	return names
+}
+
+func readPage(t *testing.T, name string) string {
+	t.Helper()
+	content, err := os.ReadFile(filepath.Join(docsFolder, "operations", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
+
+var metricName = regexp.MustCompile(`tamarindring_[a-z_]+`)
+
+// alertRules is the form of a Prometheus rule file, as far as ours uses it.
+type alertRules struct {
+	Groups []struct {
+		Name  string `yaml:"name"`
+		Rules []struct {
+			Alert  string `yaml:"alert"`
+			Expr   string `yaml:"expr"`
+			For    string `yaml:"for"`
+			Labels struct {
+				Severity string `yaml:"severity"`
+			} `yaml:"labels"`
+			Annotations struct {
+				Summary     string `yaml:"summary"`
+				Description string `yaml:"description"`
+			} `yaml:"annotations"`
+		} `yaml:"rules"`
+	} `yaml:"groups"`
+}
+
+func TestAlertNamesAMetricThatNoProcessExports(t *testing.T) {
+	exported := exportedMetrics(t)
+	var rules alertRules
+	if err := strictyaml.Decode("alerts.yml", []byte(readPage(t, "alerts.yml")), &rules); err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	for _, group := range rules.Groups {
+		for _, rule := range group.Rules {
+			if seen[rule.Alert] || rule.For == "" || rule.Labels.Severity == "" || rule.Annotations.Summary == "" || rule.Annotations.Description == "" {
+				t.Errorf("alert %q is given twice or lacks a field", rule.Alert)
+			}
+			seen[rule.Alert] = true
+			names := metricName.FindAllString(rule.Expr, -1)
+			if len(names) == 0 {
+				t.Errorf("alert %s looks at no metric", rule.Alert)
+			}
+			for _, name := range names {
+				if !exported[name] && !exported[strings.TrimSuffix(name, "_bucket")] {
+					t.Errorf("alert %s: no process exports %s", rule.Alert, name)
+				}
+			}
+		}
+	}
+	if len(seen) == 0 {
+		t.Fatal("no alert was examined")
+	}
+}
+
+func TestMetricsPageDiffersFromTheCode(t *testing.T) {
+	exported := exportedMetrics(t)
+	onPage := map[string]bool{}
+	for _, match := range regexp.MustCompile("(?m)^\\| `(tamarindring_[a-z_]+)` \\|").FindAllStringSubmatch(readPage(t, "metrics.md"), -1) {
+		onPage[match[1]] = true
+	}
+	for name := range exported {
+		if !onPage[name] {
+			t.Errorf("metrics.md does not tell of %s", name)
+		}
+	}
+	for name := range onPage {
+		if !exported[name] {
+			t.Errorf("metrics.md tells of %s, which no process exports", name)
+		}
+	}
+}
--- a/internal/cli/table_test.go
+++ b/internal/cli/table_test.go
@@ -14,6 +14,11 @@
 
 // startControl runs a cluster of one control node and returns its address.
 func startControl(t *testing.T) string {
+	t.Helper()
+	return startControlServer(t).Address()
+}
+
+func startControlServer(t *testing.T) *control.Server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -37,7 +42,7 @@
 			t.Error(err)
 		}
 	})
-	return address
+	return server
 }
 
 func TestOperatorsDay(t *testing.T) {
--- a/internal/cli/version.go
+++ b/internal/cli/version.go
@@ -2,24 +2,15 @@
 
 import (
 	"fmt"
-	"runtime/debug"
+
+	"github.com/tamarindring/tamarindring/internal/metrics"
 )
 
 type versionCommand struct{}
 
 // Run prints the module version and the revision that Go stamped into the binary.
 func (*versionCommand) Run(environment Environment, _ []string) error {
-	version, revision := "devel", "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		if info.Main.Version != "" {
-			version = info.Main.Version
-		}
-		for _, setting := range info.Settings {
-			if setting.Key == "vcs.revision" {
-				revision = setting.Value
-			}
-		}
-	}
+	version, revision := metrics.Build()
 	_, err := fmt.Fprintf(environment.Stdout, "tamarindring %s revision %s\n", version, revision)
 	return err
 }
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -24,7 +24,7 @@
 		NodeID: s.config.NodeID, ClusterID: s.config.ClusterID,
 		Name: s.config.Name, Address: s.Address(),
 		Peers: s.consensusPeers(), Join: s.config.Join, Groups: s.groups(),
-		Store:           store,
+		Store:           timedStore{Store: store, syncs: s.syncs},
 		NewStateMachine: func(uint32) consensus.StateMachine { return state.New() },
 		Tick:            s.config.Tick,
 		OnLeaderChange:  s.leaderChanged,
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tamarindring/tamarindring/internal/consensus"
+	"github.com/tamarindring/tamarindring/internal/metrics"
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/storage"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	metricsSubsystem = "control"
+	// scrapeTimeout bounds the questions to the groups for one scrape.
+	scrapeTimeout = time.Second
+)
+
+// errDraining is the readiness of a node that stops by plan.
+var errDraining = errors.New("draining: leaderships are handed over")
+
+// Ready implements metrics.Process: a node takes work while it knows a leader of every group. A node that
+// is cut off from the quorum knows none after an election timeout, whether it led before or not.
+func (s *Server) Ready(ctx context.Context) error {
+	if s.draining.Load() {
+		return errDraining
+	}
+	for group := range s.states {
+		status, err := s.replicas.Status(ctx, uint32(group))
+		if err != nil {
+			return trace.Wrap(err, "group %d does not answer", group)
+		}
+		if status.Leader == raft.None {
+			return trace.ConnectionProblem(nil, "group %d has no leader that this node can reach: starting, electing, or cut off from the quorum", group)
+		}
+	}
+	return nil
+}
+
+// Collector implements metrics.Process.
+func (s *Server) Collector() prometheus.Collector { return &collector{server: s} }
+
+// collector reads the node's state at each scrape.
+type collector struct{ server *Server }
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(metrics.Namespace, metricsSubsystem, name), help, labels, nil)
+}
+
+var (
+	hasLeaderDesc     = describe("has_leader", "1 while the node knows a leader of the group.", "group")
+	leadingDesc       = describe("is_leader", "1 while the node leads the group.", "group")
+	termDesc          = describe("term", "Term of the group; it rises with each election.", "group")
+	commitDesc        = describe("commit_index", "Highest log index of the group that is known to be committed.", "group")
+	appliedDesc       = describe("applied_index", "Highest log index of the group that is applied here.", "group")
+	votersDesc        = describe("voters", "Voters of the group.", "group")
+	unreachableDesc   = describe("unreachable_nodes", "Other nodes of the group that this leader has not heard from lately.", "group")
+	lagDesc           = describe("replication_lag_entries", "Entries by which the slowest other node is behind this leader's commit index.", "group")
+	claimsDesc        = describe("claims", "Claims that the ledger group holds.", "group")
+	tableVersionDesc  = describe("table_version", "Version of the table that is applied here.")
+	inForceDesc       = describe("table_version_in_force", "Version below which no process acts; only on the leader, absent while it is not known.")
+	holdersDesc       = describe("lease_holders", "Processes that hold a lease on the table; only on the leader.")
+	oldestDesc        = describe("lease_holders_behind", "Lease holders that act on an older version than the newest; only on the leader.")
+	controlStateDescs = []*prometheus.Desc{hasLeaderDesc, leadingDesc, termDesc, commitDesc, appliedDesc, votersDesc,
+		unreachableDesc, lagDesc, claimsDesc, tableVersionDesc, inForceDesc, holdersDesc, oldestDesc}
+)
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(descs chan<- *prometheus.Desc) {
+	for _, desc := range controlStateDescs {
+		descs <- desc
+	}
+	c.server.syncs.Describe(descs)
+}
+
+// Collect implements prometheus.Collector. A group that does not answer in time is left out.
+func (c *collector) Collect(found chan<- prometheus.Metric) {
+	ctx, cancel := context.WithTimeout(c.server.context, scrapeTimeout)
+	defer cancel()
+	c.server.syncs.Collect(found)
+	for group := range c.server.states {
+		view, err := c.server.statusView(ctx, uint32(group))
+		if err != nil {
+			continue
+		}
+		collectGroup(found, uint32(group), view.GetStatus())
+	}
+}
+
+func gauge(found chan<- prometheus.Metric, desc *prometheus.Desc, value uint64, labels ...string) {
+	found <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(value), labels...)
+}
+
+func boolValue(value bool) uint64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+func collectGroup(found chan<- prometheus.Metric, group uint32, status *wire.StatusView) {
+	label := strconv.FormatUint(uint64(group), 10)
+	leading := status.Leader == status.Node
+	gauge(found, hasLeaderDesc, boolValue(status.Leader != raft.None), label)
+	gauge(found, leadingDesc, boolValue(leading), label)
+	gauge(found, termDesc, status.Term, label)
+	gauge(found, commitDesc, status.CommitIndex, label)
+	gauge(found, appliedDesc, status.AppliedIndex, label)
+	gauge(found, votersDesc, uint64(len(status.Voters)), label)
+	if leading {
+		collectFollowers(found, label, status)
+	}
+	if group != controlGroup {
+		gauge(found, claimsDesc, status.Claims, label)
+		return
+	}
+	gauge(found, tableVersionDesc, status.TableVersion)
+	if !leading {
+		return
+	}
+	if status.InForceVersion > 0 {
+		gauge(found, inForceDesc, status.InForceVersion)
+	}
+	behind := uint64(0)
+	for _, holder := range status.Holders {
+		behind += boolValue(holder.ActedVersion < status.TableVersion)
+	}
+	gauge(found, holdersDesc, uint64(len(status.Holders)))
+	gauge(found, oldestDesc, behind)
+}
+
+// collectFollowers shows how the other nodes follow this leader.
+func collectFollowers(found chan<- prometheus.Metric, label string, status *wire.StatusView) {
+	unreachable, lag := uint64(0), uint64(0)
+	for _, node := range status.Nodes {
+		if node.Node == status.Node {
+			continue
+		}
+		unreachable += boolValue(!node.Active)
+		if status.CommitIndex > node.MatchIndex {
+			lag = max(lag, status.CommitIndex-node.MatchIndex)
+		}
+	}
+	gauge(found, unreachableDesc, unreachable, label)
+	gauge(found, lagDesc, lag, label)
+}
+
+// newSyncs returns the histogram of the synced writes.
+func newSyncs() prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
+		Name: "sync_duration_seconds", Help: "Time of one synced write of all groups' pending entries.",
+		Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16)})
+}
+
+// timedStore measures the synced writes of a store.
+type timedStore struct {
+	consensus.Store
+	syncs prometheus.Histogram
+}
+
+// Write implements consensus.Store.
+func (t timedStore) Write(batch []storage.GroupWrite) error {
+	began := time.Now()
+	err := t.Store.Write(batch)
+	t.syncs.Observe(time.Since(began).Seconds())
+	return err
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -5,9 +5,11 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
@@ -48,6 +50,8 @@
 	detector  *detector
 	orphans   *orphans
 	sessions  sessionSet
+	syncs     prometheus.Histogram
+	draining  atomic.Bool
 	renewals  chan renewal
 	moved     chan struct{} // capacity 1: the control group's leader may have changed
 
@@ -70,6 +74,7 @@
 		config:   config,
 		settings: lease.Settings{Lease: config.LeaseDuration, RenewInterval: config.LeaseDuration / 6}.WithDefaults(),
 		log:      config.Log,
+		syncs:    newSyncs(),
 		renewals: make(chan renewal, renewalQueueLength),
 		moved:    make(chan struct{}, 1),
 		states:   make([]groupState, config.LedgerGroups+1),
@@ -243,6 +248,7 @@
 
 // Drain hands all leaderships to other nodes, then stops. Clients and sessions follow by themselves.
 func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
 	err := s.handOver(ctx)
 	return trace.NewAggregate(err, s.Close())
 }
