--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -4,12 +4,15 @@
 package control
 
 import (
+	"context"
 	"net"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/consensus"
+	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
 )
@@ -62,6 +65,8 @@
 	HTTPListen string
 	// HTTPListener is an already bound listener in place of HTTPListen.
 	HTTPListener net.Listener
+	// Dial opens connections to the other nodes. Default: plain TCP. Tests cut links with it.
+	Dial controlclient.DialFunc
 	// Clock judges leases. Default monotonic.Now.
 	Clock monotonic.Clock
 	// Log receives short sentences. Default: nothing.
@@ -124,3 +129,13 @@
 	}
 	return nil
 }
+
+// dialPeer is Dial as the consensus transport calls it; nil stands for that package's own default.
+func (c *Config) dialPeer() consensus.DialFunc {
+	if c.Dial == nil {
+		return nil
+	}
+	return func(ctx context.Context, peer consensus.Peer) (net.Conn, error) {
+		return c.Dial(ctx, "tcp", peer.Address)
+	}
+}
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -30,6 +30,7 @@
 		OnLeaderChange:  s.leaderChanged,
 		OnApply:         s.applied,
 		OnRestore:       s.restored,
+		Dial:            s.config.dialPeer(),
 		Log:             s.log,
 	})
 	if err != nil {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -103,7 +103,7 @@
 		s.listener = listener
 	}
 	client, err := controlclient.New(controlclient.Config{
-		Addresses: s.peerAddresses(), LedgerGroups: s.config.LedgerGroups, Log: s.log,
+		Addresses: s.peerAddresses(), LedgerGroups: s.config.LedgerGroups, Dial: s.config.Dial, Log: s.log,
 	})
 	if err != nil {
 		return trace.NewAggregate(err, s.listener.Close())
--- /dev/null
+++ b/internal/fleet/cable.go
@@ -0,0 +1,276 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	// sendBuffer is what a connection takes while its cable is cut, like the kernel's buffer.
+	sendBuffer = 1 << 20
+)
+
+// cable is how one part is connected to the others. While it is cut nothing is refused and nothing arrives:
+// connections stay open in silence, and what was sent arrives after the cable is mended, as it does by TCP's
+// retransmission.
+type cable struct {
+	mutex       sync.Mutex
+	holdsIn     bool
+	holdsOut    bool
+	mended      chan struct{} // closed when nothing is held
+	connections map[*cableConnection]struct{}
+}
+
+func newCable() *cable {
+	mended := make(chan struct{})
+	close(mended)
+	return &cable{mended: mended, connections: map[*cableConnection]struct{}{}}
+}
+
+// cut stops what arrives, what leaves, or both.
+func (c *cable) cut(in, out bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.holdsIn && !c.holdsOut {
+		c.mended = make(chan struct{})
+	}
+	c.holdsIn, c.holdsOut = in, out
+}
+
+// mend lets everything through again.
+func (c *cable) mend() {
+	c.mutex.Lock()
+	if c.holdsIn || c.holdsOut {
+		c.holdsIn, c.holdsOut = false, false
+		close(c.mended)
+	}
+	open := make([]*cableConnection, 0, len(c.connections))
+	for connection := range c.connections {
+		open = append(open, connection)
+	}
+	c.mutex.Unlock()
+	for _, connection := range open {
+		connection.flush()
+	}
+}
+
+// held returns a channel that is closed at the mending, or nil when nothing is held in that direction.
+func (c *cable) held(out bool) <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if (out && c.holdsOut) || (!out && c.holdsIn) {
+		return c.mended
+	}
+	return nil
+}
+
+// dial implements controlclient.DialFunc: a new connection over a cut cable waits.
+func (c *cable) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	for _, out := range []bool{true, false} {
+		if held := c.held(out); held != nil {
+			timer := time.NewTimer(dialTimeout)
+			defer timer.Stop()
+			select {
+			case <-held:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-timer.C:
+				return nil, os.ErrDeadlineExceeded
+			}
+		}
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	connection, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return c.attach(connection), nil
+}
+
+func (c *cable) attach(inner net.Conn) *cableConnection {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	made := &cableConnection{Conn: inner, cable: c, closed: make(chan struct{})}
+	c.connections[made] = struct{}{}
+	return made
+}
+
+func (c *cable) detach(connection *cableConnection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.connections, connection)
+}
+
+// cableListener attaches the connections that it accepts.
+type cableListener struct {
+	net.Listener
+	cable *cable
+}
+
+// Accept implements net.Listener.
+func (l cableListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.cable.attach(connection), nil
+}
+
+// cableConnection is one connection over a cable.
+type cableConnection struct {
+	net.Conn
+	cable   *cable
+	closed  chan struct{}
+	closing sync.Once
+
+	readMutex sync.Mutex
+	arrived   []byte // read from the network while nothing could arrive
+
+	writeMutex sync.Mutex
+	pending    []byte // accepted while nothing could leave
+
+	deadlineMutex sync.Mutex
+	readDeadline  time.Time
+}
+
+// Read implements net.Conn. What comes over a cut cable is held back, an end of the stream too.
+func (c *cableConnection) Read(buffer []byte) (int, error) {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	if err := c.awaitArrival(); err != nil {
+		return 0, err
+	}
+	if len(c.arrived) > 0 {
+		count := copy(buffer, c.arrived)
+		c.arrived = c.arrived[count:]
+		return count, nil
+	}
+	count, err := c.Conn.Read(buffer)
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
+	if held := c.awaitArrival(); held != nil {
+		c.arrived = append(c.arrived, buffer[:count]...)
+		return 0, held
+	}
+	return count, err
+}
+
+// awaitArrival waits until something may arrive, the connection is closed, or its deadline has passed.
+func (c *cableConnection) awaitArrival() error {
+	held := c.cable.held(false)
+	if held == nil {
+		return nil
+	}
+	c.deadlineMutex.Lock()
+	deadline := c.readDeadline
+	c.deadlineMutex.Unlock()
+	var expired <-chan time.Time
+	if !deadline.IsZero() {
+		timer := time.NewTimer(time.Until(deadline))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case <-held:
+		return nil
+	case <-c.closed:
+		return net.ErrClosed
+	case <-expired:
+		return os.ErrDeadlineExceeded
+	}
+}
+
+func (c *cableConnection) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Write implements net.Conn. A cut cable takes what a send buffer takes, then blocks.
+func (c *cableConnection) Write(buffer []byte) (int, error) {
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	for {
+		held := c.cable.held(true)
+		if held == nil {
+			break
+		}
+		if len(c.pending)+len(buffer) <= sendBuffer {
+			c.pending = append(c.pending, buffer...)
+			return len(buffer), nil
+		}
+		select {
+		case <-held:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
+	}
+	if err := c.writePending(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(buffer)
+}
+
+// writePending sends what was held. The caller holds writeMutex.
+func (c *cableConnection) writePending() error {
+	if len(c.pending) == 0 {
+		return nil
+	}
+	pending := c.pending
+	c.pending = nil
+	_, err := c.Conn.Write(pending)
+	return err
+}
+
+func (c *cableConnection) flush() {
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	if c.cable.held(true) == nil {
+		_ = c.writePending()
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *cableConnection) SetReadDeadline(deadline time.Time) error {
+	c.deadlineMutex.Lock()
+	c.readDeadline = deadline
+	c.deadlineMutex.Unlock()
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *cableConnection) SetDeadline(deadline time.Time) error {
+	c.deadlineMutex.Lock()
+	c.readDeadline = deadline
+	c.deadlineMutex.Unlock()
+	return c.Conn.SetDeadline(deadline)
+}
+
+// Close implements net.Conn. The other side learns of it only once the cable is mended.
+func (c *cableConnection) Close() error {
+	var err error
+	c.closing.Do(func() {
+		close(c.closed)
+		if held := c.cable.held(true); held != nil {
+			_ = c.Conn.SetReadDeadline(time.Now()) // ends a read under way
+			go func() {
+				<-held
+				c.flush()
+				c.cable.detach(c)
+				_ = c.Conn.Close()
+			}()
+			return
+		}
+		c.cable.detach(c)
+		err = c.Conn.Close()
+	})
+	return err
+}
--- /dev/null
+++ b/internal/fleet/faults.go
@@ -0,0 +1,269 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	emulator "github.com/tamarindring/tamarindring/internal/engine"
+	"github.com/tamarindring/tamarindring/internal/standin/application"
+	"github.com/tamarindring/tamarindring/internal/standin/engine"
+)
+
+const (
+	leastFaultPause  = 300 * time.Millisecond
+	mostFaultPause   = 900 * time.Millisecond
+	leastFaultTime   = 300 * time.Millisecond
+	mostFaultTime    = 2500 * time.Millisecond // beyond every lease
+	faultsEnd        = 3 * time.Second         // before the load's end all is repaired
+	faultProbability = 0.2                     // of a misbehaviour per call while it is switched on
+	slowStoreReads   = 3.0                     // a second
+	slowStoreRead    = 300 * time.Millisecond
+)
+
+// fault is one kind of failure of one kind of part.
+type fault struct {
+	role string
+	most int // parts of the role in trouble at once
+	// begin does it to a part and returns its name, what was done and how to repair it; an empty name means
+	// that no part was free.
+	begin func(*faultPlan) (name, what string, repair func(context.Context) error)
+}
+
+// faultPlan draws the failures of one run.
+type faultPlan struct {
+	fleet  *fleet
+	random *rand.Rand
+	faults []fault
+
+	mutex   sync.Mutex
+	trouble map[string]map[string]bool // role, then part
+	errors  []error
+	running sync.WaitGroup
+}
+
+func newFaultPlan(f *fleet) *faultPlan {
+	made := &faultPlan{fleet: f, random: rand.New(rand.NewSource(f.config.Seed)), trouble: map[string]map[string]bool{}}
+	made.faults = []fault{
+		{"control", 1, killOne(f.control)},
+		{"control", 1, cutOne(f.control)},
+		{"control", 2, killOne(f.control)}, // the quorum is lost for a while
+		{"gateway", 2, killOne(f.gateways)},
+		{"gateway", 2, cutOne(f.gateways)},
+		{"engine", 3, crashEngine},
+		{"engine", 3, cutOne(f.engines[:len(f.engines)-1])},
+		{"engine", 3, failSwap},
+		{"engine", 3, disturbStreams},
+		{"application", 2, crashApplication},
+		{"application", 2, disturbCalls},
+		{"weight-store", 1, throttleStore},
+	}
+	if len(f.rollouts.coordinators) > 0 {
+		made.faults = append(made.faults, fault{"coordinator", 2, killOne(f.rollouts.coordinators)},
+			fault{"coordinator", 2, cutOne(f.rollouts.coordinators)}, fault{"scorer", 1, stallScorer})
+	}
+	return made
+}
+
+// run lets faults happen until ctx ends or little time is left, then waits until all is repaired.
+func (p *faultPlan) run(ctx context.Context) error {
+	deadline, limited := ctx.Deadline()
+	for pause(ctx, p.between(leastFaultPause, mostFaultPause)) {
+		if limited && time.Until(deadline) < faultsEnd {
+			break
+		}
+		p.next(context.WithoutCancel(ctx))
+	}
+	p.running.Wait()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return trace.NewAggregate(p.errors...)
+}
+
+func (p *faultPlan) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(p.random.Int63n(int64(most-least)))
+}
+
+// next begins one fault, unless its role is in trouble enough.
+func (p *faultPlan) next(ctx context.Context) {
+	drawn := p.faults[p.random.Intn(len(p.faults))]
+	lasting := p.between(leastFaultTime, mostFaultTime)
+	p.mutex.Lock()
+	full := len(p.trouble[drawn.role]) >= drawn.most
+	p.mutex.Unlock()
+	if full {
+		return
+	}
+	name, what, repair := drawn.begin(p)
+	if name == "" {
+		return
+	}
+	p.fleet.events.add("%s %s for %s", name, what, lasting.Round(time.Millisecond))
+	p.mark(drawn.role, name, true)
+	p.running.Go(func() {
+		pause(ctx, lasting)
+		ctx, cancel := context.WithTimeout(ctx, startLimit)
+		defer cancel()
+		if err := repair(ctx); err != nil {
+			p.mutex.Lock()
+			p.errors = append(p.errors, fmt.Errorf("%s %s: %w", name, what, err))
+			p.mutex.Unlock()
+		}
+		p.fleet.events.add("%s is repaired", name)
+		p.mark(drawn.role, name, false)
+	})
+}
+
+func (p *faultPlan) mark(role, name string, troubled bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.trouble[role] == nil {
+		p.trouble[role] = map[string]bool{}
+	}
+	if troubled {
+		p.trouble[role][name] = true
+	} else {
+		delete(p.trouble[role], name)
+	}
+}
+
+// free draws a part that is not in trouble.
+func free[S server](p *faultPlan, parts []*process[S]) *process[S] {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, index := range p.random.Perm(len(parts)) {
+		troubled := false
+		for _, names := range p.trouble {
+			troubled = troubled || names[parts[index].name]
+		}
+		if !troubled {
+			return parts[index]
+		}
+	}
+	return nil
+}
+
+// killOne stops a part abruptly; the repair starts it again with what it has on its disk.
+func killOne[S server](parts []*process[S]) func(*faultPlan) (string, string, func(context.Context) error) {
+	return func(p *faultPlan) (string, string, func(context.Context) error) {
+		part := free(p, parts)
+		if part == nil {
+			return "", "", nil
+		}
+		killed := part.kill()
+		return part.name, "is killed", func(ctx context.Context) error {
+			return trace.NewAggregate(killed, part.start(ctx))
+		}
+	}
+}
+
+// cutOne cuts a part off in silence, in one direction or both.
+func cutOne[S server](parts []*process[S]) func(*faultPlan) (string, string, func(context.Context) error) {
+	return func(p *faultPlan) (string, string, func(context.Context) error) {
+		part := free(p, parts)
+		if part == nil {
+			return "", "", nil
+		}
+		kinds := []struct {
+			in, out bool
+			what    string
+		}{{true, true, "is cut off"}, {true, false, "hears nothing"}, {false, true, "is not heard"}}
+		drawn := kinds[p.random.Intn(len(kinds))]
+		part.cable.cut(drawn.in, drawn.out)
+		return part.name, drawn.what, func(context.Context) error {
+			part.cable.mend()
+			return nil
+		}
+	}
+}
+
+// staying are the back ends that do not leave by plan.
+func staying[S server](parts []*process[S]) []*process[S] { return parts[:len(parts)-1] }
+
+func freeEngine(p *faultPlan) (*process[*engine.Server], bool) {
+	part := free(p, staying(p.fleet.engines))
+	return part, part != nil
+}
+
+// crashEngine loses an engine's requests and memory; it comes back with the version that it served.
+func crashEngine(p *faultPlan) (string, string, func(context.Context) error) {
+	part, ok := freeEngine(p)
+	if !ok {
+		return "", "", nil
+	}
+	version, number := part.current.Served()
+	part.current.Crash()
+	return part.name, "crashes", func(context.Context) error {
+		part.current.Restart(version, number)
+		return nil
+	}
+}
+
+// failSwap makes an engine's next weight swap fail in one of the known ways.
+func failSwap(p *faultPlan) (string, string, func(context.Context) error) {
+	part, ok := freeEngine(p)
+	if !ok {
+		return "", "", nil
+	}
+	failures := []emulator.SwapFailure{emulator.SwapKeepsOld, emulator.SwapRefuses, emulator.SwapIsSilent}
+	part.current.FailNextSwap(failures[p.random.Intn(len(failures))])
+	return part.name, "will fail its next swap", func(context.Context) error { return nil }
+}
+
+// disturbStreams cuts and doubles parts of an engine's streamed answers.
+func disturbStreams(p *faultPlan) (string, string, func(context.Context) error) {
+	part, ok := freeEngine(p)
+	if !ok {
+		return "", "", nil
+	}
+	part.current.SetFaults(engine.Faults{CutProbability: faultProbability, CutCleanly: p.random.Intn(2) == 0, DuplicateProbability: faultProbability})
+	return part.name, "cuts and doubles streams", func(context.Context) error {
+		part.current.SetFaults(engine.Faults{})
+		return nil
+	}
+}
+
+// crashApplication cuts an application replica's connections; what had begun to run has run.
+func crashApplication(p *faultPlan) (string, string, func(context.Context) error) {
+	part := free(p, staying(p.fleet.applications))
+	if part == nil {
+		return "", "", nil
+	}
+	part.current.Crash()
+	return part.name, "crashes", func(context.Context) error {
+		part.current.Restart()
+		return nil
+	}
+}
+
+// disturbCalls cuts connections before and after runs, and refuses calls.
+func disturbCalls(p *faultPlan) (string, string, func(context.Context) error) {
+	part := free(p, staying(p.fleet.applications))
+	if part == nil {
+		return "", "", nil
+	}
+	part.current.SetFaults(application.Faults{RefuseProbability: faultProbability, CrashAfterRunProbability: faultProbability,
+		CrashBeforeRunProbability: faultProbability})
+	return part.name, "loses calls and answers", func(context.Context) error {
+		part.current.SetFaults(application.Faults{})
+		return nil
+	}
+}
+
+func stallScorer(p *faultPlan) (string, string, func(context.Context) error) {
+	p.fleet.scorer.current.Stall(mostFaultTime)
+	return p.fleet.scorer.name, "stalls", func(context.Context) error { return nil }
+}
+
+func throttleStore(p *faultPlan) (string, string, func(context.Context) error) {
+	store := p.fleet.store
+	store.current.SetReads(slowStoreReads, 1, slowStoreRead)
+	return store.name, "throttles", func(context.Context) error {
+		store.current.SetReads(0, 0, storeReadTime)
+		return nil
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,7 @@
 	loadReportLag  = 100 * time.Millisecond
 	cacheEventLag  = 100 * time.Millisecond
 	cacheEventLoss = 0.05
+	storeReadTime  = 50 * time.Millisecond
 )
 
 // fleet is a running deployment.
@@ -67,10 +68,11 @@
 
 func (f *fleet) describeControl() {
 	for index := range f.config.Deployment.ControlNodes {
-		node := &process[*control.Server]{name: fmt.Sprintf("control-%d", index+1), zone: f.config.Deployment.zone(index)}
+		node := &process[*control.Server]{name: fmt.Sprintf("control-%d", index+1), zone: f.config.Deployment.zone(index),
+			cable: newCable(), cuttable: true}
 		node.open = func(_ context.Context, listener net.Listener) (*control.Server, error) {
 			return control.New(control.Config{Name: node.name, NodeID: uint64(index + 1), ClusterID: clusterID, Listener: listener,
-				Peers: f.peers(), Zone: node.zone, DataFolder: filepath.Join(f.config.Folder, node.name), Log: f.log(node.name)})
+				Peers: f.peers(), Zone: node.zone, DataFolder: filepath.Join(f.config.Folder, node.name), Dial: node.cable.dial, Log: f.log(node.name)})
 		}
 		f.control = append(f.control, node)
 	}
@@ -92,17 +94,17 @@
 	return addresses
 }
 
-// controlConfig is how a part reaches the control nodes.
-func (f *fleet) controlConfig(part string) controlclient.Config {
-	return controlclient.Config{Addresses: f.controlAddresses(), Log: f.log(part)}
+// controlConfig is how a part reaches the control nodes over its cable.
+func (f *fleet) controlConfig(part string, over *cable) controlclient.Config {
+	return controlclient.Config{Addresses: f.controlAddresses(), Dial: over.dial, Log: f.log(part)}
 }
 
 func (f *fleet) describeGateways() {
 	for index := range f.config.Deployment.Gateways {
-		part := &process[*gateway.Server]{name: fmt.Sprintf("gateway-%d", index+1), zone: f.config.Deployment.zone(index)}
+		part := &process[*gateway.Server]{name: fmt.Sprintf("gateway-%d", index+1), zone: f.config.Deployment.zone(index), cable: newCable()}
 		part.open = func(ctx context.Context, listener net.Listener) (*gateway.Server, error) {
 			return gateway.Open(ctx, gateway.Config{Name: part.name, Listener: listener, Zone: part.zone, Log: f.log(part.name)},
-				f.controlConfig(part.name))
+				f.controlConfig(part.name, part.cable))
 		}
 		f.gateways = append(f.gateways, part)
 	}
@@ -112,14 +114,15 @@
 	deployment := f.config.Deployment
 	f.store = &process[*weightstore.Server]{name: "weight-store"}
 	f.store.open = func(_ context.Context, listener net.Listener) (*weightstore.Server, error) {
-		return weightstore.New(weightstore.Config{Listener: listener, ReadTime: 50 * time.Millisecond, Log: f.log("weight-store")})
+		return weightstore.New(weightstore.Config{Listener: listener, ReadTime: storeReadTime, Log: f.log("weight-store")})
 	}
 	f.scorer = &process[*scorer.Server]{name: "scorer"}
 	f.scorer.open = func(_ context.Context, listener net.Listener) (*scorer.Server, error) {
 		return scorer.New(scorer.Config{Listener: listener, ServiceTime: 10 * time.Millisecond, PerSample: time.Millisecond, Log: f.log("scorer")})
 	}
 	for index := range deployment.Engines {
-		part := &process[*engine.Server]{name: fmt.Sprintf("engine-%d", index+1), zone: deployment.zone(index)}
+		part := &process[*engine.Server]{name: fmt.Sprintf("engine-%d", index+1), zone: deployment.zone(index),
+			cable: newCable(), cuttable: f.config.Faults}
 		part.open = func(_ context.Context, listener net.Listener) (*engine.Server, error) {
 			return engine.New(engine.Config{Name: part.name, Listener: listener, Zone: part.zone, Parameters: engineParameters(),
 				InitialVersion: versionName(initialVersion), InitialVersionNumber: initialVersion, WeightStore: f.store.address,
@@ -171,7 +174,7 @@
 	if err := startAll(ctx, f.control); err != nil {
 		return err
 	}
-	client, err := controlclient.New(f.controlConfig("operator"))
+	client, err := controlclient.New(f.controlConfig("operator", newCable()))
 	f.client = client
 	return trace.Wrap(err)
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -28,9 +28,13 @@
 // process is one part of the fleet as if it were a process of its own: it can be drained, killed and
 // started again on the same address. Its processor time is accounted to its name.
 type process[S server] struct {
-	name string
-	zone string
-	open func(ctx context.Context, listener net.Listener) (S, error)
+	name  string
+	zone  string
+	cable *cable // to the control nodes; of a part with cuttable, to everything
+	// cuttable puts the cable and a counter of bytes between listener and server. A server can't look into
+	// such a connection, so it is left out where that matters.
+	cuttable bool
+	open     func(ctx context.Context, listener net.Listener) (S, error)
 
 	mutex     sync.Mutex // guards what follows
 	address   string
@@ -68,11 +72,11 @@
 	if err != nil {
 		return err
 	}
-	counting := &rig.CountingListener{Listener: listener}
+	served := p.wrap(listener)
 	var opened S
 	finished := make(chan error, 1)
 	rolecost.Do(context.Background(), p.name, func(context.Context) {
-		if opened, err = p.open(ctx, counting); err == nil {
+		if opened, err = p.open(ctx, served); err == nil {
 			go func() { finished <- opened.Run(context.Background()) }()
 		}
 	})
@@ -82,11 +86,21 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.listeners = append(p.listeners, counting)
 	p.current, p.up, p.finished = opened, true, finished
 	return nil
 }
 
+func (p *process[S]) wrap(listener net.Listener) net.Listener {
+	if !p.cuttable {
+		return listener
+	}
+	counting := &rig.CountingListener{Listener: listener}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.listeners = append(p.listeners, counting)
+	return cableListener{Listener: counting, cable: p.cable}
+}
+
 // listen binds the address, again if an earlier owner is still letting go of it.
 func (p *process[S]) listen(ctx context.Context) (net.Listener, error) {
 	if listener := p.bound; listener != nil {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -80,6 +80,9 @@
 	acting.Go(func() { rolecost.Do(loadContext, "operator", operator.run) })
 	acting.Go(func() { rolecost.Do(loadContext, "callers", func(ctx context.Context) { _ = calls.Run(ctx) }) })
 	stopError := f.plannedStops(loadContext, calls)
+	if stopError == nil && f.config.Faults {
+		stopError = newFaultPlan(f).run(loadContext)
+	}
 	acting.Wait()
 	f.rollouts.finish()
 	stopCollecting()
