Add coordinator: trainers' interface, generation, scoring, delivery, weights

Trainers need their samples exactly once and fresh. A coordinator opens steps durably, has samples generated through gateways and scored, stores them in the ledger before they count, seals batches by cursor and checks the bound in force under the lease at the moment of handing over. Ownership of trainers and waves is by hash over live coordinators and fenced. rollout gains Forget, for trainers that another coordinator takes.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -10,6 +10,7 @@
 		{parent: "config", name: "reference", short: "Print the reference page of all settings", constructor: func() command { return &configReferenceCommand{} }},
 		{name: "gateway", short: "Run a gateway for callers", constructor: func() command { return &gatewayCommand{} }},
 		{name: "fleet", short: "Run a whole deployment in one process on loopback and check every invariant", constructor: func() command { return &fleetCommand{} }},
+		{name: "coordinator", short: "Run a rollout coordinator for trainers", constructor: func() command { return &coordinatorCommand{} }},
 		{name: "bench", short: "Measurements; each prints JSON"},
 		{parent: "bench", name: "gateway", short: "Measure the gateway's added latency and its cost", constructor: func() command { return &benchGatewayCommand{} }},
 		{parent: "bench", name: "control", short: "Cost of control sessions and time until a table change is in force, by number of nodes", constructor: func() command { return &benchControlCommand{} }},
--- /dev/null
+++ b/internal/coordinator/fetch.go
@@ -0,0 +1,282 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/ledger"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// handleFetch serves POST /v1/trainers/{trainer}/fetch.
+func (s *Server) handleFetch(writer http.ResponseWriter, request *http.Request, name string) *refusal {
+	var body fetchBody
+	if refused := decode(writer, request, s.config.MaxBodyBytes, &body); refused != nil {
+		return refused
+	}
+	if body.Cursor != body.Acknowledge+1 || body.MaxSamples < 0 || body.WaitMillis < 0 {
+		return badRequest("cursor must be one above acknowledge; max_samples and wait_millis must not be negative")
+	}
+	t, refused := s.owned(request, name)
+	if refused != nil {
+		return refused
+	}
+	ctx, release := s.takeTurn(request.Context(), t)
+	defer release()
+	if refused := s.acknowledge(ctx, t, body.Acknowledge); refused != nil {
+		return refused
+	}
+	return s.handOver(ctx, writer, t, &body)
+}
+
+// acknowledge notes durably that the trainer has everything up to the cursor.
+func (s *Server) acknowledge(ctx context.Context, t *trainerState, cursor uint64) *refusal {
+	s.mutex.Lock()
+	known := t.delivery.acknowledged
+	s.mutex.Unlock()
+	if cursor == known {
+		return nil
+	}
+	if cursor < known {
+		return conflict("the batch at this cursor was acknowledged")
+	}
+	result, err := s.execute(ctx, t, &wire.Command{Kind: &wire.Command_BatchAcknowledge{
+		BatchAcknowledge: &wire.BatchAcknowledge{Trainer: t.name, Cursor: cursor}}})
+	if err != nil {
+		return unanswered(err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !result.GetAccepted() {
+		s.depose(t, result.GetReason())
+		return conflict("no batch was handed over at this cursor: " + result.GetReason())
+	}
+	if cursor != t.delivery.sealed {
+		s.depose(t, "its ledger is ahead of what is known here")
+		return unavailable(CodeUnavailable, "send the same call again")
+	}
+	s.stats.HandedOver += uint64(len(t.delivery.sealedIDs))
+	t.delivery.acknowledge(cursor)
+	return nil
+}
+
+// handOver answers with the batch at the cursor as soon as there is one, or with none when the wait is over.
+func (s *Server) handOver(ctx context.Context, writer http.ResponseWriter, t *trainerState, body *fetchBody) *refusal {
+	wait := min(time.Duration(body.WaitMillis)*time.Millisecond, s.config.MaxFetchWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		next, refused := s.nextBatch(t, body)
+		if refused != nil {
+			return refused
+		}
+		if next.changed != nil {
+			if waited, refused := s.awaitChange(ctx, writer, next.changed, timer); waited {
+				continue
+			} else {
+				return refused
+			}
+		}
+		if done, refused := s.advance(ctx, writer, t, body, next); done || refused != nil {
+			return refused
+		}
+	}
+}
+
+// awaitChange waits for something new; false when the call is answered or refused.
+func (s *Server) awaitChange(ctx context.Context, writer http.ResponseWriter, changed <-chan struct{}, timer *time.Timer) (bool, *refusal) {
+	select {
+	case <-changed:
+	case <-timer.C:
+		writeJSON(writer, http.StatusOK, fetchReply{Samples: []sampleReply{}})
+		return false, nil
+	case <-ctx.Done():
+		return false, unavailable(CodeSuperseded, "a newer fetch or another coordinator took over")
+	}
+	if s.leaving.Load() {
+		return false, unavailable(CodeDraining, "this coordinator is leaving; ask another")
+	}
+	return true, nil
+}
+
+// candidateBatch is what may be handed over at a cursor.
+type candidateBatch struct {
+	step    *deliveryStep
+	samples []*wire.Sample
+	sealed  bool            // the ledger has the batch
+	changed <-chan struct{} // set when there is nothing yet
+}
+
+// nextBatch finds the batch at a cursor.
+func (s *Server) nextBatch(t *trainerState, body *fetchBody) (candidateBatch, *refusal) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.trainers[t.name] != t {
+		return candidateBatch{}, unavailable(CodeUnavailable, "another coordinator takes this trainer over; send the same call again")
+	}
+	d := t.delivery
+	if d.sealed == body.Cursor {
+		samples, known := d.batch()
+		if !known {
+			s.depose(t, "its sealed batch is not known here")
+			return candidateBatch{}, unavailable(CodeUnavailable, "send the same call again")
+		}
+		return candidateBatch{step: d.step(d.sealedStep), samples: samples, sealed: true}, nil
+	}
+	if d.acknowledged+1 != body.Cursor {
+		return candidateBatch{}, conflict("the batch at this cursor was acknowledged")
+	}
+	step, samples := d.ready(body.WholeStep)
+	if len(samples) > 0 {
+		return candidateBatch{step: step, samples: limit(samples, body.MaxSamples, s.config.MaxBatchBytes)}, nil
+	}
+	if step != nil {
+		s.pool(step.open.GetPool()).scheduler.Wanted(s.now(), t.name, body.TrainerVersion)
+		s.wake()
+	}
+	return candidateBatch{changed: t.changed}, nil
+}
+
+// advance takes a batch one step further: too old samples out, then sealed, then handed over. It is true when
+// the call is answered.
+func (s *Server) advance(ctx context.Context, writer http.ResponseWriter, t *trainerState, body *fetchBody, next candidateBatch) (bool, *refusal) {
+	bound, refused := s.boundInForce(next.step)
+	if refused != nil {
+		return false, refused
+	}
+	if old := tooOld(next.samples, body.TrainerVersion, bound); len(old) > 0 {
+		return false, s.discard(ctx, t, old)
+	}
+	if !next.sealed {
+		return false, s.seal(ctx, t, body.Cursor, next)
+	}
+	reply := fetchReply{Cursor: body.Cursor, Step: next.step.open.GetStep(), StalenessBound: &bound}
+	for _, sample := range next.samples {
+		reply.Samples = append(reply.Samples, newSampleReply(sample, body.TrainerVersion))
+	}
+	reply.StepComplete = s.completes(t, next.step)
+	encoded, err := json.Marshal(reply)
+	if err != nil {
+		return false, unavailable(CodeUnavailable, err.Error())
+	}
+	// The last look at the bound comes after everything that takes time.
+	now, refused := s.boundInForce(next.step)
+	if refused != nil || now != bound || ctx.Err() != nil {
+		return false, refused
+	}
+	s.noteHandedOver(t, next.step, reply.StepComplete)
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(http.StatusOK)
+	_, _ = writer.Write(encoded)
+	return true, nil
+}
+
+// boundInForce is the staleness bound in the table that is in force now, under the lease.
+func (s *Server) boundInForce(step *deliveryStep) (uint64, *refusal) {
+	view, ok := s.session.AdmitView()
+	if !ok {
+		return 0, unavailable(CodeNoLease, "this coordinator holds no lease; ask another")
+	}
+	row := view.Pool(step.open.GetPool())
+	if row == nil {
+		return 0, unavailable(CodeUnavailable, "the table has no pool "+step.open.GetPool()+" any more")
+	}
+	return uint64(row.StalenessBound), nil
+}
+
+// seal fixes the batch at the cursor in the ledger. What the ledger answers counts.
+func (s *Server) seal(ctx context.Context, t *trainerState, cursor uint64, next candidateBatch) *refusal {
+	s.mutex.Lock()
+	whole := next.step.holds(next.samples)
+	t.sealing = whole
+	s.mutex.Unlock()
+	if !whole {
+		return nil // some were discarded meanwhile: look again
+	}
+	ids := make([]string, 0, len(next.samples))
+	for _, sample := range next.samples {
+		ids = append(ids, sample.GetId())
+	}
+	number := next.step.open.GetStep()
+	result, err := s.execute(ctx, t, &wire.Command{Kind: &wire.Command_BatchSeal{BatchSeal: &wire.BatchSeal{
+		Trainer: t.name, Cursor: cursor, SampleIds: ids, Step: number, Fence: t.fence}}})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	t.sealing = false
+	if err != nil {
+		return unanswered(err)
+	}
+	if !result.GetAccepted() || !slices.Equal(result.GetSampleIds(), ids) {
+		s.depose(t, "the ledger did not seal as asked: "+result.GetReason())
+		return unavailable(CodeUnavailable, "send the same call again")
+	}
+	t.delivery.seal(cursor, number, ids)
+	return nil
+}
+
+// completes tells whether the trainer has all of the step once it has the batch that is out.
+func (s *Server) completes(t *trainerState, step *deliveryStep) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return step.delivered+len(t.delivery.sealedIDs) == len(step.ids)
+}
+
+func (s *Server) noteHandedOver(t *trainerState, step *deliveryStep, complete bool) {
+	if !complete {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if step.handed {
+		return
+	}
+	step.handed, step.scheduled = true, false
+	s.stats.StepsCompleted++
+	s.pool(step.open.GetPool()).scheduler.Delivered(s.now(), t.name, step.open.GetStep())
+}
+
+// discard throws stored samples away that are too old, durably, and has them generated anew.
+func (s *Server) discard(ctx context.Context, t *trainerState, old []*wire.Sample) *refusal {
+	command := &wire.BatchDiscard{Trainer: t.name, Fence: t.fence}
+	slots := make([]ledger.SlotID, 0, len(old))
+	for _, sample := range old {
+		tokens, _ := sampleTokens(sample)
+		command.DiscardedTokens += uint64(tokens)
+		command.SampleIds = append(command.SampleIds, sample.GetId())
+		command.Editions = append(command.Editions, sample.GetEdition())
+		slots = append(slots, ledger.SlotID{Trainer: t.name, Step: sample.GetStep(), Prompt: sample.GetPromptId(), Index: sample.GetIndex()})
+	}
+	result, err := s.execute(ctx, t, &wire.Command{Kind: &wire.Command_BatchDiscard{BatchDiscard: command}})
+	if err != nil {
+		return unanswered(err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !result.GetAccepted() {
+		s.depose(t, result.GetReason())
+		return unavailable(CodeUnavailable, "send the same call again")
+	}
+	s.stats.DiscardedStale += uint64(len(old))
+	s.stats.DiscardedTokens += command.GetDiscardedTokens()
+	for _, id := range slots {
+		s.regenerate(t, id)
+	}
+	s.config.Log.Debugf("discarded %d samples of trainer %s that were too old", len(slots), t.name)
+	s.wake()
+	return nil
+}
+
+// regenerate puts a discarded slot back to work. The caller holds the mutex.
+func (s *Server) regenerate(t *trainerState, id ledger.SlotID) {
+	step := t.delivery.step(id.Step)
+	if step == nil {
+		return
+	}
+	s.scheduleStep(t, step) // a step handed over wholly is not with the scheduler any more
+	t.delivery.discarded(id)
+	slot := step.slots[id.String()]
+	s.pool(step.open.GetPool()).scheduler.Discarded(s.now(), rolloutID(id), slot.edition)
+}
--- /dev/null
+++ b/internal/coordinator/http.go
@@ -0,0 +1,192 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/ledger"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// handler serves one call of the trainers' interface and writes its answer, or returns a refusal.
+type handler func(writer http.ResponseWriter, request *http.Request, trainer string) *refusal
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/trainers/{trainer}/steps/{step}", s.serve(s.handleStep))
+	mux.HandleFunc("POST /v1/trainers/{trainer}/fetch", s.serve(s.handleFetch))
+	mux.HandleFunc("POST /v1/trainers/{trainer}/versions", s.serve(s.handleVersion))
+	mux.HandleFunc("GET /v1/stats", func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, http.StatusOK, s.Stats())
+	})
+	mux.HandleFunc("/", func(writer http.ResponseWriter, _ *http.Request) {
+		(&refusal{status: http.StatusNotFound, code: CodeNotFound, message: "no such path or method"}).write(writer)
+	})
+	return mux
+}
+
+func (s *Server) serve(serve handler) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		if refused := s.serveChecked(serve, writer, request); refused != nil {
+			s.mutex.Lock()
+			if refused.location == "" {
+				s.stats.Refused++
+			}
+			s.mutex.Unlock()
+			refused.write(writer)
+		}
+	}
+}
+
+func (s *Server) serveChecked(serve handler, writer http.ResponseWriter, request *http.Request) *refusal {
+	name := request.PathValue("trainer")
+	if name == "" || len(name) > ledger.MaximumTextBytes || strings.Contains(name, "/") {
+		return badRequest("a trainer's name has 1 to 128 bytes and no slash")
+	}
+	if s.leaving.Load() {
+		return unavailable(CodeDraining, "this coordinator is leaving; ask another")
+	}
+	if _, ok := s.session.Admit(); !ok {
+		return unavailable(CodeNoLease, "this coordinator holds no lease; ask another")
+	}
+	return serve(writer, request, name)
+}
+
+// unanswered is the refusal for a control group that did not answer.
+func unanswered(err error) *refusal {
+	var known *refusal
+	if errors.As(err, &known) {
+		return known
+	}
+	if verdict.Of(err) == verdict.DidNotRun || !trace.IsBadParameter(err) {
+		return unavailable(CodeUnavailable, "the ledger did not answer; send the same call again: "+err.Error())
+	}
+	return badRequest(err.Error())
+}
+
+// owned returns the state of a trainer that this coordinator owns or is to own.
+func (s *Server) owned(request *http.Request, name string) (*trainerState, *refusal) {
+	if moved := s.elsewhere(trainerResource(name), request); moved != nil {
+		return nil, moved
+	}
+	t, err := s.adopt(request.Context(), name)
+	if err != nil {
+		return nil, unanswered(err)
+	}
+	return t, nil
+}
+
+// handleStep serves PUT /v1/trainers/{trainer}/steps/{step}. The answer comes once the step is durable.
+func (s *Server) handleStep(writer http.ResponseWriter, request *http.Request, name string) *refusal {
+	number, err := strconv.ParseUint(request.PathValue("step"), 10, 64)
+	if err != nil {
+		return badRequest("a step's number is a decimal number")
+	}
+	var body stepBody
+	if refused := decode(writer, request, s.config.MaxBodyBytes, &body); refused != nil {
+		return refused
+	}
+	open, refused := s.stepOpen(name, number, &body)
+	if refused != nil {
+		return refused
+	}
+	t, refused := s.owned(request, name)
+	if refused != nil {
+		return refused
+	}
+	if refused := s.openStep(request.Context(), t, open); refused != nil {
+		return refused
+	}
+	writeJSON(writer, http.StatusOK, stepReply{Step: number, Samples: len(open.GetPrompts()) * int(open.GetSamplesPerPrompt())})
+	return nil
+}
+
+// stepReply answers an opened step.
+type stepReply struct {
+	Step    uint64 `json:"step"`
+	Samples int    `json:"samples"`
+}
+
+// stepOpen checks a step's body and turns it into the ledger's command.
+func (s *Server) stepOpen(name string, number uint64, body *stepBody) (*wire.StepOpen, *refusal) {
+	row := s.session.View().Pool(body.Pool)
+	if row == nil || row.Service != table.Engine {
+		return nil, badRequest("the table has no model pool " + strconv.Quote(body.Pool))
+	}
+	slots := uint64(len(body.Prompts)) * uint64(body.SamplesPerPrompt)
+	if slots == 0 || slots > ledger.MaximumSlots {
+		return nil, badRequest("a step has 1 to " + strconv.Itoa(ledger.MaximumSlots) + " samples")
+	}
+	open := &wire.StepOpen{Trainer: name, Step: number, Pool: body.Pool, SamplesPerPrompt: body.SamplesPerPrompt}
+	for _, prompt := range body.Prompts {
+		if strings.Contains(prompt.ID, "/") {
+			return nil, badRequest("a prompt id has no slash")
+		}
+		open.Prompts = append(open.Prompts, &wire.Prompt{Id: prompt.ID, Text: prompt.Text, MaxTokens: prompt.MaxTokens})
+	}
+	return open, nil
+}
+
+func (s *Server) openStep(ctx context.Context, t *trainerState, open *wire.StepOpen) *refusal {
+	result, err := s.execute(ctx, t, &wire.Command{Kind: &wire.Command_StepOpen{StepOpen: open}})
+	if err != nil {
+		return unanswered(err)
+	}
+	if !result.GetAccepted() {
+		if result.GetReason() == ledger.ReasonTooMany {
+			return unavailable(CodeUnavailable, result.GetReason())
+		}
+		return conflict(result.GetReason())
+	}
+	return s.noteOpened(ctx, t, open)
+}
+
+// noteOpened schedules a step that the ledger has accepted. A step that is not known here may be one that
+// was delivered long ago, so the ledger is asked.
+func (s *Server) noteOpened(ctx context.Context, t *trainerState, open *wire.StepOpen) *refusal {
+	s.mutex.Lock()
+	known := t.delivery.step(open.GetStep()) != nil
+	mayBeClosed := open.GetStep() <= t.lastOpened || t.lastOpened == 0
+	s.mutex.Unlock()
+	if known {
+		return nil
+	}
+	if mayBeClosed {
+		view, err := s.readTrainer(ctx, t, false)
+		if err != nil {
+			return unanswered(err)
+		}
+		if !viewHasStep(view, open.GetStep()) {
+			return nil
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.trainers[t.name] != t {
+		return unavailable(CodeUnavailable, "another coordinator takes this trainer over; send the same call again")
+	}
+	if t.delivery.step(open.GetStep()) == nil {
+		t.lastOpened = max(t.lastOpened, open.GetStep())
+		s.stats.StepsOpened++
+		s.scheduleStep(t, t.delivery.open(open))
+		t.notify()
+		s.wake()
+	}
+	return nil
+}
+
+func viewHasStep(view *wire.TrainerView, number uint64) bool {
+	for _, step := range view.GetSteps() {
+		if step.GetOpen().GetStep() == number {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordinator/owner.go
@@ -0,0 +1,212 @@
+package coordinator
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/ledger"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Resources of the control group's fences.
+func trainerResource(name string) string { return "trainer/" + name }
+func poolResource(name string) string    { return "pool/" + name }
+
+// candidate is a live coordinator.
+type candidate struct {
+	name    string
+	address string
+}
+
+// ownerOf chooses the live coordinator that is to own a resource: the highest hash of both names, so that a
+// coordinator's coming or going moves only its own part.
+func (s *Server) ownerOf(resource string) candidate {
+	best := candidate{name: s.config.Name, address: s.Address()}
+	bestScore := ownerScore(resource, best.name)
+	for _, member := range s.session.Members().GetMembers() {
+		if member.GetRole() != wire.MemberRole_MEMBER_ROLE_COORDINATOR || member.GetName() == s.config.Name ||
+			member.GetState() != wire.MemberState_MEMBER_STATE_ALIVE {
+			continue
+		}
+		score := ownerScore(resource, member.GetName())
+		if score > bestScore || (score == bestScore && member.GetName() > best.name) {
+			best, bestScore = candidate{name: member.GetName(), address: member.GetAddress()}, score
+		}
+	}
+	return best
+}
+
+func ownerScore(resource, name string) uint64 { return xxhash.Sum64String(resource + "\x00" + name) }
+
+// owns tells whether this coordinator is to own a resource.
+func (s *Server) owns(resource string) bool { return s.ownerOf(resource).name == s.config.Name }
+
+// elsewhere returns a redirect when another coordinator is to own the resource, else nil.
+func (s *Server) elsewhere(resource string, request *http.Request) *refusal {
+	owner := s.ownerOf(resource)
+	if owner.name == s.config.Name {
+		return nil
+	}
+	s.mutex.Lock()
+	s.stats.Redirected++
+	s.mutex.Unlock()
+	return &refusal{status: http.StatusTemporaryRedirect, code: "other_coordinator", message: "ask coordinator " + owner.name,
+		location: "http://" + owner.address + request.URL.EscapedPath()}
+}
+
+// acquire makes this coordinator the owner of a resource and returns its fencing token.
+func (s *Server) acquire(ctx context.Context, resource string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.config.StoreTimeout)
+	defer cancel()
+	result, err := s.client.Execute(ctx, controlclient.ControlGroup, &wire.Command{Kind: &wire.Command_FenceAcquire{
+		FenceAcquire: &wire.FenceAcquire{Resource: resource, Owner: s.session.Owner(), RequestId: s.requestName()}}})
+	if err != nil {
+		return 0, err
+	}
+	if result.GetFence().GetToken() == 0 {
+		return 0, trace.BadParameter("the control group gave no token for %s: %s", resource, result.GetInvalid())
+	}
+	return result.GetFence().GetToken(), nil
+}
+
+// adopt returns the trainer's state, and takes the trainer over first when it is not owned yet.
+func (s *Server) adopt(ctx context.Context, name string) (*trainerState, error) {
+	s.mutex.Lock()
+	known := s.trainers[name]
+	s.mutex.Unlock()
+	if known != nil {
+		return known, nil
+	}
+	results := s.adoption.DoChan(name, func() (any, error) { return s.takeOver(s.context, name) })
+	select {
+	case result := <-results:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return result.Val.(*trainerState), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// takeOver acquires a trainer's fence, makes it known to the ledger, and only then reads the ledger: nothing
+// that a former owner still sends can change what was read.
+func (s *Server) takeOver(ctx context.Context, name string) (*trainerState, error) {
+	s.mutex.Lock()
+	known := s.trainers[name]
+	s.mutex.Unlock()
+	if known != nil {
+		return known, nil
+	}
+	token, err := s.acquire(ctx, trainerResource(name))
+	if err != nil {
+		return nil, err
+	}
+	t := &trainerState{name: name, group: s.client.ClaimGroup(name), fence: token, changed: make(chan struct{}),
+		partials: map[string]*partial{}}
+	if err := s.raiseFence(ctx, t); err != nil {
+		return nil, err
+	}
+	view, err := s.readTrainer(ctx, t, true)
+	if err != nil {
+		return nil, err
+	}
+	t.delivery = newDelivery(view)
+	t.context, t.cancel = context.WithCancel(s.context)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.trainers[name] = t
+	if len(t.delivery.steps) > 0 {
+		s.stats.Takeovers++
+		s.config.Log.Infof("took over trainer %s with %d open steps under token %d", name, len(t.delivery.steps), token)
+	}
+	for _, step := range t.delivery.steps {
+		t.lastOpened = step.open.GetStep()
+		s.scheduleStep(t, step)
+	}
+	s.wake()
+	return t, nil
+}
+
+// raiseFence shows the ledger the token by a discard of a slot that no step has.
+func (s *Server) raiseFence(ctx context.Context, t *trainerState) error {
+	nothing := ledger.SlotID{Trainer: t.name, Prompt: "-"}
+	_, err := s.execute(ctx, t, &wire.Command{Kind: &wire.Command_BatchDiscard{BatchDiscard: &wire.BatchDiscard{
+		Trainer: t.name, SampleIds: []string{nothing.String()}, Editions: []uint32{0}, Fence: t.fence}}})
+	return err
+}
+
+func (s *Server) readTrainer(ctx context.Context, t *trainerState, withSamples bool) (*wire.TrainerView, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.config.StoreTimeout)
+	defer cancel()
+	view, err := s.client.Query(ctx, t.group, &wire.Query{Kind: &wire.Query_Trainer{
+		Trainer: &wire.TrainerQuery{Trainer: t.name, WithSamples: withSamples}}})
+	if err != nil {
+		return nil, err
+	}
+	return view.GetTrainer(), nil
+}
+
+// execute has a sample command applied by the trainer's ledger group. The error is about its fate; a refusal
+// is in the result.
+func (s *Server) execute(ctx context.Context, t *trainerState, command *wire.Command) (*wire.SampleResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.config.StoreTimeout)
+	defer cancel()
+	result, err := s.client.Execute(ctx, t.group, command)
+	if err != nil {
+		return nil, err
+	}
+	if result.GetSample() == nil {
+		return nil, trace.BadParameter("the ledger refused a command: %s", result.GetInvalid())
+	}
+	return result.GetSample(), nil
+}
+
+// depose drops a trainer that another coordinator has taken, or whose state here no longer fits the ledger's:
+// the next request reads it anew. The caller holds the mutex.
+func (s *Server) depose(t *trainerState, why string) {
+	if s.trainers[t.name] != t {
+		return
+	}
+	delete(s.trainers, t.name)
+	t.cancel()
+	s.stats.Deposed++
+	s.config.Log.Infof("gave up trainer %s: %s", t.name, why)
+	for _, p := range s.pools {
+		for id, one := range p.running {
+			if one.trainer == t {
+				s.stats.DiscardedTokens += uint64(one.partial.tokens)
+				delete(p.running, id)
+				if one.generated {
+					p.after--
+				}
+			}
+		}
+		p.scheduler.Forget(t.name)
+	}
+	t.notify()
+}
+
+// deposeMoved gives up the trainers that another coordinator is to own now. The caller holds the mutex.
+func (s *Server) deposeMoved() {
+	var moved []*trainerState
+	for _, t := range s.trainers {
+		if !s.owns(trainerResource(t.name)) {
+			moved = append(moved, t)
+		}
+	}
+	slices.SortFunc(moved, func(first, second *trainerState) int {
+		if first.name < second.name {
+			return -1
+		}
+		return 1
+	})
+	for _, t := range moved {
+		s.depose(t, "another coordinator is to own it")
+	}
+}
--- a/internal/rollout/events.go
+++ b/internal/rollout/events.go
@@ -241,6 +241,22 @@
 	return false
 }
 
+// Forget drops a trainer with its open steps, because another coordinator schedules them now.
+func (s *Scheduler) Forget(name string) {
+	s.trainers = slices.DeleteFunc(s.trainers, func(trainer *trainerState) bool {
+		if trainer.name != name {
+			return false
+		}
+		for _, step := range trainer.steps {
+			for _, one := range step.samples {
+				delete(s.samples, one.id)
+			}
+		}
+		s.running -= trainer.running
+		return true
+	})
+}
+
 func (s *Scheduler) stop(one *sample) {
 	one.phase = waiting
 	one.step.running--
