--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -23,6 +23,8 @@
 	Control      string        `long:"control" required:"true" description:"IP:port of the control nodes, separated by commas"`
 	LedgerGroups int           `long:"ledger-groups" default:"2" description:"Number of ledger groups; the same as the control nodes'"`
 	MaxBody      int64         `long:"max-body" default:"268435456" description:"Largest request body, in bytes"`
+	Connections  int           `long:"max-connections" default:"16384" description:"Most open connections of callers; more are refused as not run"`
+	PerAddress   int           `long:"max-connections-per-address" default:"4096" description:"Most open connections from one IP number"`
 	DrainTime    time.Duration `long:"drain-time" default:"5m" description:"Longest time that a drain waits for requests in flight"`
 	StartTime    time.Duration `long:"start-time" default:"30s" description:"Longest time to wait for the first lease"`
 	LogLevel     string        `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
@@ -63,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.StartTime)
 	defer cancel()
 	return gateway.Open(ctx, gateway.Config{Name: c.Name, Listen: c.Listen, Zone: c.Zone, Region: c.Region,
-		MaxBodyBytes: c.MaxBody, Log: log}, controlclient.Config{Addresses: strings.Split(c.Control, ","),
+		MaxBodyBytes: c.MaxBody, MaxConnections: c.Connections, MaxConnectionsPerAddress: c.PerAddress, Log: log}, controlclient.Config{Addresses: strings.Split(c.Control, ","),
 		LedgerGroups: c.LedgerGroups, Log: log})
 }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -21,7 +21,7 @@
 	LeaseLapsed                           // the last Send, Resume or Replay was not made: no valid lease
 	TableMoved                            // the last Send or Replay was not made: the choice was made on an older table
 	SendFailed                            // no byte of the last Send, Resume or Replay reached the back end
-	SendUnknown                           // the connection failed after a byte was written and before a whole answer
+	SendUnknown                           // the connection failed after a byte was written and before a whole answer; Status, Code, Reason when the request was to blame
 	RefusedByBackend                      // the back end says that it did not run: RetryAfter (may be 0); Status, Answer
 	Chunk                                 // tokens of the stream: Offset, Count
 	StreamCut                             // the stream ended without its end mark
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -64,6 +64,10 @@
 	m.state = stateSendEnded
 	failure := Outcome{Status: http.StatusBadGateway, Code: CodeBackendLost,
 		Reason: "the connection to the back end broke before the answer was whole", RetryAfter: m.settings.RetryAfter}
+	if event.Code != "" { // the request itself was broken on its way
+		m.giveUp(Outcome{Status: event.Status, Code: event.Code, Reason: event.Reason})
+		return
+	}
 	if !m.mayRepeat() || (m.forwarded() && !m.request.Continuable) {
 		m.giveUp(failure)
 		return
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -24,6 +24,7 @@
 	DefaultMaxAnswerBytes  = 16 << 20
 	DefaultStoredAnswer    = 64 << 10
 	DefaultMaxConnections  = 16384
+	DefaultMinBodyRate     = 64 << 10
 	DefaultReadTimeout     = 30 * time.Second
 	DefaultIdleTimeout     = 2 * time.Minute
 	DefaultWriteTimeout    = 30 * time.Second
@@ -73,8 +74,15 @@
 	StoredAnswerBytes int
 	// MaxConnections bounds the callers' connections; more are closed at once. Default 16384.
 	MaxConnections int
-	// ReadTimeout bounds reading one request, so that a slow sender holds a connection no longer. Default 30s.
+	// MaxConnectionsPerAddress bounds the connections from one IP number, so that one machine cannot shut
+	// others out. Default a quarter of MaxConnections.
+	MaxConnectionsPerAddress int
+	// ReadTimeout bounds reading one request, so that a slow sender holds a connection no longer; a body
+	// larger than BufferBytes may take longer while it keeps up MinBodyRate. Default 30s.
 	ReadTimeout time.Duration
+	// MinBodyRate is the least mean rate of a body larger than BufferBytes, in bytes per second. Default
+	// 64 KiB/s: four times the rate of uncompressed call audio.
+	MinBodyRate int
 	// IdleTimeout closes connections without requests. Default 2m.
 	IdleTimeout time.Duration
 	// WriteTimeout bounds writing one part of an answer to a caller that does not read. Default 30s.
@@ -107,7 +115,7 @@
 	if c.Control == nil {
 		return trace.BadParameter("gateway %s: a control session is required", c.Name)
 	}
-	if c.MaxBodyBytes < 0 || c.BufferBytes < 0 || c.MaxAnswerBytes < 0 || c.MaxConnections < 0 {
+	if c.MaxBodyBytes < 0 || c.BufferBytes < 0 || c.MaxAnswerBytes < 0 || c.MaxConnections < 0 || c.MaxConnectionsPerAddress < 0 || c.MinBodyRate < 0 {
 		return trace.BadParameter("gateway %s: size limits must not be negative", c.Name)
 	}
 	c.setSizes()
@@ -128,6 +136,8 @@
 	defaults.Set(&c.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	defaults.Set(&c.StoredAnswerBytes, DefaultStoredAnswer)
 	defaults.Set(&c.MaxConnections, DefaultMaxConnections)
+	defaults.Set(&c.MaxConnectionsPerAddress, max(c.MaxConnections/4, 1))
+	defaults.Set(&c.MinBodyRate, DefaultMinBodyRate)
 	defaults.Set(&c.RetriesPerSecond, DefaultRetriesPerSec)
 	defaults.Set(&c.RetryBurst, DefaultRetryBurst)
 	defaults.Set(&c.LogEntries, DefaultLogEntries)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -74,6 +74,9 @@
 	}
 	x.deadline = x.arrived + timeout
 	x.wallLimit = time.Now().Add(timeout)
+	if c.paced != nil {
+		c.paced.until = x.wallLimit
+	}
 	x.routed = routing.Request{Work: c.work(), Urgent: c.class != ClassRollout, Blocks: c.blocks}
 	x.machine = dispatch.New(x.request(), &s.dispatch)
 	return x
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -97,7 +97,7 @@
 			s.inFlight.Add(-1)
 		}
 		ctx.SetConnectionClose()
-		writeRefusal(ctx, http.StatusBadRequest, "body_incomplete", err.Error())
+		writeRefusal(ctx, http.StatusBadRequest, codeBodyIncomplete, err.Error())
 		return
 	}
 	x := s.newExchange(ctx, c, s.pool(c.pool))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	latency    *prometheus.HistogramVec
 	stages     *prometheus.HistogramVec
 	refused    prometheus.Counter // retries that the budget did not allow
+	turnedAway *prometheus.CounterVec
 }
 
 func newCounts() *counts {
@@ -32,6 +33,8 @@
 		latency: histograms("request_duration_seconds",
 			"Time from a request's arrival to its last byte handed to the connection.", buckets, "pool", "class"),
 		stages: histograms("stage_duration_seconds", "Time of one stage of a request with a claim.", buckets, "stage"),
+		turnedAway: counters("connections_refused_total",
+			"Connections refused because too many were open: in total, or from one address.", "limit"),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
 			Name: "retries_refused_total", Help: "Retries that were not made because the retry budget was used up."}),
 	}
@@ -49,7 +52,7 @@
 
 // all lists the collectors.
 func (m *counts) all() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.dispatches, m.tokens, m.latency, m.stages, m.refused}
+	return []prometheus.Collector{m.requests, m.dispatches, m.tokens, m.latency, m.stages, m.refused, m.turnedAway}
 }
 
 // count records a request that is over.
@@ -68,6 +71,9 @@
 	}
 }
 
+// countRefusedConnection records a connection that was refused.
+func (m *counts) countRefusedConnection(limit string) { m.turnedAway.WithLabelValues(limit).Inc() }
+
 // countDispatch records one dispatch.
 func (m *counts) countDispatch(x *exchange, kind dispatch.ActionKind) {
 	m.dispatches.WithLabelValues(x.call.pool, dispatchKinds[kind]).Inc()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -66,10 +65,11 @@
 	contentType string
 	timeout     time.Duration // 0: the pool's own
 	fields      completionFields
-	body        []byte    // the whole body, or its beginning when rest is set
-	rest        io.Reader // what follows body; nil when body is whole
-	bodyLength  int64     // -1 when not known
-	reserved    int64     // bytes of the memory budget
+	body        []byte     // the whole body, or its beginning when rest is set
+	rest        io.Reader  // what follows body; nil when body is whole
+	paced       *pacedBody // the same as rest
+	bodyLength  int64      // -1 when not known
+	reserved    int64      // bytes of the memory budget
 	blocks      []uint64
 }
 
@@ -100,9 +100,6 @@
 	return &badCall{status: status, code: code, reason: reason}
 }
 
-// errBodyBroken means that the caller's body ended early or came too slowly.
-var errBodyBroken = errors.New("the request's body ended early or came too slowly")
-
 // readCall reads headers and body. On a *badCall the call holds what was understood so far.
 func (s *Server) readCall(ctx *fasthttp.RequestCtx) (*call, error) {
 	c := &call{}
@@ -202,93 +199,6 @@
 	return nil
 }
 
-// readBody takes over the beginning of the body, and the whole of it when it fits the buffer.
-func (s *Server) readBody(ctx *fasthttp.RequestCtx, c *call) error {
-	c.bodyLength = int64(ctx.Request.Header.ContentLength())
-	if c.bodyLength > s.config.MaxBodyBytes {
-		return bad(http.StatusRequestEntityTooLarge, "body_too_large",
-			"the body has more than "+strconv.FormatInt(s.config.MaxBodyBytes, 10)+" bytes")
-	}
-	stream := ctx.RequestBodyStream()
-	if stream == nil {
-		c.body = ctx.PostBody()
-		c.bodyLength = int64(len(c.body))
-		return nil
-	}
-	limit := s.config.BufferBytes
-	if !s.reserve(c, min(int64(limit), max(c.bodyLength, memoryStep))) {
-		return bad(http.StatusServiceUnavailable, CodeOverloaded, "too many bodies are held")
-	}
-	if c.bodyLength >= 0 && c.bodyLength <= int64(limit) {
-		c.body = make([]byte, c.bodyLength)
-		if _, err := io.ReadFull(stream, c.body); err != nil {
-			return errBodyBroken
-		}
-		return nil
-	}
-	held, err := s.readBeginning(c, stream)
-	if err != nil {
-		return err
-	}
-	c.body = held
-	if len(held) <= limit {
-		c.bodyLength = int64(len(held))
-		return nil
-	}
-	if c.bodyLength < 0 {
-		c.bodyLength = -1
-	}
-	c.rest = &boundedReader{reader: stream, left: s.config.MaxBodyBytes - int64(len(held))}
-	return nil
-}
-
-// reserve takes bytes of the memory budget for the call; finishExchange gives them back.
-func (s *Server) reserve(c *call, bytes int64) bool {
-	if !s.memory.take(bytes) {
-		return false
-	}
-	c.reserved += bytes
-	return true
-}
-
-// readBeginning reads up to one byte more than the buffer takes, reserving memory as the body grows.
-func (s *Server) readBeginning(c *call, stream io.Reader) ([]byte, error) {
-	limit := int64(s.config.BufferBytes) + 1
-	var held bytes.Buffer
-	for int64(held.Len()) < limit {
-		n, err := io.CopyN(&held, stream, min(memoryStep, limit-int64(held.Len())))
-		if err == io.EOF {
-			return held.Bytes(), nil
-		}
-		if err != nil {
-			return nil, errBodyBroken
-		}
-		if int64(held.Len()) > c.reserved && !s.reserve(c, n) {
-			return nil, bad(http.StatusServiceUnavailable, CodeOverloaded, "too many bodies are held")
-		}
-	}
-	return held.Bytes(), nil
-}
-
-// errBodyTooLarge stops a body of unknown length at the limit.
-var errBodyTooLarge = errors.New("the body is larger than the limit")
-
-// boundedReader fails instead of ending when the limit is passed.
-type boundedReader struct {
-	reader io.Reader
-	left   int64
-}
-
-// Read implements io.Reader.
-func (b *boundedReader) Read(p []byte) (int, error) {
-	n, err := b.reader.Read(p)
-	b.left -= int64(n)
-	if b.left < 0 {
-		return 0, errBodyTooLarge
-	}
-	return n, err
-}
-
 // whole tells whether the body is held and can be sent again.
 func (c *call) whole() bool { return c.rest == nil }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -109,6 +109,10 @@
 		return
 	}
 	if err := x.write(up, out); err != nil {
+		if paced := x.call.paced; paced != nil && paced.failure != nil {
+			x.blameBody(paced.failure)
+			return
+		}
 		x.failSend(up.counter.written > 0, err)
 		return
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -121,10 +121,11 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "tamarindring", Logger: quietLogger{config.Log}, StreamRequestBody: true,
 		MaxRequestBodySize: prefetchBytes, DisablePreParseMultipartForm: true, ReadTimeout: config.ReadTimeout,
-		IdleTimeout: config.IdleTimeout, Concurrency: config.MaxConnections, CloseOnShutdown: true,
+		IdleTimeout: config.IdleTimeout, Concurrency: config.MaxConnections + maxFarewells, CloseOnShutdown: true,
 		ReadBufferSize: maxHeaderBytes, NoDefaultServerHeader: true, ErrorHandler: s.handleMalformed,
 		ConnState: s.callers.follow,
 	}
+	s.listener = newLimitedListener(listener, config.MaxConnections, config.MaxConnectionsPerAddress, s.counts.countRefusedConnection)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(s.Collector())
 	s.scrape = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
--- a/internal/standin/application/handle.go
+++ b/internal/standin/application/handle.go
@@ -116,9 +116,13 @@
 		return BodyHash(ctx.PostBody()), nil
 	}
 	digest := xxhash.New()
-	if _, err := io.Copy(digest, stream); err != nil {
+	read, err := io.Copy(digest, stream)
+	if err != nil {
 		return "", err
 	}
+	if announced := int64(ctx.Request.Header.ContentLength()); announced >= 0 && read != announced {
+		return "", io.ErrUnexpectedEOF // the HTTP library takes a cut body for a whole one
+	}
 	return hexSum(digest.Sum64()), nil
 }
 
