rollout: pace samples one by one, by what each may need

Change: one probe of each group starts as early as the step's longest sample may need, the rest as late as the group's shown length permits; lengths are learned in quarter octaves. Conclusion: better, though siblings of long probes still start late.

--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -38,6 +38,7 @@
 // The mechanisms.
 const (
 	MechanismPacing       Mechanism = "pacing"
+	MechanismPrediction   Mechanism = "prediction"
 	MechanismLongestFirst Mechanism = "longest-first"
 	MechanismContinuation Mechanism = "continuation"
 )
@@ -50,7 +51,7 @@
 	Scheduling Scheduling `yaml:"scheduling"`
 	// Routing is balanced, random, round-robin or least-requests. Default balanced.
 	Routing Routing `yaml:"routing"`
-	// Disable lists mechanisms of paced that are off: pacing, longest-first, continuation.
+	// Disable lists mechanisms of paced that are off: pacing, prediction, longest-first, continuation.
 	Disable []Mechanism `yaml:"disable"`
 }
 
@@ -72,7 +73,7 @@
 	if !slices.Contains(routings, p.Routing) {
 		return strictyaml.Fieldf("routing", "%q is none of %v", p.Routing, routings)
 	}
-	mechanisms := []Mechanism{MechanismPacing, MechanismLongestFirst, MechanismContinuation}
+	mechanisms := []Mechanism{MechanismPacing, MechanismPrediction, MechanismLongestFirst, MechanismContinuation}
 	for _, mechanism := range p.Disable {
 		if !slices.Contains(mechanisms, mechanism) {
 			return strictyaml.Fieldf("disable", "%q is none of %v", mechanism, mechanisms)
@@ -94,8 +95,8 @@
 		return rollout.Synchronous{}
 	}
 	return rollout.Paced{
-		NoPacing: p.off(MechanismPacing), NoLongestFirst: p.off(MechanismLongestFirst),
-		NoContinuation: p.off(MechanismContinuation),
+		NoPacing: p.off(MechanismPacing), NoPrediction: p.off(MechanismPrediction),
+		NoLongestFirst: p.off(MechanismLongestFirst), NoContinuation: p.off(MechanismContinuation),
 	}
 }
 
--- a/internal/rollout/policy.go
+++ b/internal/rollout/policy.go
@@ -13,10 +13,13 @@
 	// Due is the expected time of the trainer's first fetch of this step; valid if DueKnown.
 	Due      time.Duration
 	DueKnown bool
-	// Lead is the learned time that the step and all before it still need on the granted room.
+	// Lead is the learned time that all tokens of the step and of those before it still need on the granted
+	// room.
 	Lead time.Duration
-	// LeadKnown says that step time and length history exist.
+	// LeadKnown says that step time and length history exist; it holds for SampleView.Lead too.
 	LeadKnown bool
+	// LongestLead is the time that the longest sample of the step may need.
+	LongestLead time.Duration
 	// Safety is the trainer's learned factor on Lead, at least 1.
 	Safety float64
 }
@@ -27,6 +30,9 @@
 	Predicted  int    // whole length in tokens
 	Generated  int    // kept tokens
 	GroupKnown bool   // some sample of the group has finished
+	// Lead is the time that the sample may still need: for the first of an unknown group the time that the
+	// longest sample of the whole step may need, and some to tell a long group from a short one.
+	Lead time.Duration
 }
 
 // Policy decides when a step's samples may start and in which order. The staleness bound, fair shares and
@@ -34,8 +40,8 @@
 type Policy interface {
 	// Name is used in reports.
 	Name() string
-	// Eligible says whether samples of the step may start now.
-	Eligible(now time.Duration, step StepView) bool
+	// Eligible says whether a sample of the step may start now.
+	Eligible(now time.Duration, step StepView, sample SampleView) bool
 	// Before says whether first is to start before second; both are of the same step.
 	Before(first, second SampleView) bool
 	// KeepsPrefix says whether an interrupted sample goes on from its tokens or starts again.
@@ -50,7 +56,7 @@
 func (Synchronous) Name() string { return "synchronous" }
 
 // Eligible implements Policy: the first step, and only with the weights that the trainer uses.
-func (Synchronous) Eligible(_ time.Duration, step StepView) bool {
+func (Synchronous) Eligible(_ time.Duration, step StepView, _ SampleView) bool {
 	return step.Rank == 0 && step.Lag == 0
 }
 
@@ -67,7 +73,7 @@
 func (Asynchronous) Name() string { return "asynchronous" }
 
 // Eligible implements Policy: always.
-func (Asynchronous) Eligible(time.Duration, StepView) bool { return true }
+func (Asynchronous) Eligible(time.Duration, StepView, SampleView) bool { return true }
 
 // Before implements Policy: order given.
 func (Asynchronous) Before(_, _ SampleView) bool { return false }
@@ -75,11 +81,14 @@
 // KeepsPrefix implements Policy.
 func (Asynchronous) KeepsPrefix() bool { return true }
 
-// Paced starts a step as late as its work permits without making the trainer wait, likely long samples
-// first; each mechanism can be switched off for ablation. The zero value has all of them on.
+// Paced starts each sample as late as its likely length and the step's work permit without making the
+// trainer wait, one probe of each group and likely long samples first; each mechanism can be switched off
+// for ablation. The zero value has all of them on.
 type Paced struct {
-	// NoPacing starts steps as early as the bound permits.
+	// NoPacing starts samples as early as the bound permits.
 	NoPacing bool
+	// NoPrediction starts all samples of a step as early as the longest may need.
+	NoPrediction bool
 	// NoLongestFirst starts samples in the order given.
 	NoLongestFirst bool
 	// NoContinuation starts interrupted samples again from the prompt.
@@ -92,6 +101,9 @@
 	if p.NoPacing {
 		name += "-no-pacing"
 	}
+	if p.NoPrediction {
+		name += "-no-prediction"
+	}
 	if p.NoLongestFirst {
 		name += "-no-longest-first"
 	}
@@ -102,15 +114,19 @@
 }
 
 // Eligible implements Policy: when the time left until the trainer wants the step is no longer than the
-// time that the step and all before it still need.
-func (p Paced) Eligible(now time.Duration, step StepView) bool {
+// time that the sample, or the step's work and all before it, still need.
+func (p Paced) Eligible(now time.Duration, step StepView, sample SampleView) bool {
 	if p.NoPacing || !step.DueKnown || !step.LeadKnown {
 		return true
 	}
 	if step.Rank == 0 && step.TrainerWaiting {
 		return true
 	}
-	return now+time.Duration(float64(step.Lead)*step.Safety) >= step.Due
+	lead := max(step.Lead, sample.Lead)
+	if p.NoPrediction {
+		lead = max(step.Lead, step.LongestLead)
+	}
+	return now+time.Duration(float64(lead)*step.Safety) >= step.Due
 }
 
 // Before implements Policy: kept tokens first (they age), then one probe of each unknown group, then the
--- a/internal/rollout/predictor.go
+++ b/internal/rollout/predictor.go
@@ -2,8 +2,11 @@
 
 import "math/bits"
 
-// predictorBuckets holds lengths up to 2^31 tokens.
-const predictorBuckets = 32
+// Buckets of lengths: each power of two is cut into four, up to 2^31 tokens.
+const (
+	bucketBits       = 2
+	predictorBuckets = 32 << bucketBits
+)
 
 // defaultLength is predicted, in tokens, before any sample has finished.
 const defaultLength = 256
@@ -11,14 +14,17 @@
 // historyDecay halves the history's weight about every 2,800 samples, so that it follows a drift.
 const historyDecay = 0.99975
 
-// predictor learns lengths over all samples of a trainer, in buckets of powers of two.
+// predictor learns lengths over all samples of a trainer, in buckets.
 type predictor struct {
 	count [predictorBuckets]float64
 	total [predictorBuckets]float64
 }
 
 func bucketOf(tokens int) int {
-	return min(bits.Len(uint(max(tokens, 0))), predictorBuckets-1)
+	value := uint(max(tokens, 1))
+	power := bits.Len(value) - 1
+	part := value << bucketBits >> power & (1<<bucketBits - 1)
+	return min(power<<bucketBits|int(part), predictorBuckets-1)
 }
 
 // learn records a finished sample's length.
@@ -45,6 +51,29 @@
 	return max(int(total/count), generated+1)
 }
 
+// upper predicts a length that only the given share of those that exceed generated tokens surpasses.
+func (p *predictor) upper(generated int, share float64) int {
+	lowest := bucketOf(generated)
+	count := 0.0
+	for bucket := lowest; bucket < predictorBuckets; bucket++ {
+		count += p.count[bucket]
+	}
+	if count < 0.5 {
+		return max(defaultLength, 2*generated)
+	}
+	left := count * share
+	for bucket := predictorBuckets - 1; bucket > lowest; bucket-- {
+		if p.count[bucket] <= 0 {
+			continue
+		}
+		left -= p.count[bucket]
+		if left <= 0 {
+			return max(int(p.total[bucket]/p.count[bucket]), generated+1)
+		}
+	}
+	return p.above(generated)
+}
+
 // groupHistory is what is known about one prompt's group.
 type groupHistory struct {
 	finished      int
@@ -55,6 +84,24 @@
 // known reports whether the group says more than the history does.
 func (g *groupHistory) known() bool { return g.finished > 0 }
 
+// Margins of the length that a sample may have.
+const (
+	groupMargin = 1.5 // over the mean of its group's finished samples
+	upperShare  = 0.2 // of those longer than what its group has shown so far
+)
+
+// mayReach returns a length that a sample of the group hardly surpasses.
+func (g *groupHistory) mayReach(history *predictor, generated, maxTokens int) int {
+	most := history.upper(max(generated, g.longestSoFar), upperShare)
+	if mean := g.finishedTotal / max(g.finished, 1); g.finished > 0 && float64(mean)*groupMargin > float64(generated) {
+		most = int(float64(mean) * groupMargin)
+	}
+	if maxTokens > 0 {
+		most = min(most, maxTokens)
+	}
+	return max(most, generated+1)
+}
+
 // predict returns the expected whole length of one sample of the group that has generated tokens so far.
 // Samples of one prompt resemble each other, so the group's mean counts as much as two samples of history.
 func (g *groupHistory) predict(history *predictor, generated, maxTokens int) int {
--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -45,9 +45,9 @@
 // estimate is a cached prediction of a step's remaining work: exact sums over thousands of samples at each
 // start would cost more than they tell.
 type estimate struct {
-	total, longest int
-	valid          bool
-	changes        int // events since it was computed
+	total   int
+	valid   bool
+	changes int // events since it was computed
 }
 
 // refreshShare is the part of a step's samples that may change before cached predictions are renewed.
@@ -89,26 +89,25 @@
 	return len(t.steps)
 }
 
-// remainingTokens predicts the tokens that the step still needs, and its longest unfinished sample's.
-func (s *openStep) remainingTokens() (total, longest int) {
+// remainingTokens predicts the tokens that the step still needs.
+func (s *openStep) remainingTokens() int {
 	if s.estimate.valid && s.estimate.changes <= len(s.samples)/refreshShare {
-		return s.estimate.total, s.estimate.longest
+		return s.estimate.total
 	}
-	total, longest = s.sumRemaining()
-	s.estimate = estimate{total: total, longest: longest, valid: true}
-	return total, longest
-}
-
-func (s *openStep) sumRemaining() (total, longest int) {
+	total := 0
 	for _, one := range s.samples {
-		if one.phase == finished {
-			continue
+		if one.phase != finished {
+			total += one.predicted() - one.generated
 		}
-		left := one.predicted() - one.generated
-		total += left
-		longest = max(longest, left)
 	}
-	return total, longest
+	s.estimate = estimate{total: total, valid: true}
+	return total
+}
+
+// longestTokens predicts the length of the step's longest sample: what one group in as many as the step has
+// surpasses.
+func (s *openStep) longestTokens() int {
+	return s.trainer.history.upper(0, 1/float64(len(s.groups)))
 }
 
 // predicted is the expected whole length.
--- a/internal/rollout/scheduler.go
+++ b/internal/rollout/scheduler.go
@@ -170,11 +170,11 @@
 		if len(step.waiting) == 0 {
 			continue
 		}
-		if !s.policy.Eligible(now, s.view(trainer, step, rank, lag, room)) {
-			return nil
-		}
 		s.sortWaiting(step)
-		return step.waiting[0]
+		first := step.waiting[0]
+		if s.policy.Eligible(now, s.view(trainer, step, rank, lag, room), s.sampleView(first)) {
+			return first
+		}
 	}
 	return nil
 }
@@ -186,14 +186,13 @@
 		return view
 	}
 	view.LeadKnown = true
-	total, longest := 0, 0
+	total := 0
 	for _, before := range trainer.steps[:rank+1] {
-		left, most := before.remainingTokens()
-		total += left
-		longest = max(longest, most)
+		total += before.remainingTokens()
 	}
 	slots := max(1, int(float64(room.Slots)*trainer.share/s.totalShare()))
-	view.Lead = max(s.rate.time(total)/time.Duration(slots), s.rate.time(longest))
+	view.Lead = s.rate.time(total) / time.Duration(slots)
+	view.LongestLead = s.rate.time(step.longestTokens())
 	return view
 }
 
@@ -231,7 +230,7 @@
 	}
 	entries := make([]entry, len(step.waiting))
 	for position, one := range step.waiting {
-		entries[position] = entry{view: one.view(), one: one}
+		entries[position] = entry{view: s.sampleView(one), one: one}
 	}
 	slices.SortStableFunc(entries, func(first, second entry) int {
 		if s.policy.Before(first.view, second.view) {
@@ -247,12 +246,22 @@
 	}
 }
 
-func (s *sample) view() SampleView {
-	return SampleView{
-		Index: s.id.Index, Predicted: s.predicted(), Generated: s.generated, GroupKnown: s.group.known(),
+func (s *Scheduler) sampleView(one *sample) SampleView {
+	view := SampleView{
+		Index: one.id.Index, Predicted: one.predicted(), Generated: one.generated, GroupKnown: one.group.known(),
 	}
+	history := &one.step.trainer.history
+	if view.probe() {
+		view.Lead = s.rate.time(one.step.longestTokens() + history.above(0)*revealFactor)
+		return view
+	}
+	view.Lead = s.rate.time(one.group.mayReach(history, one.generated, one.maxTokens) - one.generated)
+	return view
 }
 
+// revealFactor is how many mean lengths a probe runs until its group can be called long.
+const revealFactor = 2
+
 func (s *Scheduler) start(now time.Duration, one *sample) Start {
 	one.step.waiting = slices.Delete(one.step.waiting, 0, 1)
 	one.phase = running
