rollout: late availability of weights no longer hides the next version

Cause: Released reset the count of the version that a delivered step leads to, so weights that became available after the step they were fetched for was delivered made later steps look one version fresher than they were. Change: only a fetch ends that count; a test.

--- a/internal/experiment/weights.go
+++ b/internal/experiment/weights.go
@@ -5,6 +5,10 @@
 // firstVersion is what the engines serve at the start.
 const firstVersion = 1
 
+// laggardPatience is how long a replica that does not serve the newest weights keeps them from counting as
+// available to rollouts, as in the coordinator.
+const laggardPatience = 10 * time.Second
+
 // weightVersion is one content of the replicas: the newest weights of every trainer. Engines know its
 // number only.
 type weightVersion struct {
@@ -150,6 +154,21 @@
 	}
 }
 
+// available is the oldest version of a trainer that a replica serves which is up and no laggard: what
+// starts now is made by this version or a newer one.
+func (w *weightRollout) available(trainer int) uint64 {
+	oldest := w.newest()
+	if w.simulation.now >= w.versions[oldest].released+laggardPatience {
+		return w.trainerVersion(oldest, trainer)
+	}
+	for index, r := range w.simulation.replicas {
+		if !r.down {
+			oldest = min(oldest, w.replicas[index].served)
+		}
+	}
+	return w.trainerVersion(oldest, trainer)
+}
+
 // everywhere says that all replicas that are up serve the newest weights.
 func (w *weightRollout) everywhere() bool {
 	for index, r := range w.simulation.replicas {
--- a/internal/rollout/events.go
+++ b/internal/rollout/events.go
@@ -61,14 +61,14 @@
 	trainer.trainTime += time.Duration(float64(newest-trainer.trainTime) * trainTimeWeight)
 }
 
-// Released records that a trainer's new weights are available to the pool.
+// Released records that a trainer's new weights are available to the pool. That may be long after the
+// trainer fetched with them, and after it received the next step.
 func (s *Scheduler) Released(_ time.Duration, name string, version uint64) {
 	trainer := s.trainer(name)
 	if version <= trainer.released {
 		return
 	}
 	trainer.released = version
-	trainer.pending = 0
 }
 
 // Delivered records that a whole step was handed over and closes it. Samples of it that are not finished
--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -60,7 +60,7 @@
 	history  predictor
 	released uint64 // newest announced version
 	using    uint64 // version named by the last fetch
-	// pending is 1 between the delivery of a whole step and the first sign of the version it leads to.
+	// pending is 1 between the delivery of a whole step and the fetch with the version it leads to.
 	pending uint64
 	// waitingNow is set while a fetch waits for samples.
 	waitingNow  bool
@@ -76,7 +76,7 @@
 
 // useVersion is the version at which the trainer is expected to use the step.
 func (t *trainerState) useVersion(step *openStep) uint64 {
-	return max(t.using, t.released) + t.pending + uint64(t.rank(step))
+	return max(t.using+t.pending, t.released) + uint64(t.rank(step))
 }
 
 // rank is the number of open steps before step.
--- a/internal/rollout/scheduler_test.go
+++ b/internal/rollout/scheduler_test.go
@@ -277,6 +277,24 @@
 	}
 }
 
+// TestLateAvailabilityDoesNotHideTheNextVersion: weights become available after the step that they were
+// fetched for is delivered already; the trainer is then about to make the next version.
+func TestLateAvailabilityDoesNotHideTheNextVersion(t *testing.T) {
+	s := New(Config{Policy: Asynchronous{}})
+	mustOpen(t, s, 0, "a", 1, 1, 1)
+	s.Wanted(0, "a", 5)
+	s.Released(0, "a", 4)
+	s.Delivered(time.Second, "a", 1) // leads to version 6
+	mustOpen(t, s, time.Second, "a", 2, 1, 1)
+	s.Released(2*time.Second, "a", 5)
+	if starts := s.Next(2*time.Second, Room{Slots: 1, StalenessBound: 0}); len(starts) > 0 {
+		t.Fatalf("%v was started on version 5 though version 6 will use it and the bound is 0", starts)
+	}
+	if starts := s.Next(2*time.Second, Room{Slots: 1, StalenessBound: 1}); len(starts) != 1 {
+		t.Fatal("nothing was started though the bound permits it")
+	}
+}
+
 func TestSampleIDRoundTrip(t *testing.T) {
 	id := SampleID{Trainer: "t", Step: 7, Prompt: "p", Index: 3}
 	parsed, err := ParseSampleID(id.String())
