Add release: a durable record of released weight versions per pool

A version that a trainer announced was known to one coordinator only: with it died the number that was taken and the name that the replicas are to serve. The control group now records releases under the pool's current fencing token, so that a deposed owner can release nothing that its successor does not read. TrainersQuery lists trainers with open steps, so that a successor need not wait for their next call.

--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -175,7 +175,7 @@
 // isControlCommand says whether a command belongs to the control group.
 func isControlCommand(command *wire.Command) bool {
 	switch command.Kind.(type) {
-	case *wire.Command_TableChange, *wire.Command_MemberUpdate, *wire.Command_FenceAcquire:
+	case *wire.Command_TableChange, *wire.Command_MemberUpdate, *wire.Command_FenceAcquire, *wire.Command_VersionRelease:
 		return true
 	}
 	return false
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,6 +9,7 @@
 package ledger
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/gravitational/trace"
@@ -103,6 +104,11 @@
 	return names
 }
 
+// OpenTrainers returns the names of the trainers with a step that is not wholly delivered, sorted.
+func (l *Ledger) OpenTrainers() []string {
+	return slices.DeleteFunc(l.Trainers(), func(name string) bool { return len(l.trainers[name].steps) == 0 })
+}
+
 // admit returns the trainer if the fencing token is not stale, else the reason of the refusal. A higher
 // token is remembered whatever becomes of the command.
 func (l *Ledger) admit(name string, fence uint64) (*trainer, string) {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -1,5 +1,5 @@
-// Package state is the replicated state machine of every consensus group. It composes the table, members
-// and fences of the control group (group 0) with the claims and samples of the ledger groups (1 to N), and
+// Package state is the replicated state machine of every consensus group. It composes the table, members,
+// fences and weight versions of the control group (group 0) with the claims and samples of the ledger groups (1 to N), and
 // routes each command to its part. Equal sequences of commands give equal states and equal snapshots, byte
 // for byte, on every node.
 //
@@ -14,6 +14,7 @@
 	"github.com/tamarindring/tamarindring/internal/fence"
 	"github.com/tamarindring/tamarindring/internal/ledger"
 	"github.com/tamarindring/tamarindring/internal/member"
+	"github.com/tamarindring/tamarindring/internal/release"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -36,6 +37,8 @@
 	Claim  claim.Unsafe
 	Ledger ledger.Unsafe
 	Fence  fence.Unsafe
+
+	Release release.Unsafe
 }
 
 // Machine is one group's state.
@@ -46,6 +49,8 @@
 	fences  *fence.Registry
 	claims  *claim.Store
 	ledger  *ledger.Ledger
+
+	releases *release.Registry
 }
 
 // New returns an empty Machine.
@@ -59,6 +64,8 @@
 		fences:  fence.NewUnsafe(unsafe.Fence),
 		claims:  claim.NewUnsafe(unsafe.Claim),
 		ledger:  ledger.NewUnsafe(unsafe.Ledger),
+
+		releases: release.NewUnsafe(unsafe.Release),
 	}
 }
 
@@ -99,6 +106,13 @@
 			return invalid(err)
 		}
 		return &wire.Result{Kind: &wire.Result_Fence{Fence: result}}
+	case *wire.Command_VersionRelease:
+		token := m.fences.Current(release.Resource(kind.VersionRelease.GetPool())).GetToken()
+		result, err := m.releases.Release(kind.VersionRelease, token)
+		if err != nil {
+			return invalid(err)
+		}
+		return &wire.Result{Kind: &wire.Result_Version{Version: result}}
 	}
 	if result, known := m.applyClaim(index, command); known {
 		return result
@@ -179,6 +193,10 @@
 	case *wire.Query_Trainer:
 		view := m.ledger.View(kind.Trainer.GetTrainer(), kind.Trainer.GetWithSamples())
 		return &wire.View{Kind: &wire.View_Trainer{Trainer: view}}
+	case *wire.Query_Versions:
+		return &wire.View{Kind: &wire.View_Versions{Versions: m.releases.View(kind.Versions.GetPool())}}
+	case *wire.Query_Trainers:
+		return &wire.View{Kind: &wire.View_Trainers{Trainers: &wire.TrainersView{OpenTrainers: m.ledger.OpenTrainers()}}}
 	case *wire.Query_Status:
 		return &wire.View{Kind: &wire.View_Status{Status: m.status()}}
 	default:
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -31,6 +31,8 @@
 			Name: "g1", Incarnation: 1, Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Address: "10.0.0.9:1",
 			State: wire.MemberState_MEMBER_STATE_ALIVE}}}},
 		{Kind: &wire.Command_FenceAcquire{FenceAcquire: &wire.FenceAcquire{Resource: "trainer/t", Owner: "c1", RequestId: "r1"}}},
+		{Kind: &wire.Command_FenceAcquire{FenceAcquire: &wire.FenceAcquire{Resource: "pool/chat", Owner: "c1", RequestId: "r2"}}},
+		{Kind: &wire.Command_VersionRelease{VersionRelease: &wire.VersionRelease{Pool: "chat", Version: "t-v1", VersionNumber: 1, Trainer: "t", Fence: 1}}},
 		{Kind: &wire.Command_ClaimBegin{ClaimBegin: &wire.ClaimBegin{Key: "k", Owner: "g1/1", Attempt: "a1", NowUnixMillis: 5000}}},
 		{Kind: &wire.Command_ClaimFinish{ClaimFinish: &wire.ClaimFinish{Key: "k", Attempt: "a1",
 			Outcome: wire.ClaimState_CLAIM_STATE_DONE, Answer: &wire.Answer{Status: 200, Body: []byte("ok")}, NowUnixMillis: 6000}}},
@@ -54,6 +56,10 @@
 	if machine.TableVersion() != 2 {
 		t.Fatalf("table version %d", machine.TableVersion())
 	}
+	versions := machine.Query(&wire.Query{Kind: &wire.Query_Versions{Versions: &wire.VersionsQuery{Pool: "chat"}}}).GetVersions()
+	if len(versions.GetVersions()) != 1 || versions.GetVersions()[0].GetVersion() != "t-v1" {
+		t.Fatalf("versions %v", versions)
+	}
 	claim := machine.Query(&wire.Query{Kind: &wire.Query_Claim{Claim: &wire.ClaimQuery{Key: "k"}}}).GetClaim()
 	if claim.GetState() != wire.ClaimState_CLAIM_STATE_DONE || string(claim.GetAnswer().GetBody()) != "ok" {
 		t.Fatalf("claim %v", claim)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -21,6 +21,7 @@
 		Fences:       m.fences.Snapshot(),
 		Claims:       m.claims.Snapshot(),
 		Ledger:       m.ledger.Snapshot(),
+		Releases:     m.releases.Snapshot(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -48,18 +49,21 @@
 // restoreParts restores copies first, so that an error in a later part leaves the earlier ones alone.
 func (m *Machine) restoreParts(snapshot *wire.MachineSnapshot) error {
 	tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy := *m.table, *m.members, *m.fences, *m.claims, *m.ledger
+	releasesCopy := *m.releases
 	for _, restore := range []func() error{
 		func() error { return tableCopy.Restore(snapshot.GetTable()) },
 		func() error { return membersCopy.Restore(snapshot.GetMembers()) },
 		func() error { return fencesCopy.Restore(snapshot.GetFences()) },
 		func() error { return claimsCopy.Restore(snapshot.GetClaims()) },
 		func() error { return ledgerCopy.Restore(snapshot.GetLedger()) },
+		func() error { return releasesCopy.Restore(snapshot.GetReleases()) },
 	} {
 		if err := restore(); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 	*m.table, *m.members, *m.fences, *m.claims, *m.ledger = tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy
+	*m.releases = releasesCopy
 	m.applied = snapshot.GetAppliedIndex()
 	return nil
 }
