Add the operators' page, served by a control node with page-listen

Operators had the command line only. The page shows the table as a sheet that is edited in place, conflicts beside the other operator's value, what is in force where, and the control nodes' health; it is embedded, loads nothing from outside and refuses other sites' requests. Its JSON interface is tested over HTTP against a real control node: conflicts, lost answers and resends, bad requests. No browser is on this machine, so the page was not looked at.

--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -8,9 +8,12 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
 
 	"github.com/tamarindring/tamarindring/internal/control"
+	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/page"
 )
 
 // controlCommand runs a control node.
@@ -28,6 +31,7 @@
 	Lease        time.Duration `long:"lease" default:"1200ms" description:"How long a process may act on the table after its last renewal; an accepted change is in force everywhere within one and a half times this"`
 	Tick         time.Duration `long:"tick" default:"50ms" description:"Step of the consensus clock; a dead leader is replaced after 10 to 20 of them"`
 	DrainTimeout time.Duration `long:"drain-timeout" default:"10s" description:"Longest time to hand leaderships over when stopped by SIGINT or SIGTERM"`
+	PageListen   string        `long:"page-listen" value-name:"IP:PORT" description:"Address of the operators' page; none if empty. It asks for no token: whoever reaches it can change the table"`
 	LogLevel     string        `long:"log-level" default:"info" description:"debug, info, warning or error"`
 	LogFormat    string        `long:"log-format" default:"text" description:"text or json"`
 	adminOptions
@@ -60,6 +64,11 @@
 	if err := showAdmin(admin, server); err != nil {
 		return trace.NewAggregate(err, server.Close())
 	}
+	closePage, err := c.openPage(server.Address(), peers, log)
+	if err != nil {
+		return trace.NewAggregate(err, server.Close())
+	}
+	defer closePage()
 	finished := make(chan error, 1)
 	go func() { finished <- server.Run(context.Background()) }()
 	select {
@@ -73,6 +82,30 @@
 	return trace.NewAggregate(drainError, <-finished)
 }
 
+// openPage serves the operators' page, if one is wanted, by way of this node and its peers. It returns what
+// ends it.
+func (c *controlCommand) openPage(own string, peers []control.Peer, log *logrus.Entry) (func(), error) {
+	if c.PageListen == "" {
+		return func() {}, nil
+	}
+	addresses := []string{own}
+	for _, peer := range peers {
+		if peer.ID != c.ID {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	client, err := controlclient.New(controlclient.Config{Addresses: addresses, LedgerGroups: c.LedgerGroups, Log: log})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	served, err := page.Open(page.Config{Listen: c.PageListen, Control: client, Log: log})
+	if err != nil {
+		return nil, trace.NewAggregate(&ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}, client.Close())
+	}
+	log.Infof("operators' page on http://%s/", served.Address())
+	return func() { _, _ = served.Close(), client.Close() }, nil
+}
+
 // parsePeers reads ID=NAME@IP:PORT, several to a text if separated by commas.
 func parsePeers(texts []string) ([]control.Peer, error) {
 	var peers []control.Peer
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -69,7 +69,7 @@
 	if err != nil || change == nil {
 		return nil, err
 	}
-	outcome, err := s.send(ctx, change, wait)
+	outcome, err := Send(ctx, s.Control, change, wait)
 	if err != nil {
 		return nil, lost(err, change) // the earlier sending may have worked, whatever became of this one
 	}
@@ -87,15 +87,17 @@
 	if err := s.Pending.save(pendingKey(request), change); err != nil {
 		return nil, err
 	}
-	outcome, err := s.send(ctx, change, wait)
+	outcome, err := Send(ctx, s.Control, change, wait)
 	if err != nil && verdict.Of(err) != verdict.DidNotRun {
 		return nil, lost(err, change)
 	}
 	return outcome, trace.NewAggregate(err, s.Pending.drop(pendingKey(request), change.ChangeId))
 }
 
-func (s *Submitter) send(ctx context.Context, change *wire.TableChange, wait bool) (*Outcome, error) {
-	result, inForce, err := s.Control.ChangeTable(ctx, proto.CloneOf(change), wait)
+// Send sends a change, or sends it again, until its answer is known or ctx ends. An error carries a
+// verdict; one of MayHaveRun is settled by sending the same change again.
+func Send(ctx context.Context, control Control, change *wire.TableChange, wait bool) (*Outcome, error) {
+	result, inForce, err := control.ChangeTable(ctx, proto.CloneOf(change), wait)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/page/page_test.go
@@ -0,0 +1,307 @@
+package page
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/tamarindring/tamarindring/internal/control"
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/operator"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	// The HTTP library's worker pool notices only at its next round that it was stopped, its clock never.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+// lossyControl loses the answers to changes that were made, while it is told to.
+type lossyControl struct {
+	operator.StatusControl
+	lose atomic.Bool
+}
+
+func (c *lossyControl) ChangeTable(ctx context.Context, change *wire.TableChange, wait bool) (*wire.TableResult, uint64, error) {
+	result, inForce, err := c.StatusControl.ChangeTable(ctx, change, wait)
+	if c.lose.Load() {
+		return nil, 0, verdict.New(verdict.MayHaveRun, "the answer was lost")
+	}
+	return result, inForce, err
+}
+
+// quickTick shortens the first election.
+const quickTick = 10 * time.Millisecond
+
+// startPage serves the page of a cluster of one control node.
+func startPage(t *testing.T) (*lossyControl, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	node, err := control.New(control.Config{Name: "control-1", NodeID: 1, ClusterID: "test", Listener: listener,
+		Peers: []control.Peer{{ID: 1, Name: "control-1", Address: address}}, DataFolder: t.TempDir(), Tick: quickTick})
+	if err != nil {
+		t.Fatal(err)
+	}
+	finished := make(chan error, 1)
+	go func() { finished <- node.Run(context.Background()) }()
+	client, err := controlclient.New(controlclient.Config{Addresses: []string{address}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lossy := &lossyControl{StatusControl: client}
+	server, err := Open(Config{Listen: "127.0.0.1:0", Control: lossy, StatusAge: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		for _, closing := range []error{server.Close(), client.Close(), node.Close(), <-finished} {
+			if closing != nil {
+				t.Error(closing)
+			}
+		}
+	})
+	return lossy, "http://" + server.Address()
+}
+
+func get(t *testing.T, address string, into any) {
+	t.Helper()
+	response, err := http.Get(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("%s: status %d", address, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func send(t *testing.T, address string, change Change) (int, Outcome, Failure) {
+	t.Helper()
+	body, err := json.Marshal(change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post(address+"/api/changes", "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var outcome Outcome
+	var failure Failure
+	_ = json.Unmarshal(content, &outcome)
+	_ = json.Unmarshal(content, &failure)
+	return response.StatusCode, outcome, failure
+}
+
+func setWeight(id, operator, value string, base uint64) Change {
+	return Change{ChangeID: id, BaseVersion: base, Operator: operator,
+		Cells: []CellEdit{{Row: "copy", Column: "kind", Value: "pool"}, {Row: "copy", Column: "weight", Value: value}}}
+}
+
+func TestASecondOperatorOverwritesTheFirst(t *testing.T) {
+	_, address := startPage(t)
+	first := setWeight("a", "ann", "70", 0)
+	first.Wait = true
+	status, outcome, _ := send(t, address, first)
+	if status != http.StatusOK || !outcome.Accepted || outcome.Version != 1 || outcome.InForce < 1 {
+		t.Fatalf("status %d, %+v; want version 1 in force", status, outcome)
+	}
+	status, outcome, _ = send(t, address, setWeight("b", "ben", "80", 0))
+	if status != http.StatusConflict || outcome.Accepted {
+		t.Fatalf("status %d, %+v; want a conflict", status, outcome)
+	}
+	var seen *Refusal
+	for _, refusal := range outcome.Refusals {
+		if refusal.Column == "weight" {
+			seen = &refusal
+		}
+	}
+	if seen == nil || seen.CurrentValue != "70" || seen.ChangedBy != "ann" || seen.ChangedVersion != 1 {
+		t.Fatalf("the conflict does not name ann's 70 of version 1: %+v", outcome.Refusals)
+	}
+	if status, outcome, _ = send(t, address, setWeight("c", "ben", "80", outcome.Version)); status != http.StatusOK || outcome.Version != 2 {
+		t.Fatalf("status %d, %+v; want ben's change against the seen version accepted", status, outcome)
+	}
+	var sheet operator.Sheet
+	get(t, address+"/api/table", &sheet)
+	row, _ := sheet.Row("copy")
+	if cell := row.Cells["weight"]; cell.Value != "80" || cell.Operator != "ben" || cell.Version != 2 {
+		t.Fatalf("the table shows %+v, want ben's 80 of version 2", cell)
+	}
+	var entries []wire.HistoryEntry
+	get(t, address+"/api/history?row=copy&column=weight", &entries)
+	if len(entries) != 2 {
+		t.Fatalf("%d changes of the weight in the history, want 2", len(entries))
+	}
+}
+
+// TestAResentChangeIsMadeTwice loses the answer to a change that was made and sends it again, after
+// another operator has changed the same cell.
+func TestAResentChangeIsMadeTwice(t *testing.T) {
+	lossy, address := startPage(t)
+	lossy.lose.Store(true)
+	change := setWeight("a", "ann", "70", 0)
+	status, _, failure := send(t, address, change)
+	if status != http.StatusGatewayTimeout || failure.Verdict != verdict.MayHaveRun.String() {
+		t.Fatalf("status %d, %+v; want an unknown outcome", status, failure)
+	}
+	lossy.lose.Store(false)
+	if status, _, _ := send(t, address, setWeight("b", "ben", "80", 1)); status != http.StatusOK {
+		t.Fatalf("ben: status %d", status)
+	}
+	status, outcome, _ := send(t, address, change)
+	if status != http.StatusOK || !outcome.Accepted || outcome.Version != 1 {
+		t.Fatalf("status %d, %+v; want the first sending's answer", status, outcome)
+	}
+	var sheet operator.Sheet
+	get(t, address+"/api/table", &sheet)
+	if row, _ := sheet.Row("copy"); sheet.Version != 2 || row.Cells["weight"].Value != "80" {
+		t.Fatalf("version %d, %+v; want ben's 80 of version 2 untouched", sheet.Version, row)
+	}
+	if status, outcome, _ = send(t, address, setWeight("a", "ann", "71", 2)); status != http.StatusConflict || outcome.Accepted {
+		t.Fatalf("another change under a used id: status %d, %+v; want it refused", status, outcome)
+	}
+}
+
+func TestStatusDoesNotShowTheNode(t *testing.T) {
+	_, address := startPage(t)
+	if status, _, failure := send(t, address, setWeight("a", "ann", "70", 0)); status != http.StatusOK {
+		t.Fatalf("status %d, %+v", status, failure)
+	}
+	var status operator.Status
+	get(t, address+"/api/status", &status)
+	if status.TableVersion != 1 || len(status.Nodes) != 1 || len(status.Nodes[0].Groups) != 3 || status.MembersError != "" {
+		t.Fatalf("status %+v; want version 1 and one node with three groups", status)
+	}
+	if role := status.Nodes[0].Groups[0].Role; role != "leader" {
+		t.Fatalf("the only node is %s, want leader", role)
+	}
+}
+
+func TestSchemaOfThePageDiffersFromTheTable(t *testing.T) {
+	_, address := startPage(t)
+	var columns []Column
+	get(t, address+"/api/schema", &columns)
+	schema := table.Schema()
+	if len(columns) != len(schema) {
+		t.Fatalf("%d columns, want %d", len(columns), len(schema))
+	}
+	for position, column := range columns {
+		if column.Name != schema[position].Name || column.Maximum != schema[position].Maximum || column.Help == "" {
+			t.Errorf("column %+v, want %+v", column, schema[position])
+		}
+	}
+}
+
+// TestBadRequestsAreServed sends what a browser never would, or what another site might make it send.
+func TestBadRequestsAreServed(t *testing.T) {
+	_, address := startPage(t)
+	valid := `{"change_id":"a","base_version":0,"operator":"ann","cells":[{"row":"copy","column":"kind","value":"pool"}]}`
+	cases := []struct {
+		name, method, path, contentType, host, body string
+		status                                      int
+	}{
+		{"another site's form", "POST", "/api/changes", "text/plain", "", valid, http.StatusUnsupportedMediaType},
+		{"another site's name", "POST", "/api/changes", "application/json", "evil.example:80", valid, http.StatusMisdirectedRequest},
+		{"unknown field", "POST", "/api/changes", "application/json", "", strings.Replace(valid, "operator", "operater", 1), http.StatusBadRequest},
+		{"wrong type", "POST", "/api/changes", "application/json", "", strings.Replace(valid, ":0", ":-1", 1), http.StatusBadRequest},
+		{"no change id", "POST", "/api/changes", "application/json", "", strings.Replace(valid, `"a"`, `""`, 1), http.StatusBadRequest},
+		{"empty change", "POST", "/api/changes", "application/json", "", `{"change_id":"a","operator":"ann"}`, http.StatusBadRequest},
+		{"two changes", "POST", "/api/changes", "application/json", "", valid + valid, http.StatusBadRequest},
+		{"reading as a change", "GET", "/api/changes", "", "", "", http.StatusMethodNotAllowed},
+		{"unknown path", "GET", "/api/none", "", "", "", http.StatusNotFound},
+		{"bad limit", "GET", "/api/history?limit=x", "", "", "", http.StatusBadRequest},
+	}
+	for _, test := range cases {
+		request, err := http.NewRequest(test.method, address+test.path, strings.NewReader(test.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Content-Type", test.contentType)
+		request.Host = test.host
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Errorf("%s: %v", test.name, err)
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != test.status {
+			t.Errorf("%s: status %d, want %d", test.name, response.StatusCode, test.status)
+		}
+	}
+	var sheet operator.Sheet
+	get(t, address+"/api/table", &sheet)
+	if sheet.Version != 0 {
+		t.Errorf("a bad request changed the table to version %d", sheet.Version)
+	}
+}
+
+func TestATooLargeChangeIsRead(t *testing.T) {
+	_, address := startPage(t)
+	connection, err := net.Dial("tcp", strings.TrimPrefix(address, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	fmt.Fprintf(connection, "POST /api/changes HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", maxBodyBytes+1)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Fatalf("status %d, want %d before any of the body is sent", response.StatusCode, http.StatusRequestEntityTooLarge)
+	}
+}
+
+func TestAnAssetIsMissingOrFromOutside(t *testing.T) {
+	_, address := startPage(t)
+	for path, asset := range assets {
+		response, err := http.Get(address + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		content, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK || !bytes.Equal(content, asset.content) || len(content) == 0 {
+			t.Errorf("%s: status %d, %d bytes: %v", path, response.StatusCode, len(content), err)
+		}
+		for _, outside := range []string{"http://", "https://", "//cdn"} {
+			if strings.Contains(string(content), outside) {
+				t.Errorf("%s names something outside: %s", path, outside)
+			}
+		}
+		if policy := response.Header.Get("Content-Security-Policy"); !strings.Contains(policy, "script-src 'self'") {
+			t.Errorf("%s: policy %q lets other scripts in", path, policy)
+		}
+	}
+	if !strings.Contains(string(indexHTML), fmt.Sprintf("src=%q", "/page.js")) {
+		t.Error("the page does not load its script")
+	}
+}
