--- a/internal/cli/coordinator.go
+++ b/internal/cli/coordinator.go
@@ -32,6 +32,7 @@
 	StartTime     time.Duration `long:"start-time" default:"30s" description:"Longest time to wait for the first lease"`
 	LogLevel      string        `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
 	LogFormat     string        `long:"log-format" default:"text" description:"Log format: text or json"`
+	adminOptions
 }
 
 // rolloutPolicies are the policies by the names that the setting takes.
@@ -49,18 +50,26 @@
 		return &ExitError{Code: ExitUsage, Message: err.Error()}
 	}
 	log := logging.Part(logger, "coordinator")
-	server, err := c.open(environment.Context, log)
+	admin, err := c.adminOptions.open("coordinator", c.Name, log)
+	if err != nil {
+		return err
+	}
+	defer closeAdmin(admin)
+	server, err := c.openServer(environment.Context, log)
 	if err != nil {
 		if trace.IsBadParameter(err) {
 			return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 		}
 		return err
 	}
+	if err := showAdmin(admin, server); err != nil {
+		return trace.NewAggregate(err, server.Close())
+	}
 	log.Infof("serving on %s", server.Address())
 	return c.serve(environment.Context, server)
 }
 
-func (c *coordinatorCommand) open(ctx context.Context, log *logrus.Entry) (*coordinator.Server, error) {
+func (c *coordinatorCommand) openServer(ctx context.Context, log *logrus.Entry) (*coordinator.Server, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.StartTime)
 	defer cancel()
 	return coordinator.Open(ctx, coordinator.Config{Name: c.Name, Listen: c.Listen, Zone: c.Zone, Region: c.Region,
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -50,7 +50,7 @@
 type collector struct{ server *Server }
 
 func describe(name, help string, labels ...string) *prometheus.Desc {
-	return prometheus.NewDesc(prometheus.BuildFQName(metrics.Namespace, metricsSubsystem, name), help, labels, nil)
+	return metrics.Describe(metricsSubsystem, name, help, labels...)
 }
 
 var (
--- a/internal/coordinator/fixture_test.go
+++ b/internal/coordinator/fixture_test.go
@@ -31,6 +31,7 @@
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
 
--- /dev/null
+++ b/internal/coordinator/metrics_test.go
@@ -0,0 +1,23 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+)
+
+func TestReadinessHidesADrainOrALostLease(t *testing.T) {
+	f := newFixture(t, 1, 1)
+	server := f.coordinators[0]
+	if err := server.Ready(f.context); err != nil {
+		t.Fatal(err)
+	}
+	server.draining.Store(true)
+	if err := server.Ready(f.context); err != errDraining {
+		t.Fatalf("got %v", err)
+	}
+	server.draining.Store(false)
+	f.control.Close()
+	for server.Ready(f.context) != errNoLease { // the lease lapses; the test's time limit ends a wait in vain
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/gateway/collector.go
+++ b/internal/gateway/collector.go
@@ -34,7 +34,7 @@
 type collector struct{ server *Server }
 
 func describe(name, help string, labels ...string) *prometheus.Desc {
-	return prometheus.NewDesc(prometheus.BuildFQName(metrics.Namespace, metricsSubsystem, name), help, labels, nil)
+	return metrics.Describe(metricsSubsystem, name, help, labels...)
 }
 
 var (
@@ -79,9 +79,9 @@
 	gauge(connectionsDesc, float64(s.callers.count()))
 	gauge(bufferedDesc, float64(s.memory.used.Load()))
 	gauge(bufferLimitDesc, float64(s.memory.limit))
-	gauge(leaseDesc, boolValue(leased))
+	gauge(leaseDesc, metrics.Bool(leased))
 	gauge(tableVersionDesc, float64(version))
-	gauge(drainingDesc, boolValue(s.draining.Load()))
+	gauge(drainingDesc, metrics.Bool(s.draining.Load()))
 	for name, p := range s.pools.Load().byName {
 		status := p.status(s.now())
 		gauge(slotsDesc, float64(status.slots), name)
@@ -97,13 +97,6 @@
 	}
 }
 
-func boolValue(value bool) float64 {
-	if value {
-		return 1
-	}
-	return 0
-}
-
 // poolStatus is what operators see of a pool at this gateway.
 type poolStatus struct {
 	slots, inFlight, rollouts, waiting int
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -23,6 +23,19 @@
 	Collector() prometheus.Collector
 }
 
+// Describe returns the description of a metric with the project's naming.
+func Describe(subsystem, name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(Namespace, subsystem, name), help, labels, nil)
+}
+
+// Bool is the value of a gauge that says yes or no.
+func Bool(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 // readyTimeout bounds one question for readiness: a process that can't tell in time is not ready.
 const readyTimeout = time.Second
 
