page: let the status test wait for the published version

A node's status follows an accepted change by a moment: the version it shows is set by the publisher after the change was applied. The test read it at once and failed under load; it now asks again until the version shows, up to 5 s.

--- a/internal/page/page_test.go
+++ b/internal/page/page_test.go
@@ -195,7 +195,12 @@
 		t.Fatalf("status %d, %+v", status, failure)
 	}
 	var status operator.Status
-	get(t, address+"/api/status", &status)
+	for range 1000 { // the status follows an accepted change by a moment
+		if get(t, address+"/api/status", &status); status.TableVersion == 1 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
 	if status.TableVersion != 1 || len(status.Nodes) != 1 || len(status.Nodes[0].Groups) != 3 || status.MembersError != "" {
 		t.Fatalf("status %+v; want version 1 and one node with three groups", status)
 	}
