bench capacity: what each role costs by size, and its page

Measures control sessions, claims, samples, the gateway, load polls and the state machines at four sizes each, fits lines, works out each role at the users' target and renders docs/CAPACITY.md from the figures.

--- /dev/null
+++ b/internal/bench/capacity/capacity.go
@@ -0,0 +1,160 @@
+// Package capacity measures what each role costs at several sizes, fits lines, and works out from them
+// what every role needs at the target size. Hollow processes share one process; they speak over real TCP
+// and the control nodes write real files. The result is JSON, and docs/CAPACITY.md is rendered from it.
+package capacity
+
+import (
+	"cmp"
+	"context"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/bench/controlbench"
+	"github.com/tamarindring/tamarindring/internal/bench/gatewaybench"
+	"github.com/tamarindring/tamarindring/internal/bench/slope"
+	"github.com/tamarindring/tamarindring/internal/defaults"
+)
+
+// DefaultPerPoint is the time of each measurement.
+const DefaultPerPoint = 4 * time.Second
+
+// Config says how long to measure and where.
+type Config struct {
+	// Folder holds the control nodes' data. Required.
+	Folder string
+	// PerPoint is the time of each measurement. Default DefaultPerPoint.
+	PerPoint time.Duration
+	// Lease is the table lease. Default controlbench.DefaultLease.
+	Lease time.Duration
+	// Revision is the source's revision; it is needed where the build was not stamped with it.
+	Revision string
+	// Progress is told the name of each part before it begins. Optional.
+	Progress func(part string)
+}
+
+// Report is everything that was measured.
+type Report struct {
+	Machine  Machine                   `json:"machine"`
+	Target   Target                    `json:"target"`
+	PerPoint string                    `json:"time_per_point"`
+	Sessions *controlbench.Report      `json:"control_sessions"`
+	Claims   *Ledger                   `json:"claims"`
+	Samples  *Ledger                   `json:"samples"`
+	States   []slope.Line              `json:"states"`
+	Gateway  *gatewaybench.ScaleReport `json:"gateway"`
+	Polls    *Polls                    `json:"load_polls"`
+}
+
+// Ledger is the result of a load on the ledger groups.
+type Ledger struct {
+	Nodes  int           `json:"control_nodes"` // each holds every group
+	Groups int           `json:"ledger_groups"`
+	Points []LedgerPoint `json:"points"`
+	Lines  []slope.Line  `json:"lines"`
+}
+
+// LedgerPoint is one load on the ledger groups.
+type LedgerPoint struct {
+	Count        int     `json:"count"` // claims or samples of this point
+	Seconds      float64 `json:"seconds"`
+	PerSecond    float64 `json:"per_second"`
+	ControlCores float64 `json:"control_cores"` // all control nodes
+	ProcessCores float64 `json:"process_cores"`
+	ControlBytes float64 `json:"control_bytes"` // over the listeners of all control nodes
+	DiskBytes    float64 `json:"disk_bytes"`    // written by all control nodes
+	LiveBytes    uint64  `json:"live_bytes"`    // of the process, after the point
+	Failures     int     `json:"failures"`
+}
+
+// Lines returns all fitted lines.
+func (r *Report) Lines() []slope.Line {
+	var lines []slope.Line
+	if r.Sessions != nil {
+		lines = append(lines, r.Sessions.Lines...)
+	}
+	if r.Claims != nil {
+		lines = append(lines, r.Claims.Lines...)
+	}
+	if r.Samples != nil {
+		lines = append(lines, r.Samples.Lines...)
+	}
+	lines = append(lines, r.States...)
+	if r.Gateway != nil {
+		lines = append(lines, r.Gateway.Lines...)
+	}
+	if r.Polls != nil {
+		lines = append(lines, r.Polls.Lines...)
+	}
+	return lines
+}
+
+// Line returns the line of a quantity; the zero Line if it was not measured.
+func (r *Report) Line(quantity string) slope.Line {
+	for _, line := range r.Lines() {
+		if line.Quantity == quantity {
+			return line
+		}
+	}
+	return slope.Line{}
+}
+
+// run is one run under way.
+type run struct {
+	config Config
+	report Report
+}
+
+// Run measures part after part.
+func Run(ctx context.Context, config Config) (*Report, error) {
+	defaults.Set(&config.PerPoint, DefaultPerPoint)
+	defaults.Set(&config.Lease, controlbench.DefaultLease)
+	r := &run{config: config, report: Report{Target: DefaultTarget(), PerPoint: config.PerPoint.String()}}
+	watch := watchMachine()
+	for _, part := range []struct {
+		name    string
+		measure func(context.Context, string) error
+	}{
+		{"states", r.states},
+		{"sessions", r.sessions},
+		{"claims", r.claims},
+		{"samples", r.samples},
+		{"gateway", r.gateway},
+		{"polls", r.polls},
+	} {
+		if config.Progress != nil {
+			config.Progress(part.name)
+		}
+		if err := part.measure(ctx, filepath.Join(config.Folder, part.name)); err != nil {
+			return nil, trace.Wrap(err, "%s", part.name)
+		}
+		if ctx.Err() != nil {
+			return nil, trace.Wrap(ctx.Err())
+		}
+	}
+	r.report.Machine = watch.stop()
+	if r.report.Machine.Revision == "" {
+		r.report.Machine.Revision = cmp.Or(config.Revision, "unknown")
+	}
+	return &r.report, nil
+}
+
+func (r *run) sessions(ctx context.Context, folder string) (err error) {
+	r.report.Sessions, err = controlbench.Run(ctx, controlbench.Config{Folder: folder, Idle: r.config.PerPoint, Lease: r.config.Lease})
+	return err
+}
+
+func (r *run) gateway(ctx context.Context, folder string) (err error) {
+	r.report.Gateway, err = gatewaybench.Scale(ctx, gatewaybench.ScaleConfig{Folder: folder, PerPoint: r.config.PerPoint})
+	return err
+}
+
+// fitPoints fits one line through the values of points.
+func fitPoints[P any](quantity, unit, per string, points []P, size, value func(P) float64) (slope.Line, error) {
+	sizes := make([]slope.Point, 0, len(points))
+	for _, point := range points {
+		sizes = append(sizes, slope.Point{Size: size(point), Value: value(point)})
+	}
+	return slope.Fit(quantity, unit, per, sizes)
+}
--- a/internal/bench/controlbench/config.go
+++ b/internal/bench/controlbench/config.go
@@ -88,10 +88,13 @@
 type Point struct {
 	Nodes      int     `json:"nodes"`
 	JoinMillis float64 `json:"join_ms"` // until all nodes that were added at this size held a lease
-	Idle       Phase   `json:"idle"`
-	Changing   Phase   `json:"changing"`
-	Changes    int     `json:"changes"`
-	Refused    int     `json:"refused"` // changes that were not accepted; a sound run has none
+	// JoinBytes is the traffic of all nodes for each node that was added: its snapshot of the table and the
+	// members, and the news about it to all others.
+	JoinBytes float64 `json:"join_bytes"`
+	Idle      Phase   `json:"idle"`
+	Changing  Phase   `json:"changing"`
+	Changes   int     `json:"changes"`
+	Refused   int     `json:"refused"` // changes that were not accepted; a sound run has none
 	// Accepted is the time until a change was answered as accepted.
 	Accepted Latency `json:"accepted"`
 	// InForce is the time from accepted until control knew that no node acts on an older version.
@@ -112,6 +115,7 @@
 	ChangeProcess = "table change: processor time, both sides"
 	ChangeTraffic = "table change: traffic of all nodes"
 	InForce       = "table change: accepted to in force, median"
+	Join          = "control sessions: traffic of all nodes when one joins"
 )
 
 // Report is the result.
--- a/internal/bench/controlbench/controlbench_test.go
+++ b/internal/bench/controlbench/controlbench_test.go
@@ -25,8 +25,8 @@
 			t.Errorf("%d nodes: no traffic or memory was measured: %+v", point.Nodes, point)
 		}
 	}
-	if len(report.Lines) != 8 {
-		t.Errorf("%d lines were fitted, want 8", len(report.Lines))
+	if len(report.Lines) != 9 {
+		t.Errorf("%d lines were fitted, want 9", len(report.Lines))
 	}
 }
 
--- a/internal/bench/controlbench/run.go
+++ b/internal/bench/controlbench/run.go
@@ -129,7 +129,7 @@
 
 // measure measures one size.
 func (r *run) measure(ctx context.Context, size int) (*Point, error) {
-	began := time.Now()
+	began, traffic, joiners := time.Now(), r.fleet.traffic.Bytes(), size-len(r.fleet.clients)
 	if err := r.fleet.grow(ctx, size); err != nil {
 		return nil, err
 	}
@@ -137,6 +137,9 @@
 	if err := sleep(ctx, settleTime); err != nil {
 		return nil, err
 	}
+	if joiners > 0 {
+		point.JoinBytes = float64(r.fleet.traffic.Bytes()-traffic) / float64(joiners)
+	}
 	point.LiveBytes = rig.LiveBytes()
 	var err error
 	point.Idle, err = r.phase(func() error { return sleep(ctx, r.config.Idle) })
@@ -204,6 +207,7 @@
 		{Memory, "bytes", func(p Point) float64 { return float64(p.LiveBytes) }},
 		{ChangeProcess, "s", perChange(func(phase Phase) float64 { return phase.ProcessCores })},
 		{ChangeTraffic, "bytes", func(p Point) float64 { return perChange(traffic(p))(p) }},
+		{Join, "bytes", func(p Point) float64 { return p.JoinBytes }},
 		{InForce, "ms", func(p Point) float64 { return p.InForce.P50 }},
 	}
 	var lines []slope.Line
--- a/internal/bench/gatewaybench/fleet.go
+++ b/internal/bench/gatewaybench/fleet.go
@@ -25,6 +25,7 @@
 	poolBare  = "bare"  // application replicas that answer at once
 	poolModel = "model" // engines with steps of 10ms
 	poolQuick = "quick" // engines that emit tokens as fast as they can
+	poolHeld  = "held"  // engines that keep many slow streams
 )
 
 const (
@@ -35,6 +36,8 @@
 	quickStep = time.Millisecond
 	quickPer  = time.Microsecond
 	quickSize = 256 // sequences at once
+	heldStep  = 200 * time.Millisecond
+	heldSize  = 512 // sequences at once
 )
 
 // fleet is the deployment that is measured.
@@ -102,7 +105,7 @@
 	add := func(row, column, value string) {
 		cells = append(cells, &wire.CellChange{Row: row, Column: column, Value: value})
 	}
-	for _, pool := range []string{poolCalls, poolBare, poolModel, poolQuick} {
+	for _, pool := range []string{poolCalls, poolBare, poolModel, poolQuick, poolHeld} {
 		service := "engine"
 		if pool == poolCalls || pool == poolBare {
 			service = "application"
@@ -138,6 +141,9 @@
 		return application.New(application.Config{Name: name, Listen: "127.0.0.1:0", ServiceTime: -1, MaxConcurrent: 4096, Log: logging.Discard()})
 	case poolModel:
 		parameters.StepBase = modelStep
+	case poolHeld:
+		parameters.StepBase = heldStep
+		parameters.MaxBatch, parameters.Blocks = heldSize, 1<<18
 	default:
 		parameters.StepBase, parameters.StepPerSequence, parameters.StepPerThousandContext = quickStep, quickPer, quickPer
 		parameters.MaxBatch, parameters.Blocks = quickSize, 1<<18
--- a/internal/bench/gatewaybench/load.go
+++ b/internal/bench/gatewaybench/load.go
@@ -149,3 +149,30 @@
 	}
 	return first, count, err
 }
+
+// holdTokens is the length of a stream that is held open: longer than any measurement.
+const holdTokens = 100_000
+
+// hold opens a stream, tells opened at its first chunk and reads on until ctx ends.
+func (c *streamCaller) hold(ctx context.Context, address, pool string, n int, opened func()) error {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"hold %d [tokens=%d]","stream":true}`, pool, n, holdTokens)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	if _, err := reader.ReadSlice('\n'); err != nil {
+		return err
+	}
+	opened()
+	if _, err = io.Copy(io.Discard, reader); ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
