--- a/internal/fleet/checks.go
+++ b/internal/fleet/checks.go
@@ -37,9 +37,9 @@
 		for _, part := range f.applications {
 			runs += part.current.Executions(call.Key)
 		}
-		f.registry.Examine(invariant.RunAtMostOnce, runs <= 1, "%s %s ran %d times", call.Operation, call.Key, runs)
+		f.registry.Examine(invariant.RunAtMostOnce, runs <= 1, "%s %s ran %d times: %v", call.Operation, call.Key, runs, call.Trail)
 		if call.Verdict == verdict.DidNotRun {
-			f.registry.Examine(invariant.NotRunIsFinal, runs == 0, "%s %s was refused as not run and ran", call.Operation, call.Key)
+			f.registry.Examine(invariant.NotRunIsFinal, runs == 0, "%s %s was refused as not run and ran: %v", call.Operation, call.Key, call.Trail)
 		}
 		if call.Answered {
 			f.registry.Examine(invariant.WholeAnswer, runs == 1, "%s %s was answered and ran %d times", call.Operation, call.Key, runs)
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -61,10 +61,9 @@
 		{"application", 2, crashApplication},
 		{"application", 2, disturbCalls},
 		{"weight-store", 1, throttleStore},
-	}
-	if len(f.rollouts.coordinators) > 0 {
-		made.faults = append(made.faults, fault{"coordinator", 2, killOne(f.rollouts.coordinators)},
-			fault{"coordinator", 2, cutOne(f.rollouts.coordinators)}, fault{"scorer", 1, stallScorer})
+		{"coordinator", 2, killOne(f.rollouts.coordinators)},
+		{"coordinator", 2, cutOne(f.rollouts.coordinators)},
+		{"scorer", 1, stallScorer},
 	}
 	return made
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -24,6 +24,7 @@
 	// All belong to fasthttp: process-wide clocks, and cleaners that notice a stop after their sleep.
 	goleak.VerifyTestMain(m,
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
@@ -172,7 +173,7 @@
 	if report.Violations > 0 {
 		t.Fatalf("violations: %+v", report.Invariants)
 	}
-	if openCoordinator != nil && !report.Passed() {
+	if !report.Passed() {
 		t.Fatalf("unexamined: %v", report.Unexamined)
 	}
 	folder := t.TempDir()
--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/coordinator"
 	"github.com/tamarindring/tamarindring/internal/rolecost"
 	"github.com/tamarindring/tamarindring/internal/standin/engine"
 	"github.com/tamarindring/tamarindring/internal/standin/trainer"
@@ -23,28 +24,18 @@
 // rollouts are the coordinators and the trainers that they serve.
 type rollouts struct {
 	fleet        *fleet
-	coordinators []*process[coordinatorServer]
+	coordinators []*process[*coordinator.Server]
 	trainers     []*trainer.Trainer
 	cancel       context.CancelFunc
 	running      sync.WaitGroup
 }
 
-// coordinatorServer is what the fleet needs of a coordinator.
-type coordinatorServer interface {
-	server
-	// Discarded returns the tokens that were generated and thrown away.
-	Discarded() uint64
-}
-
 func newRollouts(f *fleet) *rollouts {
 	made := &rollouts{fleet: f}
-	if openCoordinator == nil {
-		return made
-	}
 	for index := range f.config.Deployment.Coordinators {
-		part := &process[coordinatorServer]{name: fmt.Sprintf("coordinator-%d", index+1), zone: f.config.Deployment.zone(index)}
-		part.open = func(ctx context.Context, listener net.Listener) (coordinatorServer, error) {
-			return openCoordinator(ctx, f, part.name, part.zone, listener)
+		part := &process[*coordinator.Server]{name: fmt.Sprintf("coordinator-%d", index+1), zone: f.config.Deployment.zone(index), cable: newCable()}
+		part.open = func(ctx context.Context, listener net.Listener) (*coordinator.Server, error) {
+			return f.openCoordinator(ctx, part, listener)
 		}
 		made.coordinators = append(made.coordinators, part)
 	}
@@ -53,9 +44,6 @@
 
 // start starts the coordinators and the trainers.
 func (r *rollouts) start(ctx context.Context) error {
-	if len(r.coordinators) == 0 {
-		return nil
-	}
 	if err := startAll(ctx, r.coordinators); err != nil {
 		return err
 	}
@@ -98,9 +86,6 @@
 
 // restartFirst drains and restarts the first coordinator.
 func (r *rollouts) restartFirst(ctx context.Context) error {
-	if len(r.coordinators) == 0 {
-		return nil
-	}
 	return restart(ctx, r.coordinators[0])
 }
 
@@ -137,10 +122,13 @@
 func (r *rollouts) discarded() uint64 {
 	var total uint64
 	for _, part := range r.coordinators {
-		part.each(func(one coordinatorServer) { total += one.Discarded() })
+		part.each(func(one *coordinator.Server) { total += one.Stats().DiscardedTokens })
 	}
 	return total
 }
 
-// openCoordinator is nil while there is no coordinator: the rollouts' invariants then stay unexamined.
-var openCoordinator func(ctx context.Context, f *fleet, name, zone string, listener net.Listener) (coordinatorServer, error)
+// openCoordinator opens a coordinator that reaches the control nodes over its part's cable.
+func (f *fleet) openCoordinator(ctx context.Context, part *process[*coordinator.Server], listener net.Listener) (*coordinator.Server, error) {
+	return coordinator.Open(ctx, coordinator.Config{Name: part.name, Listener: listener, Zone: part.zone,
+		Control: f.controlConfig(part.name, part.cable), Scorer: f.scorer.address, WeightStore: f.store.address, Log: f.log(part.name)})
+}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -16,6 +16,8 @@
 	progressInterval  = 2 * time.Second
 	doubleProbability = 0.1
 	keptCalls         = 1 << 20
+	// callerAttempts with their doubling pauses last longer than a new leader of the control nodes takes.
+	callerAttempts = 8
 )
 
 // Run starts the deployment, lets callers, trainers and an operator use it for the duration, stops it and
@@ -64,7 +66,7 @@
 
 func (f *fleet) newCaller() (*caller.Caller, error) {
 	return caller.New(caller.Config{Gateways: f.directory.list, Workload: f.config.Deployment.callers(f.config.LiveRate, f.config.OperationRate),
-		Seed: f.config.Seed, DoubleProbability: doubleProbability, KeepCalls: keptCalls, Log: f.log("callers")})
+		Seed: f.config.Seed, MaxAttempts: callerAttempts, DoubleProbability: doubleProbability, KeepCalls: keptCalls, Log: f.log("callers")})
 }
 
 // load lets everything act on the fleet until the duration is over and the answers are there.
--- a/internal/fleet/stops.go
+++ b/internal/fleet/stops.go
@@ -89,11 +89,18 @@
 		}
 		failed := source.Refused + source.Lost + source.Cut - earlier.Refused - earlier.Lost - earlier.Cut
 		for count := range source.Requests - earlier.Requests {
-			f.registry.Examine(invariant.PlannedStop, count >= failed, "a call of %s failed while %s stopped: %v", source.Name, name, after.FailedExamples)
+			f.registry.Examine(invariant.PlannedStop, count >= failed, "a call of %s failed while %s stopped: %v", source.Name, name, last(source.FailedExamples))
 		}
 	}
 }
 
+func last(examples []string) string {
+	if len(examples) == 0 {
+		return "it was cut off and sent again"
+	}
+	return examples[len(examples)-1]
+}
+
 // pause waits; false means that ctx ended first.
 func pause(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
--- a/internal/workload/caller/attempt.go
+++ b/internal/workload/caller/attempt.go
@@ -42,7 +42,8 @@
 	retryAfter time.Duration
 	unreached  bool // no connection was made
 	attempts   int
-	cuts       int // attempts whose connection broke after it was made, this one included
+	cuts       int       // attempts whose connection broke after it was made, this one included
+	trail      []Attempt // of a non-repeatable call
 	firstToken time.Time
 	backend    string
 	tokens     int
--- a/internal/workload/caller/caller.go
+++ b/internal/workload/caller/caller.go
@@ -108,18 +108,46 @@
 	first := c.attempts(ctx, prepared)
 	other := <-second
 	c.record.doubled(prepared, first, other)
-	if first.verdict != verdict.Ran && other.verdict == verdict.Ran {
-		first = other
+	c.record.done(prepared, combine(first, other), intended)
+}
+
+// combine is what a caller knows of a key that it sent twice at once. A refusal settles the key only for what
+// had arrived by then, so the key did not run only if both were told so.
+func combine(first, second result) result {
+	kept, dropped := first, second
+	if certainty(second.verdict) > certainty(first.verdict) {
+		kept, dropped = second, first
+	}
+	kept.attempts += dropped.attempts
+	kept.cuts += dropped.cuts
+	kept.trail = append(append([]Attempt{}, first.trail...), second.trail...)
+	return kept
+}
+
+// certainty orders verdicts by which of two answers about one key is the key's own.
+func certainty(known verdict.Verdict) int {
+	switch known {
+	case verdict.Ran:
+		return 2
+	case verdict.MayHaveRun:
+		return 1
+	default:
+		return 0
 	}
-	c.record.done(prepared, first, intended)
 }
 
 // attempts repeats a call while its answer is lost.
 func (c *Caller) attempts(ctx context.Context, prepared *preparedCall) result {
 	pause := c.config.RetryPause
 	cuts := 0
+	var trail []Attempt
 	for attempt := 1; ; attempt++ {
-		last := c.attempt(ctx, prepared, c.gateway())
+		gateway := c.gateway()
+		last := c.attempt(ctx, prepared, gateway)
+		if prepared.key != "" {
+			trail = append(trail, Attempt{Gateway: gateway, Ended: time.Now(), Verdict: last.verdict.String(), Detail: last.detail})
+		}
+		last.trail = trail
 		if last.kind == lost && !last.unreached {
 			cuts++
 		}
@@ -150,9 +178,11 @@
 	return max(wait, last.retryAfter), true
 }
 
-// sendsElsewhere tells whether a refusal asks for the same call at another gateway: one that stops by plan,
-// or one whose knowledge of the key's refusal there was still on its way.
-func sendsElsewhere(code string) bool { return code == "draining" || code == "refused_earlier" }
+// sendsElsewhere tells whether a refusal asks for the same call at another gateway: one that stops by plan
+// or has lost touch with the control nodes, or one whose knowledge of the key's refusal there was still on its way.
+func sendsElsewhere(code string) bool {
+	return code == "draining" || code == "lease_lapsed" || code == "refused_earlier"
+}
 
 func (c *Caller) gateway() string {
 	addresses := c.config.Gateways()
--- a/internal/workload/caller/caller_test.go
+++ b/internal/workload/caller/caller_test.go
@@ -170,3 +170,18 @@
 		t.Errorf("stats %+v", stats.Total)
 	}
 }
+
+// TestARefusalHidesThatTheOtherSendingMayHaveRun combines what two sendings of one key were told.
+func TestARefusalHidesThatTheOtherSendingMayHaveRun(t *testing.T) {
+	for _, known := range []struct{ first, second, want verdict.Verdict }{
+		{verdict.DidNotRun, verdict.MayHaveRun, verdict.MayHaveRun},
+		{verdict.MayHaveRun, verdict.DidNotRun, verdict.MayHaveRun},
+		{verdict.DidNotRun, verdict.Ran, verdict.Ran},
+		{verdict.MayHaveRun, verdict.Ran, verdict.Ran},
+		{verdict.DidNotRun, verdict.DidNotRun, verdict.DidNotRun},
+	} {
+		if got := combine(result{verdict: known.first}, result{verdict: known.second}); got.verdict != known.want {
+			t.Errorf("%s and %s combine to %s", known.first, known.second, got.verdict)
+		}
+	}
+}
--- a/internal/workload/caller/record.go
+++ b/internal/workload/caller/record.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +49,8 @@
 	ByVerdict  Verdicts `json:"by_verdict"`
 	Latency    Latency  `json:"latency"`
 	FirstToken Latency  `json:"first_token"` // of streamed answers
+
+	FailedExamples []string `json:"failed_examples,omitempty"` // the last refused or lost ones, at most 20
 }
 
 // Stats is a caller's account.
@@ -70,6 +74,20 @@
 	Answered  bool
 	Attempts  int
 	Ended     time.Time
+	Trail     []Attempt // every attempt in order; of a call sent twice at once, those of both
+}
+
+// Attempt is what one attempt at a non-repeatable call was told.
+type Attempt struct {
+	Gateway string
+	Ended   time.Time
+	Verdict string
+	Detail  string // of a failure
+}
+
+// String is the attempt on one line.
+func (a Attempt) String() string {
+	return fmt.Sprintf("%s %s: %s %s", a.Ended.Format("15:04:05.000"), a.Gateway, a.Verdict, a.Detail)
 }
 
 // sourceRecord accumulates one source.
@@ -165,12 +183,15 @@
 	case wrong:
 		r.wrongs = keepExample(r.wrongs, prepared.source.Name+" "+prepared.key+": "+last.detail)
 	case refused, lost:
-		r.failures = keepExample(r.failures, prepared.source.Name+" "+prepared.key+": "+last.verdict.String()+": "+last.detail)
+		example := prepared.source.Name + " " + prepared.key + ": " + last.verdict.String() + ": " + last.detail
+		r.failures = keepExample(r.failures, example)
+		own := r.sources[prepared.source.Name]
+		own.stats.FailedExamples = append(own.stats.FailedExamples[max(0, len(own.stats.FailedExamples)-keptExamples+1):], example)
 	}
 	if prepared.key != "" && len(r.kept) < r.keep {
 		r.kept = append(r.kept, Call{
 			Key: prepared.key, Pool: prepared.source.Pool, Operation: prepared.source.Operation, Verdict: last.verdict,
-			Answered: last.kind == answered, Attempts: last.attempts, Ended: now,
+			Answered: last.kind == answered, Attempts: last.attempts, Ended: now, Trail: last.trail,
 		})
 	}
 }
@@ -217,6 +238,7 @@
 
 func (s *sourceRecord) summary() SourceStats {
 	summary := s.stats
+	summary.FailedExamples = slices.Clone(summary.FailedExamples)
 	summary.Latency = summarize(s.latency)
 	summary.FirstToken = summarize(s.firstToken)
 	return summary
