rollout: start on the newest version in time, and no more than needed

Cause: pacing by a factor on the predicted lead started siblings of long probes late, and gained nothing by waiting inside one version's time. Change: a sample waits only for a newer version that still brings it in time; until its group is known it counts as long as the step's longest; only as many run at once as the step needs; the margin adds up what trainers waited (0.3 of the training time at first, times 0.97 per step without a wait).

--- a/internal/rollout/events.go
+++ b/internal/rollout/events.go
@@ -7,10 +7,12 @@
 
 // Learning constants.
 const (
-	trainTimeWeight  = 0.5  // weight of the newest training time
-	safetyRaise      = 1.25 // factor after a step that made its trainer wait
-	safetyDecay      = 0.97 // factor after a step that did not
-	safetyMost       = 4.0
+	trainTimeWeight  = 0.5 // weight of the newest training time
+	spreadTimeWeight = 0.3 // weight of the newest time from a fetch until its version is available
+	defaultMargin    = 0.3
+	marginDecay      = 0.97 // factor after a step that did not make its trainer wait
+	marginLeast      = 0.02
+	marginMost       = 1.0
 	tolerableWait    = 0.01 // share of the training time that counts as no wait
 	rateWeight       = 0.05 // weight of the newest sample's token time
 	rateLeastSamples = 4
@@ -41,7 +43,9 @@
 // Wanted records a fetch: the trainer waits now, at the given weight version.
 func (s *Scheduler) Wanted(now time.Duration, name string, version uint64) {
 	trainer := s.trainer(name)
-	trainer.using = max(trainer.using, version)
+	if version > trainer.using {
+		trainer.using, trainer.fetchedAt = version, now
+	}
 	trainer.pending = 0
 	if trainer.waitingNow {
 		return
@@ -63,11 +67,14 @@
 
 // Released records that a trainer's new weights are available to the pool. That may be long after the
 // trainer fetched with them, and after it received the next step.
-func (s *Scheduler) Released(_ time.Duration, name string, version uint64) {
+func (s *Scheduler) Released(now time.Duration, name string, version uint64) {
 	trainer := s.trainer(name)
 	if version <= trainer.released {
 		return
 	}
+	if version == trainer.using {
+		trainer.spreadTime += time.Duration(float64(now-trainer.fetchedAt-trainer.spreadTime) * spreadTimeWeight)
+	}
 	trainer.released = version
 }
 
@@ -79,7 +86,7 @@
 	if !exists {
 		return
 	}
-	trainer.adaptSafety(now)
+	trainer.adaptMargin(now)
 	trainer.pending = 1
 	trainer.waitingNow = false
 	trainer.delivered = true
@@ -94,15 +101,17 @@
 	trainer.steps = slices.Delete(trainer.steps, position, position+1)
 }
 
-func (t *trainerState) adaptSafety(now time.Duration) {
+// adaptMargin follows what the trainer sees: a wait is added to the margin, no wait shrinks it.
+func (t *trainerState) adaptMargin(now time.Duration) {
 	if !t.hasTrain || !t.waitingNow {
 		return
 	}
-	if float64(now-t.waitedFrom) > tolerableWait*float64(t.trainTime) {
-		t.safety = min(t.safety*safetyRaise, safetyMost)
+	waited := float64(now-t.waitedFrom) / float64(max(t.trainTime, 1))
+	if waited > tolerableWait {
+		t.margin = min(t.margin+waited, marginMost)
 		return
 	}
-	t.safety = max(t.safety*safetyDecay, 1)
+	t.margin = max(t.margin*marginDecay, marginLeast)
 }
 
 // Progress records a running sample's tokens so far and the version that made the newest of them.
@@ -144,6 +153,9 @@
 	one.group.longestSoFar = max(one.group.longestSoFar, tokens)
 	one.step.trainer.history.learn(tokens)
 	one.step.changes++
+	if one.group.finished == 1 {
+		one.step.dirty = true // the group's length is known now
+	}
 	one.step.estimate.changes++
 }
 
--- a/internal/rollout/policy.go
+++ b/internal/rollout/policy.go
@@ -6,32 +6,39 @@
 type StepView struct {
 	// Rank is the number of the trainer's open steps before this one.
 	Rank int
-	// Lag is how many versions the newest released weights will be behind when the step is used.
+	// Lag is how many versions the newest available weights will be behind when the step is used.
 	Lag uint64
 	// TrainerWaiting says that a fetch waits for samples now.
 	TrainerWaiting bool
-	// Due is the expected time of the trainer's first fetch of this step; valid if DueKnown.
-	Due      time.Duration
-	DueKnown bool
-	// Lead is the learned time that all tokens of the step and of those before it still need on the granted
-	// room.
-	Lead time.Duration
-	// LeadKnown says that step time and length history exist; it holds for SampleView.Lead too.
-	LeadKnown bool
+	// Known says that training time, token time and lengths have been learned; the fields below hold only
+	// then.
+	Known bool
+	// Due is the expected time of the trainer's first fetch of this step.
+	Due time.Duration
+	// Margin is how much earlier than Due the step is to be whole: what trainers had to wait is added to it,
+	// and it shrinks while they need not wait.
+	Margin time.Duration
+	// NextVersion is when newer weights than now are expected to be available.
+	NextVersion time.Duration
+	// Work is the time that one running sample would need for all tokens that the step and those before it
+	// still need.
+	Work time.Duration
+	// Running is the number of the trainer's samples in generation.
+	Running int
 	// LongestLead is the time that the longest sample of the step may need.
 	LongestLead time.Duration
-	// Safety is the trainer's learned factor on Lead, at least 1.
-	Safety float64
 }
 
 // SampleView is what a Policy may know about a waiting sample when it decides on the order.
 type SampleView struct {
 	Index      uint32 // in its group
-	Predicted  int    // whole length in tokens
 	Generated  int    // kept tokens
 	GroupKnown bool   // some sample of the group has finished
-	// Lead is the time that the sample may still need: for the first of an unknown group the time that the
-	// longest sample of the whole step may need, and some to tell a long group from a short one.
+	// MayNeed is the number of further tokens that the sample hardly surpasses: by its group once one of that
+	// has finished, by the step's longest until then. The first of an unknown group has some more, to tell a
+	// long group from a short one.
+	MayNeed int
+	// Lead is the time for them; 0 if it is not known.
 	Lead time.Duration
 }
 
@@ -81,56 +88,64 @@
 // KeepsPrefix implements Policy.
 func (Asynchronous) KeepsPrefix() bool { return true }
 
-// Paced starts each sample as late as its likely length and the step's work permit without making the
-// trainer wait, one probe of each group and likely long samples first; each mechanism can be switched off
+// Paced starts each sample on the newest weights that still bring it in time, one probe of each group and
+// likely long samples first, and no more at once than the step needs; each mechanism can be switched off
 // for ablation. The zero value has all of them on.
 type Paced struct {
-	// NoPacing starts samples as early as the bound permits.
-	NoPacing bool
-	// NoPrediction starts all samples of a step as early as the longest may need.
+	// NoFreshness starts samples on the oldest weights that the bound permits.
+	NoFreshness bool
+	// NoPrediction takes every sample for as long as the longest.
 	NoPrediction bool
+	// NoSmoothing starts as many samples at once as there is room for.
+	NoSmoothing bool
 	// NoLongestFirst starts samples in the order given.
 	NoLongestFirst bool
 	// NoContinuation starts interrupted samples again from the prompt.
 	NoContinuation bool
+	// NoMargin aims at the very moment of the trainer's fetch.
+	NoMargin bool
 }
 
 // Name implements Policy.
 func (p Paced) Name() string {
 	name := "paced"
-	if p.NoPacing {
-		name += "-no-pacing"
-	}
-	if p.NoPrediction {
-		name += "-no-prediction"
-	}
-	if p.NoLongestFirst {
-		name += "-no-longest-first"
-	}
-	if p.NoContinuation {
-		name += "-no-continuation"
+	for _, part := range []struct {
+		off  bool
+		name string
+	}{
+		{p.NoFreshness, "freshness"}, {p.NoPrediction, "prediction"}, {p.NoSmoothing, "smoothing"},
+		{p.NoLongestFirst, "longest-first"}, {p.NoContinuation, "continuation"}, {p.NoMargin, "margin"},
+	} {
+		if part.off {
+			name += "-no-" + part.name
+		}
 	}
 	return name
 }
 
-// Eligible implements Policy: when the time left until the trainer wants the step is no longer than the
-// time that the sample, or the step's work and all before it, still need.
+// Eligible implements Policy.
 func (p Paced) Eligible(now time.Duration, step StepView, sample SampleView) bool {
-	if p.NoPacing || !step.DueKnown || !step.LeadKnown {
+	if !step.Known || (step.Rank == 0 && step.TrainerWaiting) {
 		return true
 	}
-	if step.Rank == 0 && step.TrainerWaiting {
+	lead, due := sample.Lead, step.Due-step.Margin
+	if p.NoPrediction {
+		lead = step.LongestLead
+	}
+	if p.NoMargin {
+		due = step.Due
+	}
+	if now+lead >= due {
 		return true
 	}
-	lead := max(step.Lead, sample.Lead)
-	if p.NoPrediction {
-		lead = max(step.Lead, step.LongestLead)
+	if !p.NoFreshness && step.NextVersion+lead <= due {
+		return false
 	}
-	return now+time.Duration(float64(lead)*step.Safety) >= step.Due
+	return p.NoSmoothing || time.Duration(step.Running)*(due-now) < step.Work
 }
 
 // Before implements Policy: kept tokens first (they age), then one probe of each unknown group, then the
-// longest prediction.
+// longest.
 func (p Paced) Before(first, second SampleView) bool {
 	if p.NoLongestFirst {
 		return false
@@ -142,7 +157,7 @@
 	if firstProbe != secondProbe {
 		return firstProbe
 	}
-	return first.Predicted > second.Predicted
+	return first.MayNeed > second.MayNeed
 }
 
 // probe says that the sample would be the first to tell its group's length.
--- a/internal/rollout/predictor.go
+++ b/internal/rollout/predictor.go
@@ -18,6 +18,8 @@
 type predictor struct {
 	count [predictorBuckets]float64
 	total [predictorBuckets]float64
+	// learned counts the samples.
+	learned int
 }
 
 func bucketOf(tokens int) int {
@@ -33,6 +35,7 @@
 		p.count[index] *= historyDecay
 		p.total[index] *= historyDecay
 	}
+	p.learned++
 	bucket := bucketOf(tokens)
 	p.count[bucket]++
 	p.total[bucket] += float64(tokens)
@@ -84,17 +87,14 @@
 // known reports whether the group says more than the history does.
 func (g *groupHistory) known() bool { return g.finished > 0 }
 
-// Margins of the length that a sample may have.
-const (
-	groupMargin = 1.5 // over the mean of its group's finished samples
-	upperShare  = 0.2 // of those longer than what its group has shown so far
-)
+// groupMargin is how much longer than the mean of its group's finished samples a sample may be.
+const groupMargin = 1.5
 
-// mayReach returns a length that a sample of the group hardly surpasses.
-func (g *groupHistory) mayReach(history *predictor, generated, maxTokens int) int {
-	most := history.upper(max(generated, g.longestSoFar), upperShare)
-	if mean := g.finishedTotal / max(g.finished, 1); g.finished > 0 && float64(mean)*groupMargin > float64(generated) {
-		most = int(float64(mean) * groupMargin)
+// mayReach returns a length that a sample of the group hardly surpasses; longest is that of the whole step.
+func (g *groupHistory) mayReach(longest, generated, maxTokens int) int {
+	most := longest
+	if g.finished > 0 {
+		most = max(int(groupMargin*float64(g.finishedTotal)/float64(g.finished)), g.longestSoFar)
 	}
 	if maxTokens > 0 {
 		most = min(most, maxTokens)
--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -40,6 +40,7 @@
 	running  int
 	finished int
 	estimate estimate
+	longest  estimate
 }
 
 // estimate is a cached prediction of a step's remaining work: exact sums over thousands of samples at each
@@ -69,7 +70,9 @@
 	delivered   bool
 	trainTime   time.Duration // learned time between the delivery of a step and the next fetch
 	hasTrain    bool
-	safety      float64
+	margin      float64       // part of trainTime
+	fetchedAt   time.Duration // of the first fetch with the version in use
+	spreadTime  time.Duration // learned time from a fetch until its version is available
 	running     int
 	share       float64
 }
@@ -107,7 +110,11 @@
 // longestTokens predicts the length of the step's longest sample: what one group in as many as the step has
 // surpasses.
 func (s *openStep) longestTokens() int {
-	return s.trainer.history.upper(0, 1/float64(len(s.groups)))
+	if !s.longest.valid || s.trainer.history.learned-s.longest.changes > len(s.samples)/refreshShare {
+		total := s.trainer.history.upper(0, 1/float64(len(s.groups)))
+		s.longest = estimate{total: total, valid: true, changes: s.trainer.history.learned}
+	}
+	return s.longest.total
 }
 
 // predicted is the expected whole length.
--- a/internal/rollout/scheduler.go
+++ b/internal/rollout/scheduler.go
@@ -11,15 +11,15 @@
 type Config struct {
 	// Policy decides on start times and order. Default Paced{}.
 	Policy Policy
-	// InitialSafety is the first factor on the predicted lead of a step; it then follows what trainers
-	// see. Default 1.5.
-	InitialSafety float64
+	// InitialMargin is how much earlier than its trainer wants it a step is to be whole at first, as a part
+	// of the training time; the margin then follows what trainers see. Default 0.3.
+	InitialMargin float64
 }
 
 // Scheduler keeps the open steps of one pool's trainers. It is not safe for concurrent use.
 type Scheduler struct {
 	policy   Policy
-	safety   float64
+	margin   float64
 	trainers []*trainerState // sorted by name, so that runs can be repeated
 	samples  map[SampleID]*sample
 	running  int
@@ -42,10 +42,10 @@
 	if config.Policy == nil {
 		config.Policy = Paced{}
 	}
-	if config.InitialSafety < 1 {
-		config.InitialSafety = 1.5
+	if config.InitialMargin <= 0 {
+		config.InitialMargin = defaultMargin
 	}
-	return &Scheduler{policy: config.Policy, safety: config.InitialSafety, samples: map[SampleID]*sample{}}
+	return &Scheduler{policy: config.Policy, margin: config.InitialMargin, samples: map[SampleID]*sample{}}
 }
 
 // Policy returns the policy in use.
@@ -119,7 +119,7 @@
 	if exists {
 		return s.trainers[position]
 	}
-	added := &trainerState{name: name, safety: s.safety, share: 1}
+	added := &trainerState{name: name, margin: s.margin, share: 1}
 	s.trainers = slices.Insert(s.trainers, position, added)
 	return added
 }
@@ -172,49 +172,51 @@
 		}
 		s.sortWaiting(step)
 		first := step.waiting[0]
-		if s.policy.Eligible(now, s.view(trainer, step, rank, lag, room), s.sampleView(first)) {
+		if s.policy.Eligible(now, s.view(trainer, step, rank, lag), s.sampleView(first)) {
 			return first
 		}
 	}
 	return nil
 }
 
-func (s *Scheduler) view(trainer *trainerState, step *openStep, rank int, lag uint64, room Room) StepView {
-	view := StepView{Rank: rank, Lag: lag, TrainerWaiting: trainer.waitingNow, Safety: trainer.safety}
-	view.Due, view.DueKnown = trainer.due(rank)
-	if !s.rate.known() {
+func (s *Scheduler) view(trainer *trainerState, step *openStep, rank int, lag uint64) StepView {
+	view := StepView{Rank: rank, Lag: lag, TrainerWaiting: trainer.waitingNow, Running: trainer.running}
+	if !trainer.hasTrain || !s.rate.known() {
 		return view
 	}
-	view.LeadKnown = true
+	view.Known = true
+	view.Due = trainer.due(rank)
+	view.Margin = time.Duration(trainer.margin * float64(trainer.trainTime))
+	view.NextVersion = trainer.nextVersion()
 	total := 0
 	for _, before := range trainer.steps[:rank+1] {
 		total += before.remainingTokens()
 	}
-	slots := max(1, int(float64(room.Slots)*trainer.share/s.totalShare()))
-	view.Lead = s.rate.time(total) / time.Duration(slots)
+	view.Work = s.rate.time(total)
 	view.LongestLead = s.rate.time(step.longestTokens())
 	return view
 }
 
-func (s *Scheduler) totalShare() float64 {
-	total := 0.0
-	for _, trainer := range s.trainers {
-		if len(trainer.steps) > 0 {
-			total += trainer.share
-		}
+// due is when the trainer is expected to fetch its open step of the given rank. Needs a training time.
+func (t *trainerState) due(rank int) time.Duration {
+	if t.waitingNow {
+		return t.waitedFrom + t.trainTime*time.Duration(rank)
 	}
-	return total
+	return t.deliveredAt + t.trainTime*time.Duration(rank+1)
 }
 
-// due is when the trainer is expected to fetch its open step of the given rank.
-func (t *trainerState) due(rank int) (time.Duration, bool) {
-	if !t.hasTrain {
-		return 0, false
+// nextVersion is when weights newer than the newest available ones are expected. Each is announced with the
+// fetch that it is made for and available a while later. It may be in the past. Needs a training time.
+func (t *trainerState) nextVersion() time.Duration {
+	next := t.released + 1
+	if next <= t.using {
+		return t.fetchedAt + t.spreadTime
 	}
+	ahead := int(next - t.using)
 	if t.waitingNow {
-		return t.waitedFrom + t.trainTime*time.Duration(rank), true
+		return t.due(ahead) + t.spreadTime
 	}
-	return t.deliveredAt + t.trainTime*time.Duration(rank+1), true
+	return t.due(ahead-1) + t.spreadTime
 }
 
 // sortWaiting brings the waiting samples into the policy's order, if enough has been learned since.
@@ -246,22 +248,21 @@
 	}
 }
 
+// revealFactor is how many mean lengths a probe runs until its group can be called long.
+const revealFactor = 2
+
 func (s *Scheduler) sampleView(one *sample) SampleView {
-	view := SampleView{
-		Index: one.id.Index, Predicted: one.predicted(), Generated: one.generated, GroupKnown: one.group.known(),
-	}
-	history := &one.step.trainer.history
+	view := SampleView{Index: one.id.Index, Generated: one.generated, GroupKnown: one.group.known()}
+	view.MayNeed = one.group.mayReach(one.step.longestTokens(), one.generated, one.maxTokens) - one.generated
 	if view.probe() {
-		view.Lead = s.rate.time(one.step.longestTokens() + history.above(0)*revealFactor)
-		return view
+		view.MayNeed += one.step.trainer.history.above(0) * revealFactor
+	}
+	if s.rate.known() {
+		view.Lead = s.rate.time(view.MayNeed)
 	}
-	view.Lead = s.rate.time(one.group.mayReach(history, one.generated, one.maxTokens) - one.generated)
 	return view
 }
 
-// revealFactor is how many mean lengths a probe runs until its group can be called long.
-const revealFactor = 2
-
 func (s *Scheduler) start(now time.Duration, one *sample) Start {
 	one.step.waiting = slices.Delete(one.step.waiting, 0, 1)
 	one.phase = running
