Simulate whole fleets in virtual time under faults

This one drives raft, state, lease, dispatch, routing, admission, claim and table directly, with hosts that follow the order of consensus, control, controlclient and gateway: persist before send, lease at the dispatch. Eight scenarios inject 22 kinds of fault; the truth of what ran and what was accepted is kept beside the fleet and compared with every answer.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -26,6 +26,7 @@
 		{name: "load", short: "Drive gateways with a workload and check every answer", constructor: func() command { return &loadCommand{} }},
 		{name: "experiment", short: "Compare scheduling and routing policies in virtual time", constructor: func() command { return &experimentCommand{} }},
 		{name: "simulate", short: "Simulated fleets in virtual time"},
+		{parent: "simulate", name: "faults", short: "Throw every fault at simulated fleets and check every promise", constructor: func() command { return &simulateFaultsCommand{} }},
 		{name: "control", short: "Run a control node", constructor: func() command { return &controlCommand{} }},
 		{name: "table", short: "Show and change the table of weights and limits"},
 		{parent: "table", name: "show", short: "Print the table", constructor: func() command { return &tableShowCommand{} }},
--- /dev/null
+++ b/internal/sim/expire.go
@@ -0,0 +1,25 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/claim"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// expireTicks is how often a group's leader advances the retention of claims.
+const expireTicks = 60
+
+// retention is so short that claims expire within a run; callers repeat keys for less than its Keys.
+func retention() claim.Retention {
+	return claim.Retention{Answers: 8 * time.Second, Keys: 75 * time.Second, Attempts: 30 * time.Second}
+}
+
+func (c *control) expireClaims() {
+	for _, g := range c.host.groups[1:] {
+		if g.leadership.leading {
+			command := &wire.Command{Kind: &wire.Command_ClaimExpire{ClaimExpire: retention().Command(c.host.world.unixMillis())}}
+			c.host.propose(g.id, command, func(*wire.Result, uint64, error) {})
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/fleet.go
@@ -0,0 +1,216 @@
+package sim
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// applicationPool is the pool of non-repeatable work.
+const applicationPool = "push"
+
+const (
+	hostCount     = 3
+	gatewayCount  = 3
+	backendCount  = 4
+	callerCount   = 3
+	operatorCount = 2
+)
+
+// fleet is all processes of a run.
+type fleet struct {
+	world     *world
+	zones     []string
+	hosts     []*host
+	gateways  []*gateway
+	backends  []*backend
+	callers   []*caller
+	operators []*operator
+	repairer  *process
+	founders  raft.Configuration
+	nextHost  uint64
+	repairing bool
+	loadEnds  time.Duration
+	recovered []bool // the table, then each gateway
+}
+
+func newFleet(w *world, scenario *Scenario) *fleet {
+	f := &fleet{world: w, zones: []string{"east-a", "east-b", "west-a"}, nextHost: hostCount, loadEnds: scenario.Length}
+	for id := uint64(1); id <= hostCount; id++ {
+		f.founders.Voters = append(f.founders.Voters, id)
+	}
+	for i := range hostCount {
+		f.newHost(uint64(i)+1, f.zones[i%len(f.zones)], f.founders)
+	}
+	for i := range gatewayCount {
+		f.newGateway(i+1, f.zones[i%len(f.zones)])
+	}
+	for i := range backendCount {
+		f.newBackend(i+1, f.zones[i%len(f.zones)])
+	}
+	for i := range callerCount {
+		f.newCaller(i+1, f.zones[i%len(f.zones)])
+	}
+	for i := range operatorCount {
+		f.newOperator(i+1, f.zones[i%len(f.zones)], scenario.changeMean())
+	}
+	f.repairer = w.newProcess("repairer", f.zones[0])
+	f.repairer.start()
+	return f
+}
+
+// launchAll starts everything; the first operator fills the table, then the load begins.
+func (f *fleet) launchAll() {
+	for _, h := range f.hosts {
+		h.launch()
+	}
+	for _, b := range f.backends {
+		b.start()
+	}
+	for _, g := range f.gateways {
+		g.launch()
+	}
+	f.operators[0].start()
+	f.operators[0].client = f.newClient(f.operators[0].process)
+	f.world.after(setupTime/2, func() { f.operators[0].change(f.firstTable(), changeResends) })
+	f.world.after(setupTime, func() {
+		for _, o := range f.operators {
+			o.launch()
+		}
+		for _, c := range f.callers {
+			c.launch()
+		}
+	})
+}
+
+// setupTime is how long a fleet has before load and faults begin.
+const setupTime = 4 * time.Second
+
+func (f *fleet) firstTable() *wire.TableChange {
+	change := &wire.TableChange{ChangeId: "setup", Operator: "setup"}
+	set := func(row, column, value string) {
+		change.Cells = append(change.Cells, &wire.CellChange{Row: row, Column: column, Value: value})
+	}
+	set(applicationPool, table.ColumnKind, string(table.Pool))
+	set(applicationPool, table.ColumnService, string(table.Application))
+	set(applicationPool, table.ColumnQueueLimit, "300")
+	set(applicationPool, table.ColumnMaxInFlight, "100")
+	for i, b := range f.backends {
+		set(b.name, table.ColumnKind, string(table.Backend))
+		set(b.name, table.ColumnPool, applicationPool)
+		set(b.name, table.ColumnAddress, fmt.Sprintf("10.0.0.%d:80", i+1))
+		set(b.name, table.ColumnZone, b.zone)
+		set(b.name, table.ColumnMaxInFlight, strconv.Itoa(100))
+	}
+	return change
+}
+
+func (f *fleet) host(id uint64) *host {
+	for _, h := range f.hosts {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+func (f *fleet) hostNamed(name string) *host {
+	for _, h := range f.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+func (f *fleet) backend(name string) *backend {
+	for _, b := range f.backends {
+		if b.name == name {
+			return b
+		}
+	}
+	return nil
+}
+
+// processes are all processes that the module owns, and the back ends.
+func (f *fleet) processes() []*process {
+	var all []*process
+	for _, h := range f.hosts {
+		if !h.replaced {
+			all = append(all, h.process)
+		}
+	}
+	for _, g := range f.gateways {
+		all = append(all, g.process)
+	}
+	for _, b := range f.backends {
+		all = append(all, b.process)
+	}
+	return all
+}
+
+func (f *fleet) inZone(zone string) []*process {
+	var inside []*process
+	for _, p := range f.processes() {
+		if p.zone == zone {
+			inside = append(inside, p)
+		}
+	}
+	return inside
+}
+
+func (f *fleet) anyProcess() *process {
+	all := f.processes()
+	return all[f.world.random.Intn(len(all))]
+}
+
+func (f *fleet) anyHost() *host {
+	var present []*host
+	for _, h := range f.hosts {
+		if !h.replaced {
+			present = append(present, h)
+		}
+	}
+	return present[f.world.random.Intn(len(present))]
+}
+
+func (f *fleet) anyGateway() *gateway { return f.gateways[f.world.random.Intn(len(f.gateways))] }
+
+func (f *fleet) anyBackend() *backend { return f.backends[f.world.random.Intn(len(f.backends))] }
+
+// launch starts a process of any kind unless it runs.
+func (f *fleet) launch(p *process) {
+	for _, h := range f.hosts {
+		if h.process == p && !h.refused {
+			h.launch()
+		}
+	}
+	for _, g := range f.gateways {
+		if g.process == p {
+			g.launch()
+		}
+	}
+	for _, b := range f.backends {
+		if b.process == p && !p.up {
+			p.start()
+		}
+	}
+}
+
+// heal ends all faults and starts what is down.
+func (f *fleet) heal() {
+	f.world.tracef("fleet", "all faults end")
+	f.world.network.heal()
+	for _, h := range f.hosts {
+		h.disk.full, h.disk.failNext, h.disk.slow = false, false, 0
+	}
+	for _, p := range f.processes() {
+		p.dieIn = 0
+		p.resume(p.epoch)
+		f.launch(p)
+	}
+}
--- /dev/null
+++ b/internal/sim/group.go
@@ -0,0 +1,295 @@
+package sim
+
+import (
+	"errors"
+	"maps"
+	"math/rand"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/storage"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Errors of requests to a host, as consensus has them.
+var (
+	errNotLeader      = errors.New("sim: not the leader")
+	errOverloaded     = errors.New("sim: overloaded")
+	errUnknownOutcome = errors.New("sim: the outcome is unknown")
+)
+
+// proposal waits for its entry to be applied.
+type proposal struct {
+	term uint64
+	done func(result *wire.Result, index uint64, err error)
+}
+
+// readRound is one linearizable barrier of a group.
+type readRound struct {
+	context   uint64
+	confirmed bool
+	index     uint64
+	done      []func(error)
+}
+
+// leadership is what a node knows of a group's leader.
+type leadership struct {
+	term    uint64
+	leader  uint64
+	leading bool
+}
+
+// group is one raft node with its state machine; it follows consensus.hostedGroup step by step.
+type group struct {
+	host    *host
+	id      uint32
+	node    *raft.Node
+	machine *state.Machine
+
+	ready      *raft.Ready
+	writing    *raft.Ready
+	queued     bool
+	hardState  raft.HardState
+	stateDirty bool
+	applied    uint64
+	leadership leadership
+
+	snapshotIndex uint64
+	compaction    *raft.Snapshot
+
+	pending     map[uint64]*proposal
+	lastContext uint64
+	reads       []readRound
+}
+
+func (h *host) loadGroup(id uint32) (*group, error) {
+	restored := h.disk.load(id)
+	g := &group{host: h, id: id, machine: state.NewUnsafe(h.world.mutation.stateUnsafe()), hardState: restored.HardState,
+		applied: restored.Snapshot.Index, snapshotIndex: restored.Snapshot.Index, pending: map[uint64]*proposal{}}
+	if len(restored.Snapshot.Data) > 0 {
+		if err := g.machine.Restore(restored.Snapshot.Data); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	g.node, err = raft.New(raft.Config{ID: h.id, HeartbeatTicks: heartbeatTicks, RetainedEntries: retainedEntries,
+		Random: rand.New(rand.NewSource(h.world.random.Int63())), Unsafe: h.world.mutation.raftUnsafe()}, restored)
+	return g, err
+}
+
+func (g *group) propose(data []byte, done func(*wire.Result, uint64, error)) {
+	index, term, err := g.node.Propose(data)
+	switch {
+	case err == nil:
+		g.pending[index] = &proposal{term: term, done: done}
+	case errors.Is(err, raft.ErrNotLeader):
+		done(nil, 0, errNotLeader)
+	default:
+		done(nil, 0, errOverloaded)
+	}
+}
+
+// change proposes a configuration change.
+func (g *group) change(change raft.ConfigurationChange, done func(error)) {
+	index, term, err := g.node.ProposeChange(change)
+	if err != nil {
+		done(err)
+		return
+	}
+	g.pending[index] = &proposal{term: term, done: func(_ *wire.Result, _ uint64, err error) { done(err) }}
+}
+
+// read calls done once the state holds all that was committed before the call.
+func (g *group) read(done func(error)) {
+	if g.host.world.mutated(ReadWithoutBarrier) && g.node.Status().Role == raft.Leader {
+		done(nil)
+		return
+	}
+	g.lastContext++
+	err := g.node.ReadIndex(g.lastContext)
+	switch {
+	case err == nil:
+		g.reads = append(g.reads, readRound{context: g.lastContext, done: []func(error){done}})
+	case errors.Is(err, raft.ErrOverloaded):
+		done(errOverloaded)
+	default:
+		done(errNotLeader)
+	}
+}
+
+func (g *group) takeReady() *raft.Ready {
+	if g.ready != nil || !g.node.HasReady() {
+		return nil
+	}
+	ready := g.node.Ready()
+	if ready.HardState != g.hardState {
+		g.hardState, g.stateDirty = ready.HardState, true
+	}
+	return &ready
+}
+
+func (g *group) write() storage.GroupWrite {
+	write := storage.GroupWrite{Group: g.id, Compaction: g.compaction}
+	if g.ready != nil {
+		write.Snapshot = g.ready.Snapshot
+		write.Entries = g.ready.Entries
+	}
+	if g.stateDirty {
+		hardState := g.hardState
+		write.HardState = &hardState
+	}
+	g.writing, g.queued, g.stateDirty, g.compaction = g.ready, false, false, nil
+	return write
+}
+
+// applyDurable applies the committed entries that this node holds durably.
+func (g *group) applyDurable(ready *raft.Ready) {
+	if ready.Snapshot != nil {
+		return
+	}
+	committed := ready.Committed
+	if len(ready.Entries) > 0 {
+		first := ready.Entries[0].Index
+		for len(committed) > 0 && committed[len(committed)-1].Index >= first {
+			committed = committed[:len(committed)-1]
+		}
+	}
+	g.apply(committed)
+}
+
+func (g *group) finishReady(ready *raft.Ready) {
+	if ready.Snapshot != nil {
+		g.restore(ready.Snapshot)
+	}
+	g.apply(ready.Committed)
+	g.ready = nil
+	g.node.Advance(*ready)
+	for _, confirmed := range ready.ReadStates {
+		for i := range g.reads {
+			if g.reads[i].context == confirmed.Context {
+				g.reads[i].confirmed, g.reads[i].index = true, confirmed.Index
+			}
+		}
+	}
+	g.serveReads()
+}
+
+func (g *group) serveReads() {
+	var served []func(error)
+	rest := g.reads[:0]
+	for _, round := range g.reads {
+		if round.confirmed && round.index <= g.applied {
+			served = append(served, round.done...)
+			continue
+		}
+		rest = append(rest, round)
+	}
+	g.reads = rest
+	for _, done := range served {
+		done(nil)
+	}
+}
+
+func (g *group) restore(snapshot *raft.Snapshot) {
+	if err := g.machine.Restore(snapshot.Data); err != nil {
+		g.host.world.truth.broken("node %d cannot restore a snapshot: %v", g.host.id, err)
+		return
+	}
+	g.applied, g.snapshotIndex = snapshot.Index, snapshot.Index
+	g.host.restored(g)
+	for _, index := range slices.Sorted(maps.Keys(g.pending)) {
+		if index <= snapshot.Index {
+			waiting := g.pending[index]
+			delete(g.pending, index)
+			waiting.done(nil, 0, errUnknownOutcome)
+		}
+	}
+}
+
+func (g *group) apply(entries []raft.Entry) {
+	for i := range entries {
+		if entries[i].Index <= g.applied {
+			continue
+		}
+		g.applyEntry(&entries[i])
+	}
+}
+
+func (g *group) applyEntry(entry *raft.Entry) {
+	waiting := g.pending[entry.Index]
+	delete(g.pending, entry.Index)
+	if waiting != nil && waiting.term != entry.Term {
+		waiting.done(nil, 0, errNotLeader)
+		waiting = nil
+	}
+	g.host.world.truth.entryApplied(g, entry)
+	if entry.Kind != raft.EntryCommand || len(entry.Data) == 0 {
+		g.applied = entry.Index
+		if waiting != nil {
+			waiting.done(nil, entry.Index, nil)
+		}
+		return
+	}
+	command := &wire.Command{}
+	result := &wire.Result{}
+	if err := proto.Unmarshal(entry.Data, command); err == nil {
+		result = g.machine.Apply(entry.Index, command)
+	}
+	g.applied = entry.Index
+	g.host.applied(g, entry.Index, command, result)
+	if waiting != nil {
+		waiting.done(result, entry.Index, nil)
+	}
+}
+
+// observeLeadership reports whether the leader, the term or this node's role changed.
+func (g *group) observeLeadership() bool {
+	status := g.node.Status()
+	now := leadership{term: status.Term, leader: status.Leader, leading: status.Role == raft.Leader}
+	if now == g.leadership {
+		return false
+	}
+	lost := g.leadership.leading && (!now.leading || now.term != g.leadership.term)
+	g.leadership = now
+	if lost {
+		for _, index := range slices.Sorted(maps.Keys(g.pending)) {
+			waiting := g.pending[index]
+			delete(g.pending, index)
+			waiting.done(nil, 0, errUnknownOutcome)
+		}
+	}
+	if !now.leading {
+		waiting := g.reads
+		g.reads = nil
+		for _, round := range waiting {
+			for _, done := range round.done {
+				done(errNotLeader)
+			}
+		}
+	}
+	return true
+}
+
+func (g *group) compactIfDue() {
+	if g.applied-g.snapshotIndex < snapshotEntries || g.ready != nil || g.compaction != nil {
+		return
+	}
+	data, err := g.machine.Snapshot()
+	if err != nil {
+		g.host.world.truth.broken("node %d cannot take a snapshot: %v", g.host.id, err)
+		return
+	}
+	if g.host.world.mutated(SnapshotForgetsChangeIDs) && g.id == state.ControlGroup {
+		data = withoutChangeIDs(data)
+	}
+	snapshot, err := g.node.Compact(g.applied, data)
+	if err != nil {
+		g.host.world.truth.broken("node %d cannot compact: %v", g.host.id, err)
+		return
+	}
+	g.compaction = &snapshot
+	g.snapshotIndex = g.applied
+}
--- /dev/null
+++ b/internal/sim/run.go
@@ -0,0 +1,127 @@
+package sim
+
+import (
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/dispatch"
+	"github.com/tamarindring/tamarindring/internal/invariant"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Result is what one seed has shown.
+type Result struct {
+	Seed      int64
+	Violation string // empty when every invariant held
+	Trace     string // when asked for
+	Counts    []invariant.Result
+	Faults    faultCounts
+	Virtual   time.Duration
+	Completed uint64 // calls that were answered
+	Refused   uint64 // "did not run"
+	Unknown   uint64 // "may have run"
+	Changes   uint64 // accepted
+}
+
+// Times after the faults have ended.
+const (
+	healTime    = 25 * time.Second
+	recoverTime = 12 * time.Second
+)
+
+// Run runs one seed of a scenario. The same arguments give the same result.
+func Run(scenario *Scenario, seed int64, mutation Mutation, tracing bool) (result Result) {
+	w := newWorld(seed, mutation, tracing)
+	defer func() {
+		if failure := recover(); failure != nil {
+			w.truth.broken("the code panicked: %v\n%s", failure, debug.Stack())
+			result = w.result(seed)
+		}
+	}()
+	f := newFleet(w, scenario)
+	f.launchAll()
+	w.after(setupTime, func() {
+		for _, r := range scenario.rates {
+			f.schedule(r)
+		}
+	})
+	w.runUntil(scenario.Length)
+	f.heal()
+	w.runUntil(w.now + healTime)
+	f.checkRecovery()
+	w.runUntil(w.now + recoverTime)
+	if !w.truth.stopped() {
+		f.checkEnd()
+	}
+	return w.result(seed)
+}
+
+func (w *world) result(seed int64) Result {
+	result := Result{Seed: seed, Violation: w.truth.problem, Counts: w.truth.registry.Results(), Faults: w.faults,
+		Virtual: w.now, Completed: w.truth.completed, Refused: w.truth.refused, Unknown: w.truth.unknown, Changes: uint64(len(w.truth.accepted))}
+	if w.tracing {
+		result.Trace = w.traceText()
+	}
+	return result
+}
+
+// checkRecovery asks the healed fleet for a change and for a call through each gateway.
+func (f *fleet) checkRecovery() {
+	if f.world.truth.stopped() {
+		return
+	}
+	f.world.tracef("fleet", "has to work again")
+	f.recovered = make([]bool, len(f.gateways)+1)
+	o := f.operators[0]
+	o.readTable(func(view *table.View) {
+		if view == nil {
+			return
+		}
+		cell := &wire.CellChange{Row: f.backends[0].name, Column: "weight", Value: "77"}
+		change := &wire.TableChange{ChangeId: "recovery", BaseVersion: view.Version(), Cells: []*wire.CellChange{cell}, Operator: o.name}
+		request := &wire.ExecuteRequest{WaitInForce: true, Command: &wire.Command{Kind: &wire.Command_TableChange{TableChange: change}}}
+		o.client.execute(request, recoverTime, func(reply *wire.ExecuteReply) {
+			f.recovered[0] = reply != nil && reply.InForceVersion >= reply.GetResult().GetTable().GetVersion()
+		})
+	})
+	for i, g := range f.gateways {
+		made := &call{id: fmt.Sprintf("recovery/%d", i), key: fmt.Sprintf("push/recovery/%d", i), body: "recovery"}
+		f.tryCall(g, made, func() { f.recovered[i+1] = true }, 1)
+	}
+}
+
+// tryCall sends a call a few times: a back end may refuse it by chance.
+func (f *fleet) tryCall(g *gateway, made *call, done func(), attempt int) {
+	g.serve(made, callTimeout, func(outcome dispatch.Outcome) {
+		switch {
+		case outcome.Verdict == verdict.Ran:
+			done()
+		case attempt < maxAttempts:
+			g.after(100*time.Millisecond, func() {
+				made = &call{id: made.id + "+", key: made.key + "+", body: made.body}
+				f.tryCall(g, made, done, attempt+1)
+			})
+		}
+	})
+}
+
+func (f *fleet) checkEnd() {
+	t := f.world.truth
+	for i, worked := range f.recovered {
+		what := "a change of the table is not in force"
+		if i > 0 {
+			what = "a call through " + f.gateways[i-1].name + " did not run"
+		}
+		t.examine(recovers, worked, "%v after all faults ended %s", healTime+recoverTime, what)
+	}
+	for _, h := range f.hosts {
+		if h.replaced || h.refused || !h.up || f.repairing {
+			continue
+		}
+		version := h.groups[0].machine.TableVersion()
+		t.examine(invariant.TableNoReversal, int(version) == len(t.accepted), "node %d ends at table version %d, accepted were %d", h.id, version, len(t.accepted))
+	}
+}
--- /dev/null
+++ b/internal/sim/scenario.go
@@ -0,0 +1,98 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// rate is how often a fault comes, on average.
+type rate struct {
+	kind FaultKind
+	mean time.Duration
+}
+
+// Scenario is a schedule of faults.
+type Scenario struct {
+	Name   string
+	Help   string
+	Length time.Duration // of the load and the faults; the fleet then has time to recover
+	rates  []rate
+	change time.Duration // mean time between an operator's changes
+}
+
+func (s *Scenario) changeMean() time.Duration {
+	if s.change == 0 {
+		return defaultChangeMean
+	}
+	return s.change
+}
+
+const (
+	defaultChangeMean = 3 * time.Second
+	mixedLength       = 5 * time.Minute
+	shortLength       = 2 * time.Minute
+)
+
+// Scenarios lists all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "mixed", Help: "every fault, for five minutes", Length: mixedLength, rates: mixedRates()},
+		{Name: "operators-race", Help: "operators change the same cells while control machines fail", Length: shortLength,
+			change: 300 * time.Millisecond, rates: []rate{{KillControl, 12 * time.Second}, {PowerLoss, 40 * time.Second},
+				{CutBothWays, 15 * time.Second}, {MessageLoss, 20 * time.Second}, {LongPause, 20 * time.Second}, {DieAtStep, 10 * time.Second}}},
+		{Name: "second-loss-after-repair", Help: "a machine is replaced and a second one lost at once", Length: shortLength,
+			rates: []rate{{SecondLoss, 20 * time.Second}, {EmptyDisk, 30 * time.Second}, {KillControl, 20 * time.Second},
+				{CutOneWay, 15 * time.Second}, {MessageLoss, 30 * time.Second}}},
+		{Name: "long-cut", Help: "processes are cut off for minutes and come back", Length: mixedLength,
+			rates: []rate{{LongCut, 50 * time.Second}, {CutOneWay, 10 * time.Second}, {KillControl, 60 * time.Second}}},
+		{Name: "restart-after-hundreds-of-changes", Help: "processes miss hundreds of changes", Length: shortLength,
+			change: 200 * time.Millisecond, rates: []rate{{LongCut, 60 * time.Second}, {KillGateway, 15 * time.Second},
+				{KillControl, 15 * time.Second}, {LongPause, 20 * time.Second}, {PowerLoss, time.Minute}}},
+		{Name: "pause-beyond-lease", Help: "processes stop for longer than a lease and go on", Length: shortLength,
+			change: 700 * time.Millisecond, rates: []rate{{LongPause, 4 * time.Second}, {Pause, 4 * time.Second}, {KillControl, 30 * time.Second}}},
+		{Name: "disk", Help: "disks lose, fill up, fail and are replaced", Length: shortLength,
+			rates: []rate{{PowerLoss, 25 * time.Second}, {DiskFull, 20 * time.Second}, {SyncFails, 15 * time.Second},
+				{SlowDisk, 10 * time.Second}, {EmptyDisk, 25 * time.Second}, {ReplaceMachine, 40 * time.Second}, {KillControl, 20 * time.Second}}},
+		{Name: "regions-apart", Help: "two regions lose each other for minutes", Length: mixedLength,
+			rates: []rate{{RegionsApart, 100 * time.Second}, {KillControl, 40 * time.Second}, {MessageLoss, 40 * time.Second}}},
+	}
+}
+
+func mixedRates() []rate {
+	rates := make([]rate, 0, int(faultKinds))
+	for kind := range faultKinds {
+		mean := 50 * time.Second
+		switch kind {
+		case UnsyncedLost:
+			continue // comes with crashes
+		case DieAtStep, KillGateway, KillBackend, CutOneWay, LongPause, Pause:
+			mean = 25 * time.Second
+		case LongCut, RegionsApart, ZoneLoss, EmptyDisk, ReplaceMachine, SecondLoss, PowerLoss:
+			mean = 2 * time.Minute
+		}
+		rates = append(rates, rate{kind, mean})
+	}
+	return rates
+}
+
+// FindScenario returns the scenario of a name.
+func FindScenario(name string) (*Scenario, error) {
+	for _, scenario := range Scenarios() {
+		if scenario.Name == name {
+			return &scenario, nil
+		}
+	}
+	return nil, trace.BadParameter("there is no scenario %q", name)
+}
+
+// schedule injects one kind of fault again and again while the load lasts.
+func (f *fleet) schedule(r rate) {
+	f.world.after(f.world.exponential(r.mean), func() {
+		if f.world.now >= f.loadEnds {
+			return
+		}
+		f.inject(r.kind)
+		f.schedule(r)
+	})
+}
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,57 @@
+package sim
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+)
+
+func scenario(t *testing.T, name string) *Scenario {
+	t.Helper()
+	found, err := FindScenario(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return found
+}
+
+// quick is a scenario cut to a length that a test can afford.
+func quick(t *testing.T, name string) *Scenario {
+	found := scenario(t, name)
+	found.Length = min(found.Length, time.Minute)
+	return found
+}
+
+func TestSameSeedGivesAnotherTrace(t *testing.T) {
+	for _, name := range []string{"mixed", "disk"} {
+		for seed := range int64(2) {
+			first := Run(quick(t, name), seed, NoMutation, true)
+			second := Run(quick(t, name), seed, NoMutation, true)
+			if len(first.Trace) < 1000 || first.Trace != second.Trace {
+				t.Fatalf("%s: seed %d gave traces of %d and %d bytes that differ", name, seed, len(first.Trace), len(second.Trace))
+			}
+			if third := Run(quick(t, name), seed+100, NoMutation, true); third.Trace == first.Trace {
+				t.Fatalf("%s: two seeds gave the same trace", name)
+			}
+		}
+	}
+}
+
+// TestFaultsViolateAPromise runs fixed seeds of every scenario.
+func TestFaultsViolateAPromise(t *testing.T) {
+	seeds := 4
+	if testing.Short() {
+		seeds = 1
+	}
+	for _, found := range Scenarios() {
+		report := RunBatch(context.Background(), Options{Scenario: quick(t, found.Name), Seeds: seeds, SeedBase: 1000,
+			Parallel: runtime.GOMAXPROCS(0)})
+		for _, violation := range report.Violations {
+			t.Errorf("%s: seed %d: %s", found.Name, violation.Seed, violation.Problem)
+		}
+		for _, name := range report.Unexamined() {
+			t.Errorf("%s: %s was never examined", found.Name, name)
+		}
+	}
+}
