gateway: leave a back end that hangs

A back end that accepted connections and answered nothing kept its share of the requests, each until its deadline, and was never avoided: a deadline is not the back end's failure. A replica that misses three load polls in a row now counts as silent: it gets nothing while another can take the request, and repeatable requests that wait for it move (streams by replay) when there is one.

--- a/internal/gateway/collector.go
+++ b/internal/gateway/collector.go
@@ -50,7 +50,7 @@
 	slotsInUseDesc   = describe("pool_slots_in_use", "Slots in use by live and rollout requests together.", "pool")
 	rolloutsDesc     = describe("pool_rollout_slots_in_use", "Slots in use by rollout requests.", "pool")
 	queueDesc        = describe("pool_queue_length", "Requests that wait for a slot.", "pool")
-	backendsDesc     = describe("pool_backends", "Back ends of the pool by condition: serving, draining (by table, load report or refusal) or quarantined after failures.", "pool", "condition")
+	backendsDesc     = describe("pool_backends", "Back ends of the pool by condition: serving, draining (by table, load report or refusal), quarantined after failures, or silent: it answers no load poll.", "pool", "condition")
 )
 
 // stateDescs are the metrics that collect makes itself.
@@ -91,6 +91,7 @@
 		gauge(backendsDesc, float64(status.serving), name, "serving")
 		gauge(backendsDesc, float64(status.draining), name, "draining")
 		gauge(backendsDesc, float64(status.quarantined), name, "quarantined")
+		gauge(backendsDesc, float64(status.silent), name, "silent")
 	}
 	for _, counter := range s.counts.all() {
 		counter.Collect(found)
@@ -99,8 +100,8 @@
 
 // poolStatus is what operators see of a pool at this gateway.
 type poolStatus struct {
-	slots, inFlight, rollouts, waiting int
-	serving, draining, quarantined     int
+	slots, inFlight, rollouts, waiting     int
+	serving, draining, quarantined, silent int
 }
 
 func (p *pool) status(now time.Duration) poolStatus {
@@ -111,6 +112,8 @@
 		switch {
 		case p.replicas.Leaving(i):
 			status.draining++
+		case p.replicas.Silent(i):
+			status.silent++
 		case p.replicas.Quarantined(i, now):
 			status.quarantined++
 		default:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -45,8 +45,10 @@
 
 	admission chan admissionAnswer
 	yield     atomic.Bool
-	pinned    atomic.Bool // the answer so far is not held, so that it cannot be replayed
-	upMutex   sync.Mutex  // guards up against askToYield
+	abandoned atomic.Bool            // the chosen back end answers nothing any more
+	at        atomic.Pointer[string] // name of the chosen back end; nil without one
+	pinned    atomic.Bool            // the answer so far is not held, so that it cannot be replayed
+	upMutex   sync.Mutex             // guards up against askToYield
 	up        *upstream
 	streamID  string
 
@@ -249,6 +251,7 @@
 // choose picks a back end.
 func (x *exchange) choose(excluded []string) {
 	x.leaveBackend(outcomeNeutral)
+	x.abandoned.Store(false)
 	chosen, ok := x.pool.choose(x.server.now(), &x.routed, excluded)
 	x.chosen = chosen
 	if !ok {
@@ -256,6 +259,7 @@
 		return
 	}
 	x.routing = true
+	x.at.Store(&chosen.name)
 	x.feed(dispatch.Event{Kind: dispatch.BackendChosen, Backend: chosen.name})
 }
 
@@ -263,6 +267,7 @@
 func (x *exchange) leaveBackend(how outcome) {
 	if x.routing {
 		x.routing = false
+		x.at.Store(nil)
 		x.pool.ended(x.server.now(), x.chosen.name, &x.routed, how)
 	}
 }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -24,7 +24,7 @@
 )
 
 // pollLoads asks every back end for its load, again and again. A back end that does not answer keeps its
-// last report, which loses weight as it ages.
+// last report, which loses weight as it ages; after a few times it counts as silent.
 func (s *Server) pollLoads(ctx context.Context) error {
 	client := &fasthttp.Client{MaxResponseBodySize: maxLoadBytes, ReadTimeout: loadTimeout, WriteTimeout: loadTimeout,
 		MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
@@ -60,7 +60,11 @@
 
 func (s *Server) pollOne(client *fasthttp.Client, p *pool, name, address string) {
 	status, body, err := client.GetTimeout(nil, "http://"+address+"/v1/load", loadTimeout)
-	if err != nil || status != fasthttp.StatusOK {
+	if err != nil {
+		p.unanswered(s.now(), name)
+		return
+	}
+	if status != fasthttp.StatusOK {
 		return
 	}
 	var report loadReport
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -32,7 +32,7 @@
 func (x *exchange) send(action *dispatch.Action) {
 	x.dropUpstream()
 	payload, err := x.payload(action)
-	if err != nil {
+	if err != nil || (action.Kind == dispatch.Resume && x.abandoned.Load()) {
 		x.feed(dispatch.Event{Kind: dispatch.SendFailed})
 		return
 	}
@@ -108,6 +108,10 @@
 		x.feed(dispatch.Event{Kind: dispatch.SendFailed}) // ignored when the yield is obeyed
 		return
 	}
+	if x.abandoned.Load() {
+		x.failSend(false, os.ErrDeadlineExceeded)
+		return
+	}
 	if err := x.write(up, out); err != nil {
 		if paced := x.call.paced; paced != nil && paced.failure != nil {
 			x.blameBody(paced.failure)
@@ -118,6 +122,7 @@
 	}
 	up.response.Reset()
 	up.response.StreamBody = true
+	x.setHeaderLimit(up, action.Kind)
 	err := up.response.ReadLimitBody(up.reader, 0)
 	x.stages.add(stageBackend, x.server.now()-began)
 	if err == nil && !x.answersThis(up) {
@@ -127,6 +132,7 @@
 		x.failSend(true, err)
 		return
 	}
+	x.liftHeaderLimit(up, action.Kind)
 	x.classify(up, action)
 }
 
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -23,10 +23,10 @@
 
 // usable tells whether a replica may get the request.
 func (p *Pool) usable(i int, request *Request, now time.Duration) bool {
-	return p.open(i, request) && !p.replicas[i].health.quarantined(now)
+	return p.open(i, request) && !p.replicas[i].avoided(now)
 }
 
-// open is usable but for quarantine.
+// open is usable but for quarantine and silence.
 func (p *Pool) open(i int, request *Request) bool {
 	r := &p.replicas[i]
 	if r.leaving != 0 || r.config.Weight <= 0 {
@@ -53,7 +53,8 @@
 func below(random Random, n int) int { return int(uniform(random) * float64(n)) }
 
 // firstOpen is the last resort when draws found nothing: the first usable replica from a random start,
-// else the first that is only quarantined, so that a pool in which every replica failed is still tried.
+// else the first that is only quarantined or silent, so that a pool in which every replica failed is still
+// tried.
 func (p *Pool) firstOpen(request *Request, now time.Duration, random Random) int {
 	n := len(p.replicas)
 	if n == 0 {
@@ -68,7 +69,7 @@
 		if !p.open(i, request) {
 			continue
 		}
-		if !p.replicas[i].health.quarantined(now) {
+		if !p.replicas[i].avoided(now) {
 			return i
 		}
 		if fallback == None {
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -127,6 +127,7 @@
 	reported   bool
 
 	leaving      Source
+	unanswered   int // load reports missing in a row
 	refusedUntil time.Duration
 	health       health
 }
@@ -302,6 +303,7 @@
 		return
 	}
 	r := &p.replicas[i]
+	r.unanswered = 0
 	r.setLeaving(SourceLoadReport, report.Leaving)
 	if !report.Leaving && now >= r.refusedUntil {
 		r.setLeaving(SourceRefusal, false)
--- /dev/null
+++ b/internal/routing/silence.go
@@ -0,0 +1,36 @@
+package routing
+
+import "time"
+
+// silenceLimit is the number of load reports in a row that have to be missing before a replica counts as
+// silent. One may be lost, two may meet a pause of the replica.
+const silenceLimit = 3
+
+// Unanswered notes that a replica did not answer when it was asked for its load. A silent replica gets
+// nothing while another one can take the request; its next report ends the silence.
+func (p *Pool) Unanswered(name string) {
+	if i := p.Index(name); i >= 0 {
+		p.replicas[i].unanswered++
+	}
+}
+
+// Silent tells whether a replica answers nothing any more.
+func (p *Pool) Silent(i int) bool { return p.replicas[i].silent() }
+
+func (r *replica) silent() bool { return r.unanswered >= silenceLimit }
+
+// avoided tells whether a replica gets nothing while another one can take the request.
+func (r *replica) avoided(now time.Duration) bool { return r.health.quarantined(now) || r.silent() }
+
+// Spare tells whether some replica other than the one named answers and takes work.
+func (p *Pool) Spare(name string, now time.Duration) bool {
+	for i := range p.replicas {
+		if r := &p.replicas[i]; r.config.Name != name && p.usable(i, &anyRequest, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// anyRequest is a request that every open replica takes.
+var anyRequest = Request{Urgent: true}
