--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -208,3 +209,75 @@
 		}
 	}
 }
+
+// TestDeadlineTravelsToTheBackEnd compares what the back end is told with what the caller asked for.
+func TestDeadlineTravelsToTheBackEnd(t *testing.T) {
+	told := make(chan string, 1)
+	backend := newRawBackend(t, func(conn net.Conn, request *http.Request, _ int64) {
+		told <- request.Header.Get(HeaderDeadline)
+		whole(conn, request, "{}")
+	})
+	f := rawFixture(t, backend)
+	if got := f.push(t, 0, "k", "{}", HeaderDeadline, "20s"); got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	if millis, err := strconv.Atoi(<-told); err != nil || millis > 20_000 || millis <= 0 {
+		t.Fatalf("the back end was told %d ms, the caller gave 20 s (%v)", millis, err)
+	}
+}
+
+// TestRetriesStayWithinTheBudget has a pool in which every answer breaks.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	const requests, burst = 30, 5
+	broken := newRawBackend(t, func(conn net.Conn, _ *http.Request, _ int64) { _ = conn.Close() })
+	f := newFixture(t, 0, 0, 1, func(c *Config) { c.RetriesPerSecond, c.RetryBurst = 1e-6, burst })
+	for i := range 3 {
+		name := fmt.Sprint("b", i)
+		f.cluster.change(t, [3]string{name, "kind", "backend"}, [3]string{name, "pool", "copy"},
+			[3]string{name, "address", broken.listener.Addr().String()})
+	}
+	for range requests {
+		if got := f.post(t, 0, "/v1/completions", completion(false)); got.status != http.StatusBadGateway {
+			t.Fatalf("%+v", got)
+		}
+	}
+	if sends := broken.requests.Load(); sends != requests+burst {
+		t.Fatalf("%d sends for %d requests, want a burst of %d retries in all", sends, requests, burst)
+	}
+}
+
+// TestBytesBehindAStreamReachNobodyElse has a back end that goes on writing behind a stream's end.
+func TestBytesBehindAStreamReachNobodyElse(t *testing.T) {
+	backend := newRawBackend(t, func(conn net.Conn, _ *http.Request, n int64) {
+		own := fmt.Sprintf("own%d ", n)
+		finish := "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\",\"token_offset\":1,\"token_count\":0}]}\n\ndata: [DONE]\n\n"
+		late := chunkOf(tokenEvent(0, "stale ")) + chunkOf(finish) + "0\r\n\r\n"
+		fmt.Fprint(conn, sseHeader+chunkOf(tokenEvent(0, own)+finish))
+		switch n % 3 {
+		case 0:
+			fmt.Fprint(conn, late) // in the same body
+		case 1:
+			fmt.Fprint(conn, "0\r\n\r\n"+sseHeader+late) // as an answer that nobody asked for
+		default:
+			fmt.Fprint(conn, "0\r\n\r\n")
+			go func() {
+				time.Sleep(time.Duration(n) * time.Millisecond / 4)
+				fmt.Fprint(conn, sseHeader+late)
+			}()
+		}
+	})
+	f := rawFixture(t, backend)
+	wholeOnes := 0
+	for range 40 {
+		got := f.post(t, 0, "/v1/completions", completion(true))
+		if strings.Contains(got.body, "[DONE]") {
+			wholeOnes++
+			if strings.Contains(got.body, "stale") || strings.Count(got.body, "own") != 1 {
+				t.Fatalf("another request's tokens: %s", got.body)
+			}
+		}
+	}
+	if wholeOnes < 20 {
+		t.Fatalf("only %d of 40 streams were whole", wholeOnes)
+	}
+}
--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/standin/application"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
@@ -34,6 +40,22 @@
 	return readAnswer(bufio.NewReader(conn))
 }
 
+// pushWith sends a non-repeatable call with a client that keeps connections.
+func pushWith(client *http.Client, address, key string) (answer, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/pools/push/push", strings.NewReader("{}"))
+	if err != nil {
+		return answer{}, err
+	}
+	request.Header.Set(HeaderKey, key)
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body)}, err
+}
+
 func readAnswer(reader *bufio.Reader) (answer, error) {
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
@@ -172,3 +194,71 @@
 	}
 	t.Fatalf("there are no %d dispatches", count)
 }
+
+// TestCallerThatDoesNotReadIsCut has a caller that asks for an endless stream and reads none of it.
+func TestCallerThatDoesNotReadIsCut(t *testing.T) {
+	words := strings.Repeat("word ", 2000)
+	endless := newRawBackend(t, func(conn net.Conn, _ *http.Request, _ int64) {
+		fmt.Fprint(conn, sseHeader)
+		for offset := 0; ; offset += 2000 {
+			if _, err := fmt.Fprint(conn, chunkOf(tokenEvent(offset, words))); err != nil {
+				return
+			}
+		}
+	})
+	f := newFixture(t, 0, 0, 1, func(c *Config) { c.WriteTimeout = 200 * time.Millisecond })
+	f.cluster.change(t, [3]string{"copy", "max_in_flight", "1"}, [3]string{"b", "kind", "backend"}, [3]string{"b", "pool", "copy"},
+		[3]string{"b", "address", endless.listener.Addr().String()})
+	body := `{"model":"copy","prompt":"x","stream":true}`
+	fmt.Fprintf(f.dial(t), "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	f.awaitDispatches(t, 1)
+	for f.gateways[0].inFlight.Load() > 0 {
+		time.Sleep(time.Millisecond) // the test's time limit ends a wait in vain
+	}
+	if held := f.gateways[0].memory.used.Load(); held != 0 {
+		t.Fatalf("%d bytes are still held", held)
+	}
+}
+
+// TestDrainUnderKeepAliveLoadRunsWhatItAnswers stops a gateway under callers that go on on their
+// connections. Each call is answered as run or as not run, or finds its connection closed and did not run.
+func TestDrainUnderKeepAliveLoadRunsWhatItAnswers(t *testing.T) {
+	f := newFixture(t, 0, 1, 1, nil)
+	f.apps[0].SetFaults(application.Faults{Stall: 20 * time.Millisecond})
+	idle := f.dial(t)
+	if got, err := pushOver(idle, "idle"); err != nil || got.status != 200 {
+		t.Fatalf("%+v %v", got, err)
+	}
+	var callers sync.WaitGroup
+	var ran, refused atomic.Int64
+	for caller := range 8 {
+		client := &http.Client{Transport: &http.Transport{}}
+		defer client.CloseIdleConnections()
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				key := fmt.Sprintf("c%d-%d", caller, i)
+				got, err := pushWith(client, f.gateways[0].Address(), key)
+				switch executions := f.ran(key); {
+				case errors.Is(err, syscall.ECONNREFUSED):
+					return // the gateway has gone
+				case err != nil && executions == 0:
+				case err == nil && got.status == 200 && executions == 1:
+					ran.Add(1)
+				case err == nil && got.status == 503 && got.header.Get(verdict.Header) == "did-not-run" && executions == 0:
+					refused.Add(1)
+				default:
+					t.Errorf("%s: %+v %v, ran %d times", key, got, err, executions)
+					return
+				}
+			}
+		})
+	}
+	f.awaitDispatches(t, 40)
+	if err := f.gateways[0].Drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	callers.Wait()
+	if ran.Load() == 0 || refused.Load() == 0 {
+		t.Fatalf("%d ran and %d were refused: the drain met no load", ran.Load(), refused.Load())
+	}
+}
