coordinator: take over trainers and weight waves from a dead owner

Releases go through the durable record under the pool's fence; a new owner of a pool goes on with the newest version, and one of a trainer with open steps generates on without waiting for a call. A coordinator acts as an owner only once the control group lists it; fetches of names that never opened a step take no fence.

--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -20,6 +20,9 @@
 	if body.Cursor != body.Acknowledge+1 || body.MaxSamples < 0 || body.WaitMillis < 0 {
 		return badRequest("cursor must be one above acknowledge; max_samples and wait_millis must not be negative")
 	}
+	if refused := s.knownTrainer(request.Context(), name); refused != nil {
+		return refused
+	}
 	t, refused := s.owned(request, name)
 	if refused != nil {
 		return refused
@@ -32,6 +35,25 @@
 	return s.handOver(ctx, writer, t, &body)
 }
 
+// knownTrainer refuses the fetch of a trainer that never opened a step: names that anyone makes up take no
+// fence.
+func (s *Server) knownTrainer(ctx context.Context, name string) *refusal {
+	s.mutex.Lock()
+	owned := s.trainers[name] != nil
+	s.mutex.Unlock()
+	if owned {
+		return nil
+	}
+	view, err := s.readTrainer(ctx, name, false)
+	if err != nil {
+		return unanswered(err)
+	}
+	if len(view.GetSteps()) == 0 && view.GetAcknowledgedCursor() == 0 {
+		return &refusal{status: http.StatusNotFound, code: CodeNotFound, message: "this trainer has opened no step"}
+	}
+	return nil
+}
+
 // acknowledge notes durably that the trainer has everything up to the cursor.
 func (s *Server) acknowledge(ctx context.Context, t *trainerState, cursor uint64) *refusal {
 	s.mutex.Lock()
--- a/internal/coordinator/fixture_test.go
+++ b/internal/coordinator/fixture_test.go
@@ -30,6 +30,7 @@
 	goleak.VerifyTestMain(m,
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
@@ -79,7 +80,7 @@
 	f := &fixture{context: ctx}
 	t.Cleanup(func() { f.stop(stop) })
 	var err error
-	f.control, err = rig.StartControl(rig.Options{Nodes: 1, Folder: t.TempDir(), LedgerGroups: 1})
+	f.control, err = rig.StartControl(rig.Options{Nodes: 1, Folder: t.TempDir(), LedgerGroups: 1, Lease: 400 * time.Millisecond})
 	must(t, err)
 	f.client, err = controlclient.New(controlclient.Config{Addresses: f.control.Addresses, LedgerGroups: 1})
 	must(t, err)
@@ -103,7 +104,7 @@
 	must(t, err)
 	f.run(f.gateway)
 	for index := range coordinators {
-		f.startCoordinator(t, fmt.Sprintf("c%d", index))
+		f.startCoordinator(t, fmt.Sprintf("c%d", index), "127.0.0.1:0")
 	}
 	return f
 }
@@ -120,11 +121,11 @@
 	f.run(server)
 }
 
-func (f *fixture) startCoordinator(t *testing.T, name string) *Server {
+func (f *fixture) startCoordinator(t *testing.T, name, listen string) *Server {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(f.context, testTimeout)
 	defer cancel()
-	config := Config{Name: name, Listen: "127.0.0.1:0", Scorer: f.scorer.Address(), WeightStore: f.store.Address(),
+	config := Config{Name: name, Listen: listen, Scorer: f.scorer.Address(), WeightStore: f.store.Address(),
 		Control: controlclient.Config{Addresses: f.control.Addresses, LedgerGroups: 1}, LoadInterval: 50 * time.Millisecond, Log: testLog()}
 	config.Wave.StageTime = 50 * time.Millisecond
 	server, err := Open(ctx, config)
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -159,7 +159,7 @@
 		return nil
 	}
 	if mayBeClosed {
-		view, err := s.readTrainer(ctx, t, false)
+		view, err := s.readTrainer(ctx, t.name, false)
 		if err != nil {
 			return unanswered(err)
 		}
--- a/internal/coordinator/owner.go
+++ b/internal/coordinator/owner.go
@@ -4,18 +4,20 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/ledger"
+	"github.com/tamarindring/tamarindring/internal/release"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // Resources of the control group's fences.
 func trainerResource(name string) string { return "trainer/" + name }
-func poolResource(name string) string    { return "pool/" + name }
+func poolResource(name string) string    { return release.Resource(name) }
 
 // candidate is a live coordinator.
 type candidate struct {
@@ -23,19 +25,26 @@
 	address string
 }
 
-// ownerOf chooses the live coordinator that is to own a resource: the highest hash of both names, so that a
-// coordinator's coming or going moves only its own part.
-func (s *Server) ownerOf(resource string) candidate {
-	best := candidate{name: s.config.Name, address: s.Address()}
-	bestScore := ownerScore(resource, best.name)
+// candidates returns the live coordinators by name, this one included once the control group lists it.
+func (s *Server) candidates() []candidate {
+	var all []candidate
 	for _, member := range s.session.Members().GetMembers() {
-		if member.GetRole() != wire.MemberRole_MEMBER_ROLE_COORDINATOR || member.GetName() == s.config.Name ||
-			member.GetState() != wire.MemberState_MEMBER_STATE_ALIVE {
-			continue
+		if member.GetRole() == wire.MemberRole_MEMBER_ROLE_COORDINATOR && member.GetState() == wire.MemberState_MEMBER_STATE_ALIVE {
+			all = append(all, candidate{name: member.GetName(), address: member.GetAddress()})
 		}
-		score := ownerScore(resource, member.GetName())
-		if score > bestScore || (score == bestScore && member.GetName() > best.name) {
-			best, bestScore = candidate{name: member.GetName(), address: member.GetAddress()}, score
+	}
+	slices.SortFunc(all, func(first, second candidate) int { return strings.Compare(first.name, second.name) })
+	return all
+}
+
+// ownerOf chooses the live coordinator that is to own a resource: the highest hash of both names, so that a
+// coordinator's coming or going moves only its own part. The name is empty when none is live.
+func (s *Server) ownerOf(resource string) candidate {
+	var best candidate
+	bestScore := uint64(0)
+	for _, one := range s.candidates() {
+		if score := ownerScore(resource, one.name); best.name == "" || score > bestScore {
+			best, bestScore = one, score
 		}
 	}
 	return best
@@ -52,10 +61,13 @@
 	if owner.name == s.config.Name {
 		return nil
 	}
+	if owner.name == "" {
+		return unavailable(CodeUnavailable, "the control group does not list this coordinator yet; ask again")
+	}
 	s.mutex.Lock()
 	s.stats.Redirected++
 	s.mutex.Unlock()
-	return &refusal{status: http.StatusTemporaryRedirect, code: "other_coordinator", message: "ask coordinator " + owner.name,
+	return &refusal{status: http.StatusTemporaryRedirect, code: CodeOtherOwner, message: "ask coordinator " + owner.name,
 		location: "http://" + owner.address + request.URL.EscapedPath()}
 }
 
@@ -112,7 +124,7 @@
 	if err := s.raiseFence(ctx, t); err != nil {
 		return nil, err
 	}
-	view, err := s.readTrainer(ctx, t, true)
+	view, err := s.readTrainer(ctx, name, true)
 	if err != nil {
 		return nil, err
 	}
@@ -141,11 +153,11 @@
 	return err
 }
 
-func (s *Server) readTrainer(ctx context.Context, t *trainerState, withSamples bool) (*wire.TrainerView, error) {
+func (s *Server) readTrainer(ctx context.Context, name string, withSamples bool) (*wire.TrainerView, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.StoreTimeout)
 	defer cancel()
-	view, err := s.client.Query(ctx, t.group, &wire.Query{Kind: &wire.Query_Trainer{
-		Trainer: &wire.TrainerQuery{Trainer: t.name, WithSamples: withSamples}}})
+	view, err := s.client.Query(ctx, s.client.ClaimGroup(name), &wire.Query{Kind: &wire.Query_Trainer{
+		Trainer: &wire.TrainerQuery{Trainer: name, WithSamples: withSamples}}})
 	if err != nil {
 		return nil, err
 	}
@@ -194,18 +206,16 @@
 
 // deposeMoved gives up the trainers that another coordinator is to own now. The caller holds the mutex.
 func (s *Server) deposeMoved() {
+	if len(s.candidates()) == 0 {
+		return // nobody is known to be live: nobody would go on
+	}
 	var moved []*trainerState
 	for _, t := range s.trainers {
 		if !s.owns(trainerResource(t.name)) {
 			moved = append(moved, t)
 		}
 	}
-	slices.SortFunc(moved, func(first, second *trainerState) int {
-		if first.name < second.name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(moved, func(first, second *trainerState) int { return strings.Compare(first.name, second.name) })
 	for _, t := range moved {
 		s.depose(t, "another coordinator is to own it")
 	}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -123,6 +123,7 @@
 	})
 	group.Go(func() error { return s.schedule(groupContext) })
 	group.Go(func() error { return s.watchReplicas(groupContext) })
+	group.Go(func() error { return s.tend(groupContext) })
 	err := group.Wait()
 	s.stopRoutines()
 	return err
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -10,8 +10,11 @@
 	"strings"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/release"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wave"
+	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // waveState is a pool's weight wave at its owner. Guarded by the server's mutex.
@@ -52,7 +55,7 @@
 	if err != nil {
 		return unanswered(err)
 	}
-	if refused := s.release(owned, name, &body); refused != nil {
+	if refused := s.release(request.Context(), owned, name, &body); refused != nil {
 		return refused
 	}
 	s.driveWaves()
@@ -104,12 +107,21 @@
 	}
 }
 
+// takeWave acquires a pool's fence and then reads its versions: a former owner can release none any more.
 func (s *Server) takeWave(ctx context.Context, name string) (*waveState, error) {
 	token, err := s.acquire(ctx, poolResource(name))
 	if err != nil {
 		return nil, err
 	}
+	newest, err := s.newestVersion(ctx, name)
+	if err != nil {
+		return nil, err
+	}
 	made := &waveState{pool: name, fence: token, planner: wave.New(s.config.Wave)}
+	if newest.Name != "" {
+		made.planner.Release(s.now(), newest)
+		s.config.Log.Infof("took over pool %s at version %s under token %d", name, newest.Name, token)
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	p := s.pool(name)
@@ -119,22 +131,63 @@
 	return p.wave, nil
 }
 
-// release makes the version the pool's target.
-func (s *Server) release(owned *waveState, trainer string, body *versionBody) *refusal {
+// newestVersion reads a pool's newest released version; its name is empty when there is none.
+func (s *Server) newestVersion(ctx context.Context, pool string) (wave.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.config.StoreTimeout)
+	defer cancel()
+	view, err := s.client.Query(ctx, controlclient.ControlGroup, &wire.Query{Kind: &wire.Query_Versions{
+		Versions: &wire.VersionsQuery{Pool: pool}}})
+	if err != nil {
+		return wave.Version{}, err
+	}
+	versions := view.GetVersions().GetVersions()
+	if len(versions) == 0 {
+		return wave.Version{}, nil
+	}
+	last := versions[len(versions)-1]
+	return wave.Version{Name: last.GetVersion(), Number: last.GetVersionNumber()}, nil
+}
+
+// release records the version durably and makes it the pool's target. A resend changes nothing.
+func (s *Server) release(ctx context.Context, owned *waveState, trainer string, body *versionBody) *refusal {
+	s.mutex.Lock()
+	fence := owned.fence
+	s.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, s.config.StoreTimeout)
+	defer cancel()
+	result, err := s.client.Execute(ctx, controlclient.ControlGroup, &wire.Command{Kind: &wire.Command_VersionRelease{
+		VersionRelease: &wire.VersionRelease{Pool: body.Pool, Version: body.Version, VersionNumber: body.VersionNumber,
+			Trainer: trainer, Fence: fence}}})
+	if err != nil {
+		return unanswered(err)
+	}
+	answer := result.GetVersion()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	version := wave.Version{Name: body.Version, Number: body.VersionNumber}
-	if owned.planner.Target() == version {
-		return nil // the reply to the first call was lost
+	switch {
+	case answer == nil:
+		return badRequest(result.GetInvalid())
+	case answer.GetReason() == release.ReasonStaleFence:
+		s.dropWave(s.pool(body.Pool), owned)
+		return unavailable(CodeUnavailable, "another coordinator takes this pool over; send the same call again")
+	case !answer.GetAccepted():
+		return conflict(answer.GetReason())
 	}
-	if !owned.planner.Release(s.now(), version) {
-		return conflict("the pool has a version of this number or a higher one")
+	if owned.planner.Release(s.now(), wave.Version{Name: body.Version, Number: body.VersionNumber}) {
+		s.stats.VersionsReleased++
+		s.config.Log.Infof("trainer %s released version %s (%d) for pool %s", trainer, body.Version, body.VersionNumber, body.Pool)
 	}
-	s.stats.VersionsReleased++
-	s.config.Log.Infof("trainer %s released version %s (%d) for pool %s", trainer, body.Version, body.VersionNumber, body.Pool)
 	return nil
 }
 
+// dropWave gives a wave up and keeps its counts. The caller holds the mutex.
+func (s *Server) dropWave(p *pool, owned *waveState) {
+	if p.wave == owned {
+		s.stats.add(owned.planner.Status().Counters)
+		p.wave = nil
+	}
+}
+
 // driveWaves sends the orders that are due.
 func (s *Server) driveWaves() {
 	s.mutex.Lock()
@@ -144,8 +197,7 @@
 			continue
 		}
 		if !s.owns(poolResource(p.name)) || s.leaving.Load() {
-			s.stats.add(p.wave.planner.Status().Counters)
-			p.wave = nil
+			s.dropWave(p, p.wave)
 			continue
 		}
 		s.driveWave(p, p.wave)
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -21,6 +21,7 @@
 	CodeSuperseded  = "superseded" // a newer fetch of the same trainer took over
 	CodeNotInStore  = "not_in_store"
 	CodeNotFound    = "not_found"
+	CodeOtherOwner  = "other_coordinator" // with status 307 and the owner's address
 )
 
 // promptBody is one prompt of a step.
