--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/tamarindring/tamarindring/internal/state"
@@ -193,7 +194,7 @@
 		return nil, verdict.New(verdict.MayHaveRun, "the control node answered the command with nothing")
 	}
 	if reason, ok := result.Kind.(*wire.Result_Invalid); ok {
-		return nil, verdict.New(verdict.DidNotRun, "the control node refused the command: %s", reason.Invalid)
+		return nil, verdict.Wrap(verdict.DidNotRun, trace.BadParameter("%s", reason.Invalid), "the control node refused the command")
 	}
 	return result, nil
 }
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -11,7 +11,6 @@
 
 	"github.com/tamarindring/tamarindring/internal/ledger"
 	"github.com/tamarindring/tamarindring/internal/table"
-	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -65,10 +64,10 @@
 	if errors.As(err, &known) {
 		return known
 	}
-	if verdict.Of(err) == verdict.DidNotRun || !trace.IsBadParameter(err) {
-		return unavailable(CodeUnavailable, "the ledger did not answer; send the same call again: "+err.Error())
+	if trace.IsBadParameter(err) {
+		return badRequest(trace.UserMessage(err))
 	}
-	return badRequest(err.Error())
+	return unavailable(CodeUnavailable, "the ledger did not answer; send the same call again: "+err.Error())
 }
 
 // owned returns the state of a trainer that this coordinator owns or is to own.
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -34,6 +34,7 @@
 
 // TestOwnersDeathLosesOrDoublesASample kills whoever owns a trainer again and again while steps run.
 func TestOwnersDeathLosesOrDoublesASample(t *testing.T) {
+	t.Parallel()
 	f := newFixture(t, 3, 2)
 	configs := []trainer.Config{
 		{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 3, MaxTokens: 120, MaxSteps: 6, StepsAhead: 1, LoseReplyProbability: 0.2, Seed: 3},
@@ -77,6 +78,7 @@
 
 // TestDrainHandsTheTrainerOver stops the owner by plan: no call may fail for good, none be lost.
 func TestDrainHandsTheTrainerOver(t *testing.T) {
+	t.Parallel()
 	f := newFixture(t, 2, 2)
 	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 2, MaxTokens: 60, MaxSteps: 5, StepsAhead: 1, Seed: 6}
 	made := f.newTrainer(t, config)
@@ -103,6 +105,7 @@
 // TestOrphanIsTakenOverWithoutACall checks that a trainer that trains finds its next step generated although
 // its owner died.
 func TestOrphanIsTakenOverWithoutACall(t *testing.T) {
+	t.Parallel()
 	f := newFixture(t, 2, 2)
 	client := newCaller(t, f.coordinators[0].Address())
 	client.openStep("a", 1, 2, 2)
@@ -123,6 +126,7 @@
 }
 
 func TestOwnersAreSpreadAndFewMoveWhenOneLeaves(t *testing.T) {
+	t.Parallel()
 	resources := make([]string, 1000)
 	for position := range resources {
 		resources[position] = trainerResource(fmt.Sprint("t", position))
