gateway: use a subset of a large pool, poll each back end by itself

Every gateway polled every back end four times a second, in rounds that one hung back end held up for a second, and shared every back end's slots with all gateways. Others stay in reserve for when no back end of the subset is alive.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -18,27 +18,30 @@
 
 // Defaults of Config.
 const (
-	DefaultMaxBodyBytes    = 256 << 20
-	DefaultBufferBytes     = 1 << 20
-	DefaultMaxBuffered     = 512 << 20
-	DefaultMaxAnswerBytes  = 16 << 20
-	DefaultStoredAnswer    = 64 << 10
-	DefaultMaxConnections  = 16384
-	DefaultMinBodyRate     = 64 << 10
-	DefaultReadTimeout     = 30 * time.Second
-	DefaultIdleTimeout     = 2 * time.Minute
-	DefaultWriteTimeout    = 30 * time.Second
-	DefaultConnectTimeout  = 500 * time.Millisecond
-	DefaultClaimTimeout    = 2 * time.Second
-	DefaultLoadInterval    = 250 * time.Millisecond
-	DefaultRetriesPerSec   = 50
-	DefaultRetryBurst      = 200
-	DefaultLogEntries      = 65536
-	DefaultMaxSettlements  = 8192
-	defaultShutdownRetry   = time.Second
-	maxHeaderBytes         = 16 << 10
-	refreshInterval        = 200 * time.Millisecond
-	maxConcurrentLoadPolls = 32
+	DefaultMaxBodyBytes   = 256 << 20
+	DefaultBufferBytes    = 1 << 20
+	DefaultMaxBuffered    = 512 << 20
+	DefaultMaxAnswerBytes = 16 << 20
+	DefaultStoredAnswer   = 64 << 10
+	DefaultMaxConnections = 16384
+	DefaultMinBodyRate    = 64 << 10
+	DefaultReadTimeout    = 30 * time.Second
+	DefaultIdleTimeout    = 2 * time.Minute
+	DefaultWriteTimeout   = 30 * time.Second
+	DefaultConnectTimeout = 500 * time.Millisecond
+	DefaultClaimTimeout   = 2 * time.Second
+	DefaultLoadInterval   = 250 * time.Millisecond
+	DefaultRetriesPerSec  = 50
+	DefaultRetryBurst     = 200
+	DefaultLogEntries     = 65536
+	DefaultMaxSettlements = 8192
+	defaultShutdownRetry  = time.Second
+	maxHeaderBytes        = 16 << 10
+	refreshInterval       = 200 * time.Millisecond
+	// loadPollsPerSecond bounds the load polls of one gateway: with more back ends than it allows at
+	// LoadInterval each is polled less often, down to maximumLoadInterval.
+	loadPollsPerSecond  = 48
+	maximumLoadInterval = 2 * time.Second
 )
 
 // Config holds a gateway's settings. Control is required, everything else has a default.
@@ -58,6 +61,9 @@
 	Policy routing.Policy
 	// Routing are the parameters of the choice; zero fields take their defaults.
 	Routing routing.Settings
+	// Subset says how many back ends of a large pool this gateway uses. All gateways must agree on it;
+	// zero fields take their defaults.
+	Subset routing.SubsetSettings
 	// MaxBodyBytes bounds a request's body. Default 256 MiB: an hour of call audio.
 	MaxBodyBytes int64
 	// BufferBytes is how much of a body is held, so that it can be sent again; a larger body is streamed
@@ -91,7 +97,7 @@
 	ConnectTimeout time.Duration
 	// ClaimTimeout bounds one ledger command. Default 2s.
 	ClaimTimeout time.Duration
-	// LoadInterval is the time between two polls of a back end's load report. Default 250ms.
+	// LoadInterval is the least time between two polls of a back end's load report. Default 250ms.
 	LoadInterval time.Duration
 	// RetriesPerSecond and RetryBurst are the budget of retries over all requests. Defaults 50 and 200: a
 	// crash of an engine with 200 streams is survived at once, a failing pool is not buried.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/tamarindring/tamarindring/internal/routing"
 )
@@ -23,16 +25,35 @@
 	loadTimeout  = time.Second
 )
 
-// pollLoads asks every back end for its load, again and again. A back end that does not answer keeps its
-// last report, which loses weight as it ages; after a few times it counts as silent.
+// loadSource is one back end of one pool that is polled.
+type loadSource struct {
+	pool    *pool
+	name    string
+	address string
+}
+
+// loadPollers asks the back ends of this gateway's subsets for their load, each at its own pace: one that
+// hangs delays no other. A back end that does not answer keeps its last report, which loses weight as it
+// ages; after a few times it counts as silent.
+type loadPollers struct {
+	server   *Server
+	client   *fasthttp.Client
+	interval atomic.Int64 // between two polls of one back end, in nanoseconds
+	open     map[loadSource]context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// pollLoads polls until ctx ends.
 func (s *Server) pollLoads(ctx context.Context) error {
-	client := &fasthttp.Client{MaxResponseBodySize: maxLoadBytes, ReadTimeout: loadTimeout, WriteTimeout: loadTimeout,
-		MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}
-	defer client.CloseIdleConnections()
-	ticker := time.NewTicker(s.config.LoadInterval)
+	pollers := &loadPollers{server: s, open: map[loadSource]context.CancelFunc{},
+		client: &fasthttp.Client{MaxResponseBodySize: maxLoadBytes, ReadTimeout: loadTimeout, WriteTimeout: loadTimeout,
+			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}}
+	defer pollers.client.CloseIdleConnections()
+	defer pollers.running.Wait()
+	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
 	for {
-		s.pollAll(ctx, client)
+		pollers.follow(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -41,27 +62,62 @@
 	}
 }
 
-func (s *Server) pollAll(ctx context.Context, client *fasthttp.Client) {
-	group := errgroup.Group{}
-	group.SetLimit(maxConcurrentLoadPolls)
-	for _, p := range s.pools.Load().byName {
-		for name, address := range p.backends() {
-			if ctx.Err() != nil {
-				break
-			}
-			group.Go(func() error {
-				s.pollOne(client, p, name, address)
-				return nil
-			})
+// follow starts and ends pollers so that the back ends in use are polled, and no others.
+func (l *loadPollers) follow(ctx context.Context) {
+	wanted := map[loadSource]bool{}
+	for _, p := range l.server.pools.Load().byName {
+		for name, address := range p.polled() {
+			wanted[loadSource{pool: p, name: name, address: address}] = true
+		}
+	}
+	l.interval.Store(int64(loadInterval(l.server.config.LoadInterval, len(wanted))))
+	for source, stop := range l.open {
+		if !wanted[source] {
+			stop()
+			delete(l.open, source)
+		}
+	}
+	for source := range wanted {
+		if l.open[source] != nil {
+			continue
+		}
+		pollContext, stop := context.WithCancel(ctx)
+		l.open[source] = stop
+		l.running.Go(func() { l.poll(pollContext, source) })
+	}
+}
+
+// loadInterval is the time between two polls of each of count back ends.
+func loadInterval(least time.Duration, count int) time.Duration {
+	paced := time.Duration(count) * time.Second / loadPollsPerSecond
+	return max(least, min(paced, maximumLoadInterval))
+}
+
+// poll polls one back end until ctx ends. The first poll comes at once; the next are spread.
+func (l *loadPollers) poll(ctx context.Context, source loadSource) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for spread := true; ; spread = false {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		began := time.Now()
+		l.ask(source)
+		interval := time.Duration(l.interval.Load())
+		if spread {
+			interval = rand.N(interval) + 1
 		}
+		timer.Reset(max(interval-time.Since(began), 0))
 	}
-	_ = group.Wait()
 }
 
-func (s *Server) pollOne(client *fasthttp.Client, p *pool, name, address string) {
-	status, body, err := client.GetTimeout(nil, "http://"+address+"/v1/load", loadTimeout)
+// ask polls one back end once.
+func (l *loadPollers) ask(source loadSource) {
+	status, body, err := l.client.GetTimeout(nil, "http://"+source.address+"/v1/load", loadTimeout)
 	if err != nil {
-		p.unanswered(s.now(), name)
+		source.pool.unanswered(l.server.now(), source.name)
 		return
 	}
 	if status != fasthttp.StatusOK {
@@ -71,7 +127,7 @@
 	if json.Unmarshal(body, &report) != nil {
 		return
 	}
-	p.report(s.now(), name, routing.LoadReport{Requests: float64(report.Running + report.Waiting), Leaving: report.Leaving})
+	source.pool.report(l.server.now(), source.name, routing.LoadReport{Requests: float64(report.Running + report.Waiting), Leaving: report.Leaving})
 }
 
 // cancelStream tells an engine that a stream is not wanted any more.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -1,18 +1,13 @@
 package gateway
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/tamarindring/tamarindring/internal/admission"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
-	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // pool is one pool of back ends at this gateway.
@@ -27,58 +22,30 @@
 	addresses map[string]string // by row name
 	exchanges map[uint64]*exchange
 	random    *rand.PCG
-}
-
-func newPool(policy routing.Policy, settings routing.Settings) *pool {
-	return &pool{policy: policy, replicas: routing.NewPool(settings), queue: admission.New(admission.Limits{}),
-		addresses: map[string]string{}, exchanges: map[uint64]*exchange{}, random: rand.NewPCG(rand.Uint64(), rand.Uint64())}
-}
-
-// share is this gateway's place among the gateways that share the table's limits.
-type share struct {
-	count int
-	rank  int
-}
 
-// gatewayShare counts the gateways that may hold requests in flight; this one counts always.
-func gatewayShare(members *wire.MembersView, name string) share {
-	names := []string{name}
-	for _, member := range members.GetMembers() {
-		gone := member.GetState() == wire.MemberState_MEMBER_STATE_GONE
-		if member.GetRole() == wire.MemberRole_MEMBER_ROLE_GATEWAY && !gone && member.GetName() != name {
-			names = append(names, member.GetName())
-		}
-	}
-	slices.Sort(names)
-	return share{count: len(names), rank: slices.Index(names, name)}
+	subset subset // guarded by the server's update mutex
 }
 
-func (s share) of(limit uint32, row string) int {
-	return admission.Share(int(limit), s.count, s.rank, xxhash.Sum64String(row))
+func newPool(policy routing.Policy, settings routing.Settings, subsets routing.SubsetSettings) *pool {
+	return &pool{policy: policy, replicas: routing.NewPool(settings), queue: admission.New(admission.Limits{}),
+		addresses: map[string]string{}, exchanges: map[uint64]*exchange{}, random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
+		subset: subset{settings: subsets}}
 }
 
 // update takes over the table's rows of the pool.
-func (p *pool) update(now time.Duration, view *table.View, row *table.Row, own share, place Place) {
+func (p *pool) update(now time.Duration, view *table.View, row *table.Row, own group) {
 	backends := view.Backends(row.Name)
+	shares := p.subset.shares(own, backends)
 	configs := make([]routing.ReplicaConfig, 0, len(backends))
 	addresses := make(map[string]string, len(backends))
 	limits := admission.Limits{QueueLimit: own.of(row.QueueLimit, row.Name), QueueWait: row.QueueWait, ClassOrder: row.ClassOrder}
 	for _, backend := range backends {
-		slots := own.of(backend.MaxInFlight, backend.Name)
-		weight := float64(backend.Weight)
-		if slots == 0 {
-			weight = 0 // other gateways hold all of its slots
-		}
-		background := rolloutSlots(backend, slots)
-		if background == 0 {
-			background = -1
-		}
-		configs = append(configs, routing.ReplicaConfig{Name: backend.Name, Weight: weight, MaxInFlight: slots, MaxBackground: background,
-			Distance: place.distance(backend.Zone), Draining: backend.State != table.Active})
+		config := replicaConfig(backend, shares[backend.Name], own.place())
+		configs = append(configs, config)
 		addresses[backend.Name] = backend.Address
-		if backend.Serving() {
-			limits.Slots += slots
-			limits.RolloutSlots += rolloutSlots(backend, slots)
+		if backend.Serving() && !config.Reserve {
+			limits.Slots += config.MaxInFlight
+			limits.RolloutSlots += rolloutSlots(backend, config.MaxInFlight)
 		}
 	}
 	p.mutex.Lock()
@@ -88,6 +55,27 @@
 	p.apply(p.queue.SetLimits(now, limits))
 }
 
+// reserveSlots is what a gateway may have in flight at a back end that is not of its subset.
+const reserveSlots = 1
+
+// replicaConfig is what the table says of a back end to the gateway at a place with a share of it.
+func replicaConfig(backend *table.Row, share routing.Share, place routing.Place) routing.ReplicaConfig {
+	config := routing.ReplicaConfig{Name: backend.Name, Weight: float64(backend.Weight), Draining: backend.State != table.Active,
+		Distance: routing.DistanceBetween(place.Zone, backend.Zone), Reserve: share.Rank < 0}
+	config.MaxInFlight = part(backend.MaxInFlight, share, backend.Name)
+	if config.Reserve {
+		config.MaxInFlight = min(reserveSlots, int(backend.MaxInFlight))
+	}
+	if config.MaxInFlight == 0 {
+		config.Weight = 0 // other gateways hold all of its slots
+	}
+	config.MaxBackground = rolloutSlots(backend, config.MaxInFlight)
+	if config.MaxBackground == 0 {
+		config.MaxBackground = -1
+	}
+	return config
+}
+
 // rolloutSlots is the part of this gateway's slots at a back end that rollout work may hold.
 func rolloutSlots(backend *table.Row, slots int) int {
 	if backend.MaxInFlight == 0 {
@@ -225,42 +213,15 @@
 	return p.row
 }
 
-// Place is where a process runs.
-type Place struct {
-	Zone string
-}
-
-// distance tells how far a zone is. The table names zones only: zones that share the text before their
-// last dash share a region.
-func (p Place) distance(zone string) routing.Distance {
-	switch {
-	case zone == p.Zone || zone == "" || p.Zone == "":
-		return routing.SameZone
-	case regionOf(zone) == regionOf(p.Zone):
-		return routing.SameRegion
-	}
-	return routing.OtherRegion
-}
-
-// regionOf returns the region part of a zone's name.
-func regionOf(zone string) string {
-	region, _, _ := cutLast(zone, '-')
-	return region
-}
-
-// cutLast cuts text at its last separator; without one the first part is empty.
-func cutLast(text string, separator byte) (before, after string, found bool) {
-	for i := len(text) - 1; i >= 0; i-- {
-		if text[i] == separator {
-			return text[:i], text[i+1:], true
-		}
-	}
-	return "", text, false
-}
-
-// backends returns a copy of the back ends' addresses by row name.
-func (p *pool) backends() map[string]string {
+// polled returns the addresses, by row name, of the back ends that this gateway uses.
+func (p *pool) polled() map[string]string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return maps.Clone(p.addresses)
+	used := make(map[string]string)
+	for name, address := range p.addresses {
+		if i := p.replicas.Index(name); i >= 0 && !p.replicas.Reserve(i) {
+			used[name] = address
+		}
+	}
+	return used
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/tamarindring/tamarindring/internal/dispatch"
+	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
 )
 
@@ -47,7 +48,7 @@
 	draining    atomic.Bool
 	pools       atomic.Pointer[poolSet]
 	updateMutex sync.Mutex // one table update at a time
-	share       share
+	group       group
 	callers     callers
 	memory      memoryBudget
 }
@@ -245,26 +246,32 @@
 	if !force && view.Version() <= old.version {
 		return
 	}
-	own := gatewayShare(s.config.Control.Members(), s.config.Name)
+	own := s.currentGroup()
 	next := &poolSet{version: view.Version(), byName: make(map[string]*pool)}
 	addresses := map[string]bool{}
 	for _, row := range view.Pools() {
 		p := old.byName[row.Name]
 		if p == nil {
-			p = newPool(s.config.Policy, s.config.Routing)
+			p = newPool(s.config.Policy, s.config.Routing, s.config.Subset)
 		}
-		p.update(s.now(), view, row, own, Place{Zone: s.config.Zone})
+		p.update(s.now(), view, row, own)
 		next.byName[row.Name] = p
 		for _, backend := range view.Backends(row.Name) {
 			addresses[backend.Address] = true
 		}
 	}
-	s.share = own
+	s.group = own
 	s.pools.Store(next)
 	s.transport.forgetExcept(addresses)
 }
 
-// refresh follows the number of gateways, on which this one's share of the limits depends.
+// currentGroup is the live gateways as last heard.
+func (s *Server) currentGroup() group {
+	return gatewayGroup(s.config.Control.Members(), routing.Place{Name: s.config.Name, Zone: s.config.Zone})
+}
+
+// refresh follows which gateways live: this one's subset of the back ends and its share of the limits
+// depend on it.
 func (s *Server) refresh(ctx context.Context) error {
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
@@ -274,9 +281,9 @@
 			return nil
 		case <-ticker.C:
 		}
-		own := gatewayShare(s.config.Control.Members(), s.config.Name)
+		own := s.currentGroup()
 		s.updateMutex.Lock()
-		changed := own != s.share
+		changed := !own.equal(s.group)
 		s.updateMutex.Unlock()
 		if changed {
 			s.update(s.config.Control.View(), true)
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Random is a source of uniform bits, such as *rand.PCG.
 type Random interface{ Uint64() uint64 }
@@ -21,15 +24,18 @@
 	Choose(pool *Pool, request *Request, now time.Duration, random Random) int
 }
 
-// usable tells whether a replica may get the request.
+// usable tells whether a replica of the subset may get the request.
 func (p *Pool) usable(i int, request *Request, now time.Duration) bool {
-	return p.open(i, request) && !p.replicas[i].avoided(now)
+	return !p.replicas[i].config.Reserve && p.open(i, request) && !p.replicas[i].avoided(now)
 }
 
-// open is usable but for quarantine and silence.
+// takesWork tells whether a replica takes requests at all, be it now or when others have ended.
+func (r *replica) takesWork() bool { return r.leaving == 0 && r.config.Weight > 0 }
+
+// open is usable but for quarantine, silence and subset.
 func (p *Pool) open(i int, request *Request) bool {
 	r := &p.replicas[i]
-	if r.leaving != 0 || r.config.Weight <= 0 {
+	if !r.takesWork() {
 		return false
 	}
 	if r.config.MaxInFlight > 0 && r.inFlight >= r.config.MaxInFlight {
@@ -52,31 +58,50 @@
 // below maps random bits to [0, n).
 func below(random Random, n int) int { return int(uniform(random) * float64(n)) }
 
-// firstOpen is the last resort when draws found nothing: the first usable replica from a random start,
-// else the first that is only quarantined or silent, so that a pool in which every replica failed is still
-// tried.
+// firstOpen is the last resort when draws found nothing: the first usable replica from a random start, else
+// one that is not of the subset if nobody of the subset is alive, else the first that is only quarantined or
+// silent, so that a pool in which every replica failed is still tried.
 func (p *Pool) firstOpen(request *Request, now time.Duration, random Random) int {
 	n := len(p.replicas)
 	if n == 0 {
 		return None
 	}
-	start, fallback := below(random, n), None
+	start, reserve, avoided, busy := below(random, n), None, None, false
 	for step := range n {
 		i := start + step
 		if i >= n {
 			i -= n
 		}
 		if !p.open(i, request) {
+			busy = busy || p.full(i, request, now)
 			continue
 		}
-		if !p.replicas[i].avoided(now) {
+		switch r := &p.replicas[i]; {
+		case !r.config.Reserve && !r.avoided(now):
 			return i
+		case r.config.Reserve && !r.avoided(now):
+			reserve = keepFirst(reserve, i)
+		default:
+			avoided = keepFirst(avoided, i)
 		}
-		if fallback == None {
-			fallback = i
-		}
 	}
-	return fallback
+	if reserve != None && !busy {
+		return reserve
+	}
+	return avoided
+}
+
+// full tells whether a replica of the subset is alive and not open only for the work that it has.
+func (p *Pool) full(i int, request *Request, now time.Duration) bool {
+	r := &p.replicas[i]
+	return !r.config.Reserve && r.takesWork() && !r.avoided(now) && !slices.Contains(request.Excluded, i)
+}
+
+func keepFirst(kept, next int) int {
+	if kept == None {
+		return next
+	}
+	return kept
 }
 
 // Balanced is the production policy: a few candidates drawn by weight, one of the own zone and the holders
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -46,6 +46,9 @@
 	MaxBackground int
 	Distance      Distance // from this gateway
 	Draining      bool     // row state draining
+	// Reserve marks a replica that is not of this gateway's subset: it gets work only while no replica of
+	// the subset is alive.
+	Reserve bool
 }
 
 // LoadReport is a replica's own word about its load, counted over all gateways.
@@ -176,9 +179,11 @@
 	total := 0.0
 	for i := range p.replicas {
 		r := &p.replicas[i]
-		total += max(r.config.Weight, 0)
+		if !r.config.Reserve {
+			total += max(r.config.Weight, 0)
+		}
 		p.cumulative = append(p.cumulative, total)
-		if r.config.Distance == SameZone {
+		if r.config.Distance == SameZone && !r.config.Reserve {
 			p.local = append(p.local, i)
 		}
 		if r.reported {
@@ -202,6 +207,9 @@
 	return -1
 }
 
+// Reserve tells whether a replica is not of this gateway's subset.
+func (p *Pool) Reserve(i int) bool { return p.replicas[i].config.Reserve }
+
 // InFlight returns the number of this gateway's requests at a replica.
 func (p *Pool) InFlight(i int) int { return p.replicas[i].inFlight }
 
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -25,7 +25,7 @@
 // Spare tells whether some replica other than the one named answers and takes work.
 func (p *Pool) Spare(name string, now time.Duration) bool {
 	for i := range p.replicas {
-		if r := &p.replicas[i]; r.config.Name != name && p.usable(i, &anyRequest, now) {
+		if r := &p.replicas[i]; r.config.Name != name && p.open(i, &anyRequest) && !r.avoided(now) {
 			return true
 		}
 	}
