coordinator: read a large trainer in parts, and write replies after the turn

A takeover read all stored texts in one message, which a few steps of 2,048 long samples outgrow: the trainer could never be taken over. The ledger now gives named samples, and a takeover reads pages of about 8 MiB. A fetch whose caller stopped reading held its trainer's turn for as long as the write blocked: the reply is now written after the turn, with a deadline, and a turn that another has taken ends at once instead of spinning.

--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -22,7 +22,7 @@
 
 // Defaults of Config.
 const (
-	DefaultMaxBodyBytes       = 64 << 20
+	DefaultMaxBodyBytes       = 32 << 20
 	DefaultMaxBatchBytes      = 32 << 20
 	DefaultMaxConnections     = 1024
 	DefaultMaxFetchWait       = time.Minute
@@ -40,6 +40,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	readTimeout       = time.Minute // of one request with its body
+	writeTimeout      = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
 	scheduleInterval  = 50 * time.Millisecond
@@ -68,10 +69,11 @@
 	Policy rollout.Policy
 	// Wave are the parameters of weight waves; zero fields take their defaults.
 	Wave wave.Config
-	// MaxBodyBytes bounds a trainer's request. Default 64 MiB: a step of 2,048 prompts of 32 KiB.
+	// MaxBodyBytes bounds a trainer's request. Default 32 MiB, half of what the control connection carries
+	// in one message: a step of 2,048 prompts of 16 KiB.
 	MaxBodyBytes int64
 	// MaxBatchBytes bounds the text of one fetch's samples; the rest follows at the next cursor. Default
-	// 32 MiB, half of what the control connection carries in one message.
+	// 32 MiB: a whole step of 2,048 samples of 16 KiB.
 	MaxBatchBytes int
 	// MaxConnections bounds the trainers' connections; more wait. Default 1024.
 	MaxConnections int
--- a/internal/coordinator/delivery.go
+++ b/internal/coordinator/delivery.go
@@ -41,7 +41,7 @@
 func newDelivery(view *wire.TrainerView) *delivery {
 	made := &delivery{
 		acknowledged: view.GetAcknowledgedCursor(), sealed: view.GetSealedCursor(), sealedStep: view.GetSealedStep(),
-		sealedIDs: view.GetSealedIds(),
+		sealedIDs: slices.Clone(view.GetSealedIds()),
 	}
 	for _, kept := range view.GetSteps() {
 		step := made.open(kept.GetOpen())
--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -27,12 +27,26 @@
 	if refused != nil {
 		return refused
 	}
-	ctx, release := s.takeTurn(request.Context(), t)
+	encoded, refused := s.serveTurn(request.Context(), t, &body)
+	if refused != nil {
+		return refused
+	}
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(writeTimeout))
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(http.StatusOK)
+	_, _ = writer.Write(encoded)
+	return nil
+}
+
+// serveTurn decides under the trainer's turn what a fetch gets. The reply is written after the turn: a trainer
+// that fetches again does not read it any more.
+func (s *Server) serveTurn(ctx context.Context, t *trainerState, body *fetchBody) ([]byte, *refusal) {
+	ctx, release := s.takeTurn(ctx, t)
 	defer release()
 	if refused := s.acknowledge(ctx, t, body.Acknowledge); refused != nil {
-		return refused
+		return nil, refused
 	}
-	return s.handOver(ctx, writer, t, &body)
+	return s.handOver(ctx, t, body)
 }
 
 // knownTrainer refuses the fetch of a trainer that never opened a step: names that anyone makes up take no
@@ -44,7 +58,7 @@
 	if owned {
 		return nil
 	}
-	view, err := s.readTrainer(ctx, name, false)
+	view, err := s.readTrainer(ctx, name)
 	if err != nil {
 		return unanswered(err)
 	}
@@ -85,43 +99,45 @@
 	return nil
 }
 
-// handOver answers with the batch at the cursor as soon as there is one, or with none when the wait is over.
-func (s *Server) handOver(ctx context.Context, writer http.ResponseWriter, t *trainerState, body *fetchBody) *refusal {
+// handOver returns the reply with the batch at the cursor as soon as there is one, or with none when the wait
+// is over.
+func (s *Server) handOver(ctx context.Context, t *trainerState, body *fetchBody) ([]byte, *refusal) {
 	wait := min(time.Duration(body.WaitMillis)*time.Millisecond, s.config.MaxFetchWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
+		if ctx.Err() != nil {
+			return nil, unavailable(CodeSuperseded, "a newer fetch or another coordinator took over")
+		}
 		next, refused := s.nextBatch(t, body)
 		if refused != nil {
-			return refused
+			return nil, refused
 		}
-		if next.changed != nil {
-			if waited, refused := s.awaitChange(ctx, writer, next.changed, timer); waited {
-				continue
-			} else {
-				return refused
+		if next.changed == nil {
+			if encoded, refused := s.advance(ctx, t, body, next); encoded != nil || refused != nil {
+				return encoded, refused
 			}
+			continue
 		}
-		if done, refused := s.advance(ctx, writer, t, body, next); done || refused != nil {
-			return refused
+		select {
+		case <-next.changed:
+		case <-timer.C:
+			return encodeReply(&fetchReply{Samples: []sampleReply{}})
+		case <-ctx.Done():
+			return nil, unavailable(CodeSuperseded, "a newer fetch or another coordinator took over")
+		}
+		if s.leaving.Load() {
+			return nil, unavailable(CodeDraining, "this coordinator is leaving; ask another")
 		}
 	}
 }
 
-// awaitChange waits for something new; false when the call is answered or refused.
-func (s *Server) awaitChange(ctx context.Context, writer http.ResponseWriter, changed <-chan struct{}, timer *time.Timer) (bool, *refusal) {
-	select {
-	case <-changed:
-	case <-timer.C:
-		writeJSON(writer, http.StatusOK, fetchReply{Samples: []sampleReply{}})
-		return false, nil
-	case <-ctx.Done():
-		return false, unavailable(CodeSuperseded, "a newer fetch or another coordinator took over")
-	}
-	if s.leaving.Load() {
-		return false, unavailable(CodeDraining, "this coordinator is leaving; ask another")
-	}
-	return true, nil
+func encodeReply(reply *fetchReply) ([]byte, *refusal) {
+	encoded, err := json.Marshal(reply)
+	if err != nil {
+		return nil, unavailable(CodeUnavailable, err.Error())
+	}
+	return encoded, nil
 }
 
 // candidateBatch is what may be handed over at a cursor.
@@ -162,38 +178,35 @@
 	return candidateBatch{changed: t.changed}, nil
 }
 
-// advance takes a batch one step further: too old samples out, then sealed, then handed over. It is true when
-// the call is answered.
-func (s *Server) advance(ctx context.Context, writer http.ResponseWriter, t *trainerState, body *fetchBody, next candidateBatch) (bool, *refusal) {
+// advance takes a batch one step further: too old samples out, then sealed, then handed over, when it returns
+// the reply.
+func (s *Server) advance(ctx context.Context, t *trainerState, body *fetchBody, next candidateBatch) ([]byte, *refusal) {
 	bound, refused := s.boundInForce(next.step)
 	if refused != nil {
-		return false, refused
+		return nil, refused
 	}
 	if old := tooOld(next.samples, body.TrainerVersion, bound); len(old) > 0 {
-		return false, s.discard(ctx, t, old)
+		return nil, s.discard(ctx, t, old)
 	}
 	if !next.sealed {
-		return false, s.seal(ctx, t, body.Cursor, next)
+		return nil, s.seal(ctx, t, body.Cursor, next)
 	}
-	reply := fetchReply{Cursor: body.Cursor, Step: next.step.open.GetStep(), StalenessBound: &bound}
+	reply := &fetchReply{Cursor: body.Cursor, Step: next.step.open.GetStep(), StalenessBound: &bound}
 	for _, sample := range next.samples {
 		reply.Samples = append(reply.Samples, newSampleReply(sample, body.TrainerVersion))
 	}
 	reply.StepComplete = s.completes(t, next.step)
-	encoded, err := json.Marshal(reply)
-	if err != nil {
-		return false, unavailable(CodeUnavailable, err.Error())
+	encoded, refused := encodeReply(reply)
+	if refused != nil {
+		return nil, refused
 	}
 	// The last look at the bound comes after everything that takes time.
 	now, refused := s.boundInForce(next.step)
-	if refused != nil || now != bound || ctx.Err() != nil {
-		return false, refused
+	if refused != nil || now != bound {
+		return nil, refused
 	}
 	s.noteHandedOver(t, next.step, reply.StepComplete)
-	writer.Header().Set("Content-Type", "application/json")
-	writer.WriteHeader(http.StatusOK)
-	_, _ = writer.Write(encoded)
-	return true, nil
+	return encoded, nil
 }
 
 // boundInForce is the staleness bound in the table that is in force now, under the lease.
@@ -235,7 +248,7 @@
 		s.depose(t, "the ledger did not seal as asked: "+result.GetReason())
 		return unavailable(CodeUnavailable, "send the same call again")
 	}
-	t.delivery.seal(cursor, number, ids)
+	t.delivery.seal(cursor, number, slices.Clone(ids))
 	return nil
 }
 
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -158,7 +158,7 @@
 		return nil
 	}
 	if mayBeClosed {
-		view, err := s.readTrainer(ctx, t.name, false)
+		view, err := s.readTrainer(ctx, t.name)
 		if err != nil {
 			return unanswered(err)
 		}
--- a/internal/coordinator/owner.go
+++ b/internal/coordinator/owner.go
@@ -124,10 +124,13 @@
 	if err := s.raiseFence(ctx, t); err != nil {
 		return nil, err
 	}
-	view, err := s.readTrainer(ctx, name, true)
+	view, err := s.readTrainer(ctx, name)
 	if err != nil {
 		return nil, err
 	}
+	if err := s.readTexts(ctx, view); err != nil {
+		return nil, err
+	}
 	t.delivery = newDelivery(view)
 	t.context, t.cancel = context.WithCancel(s.context)
 	s.mutex.Lock()
@@ -153,17 +156,67 @@
 	return err
 }
 
-func (s *Server) readTrainer(ctx context.Context, name string, withSamples bool) (*wire.TrainerView, error) {
+// readTrainer reads what the ledger knows of a trainer, without the samples' texts.
+func (s *Server) readTrainer(ctx context.Context, name string) (*wire.TrainerView, error) {
+	return s.queryTrainer(ctx, &wire.TrainerQuery{Trainer: name})
+}
+
+func (s *Server) queryTrainer(ctx context.Context, query *wire.TrainerQuery) (*wire.TrainerView, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.StoreTimeout)
 	defer cancel()
-	view, err := s.client.Query(ctx, s.client.ClaimGroup(name), &wire.Query{Kind: &wire.Query_Trainer{
-		Trainer: &wire.TrainerQuery{Trainer: name, WithSamples: withSamples}}})
+	view, err := s.client.Query(ctx, s.client.ClaimGroup(query.GetTrainer()), &wire.Query{Kind: &wire.Query_Trainer{Trainer: query}})
 	if err != nil {
 		return nil, err
 	}
 	return view.GetTrainer(), nil
 }
 
+// Estimates for reading stored samples in parts that fit one message.
+const (
+	pageBytes      = 8 << 20
+	bytesPerToken  = 16
+	bytesPerSample = 512
+)
+
+// readTexts replaces the stored samples of a view by whole ones.
+func (s *Server) readTexts(ctx context.Context, view *wire.TrainerView) error {
+	places := map[string]**wire.Sample{}
+	var page []string
+	bytes := 0
+	read := func() error {
+		if len(page) == 0 {
+			return nil
+		}
+		part, err := s.queryTrainer(ctx, &wire.TrainerQuery{Trainer: view.GetTrainer(), SampleIds: page})
+		if err != nil {
+			return err
+		}
+		if len(part.GetSamples()) != len(page) {
+			return trace.CompareFailed("the ledger of trainer %s changed while it was read", view.GetTrainer())
+		}
+		for _, sample := range part.GetSamples() {
+			*places[sample.GetId()] = sample
+		}
+		page, bytes = page[:0], 0
+		return nil
+	}
+	for _, step := range view.GetSteps() {
+		for position, sample := range step.GetStored() {
+			tokens, _ := sampleTokens(sample)
+			places[sample.GetId()] = &step.Stored[position]
+			page = append(page, sample.GetId())
+			bytes += tokens*bytesPerToken + bytesPerSample
+			if bytes < pageBytes {
+				continue
+			}
+			if err := read(); err != nil {
+				return err
+			}
+		}
+	}
+	return read()
+}
+
 // execute has a sample command applied by the trainer's ledger group. The error is about its fate; a refusal
 // is in the result.
 func (s *Server) execute(ctx context.Context, t *trainerState, command *wire.Command) (*wire.SampleResult, error) {
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -26,6 +26,22 @@
 	return view
 }
 
+// Samples returns a view with the named samples, as far as they are stored, and nothing else.
+func (l *Ledger) Samples(name string, ids []string) *wire.TrainerView {
+	view := &wire.TrainerView{Trainer: name}
+	known := l.trainers[name]
+	for _, text := range ids {
+		id, err := ParseSlotID(text)
+		if err != nil || known == nil {
+			continue
+		}
+		if held := known.find(id); held != nil && held.sample != nil {
+			view.Samples = append(view.Samples, held.sample)
+		}
+	}
+	return view
+}
+
 func (t *trainer) stepNumbers() []uint64 {
 	numbers := make([]uint64, 0, len(t.steps))
 	for number := range t.steps {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -191,6 +191,9 @@
 		result.Index = m.applied
 		return &wire.View{Kind: &wire.View_Claim{Claim: result}}
 	case *wire.Query_Trainer:
+		if ids := kind.Trainer.GetSampleIds(); len(ids) > 0 {
+			return &wire.View{Kind: &wire.View_Trainer{Trainer: m.ledger.Samples(kind.Trainer.GetTrainer(), ids)}}
+		}
 		view := m.ledger.View(kind.Trainer.GetTrainer(), kind.Trainer.GetWithSamples())
 		return &wire.View{Kind: &wire.View_Trainer{Trainer: view}}
 	case *wire.Query_Versions:
