coordinator: move begun samples off leaving replicas, gateways and owners

A sample on a replica that drains or leaves ran on there for as long as it took, one behind a gateway that was cut off waited for its deadline, and one of an owner that stopped by plan was begun anew. They now go on elsewhere from their tokens: the request is ended and continued with a prefix, and a coordinator that gives a trainer up sends the begun samples to the next owner, who checks slot and edition. Tests drain a back end under 1,500-token samples (no token thrown away), drain an owner, and start a coordinator that takes a trainer from another.

--- a/internal/coordinator/fixture_test.go
+++ b/internal/coordinator/fixture_test.go
@@ -127,6 +127,7 @@
 	defer cancel()
 	config := Config{Name: name, Listen: listen, Scorer: f.scorer.Address(), WeightStore: f.store.Address(),
 		Control: controlclient.Config{Addresses: f.control.Addresses, LedgerGroups: 1}, LoadInterval: 50 * time.Millisecond, Log: testLog()}
+	config.DrainPatience = 50 * time.Millisecond
 	config.Wave.StageTime, config.Wave.ReportGrace = 50*time.Millisecond, 500*time.Millisecond
 	server, err := Open(ctx, config)
 	must(t, err)
--- a/internal/coordinator/generate.go
+++ b/internal/coordinator/generate.go
@@ -38,6 +38,10 @@
 	cancel  context.CancelFunc
 	partial *partial // tokens so far; appended to by the run's routine under the server's mutex
 	told    int      // tokens that the scheduler was told of
+	gateway string   // address, of the request under way
+	replica string   // that made the newest token of the request under way
+	// stop ends the request under way; what it has made is kept.
+	stop context.CancelCauseFunc
 	// generated is set once the text is whole and waits for its score and the ledger.
 	generated bool
 }
@@ -56,8 +60,9 @@
 	}
 	one := &run{id: start.ID, pool: p, trainer: t, slot: slot, edition: slot.edition, partial: &partial{}}
 	one.context, one.cancel = context.WithTimeout(t.context, s.config.GenerationDeadline)
-	if kept := t.partials[start.ID.String()]; kept != nil && start.PrefixTokens > 0 {
-		one.partial, one.told = kept, kept.tokens
+	if kept := t.partials[start.ID.String()]; kept != nil && p.scheduler.Policy().KeepsPrefix() {
+		one.partial, one.told = kept, start.PrefixTokens
+		s.tellProgress(one, s.now())
 		s.stats.Continued++
 	}
 	delete(t.partials, start.ID.String())
@@ -129,11 +134,14 @@
 
 // tellProgress gives the scheduler the tokens that it does not know of. The caller holds the mutex.
 func (s *Server) tellProgress(one *run, now time.Duration) {
-	if one.partial.tokens > one.told {
-		one.told = one.partial.tokens
-		last := one.partial.segments[len(one.partial.segments)-1]
-		one.pool.scheduler.Progress(now, one.id, one.told, last.GetVersionNumber())
+	total := 0
+	for _, segment := range one.partial.segments {
+		total += int(segment.GetTokenCount())
+		if total > one.told {
+			one.pool.scheduler.Progress(now, one.id, total, segment.GetVersionNumber())
+		}
 	}
+	one.told = max(one.told, total)
 }
 
 // completionBody is the body of a completion request.
@@ -155,22 +163,36 @@
 	}
 	failed := true
 	defer func() { s.releaseGateway(gateway, failed) }()
-	response, err := s.requestCompletion(one, gateway.address)
+	ctx, stop := context.WithCancelCause(one.context)
+	defer stop(nil)
+	s.mutex.Lock()
+	one.gateway, one.replica, one.stop = gateway.address, "", stop
+	s.mutex.Unlock()
+	response, err := s.requestCompletion(ctx, one, gateway.address)
 	if err != nil {
-		failed = one.context.Err() == nil
-		return err
+		failed = ctx.Err() == nil
+		return causeOf(ctx, err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		failed = false
 		return refusedBy(response)
 	}
+	before := one.partial.tokens
 	err = s.readStream(one, response)
-	failed = err != nil && one.context.Err() == nil && one.partial.tokens == 0
+	failed = err != nil && ctx.Err() == nil && one.partial.tokens == before
+	return causeOf(ctx, err)
+}
+
+// causeOf returns why ctx was ended, if that is what err came from.
+func causeOf(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
 	return err
 }
 
-func (s *Server) requestCompletion(one *run, address string) (*http.Response, error) {
+func (s *Server) requestCompletion(ctx context.Context, one *run, address string) (*http.Response, error) {
 	body, err := json.Marshal(completionBody{
 		Model: one.pool.name, Stream: true, MaxTokens: one.slot.prompt.GetMaxTokens(), Seed: uint64(one.id.Index),
 		PrefixTokens: one.partial.tokens, Prompt: one.slot.prompt.GetText() + one.partial.text.String(),
@@ -178,7 +200,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	request, err := http.NewRequestWithContext(one.context, http.MethodPost, "http://"+address+completionsPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+completionsPath, bytes.NewReader(body))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -282,6 +304,7 @@
 	if !one.current() {
 		return context.Canceled
 	}
+	one.replica = choice.Replica
 	segments := len(one.partial.segments)
 	one.partial.add(choice.Text, choice.TokenCount, choice.WeightVersion, choice.VersionNumber, choice.Replica)
 	if one.partial.tokens >= one.told+progressTokens || len(one.partial.segments) > segments {
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -22,6 +22,7 @@
 	mux.HandleFunc("PUT /v1/trainers/{trainer}/steps/{step}", s.serve(s.handleStep))
 	mux.HandleFunc("POST /v1/trainers/{trainer}/fetch", s.serve(s.handleFetch))
 	mux.HandleFunc("POST /v1/trainers/{trainer}/versions", s.serve(s.handleVersion))
+	mux.HandleFunc("POST "+legacyPath, s.handleLegacy)
 	mux.HandleFunc("GET /v1/stats", func(writer http.ResponseWriter, _ *http.Request) {
 		writeJSON(writer, http.StatusOK, s.Stats())
 	})
--- /dev/null
+++ b/internal/coordinator/legacy.go
@@ -0,0 +1,207 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/ledger"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	legacyPath     = "/v1/coordinators/legacy"
+	legacyTimeout  = 2 * time.Second
+	legacyLifetime = 30 * time.Second // of one whose trainer is not taken over
+	maxLegacies    = ledger.MaximumTrainers
+)
+
+// legacyBody carries the begun samples of a trainer from a coordinator that gives it up by plan to the next
+// owner. Losing it costs only the tokens: the next owner begins those samples anew.
+type legacyBody struct {
+	Trainer string         `json:"trainer"`
+	Samples []legacySample `json:"samples"`
+}
+
+type legacySample struct {
+	ID       string         `json:"id"`
+	Edition  uint32         `json:"edition"`
+	Text     string         `json:"text"`
+	Segments []segmentReply `json:"segments"`
+}
+
+// legacy is what was received for a trainer that is not owned here yet.
+type legacy struct {
+	samples []legacySample
+	at      time.Duration
+}
+
+// bequeath sends a trainer's begun samples to its next owner, in the background, or keeps them when that is
+// this coordinator again. Tokens are counted as lost where there is none. The caller holds the mutex.
+func (s *Server) bequeath(t *trainerState) {
+	body, tokens := t.legacy()
+	if tokens == 0 {
+		return
+	}
+	if !s.draining.Load() && s.owns(trainerResource(t.name)) {
+		s.legacies[t.name] = &legacy{samples: body.Samples, at: s.now()}
+		return
+	}
+	next := s.nextOwner(trainerResource(t.name))
+	if next.name == "" || s.context.Err() != nil {
+		s.stats.DiscardedTokens += tokens
+		return
+	}
+	if s.closed {
+		return
+	}
+	s.bequests.Add(1)
+	s.start(func() {
+		defer s.bequests.Done()
+		encoded, err := json.Marshal(body)
+		if err == nil {
+			var answer struct{}
+			err = s.call(s.context, http.MethodPost, next.address, legacyPath, encoded, legacyTimeout, &answer)
+		}
+		if err != nil {
+			s.config.Log.Debugf("trainer %s: %d begun samples were not handed over: %v", t.name, len(body.Samples), err)
+			s.mutex.Lock()
+			s.stats.DiscardedTokens += tokens
+			s.mutex.Unlock()
+		}
+	})
+}
+
+// legacy puts a trainer's begun samples together.
+func (t *trainerState) legacy() (*legacyBody, uint64) {
+	body, tokens := &legacyBody{Trainer: t.name}, uint64(0)
+	for id, kept := range t.partials {
+		slotID, err := ledger.ParseSlotID(id)
+		if err != nil || kept.tokens == 0 {
+			continue
+		}
+		slot := t.delivery.slot(slotID)
+		if slot == nil || slot.sample != nil || slot.delivered {
+			continue
+		}
+		tokens += uint64(kept.tokens)
+		body.Samples = append(body.Samples, legacySample{ID: id, Edition: slot.edition, Text: kept.text.String(),
+			Segments: newSegmentReplies(kept.segments)})
+	}
+	return body, tokens
+}
+
+// nextOwner is the live coordinator other than this one that is to own a resource; its name is empty when
+// there is none.
+func (s *Server) nextOwner(resource string) candidate {
+	var others []candidate
+	for _, one := range s.candidates() {
+		if one.name != s.config.Name {
+			others = append(others, one)
+		}
+	}
+	return chooseOwner(resource, others)
+}
+
+// handOverAll gives all trainers up at the end of a drain and waits until their begun samples are sent.
+func (s *Server) handOverAll(ctx context.Context) {
+	s.mutex.Lock()
+	for _, t := range s.trainers {
+		s.depose(t, "draining")
+	}
+	s.mutex.Unlock()
+	sent := make(chan struct{})
+	go func() {
+		s.bequests.Wait()
+		close(sent)
+	}()
+	select {
+	case <-sent:
+	case <-ctx.Done():
+	}
+}
+
+// handleLegacy serves the hand-over between coordinators.
+func (s *Server) handleLegacy(writer http.ResponseWriter, request *http.Request) {
+	if !s.fromCoordinator(request) {
+		(&refusal{status: http.StatusForbidden, code: CodeNotFound, message: "only coordinators hand samples over"}).write(writer)
+		return
+	}
+	var body legacyBody
+	if refused := decode(writer, request, s.config.MaxBodyBytes, &body); refused != nil {
+		refused.write(writer)
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.legacies) < maxLegacies {
+		s.legacies[body.Trainer] = &legacy{samples: body.Samples, at: s.now()}
+	}
+	if t := s.trainers[body.Trainer]; t != nil {
+		s.inherit(t)
+		s.wake()
+	}
+	writeJSON(writer, http.StatusOK, struct{}{})
+}
+
+// fromCoordinator tells whether a call comes from the address of a coordinator that the control group lists.
+func (s *Server) fromCoordinator(request *http.Request) bool {
+	from, _, err := net.SplitHostPort(request.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	for _, member := range s.session.Members().GetMembers() {
+		host, _, err := net.SplitHostPort(member.GetAddress())
+		if err == nil && host == from && member.GetRole() == wire.MemberRole_MEMBER_ROLE_COORDINATOR {
+			return true
+		}
+	}
+	return false
+}
+
+// inherit takes the begun samples that a former owner left, as far as their slots still wait for them. The
+// caller holds the mutex.
+func (s *Server) inherit(t *trainerState) {
+	left := s.legacies[t.name]
+	delete(s.legacies, t.name)
+	if left == nil || s.now() > left.at+legacyLifetime {
+		return
+	}
+	for _, sample := range left.samples {
+		id, err := ledger.ParseSlotID(sample.ID)
+		if err != nil {
+			continue
+		}
+		slot := t.delivery.slot(id)
+		if slot == nil || slot.sample != nil || slot.delivered || slot.edition != sample.Edition || t.partials[sample.ID] != nil {
+			continue
+		}
+		if p := s.pools[t.delivery.step(id.Step).open.GetPool()]; p != nil && p.running[rolloutID(id)] != nil {
+			continue
+		}
+		t.partials[sample.ID] = sample.partial()
+		s.stats.Inherited++
+	}
+}
+
+func (l *legacySample) partial() *partial {
+	made := &partial{}
+	made.text.WriteString(l.Text)
+	for _, segment := range l.Segments {
+		made.segments = append(made.segments, &wire.Segment{WeightVersion: segment.WeightVersion, VersionNumber: segment.VersionNumber,
+			FirstToken: uint32(made.tokens), TokenCount: segment.TokenCount, Replica: segment.Replica})
+		made.tokens += int(segment.TokenCount)
+	}
+	return made
+}
+
+// forgetLegacies drops what nobody inherited. The caller holds the mutex.
+func (s *Server) forgetLegacies() {
+	for name, left := range s.legacies {
+		if s.now() > left.at+legacyLifetime {
+			delete(s.legacies, name)
+		}
+	}
+}
--- a/internal/coordinator/owner.go
+++ b/internal/coordinator/owner.go
@@ -40,9 +40,13 @@
 // ownerOf chooses the live coordinator that is to own a resource: the highest hash of both names, so that a
 // coordinator's coming or going moves only its own part. The name is empty when none is live.
 func (s *Server) ownerOf(resource string) candidate {
+	return chooseOwner(resource, s.candidates())
+}
+
+func chooseOwner(resource string, candidates []candidate) candidate {
 	var best candidate
 	bestScore := uint64(0)
-	for _, one := range s.candidates() {
+	for _, one := range candidates {
 		if score := ownerScore(resource, one.name); best.name == "" || score > bestScore {
 			best, bestScore = one, score
 		}
@@ -140,6 +144,7 @@
 		s.stats.Takeovers++
 		s.config.Log.Infof("took over trainer %s with %d open steps under token %d", name, len(t.delivery.steps), token)
 	}
+	s.inherit(t)
 	for _, step := range t.delivery.steps {
 		t.lastOpened = step.open.GetStep()
 		s.scheduleStep(t, step)
@@ -240,12 +245,15 @@
 	}
 	delete(s.trainers, t.name)
 	t.cancel()
+	defer s.bequeath(t)
 	s.stats.Deposed++
 	s.config.Log.Infof("gave up trainer %s: %s", t.name, why)
 	for _, p := range s.pools {
 		for id, one := range p.running {
 			if one.trainer == t {
-				s.stats.DiscardedTokens += uint64(one.partial.tokens)
+				if !one.generated && one.partial.tokens > 0 {
+					t.partials[id.String()] = one.partial
+				}
 				delete(p.running, id)
 				if one.generated {
 					p.after--
--- a/internal/coordinator/pool.go
+++ b/internal/coordinator/pool.go
@@ -58,6 +58,7 @@
 		case <-ticker.C:
 			s.mutex.Lock()
 			s.deposeMoved()
+			s.forgetLegacies()
 			s.mutex.Unlock()
 		case <-s.kick:
 		}
@@ -81,6 +82,7 @@
 		for _, t := range s.trainers {
 			p.scheduler.Released(now, t.name, p.available)
 		}
+		s.moveAway(p, view)
 		s.expire(p, uint64(row.StalenessBound))
 		if s.draining.Load() || now < p.paused {
 			continue
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -36,6 +36,7 @@
 	scoring  chan struct{} // one place per call to the scorer
 	adoption singleflight.Group
 	routines sync.WaitGroup
+	bequests sync.WaitGroup // hand-overs to other coordinators under way
 	closing  sync.Once
 
 	mutex    sync.Mutex // guards what follows
@@ -43,6 +44,7 @@
 	trainers map[string]*trainerState
 	pools    map[string]*pool
 	gateways map[string]*gatewayUse // by address
+	legacies map[string]*legacy     // by trainer
 	stats    Stats
 }
 
@@ -80,7 +82,7 @@
 	s := &Server{
 		config: config, listener: newLimitedListener(config.Listener, config.MaxConnections), client: client, session: session,
 		started: time.Now(), kick: make(chan struct{}, 1), scoring: make(chan struct{}, config.ScoreConcurrency),
-		trainers: map[string]*trainerState{}, pools: map[string]*pool{}, gateways: map[string]*gatewayUse{},
+		trainers: map[string]*trainerState{}, pools: map[string]*pool{}, gateways: map[string]*gatewayUse{}, legacies: map[string]*legacy{},
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
 	s.calls = &http.Client{Transport: &http.Transport{
@@ -153,7 +155,7 @@
 	s.config.Log.Info("draining")
 	s.finishRunning(ctx)
 	s.leaving.Store(true)
-	s.notifyAll()
+	s.handOverAll(ctx)
 	served := s.http.Shutdown(ctx)
 	left := s.session.Leave(ctx)
 	s.cancel()
@@ -210,9 +212,11 @@
 	DiscardedStale   uint64 `json:"discarded_stale"`
 	DiscardedTokens  uint64 `json:"discarded_tokens"` // generated and never handed over
 	Interrupted      uint64 `json:"interrupted"`      // attempts that ended early
+	Moved            uint64 `json:"moved"`            // of them, taken off a replica or gateway that leaves
 	Continued        uint64 `json:"continued"`        // attempts that went on from kept tokens
 	Takeovers        uint64 `json:"takeovers"`        // trainers adopted with open steps
 	Deposed          uint64 `json:"deposed"`          // trainers that another coordinator took
+	Inherited        uint64 `json:"inherited"`        // begun samples that a former owner handed over
 	Redirected       uint64 `json:"redirected"`
 	Refused          uint64 `json:"refused"`
 	VersionsReleased uint64 `json:"versions_released"`
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	enginestandin "github.com/tamarindring/tamarindring/internal/standin/engine"
 	"github.com/tamarindring/tamarindring/internal/standin/trainer"
 )
 
@@ -80,7 +81,10 @@
 func TestDrainHandsTheTrainerOver(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 2, 2)
-	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 2, MaxTokens: 60, MaxSteps: 5, StepsAhead: 1, Seed: 6}
+	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 2, MaxTokens: 600, MaxSteps: 5, StepsAhead: 1, Seed: 6,
+		Prompt: func(step uint64, index int) string {
+			return fmt.Sprintf("%d/%d [tokens=%d] ", step, index, 300+100*index)
+		}}
 	made := f.newTrainer(t, config)
 	ctx, cancel := context.WithTimeout(f.context, testTimeout)
 	defer cancel()
@@ -93,15 +97,91 @@
 	must(t, drained.Drain(ctx))
 	must(t, <-ended)
 	checkTrainer(t, made, config)
-	total := uint64(0)
+	total, inherited := uint64(0), uint64(0)
 	for _, server := range f.coordinators {
 		total += server.Stats().HandedOver
+		inherited += server.Stats().Inherited
+	}
+	if inherited == 0 {
+		t.Error("no begun sample was handed over to the next owner")
 	}
 	if total != 40 || drained.Stats().HandedOver == 40 {
 		t.Errorf("%d samples handed over, %d of them before the drain", total, drained.Stats().HandedOver)
 	}
 }
 
+// TestNewCoordinatorTakesItsTrainersOver starts one more while steps run: the trainers that are its own now
+// move with what is begun.
+func TestNewCoordinatorTakesItsTrainersOver(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2, 1)
+	newcomer, name := "c9", ""
+	for position := 0; name == ""; position++ {
+		if one := fmt.Sprint("t", position); ownerScore(trainerResource(one), newcomer) > ownerScore(trainerResource(one), "c0") {
+			name = one
+		}
+	}
+	config := trainer.Config{Name: name, PromptsPerStep: 2, SamplesPerPrompt: 2, MaxTokens: 400, MaxSteps: 3, Seed: 11,
+		Prompt: func(step uint64, index int) string { return fmt.Sprintf("%d/%d [tokens=300] ", step, index) }}
+	made := f.newTrainer(t, config)
+	ctx, cancel := context.WithTimeout(f.context, testTimeout)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- made.Run(ctx) }()
+	for f.coordinators[0].Stats().Running == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.startCoordinator(t, newcomer, "127.0.0.1:0")
+	must(t, <-ended)
+	checkTrainer(t, made, config)
+	if old, new := f.coordinators[0].Stats(), f.coordinators[1].Stats(); new.HandedOver == 0 || old.Deposed == 0 {
+		t.Errorf("the trainer did not move: %+v, %+v", old, new)
+	}
+}
+
+// TestSamplesLeaveADrainingReplica drains a back end while long samples run on it.
+func TestSamplesLeaveADrainingReplica(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2, 1)
+	config := trainer.Config{Name: "a", PromptsPerStep: 2, SamplesPerPrompt: 4, MaxTokens: 1500, MaxSteps: 1, WholeStep: true, Seed: 12,
+		Prompt: func(step uint64, index int) string { return fmt.Sprintf("%d/%d [tokens=1500] ", step, index) }}
+	made := f.newTrainer(t, config)
+	ctx, cancel := context.WithTimeout(f.context, testTimeout)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- made.Run(ctx) }()
+	for f.executing(0, config) == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.change(t, [3]string{"e0", "state", "draining"})
+	for deadline := time.Now().Add(testTimeout); f.executing(0, config) > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d samples still run on the draining replica", f.executing(0, config))
+		}
+	}
+	if finished := f.coordinators[0].Stats().SamplesFinished; finished == 8 {
+		t.Error("the samples had ended before the replica was empty: nothing is shown")
+	}
+	must(t, <-ended)
+	checkTrainer(t, made, config)
+	if stats := f.coordinators[0].Stats(); stats.Moved == 0 || stats.DiscardedTokens != 0 {
+		t.Errorf("stats %+v", stats)
+	}
+}
+
+// executing counts the samples of a config's first step that run on an engine.
+func (f *fixture) executing(engine int, config trainer.Config) int {
+	count := 0
+	for index := range config.PromptsPerStep {
+		for _, execution := range f.engines[engine].ExecutionsOf(config.Prompt(1, index)) {
+			if execution.Outcome == enginestandin.OutcomeRunning {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // TestOrphanIsTakenOverWithoutACall checks that a trainer that trains finds its next step generated although
 // its owner died.
 func TestOrphanIsTakenOverWithoutACall(t *testing.T) {
--- a/internal/coordinator/trainer.go
+++ b/internal/coordinator/trainer.go
@@ -57,14 +57,6 @@
 	t.changed = make(chan struct{})
 }
 
-func (s *Server) notifyAll() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, t := range s.trainers {
-		t.notify()
-	}
-}
-
 // turn is the right to serve a trainer's fetch. A trainer that fetches again has given its earlier call up.
 type turn struct {
 	cancel context.CancelFunc
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -89,15 +89,20 @@
 	reply := sampleReply{
 		ID: sample.GetId(), PromptID: sample.GetPromptId(), Index: sample.GetIndex(), Text: sample.GetText(),
 		Score: sample.GetScore(), Age: sampleAge(sample, trainerVersion), Edition: sample.GetEdition(),
-		Segments: make([]segmentReply, 0, len(sample.GetSegments())),
+		Segments: newSegmentReplies(sample.GetSegments()),
 	}
-	for _, segment := range sample.GetSegments() {
-		reply.Segments = append(reply.Segments, segmentReply{
+	return reply
+}
+
+func newSegmentReplies(segments []*wire.Segment) []segmentReply {
+	replies := make([]segmentReply, 0, len(segments))
+	for _, segment := range segments {
+		replies = append(replies, segmentReply{
 			WeightVersion: segment.GetWeightVersion(), VersionNumber: segment.GetVersionNumber(),
 			FirstToken: segment.GetFirstToken(), TokenCount: segment.GetTokenCount(), Replica: segment.GetReplica(),
 		})
 	}
-	return reply
+	return replies
 }
 
 // errorBody is the OpenAI form of an error.
