--- a/internal/claim/snapshot.go
+++ b/internal/claim/snapshot.go
@@ -9,27 +9,55 @@
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// Snapshot returns the whole state. Equal stores give equal snapshots. It shares answers with the store:
-// encode it before the next command.
-func (s *Store) Snapshot() *wire.ClaimSnapshot {
-	snapshot := &wire.ClaimSnapshot{
-		Floor: s.floor, FloorUnixMillis: s.floorAt, ClockUnixMillis: s.clock,
-		Records: make([]*wire.ClaimRecord, 0, len(s.records)),
-	}
+// Captured is a store's state as it was at one time. Later commands don't change it.
+type Captured struct {
+	floor   uint64
+	floorAt int64
+	clock   int64
+	records []record // running by key, then aged, then young; they share answers with the store, which never modifies them
+	marks   []mark
+}
+
+// Capture fixes the whole state. It takes a small part of the time that Message and an encoding take.
+func (s *Store) Capture() *Captured {
+	captured := &Captured{floor: s.floor, floorAt: s.floorAt, clock: s.clock,
+		records: make([]record, 0, len(s.records)), marks: slices.Clone(s.marks)}
 	for _, held := range s.runningByKey() {
-		snapshot.Records = append(snapshot.Records, held.message())
+		captured.add(held)
 	}
 	for _, list := range []*retentionList{&s.aged, &s.young} {
 		for r := list.first; r != nil; r = r.next {
-			snapshot.Records = append(snapshot.Records, r.message())
+			captured.add(r)
 		}
 	}
-	for _, mark := range s.marks {
+	return captured
+}
+
+func (c *Captured) add(r *record) {
+	c.records = append(c.records, *r)
+	last := &c.records[len(c.records)-1]
+	last.previous, last.next = nil, nil
+	last.released = slices.Clone(r.released)
+}
+
+// Message returns the captured state. Equal stores give equal messages.
+func (c *Captured) Message() *wire.ClaimSnapshot {
+	snapshot := &wire.ClaimSnapshot{
+		Floor: c.floor, FloorUnixMillis: c.floorAt, ClockUnixMillis: c.clock,
+		Records: make([]*wire.ClaimRecord, 0, len(c.records)),
+	}
+	for position := range c.records {
+		snapshot.Records = append(snapshot.Records, c.records[position].message())
+	}
+	for _, mark := range c.marks {
 		snapshot.Marks = append(snapshot.Marks, &wire.ClaimMark{AtUnixMillis: mark.at, Index: mark.index})
 	}
 	return snapshot
 }
 
+// Snapshot returns the whole state as a message.
+func (s *Store) Snapshot() *wire.ClaimSnapshot { return s.Capture().Message() }
+
 func (s *Store) runningByKey() []*record {
 	var held []*record
 	for _, ofOwner := range s.running {
@@ -45,7 +73,7 @@
 	return &wire.ClaimRecord{
 		Key: r.key, BodyHash: []byte(r.bodyHash), State: r.state, Owner: r.owner, Attempt: r.attempt,
 		Answer: r.answer, RefusedIndex: r.refusedIndex, LastIndex: r.lastIndex, AtUnixMillis: r.at,
-		Released: slices.Clone(r.released), Aged: r.aged,
+		Released: r.released, Aged: r.aged,
 	}
 }
 
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -40,7 +41,10 @@
 	return &wire.View{Kind: &wire.View_Trainer{Trainer: &wire.TrainerView{Trainer: string(text)}}}
 }
 
-func (j *journal) Snapshot() ([]byte, error) { return json.Marshal(j.applied) }
+func (j *journal) Capture() func() ([]byte, error) {
+	applied := slices.Clone(j.applied)
+	return func() ([]byte, error) { return json.Marshal(applied) }
+}
 
 func (j *journal) Restore(data []byte) error { return json.Unmarshal(data, &j.applied) }
 
--- /dev/null
+++ b/internal/consensus/compaction.go
@@ -0,0 +1,88 @@
+package consensus
+
+import "github.com/gravitational/trace"
+
+// freeSnapshotBytes is the size of a snapshot up to which Config.SnapshotCost does not count.
+const freeSnapshotBytes = 1 << 20
+
+// snapshots is a group's account of when the next snapshot is due. The loop owns it.
+type snapshots struct {
+	index        uint64        // of the last one
+	size         int           // of the last one, in bytes
+	appliedBytes int           // of the entries since its state was captured
+	encoding     bool          // one is being encoded beside the loop
+	encoded      *encodedState // one is encoded and waits until no Ready is out
+}
+
+// encodedState is a group's state as of an index.
+type encodedState struct {
+	group *hostedGroup
+	index uint64
+	data  []byte
+	err   error
+}
+
+// due tells whether enough was applied since the last snapshot.
+func (s *snapshots) due(config *Config, applied uint64) bool {
+	if s.encoding || s.encoded != nil || applied == s.index {
+		return false
+	}
+	if s.size > freeSnapshotBytes && s.appliedBytes < s.size/config.SnapshotCost {
+		return false
+	}
+	return applied-s.index >= uint64(config.SnapshotEntries) || s.appliedBytes >= config.SnapshotBytes
+}
+
+// received notes a snapshot that replaced the state.
+func (s *snapshots) received(index uint64, size int) {
+	s.index, s.size, s.appliedBytes = index, size, 0
+}
+
+// compact moves a group's snapshot on: it captures the state when that is due, and compacts the log once the
+// captured state is encoded. No Ready may be out in either step.
+func (h *Host) compact(g *hostedGroup) error {
+	if g.ready != nil || g.compaction != nil {
+		return nil
+	}
+	if g.snapshots.due(g.config, g.applied) {
+		h.startEncoding(g)
+	}
+	if encoded := g.snapshots.encoded; encoded != nil {
+		g.snapshots.encoded = nil
+		return g.takeSnapshot(encoded)
+	}
+	return nil
+}
+
+// startEncoding captures a group's state and has it encoded beside the loop, which goes on meanwhile.
+func (h *Host) startEncoding(g *hostedGroup) {
+	g.snapshots.encoding, g.snapshots.appliedBytes = true, 0
+	encode, index := g.machine.Capture(), g.applied
+	h.encoders.Go(func() {
+		data, err := encode()
+		h.encoded <- &encodedState{group: g, index: index, data: data, err: err}
+	})
+}
+
+// finishEncoding takes over a state that was encoded.
+func (h *Host) finishEncoding(encoded *encodedState) {
+	encoded.group.snapshots.encoding = false
+	encoded.group.snapshots.encoded = encoded
+}
+
+// takeSnapshot makes an encoded state the group's snapshot, unless a newer one came from the leader.
+func (g *hostedGroup) takeSnapshot(encoded *encodedState) error {
+	if encoded.err != nil {
+		return trace.Wrap(encoded.err, "consensus: group %d cannot take a snapshot", g.id)
+	}
+	if encoded.index <= g.snapshots.index {
+		return nil
+	}
+	snapshot, err := g.node.Compact(encoded.index, encoded.data)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	g.compaction = &snapshot
+	g.snapshots.index, g.snapshots.size = encoded.index, len(encoded.data)
+	return nil
+}
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -20,15 +20,16 @@
 	Address string // IP:port of its drpc listener
 }
 
-// StateMachine is what a group replicates. It is called from one goroutine at a time and must be
+// StateMachine is what a group replicates. Its methods are called from one goroutine at a time and must be
 // deterministic.
 type StateMachine interface {
 	// Apply carries out the command at a log index.
 	Apply(index uint64, command *wire.Command) *wire.Result
 	// Query answers from the applied state.
 	Query(query *wire.Query) *wire.View
-	// Snapshot encodes the whole state.
-	Snapshot() ([]byte, error)
+	// Capture fixes the whole state as it is now. The function that it returns encodes that state; it is
+	// called from another goroutine while further commands are applied.
+	Capture() (encode func() ([]byte, error))
 	// Restore replaces the state by an encoded one.
 	Restore(data []byte) error
 }
@@ -87,6 +88,11 @@
 	SnapshotEntries int
 	// SnapshotBytes is the size of applied entries after which a group takes a snapshot. Default 64 MiB.
 	SnapshotBytes int
+	// SnapshotCost bounds what snapshots of a large state write: at most about so many bytes of snapshot for
+	// each byte of applied entries. Default 4: little beside the entries' own synced writes, while the log
+	// that a restart replays stays at a quarter of the state. It does not hold back a snapshot of up to
+	// 1 MiB.
+	SnapshotCost int
 	// MaxPendingProposals bounds the proposals that wait for their answer, over all groups; above it
 	// Propose returns ErrOverloaded. Default 16384.
 	MaxPendingProposals int
@@ -122,6 +128,7 @@
 	DefaultHeartbeatTicks      = 2
 	DefaultSnapshotEntries     = 10_000
 	DefaultSnapshotBytes       = 64 << 20
+	DefaultSnapshotCost        = 4
 	DefaultMaxPendingProposals = 16_384
 	DefaultMaxBatchProposals   = 1024
 )
@@ -132,6 +139,7 @@
 	defaults.Set(&c.HeartbeatTicks, DefaultHeartbeatTicks)
 	defaults.Set(&c.SnapshotEntries, DefaultSnapshotEntries)
 	defaults.Set(&c.SnapshotBytes, DefaultSnapshotBytes)
+	defaults.Set(&c.SnapshotCost, DefaultSnapshotCost)
 	defaults.Set(&c.MaxPendingProposals, DefaultMaxPendingProposals)
 	defaults.Set(&c.MaxBatchProposals, DefaultMaxBatchProposals)
 	for _, peer := range c.Peers {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -29,9 +29,8 @@
 	applied    uint64
 	leadership Leadership
 
-	snapshotIndex uint64
-	appliedBytes  int            // since the last snapshot
-	compaction    *raft.Snapshot // waits to be written
+	snapshots  snapshots
+	compaction *raft.Snapshot // waits to be written
 
 	pending map[uint64]*proposal // proposed, by log index
 	reads   readQueue
@@ -39,13 +38,13 @@
 
 func newGroup(config *Config, id uint32, restored raft.Restored) (*hostedGroup, error) {
 	g := &hostedGroup{
-		config:        config,
-		id:            id,
-		machine:       config.NewStateMachine(id),
-		hardState:     restored.HardState,
-		applied:       restored.Snapshot.Index,
-		snapshotIndex: restored.Snapshot.Index,
-		pending:       map[uint64]*proposal{},
+		config:    config,
+		id:        id,
+		machine:   config.NewStateMachine(id),
+		hardState: restored.HardState,
+		applied:   restored.Snapshot.Index,
+		snapshots: snapshots{index: restored.Snapshot.Index, size: len(restored.Snapshot.Data)},
+		pending:   map[uint64]*proposal{},
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := g.machine.Restore(restored.Snapshot.Data); err != nil {
@@ -152,7 +151,8 @@
 	if err := g.machine.Restore(snapshot.Data); err != nil {
 		return trace.Wrap(err, "consensus: group %d cannot restore a snapshot at %d", g.id, snapshot.Index)
 	}
-	g.applied, g.snapshotIndex, g.appliedBytes = snapshot.Index, snapshot.Index, 0
+	g.applied = snapshot.Index
+	g.snapshots.received(snapshot.Index, len(snapshot.Data))
 	if g.config.OnRestore != nil {
 		g.config.OnRestore(g.id, snapshot.Index)
 	}
@@ -182,7 +182,7 @@
 }
 
 func (g *hostedGroup) applyEntry(entry *raft.Entry) {
-	g.appliedBytes += len(entry.Data)
+	g.snapshots.appliedBytes += len(entry.Data)
 	waiting := g.pending[entry.Index]
 	delete(g.pending, entry.Index)
 	if waiting != nil && waiting.term != entry.Term {
@@ -238,22 +238,3 @@
 }
 
 func (g *hostedGroup) failReads(err error) { g.reads.fail(err) }
-
-// compactIfDue takes a snapshot when enough was applied since the last one. No Ready may be out.
-func (g *hostedGroup) compactIfDue() error {
-	due := g.applied-g.snapshotIndex >= uint64(g.config.SnapshotEntries) || g.appliedBytes >= g.config.SnapshotBytes
-	if !due || g.ready != nil || g.compaction != nil || g.applied == g.snapshotIndex {
-		return nil
-	}
-	data, err := g.machine.Snapshot()
-	if err != nil {
-		return trace.Wrap(err, "consensus: group %d cannot take a snapshot", g.id)
-	}
-	snapshot, err := g.node.Compact(g.applied, data)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	g.compaction = &snapshot
-	g.snapshotIndex, g.appliedBytes = g.applied, 0
-	return nil
-}
--- a/internal/consensus/host.go
+++ b/internal/consensus/host.go
@@ -27,6 +27,8 @@
 	inWrite   []*hostedGroup // groups of the write in progress
 	proposed  int            // proposals taken since the last write began
 	diskFull  bool
+	encoded   chan *encodedState // has room for one of each group
+	encoders  sync.WaitGroup     // goroutines that encode a state
 
 	ctx    context.Context // ends with the host
 	cancel context.CancelFunc
@@ -57,6 +59,7 @@
 		cancel:    cancel,
 		done:      make(chan struct{}),
 		failed:    make(chan error, 1),
+		encoded:   make(chan *encodedState, len(config.Groups)),
 	}
 	host.peers = newPeerSet(host, nonce)
 	if err := host.found(); err != nil {
@@ -167,6 +170,7 @@
 // finish answers everybody who still waits.
 func (h *Host) finish() {
 	h.cancel()
+	h.encoders.Wait()
 	h.once.Do(func() { close(h.done) })
 	h.inbox.close()
 	for _, group := range h.groups {
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -34,6 +34,8 @@
 			if err := h.finishWrite(err); err != nil {
 				return err
 			}
+		case encoded := <-h.encoded:
+			h.finishEncoding(encoded)
 		case <-h.inbox.notify:
 		}
 		h.takeWork()
@@ -156,7 +158,7 @@
 	if g.observeLeadership() {
 		h.announce(g)
 	}
-	if err := g.compactIfDue(); err != nil {
+	if err := h.compact(g); err != nil {
 		return err
 	}
 	if g.compaction != nil {
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/gravitational/trace"
@@ -100,7 +101,7 @@
 func (t *trainer) record() *wire.TrainerRecord {
 	record := &wire.TrainerRecord{
 		Name: t.name, Fence: t.fence, AcknowledgedCursor: t.acknowledged, SealedCursor: t.sealed,
-		SealedStep: t.sealedStep, SealedIds: t.sealedIDs, DeliveredSamples: t.delivered,
+		SealedStep: t.sealedStep, SealedIds: slices.Clone(t.sealedIDs), DeliveredSamples: t.delivered,
 		DiscardedTokens: t.discarded, Closed: t.closed, ForgottenStep: t.forgotten,
 	}
 	for _, number := range t.stepNumbers() {
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -182,3 +182,51 @@
 		t.Fatal("groups are left out")
 	}
 }
+
+// TestCaptureChangesWithLaterCommands encodes captured states only after more commands were applied: what was
+// captured must not have changed.
+func TestCaptureChangesWithLaterCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := New()
+		var encoders []func() ([]byte, error)
+		var wanted [][]byte
+		for index := range rapid.IntRange(1, 60).Draw(t, "commands") {
+			machine.Apply(uint64(index+1), proto.CloneOf(drawCommand(t, index)))
+			data, err := machine.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			wanted, encoders = append(wanted, data), append(encoders, machine.Capture())
+		}
+		for position, encode := range encoders {
+			if data, err := encode(); err != nil || !bytes.Equal(data, wanted[position]) {
+				t.Fatalf("the state captured after command %d has changed (%v)", position+1, err)
+			}
+		}
+	})
+}
+
+// BenchmarkCapture compares how long a snapshot holds up the commands with how long its encoding takes.
+func BenchmarkCapture(b *testing.B) {
+	machine := New()
+	for index := range 200_000 {
+		key := fmt.Sprintf("push/customer-%d", index)
+		begin := &wire.ClaimBegin{Key: key, Owner: "g", Attempt: "a", NowUnixMillis: 1}
+		machine.Apply(uint64(2*index+1), &wire.Command{Kind: &wire.Command_ClaimBegin{ClaimBegin: begin}})
+		finish := &wire.ClaimFinish{Key: key, Attempt: "a", Outcome: wire.ClaimState_CLAIM_STATE_DONE, NowUnixMillis: 2,
+			Answer: &wire.Answer{Status: 200, Body: make([]byte, 120)}}
+		machine.Apply(uint64(2*index+2), &wire.Command{Kind: &wire.Command_ClaimFinish{ClaimFinish: finish}})
+	}
+	b.Run("capture", func(b *testing.B) {
+		for b.Loop() {
+			machine.Capture()
+		}
+	})
+	b.Run("capture and encode", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := machine.Snapshot(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -12,22 +12,30 @@
 const SnapshotFormat uint32 = 1
 
 // Snapshot encodes the whole state. Equal states give equal bytes.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *Machine) Snapshot() ([]byte, error) { return m.Capture()() }
+
+// Capture fixes the state as it is now and returns the function that encodes it, which may run beside later
+// commands. Claims and samples, which grow with the traffic, are shared with the state: their messages are
+// replaced and never modified. The rest is small and copied.
+func (m *Machine) Capture() (encode func() ([]byte, error)) {
 	snapshot := &wire.MachineSnapshot{
 		Format:       SnapshotFormat,
 		AppliedIndex: m.applied,
-		Table:        m.table.Snapshot(),
-		Members:      m.members.Snapshot(),
-		Fences:       m.fences.Snapshot(),
-		Claims:       m.claims.Snapshot(),
+		Table:        proto.CloneOf(m.table.Snapshot()),
+		Members:      proto.CloneOf(m.members.Snapshot()),
+		Fences:       proto.CloneOf(m.fences.Snapshot()),
+		Releases:     proto.CloneOf(m.releases.Snapshot()),
 		Ledger:       m.ledger.Snapshot(),
-		Releases:     m.releases.Snapshot(),
 	}
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
-	if err != nil {
-		return nil, trace.Wrap(err, "encoding a snapshot")
+	claims := m.claims.Capture()
+	return func() ([]byte, error) {
+		snapshot.Claims = claims.Message()
+		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+		if err != nil {
+			return nil, trace.Wrap(err, "encoding a snapshot")
+		}
+		return data, nil
 	}
-	return data, nil
 }
 
 // Restore replaces the state with a snapshot's. Errors: data that is not a snapshot, or of a newer format;
