--- /dev/null
+++ b/internal/fleet/blackbox_test.go
@@ -0,0 +1,389 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/gateway"
+	"github.com/tamarindring/tamarindring/internal/operator"
+	"github.com/tamarindring/tamarindring/internal/standin/application"
+	"github.com/tamarindring/tamarindring/internal/standin/trainer"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/workload/caller"
+)
+
+// Back ends that are real processes, so that they can be killed; the others run in the test, whose logs are
+// the truth.
+const (
+	realEngine      = "engine-real"
+	realApplication = "application-real"
+)
+
+const (
+	downTime   = 500 * time.Millisecond
+	stopSettle = 300 * time.Millisecond
+	// pauseTime is beyond the lease of 1.2s and the bound of 2s.
+	pauseTime = 2500 * time.Millisecond
+)
+
+// blackBox is a deployment of real processes under load from the test.
+type blackBox struct {
+	*fleet
+	t        *testing.T
+	binary   string
+	nodes    []*daemon
+	gates    []*daemon
+	makers   []*daemon // coordinators
+	backends []*daemon
+	calls    *caller.Caller
+
+	mutex   sync.Mutex
+	read    map[string]uint64 // last dispatch read, by the gateway's process
+	since   map[string]int    // dispatches read, by gateway
+	keyRuns map[string]int    // of the application replica that is a real process
+	lastRun uint64
+}
+
+func newBlackBox(t *testing.T) *blackBox {
+	t.Helper()
+	deployment := Deployments()[0]
+	deployment.Gateways, deployment.Engines, deployment.Applications = 2, 4, 2
+	deployment.Trainer = TrainerShape{Prompts: 4, SamplesPerPrompt: 4, MaxTokens: 96, TrainTime: 300 * time.Millisecond, StalenessBound: 2}
+	config := Config{Deployment: deployment, Folder: t.TempDir(), Seed: 1, LiveRate: 25, OperationRate: 40}
+	if err := config.setDefaults(); err != nil {
+		t.Fatal(err)
+	}
+	b := &blackBox{fleet: newFleet(config), t: t, binary: buildBinary(t), read: map[string]uint64{}, since: map[string]int{}, keyRuns: map[string]int{}}
+	t.Cleanup(b.stopAll)
+	return b
+}
+
+func (b *blackBox) stopAll() {
+	for _, group := range [][]*daemon{b.gates, b.makers, b.nodes, b.backends} {
+		for _, one := range group {
+			one.kill()
+		}
+	}
+	if b.client != nil {
+		_ = b.client.Close()
+	}
+	for _, problem := range append(append(killAll(b.engines), killAll(b.applications)...), b.scorer.kill(), b.store.kill()) {
+		if problem != nil {
+			b.t.Error(problem)
+		}
+	}
+}
+
+func (b *blackBox) daemon(name string, ready func(context.Context, *daemon) error, arguments ...string) *daemon {
+	made := &daemon{t: b.t, name: name, binary: b.binary, address: freeAddress(b.t), ready: ready}
+	made.arguments = append(arguments, "--listen", made.address, "--log-level", "info")
+	return made
+}
+
+// startControl starts the control nodes as processes.
+func (b *blackBox) startControl() {
+	var peers []string
+	for index, node := range b.control {
+		made := b.daemon(node.name, b.nodeReady, "control", "--name", node.name, "--id", fmt.Sprint(index+1), "--cluster", clusterID,
+			"--data", filepath.Join(b.config.Folder, node.name))
+		node.address = made.address
+		b.nodes = append(b.nodes, made)
+		peers = append(peers, fmt.Sprintf("%d=%s@%s", index+1, made.name, made.address))
+	}
+	client, err := controlclient.New(b.controlConfig("test", newCable()))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.client = client
+	var starting sync.WaitGroup
+	for _, node := range b.nodes {
+		node.arguments = append(node.arguments, "--peers", strings.Join(peers, ","))
+		starting.Go(node.start) // none is ready without a quorum
+	}
+	starting.Wait()
+}
+
+var errNoLeader = errors.New("a group has no leader")
+
+// nodeReady tells whether a control node knows a leader of each group.
+func (b *blackBox) nodeReady(ctx context.Context, node *daemon) error {
+	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	defer cancel()
+	for group := range uint32(b.client.LedgerGroups() + 1) {
+		status, err := b.client.NodeStatus(ctx, node.address, group)
+		if err != nil {
+			return err
+		}
+		if status.GetLeader() == 0 {
+			return errNoLeader
+		}
+	}
+	return nil
+}
+
+// startBackends starts the stand-ins, one of each kind as a process, and makes the table.
+func (b *blackBox) startBackends(ctx context.Context) {
+	if err := b.fleet.startBackends(ctx); err != nil {
+		b.t.Fatal(err)
+	}
+	b.backends = []*daemon{
+		b.daemon(realEngine, answers("/v1/load"), "standin", "engine", "--name", realEngine, "--weight-store", b.store.address),
+		b.daemon(realApplication, answers("/v1/load"), "standin", "application", "--name", realApplication),
+	}
+	for _, one := range b.backends {
+		one.start()
+	}
+	if err := b.createTable(ctx); err != nil {
+		b.t.Fatal(err)
+	}
+	edits := []operator.Edit{}
+	for row, pool := range map[string]string{realEngine: poolModel, realApplication: b.config.Deployment.ApplicationPool} {
+		address := b.backends[0].address
+		if row == realApplication {
+			address = b.backends[1].address
+		}
+		edits = append(edits, operator.Edit{Row: row, Column: table.ColumnKind, To: string(table.Backend)},
+			operator.Edit{Row: row, Column: table.ColumnPool, To: pool}, operator.Edit{Row: row, Column: table.ColumnAddress, To: address})
+	}
+	made := newTableOperator(b.fleet)
+	if !made.change(ctx, 0, "test", b.evidence.table.latest(), edits...) {
+		b.t.Fatal("the real back ends were not added to the table")
+	}
+}
+
+// startServers starts gateways and coordinators.
+func (b *blackBox) startServers() {
+	control := strings.Join(b.controlAddresses(), ",")
+	for _, part := range b.gateways {
+		b.gates = append(b.gates, b.daemon(part.name, answers("/readyz"), "gateway", "--name", part.name, "--zone", part.zone, "--control", control))
+	}
+	for _, part := range b.rollouts.coordinators {
+		made := b.daemon(part.name, answers("/v1/stats"), "coordinator", "--name", part.name, "--zone", part.zone, "--control", control,
+			"--scorer", b.scorer.address, "--weight-store", b.store.address)
+		part.address = made.address
+		b.makers = append(b.makers, made)
+	}
+	for _, one := range append(append([]*daemon{}, b.gates...), b.makers...) {
+		one.start()
+	}
+	for _, one := range b.gates {
+		b.directory.add(one.address)
+	}
+}
+
+// knownEngines checks the segments that engines in the test generated; what a killed process knew is lost.
+type knownEngines struct{ trainer.Truth }
+
+// Check implements trainer.Truth.
+func (k knownEngines) Check(prompt string, sample trainer.Sample) error {
+	known := sample
+	known.Segments = nil
+	for _, segment := range sample.Segments {
+		if segment.Replica != realEngine {
+			known.Segments = append(known.Segments, segment)
+		}
+	}
+	return k.Truth.Check(prompt, known)
+}
+
+// load starts callers, operator, trainer and the collection of evidence; the returned function ends them.
+func (b *blackBox) load(ctx context.Context) func() {
+	calls, err := b.newCaller()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.calls = calls
+	if err := b.rollouts.startTrainer(knownEngines{trainer.NewEngines(servers(b.engines)...)}); err != nil {
+		b.t.Fatal(err)
+	}
+	loading, stopLoad := context.WithCancel(ctx)
+	collecting, stopCollecting := context.WithCancel(ctx)
+	var acting, collectors sync.WaitGroup
+	acting.Go(func() { newTableOperator(b.fleet).run(loading) })
+	acting.Go(func() { _ = calls.Run(loading) })
+	collectors.Go(func() {
+		for pause(collecting, collectInterval) {
+			b.collect()
+		}
+	})
+	return func() {
+		stopLoad()
+		acting.Wait()
+		b.rollouts.finish()
+		stopCollecting()
+		collectors.Wait()
+		b.collect()
+	}
+}
+
+// collect reads the logs of the gateways and of the application replica that is a process.
+func (b *blackBox) collect() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, gate := range b.gates {
+		content, err := get(context.Background(), fmt.Sprintf("http://%s/v1/log?after=%d", gate.address, b.read[gate.name]))
+		var log struct{ Dispatches []gateway.Dispatch }
+		if err != nil || json.Unmarshal(content, &log) != nil {
+			continue // it is down or paused
+		}
+		for _, dispatch := range log.Dispatches {
+			b.read[gate.name] = dispatch.Sequence
+			b.since[gate.name]++
+			b.examineDispatch(dispatch)
+		}
+	}
+	b.collectRuns()
+}
+
+func (b *blackBox) collectRuns() {
+	content, err := get(context.Background(), fmt.Sprintf("http://%s/v1/log?after=%d", b.backends[1].address, b.lastRun))
+	var log struct{ Executions []application.Execution }
+	if err != nil || json.Unmarshal(content, &log) != nil {
+		return
+	}
+	for _, execution := range log.Executions {
+		b.lastRun = execution.Sequence
+		if execution.Outcome == application.OutcomeRan {
+			b.keyRuns[execution.Key]++
+		}
+	}
+}
+
+// runsAnywhere counts a key's runs at all replicas, as far as they are known.
+func (b *blackBox) runsAnywhere(key string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.runs(key) + b.keyRuns[key]
+}
+
+// killEach kills one process of each role under load and starts it again.
+func (b *blackBox) killEach() {
+	leader := b.leader()
+	for _, victim := range []*daemon{b.gates[0], b.makers[0], leader, b.backends[0], b.backends[1]} {
+		b.collect() // what a killed process logged is lost
+		victim.kill()
+		time.Sleep(downTime)
+		b.mutex.Lock()
+		b.read[victim.name] = 0
+		if victim.name == realApplication {
+			b.lastRun = 0
+		}
+		b.mutex.Unlock()
+		victim.start()
+	}
+}
+
+// leader returns the control node that leads the control group.
+func (b *blackBox) leader() *daemon {
+	b.t.Helper()
+	for _, node := range operator.ReadStatus(context.Background(), b.client).Nodes {
+		for _, group := range node.Groups {
+			if group.Group == 0 && group.Role == "leader" {
+				return b.nodes[node.ID-1]
+			}
+		}
+	}
+	b.t.Fatal("no control node leads")
+	return nil
+}
+
+// restartAll stops and starts every process by plan, one after another. No call may fail meanwhile.
+func (b *blackBox) restartAll() {
+	time.Sleep(stopSettle) // calls that the last kill met are over
+	for _, one := range append(append(append([]*daemon{}, b.gates...), b.makers...), b.nodes...) {
+		before := b.calls.Stats()
+		b.collect()
+		forget := time.AfterFunc(directoryLag, func() { b.directory.remove(one.address) })
+		one.drain()
+		b.mutex.Lock()
+		b.read[one.name] = 0
+		b.mutex.Unlock()
+		one.start()
+		forget.Stop()
+		if strings.HasPrefix(one.name, "gateway") {
+			b.directory.add(one.address)
+		}
+		time.Sleep(stopSettle)
+		b.examineStop(one.name, before, b.calls.Stats())
+	}
+}
+
+// pauseBeyondTheLease stops a gateway and the leading control node in mid-air and lets them go on: they may
+// not act on what they knew.
+func (b *blackBox) pauseBeyondTheLease() {
+	gate, leader := b.gates[1], b.leader()
+	version := b.evidence.table.latest()
+	for _, victim := range []*daemon{gate, leader} {
+		victim.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(pauseTime)
+	if b.evidence.table.latest() == version {
+		b.t.Errorf("no change was accepted while %s was paused", leader.name)
+	}
+	before := b.dispatched(gate)
+	for _, victim := range []*daemon{gate, leader} {
+		victim.signal(syscall.SIGCONT)
+	}
+	time.Sleep(time.Second)
+	if b.dispatched(gate) == before {
+		b.t.Errorf("%s sent nothing after it went on", gate.name)
+	}
+}
+
+// dispatched reads the logs and returns how many dispatches of a gateway were read so far.
+func (b *blackBox) dispatched(gate *daemon) int {
+	b.collect()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.since[gate.name]
+}
+
+// TestRealProcessesBreakAPromiseUnderKillsRestartsAndPauses drives processes of the built binary.
+func TestRealProcessesBreakAPromiseUnderKillsRestartsAndPauses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes and runs for half a minute")
+	}
+	t.Parallel()
+	ctx := context.Background()
+	b := newBlackBox(t)
+	b.startControl()
+	b.startBackends(ctx)
+	b.startServers()
+	finish := b.load(ctx)
+	time.Sleep(time.Second)
+	b.leaveBackends()
+	b.killEach()
+	b.restartAll()
+	b.pauseBeyondTheLease()
+	finish()
+	b.examineAnswers(b.calls.Stats())
+	b.examineVerdicts(b.calls.Calls(), b.runsAnywhere)
+	b.examineLateArrivals()
+	for _, one := range b.rollouts.trainers {
+		b.examineTrainer(one.Stats())
+	}
+	if err := b.examineHistory(ctx); err != nil {
+		t.Error(err)
+	}
+	stats := b.calls.Stats()
+	t.Logf("%d calls, %d answered, %d refused, %d lost, %d cut and sent again; %d samples", stats.Total.Requests, stats.Total.Answered,
+		stats.Total.Refused, stats.Total.Lost, stats.Total.Cut, b.rollouts.trainers[0].Stats().Samples)
+	for _, result := range b.registry.Results() {
+		t.Logf("%-18s examined %6d violated %d", result.Name, result.Examined, result.Violated)
+		for _, detail := range result.Details {
+			t.Errorf("%s: %s", result.Name, detail)
+		}
+	}
+	if !b.registry.Summary().Passed() {
+		t.Errorf("%+v", b.registry.Summary())
+	}
+}
--- a/internal/fleet/checks.go
+++ b/internal/fleet/checks.go
@@ -29,20 +29,31 @@
 	}
 }
 
-// examineExecutions compares what callers were told about each key with what ran. The application replicas'
-// memory of keys survives their crashes.
-func (f *fleet) examineExecutions(calls []caller.Call) {
+// runs tells how often a key ran at the application replicas, whose memory of keys survives their crashes.
+func (f *fleet) runs(key string) int {
+	total := 0
+	for _, part := range f.applications {
+		total += part.current.Executions(key)
+	}
+	return total
+}
+
+// examineVerdicts compares what callers were told about each key with how often it ran.
+func (f *fleet) examineVerdicts(calls []caller.Call, runs func(key string) int) {
 	for _, call := range calls {
-		runs := 0
-		for _, part := range f.applications {
-			runs += part.current.Executions(call.Key)
-		}
-		f.registry.Examine(invariant.RunAtMostOnce, runs <= 1, "%s %s ran %d times: %v", call.Operation, call.Key, runs, call.Trail)
+		count := runs(call.Key)
+		f.registry.Examine(invariant.RunAtMostOnce, count <= 1, "%s %s ran %d times: %v", call.Operation, call.Key, count, call.Trail)
 		if call.Verdict == verdict.DidNotRun {
-			f.registry.Examine(invariant.NotRunIsFinal, runs == 0, "%s %s was refused as not run and ran: %v", call.Operation, call.Key, call.Trail)
+			f.registry.Examine(invariant.NotRunIsFinal, count == 0, "%s %s was refused as not run and ran: %v", call.Operation, call.Key, call.Trail)
 		}
+	}
+}
+
+// examineAnsweredKeys checks that what was answered has run.
+func (f *fleet) examineAnsweredKeys(calls []caller.Call) {
+	for _, call := range calls {
 		if call.Answered {
-			f.registry.Examine(invariant.WholeAnswer, runs == 1, "%s %s was answered and ran %d times", call.Operation, call.Key, runs)
+			f.registry.Examine(invariant.WholeAnswer, f.runs(call.Key) == 1, "%s %s was answered and ran %d times", call.Operation, call.Key, f.runs(call.Key))
 		}
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -123,8 +123,8 @@
 	for _, key := range []string{"twice", "twice", "refused", "once"} {
 		invoke(t, f.applications[0].address, key)
 	}
-	f.examineExecutions([]caller.Call{{Key: "twice", Verdict: verdict.Ran}, {Key: "refused", Verdict: verdict.DidNotRun},
-		{Key: "once", Verdict: verdict.Ran, Answered: true}})
+	f.examineVerdicts([]caller.Call{{Key: "twice", Verdict: verdict.Ran}, {Key: "refused", Verdict: verdict.DidNotRun},
+		{Key: "once", Verdict: verdict.Ran, Answered: true}}, f.runs)
 	if found := result(t, f, invariant.RunAtMostOnce); found.Examined != 3 || found.Violated != 1 {
 		t.Fatalf("run-at-most-once: %+v", found)
 	}
@@ -166,6 +166,7 @@
 	if testing.Short() {
 		t.Skip("runs for ten seconds")
 	}
+	t.Parallel()
 	report, err := Run(context.Background(), Config{Deployment: Deployments()[0], Duration: MinimumDuration, Folder: t.TempDir(), Seed: 1})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -115,10 +115,10 @@
 }
 
 // change makes one change and sends it again, as an operator who lost the answer does: it must be made once.
-func (o *tableOperator) change(ctx context.Context, number int, author string, base uint64, edit operator.Edit) bool {
+func (o *tableOperator) change(ctx context.Context, number int, author string, base uint64, edits ...operator.Edit) bool {
 	ctx, cancel := context.WithTimeout(ctx, changeLimit)
 	defer cancel()
-	plan := &operator.Plan{Base: base, Edits: []operator.Edit{edit}}
+	plan := &operator.Plan{Base: base, Edits: edits}
 	change := operator.NewChange(plan, operator.Author{Operator: author, Note: fmt.Sprintf("change %d", number)}, time.Now())
 	o.evidence.sending(change)
 	result, _, err := o.send(ctx, change, false)
--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -9,7 +9,6 @@
 
 	"github.com/tamarindring/tamarindring/internal/coordinator"
 	"github.com/tamarindring/tamarindring/internal/rolecost"
-	"github.com/tamarindring/tamarindring/internal/standin/engine"
 	"github.com/tamarindring/tamarindring/internal/standin/trainer"
 )
 
@@ -47,7 +46,20 @@
 	if err := startAll(ctx, r.coordinators); err != nil {
 		return err
 	}
-	made, err := r.newTrainer()
+	return r.startTrainer(trainer.NewEngines(servers(r.fleet.engines)...))
+}
+
+func servers[S server](parts []*process[S]) []S {
+	var all []S
+	for _, part := range parts {
+		all = append(all, part.current)
+	}
+	return all
+}
+
+// startTrainer runs a trainer that compares its samples with a truth.
+func (r *rollouts) startTrainer(truth trainer.Truth) error {
+	made, err := r.newTrainer(truth)
 	if err != nil {
 		return err
 	}
@@ -66,21 +78,17 @@
 	return nil
 }
 
-func (r *rollouts) newTrainer() (*trainer.Trainer, error) {
+func (r *rollouts) newTrainer(truth trainer.Truth) (*trainer.Trainer, error) {
 	f := r.fleet
 	shape := f.config.Deployment.Trainer
 	var addresses []string
 	for _, part := range r.coordinators {
 		addresses = append(addresses, part.address)
 	}
-	var engines []*engine.Server
-	for _, part := range f.engines {
-		engines = append(engines, part.current)
-	}
 	return trainer.New(trainer.Config{Name: "trainer-1", Coordinators: addresses, Pool: poolModel, PromptsPerStep: shape.Prompts,
 		SamplesPerPrompt: shape.SamplesPerPrompt, MaxTokens: shape.MaxTokens, TrainTime: shape.TrainTime, StepsAhead: shape.StepsAhead,
 		MaxSamples: trainerMaxBatch, FetchWait: trainerFetch, InitialVersionNumber: initialVersion, WeightStore: f.store.address,
-		LoseReplyProbability: loseReplyShare, StalenessBound: f.evidence.table.boundNow, Truth: trainer.NewEngines(engines...),
+		LoseReplyProbability: loseReplyShare, StalenessBound: f.evidence.table.boundNow, Truth: truth,
 		Seed: uint64(f.config.Seed), Log: f.log("trainer")})
 }
 
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -111,7 +111,8 @@
 // examineEnd examines what can only be told at the end.
 func (f *fleet) examineEnd(ctx context.Context, calls *caller.Caller) error {
 	f.examineAnswers(calls.Stats())
-	f.examineExecutions(calls.Calls())
+	f.examineVerdicts(calls.Calls(), f.runs)
+	f.examineAnsweredKeys(calls.Calls())
 	f.examineLateArrivals()
 	for _, one := range f.rollouts.trainers {
 		f.examineTrainer(one.Stats())
