gateway: send nothing to a back end before asking for its load

A polled back end that was not asked yet now gets work only while no asked one can take it, and Run waits for the first round of polls, at most 500 ms.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -215,3 +215,26 @@
 		t.Fatalf("%+v, ran %d times", got, f.ran("k1"))
 	}
 }
+
+// TestANewGatewaySendsWorkToBackendsThatLeftBeforeItStarted starts a gateway when four of five engines have
+// left by a mark of their own, which the table does not tell.
+func TestANewGatewaySendsWorkToBackendsThatLeftBeforeItStarted(t *testing.T) {
+	f := newFixture(t, 5, 0, 0, nil)
+	for _, leaving := range f.engines[1:] {
+		leaving.Leave()
+	}
+	started, err := New(Config{Name: "late", Listen: "127.0.0.1:0", Control: f.cluster.control("late")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(t, started)
+	f.gateways = append(f.gateways, started)
+	if got := f.post(t, 0, "/v1/completions", completion(false)); got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	for _, dispatch := range started.Dispatches(0) {
+		if dispatch.Backend != "e0" {
+			t.Errorf("sent to %s, which had left", dispatch.Backend)
+		}
+	}
+}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -120,11 +120,9 @@
 		source.pool.unanswered(l.server.now(), source.name)
 		return
 	}
-	if status != fasthttp.StatusOK {
-		return
-	}
 	var report loadReport
-	if json.Unmarshal(body, &report) != nil {
+	if status != fasthttp.StatusOK || json.Unmarshal(body, &report) != nil {
+		source.pool.asked(source.name)
 		return
 	}
 	source.pool.report(l.server.now(), source.name, routing.LoadReport{Requests: float64(report.Running + report.Waiting), Leaving: report.Leaving})
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -61,7 +61,7 @@
 // replicaConfig is what the table says of a back end to the gateway at a place with a share of it.
 func replicaConfig(backend *table.Row, share routing.Share, place routing.Place) routing.ReplicaConfig {
 	config := routing.ReplicaConfig{Name: backend.Name, Weight: float64(backend.Weight), Draining: backend.State != table.Active,
-		Distance: routing.DistanceBetween(place.Zone, backend.Zone), Reserve: share.Rank < 0}
+		Distance: routing.DistanceBetween(place.Zone, backend.Zone), Polled: share.Rank >= 0, Reserve: share.Rank < 0}
 	config.MaxInFlight = part(backend.MaxInFlight, share, backend.Name)
 	if config.Reserve {
 		config.MaxInFlight = min(reserveSlots, int(backend.MaxInFlight))
@@ -206,6 +206,20 @@
 	p.replicas.Report(name, report, now)
 }
 
+// asked notes that a replica answered its load poll with nothing of use.
+func (p *pool) asked(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.replicas.Asked(name)
+}
+
+// unasked tells whether some replica was not asked for its load yet.
+func (p *pool) unasked() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.replicas.Unasked()
+}
+
 // settings returns the pool's row.
 func (p *pool) settings() *table.Row {
 	p.mutex.Lock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -186,6 +186,9 @@
 	defer stop()
 	group, groupContext := errgroup.WithContext(s.context)
 	group.Go(func() error {
+		if !s.awaitFirstPolls(groupContext) {
+			return ignoreClosed(s.listener.Close())
+		}
 		err := s.http.Serve(s.listener)
 		if s.context.Err() != nil || s.draining.Load() || errors.Is(err, net.ErrClosed) {
 			err = nil
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -59,14 +59,15 @@
 func below(random Random, n int) int { return int(uniform(random) * float64(n)) }
 
 // firstOpen is the last resort when draws found nothing: the first usable replica from a random start, else
-// one that is not of the subset if nobody of the subset is alive, else the first that is only quarantined or
-// silent, so that a pool in which every replica failed is still tried.
+// one that was not asked for its load yet, else one that is not of the subset if nobody of the subset is
+// alive, else the first that is only quarantined or silent, so that a pool in which every replica failed is
+// still tried.
 func (p *Pool) firstOpen(request *Request, now time.Duration, random Random) int {
 	n := len(p.replicas)
 	if n == 0 {
 		return None
 	}
-	start, reserve, avoided, busy := below(random, n), None, None, false
+	start, unasked, reserve, avoided, busy := below(random, n), None, None, None, false
 	for step := range n {
 		i := start + step
 		if i >= n {
@@ -79,12 +80,17 @@
 		switch r := &p.replicas[i]; {
 		case !r.config.Reserve && !r.avoided(now):
 			return i
+		case r.unasked() && !r.troubled(now):
+			unasked = keepFirst(unasked, i)
 		case r.config.Reserve && !r.avoided(now):
 			reserve = keepFirst(reserve, i)
 		default:
 			avoided = keepFirst(avoided, i)
 		}
 	}
+	if unasked != None {
+		return unasked
+	}
 	if reserve != None && !busy {
 		return reserve
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -46,6 +46,9 @@
 	MaxBackground int
 	Distance      Distance // from this gateway
 	Draining      bool     // row state draining
+	// Polled says that the replica is asked for its load: until it was asked once it gets nothing while
+	// another one can take the request, because it may be leaving.
+	Polled bool
 	// Reserve marks a replica that is not of this gateway's subset: it gets work only while no replica of
 	// the subset is alive.
 	Reserve bool
@@ -130,7 +133,8 @@
 	reported   bool
 
 	leaving      Source
-	unanswered   int // load reports missing in a row
+	asked        bool // for its load, since it is polled
+	unanswered   int  // load reports missing in a row
 	refusedUntil time.Duration
 	health       health
 }
@@ -161,6 +165,7 @@
 	for i, config := range configs {
 		if old, known := p.index[config.Name]; known {
 			replicas[i] = p.replicas[old]
+			replicas[i].asked = replicas[i].asked && replicas[i].config.Polled && config.Polled
 			moved[old] = i
 		}
 		replicas[i].config = config
@@ -311,7 +316,7 @@
 		return
 	}
 	r := &p.replicas[i]
-	r.unanswered = 0
+	r.asked, r.unanswered = true, 0
 	r.setLeaving(SourceLoadReport, report.Leaving)
 	if !report.Leaving && now >= r.refusedUntil {
 		r.setLeaving(SourceRefusal, false)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -190,3 +190,31 @@
 		}
 	}
 }
+
+// TestAReplicaThatWasNeverAskedGetsWork has one replica that answered its load poll and two that were not
+// asked yet; the last is asked again after it left the subset for a while.
+func TestAReplicaThatWasNeverAskedGetsWork(t *testing.T) {
+	configs := []ReplicaConfig{{Name: "known", Weight: 1, Polled: true}, {Name: "new", Weight: 100, Polled: true}, {Name: "back", Weight: 100, Polled: true}}
+	pool := NewPool(Settings{})
+	pool.SetReplicas(configs)
+	pool.Report("known", LoadReport{}, 0)
+	pool.Report("back", LoadReport{}, 0)
+	configs[2].Polled = false
+	pool.SetReplicas(configs)
+	configs[2].Polled = true
+	pool.SetReplicas(configs)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 100 {
+		if chosen := (Balanced{}).Choose(pool, &Request{Work: 1, Urgent: true}, 0, random); pool.Name(chosen) != "known" {
+			t.Fatalf("chose %s, which may be leaving", pool.Name(chosen))
+		}
+	}
+	pool.Unanswered("new")
+	pool.Asked("back")
+	if pool.Unasked() {
+		t.Fatal("all were asked")
+	}
+	if chosen := (Balanced{}).Choose(pool, &Request{Work: 1, Urgent: true}, 0, random); pool.Name(chosen) == "known" {
+		t.Fatal("the replicas that were asked get no work")
+	}
+}
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -10,17 +10,42 @@
 // nothing while another one can take the request; its next report ends the silence.
 func (p *Pool) Unanswered(name string) {
 	if i := p.Index(name); i >= 0 {
+		p.replicas[i].asked = true
 		p.replicas[i].unanswered++
 	}
 }
 
+// Asked notes that a replica was asked for its load and gave an answer that tells nothing.
+func (p *Pool) Asked(name string) {
+	if i := p.Index(name); i >= 0 {
+		p.replicas[i].asked = true
+	}
+}
+
+// Unasked tells whether some replica is polled and was not asked yet.
+func (p *Pool) Unasked() bool {
+	for i := range p.replicas {
+		if p.replicas[i].unasked() {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *replica) unasked() bool { return r.config.Polled && !r.asked }
+
 // Silent tells whether a replica answers nothing any more.
 func (p *Pool) Silent(i int) bool { return p.replicas[i].silent() }
 
 func (r *replica) silent() bool { return r.unanswered >= silenceLimit }
 
 // avoided tells whether a replica gets nothing while another one can take the request.
-func (r *replica) avoided(now time.Duration) bool { return r.health.quarantined(now) || r.silent() }
+func (r *replica) avoided(now time.Duration) bool {
+	return r.troubled(now) || r.unasked()
+}
+
+// troubled tells whether a replica failed or is silent.
+func (r *replica) troubled(now time.Duration) bool { return r.health.quarantined(now) || r.silent() }
 
 // Spare tells whether some replica other than the one named answers and takes work.
 func (p *Pool) Spare(name string, now time.Duration) bool {
