Make an operator's drain of a member stop it, and bound leaving

'drain gateway-1' said that the member was asked to leave, but nothing in the gateway or coordinator looked at its own state: it served on as 'leaving'. Both now drain and end, as on SIGTERM; the getting-started page shows it. A member that leaves waits at most 5 s for the leader's confirmation: without any control node it hung until its drain time (5 min). The page's test takes ports below the range of outgoing connections, one of which had taken a chosen port.

--- a/internal/cli/coordinator.go
+++ b/internal/cli/coordinator.go
@@ -66,7 +66,7 @@
 		return trace.NewAggregate(err, server.Close())
 	}
 	log.Infof("serving on %s", server.Address())
-	return c.serve(environment.Context, server)
+	return serveMember(environment.Context, server, c.DrainTime, log)
 }
 
 func (c *coordinatorCommand) openServer(ctx context.Context, log *logrus.Entry) (*coordinator.Server, error) {
@@ -77,21 +77,3 @@
 		Scorer:  c.Scorer, WeightStore: c.WeightStore, Policy: rolloutPolicies[c.Policy], MaxBodyBytes: c.MaxBody,
 		DrainPatience: c.DrainPatience, Log: log})
 }
-
-// serve runs the coordinator; the end of ctx starts a drain.
-func (c *coordinatorCommand) serve(ctx context.Context, server *coordinator.Server) error {
-	served := make(chan error, 1)
-	go func() { served <- server.Run(context.WithoutCancel(ctx)) }()
-	select {
-	case err := <-served:
-		return err
-	case <-ctx.Done():
-	}
-	drainContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.DrainTime)
-	defer cancel()
-	if err := server.Drain(drainContext); err != nil {
-		_ = server.Close()
-		return err
-	}
-	return <-served
-}
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -58,7 +58,7 @@
 		return trace.NewAggregate(err, server.Close())
 	}
 	log.Infof("serving on %s", server.Address())
-	return c.serve(environment.Context, server)
+	return serveMember(environment.Context, server, c.DrainTime, log)
 }
 
 func (c *gatewayCommand) openServer(ctx context.Context, log *logrus.Entry) (*gateway.Server, error) {
@@ -68,21 +68,3 @@
 		MaxBodyBytes: c.MaxBody, MaxConnections: c.Connections, MaxConnectionsPerAddress: c.PerAddress, Log: log}, controlclient.Config{Addresses: strings.Split(c.Control, ","),
 		LedgerGroups: c.LedgerGroups, Log: log})
 }
-
-// serve runs the gateway; the end of ctx starts a drain.
-func (c *gatewayCommand) serve(ctx context.Context, server *gateway.Server) error {
-	served := make(chan error, 1)
-	go func() { served <- server.Run(context.WithoutCancel(ctx)) }()
-	select {
-	case err := <-served:
-		return err
-	case <-ctx.Done():
-	}
-	drainContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.DrainTime)
-	defer cancel()
-	if err := server.Drain(drainContext); err != nil {
-		_ = server.Close()
-		return err
-	}
-	return <-served
-}
--- a/internal/cli/walkthrough_test.go
+++ b/internal/cli/walkthrough_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -77,6 +78,8 @@
 				script.WriteString("! ")
 			}
 			fmt.Fprintf(&script, "exec %s &%s&\n", started[1], name)
+		case words[0] == "wait":
+			fmt.Fprintf(&script, "wait %s\n", strings.Join(jobs(step.command), "\nwait "))
 		case words[0] == "kill":
 			script.WriteString(killScript(step.command))
 		case words[0] == "export":
@@ -159,21 +162,29 @@
 
 var exampleAddress = regexp.MustCompile(`127\.0\.0\.1:17\d{3}\b`)
 
+// Ports below those that systems give to outgoing connections, which would take a free one away again.
+const (
+	firstPort = 20000
+	lastPort  = 31999
+)
+
 // freeAddresses gives each example address of the texts a free port instead.
 func freeAddresses(t *testing.T, texts ...string) func(string) string {
 	t.Helper()
 	free := make(map[string]string)
+	port := firstPort + rand.IntN(lastPort-firstPort) // other tests of this kind may run beside this one
 	for _, text := range texts {
 		for _, address := range exampleAddress.FindAllString(text, -1) {
-			if free[address] != "" {
-				continue
-			}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
+			for free[address] == "" {
+				candidate := fmt.Sprintf("127.0.0.1:%d", port)
+				if listener, err := net.Listen("tcp", candidate); err == nil {
+					_ = listener.Close()
+					free[address] = candidate
+				}
+				if port++; port > lastPort {
+					port = firstPort
+				}
 			}
-			defer listener.Close()
-			free[address] = listener.Addr().String()
 		}
 	}
 	return func(text string) string {
--- a/internal/controlclient/config.go
+++ b/internal/controlclient/config.go
@@ -20,6 +20,7 @@
 const (
 	DefaultLedgerGroups   = 2
 	DefaultAttemptTimeout = time.Second
+	DefaultLeaveTimeout   = 5 * time.Second
 )
 
 const (
@@ -49,6 +50,9 @@
 	// AttemptTimeout bounds one attempt at one control node, after which another node is asked, because
 	// a node that was cut off in silence never answers. Default DefaultAttemptTimeout.
 	AttemptTimeout time.Duration
+	// LeaveTimeout bounds how long a leaving session waits for the leader's confirmation; without it the
+	// process counts as gone after its lease. Default DefaultLeaveTimeout, enough for several elections.
+	LeaveTimeout time.Duration
 	// Dial opens connections. Default: plain TCP.
 	Dial DialFunc
 	// Clock judges the lease. Default monotonic.Now.
@@ -75,6 +79,9 @@
 	if c.AttemptTimeout <= 0 {
 		c.AttemptTimeout = DefaultAttemptTimeout
 	}
+	if c.LeaveTimeout <= 0 {
+		c.LeaveTimeout = DefaultLeaveTimeout
+	}
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -124,9 +124,12 @@
 }
 
 // Leave gives the lease back and tells the leader that this process stops by plan. It returns when the
-// leader has confirmed or ctx ends; nothing is admitted from the call on. The session is closed.
+// leader has confirmed, ctx ends or Config.LeaveTimeout has passed; nothing is admitted from the call on. The
+// session is closed.
 func (s *Session) Leave(ctx context.Context) error {
 	defer s.Close()
+	ctx, cancel := context.WithTimeout(ctx, s.client.config.LeaveTimeout)
+	defer cancel()
 	s.mutex.Lock()
 	s.holder.Drop()
 	if s.leaving == nil {
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -184,6 +184,11 @@
 	}
 }
 
+// LeaveRequested says whether an operator has asked this coordinator to finish its work and leave.
+func (s *Server) LeaveRequested() bool {
+	return wire.LeaveRequested(s.session.Members(), s.session.Owner())
+}
+
 // Close ends the coordinator abruptly: connections are cut, running samples are lost.
 func (s *Server) Close() error {
 	var err error
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -22,6 +22,7 @@
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // Server is one gateway.
@@ -225,6 +226,11 @@
 
 const drainCheckInterval = 2 * time.Millisecond
 
+// LeaveRequested says whether an operator has asked this gateway to finish its work and leave.
+func (s *Server) LeaveRequested() bool {
+	return wire.LeaveRequested(s.config.Control.Members(), s.config.Control.Owner())
+}
+
 // Close ends the gateway abruptly.
 func (s *Server) Close() error {
 	s.cancel()
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -37,3 +37,14 @@
 		return "unknown"
 	}
 }
+
+// LeaveRequested says whether the members show that the process named owner (see OwnerName) was asked to
+// finish its work and leave.
+func LeaveRequested(members *MembersView, owner string) bool {
+	for _, member := range members.GetMembers() {
+		if member.GetState() == MemberState_MEMBER_STATE_LEAVING && OwnerName(member) == owner {
+			return true
+		}
+	}
+	return false
+}
