coordinator: test that rollouts yield to live traffic without loss

Every slot is filled with 500-token samples, then 24 live requests arrive: all are answered, samples that gave their slots up go on, no token is thrown away.

--- a/internal/cli/coordinator.go
+++ b/internal/cli/coordinator.go
@@ -26,8 +26,8 @@
 	Scorer        string        `long:"scorer" description:"IP:port of the scoring service; without one samples get score 0"`
 	WeightStore   string        `long:"weight-store" description:"IP:port of the weight store; without one versions are ordered unread"`
 	Policy        string        `long:"policy" default:"paced" choice:"paced" choice:"asynchronous" choice:"synchronous" description:"When samples are generated: paced, asynchronous or synchronous"`
-	MaxBody       int64         `long:"max-body" default:"67108864" description:"Largest request body, in bytes"`
-	DrainPatience time.Duration `long:"drain-patience" default:"10s" description:"Longest time that a drain waits for running samples before the next owner starts them again"`
+	MaxBody       int64         `long:"max-body" default:"33554432" description:"Largest request body, in bytes"`
+	DrainPatience time.Duration `long:"drain-patience" default:"10s" description:"Longest time that a drain waits for running samples before the next owner goes on with them"`
 	DrainTime     time.Duration `long:"drain-time" default:"1m" description:"Longest time of a whole drain"`
 	StartTime     time.Duration `long:"start-time" default:"30s" description:"Longest time to wait for the first lease"`
 	LogLevel      string        `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -98,7 +98,7 @@
 	// from counting as available to rollouts. Default 10s, the aim for a whole wave.
 	LaggardPatience time.Duration
 	// DrainPatience is how long a drain waits for running samples before it gives them to the next owner,
-	// who starts them again. Default 10s.
+	// who goes on from their tokens. Default 10s: short samples end, long ones need not be waited for.
 	DrainPatience time.Duration
 	// Log receives short sentences. Default: nothing.
 	Log *logrus.Entry
--- /dev/null
+++ b/internal/coordinator/live_test.go
@@ -0,0 +1,73 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/gateway"
+	"github.com/tamarindring/tamarindring/internal/standin/trainer"
+)
+
+// TestRolloutsYieldToLiveTrafficAndLoseNothing fills every slot with rollouts and then sends live requests:
+// each gets its answer, and the samples that gave their slots up arrive whole.
+func TestRolloutsYieldToLiveTrafficAndLoseNothing(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 2, 1)
+	f.change(t, [3]string{"copy", "max_in_flight", "4"})
+	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 4, MaxTokens: 500, MaxSteps: 1, Seed: 13,
+		Prompt: func(step uint64, index int) string { return fmt.Sprintf("%d/%d [tokens=500] ", step, index) }}
+	made := f.newTrainer(t, config)
+	ctx, cancel := context.WithTimeout(f.context, testTimeout)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- made.Run(ctx) }()
+	for f.executing(0, config)+f.executing(1, config) < 8 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	var live sync.WaitGroup
+	for index := range 24 {
+		live.Go(func() { f.askLive(t, index) })
+	}
+	live.Wait()
+	must(t, <-ended)
+	checkTrainer(t, made, config)
+	yielded := 0
+	for _, dispatch := range f.gateway.Dispatches(0) {
+		if dispatch.Class == gateway.ClassRollout && dispatch.Kind != "send" {
+			yielded++
+		}
+	}
+	stats := f.coordinators[0].Stats()
+	if yielded == 0 && stats.Continued == 0 {
+		t.Error("no rollout gave its slot up: nothing is shown")
+	}
+	if stats.DiscardedTokens != 0 {
+		t.Errorf("stats %+v", stats)
+	}
+}
+
+func (f *fixture) askLive(t *testing.T, index int) {
+	body := fmt.Sprintf(`{"model":"copy","prompt":"live %d [tokens=20] "}`, index)
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.gateway.Address()+completionsPath, strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	request.Header.Set("Tamarindring-Deadline", "20s")
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("live request %d: status %d", index, response.StatusCode)
+	}
+}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -177,7 +177,7 @@
 		case <-ctx.Done():
 			return
 		case <-patience.C:
-			s.config.Log.Infof("%d samples still run; the next owner starts them again", s.Stats().Running)
+			s.config.Log.Infof("%d samples still run; the next owner goes on with them", s.Stats().Running)
 			return
 		case <-ticker.C:
 		}
