Pages on samples, weight versions and running coordinators

Design records of delivery, ownership and staleness at hand-over and of weight waves, with the ways weighed, and the operators' page. A failed weight order is now a warning that names replica and version.

--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -293,8 +293,8 @@
 		}
 		stale = refused.status == http.StatusConflict && strings.Contains(refused.body, `"stale_fence"`)
 	}
-	if err != nil {
-		s.config.Log.Debugf("order to %s version %s at %s failed: %v", order.Kind, order.Version.Name, order.Replica, err)
+	if answer.Outcome == wave.Failed && s.context.Err() == nil {
+		s.config.Log.Warnf("order to %s version %s at %s failed: %v", order.Kind, order.Version.Name, order.Replica, err)
 	}
 	s.mutex.Lock()
 	owned.refence = owned.refence || stale
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,7 +4,7 @@
 // sample that is too old raises its slot's edition, so that what was generated for the old one is refused.
 //
 // Commands of a coordinator carry its fencing token for the trainer; one below the highest seen is refused.
-// docs/design/sample-delivery.md has the whole exchange with trainers. The package is pure. Apply commands
+// docs/design/samples.md has the whole exchange with trainers. The package is pure. Apply commands
 // in log order from one goroutine.
 package ledger
 
