routing: pack rollout work on few replicas, count work beside live calls

Change: rollout work fills replicas one after the other in an order that all gateways share; for an urgent request, work beside it counts by its number, not its length.

--- a/internal/experiment/gateway.go
+++ b/internal/experiment/gateway.go
@@ -49,7 +49,9 @@
 	for rank := range fleet.Gateways {
 		added := &gateway{
 			zone: fleet.Zones[rank%len(fleet.Zones)], policy: s.policy.routingPolicy(), asked: map[uint64]*ask{},
-			pool:   routing.NewPool(routing.Settings{ReportLag: fleet.ReportLag}),
+			pool: routing.NewPool(routing.Settings{
+				ReportLag: fleet.ReportLag, SpreadBackground: s.policy.off(MechanismPacking),
+			}),
 			queue:  admission.New(s.limits(rank)),
 			random: rand.NewPCG(s.seed, uint64(rank)<<8|streamGateways),
 		}
--- a/internal/experiment/markdown.go
+++ b/internal/experiment/markdown.go
@@ -22,17 +22,17 @@
 
 func (r *Report) trainerTable(page *strings.Builder) {
 	page.WriteString("## Trainers\n\n")
-	page.WriteString("| policy | idle % | bound % | step s | over bound | staleness | max | thrown away % | tokens/s | of room % |\n")
-	page.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
+	page.WriteString("| policy | idle % | bound % | step s | over bound | staleness | max | thrown away % | tokens/s | of room % | prefix reuse % |\n")
+	page.WriteString("|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for index := range r.Policies {
 		one := &r.Policies[index]
 		if r.scenario.Policies[index].Scheduling == SchedulingNone {
 			continue
 		}
-		fmt.Fprintf(page, "| %s | %s | %s | %s | %s | %s | %.0f | %s | %.0f | %.0f |\n", one.Policy,
+		fmt.Fprintf(page, "| %s | %s | %s | %s | %s | %s | %.0f | %s | %.0f | %.0f | %.0f |\n", one.Policy,
 			one.IdleShare.text(100, 1), one.BoundIdleShare.text(100, 1), one.StepTime.text(1, 1), one.StepTimeOverBound.text(1, 2),
 			one.StalenessMean.text(1, 2), one.StalenessMax.Max, one.ThrownAway.text(100, 2), one.RolloutRate.Mean,
-			100*one.CapacityUsed.Mean)
+			100*one.CapacityUsed.Mean, 100*one.PrefixReuse.Mean)
 	}
 	page.WriteString("\n")
 }
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -43,10 +43,11 @@
 	MechanismLongestFirst Mechanism = "longest-first"
 	MechanismContinuation Mechanism = "continuation"
 	MechanismMargin       Mechanism = "margin"
+	MechanismPacking      Mechanism = "packing" // of the balanced routing, whatever the scheduling
 )
 
 var mechanisms = []Mechanism{MechanismFreshness, MechanismPrediction, MechanismSmoothing, MechanismLongestFirst,
-	MechanismContinuation, MechanismMargin}
+	MechanismContinuation, MechanismMargin, MechanismPacking}
 
 // Policy is one combination to measure.
 type Policy struct {
@@ -57,7 +58,7 @@
 	// Routing is balanced, random, round-robin or least-requests. Default balanced.
 	Routing Routing `yaml:"routing"`
 	// Disable lists mechanisms of paced that are off: freshness, prediction, smoothing, longest-first,
-	// continuation, margin.
+	// continuation, margin; and packing of the balanced routing.
 	Disable []Mechanism `yaml:"disable"`
 }
 
@@ -84,8 +85,10 @@
 			return strictyaml.Fieldf("disable", "%q is none of %v", mechanism, mechanisms)
 		}
 	}
-	if len(p.Disable) > 0 && p.Scheduling != SchedulingPaced {
-		return strictyaml.Fieldf("disable", "only the paced policy has mechanisms to switch off")
+	for _, mechanism := range p.Disable {
+		if mechanism != MechanismPacking && p.Scheduling != SchedulingPaced {
+			return strictyaml.Fieldf("disable", "only the paced policy has the mechanism %s", mechanism)
+		}
 	}
 	return nil
 }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -41,6 +41,7 @@
 	ThrownAway        Spread `json:"thrown_away"`
 	RolloutRate       Spread `json:"rollout_tokens_per_second"`
 	CapacityUsed      Spread `json:"capacity_used"`
+	PrefixReuse       Spread `json:"prefix_reuse"`
 	LiveP50           Spread `json:"live_p50_seconds"`
 	LiveP99           Spread `json:"live_p99_seconds"`
 	LiveP999          Spread `json:"live_p999_seconds"`
@@ -98,6 +99,7 @@
 		ThrownAway:        each(func(r *Run) float64 { return r.ThrownAway }),
 		RolloutRate:       each(func(r *Run) float64 { return r.RolloutRate }),
 		CapacityUsed:      each(func(r *Run) float64 { return r.CapacityUsed }),
+		PrefixReuse:       each(func(r *Run) float64 { return r.PrefixReuse }),
 		LiveP50:           each(func(r *Run) float64 { return float64(r.Live.Latency.P50) }),
 		LiveP99:           each(func(r *Run) float64 { return float64(r.Live.Latency.P99) }),
 		LiveP999:          each(func(r *Run) float64 { return float64(r.Live.Latency.P999) }),
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -41,6 +41,9 @@
 	ThrownAway  float64 `json:"thrown_away"`
 	Yields      uint64  `json:"yields"`
 	Preemptions uint64  `json:"preemptions"`
+	// PrefixReuse is the part of all prompt tokens that were found in the engines' prefix caches, over the
+	// whole run and all traffic.
+	PrefixReuse float64 `json:"prefix_reuse"`
 	Live        Live    `json:"live"`
 	// WeightsEverywhere is the time from a release to the last replica serving it.
 	WeightsEverywhere Latency `json:"weights_everywhere"`
@@ -79,6 +82,7 @@
 			Latency: latency(m.live.latency), FirstToken: latency(m.live.firstToken),
 		},
 	}
+	run.PrefixReuse = s.prefixReuse()
 	if m.generate.tokens > 0 {
 		run.ThrownAway = float64(m.generate.thrown) / float64(m.generate.tokens)
 	}
@@ -93,6 +97,16 @@
 	return run
 }
 
+func (s *simulation) prefixReuse() float64 {
+	hits, computed := 0.0, 0.0
+	for _, r := range s.replicas {
+		load := r.engine.Load(s.now)
+		hits += float64(load.PrefixHits)
+		computed += float64(load.Prefilled)
+	}
+	return ratio(hits, hits+computed)
+}
+
 func (r *Run) addTrainers(m *measurement, measured float64) {
 	idle := 0.0
 	var ages []uint64
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -41,7 +41,7 @@
 	if r.config.MaxInFlight > 0 && r.inFlight >= r.config.MaxInFlight {
 		return false
 	}
-	if limit := r.config.MaxBackground; !request.Urgent && limit != 0 && r.background >= limit {
+	if !request.Urgent && r.fullOfBackground() {
 		return false
 	}
 	for _, excluded := range request.Excluded {
@@ -52,6 +52,11 @@
 	return true
 }
 
+// fullOfBackground tells whether the replica may get no more rollout work.
+func (r *replica) fullOfBackground() bool {
+	return r.config.MaxBackground != 0 && r.background >= r.config.MaxBackground
+}
+
 // uniform maps random bits to [0, 1).
 func uniform(random Random) float64 { return float64(random.Uint64()>>11) / (1 << 53) }
 
@@ -110,8 +115,9 @@
 	return kept
 }
 
-// Balanced is the production policy: a few candidates drawn by weight, one of the own zone and the holders
-// of the prompt's prefix are compared by expected work before the request's answer.
+// Balanced is the production policy. Rollout work fills few replicas whole, see firstPacked. For all else, and
+// where that is off, a few candidates drawn by weight, one of the own zone and the holders of the
+// prompt's prefix are compared by expected work before the request's answer.
 type Balanced struct{}
 
 // Draws of Balanced.
@@ -122,6 +128,11 @@
 
 // Choose implements Policy.
 func (Balanced) Choose(p *Pool, request *Request, now time.Duration, random Random) int {
+	if !request.Urgent && !p.settings.SpreadBackground {
+		if i := p.firstPacked(request, now, random); i != None {
+			return i
+		}
+	}
 	depth, entry := p.prefixes.find(request.Blocks, now, p.settings.PrefixLife)
 	best, bestScore := None, 0.0
 	consider := func(i int) {
@@ -149,6 +160,25 @@
 	return best
 }
 
+// firstPacked returns the first replica, in an order that all gateways share, that has room for rollout
+// work. So rollouts fill few replicas whole and leave the others to urgent requests, whose steps then are
+// short. Replicas without a limit on rollout work are left out: one of them would be filled without end.
+func (p *Pool) firstPacked(request *Request, now time.Duration, random Random) int {
+	for p.packedTo < len(p.packing) && p.replicas[p.packing[p.packedTo]].fullOfBackground() {
+		p.packedTo++
+	}
+	for _, i := range p.packing[p.packedTo:] {
+		if p.replicas[i].config.MaxBackground <= 0 || !p.usable(i, request, now) {
+			continue
+		}
+		if share := p.share(&p.replicas[i], now); share < 1 && uniform(random) >= share {
+			continue
+		}
+		return i
+	}
+	return None
+}
+
 // drawUsable draws a replica by weight; one that comes back from quarantine is accepted by its share.
 func (p *Pool) drawUsable(request *Request, now time.Duration, random Random) int {
 	for range drawsPerCandidate {
@@ -173,10 +203,11 @@
 // score estimates the work, in tokens of a replica of default weight, that lies before the request's end.
 func (p *Pool) score(i int, request *Request, depth int, entry *prefixEntry, now time.Duration) float64 {
 	r := &p.replicas[i]
-	ahead := p.foreign(r, now) + r.work
+	ahead := p.foreign(r, now)
 	if request.Urgent {
-		background := r.work - r.urgent
-		ahead -= background * (1 - p.settings.BackgroundShare)
+		ahead = ahead/p.meanWork*p.meanUrgent + r.urgent + float64(r.background)*p.settings.BackgroundShare*p.meanUrgent
+	} else {
+		ahead += r.work
 	}
 	uncached := len(request.Blocks)
 	if entry != nil && (entry.holders[0] == int32(i) || entry.holders[1] == int32(i)) {
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -8,9 +8,13 @@
 package routing
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Distance is how far a replica is from this gateway.
@@ -77,6 +81,8 @@
 	// BackgroundShare is how much of the rollout work on a replica counts for an urgent request, which the
 	// engine runs first. Default 0.25.
 	BackgroundShare float64
+	// SpreadBackground spreads rollout work over all replicas instead of filling few of them whole.
+	SpreadBackground bool
 	// FailureLimit is the number of failures in a row that quarantines a replica. Default 3.
 	FailureLimit int
 	// QuarantineBase is the first quarantine; it doubles with each one in a row. Default 1s.
@@ -146,9 +152,13 @@
 	index      map[string]int
 	cumulative []float64 // weights summed up, for weighted draws
 	local      []int     // replicas of this zone
+	packing    []int     // replicas in the order in which rollout work fills them, the same at all gateways
+	packRank   []int     // position in packing, by replica
+	packedTo   int       // all replicas before this position in packing are full of rollout work
 	othersSum  float64   // over the replicas that reported
 	reporters  int
 	meanWork   float64 // tokens per request, smoothed
+	meanUrgent float64 // the same over urgent requests
 	prefixes   prefixTable
 }
 
@@ -181,6 +191,7 @@
 func (p *Pool) recount() {
 	p.cumulative, p.local = p.cumulative[:0], p.local[:0]
 	p.othersSum, p.reporters = 0, 0
+	p.orderPacking()
 	total := 0.0
 	for i := range p.replicas {
 		r := &p.replicas[i]
@@ -198,6 +209,22 @@
 	}
 }
 
+// orderPacking sorts the replicas by a hash of their names: neighbours in the table, such as those of one
+// zone, are not filled together.
+func (p *Pool) orderPacking() {
+	p.packing, p.packedTo = p.packing[:0], 0
+	p.packRank = make([]int, len(p.replicas))
+	for i := range p.replicas {
+		p.packing = append(p.packing, i)
+	}
+	slices.SortFunc(p.packing, func(first, second int) int {
+		return cmp.Compare(xxhash.Sum64String(p.replicas[first].config.Name), xxhash.Sum64String(p.replicas[second].config.Name))
+	})
+	for position, i := range p.packing {
+		p.packRank[i] = position
+	}
+}
+
 // Len returns the number of replicas.
 func (p *Pool) Len() int { return len(p.replicas) }
 
@@ -256,7 +283,7 @@
 		r.background++
 	}
 	addWork(r, request, 1)
-	p.learnWork(request.Work)
+	p.learnWork(request)
 	p.prefixes.record(request.Blocks, i, now)
 }
 
@@ -271,6 +298,7 @@
 	r.inFlight = max(r.inFlight-1, 0)
 	if !request.Urgent {
 		r.background = max(r.background-1, 0)
+		p.packedTo = min(p.packedTo, p.packRank[i])
 	}
 	addWork(r, request, -1)
 }
@@ -278,12 +306,19 @@
 // workWeight is the share of one request in the smoothed mean.
 const workWeight = 1.0 / 64
 
-func (p *Pool) learnWork(work float64) {
-	if p.meanWork == 0 {
-		p.meanWork = work
+func (p *Pool) learnWork(request *Request) {
+	learn(&p.meanWork, request.Work)
+	if request.Urgent {
+		learn(&p.meanUrgent, request.Work)
+	}
+}
+
+func learn(mean *float64, work float64) {
+	if *mean == 0 {
+		*mean = work
 		return
 	}
-	p.meanWork += (work - p.meanWork) * workWeight
+	*mean += (work - *mean) * workWeight
 }
 
 func addWork(r *replica, request *Request, sign float64) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -163,13 +163,67 @@
 		pool.Report(pool.Name(i), LoadReport{Requests: 10}, time.Second)
 	}
 	pool.Report("r0", LoadReport{Requests: 0}, time.Second)
-	pool.learnWork(100)
+	pool.learnWork(&Request{Work: 100})
 	fresh, stale := pool.foreign(&pool.replicas[0], time.Second), pool.foreign(&pool.replicas[0], 20*time.Second)
 	if fresh >= stale || stale != 750 {
 		t.Fatalf("fresh %v, stale %v; want the pool's mean 750 when stale", fresh, stale)
 	}
 }
 
+// limitedPool has replicas that take limit rollouts each.
+func limitedPool(n, limit int) *Pool {
+	configs := make([]ReplicaConfig, n)
+	for i := range configs {
+		configs[i] = ReplicaConfig{Name: fmt.Sprintf("r%d", i), Weight: 100, MaxInFlight: limit + 8, MaxBackground: limit}
+	}
+	pool := NewPool(Settings{})
+	pool.SetReplicas(configs)
+	return pool
+}
+
+func TestRolloutsFillFewReplicasAndLiveTrafficAvoidsThem(t *testing.T) {
+	pool := limitedPool(10, 20)
+	filled := spread(pool, 50, &Request{Work: 500}, time.Second)
+	used, whole := 0, 0
+	for _, count := range filled {
+		if count > 0 {
+			used++
+		}
+		if count == 20 {
+			whole++
+		}
+	}
+	if used != 3 || whole != 2 {
+		t.Fatalf("50 rollouts on replicas that take 20 each: %v", filled)
+	}
+	live := spread(pool, 14, &Request{Work: 100, Urgent: true}, time.Second)
+	for i, count := range live {
+		if filled[i] == 20 && count > 1 {
+			t.Fatalf("rollouts %v, live traffic %v", filled, live)
+		}
+	}
+}
+
+// BenchmarkChooseRollout chooses for rollout work on pools that are half full of it.
+func BenchmarkChooseRollout(b *testing.B) {
+	for _, n := range []int{10, 100, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			pool, random := limitedPool(n, 50), rand.NewPCG(1, 2)
+			request := &Request{Work: 500, Blocks: []uint64{1, 2, 3, 4}}
+			for range n * 25 {
+				pool.Sent(Balanced{}.Choose(pool, request, 1, random), request, 1)
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				now := time.Duration(i) * time.Microsecond
+				chosen := Balanced{}.Choose(pool, request, now, random)
+				pool.Sent(chosen, request, now)
+				pool.Ended(pool.Name(chosen), request, now)
+			}
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{10, 100, 600} {
 		for name, policy := range policies() {
