coordinator: close a step that is acknowledged after a takeover

The owner before had handed the last batch of a step over and died; the new owner gave the step to its scheduler, heard that the trainer had the batch, and never told the scheduler. The step counted as open for good, so each later one was thought to be used one version later than it is. acknowledge now closes the step; the new test failed before the change and passes with it.

--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -95,7 +95,13 @@
 		return unavailable(CodeUnavailable, "send the same call again")
 	}
 	s.stats.HandedOver += uint64(len(t.delivery.sealedIDs))
+	step := t.delivery.step(t.delivery.sealedStep)
 	t.delivery.acknowledge(cursor)
+	if step.scheduled && step.delivered == len(step.ids) {
+		// The owner before handed the last batch over.
+		step.scheduled = false
+		s.pool(step.open.GetPool()).scheduler.Closed(t.name, step.open.GetStep())
+	}
 	return nil
 }
 
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -238,3 +238,23 @@
 		}
 	}
 }
+
+// TestStepAcknowledgedAfterATakeoverHoldsUpTheNext: the new owner never hands the last batch of the step over,
+// it only hears that the trainer has it. Under a bound of 0 nothing would start while the step counts as open.
+func TestStepAcknowledgedAfterATakeoverHoldsUpTheNext(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1, 1)
+	f.change(t, [3]string{"copy", "staleness_bound", "0"})
+	made := newCaller(t, f.coordinators[0].Address())
+	made.openStep("a", 1, 2, 1)
+	made.openStep("a", 2, 2, 1)
+	first := made.fetch("a", fetchBody{Cursor: 1, WaitMillis: 5000, WholeStep: true})
+	if !first.StepComplete {
+		t.Fatalf("the first step is not complete: %+v", first)
+	}
+	f.restart(t, 0)
+	second := made.fetch("a", fetchBody{Cursor: 2, Acknowledge: 1, WaitMillis: 5000, WholeStep: true})
+	if !second.StepComplete || second.Step != 2 {
+		t.Fatalf("the second step did not come after the takeover: %+v", second)
+	}
+}
--- a/internal/rollout/events.go
+++ b/internal/rollout/events.go
@@ -91,8 +91,21 @@
 	trainer.waitingNow = false
 	trainer.delivered = true
 	trainer.deliveredAt = now
-	step := trainer.steps[position]
-	for _, one := range step.samples {
+	s.removeStep(trainer, position)
+}
+
+// Closed drops a step that its trainer turns out to have already, because another coordinator handed it
+// over. Nothing is learned from it. A step that is not open is left alone.
+func (s *Scheduler) Closed(name string, number uint64) {
+	trainer := s.trainer(name)
+	if position, exists := slices.BinarySearchFunc(trainer.steps, number, compareStep); exists {
+		s.removeStep(trainer, position)
+	}
+}
+
+// removeStep forgets a step; what runs of it stops.
+func (s *Scheduler) removeStep(trainer *trainerState, position int) {
+	for _, one := range trainer.steps[position].samples {
 		if one.phase == running {
 			s.stop(one)
 		}
