control: grants name the control group's nodes

A grant now names where the group's nodes listen, read at most once a second by the leader, and the client keeps these beside its settings. The new test failed without the client's half (20 s without an answer) and passes with it.

--- a/internal/consensus/requests.go
+++ b/internal/consensus/requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -105,6 +106,25 @@
 	return status, err
 }
 
+// Addresses returns where the nodes of a group listen, as far as this node knows. Errors: those of Status.
+func (h *Host) Addresses(ctx context.Context, group uint32) ([]string, error) {
+	status, err := h.Status(ctx, group)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for _, node := range slices.Concat(status.Configuration.Voters, status.Configuration.Learners) {
+		address := h.book.address(node)
+		if node == h.config.NodeID {
+			address = h.config.Address
+		}
+		if address != "" {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses, nil
+}
+
 // AddLearner adds a node that receives the log and has no vote. It has to run with Config.Join. Errors:
 // *ErrNotLeader, raft.ErrChangePending, raft.ErrAlreadyMember, ErrUnknownOutcome and those of Status.
 func (h *Host) AddLearner(ctx context.Context, group uint32, node uint64) error {
--- a/internal/control/granting.go
+++ b/internal/control/granting.go
@@ -1,6 +1,41 @@
 package control
 
-import "context"
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// nodesLife is how old the list of control nodes in a grant may be.
+const nodesLife = time.Second
+
+// nodeList is where the control group's nodes listen. Grants name it, so that a process that lives longer
+// than every node in its settings still finds the group.
+type nodeList struct {
+	addresses atomic.Pointer[[]string]
+	readAt    atomic.Int64 // on the server's clock
+}
+
+// refresh reads the list again when it is old. What cannot be read stays as it was.
+func (l *nodeList) refresh(ctx context.Context, s *Server) {
+	now := s.config.Clock()
+	if l.addresses.Load() != nil && now-time.Duration(l.readAt.Load()) < nodesLife {
+		return
+	}
+	addresses, err := s.replicas.Addresses(ctx, controlGroup)
+	if err != nil {
+		return
+	}
+	l.addresses.Store(&addresses)
+	l.readAt.Store(int64(now))
+}
+
+func (l *nodeList) get() []string {
+	if known := l.addresses.Load(); known != nil {
+		return *known
+	}
+	return nil
+}
 
 // grantLoop judges waiting renewals, all that wait in one read round, until ctx ends.
 func (s *Server) grantLoop(ctx context.Context) {
@@ -55,6 +90,7 @@
 	if !after.Leading || after.Term != before.Term {
 		return 0, false
 	}
+	s.nodes.refresh(ctx, s)
 	if !s.leases.leads(after.Term) {
 		s.publisher.refresh()
 		s.leases.lead(after.Term)
--- a/internal/control/replace_test.go
+++ b/internal/control/replace_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -67,3 +68,30 @@
 		t.Fatalf("status after the losses: %+v", status)
 	}
 }
+
+// TestEveryNodeIsReplacedAndASessionIsStranded replaces all nodes of a session's settings, then loses the only
+// one that its redirects have named.
+func TestEveryNodeIsReplacedAndASessionIsStranded(t *testing.T) {
+	c := startCluster(t)
+	lasting := c.client(controlclient.Config{Member: gatewayMember("gateway-1")})
+	session, err := lasting.StartSession(testContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer session.Close()
+	for old := range 3 {
+		fresh := uint64(old + 4)
+		c.startJoining(fresh, "control-"+strconv.Itoa(old+4))
+		client := c.client(controlclient.Config{})
+		if err := operator.AddNode(testContext(t), client, fresh); err != nil {
+			t.Fatal(err)
+		}
+		if err := operator.RemoveNode(testContext(t), client, c.peers[old].ID); err != nil {
+			t.Fatal(err)
+		}
+		c.kill(old)
+	}
+	time.Sleep(2 * nodesLife)
+	c.kill(c.leader())
+	mustAccept(t, lasting, poolChange("after", 0, "1"), false)
+}
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -29,6 +29,8 @@
 	Query(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error)
 	// LocalQuery answers from the state applied here, which may be old unless Read came first.
 	LocalQuery(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error)
+	// Addresses are where the nodes of group listen, as far as is known here.
+	Addresses(ctx context.Context, group uint32) ([]string, error)
 	// Status is this node's view of group.
 	Status(ctx context.Context, group uint32) (raft.Status, error)
 	// TransferLeadership asks a voter to take over group.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -53,6 +53,7 @@
 	syncs     prometheus.Histogram
 	draining  atomic.Bool
 	renewals  chan renewal
+	nodes     nodeList
 	moved     chan struct{} // capacity 1: the control group's leader may have changed
 
 	context  context.Context // ends when the server closes
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -162,6 +162,7 @@
 		if s.granted {
 			reply.LeaseMillis = uint32(s.server.settings.Lease.Milliseconds())
 			reply.LedgerIndexes = s.server.ledgerIndexes()
+			reply.ControlAddresses = s.server.nodes.get()
 		}
 		s.answer = 0
 		worth = true
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -31,6 +31,7 @@
 
 	mutex       sync.Mutex
 	addresses   []string          // known control nodes
+	granted     []string          // control nodes that the newest grant named
 	rotation    int               // index of the node asked next when no leader is known
 	leaders     map[uint32]string // last known leader's address by group
 	connections map[connectionKey]*connection
--- a/internal/controlclient/request.go
+++ b/internal/controlclient/request.go
@@ -236,3 +236,23 @@
 		delete(c.leaders, group)
 	}
 }
+
+// learnAddresses adds control nodes that a grant names: those of the settings may all be replaced one day.
+func (c *Client) learnAddresses(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if slices.Equal(addresses, c.granted) {
+		return
+	}
+	c.granted = addresses
+	// What is no longer named goes, except for the settings: the group may come back on them.
+	c.addresses = slices.Clone(c.config.Addresses)
+	for _, address := range addresses {
+		if !slices.Contains(c.addresses, address) {
+			c.addresses = append(c.addresses, address)
+		}
+	}
+}
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -167,6 +167,7 @@
 	for _, known := range reply.LedgerIndexes {
 		s.client.learnTicket(known.Group, known.Index)
 	}
+	s.client.learnAddresses(reply.ControlAddresses)
 	if reply.Members != nil {
 		s.members.Store(member.Merge(s.Members(), reply.Members))
 	}
