Simulate rollouts: engines, coordinators and a trainer

Coordinators take a trainer over by its fence, schedule with rollout, drive a weight wave, store, seal, discard and hand over through the ledger groups; engines keep the truth of each token's version; a trainer with a durable cursor checks versions, age, doubles and gaps at receipt. Adds the scenario weights-swap, five faults and ten mutations. A reply now reaches only the very run of a process that asked: late replies kept exchanges of a dead gateway alive in its next run.

--- a/internal/sim/backend.go
+++ b/internal/sim/backend.go
@@ -70,12 +70,13 @@
 }
 
 func (b *backend) answer(up *upstream, answer backendAnswer) {
-	b.world.network.once(b.process, up.gateway.process, func() { up.receive(answer) })
+	b.world.network.reply(b.process, up.owner, func() { up.receive(answer) })
 }
 
 // upstream is a gateway's connection to a back end.
 type upstream struct {
 	gateway *gateway
+	owner   run // of the gateway
 	backend *backend
 	epoch   uint64 // of the back end
 	user    *exchange
@@ -95,7 +96,7 @@
 	if u.closed {
 		return
 	}
-	u.gateway.world.network.once(u.backend.process, u.gateway.process, func() {
+	u.gateway.world.network.reply(u.backend.process, u.owner, func() {
 		if u.closed {
 			return
 		}
--- a/internal/sim/batch.go
+++ b/internal/sim/batch.go
@@ -34,6 +34,7 @@
 	Refused    uint64
 	Unknown    uint64
 	Changes    uint64
+	Samples    uint64
 	Violations []Violation // by seed
 }
 
@@ -90,6 +91,7 @@
 	r.Refused += result.Refused
 	r.Unknown += result.Unknown
 	r.Changes += result.Changes
+	r.Samples += result.Samples
 	r.addCounts(&result.Faults, result.Counts)
 	if result.Violation != "" {
 		r.Violations = append(r.Violations, Violation{Seed: result.Seed, Problem: result.Violation})
@@ -136,8 +138,8 @@
 func (r *Report) Print(out io.Writer) {
 	fmt.Fprintf(out, "scenario %s: %d seeds, %.0f s of virtual time in %.1f s, %.2f seeds/s\n",
 		r.Scenario, r.Seeds, r.Virtual.Seconds(), r.Wall.Seconds(), float64(r.Seeds)/r.Wall.Seconds())
-	fmt.Fprintf(out, "calls: %d answered, %d did not run, %d may have run; table changes accepted: %d\n",
-		r.Completed, r.Refused, r.Unknown, r.Changes)
+	fmt.Fprintf(out, "calls: %d answered, %d did not run, %d may have run; table changes accepted: %d; samples received: %d\n",
+		r.Completed, r.Refused, r.Unknown, r.Changes, r.Samples)
 	fmt.Fprintln(out, "faults injected:")
 	for kind, count := range r.Faults {
 		fmt.Fprintf(out, "  %-18s %8d\n", FaultKind(kind), count)
--- a/internal/sim/caller.go
+++ b/internal/sim/caller.go
@@ -110,9 +110,10 @@
 			c.again(made, number, false)
 		}
 	})
+	asking := c.thisRun()
 	network.once(c.process, g.process, func() {
 		g.serve(made, callTimeout, func(outcome dispatch.Outcome) {
-			network.once(g.process, c.process, func() {
+			network.reply(g.process, asking, func() {
 				if !over {
 					over = true
 					c.answered(made, number, &outcome)
--- a/internal/sim/client.go
+++ b/internal/sim/client.go
@@ -29,7 +29,9 @@
 func (f *fleet) newClient(p *process) *client {
 	c := &client{process: p, fleet: f, leaders: map[uint32]string{}, tickets: map[uint32]uint64{}}
 	for _, h := range f.hosts {
-		c.addresses = append(c.addresses, h.name)
+		if !h.replaced {
+			c.addresses = append(c.addresses, h.name) // the settings of the moment
+		}
 	}
 	c.rotation = f.world.random.Intn(len(c.addresses))
 	return c
@@ -61,6 +63,14 @@
 	}
 }
 
+// learnNodes takes over the control nodes of the moment, as a grant names them.
+func (c *client) learnNodes(addresses []string) {
+	if len(addresses) == 0 || slices.Equal(addresses, c.addresses) {
+		return
+	}
+	c.addresses, c.rotation = addresses, 0
+}
+
 func (c *client) forgetLeader(group uint32, address string) {
 	if c.leaders[group] == address {
 		delete(c.leaders, group)
@@ -114,9 +124,10 @@
 		return
 	}
 	c.after(duration+replyGrace, failed)
+	asking := c.thisRun()
 	c.world.network.once(c.process, node.process, func() {
 		node.control.execute(o.request, duration, func(reply *wire.ExecuteReply) {
-			c.world.network.once(node.process, c.process, func() {
+			c.world.network.reply(node.process, asking, func() {
 				if attempt == o.attempt {
 					o.judge(node, reply)
 				}
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -287,3 +288,13 @@
 	}
 	return reply
 }
+
+// nodes names the control group's nodes for a grant.
+func (c *control) nodes() []string {
+	configuration := c.controlGroup().node.Status().Configuration
+	var names []string
+	for _, id := range slices.Concat(configuration.Voters, configuration.Learners) {
+		names = append(names, "control-"+strconv.FormatUint(id, 10))
+	}
+	return names
+}
--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -9,32 +9,38 @@
 
 // The faults, in the order of shared/PROMISES.md.
 const (
-	KillBackend    FaultKind = iota // a replica dies, perhaps after it ran and before it answered
-	KillGateway                     // a gateway dies and starts again
-	KillControl                     // a control machine dies and starts again
-	DieAtStep                       // a process dies a few events later, before or after that event
-	PowerLoss                       // all control machines die at once
-	CutOneWay                       // two processes: one does not hear the other
-	CutBothWays                     // a process hears nobody and nobody hears it, for some seconds
-	LongCut                         // the same for a minute or more
-	Pause                           // a process stops for less than a lease
-	LongPause                       // a process stops for longer than any lease, then goes on
-	DiskFull                        // a disk takes no writes for a while
-	SyncFails                       // a sync fails; what reached the disk is unknown
-	SlowDisk                        // syncs take long
-	UnsyncedLost                    // writes vanish that were not synced when the machine died
-	EmptyDisk                       // a machine comes back with an empty disk under its old identity
-	ReplaceMachine                  // a machine is lost for good and replaced by a new one
-	SecondLoss                      // a second machine is lost while the first is being replaced
-	MessageLoss                     // messages are lost
-	Reordering                      // messages are late and overtake each other
-	Duplication                     // messages come twice
-	ZoneLoss                        // all processes of a zone are cut off
-	RegionsApart                    // two regions lose each other
+	KillBackend     FaultKind = iota // a replica dies, perhaps after it ran and before it answered
+	KillEngine                       // a model engine dies in the middle of its streams
+	KillCoordinator                  // a coordinator dies; another takes its trainers over
+	KillTrainer                      // a trainer restarts from what it had received
+	SwapFails                        // a weight swap fails partway
+	SwapLies                         // a weight swap says that it is done and serves the old version
+	KillGateway                      // a gateway dies and starts again
+	KillControl                      // a control machine dies and starts again
+	DieAtStep                        // a process dies a few events later, before or after that event
+	PowerLoss                        // all control machines die at once
+	CutOneWay                        // two processes: one does not hear the other
+	CutBothWays                      // a process hears nobody and nobody hears it, for some seconds
+	LongCut                          // the same for a minute or more
+	Pause                            // a process stops for less than a lease
+	LongPause                        // a process stops for longer than any lease, then goes on
+	DiskFull                         // a disk takes no writes for a while
+	SyncFails                        // a sync fails; what reached the disk is unknown
+	SlowDisk                         // syncs take long
+	UnsyncedLost                     // writes vanish that were not synced when the machine died
+	EmptyDisk                        // a machine comes back with an empty disk under its old identity
+	ReplaceMachine                   // a machine is lost for good and replaced by a new one
+	SecondLoss                       // a second machine is lost while the first is being replaced
+	MessageLoss                      // messages are lost
+	Reordering                       // messages are late and overtake each other
+	Duplication                      // messages come twice
+	ZoneLoss                         // all processes of a zone are cut off
+	RegionsApart                     // two regions lose each other
 	faultKinds
 )
 
-var faultNames = [faultKinds]string{"kill-backend", "kill-gateway", "kill-control", "die-at-step", "power-loss",
+var faultNames = [faultKinds]string{"kill-backend", "kill-engine",
+	"kill-coordinator", "kill-trainer", "swap-fails", "swap-lies", "kill-gateway", "kill-control", "die-at-step", "power-loss",
 	"cut-one-way", "cut-both-ways", "long-cut", "pause", "long-pause", "disk-full", "sync-fails", "slow-disk",
 	"unsynced-lost", "empty-disk", "replace-machine", "second-loss", "message-loss", "reordering", "duplication",
 	"zone-loss", "regions-apart"}
@@ -58,6 +64,16 @@
 	switch kind {
 	case KillBackend:
 		return f.kill(f.anyBackend().process)
+	case KillEngine:
+		return f.kill(f.anyEngine().process)
+	case KillCoordinator:
+		return f.kill(f.anyCoordinator().process)
+	case KillTrainer:
+		return f.kill(f.anyTrainer().process)
+	case SwapFails:
+		f.anyEngine().failNext = true
+	case SwapLies:
+		f.anyEngine().lateSwap = true
 	case KillGateway:
 		return f.kill(f.anyGateway().process)
 	case KillControl:
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -14,28 +14,35 @@
 const applicationPool = "push"
 
 const (
-	hostCount     = 3
-	gatewayCount  = 3
-	backendCount  = 4
-	callerCount   = 3
-	operatorCount = 2
+	hostCount        = 3
+	gatewayCount     = 3
+	backendCount     = 4
+	callerCount      = 3
+	operatorCount    = 2
+	coordinatorCount = 2
+	engineCount      = 3
+	trainerCount     = 1
 )
 
 // fleet is all processes of a run.
 type fleet struct {
-	world     *world
-	zones     []string
-	hosts     []*host
-	gateways  []*gateway
-	backends  []*backend
-	callers   []*caller
-	operators []*operator
-	repairer  *process
-	founders  raft.Configuration
-	nextHost  uint64
-	repairing bool
-	loadEnds  time.Duration
-	recovered []bool // the table, then each gateway
+	world        *world
+	zones        []string
+	hosts        []*host
+	gateways     []*gateway
+	backends     []*backend
+	callers      []*caller
+	coordinators []*coordinator
+	engines      []*modelEngine
+	trainers     []*trainer
+	operators    []*operator
+	repairer     *process
+	founders     raft.Configuration
+	nextHost     uint64
+	repairing    bool
+	loadEnds     time.Duration
+	stepsThen    []uint64 // the trainers' steps when the fleet has to work again
+	recovered    []bool   // the table, then each gateway
 }
 
 func newFleet(w *world, scenario *Scenario) *fleet {
@@ -58,6 +65,15 @@
 	for i := range operatorCount {
 		f.newOperator(i+1, f.zones[i%len(f.zones)], scenario.changeMean())
 	}
+	for i := range coordinatorCount {
+		f.newCoordinator(i+1, f.zones[i%len(f.zones)])
+	}
+	for i := range engineCount {
+		f.newEngine(i+1, f.zones[i%len(f.zones)])
+	}
+	for i := range trainerCount {
+		f.newTrainer(i+1, f.zones[i%len(f.zones)])
+	}
 	f.repairer = w.newProcess("repairer", f.zones[0])
 	f.repairer.start()
 	return f
@@ -74,6 +90,12 @@
 	for _, g := range f.gateways {
 		g.launch()
 	}
+	for _, c := range f.coordinators {
+		c.launch()
+	}
+	for _, e := range f.engines {
+		e.launch()
+	}
 	f.operators[0].start()
 	f.operators[0].client = f.newClient(f.operators[0].process)
 	f.world.after(setupTime/2, func() { f.operators[0].change(f.firstTable(), changeResends) })
@@ -84,6 +106,9 @@
 		for _, c := range f.callers {
 			c.launch()
 		}
+		for _, t := range f.trainers {
+			t.launch()
+		}
 	})
 }
 
@@ -106,6 +131,9 @@
 		set(b.name, table.ColumnZone, b.zone)
 		set(b.name, table.ColumnMaxInFlight, strconv.Itoa(100))
 	}
+	set(modelPool, table.ColumnKind, string(table.Pool))
+	set(modelPool, table.ColumnService, string(table.Engine))
+	set(modelPool, table.ColumnStalenessBound, strconv.Itoa(modelBound))
 	return change
 }
 
@@ -136,7 +164,16 @@
 	return nil
 }
 
-// processes are all processes that the module owns, and the back ends.
+func (f *fleet) engine(name string) *modelEngine {
+	for _, e := range f.engines {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// processes are all processes that faults hit.
 func (f *fleet) processes() []*process {
 	var all []*process
 	for _, h := range f.hosts {
@@ -150,6 +187,15 @@
 	for _, b := range f.backends {
 		all = append(all, b.process)
 	}
+	for _, c := range f.coordinators {
+		all = append(all, c.process)
+	}
+	for _, e := range f.engines {
+		all = append(all, e.process)
+	}
+	for _, t := range f.trainers {
+		all = append(all, t.process)
+	}
 	return all
 }
 
@@ -180,6 +226,14 @@
 
 func (f *fleet) anyGateway() *gateway { return f.gateways[f.world.random.Intn(len(f.gateways))] }
 
+func (f *fleet) anyEngine() *modelEngine { return f.engines[f.world.random.Intn(len(f.engines))] }
+
+func (f *fleet) anyCoordinator() *coordinator {
+	return f.coordinators[f.world.random.Intn(len(f.coordinators))]
+}
+
+func (f *fleet) anyTrainer() *trainer { return f.trainers[f.world.random.Intn(len(f.trainers))] }
+
 func (f *fleet) anyBackend() *backend { return f.backends[f.world.random.Intn(len(f.backends))] }
 
 // launch starts a process of any kind unless it runs.
@@ -199,6 +253,25 @@
 			p.start()
 		}
 	}
+	f.launchRollouts(p)
+}
+
+func (f *fleet) launchRollouts(p *process) {
+	for _, c := range f.coordinators {
+		if c.process == p {
+			c.launch()
+		}
+	}
+	for _, e := range f.engines {
+		if e.process == p {
+			e.launch()
+		}
+	}
+	for _, t := range f.trainers {
+		if t.process == p {
+			t.launch()
+		}
+	}
 }
 
 // heal ends all faults and starts what is down.
--- a/internal/sim/mutation.go
+++ b/internal/sim/mutation.go
@@ -6,6 +6,7 @@
 	"github.com/tamarindring/tamarindring/internal/claim"
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/lease"
+	"github.com/tamarindring/tamarindring/internal/ledger"
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -41,6 +42,16 @@
 	RetryAfterFirstByte      Mutation = "retry-after-first-byte"      // a request of unknown fate is sent again
 	RefuseWithoutLedger      Mutation = "refuse-without-ledger"       // "did not run" without a recorded refusal
 	ReuseBusyConnection      Mutation = "reuse-busy-connection"       // a connection is reused though an answer is due
+	SkipFenceCheck           Mutation = "skip-fence-check"            // an engine obeys any owner
+	TakeOverWithoutFence     Mutation = "take-over-without-fence"     // the ledger is read before it knows the new owner
+	HandOverStale            Mutation = "hand-over-stale"             // samples are handed over without a look at their age
+	HandOverUnsealed         Mutation = "hand-over-unsealed"          // a batch is handed over before it is sealed
+	BoundFromSeal            Mutation = "bound-from-seal"             // the bound at the sealing counts, not the one in force
+	ContinueFromWrongOffset  Mutation = "continue-from-wrong-offset"  // a cut sample goes on at another token
+	VersionAskedBefore       Mutation = "version-asked-before"        // the version at the start counts for the whole sample
+	SealTwice                Mutation = "seal-twice"                  // a cursor is used for another batch
+	IgnoreFence              Mutation = "ignore-fence"                // the ledger takes commands of deposed owners
+	IgnoreEditions           Mutation = "ignore-editions"             // a discarded sample fills its slot again
 )
 
 // Mutations lists all mutations.
@@ -48,7 +59,9 @@
 	return []Mutation{AnswerBeforeSync, SkipLeaseCheck, LeaseCheckedEarly, LeaseFromReply, GrantAnyVersion,
 		InForceWithoutWaiting, SkipNewLeaderWait, ReadWithoutBarrier, VoteUnderOldIdentity, IgnorePersistedVote,
 		SnapshotForgetsChangeIDs, ForgetChangeIDs, IgnoreConflicts, ReuseExpiredClaims, GrantTwice, IgnoreTickets,
-		ForgetReleases, DispatchBeforeClaim, TrustLostBegin, RetryAfterFirstByte, RefuseWithoutLedger, ReuseBusyConnection}
+		ForgetReleases, DispatchBeforeClaim, TrustLostBegin, RetryAfterFirstByte, RefuseWithoutLedger, ReuseBusyConnection,
+		SkipFenceCheck, TakeOverWithoutFence, HandOverStale, HandOverUnsealed, BoundFromSeal, ContinueFromWrongOffset,
+		VersionAskedBefore, SealTwice, IgnoreFence, IgnoreEditions}
 }
 
 func (m Mutation) stateUnsafe() state.Unsafe {
@@ -56,6 +69,7 @@
 		Table: table.Unsafe{ForgetChangeIDs: m == ForgetChangeIDs, IgnoreConflicts: m == IgnoreConflicts},
 		Claim: claim.Unsafe{GrantTwice: m == GrantTwice, IgnoreTickets: m == IgnoreTickets,
 			ForgetReleases: m == ForgetReleases, ReuseExpiredClaims: m == ReuseExpiredClaims},
+		Ledger: ledger.Unsafe{SealTwice: m == SealTwice, IgnoreFence: m == IgnoreFence, IgnoreEditions: m == IgnoreEditions},
 	}
 }
 
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// reply is once to the very run of a process that asked.
+func (n *network) reply(from *process, to run, receive func()) {
+	if to.alive() {
+		n.once(from, to.process, receive)
+	}
+}
+
 func (n *network) lost(from, to *process) bool {
 	return n.isCut(from, to) || n.loss > 0 && n.world.chance(n.loss)
 }
@@ -95,8 +102,8 @@
 	lastAt   time.Duration
 }
 
-func (n *network) open(from, to *process) *stream {
-	return &stream{from: from, to: to, epoch: to.epoch}
+func (n *network) open(from *process, to run) *stream {
+	return &stream{from: from, to: to.process, epoch: to.epoch}
 }
 
 func (s *stream) send(receive func()) {
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -50,6 +50,7 @@
 
 // edit reads the table and changes one cell against the version it read.
 func (o *operator) edit() {
+	o.client = o.fleet.newClient(o.process) // the tool starts anew each time
 	o.readTable(func(view *table.View) {
 		if view == nil {
 			return
@@ -63,6 +64,9 @@
 		if o.world.chance(0.3) {
 			cell.Column, cell.Value = table.ColumnMaxInFlight, strconv.Itoa(20+o.world.random.Intn(200))
 		}
+		if o.world.chance(0.2) {
+			cell.Row, cell.Column, cell.Value = modelPool, table.ColumnStalenessBound, strconv.Itoa(o.world.random.Intn(modelBound+2))
+		}
 		o.next++
 		change := &wire.TableChange{ChangeId: fmt.Sprintf("%s/%d", o.name, o.next), BaseVersion: view.Version(),
 			Cells: []*wire.CellChange{cell}, Operator: o.name, AtUnixMillis: o.world.unixMillis()}
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -27,6 +27,17 @@
 		rate: 1 + maxClockDrift*(2*w.random.Float64()-1), offset: w.between(0, time.Hour)}
 }
 
+// run is one run of a process.
+type run struct {
+	process *process
+	epoch   uint64
+}
+
+// thisRun is the present run.
+func (p *process) thisRun() run { return run{p, p.epoch} }
+
+func (r run) alive() bool { return r.process.up && r.process.epoch == r.epoch }
+
 // clock is the process's monotonic clock.
 func (p *process) clock() time.Duration {
 	return p.offset + time.Duration(float64(p.world.now)*p.rate)
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -24,6 +24,7 @@
 	Refused   uint64 // "did not run"
 	Unknown   uint64 // "may have run"
 	Changes   uint64 // accepted
+	Samples   uint64 // that trainers received
 }
 
 // Times after the faults have ended.
@@ -61,7 +62,7 @@
 
 func (w *world) result(seed int64) Result {
 	result := Result{Seed: seed, Violation: w.truth.problem, Counts: w.truth.registry.Results(), Faults: w.faults,
-		Virtual: w.now, Completed: w.truth.completed, Refused: w.truth.refused, Unknown: w.truth.unknown, Changes: uint64(len(w.truth.accepted))}
+		Virtual: w.now, Completed: w.truth.completed, Refused: w.truth.refused, Unknown: w.truth.unknown, Changes: uint64(len(w.truth.accepted)), Samples: w.truth.samples}
 	if w.tracing {
 		result.Trace = w.traceText()
 	}
@@ -74,8 +75,12 @@
 		return
 	}
 	f.world.tracef("fleet", "has to work again")
+	for _, t := range f.trainers {
+		f.stepsThen = append(f.stepsThen, t.step)
+	}
 	f.recovered = make([]bool, len(f.gateways)+1)
 	o := f.operators[0]
+	o.client = f.newClient(o.process)
 	o.readTable(func(view *table.View) {
 		if view == nil {
 			return
@@ -117,6 +122,9 @@
 		}
 		t.examine(recovers, worked, "%v after all faults ended %s", healTime+recoverTime, what)
 	}
+	for i, trainer := range f.trainers {
+		t.examine(recovers, trainer.step > f.stepsThen[i], "%s is still at step %d", trainer.name, trainer.step)
+	}
 	for _, h := range f.hosts {
 		if h.replaced || h.refused || !h.up || f.repairing {
 			continue
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -54,6 +54,10 @@
 		{Name: "disk", Help: "disks lose, fill up, fail and are replaced", Length: shortLength,
 			rates: []rate{{PowerLoss, 25 * time.Second}, {DiskFull, 20 * time.Second}, {SyncFails, 15 * time.Second},
 				{SlowDisk, 10 * time.Second}, {EmptyDisk, 25 * time.Second}, {ReplaceMachine, 40 * time.Second}, {KillControl, 20 * time.Second}}},
+		{Name: "weights-swap", Help: "weights change while engines, coordinators and trainers fail", Length: shortLength,
+			rates: []rate{{SwapFails, 6 * time.Second}, {SwapLies, 15 * time.Second}, {KillEngine, 8 * time.Second},
+				{KillCoordinator, 12 * time.Second}, {KillTrainer, 15 * time.Second}, {LongPause, 10 * time.Second},
+				{CutOneWay, 8 * time.Second}, {Reordering, 20 * time.Second}}},
 		{Name: "regions-apart", Help: "two regions lose each other for minutes", Length: mixedLength,
 			rates: []rate{{RegionsApart, 100 * time.Second}, {KillControl, 40 * time.Second}, {MessageLoss, 40 * time.Second}}},
 	}
@@ -66,7 +70,7 @@
 		switch kind {
 		case UnsyncedLost:
 			continue // comes with crashes
-		case DieAtStep, KillGateway, KillBackend, CutOneWay, LongPause, Pause:
+		case DieAtStep, KillGateway, KillBackend, KillEngine, KillCoordinator, SwapFails, CutOneWay, LongPause, Pause:
 			mean = 25 * time.Second
 		case LongCut, RegionsApart, ZoneLoss, EmptyDisk, ReplaceMachine, SecondLoss, PowerLoss:
 			mean = 2 * time.Minute
--- a/internal/sim/send.go
+++ b/internal/sim/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 )
@@ -29,6 +30,11 @@
 	})
 }
 
+const (
+	slowConnectPart = 0.02
+	slowestConnect  = 3 * time.Second
+)
+
 // connect takes an idle connection or opens one; it gives nil when the back end cannot be reached.
 func (x *exchange) connect(target *backend, done func(*upstream)) {
 	g := x.gateway
@@ -49,8 +55,12 @@
 		return
 	}
 	epoch := target.epoch
-	g.after(2*network.delay(g.process, target.process), func() {
-		up := &upstream{gateway: g, backend: target, epoch: epoch}
+	delay := 2 * network.delay(g.process, target.process)
+	if g.world.chance(slowConnectPart) {
+		delay += g.world.between(time.Second, slowestConnect) // the first packet was lost and is sent again
+	}
+	g.after(delay, func() {
+		up := &upstream{gateway: g, owner: g.thisRun(), backend: target, epoch: epoch}
 		target.connections = append(target.connections, up)
 		done(up)
 	})
@@ -82,7 +92,7 @@
 	}
 	up.user, x.up = x, up
 	request := invocation{call: x.call, requestID: x.requestID(), arrival: x.machine.Request().Attempt, arrivedAt: x.arrivedAt, gateway: g.name}
-	g.world.truth.dispatched(g, x.chosen.name, version)
+	g.world.truth.dispatched(g.process, "sends to "+x.chosen.name, version)
 	g.tracef("sends %s of call %s to %s under table version %d", request.requestID, x.call.id, x.chosen.name, version)
 	backend, epoch := up.backend, up.epoch
 	g.world.network.once(g.process, backend.process, func() {
--- a/internal/sim/session.go
+++ b/internal/sim/session.go
@@ -42,6 +42,7 @@
 	reply := &wire.SessionReply{Sequence: sequence, Granted: granted, Update: s.due()}
 	if granted {
 		reply.LeaseMillis = uint32(s.control.settings.Lease.Milliseconds())
+		reply.ControlAddresses = s.control.nodes()
 		for _, g := range s.control.host.groups[1:] {
 			reply.LedgerIndexes = append(reply.LedgerIndexes, &wire.LedgerIndex{Group: g.id, Index: g.applied})
 		}
@@ -96,14 +97,14 @@
 func (s *holderSession) attach() {
 	node := s.client.pick(state.ControlGroup)
 	network := s.client.world.network
-	a := &attachment{session: s, node: node, requests: network.open(s.client.process, node.process),
+	a := &attachment{session: s, node: node, requests: network.open(s.client.process, node.thisRun()),
 		sentAt: map[uint64]time.Duration{}, heard: s.client.clock()}
 	s.attachment = a
 	holder := lease.HolderID{Name: s.client.name, Incarnation: s.client.epoch}
-	version := s.view.Version()
+	version, asking := s.view.Version(), s.client.thisRun()
 	a.requests.send(func() {
 		a.server = &serverSession{control: node.control, holder: holder, client: a, sent: version,
-			replies: network.open(node.process, s.client.process)}
+			replies: network.open(node.process, asking)}
 		node.control.sessions = append(node.control.sessions, a.server)
 	})
 	a.renew()
@@ -180,6 +181,7 @@
 	for _, known := range reply.LedgerIndexes {
 		s.client.learnTicket(known.Group, known.Index)
 	}
+	s.client.learnNodes(reply.ControlAddresses)
 	if reply.LeaderAddress != "" && !reply.Granted {
 		a.close(reply.LeaderAddress)
 		return
--- a/internal/sim/truth.go
+++ b/internal/sim/truth.go
@@ -21,6 +21,7 @@
 const (
 	replicasAgree invariant.Name = "replicas-agree" // no two replicas apply different entries, or get different results
 	changeOnce    invariant.Name = "change-once"    // a resent change gets the same answer; of two rivals one wins
+	fenceOrder    invariant.Name = "fence-order"    // an engine obeys no order of a deposed owner
 	recovers      invariant.Name = "recovers"       // the fleet works again once the faults end
 )
 
@@ -72,23 +73,29 @@
 	keys            map[string]*keyTruth // by key, or call without one
 	accepted        []acceptedChange     // by version: version 1 first
 	answers         map[string]string    // first answer by change id
+	bounds          map[uint64]uint64    // staleness bound by table version
 	contents        map[uint64]uint64    // digest of the table by version
 	inForce         uint64               // highest version that was called in force
 	answeredVersion uint64               // highest version that an operator was told of
 	boundVersion    int                  // accepted changes whose bound is over
 
-	completed, refused, unknown uint64
+	tokens map[string][]tokenTruth // by sample
+	taken  map[string]uint64       // cursor by sample that its trainer has
+	fences map[string]uint64       // highest token that an engine obeyed
+
+	completed, refused, unknown, samples uint64
 }
 
 func newTruth(w *world) *truth {
 	return &truth{world: w, registry: invariant.NewRegistry(expectedInvariants()...),
 		entries: map[position]*appliedEntry{}, keys: map[string]*keyTruth{},
-		answers: map[string]string{}, contents: map[uint64]uint64{}}
+		answers: map[string]string{}, contents: map[uint64]uint64{},
+		bounds: map[uint64]uint64{}, tokens: map[string][]tokenTruth{}, taken: map[string]uint64{}, fences: map[string]uint64{}}
 }
 
 func expectedInvariants() []invariant.Name {
 	return []invariant.Name{invariant.WholeAnswer, invariant.NotRunIsFinal, invariant.RunAtMostOnce, invariant.TableInForce,
-		invariant.TableNoReversal, replicasAgree, changeOnce, recovers}
+		invariant.TableNoReversal, invariant.SampleVersions, invariant.StalenessBound, invariant.SampleOnce, fenceOrder, replicasAgree, changeOnce, recovers}
 }
 
 func (t *truth) stopped() bool { return t.halted }
@@ -239,6 +246,9 @@
 		return
 	}
 	t.contents[result.Version] = tableDigest(view)
+	if row := view.Pool(modelPool); row != nil {
+		t.bounds[result.Version] = uint64(row.StalenessBound)
+	}
 }
 
 func sharesCell(a, b *wire.TableChange) bool {
@@ -290,14 +300,14 @@
 	}
 }
 
-// dispatched: a gateway sends a request, decided on a table version.
-func (t *truth) dispatched(g *gateway, backend string, version uint64) {
-	t.examine(invariant.TableInForce, version >= t.inForce, "%s sends to %s under table version %d, but version %d was called in force",
-		g.name, backend, version, t.inForce)
+// dispatched: a process acts, decided on a table version.
+func (t *truth) dispatched(p *process, what string, version uint64) {
+	t.examine(invariant.TableInForce, version >= t.inForce, "%s acts (%s) under table version %d, but version %d was called in force",
+		p.name, what, version, t.inForce)
 	bound := leaseSettings().Bound() + inForceSlack
 	for t.boundVersion < len(t.accepted) && t.accepted[t.boundVersion].at+bound < t.world.now {
 		t.boundVersion++
 	}
-	t.examine(invariant.TableInForce, int(version) >= t.boundVersion, "%s sends to %s under table version %d, but version %d was accepted more than %v ago",
-		g.name, backend, version, t.boundVersion, bound)
+	t.examine(invariant.TableInForce, int(version) >= t.boundVersion, "%s acts (%s) under table version %d, but version %d was accepted more than %v ago",
+		p.name, what, version, t.boundVersion, bound)
 }
