--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,17 @@
 # The usual targets; everything else is a subcommand of the program.
-.PHONY: build test race lint ci fleet
+.PHONY: build install test race lint docs ci fleet
 build:
 	go build -o bin/tamarindring ./cmd/tamarindring
+install:
+	go install ./cmd/tamarindring
 test:
 	go test ./...
 race:
 	go test -race -short ./...
 lint:
 	gofmt -l . && go vet ./...
+docs:
+	go run ./cmd/tamarindring config reference > docs/operations/settings.md
 ci:
 	bash .ci/run
 fleet:
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -63,13 +63,29 @@
 // Execute implements flags.Commander.
 func (a *adapter) Execute(arguments []string) error { return a.Run(*a.environment, arguments) }
 
+// globalOptions are the flags before a subcommand.
+type globalOptions struct {
+	Version bool `long:"version" description:"Print the version and build data"`
+}
+
+// versionFlag alone stands for the subcommand version.
+const versionFlag = "--version"
+
 // Main runs the program and returns its exit code.
 func Main(arguments []string, stdout, stderr io.Writer) int {
+	if len(arguments) == 1 && arguments[0] == versionFlag {
+		arguments = []string{"version"}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	environment := &Environment{Context: ctx, Stdout: stdout, Stderr: stderr}
 	parser := flags.NewNamedParser("tamarindring", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "rollout service for reinforcement learning"
+	parser.CompletionHandler = func(items []flags.Completion) { writeCompletions(stdout, items) }
+	if _, err := parser.AddGroup("Options", "", &globalOptions{}); err != nil {
+		fmt.Fprintf(stderr, "tamarindring: %v\n", err)
+		return ExitFailure
+	}
 	if err := addCommands(parser, environment); err != nil {
 		fmt.Fprintf(stderr, "tamarindring: %v\n", err)
 		return ExitFailure
@@ -83,6 +99,13 @@
 	return exitCode(err, stdout, stderr)
 }
 
+// writeCompletions answers the shell, which asks by the environment variable GO_FLAGS_COMPLETION.
+func writeCompletions(out io.Writer, items []flags.Completion) {
+	for _, item := range items {
+		fmt.Fprintln(out, item.Item)
+	}
+}
+
 func addCommands(parser *flags.Parser, environment *Environment) error {
 	parents := map[string]*flags.Command{"": parser.Command}
 	for _, entry := range commandEntries() {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -25,3 +25,24 @@
 		t.Fatalf("unexpected output %q", stdout.String())
 	}
 }
+
+func TestVersionFlagDiffersFromTheCommand(t *testing.T) {
+	var command, flag, stderr bytes.Buffer
+	if code := Main([]string{"version"}, &command, &stderr); code != ExitOK {
+		t.Fatalf("exit code %d: %s", code, stderr.String())
+	}
+	if code := Main([]string{"--version"}, &flag, &stderr); code != ExitOK || flag.String() != command.String() {
+		t.Fatalf("exit code %d, %q, want %q: %s", code, flag.String(), command.String(), stderr.String())
+	}
+}
+
+func TestCompletionMissesACommandOrFlag(t *testing.T) {
+	t.Setenv("GO_FLAGS_COMPLETION", "1")
+	for arguments, want := range map[string]string{"ta": "table", "table hi": "history", "gateway --na": "--name"} {
+		var stdout, stderr bytes.Buffer
+		code := Main(strings.Fields(arguments), &stdout, &stderr)
+		if code != ExitOK || strings.TrimSpace(stdout.String()) != want {
+			t.Errorf("%s: exit code %d, %q, want %q: %s", arguments, code, stdout.String(), want, stderr.String())
+		}
+	}
+}
--- a/internal/cli/walkthrough_test.go
+++ b/internal/cli/walkthrough_test.go
@@ -255,3 +255,10 @@
 	}
 	runPage(t, "getting-started.md", "vltava")
 }
+
+func TestUpgradesPageDiffersFromTheProgram(t *testing.T) {
+	if testing.Short() {
+		t.Skip("restarts every process of a deployment")
+	}
+	runPage(t, "upgrades.md", "vltava")
+}
