--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -37,6 +37,15 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 	}
+	config := fleet.Config{Deployment: deployment, Duration: c.Duration, Faults: c.Faults, Seed: c.Seed, LiveRate: c.LiveRate,
+		OperationRate: c.OperationRate, Progress: environment.Stdout, Log: logger}
+	if err := config.Check(); err != nil {
+		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+	}
+	return c.run(environment, config)
+}
+
+func (c *fleetCommand) run(environment Environment, config fleet.Config) error {
 	if err := os.MkdirAll(c.Report, 0o755); err != nil {
 		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("folder %s cannot be made: %v", c.Report, err)}
 	}
@@ -45,12 +54,9 @@
 		return trace.ConvertSystemError(err)
 	}
 	defer os.RemoveAll(folder)
-	report, err := fleet.Run(environment.Context, fleet.Config{Deployment: deployment, Duration: c.Duration, Faults: c.Faults, Seed: c.Seed,
-		Folder: folder, LiveRate: c.LiveRate, OperationRate: c.OperationRate, Progress: environment.Stdout, Log: logger})
+	config.Folder = folder
+	report, err := fleet.Run(environment.Context, config)
 	if err != nil {
-		if trace.IsBadParameter(err) {
-			return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
-		}
 		return err
 	}
 	return c.conclude(environment, report)
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -45,9 +45,12 @@
 	Log *logrus.Logger
 }
 
+// Check refuses values that cannot work, before anything is written.
+func (c Config) Check() error { return c.setDefaults() }
+
 func (c *Config) setDefaults() error {
-	if c.Deployment.Name == "" || c.Folder == "" {
-		return trace.BadParameter("a fleet needs a deployment and a folder")
+	if c.Deployment.Name == "" {
+		return trace.BadParameter("a fleet needs a deployment")
 	}
 	if c.Duration == 0 {
 		c.Duration = DefaultDuration
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -26,6 +26,9 @@
 	if err := config.setDefaults(); err != nil {
 		return nil, err
 	}
+	if config.Folder == "" {
+		return nil, trace.BadParameter("a fleet needs a folder")
+	}
 	f := newFleet(config)
 	recorder, err := rolecost.Start()
 	if err != nil {
