coordinator: the drain test drains the replica that runs samples

Change: the test drains whichever replica runs samples, and its wait has a deadline. It asks for no less: the samples must leave, end elsewhere and lose no token.

--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -150,13 +151,17 @@
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- made.Run(ctx) }()
-	for f.executing(0, config) == 0 {
-		time.Sleep(5 * time.Millisecond)
+	busy := -1 // routing fills replicas one after the other, in an order of its own
+	for deadline := time.Now().Add(testTimeout); busy < 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no replica runs a sample")
+		}
+		busy = slices.IndexFunc([]int{0, 1}, func(engine int) bool { return f.executing(engine, config) > 0 })
 	}
-	f.change(t, [3]string{"e0", "state", "draining"})
-	for deadline := time.Now().Add(testTimeout); f.executing(0, config) > 0; time.Sleep(5 * time.Millisecond) {
+	f.change(t, [3]string{fmt.Sprintf("e%d", busy), "state", "draining"})
+	for deadline := time.Now().Add(testTimeout); f.executing(busy, config) > 0; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("%d samples still run on the draining replica", f.executing(0, config))
+			t.Fatalf("%d samples still run on the draining replica", f.executing(busy, config))
 		}
 	}
 	if finished := f.coordinators[0].Stats().SamplesFinished; finished == 8 {
