--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -161,6 +161,7 @@
 	if s.trainers[t.name] != t {
 		return candidateBatch{}, unavailable(CodeUnavailable, "another coordinator takes this trainer over; send the same call again")
 	}
+	t.version = max(t.version, body.TrainerVersion)
 	d := t.delivery
 	if d.sealed == body.Cursor {
 		samples, known := d.batch()
--- a/internal/coordinator/generate.go
+++ b/internal/coordinator/generate.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -10,12 +9,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 
-	"github.com/tamarindring/tamarindring/internal/engine/text"
 	"github.com/tamarindring/tamarindring/internal/rollout"
 )
 
@@ -216,99 +213,3 @@
 	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
 	return &refusedError{status: response.StatusCode, retryAfter: time.Duration(seconds) * time.Second, body: string(content)}
 }
-
-// chunk is one event of a streamed answer.
-type chunk struct {
-	Choices []chunkChoice `json:"choices"`
-	Error   *struct {
-		Code    string `json:"code"`
-		Message string `json:"message"`
-	} `json:"error"`
-}
-
-type chunkChoice struct {
-	Text          string  `json:"text"`
-	FinishReason  *string `json:"finish_reason"`
-	WeightVersion string  `json:"weight_version"`
-	VersionNumber uint64  `json:"version_number"`
-	TokenOffset   int     `json:"token_offset"`
-	TokenCount    int     `json:"token_count"`
-	Replica       string  `json:"replica"`
-	Checksum      string  `json:"checksum"`
-}
-
-// readStream reads a streamed answer to its end mark.
-func (s *Server) readStream(one *run, response *http.Response) error {
-	first := response.Header.Get("Tamarindring-Backend")
-	scanner := bufio.NewScanner(response.Body)
-	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	finished, checksum := false, ""
-	for scanner.Scan() {
-		data, found := strings.CutPrefix(scanner.Text(), "data:")
-		data = strings.TrimSpace(data)
-		if !found {
-			continue
-		}
-		if data == "[DONE]" {
-			if !finished {
-				return trace.BadParameter("the stream ended without a finish reason")
-			}
-			return verify(one, checksum)
-		}
-		var event chunk
-		if err := json.Unmarshal([]byte(data), &event); err != nil {
-			return trace.Wrap(err)
-		}
-		if event.Error != nil {
-			return trace.ConnectionProblem(nil, "%s: %s", event.Error.Code, event.Error.Message)
-		}
-		if len(event.Choices) != 1 {
-			return trace.BadParameter("a chunk has %d choices", len(event.Choices))
-		}
-		choice := &event.Choices[0]
-		if choice.Replica == "" {
-			choice.Replica = first
-		}
-		if err := s.addChunk(one, choice); err != nil {
-			return err
-		}
-		if choice.FinishReason != nil {
-			finished, checksum = true, choice.Checksum
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		return trace.Wrap(err)
-	}
-	return io.ErrUnexpectedEOF
-}
-
-// verify compares an answer with the checksum that its engine stated.
-func verify(one *run, checksum string) error {
-	asked := text.Request{Prompt: one.slot.prompt.GetText(), Seed: uint64(one.id.Index), MaxTokens: int(one.slot.prompt.GetMaxTokens())}
-	if checksum != "" && checksum != asked.Checksum(one.partial.text.String()) {
-		return errWrongAnswer
-	}
-	return nil
-}
-
-// addChunk appends a chunk's tokens to the run.
-func (s *Server) addChunk(one *run, choice *chunkChoice) error {
-	if choice.TokenCount == 0 {
-		return nil
-	}
-	if choice.TokenOffset != one.partial.tokens {
-		return trace.BadParameter("a chunk begins at token %d, not %d", choice.TokenOffset, one.partial.tokens)
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if !one.current() {
-		return context.Canceled
-	}
-	one.replica = choice.Replica
-	segments := len(one.partial.segments)
-	one.partial.add(choice.Text, choice.TokenCount, choice.WeightVersion, choice.VersionNumber, choice.Replica)
-	if one.partial.tokens >= one.told+progressTokens || len(one.partial.segments) > segments {
-		s.tellProgress(one, s.now())
-	}
-	return nil
-}
--- a/internal/coordinator/pool.go
+++ b/internal/coordinator/pool.go
@@ -80,7 +80,7 @@
 		}
 		now := s.now()
 		for _, t := range s.trainers {
-			p.scheduler.Released(now, t.name, p.available)
+			p.scheduler.Released(now, t.name, p.availableTo(t))
 		}
 		s.moveAway(p, view)
 		s.expire(p, uint64(row.StalenessBound))
@@ -95,6 +95,17 @@
 	}
 }
 
+// availableTo is the newest version that the pool's replicas serve. Where none of them reports what it serves,
+// nothing speaks against the trainer's own; the hand-over looks at what really came.
+func (p *pool) availableTo(t *trainerState) uint64 {
+	for _, replica := range p.replicas {
+		if replica.known {
+			return p.available
+		}
+	}
+	return max(p.available, t.version)
+}
+
 // tableRoom is how many slots the table grants to rollouts in a pool.
 func tableRoom(view *table.View, pool string) int {
 	total := 0
--- a/internal/coordinator/trainer.go
+++ b/internal/coordinator/trainer.go
@@ -22,6 +22,7 @@
 	partials map[string]*partial // kept tokens of interrupted samples, by sample id
 	changed  chan struct{}       // closed and replaced when a waiting fetch should look again
 	turn     *turn               // of the fetch being served
+	version  uint64              // named by the last fetch
 	sealing  bool                // a batch is on its way to the ledger: nothing may be discarded
 	// lastOpened is the highest step known to have been opened, 0 when unknown: one at or below it that is
 	// not open may have been delivered.
