cli: one runner for gateways and coordinators

Cause: both commands repeated the flags for control, ledger groups, logs and the start, and 60 lines of starting, serving and draining. Conclusion: a new role with a session needs its flags and its open function only.

--- /dev/null
+++ b/internal/cli/role.go
@@ -0,0 +1,74 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/logging"
+)
+
+// memberOptions are the flags of the roles that hold a session with the control group.
+type memberOptions struct {
+	Control      string        `long:"control" required:"true" description:"IP:port of the control nodes, separated by commas"`
+	LedgerGroups int           `long:"ledger-groups" default:"2" description:"Number of ledger groups; the same as the control nodes'"`
+	StartTime    time.Duration `long:"start-time" default:"30s" description:"Longest time to wait for the first lease"`
+	LogLevel     string        `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
+	LogFormat    string        `long:"log-format" default:"text" description:"Log format: text or json"`
+	adminOptions
+}
+
+// memberRole is what differs between the roles.
+type memberRole struct {
+	role      string
+	name      string
+	drainTime time.Duration
+	// open starts the server; it is given the time that a start may take.
+	open func(ctx context.Context, log *logrus.Entry) (memberServer, error)
+}
+
+// client is the configuration of the role's client of the control group.
+func (o memberOptions) client(log *logrus.Entry) controlclient.Config {
+	return controlclient.Config{Addresses: strings.Split(o.Control, ","), LedgerGroups: o.LedgerGroups, Log: log}
+}
+
+// run starts the role, serves until the environment's context ends, then drains.
+func (o memberOptions) run(environment Environment, arguments []string, role memberRole) error {
+	if len(arguments) > 0 {
+		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("%s takes no arguments, got %q", role.role, arguments[0])}
+	}
+	logger, err := logging.New(logging.Config{Level: o.LogLevel, Format: o.LogFormat, Output: environment.Stderr})
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Message: err.Error()}
+	}
+	log := logging.Part(logger, role.role)
+	admin, err := o.adminOptions.open(role.role, role.name, log)
+	if err != nil {
+		return err
+	}
+	defer closeAdmin(admin)
+	server, err := o.start(environment.Context, log, role)
+	if err != nil {
+		return err
+	}
+	if err := showAdmin(admin, server); err != nil {
+		return trace.NewAggregate(err, server.Close())
+	}
+	log.Infof("serving on %s", server.Address())
+	return serveMember(environment.Context, server, role.drainTime, log)
+}
+
+func (o memberOptions) start(ctx context.Context, log *logrus.Entry, role memberRole) (memberServer, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.StartTime)
+	defer cancel()
+	server, err := role.open(ctx, log)
+	if trace.IsBadParameter(err) {
+		return nil, &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+	}
+	return server, err
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/metrics"
 )
 
 // leavePoll is how often a process looks whether an operator has asked it to leave.
@@ -12,6 +14,9 @@
 
 // memberServer is what gateways and coordinators have in common.
 type memberServer interface {
+	metrics.Process
+	// Address is the bound IP:port.
+	Address() string
 	Run(context.Context) error
 	Drain(context.Context) error
 	Close() error
