Add pause.For in place of five copies

Cause: five packages waited for a time or a context's end in functions of their own. Change: one package, pause; callers' waits are named wait or mean, not pause. Conclusion: one place to read.

--- a/internal/bench/controlbench/changes.go
+++ b/internal/bench/controlbench/changes.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -20,7 +21,7 @@
 	var accepted, inForce, lastNode []time.Duration
 	began := time.Now()
 	for index := range r.config.Changes {
-		if err := sleep(ctx, time.Until(began.Add(time.Duration(index)*interval))); err != nil {
+		if err := pause.For(ctx, time.Until(began.Add(time.Duration(index)*interval))); err != nil {
 			return err
 		}
 		times, err := r.oneChange(ctx, index)
--- a/internal/bench/controlbench/run.go
+++ b/internal/bench/controlbench/run.go
@@ -12,6 +12,7 @@
 	"github.com/tamarindring/tamarindring/internal/bench/rig"
 	"github.com/tamarindring/tamarindring/internal/bench/slope"
 	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/rolecost"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -134,7 +135,7 @@
 		return nil, err
 	}
 	point := &Point{Nodes: size, JoinMillis: millis(time.Since(began))}
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := pause.For(ctx, settleTime); err != nil {
 		return nil, err
 	}
 	if joiners > 0 {
@@ -142,7 +143,7 @@
 	}
 	point.LiveBytes = rig.LiveBytes()
 	var err error
-	point.Idle, err = r.phase(func() error { return sleep(ctx, r.config.Idle) })
+	point.Idle, err = r.phase(func() error { return pause.For(ctx, r.config.Idle) })
 	if err != nil {
 		return nil, err
 	}
@@ -175,15 +176,6 @@
 	return phase, nil
 }
 
-func sleep(ctx context.Context, duration time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(duration):
-		return nil
-	}
-}
-
 func millis(duration time.Duration) float64 { return float64(duration.Microseconds()) / 1000 }
 
 // fit returns the lines through the points.
--- a/internal/controlclient/backoff.go
+++ b/internal/controlclient/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/tamarindring/tamarindring/internal/pause"
 )
 
 // backoff is an exponential wait with jitter between attempts.
@@ -23,12 +25,5 @@
 
 // sleep waits for the next duration; it returns false when ctx ended first.
 func (b *backoff) sleep(ctx context.Context) bool {
-	timer := time.NewTimer(b.duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, b.duration()) == nil
 }
--- a/internal/coordinator/finish.go
+++ b/internal/coordinator/finish.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/tamarindring/tamarindring/internal/ledger"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
+	for wait := retryFirst; ; wait = min(2*wait, retryMost) {
 		score, err := s.callScorer(ctx, body)
 		if err == nil {
 			return score, nil
@@ -88,7 +89,7 @@
 		if ctx.Err() == nil {
 			s.config.Log.WithError(err).Debugf("the scorer did not rate %s", sample.GetId())
 		}
-		if !sleep(ctx, pause) {
+		if pause.For(ctx, wait) != nil {
 			return 0, ctx.Err()
 		}
 	}
@@ -116,13 +117,13 @@
 func (s *Server) store(ctx context.Context, one *run, sample *wire.Sample) {
 	command := &wire.Command{Kind: &wire.Command_SampleStore{SampleStore: &wire.SampleStore{
 		Sample: sample, Owner: s.session.Owner(), Fence: one.trainer.fence}}}
-	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
+	for wait := retryFirst; ; wait = min(2*wait, retryMost) {
 		result, err := s.execute(ctx, one.trainer, command)
 		if err == nil {
 			s.stored(one, sample, result)
 			return
 		}
-		if !sleep(ctx, pause) {
+		if pause.For(ctx, wait) != nil {
 			return
 		}
 	}
@@ -173,15 +174,3 @@
 	}
 	return trace.Wrap(json.NewDecoder(response.Body).Decode(answer))
 }
-
-// sleep waits; false when ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/pause"
 )
 
 const (
@@ -176,7 +178,7 @@
 	return nil
 }
 
-func (t *Trainer) train(ctx context.Context) error { return sleep(ctx, t.config.TrainTime) }
+func (t *Trainer) train(ctx context.Context) error { return pause.For(ctx, t.config.TrainTime) }
 
 // publish writes the new version to the weight store, then announces it. A number that another trainer
 // of the pool has passed is skipped.
@@ -216,7 +218,7 @@
 }
 
 func (t *Trainer) persistAt(ctx context.Context, addresses []string, method, path string, body, answer any, wait time.Duration) error {
-	pause := retryPause
+	retryWait := retryPause
 	for {
 		err := t.call(ctx, method, addresses[t.turn%len(addresses)], path, body, answer, wait)
 		if err == nil {
@@ -231,20 +233,9 @@
 		}
 		t.countError(err)
 		t.turn++
-		if err := sleep(ctx, pause); err != nil {
+		if err := pause.For(ctx, retryWait); err != nil {
 			return err
 		}
-		pause = min(2*pause, maxRetryPause)
-	}
-}
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return trace.Wrap(ctx.Err())
+		retryWait = min(2*retryWait, maxRetryPause)
 	}
 }
--- a/internal/workload/caller/caller.go
+++ b/internal/workload/caller/caller.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/workload"
 )
@@ -138,7 +139,7 @@
 
 // attempts repeats a call while its answer is lost.
 func (c *Caller) attempts(ctx context.Context, prepared *preparedCall) result {
-	pause := c.config.RetryPause
+	mean := c.config.RetryPause
 	cuts := 0
 	var trail []Attempt
 	for attempt := 1; ; attempt++ {
@@ -152,20 +153,20 @@
 			cuts++
 		}
 		last.attempts, last.cuts = attempt, cuts
-		wait, again := c.retry(prepared, last, attempt, pause)
-		if !again || !sleep(ctx, wait) {
+		wait, again := c.retry(prepared, last, attempt, mean)
+		if !again || pause.For(ctx, wait) != nil {
 			return last
 		}
-		pause *= 2
+		mean *= 2
 	}
 }
 
 // retry decides whether an attempt is repeated, and after which wait.
-func (c *Caller) retry(prepared *preparedCall, last result, attempt int, pause time.Duration) (time.Duration, bool) {
+func (c *Caller) retry(prepared *preparedCall, last result, attempt int, mean time.Duration) (time.Duration, bool) {
 	if last.kind == answered || last.kind == wrong || attempt >= c.config.MaxAttempts {
 		return 0, false
 	}
-	wait := time.Duration((0.5 + c.draw()) * float64(pause))
+	wait := time.Duration((0.5 + c.draw()) * float64(mean))
 	if last.kind == lost {
 		return wait, true
 	}
@@ -197,14 +198,3 @@
 	defer c.randomMutex.Unlock()
 	return c.random.Float64()
 }
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
