control: expire claims while it runs

The leader of each ledger group now advances retention every 2 s while claims come, and until the answers of the last ones have expired; an idle group's log does not grow. A test claims until keys are dropped and sees that a key which has just run is never granted again.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -23,11 +23,17 @@
 	peers   []Peer
 	servers []*Server // nil while a node is down
 	runs    []chan error
+	tune    func(*Config) // changes each node's settings; may be nil
 }
 
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
-	c := &cluster{t: t, folder: t.TempDir(), servers: make([]*Server, 3), runs: make([]chan error, 3)}
+	return startTunedCluster(t, nil)
+}
+
+func startTunedCluster(t *testing.T, tune func(*Config)) *cluster {
+	t.Helper()
+	c := &cluster{t: t, tune: tune, folder: t.TempDir(), servers: make([]*Server, 3), runs: make([]chan error, 3)}
 	listeners := make([]net.Listener, 3)
 	for position := range listeners {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -52,10 +58,14 @@
 func (c *cluster) start(position int, listener net.Listener) {
 	c.t.Helper()
 	peer := c.peers[position]
-	server, err := New(Config{
+	config := Config{
 		Name: peer.Name, NodeID: peer.ID, ClusterID: "test", Listen: peer.Address, Listener: listener,
 		Peers: c.peers, DataFolder: filepath.Join(c.folder, peer.Name), Tick: 20 * time.Millisecond,
-	})
+	}
+	if c.tune != nil {
+		c.tune(&config)
+	}
+	server, err := New(config)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/claim"
 	"github.com/tamarindring/tamarindring/internal/consensus"
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/logging"
@@ -59,6 +60,9 @@
 	// is in force everywhere within one and a half times this, also where a holder can't be reached.
 	// Default DefaultLeaseDuration, for the bound of 2 s at today's size.
 	LeaseDuration time.Duration
+	// Retention is how long claims are remembered; all control nodes must have the same. Zero fields take
+	// the defaults of package claim.
+	Retention claim.Retention
 	// Tick is the consensus clock's step; an election needs ten to twenty. Default DefaultTick.
 	Tick time.Duration
 	// HTTPListen serves the operators' page, metrics and health on IP:port; empty for none.
@@ -106,6 +110,10 @@
 	if c.Log == nil {
 		c.Log = logging.Discard()
 	}
+	c.Retention = c.Retention.WithDefaults()
+	if err := c.Retention.Validate(); err != nil {
+		return err
+	}
 	return c.checkPeers()
 }
 
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -76,6 +76,7 @@
 // applied is called from the host's loop.
 func (s *Server) applied(group uint32, index uint64, command *wire.Command, _ *wire.Result) {
 	s.states[group].applied.Store(index)
+	s.retention.applied(group, command)
 	if group == controlGroup && (command.GetTableChange() != nil || command.GetMemberUpdate() != nil) {
 		s.publisher.applied()
 	}
--- /dev/null
+++ b/internal/control/retention_test.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/claim"
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// claimOnce begins and finishes a claim and returns the state that Begin found.
+func claimOnce(ctx context.Context, t *testing.T, client *controlclient.Client, key string) wire.ClaimState {
+	t.Helper()
+	group, attempt := client.ClaimGroup(key), fmt.Sprintf("%s#%d", key, time.Now().UnixNano())
+	begin := &wire.Command{Kind: &wire.Command_ClaimBegin{ClaimBegin: &wire.ClaimBegin{Key: key, BodyHash: []byte("hash"), Owner: "gateway#1",
+		Attempt: attempt, Ticket: client.Ticket(group), NowUnixMillis: time.Now().UnixMilli()}}}
+	result, err := client.Execute(ctx, group, begin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := result.GetClaim().GetState()
+	if state != wire.ClaimState_CLAIM_STATE_GRANTED {
+		return state
+	}
+	finish := &wire.Command{Kind: &wire.Command_ClaimFinish{ClaimFinish: &wire.ClaimFinish{Key: key, Attempt: attempt,
+		Outcome: wire.ClaimState_CLAIM_STATE_DONE, Answer: &wire.Answer{Status: 200}, NowUnixMillis: time.Now().UnixMilli()}}}
+	if _, err := client.Execute(ctx, group, finish); err != nil {
+		t.Fatal(err)
+	}
+	return state
+}
+
+func heldClaims(ctx context.Context, t *testing.T, client *controlclient.Client) (held uint64) {
+	t.Helper()
+	for group := uint32(1); int(group) <= client.LedgerGroups(); group++ {
+		view, err := client.Query(ctx, group, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		held += view.GetStatus().GetClaims()
+	}
+	return held
+}
+
+func TestKeysOfClaimsDoNotPileUp(t *testing.T) {
+	if testing.Short() {
+		t.Skip("claims for several seconds")
+	}
+	c := startTunedCluster(t, func(config *Config) {
+		config.Retention = claim.Retention{Answers: 400 * time.Millisecond, Keys: time.Second, Attempts: 500 * time.Millisecond}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	client := c.client(controlclient.Config{})
+	first, made := heldClaims(ctx, t, client), uint64(0)
+	for dropped := false; !dropped; {
+		key := fmt.Sprint("key-", made)
+		if state := claimOnce(ctx, t, client, key); state != wire.ClaimState_CLAIM_STATE_GRANTED {
+			t.Fatalf("a new key is %v", state)
+		}
+		if state := claimOnce(ctx, t, client, key); state != wire.ClaimState_CLAIM_STATE_DONE {
+			t.Fatalf("a key that has just run is %v: it would run again", state)
+		}
+		made++
+		dropped = heldClaims(ctx, t, client) < first+made
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("%d of %d keys are held", heldClaims(ctx, t, client), made)
+}
+
+func TestIdleGroupIsLeftAlone(t *testing.T) {
+	now := time.Hour
+	server := &Server{config: Config{LedgerGroups: 1, Retention: claim.Retention{Answers: time.Minute}, Clock: func() time.Duration { return now }}}
+	r := newRetention(server)
+	if r.due(1, time.Second) {
+		t.Error("a group without claims is due")
+	}
+	r.applied(1, &wire.Command{Kind: &wire.Command_ClaimBegin{ClaimBegin: &wire.ClaimBegin{}}})
+	if now += time.Minute; !r.due(1, time.Second) {
+		t.Error("a group whose answers expire now is not due")
+	}
+	if now += time.Minute; r.due(1, time.Second) {
+		t.Error("a group that was idle since its last answer expired is due")
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -49,6 +49,7 @@
 	publisher *publisher
 	detector  *detector
 	orphans   *orphans
+	retention *retention
 	sessions  sessionSet
 	syncs     prometheus.Histogram
 	draining  atomic.Bool
@@ -87,6 +88,7 @@
 	server.publisher = newPublisher(server)
 	server.detector = newDetector(server)
 	server.orphans = newOrphans(server)
+	server.retention = newRetention(server)
 	if err := server.open(); err != nil {
 		server.cancel()
 		return nil, err
@@ -152,7 +154,7 @@
 		},
 		Log: func(err error) { s.log.WithError(err).Debug("a connection ended") },
 	})
-	background := []func(context.Context){s.grantLoop, s.publisher.run, s.detector.run, s.orphans.run, s.followLeader}
+	background := []func(context.Context){s.grantLoop, s.publisher.run, s.detector.run, s.orphans.run, s.retention.run, s.followLeader}
 	for _, routine := range background {
 		s.routines.Go(func() { routine(ctx) })
 	}
