--- a/internal/bench/capacity/ledgergroup.go
+++ b/internal/bench/capacity/ledgergroup.go
@@ -57,7 +57,7 @@
 
 // load runs count jobs, rate of them a second (as fast as it goes when rate is 0), and measures them.
 func (g *ledgerGroup) load(ctx context.Context, count, rate int, job func(ctx context.Context, n int) error) (LedgerPoint, error) {
-	traffic, disk := g.control.Bytes(), rig.WrittenBytes()
+	traffic, disk := g.control.Bytes(), g.control.WrittenBytes()
 	recorder, err := rolecost.Start()
 	if err != nil {
 		return LedgerPoint{}, err
@@ -86,6 +86,6 @@
 		return LedgerPoint{}, err
 	}
 	return LedgerPoint{Count: count, Seconds: took, PerSecond: float64(count) / took, ControlCores: cost.Apportioned(rig.RoleControl),
-		ProcessCores: cost.TotalCores, ControlBytes: float64(g.control.Bytes() - traffic), DiskBytes: float64(rig.WrittenBytes() - disk),
+		ProcessCores: cost.TotalCores, ControlBytes: float64(g.control.Bytes() - traffic), DiskBytes: float64(g.control.WrittenBytes() - disk),
 		LiveBytes: rig.LiveBytes(), Failures: int(failures.Load())}, ctx.Err()
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -131,6 +131,9 @@
 // Address is the listener's IP:port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// WrittenBytes returns how many bytes this node has written to its data file since it was opened.
+func (s *Server) WrittenBytes() uint64 { return s.store.WrittenBytes() }
+
 // Run serves until ctx ends, Close is called or the node must stop because its disk failed. It may be
 // called once.
 func (s *Server) Run(ctx context.Context) (err error) {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -56,6 +57,7 @@
 	starts   uint64
 	lock     *os.File
 	database *bbolt.DB
+	commits  atomic.Uint64 // writes that became durable
 
 	mutex    sync.Mutex
 	poisoned error
@@ -285,3 +287,10 @@
 	}
 	return trace.Wrap(err)
 }
+
+// WrittenBytes returns how many bytes of pages the store has written since it was opened, one meta page for
+// each write included. What the file system and the disk add is not in it.
+func (s *Store) WrittenBytes() uint64 {
+	pages := s.database.Stats().TxStats
+	return uint64(pages.GetPageAlloc()) + s.commits.Load()*uint64(s.database.Info().PageSize)
+}
--- a/internal/storage/write.go
+++ b/internal/storage/write.go
@@ -63,6 +63,7 @@
 		err = s.options.Hooks.Sync()
 	}
 	if err == nil {
+		s.commits.Add(1)
 		return nil
 	}
 	if fullBeforeCommit(err) {
