--- a/internal/routing/subset_test.go
+++ b/internal/routing/subset_test.go
@@ -106,15 +106,21 @@
 func TestSubsetsBalanceAtTheTarget(t *testing.T) {
 	gateways, backends := placesIn("g", targetGateways, targetZones), placesIn("b", targetBackends, targetZones)
 	users := usersOf(gateways, backends, NewSubsets(gateways, backends, SubsetSettings{}))
-	fewest, most := len(users[0]), 0
+	fewest, most, sizes := len(users[0]), 0, make([]int, len(gateways))
 	for _, of := range users {
 		fewest, most = min(fewest, len(of)), max(most, len(of))
+		for _, g := range of {
+			sizes[g]++
+		}
 	}
 	load, baseline := staticLoad(gateways, backends, users), staticLoad(gateways, backends, rendezvousUsers(gateways, backends, 24))
 	t.Logf("users of a back end %d to %d, static load at most %.2f of the mean; rendezvous by gateway %.2f", fewest, most, load, baseline)
 	if fewest < 14 || load > 1.25 || load > baseline {
 		t.Fatal("back ends are not used evenly")
 	}
+	if mean := 25; slices.Max(sizes) > mean+mean/4+1 || slices.Min(sizes) < 12 {
+		t.Fatalf("gateways use %d to %d back ends", slices.Min(sizes), slices.Max(sizes))
+	}
 }
 
 // TestSubsetsMoveLittleWhenOneComesOrGoes counts the pairs that are new for no reason of their own.
