--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -124,7 +124,7 @@
 	if err := execute(t, mustParse(t, small), 4).Write(folder); err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"report.json", "report.md"} {
+	for _, name := range []string{"report.json", "report.md", "idle.png", "staleness.png", "lengths.png", "live.png", "versions.png"} {
 		content, err := os.ReadFile(filepath.Join(folder, name))
 		if err != nil || len(content) == 0 {
 			t.Fatalf("%s: %d bytes, %v", name, len(content), err)
--- a/internal/experiment/markdown.go
+++ b/internal/experiment/markdown.go
@@ -17,6 +17,10 @@
 		r.scenario.Fleet.Replicas(), asDuration(r.Duration), asDuration(r.Warmup), r.Seeds)
 	r.trainerTable(&page)
 	r.liveTable(&page)
+	page.WriteString("## Plots, first seed\n\n")
+	for _, file := range plotFiles {
+		fmt.Fprintf(&page, "![%s](%s)\n\n", file.title, file.name)
+	}
 	return page.String()
 }
 
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -148,5 +148,5 @@
 	if err := os.WriteFile(filepath.Join(folder, "report.md"), []byte(r.Markdown()), 0o644); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	return nil
+	return r.writePlots(folder)
 }
