--- a/internal/experiment/coordinator.go
+++ b/internal/experiment/coordinator.go
@@ -46,6 +46,7 @@
 }
 
 func (c *coordinator) tick() {
+	c.simulation.weights.drive()
 	c.noteAvailable()
 	c.discardExpired()
 	c.dispatch()
--- a/internal/experiment/gateway.go
+++ b/internal/experiment/gateway.go
@@ -184,6 +184,7 @@
 	load := r.engine.Load(s.now)
 	report := routing.LoadReport{Requests: float64(load.Running + load.Waiting)}
 	s.after(s.reportLag, func() {
+		s.weights.report(r, load)
 		for _, g := range s.gateways {
 			g.pool.Report(r.name, report, s.now)
 		}
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -60,6 +60,7 @@
 	seed        uint64
 	random      *rand.Rand
 	replicas    []*replica
+	byName      map[string]int // index in replicas
 	gateways    []*gateway
 	coordinator *coordinator
 	weights     *weightRollout
@@ -82,7 +83,7 @@
 func newSimulation(scenario *Scenario, policy *Policy, seed uint64) (*simulation, error) {
 	s := &simulation{
 		scenario: scenario, policy: policy, seed: seed, reportLag: scenario.Fleet.ReportLag,
-		random: newRandom(seed, streamGateways), measure: newMeasurement(scenario),
+		random: newRandom(seed, streamGateways), measure: newMeasurement(scenario), byName: map[string]int{},
 	}
 	if err := s.addReplicas(); err != nil {
 		return nil, err
@@ -129,8 +130,10 @@
 			if err != nil {
 				return trace.Wrap(err)
 			}
+			name := replicaName(zone.Name, number)
+			s.byName[name] = len(s.replicas)
 			s.replicas = append(s.replicas, &replica{
-				index: len(s.replicas), name: replicaName(zone.Name, number), zone: zone, engine: made,
+				index: len(s.replicas), name: name, zone: zone, engine: made,
 				attempts: map[uint64]*attempt{}, wakePosition: -1,
 			})
 		}
@@ -138,6 +141,9 @@
 	return nil
 }
 
+// replica returns the replica of a name.
+func (s *simulation) replica(name string) *replica { return s.replicas[s.byName[name]] }
+
 // advance runs a replica's engine up to now, hands out its events and sets its next wake.
 func (s *simulation) advance(r *replica) {
 	for _, event := range r.engine.Advance(s.now) {
