claim: don't call a forgotten key not run

An attempt that arrived while a key was known could be refused only after the key, which had run, was dropped: the ledger then had no record and answered that the key did not run. It takes a gateway that was paused for longer than the retention of attempts; models/claims.pml found it. A refusal now carries the attempt's ticket and says nothing about a run when the ticket is below the floor: the caller hears that the request may have run.

--- a/internal/claim/apply.go
+++ b/internal/claim/apply.go
@@ -174,7 +174,8 @@
 
 // Refuse makes "did not run" final for every attempt of the key that arrived before this command. State
 // UNSPECIFIED means that it is; any other that an attempt runs, ran or may have run, or that the key
-// belongs to another body. Errors: malformed command, nothing changed.
+// belongs to another body. STALE_ATTEMPT says that the ticket is below the floor: the key may have run and
+// been dropped since, so nothing is refused. Errors: malformed command, nothing changed.
 func (s *Store) Refuse(index uint64, command *wire.ClaimRefuse) (*wire.ClaimResult, error) {
 	if err := checkKey(command.GetKey(), command.GetAttempt(), command.GetBodyHash(), false); err != nil {
 		return nil, trace.Wrap(err)
@@ -193,6 +194,9 @@
 	if known.state != idle {
 		return known.result(index), nil
 	}
+	if command.GetTicket() < s.floor && !s.unsafe.RefuseBelowFloor {
+		return answerOnly(wire.ClaimState_CLAIM_STATE_STALE_ATTEMPT, index), nil
+	}
 	if known.bodyHash == "" {
 		known.bodyHash = string(command.GetBodyHash())
 	}
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -30,6 +30,7 @@
 	GrantTwice         bool // grant a key that another attempt holds
 	IgnoreTickets      bool // grant attempts that arrived before a refusal or below the floor
 	ForgetReleases     bool // grant an attempt that was released
+	RefuseBelowFloor   bool // call a key not run that may have run and been dropped
 	ReuseExpiredClaims bool // grant a key that ran, once its answer has been dropped
 }
 
--- a/internal/claim/store_test.go
+++ b/internal/claim/store_test.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// TestForgottenKeyIsNotCalledNotRun: an attempt that arrived while the key was known comes to be refused only
+// after the key, which ran, has been dropped.
+func TestForgottenKeyIsNotCalledNotRun(t *testing.T) {
+	for _, unsafe := range []Unsafe{{}, {RefuseBelowFloor: true}} {
+		d := &driver{store: NewUnsafe(unsafe), now: 1_000_000}
+		retention := Retention{}.WithDefaults()
+		d.begin("key", "first", 0)
+		d.finish("key", "first", nil)
+		ticket := d.index
+		for d.store.Get("key").GetState() != idle {
+			d.now += retention.Attempts.Milliseconds()
+			d.begin("clock", "c", d.index)
+			d.expire(retention)
+		}
+		d.index++
+		result, err := d.store.Refuse(d.index, &wire.ClaimRefuse{Key: "key", Ticket: ticket, NowUnixMillis: d.now})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if found := result.GetState() == idle; found != unsafe.RefuseBelowFloor {
+			t.Errorf("with %+v the refusal answers %v", unsafe, result.GetState())
+		}
+		if fresh, err := d.store.Refuse(d.index+1, &wire.ClaimRefuse{Key: "other", Ticket: d.index}); err != nil || fresh.GetState() != idle {
+			t.Errorf("a fresh refusal answers %v, %v", fresh.GetState(), err)
+		}
+	}
+}
+
 // TestOneFastClockExpiresNothing: the proposer of ClaimExpire is a day ahead of everybody else.
 func TestOneFastClockExpiresNothing(t *testing.T) {
 	d := &driver{store: New(), now: 1_000_000}
--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -93,7 +93,7 @@
 			Key: r.Key, Attempt: action.Attempt, NowUnixMillis: nowUnixMillis}}}
 	case ClaimRefuse:
 		return &wire.Command{Kind: &wire.Command_ClaimRefuse{ClaimRefuse: &wire.ClaimRefuse{
-			Key: r.Key, BodyHash: r.BodyHash, Attempt: action.Attempt, NowUnixMillis: nowUnixMillis}}}
+			Key: r.Key, BodyHash: r.BodyHash, Attempt: action.Attempt, Ticket: r.Ticket, NowUnixMillis: nowUnixMillis}}}
 	}
 	return nil
 }
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -259,7 +259,7 @@
 	case wire.ClaimState_CLAIM_STATE_UNSPECIFIED:
 		m.failure.Verdict = verdict.DidNotRun
 		m.reply(m.failure)
-	case wire.ClaimState_CLAIM_STATE_RUNNING:
+	case wire.ClaimState_CLAIM_STATE_RUNNING, wire.ClaimState_CLAIM_STATE_STALE_ATTEMPT:
 		m.failure.Verdict = verdict.MayHaveRun
 		m.reply(m.failure)
 	default:
