--- a/internal/bench/consensusbench/cluster.go
+++ b/internal/bench/consensusbench/cluster.go
@@ -195,3 +195,18 @@
 		time.Sleep(leaderPoll / 4)
 	}
 }
+
+// compacted waits until the node has dropped the beginning of the log, which it does beside its other work:
+// from then on a new member needs the snapshot.
+func (n *node) compacted(ctx context.Context, group uint32) error {
+	for {
+		status, err := n.host.Status(ctx, group)
+		if err != nil {
+			return err
+		}
+		if status.FirstIndex > 1 {
+			return nil
+		}
+		time.Sleep(leaderPoll / 4)
+	}
+}
--- a/internal/bench/consensusbench/recovery.go
+++ b/internal/bench/consensusbench/recovery.go
@@ -186,6 +186,9 @@
 	if err != nil {
 		return err
 	}
+	if err := leader.compacted(ctx, recoveryGroup); err != nil {
+		return err
+	}
 	const learnerID = nodeCount + 1
 	if err := c.add(learnerID, "snapshot"); err != nil {
 		return err
