storage, consensus: cause failed syncs, full disks and torn writes

A failed sync, a full disk and a torn write were tested in the store only, and a torn write by flipped bytes.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -103,6 +103,7 @@
 	address  string
 	join     bool
 	change   func(*Config)
+	hooks    storage.Hooks // faults of its disk
 	store    *storage.Store
 	host     *Host
 	stop     context.CancelFunc
@@ -151,7 +152,7 @@
 	t.Helper()
 	var err error
 	name := fmt.Sprintf("n%d", n.id)
-	n.store, err = storage.Open(storage.Options{Folder: n.folder, ClusterID: "test", NodeID: n.id, NodeName: name})
+	n.store, err = storage.Open(storage.Options{Folder: n.folder, ClusterID: "test", NodeID: n.id, NodeName: name, Hooks: n.hooks})
 	if err != nil {
 		t.Fatal(err)
 	}
