--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -42,7 +42,9 @@
 		{parent: "member", name: "add", short: "Make a control node that was started with --join a voter", constructor: func() command { return &memberAddCommand{} }},
 		{parent: "member", name: "remove", short: "Take a control node out", constructor: func() command { return &memberRemoveCommand{} }},
 		{parent: "member", name: "replace", short: "Put a control node that was started with --join in another's place", constructor: func() command { return &memberReplaceCommand{} }},
-		{name: "data", short: "Check and convert data folders offline"},
+		{name: "data", short: "Check, back up and restore data folders"},
 		{parent: "data", name: "check", short: "Verify a stopped node's data folder", constructor: func() command { return &dataCheckCommand{} }},
+		{parent: "data", name: "backup", short: "Copy the state of running control nodes into a file", constructor: func() command { return &dataBackupCommand{} }},
+		{parent: "data", name: "restore", short: "Found a new cluster's first data folder from a backup", constructor: func() command { return &dataRestoreCommand{} }},
 	}
 }
--- a/internal/consensus/requests.go
+++ b/internal/consensus/requests.go
@@ -125,6 +125,21 @@
 	return addresses, nil
 }
 
+// Capture returns the encoded state of a group as applied here and the index of the last entry in it. Errors:
+// those of Status, and the state machine's when its state can't be encoded.
+func (h *Host) Capture(ctx context.Context, group uint32) (index uint64, data []byte, err error) {
+	var encode func() ([]byte, error)
+	err = h.call(ctx, group, func(g *hostedGroup) error {
+		encode, index = g.machine.Capture(), g.applied
+		return nil
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	data, err = encode()
+	return index, data, err
+}
+
 // AddLearner adds a node that receives the log and has no vote. It has to run with Config.Join. Errors:
 // *ErrNotLeader, raft.ErrChangePending, raft.ErrAlreadyMember, ErrUnknownOutcome and those of Status.
 func (h *Host) AddLearner(ctx context.Context, group uint32, node uint64) error {
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -33,6 +33,8 @@
 	Addresses(ctx context.Context, group uint32) ([]string, error)
 	// Status is this node's view of group.
 	Status(ctx context.Context, group uint32) (raft.Status, error)
+	// Capture is the encoded state of group as applied here, and the index of the last entry in it.
+	Capture(ctx context.Context, group uint32) (index uint64, data []byte, err error)
 	// TransferLeadership asks a voter to take over group.
 	TransferLeadership(ctx context.Context, group uint32, node uint64) error
 }
