storage: refuse pages of a wrong form before bbolt follows them

Opening a damaged file could end the process with a memory fault: bbolt rebuilds its free list in a goroutine of its own, which compares keys wherever an element says they are. The form of every page in use is now read from the file and checked first.

--- a/internal/storage/guard.go
+++ b/internal/storage/guard.go
@@ -5,6 +5,7 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/gravitational/trace"
 	"go.etcd.io/bbolt"
 )
 
@@ -21,7 +22,7 @@
 }
 
 // verify reads every page and record of a data file without writing to it. It goes before the open for
-// writing, which rebuilds the free list and would panic in a goroutine of bbolt's on a damaged page.
+// writing, which rebuilds the free list and would panic in a goroutine of bbolt's on a damaged page: see pageWalk.
 func verify(path string) error {
 	info, err := os.Stat(path)
 	if err != nil || info.Size() == 0 {
@@ -33,10 +34,30 @@
 			return err
 		}
 		defer database.Close()
-		return database.View(func(tx *bbolt.Tx) error { return walk(tx) })
+		return database.View(func(tx *bbolt.Tx) error {
+			if err := checkPages(path, database, tx); err != nil {
+				return err
+			}
+			return walk(tx)
+		})
 	})
 }
 
+// checkPages checks the form of every page in use.
+func checkPages(path string, database *bbolt.DB, tx *bbolt.Tx) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer file.Close()
+	pageSize := database.Info().PageSize
+	walk := &pageWalk{file: file, pageSize: pageSize, end: uint64(tx.Size()) / uint64(pageSize), seen: map[uint64]bool{}}
+	if err := walk.visit(uint64(tx.Cursor().Bucket().Root()), 0); err != nil {
+		return &DamageError{Record: path, Reason: err.Error()}
+	}
+	return nil
+}
+
 func openReadOnly(path string) (*bbolt.DB, error) {
 	database, err := bbolt.Open(path, fileMode, &bbolt.Options{ReadOnly: true, Timeout: openTimeout})
 	if err != nil {
--- a/internal/storage/torn_test.go
+++ b/internal/storage/torn_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"errors"
 	"math/rand"
 	"os"
 	"path/filepath"
@@ -102,3 +104,47 @@
 		t.Fatal(err)
 	}
 }
+
+// TestWrongKeyPositionIsRefused moves the first key of one page after the other out of the file: bbolt would
+// follow it in a goroutine of its own and end the process.
+func TestWrongKeyPositionIsRefused(t *testing.T) {
+	options := testOptions(t.TempDir())
+	store := mustOpen(t, options)
+	for round := range 20 {
+		mustWrite(t, store, GroupWrite{Group: uint32(round % 3), Entries: entriesFrom(uint64(round*100), 100, 1)})
+	}
+	if err := store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	sound := readFile(t, options.Folder)
+	refused := 0
+	for id := metaPages; (id+1)*tornPageBytes <= len(sound); id++ {
+		content := sound[id*tornPageBytes : (id+1)*tornPageBytes]
+		found := parsePage(uint64(id), content)
+		position := 4 // of a leaf's key, relative to its element
+		if found.flags == branchPage {
+			position = 0
+		}
+		if found.flags != leafPage && found.flags != branchPage || found.count == 0 {
+			continue
+		}
+		damaged := append([]byte(nil), sound...)
+		binary.LittleEndian.PutUint32(damaged[id*tornPageBytes+pageHeaderBytes+position:], 0x7ff0_0000)
+		writeFile(t, filepath.Join(options.Folder, dataFile), damaged)
+		reopened, err := Open(options)
+		var damage *DamageError
+		switch {
+		case errors.As(err, &damage):
+			refused++
+		case err != nil:
+			t.Fatalf("page %d: %v", id, err)
+		default: // a page that is not in use
+			if err := reopened.Close(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if refused < 3 {
+		t.Fatalf("%d damaged pages were refused", refused)
+	}
+}
