consensus: keep a test node's address reserved until it starts

A test node's listener was closed right after its port was read, so the next node could get the same port: TestReplaceThenLoseAnother failed once in three runs on a busy machine, two nodes sharing an address. The listener now stays open until the node's first start.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -101,6 +101,7 @@
 	id       uint64
 	folder   string
 	address  string
+	reserved net.Listener // on address, until the first start
 	join     bool
 	change   func(*Config)
 	hooks    storage.Hooks // faults of its disk
@@ -139,8 +140,8 @@
 		c.t.Fatal(err)
 	}
 	node := &testNode{cluster: c, id: id, folder: filepath.Join(c.t.TempDir(), fmt.Sprint(id)),
-		address: listener.Addr().String(), change: change}
-	listener.Close()
+		address: listener.Addr().String(), change: change, reserved: listener}
+	c.t.Cleanup(func() { listener.Close() })
 	c.peers = append(c.peers, Peer{ID: id, Name: fmt.Sprintf("n%d", id), Address: node.address})
 	c.nodes[id] = node
 	c.t.Cleanup(node.kill)
@@ -170,9 +171,11 @@
 	if err := wire.DRPCRegisterRaft(mux, n.host); err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", n.address)
-	if err != nil {
-		t.Fatal(err)
+	listener := n.reserved
+	if n.reserved = nil; listener == nil {
+		if listener, err = net.Listen("tcp", n.address); err != nil {
+			t.Fatal(err)
+		}
 	}
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(context.Background())
