--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -115,7 +115,11 @@
 		return
 	}
 	one := p.replicas[position]
-	if one.order.ID != 0 || (one.hasAnswer && now < one.answered+p.config.ReportGrace && report.Version.Number != p.target.Number) {
+	if one.order.ID != 0 {
+		one.refusing = one.refusing && report.Refusing // from now on its order costs capacity
+		return
+	}
+	if one.hasAnswer && now < one.answered+p.config.ReportGrace && report.Version.Number != p.target.Number {
 		return
 	}
 	one.known, one.serving, one.refusing = true, report.Version.Number, report.Refusing
