control: tell operators and nodes apart, mutual TLS between nodes

Whoever could connect to a control node could change the table or claim keys. With Guard set, streams carry a token in their drpc metadata: consensus and leases are for nodes, table and groups for operators, commands of the ledger for nodes, queries for both. A refused stream has an error code of its own, so that a client fails at once as did-not-run, with the reason. With TLS set both sides show certificates. Tests run clusters of three with each.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -1,7 +1,9 @@
 package consensus
 
 import (
+	"context"
 	"io"
+	"net"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -53,6 +55,14 @@
 	Starts() uint64
 }
 
+// Credentials prove to a peer who speaks to it; *credentials.Client is the usual one.
+type Credentials interface {
+	// Context returns ctx with the token, for a stream that is about to be opened.
+	Context(ctx context.Context) context.Context
+	// Secure wraps a connection that was just opened.
+	Secure(conn net.Conn) net.Conn
+}
+
 // Config holds a host's settings.
 type Config struct {
 	// NodeID is this node's raft ID, unique in the cluster for ever. Required.
@@ -101,6 +111,8 @@
 	MaxBatchProposals int
 	// Dial connects to a peer. Default: TCP. Tests cut links with it.
 	Dial DialFunc
+	// Credentials are shown to the peers. Default: none.
+	Credentials Credentials
 	// OnLeaderChange is called from the loop when a group's leader or this node's role changes. It must
 	// not block. Optional.
 	OnLeaderChange func(group uint32, leadership Leadership)
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -98,6 +98,10 @@
 	if err != nil {
 		return false, err
 	}
+	if credentials := s.host.config.Credentials; credentials != nil {
+		connection = credentials.Secure(connection)
+		ctx = credentials.Context(ctx)
+	}
 	conn := drpcconn.New(connection)
 	defer conn.Close()
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -14,6 +14,7 @@
 	"github.com/tamarindring/tamarindring/internal/claim"
 	"github.com/tamarindring/tamarindring/internal/consensus"
 	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/credentials"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
 )
@@ -71,6 +72,12 @@
 	HTTPListener net.Listener
 	// Dial opens connections to the other nodes. Default: plain TCP. Tests cut links with it.
 	Dial controlclient.DialFunc
+	// Guard checks the tokens of operators and nodes. Nil: everybody who can connect is let in.
+	Guard *credentials.Guard
+	// Credentials are shown to the other control nodes. Nil: none.
+	Credentials *credentials.Client
+	// TLS takes connections of nodes and operators with a certificate only. Nil: plain TCP.
+	TLS *credentials.TLS
 	// Clock judges leases. Default monotonic.Now.
 	Clock monotonic.Clock
 	// Log receives short sentences. Default: nothing.
--- /dev/null
+++ b/internal/control/doors.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"context"
+	"strings"
+
+	"github.com/tamarindring/tamarindring/internal/auth"
+	"github.com/tamarindring/tamarindring/internal/credentials"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// rolesOf returns who may make a call: the consensus transport and the leases on the table are for nodes, a
+// backup for operators, commands and queries for both.
+func rolesOf(rpc string) []auth.Role {
+	switch {
+	case strings.Contains(rpc, ".Raft/"), strings.HasSuffix(rpc, "/Session"):
+		return []auth.Role{auth.Node}
+	case strings.HasSuffix(rpc, "/Backup"):
+		return []auth.Role{auth.Operator}
+	}
+	return []auth.Role{auth.Node, auth.Operator}
+}
+
+// forbidden returns why the stream's owner may not make a request, or "". Operators change the table, the
+// members and the groups; all other commands are for nodes. Queries are for both.
+func forbidden(ctx context.Context, request *wire.ExecuteRequest) string {
+	principal, known := credentials.FromStream(ctx)
+	if !known || request.Query != nil {
+		return ""
+	}
+	operators := request.Change != nil || request.Command.GetTableChange() != nil
+	nodes := !operators && request.Command.GetMemberUpdate() == nil
+	switch {
+	case operators && principal.Role != auth.Operator:
+		return "this needs the token of an operator"
+	case nodes && principal.Role != auth.Node:
+		return "this needs the token of a node"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/control/doors_test.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/auth"
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/credentials"
+	"github.com/tamarindring/tamarindring/internal/credentials/credentialtest"
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// guardedCluster starts three nodes that ask for tokens, and returns what each role shows.
+func guardedCluster(t *testing.T) (*cluster, map[auth.Role]*credentials.Client) {
+	t.Helper()
+	folder := t.TempDir()
+	path, tokens := credentialtest.WriteTokens(t, folder, credentialtest.OneOfEach())
+	shown := map[auth.Role]*credentials.Client{}
+	for name, token := range tokens {
+		own := filepath.Join(folder, name)
+		if err := os.WriteFile(own, []byte(token), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		client, err := credentials.NewClient(own, nil, logging.Discard())
+		if err != nil {
+			t.Fatal(err)
+		}
+		shown[auth.Role(name)] = client
+	}
+	guard, err := credentials.NewGuard(path, logging.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startTunedCluster(t, func(c *Config) { c.Guard, c.Credentials = guard, shown[auth.Node] }), shown
+}
+
+// TestRolesAreToldApartAtTheControlNodes lets every role try what operators and nodes do.
+func TestRolesAreToldApartAtTheControlNodes(t *testing.T) {
+	c, shown := guardedCluster(t)
+	shown[""] = nil
+	operator := c.client(controlclient.Config{Credentials: shown[auth.Operator]})
+	mustAccept(t, operator, poolChange("base", 0, "1"), true)
+	for role, client := range shown {
+		asking := c.client(controlclient.Config{Credentials: client, Member: gatewayMember("member-" + string(role))})
+		_, _, tableError := asking.ChangeTable(testContext(t), weightChange("by-"+string(role), 1, "1"), false)
+		_, readError := asking.Query(testContext(t), 0, &wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{}}})
+		group := asking.ClaimGroup("key")
+		begin := &wire.ClaimBegin{Key: "key-" + string(role), BodyHash: []byte("body"), Owner: "o", Attempt: "a-" + string(role)}
+		_, claimError := asking.Execute(testContext(t), group, &wire.Command{Kind: &wire.Command_ClaimBegin{ClaimBegin: begin}})
+		_, backupError := asking.Backup(testContext(t))
+		session, sessionError := asking.StartSession(testContext(t))
+		if sessionError == nil {
+			session.Close()
+		}
+		for what, check := range map[string]struct {
+			err  error
+			open bool
+		}{
+			"change the table": {tableError, role == auth.Operator},
+			"read the table":   {readError, role == auth.Operator || role == auth.Node},
+			"claim a key":      {claimError, role == auth.Node},
+			"take a backup":    {backupError, role == auth.Operator},
+			"hold a lease":     {sessionError, role == auth.Node},
+		} {
+			if (check.err == nil) != check.open {
+				t.Errorf("%q may %s: %v", role, what, check.err)
+			}
+			if check.err != nil && !strings.Contains(check.err.Error(), "token") {
+				t.Errorf("%q may not %s, but the reason is not told: %v", role, what, check.err)
+			}
+		}
+		if tableError != nil && verdict.Of(tableError) != verdict.DidNotRun {
+			t.Errorf("%q: a refused change has the verdict %s", role, verdict.Of(tableError))
+		}
+	}
+}
+
+// TestNodeWithoutATokenIsKeptOutOfTheGroups restarts a follower without its token: it hears nobody, the
+// others go on.
+func TestNodeWithoutATokenIsKeptOutOfTheGroups(t *testing.T) {
+	c, shown := guardedCluster(t)
+	follower := (c.leader() + 1) % len(c.servers)
+	c.kill(follower)
+	guarded := c.tune
+	c.tune = func(config *Config) { guarded(config); config.Credentials = nil }
+	c.start(follower, nil)
+	operator := c.client(controlclient.Config{Credentials: shown[auth.Operator]})
+	mustAccept(t, operator, poolChange("base", 0, "1"), true)
+	c.kill(follower)
+	c.tune = guarded
+	c.start(follower, nil)
+	eventually(t, "the node with its token to catch up", func() bool {
+		view, err := c.servers[follower].statusView(testContext(t), controlGroup)
+		return err == nil && view.GetStatus().GetTableVersion() == 1
+	})
+}
+
+// TestNodesAndClientsMeetOverMutualTLS runs a cluster whose connections all need certificates.
+func TestNodesAndClientsMeetOverMutualTLS(t *testing.T) {
+	authority := credentialtest.NewAuthority(t)
+	newTLS := func(from *credentialtest.Authority) *credentials.TLS {
+		certificate, key, ca := from.Write(t, t.TempDir(), net.ParseIP("127.0.0.1"))
+		made, err := credentials.NewTLS(certificate, key, ca, logging.Discard())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return made
+	}
+	shownBy := func(tls *credentials.TLS) *credentials.Client {
+		client, err := credentials.NewClient("", tls, logging.Discard())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client
+	}
+	c := startTunedCluster(t, func(config *Config) {
+		config.TLS = newTLS(authority)
+		config.Credentials = shownBy(config.TLS)
+	})
+	client := c.client(controlclient.Config{Credentials: shownBy(newTLS(authority)), Member: gatewayMember("g")})
+	mustAccept(t, client, poolChange("base", 0, "1"), true)
+	session, err := client.StartSession(testContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	session.Close()
+	c.kill(c.leader())
+	mustAccept(t, client, weightChange("after", 1, "2"), true)
+	for name, shown := range map[string]*credentials.Client{"plain": nil, "foreign": shownBy(newTLS(credentialtest.NewAuthority(t)))} {
+		ctx, cancel := context.WithTimeout(testContext(t), time.Second)
+		stranger := c.client(controlclient.Config{Credentials: shown})
+		if _, err := stranger.Query(ctx, 0, &wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{}}}); err == nil {
+			t.Errorf("the %s client was let in", name)
+		}
+		cancel()
+	}
+}
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -101,6 +101,9 @@
 	if reason := s.malformed(request); reason != "" {
 		return &wire.ExecuteReply{Status: wire.ExecuteStatus_EXECUTE_STATUS_INVALID, Error: reason}
 	}
+	if reason := forbidden(ctx, request); reason != "" {
+		return &wire.ExecuteReply{Status: wire.ExecuteStatus_EXECUTE_STATUS_INVALID, Error: reason}
+	}
 	if request.Query != nil {
 		return s.query(ctx, request)
 	}
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -30,6 +30,7 @@
 		OnLeaderChange:  s.leaderChanged,
 		OnApply:         s.applied,
 		OnRestore:       s.restored,
+		Credentials:     s.config.Credentials,
 		Dial:            s.config.dialPeer(),
 		Log:             s.log,
 	})
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -106,7 +106,7 @@
 		s.listener = listener
 	}
 	client, err := controlclient.New(controlclient.Config{
-		Addresses: s.peerAddresses(), LedgerGroups: s.config.LedgerGroups, Dial: s.config.Dial, Log: s.log,
+		Addresses: s.peerAddresses(), LedgerGroups: s.config.LedgerGroups, Dial: s.config.Dial, Credentials: s.config.Credentials, Log: s.log,
 	})
 	if err != nil {
 		return trace.NewAggregate(err, s.listener.Close())
@@ -150,7 +150,7 @@
 	if err := s.register(mux); err != nil {
 		return trace.Wrap(err)
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+	server := drpcserver.NewWithOptions(s.config.Guard.Wrap(mux, rolesOf), drpcserver.Options{
 		Manager: drpcmanager.Options{
 			Reader: drpcwire.ReaderOptions{MaximumBufferSize: maximumMessageBytes},
 			Stream: drpcstream.Options{ManualFlush: true},
@@ -196,7 +196,7 @@
 		hostFailed <- s.replicas.Run(ctx)
 		cancel()
 	}()
-	err := server.Serve(ctx, s.listener)
+	err := server.Serve(ctx, s.config.TLS.Listen(s.listener))
 	cancel()
 	if hostError := <-hostFailed; hostError != nil {
 		return hostError
--- a/internal/controlclient/backup.go
+++ b/internal/controlclient/backup.go
@@ -26,12 +26,12 @@
 }
 
 func (c *Client) backupFrom(ctx context.Context, address string) (*wire.Backup, error) {
-	connection, err := openControl(ctx, c.config.Dial, address)
+	connection, err := openControl(ctx, &c.config, address)
 	if err != nil {
 		return nil, err
 	}
 	defer connection.Close()
-	stream, err := wire.NewDRPCControlClient(connection).Backup(ctx, &wire.BackupRequest{})
+	stream, err := wire.NewDRPCControlClient(connection).Backup(c.config.Credentials.Context(ctx), &wire.BackupRequest{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controlclient/config.go
+++ b/internal/controlclient/config.go
@@ -37,6 +37,23 @@
 // DialFunc opens a connection; net.Dialer.DialContext is the usual one.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Credentials prove to a control node who speaks to it; *credentials.Client is the usual one.
+type Credentials interface {
+	// Context returns ctx with the token, for a stream that is about to be opened.
+	Context(ctx context.Context) context.Context
+	// Secure wraps a connection that was just opened.
+	Secure(conn net.Conn) net.Conn
+}
+
+// noCredentials show nothing.
+type noCredentials struct{}
+
+// Context implements Credentials.
+func (noCredentials) Context(ctx context.Context) context.Context { return ctx }
+
+// Secure implements Credentials.
+func (noCredentials) Secure(conn net.Conn) net.Conn { return conn }
+
 // Config says how to reach the control nodes.
 type Config struct {
 	// Addresses are the control nodes' listen addresses (IP:port). At least one; others are learned.
@@ -55,6 +72,8 @@
 	LeaveTimeout time.Duration
 	// Dial opens connections. Default: plain TCP.
 	Dial DialFunc
+	// Credentials are shown to the control nodes. Default: none.
+	Credentials Credentials
 	// Clock judges the lease. Default monotonic.Now.
 	Clock monotonic.Clock
 	// Log receives short sentences about lost and regained connections. Default: nothing.
@@ -85,6 +104,9 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
+	if c.Credentials == nil {
+		c.Credentials = noCredentials{}
+	}
 	if c.Clock == nil {
 		c.Clock = monotonic.Now
 	}
--- a/internal/controlclient/connection.go
+++ b/internal/controlclient/connection.go
@@ -28,17 +28,17 @@
 }
 
 // openControl dials address and returns a drpc connection to its control service.
-func openControl(ctx context.Context, dial DialFunc, address string) (*drpcconn.Conn, error) {
+func openControl(ctx context.Context, config *Config, address string) (*drpcconn.Conn, error) {
 	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	transport, err := dial(dialContext, "tcp", address)
+	transport, err := config.Dial(dialContext, "tcp", address)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "control node %s can't be reached", address)
 	}
 	if tcp, ok := transport.(*net.TCPConn); ok {
 		_ = tcp.SetNoDelay(true)
 	}
-	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(config.Credentials.Secure(transport), drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 // connection is one pipelined Execute stream to one control node.
@@ -59,13 +59,13 @@
 }
 
 // newConnection dials and starts the stream's reader and writer. ctx bounds the whole life.
-func newConnection(ctx context.Context, dial DialFunc, address string) (*connection, error) {
-	conn, err := openControl(ctx, dial, address)
+func newConnection(ctx context.Context, config *Config, address string) (*connection, error) {
+	conn, err := openControl(ctx, config, address)
 	if err != nil {
 		return nil, err
 	}
 	streamContext, cancel := context.WithCancel(ctx)
-	stream, err := wire.NewDRPCControlClient(conn).Execute(streamContext)
+	stream, err := wire.NewDRPCControlClient(conn).Execute(config.Credentials.Context(streamContext))
 	if err != nil {
 		cancel()
 		_ = conn.Close()
--- a/internal/controlclient/request.go
+++ b/internal/controlclient/request.go
@@ -7,7 +7,9 @@
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcerr"
 
+	"github.com/tamarindring/tamarindring/internal/auth"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -45,6 +47,9 @@
 		}
 		address := c.pick(template.group)
 		reply, sent, err := c.attempt(ctx, address, template)
+		if drpcerr.Code(err) == auth.RefusedCode {
+			return nil, state.refused(address)
+		}
 		if err != nil {
 			state.proposed = state.proposed || sent && template.query == nil
 			state.last = err
@@ -115,6 +120,15 @@
 	return reply, nil
 }
 
+// refused is the error of a request whose stream a node refused before it read the request.
+func (p *progress) refused(address string) error {
+	p.last = trace.AccessDenied("control node %s does not let this process in: its token is missing, not valid, or of another role", address)
+	if p.proposed {
+		return p.final(p.last)
+	}
+	return verdict.New(verdict.DidNotRun, "%s", trace.UserMessage(p.last))
+}
+
 // final is the error of a request that is given up.
 func (p *progress) final(cause error) error {
 	if p.last != nil && cause != p.last {
@@ -163,7 +177,7 @@
 		if open := c.open(key); open != nil {
 			return open, nil
 		}
-		dialed, err := newConnection(c.context, c.config.Dial, key.address)
+		dialed, err := newConnection(c.context, &c.config, key.address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -23,6 +23,7 @@
 	cancel  context.CancelFunc
 	stopped chan struct{} // closed when the session's goroutine has ended
 	granted chan struct{} // closed at the first grant
+	refused chan error    // capacity 1: a control node does not accept the token
 
 	view    atomic.Pointer[table.View]
 	members atomic.Pointer[wire.MembersView]
@@ -53,6 +54,9 @@
 	case <-ctx.Done():
 		session.Close()
 		return nil, trace.ConnectionProblem(ctx.Err(), "no control leader granted a lease to %s", c.config.Member.Name)
+	case err := <-session.refused:
+		session.Close()
+		return nil, err
 	case <-session.stopped:
 		return nil, trace.ConnectionProblem(nil, "the control client is closed")
 	}
@@ -70,6 +74,7 @@
 		client: c, member: member,
 		stopped: make(chan struct{}),
 		granted: make(chan struct{}),
+		refused: make(chan error, 1),
 		holder:  lease.NewHolder(),
 		kick:    make(chan struct{}, 1),
 	}
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcerr"
 
+	"github.com/tamarindring/tamarindring/internal/auth"
 	"github.com/tamarindring/tamarindring/internal/member"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -48,6 +50,9 @@
 		if ctx.Err() != nil || s.hasLeft() {
 			return
 		}
+		if drpcerr.Code(err) == auth.RefusedCode {
+			s.noteRefusal(address, err)
+		}
 		s.client.forgetLeader(ControlGroup, address)
 		if redirect != "" && redirect != address {
 			s.client.setLeader(ControlGroup, redirect)
@@ -64,6 +69,15 @@
 	}
 }
 
+// noteRefusal tells StartSession, or the log when the session runs, that the token is not accepted.
+func (s *Session) noteRefusal(address string, err error) {
+	select {
+	case s.refused <- trace.AccessDenied("control node %s: %v", address, err):
+	default:
+		s.client.config.Log.Warnf("control node %s: %v", address, err)
+	}
+}
+
 func (s *Session) hasLeft() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -81,14 +95,14 @@
 // attach serves one stream until it breaks. worked tells that a lease was granted on it; redirect is
 // the leader's address if the node named one.
 func (s *Session) attach(ctx context.Context, address string) (worked bool, redirect string, err error) {
-	conn, err := openControl(ctx, s.client.config.Dial, address)
+	conn, err := openControl(ctx, &s.client.config, address)
 	if err != nil {
 		return false, "", err
 	}
 	defer conn.Close()
 	streamContext, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := wire.NewDRPCControlClient(conn).Session(streamContext)
+	stream, err := wire.NewDRPCControlClient(conn).Session(s.client.config.Credentials.Context(streamContext))
 	if err != nil {
 		return false, "", trace.Wrap(err)
 	}
--- a/internal/credentials/guard.go
+++ b/internal/credentials/guard.go
@@ -62,29 +62,25 @@
 	return principal, ok
 }
 
-// Wrap returns a handler of drpc calls that lets in operators and nodes only, and nodes alone to the calls
-// that nodeOnly names. A nil Guard returns the handler as it is.
-func (g *Guard) Wrap(handler drpc.Handler, nodeOnly func(rpc string) bool) drpc.Handler {
+// Wrap returns a handler of drpc calls that lets in the roles that permitted names for each call. A nil
+// Guard returns the handler as it is.
+func (g *Guard) Wrap(handler drpc.Handler, permitted func(rpc string) []auth.Role) drpc.Handler {
 	if g == nil {
 		return handler
 	}
-	return &guarded{guard: g, handler: handler, nodeOnly: nodeOnly}
+	return &guarded{guard: g, handler: handler, permitted: permitted}
 }
 
 type guarded struct {
-	guard    *Guard
-	handler  drpc.Handler
-	nodeOnly func(rpc string) bool
+	guard     *Guard
+	handler   drpc.Handler
+	permitted func(rpc string) []auth.Role
 }
 
 // HandleRPC implements drpc.Handler.
 func (h *guarded) HandleRPC(stream drpc.Stream, rpc string) error {
 	metadata, _ := drpcmetadata.Get(stream.Context())
-	permitted := []auth.Role{auth.Node, auth.Operator}
-	if h.nodeOnly(rpc) {
-		permitted = permitted[:1]
-	}
-	principal, err := h.guard.Check(metadata[tokenKey], permitted...)
+	principal, err := h.guard.Check(metadata[tokenKey], h.permitted(rpc)...)
 	if err != nil {
 		h.guard.tell(rpc, err)
 		return drpcerr.WithCode(err, auth.RefusedCode)
