--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -39,15 +39,17 @@
 
 // Report is everything that was measured.
 type Report struct {
-	Machine  Machine                   `json:"machine"`
-	Target   Target                    `json:"target"`
-	PerPoint string                    `json:"time_per_point"`
-	Sessions *controlbench.Report      `json:"control_sessions"`
-	Claims   *Ledger                   `json:"claims"`
-	Samples  *Ledger                   `json:"samples"`
-	States   []slope.Line              `json:"states"`
-	Gateway  *gatewaybench.ScaleReport `json:"gateway"`
-	Polls    *Polls                    `json:"load_polls"`
+	Machine     Machine                   `json:"machine"`
+	Target      Target                    `json:"target"`
+	PerPoint    string                    `json:"time_per_point"`
+	Sessions    *controlbench.Report      `json:"control_sessions"`
+	Groups      *Groups                   `json:"ledger_groups"`
+	Claims      *Ledger                   `json:"claims"`
+	Samples     *Ledger                   `json:"samples"`
+	States      []slope.Line              `json:"states"`
+	Gateway     *gatewaybench.ScaleReport `json:"gateway"`
+	Polls       *Polls                    `json:"load_polls"`
+	Coordinator *Coordinator              `json:"coordinator"`
 }
 
 // Ledger is the result of a load on the ledger groups.
@@ -77,6 +79,9 @@
 	if r.Sessions != nil {
 		lines = append(lines, r.Sessions.Lines...)
 	}
+	if r.Groups != nil {
+		lines = append(lines, r.Groups.Lines...)
+	}
 	if r.Claims != nil {
 		lines = append(lines, r.Claims.Lines...)
 	}
@@ -90,6 +95,9 @@
 	if r.Polls != nil {
 		lines = append(lines, r.Polls.Lines...)
 	}
+	if r.Coordinator != nil {
+		lines = append(lines, r.Coordinator.Lines...)
+	}
 	return lines
 }
 
@@ -146,10 +154,12 @@
 	return []part{
 		{"states", r.states},
 		{"sessions", r.sessions},
+		{"groups", r.groups},
 		{"claims", r.claims},
 		{"samples", r.samples},
 		{"gateway", r.gateway},
 		{"polls", r.polls},
+		{"coordinator", r.coordinator},
 	}
 }
 
--- a/internal/bench/capacity/estimate.go
+++ b/internal/bench/capacity/estimate.go
@@ -12,6 +12,8 @@
 	Value float64
 	// Beyond is the size over the largest measured one; above 1 the value is extrapolated.
 	Beyond float64
+	// Origin says where a value comes from that was not read off a line; empty otherwise.
+	Origin string
 }
 
 // at reads a quantity off its line.
@@ -67,6 +69,9 @@
 
 // Basis says whether the estimate lies within the measured sizes.
 func (e Estimate) Basis() string {
+	if e.Origin != "" {
+		return e.Origin
+	}
 	if e.Beyond <= measuredUpTo {
 		return "measured"
 	}
--- a/internal/bench/capacity/roles.go
+++ b/internal/bench/capacity/roles.go
@@ -105,7 +105,7 @@
 	perNode := 1 / float64(f.Claims.Nodes)
 	return Role{
 		Name:  "control machine that holds every ledger group",
-		Count: fmt.Sprintf("%d machines; today each holds all groups", target.ControlMachines),
+		Count: fmt.Sprintf("%d machines; today each holds all groups; measured with %d voters", target.ControlMachines, f.Claims.Nodes),
 		State: fmt.Sprintf("%s keys of claims (%s h at %s claims/s), %s samples not yet delivered",
 			number(f.keys), number(target.ClaimKeyHours), number(f.claimRate), number(f.samplesHeld)),
 		Messages: fmt.Sprintf("%s claims/s of two commands each, %s samples/s; traffic of a node %s",
@@ -147,8 +147,9 @@
 		State: fmt.Sprintf("the plan of %d samples of its trainer's step; all that must survive is in a ledger group", target.SamplesPerStep),
 		Messages: fmt.Sprintf("%s samples/s over all trainers, generated through gateways, scored, stored",
 			number(f.sampleRate)),
-		Processor: "not measured yet",
-		Memory:    "not measured yet",
+		Processor: fmt.Sprintf("%s for samples of %d tokens", cores(f.each(CoordinatorCores,
+			float64(target.SamplesPerStep)).times(1/(target.StepMinutes*60))), f.Coordinator.Tokens),
+		Memory:    fmt.Sprintf("%s for its step, the ledger's and the engines' memory of it included", size(f.each(CoordinatorMemory, float64(target.SamplesPerStep)))),
 		Disk:      "none",
 		Mechanism: "owner by hash among the live coordinators with a fencing token; a new owner reads the step from the ledger",
 	}
