bench capacity: weight waves over 600 hollow replicas

A coordinator brings a version to 10, 100, 300 and 600 replicas that take the emulator's time to stage and to swap it and load nothing.

--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -50,6 +50,7 @@
 	Gateway     *gatewaybench.ScaleReport `json:"gateway"`
 	Polls       *Polls                    `json:"load_polls"`
 	Coordinator *Coordinator              `json:"coordinator"`
+	Waves       *Waves                    `json:"weight_waves"`
 }
 
 // Ledger is the result of a load on the ledger groups.
@@ -98,6 +99,9 @@
 	if r.Coordinator != nil {
 		lines = append(lines, r.Coordinator.Lines...)
 	}
+	if r.Waves != nil {
+		lines = append(lines, r.Waves.Lines...)
+	}
 	return lines
 }
 
@@ -160,6 +164,7 @@
 		{"gateway", r.gateway},
 		{"polls", r.polls},
 		{"coordinator", r.coordinator},
+		{"waves", r.waves},
 	}
 }
 
--- a/internal/bench/capacity/limits.go
+++ b/internal/bench/capacity/limits.go
@@ -62,6 +62,8 @@
 			"each gateway follows a subset of the back ends"),
 		limit("coordinator: traffic of load reports", f.coordinatorReports(), target.BudgetBytesPerSec, perSecond,
 			"not carried: each asks every replica; in a wave alone, or by the wave's owner alone"),
+		limit("weight wave: on all replicas", f.measured(WaveTime, float64(target.Replicas)), target.WeightSeconds, seconds,
+			"staged beside the running steps, swapped a fifth at a time"),
 		limit("control machine: memory of claim keys", f.each(StateMemory(StateClaims), f.keys), target.ControlMachineMemory, bytesText,
 			"retention of keys; ledger groups on some of the machines each"),
 		limit("control machine: pause of the loop for one ledger group's snapshot", f.each(StateCapture(StateClaims), f.keysPerGroup), target.ElectionSeconds, seconds,
--- a/internal/bench/capacity/page.go
+++ b/internal/bench/capacity/page.go
@@ -25,7 +25,7 @@
 	if err := decoder.Decode(report); err != nil {
 		return nil, trace.BadParameter("these are not the figures of a capacity run: %v", err)
 	}
-	if report.Sessions == nil || report.Claims == nil || report.Samples == nil || report.Gateway == nil || report.Polls == nil || report.Groups == nil || report.Coordinator == nil {
+	if report.Sessions == nil || report.Claims == nil || report.Samples == nil || report.Gateway == nil || report.Polls == nil || report.Groups == nil || report.Coordinator == nil || report.Waves == nil {
 		return nil, trace.BadParameter("these figures are of a run that was not finished")
 	}
 	return report, nil
--- a/internal/bench/capacity/polls.go
+++ b/internal/bench/capacity/polls.go
@@ -209,16 +209,7 @@
 	if err := p.backends.grow(size); err != nil {
 		return err
 	}
-	var cells []*wire.CellChange
-	if known == 0 {
-		cells = append(cells, &wire.CellChange{Row: "pool", Column: "kind", Value: "pool"}, &wire.CellChange{Row: "pool", Column: "service", Value: "engine"})
-	}
-	for index := known; index < size; index++ {
-		name := fmt.Sprintf("replica-%03d", index)
-		cells = append(cells, &wire.CellChange{Row: name, Column: "kind", Value: "backend"}, &wire.CellChange{Row: name, Column: "pool", Value: "pool"},
-			&wire.CellChange{Row: name, Column: "address", Value: p.backends.listeners[index].Addr().String()},
-			&wire.CellChange{Row: name, Column: "zone", Value: zoneName(index)})
-	}
+	cells := backendCells(p.backends.listeners, known)
 	if len(cells) == 0 {
 		return nil
 	}
@@ -233,6 +224,21 @@
 	return nil
 }
 
+// backendCells are the rows of the back ends from position known on, and the pool's row with the first.
+func backendCells(listeners []*rig.CountingListener, known int) []*wire.CellChange {
+	var cells []*wire.CellChange
+	if known == 0 {
+		cells = append(cells, &wire.CellChange{Row: "pool", Column: "kind", Value: "pool"}, &wire.CellChange{Row: "pool", Column: "service", Value: "engine"})
+	}
+	for index := known; index < len(listeners); index++ {
+		name := fmt.Sprintf("replica-%03d", index)
+		cells = append(cells, &wire.CellChange{Row: name, Column: "kind", Value: "backend"}, &wire.CellChange{Row: name, Column: "pool", Value: "pool"},
+			&wire.CellChange{Row: name, Column: "address", Value: listeners[index].Addr().String()},
+			&wire.CellChange{Row: name, Column: "zone", Value: zoneName(index)})
+	}
+	return cells
+}
+
 func (p *pollRun) measure(ctx context.Context, size int, duration time.Duration) (PollPoint, error) {
 	if err := p.list(ctx, size); err != nil {
 		return PollPoint{}, err
--- a/internal/cli/benchcapacity.go
+++ b/internal/cli/benchcapacity.go
@@ -19,7 +19,7 @@
 	PerPoint time.Duration `long:"per-point" default:"4s" description:"Time of each measurement"`
 	Lease    time.Duration `long:"lease" default:"6s" description:"Table lease"`
 	Revision string        `long:"revision" description:"Source revision to note, where the build was not stamped with it"`
-	Parts    []string      `long:"part" choice:"states" choice:"sessions" choice:"groups" choice:"claims" choice:"samples" choice:"gateway" choice:"polls" choice:"coordinator" description:"Measure only this part; may be given several times (default: all, which a page needs)"`
+	Parts    []string      `long:"part" choice:"states" choice:"sessions" choice:"groups" choice:"claims" choice:"samples" choice:"gateway" choice:"polls" choice:"coordinator" choice:"waves" description:"Measure only this part; may be given several times (default: all, which a page needs)"`
 	Page     string        `long:"page" description:"Write the page here, and its figures beside it as capacity.json"`
 	From     string        `long:"from" description:"Render the page from this JSON of an earlier run; measure nothing"`
 }
