--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -78,6 +78,9 @@
 	if backup.Format != Format {
 		return nil, trace.BadParameter("%s has format %d, this program reads %d", path, backup.Format, Format)
 	}
+	if len(backup.Groups) == 0 {
+		return nil, trace.BadParameter("%s holds no group", path)
+	}
 	for position, group := range backup.Groups {
 		if int(group.Group) != position {
 			return nil, trace.BadParameter("%s lacks group %d", path, position)
