coordinator: see an acknowledgement through once it is begun

TestDrainHandsTheTrainerOver failed once in two short runs on a busy machine: 39 of 40 samples were counted as handed over. The ledger had the acknowledgement, but a drain or a newer fetch ended the call before its answer, and nobody counted the batch. The trainer had got every sample once. The command is now seen through under the server's own context.

--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -43,7 +43,7 @@
 func (s *Server) serveTurn(ctx context.Context, t *trainerState, body *fetchBody) ([]byte, *refusal) {
 	ctx, release := s.takeTurn(ctx, t)
 	defer release()
-	if refused := s.acknowledge(ctx, t, body.Acknowledge); refused != nil {
+	if refused := s.acknowledge(t, body.Acknowledge); refused != nil {
 		return nil, refused
 	}
 	return s.handOver(ctx, t, body)
@@ -68,8 +68,9 @@
 	return nil
 }
 
-// acknowledge notes durably that the trainer has everything up to the cursor.
-func (s *Server) acknowledge(ctx context.Context, t *trainerState, cursor uint64) *refusal {
+// acknowledge notes durably that the trainer has everything up to the cursor. Once begun it is seen through,
+// also when the fetch is superseded, so that the samples are counted.
+func (s *Server) acknowledge(t *trainerState, cursor uint64) *refusal {
 	s.mutex.Lock()
 	known := t.delivery.acknowledged
 	s.mutex.Unlock()
@@ -79,7 +80,7 @@
 	if cursor < known {
 		return conflict("the batch at this cursor was acknowledged")
 	}
-	result, err := s.execute(ctx, t, &wire.Command{Kind: &wire.Command_BatchAcknowledge{
+	result, err := s.execute(s.context, t, &wire.Command{Kind: &wire.Command_BatchAcknowledge{
 		BatchAcknowledge: &wire.BatchAcknowledge{Trainer: t.name, Cursor: cursor}}})
 	if err != nil {
 		return unanswered(err)
