coordinator: draw plain chunks as well in the scan test

TestScanReadsWhatDecodeReads failed in a short run of 20 draws on main: none of the drawn chunks was in the common form, since nearly all texts held characters that JSON escapes. Half of the cases now have plain texts; the check that some chunk was read quickly stays.

--- a/internal/coordinator/stream_test.go
+++ b/internal/coordinator/stream_test.go
@@ -19,7 +19,10 @@
 func TestScanReadsWhatDecodeReads(t *testing.T) {
 	scanned := 0
 	rapid.Check(t, func(t *rapid.T) {
-		words := rapid.StringMatching(`[a-z"\\{}:,\[\]éß ]{0,30}`)
+		words := rapid.StringMatching(`[a-z:,éß ]{1,30}`)
+		if rapid.Bool().Draw(t, "hostile") {
+			words = rapid.StringMatching(`[a-z"\\{}:,\[\]éß ]{0,30}`)
+		}
 		choice := map[string]any{
 			"text": words.Draw(t, "text"), "finish_reason": nil, "weight_version": words.Draw(t, "version"),
 			"version_number": rapid.Uint32().Draw(t, "number"), "token_offset": rapid.Uint16().Draw(t, "offset"),
