--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -13,10 +13,17 @@
 	Format string `long:"format" default:"table" choice:"table" choice:"json" description:"table for reading, json for programs"`
 }
 
-// Run asks every known control node; unreachable ones are shown as such.
+// Run asks every known control node, back end and coordinator; unreachable ones are shown as such.
 func (c *statusCommand) Run(environment Environment, _ []string) error {
 	return c.use(environment, func(ctx context.Context, client *controlclient.Client) error {
 		status := operator.ReadStatus(ctx, client)
+		if status.MembersError == "" {
+			fleet, err := operator.ReadFleet(ctx, client)
+			if err != nil {
+				return err
+			}
+			status.Fleet = fleet
+		}
 		if err := status.Write(environment.Stdout, operator.Format(c.Format)); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,243 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// fleetTimeout bounds the question to one back end or coordinator.
+	fleetTimeout = time.Second
+	// fleetParallel bounds the questions under way.
+	fleetParallel = 32
+	// maxReportBytes bounds an answer; a longer one counts as none.
+	maxReportBytes = 1 << 20
+
+	loadPath  = "/v1/load"
+	statsPath = "/v1/stats"
+)
+
+// Fleet is what back ends and coordinators say of themselves.
+type Fleet struct {
+	Pools        []PoolStatus        `json:"pools"`
+	Coordinators []CoordinatorStatus `json:"coordinators"`
+}
+
+// PoolStatus counts a pool's back ends.
+type PoolStatus struct {
+	Pool        string         `json:"pool"`
+	Backends    int            `json:"backends"`
+	Draining    []string       `json:"draining"`    // by the table, by name
+	Unreachable []string       `json:"unreachable"` // no answer within a second, by name
+	Running     int            `json:"running"`     // requests at those that answered
+	Versions    []VersionCount `json:"versions"`    // newest first; empty for application pools
+}
+
+// VersionCount counts the replicas that serve one weight version.
+type VersionCount struct {
+	Version  string `json:"version"`
+	Number   uint64 `json:"number"`
+	Replicas int    `json:"replicas"`
+}
+
+// CoordinatorStatus is what one coordinator counts since its start.
+type CoordinatorStatus struct {
+	Name            string `json:"name"`
+	Error           string `json:"error,omitempty"`  // why it did not answer
+	Trainers        int    `json:"trainers"`         // owned now
+	Running         int    `json:"running"`          // samples in work now
+	StepsCompleted  uint64 `json:"steps_completed"`  // handed over wholly
+	HandedOver      uint64 `json:"handed_over"`      // samples acknowledged by their trainers
+	DiscardedStale  uint64 `json:"discarded_stale"`  // samples thrown away as too old
+	DiscardedTokens uint64 `json:"discarded_tokens"` // generated and never handed over
+	LastWaveMillis  int64  `json:"last_wave_millis"` // time of the last weight version to reach all replicas
+}
+
+// loadReport is what status needs of a back end's load report.
+type loadReport struct {
+	WeightVersion string `json:"weight_version"`
+	VersionNumber uint64 `json:"version_number"`
+	Running       int    `json:"running"`
+}
+
+// ReadFleet asks all back ends of the table and all living coordinators.
+func ReadFleet(ctx context.Context, control Control) (*Fleet, error) {
+	sheet, err := ReadSheet(ctx, control)
+	if err != nil {
+		return nil, err
+	}
+	members, err := ReadMembers(ctx, control)
+	if err != nil {
+		return nil, err
+	}
+	return readFleet(sheet, members), nil
+}
+
+func readFleet(sheet *Sheet, members []*wire.Member) *Fleet {
+	asker := newAsker()
+	defer asker.close()
+	fleet := &Fleet{Pools: []PoolStatus{}, Coordinators: []CoordinatorStatus{}}
+	for _, row := range sheet.Rows {
+		if row.Cells[table.ColumnKind].Value == string(table.Pool) {
+			fleet.Pools = append(fleet.Pools, PoolStatus{Pool: row.Name, Draining: []string{}, Unreachable: []string{}, Versions: []VersionCount{}})
+		}
+	}
+	for _, row := range sheet.Rows {
+		fleet.askBackend(asker, row)
+	}
+	for _, member := range members {
+		if member.Role == wire.MemberRole_MEMBER_ROLE_COORDINATOR && member.State != wire.MemberState_MEMBER_STATE_GONE {
+			fleet.askCoordinator(asker, member)
+		}
+	}
+	asker.wait()
+	fleet.sort()
+	return fleet
+}
+
+// asker asks many HTTP servers at once; answers are handed over one at a time.
+type asker struct {
+	client   *fasthttp.Client
+	slots    chan struct{}
+	routines sync.WaitGroup
+	mutex    sync.Mutex // held while an answer is handed over
+}
+
+func newAsker() *asker {
+	return &asker{client: &fasthttp.Client{MaxResponseBodySize: maxReportBytes, NoDefaultUserAgentHeader: true}, slots: make(chan struct{}, fleetParallel)}
+}
+
+func (a *asker) wait()  { a.routines.Wait() }
+func (a *asker) close() { a.client.CloseIdleConnections() }
+
+// ask reads the JSON at an address into answer, then hands over whether that worked.
+func (a *asker) ask(address, path string, answer any, done func(error)) {
+	a.routines.Go(func() {
+		a.slots <- struct{}{}
+		defer func() { <-a.slots }()
+		status, body, err := a.client.GetTimeout(nil, "http://"+address+path, fleetTimeout)
+		if err == nil && status != fasthttp.StatusOK {
+			err = trace.BadParameter("status %d", status)
+		}
+		if err == nil {
+			err = json.Unmarshal(body, answer)
+		}
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		done(err)
+	})
+}
+
+func (f *Fleet) askBackend(asker *asker, row Row) {
+	pool := f.pool(row.Cells[table.ColumnPool].Value)
+	if pool == nil || row.Cells[table.ColumnState].Value == string(table.Removed) {
+		return
+	}
+	asker.mutex.Lock()
+	pool.Backends++
+	if row.Cells[table.ColumnState].Value == string(table.Draining) {
+		pool.Draining = append(pool.Draining, row.Name)
+	}
+	asker.mutex.Unlock()
+	report := &loadReport{}
+	asker.ask(row.Cells[table.ColumnAddress].Value, loadPath, report, func(err error) {
+		if err != nil {
+			pool.Unreachable = append(pool.Unreachable, row.Name)
+			return
+		}
+		pool.Running += report.Running
+		if report.WeightVersion != "" {
+			pool.count(report)
+		}
+	})
+}
+
+func (f *Fleet) pool(name string) *PoolStatus {
+	for position := range f.Pools {
+		if f.Pools[position].Pool == name {
+			return &f.Pools[position]
+		}
+	}
+	return nil
+}
+
+func (p *PoolStatus) count(report *loadReport) {
+	for position := range p.Versions {
+		if known := &p.Versions[position]; known.Version == report.WeightVersion && known.Number == report.VersionNumber {
+			known.Replicas++
+			return
+		}
+	}
+	p.Versions = append(p.Versions, VersionCount{Version: report.WeightVersion, Number: report.VersionNumber, Replicas: 1})
+}
+
+func (f *Fleet) askCoordinator(asker *asker, member *wire.Member) {
+	status := &CoordinatorStatus{}
+	asker.ask(member.Address, statsPath, status, func(err error) {
+		if err != nil {
+			*status = CoordinatorStatus{Error: err.Error()}
+		}
+		status.Name = member.Name
+		f.Coordinators = append(f.Coordinators, *status)
+	})
+}
+
+func (f *Fleet) sort() {
+	slices.SortFunc(f.Coordinators, func(left, right CoordinatorStatus) int { return cmp.Compare(left.Name, right.Name) })
+	for _, pool := range f.Pools {
+		slices.Sort(pool.Unreachable)
+		slices.SortFunc(pool.Versions, func(left, right VersionCount) int { return cmp.Compare(right.Number, left.Number) })
+	}
+}
+
+// Write prints the fleet as aligned columns; parts without a line are left out.
+func (f *Fleet) Write(out io.Writer) error {
+	pools := [][]string{{"pool", "back ends", "running", "weight versions", "draining", "unreachable"}}
+	for _, pool := range f.Pools {
+		pools = append(pools, []string{pool.Pool, decimal(uint64(pool.Backends)), decimal(uint64(pool.Running)), pool.versionText(), join(pool.Draining), join(pool.Unreachable)})
+	}
+	coordinators := [][]string{{"coordinator", "trainers", "samples running", "steps completed", "samples handed over", "too old", "last wave ms"}}
+	for _, one := range f.Coordinators {
+		if one.Error != "" {
+			coordinators = append(coordinators, []string{one.Name, "no answer"})
+			continue
+		}
+		coordinators = append(coordinators, []string{one.Name, decimal(uint64(one.Trainers)), decimal(uint64(one.Running)),
+			decimal(one.StepsCompleted), decimal(one.HandedOver), decimal(one.DiscardedStale), decimal(uint64(one.LastWaveMillis))})
+	}
+	for _, records := range [][][]string{pools, coordinators} {
+		if len(records) == 1 {
+			continue
+		}
+		if _, err := fmt.Fprintln(out); err != nil {
+			return trace.Wrap(err)
+		}
+		if err := writeAligned(out, records); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func (p *PoolStatus) versionText() string {
+	var texts []string
+	for _, version := range p.Versions {
+		texts = append(texts, fmt.Sprintf("%s: %d", version.Version, version.Replicas))
+	}
+	return join(texts)
+}
+
+func join(names []string) string { return strings.Join(names, ", ") }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -31,6 +31,8 @@
 	Members      []MemberStatus `json:"members"`
 	// MembersError says why the members could not be read: no leader was reached.
 	MembersError string `json:"members_error,omitempty"`
+	// Fleet is what back ends and coordinators say; nil if they were not asked.
+	Fleet *Fleet `json:"fleet,omitempty"`
 }
 
 // NodeStatus is one control node.
@@ -177,7 +179,10 @@
 	if _, err := fmt.Fprintln(out); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(writeAligned(out, s.memberRecords()))
+	if err := writeAligned(out, s.memberRecords()); err != nil || s.Fleet == nil {
+		return trace.Wrap(err)
+	}
+	return s.Fleet.Write(out)
 }
 
 func inForceText(version uint64) string {
