--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -32,7 +32,7 @@
 	Lease        time.Duration `long:"lease" default:"1200ms" description:"How long a process may act on the table after its last renewal; an accepted change is in force everywhere within one and a half times this"`
 	Tick         time.Duration `long:"tick" default:"50ms" description:"Step of the consensus clock; a dead leader is replaced after 10 to 20 of them"`
 	DrainTimeout time.Duration `long:"drain-timeout" default:"10s" description:"Longest time to hand leaderships over when stopped by SIGINT or SIGTERM"`
-	PageListen   string        `long:"page-listen" value-name:"IP:PORT" description:"Address of the operators' page; none if empty. It asks for no token: whoever reaches it can change the table"`
+	PageListen   string        `long:"page-listen" value-name:"IP:PORT" description:"Address of the operators' page; none if empty. Without 'tokens' whoever reaches it can change the table"`
 	LogLevel     string        `long:"log-level" default:"info" description:"debug, info, warning or error"`
 	LogFormat    string        `long:"log-format" default:"text" description:"text or json"`
 	PageToken    string        `long:"page-token" value-name:"FILE" description:"File with the operator's token that the page changes the table with; needed when tokens are asked for"`
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -218,7 +218,7 @@
 	coordinators := [][]string{{"coordinator", "trainers", "samples running", "steps completed", "samples handed over", "too old", "last wave ms"}}
 	for _, one := range f.Coordinators {
 		if one.Error != "" {
-			coordinators = append(coordinators, []string{one.Name, "no answer"})
+			coordinators = append(coordinators, []string{one.Name, "no answer: " + one.Error})
 			continue
 		}
 		coordinators = append(coordinators, []string{one.Name, decimal(uint64(one.Trainers)), decimal(uint64(one.Running)),
