--- a/internal/sim/coordinator.go
+++ b/internal/sim/coordinator.go
@@ -37,14 +37,16 @@
 
 // ownedTrainer is a trainer that this coordinator has taken over.
 type ownedTrainer struct {
-	name      string
-	group     uint32
-	fence     uint64
-	turn      uint64 // the newest fetch; older ones are superseded
-	view      *wire.TrainerView
-	closed    uint64 // newest step that is delivered
-	handed    uint64 // newest step that was handed over wholly
-	scheduled uint64 // newest step that the scheduler was given
+	name         string
+	group        uint32
+	fence        uint64
+	turn         uint64 // the newest fetch; older ones are superseded
+	view         *wire.TrainerView
+	acknowledged uint64            // cursor, as far as this coordinator knows
+	known        map[string]uint32 // editions of the samples that the ledger holds, as far as this coordinator knows
+	closed       uint64            // newest step that is delivered
+	handed       uint64            // newest step that was handed over wholly
+	scheduled    uint64            // newest step that the scheduler was given
 
 	sealedBound uint64 // only under BoundFromSeal
 }
@@ -133,6 +135,7 @@
 				}
 				c.tracef("takes over %s under token %d", name, token)
 				c.owned[name] = t
+				t.known, t.acknowledged = storedEditions(t.view), t.view.GetAcknowledgedCursor()
 				c.reschedule(t)
 				done(t)
 			})
@@ -146,6 +149,11 @@
 	c.client.execute(&wire.ExecuteRequest{Group: t.group, Query: query}, storeTimeout, func(reply *wire.ExecuteReply) {
 		if view := reply.GetView().GetTrainer(); view != nil {
 			t.view = view
+			if c.owned[t.name] == t && !t.fits(view) {
+				c.depose(t, "another coordinator has changed its ledger")
+				done(false)
+				return
+			}
 			c.closeDelivered(t)
 			done(true)
 			return
@@ -154,6 +162,41 @@
 	})
 }
 
+func storedEditions(view *wire.TrainerView) map[string]uint32 {
+	editions := map[string]uint32{}
+	for _, step := range view.GetSteps() {
+		for _, sample := range step.GetStored() {
+			editions[sample.GetId()] = sample.GetEdition()
+		}
+	}
+	return editions
+}
+
+// fits tells whether the ledger has only moved by this coordinator's commands. The production keeps a mirror
+// of the ledger that contradicts the trainer's next cursor or the ledger's next answer; this view is always new.
+func (t *ownedTrainer) fits(view *wire.TrainerView) bool {
+	if view.GetAcknowledgedCursor() != t.acknowledged {
+		return false
+	}
+	stored := storedEditions(view)
+	delivered, lowest := map[string]bool{}, uint64(0)
+	for position, step := range view.GetSteps() {
+		if position == 0 {
+			lowest = step.GetOpen().GetStep()
+		}
+		for _, id := range step.GetDeliveredIds() {
+			delivered[id] = true
+		}
+	}
+	for id, edition := range t.known {
+		if held, ok := stored[id]; ok && held == edition || delivered[id] || lowest == 0 || mustSample(id).Step < lowest {
+			continue
+		}
+		return false
+	}
+	return true
+}
+
 // closeDelivered takes steps from the scheduler that the trainer has, whoever handed them over.
 func (c *coordinator) closeDelivered(t *ownedTrainer) {
 	lowest := t.scheduled + 1
--- a/internal/sim/delivery.go
+++ b/internal/sim/delivery.go
@@ -60,6 +60,12 @@
 			d.fail()
 			return
 		}
+		if cursor != t.view.GetSealedCursor() {
+			c.depose(t, "its ledger is ahead of what is known here")
+			d.fail()
+			return
+		}
+		t.acknowledged = cursor
 		d.again()
 	})
 }
@@ -191,6 +197,7 @@
 			c.reschedule(t)
 		}
 		for _, sample := range old {
+			delete(t.known, sample.GetId())
 			c.scheduler.Discarded(c.clock(), mustSample(sample.GetId()), sample.GetEdition()+1)
 		}
 		d.again()
--- a/internal/sim/generating.go
+++ b/internal/sim/generating.go
@@ -211,6 +211,7 @@
 			c.depose(r.owned, result.GetReason())
 		default:
 			tokens, oldest := sampleTokens(sample)
+			r.owned.known[sample.Id] = sample.Edition
 			delete(c.running, r.id)
 			c.scheduler.Finished(c.clock(), r.id, tokens, oldest)
 		}
--- /dev/null
+++ b/internal/sim/mutation_test.go
@@ -0,0 +1,59 @@
+package sim
+
+import (
+	"context"
+	"runtime"
+	"testing"
+)
+
+// TestMutationStaysHidden leaves out one safety step at a time: some invariant must be violated within the
+// stated number of seeds, while the same seeds pass with every step on.
+func TestMutationStaysHidden(t *testing.T) {
+	cases := []struct {
+		mutation Mutation
+		scenario string
+		seeds    int
+	}{
+		{SkipLeaseCheck, "weights-swap", 4},
+		{LeaseCheckedEarly, "weights-swap", 4},
+		{LeaseFromReply, "pause-beyond-lease", 4},
+		{InForceWithoutWaiting, "weights-swap", 4},
+		{ForgetChangeIDs, "weights-swap", 4},
+		{IgnoreConflicts, "weights-swap", 4},
+		{ReuseExpiredClaims, "weights-swap", 4},
+		{GrantTwice, "weights-swap", 4},
+		{IgnoreTickets, "weights-swap", 8},
+		{DispatchBeforeClaim, "weights-swap", 4},
+		{TrustLostBegin, "weights-swap", 12},
+		{RetryAfterFirstByte, "weights-swap", 4},
+		{RefuseWithoutLedger, "weights-swap", 8},
+		{ReuseBusyConnection, "weights-swap", 8},
+		{SkipFenceCheck, "weights-swap", 8},
+		{HandOverStale, "weights-swap", 4},
+		{BoundFromSeal, "weights-swap", 24},
+		{ContinueFromWrongOffset, "weights-swap", 8},
+		{VersionAskedBefore, "weights-swap", 4},
+		{AnswerBeforeSync, "disk", 4},
+		{ReadWithoutBarrier, "operators-race", 8},
+		{SnapshotForgetsChangeIDs, "operators-race", 4},
+		{IgnoreFence, "operators-race", 12},
+		{TakeOverWithoutFence, "operators-race", 12},
+		{VoteUnderOldIdentity, "disk", 24},
+	}
+	if testing.Short() {
+		cases = cases[:4]
+	}
+	for _, one := range cases {
+		report := RunBatch(context.Background(), Options{Scenario: quick(t, one.scenario), Seeds: one.seeds,
+			Parallel: runtime.GOMAXPROCS(0), Mutation: one.mutation, StopAtViolation: true})
+		if len(report.Violations) == 0 {
+			t.Errorf("%s was not found in %d seeds of %s", one.mutation, one.seeds, one.scenario)
+			continue
+		}
+		first := report.Violations[0]
+		t.Logf("%-28s %-16s seed %2d: %s", one.mutation, one.scenario, first.Seed, first.Problem)
+		if plain := Run(quick(t, one.scenario), first.Seed, NoMutation, false); plain.Violation != "" {
+			t.Errorf("seed %d of %s fails without a mutation too: %s", first.Seed, one.scenario, plain.Violation)
+		}
+	}
+}
--- a/internal/sim/trainer.go
+++ b/internal/sim/trainer.go
@@ -64,10 +64,11 @@
 }
 
 // call sends something to the coordinator of the moment and to the next one when no answer comes.
-func (t *trainer) call(send func(c *coordinator, answer func(func())), again func()) {
+func (t *trainer) call(what string, send func(c *coordinator, answer func(func())), again func()) {
 	t.attempt++
 	attempt := t.attempt
 	c := t.fleet.coordinators[t.coordinator%len(t.fleet.coordinators)]
+	t.tracef("%s at %s, cursor %d", what, c.name, t.cursor+1)
 	network := t.world.network
 	t.after(fetchTimeout, func() {
 		if t.attempt == attempt {
@@ -96,7 +97,7 @@
 	}
 	open := &wire.StepOpen{Trainer: t.name, Step: t.opened + 1, SamplesPerPrompt: samplesPerPrompt, Pool: modelPool,
 		Prompts: stepPrompts(t.opened + 1)}
-	t.call(func(c *coordinator, answer func(func())) {
+	t.call("opens a step", func(c *coordinator, answer func(func())) {
 		c.open(open, func(ok bool) {
 			answer(func() {
 				if ok {
@@ -114,7 +115,7 @@
 // announce tells of the newest version, then fetches.
 func (t *trainer) announce() {
 	version := t.version
-	t.call(func(c *coordinator, answer func(func())) {
+	t.call("announces its version", func(c *coordinator, answer func(func())) {
 		c.release(version, func(ok bool) {
 			answer(func() {
 				if ok {
@@ -130,7 +131,7 @@
 
 func (t *trainer) fetch() {
 	request := fetchRequest{cursor: t.cursor + 1, version: t.version}
-	t.call(func(c *coordinator, answer func(func())) {
+	t.call("fetches", func(c *coordinator, answer func(func())) {
 		c.fetch(t.name, request, func(reply fetchReply) {
 			answer(func() { t.take(reply) })
 		})
