sim: leaving back ends, planned stops, moving leaders, takeovers

A gateway now listens only once it holds a lease and a table, as the production's does: a fresh one without tickets answered 'may have run'.

--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -36,6 +36,9 @@
 	Duplication                      // messages come twice
 	ZoneLoss                         // all processes of a zone are cut off
 	RegionsApart                     // two regions lose each other
+	BackendLeaves                    // the platform takes a replica away
+	PlannedStop                      // a gateway or control node stops by plan
+	LeaderMoves                      // the control group's leadership is handed over
 	faultKinds
 )
 
@@ -43,7 +46,7 @@
 	"kill-coordinator", "kill-trainer", "swap-fails", "swap-lies", "kill-gateway", "kill-control", "die-at-step", "power-loss",
 	"cut-one-way", "cut-both-ways", "long-cut", "pause", "long-pause", "disk-full", "sync-fails", "slow-disk",
 	"unsynced-lost", "empty-disk", "replace-machine", "second-loss", "message-loss", "reordering", "duplication",
-	"zone-loss", "regions-apart"}
+	"zone-loss", "regions-apart", "backend-leaves", "planned-stop", "leader-moves"}
 
 // String returns the fault's name.
 func (k FaultKind) String() string { return faultNames[k] }
@@ -70,6 +73,12 @@
 		return f.kill(f.anyCoordinator().process)
 	case KillTrainer:
 		return f.kill(f.anyTrainer().process)
+	case BackendLeaves:
+		return f.anyBackend().leave()
+	case PlannedStop:
+		return f.plannedStop()
+	case LeaderMoves:
+		return f.moveLeader()
 	case SwapFails:
 		f.anyEngine().failNext = true
 	case SwapLies:
--- a/internal/sim/gateway.go
+++ b/internal/sim/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -20,15 +21,17 @@
 // gateway takes callers' requests and drives one dispatch.Machine for each under its session's lease.
 type gateway struct {
 	*process
-	fleet     *fleet
-	rank      int
-	client    *client
-	session   *holderSession
-	pool      *pool
-	settings  dispatch.Settings
-	exchanges map[uint64]*exchange
-	idle      map[string][]*upstream
-	nextID    uint64
+	fleet      *fleet
+	rank       int
+	client     *client
+	session    *holderSession
+	pool       *pool
+	settings   dispatch.Settings
+	exchanges  map[uint64]*exchange
+	idle       map[string][]*upstream
+	nextID     uint64
+	draining   bool
+	knowsSince time.Duration // that it has had a table
 }
 
 func (f *fleet) newGateway(number int, zone string) *gateway {
@@ -49,9 +52,15 @@
 	g.pool = g.newPool(applicationPool)
 	g.settings = dispatch.Settings{Random: g.world.random.Float64, Budget: dispatch.NewRetryBudget(50, 50),
 		Unsafe: g.world.mutation.dispatchUnsafe()}.WithDefaults()
+	g.draining = false
+	g.knowsSince = g.world.now
+	g.poll()
 	g.session = g.client.openSession(func(view *table.View) { g.pool.update(view) })
 }
 
+// listening tells whether callers can connect: a gateway binds its listener once it holds a lease and a table.
+func (g *gateway) listening() bool { return g.up && g.session.everHeld && g.pool.row != nil }
+
 func (g *gateway) owner() string {
 	return wire.OwnerName(&wire.Member{Name: g.name, Incarnation: g.epoch})
 }
@@ -81,6 +90,10 @@
 
 // serve takes a caller's request.
 func (g *gateway) serve(c *call, timeout time.Duration, answer func(dispatch.Outcome)) {
+	if g.draining {
+		answer(dispatch.Outcome{Status: 503, Verdict: verdict.DidNotRun, Code: "draining"})
+		return
+	}
 	g.nextID++
 	x := &exchange{gateway: g, call: c, id: g.nextID, arrivedAt: g.world.now, deadline: g.clock() + timeout, answer: answer,
 		routed: routing.Request{Work: 1, Urgent: true}}
@@ -172,6 +185,7 @@
 	}
 	g.client.execute(request, limit, func(reply *wire.ExecuteReply) {
 		if reply == nil {
+			g.tracef("hears nothing from the ledger on call %s", x.call.id)
 			x.feed(dispatch.Event{Kind: dispatch.ClaimUnknown})
 			return
 		}
@@ -179,6 +193,7 @@
 		if action.Kind == dispatch.ClaimQuery {
 			result = reply.GetView().GetClaim()
 		}
+		g.tracef("hears from the ledger on call %s: %v", x.call.id, result.GetState())
 		x.feed(dispatch.Event{Kind: dispatch.ClaimAnswered, Claim: result})
 	})
 }
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -38,7 +38,8 @@
 	refused   bool // peers know another folder of this node
 	admitted  bool
 	required  []uint64 // voters that have to know this folder first
-	replaced  bool     // taken out of service for good
+	stopping  bool
+	replaced  bool // taken out of service for good
 	control   *control
 }
 
@@ -60,6 +61,7 @@
 		return
 	}
 	h.start()
+	h.stopping = false
 	h.disk.starts++
 	h.busy, h.nextWrite, h.inWrite, h.required, h.admitted = false, nil, nil, nil, false
 	for id := range uint32(groupCount) {
--- a/internal/sim/mutation.go
+++ b/internal/sim/mutation.go
@@ -42,6 +42,8 @@
 	RetryAfterFirstByte      Mutation = "retry-after-first-byte"      // a request of unknown fate is sent again
 	RefuseWithoutLedger      Mutation = "refuse-without-ledger"       // "did not run" without a recorded refusal
 	ReuseBusyConnection      Mutation = "reuse-busy-connection"       // a connection is reused though an answer is due
+	StopWithoutDrain         Mutation = "stop-without-drain"          // a planned stop does not wait for what is in flight
+	IgnoreLeaving            Mutation = "ignore-leaving"              // a gateway sends to back ends that leave
 	SkipFenceCheck           Mutation = "skip-fence-check"            // an engine obeys any owner
 	TakeOverWithoutFence     Mutation = "take-over-without-fence"     // the ledger is read before it knows the new owner
 	HandOverStale            Mutation = "hand-over-stale"             // samples are handed over without a look at their age
@@ -60,7 +62,7 @@
 		InForceWithoutWaiting, SkipNewLeaderWait, ReadWithoutBarrier, VoteUnderOldIdentity, IgnorePersistedVote,
 		SnapshotForgetsChangeIDs, ForgetChangeIDs, IgnoreConflicts, ReuseExpiredClaims, GrantTwice, IgnoreTickets,
 		ForgetReleases, DispatchBeforeClaim, TrustLostBegin, RetryAfterFirstByte, RefuseWithoutLedger, ReuseBusyConnection,
-		SkipFenceCheck, TakeOverWithoutFence, HandOverStale, HandOverUnsealed, BoundFromSeal, ContinueFromWrongOffset,
+		StopWithoutDrain, IgnoreLeaving, SkipFenceCheck, TakeOverWithoutFence, HandOverStale, HandOverUnsealed, BoundFromSeal, ContinueFromWrongOffset,
 		VersionAskedBefore, SealTwice, IgnoreFence, IgnoreEditions}
 }
 
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -5,7 +5,8 @@
 // network delays, loses, repeats and reorders what processes send, and has cuts in one direction.
 type network struct {
 	world     *world
-	cuts      map[link]int // number of cuts that hold
+	cuts      map[link]int           // number of cuts that hold
+	cutUntil  map[link]time.Duration // end of the last cut
 	loss      float64
 	duplicate float64
 	slow      float64 // part of the messages that are late
@@ -21,7 +22,7 @@
 )
 
 func newNetwork(w *world) *network {
-	return &network{world: w, cuts: map[link]int{}, slowLimit: time.Second}
+	return &network{world: w, cuts: map[link]int{}, cutUntil: map[link]time.Duration{}, slowLimit: time.Second}
 }
 
 func (n *network) isCut(from, to *process) bool { return n.cuts[link{from.name, to.name}] > 0 }
@@ -30,6 +31,7 @@
 func (n *network) cut(from, to *process, length time.Duration) {
 	key := link{from.name, to.name}
 	n.cuts[key]++
+	n.cutUntil[key] = max(n.cutUntil[key], n.world.now+length)
 	n.world.after(length, func() {
 		if n.cuts[key] > 0 {
 			n.cuts[key]--
@@ -37,6 +39,11 @@
 	})
 }
 
+// lastCut is when two processes last could not hear each other.
+func (n *network) lastCut(a, b *process) time.Duration {
+	return min(max(n.cutUntil[link{a.name, b.name}], n.cutUntil[link{b.name, a.name}]), n.world.now)
+}
+
 // heal ends all faults of the network.
 func (n *network) heal() {
 	clear(n.cuts)
--- a/internal/sim/pool.go
+++ b/internal/sim/pool.go
@@ -41,12 +41,16 @@
 		if slots == 0 {
 			weight = 0
 		}
-		configs = append(configs, routing.ReplicaConfig{Name: backend.Name, Weight: weight, MaxInFlight: slots,
+		configs = append(configs, routing.ReplicaConfig{Name: backend.Name, Weight: weight, MaxInFlight: slots, Polled: true,
 			Draining: backend.State != table.Active})
 		if backend.Serving() {
 			limits.Slots += slots
 		}
 	}
+	if p.row == nil {
+		p.gateway.knowsSince = p.gateway.world.now
+		p.gateway.ask()
+	}
 	p.row, p.version = row, view.Version()
 	p.replicas.SetReplicas(configs)
 	p.apply(p.queue.SetLimits(p.gateway.clock(), limits))
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -9,17 +9,18 @@
 // process is one running program of the fleet on one machine. What it schedules is lost when it dies and
 // held back while it is paused.
 type process struct {
-	world    *world
-	name     string
-	zone     string
-	epoch    uint64 // rises with each start
-	up       bool
-	paused   bool
-	deferred []func()
-	rate     float64
-	offset   time.Duration
-	dieIn    int // events until it dies; 0 for never
-	died     func()
+	world     *world
+	name      string
+	zone      string
+	epoch     uint64 // rises with each start
+	up        bool
+	paused    bool
+	deferred  []func()
+	rate      float64
+	offset    time.Duration
+	resumedAt time.Duration // end of the last pause
+	dieIn     int           // events until it dies; 0 for never
+	died      func()
 }
 
 func (w *world) newProcess(name, zone string) *process {
@@ -106,7 +107,7 @@
 		return
 	}
 	p.tracef("goes on, %d events waited", len(p.deferred))
-	p.paused = false
+	p.paused, p.resumedAt = false, p.world.now
 	waiting := p.deferred
 	p.deferred = nil
 	for _, run := range waiting {
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -1,9 +1,12 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/invariant"
 )
 
 // rate is how often a fault comes, on average.
@@ -18,6 +21,7 @@
 	Help   string
 	Length time.Duration // of the load and the faults; the fleet then has time to recover
 	rates  []rate
+	gentle bool          // planned stops only: no call may fail
 	change time.Duration // mean time between an operator's changes
 }
 
@@ -58,6 +62,13 @@
 			rates: []rate{{SwapFails, 6 * time.Second}, {SwapLies, 15 * time.Second}, {KillEngine, 8 * time.Second},
 				{KillCoordinator, 12 * time.Second}, {KillTrainer, 15 * time.Second}, {LongPause, 10 * time.Second},
 				{CutOneWay, 8 * time.Second}, {Reordering, 20 * time.Second}}},
+		{Name: "takeover", Help: "coordinators take each other's trainers over while both live", Length: shortLength,
+			rates: []rate{{CutOneWay, 2 * time.Second}, {LongPause, 8 * time.Second}, {Reordering, 10 * time.Second},
+				{KillCoordinator, 15 * time.Second}, {MessageLoss, 10 * time.Second}}},
+		{Name: "rolling-stop", Help: "every process is stopped by plan, again and again, and no call may fail", Length: shortLength, gentle: true,
+			rates: []rate{{PlannedStop, 4 * time.Second}, {BackendLeaves, 12 * time.Second}, {LeaderMoves, 10 * time.Second}}},
+		{Name: "leader-moves", Help: "the control group's leader changes at once while gateways are cut off", Length: shortLength,
+			change: 300 * time.Millisecond, rates: []rate{{LeaderMoves, time.Second}, {CutBothWays, 4 * time.Second}, {BackendLeaves, 15 * time.Second}}},
 		{Name: "regions-apart", Help: "two regions lose each other for minutes", Length: mixedLength,
 			rates: []rate{{RegionsApart, 100 * time.Second}, {KillControl, 40 * time.Second}, {MessageLoss, 40 * time.Second}}},
 	}
@@ -100,3 +111,17 @@
 		f.schedule(r)
 	})
 }
+
+// expected lists the invariants that the scenario has to examine.
+func (s *Scenario) expected() []invariant.Name {
+	names := []invariant.Name{invariant.WholeAnswer, invariant.NotRunIsFinal, invariant.RunAtMostOnce, invariant.TableInForce,
+		invariant.TableNoReversal, invariant.SampleVersions, invariant.StalenessBound, invariant.SampleOnce, fenceOrder,
+		replicasAgree, changeOnce, recovers}
+	if slices.ContainsFunc(s.rates, func(r rate) bool { return r.kind == BackendLeaves }) {
+		names = append(names, invariant.LeavingBackend)
+	}
+	if s.gentle {
+		names = append(names, invariant.PlannedStop)
+	}
+	return names
+}
--- a/internal/sim/send.go
+++ b/internal/sim/send.go
@@ -56,7 +56,7 @@
 	}
 	epoch := target.epoch
 	delay := 2 * network.delay(g.process, target.process)
-	if g.world.chance(slowConnectPart) {
+	if !g.fleet.gentle && g.world.chance(slowConnectPart) {
 		delay += g.world.between(time.Second, slowestConnect) // the first packet was lost and is sent again
 	}
 	g.after(delay, func() {
@@ -92,6 +92,7 @@
 	}
 	up.user, x.up = x, up
 	request := invocation{call: x.call, requestID: x.requestID(), arrival: x.machine.Request().Attempt, arrivedAt: x.arrivedAt, gateway: g.name}
+	g.world.truth.dispatchedToLeaving(g, up.backend)
 	g.world.truth.dispatched(g.process, "sends to "+x.chosen.name, version)
 	g.tracef("sends %s of call %s to %s under table version %d", request.requestID, x.call.id, x.chosen.name, version)
 	backend, epoch := up.backend, up.epoch
@@ -121,6 +122,9 @@
 	x.up = nil
 	x.gateway.release(up)
 	x.leaveBackend(false)
+	if answer.leaving && !x.gateway.world.mutated(IgnoreLeaving) {
+		x.gateway.pool.replicas.RefusedLeaving(x.chosen.name, x.gateway.clock())
+	}
 	if answer.refused {
 		x.feed(dispatch.Event{Kind: dispatch.RefusedByBackend, Status: 503})
 		return
--- a/internal/sim/session.go
+++ b/internal/sim/session.go
@@ -63,6 +63,7 @@
 	holder     *lease.Holder
 	attachment *attachment
 	onUpdate   func(*table.View)
+	everHeld   bool
 }
 
 const (
@@ -190,6 +191,7 @@
 		if s.client.world.mutated(LeaseFromReply) {
 			sentAt = s.client.clock()
 		}
+		s.everHeld = true
 		s.holder.Renewed(sentAt, time.Duration(reply.LeaseMillis)*time.Millisecond)
 	}
 	if reply.Update != nil {
