sim: examine every dispatch while a back end leaves

Only sends to a leaving back end counted, and a short run may have none: the short test failed with 'never examined'. A dispatch elsewhere while one leaves is the very choice that the promise is about, so it counts. The short test passes with it.

--- a/internal/sim/planned.go
+++ b/internal/sim/planned.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/invariant"
@@ -35,8 +36,12 @@
 }
 
 // dispatchedToLeaving: no gateway that could hear of it sends to a back end that has been leaving for a while.
+// Every dispatch made while some back end leaves is examined.
 func (t *truth) dispatchedToLeaving(g *gateway, b *backend) {
 	if !b.leaving {
+		if slices.ContainsFunc(g.fleet.backends, func(other *backend) bool { return other.leaving }) {
+			t.examine(invariant.LeavingBackend, true, "")
+		}
 		return
 	}
 	since := max(b.leftAt, g.knowsSince, g.resumedAt, t.world.network.lastCut(g.process, b.process))
