--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 )
@@ -49,7 +50,11 @@
 		seeds = 1
 	}
 	total := &Report{}
+	short := []string{"mixed", "weights-swap", "rolling-stop", "disk"}
 	for _, found := range Scenarios() {
+		if testing.Short() && !slices.Contains(short, found.Name) {
+			continue
+		}
 		report := RunBatch(context.Background(), Options{Scenario: quick(t, found.Name), Seeds: seeds, SeedBase: 1000,
 			Parallel: runtime.GOMAXPROCS(0)})
 		for _, violation := range report.Violations {
