--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,17 +19,20 @@
 	leastFaultPause  = 300 * time.Millisecond
 	mostFaultPause   = 900 * time.Millisecond
 	leastFaultTime   = 300 * time.Millisecond
-	mostFaultTime    = 2500 * time.Millisecond // beyond every lease
-	faultsEnd        = 3 * time.Second         // before the load's end all is repaired
-	faultProbability = 0.2                     // of a misbehaviour per call while it is switched on
-	slowStoreReads   = 3.0                     // a second
+	mostFaultTime    = 2500 * time.Millisecond
+	leastCutTime     = 3 * time.Second // beyond every lease, and beyond the bound of a change
+	mostCutTime      = 4 * time.Second
+	faultsEnd        = 4 * time.Second // before the load's end all is repaired
+	faultProbability = 0.2             // of a misbehaviour per call while it is switched on
+	slowStoreReads   = 3.0             // a second
 	slowStoreRead    = 300 * time.Millisecond
 )
 
 // fault is one kind of failure of one kind of part.
 type fault struct {
 	role string
-	most int // parts of the role in trouble at once
+	most int  // parts of the role in trouble at once
+	long bool // lasts beyond every lease
 	// begin does it to a part and returns its name, what was done and how to repair it; an empty name means
 	// that no part was free.
 	begin func(*faultPlan) (name, what string, repair func(context.Context) error)
@@ -39,6 +43,7 @@
 	fleet  *fleet
 	random *rand.Rand
 	faults []fault
+	round  []int // faults that are still to come before any comes again
 
 	mutex   sync.Mutex
 	trouble map[string]map[string]bool // role, then part
@@ -49,21 +54,21 @@
 func newFaultPlan(f *fleet) *faultPlan {
 	made := &faultPlan{fleet: f, random: rand.New(rand.NewSource(f.config.Seed)), trouble: map[string]map[string]bool{}}
 	made.faults = []fault{
-		{"control", 1, killOne(f.control)},
-		{"control", 1, cutOne(f.control)},
-		{"control", 2, killOne(f.control)}, // the quorum is lost for a while
-		{"gateway", 2, killOne(f.gateways)},
-		{"gateway", 2, cutOne(f.gateways)},
-		{"engine", 3, crashEngine},
-		{"engine", 3, cutOne(f.engines[:len(f.engines)-1])},
-		{"engine", 3, failSwap},
-		{"engine", 3, disturbStreams},
-		{"application", 2, crashApplication},
-		{"application", 2, disturbCalls},
-		{"weight-store", 1, throttleStore},
-		{"coordinator", 2, killOne(f.rollouts.coordinators)},
-		{"coordinator", 2, cutOne(f.rollouts.coordinators)},
-		{"scorer", 1, stallScorer},
+		{"control", 1, false, killOne(f.control)},
+		{"control", 1, true, cutOne(f.control)},
+		{"control", 2, false, killOne(f.control)}, // the quorum is lost for a while
+		{"gateway", 2, false, killOne(f.gateways)},
+		{"gateway", 2, true, cutOne(f.gateways)},
+		{"engine", 3, false, crashEngine},
+		{"engine", 3, false, cutOne(staying(f.engines))},
+		{"engine", 3, false, failSwap},
+		{"engine", 3, false, disturbStreams},
+		{"application", 2, false, crashApplication},
+		{"application", 2, false, disturbCalls},
+		{"weight-store", 1, false, throttleStore},
+		{"coordinator", 2, false, killOne(f.rollouts.coordinators)},
+		{"coordinator", 2, true, cutOne(f.rollouts.coordinators)},
+		{"scorer", 1, false, stallScorer},
 	}
 	return made
 }
@@ -87,16 +92,33 @@
 	return least + time.Duration(p.random.Int63n(int64(most-least)))
 }
 
-// next begins one fault, unless its role is in trouble enough.
-func (p *faultPlan) next(ctx context.Context) {
-	drawn := p.faults[p.random.Intn(len(p.faults))]
-	lasting := p.between(leastFaultTime, mostFaultTime)
+// draw returns the next fault whose role is not in trouble enough already. Each comes once before any comes
+// again.
+func (p *faultPlan) draw() (fault, bool) {
+	if len(p.round) == 0 {
+		p.round = p.random.Perm(len(p.faults))
+	}
 	p.mutex.Lock()
-	full := len(p.trouble[drawn.role]) >= drawn.most
-	p.mutex.Unlock()
-	if full {
+	defer p.mutex.Unlock()
+	for position, index := range p.round {
+		if drawn := p.faults[index]; len(p.trouble[drawn.role]) < drawn.most {
+			p.round = slices.Delete(p.round, position, position+1)
+			return drawn, true
+		}
+	}
+	return fault{}, false
+}
+
+// next begins one fault, if one is possible now.
+func (p *faultPlan) next(ctx context.Context) {
+	drawn, possible := p.draw()
+	if !possible {
 		return
 	}
+	lasting := p.between(leastFaultTime, mostFaultTime)
+	if drawn.long {
+		lasting = p.between(leastCutTime, mostCutTime)
+	}
 	name, what, repair := drawn.begin(p)
 	if name == "" {
 		return
--- a/internal/workload/caller/caller.go
+++ b/internal/workload/caller/caller.go
@@ -171,7 +171,7 @@
 		return wait, true
 	}
 	if last.verdict == verdict.DidNotRun && sendsElsewhere(last.code) {
-		return max(wait, last.retryAfter), true
+		return wait, true // Retry-After is about the gateway that refused
 	}
 	if !c.config.RetryRefused || last.verdict != verdict.DidNotRun || prepared.key != "" || last.retryAfter == 0 {
 		return 0, false
