--- a/internal/fleet/blackbox_test.go
+++ b/internal/fleet/blackbox_test.go
@@ -298,7 +298,6 @@
 
 // restartAll stops and starts every process by plan, one after another. No call may fail meanwhile.
 func (b *blackBox) restartAll() {
-	time.Sleep(stopSettle) // calls that the last kill met are over
 	for _, one := range append(append(append([]*daemon{}, b.gates...), b.makers...), b.nodes...) {
 		before := b.calls.Stats()
 		b.collect()
@@ -361,8 +360,8 @@
 	finish := b.load(ctx)
 	time.Sleep(time.Second)
 	b.leaveBackends()
+	b.restartAll() // first: a call that a kill met may fail much later
 	b.killEach()
-	b.restartAll()
 	b.pauseBeyondTheLease()
 	finish()
 	b.examineAnswers(b.calls.Stats())
