coordinator: tests of a drain and of yielding that a slow machine can't upset

Change: the drain test waits until a sample has begun, its samples take seconds; the live caller comes again after a refusal that says did not run, any other answer fails. Conclusion: the checks are as strict on what is promised; what they assumed about time is gone.

--- a/internal/coordinator/live_test.go
+++ b/internal/coordinator/live_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/gateway"
 	"github.com/tamarindring/tamarindring/internal/standin/trainer"
+	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
 // TestRolloutsYieldToLiveTrafficAndLoseNothing fills every slot with rollouts and then sends live requests:
@@ -19,8 +20,8 @@
 	t.Parallel()
 	f := newFixture(t, 2, 1)
 	f.change(t, [3]string{"copy", "max_in_flight", "4"})
-	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 4, MaxTokens: 500, MaxSteps: 1, Seed: 13,
-		Prompt: func(step uint64, index int) string { return fmt.Sprintf("%d/%d [tokens=500] ", step, index) }}
+	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 4, MaxTokens: 1000, MaxSteps: 1, Seed: 13,
+		Prompt: func(step uint64, index int) string { return fmt.Sprintf("%d/%d [tokens=1000] ", step, index) }}
 	made := f.newTrainer(t, config)
 	ctx, cancel := context.WithTimeout(f.context, testTimeout)
 	defer cancel()
@@ -51,23 +52,36 @@
 	}
 }
 
+// askLive sends a live request until it is answered. It may be refused as "did not run" when the queue's wait
+// is over; then it comes again, as callers do.
 func (f *fixture) askLive(t *testing.T, index int) {
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	for f.context.Err() == nil {
+		response, err := f.callLive(client, index)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_ = response.Body.Close()
+		known, _ := verdict.Parse(response.Header.Get(verdict.Header))
+		switch {
+		case response.StatusCode == http.StatusOK:
+			return
+		case response.StatusCode != http.StatusServiceUnavailable || known != verdict.DidNotRun:
+			t.Errorf("live request %d: status %d, verdict %s", index, response.StatusCode, known)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (f *fixture) callLive(client *http.Client, index int) (*http.Response, error) {
 	body := fmt.Sprintf(`{"model":"copy","prompt":"live %d [tokens=20] "}`, index)
 	request, err := http.NewRequest(http.MethodPost, "http://"+f.gateway.Address()+completionsPath, strings.NewReader(body))
 	if err != nil {
-		t.Error(err)
-		return
+		return nil, err
 	}
 	request.Header.Set("Tamarindring-Deadline", "20s")
-	client := &http.Client{}
-	defer client.CloseIdleConnections()
-	response, err := client.Do(request)
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		t.Errorf("live request %d: status %d", index, response.StatusCode)
-	}
+	return client.Do(request)
 }
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -78,13 +78,14 @@
 	}
 }
 
-// TestDrainHandsTheTrainerOver stops the owner by plan: no call may fail for good, none be lost.
+// TestDrainHandsTheTrainerOver stops the owner by plan: no call may fail for good, none be lost. Its samples take
+// seconds each, far longer than the drain waits for them.
 func TestDrainHandsTheTrainerOver(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 2, 2)
-	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 2, MaxTokens: 600, MaxSteps: 3, StepsAhead: 1, Seed: 6,
+	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 2, MaxTokens: 1600, MaxSteps: 3, StepsAhead: 1, Seed: 6,
 		Prompt: func(step uint64, index int) string {
-			return fmt.Sprintf("%d/%d [tokens=%d] ", step, index, 300+100*index)
+			return fmt.Sprintf("%d/%d [tokens=%d] ", step, index, 1200+100*index)
 		}}
 	made := f.newTrainer(t, config)
 	ctx, cancel := context.WithTimeout(f.context, testTimeout)
@@ -95,6 +96,9 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	drained := f.coordinators[f.owner()]
+	for drained.begunSamples() == 0 {
+		time.Sleep(time.Millisecond)
+	}
 	must(t, drained.Drain(ctx))
 	must(t, <-ended)
 	checkTrainer(t, made, config)
@@ -111,6 +115,21 @@
 	}
 }
 
+// begunSamples counts the samples in generation that have tokens.
+func (s *Server) begunSamples() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for _, p := range s.pools {
+		for _, one := range p.running {
+			if one.partial.tokens > 0 && !one.generated {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // TestNewCoordinatorTakesItsTrainersOver starts one more while steps run: the trainers that are its own now
 // move with what is begun.
 func TestNewCoordinatorTakesItsTrainersOver(t *testing.T) {
