rollout: wait for newer weights only with ample time

Change: a sample waits only if five times its lead fits between the newer weights and its step's due time.

--- a/internal/rollout/policy.go
+++ b/internal/rollout/policy.go
@@ -138,12 +138,16 @@
 	if now+lead >= due {
 		return true
 	}
-	if !p.NoFreshness && step.NextVersion+lead <= due {
+	if !p.NoFreshness && step.NextVersion+freshnessFactor*lead <= due {
 		return false
 	}
 	return p.NoSmoothing || time.Duration(step.Running)*(due-now) < step.Work
 }
 
+// freshnessFactor is how many times the lead must fit between newer weights and the step's due time for a
+// sample to wait for them: the rest of the step wants that time too, and its work is spread over it.
+const freshnessFactor = 5
+
 // Before implements Policy: kept tokens first (they age), then one probe of each unknown group, then the
 // longest.
 func (p Paced) Before(first, second SampleView) bool {
