sim: check histories of the table and claims with porcupine

An operation counts from its sending, since a gateway that dies never hears the answer: without that, claims of dead gateways looked like wrong answers.

--- a/internal/sim/expire.go
+++ b/internal/sim/expire.go
@@ -16,6 +16,9 @@
 }
 
 func (c *control) expireClaims() {
+	if c.host.fleet.noExpiry {
+		return
+	}
 	for _, g := range c.host.groups[1:] {
 		if g.leadership.leading {
 			command := &wire.Command{Kind: &wire.Command_ClaimExpire{ClaimExpire: retention().Command(c.host.world.unixMillis())}}
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -39,6 +39,7 @@
 	repairer     *process
 	founders     raft.Configuration
 	nextHost     uint64
+	noExpiry     bool
 	gentle       bool // planned stops only: nothing may fail
 	repairing    bool
 	loadEnds     time.Duration
@@ -47,7 +48,7 @@
 }
 
 func newFleet(w *world, scenario *Scenario) *fleet {
-	f := &fleet{world: w, zones: []string{"east-a", "east-b", "west-a"}, nextHost: hostCount, loadEnds: scenario.Length, gentle: scenario.gentle}
+	f := &fleet{world: w, zones: []string{"east-a", "east-b", "west-a"}, nextHost: hostCount, loadEnds: scenario.Length, gentle: scenario.gentle, noExpiry: scenario.noExpiry}
 	for id := uint64(1); id <= hostCount; id++ {
 		f.founders.Voters = append(f.founders.Voters, id)
 	}
@@ -116,8 +117,10 @@
 // setupTime is how long a fleet has before load and faults begin.
 const setupTime = 4 * time.Second
 
+const setupChange = "setup"
+
 func (f *fleet) firstTable() *wire.TableChange {
-	change := &wire.TableChange{ChangeId: "setup", Operator: "setup"}
+	change := &wire.TableChange{ChangeId: setupChange, Operator: "setup"}
 	set := func(row, column, value string) {
 		change.Cells = append(change.Cells, &wire.CellChange{Row: row, Column: column, Value: value})
 	}
--- a/internal/sim/gateway.go
+++ b/internal/sim/gateway.go
@@ -183,6 +183,7 @@
 	if left := x.deadline - g.clock(); left > 0 && !x.machine.Replied() {
 		limit = min(limit, left)
 	}
+	answered := g.world.history.claiming(x.machine.Request(), &action)
 	g.client.execute(request, limit, func(reply *wire.ExecuteReply) {
 		if reply == nil {
 			g.tracef("hears nothing from the ledger on call %s", x.call.id)
@@ -193,6 +194,7 @@
 		if action.Kind == dispatch.ClaimQuery {
 			result = reply.GetView().GetClaim()
 		}
+		answered(result)
 		g.tracef("hears from the ledger on call %s: %v", x.call.id, result.GetState())
 		x.feed(dispatch.Event{Kind: dispatch.ClaimAnswered, Claim: result})
 	})
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -79,7 +79,7 @@
 
 // readTable reads the whole table; nil when that failed.
 func (o *operator) readTable(done func(*table.View)) {
-	floor := o.world.truth.answeredVersion
+	floor, called := o.world.truth.answeredVersion, o.world.now
 	request := &wire.ExecuteRequest{Query: &wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{}}}, Group: state.ControlGroup}
 	o.client.execute(request, changeLimit, func(reply *wire.ExecuteReply) {
 		if reply == nil {
@@ -92,6 +92,7 @@
 			return
 		}
 		o.world.truth.tableRead(o.name, view, floor)
+		o.world.history.read(called, view)
 		done(view)
 	})
 }
@@ -100,8 +101,12 @@
 func (o *operator) change(change *wire.TableChange, resends int) {
 	request := &wire.ExecuteRequest{Group: state.ControlGroup, WaitInForce: true,
 		Command: &wire.Command{Kind: &wire.Command_TableChange{TableChange: change}}}
+	called := o.world.now
 	o.client.execute(request, changeLimit, func(reply *wire.ExecuteReply) {
 		result := reply.GetResult().GetTable()
+		if change.ChangeId != setupChange {
+			o.world.history.changed(called, change, result)
+		}
 		if result != nil {
 			o.tracef("change %s: %v, version %d, in force %d", change.ChangeId, result.Outcome, result.Version, reply.InForceVersion)
 			o.world.truth.changeAnswered(change, result)
--- a/internal/sim/run.go
+++ b/internal/sim/run.go
@@ -34,8 +34,13 @@
 )
 
 // Run runs one seed of a scenario. The same arguments give the same result.
-func Run(scenario *Scenario, seed int64, mutation Mutation, tracing bool) (result Result) {
-	w := newWorld(scenario, seed, mutation, tracing)
+func Run(scenario *Scenario, seed int64, mutation Mutation, tracing bool) Result {
+	_, result := runWorld(scenario, seed, mutation, tracing)
+	return result
+}
+
+func runWorld(scenario *Scenario, seed int64, mutation Mutation, tracing bool) (w *world, result Result) {
+	w = newWorld(scenario, seed, mutation, tracing)
 	defer func() {
 		if failure := recover(); failure != nil {
 			w.truth.broken("the code panicked: %v\n%s", failure, debug.Stack())
@@ -43,6 +48,7 @@
 		}
 	}()
 	f := newFleet(w, scenario)
+	w.fleet = f
 	f.launchAll()
 	w.after(setupTime, func() {
 		for _, r := range scenario.rates {
@@ -57,7 +63,7 @@
 	if !w.truth.stopped() {
 		f.checkEnd()
 	}
-	return w.result(seed)
+	return w, w.result(seed)
 }
 
 func (w *world) result(seed int64) Result {
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -17,12 +17,13 @@
 
 // Scenario is a schedule of faults.
 type Scenario struct {
-	Name   string
-	Help   string
-	Length time.Duration // of the load and the faults; the fleet then has time to recover
-	rates  []rate
-	gentle bool          // planned stops only: no call may fail
-	change time.Duration // mean time between an operator's changes
+	Name     string
+	Help     string
+	Length   time.Duration // of the load and the faults; the fleet then has time to recover
+	rates    []rate
+	noExpiry bool          // claims are kept: the models of histories have no retention
+	gentle   bool          // planned stops only: no call may fail
+	change   time.Duration // mean time between an operator's changes
 }
 
 func (s *Scenario) changeMean() time.Duration {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -75,12 +75,15 @@
 	truth    *truth
 	network  *network
 	faults   faultCounts
+	history  *history
+	fleet    *fleet
 }
 
 func newWorld(scenario *Scenario, seed int64, mutation Mutation, tracing bool) *world {
 	w := &world{random: rand.New(rand.NewSource(seed)), mutation: mutation, tracing: tracing}
 	w.truth = newTruth(w, scenario)
 	w.network = newNetwork(w)
+	w.history = &history{world: w}
 	return w
 }
 
