--- a/internal/sim/planned.go
+++ b/internal/sim/planned.go
@@ -44,7 +44,10 @@
 		}
 		return
 	}
-	since := max(b.leftAt, g.knowsSince, g.resumedAt, t.world.network.lastCut(g.process, b.process))
+	if b.paused {
+		return // it cannot say that it leaves, and runs nothing
+	}
+	since := max(b.leftAt, b.resumedAt, g.knowsSince, g.resumedAt, t.world.network.lastCut(g.process, b.process))
 	t.examine(invariant.LeavingBackend, t.world.now-since <= leavingBound, "%s sends to %s, which has been leaving for %v", g.name, b.name, t.world.now-b.leftAt)
 }
 
