dispatch: a request refused as late waits for the attempt that runs its key

One copy came too late for its claim, recorded a refusal, learned that the other copy was running, and told its caller may have run at once. Change: it now waits for the running attempt and gets its stored answer, as a resend does that finds the key running; until its deadline. Figures: a test produces the order of events each time: may have run before, the stored answer after. Conclusion: one case less in which callers are left not knowing; the verdict's promise is unchanged.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -128,7 +128,7 @@
 		m.onReleased()
 	case ClaimRefuse:
 		m.claim.refuse, m.claim.release = false, false
-		m.onRefusalRecorded(event.Claim)
+		m.onRefusalRecorded(now, event.Claim)
 	}
 }
 
@@ -253,8 +253,14 @@
 		Reason: "the ledger of keys did not answer", RetryAfter: m.settings.RetryAfter})
 }
 
-// onRefusalRecorded tells the caller what the ledger says about the key: refused for good, or not.
-func (m *Machine) onRefusalRecorded(result *wire.ClaimResult) {
+// onRefusalRecorded tells the caller what the ledger says about the key: refused for good, or not. A request
+// that came too late for its own claim waits for the attempt that holds the key, as it would have had it come
+// after that attempt.
+func (m *Machine) onRefusalRecorded(now time.Duration, result *wire.ClaimResult) {
+	if result.GetState() == wire.ClaimState_CLAIM_STATE_RUNNING && m.failure.Code == CodeRefusedEarlier && !m.replied {
+		m.onHeldByLedger(now, result)
+		return
+	}
 	switch result.GetState() {
 	case wire.ClaimState_CLAIM_STATE_UNSPECIFIED:
 		m.failure.Verdict = verdict.DidNotRun
--- a/internal/dispatch/claims_test.go
+++ b/internal/dispatch/claims_test.go
@@ -35,3 +35,27 @@
 		}
 	}
 }
+
+// TestLateArrivalForgetsTheAttemptThatHoldsItsKey has a request come too late for its own claim while another
+// attempt runs: it must wait for that one's answer, not end in "may have run".
+func TestLateArrivalForgetsTheAttemptThatHoldsItsKey(t *testing.T) {
+	settings := Settings{Random: func() float64 { return 0.5 }, Budget: NewRetryBudget(0, 5)}.WithDefaults()
+	machine := New(Request{Attempt: "a", Owner: "g", Key: "k", Deadline: time.Minute, Replayable: true}, &settings)
+	claimed := func(state wire.ClaimState, answer *wire.Answer) *Event {
+		return &Event{Kind: ClaimAnswered, Claim: &wire.ClaimResult{State: state, Answer: answer}}
+	}
+	machine.Step(0, &Event{Kind: Arrived})
+	machine.Step(0, &Event{Kind: Admitted})
+	machine.Step(0, claimed(wire.ClaimState_CLAIM_STATE_STALE_ATTEMPT, nil))
+	actions := machine.Step(0, claimed(wire.ClaimState_CLAIM_STATE_RUNNING, nil))
+	if len(actions) != 1 || actions[0].Kind != Wait {
+		t.Fatalf("it does not wait: %+v", actions)
+	}
+	if actions = machine.Step(time.Second, &Event{Kind: TimerFired}); len(actions) != 1 || actions[0].Claim.Kind != ClaimQuery {
+		t.Fatalf("it does not ask for the key: %+v", actions)
+	}
+	actions = machine.Step(time.Second, claimed(wire.ClaimState_CLAIM_STATE_DONE, &wire.Answer{Status: 200}))
+	if len(actions) != 2 || actions[0].Kind != Reply || actions[0].Outcome.Verdict != verdict.Ran {
+		t.Fatalf("it does not get the answer: %+v", actions)
+	}
+}
