coordinator: say hand-over and begun samples, not legacy and bequest

Cause: the hand-over between coordinators was written in a metaphor of its own (legacy, bequeath, inherit). Conclusion: it reads as what it does.

--- a/internal/coordinator/legacy.go
+++ b/internal/coordinator/handover.go
@@ -13,41 +13,41 @@
 )
 
 const (
-	legacyPath     = "/v1/coordinators/legacy"
-	legacyTimeout  = 2 * time.Second
-	legacyLifetime = 30 * time.Second // of one whose trainer is not taken over
-	maxLegacies    = ledger.MaximumTrainers
+	handOverPath     = "/v1/coordinators/handover"
+	handOverTimeout  = 2 * time.Second
+	begunLifetime    = 30 * time.Second // of one whose trainer is not taken over
+	maxBegunTrainers = ledger.MaximumTrainers
 )
 
-// legacyBody carries the begun samples of a trainer from a coordinator that gives it up by plan to the next
+// begunBody carries the begun samples of a trainer from a coordinator that gives it up by plan to the next
 // owner. Losing it costs only the tokens: the next owner begins those samples anew.
-type legacyBody struct {
-	Trainer string         `json:"trainer"`
-	Samples []legacySample `json:"samples"`
+type begunBody struct {
+	Trainer string        `json:"trainer"`
+	Samples []begunSample `json:"samples"`
 }
 
-type legacySample struct {
+type begunSample struct {
 	ID       string         `json:"id"`
 	Edition  uint32         `json:"edition"`
 	Text     string         `json:"text"`
 	Segments []segmentReply `json:"segments"`
 }
 
-// legacy is what was received for a trainer that is not owned here yet.
-type legacy struct {
-	samples []legacySample
+// begunSet is what was received for a trainer that is not owned here yet.
+type begunSet struct {
+	samples []begunSample
 	at      time.Duration
 }
 
-// bequeath sends a trainer's begun samples to its next owner, in the background, or keeps them when that is
+// sendBegun sends a trainer's begun samples to its next owner, in the background, or keeps them when that is
 // this coordinator again. Tokens are counted as lost where there is none. The caller holds the mutex.
-func (s *Server) bequeath(t *trainerState) {
-	body, tokens := t.legacy()
+func (s *Server) sendBegun(t *trainerState) {
+	body, tokens := t.begunBody()
 	if tokens == 0 {
 		return
 	}
 	if !s.draining.Load() && s.owns(trainerResource(t.name)) {
-		s.legacies[t.name] = &legacy{samples: body.Samples, at: s.now()}
+		s.begun[t.name] = &begunSet{samples: body.Samples, at: s.now()}
 		return
 	}
 	next := s.nextOwner(trainerResource(t.name))
@@ -58,13 +58,13 @@
 	if s.closed {
 		return
 	}
-	s.bequests.Add(1)
+	s.handOvers.Add(1)
 	s.start(func() {
-		defer s.bequests.Done()
+		defer s.handOvers.Done()
 		encoded, err := json.Marshal(body)
 		if err == nil {
 			var answer struct{}
-			err = s.callNode(s.context, http.MethodPost, next.address, legacyPath, encoded, legacyTimeout, &answer)
+			err = s.callNode(s.context, http.MethodPost, next.address, handOverPath, encoded, handOverTimeout, &answer)
 		}
 		if err != nil {
 			s.config.Log.Debugf("trainer %s: %d begun samples were not handed over: %v", t.name, len(body.Samples), err)
@@ -75,9 +75,9 @@
 	})
 }
 
-// legacy puts a trainer's begun samples together.
-func (t *trainerState) legacy() (*legacyBody, uint64) {
-	body, tokens := &legacyBody{Trainer: t.name}, uint64(0)
+// begunBody puts a trainer's begun samples together.
+func (t *trainerState) begunBody() (*begunBody, uint64) {
+	body, tokens := &begunBody{Trainer: t.name}, uint64(0)
 	for id, kept := range t.partials {
 		slotID, err := ledger.ParseSlotID(id)
 		if err != nil || kept.tokens == 0 {
@@ -88,7 +88,7 @@
 			continue
 		}
 		tokens += uint64(kept.tokens)
-		body.Samples = append(body.Samples, legacySample{ID: id, Edition: slot.edition, Text: kept.text.String(),
+		body.Samples = append(body.Samples, begunSample{ID: id, Edition: slot.edition, Text: kept.text.String(),
 			Segments: newSegmentReplies(kept.segments)})
 	}
 	return body, tokens
@@ -115,7 +115,7 @@
 	s.mutex.Unlock()
 	sent := make(chan struct{})
 	go func() {
-		s.bequests.Wait()
+		s.handOvers.Wait()
 		close(sent)
 	}()
 	select {
@@ -124,8 +124,8 @@
 	}
 }
 
-// handleLegacy serves the hand-over between coordinators.
-func (s *Server) handleLegacy(writer http.ResponseWriter, request *http.Request) {
+// handleHandOver serves the hand-over between coordinators.
+func (s *Server) handleHandOver(writer http.ResponseWriter, request *http.Request) {
 	if refused := s.checkToken(request, "", auth.Node); refused != nil {
 		refused.write(writer)
 		return
@@ -134,18 +134,18 @@
 		(&refusal{status: http.StatusForbidden, code: CodeNotFound, message: "only coordinators hand samples over"}).write(writer)
 		return
 	}
-	var body legacyBody
+	var body begunBody
 	if refused := decode(writer, request, s.config.MaxBodyBytes, &body); refused != nil {
 		refused.write(writer)
 		return
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.legacies) < maxLegacies {
-		s.legacies[body.Trainer] = &legacy{samples: body.Samples, at: s.now()}
+	if len(s.begun) < maxBegunTrainers {
+		s.begun[body.Trainer] = &begunSet{samples: body.Samples, at: s.now()}
 	}
 	if t := s.trainers[body.Trainer]; t != nil {
-		s.inherit(t)
+		s.takeBegun(t)
 		s.wake()
 	}
 	writeJSON(writer, http.StatusOK, struct{}{})
@@ -166,12 +166,12 @@
 	return false
 }
 
-// inherit takes the begun samples that a former owner left, as far as their slots still wait for them. The
+// takeBegun takes the begun samples that a former owner left, as far as their slots still wait for them. The
 // caller holds the mutex.
-func (s *Server) inherit(t *trainerState) {
-	left := s.legacies[t.name]
-	delete(s.legacies, t.name)
-	if left == nil || s.now() > left.at+legacyLifetime {
+func (s *Server) takeBegun(t *trainerState) {
+	left := s.begun[t.name]
+	delete(s.begun, t.name)
+	if left == nil || s.now() > left.at+begunLifetime {
 		return
 	}
 	for _, sample := range left.samples {
@@ -191,7 +191,7 @@
 	}
 }
 
-func (l *legacySample) partial() *partial {
+func (l *begunSample) partial() *partial {
 	made := &partial{}
 	made.text.WriteString(l.Text)
 	for _, segment := range l.Segments {
@@ -202,11 +202,11 @@
 	return made
 }
 
-// forgetLegacies drops what nobody inherited. The caller holds the mutex.
-func (s *Server) forgetLegacies() {
-	for name, left := range s.legacies {
-		if s.now() > left.at+legacyLifetime {
-			delete(s.legacies, name)
+// forgetBegun drops what nobody inherited. The caller holds the mutex.
+func (s *Server) forgetBegun() {
+	for name, left := range s.begun {
+		if s.now() > left.at+begunLifetime {
+			delete(s.begun, name)
 		}
 	}
 }
--- a/internal/coordinator/owner.go
+++ b/internal/coordinator/owner.go
@@ -144,7 +144,7 @@
 		s.stats.Takeovers++
 		s.config.Log.Infof("took over trainer %s with %d open steps under token %d", name, len(t.delivery.steps), token)
 	}
-	s.inherit(t)
+	s.takeBegun(t)
 	for _, step := range t.delivery.steps {
 		t.lastOpened = step.open.GetStep()
 		s.scheduleStep(t, step)
@@ -245,7 +245,7 @@
 	}
 	delete(s.trainers, t.name)
 	t.cancel()
-	defer s.bequeath(t)
+	defer s.sendBegun(t)
 	s.stats.Deposed++
 	s.config.Log.Infof("gave up trainer %s: %s", t.name, why)
 	for _, p := range s.pools {
--- a/internal/coordinator/pool.go
+++ b/internal/coordinator/pool.go
@@ -58,7 +58,7 @@
 		case <-ticker.C:
 			s.mutex.Lock()
 			s.deposeMoved()
-			s.forgetLegacies()
+			s.forgetBegun()
 			s.mutex.Unlock()
 		case <-s.kick:
 		}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -20,31 +20,31 @@
 
 // Server is one coordinator.
 type Server struct {
-	config   Config
-	listener net.Listener
-	client   *controlclient.Client
-	session  *controlclient.Session
-	http     *http.Server
-	calls    *http.Client // to gateways, replicas, the scorer and the weight store
-	started  time.Time
-	context  context.Context
-	cancel   context.CancelFunc
-	draining atomic.Bool
-	leaving  atomic.Bool // past the last hand-over of a drain
-	requests atomic.Uint64
-	kick     chan struct{} // wakes the scheduling loop
-	scoring  chan struct{} // one place per call to the scorer
-	adoption singleflight.Group
-	routines sync.WaitGroup
-	bequests sync.WaitGroup // hand-overs to other coordinators under way
-	closing  sync.Once
+	config    Config
+	listener  net.Listener
+	client    *controlclient.Client
+	session   *controlclient.Session
+	http      *http.Server
+	calls     *http.Client // to gateways, replicas, the scorer and the weight store
+	started   time.Time
+	context   context.Context
+	cancel    context.CancelFunc
+	draining  atomic.Bool
+	leaving   atomic.Bool // past the last hand-over of a drain
+	requests  atomic.Uint64
+	kick      chan struct{} // wakes the scheduling loop
+	scoring   chan struct{} // one place per call to the scorer
+	adoption  singleflight.Group
+	routines  sync.WaitGroup
+	handOvers sync.WaitGroup // hand-overs to other coordinators under way
+	closing   sync.Once
 
 	mutex    sync.Mutex // guards what follows
 	closed   bool       // no routine may start
 	trainers map[string]*trainerState
 	pools    map[string]*pool
 	gateways map[string]*gatewayUse // by address
-	legacies map[string]*legacy     // by trainer
+	begun    map[string]*begunSet   // by trainer
 	stats    Stats
 }
 
@@ -82,7 +82,7 @@
 	s := &Server{
 		config: config, listener: newLimitedListener(config.Listener, config.MaxConnections), client: client, session: session,
 		started: time.Now(), kick: make(chan struct{}, 1), scoring: make(chan struct{}, config.ScoreConcurrency),
-		trainers: map[string]*trainerState{}, pools: map[string]*pool{}, gateways: map[string]*gatewayUse{}, legacies: map[string]*legacy{},
+		trainers: map[string]*trainerState{}, pools: map[string]*pool{}, gateways: map[string]*gatewayUse{}, begun: map[string]*begunSet{},
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
 	s.calls = &http.Client{Transport: &http.Transport{
