cli: a broken invariant has an exit code of its own; no log of a nil error

Cause: fleet's broken invariant and a change of unknown outcome shared exit code 4, and an orderly end of a session was logged with error=<nil>. Change: fleet ends with 5; an orderly end is one line at info. Conclusion: scripts can tell the two apart.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -15,13 +15,12 @@
 
 // Exit codes of the program.
 const (
-	ExitOK      = 0
-	ExitFailure = 1 // the command ran and failed
-	ExitUsage   = 2 // unknown flags, bad values, bad settings: nothing was done
-	ExitRefused = 3 // the cluster refused the change (conflict or invalid)
-	ExitUnknown = 4 // the outcome is unknown: the change may or may not have been made
-
-	ExitInvariant = 4 // fleet: an invariant was violated, or one examined nothing
+	ExitOK        = 0
+	ExitFailure   = 1 // the command ran and failed
+	ExitUsage     = 2 // unknown flags, bad values, bad settings: nothing was done
+	ExitRefused   = 3 // the cluster refused the change (conflict or invalid)
+	ExitUnknown   = 4 // the outcome is unknown: the change may or may not have been made
+	ExitInvariant = 5 // fleet: an invariant was violated, or one examined nothing
 )
 
 // Environment is what a subcommand may use besides its own flags.
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -61,7 +61,7 @@
 		}
 		if worked {
 			wait.reset()
-			s.client.config.Log.WithError(err).Warnf("lost control node %s", address)
+			s.logLoss(address, err)
 		}
 		if !wait.sleep(ctx) {
 			return
@@ -69,6 +69,15 @@
 	}
 }
 
+// logLoss tells that a control node that served this session is gone; err is nil after an orderly end.
+func (s *Session) logLoss(address string, err error) {
+	if err != nil {
+		s.client.config.Log.WithError(err).Warnf("lost control node %s", address)
+		return
+	}
+	s.client.config.Log.Infof("control node %s ended the session", address)
+}
+
 // noteRefusal tells StartSession, or the log when the session runs, that the token is not accepted.
 func (s *Session) noteRefusal(address string, err error) {
 	select {
