--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -16,6 +16,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/credentials"
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/rollout"
 	"github.com/tamarindring/tamarindring/internal/wave"
@@ -122,10 +123,10 @@
 	if c.MaxBodyBytes < 0 || c.MaxBatchBytes < 0 || c.MaxConnections < 0 || c.ScoreConcurrency < 0 {
 		return trace.BadParameter("coordinator %s: limits must not be negative", c.Name)
 	}
-	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.ScoreConcurrency, DefaultScoreConcurrency)
+	defaults.Set(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	defaults.Set(&c.MaxBatchBytes, DefaultMaxBatchBytes)
+	defaults.Set(&c.MaxConnections, DefaultMaxConnections)
+	defaults.Set(&c.ScoreConcurrency, DefaultScoreConcurrency)
 	c.setTimes()
 	if c.Policy == nil {
 		c.Policy = rollout.Paced{}
@@ -137,20 +138,13 @@
 }
 
 func (c *Config) setTimes() {
-	setDefault(&c.MaxFetchWait, DefaultMaxFetchWait)
-	setDefault(&c.GenerationDeadline, DefaultGenerationDeadline)
-	setDefault(&c.ScoreTimeout, DefaultScoreTimeout)
-	setDefault(&c.StoreTimeout, DefaultStoreTimeout)
-	setDefault(&c.LoadInterval, DefaultLoadInterval)
-	setDefault(&c.LoadTimeout, DefaultLoadTimeout)
-	setDefault(&c.OrderTimeout, DefaultOrderTimeout)
-	setDefault(&c.LaggardPatience, DefaultLaggardPatience)
-	setDefault(&c.DrainPatience, DefaultDrainPatience)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaults.Set(&c.MaxFetchWait, DefaultMaxFetchWait)
+	defaults.Set(&c.GenerationDeadline, DefaultGenerationDeadline)
+	defaults.Set(&c.ScoreTimeout, DefaultScoreTimeout)
+	defaults.Set(&c.StoreTimeout, DefaultStoreTimeout)
+	defaults.Set(&c.LoadInterval, DefaultLoadInterval)
+	defaults.Set(&c.LoadTimeout, DefaultLoadTimeout)
+	defaults.Set(&c.OrderTimeout, DefaultOrderTimeout)
+	defaults.Set(&c.LaggardPatience, DefaultLaggardPatience)
+	defaults.Set(&c.DrainPatience, DefaultDrainPatience)
 }
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/engine"
 	"github.com/tamarindring/tamarindring/internal/rollout"
 	"github.com/tamarindring/tamarindring/internal/routing"
@@ -63,8 +64,8 @@
 }
 
 func (p *Policy) setDefaults() {
-	setDefault(&p.Scheduling, SchedulingPaced)
-	setDefault(&p.Routing, RoutingBalanced)
+	defaults.Set(&p.Scheduling, SchedulingPaced)
+	defaults.Set(&p.Routing, RoutingBalanced)
 }
 
 func (p *Policy) validate(names map[string]bool) error {
@@ -155,11 +156,11 @@
 }
 
 func (f *Fault) setDefaults() {
-	setDefault(&f.First, 5*time.Minute)
-	setDefault(&f.Duration, 30*time.Second)
-	setDefault(&f.Replicas, 1)
-	setDefault(&f.Lag, 5*time.Second)
-	setDefault(&f.Swap, "keeps-old")
+	defaults.Set(&f.First, 5*time.Minute)
+	defaults.Set(&f.Duration, 30*time.Second)
+	defaults.Set(&f.Replicas, 1)
+	defaults.Set(&f.Lag, 5*time.Second)
+	defaults.Set(&f.Swap, "keeps-old")
 }
 
 func (f *Fault) validate() error {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/defaults"
 )
 
 // Options are how a scenario is run.
@@ -31,8 +33,8 @@
 // Execute runs every policy with every seed. The order of the runs in the report, and all of its content, do
 // not depend on Options.
 func Execute(ctx context.Context, scenario Scenario, options Options) (*Report, error) {
-	setDefault(&options.Parallel, defaultParallel)
-	setDefault(&options.ProgressInterval, 2*time.Second)
+	defaults.Set(&options.Parallel, defaultParallel)
+	defaults.Set(&options.ProgressInterval, 2*time.Second)
 	batch := newBatch(&scenario)
 	stop := batch.follow(options)
 	var group sync.WaitGroup
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/engine"
 	"github.com/tamarindring/tamarindring/internal/strictyaml"
 	"github.com/tamarindring/tamarindring/internal/workload"
@@ -140,30 +141,23 @@
 	return parsed, nil
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (s *Scenario) setDefaults() {
-	setDefault(&s.Duration, 30*time.Minute)
-	setDefault(&s.Warmup, s.Duration/5)
+	defaults.Set(&s.Duration, 30*time.Minute)
+	defaults.Set(&s.Warmup, s.Duration/5)
 	if len(s.Seeds) == 0 {
 		s.Seeds = []uint64{1, 2, 3}
 	}
 	s.Fleet.setDefaults()
-	setDefault(&s.Table.MaxInFlight, s.Fleet.Engine.MaxBatch)
-	setDefault(&s.Table.RolloutShare, 90)
-	setDefault(&s.Table.QueueLimit, 2000)
-	setDefault(&s.Table.QueueWait, 10*time.Second)
-	setDefault(&s.Table.StalenessBound, 2)
-	setDefault(&s.Weights.FetchTime, 2*time.Second)
-	setDefault(&s.Weights.StoreStreams, 4)
-	setDefault(&s.Weights.SwapShare, 20)
+	defaults.Set(&s.Table.MaxInFlight, s.Fleet.Engine.MaxBatch)
+	defaults.Set(&s.Table.RolloutShare, 90)
+	defaults.Set(&s.Table.QueueLimit, 2000)
+	defaults.Set(&s.Table.QueueWait, 10*time.Second)
+	defaults.Set(&s.Table.StalenessBound, 2)
+	defaults.Set(&s.Weights.FetchTime, 2*time.Second)
+	defaults.Set(&s.Weights.StoreStreams, 4)
+	defaults.Set(&s.Weights.SwapShare, 20)
 	for index := range s.Live {
-		setDefault(&s.Live[index].Pool, "model")
+		defaults.Set(&s.Live[index].Pool, "model")
 	}
 	live := workload.Workload{Sources: s.Live}
 	live.SetDefaults()
@@ -179,29 +173,29 @@
 }
 
 func (f *Fleet) setDefaults() {
-	setDefault(&f.Gateways, 3)
+	defaults.Set(&f.Gateways, 3)
 	f.Engine.SetDefaults()
 	f.Engine.CacheEvents = -1
-	setDefault(&f.ZoneDelay, 500*time.Microsecond)
-	setDefault(&f.RegionDelay, 15*time.Millisecond)
-	setDefault(&f.ReportInterval, 500*time.Millisecond)
-	setDefault(&f.ReportLag, 500*time.Millisecond)
+	defaults.Set(&f.ZoneDelay, 500*time.Microsecond)
+	defaults.Set(&f.RegionDelay, 15*time.Millisecond)
+	defaults.Set(&f.ReportInterval, 500*time.Millisecond)
+	defaults.Set(&f.ReportLag, 500*time.Millisecond)
 }
 
 func (t *Trainer) setDefaults(stepsAhead int) {
-	setDefault(&t.Share, 1)
-	setDefault(&t.PromptsPerStep, 64)
-	setDefault(&t.SamplesPerPrompt, 8)
+	defaults.Set(&t.Share, 1)
+	defaults.Set(&t.PromptsPerStep, 64)
+	defaults.Set(&t.SamplesPerPrompt, 8)
 	if t.PromptTokens.Median == 0 {
-		setDefault(&t.PromptTokens.Sigma, 0.3)
+		defaults.Set(&t.PromptTokens.Sigma, 0.3)
 	}
 	t.PromptTokens.SetDefaults(512)
 	t.OutputTokens.SetDefaults(600)
-	setDefault(&t.GroupSigma, 0.3)
-	setDefault(&t.TrainTime, 2*time.Minute)
-	setDefault(&t.TrainJitter, 0.05)
-	setDefault(&t.StepsAhead, stepsAhead)
-	setDefault(&t.ScoreTime, 300*time.Millisecond)
+	defaults.Set(&t.GroupSigma, 0.3)
+	defaults.Set(&t.TrainTime, 2*time.Minute)
+	defaults.Set(&t.TrainJitter, 0.05)
+	defaults.Set(&t.StepsAhead, stepsAhead)
+	defaults.Set(&t.ScoreTime, 300*time.Millisecond)
 }
 
 // Replicas is the number of replicas of all zones.
--- a/internal/wave/types.go
+++ b/internal/wave/types.go
@@ -7,7 +7,11 @@
 // order exactly once, and call Next again after each event and at least every few hundred milliseconds.
 package wave
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/defaults"
+)
 
 // Version is one weight version of a pool. Numbers rise with each release.
 type Version struct {
@@ -97,23 +101,16 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.SwapShare, defaultSwapShare)
-	setDefault(&c.QuickSwap, defaultQuickSwap)
-	setDefault(&c.StageTogether, defaultStageTogether)
-	setDefault(&c.StageTime, defaultStageTime)
-	setDefault(&c.RetryFirst, defaultRetryFirst)
-	setDefault(&c.RetryMost, defaultRetryMost)
-	setDefault(&c.ReportGrace, defaultReportGrace)
+	defaults.Set(&c.SwapShare, defaultSwapShare)
+	defaults.Set(&c.QuickSwap, defaultQuickSwap)
+	defaults.Set(&c.StageTogether, defaultStageTogether)
+	defaults.Set(&c.StageTime, defaultStageTime)
+	defaults.Set(&c.RetryFirst, defaultRetryFirst)
+	defaults.Set(&c.RetryMost, defaultRetryMost)
+	defaults.Set(&c.ReportGrace, defaultReportGrace)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Counters count what happened since the start.
 type Counters struct {
 	Waves       uint64 // versions that came to be served by every replica of their time
