gateway: keep a connection only when answers name their request

Cause: a real fault, not the test's. Bytes that a back end writes behind a finished stream and that arrive after acquire has looked at the idle connection, but before the next request's own answer, were read as that answer. answersThis accepted any answer that named no request, so another request's tokens reached the caller. No look at an idle connection can close that gap; only an answer that names its request can.

Change: an answer without X-Request-Id is accepted only as the first one of a connection, which is then closed behind it. A kept connection's answer must name the request that was sent. Chunks of one streamed answer must keep their id, and an id of this gateway's form must be the request's own. A connection with anything behind a stream's end mark is closed. Stand-ins give X-Request-Id back, so that their connections are still kept; a back end that doesn't costs a new connection for each request.

Conclusion: the caller no longer depends on when late bytes arrive. An engine that names neither the request nor its chunks can still write foreign tokens into the body of the answer itself.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -136,10 +136,15 @@
 	x.classify(up, action)
 }
 
-// answersThis tells whether the answer belongs to the request that was sent, as far as the back end says.
+// answersThis tells whether the answer belongs to the request that was sent. An answer that names no request
+// is accepted only as the first one of a connection, where no other request can have caused it.
 func (x *exchange) answersThis(up *upstream) bool {
 	echoed := up.response.Header.Peek(HeaderRequestID)
-	return len(echoed) == 0 || string(echoed) == x.streamID
+	if len(echoed) == 0 {
+		return !up.named
+	}
+	up.named = true
+	return string(echoed) == x.streamID
 }
 
 // holdUpstream makes the connection interruptible; it is false when a yield came first.
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -10,6 +10,7 @@
 var (
 	dataPrefix       = []byte("data:")
 	doneData         = []byte("[DONE]")
+	idMark           = []byte(`{"id":"`)
 	offsetMark       = []byte(`"token_offset":`)
 	countMark        = []byte(`"token_count":`)
 	textMark         = []byte(`"text":"`)
@@ -23,6 +24,7 @@
 
 // chunkFacts is what the gateway needs to know of one chunk.
 type chunkFacts struct {
+	id       []byte // of the answer, still escaped, where the chunk begins with it; part of the event
 	offset   uint64
 	count    uint64
 	measured bool // the chunk states offset and count
@@ -57,7 +59,7 @@
 	if bytes.HasPrefix(data, []byte(`{"error"`)) {
 		return chunkFacts{failed: true}
 	}
-	facts := chunkFacts{}
+	facts := chunkFacts{id: leadingID(data)}
 	var hasOffset, hasCount bool
 	facts.offset, hasOffset = numberAfter(data, offsetMark)
 	facts.count, hasCount = numberAfter(data, countMark)
@@ -69,6 +71,29 @@
 	return facts
 }
 
+// leadingID returns the identity that a chunk begins with, or nil.
+func leadingID(data []byte) []byte {
+	rest, found := bytes.CutPrefix(data, idMark)
+	if !found {
+		return nil
+	}
+	if end := bytes.IndexByte(rest, '"'); end > 0 {
+		return rest[:end]
+	}
+	return nil
+}
+
+// namesOther tells whether a chunk's identity holds one that begins with prefix, as all of this gateway's
+// do, but is not own. Engines put text such as "cmpl-" in front and "-0" behind.
+func namesOther(id []byte, prefix, own string) bool {
+	at := bytes.Index(id, []byte(prefix))
+	if at < 0 {
+		return false
+	}
+	behind, found := bytes.CutPrefix(id[at:], []byte(own))
+	return !found || (len(behind) > 0 && behind[0] != '-')
+}
+
 func numberAfter(data, mark []byte) (uint64, bool) {
 	at := bytes.Index(data, mark)
 	if at < 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -22,6 +23,7 @@
 	opened    bool   // the caller got the header
 	in        []byte // read from the back end, not yet cut into events
 	readBuf   []byte
+	chunkID   []byte // identity that the back end's chunks carry; empty before the first
 	event     []byte // the event being handled, without tokens that the caller has
 	trimmed   []byte // buffer of event
 	facts     chunkFacts
@@ -40,6 +42,7 @@
 // openStream takes over a stream whose header is here.
 func (x *exchange) openStream(up *upstream, action *dispatch.Action) {
 	x.stream.in = x.stream.in[:0]
+	x.stream.chunkID = x.stream.chunkID[:0]
 	x.stream.counted = action.Offset
 	if action.Kind == dispatch.Send {
 		x.stream.counted = x.machine.Request().FirstToken
@@ -150,6 +153,9 @@
 	case facts.done:
 		x.cutStream(io.ErrUnexpectedEOF)
 		return
+	case !x.ownChunk(facts.id):
+		x.cutStream(errForeignAnswer)
+		return
 	}
 	if !facts.measured {
 		facts.offset, facts.count = s.counted, unmeasuredCount(event)
@@ -167,6 +173,19 @@
 	s.event = nil
 }
 
+// ownChunk tells whether a chunk's identity is the one of the chunks before it, and names no other request.
+func (x *exchange) ownChunk(id []byte) bool {
+	s := &x.stream
+	switch {
+	case len(id) == 0:
+		return true
+	case len(s.chunkID) > 0:
+		return bytes.Equal(id, s.chunkID)
+	}
+	s.chunkID = append(s.chunkID, id...)
+	return !namesOther(id, x.server.streamPrefix, x.streamID)
+}
+
 // trimOverlap makes the event that Forward passes on: without the tokens that the caller has already. It
 // fails when the chunk does not hold what it states.
 func (s *streamState) trimOverlap(event []byte, facts chunkFacts, held uint64) bool {
@@ -287,13 +306,14 @@
 	}()
 }
 
-// drainUpstream reads the end of the body behind the end mark, so that the connection can be used again.
+// drainUpstream reads the end of the body behind the end mark, so that the connection can be used again. A
+// connection on which anything else stands behind the end mark is closed.
 func (x *exchange) drainUpstream() {
 	up := x.takeUpstream()
 	if up == nil {
 		return
 	}
-	if !x.stream.finished || x.outcome.Failed() {
+	if !x.stream.finished || x.outcome.Failed() || len(x.stream.in) > 0 {
 		up.close()
 		return
 	}
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -35,6 +35,7 @@
 	counter  *countingWriter
 	response fasthttp.Response
 	usedAt   time.Time
+	named    bool // its last answer named the request; only then another request may follow on it
 }
 
 // countingWriter tells whether any byte was handed to the connection.
@@ -93,12 +94,16 @@
 	return up
 }
 
-// release keeps a connection whose last response was read to its end.
+// release keeps a connection that carried no request yet, or whose last answer was read to its end and
+// named its request. Bytes behind an answer that come after usable has looked would be taken for the next
+// request's answer, unless that has to name its request; a connection of a back end that names none
+// therefore carries a single request.
 func (t *transport) release(up *upstream) {
 	up.usedAt = time.Now()
+	carried := up.counter.written > 0
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.closed || len(t.idle[up.address]) >= maxIdlePerBackend {
+	if (carried && !up.named) || t.closed || len(t.idle[up.address]) >= maxIdlePerBackend {
 		up.close()
 		return
 	}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -66,13 +66,26 @@
 		closed:   make(chan struct{}),
 		listener: &trackedListener{Listener: listener, open: make(map[*trackedConnection]struct{})},
 		server: &fasthttp.Server{
-			Handler: config.Handler, Logger: quietLogger{config.Log}, NoDefaultServerHeader: true,
+			Handler: naming(config.Handler), Logger: quietLogger{config.Log}, NoDefaultServerHeader: true,
 			StreamRequestBody: config.StreamBody, MaxRequestBodySize: config.MaxBody, CloseOnShutdown: true,
 			ReadTimeout: time.Minute, IdleTimeout: 2 * time.Minute,
 		},
 	}, nil
 }
 
+const headerRequestID = "X-Request-Id"
+
+// naming lets every answer name its request, so that gateways keep the connection for the next one.
+func naming(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		id := string(ctx.Request.Header.Peek(headerRequestID))
+		handler(ctx)
+		if id != "" {
+			ctx.Response.Header.Set(headerRequestID, id)
+		}
+	}
+}
+
 // Address is the bound IP:port.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
