ledger, coordinator: order discards against the trainer's newest fetch

A new owner that still served a fetch which the trainer had abandoned threw samples out of a sealed batch that the former owner had just handed over for a newer fetch. Change: fetches carry a rising number. The ledger notes it with each seal, a hand-over needs a seal under its own number, and discards from a sealed batch and seals under a lower number are refused. Ruled out: never discarding, and waiting after a takeover. Conclusion: either order of the two commands now leaves each sample delivered once.

--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -194,10 +194,10 @@
 		return nil, refused
 	}
 	if old := tooOld(next.samples, body.TrainerVersion, bound); len(old) > 0 {
-		return nil, s.discard(ctx, t, old)
+		return nil, s.discard(ctx, t, old, body.Fetch)
 	}
-	if !next.sealed {
-		return nil, s.seal(ctx, t, body.Cursor, next)
+	if !next.sealed || !s.mayServe(t, body) {
+		return nil, s.seal(ctx, t, body, next)
 	}
 	reply := &fetchReply{Cursor: body.Cursor, Step: next.step.open.GetStep(), StalenessBound: &bound}
 	for _, sample := range next.samples {
@@ -230,8 +230,20 @@
 	return uint64(row.StalenessBound), nil
 }
 
-// seal fixes the batch at the cursor in the ledger. What the ledger answers counts.
-func (s *Server) seal(ctx context.Context, t *trainerState, cursor uint64, next candidateBatch) *refusal {
+// fetchMark names one fetch of a trainer.
+type fetchMark struct{ cursor, fetch uint64 }
+
+// mayServe tells whether the ledger knows that the batch at the fetch's cursor may be handed over for it. Without
+// that another coordinator, to which the trainer turned earlier, could throw samples of the batch away and have
+// them made again while this one hands them over. A fetch without a number is not guarded.
+func (s *Server) mayServe(t *trainerState, body *fetchBody) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return body.Fetch == 0 || t.served == fetchMark{body.Cursor, body.Fetch}
+}
+
+// seal fixes the batch at the cursor in the ledger, or notes a newer fetch of it. What the ledger answers counts.
+func (s *Server) seal(ctx context.Context, t *trainerState, body *fetchBody, next candidateBatch) *refusal {
 	s.mutex.Lock()
 	whole := next.step.holds(next.samples)
 	t.sealing = whole
@@ -245,18 +257,22 @@
 	}
 	number := next.step.open.GetStep()
 	result, err := s.execute(ctx, t, &wire.Command{Kind: &wire.Command_BatchSeal{BatchSeal: &wire.BatchSeal{
-		Trainer: t.name, Cursor: cursor, SampleIds: ids, Step: number, Fence: t.fence}}})
+		Trainer: t.name, Cursor: body.Cursor, SampleIds: ids, Step: number, Fence: t.fence, Fetch: body.Fetch}}})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t.sealing = false
 	if err != nil {
 		return unanswered(err)
 	}
+	if result.GetReason() == ledger.ReasonStaleFetch {
+		return abandonedFetch()
+	}
 	if !result.GetAccepted() || !slices.Equal(result.GetSampleIds(), ids) {
 		s.depose(t, "the ledger did not seal as asked: "+result.GetReason())
 		return unavailable(CodeUnavailable, "send the same call again")
 	}
-	t.delivery.seal(cursor, number, slices.Clone(ids))
+	t.delivery.seal(body.Cursor, number, slices.Clone(ids))
+	t.served = fetchMark{body.Cursor, body.Fetch}
 	return nil
 }
 
@@ -282,8 +298,8 @@
 }
 
 // discard throws stored samples away that are too old, durably, and has them generated anew.
-func (s *Server) discard(ctx context.Context, t *trainerState, old []*wire.Sample) *refusal {
-	command := &wire.BatchDiscard{Trainer: t.name, Fence: t.fence}
+func (s *Server) discard(ctx context.Context, t *trainerState, old []*wire.Sample, fetch uint64) *refusal {
+	command := &wire.BatchDiscard{Trainer: t.name, Fence: t.fence, Fetch: fetch}
 	slots := make([]ledger.SlotID, 0, len(old))
 	for _, sample := range old {
 		tokens, _ := sampleTokens(sample)
@@ -298,6 +314,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if result.GetReason() == ledger.ReasonStaleFetch {
+		return abandonedFetch()
+	}
 	if !result.GetAccepted() {
 		s.depose(t, result.GetReason())
 		return unavailable(CodeUnavailable, "send the same call again")
@@ -312,6 +331,11 @@
 	return nil
 }
 
+// abandonedFetch refuses a fetch after which the trainer made another.
+func abandonedFetch() *refusal {
+	return unavailable(CodeSuperseded, "the trainer has made a newer fetch of this batch")
+}
+
 // regenerate puts a discarded slot back to work. The caller holds the mutex.
 func (s *Server) regenerate(t *trainerState, id ledger.SlotID) {
 	step := t.delivery.step(id.Step)
--- a/internal/coordinator/pool.go
+++ b/internal/coordinator/pool.go
@@ -198,5 +198,5 @@
 		}
 		t.notify()
 	}()
-	_ = s.discard(t.context, t, samples)
+	_ = s.discard(t.context, t, samples, 0)
 }
--- a/internal/coordinator/trainer.go
+++ b/internal/coordinator/trainer.go
@@ -23,7 +23,9 @@
 	changed  chan struct{}       // closed and replaced when a waiting fetch should look again
 	turn     *turn               // of the fetch being served
 	version  uint64              // named by the last fetch
-	sealing  bool                // a batch is on its way to the ledger: nothing may be discarded
+	// served is the fetch for which the ledger knows that the sealed batch may be handed over.
+	served  fetchMark
+	sealing bool // a batch is on its way to the ledger: nothing may be discarded
 	// lastOpened is the highest step known to have been opened, 0 when unknown: one at or below it that is
 	// not open may have been delivered.
 	lastOpened uint64
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -48,6 +48,7 @@
 	MaxSamples     int    `json:"max_samples"`
 	WaitMillis     int64  `json:"wait_millis"`
 	WholeStep      bool   `json:"whole_step"`
+	Fetch          uint64 `json:"fetch"` // rises with every call of the trainer; 0 when it has no numbers
 }
 
 // versionBody is the body of POST /v1/trainers/{trainer}/versions.
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -51,8 +51,9 @@
 }
 
 // Seal fixes which samples the trainer gets at a cursor. A batch is of one step, and the batch before must
-// be acknowledged. A resend gets the sealed list, whatever samples it names. Errors: malformed command,
-// nothing changed.
+// be acknowledged. A resend gets the sealed list, whatever samples it names. A batch is handed over for a
+// fetch only after a Seal under the fetch's number; a lower number than one seen before is refused, because
+// the trainer has abandoned that fetch. Errors: malformed command, nothing changed.
 func (l *Ledger) Seal(command *wire.BatchSeal) (*wire.SampleResult, error) {
 	if command.GetCursor() == 0 || len(command.GetSampleIds()) == 0 {
 		return nil, trace.BadParameter("a batch has a cursor above 0 and at least one sample")
@@ -68,7 +69,11 @@
 	if command.GetCursor() <= known.acknowledged {
 		return refused(known, ReasonAcknowledged), nil
 	}
+	if command.GetFetch() < known.fetch {
+		return refused(known, ReasonStaleFetch), nil
+	}
 	if command.GetCursor() == known.sealed && !l.unsafe.SealTwice {
+		known.fetch = command.GetFetch()
 		return known.accepted(), nil
 	}
 	if command.GetCursor() != known.acknowledged+1 {
@@ -82,6 +87,7 @@
 	}
 	known.sealed, known.sealedStep = command.GetCursor(), command.GetStep()
 	known.sealedIDs = slices.Clone(command.GetSampleIds())
+	known.fetch = command.GetFetch()
 	return known.accepted(), nil
 }
 
@@ -112,7 +118,8 @@
 // Discard throws samples away that are too old: their slots' editions rise, and they leave a sealed batch,
 // which is no longer sealed once it is empty. A slot whose edition is not the one given, or that holds no
 // sample when no editions are given, is left alone. The tokens are counted if any slot was discarded. The
-// result lists what is left of the sealed batch. Errors: malformed command, nothing changed.
+// result lists what is left of the sealed batch. A sealed batch is left alone under an older fetch than the
+// newest one it was sealed for: the trainer may have it by now. Errors: malformed command, nothing changed.
 func (l *Ledger) Discard(command *wire.BatchDiscard) (*wire.SampleResult, error) {
 	slots, err := parseSlotIDs(command.GetTrainer(), command.GetSampleIds())
 	if err != nil {
@@ -126,6 +133,12 @@
 	if reason != "" {
 		return refused(known, reason), nil
 	}
+	if known.sealsAny(command.GetSampleIds()) {
+		if command.GetFetch() < known.fetch {
+			return refused(known, ReasonStaleFetch), nil
+		}
+		known.fetch = command.GetFetch()
+	}
 	gone := map[string]bool{}
 	for position, id := range slots {
 		held := known.find(id)
@@ -143,6 +156,11 @@
 	return known.accepted(), nil
 }
 
+// sealsAny reports whether one of the samples is in the sealed batch.
+func (t *trainer) sealsAny(ids []string) bool {
+	return slices.ContainsFunc(ids, func(id string) bool { return slices.Contains(t.sealedIDs, id) })
+}
+
 // meant reports whether a discard means what the slot holds now.
 func meant(held *slot, editions []uint32, position int) bool {
 	if len(editions) > 0 {
@@ -179,7 +197,7 @@
 	for _, text := range known.sealedIDs {
 		known.deliver(text)
 	}
-	known.acknowledged = known.sealed
+	known.acknowledged, known.fetch = known.sealed, 0
 	known.sealedIDs, known.sealedStep = nil, 0
 	return known.accepted(), nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -43,6 +43,7 @@
 	ReasonNotNextCursor  = "cursor is not the next one, or the batch before is not acknowledged"
 	ReasonAcknowledged   = "batch was acknowledged"
 	ReasonNotSealed      = "batch is not sealed"
+	ReasonStaleFetch     = "a newer fetch of the batch was served"
 	ReasonTooMany        = "too many open steps or trainers"
 )
 
@@ -66,6 +67,7 @@
 	sealed       uint64 // equal to acknowledged, or one above while a batch is out
 	sealedStep   uint64
 	sealedIDs    []string
+	fetch        uint64 // newest fetch that the sealed batch may have been handed over for; 0 for none
 	delivered    uint64
 	discarded    uint64 // tokens
 	steps        map[uint64]*step
--- a/internal/sim/coordinator.go
+++ b/internal/sim/coordinator.go
@@ -41,7 +41,8 @@
 	name         string
 	group        uint32
 	fence        uint64
-	turn         uint64 // the newest fetch; older ones are superseded
+	turn         uint64       // the newest fetch; older ones are superseded
+	served       fetchRequest // the fetch for which the ledger knows that the batch may be handed over
 	view         *wire.TrainerView
 	acknowledged uint64            // cursor, as far as this coordinator knows
 	known        map[string]uint32 // editions of the samples that the ledger holds, as far as this coordinator knows
--- a/internal/sim/delivery.go
+++ b/internal/sim/delivery.go
@@ -114,7 +114,7 @@
 	switch {
 	case len(old) > 0 && !c.world.mutated(HandOverStale):
 		d.discard(old)
-	case !sealed:
+	case !sealed || d.owned.served != d.request:
 		d.seal(step, samples)
 	default:
 		d.handOver(step, samples, bound)
@@ -154,7 +154,7 @@
 
 func (d *delivering) seal(step *wire.Step, samples []*wire.Sample) {
 	c, t := d.coordinator, d.owned
-	seal := &wire.BatchSeal{Trainer: t.name, Cursor: d.request.cursor, Step: step.GetOpen().GetStep(), Fence: t.fence}
+	seal := &wire.BatchSeal{Trainer: t.name, Cursor: d.request.cursor, Step: step.GetOpen().GetStep(), Fence: t.fence, Fetch: d.request.fetch}
 	for _, sample := range samples {
 		seal.SampleIds = append(seal.SampleIds, sample.GetId())
 	}
@@ -171,6 +171,7 @@
 			d.fail()
 			return
 		}
+		t.served = d.request
 		d.again()
 	})
 }
@@ -178,7 +179,7 @@
 // discard throws samples away that are too old, durably, and has them generated anew.
 func (d *delivering) discard(old []*wire.Sample) {
 	c, t := d.coordinator, d.owned
-	command := &wire.BatchDiscard{Trainer: t.name, Fence: t.fence}
+	command := &wire.BatchDiscard{Trainer: t.name, Fence: t.fence, Fetch: d.request.fetch}
 	for _, sample := range old {
 		command.SampleIds = append(command.SampleIds, sample.GetId())
 		command.Editions = append(command.Editions, sample.GetEdition())
--- a/internal/sim/trainer.go
+++ b/internal/sim/trainer.go
@@ -22,6 +22,7 @@
 type fetchRequest struct {
 	cursor  uint64
 	version uint64 // that the trainer has
+	fetch   uint64 // number of the call
 }
 
 // fetchReply hands a batch over; one without samples says to ask again.
@@ -130,7 +131,7 @@
 }
 
 func (t *trainer) fetch() {
-	request := fetchRequest{cursor: t.cursor + 1, version: t.version}
+	request := fetchRequest{cursor: t.cursor + 1, version: t.version, fetch: t.attempt + 1}
 	t.call("fetches", func(c *coordinator, answer func(func())) {
 		c.fetch(t.name, request, func(reply fetchReply) {
 			answer(func() { t.take(reply) })
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -29,6 +29,7 @@
 	turn   int // coordinator asked first
 
 	cursor  uint64 // highest batch received
+	fetches uint64 // number of the last fetch; rises also over a restart
 	version uint64 // weights that the next training starts from
 	opened  uint64 // highest step opened
 
@@ -131,7 +132,7 @@
 
 // fetch gets one batch, losing replies on purpose.
 func (t *Trainer) fetch(ctx context.Context) error {
-	body := fetchBody{
+	body := &fetchBody{
 		Cursor: t.cursor + 1, Acknowledge: t.cursor, TrainerVersion: t.version, MaxSamples: t.config.MaxSamples,
 		WaitMillis: t.config.FetchWait.Milliseconds(), WholeStep: t.config.WholeStep,
 	}
@@ -167,7 +168,7 @@
 		return nil
 	}
 	var reply fetchReply
-	body := fetchBody{Cursor: t.cursor + 1, Acknowledge: t.cursor, TrainerVersion: t.version}
+	body := &fetchBody{Cursor: t.cursor + 1, Acknowledge: t.cursor, TrainerVersion: t.version}
 	if err := t.persist(ctx, http.MethodPost, t.path("/fetch"), body, &reply, 0); err != nil {
 		return err
 	}
@@ -220,6 +221,10 @@
 func (t *Trainer) persistAt(ctx context.Context, addresses []string, method, path string, body, answer any, wait time.Duration) error {
 	retryWait := retryPause
 	for {
+		if fetch, ok := body.(*fetchBody); ok {
+			t.fetches = max(t.fetches+1, uint64(time.Now().UnixMicro()))
+			fetch.Fetch = t.fetches
+		}
 		err := t.call(ctx, method, addresses[t.turn%len(addresses)], path, body, answer, wait)
 		if err == nil {
 			return nil
--- a/internal/standin/trainer/wire.go
+++ b/internal/standin/trainer/wire.go
@@ -33,6 +33,7 @@
 	MaxSamples     int    `json:"max_samples"`
 	WaitMillis     int64  `json:"wait_millis"`
 	WholeStep      bool   `json:"whole_step"`
+	Fetch          uint64 `json:"fetch"` // rises with every call
 }
 
 // Segment is a run of a sample's tokens that one weight version on one replica made.
