sim: a leaving back end that dies while it is paused was never known to leave

The count of leaving-backend was suspended by the pause and went on from the order to leave as soon as the process was dead: a gateway sent to the dead replica 0.4 s later and was blamed for 14 s. Change: a run that ends in a pause ends the pause at its death, and the count stops at the death: who did not know by then can't learn it from a dead process. A replica that could say for 3 s that it leaves, and then died, is counted as before. Conclusion: the fault was the simulator's own.

--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -16,6 +16,7 @@
 	up        bool
 	paused    bool
 	deferred  []func()
+	diedAt    time.Duration // end of the last run
 	rate      float64
 	offset    time.Duration
 	resumedAt time.Duration // end of the last pause
@@ -57,6 +58,10 @@
 		return
 	}
 	p.tracef("dies")
+	p.diedAt = p.world.now
+	if p.paused {
+		p.resumedAt = p.world.now
+	}
 	p.up, p.paused, p.deferred, p.dieIn = false, false, nil, 0
 	if p.died != nil {
 		p.died()
