experiment: live latency of the calls that arrive in a wave of weights

Cause: the aim that live p99 is no worse than 1.2 times while new weights spread had no figure. Change: a histogram of the calls that arrive between a release and the last replica serving it, set over the p99 of all calls without rollouts. Calls that merely overlap a wave are not taken: long ones do so more often, which would compare unlike calls.

--- a/internal/experiment/live.go
+++ b/internal/experiment/live.go
@@ -23,6 +23,7 @@
 	excluded   []int
 	current    *attempt
 	firstToken time.Duration
+	inWave     bool // new weights were on their way to some replica when it arrived
 }
 
 // scheduleCall sets the next call of a source.
@@ -42,6 +43,7 @@
 	s.requests++
 	one := &liveCall{
 		simulation: s, gateway: s.gateways[s.random.IntN(len(s.gateways))], admission: s.requests, arrived: s.now, call: call,
+		inWave: s.weights.spreading(),
 	}
 	if call.Prefix >= 0 {
 		name := uint64(call.Source+1)<<32 | uint64(call.Prefix)
--- a/internal/experiment/markdown.go
+++ b/internal/experiment/markdown.go
@@ -46,12 +46,12 @@
 		return
 	}
 	page.WriteString("## Live traffic\n\n")
-	page.WriteString("| policy | p50 s | p99 s | p99.9 s | p99 over rollouts off | first token p99 s | refused or lost | weights everywhere p99 s |\n")
-	page.WriteString("|---|---|---|---|---|---|---|---|\n")
+	page.WriteString("| policy | p50 s | p99 s | p99.9 s | p99 over rollouts off | the same in waves | first token p99 s | refused or lost | weights everywhere p99 s |\n")
+	page.WriteString("|---|---|---|---|---|---|---|---|---|\n")
 	for index := range r.Policies {
 		one := &r.Policies[index]
-		fmt.Fprintf(page, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", one.Policy, one.LiveP50.text(1, 2), one.LiveP99.text(1, 2),
-			one.LiveP999.text(1, 2), one.LiveP99OverOff.text(1, 3), one.FirstTokenP99.text(1, 3), one.LiveFailed.text(1, 0),
+		fmt.Fprintf(page, "| %s | %s | %s | %s | %s | %s | %s | %s | %s |\n", one.Policy, one.LiveP50.text(1, 2), one.LiveP99.text(1, 2),
+			one.LiveP999.text(1, 2), one.LiveP99OverOff.text(1, 3), one.LiveP99InWaves.text(1, 3), one.FirstTokenP99.text(1, 3), one.LiveFailed.text(1, 0),
 			one.WeightsEverywhere.text(1, 1))
 	}
 	page.WriteString("\n")
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -52,6 +52,7 @@
 	arrived, answered, refused, lost uint64
 	tokens                           uint64
 	latency, firstToken              *hdrhistogram.Histogram
+	inWaves                          *hdrhistogram.Histogram // latency of the calls that arrived in a wave of weights
 }
 
 // moment is the state of the fleet at one time.
@@ -63,7 +64,7 @@
 func newMeasurement(scenario *Scenario) *measurement {
 	return &measurement{
 		scenario: scenario, trainers: make([]trainerMeasurement, len(scenario.Trainers)),
-		live: liveMeasurement{latency: newHistogram(), firstToken: newHistogram()},
+		live: liveMeasurement{latency: newHistogram(), firstToken: newHistogram(), inWaves: newHistogram()},
 	}
 }
 
@@ -104,6 +105,9 @@
 	m.live.tokens += uint64(call.call.OutputTokens)
 	record(m.live.latency, now-call.arrived)
 	record(m.live.firstToken, call.firstToken-call.arrived)
+	if call.inWave {
+		record(m.live.inWaves, now-call.arrived)
+	}
 }
 
 func (m *measurement) rolloutTokens(at time.Duration, count int) {
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -48,7 +48,9 @@
 	FirstTokenP99     Spread `json:"live_first_token_p99_seconds"`
 	// LiveP99OverOff is the live p99 in multiples of that of the policy without rollouts and the same
 	// seed; 0 when no policy is without rollouts.
-	LiveP99OverOff    Spread `json:"live_p99_over_rollouts_off"`
+	LiveP99OverOff Spread `json:"live_p99_over_rollouts_off"`
+	// LiveP99InWaves is that of the calls that arrived while new weights were on their way, in the same multiples.
+	LiveP99InWaves    Spread `json:"live_p99_in_waves_over_rollouts_off"`
 	LiveFailed        Spread `json:"live_refused_or_lost"`
 	WeightsEverywhere Spread `json:"weights_everywhere_p99_seconds"`
 	// Speed is the virtual time simulated per wall time; depends on the machine.
@@ -84,6 +86,14 @@
 	each := func(figure func(run *Run) float64) Spread {
 		return over(func(_ int, run *Run) float64 { return figure(run) })
 	}
+	overOff := func(figure func(run *Run) Seconds) Spread {
+		return over(func(index int, r *Run) float64 {
+			if off == nil {
+				return 0
+			}
+			return ratio(float64(figure(r)), float64(off[index].Live.Latency.P99))
+		})
+	}
 	wall := 0.0
 	for index := range runs {
 		wall += float64(runs[index].WallTime)
@@ -104,12 +114,8 @@
 		LiveP99:           each(func(r *Run) float64 { return float64(r.Live.Latency.P99) }),
 		LiveP999:          each(func(r *Run) float64 { return float64(r.Live.Latency.P999) }),
 		FirstTokenP99:     each(func(r *Run) float64 { return float64(r.Live.FirstToken.P99) }),
-		LiveP99OverOff: over(func(index int, r *Run) float64 {
-			if off == nil {
-				return 0
-			}
-			return ratio(float64(r.Live.Latency.P99), float64(off[index].Live.Latency.P99))
-		}),
+		LiveP99OverOff:    overOff(func(r *Run) Seconds { return r.Live.Latency.P99 }),
+		LiveP99InWaves:    overOff(func(r *Run) Seconds { return r.Live.InWaves.P99 }),
 		LiveFailed:        each(func(r *Run) float64 { return float64(r.Live.Refused + r.Live.Lost) }),
 		WeightsEverywhere: each(func(r *Run) float64 { return float64(r.WeightsEverywhere.P99) }),
 		Speed:             ratio(scenario.Duration.Seconds()*float64(len(runs)), wall),
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -69,6 +69,8 @@
 	Lost       uint64  `json:"lost"`
 	Latency    Latency `json:"latency"`
 	FirstToken Latency `json:"first_token"`
+	// InWaves is the latency of the calls that arrived while new weights were on their way to some replica.
+	InWaves Latency `json:"latency_in_waves"`
 }
 
 func newRun(s *simulation, wall time.Duration) Run {
@@ -79,7 +81,7 @@
 		RolloutRate: float64(m.generate.tokens) / measured, measure: m, WeightsEverywhere: spread(m.spread),
 		Live: Live{
 			Calls: m.live.arrived, Answered: m.live.answered, Refused: m.live.refused, Lost: m.live.lost,
-			Latency: latency(m.live.latency), FirstToken: latency(m.live.firstToken),
+			Latency: latency(m.live.latency), FirstToken: latency(m.live.firstToken), InWaves: latency(m.live.inWaves),
 		},
 	}
 	run.PrefixReuse = s.prefixReuse()
--- a/internal/experiment/weights.go
+++ b/internal/experiment/weights.go
@@ -226,6 +226,9 @@
 	return w.trainerVersion(oldest, trainer)
 }
 
+// spreading says that new weights are on their way to some replica.
+func (w *weightRollout) spreading() bool { return w.versions[w.newest()].serving < len(w.replicas) }
+
 // everywhere says that all replicas that are up serve the newest weights.
 func (w *weightRollout) everywhere() bool {
 	for index, r := range w.simulation.replicas {
