wave: stage as many replicas at once as the store answers

Cause: 32 stage orders at a time and 0.5 s per fetch make 600 replicas take more than 9 s for staging alone, longer where a release overtakes another one. Change: the number of stage orders under way starts at 32, rises by one with each success and is halved by a pause of the store, never below 32.

--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -16,6 +16,7 @@
 	orders     map[uint64]*replica
 	lastOrder  uint64
 	staging    int // stage orders under way
+	window     int // most stage orders under way, learned
 	stagePause time.Duration
 	swapTime   time.Duration // learned; 0 when unknown
 	counters   Counters
@@ -40,7 +41,8 @@
 
 // New returns a planner of a pool without a release.
 func New(config Config) *Planner {
-	return &Planner{config: config.withDefaults(), orders: map[uint64]*replica{}}
+	config = config.withDefaults()
+	return &Planner{config: config, window: config.StageTogether, orders: map[uint64]*replica{}}
 }
 
 // Release makes a version the one that all replicas are to serve. It is false for a number that is not
@@ -144,6 +146,7 @@
 		p.done(now, one, order, answer.Serving)
 	case Throttled:
 		p.counters.Throttled++
+		p.narrow(now)
 		p.stagePause = max(p.stagePause, now+answer.RetryAfter)
 		one.notBefore = now + answer.RetryAfter
 	default:
@@ -156,6 +159,7 @@
 	if order.Kind == Stage {
 		one.staged, one.stagedAt = order.Version.Number, now+p.config.StageTime
 		one.failures = 0
+		p.window = min(p.window+1, max(len(p.replicas), p.config.StageTogether))
 		return
 	}
 	one.staged = 0
@@ -170,6 +174,13 @@
 	p.settle(now, one)
 }
 
+// narrow halves the number of stage orders under way, once per pause of the store.
+func (p *Planner) narrow(now time.Duration) {
+	if now >= p.stagePause {
+		p.window = max(p.window/2, p.config.StageTogether)
+	}
+}
+
 // learnSwap follows the swap time: quickly up, slowly down.
 func (p *Planner) learnSwap(lasted time.Duration) {
 	if lasted > p.swapTime {
@@ -224,7 +235,7 @@
 				places--
 				orders = append(orders, p.order(now, one, Swap))
 			}
-		case one.staged != p.target.Number && p.staging < p.config.StageTogether && now >= p.stagePause:
+		case one.staged != p.target.Number && p.staging < p.window && now >= p.stagePause:
 			orders = append(orders, p.order(now, one, Stage))
 		}
 	}
--- a/internal/wave/planner_test.go
+++ b/internal/wave/planner_test.go
@@ -175,6 +175,38 @@
 	}
 }
 
+// TestWaveGrowsWithTheReplicasThatPassWeightsOn has a store of 16 streams; each replica that has the weights adds one.
+// A copy takes 500ms, a swap as long.
+func TestWaveGrowsWithTheReplicasThatPassWeightsOn(t *testing.T) {
+	const replicas, copyTime = 600, 500 * time.Millisecond
+	w := newWorld(Config{}, replicas)
+	w.release(t)
+	due, copies, streams := map[uint64]time.Duration{}, 0, 16
+	for ; w.planner.Status().Serving < replicas; w.now += 50 * time.Millisecond {
+		if w.now > 10*time.Second {
+			t.Fatalf("%d of %d replicas after %s", w.planner.Status().Serving, replicas, w.now)
+		}
+		w.next(t)
+		for position := len(w.orders) - 1; position >= 0; position-- {
+			order := w.orders[position]
+			switch _, known := due[order.ID]; {
+			case !known && order.Kind == Stage && copies >= streams:
+				w.answer(position, Throttled, false)
+			case !known:
+				due[order.ID] = w.now + copyTime
+				if order.Kind == Stage {
+					copies++
+				}
+			case w.now >= due[order.ID]:
+				if order.Kind == Stage {
+					copies, streams = copies-1, streams+1
+				}
+				w.answer(position, Done, false)
+			}
+		}
+	}
+}
+
 func TestThrottledStoreOnlyDelaysTheWave(t *testing.T) {
 	if lasted := lasts(t, 10, 4); lasted < 2*time.Second || lasted > 10*time.Second {
 		t.Errorf("ten replicas took %s at four reads a second", lasted)
--- a/internal/wave/types.go
+++ b/internal/wave/types.go
@@ -76,7 +76,8 @@
 	// QuickSwap is the swap time up to which all replicas may swap at once, because the gap is shorter
 	// than a few steps. Default 50ms.
 	QuickSwap time.Duration
-	// StageTogether bounds the stage orders under way in a pool. Default 32: the store's own limit rules.
+	// StageTogether bounds the stage orders under way in a pool at first, and at least. Each one that succeeds
+	// raises the bound by one, each pause that the store asks for halves it. Default 32.
 	StageTogether int
 	// StageTime is how long a replica needs after the answer to a stage order; a swap sent earlier would
 	// hold a place among the swapping ones while it waits. Default 1s.
