rollout: hold the running samples steady where they take much of the room

Peaks follow the lulls in which samples wait for newer weights, and fill the replicas that packing leaves to live calls. Change: a trainer whose mean need is more than a quarter of its room has at least that many samples running, though newer weights would come in time. The mechanism can be switched off (steadiness).

--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -44,11 +44,12 @@
 	MechanismLongestFirst Mechanism = "longest-first"
 	MechanismContinuation Mechanism = "continuation"
 	MechanismMargin       Mechanism = "margin"
+	MechanismSteadiness   Mechanism = "steadiness"
 	MechanismPacking      Mechanism = "packing" // of the balanced routing, whatever the scheduling
 )
 
 var mechanisms = []Mechanism{MechanismFreshness, MechanismPrediction, MechanismSmoothing, MechanismLongestFirst,
-	MechanismContinuation, MechanismMargin, MechanismPacking}
+	MechanismContinuation, MechanismMargin, MechanismSteadiness, MechanismPacking}
 
 // Policy is one combination to measure.
 type Policy struct {
@@ -59,7 +60,7 @@
 	// Routing is balanced, random, round-robin or least-requests. Default balanced.
 	Routing Routing `yaml:"routing"`
 	// Disable lists mechanisms of paced that are off: freshness, prediction, smoothing, longest-first,
-	// continuation, margin; and packing of the balanced routing.
+	// continuation, margin, steadiness; and packing of the balanced routing.
 	Disable []Mechanism `yaml:"disable"`
 }
 
@@ -107,6 +108,7 @@
 		NoFreshness: p.off(MechanismFreshness), NoPrediction: p.off(MechanismPrediction),
 		NoSmoothing: p.off(MechanismSmoothing), NoLongestFirst: p.off(MechanismLongestFirst),
 		NoContinuation: p.off(MechanismContinuation), NoMargin: p.off(MechanismMargin),
+		NoSteadiness: p.off(MechanismSteadiness),
 	}
 }
 
--- a/internal/rollout/policy.go
+++ b/internal/rollout/policy.go
@@ -25,6 +25,10 @@
 	Work time.Duration
 	// Running is the number of the trainer's samples in generation.
 	Running int
+	// Level is how many of the trainer's samples must run at once, on average, for its steps to come in time.
+	Level int
+	// Room is the trainer's fair part of the room.
+	Room int
 	// LongestLead is the time that the longest sample of the step may need.
 	LongestLead time.Duration
 }
@@ -102,6 +106,8 @@
 	NoLongestFirst bool
 	// NoContinuation starts interrupted samples again from the prompt.
 	NoContinuation bool
+	// NoSteadiness lets the number of running samples fall below their mean where they take much of the room.
+	NoSteadiness bool
 	// NoMargin aims at the very moment of the trainer's fetch.
 	NoMargin bool
 }
@@ -114,7 +120,7 @@
 		name string
 	}{
 		{p.NoFreshness, "freshness"}, {p.NoPrediction, "prediction"}, {p.NoSmoothing, "smoothing"},
-		{p.NoLongestFirst, "longest-first"}, {p.NoContinuation, "continuation"}, {p.NoMargin, "margin"},
+		{p.NoLongestFirst, "longest-first"}, {p.NoContinuation, "continuation"}, {p.NoMargin, "margin"}, {p.NoSteadiness, "steadiness"},
 	} {
 		if part.off {
 			name += "-no-" + part.name
@@ -138,6 +144,9 @@
 	if now+lead >= due {
 		return true
 	}
+	if !p.NoSteadiness && step.crowded() && step.Running < step.Level {
+		return true
+	}
 	if !p.NoFreshness && step.NextVersion+freshnessFactor*lead <= due {
 		return false
 	}
@@ -148,6 +157,13 @@
 // sample to wait for them: the rest of the step wants that time too, and its work is spread over it.
 const freshnessFactor = 5
 
+// crowdedPart is the part of the room from which on a trainer's mean need is held steadily: the peaks that follow
+// any lull would reach the replicas that live traffic is left with.
+const crowdedPart = 0.25
+
+// crowded says that the trainer's mean need takes much of its room.
+func (s *StepView) crowded() bool { return float64(s.Level) > crowdedPart*float64(s.Room) }
+
 // Before implements Policy: kept tokens first (they age), then one probe of each unknown group, then the
 // longest.
 func (p Paced) Before(first, second SampleView) bool {
--- a/internal/rollout/scheduler.go
+++ b/internal/rollout/scheduler.go
@@ -172,14 +172,14 @@
 		}
 		s.sortWaiting(step)
 		first := step.waiting[0]
-		if s.policy.Eligible(now, s.view(trainer, step, rank, lag), s.sampleView(first)) {
+		if s.policy.Eligible(now, s.view(trainer, step, rank, lag, room), s.sampleView(first)) {
 			return first
 		}
 	}
 	return nil
 }
 
-func (s *Scheduler) view(trainer *trainerState, step *openStep, rank int, lag uint64) StepView {
+func (s *Scheduler) view(trainer *trainerState, step *openStep, rank int, lag uint64, room Room) StepView {
 	view := StepView{Rank: rank, Lag: lag, TrainerWaiting: trainer.waitingNow, Running: trainer.running}
 	if !trainer.hasTrain || !s.rate.known() {
 		return view
@@ -193,10 +193,26 @@
 		total += before.remainingTokens()
 	}
 	view.Work = s.rate.time(total)
+	view.Level = trainer.level(step, &s.rate)
+	view.Room = int(float64(room.Slots) * trainer.share / s.shares())
 	view.LongestLead = s.rate.time(step.longestTokens())
 	return view
 }
 
+// level is how many samples of steps like this one must run at once, on average, for one step per training time.
+func (t *trainerState) level(step *openStep, rate *rateEstimate) int {
+	return int(rate.time(t.history.above(0)*len(step.samples)) / max(t.trainTime, 1))
+}
+
+// shares is the sum of all trainers' shares.
+func (s *Scheduler) shares() float64 {
+	sum := 0.0
+	for _, trainer := range s.trainers {
+		sum += trainer.share
+	}
+	return sum
+}
+
 // due is when the trainer is expected to fetch its open step of the given rank. Needs a training time.
 func (t *trainerState) due(rank int) time.Duration {
 	if t.waitingNow {
--- a/internal/rollout/scheduler_test.go
+++ b/internal/rollout/scheduler_test.go
@@ -313,6 +313,20 @@
 
 // TestLateAvailabilityDoesNotHideTheNextVersion: weights become available after the step that they were
 // fetched for is delivered already; the trainer is then about to make the next version.
+func TestPacedHoldsACrowdedPoolSteady(t *testing.T) {
+	// Newer weights would come in time, so the sample waits unless the running ones are fewer than on average.
+	step := StepView{Known: true, Due: 1000 * time.Second, NextVersion: 10 * time.Second, Level: 40, Room: 100}
+	for _, one := range []struct {
+		running, room int
+		want          bool
+	}{{39, 100, true}, {40, 100, false}, {39, 200, false}} {
+		step.Running, step.Room = one.running, one.room
+		if got := (Paced{}).Eligible(0, step, SampleView{Lead: time.Second}); got != one.want {
+			t.Errorf("%d of 40 running in a room of %d: eligible %v, want %v", one.running, one.room, got, one.want)
+		}
+	}
+}
+
 func TestLateAvailabilityDoesNotHideTheNextVersion(t *testing.T) {
 	s := New(Config{Policy: Asynchronous{}})
 	mustOpen(t, s, 0, "a", 1, 1, 1)
