sim: a role that finds no control leader exits after its start time

It never holds a lease, has no table (hence "overloaded": its pool has no slots) and asks nodes that no longer exist. Change: gateways and coordinators of the simulator do the same. Conclusion: the simulator lacked a step of the real roles. What is left: a process that has held a lease once, and is cut off while every control node that it knows is replaced, does not exit.

--- a/internal/sim/session.go
+++ b/internal/sim/session.go
@@ -77,9 +77,24 @@
 	s := &holderSession{client: c, view: table.NewView(), onUpdate: onUpdate,
 		holder: lease.NewHolderUnsafe(c.world.mutation.leaseUnsafe())}
 	s.attach()
+	s.exitWithoutLease()
 	return s
 }
 
+// startTime is how long a role waits for its first lease before it exits (the flag start-time). Its supervisor starts
+// it again with the settings of the moment: those that it had may name control nodes that are replaced by now.
+const startTime = 30 * time.Second
+
+// exitWithoutLease ends a process that found no control node.
+func (s *holderSession) exitWithoutLease() {
+	s.client.after(startTime, func() {
+		if !s.everHeld {
+			s.client.tracef("has found no control leader, exits")
+			s.client.die()
+		}
+	})
+}
+
 // admit is the check at the point of dispatch.
 func (s *holderSession) admit() (uint64, bool) { return s.holder.Admit(s.client.clock()) }
 
