controlclient: an abandoned command's verdict rests on its answers alone

Cause: TestVerdictOfAnAbandonedCommand gave the client 50 ms of wall time. When the machine was busy the deadline cut an attempt that the fake node had not answered yet, and may-have-run was then the honest verdict; the test was wrong to expect did-not-run. The code had a fault of the same kind: a reply that had arrived competed at random with the end of the context or of the stream, so that a refusal could pass for an unknown outcome, and a context that had ended could still queue a request. Change: the test ends the context in the wait between two attempts, where none is under way, and also counts the attempts; two mixed sequences of answers, an attempt cut off before its answer and a reply that is here at the end of the wait are new cases. The wait between attempts is a field of Config that only tests in the package set. A reply that is here counts; nothing is queued for a context that has ended. Conclusion: the test no longer depends on time, and the client says did-not-run whenever it knows it.

--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -87,28 +87,91 @@
 	}
 }
 
+// pausesBeforeGivingUp is the number of waits between attempts after which the caller of
+// TestVerdictOfAnAbandonedCommand loses its patience.
+const pausesBeforeGivingUp = 3
+
+// TestVerdictOfAnAbandonedCommand ends the caller's context while the client waits between two attempts, so
+// that every attempt was answered and the verdict rests on the answers alone.
 func TestVerdictOfAnAbandonedCommand(t *testing.T) {
+	const (
+		unknown    = wire.ExecuteStatus_EXECUTE_STATUS_UNKNOWN
+		notLeader  = wire.ExecuteStatus_EXECUTE_STATUS_NOT_LEADER
+		overloaded = wire.ExecuteStatus_EXECUTE_STATUS_OVERLOADED
+		invalid    = wire.ExecuteStatus_EXECUTE_STATUS_INVALID
+	)
 	cases := map[string]struct {
-		status wire.ExecuteStatus
-		want   verdict.Verdict
+		statuses []wire.ExecuteStatus // of the attempts in turn
+		want     verdict.Verdict
 	}{
-		"unknown":    {wire.ExecuteStatus_EXECUTE_STATUS_UNKNOWN, verdict.MayHaveRun},
-		"not leader": {wire.ExecuteStatus_EXECUTE_STATUS_NOT_LEADER, verdict.DidNotRun},
-		"overloaded": {wire.ExecuteStatus_EXECUTE_STATUS_OVERLOADED, verdict.DidNotRun},
-		"invalid":    {wire.ExecuteStatus_EXECUTE_STATUS_INVALID, verdict.DidNotRun},
+		"unknown":           {[]wire.ExecuteStatus{unknown, unknown, unknown}, verdict.MayHaveRun},
+		"not leader":        {[]wire.ExecuteStatus{notLeader, notLeader, notLeader}, verdict.DidNotRun},
+		"overloaded":        {[]wire.ExecuteStatus{overloaded, overloaded, overloaded}, verdict.DidNotRun},
+		"refused both ways": {[]wire.ExecuteStatus{notLeader, overloaded, notLeader}, verdict.DidNotRun},
+		"unknown, then not": {[]wire.ExecuteStatus{unknown, notLeader, overloaded}, verdict.MayHaveRun},
+		"invalid":           {[]wire.ExecuteStatus{invalid}, verdict.DidNotRun},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
+			var answered atomic.Int32
 			node := startFake(t, func(*wire.ExecuteRequest) *wire.ExecuteReply {
-				return &wire.ExecuteReply{Status: test.status}
+				return &wire.ExecuteReply{Status: test.statuses[answered.Add(1)-1]}
 			})
-			client := newTestClient(t, Config{Addresses: []string{node.address}})
-			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
+			pauses := 0
+			client := newTestClient(t, Config{Addresses: []string{node.address}, pause: func(ctx context.Context, _ time.Duration) error {
+				if pauses++; pauses == pausesBeforeGivingUp {
+					cancel()
+				}
+				return ctx.Err()
+			}})
 			_, err := client.Execute(ctx, 1, claimBegin("k"))
 			if err == nil || verdict.Of(err) != test.want {
 				t.Fatalf("got %v, want an error with verdict %s", err, test.want)
 			}
+			if asked := len(node.requests()); asked != len(test.statuses) {
+				t.Fatalf("%d attempts, want %d", asked, len(test.statuses))
+			}
+		})
+	}
+}
+
+// TestCommandCutOffBeforeItsAnswerMayHaveRun ends the caller's context while the node holds the command.
+func TestCommandCutOffBeforeItsAnswerMayHaveRun(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	node := startFake(t, func(*wire.ExecuteRequest) *wire.ExecuteReply {
+		cancel()
+		return nil
+	})
+	client := newTestClient(t, Config{Addresses: []string{node.address}})
+	if _, err := client.Execute(ctx, 1, claimBegin("k")); err == nil || verdict.Of(err) != verdict.MayHaveRun {
+		t.Fatalf("got %v, want an error with verdict %s", err, verdict.MayHaveRun)
+	}
+}
+
+// TestReplyThatIsHereCounts has a reply and an end of the wait at the same time.
+func TestReplyThatIsHereCounts(t *testing.T) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	broken := make(chan struct{})
+	close(broken)
+	for name, test := range map[string]struct {
+		ctx  context.Context
+		done chan struct{}
+	}{
+		"context ended": {ended, make(chan struct{})},
+		"stream broken": {context.Background(), broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			waiting := connection{done: test.done, broken: context.Canceled}
+			for range 100 { // a choice between the two at random would be wrong about every second time
+				replies := make(chan *wire.ExecuteReply, 1)
+				replies <- claimReply(1)
+				if reply, err := waiting.await(test.ctx, replies); reply == nil {
+					t.Fatalf("the reply was dropped: %v", err)
+				}
+			}
 		})
 	}
 }
--- a/internal/controlclient/config.go
+++ b/internal/controlclient/config.go
@@ -13,6 +13,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -78,6 +79,9 @@
 	Clock monotonic.Clock
 	// Log receives short sentences about lost and regained connections. Default: nothing.
 	Log *logrus.Entry
+
+	// pause waits between two attempts of one request, while none is under way. Default pause.For.
+	pause func(context.Context, time.Duration) error
 }
 
 func (c *Config) setDefaults() error {
@@ -113,5 +117,8 @@
 	if c.Log == nil {
 		c.Log = logging.Discard()
 	}
+	if c.pause == nil {
+		c.pause = pause.For
+	}
 	return nil
 }
--- a/internal/controlclient/connection.go
+++ b/internal/controlclient/connection.go
@@ -85,6 +85,9 @@
 
 // call sends one request and waits for its reply. sent is false when the request certainly never left.
 func (c *connection) call(ctx context.Context, request *wire.ExecuteRequest) (reply *wire.ExecuteReply, sent bool, err error) {
+	if err := ctx.Err(); err != nil {
+		return nil, false, err
+	}
 	replies := make(chan *wire.ExecuteReply, 1)
 	if err := c.register(request, replies); err != nil {
 		return nil, false, err
@@ -97,13 +100,27 @@
 	case <-ctx.Done():
 		return nil, false, ctx.Err()
 	}
+	reply, err = c.await(ctx, replies)
+	return reply, true, err
+}
+
+// await waits for the reply to a request that was queued. A reply that is here counts, also when the stream
+// has broken or ctx has ended since: without it, a command that was refused would pass for one that may have run.
+func (c *connection) await(ctx context.Context, replies <-chan *wire.ExecuteReply) (*wire.ExecuteReply, error) {
+	var cause error
 	select {
-	case reply = <-replies:
-		return reply, true, nil
+	case reply := <-replies:
+		return reply, nil
 	case <-c.done:
-		return nil, true, c.failure()
+		cause = c.failure()
 	case <-ctx.Done():
-		return nil, true, ctx.Err()
+		cause = ctx.Err()
+	}
+	select {
+	case reply := <-replies:
+		return reply, nil
+	default:
+		return nil, cause
 	}
 }
 
--- a/internal/controlclient/request.go
+++ b/internal/controlclient/request.go
@@ -62,8 +62,8 @@
 		} else if state.redirects > 0 && state.redirects <= immediateRedirects {
 			continue
 		}
-		if !wait.sleep(ctx) {
-			return nil, state.final(ctx.Err())
+		if err := c.config.pause(ctx, wait.duration()); err != nil {
+			return nil, state.final(err)
 		}
 	}
 }
