gateway: the test of a back end that hangs puts every request there, under way

Cause: TestRequestsLeaveABackEndThatHangs let the routing spread the requests over both engines and froze one 30 ms later; where no stream at it had a token by then, or none was left at it, there was nothing to replay and the test said so. It depended on the routing's draws and on wall time. Change: the second engine drains until the freezing, so that all requests are at the first one. The freezer lets each stream through up to its first token and nothing of whole answers; the engine is frozen once every stream's caller has its first token, so that none can have ended. The test now wants exactly eight sends to the frozen engine, a replay of each of the four streams and a second send of each of the four whole answers at the other, instead of one replay or more. Conclusion: the test is stricter and no longer depends on time or draws.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -262,6 +263,12 @@
 
 // post calls a gateway; headers are pairs of name and value.
 func (f *fixture) post(t *testing.T, gateway int, path, body string, headers ...string) answer {
+	t.Helper()
+	return f.postNoting(t, gateway, path, body, func() {}, headers...)
+}
+
+// postNoting calls a gateway and then begun, once the first bytes of the answer's body are here.
+func (f *fixture) postNoting(t *testing.T, gateway int, path, body string, begun func(), headers ...string) answer {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPost, "http://"+f.gateways[gateway].Address()+path, strings.NewReader(body))
 	if err != nil {
@@ -276,7 +283,10 @@
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	reader := bufio.NewReader(response.Body)
+	_, _ = reader.Peek(1) // what fails here fails below
+	begun()
+	content, err := io.ReadAll(reader)
 	if err != nil {
 		t.Fatalf("reading the answer: %v", err)
 	}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -1,11 +1,12 @@
 package gateway
 
 import (
-	"encoding/json"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -17,6 +18,7 @@
 	backend  string
 	frozen   chan struct{}
 	once     sync.Once
+	holding  atomic.Bool // answers to POST requests stop as heldAnswer says, so that none ends before the freezing
 }
 
 func newFreezer(t *testing.T, backend string) *freezer {
@@ -55,8 +57,9 @@
 	}
 	t.Cleanup(func() { _ = target.Close() })
 	var done sync.WaitGroup
-	done.Go(func() { f.pass(target, conn) })
-	done.Go(func() { f.pass(conn, target) })
+	answer := &heldAnswer{to: conn}
+	done.Go(func() { f.pass(&requestSide{to: target, answer: answer, holding: &f.holding}, conn) })
+	done.Go(func() { f.pass(answer, target) })
 	done.Wait()
 	select {
 	case <-f.frozen:
@@ -81,6 +84,53 @@
 	}
 }
 
+// requestSide writes a connection's requests; it arms the answer's side when one of them is to be held.
+type requestSide struct {
+	to      io.Writer
+	answer  *heldAnswer
+	holding *atomic.Bool
+}
+
+func (r *requestSide) Write(part []byte) (int, error) {
+	if r.holding.Load() && bytes.HasPrefix(part, []byte("POST ")) {
+		r.answer.armed.Store(true)
+	}
+	return r.to.Write(part)
+}
+
+// chunkEnd ends an event and the HTTP chunk that holds it: a gateway reads chunks whole.
+var chunkEnd = []byte("\n\n\r\n")
+
+// heldAnswer writes a connection's answers. Once armed it lets a stream through up to the end of its first
+// event with text, and nothing of a whole answer.
+type heldAnswer struct {
+	to    io.Writer
+	armed atomic.Bool
+	seen  []byte
+	sent  int
+}
+
+func (h *heldAnswer) Write(part []byte) (int, error) {
+	if !h.armed.Load() {
+		return h.to.Write(part)
+	}
+	h.seen = append(h.seen, part...)
+	start := bytes.Index(h.seen, []byte("data: "))
+	if start < 0 {
+		return len(part), nil
+	}
+	end := len(h.seen)
+	if length := bytes.Index(h.seen[start:], chunkEnd); length >= 0 {
+		end = start + length + len(chunkEnd)
+	}
+	if end <= h.sent {
+		return len(part), nil
+	}
+	_, err := h.to.Write(h.seen[h.sent:end])
+	h.sent = end
+	return len(part), err
+}
+
 // frozenFixture puts a freezer before each back end.
 func frozenFixture(t *testing.T, engines, apps int) (*fixture, map[string]*freezer) {
 	t.Helper()
@@ -99,39 +149,44 @@
 	return f, freezers
 }
 
-// TestRequestsLeaveABackEndThatHangs freezes the engine that a stream and a whole answer come from, and
-// never thaws it. Both must come whole from the other engine.
+// TestRequestsLeaveABackEndThatHangs freezes the engine that streams and whole answers come from, and never
+// thaws it. All must come whole from the other engine, which took none of them before: each stream goes on
+// there behind what its caller has, each whole answer is made again.
 func TestRequestsLeaveABackEndThatHangs(t *testing.T) {
+	const prompt = "Write a long offer. [tokens=400]"
 	f, freezers := frozenFixture(t, 2, 0)
-	long := "Write a long offer. [tokens=400]"
-	var calls sync.WaitGroup
+	freezers["e0"].holding.Store(true)
+	f.cluster.change(t, [3]string{"e1", "state", "draining"})
+	var calls, begun sync.WaitGroup
 	answers := make([]answer, 8)
 	for i := range answers {
-		calls.Go(func() {
-			body, _ := json.Marshal(map[string]any{"model": "copy", "prompt": long, "stream": i%2 == 0})
-			answers[i] = f.post(t, 0, "/v1/completions", string(body))
-		})
+		body := fmt.Sprintf(`{"model":"copy","prompt":%q,"stream":%t}`, prompt, i%2 == 0)
+		if i%2 == 1 {
+			calls.Go(func() { answers[i] = f.post(t, 0, "/v1/completions", body) })
+			continue
+		}
+		begun.Add(1)
+		calls.Go(func() { answers[i] = f.postNoting(t, 0, "/v1/completions", body, begun.Done) })
 	}
 	f.awaitDispatches(t, len(answers))
-	time.Sleep(30 * time.Millisecond) // some tokens
+	begun.Wait() // each stream's caller has its first token, and none has its last
+	f.cluster.change(t, [3]string{"e1", "state", "active"})
 	freezers["e0"].freeze()
 	calls.Wait()
-	moved := 0
+	kinds := map[string]int{}
 	for _, entry := range f.gateways[0].Dispatches(0) {
-		if entry.Kind == "replay" && entry.Backend == "e1" {
-			moved++
-		}
+		kinds[entry.Kind+" "+entry.Backend]++
 	}
 	for i, got := range answers {
 		if got.status != 200 {
 			t.Fatalf("%+v", got)
 		}
 		if i%2 == 0 {
-			streamedText(t, long, got.body)
+			streamedText(t, prompt, got.body)
 		}
 	}
-	if moved == 0 {
-		t.Fatal("no stream was moved; nothing was shown")
+	if kinds["send e0"] != len(answers) || kinds["replay e1"] != len(answers)/2 || kinds["send e1"] != len(answers)/2 {
+		t.Fatalf("dispatches %v, want all of them at e0 first, and then at e1 replays of streams and sends of whole answers", kinds)
 	}
 }
 
