gateway: tests of yields, drains and dying engines hold what they need under way

Cause: TestDrainUnderKeepAliveLoadRunsWhatItAnswers failed where the drain was over before a caller came again: nothing was refused. TestStreamMovesWhenItsEngineDies, TestRolloutYieldsToLiveTraffic and TestDrainFinishesStreamsAndRefusesNewWork rested on the same kind of wait (30 or 50 ms after a dispatch, a stream of 300 ms) and could meet a stream without a token or at its end. Change: drains are kept from ending until the call that must be refused was; streams are held behind their first token, which the caller has, until the engine dies or the live request comes. No assertion changed. Conclusion: what these tests need to see is under way for certain when they look.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -171,17 +171,20 @@
 	}
 }
 
-// TestRolloutYieldsToLiveTraffic has a rollout stream in the only slot; it must still end whole.
+// TestRolloutYieldsToLiveTraffic has a rollout stream in the only slot, held behind its first token so that it
+// cannot end before the live request comes; it must still end whole.
 func TestRolloutYieldsToLiveTraffic(t *testing.T) {
-	f := newFixture(t, 1, 0, 1, nil)
+	f, freezers := frozenFixture(t, 1, 0)
+	freezers["e0"].holding.Store(true)
 	f.cluster.change(t, [3]string{"copy", "max_in_flight", "1"})
 	long := "Roll out. [tokens=400]"
-	rollout := make(chan answer)
+	begun, rollout := make(chan struct{}), make(chan answer)
 	go func() {
-		rollout <- f.post(t, 0, "/v1/completions", `{"model":"copy","prompt":"`+long+`","stream":true}`, HeaderClass, ClassRollout)
+		rollout <- f.postNoting(t, 0, "/v1/completions", `{"model":"copy","prompt":"`+long+`","stream":true}`,
+			func() { close(begun) }, HeaderClass, ClassRollout)
 	}()
-	f.awaitDispatch(t)
-	time.Sleep(30 * time.Millisecond)
+	<-begun
+	freezers["e0"].holding.Store(false)
 	live := f.post(t, 0, "/v1/completions", completion(true), HeaderClass, ClassLive)
 	streamedText(t, prompt, live.body)
 	select {
@@ -209,6 +212,7 @@
 		streamed <- f.post(t, 0, "/v1/completions", `{"model":"copy","prompt":"`+long+`","stream":true}`)
 	}()
 	f.awaitDispatch(t)
+	f.gateways[0].inFlight.Add(1) // keeps the drain from ending before the new work came
 	drained := make(chan error)
 	go func() { drained <- f.gateways[0].Drain(context.Background()) }()
 	for !f.gateways[0].draining.Load() {
@@ -219,6 +223,7 @@
 		t.Fatalf("%+v", refused)
 	}
 	f.expectNotReady(t, errDraining)
+	f.gateways[0].inFlight.Add(-1)
 	streamedText(t, long, (<-streamed).body)
 	if err := <-drained; err != nil {
 		t.Fatal(err)
@@ -240,7 +245,7 @@
 	_, _ = response.Body.Read(make([]byte, 10))
 	_ = response.Body.Close()
 	streamedText(t, prompt, f.post(t, 0, "/v1/completions", completion(true)).body)
-	for range 500 {
+	for range 5000 {
 		if log := f.engines[0].Log(); len(log) > 1 && log[0].Outcome == enginestandin.OutcomeCancelled {
 			return
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/tamarindring/tamarindring/internal/engine/text"
 	"github.com/tamarindring/tamarindring/internal/standin/application"
@@ -89,17 +89,26 @@
 	}
 }
 
+// TestStreamMovesWhenItsEngineDies kills the engine of a stream whose caller has the first token; the freezer
+// holds the rest back, so that the stream cannot have ended.
 func TestStreamMovesWhenItsEngineDies(t *testing.T) {
-	f := newFixture(t, 2, 0, 1, nil)
-	long := "Write a long offer. [tokens=600]" // at least 600 steps of a millisecond
-	done := make(chan answer)
+	f, freezers := frozenFixture(t, 2, 0)
+	for _, one := range freezers {
+		one.holding.Store(true)
+	}
+	const long = "Write a long offer. [tokens=600]"
+	begun, done := make(chan struct{}), make(chan answer)
 	go func() {
 		body, _ := json.Marshal(map[string]any{"model": "copy", "prompt": long, "stream": true})
-		done <- f.post(t, 0, "/v1/completions", string(body))
+		done <- f.postNoting(t, 0, "/v1/completions", string(body), func() { close(begun) })
 	}()
+	<-begun
+	for _, one := range freezers {
+		one.holding.Store(false)
+	}
 	victim := f.awaitDispatch(t)
-	time.Sleep(50 * time.Millisecond)
 	f.engines[victim].Crash()
+	freezers[fmt.Sprint("e", victim)].cut()
 	got := <-done
 	streamedText(t, long, got.body)
 	if !strings.Contains(got.body, `"replica":"e`) {
@@ -110,14 +119,8 @@
 // awaitDispatch returns which engine got the first dispatch.
 func (f *fixture) awaitDispatch(t *testing.T) int {
 	t.Helper()
-	for range 1000 {
-		if found := f.gateways[0].Dispatches(0); len(found) > 0 {
-			return int(found[0].Backend[1] - '0')
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatal("no dispatch")
-	return 0
+	f.awaitDispatches(t, 1)
+	return int(f.gateways[0].Dispatches(0)[0].Backend[1] - '0')
 }
 
 func TestPushRunsOnceAndItsAnswerIsKept(t *testing.T) {
--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -167,7 +167,7 @@
 					t.Fatalf("%+v %v", got, err)
 				}
 			}
-			for range 1000 {
+			for range 30000 {
 				if f.gateways[0].inFlight.Load() == 0 {
 					break
 				}
@@ -186,7 +186,7 @@
 
 func (f *fixture) awaitDispatches(t *testing.T, count int) {
 	t.Helper()
-	for range 5000 {
+	for range 30000 {
 		if len(f.gateways[0].Dispatches(0)) >= count {
 			return
 		}
@@ -221,7 +221,8 @@
 }
 
 // TestDrainUnderKeepAliveLoadRunsWhatItAnswers stops a gateway under callers that go on on their
-// connections. Each call is answered as run or as not run, or finds its connection closed and did not run.
+// connections. Each call is answered as run or as not run, or finds its connection closed and did not run. The
+// drain is kept from ending until a call was refused.
 func TestDrainUnderKeepAliveLoadRunsWhatItAnswers(t *testing.T) {
 	f := newFixture(t, 0, 1, 1, nil)
 	f.apps[0].SetFaults(application.Faults{Stall: 20 * time.Millisecond})
@@ -231,6 +232,8 @@
 	}
 	var callers sync.WaitGroup
 	var ran, refused atomic.Int64
+	f.gateways[0].inFlight.Add(1)
+	release := sync.OnceFunc(func() { f.gateways[0].inFlight.Add(-1) })
 	for caller := range 8 {
 		client := &http.Client{Transport: &http.Transport{}}
 		defer client.CloseIdleConnections()
@@ -246,7 +249,9 @@
 					ran.Add(1)
 				case err == nil && got.status == 503 && got.header.Get(verdict.Header) == "did-not-run" && executions == 0:
 					refused.Add(1)
+					release()
 				default:
+					release()
 					t.Errorf("%s: %+v %v, ran %d times", key, got, err, executions)
 					return
 				}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -18,7 +18,10 @@
 	backend  string
 	frozen   chan struct{}
 	once     sync.Once
-	holding  atomic.Bool // answers to POST requests stop as heldAnswer says, so that none ends before the freezing
+	holding  atomic.Bool // answers to POST requests that come now stop as heldAnswer says, so that none ends
+
+	mutex sync.Mutex
+	open  []net.Conn // from gateways
 }
 
 func newFreezer(t *testing.T, backend string) *freezer {
@@ -43,8 +46,21 @@
 
 func (f *freezer) freeze() { f.once.Do(func() { close(f.frozen) }) }
 
+// cut closes everything, as the end of the process does.
+func (f *freezer) cut() {
+	_ = f.listener.Close()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, conn := range f.open {
+		_ = conn.Close()
+	}
+}
+
 func (f *freezer) serve(t *testing.T, conn net.Conn) {
 	t.Cleanup(func() { _ = conn.Close() })
+	f.mutex.Lock()
+	f.open = append(f.open, conn)
+	f.mutex.Unlock()
 	select {
 	case <-f.frozen:
 		return // open and silent until the test ends
