--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -33,6 +33,8 @@
 	Revision string
 	// Parts names the parts to measure; none is all of them. A page needs all.
 	Parts []string
+	// Earlier is a whole run whose other parts are kept. Optional.
+	Earlier *Report
 	// Progress is told the name of each part before it begins. Optional.
 	Progress func(part string)
 }
@@ -40,6 +42,7 @@
 // Report is everything that was measured.
 type Report struct {
 	Machine     Machine                   `json:"machine"`
+	Renewed     []Renewal                 `json:"renewed,omitempty"`
 	Target      Target                    `json:"target"`
 	PerPoint    string                    `json:"time_per_point"`
 	Sessions    *controlbench.Report      `json:"control_sessions"`
@@ -53,6 +56,13 @@
 	Waves       *Waves                    `json:"weight_waves"`
 }
 
+// Renewal says of some parts that they were measured anew after the whole run, and where.
+type Renewal struct {
+	Parts    []string `json:"parts"`
+	PerPoint string   `json:"time_per_point"`
+	Machine  Machine  `json:"machine"`
+}
+
 // Ledger is the result of a load on the ledger groups.
 type Ledger struct {
 	Nodes  int           `json:"control_nodes"` // each holds every group
@@ -125,7 +135,11 @@
 func Run(ctx context.Context, config Config) (*Report, error) {
 	defaults.Set(&config.PerPoint, DefaultPerPoint)
 	defaults.Set(&config.Lease, controlbench.DefaultLease)
-	r := &run{config: config, report: Report{Target: DefaultTarget(), PerPoint: config.PerPoint.String()}}
+	r := &run{config: config, report: Report{PerPoint: config.PerPoint.String()}}
+	if config.Earlier != nil {
+		r.report = *config.Earlier
+	}
+	r.report.Target = DefaultTarget()
 	watch := watchMachine()
 	for _, part := range r.parts() {
 		if len(config.Parts) > 0 && !slices.Contains(config.Parts, part.name) {
@@ -141,13 +155,28 @@
 			return nil, trace.Wrap(ctx.Err())
 		}
 	}
-	r.report.Machine = watch.stop()
-	if r.report.Machine.Revision == "" {
-		r.report.Machine.Revision = cmp.Or(config.Revision, "unknown")
+	machine := watch.stop()
+	machine.Revision = cmp.Or(machine.Revision, config.Revision, "unknown")
+	if config.Earlier == nil {
+		r.report.Machine = machine
+	} else {
+		r.report.renew(Renewal{Parts: config.Parts, PerPoint: config.PerPoint.String(), Machine: machine})
 	}
 	return &r.report, nil
 }
 
+// renew notes parts that were measured anew; of each the last time counts.
+func (r *Report) renew(latest Renewal) {
+	var renewed []Renewal
+	for _, one := range r.Renewed {
+		one.Parts = slices.DeleteFunc(slices.Clone(one.Parts), func(part string) bool { return slices.Contains(latest.Parts, part) })
+		if len(one.Parts) > 0 {
+			renewed = append(renewed, one)
+		}
+	}
+	r.Renewed = append(renewed, latest)
+}
+
 // part is one part of a run; measure gets a folder of its own.
 type part struct {
 	name    string
--- a/internal/bench/capacity/capacity_test.go
+++ b/internal/bench/capacity/capacity_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +78,16 @@
 	}
 }
 
+func TestPartMeasuredAnewIsNotedOnce(t *testing.T) {
+	report := &Report{}
+	report.renew(Renewal{Parts: []string{"polls", "waves"}, Machine: Machine{Revision: "1"}})
+	report.renew(Renewal{Parts: []string{"waves"}, Machine: Machine{Revision: "2"}})
+	report.renew(Renewal{Parts: []string{"waves"}, Machine: Machine{Revision: "3"}})
+	if len(report.Renewed) != 2 || !slices.Equal(report.Renewed[0].Parts, []string{"polls"}) || report.Renewed[1].Machine.Revision != "3" {
+		t.Errorf("%+v", report.Renewed)
+	}
+}
+
 func TestNumberKeepsThreeDigits(t *testing.T) {
 	for value, want := range map[float64]string{0: "0", 9: "9", 1234567: "1,234,567", -1234: "-1,234", 12.345: "12.3", 1.2345: "1.23", 0.012345: "0.0123", 0.0000123: "1.23e-05"} {
 		if got := number(value); got != want {
--- a/internal/bench/capacity/page.go
+++ b/internal/bench/capacity/page.go
@@ -5,6 +5,7 @@
 	_ "embed"
 	"encoding/json"
 	"io"
+	"strings"
 	"text/template"
 	"time"
 
@@ -35,7 +36,8 @@
 func Render(writer io.Writer, report *Report) error {
 	page, err := template.New("page").Funcs(template.FuncMap{"number": number, "bytes": bytesText, "cores": coresText,
 		"percent": func(share float64) string { return number(100*share) + "%" }, "date": func(at time.Time) string { return at.Format("2006-01-02 15:04 UTC") },
-		"whole": grouped, "memory": func(size uint64) string { return bytesText(float64(size)) }, "count": func(n int) string { return grouped(float64(n)) }, "size": size, "flow": flow}).Parse(pageText)
+		"whole": grouped, "memory": func(size uint64) string { return bytesText(float64(size)) }, "count": func(n int) string { return grouped(float64(n)) }, "size": size, "flow": flow,
+		"join": strings.Join}).Parse(pageText)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/cli/benchcapacity.go
+++ b/internal/cli/benchcapacity.go
@@ -21,7 +21,7 @@
 	Revision string        `long:"revision" description:"Source revision to note, where the build was not stamped with it"`
 	Parts    []string      `long:"part" choice:"states" choice:"sessions" choice:"groups" choice:"claims" choice:"samples" choice:"gateway" choice:"polls" choice:"coordinator" choice:"waves" description:"Measure only this part; may be given several times (default: all, which a page needs)"`
 	Page     string        `long:"page" description:"Write the page here, and its figures beside it as capacity.json"`
-	From     string        `long:"from" description:"Render the page from this JSON of an earlier run; measure nothing"`
+	From     string        `long:"from" description:"JSON of an earlier run: measure the given parts anew and keep the others; without --part measure nothing"`
 }
 
 // figuresName is the file of the measured figures, in the page's folder.
@@ -48,19 +48,23 @@
 }
 
 func (c *benchCapacityCommand) report(environment Environment) (*capacity.Report, error) {
+	var earlier *capacity.Report
 	if c.From != "" {
 		figures, err := os.ReadFile(c.From)
 		if err != nil {
 			return nil, trace.ConvertSystemError(err)
 		}
-		return capacity.Parse(figures)
+		earlier, err = capacity.Parse(figures)
+		if err != nil || len(c.Parts) == 0 {
+			return earlier, err
+		}
 	}
 	folder, err := os.MkdirTemp(c.Folder, "bench-capacity-")
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	defer os.RemoveAll(folder)
-	return capacity.Run(environment.Context, capacity.Config{Folder: folder, PerPoint: c.PerPoint, Lease: c.Lease, Revision: c.Revision, Parts: c.Parts,
+	return capacity.Run(environment.Context, capacity.Config{Folder: folder, PerPoint: c.PerPoint, Lease: c.Lease, Revision: c.Revision, Parts: c.Parts, Earlier: earlier,
 		Progress: func(part string) { fmt.Fprintf(environment.Stderr, "bench capacity: measuring %s\n", part) }})
 }
 
