experiment: take each token's own context into the lower bound's capacity

Cause: the bound took the mean length's half as every token's context. Long samples make more tokens, and each attends to what lies before it, so the mean over tokens is greater whatever the schedule: the bound promised capacity that does not exist. Change: the context is summed over the tokens of the delivered samples. Conclusion: still a bound that no scheduler beats, and closer; nothing runs differently.

--- a/internal/experiment/bound.go
+++ b/internal/experiment/bound.go
@@ -22,8 +22,9 @@
 
 // work is what the delivered steps of a run asked for.
 type work struct {
-	steps, samples           int
-	tokens, prompts, longest int // summed over the steps; prompts once per group
+	steps                    int
+	tokens, prompts, longest int     // summed over the steps; prompts once per group
+	context                  float64 // attended to, summed over the tokens
 	train                    time.Duration
 }
 
@@ -35,10 +36,10 @@
 			continue
 		}
 		sum.steps++
-		sum.samples += spec.PromptsPerStep * spec.SamplesPerPrompt
 		sum.tokens += step.tokens
 		sum.prompts += step.prompts / spec.SamplesPerPrompt
 		sum.longest += step.longest
+		sum.context += step.context
 		sum.train += step.trainTime
 	}
 	return sum
@@ -80,18 +81,14 @@
 func (m *measurement) capacity(sum work) float64 {
 	parameters := m.scenario.Fleet.Engine
 	measured := (m.scenario.Duration - m.scenario.Warmup).Seconds()
-	meanLength := float64(sum.tokens) / float64(sum.samples)
-	meanPrompt := float64(sum.prompts*m.samplesPerPrompt()) / float64(sum.samples)
 	batch := parameters.MaxBatch
-	context := float64(batch) * (meanPrompt + meanLength/2)
+	context := float64(batch) * sum.context / float64(sum.tokens)
 	step := parameters.StepTime(batch, int(context), 0).Seconds()
 	full := float64(m.scenario.Fleet.Replicas()*batch) / step
 	prefill := float64(sum.prompts) / float64(sum.tokens) / parameters.PrefillRate * full / float64(m.scenario.Fleet.Replicas())
 	return max((full-float64(m.live.tokens)/measured)/(1+prefill), 1)
 }
 
-func (m *measurement) samplesPerPrompt() int { return m.scenario.Trainers[0].SamplesPerPrompt }
-
 // longestBound is the least step time in seconds that the longest sample permits: it starts no earlier than
 // its step is open and than the oldest version that it may name.
 func (m *measurement) longestBound(spec *Trainer, train, longest float64) float64 {
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -46,6 +46,8 @@
 	tokens    int
 	prompts   int // tokens of the prompts
 	longest   int
+	// context is the sum over all tokens of the context that each attended to: no schedule changes it.
+	context float64
 }
 
 type liveMeasurement struct {
@@ -164,6 +166,7 @@
 		one.lengths = append(one.lengths, sample.length)
 		made.tokens += sample.length
 		made.prompts += sample.group.tokens
+		made.context += float64(sample.length) * (float64(sample.group.tokens) + float64(sample.length)/2)
 		made.longest = max(made.longest, sample.length)
 	}
 	m.generate.delivered += uint64(made.tokens)
