admission: rollouts leave headroom to the next live calls

Cause: at a full pool a rollout takes each slot that becomes free, and the next live call makes a rollout yield. The yielding one's tokens are prefilled again elsewhere. Change: a rollout is granted a slot only while more are free than the square root of the live requests in flight, at most one in 32 slots.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,6 +6,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -212,7 +213,20 @@
 func (q *Queue) free() int { return max(q.limits.Slots-len(q.running), 0) }
 
 func (q *Queue) fits(request *Request) bool {
-	return q.free() > 0 && (!request.Rollout || q.rollouts < q.limits.RolloutSlots)
+	if request.Rollout {
+		return q.free() > q.headroom() && q.rollouts < q.limits.RolloutSlots
+	}
+	return q.free() > 0
+}
+
+// headroomPart bounds the headroom: one in this many slots.
+const headroomPart = 32
+
+// headroom is how many free slots rollouts leave to the next arrivals of other work: as many as its number in
+// flight usually strays. Without it a rollout takes each slot that becomes free and has to yield it a moment later,
+// and what it had computed is computed again elsewhere.
+func (q *Queue) headroom() int {
+	return min(int(math.Sqrt(float64(len(q.running)-q.rollouts))), q.limits.Slots/headroomPart)
 }
 
 // aheadOf counts the waiting requests that go before a new one of the rank.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -111,6 +111,31 @@
 	}
 }
 
+func TestRolloutsLeaveHeadroomToLiveRequests(t *testing.T) {
+	const slots, live = 64, 4
+	queue := New(limits(slots, slots, slots))
+	for id := range uint64(2 * slots) {
+		if id < live {
+			queue.Arrive(0, liveRequest(id))
+			continue
+		}
+		queue.Arrive(0, rolloutRequest(id))
+	}
+	if queue.InFlight() != slots-2 {
+		t.Fatalf("%d of %d slots are taken, want the square root of %d left", queue.InFlight(), slots, live)
+	}
+	if effects, _ := queue.Arrive(0, liveRequest(1000)); len(effects.Granted) != 1 || len(effects.Yield) != 0 {
+		t.Fatalf("a live request met %+v", effects)
+	}
+	queue.Done(0, 1000)
+	for id := range uint64(live) {
+		queue.Done(0, id)
+	}
+	if queue.InFlight() != slots {
+		t.Fatalf("%d of %d slots are taken without live requests", queue.InFlight(), slots)
+	}
+}
+
 func TestLiveTakesTheRoomOfTheYoungestRollout(t *testing.T) {
 	queue := New(limits(2, 2, 4))
 	queue.Arrive(0, rolloutRequest(1))
