experiment: replicas that leave, with and without their samples' KV caches

Cause: the coordinator moves samples off leaving replicas by having them prefilled elsewhere; whether KV export and import pays was not measured. A moved sample's cache costs its transfer twice, out and in.

--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -2,8 +2,41 @@
 
 import (
 	"time"
+
+	"github.com/tamarindring/tamarindring/internal/routing"
 )
 
+// leaveNotice is the time from a replica's word that it leaves to its end: live calls finish meanwhile.
+const leaveNotice = 30 * time.Second
+
+// leaveReplica has a replica announce that it leaves. The coordinator moves its samples, as in production.
+func (s *simulation) leaveReplica(r *replica, away time.Duration) {
+	if r.down || r.leaving {
+		return
+	}
+	r.leaving = true
+	s.setLeaving(r, true)
+	s.after(s.reportLag, func() {
+		s.advance(r)
+		for _, one := range sortedAttempts(r) {
+			if moved, is := one.receiver.(*sample); is && moved.current == one {
+				moved.moveAway()
+			}
+		}
+	})
+	s.after(leaveNotice, func() { s.crash(r, away) })
+	s.after(leaveNotice+away, func() {
+		r.leaving = false
+		s.setLeaving(r, false)
+	})
+}
+
+func (s *simulation) setLeaving(r *replica, leaving bool) {
+	for _, g := range s.gateways {
+		g.pool.SetLeaving(r.name, routing.SourcePlatform, leaving)
+	}
+}
+
 // scheduleFaults sets the first strike of every fault.
 func (s *simulation) scheduleFaults() {
 	random := newRandom(s.seed, streamFaults)
@@ -35,6 +68,10 @@
 	case FaultLateReports:
 		s.reportLag = fault.Lag
 		s.after(fault.Duration, func() { s.reportLag = s.scenario.Fleet.ReportLag })
+	case FaultLeave:
+		for _, index := range hit {
+			s.leaveReplica(s.replicas[index], fault.Duration)
+		}
 	case FaultScorer:
 		s.scorerUntil = max(s.scorerUntil, s.now+fault.Duration)
 	}
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -24,6 +24,7 @@
 	generate struct{ tokens, thrown, delivered uint64 }
 	yields   uint64
 	preempts uint64
+	moves    uint64
 	spread   []time.Duration // release of weights to the last replica serving them
 	timeline []moment
 }
@@ -130,6 +131,12 @@
 	}
 }
 
+func (m *measurement) moved(at time.Duration) {
+	if m.measured(at) {
+		m.moves++
+	}
+}
+
 func (m *measurement) preempted(at time.Duration) {
 	if m.measured(at) {
 		m.preempts++
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -45,11 +45,13 @@
 	MechanismContinuation Mechanism = "continuation"
 	MechanismMargin       Mechanism = "margin"
 	MechanismSteadiness   Mechanism = "steadiness"
-	MechanismPacking      Mechanism = "packing" // of the balanced routing, whatever the scheduling
+	MechanismTransfer     Mechanism = "transfer" // of KV caches off leaving replicas
+	MechanismPacking      Mechanism = "packing"  // of the balanced routing, whatever the scheduling
 )
 
 var mechanisms = []Mechanism{MechanismFreshness, MechanismPrediction, MechanismSmoothing, MechanismLongestFirst,
-	MechanismContinuation, MechanismMargin, MechanismSteadiness, MechanismPacking}
+	MechanismContinuation, MechanismMargin, MechanismSteadiness, MechanismTransfer,
+	MechanismPacking}
 
 // Policy is one combination to measure.
 type Policy struct {
@@ -60,7 +62,7 @@
 	// Routing is balanced, random, round-robin or least-requests. Default balanced.
 	Routing Routing `yaml:"routing"`
 	// Disable lists mechanisms of paced that are off: freshness, prediction, smoothing, longest-first,
-	// continuation, margin, steadiness; and packing of the balanced routing.
+	// continuation, margin, steadiness, transfer; and packing of the balanced routing.
 	Disable []Mechanism `yaml:"disable"`
 }
 
@@ -133,11 +135,12 @@
 	FaultSwap        FaultKind = "swap-failure"  // the next swap of the replicas fails
 	FaultLateReports FaultKind = "late-reports"  // load reports are as old as lag for the duration
 	FaultScorer      FaultKind = "scorer-stall"  // no score is given for the duration
+	FaultLeave       FaultKind = "replica-leave" // replicas announce it, are away for the duration and come back
 )
 
 // Fault is something that goes wrong, once or again and again.
 type Fault struct {
-	// Kind is replica-crash, swap-failure, late-reports or scorer-stall. Required.
+	// Kind is replica-crash, replica-leave, swap-failure, late-reports or scorer-stall. Required.
 	Kind FaultKind `yaml:"kind"`
 	// First is when it strikes first. Default 5m.
 	First time.Duration `yaml:"first"`
@@ -166,7 +169,7 @@
 }
 
 func (f *Fault) validate() error {
-	kinds := []FaultKind{FaultCrash, FaultSwap, FaultLateReports, FaultScorer}
+	kinds := []FaultKind{FaultCrash, FaultSwap, FaultLateReports, FaultScorer, FaultLeave}
 	if !slices.Contains(kinds, f.Kind) {
 		return strictyaml.Fieldf("kind", "%q is none of %v", f.Kind, kinds)
 	}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -41,6 +41,8 @@
 	ThrownAway  float64 `json:"thrown_away"`
 	Yields      uint64  `json:"yields"`
 	Preemptions uint64  `json:"preemptions"`
+	// Moves counts the samples that were taken off leaving replicas.
+	Moves uint64 `json:"moves"`
 	// PrefixReuse is the part of all prompt tokens that were found in the engines' prefix caches, over the
 	// whole run and all traffic.
 	PrefixReuse float64 `json:"prefix_reuse"`
@@ -77,7 +79,7 @@
 	m := s.measure
 	measured := (s.scenario.Duration - s.scenario.Warmup).Seconds()
 	run := Run{
-		Policy: s.policy.Name, Seed: s.seed, Yields: m.yields, Preemptions: m.preempts, WallTime: Seconds(wall.Seconds()),
+		Policy: s.policy.Name, Seed: s.seed, Yields: m.yields, Preemptions: m.preempts, Moves: m.moves, WallTime: Seconds(wall.Seconds()),
 		RolloutRate: float64(m.generate.tokens) / measured, measure: m, WeightsEverywhere: spread(m.spread),
 		Live: Live{
 			Calls: m.live.arrived, Answered: m.live.answered, Refused: m.live.refused, Lost: m.live.lost,
--- a/internal/experiment/sample.go
+++ b/internal/experiment/sample.go
@@ -33,6 +33,22 @@
 	admission  uint64 // identity at the gateway's queue; 0 while not running
 	current    *attempt
 	reportedAt time.Duration
+	exported   int // tokens of context whose KV cache was exported when the sample was moved
+}
+
+// moveAway takes the sample off its replica, with its KV cache where that is on; it goes on elsewhere.
+func (p *sample) moveAway() {
+	s := p.coordinator.simulation
+	if !s.policy.off(MechanismTransfer) {
+		one := p.current
+		if exported, err := one.replica.engine.Export(s.now, one.id); err == nil {
+			p.exported = exported.Tokens
+			delete(one.replica.attempts, one.id)
+			s.wakeForEvent(one.replica)
+		}
+	}
+	s.measure.moved(s.now)
+	p.interrupt()
 }
 
 // start asks a gateway for a slot.
@@ -72,13 +88,14 @@
 	request := routing.Request{Work: float64(start.PredictedTokens - start.PrefixTokens), Blocks: p.group.blocks}
 	work := engine.Request{
 		Priority: priorityRollout, PromptTokens: p.group.tokens + p.generated, OutputTokens: wanted, Prefix: p.group.hashes,
+		ImportedTokens: p.exported,
 	}
 	sent, chosen := s.send(p.gateway, p, request, work)
 	if !chosen {
 		p.refused(coordinatorTick)
 		return
 	}
-	p.current = sent
+	p.current, p.exported = sent, 0
 	p.reportedAt = -progressInterval
 }
 
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -28,6 +28,7 @@
 	wakeAt       time.Duration
 	wakePosition int // in the wake heap; -1 when not in it
 	down         bool
+	leaving      bool
 }
 
 // receiver is whoever asked for a request: a live call or a sample. The methods are called when the news
@@ -225,7 +226,11 @@
 
 // submit brings an attempt to its replica.
 func (s *simulation) submit(one *attempt, request engine.Request) {
-	s.after(one.delay, func() {
+	delay := one.delay
+	if request.ImportedTokens > 0 {
+		delay += 2 * s.scenario.Fleet.Engine.TransferTime(request.ImportedTokens) // out and in
+	}
+	s.after(delay, func() {
 		if one.over {
 			return
 		}
