coordinator, standin/engine: samples that tests need under way are held there

Cause: TestRolloutsYieldToLiveTrafficAndLoseNothing and TestDrainHandsTheTrainerOver failed on a busy machine where the samples had ended before the live requests or the drain came; TestNewCoordinatorTakesItsTrainersOver and TestSamplesLeaveADrainingReplica rested on the same race. Leases of 400 ms could also cost the next owner its place. Change: the stand-in engine has a fault that stops streamed answers after a number of tokens until the faults change; the four tests switch it on and lift it once what they show has happened. The drain's test has a lease of 3 s and samples of 400 to 700 instead of 1200 to 1500 tokens, which no longer have to outlast the drain by their length. No assertion was eased.

--- a/internal/coordinator/caller_test.go
+++ b/internal/coordinator/caller_test.go
@@ -22,12 +22,23 @@
 	return made
 }
 
+const (
+	callPause       = 50 * time.Millisecond
+	callAttempts    = 40                           // of a call that may fail
+	patientAttempts = int(testTimeout / callPause) // attempts of one that has to come through in the end
+)
+
 // call repeats a call while the answer says to ask again, and decodes a good answer.
 func (c *caller) call(method, path string, body, answer any) int {
+	c.t.Helper()
+	return c.repeat(callAttempts, method, path, body, answer)
+}
+
+func (c *caller) repeat(attempts int, method, path string, body, answer any) int {
 	c.t.Helper()
 	encoded, err := json.Marshal(body)
 	must(c.t, err)
-	for range 40 {
+	for range attempts {
 		request, err := http.NewRequest(method, "http://"+c.address+path, bytes.NewReader(encoded))
 		must(c.t, err)
 		response, err := c.client.Do(request)
@@ -39,14 +50,14 @@
 		if response.StatusCode != http.StatusServiceUnavailable {
 			return response.StatusCode
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(callPause)
 	}
 	return http.StatusServiceUnavailable
 }
 
 func (c *caller) must(method, path string, body, answer any) {
 	c.t.Helper()
-	if status := c.call(method, path, body, answer); status != http.StatusOK {
+	if status := c.repeat(patientAttempts, method, path, body, answer); status != http.StatusOK {
 		c.t.Fatalf("%s %s: status %d", method, path, status)
 	}
 }
--- a/internal/coordinator/fixture_test.go
+++ b/internal/coordinator/fixture_test.go
@@ -73,14 +73,26 @@
 	}
 }
 
+// Leases of the fixtures. Tests that need the end of a killed owner's lease have the short one; a pause of a busy
+// machine can cost a living owner that one, but not the long one.
+const (
+	shortLease = 400 * time.Millisecond
+	longLease  = 3 * time.Second
+)
+
 // newFixture starts engines that swap in 50ms and make a token each few milliseconds.
 func newFixture(t *testing.T, engines, coordinators int) *fixture {
+	t.Helper()
+	return newLeasedFixture(t, shortLease, engines, coordinators)
+}
+
+func newLeasedFixture(t *testing.T, lease time.Duration, engines, coordinators int) *fixture {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	f := &fixture{context: ctx}
 	t.Cleanup(func() { f.stop(stop) })
 	var err error
-	f.control, err = rig.StartControl(rig.Options{Nodes: 1, Folder: t.TempDir(), LedgerGroups: 1, Lease: 400 * time.Millisecond})
+	f.control, err = rig.StartControl(rig.Options{Nodes: 1, Folder: t.TempDir(), LedgerGroups: 1, Lease: lease})
 	must(t, err)
 	f.client, err = controlclient.New(controlclient.Config{Addresses: f.control.Addresses, LedgerGroups: 1})
 	must(t, err)
@@ -136,6 +148,23 @@
 	return server
 }
 
+// stall stops every answer that begins from now on after that many tokens; 0 lets all go on.
+func (f *fixture) stall(tokens int) {
+	for _, one := range f.engines {
+		one.SetFaults(enginestandin.Faults{StallAfterTokens: tokens})
+	}
+}
+
+// await waits until a condition that nothing ends holds.
+func (f *fixture) await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testTimeout); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
 // change makes a table change and waits until it is in force.
 func (f *fixture) change(t *testing.T, cells ...[3]string) {
 	t.Helper()
--- a/internal/coordinator/live_test.go
+++ b/internal/coordinator/live_test.go
@@ -15,26 +15,27 @@
 )
 
 // TestRolloutsYieldToLiveTrafficAndLoseNothing fills every slot with rollouts and then sends live requests:
-// each gets its answer, and the samples that gave their slots up arrive whole.
+// each gets its answer, and the samples that gave their slots up arrive whole. The engines hold the rollouts back
+// until the live requests are answered, so that none of these finds a slot that a rollout has left by its end.
 func TestRolloutsYieldToLiveTrafficAndLoseNothing(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 2, 1)
 	f.change(t, [3]string{"copy", "max_in_flight", "4"})
 	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 4, MaxTokens: 1000, MaxSteps: 1, Seed: 13,
 		Prompt: func(step uint64, index int) string { return fmt.Sprintf("%d/%d [tokens=1000] ", step, index) }}
+	f.stall(100)
 	made := f.newTrainer(t, config)
 	ctx, cancel := context.WithTimeout(f.context, testTimeout)
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- made.Run(ctx) }()
-	for f.executing(0, config)+f.executing(1, config) < 8 {
-		time.Sleep(5 * time.Millisecond)
-	}
+	f.await(t, "all slots hold a begun rollout", func() bool { return f.coordinators[0].begunSamples() == 8 })
 	var live sync.WaitGroup
 	for index := range 24 {
 		live.Go(func() { f.askLive(t, index) })
 	}
 	live.Wait()
+	f.stall(0)
 	must(t, <-ended)
 	checkTrainer(t, made, config)
 	yielded := 0
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -78,28 +77,28 @@
 	}
 }
 
-// TestDrainHandsTheTrainerOver stops the owner by plan: no call may fail for good, none be lost. Its samples take
-// seconds each, far longer than the drain waits for them.
+// TestDrainHandsTheTrainerOver stops the owner by plan: no call may fail for good, none be lost. The engines hold
+// all but each step's first prompt back until the drain is over, so that it finds begun samples.
 func TestDrainHandsTheTrainerOver(t *testing.T) {
 	t.Parallel()
-	f := newFixture(t, 2, 2)
+	f := newLeasedFixture(t, longLease, 2, 2)
+	f.stall(450) // the first prompt's answers have 400 tokens
 	config := trainer.Config{Name: "a", PromptsPerStep: 4, SamplesPerPrompt: 2, MaxTokens: 1600, MaxSteps: 3, StepsAhead: 1, Seed: 6,
 		Prompt: func(step uint64, index int) string {
-			return fmt.Sprintf("%d/%d [tokens=%d] ", step, index, 1200+100*index)
+			return fmt.Sprintf("%d/%d [tokens=%d] ", step, index, 400+100*index)
 		}}
 	made := f.newTrainer(t, config)
 	ctx, cancel := context.WithTimeout(f.context, testTimeout)
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- made.Run(ctx) }()
-	for f.owner() < 0 || made.Stats().Samples == 0 {
-		time.Sleep(5 * time.Millisecond)
-	}
+	f.await(t, "the trainer has a sample", func() bool { return f.owner() >= 0 && made.Stats().Samples > 0 })
 	drained := f.coordinators[f.owner()]
-	for drained.begunSamples() == 0 || drained.nextOwner(trainerResource("a")).name == "" {
-		time.Sleep(time.Millisecond) // a pause of the machine can cost the other its lease
-	}
+	f.await(t, "samples are begun and there is a next owner", func() bool {
+		return drained.begunSamples() > 0 && drained.nextOwner(trainerResource("a")).name != ""
+	})
 	must(t, drained.Drain(ctx))
+	f.stall(0)
 	must(t, <-ended)
 	checkTrainer(t, made, config)
 	total, inherited := uint64(0), uint64(0)
@@ -143,15 +142,16 @@
 	}
 	config := trainer.Config{Name: name, PromptsPerStep: 2, SamplesPerPrompt: 2, MaxTokens: 400, MaxSteps: 3, Seed: 11,
 		Prompt: func(step uint64, index int) string { return fmt.Sprintf("%d/%d [tokens=300] ", step, index) }}
+	f.stall(100) // the steps cannot end before the newcomer is there
 	made := f.newTrainer(t, config)
 	ctx, cancel := context.WithTimeout(f.context, testTimeout)
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- made.Run(ctx) }()
-	for f.coordinators[0].Stats().Running == 0 {
-		time.Sleep(5 * time.Millisecond)
-	}
-	f.startCoordinator(t, newcomer, "127.0.0.1:0")
+	f.await(t, "samples run", func() bool { return f.coordinators[0].Stats().Running > 0 })
+	started := f.startCoordinator(t, newcomer, "127.0.0.1:0")
+	f.await(t, "the newcomer has the trainer", func() bool { return started.Stats().Trainers > 0 })
+	f.stall(0)
 	must(t, <-ended)
 	checkTrainer(t, made, config)
 	if old, new := f.coordinators[0].Stats(), f.coordinators[1].Stats(); new.HandedOver == 0 || old.Deposed == 0 {
@@ -159,10 +159,12 @@
 	}
 }
 
-// TestSamplesLeaveADrainingReplica drains a back end while long samples run on it.
+// TestSamplesLeaveADrainingReplica drains a back end while long samples run on it. The engines hold them back
+// until the replica is empty.
 func TestSamplesLeaveADrainingReplica(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, 2, 1)
+	f.stall(100)
 	config := trainer.Config{Name: "a", PromptsPerStep: 2, SamplesPerPrompt: 4, MaxTokens: 1500, MaxSteps: 1, WholeStep: true, Seed: 12,
 		Prompt: func(step uint64, index int) string { return fmt.Sprintf("%d/%d [tokens=1500] ", step, index) }}
 	made := f.newTrainer(t, config)
@@ -170,22 +172,17 @@
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- made.Run(ctx) }()
-	busy := -1 // routing fills replicas one after the other, in an order of its own
-	for deadline := time.Now().Add(testTimeout); busy < 0; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("no replica runs a sample")
-		}
-		busy = slices.IndexFunc([]int{0, 1}, func(engine int) bool { return f.executing(engine, config) > 0 })
-	}
-	f.change(t, [3]string{fmt.Sprintf("e%d", busy), "state", "draining"})
-	for deadline := time.Now().Add(testTimeout); f.executing(busy, config) > 0; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("%d samples still run on the draining replica", f.executing(busy, config))
-		}
-	}
+	f.await(t, "samples are begun", func() bool { return f.coordinators[0].begunSamples() > 0 })
+	busy := f.gateway.Dispatches(0)[0].Backend // routing fills replicas one after the other, in an order of its own
+	f.change(t, [3]string{busy, "state", "draining"})
+	engine := int(busy[1] - '0')
+	f.await(t, "no sample runs on the draining replica", func() bool {
+		return f.coordinators[0].Stats().Moved > 0 && f.executing(engine, config) == 0
+	})
 	if finished := f.coordinators[0].Stats().SamplesFinished; finished == 8 {
 		t.Error("the samples had ended before the replica was empty: nothing is shown")
 	}
+	f.stall(0)
 	must(t, <-ended)
 	checkTrainer(t, made, config)
 	if stats := f.coordinators[0].Stats(); stats.Moved == 0 || stats.DiscardedTokens != 0 {
--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -184,6 +184,7 @@
 // serveStream answers with server-sent events from a token on.
 func (s *Server) serveStream(ctx *fasthttp.RequestCtx, running *stream, from int) {
 	drawn := s.faults.draw(running.total - from)
+	drawn.ended = s.closed
 	connection := ctx.Conn()
 	running.attach()
 	ctx.SetContentType("text/event-stream")
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -254,3 +254,27 @@
 		}
 	}
 }
+
+func TestStalledStreamGoesOnOnceTheFaultIsLifted(t *testing.T) {
+	server := startServer(t, nil)
+	server.SetFaults(Faults{StallAfterTokens: 5})
+	prompt := "[tokens=20]"
+	response := post(t, server, "/v1/completions", map[string]any{"prompt": prompt, "stream": true})
+	await(func() bool { return len(server.Log()) > 0 && server.Log()[0].Outcome == OutcomeFinished })
+	var body bytes.Buffer
+	for !bytes.Contains(body.Bytes(), []byte(`"token_count":`)) {
+		if _, err := io.CopyN(&body, response.Body, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server.SetFaults(Faults{})
+	if _, err := body.ReadFrom(response.Body); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Contains(body.Bytes(), []byte(`"token_offset":5,`)) {
+		t.Errorf("the stream did not stop at token 5: %s", body.Bytes())
+	}
+	if read := readStream(t, &body, 0); !read.done || read.content != text.ExpectedText(prompt, 0) {
+		t.Errorf("read %+v", read)
+	}
+}
--- a/internal/standin/engine/write.go
+++ b/internal/standin/engine/write.go
@@ -69,6 +69,14 @@
 		}
 		end = min(end, w.from+limit)
 	}
+	if limit := w.faults.stall; limit > 0 {
+		if w.sent-w.from >= limit && !w.awaitLifted() {
+			return false
+		}
+		if w.faults.stall > 0 {
+			end = min(end, w.from+limit)
+		}
+	}
 	if w.faults.delay > 0 {
 		time.Sleep(w.faults.delay)
 	}
@@ -87,6 +95,17 @@
 	return w.writer.Flush() == nil
 }
 
+// awaitLifted waits until the stall is lifted; it is false when the stand-in ends first.
+func (w *streamWriter) awaitLifted() bool {
+	select {
+	case <-w.faults.lifted:
+		w.faults.stall = 0
+		return true
+	case <-w.faults.ended:
+		return false
+	}
+}
+
 // writeLast writes the chunk with the finish reason and the checksum, and the end mark.
 func (w *streamWriter) writeLast() error {
 	line := append(w.buffer[:0], w.head...)
