gateway: a cancel that meets a dead kept connection is sent again

The cancel call to the engine had been written on a connection kept from an earlier engine on the same port and was lost (connection reset by peer); a POST is not repeated by the HTTP library. Every engine that restarts on its address, or closes idle connections, cost gateways one cancel for each kept connection, and the stream went on until the engine noticed that nobody reads (2 s in the stand-in). Change: cancels have a client of their own; a call that fails drops the kept connections and is made once more, within the same timeout. The tests' engines have no such grace time any more, so that only a cancel can end an abandoned stream, and the test no longer wants the cancel to come before the next request's end. A new test restarts the engine between two cancels. Conclusion: a real fault behind a flaky test; cancels now survive an engine's restart.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -237,19 +237,48 @@
 func TestCallerThatLeavesFreesItsSlot(t *testing.T) {
 	f := newFixture(t, 1, 0, 1, nil)
 	f.cluster.change(t, [3]string{"copy", "max_in_flight", "1"})
+	f.leaveStream(t, "x [tokens=20000]")
+	streamedText(t, prompt, f.post(t, 0, "/v1/completions", completion(true)).body)
+	f.awaitCancelled(t, "x [tokens=20000]")
+}
+
+// TestCancelReachesARestartedEngine has the engine restart on its address between two cancels, so that the
+// connection that the gateway kept from the first is dead at the second.
+func TestCancelReachesARestartedEngine(t *testing.T) {
+	f := newFixture(t, 1, 0, 1, nil)
+	f.leaveStream(t, "x [tokens=20000]")
+	f.awaitCancelled(t, "x [tokens=20000]")
+	f.engines[0].Crash()
+	f.engines[0].Restart("w1", 1)
+	f.leaveStream(t, "y [tokens=20000]")
+	f.awaitCancelled(t, "y [tokens=20000]")
+}
+
+// leaveStream calls for a stream and leaves once it has begun.
+func (f *fixture) leaveStream(t *testing.T, prompt string) {
+	t.Helper()
 	response, err := http.Post("http://"+f.gateways[0].Address()+"/v1/completions", "application/json",
-		strings.NewReader(`{"model":"copy","prompt":"x [tokens=20000]","stream":true}`))
+		strings.NewReader(`{"model":"copy","prompt":"`+prompt+`","stream":true}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	_, _ = response.Body.Read(make([]byte, 10))
 	_ = response.Body.Close()
-	streamedText(t, prompt, f.post(t, 0, "/v1/completions", completion(true)).body)
-	for range 5000 {
-		if log := f.engines[0].Log(); len(log) > 1 && log[0].Outcome == enginestandin.OutcomeCancelled {
+}
+
+// awaitCancelled waits for the end of a prompt's stream, which must be a cancel.
+func (f *fixture) awaitCancelled(t *testing.T, prompt string) {
+	t.Helper()
+	for { // the stream's own end bounds it
+		for _, entry := range f.engines[0].Log() {
+			if entry.Prompt != prompt {
+				continue
+			}
+			if entry.Outcome != enginestandin.OutcomeCancelled {
+				t.Fatalf("the abandoned stream was not cancelled: %+v", entry)
+			}
 			return
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(time.Millisecond)
 	}
-	t.Fatalf("the abandoned stream was not cancelled: %+v", f.engines[0].Log())
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -182,6 +182,9 @@
 // stepTime keeps the emulated engines quick.
 const stepTime = time.Millisecond
 
+// detachGrace is so long that only a gateway's cancel ends a stream that nobody reads.
+const detachGrace = time.Hour
+
 func quickEngine() engine.Parameters {
 	parameters := engine.DefaultParameters()
 	parameters.StepBase = stepTime
@@ -197,7 +200,7 @@
 	}
 	for i := range engines {
 		server, err := enginestandin.New(enginestandin.Config{Name: "e" + string(rune('0'+i)), Listen: "127.0.0.1:0",
-			Parameters: quickEngine(), InitialVersion: "w1", InitialVersionNumber: 1, Log: logging.Discard()})
+			Parameters: quickEngine(), DetachGrace: detachGrace, InitialVersion: "w1", InitialVersionNumber: 1, Log: logging.Discard()})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -127,21 +127,3 @@
 	}
 	source.pool.report(l.server.now(), source.name, routing.LoadReport{Requests: float64(report.Running + report.Waiting), Leaving: report.Leaving})
 }
-
-// cancelStream tells an engine that a stream is not wanted any more.
-func (s *Server) cancelStream(address, streamID string) {
-	select {
-	case s.cancels <- struct{}{}:
-	default:
-		return
-	}
-	go func() {
-		defer func() { <-s.cancels }()
-		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		defer fasthttp.ReleaseRequest(request)
-		defer fasthttp.ReleaseResponse(response)
-		request.Header.SetMethod(fasthttp.MethodPost)
-		request.SetRequestURI("http://" + address + "/v1/streams/" + streamID + "/cancel")
-		_ = fasthttp.DoTimeout(request, response, loadTimeout)
-	}()
-}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -41,6 +41,7 @@
 	attemptPrefix string
 	streamPrefix  string
 	cancels       chan struct{} // bounds cancel calls under way
+	canceller     *fasthttp.Client
 	lingers       chan struct{} // bounds connections whose unread body is discarded
 
 	nextID      atomic.Uint64
@@ -92,10 +93,6 @@
 	byName  map[string]*pool
 }
 
-// maxCancels bounds the cancel calls to engines that are under way; more are left out, the engine then
-// notices by itself that nobody reads.
-const maxCancels = 64
-
 // New binds the listener. The control session must hold a view already.
 func New(config Config) (*Server, error) {
 	if err := config.setDefaults(); err != nil {
@@ -112,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{config: config, listener: listener, transport: newTransport(config.ConnectTimeout),
 		counts: newCounts(), log: newDispatchLog(config.LogEntries), started: time.Now(),
-		memory: memoryBudget{limit: config.MaxBufferedBytes}, callers: callers{open: map[net.Conn]struct{}{}}, context: ctx, cancel: cancel, cancels: make(chan struct{}, maxCancels),
+		memory: memoryBudget{limit: config.MaxBufferedBytes}, callers: callers{open: map[net.Conn]struct{}{}}, context: ctx, cancel: cancel, cancels: make(chan struct{}, maxCancels), canceller: newCanceller(),
 		lingers: make(chan struct{}, maxLingers)}
 	s.attemptPrefix = config.Control.Owner() + "/"
 	s.streamPrefix = randomName() + "-"
@@ -220,6 +217,7 @@
 	left := s.config.Control.Leave(ctx)
 	s.cancel()
 	s.transport.close()
+	s.canceller.CloseIdleConnections()
 	s.config.Log.Info("drained")
 	return trace.NewAggregate(err, left)
 }
@@ -237,6 +235,7 @@
 	err := s.listener.Close()
 	s.callers.cut()
 	s.transport.close()
+	s.canceller.CloseIdleConnections()
 	return trace.NewAggregate(ignoreClosed(err), s.config.Control.Close())
 }
 
