gateway, dispatch: few answered requests at a time tell the ledger how they ended

Cause: what a gateway has to settle with a ledger that was away was bounded in number (8192) but not in rate: each answered request repeated its command on its own, so that thousands were under way at once against a ledger that did not answer, and reached it together when it was back, beside the claims of callers that waited. Change: dispatch.Settlements, pure, one for each ledger group: at most MaxSettling (256) commands behind the callers' backs are under way; one of unknown fate halves that, down to one, an answered one doubles it; outcomes go before releases. Gateway and simulator (limit 4) use it. Batches were ruled out: consensus commits commands in groups already, and a new command needs all control nodes upgraded first. Conclusion: bounded, prioritised, and quick to open up again.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -36,6 +36,7 @@
 	DefaultRetryBurst     = 200
 	DefaultLogEntries     = 65536
 	DefaultMaxSettlements = 8192
+	DefaultMaxSettling    = 256
 	defaultShutdownRetry  = time.Second
 	maxHeaderBytes        = 16 << 10
 	refreshInterval       = 200 * time.Millisecond
@@ -111,6 +112,9 @@
 	// MaxSettlements bounds the requests that are answered but still have to tell the ledger how they
 	// ended; at the bound new requests with a key are refused. Default 8192.
 	MaxSettlements int
+	// MaxSettling bounds how many of them tell a ledger group at once; while the group does not answer, they are
+	// fewer, down to one. Default 256: 10,000 a second at 25 ms each.
+	MaxSettling int
 	// Dispatch are the parameters of a request's life; Random and Budget are set by the gateway.
 	Dispatch dispatch.Settings
 	// Log receives short sentences. Default: nothing.
@@ -151,6 +155,7 @@
 	defaults.Set(&c.RetryBurst, DefaultRetryBurst)
 	defaults.Set(&c.LogEntries, DefaultLogEntries)
 	defaults.Set(&c.MaxSettlements, DefaultMaxSettlements)
+	defaults.Set(&c.MaxSettling, DefaultMaxSettling)
 }
 
 func (c *Config) setTimes() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -272,8 +272,22 @@
 	}
 }
 
-// claim executes a ledger command.
+// claim executes a ledger command. One behind the caller's back waits for its turn.
 func (x *exchange) claim(action dispatch.ClaimAction) {
+	if x.answered {
+		if !x.server.settling.enter(x.server.context, x.group, x.id, action.Kind) {
+			return
+		}
+		defer func() {
+			last := x.events[len(x.events)-1]
+			x.server.settling.leave(x.group, last.Kind == dispatch.ClaimAnswered)
+		}()
+	}
+	x.executeInTime(action)
+}
+
+// executeInTime executes a ledger command within its time and feeds what came of it.
+func (x *exchange) executeInTime(action dispatch.ClaimAction) {
 	began := x.server.now()
 	limit := x.server.config.ClaimTimeout
 	if !x.answered {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -78,6 +78,8 @@
 	left      bool
 	lost      map[string]int // kinds of ledger command whose replies are lost, and how often
 	down      bool           // the ledger does not answer at all
+	settling  int            // releases and outcomes under way
+	settled   int            // most of them at once
 }
 
 func (f *fakeControl) take(machine *state.Machine) {
@@ -148,6 +150,11 @@
 	if lose {
 		f.lost[kindOf(command)]--
 	}
+	if kind := kindOf(command); kind == "release" || kind == "finish" {
+		f.settling++
+		f.settled = max(f.settled, f.settling)
+		defer f.set(func() { f.settling-- })
+	}
 	f.mutex.Unlock()
 	if down {
 		<-ctx.Done()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -47,6 +47,7 @@
 	nextID      atomic.Uint64
 	inFlight    atomic.Int64 // requests whose life is not over
 	settlements atomic.Int64
+	settling    *settling
 	draining    atomic.Bool
 	pools       atomic.Pointer[poolSet]
 	updateMutex sync.Mutex // one table update at a time
@@ -113,6 +114,7 @@
 		lingers: make(chan struct{}, maxLingers)}
 	s.attemptPrefix = config.Control.Owner() + "/"
 	s.streamPrefix = randomName() + "-"
+	s.settling = newSettling(config.MaxSettling)
 	s.dispatch = config.Dispatch.WithDefaults()
 	s.dispatch.Random = rand.Float64
 	s.dispatch.Budget = &sharedBudget{budget: dispatch.NewRetryBudget(config.RetriesPerSecond, config.RetryBurst),
--- a/internal/sim/gateway.go
+++ b/internal/sim/gateway.go
@@ -16,6 +16,8 @@
 const (
 	claimTimeout = 2 * time.Second
 	connectLimit = 300 * time.Millisecond
+	// settlingLimit is low, so that runs reach it.
+	settlingLimit = 4
 )
 
 // gateway takes callers' requests and drives one dispatch.Machine for each under its session's lease.
@@ -28,6 +30,7 @@
 	pool       *pool
 	settings   dispatch.Settings
 	exchanges  map[uint64]*exchange
+	settling   map[uint32]*dispatch.Settlements // by ledger group
 	idle       map[string][]*upstream
 	nextID     uint64
 	draining   bool
@@ -49,6 +52,10 @@
 	g.start()
 	g.client = g.fleet.newClient(g.process)
 	g.exchanges, g.idle = map[uint64]*exchange{}, map[string][]*upstream{}
+	g.settling = map[uint32]*dispatch.Settlements{}
+	for group := uint32(1); group <= ledgerGroups; group++ {
+		g.settling[group] = dispatch.NewSettlements(settlingLimit)
+	}
 	g.pool = g.newPool(applicationPool)
 	g.settings = dispatch.Settings{Random: g.world.random.Float64, Budget: dispatch.NewRetryBudget(50, 50),
 		Unsafe: g.world.mutation.dispatchUnsafe()}.WithDefaults()
@@ -84,6 +91,7 @@
 	version uint64 // table version of the choice
 	counted bool
 	sends   int
+	settles dispatch.ClaimAction // waits for its turn
 	up      *upstream
 	early   bool // the lease was valid at the choice
 }
@@ -170,8 +178,31 @@
 		RetryAfter: refusal.RetryAfter})
 }
 
-// claim executes a ledger command.
+// claim executes a ledger command. One behind the caller's back waits for its turn.
 func (x *exchange) claim(action dispatch.ClaimAction) {
+	settling := x.gateway.settling[x.group]
+	if !x.machine.Replied() {
+		x.executeClaim(action, func(bool) {})
+		return
+	}
+	x.settles = action
+	if settling.Ask(x.id, action.Kind) {
+		x.settle()
+	}
+}
+
+// settle executes a ledger command whose turn has come.
+func (x *exchange) settle() {
+	g := x.gateway
+	x.executeClaim(x.settles, func(answered bool) {
+		for _, id := range g.settling[x.group].Done(answered) {
+			g.exchanges[id].settle()
+		}
+	})
+}
+
+// executeClaim executes a ledger command; over is told first whether it was answered.
+func (x *exchange) executeClaim(action dispatch.ClaimAction, over func(answered bool)) {
 	g := x.gateway
 	request := &wire.ExecuteRequest{Group: x.group}
 	if action.Kind == dispatch.ClaimQuery {
@@ -185,6 +216,7 @@
 	}
 	answered := g.world.history.claiming(x.machine.Request(), &action)
 	g.client.execute(request, limit, func(reply *wire.ExecuteReply) {
+		over(reply != nil)
 		if reply == nil {
 			g.tracef("hears nothing from the ledger on call %s", x.call.id)
 			x.feed(dispatch.Event{Kind: dispatch.ClaimUnknown})
