--- a/internal/sim/mutation_test.go
+++ b/internal/sim/mutation_test.go
@@ -34,7 +34,7 @@
 		{ContinueFromWrongOffset, "weights-swap", 8},
 		{VersionAskedBefore, "weights-swap", 4},
 		{AnswerBeforeSync, "disk", 24},
-		{ReadWithoutBarrier, "operators-race", 24},
+		{ReadWithoutBarrier, "restart-after-hundreds-of-changes", 8},
 		{SnapshotForgetsChangeIDs, "operators-race", 4},
 		{HandOverUnsealed, "takeover", 24},
 		{IgnoreLeaving, "rolling-stop", 4},
