ledger, coordinator: a repeated fetch number and trainers without one

(1) The same number served by the next owner (a proxy repeats the call) could discard from a batch that the former owner had handed over for it: a double delivery. (2) A trainer that stops numbering, an older coordinator, or numbers that begin anew were refused until the batch was acknowledged; a sealed batch above the bound never is, so the trainer hung. Change: the ledger notes the fencing token beside the number and refuses the same number under a higher token; a seal without a number forgets the noted one, and the coordinator makes that seal before it discards for such a fetch; the refusal as superseded carries the number to pass, the trainer stand-in follows it. wire: SampleResult.fetch, TrainerRecord.fetch_fence.

--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -193,7 +193,8 @@
 	if refused != nil {
 		return nil, refused
 	}
-	if old := tooOld(next.samples, body.TrainerVersion, bound); len(old) > 0 {
+	unguarded := body.Fetch == 0 && next.sealed && !s.mayServe(t, body) // the seal says so before anything is discarded
+	if old := tooOld(next.samples, body.TrainerVersion, bound); len(old) > 0 && !unguarded {
 		return nil, s.discard(ctx, t, old, body.Fetch)
 	}
 	if !next.sealed || !s.mayServe(t, body) {
@@ -235,11 +236,12 @@
 
 // mayServe tells whether the ledger knows that the batch at the fetch's cursor may be handed over for it. Without
 // that another coordinator, to which the trainer turned earlier, could throw samples of the batch away and have
-// them made again while this one hands them over. A fetch without a number is not guarded.
+// them made again while this one hands them over. A fetch without a number is not guarded, but the ledger has to know
+// that, or it would guard the batch against a fetch with one for ever.
 func (s *Server) mayServe(t *trainerState, body *fetchBody) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return body.Fetch == 0 || t.served == fetchMark{body.Cursor, body.Fetch}
+	return t.served == fetchMark{body.Cursor, body.Fetch}
 }
 
 // seal fixes the batch at the cursor in the ledger, or notes a newer fetch of it. What the ledger answers counts.
@@ -265,7 +267,7 @@
 		return unanswered(err)
 	}
 	if result.GetReason() == ledger.ReasonStaleFetch {
-		return abandonedFetch()
+		return abandonedFetch(result.GetFetch())
 	}
 	if !result.GetAccepted() || !slices.Equal(result.GetSampleIds(), ids) {
 		s.depose(t, "the ledger did not seal as asked: "+result.GetReason())
@@ -315,7 +317,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if result.GetReason() == ledger.ReasonStaleFetch {
-		return abandonedFetch()
+		return abandonedFetch(result.GetFetch())
 	}
 	if !result.GetAccepted() {
 		s.depose(t, result.GetReason())
@@ -332,8 +334,10 @@
 }
 
 // abandonedFetch refuses a fetch after which the trainer made another.
-func abandonedFetch() *refusal {
-	return unavailable(CodeSuperseded, "the trainer has made a newer fetch of this batch")
+func abandonedFetch(newest uint64) *refusal {
+	refused := unavailable(CodeSuperseded, "the trainer has made a newer fetch of this batch, or this one was served already")
+	refused.fetch = newest
+	return refused
 }
 
 // regenerate puts a discarded slot back to work. The caller holds the mutex.
--- a/internal/coordinator/wire.go
+++ b/internal/coordinator/wire.go
@@ -118,6 +118,7 @@
 	Type    string `json:"type"`
 	Code    string `json:"code"`
 	Verdict string `json:"verdict"`
+	Fetch   uint64 `json:"fetch,omitempty"` // that the trainer's next fetch has to pass
 }
 
 // refusal is a request that is not served, as its caller learns it.
@@ -127,6 +128,7 @@
 	message    string
 	retryAfter time.Duration
 	location   string // of another coordinator, with status 307
+	fetch      uint64 // newest one known, with CodeSuperseded; 0 when a newer call took over here
 }
 
 // Error implements error.
@@ -158,7 +160,7 @@
 	}
 	known := verdict.DidNotRun.String()
 	writer.Header().Set(verdict.Header, known)
-	writeJSON(writer, r.status, errorBody{Error: errorDetail{Message: r.message, Type: kind, Code: r.code, Verdict: known}})
+	writeJSON(writer, r.status, errorBody{Error: errorDetail{Message: r.message, Type: kind, Code: r.code, Verdict: known, Fetch: r.fetch}})
 }
 
 func writeJSON(writer http.ResponseWriter, status int, value any) {
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -52,8 +52,9 @@
 
 // Seal fixes which samples the trainer gets at a cursor. A batch is of one step, and the batch before must
 // be acknowledged. A resend gets the sealed list, whatever samples it names. A batch is handed over for a
-// fetch only after a Seal under the fetch's number; a lower number than one seen before is refused, because
-// the trainer has abandoned that fetch. Errors: malformed command, nothing changed.
+// fetch only after a Seal under the fetch's number. A lower number than one seen before is refused, because
+// the trainer has abandoned that fetch, and so is the same one by another owner: the call was repeated on its way, and
+// the trainer may have the former owner's reply. A trainer without numbers is not guarded. Errors: malformed command, nothing changed.
 func (l *Ledger) Seal(command *wire.BatchSeal) (*wire.SampleResult, error) {
 	if command.GetCursor() == 0 || len(command.GetSampleIds()) == 0 {
 		return nil, trace.BadParameter("a batch has a cursor above 0 and at least one sample")
@@ -69,11 +70,11 @@
 	if command.GetCursor() <= known.acknowledged {
 		return refused(known, ReasonAcknowledged), nil
 	}
-	if command.GetFetch() < known.fetch {
-		return refused(known, ReasonStaleFetch), nil
+	if command.GetFetch() > 0 && known.abandoned(command.GetFetch(), command.GetFence()) {
+		return refusedFetch(known), nil
 	}
 	if command.GetCursor() == known.sealed && !l.unsafe.SealTwice {
-		known.fetch = command.GetFetch()
+		known.noteFetch(command.GetFetch(), command.GetFence())
 		return known.accepted(), nil
 	}
 	if command.GetCursor() != known.acknowledged+1 {
@@ -87,10 +88,24 @@
 	}
 	known.sealed, known.sealedStep = command.GetCursor(), command.GetStep()
 	known.sealedIDs = slices.Clone(command.GetSampleIds())
-	known.fetch = command.GetFetch()
+	known.noteFetch(command.GetFetch(), command.GetFence())
 	return known.accepted(), nil
 }
 
+// abandoned tells whether a batch may have been handed over for a newer fetch, or for this one by another owner.
+func (t *trainer) abandoned(fetch, fence uint64) bool {
+	return fetch < t.fetch || fetch == t.fetch && fetch > 0 && fence > t.fetchFence
+}
+
+func (t *trainer) noteFetch(fetch, fence uint64) { t.fetch, t.fetchFence = fetch, fence }
+
+// refusedFetch tells a trainer whose numbers began anew which one to pass.
+func refusedFetch(t *trainer) *wire.SampleResult {
+	result := refused(t, ReasonStaleFetch)
+	result.Fetch = t.fetch
+	return result
+}
+
 // parseSlotIDs reads the ids of one trainer's samples, each of which may stand once.
 func parseSlotIDs(trainerName string, texts []string) ([]SlotID, error) {
 	if len(texts) > MaximumSlots {
@@ -134,10 +149,10 @@
 		return refused(known, reason), nil
 	}
 	if known.sealsAny(command.GetSampleIds()) {
-		if command.GetFetch() < known.fetch {
-			return refused(known, ReasonStaleFetch), nil
+		if known.abandoned(command.GetFetch(), command.GetFence()) {
+			return refusedFetch(known), nil
 		}
-		known.fetch = command.GetFetch()
+		known.noteFetch(command.GetFetch(), command.GetFence())
 	}
 	gone := map[string]bool{}
 	for position, id := range slots {
@@ -197,7 +212,8 @@
 	for _, text := range known.sealedIDs {
 		known.deliver(text)
 	}
-	known.acknowledged, known.fetch = known.sealed, 0
+	known.acknowledged = known.sealed
+	known.noteFetch(0, 0)
 	known.sealedIDs, known.sealedStep = nil, 0
 	return known.accepted(), nil
 }
--- a/internal/ledger/fetch_test.go
+++ b/internal/ledger/fetch_test.go
@@ -58,3 +58,43 @@
 		t.Fatalf("%v, %v", result, err)
 	}
 }
+
+// TestRepeatedCallEmptiesABatchAtTheNextOwner: something on the way repeats a call with its number, after the owner
+// before has handed the batch over for it.
+func TestRepeatedCallEmptiesABatchAtTheNextOwner(t *testing.T) {
+	const id = "t/1/p/0"
+	ledger := New()
+	_, _ = ledger.Open(&wire.StepOpen{Trainer: "t", Step: 1, SamplesPerPrompt: 1, Prompts: []*wire.Prompt{{Id: "p", Text: "x", MaxTokens: 1}}})
+	_, _ = ledger.Store(&wire.SampleStore{Fence: 1, Sample: &wire.Sample{Id: id, Trainer: "t", Step: 1, PromptId: "p"}})
+	seal := func(fence, fetch uint64) *wire.SampleResult {
+		result, err := ledger.Seal(&wire.BatchSeal{Trainer: "t", Cursor: 1, Step: 1, SampleIds: []string{id}, Fence: fence, Fetch: fetch})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return result
+	}
+	discard := func(fence, fetch uint64) *wire.SampleResult {
+		result, err := ledger.Discard(&wire.BatchDiscard{Trainer: "t", SampleIds: []string{id}, Editions: []uint32{0}, Fence: fence, Fetch: fetch})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return result
+	}
+	if first, again := seal(1, 5), seal(1, 5); !first.GetAccepted() || !again.GetAccepted() {
+		t.Fatalf("%v, %v", first, again)
+	}
+	restored := New()
+	if err := restored.Restore(ledger.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	ledger = restored
+	for _, result := range []*wire.SampleResult{discard(2, 5), seal(2, 5), discard(2, 0)} {
+		if result.GetAccepted() || result.GetReason() != ReasonStaleFetch || result.GetFetch() != 5 {
+			t.Errorf("accepted at the next owner: %v", result)
+		}
+	}
+	// A trainer that has no numbers any more is not held up.
+	if sealed, emptied := seal(2, 0), discard(2, 0); !sealed.GetAccepted() || !emptied.GetAccepted() || len(emptied.GetSampleIds()) > 0 {
+		t.Errorf("without a number: %v, %v", sealed, emptied)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -68,6 +68,7 @@
 	sealedStep   uint64
 	sealedIDs    []string
 	fetch        uint64 // newest fetch that the sealed batch may have been handed over for; 0 for none
+	fetchFence   uint64 // of the owner that served it
 	delivered    uint64
 	discarded    uint64 // tokens
 	steps        map[uint64]*step
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -103,6 +103,7 @@
 		Name: t.name, Fence: t.fence, AcknowledgedCursor: t.acknowledged, SealedCursor: t.sealed,
 		SealedStep: t.sealedStep, SealedIds: slices.Clone(t.sealedIDs), DeliveredSamples: t.delivered,
 		DiscardedTokens: t.discarded, Closed: t.closed, ForgottenStep: t.forgotten, Fetch: t.fetch,
+		FetchFence: t.fetchFence,
 	}
 	for _, number := range t.stepNumbers() {
 		opened := t.steps[number]
@@ -138,7 +139,7 @@
 		return nil, trace.Wrap(err)
 	}
 	known := newTrainer(record.GetName())
-	known.fetch = record.GetFetch()
+	known.fetch, known.fetchFence = record.GetFetch(), record.GetFetchFence()
 	known.fence, known.acknowledged, known.sealed = record.GetFence(), record.GetAcknowledgedCursor(), record.GetSealedCursor()
 	known.sealedStep, known.sealedIDs = record.GetSealedStep(), record.GetSealedIds()
 	known.delivered, known.discarded = record.GetDeliveredSamples(), record.GetDiscardedTokens()
--- a/internal/standin/trainer/trainer.go
+++ b/internal/standin/trainer/trainer.go
@@ -236,6 +236,9 @@
 		if errors.As(err, &refused) && refused.permanent() {
 			return fmt.Errorf("%s %s: %w", method, path, err)
 		}
+		if refused != nil {
+			t.fetches = max(t.fetches, refused.fetch)
+		}
 		t.countError(err)
 		t.turn++
 		if err := pause.For(ctx, retryWait); err != nil {
--- a/internal/standin/trainer/wire.go
+++ b/internal/standin/trainer/wire.go
@@ -86,6 +86,7 @@
 type callError struct {
 	status int
 	code   string // of the error body
+	fetch  uint64 // that the next fetch has to pass
 	body   string
 }
 
@@ -97,7 +98,8 @@
 // errorBody is the part of an error's body that the trainer reads.
 type errorBody struct {
 	Error struct {
-		Code string `json:"code"`
+		Code  string `json:"code"`
+		Fetch uint64 `json:"fetch"`
 	} `json:"error"`
 }
 
@@ -131,7 +133,7 @@
 		content, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
 		var parsed errorBody
 		_ = json.Unmarshal(content, &parsed)
-		return &callError{status: response.StatusCode, code: parsed.Error.Code, body: string(content)}
+		return &callError{status: response.StatusCode, code: parsed.Error.Code, fetch: parsed.Error.Fetch, body: string(content)}
 	}
 	if answer == nil {
 		_, err = io.Copy(io.Discard, response.Body)
