coordinator: one collector of load reports for each pool, at a bounded pace

Cause: every coordinator asked every replica of the pools in use, four times a second in a wave and every 2 s otherwise. Change: the owner of a pool's wave asks its replicas, at most 32 polls a second; the others ask the owner for the newest version served everywhere and for the replicas that leave, and poll themselves when it is silent for 5 s. The answers to orders are reports too, so polls need not be fast in a wave. Requests lost the headers that no replica needs. The planner no longer compares all replicas with all names at each answer. TestLargePoolsArePolledLessOftenOutsideAWave held the interval of the former design (2 s at most, and only outside a wave); TestPollsStayWithinTheirPace replaces it: the bound on polls a second for any number of replicas, in a wave or not, and the times until silence. A replica of a large pool that changes by itself is seen up to 23 s later, not 2 s.

--- a/internal/bench/capacity/limits.go
+++ b/internal/bench/capacity/limits.go
@@ -4,7 +4,6 @@
 	"sort"
 
 	"github.com/tamarindring/tamarindring/internal/bench/controlbench"
-	"github.com/tamarindring/tamarindring/internal/coordinator"
 )
 
 // Limit is a quantity at the target beside what it may be.
@@ -60,8 +59,10 @@
 		limit("back end: load reports asked of one replica in a second", Estimate{Value: f.measured(PollCount, float64(target.Replicas)).Value *
 			float64(target.Gateways) / float64(target.Replicas), Beyond: f.measured(PollCount, float64(target.Replicas)).Beyond}, backendReports, number,
 			"each gateway follows a subset of the back ends"),
-		limit("coordinator: traffic of load reports outside a wave", f.coordinatorReports(), target.BudgetBytesPerSec, perSecond,
-			"not carried: each asks every replica every 2 s; a subset would do where it owns no wave"),
+		limit("coordinator: traffic with the replicas, a wave every "+number(target.WeightMinutes)+" minutes", f.overCycle(WaveTraffic, QuietTraffic), target.BudgetBytesPerSec, perSecond,
+			"one coordinator asks the replicas of a pool for all; orders' answers are its reports"),
+		limit("coordinator: processor time for the replicas, a wave every "+number(target.WeightMinutes)+" minutes", f.overCycle(WaveCores, QuietCores), target.BudgetCores, coresText,
+			"one coordinator asks the replicas of a pool for all; orders' answers are its reports"),
 		limit("weight wave: on all replicas", f.measured(WaveTime, float64(target.Replicas)), target.WeightSeconds, seconds,
 			"staged beside the running steps, swapped a fifth at a time"),
 		limit("control machine: memory of claim keys", f.each(StateMemory(StateClaims), f.keys), target.ControlMachineMemory, bytesText,
@@ -83,13 +84,12 @@
 	return list
 }
 
-// coordinatorReports is the traffic of a coordinator that asks every replica for its load outside a wave, with
-// the bytes for each report that were measured at the gateway.
-func (f figures) coordinatorReports() Estimate {
-	replicas := f.Target.Replicas
-	each := f.measured(PollTraffic, float64(replicas)).Value / f.measured(PollCount, float64(replicas)).Value
-	interval := coordinator.QuietLoadInterval(coordinator.DefaultLoadInterval, replicas)
-	return Estimate{Value: each * float64(replicas) / interval.Seconds(), Origin: "computed from measured bytes for each report"}
+// overCycle is the mean of a quantity of the coordinator that owns a wave over all replicas: one wave and the
+// quiet time until the next.
+func (f figures) overCycle(inWave, quiet string) Estimate {
+	replicas := float64(f.Target.Replicas)
+	share := f.measured(WaveTime, replicas).Value / (f.Target.WeightMinutes * 60)
+	return f.measured(inWave, replicas).times(share).plus(f.measured(quiet, replicas).times(1 - share))
 }
 
 const (
--- a/internal/bench/capacity/waves.go
+++ b/internal/bench/capacity/waves.go
@@ -24,11 +24,13 @@
 )
 
 // The fitted quantities of a weight wave over hollow replicas that take the emulator's time to stage and to
-// swap a version. Sizes are replicas.
+// swap a version, and of the time after it. Sizes are replicas.
 const (
-	WaveTime    = "weight wave: from the release until every replica serves the version"
-	WaveCores   = "weight wave: processor time of the coordinator, its load polls included"
-	WaveTraffic = "weight wave: traffic of the coordinator with the replicas meanwhile"
+	WaveTime     = "weight wave: from the release until every replica serves the version"
+	WaveCores    = "weight wave: processor time of the coordinator, its load polls included"
+	WaveTraffic  = "weight wave: traffic of the coordinator with the replicas meanwhile"
+	QuietCores   = "coordinator between waves: processor time for the replicas"
+	QuietTraffic = "coordinator between waves: traffic with the replicas"
 )
 
 const waveTimeout = 60 * time.Second
@@ -47,6 +49,9 @@
 	Seconds          float64 `json:"seconds"`
 	CoordinatorCores float64 `json:"coordinator_cores"`
 	BytesPerSecond   float64 `json:"bytes_per_second"`
+	// Between waves.
+	QuietCores          float64 `json:"quiet_cores"`
+	QuietBytesPerSecond float64 `json:"quiet_bytes_per_second"`
 }
 
 // waveReplicas answer load reports and weight orders, each on an address of its own.
@@ -153,6 +158,9 @@
 		if err != nil {
 			return trace.Wrap(err, "%d replicas", size)
 		}
+		if err := replicas.quiet(&point, r.config.PerPoint); err != nil {
+			return err
+		}
 		result.Points = append(result.Points, point)
 	}
 	if err := result.fit(); err != nil {
@@ -221,6 +229,22 @@
 		BytesPerSecond: float64(w.bytes()-traffic) / seconds}, trace.NewAggregate(waitError, err)
 }
 
+// quiet measures the time after a wave, for long enough that each replica is asked about once.
+func (w *waveReplicas) quiet(point *WavePoint, duration time.Duration) error {
+	time.Sleep(settlePolls)
+	duration = max(duration, coordinator.PollInterval(coordinator.DefaultLoadInterval, point.Replicas))
+	traffic := w.bytes()
+	recorder, err := rolecost.Start()
+	if err != nil {
+		return err
+	}
+	time.Sleep(duration)
+	cost, err := recorder.Stop()
+	point.QuietCores = cost.Apportioned(roleCoordinator)
+	point.QuietBytesPerSecond = float64(w.bytes()-traffic) / cost.Wall.Seconds()
+	return err
+}
+
 // announce tells the coordinator of a version, as a trainer does.
 func announce(ctx context.Context, address string, number uint64) error {
 	body := fmt.Sprintf(`{"version":"v%d","version_number":%d,"pool":"pool"}`, number, number)
@@ -253,6 +277,8 @@
 		{WaveTime, "s", func(p WavePoint) float64 { return p.Seconds }},
 		{WaveCores, "cores", func(p WavePoint) float64 { return p.CoordinatorCores }},
 		{WaveTraffic, "bytes/s", func(p WavePoint) float64 { return p.BytesPerSecond }},
+		{QuietCores, "cores", func(p WavePoint) float64 { return p.QuietCores }},
+		{QuietTraffic, "bytes/s", func(p WavePoint) float64 { return p.QuietBytesPerSecond }},
 	} {
 		line, err := fitPoints(quantity.name, quantity.unit, "replica", w.Points, size, quantity.value)
 		if err != nil {
--- /dev/null
+++ b/internal/coordinator/collector_test.go
@@ -0,0 +1,68 @@
+package coordinator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/standin/trainer"
+)
+
+// TestOnlyTheOwnerOfAWaveAsksTheReplicas has a trainer at a coordinator that does not own its pool's wave. The lease
+// is long: a pause of the machine must not make another the owner.
+func TestOnlyTheOwnerOfAWaveAsksTheReplicas(t *testing.T) {
+	t.Parallel()
+	f := newLeasedFixture(t, longLease, 2, 2)
+	both := []candidate{{name: "c0"}, {name: "c1"}}
+	collector := chooseOwner(poolResource("copy"), both).name
+	name := ""
+	for index := 0; name == "" || chooseOwner(trainerResource(name), both).name == collector; index++ {
+		name = fmt.Sprint("trainer-", index)
+	}
+	polled := map[string]uint64{}
+	for _, server := range f.coordinators {
+		for len(server.candidates()) < len(both) {
+			time.Sleep(5 * time.Millisecond)
+		}
+		polled[server.config.Name] = server.Stats().LoadPolls
+	}
+	f.train(t, trainer.Config{Name: name, PromptsPerStep: 3, SamplesPerPrompt: 2, MaxTokens: 60, MaxSteps: 3, StepsAhead: 1, Seed: 11})
+	for _, server := range f.coordinators {
+		stats := server.Stats()
+		polls := stats.LoadPolls - polled[server.config.Name]
+		if owns := server.config.Name == collector; owns != (polls > 0) || owns == (stats.HandedOver > 0) {
+			t.Errorf("coordinator %s, owner of the wave: %v, polled %d times: %+v", server.config.Name, owns, polls, stats)
+		}
+	}
+	f.awaitServed(t, 3)
+}
+
+func TestNewsOfASilentCollectorIsNotFollowed(t *testing.T) {
+	var news collectorNews
+	news.follow(time.Second, "c0")
+	if news.silent(time.Second+newsSilence-1) || !news.silent(time.Second+newsSilence) {
+		t.Error("a collector that never answered has its time to answer, and no more")
+	}
+	news.heard, news.newsBody = 4*time.Second, newsBody{Available: 7, Reporting: true}
+	if news.follow(5*time.Second, "c0"); news.silent(4*time.Second+newsSilence-1) || !news.silent(4*time.Second+newsSilence) {
+		t.Error("the silence counts from the last answer")
+	}
+	news.follow(20*time.Second, "c1")
+	if news.silent(20*time.Second) || news.asked != 0 || news.Available != 7 {
+		t.Errorf("a new collector: %+v", news)
+	}
+}
+
+func TestCollectorTellsWhoLeaves(t *testing.T) {
+	p := &pool{available: 3, replicas: map[string]*replicaState{"b": {}, "a": {}, "c": {}}}
+	if told := p.tell(); told.Reporting || told.Available != 3 || len(told.Leaving) > 0 {
+		t.Errorf("before any report: %+v", told)
+	}
+	p.replicas["b"].take(0, loadReport{Leaving: true}, 0)
+	p.replicas["a"].take(0, loadReport{Leaving: true}, 0)
+	p.replicas["c"].take(0, loadReport{}, 0)
+	if told := p.tell(); !told.Reporting || !slices.Equal(told.Leaving, []string{"a", "b"}) {
+		t.Errorf("with two that leave: %+v", told)
+	}
+}
--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -95,7 +95,7 @@
 	// StoreTimeout bounds one ledger command; it is repeated while the trainer is owned. Default 10s.
 	StoreTimeout time.Duration
 	// LoadInterval is the least time between two polls of a replica's load report; replicas of large pools
-	// are polled less often outside a wave. Default 250ms.
+	// are polled less often. Default 250ms.
 	LoadInterval time.Duration
 	// LoadTimeout bounds one poll of a load report. Default 2s.
 	LoadTimeout time.Duration
@@ -128,6 +128,7 @@
 	defaults.Set(&c.MaxConnections, DefaultMaxConnections)
 	defaults.Set(&c.ScoreConcurrency, DefaultScoreConcurrency)
 	c.setTimes()
+	c.Wave = c.Wave.WithDefaults()
 	if c.Policy == nil {
 		c.Policy = rollout.Paced{}
 	}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -30,26 +30,58 @@
 	}
 }
 
-func TestLargePoolsArePolledLessOftenOutsideAWave(t *testing.T) {
-	for count, want := range map[int]time.Duration{0: DefaultLoadInterval, 12: DefaultLoadInterval, 24: 500 * time.Millisecond, 600: 2 * time.Second} {
-		if got := QuietLoadInterval(DefaultLoadInterval, count); got != want {
-			t.Errorf("%d replicas: every %v, want %v", count, got, want)
+// TestPollsStayWithinTheirPace holds for any state of a wave: nothing else sets the interval.
+func TestPollsStayWithinTheirPace(t *testing.T) {
+	for _, count := range []int{1, 8, 24, 600, 6000} {
+		for _, unsettled := range []int{0, 1, count / 7, count} {
+			pace := newPollPace(DefaultLoadInterval, count, unsettled)
+			settled := float64(count-unsettled) / pace.settled.Seconds()
+			hurried := float64(unsettled) / pace.unsettled.Seconds()
+			if settled > pollsPerSecond || hurried > pollsPerSecond || unsettled < count && hurried > unsettledPerSecond && pace.unsettled < pace.settled {
+				t.Errorf("%d replicas, %d unsettled: %v polls a second and %v at %+v", count, unsettled, settled, hurried, pace)
+			}
+			if pace.unsettled > pace.settled || count <= 8 && pace.settled != DefaultLoadInterval {
+				t.Errorf("%d replicas, %d unsettled: %+v", count, unsettled, pace)
+			}
 		}
 	}
-	if maximumLoadInterval+DefaultLoadTimeout >= replicaSilence {
-		t.Error("a replica that is polled at the longest interval can count as silent")
+	if unsettledInterval+DefaultLoadTimeout >= replicaSilence {
+		t.Error("a replica that is polled at the unsettled interval can count as silent")
 	}
-	p := &pool{}
-	if p.inWave() {
-		t.Error("a pool without a wave is in one")
+}
+
+// TestAnswerToASwapIsNewsOfItsReplica replays what lagging reports say around a swap.
+func TestAnswerToASwapIsNewsOfItsReplica(t *testing.T) {
+	const grace = 6 * time.Second
+	replica := &replicaState{}
+	old := loadReport{WeightVersion: "v1", VersionNumber: 1, Running: 2}
+	replica.take(time.Second, old, grace)
+	replica.swappedTo(2*time.Second, wave.Version{Name: "v2", Number: 2})
+	replica.take(3*time.Second, old, grace)
+	if replica.report.VersionNumber != 2 || replica.report.WeightVersion != "v2" || replica.report.Running != 2 {
+		t.Errorf("after an old report: %+v", replica.report)
+	}
+	replica.take(9*time.Second, old, grace)
+	if replica.report.VersionNumber != 1 {
+		t.Errorf("a replica that lost the version is not seen: %+v", replica.report)
+	}
+}
+
+func TestReplicaServesUntilItIsSilent(t *testing.T) {
+	replica := &replicaState{}
+	if replica.serves(0) {
+		t.Error("an unknown replica serves")
+	}
+	replica.take(time.Second, loadReport{VersionNumber: 1}, 0)
+	if !replica.serves(time.Minute) || replica.unsettled() {
+		t.Error("a replica whose next poll is not due counts as silent")
 	}
-	p.wave = &waveState{planner: wave.New(wave.Config{})}
-	p.wave.planner.SetReplicas([]string{"r"})
-	if p.inWave() {
-		t.Error("a pool without a released version is in a wave")
+	replica.failed = true
+	if !replica.serves(time.Second+replicaSilence-1) || replica.serves(time.Second+replicaSilence) || !replica.unsettled() {
+		t.Error("a replica that does not answer must serve until it has been silent for a while")
 	}
-	p.wave.planner.Release(0, wave.Version{Name: "v1", Number: 1})
-	if !p.inWave() {
-		t.Error("a pool whose replicas do not serve the released version is not in a wave")
+	replica.failed = false
+	if replica.report.Leaving = true; replica.serves(time.Second) || !replica.unsettled() {
+		t.Error("a replica that leaves serves")
 	}
 }
--- a/internal/coordinator/finish.go
+++ b/internal/coordinator/finish.go
@@ -173,7 +173,10 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	request.Header.Set("Content-Type", "application/json")
+	if len(body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	request.Header.Set("User-Agent", "") // none: it would be a third of a poll
 	showToken(request, authorization)
 	response, err := s.calls.Do(request)
 	if err != nil {
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -126,14 +126,10 @@
 
 // handleHandOver serves the hand-over between coordinators.
 func (s *Server) handleHandOver(writer http.ResponseWriter, request *http.Request) {
-	if refused := s.checkToken(request, "", auth.Node); refused != nil {
+	if refused := s.checkCoordinator(request); refused != nil {
 		refused.write(writer)
 		return
 	}
-	if !s.fromCoordinator(request) {
-		(&refusal{status: http.StatusForbidden, code: CodeNotFound, message: "only coordinators hand samples over"}).write(writer)
-		return
-	}
 	var body begunBody
 	if refused := decode(writer, request, s.config.MaxBodyBytes, &body); refused != nil {
 		refused.write(writer)
@@ -151,6 +147,17 @@
 	writeJSON(writer, http.StatusOK, struct{}{})
 }
 
+// checkCoordinator refuses a request that does not come from a coordinator.
+func (s *Server) checkCoordinator(request *http.Request) *refusal {
+	if refused := s.checkToken(request, "", auth.Node); refused != nil {
+		return refused
+	}
+	if !s.fromCoordinator(request) {
+		return &refusal{status: http.StatusForbidden, code: CodeForbidden, message: "only coordinators may ask this"}
+	}
+	return nil
+}
+
 // fromCoordinator tells whether a call comes from the address of a coordinator that the control group lists.
 func (s *Server) fromCoordinator(request *http.Request) bool {
 	from, _, err := net.SplitHostPort(request.RemoteAddr)
--- a/internal/coordinator/http.go
+++ b/internal/coordinator/http.go
@@ -24,6 +24,7 @@
 	mux.HandleFunc("POST /v1/trainers/{trainer}/fetch", s.serve(s.handleFetch))
 	mux.HandleFunc("POST /v1/trainers/{trainer}/versions", s.serve(s.handleVersion))
 	mux.HandleFunc("POST "+handOverPath, s.handleHandOver)
+	mux.HandleFunc("GET "+newsPath+"{pool}", s.handleNews)
 	mux.HandleFunc("GET /v1/stats", s.handleStats)
 	mux.HandleFunc("/", func(writer http.ResponseWriter, _ *http.Request) {
 		(&refusal{status: http.StatusNotFound, code: CodeNotFound, message: "no such path or method"}).write(writer)
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -80,6 +80,7 @@
 	total("swaps_total", "Weight swaps of replicas.", func(s *Stats) uint64 { return s.Swaps }),
 	total("swap_failures_total", "Weight swaps that failed.", func(s *Stats) uint64 { return s.SwapFailures }),
 	total("swap_repairs_total", "Replicas found on a wrong version and ordered again.", func(s *Stats) uint64 { return s.Repairs }),
+	total("load_polls_total", "Load reports asked of replicas.", func(s *Stats) uint64 { return s.LoadPolls }),
 	total("weight_store_throttled_total", "Orders delayed because the weight store throttled.", func(s *Stats) uint64 { return s.Throttled }),
 }
 
--- a/internal/coordinator/move.go
+++ b/internal/coordinator/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -42,5 +43,5 @@
 		return true
 	}
 	known := p.replicas[name]
-	return known != nil && known.known && known.report.Leaving
+	return known != nil && known.known && known.report.Leaving || slices.Contains(p.news.Leaving, name)
 }
--- a/internal/coordinator/pool.go
+++ b/internal/coordinator/pool.go
@@ -30,7 +30,8 @@
 	shrunk    time.Duration // time of the last shrink
 	paused    time.Duration // nothing starts before
 	replicas  map[string]*replicaState
-	available uint64 // newest version that the pool's replicas serve
+	available uint64        // newest version that the pool's replicas serve
+	news      collectorNews // from the coordinator that polls the replicas, where that is another
 	wave      *waveState
 }
 
@@ -98,12 +99,20 @@
 // availableTo is the newest version that the pool's replicas serve. Where none of them reports what it serves,
 // nothing speaks against the trainer's own; the hand-over looks at what really came.
 func (p *pool) availableTo(t *trainerState) uint64 {
+	if p.reporting() {
+		return p.available
+	}
+	return max(p.available, t.version)
+}
+
+// reporting tells whether any replica says what it serves.
+func (p *pool) reporting() bool {
 	for _, replica := range p.replicas {
 		if replica.known {
-			return p.available
+			return true
 		}
 	}
-	return max(p.available, t.version)
+	return p.news.Reporting
 }
 
 // tableRoom is how many slots the table grants to rollouts in a pool.
--- a/internal/coordinator/replicas.go
+++ b/internal/coordinator/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -11,15 +12,18 @@
 
 // replicaState is what a replica last reported. Guarded by the server's mutex.
 type replicaState struct {
-	address   string
-	heard     time.Duration // time of the last report
-	known     bool
-	polling   bool
-	asked     time.Duration // time of the last poll
-	everAsked bool
-	report    loadReport
-	laggedAt  time.Duration // since when it has served older weights than others
-	lagging   bool
+	address  string
+	heard    time.Duration // time of the last report or answer to a swap
+	known    bool
+	failed   bool // the last poll had no answer
+	polling  bool
+	polled   bool          // at least once
+	due      time.Duration // time of the next poll
+	report   loadReport
+	answered time.Duration // time of the last answer to a swap; the report holds what it said
+	swapped  bool          // there was one
+	laggedAt time.Duration // since when it has served older weights than others
+	lagging  bool
 }
 
 // loadReport is what the coordinator reads of GET /v1/load.
@@ -48,47 +52,85 @@
 	}
 }
 
+// pollReplicas asks the replicas that are due of the pools that this coordinator collects reports of, and the
+// collectors of the other pools.
 func (s *Server) pollReplicas(ctx context.Context) {
 	view := s.session.View()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.now()
+	var collected []*pool
+	count, unsettled := 0, 0
 	for _, p := range s.pools {
+		if s.followCollector(ctx, p, now) {
+			continue
+		}
 		s.followTable(p, view)
-		interval := s.config.LoadInterval
-		if !p.inWave() {
-			interval = QuietLoadInterval(interval, len(p.replicas))
+		collected = append(collected, p)
+		for _, replica := range p.replicas {
+			count++
+			if replica.unsettled() {
+				unsettled++
+			}
 		}
+	}
+	pace := newPollPace(s.config.LoadInterval, count, unsettled)
+	for _, p := range collected {
 		for name, replica := range p.replicas {
-			if replica.polling || (replica.everAsked && now < replica.asked+interval) {
+			if replica.polling || now < replica.due {
 				continue
 			}
-			replica.polling, replica.everAsked, replica.asked = true, true, now
+			replica.schedule(now, pace)
+			replica.polling = true
+			s.stats.LoadPolls++
 			s.start(func() { s.pollReplica(ctx, p, name, replica) })
 		}
 	}
 }
 
+// schedule sets the time of the poll after the one that is due now. Polls are spread, so that they come evenly.
+func (r *replicaState) schedule(now time.Duration, pace pollPace) {
+	switch {
+	case !r.polled:
+		r.due = now + rand.N(pace.settled)
+	case r.unsettled():
+		r.due = now + spread(pace.unsettled)
+	default:
+		r.due = now + spread(pace.settled)
+	}
+	r.polled = true
+}
+
+// spread returns a time that is about an interval, and an interval in the mean.
+func spread(interval time.Duration) time.Duration { return 3*interval/4 + rand.N(interval/2+1) }
+
+// unsettled tells whether news of the replica is to be expected soon.
+func (r *replicaState) unsettled() bool {
+	return r.failed || r.known && (r.report.Leaving || r.report.Refusing)
+}
+
 const (
-	// quietPollsPerSecond bounds the load polls of one pool outside a wave, until maximumLoadInterval.
-	quietPollsPerSecond = 48
-	maximumLoadInterval = 2 * time.Second // well below replicaSilence
+	// pollsPerSecond bounds a coordinator's load polls of settled replicas. The answers to weight orders tell
+	// it sooner of a wave's progress; these polls find what has changed by itself.
+	pollsPerSecond = 32
+	// unsettledPerSecond bounds its polls of the others, and unsettledInterval is the time between two of one.
+	unsettledPerSecond = 16
+	unsettledInterval  = 2 * time.Second // well below replicaSilence
 )
 
-// QuietLoadInterval is the time between two polls of each of count replicas while this coordinator brings no
-// version to them: large pools are asked less often than every least.
-func QuietLoadInterval(least time.Duration, count int) time.Duration {
-	paced := time.Duration(count) * time.Second / quietPollsPerSecond
-	return max(least, min(paced, maximumLoadInterval))
+// PollInterval is the time between two polls of each of count settled replicas.
+func PollInterval(least time.Duration, count int) time.Duration {
+	return max(least, time.Duration(count)*time.Second/pollsPerSecond)
 }
 
-// inWave tells whether this coordinator brings a version to the pool's replicas now.
-func (p *pool) inWave() bool {
-	if p.wave == nil {
-		return false
-	}
-	status := p.wave.planner.Status()
-	return status.Target.Name != "" && status.Serving < status.Replicas
+// pollPace is the time between two polls of one replica.
+type pollPace struct{ settled, unsettled time.Duration }
+
+// newPollPace divides a coordinator's polls among count replicas, some of them unsettled.
+func newPollPace(least time.Duration, count, unsettled int) pollPace {
+	settled := PollInterval(least, count)
+	hurried := max(min(settled, unsettledInterval), time.Duration(unsettled)*time.Second/unsettledPerSecond)
+	return pollPace{settled: settled, unsettled: min(settled, hurried)}
 }
 
 // followTable takes over the pool's back ends. The caller holds the mutex.
@@ -113,11 +155,15 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	replica.polling = false
-	if err != nil || p.replicas[name] != replica {
+	if ctx.Err() != nil || p.replicas[name] != replica {
 		return
 	}
 	now := s.now()
-	replica.known, replica.heard, replica.report = true, now, report
+	if replica.failed = err != nil; replica.failed {
+		replica.due = min(replica.due, now+unsettledInterval)
+		return
+	}
+	replica.take(now, report, s.config.Wave.ReportGrace)
 	if p.wave != nil {
 		p.wave.planner.Report(now, name, wave.Report{
 			Version: wave.Version{Name: report.WeightVersion, Number: report.VersionNumber}, Staged: report.StagedNumber,
@@ -126,7 +172,38 @@
 	s.noteAvailable(p, now)
 }
 
-// replicaSilence is how old a report may be for its replica to count among those that serve.
+// take keeps a report. The platform's reports lag: what a replica answered to a swap counts more for a while.
+func (r *replicaState) take(now time.Duration, report loadReport, grace time.Duration) {
+	if r.swapped && now < r.answered+grace {
+		report.WeightVersion, report.VersionNumber = r.report.WeightVersion, r.report.VersionNumber
+	}
+	r.known, r.heard, r.report = true, now, report
+}
+
+// swappedTo notes what a replica answered to a swap.
+func (r *replicaState) swappedTo(now time.Duration, version wave.Version) {
+	r.known, r.failed, r.heard, r.answered, r.swapped = true, false, now, now, true
+	r.report.WeightVersion, r.report.VersionNumber, r.report.Refusing = version.Name, version.Number, false
+}
+
+// noteAnswer takes the answer to a weight order as news of its replica, as good as a report; an order that
+// failed makes a report due. The caller holds the mutex.
+func (s *Server) noteAnswer(p *pool, order wave.Order, answer wave.Answer) {
+	replica, now := p.replicas[order.Replica], s.now()
+	if replica == nil {
+		return
+	}
+	switch {
+	case answer.Outcome == wave.Failed, answer.Outcome == wave.Done && order.Kind == wave.Swap && answer.Serving != order.Version.Number:
+		replica.due = now
+	case answer.Outcome == wave.Done && order.Kind == wave.Swap:
+		replica.swappedTo(now, order.Version)
+		s.noteAvailable(p, now)
+	}
+}
+
+// replicaSilence is how long ago a replica that does not answer may have been heard to count among those that
+// serve.
 const replicaSilence = 5 * time.Second
 
 // noteAvailable finds the newest version that all of a pool's replicas serve, without those that have lagged
@@ -162,5 +239,6 @@
 }
 
 func (r *replicaState) serves(now time.Duration) bool {
-	return r.known && now < r.heard+replicaSilence && !r.report.Refusing && !r.report.Leaving
+	silent := r.failed && now >= r.heard+replicaSilence
+	return r.known && !silent && !r.report.Refusing && !r.report.Leaving
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -87,7 +87,7 @@
 	s.context, s.cancel = context.WithCancel(context.Background())
 	s.calls = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
+		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}
 	s.http = &http.Server{
 		Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
@@ -230,6 +230,7 @@
 	SwapFailures     uint64 `json:"swap_failures"`
 	Repairs          uint64 `json:"repairs"`
 	Throttled        uint64 `json:"throttled"` // by the weight store
+	LoadPolls        uint64 `json:"load_polls"`
 	LastWaveMillis   int64  `json:"last_wave_millis"`
 }
 
--- a/internal/coordinator/weights.go
+++ b/internal/coordinator/weights.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -219,19 +220,14 @@
 		return
 	}
 	s.followTable(p, s.session.View())
-	names := make([]string, 0, len(p.replicas))
-	for name := range p.replicas {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	owned.planner.SetReplicas(names)
+	owned.planner.SetReplicas(slices.Collect(maps.Keys(p.replicas)))
 	if owned.refence {
 		s.start(func() { s.raiseWaveFence(owned) })
 		owned.refence = false
 	}
 	for _, order := range owned.planner.Next(s.now()) {
 		address := p.replicas[order.Replica].address
-		s.start(func() { s.sendOrder(owned, address, order) })
+		s.start(func() { s.sendOrder(p, owned, address, order) })
 	}
 	s.logWave(owned)
 }
@@ -271,7 +267,7 @@
 }
 
 // sendOrder sends one order and takes its answer over.
-func (s *Server) sendOrder(owned *waveState, address string, order wave.Order) {
+func (s *Server) sendOrder(p *pool, owned *waveState, address string, order wave.Order) {
 	s.mutex.Lock()
 	fence := owned.fence
 	s.mutex.Unlock()
@@ -299,6 +295,9 @@
 	s.mutex.Lock()
 	owned.refence = owned.refence || stale
 	owned.planner.Answered(s.now(), order.ID, answer)
+	if p.wave == owned {
+		s.noteAnswer(p, order, answer)
+	}
 	s.mutex.Unlock()
 	s.driveWaves()
 }
--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -41,7 +41,7 @@
 
 // New returns a planner of a pool without a release.
 func New(config Config) *Planner {
-	config = config.withDefaults()
+	config = config.WithDefaults()
 	return &Planner{config: config, window: config.StageTogether, orders: map[uint64]*replica{}}
 }
 
@@ -60,6 +60,10 @@
 
 // SetReplicas tells which replicas the pool has now. One that is gone is forgotten, with its order.
 func (p *Planner) SetReplicas(names []string) {
+	names = slices.Sorted(slices.Values(names))
+	if slices.EqualFunc(p.replicas, names, func(one *replica, name string) bool { return one.name == name }) {
+		return
+	}
 	kept := make([]*replica, 0, len(names))
 	for _, name := range names {
 		if position := p.position(name); position >= 0 {
@@ -70,11 +74,10 @@
 		p.complete = false
 	}
 	for _, one := range p.replicas {
-		if !slices.Contains(names, one.name) {
+		if _, listed := slices.BinarySearch(names, one.name); !listed {
 			p.release(one)
 		}
 	}
-	slices.SortFunc(kept, func(first, second *replica) int { return compare(first.name, second.name) })
 	p.replicas = kept
 }
 
--- a/internal/wave/types.go
+++ b/internal/wave/types.go
@@ -101,7 +101,8 @@
 	defaultReportGrace   = 6 * time.Second
 )
 
-func (c Config) withDefaults() Config {
+// WithDefaults fills unset fields.
+func (c Config) WithDefaults() Config {
 	defaults.Set(&c.SwapShare, defaultSwapShare)
 	defaults.Set(&c.QuickSwap, defaultQuickSwap)
 	defaults.Set(&c.StageTogether, defaultStageTogether)
