gateway, coordinator: ask for brief load reports and bound their bytes

Cause: the bench's back ends reported their load in 77 to 110 bytes, the stand-in engine in about 450. Change: GET /v1/load?brief=true; a back end that knows no brief report gives all of it. The pace of polls is bounded in bytes as well as in number, by the mean size of the reports that came. The bench's reports are as large as a busy stand-in's. Tests: TestBackendsAreAskedForBriefReports and the byte bounds in the tests of both paces fail without it.

--- a/internal/bench/capacity/limits.go
+++ b/internal/bench/capacity/limits.go
@@ -53,12 +53,12 @@
 	inForce := f.at(controlbench.InForce, float64(target.Nodes)).times(1e-3)
 	list := []Limit{
 		limit("gateway: processor time of load reports", f.measured(PollCores, float64(target.Replicas)), target.BudgetCores, coresText,
-			"each gateway follows a subset of the back ends"),
+			"each gateway follows a subset of the back ends and asks for brief reports"),
 		limit("gateway: traffic of load reports", f.measured(PollTraffic, float64(target.Replicas)), target.BudgetBytesPerSec, perSecond,
-			"each gateway follows a subset of the back ends"),
+			"each gateway follows a subset of the back ends and asks for brief reports"),
 		limit("back end: load reports asked of one replica in a second", Estimate{Value: f.measured(PollCount, float64(target.Replicas)).Value *
 			float64(target.Gateways) / float64(target.Replicas), Beyond: f.measured(PollCount, float64(target.Replicas)).Beyond}, backendReports, number,
-			"each gateway follows a subset of the back ends"),
+			"each gateway follows a subset of the back ends and asks for brief reports"),
 		limit("coordinator: traffic with the replicas, a wave every "+number(target.WeightMinutes)+" minutes", f.overCycle(WaveTraffic, QuietTraffic), target.BudgetBytesPerSec, perSecond,
 			"one coordinator asks the replicas of a pool for all; orders' answers are its reports"),
 		limit("coordinator: processor time for the replicas, a wave every "+number(target.WeightMinutes)+" minutes", f.overCycle(WaveCores, QuietCores), target.BudgetCores, coresText,
--- a/internal/bench/capacity/polls.go
+++ b/internal/bench/capacity/polls.go
@@ -16,6 +16,7 @@
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/gateway"
 	"github.com/tamarindring/tamarindring/internal/rolecost"
+	enginestandin "github.com/tamarindring/tamarindring/internal/standin/engine"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -65,7 +66,13 @@
 	running   sync.WaitGroup
 }
 
-const hollowReport = `{"running":3,"waiting":0,"capacity":64,"leaving":false}`
+// hollowReport is a load report as large as a busy engine's.
+func hollowReport(version, staged uint64) enginestandin.LoadReport {
+	return enginestandin.LoadReport{Name: "replica-417", Zone: zoneName(4), AtUnixMillis: 1_796_201_283_985, Role: "serve",
+		WeightVersion: fmt.Sprintf("v%d", version), VersionNumber: version, StagedNumber: staged, Fence: 12, Running: 41, Waiting: 3,
+		WaitingTokens: 18_342, MaxBatch: 64, BlocksHeld: 11_907, BlocksCached: 3_211, BlocksTotal: 16_384, BlockTokens: 16,
+		StepMillis: 24.817342, Steps: 31_415_926, Tokens: 1_271_828_182, PrefixHits: 141_421_356, Preemptions: 1_732}
+}
 
 func (h *hollowBackends) grow(size int) error {
 	for len(h.listeners) < size {
@@ -123,7 +130,7 @@
 	p := &pollRun{}
 	p.backends.server = &fasthttp.Server{CloseOnShutdown: true, Handler: func(ctx *fasthttp.RequestCtx) {
 		p.reports.Add(1)
-		ctx.SetBodyString(hollowReport)
+		enginestandin.WriteLoad(ctx, hollowReport(1, 0))
 	}}
 	defer p.backends.close()
 	if p.client, err = controlclient.New(controlclient.Config{Addresses: control.Addresses}); err != nil {
--- a/internal/bench/capacity/waves.go
+++ b/internal/bench/capacity/waves.go
@@ -20,6 +20,7 @@
 	"github.com/tamarindring/tamarindring/internal/engine"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/rolecost"
+	enginestandin "github.com/tamarindring/tamarindring/internal/standin/engine"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -79,9 +80,7 @@
 		w.order(ctx, replica)
 		return
 	}
-	number := replica.version.Load()
-	fmt.Fprintf(ctx, `{"running":3,"waiting":0,"leaving":false,"weight_version":"v%d","version_number":%d,"staged_number":%d}`,
-		number, number, replica.staged.Load())
+	enginestandin.WriteLoad(ctx, hollowReport(replica.version.Load(), replica.staged.Load()))
 }
 
 func (w *waveReplicas) replica(address string) *waveReplica {
@@ -232,7 +231,7 @@
 // quiet measures the time after a wave, for long enough that each replica is asked about once.
 func (w *waveReplicas) quiet(point *WavePoint, duration time.Duration) error {
 	time.Sleep(settlePolls)
-	duration = max(duration, coordinator.PollInterval(coordinator.DefaultLoadInterval, point.Replicas))
+	duration = max(duration, coordinator.PollInterval(coordinator.DefaultLoadInterval, 0, point.Replicas))
 	traffic := w.bytes()
 	recorder, err := rolecost.Start()
 	if err != nil {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -34,7 +34,7 @@
 func TestPollsStayWithinTheirPace(t *testing.T) {
 	for _, count := range []int{1, 8, 24, 600, 6000} {
 		for _, unsettled := range []int{0, 1, count / 7, count} {
-			pace := newPollPace(DefaultLoadInterval, count, unsettled)
+			pace := newPollPace(DefaultLoadInterval, 128, count, unsettled)
 			settled := float64(count-unsettled) / pace.settled.Seconds()
 			hurried := float64(unsettled) / pace.unsettled.Seconds()
 			if settled > pollsPerSecond || hurried > pollsPerSecond || unsettled < count && hurried > unsettledPerSecond && pace.unsettled < pace.settled {
@@ -45,6 +45,9 @@
 			}
 		}
 	}
+	if traffic := 600 * (450 + reportHeaderBytes) / PollInterval(DefaultLoadInterval, 450, 600).Seconds(); traffic > pollBytesPerSecond+1 {
+		t.Errorf("large reports: %v bytes a second", traffic)
+	}
 	if unsettledInterval+DefaultLoadTimeout >= replicaSilence {
 		t.Error("a replica that is polled at the unsettled interval can count as silent")
 	}
--- a/internal/coordinator/replicas.go
+++ b/internal/coordinator/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -74,7 +75,7 @@
 			}
 		}
 	}
-	pace := newPollPace(s.config.LoadInterval, count, unsettled)
+	pace := newPollPace(s.config.LoadInterval, s.reportSize, count, unsettled)
 	for _, p := range collected {
 		for name, replica := range p.replicas {
 			if replica.polling || now < replica.due {
@@ -110,25 +111,35 @@
 }
 
 const (
+	// loadPath asks for the brief report. A replica that knows no brief one gives all of it.
+	loadPath = "/v1/load?brief=true"
 	// pollsPerSecond bounds a coordinator's load polls of settled replicas. The answers to weight orders tell
 	// it sooner of a wave's progress; these polls find what has changed by itself.
 	pollsPerSecond = 32
-	// unsettledPerSecond bounds its polls of the others, and unsettledInterval is the time between two of one.
+	// pollBytesPerSecond bounds their traffic where reports are large: half of a node's 21 KB/s.
+	pollBytesPerSecond = 10_500
+	// reportHeaderBytes is what one poll costs beside the report's body, about.
+	reportHeaderBytes = 200
+	// reportSizeWeight is the inverse of one report's weight in the mean size.
+	reportSizeWeight = 16
+	// unsettledPerSecond bounds the polls of the other replicas, and unsettledInterval is the time between two
+	// of one.
 	unsettledPerSecond = 16
 	unsettledInterval  = 2 * time.Second // well below replicaSilence
 )
 
-// PollInterval is the time between two polls of each of count settled replicas.
-func PollInterval(least time.Duration, count int) time.Duration {
-	return max(least, time.Duration(count)*time.Second/pollsPerSecond)
+// PollInterval is the time between two polls of each of count settled replicas whose reports have size bytes.
+func PollInterval(least time.Duration, size float64, count int) time.Duration {
+	each := max(1.0/pollsPerSecond, (size+reportHeaderBytes)/pollBytesPerSecond)
+	return max(least, time.Duration(float64(count)*each*float64(time.Second)))
 }
 
 // pollPace is the time between two polls of one replica.
 type pollPace struct{ settled, unsettled time.Duration }
 
 // newPollPace divides a coordinator's polls among count replicas, some of them unsettled.
-func newPollPace(least time.Duration, count, unsettled int) pollPace {
-	settled := PollInterval(least, count)
+func newPollPace(least time.Duration, size float64, count, unsettled int) pollPace {
+	settled := PollInterval(least, size, count)
 	hurried := max(min(settled, unsettledInterval), time.Duration(unsettled)*time.Second/unsettledPerSecond)
 	return pollPace{settled: settled, unsettled: min(settled, hurried)}
 }
@@ -151,7 +162,11 @@
 
 func (s *Server) pollReplica(ctx context.Context, p *pool, name string, replica *replicaState) {
 	var report loadReport
-	err := s.call(ctx, http.MethodGet, replica.address, "/v1/load", nil, s.config.LoadTimeout, &report)
+	var body json.RawMessage
+	err := s.call(ctx, http.MethodGet, replica.address, loadPath, nil, s.config.LoadTimeout, &body)
+	if err == nil {
+		err = json.Unmarshal(body, &report)
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	replica.polling = false
@@ -163,6 +178,7 @@
 		replica.due = min(replica.due, now+unsettledInterval)
 		return
 	}
+	s.reportSize += (float64(len(body)) - s.reportSize) / reportSizeWeight
 	replica.take(now, report, s.config.Wave.ReportGrace)
 	if p.wave != nil {
 		p.wave.planner.Report(now, name, wave.Report{
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -46,6 +46,8 @@
 	gateways map[string]*gatewayUse // by address
 	begun    map[string]*begunSet   // by trainer
 	stats    Stats
+	// reportSize is the mean of the bodies of load reports, in bytes.
+	reportSize float64
 }
 
 // Open binds the listener, starts a session with the control group and returns a coordinator that acts under
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -42,7 +42,9 @@
 	refreshInterval       = 200 * time.Millisecond
 	// loadPollsPerSecond bounds the load polls of one gateway: with more back ends than it allows at
 	// LoadInterval each is polled less often, down to maximumLoadInterval.
-	loadPollsPerSecond  = 48
+	loadPollsPerSecond = 48
+	// loadBytesPerSecond bounds their traffic where reports are large: two thirds of a node's 21 KB/s.
+	loadBytesPerSecond  = 14_000
 	maximumLoadInterval = 2 * time.Second
 )
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -23,6 +23,12 @@
 const (
 	maxLoadBytes = 1 << 20
 	loadTimeout  = time.Second
+	// loadPath asks for the brief report. A back end that knows no brief one gives all of it.
+	loadPath = "/v1/load?brief=true"
+	// loadHeaderBytes is what one poll costs beside the report's body, about.
+	loadHeaderBytes = 180
+	// loadSizeWeight is the inverse of one report's weight in the mean size.
+	loadSizeWeight = 16
 )
 
 // loadSource is one back end of one pool that is polled.
@@ -39,6 +45,7 @@
 	server   *Server
 	client   *fasthttp.Client
 	interval atomic.Int64 // between two polls of one back end, in nanoseconds
+	size     atomic.Int64 // mean of the reports' bodies, in bytes; concurrent updates may be lost
 	open     map[loadSource]context.CancelFunc
 	running  sync.WaitGroup
 }
@@ -70,7 +77,7 @@
 			wanted[loadSource{pool: p, name: name, address: address}] = true
 		}
 	}
-	l.interval.Store(int64(loadInterval(l.server.config.LoadInterval, len(wanted))))
+	l.interval.Store(int64(loadInterval(l.server.config.LoadInterval, len(wanted), int(l.size.Load()))))
 	for source, stop := range l.open {
 		if !wanted[source] {
 			stop()
@@ -87,9 +94,9 @@
 	}
 }
 
-// loadInterval is the time between two polls of each of count back ends.
-func loadInterval(least time.Duration, count int) time.Duration {
-	paced := time.Duration(count) * time.Second / loadPollsPerSecond
+// loadInterval is the time between two polls of each of count back ends whose reports have size bytes.
+func loadInterval(least time.Duration, count, size int) time.Duration {
+	paced := max(time.Duration(count)*time.Second/loadPollsPerSecond, time.Duration(count*(size+loadHeaderBytes))*time.Second/loadBytesPerSecond)
 	return max(least, min(paced, maximumLoadInterval))
 }
 
@@ -115,7 +122,7 @@
 
 // ask polls one back end once.
 func (l *loadPollers) ask(source loadSource) {
-	status, body, err := l.client.GetTimeout(nil, "http://"+source.address+"/v1/load", loadTimeout)
+	status, body, err := l.client.GetTimeout(nil, "http://"+source.address+loadPath, loadTimeout)
 	if err != nil {
 		source.pool.unanswered(l.server.now(), source.name)
 		return
@@ -125,5 +132,7 @@
 		source.pool.asked(source.name)
 		return
 	}
+	mean := l.size.Load()
+	l.size.Store(mean + (int64(len(body))-mean)/loadSizeWeight)
 	source.pool.report(l.server.now(), source.name, routing.LoadReport{Requests: float64(report.Running + report.Waiting), Leaving: report.Leaving})
 }
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -61,12 +62,53 @@
 }
 
 func TestLoadIntervalKeepsToTheBudgetAndItsBounds(t *testing.T) {
+	const brief, whole = 110, 450
 	for count, want := range map[int]time.Duration{0: 250 * time.Millisecond, 12: 250 * time.Millisecond, 24: 500 * time.Millisecond,
 		48: time.Second, 600: maximumLoadInterval} {
-		if got := loadInterval(250*time.Millisecond, count); got != want {
+		if got := loadInterval(250*time.Millisecond, count, brief); got != want {
 			t.Errorf("%d back ends: every %v, want %v", count, got, want)
 		}
 	}
+	for _, count := range []int{6, 24, 44} {
+		interval := loadInterval(250*time.Millisecond, count, whole)
+		if traffic := float64(count*(whole+loadHeaderBytes)) / interval.Seconds(); traffic > loadBytesPerSecond+1 {
+			t.Errorf("%d back ends with large reports: every %v, %v bytes a second", count, interval, traffic)
+		}
+	}
+}
+
+// TestBackendsAreAskedForBriefReports measures what a whole round of polls teaches of their size.
+func TestBackendsAreAskedForBriefReports(t *testing.T) {
+	var queries sync.Map
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		queries.Store(ctx.QueryArgs().String(), true)
+		ctx.SetBodyString(`{"running":1,"waiting":0,"leaving":false}`)
+	}}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
+	defer func() {
+		_ = listener.Close()
+		<-served
+	}()
+	pollers := &loadPollers{server: &Server{}, client: &fasthttp.Client{}}
+	defer pollers.client.CloseIdleConnections()
+	source := loadSource{pool: &pool{replicas: routing.NewPool(routing.Settings{})}, name: "b", address: listener.Addr().String()}
+	for range 4 * loadSizeWeight {
+		pollers.ask(source)
+	}
+	if _, brief := queries.Load("brief=true"); !brief {
+		t.Error("no brief report was asked for")
+	}
+	if size := pollers.size.Load(); size < 20 || size > 41 {
+		t.Errorf("reports of 41 bytes are taken for %d", size)
+	}
 }
 
 // TestSharesOfALargePoolAddUpToTheLimit looks at one pool from every gateway of a fleet.
--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -41,6 +41,32 @@
 	Preemptions   uint64  `json:"preemptions"`
 }
 
+// BriefLoadReport is the body of GET /v1/load?brief=true: what gateways and coordinators read.
+type BriefLoadReport struct {
+	Leaving       bool   `json:"leaving"`
+	Refusing      bool   `json:"refusing"`
+	WeightVersion string `json:"weight_version"`
+	VersionNumber uint64 `json:"version_number"`
+	StagedNumber  uint64 `json:"staged_number"`
+	Running       int    `json:"running"`
+	Waiting       int    `json:"waiting"`
+}
+
+// Brief leaves out what only people and tools look at.
+func (r LoadReport) Brief() BriefLoadReport {
+	return BriefLoadReport{Leaving: r.Leaving, Refusing: r.Refusing, WeightVersion: r.WeightVersion, VersionNumber: r.VersionNumber,
+		StagedNumber: r.StagedNumber, Running: r.Running, Waiting: r.Waiting}
+}
+
+// WriteLoad answers GET /v1/load.
+func WriteLoad(ctx *fasthttp.RequestCtx, report LoadReport) {
+	if ctx.QueryArgs().GetBool("brief") {
+		endpoint.WriteJSON(ctx, fasthttp.StatusOK, report.Brief())
+		return
+	}
+	endpoint.WriteJSON(ctx, fasthttp.StatusOK, report)
+}
+
 func (s *Server) report() LoadReport {
 	load, at := s.reportedLoad()
 	s.mutex.Lock()
--- a/internal/standin/engine/handle.go
+++ b/internal/standin/engine/handle.go
@@ -51,7 +51,7 @@
 func (s *Server) handleGet(ctx *fasthttp.RequestCtx, path string) {
 	switch path {
 	case "/v1/load":
-		endpoint.WriteJSON(ctx, fasthttp.StatusOK, s.report())
+		WriteLoad(ctx, s.report())
 	case "/v1/cache_events":
 		s.handleCacheEvents(ctx)
 	case "/v1/models":
