status, page: each trainer's idle time and staleness

Cause: the fleet view was to show how idle trainers are and how stale their samples; it showed neither, and only the trainers themselves knew. Change: the coordinator that owns a trainer counts how long its fetches were open and the ages of the samples that it acknowledged, since its first fetch there. GET /v1/stats, tamarindring status, the page and four metrics show them. Conclusion: counts begin anew when another coordinator takes a trainer over; a trainer that fetches ahead is less idle than shown.

--- a/internal/coordinator/fetch.go
+++ b/internal/coordinator/fetch.go
@@ -43,6 +43,14 @@
 func (s *Server) serveTurn(ctx context.Context, t *trainerState, body *fetchBody) ([]byte, *refusal) {
 	ctx, release := s.takeTurn(ctx, t)
 	defer release()
+	s.mutex.Lock()
+	t.account.begin(s.now())
+	s.mutex.Unlock()
+	defer func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		t.account.end(s.now())
+	}()
 	if refused := s.acknowledge(t, body.Acknowledge); refused != nil {
 		return nil, refused
 	}
@@ -96,6 +104,7 @@
 		return unavailable(CodeUnavailable, "send the same call again")
 	}
 	s.stats.HandedOver += uint64(len(t.delivery.sealedIDs))
+	t.account.acknowledged()
 	step := t.delivery.step(t.delivery.sealedStep)
 	t.delivery.acknowledge(cursor)
 	if step.scheduled && step.delivered == len(step.ids) {
@@ -214,7 +223,7 @@
 	if refused != nil || now != bound {
 		return nil, refused
 	}
-	s.noteHandedOver(t, next.step, reply.StepComplete)
+	s.noteHandedOver(t, next.step, reply)
 	return encoded, nil
 }
 
@@ -285,13 +294,15 @@
 	return step.delivered+len(t.delivery.sealedIDs) == len(step.ids)
 }
 
-func (s *Server) noteHandedOver(t *trainerState, step *deliveryStep, complete bool) {
-	if !complete {
-		return
-	}
+func (s *Server) noteHandedOver(t *trainerState, step *deliveryStep, reply *fetchReply) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if step.handed {
+	ages := make([]uint64, 0, len(reply.Samples))
+	for _, sample := range reply.Samples {
+		ages = append(ages, sample.Age)
+	}
+	t.account.handedOver(ages)
+	if !reply.StepComplete || step.handed {
 		return
 	}
 	step.handed, step.scheduled = true, false
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -84,6 +84,28 @@
 	total("weight_store_throttled_total", "Orders delayed because the weight store throttled.", func(s *Stats) uint64 { return s.Throttled }),
 }
 
+// trainerFigure is one metric of each owned trainer.
+type trainerFigure struct {
+	desc  *prometheus.Desc
+	kind  prometheus.ValueType
+	value func(TrainerStats) float64
+}
+
+func newTrainerFigure(kind prometheus.ValueType, name, help string, value func(TrainerStats) float64) trainerFigure {
+	return trainerFigure{desc: metrics.Describe(metricsSubsystem, name, help, "trainer"), kind: kind, value: value}
+}
+
+var trainerFigures = []trainerFigure{
+	newTrainerFigure(prometheus.CounterValue, "trainer_observed_seconds_total", "Time since the trainer's first fetch here.",
+		func(t TrainerStats) float64 { return t.ObservedSeconds }),
+	newTrainerFigure(prometheus.CounterValue, "trainer_waited_seconds_total", "Time of it in which a fetch waited: idle, unless the trainer fetches ahead.",
+		func(t TrainerStats) float64 { return t.WaitedSeconds }),
+	newTrainerFigure(prometheus.GaugeValue, "trainer_staleness_mean", "Mean age of the trainer's samples when handed over, in versions.",
+		func(t TrainerStats) float64 { return t.StalenessMean }),
+	newTrainerFigure(prometheus.GaugeValue, "trainer_staleness_max", "Age of the oldest of the trainer's samples when handed over, in versions.",
+		func(t TrainerStats) float64 { return float64(t.StalenessMax) }),
+}
+
 var (
 	leaseDesc    = metrics.Describe(metricsSubsystem, "lease_held", "1 while the lease on the table holds; without it nothing is handed over.")
 	drainingDesc = metrics.Describe(metricsSubsystem, "draining", "1 while the coordinator stops by plan.")
@@ -96,6 +118,9 @@
 	for _, one := range figures {
 		descs <- one.desc
 	}
+	for _, one := range trainerFigures {
+		descs <- one.desc
+	}
 }
 
 // Collect implements prometheus.Collector.
@@ -107,4 +132,9 @@
 	for _, one := range figures {
 		found <- prometheus.MustNewConstMetric(one.desc, one.kind, one.value(&stats))
 	}
+	for _, trainer := range stats.TrainerStats {
+		for _, one := range trainerFigures {
+			found <- prometheus.MustNewConstMetric(one.desc, one.kind, one.value(trainer), trainer.Trainer)
+		}
+	}
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -234,6 +234,8 @@
 	Throttled        uint64 `json:"throttled"` // by the weight store
 	LoadPolls        uint64 `json:"load_polls"`
 	LastWaveMillis   int64  `json:"last_wave_millis"`
+	// TrainerStats are the accounts of the trainers owned now, by name.
+	TrainerStats []TrainerStats `json:"trainer_stats,omitempty"`
 }
 
 // Stats returns the counts so far.
@@ -242,6 +244,7 @@
 	defer s.mutex.Unlock()
 	stats := s.stats
 	stats.Trainers = len(s.trainers)
+	stats.TrainerStats = s.trainerStats()
 	for _, p := range s.pools {
 		stats.Running += len(p.running)
 		if p.wave == nil {
--- a/internal/coordinator/trainer.go
+++ b/internal/coordinator/trainer.go
@@ -23,6 +23,7 @@
 	changed  chan struct{}       // closed and replaced when a waiting fetch should look again
 	turn     *turn               // of the fetch being served
 	version  uint64              // named by the last fetch
+	account  trainerAccount
 	// served is the fetch for which the ledger knows that the sealed batch may be handed over.
 	served  fetchMark
 	sealing bool // a batch is on its way to the ledger: nothing may be discarded
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -34,6 +34,7 @@
 type Fleet struct {
 	Pools        []PoolStatus        `json:"pools"`
 	Coordinators []CoordinatorStatus `json:"coordinators"`
+	Trainers     []TrainerStatus     `json:"trainers"`
 }
 
 // PoolStatus counts a pool's back ends.
@@ -66,6 +67,33 @@
 	LastWaveMillis  int64  `json:"last_wave_millis"` // time of the last weight version to reach all replicas
 }
 
+// TrainerStatus is what the coordinator that owns a trainer has seen of it since its first fetch there.
+type TrainerStatus struct {
+	Trainer         string  `json:"trainer"`
+	Coordinator     string  `json:"coordinator"`
+	ObservedSeconds float64 `json:"observed_seconds"`
+	WaitedSeconds   float64 `json:"waited_seconds"` // in fetches: idle, unless it fetches ahead while it trains
+	Waiting         bool    `json:"waiting"`        // now
+	Samples         uint64  `json:"samples"`        // acknowledged
+	StalenessMean   float64 `json:"staleness_mean"` // versions
+	StalenessP99    uint64  `json:"staleness_p99"`
+	StalenessMax    uint64  `json:"staleness_max"`
+}
+
+// idleText is the share of the time that a trainer waited.
+func (t TrainerStatus) idleText() string {
+	if t.ObservedSeconds <= 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f%%", 100*min(t.WaitedSeconds/t.ObservedSeconds, 1))
+}
+
+// coordinatorReport is a coordinator's answer.
+type coordinatorReport struct {
+	CoordinatorStatus
+	TrainerStats []TrainerStatus `json:"trainer_stats"`
+}
+
 // loadReport is what status needs of a back end's load report.
 type loadReport struct {
 	WeightVersion string `json:"weight_version"`
@@ -88,7 +116,7 @@
 
 func readFleet(sheet *Sheet, members []*wire.Member) *Fleet {
 	asker := newAsker()
-	fleet := &Fleet{Pools: []PoolStatus{}, Coordinators: []CoordinatorStatus{}}
+	fleet := &Fleet{Pools: []PoolStatus{}, Coordinators: []CoordinatorStatus{}, Trainers: []TrainerStatus{}}
 	for _, row := range sheet.Rows {
 		if row.Cells[table.ColumnKind].Value == string(table.Pool) {
 			fleet.Pools = append(fleet.Pools, PoolStatus{Pool: row.Name, Draining: []string{}, Unreachable: []string{}, Versions: []VersionCount{}})
@@ -191,18 +219,25 @@
 }
 
 func (f *Fleet) askCoordinator(asker *asker, member *wire.Member) {
-	status := &CoordinatorStatus{}
-	asker.ask(member.Address, statsPath, status, func(err error) {
+	report := &coordinatorReport{}
+	asker.ask(member.Address, statsPath, report, func(err error) {
 		if err != nil {
-			*status = CoordinatorStatus{Error: err.Error()}
+			*report = coordinatorReport{CoordinatorStatus: CoordinatorStatus{Error: err.Error()}}
+		}
+		report.Name = member.Name
+		f.Coordinators = append(f.Coordinators, report.CoordinatorStatus)
+		for _, trainer := range report.TrainerStats {
+			trainer.Coordinator = member.Name
+			f.Trainers = append(f.Trainers, trainer)
 		}
-		status.Name = member.Name
-		f.Coordinators = append(f.Coordinators, *status)
 	})
 }
 
 func (f *Fleet) sort() {
 	slices.SortFunc(f.Coordinators, func(left, right CoordinatorStatus) int { return cmp.Compare(left.Name, right.Name) })
+	slices.SortFunc(f.Trainers, func(left, right TrainerStatus) int {
+		return cmp.Or(cmp.Compare(left.Trainer, right.Trainer), cmp.Compare(left.Coordinator, right.Coordinator))
+	})
 	for _, pool := range f.Pools {
 		slices.Sort(pool.Unreachable)
 		slices.SortFunc(pool.Versions, func(left, right VersionCount) int { return cmp.Compare(right.Number, left.Number) })
@@ -224,7 +259,7 @@
 		coordinators = append(coordinators, []string{one.Name, decimal(uint64(one.Trainers)), decimal(uint64(one.Running)),
 			decimal(one.StepsCompleted), decimal(one.HandedOver), decimal(one.DiscardedStale), decimal(uint64(one.LastWaveMillis))})
 	}
-	for _, records := range [][][]string{pools, coordinators} {
+	for _, records := range [][][]string{pools, coordinators, f.trainerRecords()} {
 		if len(records) == 1 {
 			continue
 		}
@@ -238,6 +273,19 @@
 	return nil
 }
 
+func (f *Fleet) trainerRecords() [][]string {
+	records := [][]string{{"trainer", "coordinator", "idle", "waiting now", "samples", "staleness mean", "p99", "max"}}
+	for _, one := range f.Trainers {
+		waiting := "no"
+		if one.Waiting {
+			waiting = "yes"
+		}
+		records = append(records, []string{one.Trainer, one.Coordinator, one.idleText(), waiting, decimal(one.Samples),
+			fmt.Sprintf("%.2f", one.StalenessMean), decimal(one.StalenessP99), decimal(one.StalenessMax)})
+	}
+	return records
+}
+
 func (p *PoolStatus) versionText() string {
 	var texts []string
 	for _, version := range p.Versions {
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -38,7 +38,8 @@
 	first := serveJSON(t, loadPath, `{"weight_version":"v2","version_number":2,"running":4}`)
 	second := serveJSON(t, loadPath, `{"weight_version":"v2","version_number":2,"running":0}`)
 	broken := serveJSON(t, loadPath, `{"running":`)
-	coordinator := serveJSON(t, statsPath, `{"trainers":2,"running":5,"steps_completed":7}`)
+	coordinator := serveJSON(t, statsPath, `{"trainers":2,"running":5,"steps_completed":7,"trainer_stats":[
+		{"trainer":"b"},{"trainer":"a","observed_seconds":80,"waited_seconds":20,"waiting":true,"samples":64,"staleness_mean":1.25,"staleness_p99":2,"staleness_max":3}]}`)
 	sheet := NewSheet(&wire.TableUpdate{ToVersion: 1, Rows: []*wire.TableRow{
 		sheetRow("copy", "kind", "pool"),
 		sheetRow("e1", "kind", "backend", "pool", "copy", "address", old, "state", "draining"),
@@ -67,7 +68,8 @@
 	if err := fleet.Write(&out); err != nil {
 		t.Fatal(err)
 	}
-	for _, part := range []string{"copy  5          7        v2: 2, v1: 1     e1        e4, e5", "c2           no answer"} {
+	for _, part := range []string{"copy  5          7        v2: 2, v1: 1     e1        e4, e5", "c2           no answer",
+		"a        c1           25%   yes          64       1.25            2    3", "b        c1           -     no           0        0.00            0    0"} {
 		if !strings.Contains(out.String(), part) {
 			t.Errorf("%q is not in\n%s", part, out.String())
 		}
--- a/internal/page/assets/page.js
+++ b/internal/page/assets/page.js
@@ -206,6 +206,11 @@
   if (status.members_error) say(`The members are not known: ${status.members_error}`, true);
 }
 
+function idleText(trainer) {
+  if (trainer.observed_seconds <= 0) return "-";
+  return `${Math.round(100 * Math.min(trainer.waited_seconds / trainer.observed_seconds, 1))}%`;
+}
+
 function drawFleet(fleet) {
   drawTable("pools", ["pool", "back ends", "running", "weight versions", "draining", "unreachable"], fleet.pools.map((pool) => [
     [pool.pool], [pool.backends], [pool.running], [pool.versions.map((one) => `${one.version}: ${one.replicas}`).join(", ")],
@@ -215,6 +220,10 @@
     fleet.coordinators.map((one) => one.error ? [[one.name], ["no answer", "bad"]] : [
       [one.name], [one.trainers], [one.running], [one.steps_completed], [one.handed_over], [one.discarded_stale], [`${one.last_wave_millis} ms`],
     ]));
+  drawTable("trainers", ["trainer", "coordinator", "idle", "waiting now", "samples", "staleness mean", "p99", "max"], fleet.trainers.map((one) => [
+    [one.trainer], [one.coordinator], [idleText(one)], [one.waiting ? "yes" : "no"], [one.samples], [one.staleness_mean.toFixed(2)],
+    [one.staleness_p99], [one.staleness_max],
+  ]));
 }
 
 function drawHistory(entries) {
@@ -253,6 +262,7 @@
   } catch (error) {
     drawTable("pools", [`not known: ${error.message}`], []);
     drawTable("coordinators", [], []);
+    drawTable("trainers", [], []);
   }
   setTimeout(liveFleet, fleetPollMillis);
 }
--- a/internal/page/page_test.go
+++ b/internal/page/page_test.go
@@ -223,6 +223,9 @@
 	if len(fleet.Pools) != 1 || fleet.Pools[0].Backends != 1 || len(fleet.Pools[0].Unreachable) != 1 || fleet.Pools[0].Unreachable[0] != "engine-1" {
 		t.Fatalf("fleet %+v; want engine-1 of copy unreachable", fleet)
 	}
+	if fleet.Coordinators == nil || fleet.Trainers == nil {
+		t.Fatalf("fleet %+v; the page needs lists, also empty ones", fleet)
+	}
 }
 
 func TestSchemaOfThePageDiffersFromTheTable(t *testing.T) {
