coordinator: tests of a collector that says nothing and of who may ask it

Cause: the fall-back to own polls and the door of the collector's news had no test over real processes. Change: a collector stays a live member and refuses; the other coordinator must poll. The doors' test asks for the news with every token.

--- a/internal/coordinator/collector_test.go
+++ b/internal/coordinator/collector_test.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,17 +16,9 @@
 func TestOnlyTheOwnerOfAWaveAsksTheReplicas(t *testing.T) {
 	t.Parallel()
 	f := newLeasedFixture(t, longLease, 2, 2)
-	both := []candidate{{name: "c0"}, {name: "c1"}}
-	collector := chooseOwner(poolResource("copy"), both).name
-	name := ""
-	for index := 0; name == "" || chooseOwner(trainerResource(name), both).name == collector; index++ {
-		name = fmt.Sprint("trainer-", index)
-	}
+	collector, name := f.collectorAndTrainer()
 	polled := map[string]uint64{}
 	for _, server := range f.coordinators {
-		for len(server.candidates()) < len(both) {
-			time.Sleep(5 * time.Millisecond)
-		}
 		polled[server.config.Name] = server.Stats().LoadPolls
 	}
 	f.train(t, trainer.Config{Name: name, PromptsPerStep: 3, SamplesPerPrompt: 2, MaxTokens: 60, MaxSteps: 3, StepsAhead: 1, Seed: 11})
@@ -38,6 +32,50 @@
 	f.awaitServed(t, 3)
 }
 
+// collectorAndTrainer waits until two coordinators know each other, and returns the name of the one that owns the
+// pool's wave and that of a trainer that the other owns.
+func (f *fixture) collectorAndTrainer() (collector, trainer string) {
+	both := []candidate{{name: "c0"}, {name: "c1"}}
+	collector = chooseOwner(poolResource("copy"), both).name
+	for index := 0; trainer == "" || chooseOwner(trainerResource(trainer), both).name == collector; index++ {
+		trainer = fmt.Sprint("trainer-", index)
+	}
+	for _, server := range f.coordinators {
+		for len(server.candidates()) < len(both) {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return collector, trainer
+}
+
+// TestReplicasArePolledWhenTheirCollectorIsSilent has a collector that stays a live member and says nothing.
+func TestReplicasArePolledWhenTheirCollectorIsSilent(t *testing.T) {
+	t.Parallel()
+	f := newLeasedFixture(t, longLease, 2, 2)
+	collector, name := f.collectorAndTrainer()
+	follower := f.coordinators[0]
+	for _, server := range f.coordinators {
+		if server.config.Name == collector {
+			server.leaving.Store(true)
+		} else {
+			follower = server
+		}
+	}
+	before := follower.Stats().LoadPolls
+	ctx, cancel := context.WithTimeout(f.context, testTimeout)
+	made := f.newTrainer(t, trainer.Config{Name: name, PromptsPerStep: 2, SamplesPerPrompt: 2, MaxTokens: 40, MaxSteps: 1, Seed: 12})
+	var training sync.WaitGroup
+	training.Go(func() { _ = made.Run(ctx) }) // its versions can't be announced, as the collector refuses
+	defer training.Wait()
+	defer cancel()
+	for follower.Stats().LoadPolls == before {
+		if ctx.Err() != nil {
+			t.Fatal("nobody polls the replicas")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 func TestNewsOfASilentCollectorIsNotFollowed(t *testing.T) {
 	var news collectorNews
 	news.follow(time.Second, "c0")
--- a/internal/coordinator/doors_test.go
+++ b/internal/coordinator/doors_test.go
@@ -22,10 +22,10 @@
 	server := &Server{config: Config{Guard: guard}}
 	server.leaving.Store(true) // what gets through the door is refused as draining
 	for name, token := range tokens {
-		for _, target := range []string{"PUT /v1/trainers/wording/steps/1", "POST /v1/trainers/wording/fetch", "POST /v1/trainers/wording/versions", "GET /v1/stats", "POST " + handOverPath} {
+		for _, target := range []string{"PUT /v1/trainers/wording/steps/1", "POST /v1/trainers/wording/fetch", "POST /v1/trainers/wording/versions", "GET /v1/stats", "POST " + handOverPath, "GET " + newsPath + "copy"} {
 			var method, url string
 			_, _ = fmt.Sscan(target, &method, &url)
-			if url == handOverPath && name == "c1" {
+			if strings.HasPrefix(url, "/v1/coordinators/") && name == "c1" {
 				continue // let in; the rest needs a session with the control nodes
 			}
 			request := httptest.NewRequest(method, url, nil)
@@ -36,7 +36,7 @@
 			switch {
 			case name == "none":
 				want = http.StatusUnauthorized
-			case method == http.MethodGet && name != "shop":
+			case url == "/v1/stats" && name != "shop":
 				want = http.StatusOK
 			case strings.HasPrefix(url, "/v1/trainers/") && name == "wording":
 				want = http.StatusServiceUnavailable
