coordinator, gateway: samples take their KV cache along from a replica that leaves

Change: the coordinator exports the cache, imports it at the replica with the fewest requests that stays, and sends the continuation there with kv_import and the new header Tamarindring-Replica. The gateway takes the named back end while it may take the request, and ends an exported stream with the engine's error, where it used to replay it. Failures fall back to the prefill. The packages coordinator, gateway, routing, standin/engine and dispatch pass.

--- a/internal/coordinator/generate.go
+++ b/internal/coordinator/generate.go
@@ -37,6 +37,10 @@
 	told    int      // tokens that the scheduler was told of
 	gateway string   // address, of the request under way
 	replica string   // that made the newest token of the request under way
+	// requestID is the name of the request under way at its replica; empty until its first token.
+	requestID string
+	// moved is closed once the transfer of the KV cache has ended; nil when there is none.
+	moved chan struct{}
 	// stop ends the request under way; what it has made is kept.
 	stop context.CancelCauseFunc
 	// generated is set once the text is whole and waits for its score and the ledger.
@@ -68,6 +72,7 @@
 	s.start(func() {
 		defer cancel()
 		if err := s.generate(one); err != nil {
+			s.awaitMove(one)
 			s.interrupted(one, err)
 			return
 		}
@@ -148,6 +153,7 @@
 	MaxTokens    uint32 `json:"max_tokens,omitempty"`
 	Seed         uint64 `json:"seed"`
 	PrefixTokens int    `json:"prefix_tokens,omitempty"`
+	KVImport     string `json:"kv_import,omitempty"`
 	Prompt       string `json:"prompt"`
 }
 
@@ -163,7 +169,7 @@
 	ctx, stop := context.WithCancelCause(one.context)
 	defer stop(nil)
 	s.mutex.Lock()
-	one.gateway, one.replica, one.stop = gateway.address, "", stop
+	one.gateway, one.replica, one.requestID, one.stop = gateway.address, "", "", stop
 	s.mutex.Unlock()
 	response, err := s.requestCompletion(ctx, one, gateway.address)
 	if err != nil {
@@ -190,9 +196,13 @@
 }
 
 func (s *Server) requestCompletion(ctx context.Context, one *run, address string) (*http.Response, error) {
+	var cache kvCache
+	if one.partial.cache != nil {
+		cache, one.partial.cache = *one.partial.cache, nil // it serves once
+	}
 	body, err := json.Marshal(completionBody{
 		Model: one.pool.name, Stream: true, MaxTokens: one.slot.prompt.GetMaxTokens(), Seed: uint64(one.id.Index),
-		PrefixTokens: one.partial.tokens, Prompt: one.slot.prompt.GetText() + one.partial.text.String(),
+		PrefixTokens: one.partial.tokens, Prompt: one.slot.prompt.GetText() + one.partial.text.String(), KVImport: cache.id,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -205,6 +215,9 @@
 	request.Header.Set("Tamarindring-Class", classRollout)
 	request.Header.Set("Tamarindring-Deadline", s.config.GenerationDeadline.String())
 	request.Header.Set("X-Request-Id", one.id.String())
+	if cache.replica != "" {
+		request.Header.Set("Tamarindring-Replica", cache.replica)
+	}
 	showToken(request, s.config.Credentials.Authorization())
 	return s.calls.Do(request)
 }
--- a/internal/coordinator/metrics.go
+++ b/internal/coordinator/metrics.go
@@ -70,6 +70,8 @@
 	total("attempts_interrupted_total", "Attempts at a sample that ended early.", func(s *Stats) uint64 { return s.Interrupted }),
 	total("attempts_continued_total", "Attempts that went on from kept tokens.", func(s *Stats) uint64 { return s.Continued }),
 	total("attempts_moved_total", "Attempts taken off a replica or gateway that leaves.", func(s *Stats) uint64 { return s.Moved }),
+	total("attempts_transferred_total", "Attempts taken off a replica that leaves with their KV cache.",
+		func(s *Stats) uint64 { return s.Transferred }),
 	total("samples_inherited_total", "Begun samples that a former owner handed over.", func(s *Stats) uint64 { return s.Inherited }),
 	total("takeovers_total", "Trainers adopted with open steps.", func(s *Stats) uint64 { return s.Takeovers }),
 	total("deposed_total", "Trainers that another coordinator took over.", func(s *Stats) uint64 { return s.Deposed }),
--- a/internal/coordinator/move.go
+++ b/internal/coordinator/move.go
@@ -12,8 +12,8 @@
 var errMoved = errors.New("the replica or gateway is leaving")
 
 // moveAway takes samples off replicas that leave and off gateways that are not live any more. The tokens made
-// so far go along as the continuation's prefix, which costs the next replica one prefill. The caller holds
-// the mutex.
+// so far go along as the continuation's prefix; the KV cache goes along from a replica that leaves, which saves the
+// next one a prefill. The caller holds the mutex.
 func (s *Server) moveAway(p *pool, view *table.View) {
 	live := map[string]bool{}
 	for _, member := range s.session.Members().GetMembers() {
@@ -28,7 +28,11 @@
 		if live[one.gateway] && !s.leavingReplica(p, view, one.replica) {
 			continue
 		}
-		one.stop(errMoved)
+		if live[one.gateway] {
+			s.transfer(one, view, one.stop)
+		} else {
+			one.stop(errMoved)
+		}
 		one.stop = nil
 		s.stats.Moved++
 	}
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -220,6 +220,7 @@
 	DiscardedTokens  uint64 `json:"discarded_tokens"` // generated and never handed over
 	Interrupted      uint64 `json:"interrupted"`      // attempts that ended early
 	Moved            uint64 `json:"moved"`            // of them, taken off a replica or gateway that leaves
+	Transferred      uint64 `json:"transferred"`      // of the moved, with their KV cache
 	Continued        uint64 `json:"continued"`        // attempts that went on from kept tokens
 	Takeovers        uint64 `json:"takeovers"`        // trainers adopted with open steps
 	Deposed          uint64 `json:"deposed"`          // trainers that another coordinator took
--- a/internal/coordinator/stream.go
+++ b/internal/coordinator/stream.go
@@ -15,6 +15,7 @@
 
 // chunk is one event of a streamed answer.
 type chunk struct {
+	ID      string        `json:"id"`
 	Choices []chunkChoice `json:"choices"`
 	Error   *struct {
 		Code    string `json:"code"`
@@ -31,6 +32,7 @@
 	TokenCount    int     `json:"token_count"`
 	Replica       string  `json:"replica"`
 	Checksum      string  `json:"checksum"`
+	RequestID     string  `json:"-"` // the request's name at its engine
 }
 
 // The marks of the common form of a chunk. Inside a JSON string a quotation mark is escaped, so that these
@@ -38,6 +40,8 @@
 var (
 	dataPrefix    = []byte("data:")
 	doneData      = []byte("[DONE]")
+	idMark        = []byte(`"id":"`)
+	choicesEnd    = []byte(`}]`)
 	choicesMark   = []byte(`"choices":[{`)
 	textMark      = []byte(`"text":"`)
 	unfinished    = []byte(`"finish_reason":null`)
@@ -96,6 +100,10 @@
 	if at < 0 || bytes.Contains(data, separatorMark) || !bytes.Contains(data, unfinished) {
 		return false
 	}
+	requestID, plain := chunkID(data, at)
+	if !plain {
+		return false
+	}
 	data = data[at+len(choicesMark):]
 	words, hasText := textAfter(data, textMark)
 	version, hasVersion := textAfter(data, versionMark)
@@ -113,9 +121,24 @@
 	c.VersionNumber, c.TokenOffset, c.TokenCount = number, int(offset), int(count)
 	setText(&c.WeightVersion, version)
 	setText(&c.Replica, replica)
+	setText(&c.RequestID, requestID)
 	return true
 }
 
+// chunkID returns the identity of a chunk whose choices begin at a position, empty when it has none; false when that
+// cannot be told apart from an identity of something else in it.
+func chunkID(data []byte, choices int) (id []byte, plain bool) {
+	first := bytes.Index(data, idMark)
+	if first < 0 {
+		return nil, true
+	}
+	inChoices := first > choices && first < bytes.LastIndex(data, choicesEnd)
+	if inChoices || bytes.LastIndex(data, idMark) != first {
+		return nil, false
+	}
+	return textAfter(data, idMark)
+}
+
 // setText makes a new string only when the text is another one.
 func setText(held *string, value []byte) {
 	if *held != string(value) {
@@ -169,6 +192,7 @@
 		return trace.BadParameter("a chunk has %d choices", len(event.Choices))
 	}
 	*c = event.Choices[0]
+	c.RequestID = event.ID
 	return nil
 }
 
@@ -194,7 +218,7 @@
 	if !one.current() {
 		return context.Canceled
 	}
-	one.replica = choice.Replica
+	one.replica, one.requestID = choice.Replica, choice.RequestID
 	segments := len(one.partial.segments)
 	one.partial.add(choice.Text, choice.TokenCount, choice.WeightVersion, choice.VersionNumber, choice.Replica)
 	if one.partial.tokens >= one.told+progressTokens || len(one.partial.segments) > segments {
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -174,8 +174,9 @@
 	go func() { ended <- made.Run(ctx) }()
 	f.await(t, "samples are begun", func() bool { return f.coordinators[0].begunSamples() > 0 })
 	busy := f.gateway.Dispatches(0)[0].Backend // routing fills replicas one after the other, in an order of its own
-	f.change(t, [3]string{busy, "state", "draining"})
 	engine := int(busy[1] - '0')
+	f.awaitReport(t, fmt.Sprintf("e%d", 1-engine)) // KV caches go only to a replica that is known to serve
+	f.change(t, [3]string{busy, "state", "draining"})
 	f.await(t, "no sample runs on the draining replica", func() bool {
 		return f.coordinators[0].Stats().Moved > 0 && f.executing(engine, config) == 0
 	})
@@ -185,9 +186,30 @@
 	f.stall(0)
 	must(t, <-ended)
 	checkTrainer(t, made, config)
-	if stats := f.coordinators[0].Stats(); stats.Moved == 0 || stats.DiscardedTokens != 0 {
+	if stats := f.coordinators[0].Stats(); stats.Moved == 0 || stats.Transferred == 0 || stats.DiscardedTokens != 0 {
 		t.Errorf("stats %+v", stats)
 	}
+	for index := range config.PromptsPerStep {
+		for _, execution := range f.engines[engine].ExecutionsOf(config.Prompt(1, index)) {
+			if execution.Outcome == enginestandin.OutcomeExported {
+				return
+			}
+		}
+	}
+	t.Error("the drained replica has exported no KV cache")
+}
+
+// awaitReport waits until the coordinator has heard of a replica.
+func (f *fixture) awaitReport(t *testing.T, replica string) {
+	t.Helper()
+	server := f.coordinators[0]
+	heard := func() bool {
+		server.mutex.Lock()
+		defer server.mutex.Unlock()
+		known := server.pool("copy").replicas[replica]
+		return known != nil && known.known
+	}
+	f.await(t, "the coordinator has heard of "+replica, heard)
 }
 
 // executing counts the samples of a config's first step that run on an engine.
--- a/internal/coordinator/trainer.go
+++ b/internal/coordinator/trainer.go
@@ -37,6 +37,7 @@
 	text     strings.Builder
 	tokens   int
 	segments []*wire.Segment
+	cache    *kvCache // of the tokens, at a replica that waits for the continuation; nil when none
 }
 
 // add appends tokens of one version made by one replica.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -252,7 +252,7 @@
 func (x *exchange) choose(excluded []string) {
 	x.leaveBackend(outcomeNeutral)
 	x.abandoned.Store(false)
-	chosen, ok := x.pool.choose(x.server.now(), &x.routed, excluded)
+	chosen, ok := x.pool.choose(x.server.now(), &x.routed, excluded, x.call.preferred)
 	x.chosen = chosen
 	if !ok {
 		x.feed(dispatch.Event{Kind: dispatch.BackendNone})
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -151,14 +151,17 @@
 }
 
 // choose chooses a back end and counts the request there; ok is false when none may take it.
-func (p *pool) choose(now time.Duration, request *routing.Request, excluded []string) (chosen choice, ok bool) {
+func (p *pool) choose(now time.Duration, request *routing.Request, excluded []string, preferred string) (chosen choice, ok bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	request.Excluded = request.Excluded[:0]
 	for _, name := range excluded {
 		request.Excluded = append(request.Excluded, p.replicas.Index(name))
 	}
-	i := p.policy.Choose(p.replicas, request, now, p.random)
+	i := p.replicas.Index(preferred)
+	if i < 0 || !p.replicas.Usable(i, request, now) {
+		i = p.policy.Choose(p.replicas, request, now, p.random)
+	}
 	if i == routing.None {
 		return choice{version: p.version}, false
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -22,6 +22,7 @@
 	HeaderRepeatable   = "Tamarindring-Repeatable"
 	HeaderClass        = "Tamarindring-Class"
 	HeaderDeadline     = "Tamarindring-Deadline"
+	HeaderReplica      = "Tamarindring-Replica" // back end to prefer, which holds the request's KV cache
 	HeaderRequestID    = "X-Request-Id"
 	HeaderBackend      = "Tamarindring-Backend"
 	HeaderTableVersion = "Tamarindring-Table-Version"
@@ -62,6 +63,7 @@
 	key         string
 	repeatable  bool
 	requestID   string
+	preferred   string // back end to choose first, if it may take the request
 	contentType string
 	timeout     time.Duration // 0: the pool's own
 	fields      completionFields
@@ -149,13 +151,15 @@
 	c.key = string(header.Peek(HeaderKey))
 	c.requestID = string(header.Peek(HeaderRequestID))
 	c.class = string(header.Peek(HeaderClass))
+	c.preferred = string(header.Peek(HeaderReplica))
 	c.contentType = string(header.ContentType())
 	if c.class == "" {
 		c.class = ClassLive
 	}
-	if len(c.key) > maxKeyBytes || len(c.requestID) > maxIDBytes || len(c.class) > maxClassBytes {
+	if len(c.key) > maxKeyBytes || len(c.requestID) > maxIDBytes || len(c.class) > maxClassBytes ||
+		len(c.preferred) > maxIDBytes {
 		c.key = ""
-		return bad(http.StatusBadRequest, "header_too_long", "Idempotency-Key, X-Request-Id or Tamarindring-Class is too long")
+		return bad(http.StatusBadRequest, "header_too_long", "Idempotency-Key, X-Request-Id, Tamarindring-Class or Tamarindring-Replica is too long")
 	}
 	text := string(header.Peek(HeaderDeadline))
 	if text == "" {
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -17,6 +17,7 @@
 	contentMark      = []byte(`"content":"`)
 	finishMark       = []byte(`"finish_reason":`)
 	choiceMark       = []byte(`"choices":[{`)
+	exportedMark     = []byte(`"code":"exported"`)
 	eventEnd         = []byte("\n\n")
 	eventEndCarriage = []byte("\r\n\r\n")
 	doneEvent        = []byte("data: [DONE]\n\n")
@@ -31,6 +32,7 @@
 	finished bool // it carries a finish reason
 	done     bool // it is the end mark
 	failed   bool // it is an error event
+	exported bool // an error event: the engine has given the request's KV cache away
 }
 
 // nextEvent cuts the first whole event off buffer; ok is false when there is none.
@@ -57,7 +59,7 @@
 		return chunkFacts{done: true}
 	}
 	if bytes.HasPrefix(data, []byte(`{"error"`)) {
-		return chunkFacts{failed: true}
+		return chunkFacts{failed: true, exported: bytes.Contains(data, exportedMark)}
 	}
 	facts := chunkFacts{id: leadingID(data)}
 	var hasOffset, hasCount bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -144,6 +144,9 @@
 	s := &x.stream
 	facts := inspect(event)
 	switch {
+	case facts.exported && x.call.repeatable:
+		x.endExported(event)
+		return
 	case facts.failed:
 		x.cutStream(io.ErrUnexpectedEOF)
 		return
@@ -173,6 +176,14 @@
 	s.event = nil
 }
 
+// endExported ends the answer with the engine's own error: whoever had the request's KV cache exported goes on with it
+// elsewhere, so that nothing is to be replayed here.
+func (x *exchange) endExported(event []byte) {
+	x.stream.out = append(x.stream.out, event...)
+	x.dropUpstream()
+	x.feed(dispatch.Event{Kind: dispatch.CallerGone})
+}
+
 // ownChunk tells whether a chunk's identity is the one of the chunks before it, and names no other request.
 func (x *exchange) ownChunk(id []byte) bool {
 	s := &x.stream
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -29,6 +29,12 @@
 	return !p.replicas[i].config.Reserve && p.open(i, request) && !p.replicas[i].avoided(now)
 }
 
+// Usable tells whether a replica of the subset may get the request: one that a caller has reasons of its own to prefer
+// is taken past the policy.
+func (p *Pool) Usable(i int, request *Request, now time.Duration) bool {
+	return p.usable(i, request, now)
+}
+
 // takesWork tells whether a replica takes requests at all, be it now or when others have ended.
 func (r *replica) takesWork() bool { return r.leaving == 0 && r.config.Weight > 0 }
 
