gateway, experiment: slots of replicas that take no work do not count

Cause: the limits of admission come from the table's rows. Change: a gateway takes the slots of replicas that leave, are quarantined or silent off its limits, at most every 200 ms, while others are left; the experiment does the same.

--- a/internal/experiment/gateway.go
+++ b/internal/experiment/gateway.go
@@ -33,6 +33,10 @@
 	queue  *admission.Queue
 	random *rand.PCG
 	asked  map[uint64]*ask // admitted or waiting
+	limits admission.Limits
+	away   int // slots less than that, as of followed
+
+	followed time.Duration
 }
 
 // ask is a request that asked for admission.
@@ -52,7 +56,7 @@
 			pool: routing.NewPool(routing.Settings{
 				ReportLag: fleet.ReportLag, SpreadBackground: s.policy.off(MechanismPacking),
 			}),
-			queue:  admission.New(s.limits(rank)),
+			limits: s.limits(rank), queue: admission.New(s.limits(rank)),
 			random: rand.NewPCG(s.seed, uint64(rank)<<8|streamGateways),
 		}
 		added.pool.SetReplicas(s.replicaConfigs(added.zone, rank))
@@ -111,8 +115,32 @@
 	return s.scenario.Fleet.RegionDelay
 }
 
+// followInterval is the least time between a gateway's looks for replicas that take no work.
+const followInterval = 200 * time.Millisecond
+
+// follow takes the slots of replicas that take no work off the limits, as the production gateway does.
+func (s *simulation) follow(g *gateway) {
+	if s.now < g.followed+followInterval {
+		return
+	}
+	g.followed = s.now
+	slots, background := g.pool.Away(s.now)
+	if slots >= g.limits.Slots {
+		slots, background = 0, 0
+	}
+	if slots == g.away {
+		return
+	}
+	g.away = slots
+	limits := g.limits
+	limits.Slots -= slots
+	limits.RolloutSlots = max(limits.RolloutSlots-background, 0)
+	s.apply(g, g.queue.SetLimits(s.now, limits))
+}
+
 // admit asks a gateway for admission under an identity of the caller's choice.
 func (s *simulation) admit(g *gateway, request admission.Request, one *ask) {
+	s.follow(g)
 	g.asked[request.ID] = one
 	effects, until := g.queue.Arrive(s.now, request)
 	s.apply(g, effects)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -22,6 +22,9 @@
 	addresses map[string]string // by row name
 	exchanges map[uint64]*exchange
 	random    *rand.PCG
+	limits    admission.Limits // by the table
+	away      int              // slots less than that, as of followed
+	followed  time.Duration
 
 	subset subset // guarded by the server's update mutex
 }
@@ -52,6 +55,32 @@
 	defer p.mutex.Unlock()
 	p.row, p.version, p.addresses = row, view.Version(), addresses
 	p.replicas.SetReplicas(configs)
+	p.limits, p.away, p.followed = limits, 0, 0
+	p.apply(p.queue.SetLimits(now, limits))
+	p.follow(now)
+}
+
+// followInterval is the least time between two looks for replicas that take no work.
+const followInterval = 200 * time.Millisecond
+
+// follow takes the slots of replicas that take no work off the limits: else rollouts fill the others, and live requests
+// find no place. While no replica takes work the limits stay, since it is still tried. The caller holds the mutex.
+func (p *pool) follow(now time.Duration) {
+	if p.followed > 0 && now < p.followed+followInterval {
+		return
+	}
+	p.followed = now
+	slots, background := p.replicas.Away(now)
+	if slots >= p.limits.Slots {
+		slots, background = 0, 0
+	}
+	if slots == p.away {
+		return
+	}
+	p.away = slots
+	limits := p.limits
+	limits.Slots -= slots
+	limits.RolloutSlots = max(limits.RolloutSlots-background, 0)
 	p.apply(p.queue.SetLimits(now, limits))
 }
 
@@ -114,6 +143,7 @@
 func (p *pool) arrive(now time.Duration, x *exchange, request admission.Request) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.follow(now)
 	p.exchanges[request.ID] = x
 	effects, until := p.queue.Arrive(now, request)
 	p.apply(effects)
@@ -133,6 +163,7 @@
 	defer p.mutex.Unlock()
 	delete(p.exchanges, id)
 	p.apply(p.queue.Done(now, id))
+	p.follow(now)
 }
 
 // leave takes a waiting request out.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -247,6 +247,23 @@
 
 // TestAReplicaThatWasNeverAskedGetsWork has one replica that answered its load poll and two that were not
 // asked yet; the last is asked again after it left the subset for a while.
+func TestSlotsOfReplicasThatTakeNoWorkAreAway(t *testing.T) {
+	pool := limitedPool(4, 10)
+	if slots, background := pool.Away(0); slots != 0 || background != 0 {
+		t.Fatalf("%d and %d slots of a sound pool are away", slots, background)
+	}
+	pool.SetLeaving(pool.Name(0), SourceLoadReport, true)
+	for range 3 {
+		pool.Failed(pool.Name(1), 0)
+	}
+	if slots, background := pool.Away(0); slots != 36 || background != 2*pool.replicas[0].config.MaxBackground {
+		t.Errorf("%d and %d slots of a leaving and a quarantined replica are away", slots, background)
+	}
+	if slots, _ := pool.Away(time.Minute); slots != 18 {
+		t.Errorf("%d slots are away after the quarantine", slots)
+	}
+}
+
 func TestAReplicaThatWasNeverAskedGetsWork(t *testing.T) {
 	configs := []ReplicaConfig{{Name: "known", Weight: 1, Polled: true}, {Name: "new", Weight: 100, Polled: true}, {Name: "back", Weight: 100, Polled: true}}
 	pool := NewPool(Settings{})
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -47,6 +47,22 @@
 // troubled tells whether a replica failed or is silent.
 func (r *replica) troubled(now time.Duration) bool { return r.health.quarantined(now) || r.silent() }
 
+// Away sums the limits of the replicas that the table has in service and that take no work now, all told and for rollout
+// work: the other replicas have no room for what was to run there.
+func (p *Pool) Away(now time.Duration) (slots, background int) {
+	for i := range p.replicas {
+		r := &p.replicas[i]
+		if r.config.Reserve || r.config.Draining || r.config.Weight <= 0 {
+			continue
+		}
+		if r.leaving != 0 || r.troubled(now) {
+			slots += r.config.MaxInFlight
+			background += max(r.config.MaxBackground, 0)
+		}
+	}
+	return slots, background
+}
+
 // Spare tells whether some replica other than the one named answers and takes work.
 func (p *Pool) Spare(name string, now time.Duration) bool {
 	for i := range p.replicas {
