sim: torn records and planned stops of coordinators

PlannedStop takes coordinators too, as coordinator.Drain does: no new sample, running ones waited for, trainers given up, fetches answered; in rolling-stop none may be in flight when it stops. Mutation accept-torn-record.

--- a/internal/sim/coordinator.go
+++ b/internal/sim/coordinator.go
@@ -34,6 +34,9 @@
 	reports   map[string]versionReport // by engine
 	wave      *waveOwner
 	requests  uint64
+	draining  bool // starts no sample and takes no trainer over
+	leaving   bool // serves no fetch
+	fetches   int  // being served
 }
 
 // ownedTrainer is a trainer that this coordinator has taken over.
@@ -67,6 +70,7 @@
 	c.start()
 	c.client = c.fleet.newClient(c.process)
 	c.owned, c.running, c.wave = map[string]*ownedTrainer{}, map[rollout.SampleID]*sampleRun{}, nil
+	c.draining, c.leaving, c.fetches = false, false, 0
 	c.reports = map[string]versionReport{}
 	c.partials = map[string]*sampleRun{}
 	c.scheduler = rollout.New(rollout.Config{Policy: rollout.Asynchronous{}})
@@ -108,7 +112,7 @@
 
 // adopt takes a trainer over unless it is owned: fence, a command that shows it to the ledger, then a read.
 func (c *coordinator) adopt(name string, done func(*ownedTrainer)) {
-	if known := c.owned[name]; known != nil {
+	if known := c.owned[name]; known != nil || c.draining {
 		done(known)
 		return
 	}
--- a/internal/sim/delivery.go
+++ b/internal/sim/delivery.go
@@ -21,7 +21,16 @@
 }
 
 // fetch acknowledges the batch before and hands over the one at the cursor.
-func (c *coordinator) fetch(name string, request fetchRequest, reply func(fetchReply)) {
+func (c *coordinator) fetch(name string, request fetchRequest, answer func(fetchReply)) {
+	if c.leaving {
+		answer(fetchReply{})
+		return
+	}
+	c.fetches++
+	reply := func(r fetchReply) {
+		c.fetches--
+		answer(r)
+	}
 	c.adopt(name, func(t *ownedTrainer) {
 		if t == nil {
 			reply(fetchReply{})
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -28,6 +28,8 @@
 	unsynced [][]storage.GroupWrite
 	full     bool
 	failNext bool
+	tearNext bool          // the machine loses power in the middle of the next write
+	torn     bool          // it has
 	slow     time.Duration // longest extra time of a sync
 }
 
@@ -70,6 +72,15 @@
 		p.after(0, func() { done(nil) })
 	}
 	epoch := p.epoch
+	if d.tearNext {
+		d.tearNext = false
+		d.world.after(delay/2, func() {
+			if p.epoch == epoch && p.up {
+				d.torn = true
+				p.die()
+			}
+		})
+	}
 	d.world.after(delay, func() { d.synced(p, epoch, done, early) })
 }
 
@@ -99,13 +110,32 @@
 // crash ends the machine's run: writes that were not synced may be lost, from some point on.
 func (d *disk) crash() {
 	for _, batch := range d.unsynced {
-		if d.world.chance(0.5) {
-			d.world.faults[UnsyncedLost]++
+		if d.torn || d.world.chance(0.5) {
+			d.lose(batch)
 			break
 		}
 		d.store(batch)
 	}
-	d.unsynced, d.failNext = nil, false
+	d.unsynced, d.failNext, d.torn = nil, false, false
+}
+
+// lose drops the first write that did not reach the disk as a whole. The store finds a torn one when it opens the
+// folder, and goes on from the write before.
+func (d *disk) lose(batch []storage.GroupWrite) {
+	if !d.torn {
+		d.world.faults[UnsyncedLost]++
+		return
+	}
+	d.torn = false
+	d.world.faults[TornRecord]++
+	if !d.world.mutated(AcceptTornRecord) {
+		return
+	}
+	for i := range batch {
+		part := batch[i]
+		part.Entries = part.Entries[:len(part.Entries)/2]
+		d.storeGroup(&part)
+	}
 }
 
 func (d *disk) store(batch []storage.GroupWrite) {
--- a/internal/sim/fault.go
+++ b/internal/sim/fault.go
@@ -28,6 +28,7 @@
 	SyncFails                        // a sync fails; what reached the disk is unknown
 	SlowDisk                         // syncs take long
 	UnsyncedLost                     // writes vanish that were not synced when the machine died
+	TornRecord                       // power is lost in the middle of a write: a part of it reached the disk
 	EmptyDisk                        // a machine comes back with an empty disk under its old identity
 	ReplaceMachine                   // a machine is lost for good and replaced by a new one
 	SecondLoss                       // a second machine is lost while the first is being replaced
@@ -37,7 +38,7 @@
 	ZoneLoss                         // all processes of a zone are cut off
 	RegionsApart                     // two regions lose each other
 	BackendLeaves                    // the platform takes a replica away
-	PlannedStop                      // a gateway or control node stops by plan
+	PlannedStop                      // a gateway, coordinator or control node stops by plan
 	LeaderMoves                      // the control group's leadership is handed over
 	faultKinds
 )
@@ -45,7 +46,7 @@
 var faultNames = [faultKinds]string{"kill-backend", "kill-engine",
 	"kill-coordinator", "kill-trainer", "swap-fails", "swap-lies", "kill-gateway", "kill-control", "die-at-step", "power-loss",
 	"cut-one-way", "cut-both-ways", "long-cut", "pause", "long-pause", "disk-full", "sync-fails", "slow-disk",
-	"unsynced-lost", "empty-disk", "replace-machine", "second-loss", "message-loss", "reordering", "duplication",
+	"unsynced-lost", "torn-record", "empty-disk", "replace-machine", "second-loss", "message-loss", "reordering", "duplication",
 	"zone-loss", "regions-apart", "backend-leaves", "planned-stop", "leader-moves"}
 
 // String returns the fault's name.
@@ -141,6 +142,9 @@
 		f.world.after(length, func() { h.disk.full = false })
 	case SyncFails:
 		h.disk.failNext = true
+	case TornRecord:
+		h.disk.tearNext = true
+		return false // counted when it happens
 	case SlowDisk:
 		h.disk.slow = f.world.between(10*time.Millisecond, 700*time.Millisecond)
 		f.world.after(length, func() { h.disk.slow = 0 })
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -283,7 +283,7 @@
 	f.world.tracef("fleet", "all faults end")
 	f.world.network.heal()
 	for _, h := range f.hosts {
-		h.disk.full, h.disk.failNext, h.disk.slow = false, false, 0
+		h.disk.full, h.disk.failNext, h.disk.tearNext, h.disk.slow = false, false, false, 0
 	}
 	for _, p := range f.processes() {
 		p.dieIn = 0
--- a/internal/sim/generating.go
+++ b/internal/sim/generating.go
@@ -30,7 +30,7 @@
 
 // schedule starts samples and drives the wave, again and again.
 func (c *coordinator) schedule() {
-	if bound, leased := c.bound(); leased {
+	if bound, leased := c.bound(); leased && !c.draining {
 		for _, t := range c.fleet.trainers {
 			if c.owned[t.name] != nil {
 				c.scheduler.Released(c.clock(), t.name, c.available())
--- a/internal/sim/mutation.go
+++ b/internal/sim/mutation.go
@@ -21,6 +21,7 @@
 const (
 	NoMutation               Mutation = ""
 	AnswerBeforeSync         Mutation = "answer-before-sync"          // a host does not wait for its disk
+	AcceptTornRecord         Mutation = "accept-torn-record"          // what reached the disk of a torn write counts
 	SkipLeaseCheck           Mutation = "skip-lease-check"            // a gateway dispatches without a lease
 	LeaseCheckedEarly        Mutation = "lease-checked-early"         // the lease is checked at the choice, not at the dispatch
 	LeaseFromReply           Mutation = "lease-from-reply"            // a lease counts from the reply, not from the renewal
@@ -58,7 +59,7 @@
 
 // Mutations lists all mutations.
 func Mutations() []Mutation {
-	return []Mutation{AnswerBeforeSync, SkipLeaseCheck, LeaseCheckedEarly, LeaseFromReply, GrantAnyVersion,
+	return []Mutation{AnswerBeforeSync, AcceptTornRecord, SkipLeaseCheck, LeaseCheckedEarly, LeaseFromReply, GrantAnyVersion,
 		InForceWithoutWaiting, SkipNewLeaderWait, ReadWithoutBarrier, VoteUnderOldIdentity, IgnorePersistedVote,
 		SnapshotForgetsChangeIDs, ForgetChangeIDs, IgnoreConflicts, ReuseExpiredClaims, GrantTwice, IgnoreTickets,
 		ForgetReleases, DispatchBeforeClaim, TrustLostBegin, RetryAfterFirstByte, RefuseWithoutLedger, ReuseBusyConnection,
--- a/internal/sim/mutation_test.go
+++ b/internal/sim/mutation_test.go
@@ -34,6 +34,7 @@
 		{ContinueFromWrongOffset, "weights-swap", 8},
 		{VersionAskedBefore, "weights-swap", 4},
 		{AnswerBeforeSync, "disk", 24},
+		{AcceptTornRecord, "torn-writes", 8},
 		{ReadWithoutBarrier, "restart-after-hundreds-of-changes", 8},
 		{SnapshotForgetsChangeIDs, "operators-race", 4},
 		{HandOverUnsealed, "takeover", 24},
--- a/internal/sim/planned.go
+++ b/internal/sim/planned.go
@@ -136,10 +136,53 @@
 	return false
 }
 
+// drainPatience is how long a coordinator waits for its running samples.
+const drainPatience = 500 * time.Millisecond
+
+// stop is the planned stop of a coordinator: no new sample, then its trainers are given up and their fetches answered.
+func (c *coordinator) stop() bool {
+	if !c.up || c.draining {
+		return false
+	}
+	c.tracef("drains")
+	c.draining = true
+	c.finishRunning(c.clock() + drainPatience)
+	return true
+}
+
+func (c *coordinator) finishRunning(until time.Duration) {
+	if len(c.running) > 0 && c.clock() < until {
+		c.after(drainPoll, func() { c.finishRunning(until) })
+		return
+	}
+	c.leaving = true
+	for _, t := range c.fleet.trainers {
+		if owned := c.owned[t.name]; owned != nil {
+			c.depose(owned, "draining")
+		}
+	}
+	c.finishFetches(c.clock() + drainLimit)
+}
+
+func (c *coordinator) finishFetches(until time.Duration) {
+	if c.fetches > 0 && c.clock() < until && !c.world.mutated(StopWithoutDrain) {
+		c.after(drainPoll, func() { c.finishFetches(until) })
+		return
+	}
+	if c.fleet.gentle {
+		c.world.truth.examine(invariant.PlannedStop, c.fetches == 0, "%s stops with %d fetches in flight", c.name, c.fetches)
+	}
+	c.session.holder.Drop()
+	c.die()
+}
+
 // plannedStop stops some process by plan.
 func (f *fleet) plannedStop() bool {
-	if f.world.chance(0.5) {
+	switch draw := f.world.random.Intn(5); {
+	case draw < 2:
 		return f.anyGateway().stop()
+	case draw == 2:
+		return f.anyCoordinator().stop()
 	}
 	for _, h := range f.hosts {
 		if h.stopping && !h.replaced || !h.up && !h.replaced {
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -59,6 +59,8 @@
 		{Name: "disk", Help: "disks lose, fill up, fail and are replaced", Length: shortLength,
 			rates: []rate{{PowerLoss, 25 * time.Second}, {DiskFull, 20 * time.Second}, {SyncFails, 15 * time.Second},
 				{SlowDisk, 10 * time.Second}, {EmptyDisk, 25 * time.Second}, {ReplaceMachine, 40 * time.Second}, {KillControl, 20 * time.Second}}},
+		{Name: "torn-writes", Help: "machines lose power in the middle of writes", Length: shortLength,
+			rates: []rate{{TornRecord, 2 * time.Second}, {MessageLoss, 15 * time.Second}, {CutOneWay, 10 * time.Second}}},
 		{Name: "weights-swap", Help: "weights change while engines, coordinators and trainers fail", Length: shortLength,
 			rates: []rate{{SwapFails, 6 * time.Second}, {SwapLies, 15 * time.Second}, {KillEngine, 8 * time.Second},
 				{KillCoordinator, 12 * time.Second}, {KillTrainer, 15 * time.Second}, {LongPause, 10 * time.Second},
