raft: a learner that hears no leader forgets it

Nodes 4 and 5 need its vote then, three of four. Node 6 went on following the leader of its term for ever: without the right to campaign it set its clock back at its election timeout and kept the leader, so that it ignored campaigns but in the ticks between the shortest timeout and its own, which are none for one draw in ten. The control group stayed without a leader. Change: at its election timeout such a node forgets the leader. Conclusion: a real fault of consensus, met by a repair with a second loss before the new node has caught up.

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -131,12 +131,15 @@
 		return
 	}
 	n.electionElapsed++
-	if n.electionElapsed >= n.electionTimeout {
-		n.electionElapsed = 0
-		if n.mayCampaign() {
-			n.campaignForPreVotes()
-		}
+	if n.electionElapsed < n.electionTimeout {
+		return
+	}
+	n.electionElapsed = 0
+	if n.mayCampaign() {
+		n.campaignForPreVotes()
+		return
 	}
+	n.leader = None // may be a voter without knowing it: the others' campaigns are not to be ignored
 }
 
 // Step takes in a message from another node. An error says that no correct peer sends such a message and
