cli: a process without a lease for two minutes starts again

It asks nodes that are gone for ever, and nothing but an operator's restart brings it back. The simulator's roles do the same after one minute. Ways weighed: following the settings file (a second source of truth inside the process), asking other gateways (they may know no better). Conclusion: while the control group is away for longer than that, processes start again and again; they could serve nothing meanwhile but streams that had begun, which the drain gives 30s.

--- a/internal/cli/role.go
+++ b/internal/cli/role.go
@@ -18,6 +18,7 @@
 	Control      string        `long:"control" required:"true" description:"IP:port of the control nodes, separated by commas"`
 	LedgerGroups int           `long:"ledger-groups" default:"2" description:"Number of ledger groups; the same as the control nodes'"`
 	StartTime    time.Duration `long:"start-time" default:"30s" description:"Longest time to wait for the first lease"`
+	LostTime     time.Duration `long:"lost-time" default:"2m" description:"Longest time without a lease before the process drains and fails, so that its supervisor starts it with the settings of the moment; 0 for ever"`
 	LogLevel     string        `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
 	LogFormat    string        `long:"log-format" default:"text" description:"Log format: text or json"`
 	adminOptions
@@ -67,7 +68,7 @@
 	}
 	opened.warnIfOpen(log, "the listener", server.Address())
 	log.Infof("serving on %s", server.Address())
-	return serveMember(environment.Context, server, role.drainTime, log)
+	return serveMember(environment.Context, server, role.drainTime, &lostWatch{limit: o.LostTime}, log)
 }
 
 func (o memberOptions) start(ctx context.Context, opened doors, log *logrus.Entry, role memberRole) (memberServer, error) {
--- a/internal/sim/session.go
+++ b/internal/sim/session.go
@@ -64,6 +64,7 @@
 	attachment *attachment
 	onUpdate   func(*table.View)
 	everHeld   bool
+	heardAt    time.Duration // the last grant
 }
 
 const (
@@ -93,6 +94,22 @@
 			s.client.die()
 		}
 	})
+	s.exitWhenLost()
+}
+
+// lostTime is how long a role goes on without a lease (the flag lost-time); shorter than its default, so that runs
+// reach it.
+const lostTime = time.Minute
+
+func (s *holderSession) exitWhenLost() {
+	s.client.after(lostTime/12, func() {
+		if s.everHeld && s.client.clock()-s.heardAt > lostTime {
+			s.client.tracef("is lost, exits")
+			s.client.die()
+			return
+		}
+		s.exitWhenLost()
+	})
 }
 
 // admit is the check at the point of dispatch.
@@ -206,7 +223,7 @@
 		if s.client.world.mutated(LeaseFromReply) {
 			sentAt = s.client.clock()
 		}
-		s.everHeld = true
+		s.everHeld, s.heardAt = true, s.client.clock()
 		s.holder.Renewed(sentAt, time.Duration(reply.LeaseMillis)*time.Millisecond)
 	}
 	if reply.Update != nil {
