--- a/internal/fleet/stops.go
+++ b/internal/fleet/stops.go
@@ -87,9 +87,10 @@
 		if source.Name == sourceBursts {
 			source.Refused = earlier.Refused // the narrow pool refuses by its limits, whoever stops
 		}
-		failed := source.Refused + source.Lost + source.Cut - earlier.Refused - earlier.Lost - earlier.Cut
+		refused, lost, cut := source.Refused-earlier.Refused, source.Lost-earlier.Lost, source.Cut-earlier.Cut
 		for count := range source.Requests - earlier.Requests {
-			f.registry.Examine(invariant.PlannedStop, count >= failed, "a call of %s failed while %s stopped: %v", source.Name, name, last(source.FailedExamples))
+			f.registry.Examine(invariant.PlannedStop, count >= refused+lost+cut, "calls of %s failed while %s stopped: %d refused, %d lost, %d cut; newest failure of the run: %v",
+				source.Name, name, refused, lost, cut, last(source.FailedExamples))
 		}
 	}
 }
