replica: the border between routing and a site's dialect

Cause: the users' platform registers its replicas and speaks its own headers; forwarding and batch jobs need one border that names none of them. Conclusion: the packages on both sides can be written side by side.

--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,94 @@
+// Package replica is one call to a registered replica of a pool, whatever dialect its site speaks: what is
+// sent, what comes back piece by piece, and whether the request may have run. The names of a site's headers
+// are data (Names); packages that route, retry or schedule see none of them.
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+// Target is the replica that a call is for. A replica that is not Instance refuses the call as not run.
+type Target struct {
+	Instance string // unique for every start of a replica
+	Address  string // IP:port
+}
+
+// Header is one header field as it is sent or was received.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// Call is one request to one replica.
+type Call struct {
+	Target
+	AttemptID string   // identity of the caller's attempt, echoed by the replica
+	Method    string   // such as POST
+	Path      string   // with its query, unaltered
+	Host      string   // the caller's Host
+	Header    []Header // end-to-end fields, without those that this package sets itself
+	Body      []byte
+	Deadline  time.Duration // time that remains; 0: none is sent
+	// Urgency is 0 (most urgent) to 9; negative: none is sent.
+	Urgency int
+	// ResumeAfter is the id of the last event that is already held; negative: the stream is new.
+	ResumeAfter int64
+	// ExpectedVersion makes a replica with other weights refuse the call as not run; 0: any will do.
+	ExpectedVersion uint64
+}
+
+// Head is the beginning of an answer.
+type Head struct {
+	Status   int
+	Header   []Header
+	Length   int64  // bytes of the body; -1: not known beforehand
+	Versions uint64 // weight version that the answer starts under; 0: not named
+	Stream   bool   // the body is a series of events (text/event-stream)
+}
+
+// Sink takes an answer as it comes. An error from it ends the call and closes its connection. Refusals as
+// not run never reach the sink.
+type Sink interface {
+	// Head is called once, before any Body.
+	Head(head Head) error
+	// Body takes the next bytes, which are valid during the call only.
+	Body(chunk []byte) error
+}
+
+// Outcome is how a call ended.
+type Outcome struct {
+	// Verdict is DidNotRun only when the replica said so or the request never left whole.
+	Verdict verdict.Verdict
+	// Status is the replica's; 0 when no answer came.
+	Status int
+	// Whole is true when the complete answer was passed to the sink.
+	Whole bool
+	// Refused says why a call did not run; RefusedNone otherwise.
+	Refused Refusal
+	// Load is what the replica said of itself with its answer; nil if it said nothing.
+	Load *Load
+	Err  error // nil when Whole
+}
+
+// Refusal is a replica's reason not to run a call.
+type Refusal uint8
+
+// The refusals.
+const (
+	RefusedNone        Refusal = iota
+	RefusedFull                // no slot and no place in its queue, or leaving, or busy with an order
+	RefusedWrongTarget         // another replica has the address, or other weights than expected
+	RefusedUnreachable         // no connection came up
+)
+
+// Load is a replica's own account with an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Caller sends calls to replicas; *Client is the usual one. Do returns once the call has ended and its
+// sink will not be called again. When ctx ends the connection is closed, on which the replica gives up.
+type Caller interface {
+	Do(ctx context.Context, call *Call, sink Sink) Outcome
+}
