platform: boot control nodes, gateways and the store role from the platform's settings

Cause: the platform starts processes with a JSON settings file and a list of seeds; the program had no subcommand for it, and a control node had to be told its identity. Change: 'platform control|gateway|store' read the settings; control.OpenSeeded founds from the seeds with identities that follow from the sorted list; a node with a folder starts from the folder. The free space that a control node asks for follows the machine's disk (the default is more than the whole disk there). No request is served yet.

--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/platform"
+)
+
+// platformRole runs one role of the users' platform from the platform's settings file.
+type platformRole struct {
+	LogLevel  string `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
+	LogFormat string `long:"log-format" default:"text" description:"Log format: text or json"`
+}
+
+type platformControlCommand struct{ platformRole }
+
+// Run implements command.
+func (c *platformControlCommand) Run(environment Environment, arguments []string) error {
+	return c.run(environment, arguments, "control", platform.RunControl)
+}
+
+type platformGatewayCommand struct{ platformRole }
+
+// Run implements command.
+func (c *platformGatewayCommand) Run(environment Environment, arguments []string) error {
+	return c.run(environment, arguments, "gateway", platform.RunGateway)
+}
+
+type platformStoreCommand struct{ platformRole }
+
+// Run implements command.
+func (c *platformStoreCommand) Run(environment Environment, arguments []string) error {
+	return c.run(environment, arguments, "store", platform.RunStore)
+}
+
+func (r *platformRole) run(environment Environment, arguments []string, role string,
+	serve func(context.Context, *platform.Settings, *logrus.Entry) error) error {
+	if len(arguments) > 0 {
+		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("platform %s takes no arguments, got %q", role, arguments[0])}
+	}
+	logger, err := logging.New(logging.Config{Level: r.LogLevel, Format: r.LogFormat, Output: environment.Stderr})
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+	}
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+	}
+	return serve(environment.Context, settings, logging.Part(logger, role))
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -54,6 +54,9 @@
 	Region string
 	// DataFolder holds everything that must survive. Required.
 	DataFolder string
+	// HeadroomBytes is the free disk space below which the node takes no new work. Default: that of package
+	// storage.
+	HeadroomBytes uint64
 	// LedgerGroups is the number of ledger groups; fixed for the life of a cluster. Default
 	// DefaultLedgerGroups: one busy group may not hold up all keys.
 	LedgerGroups int
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -16,6 +16,7 @@
 	store, err := storage.Open(storage.Options{
 		Folder: s.config.DataFolder, ClusterID: s.config.ClusterID,
 		NodeID: s.config.NodeID, NodeName: s.config.Name,
+		HeadroomBytes: s.config.HeadroomBytes,
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- /dev/null
+++ b/internal/control/seeds.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/storage"
+)
+
+// SeedConfig lets a control node find the others by a list of addresses instead of identities.
+type SeedConfig struct {
+	// Config is the node's; its name, identity and peers are found here. Listen must be the address under
+	// which the others reach this node.
+	Config
+	// Seeds are the addresses of control nodes. At the first start they are the founders.
+	Seeds []string
+	// Found says that the cluster starts for the first time. It only counts for a node with an empty folder
+	// that is one of the seeds; all others join.
+	Found bool
+}
+
+// OpenSeeded opens a control node that is not told its identity. A folder that holds one is used under it,
+// whatever the seeds are by now. With an empty folder a founder takes the identity that follows from its
+// place in the list, and any other node a random one, under which it waits to be added.
+func OpenSeeded(_ context.Context, seeded SeedConfig) (*Server, error) {
+	config := seeded.Config
+	if len(seeded.Seeds) == 0 {
+		return nil, trace.BadParameter("control node %s needs seeds", config.Name)
+	}
+	founders := foundersOf(seeded.Seeds)
+	identity, err := storage.ReadIdentity(config.DataFolder)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	position := slices.IndexFunc(founders, func(peer Peer) bool { return peer.Address == config.Listen })
+	switch {
+	case identity != nil:
+		config.NodeID, config.Name = identity.NodeID, identity.NodeName
+		config.Join = true // the stored membership counts
+		config.Peers = slices.DeleteFunc(founders, func(peer Peer) bool { return peer.Address == config.Listen })
+	case seeded.Found && position >= 0:
+		config.NodeID, config.Name, config.Peers = founders[position].ID, founders[position].Name, founders
+	default:
+		config.NodeID, config.Join = rand.Uint64()|1<<63, true // never that of a founder
+		config.Name = nodeName(config.Listen, config.NodeID)
+		config.Peers = slices.DeleteFunc(founders, func(peer Peer) bool { return peer.Address == config.Listen })
+	}
+	return New(config)
+}
+
+// foundersOf gives each seed an identity that every node derives alike from the list, in any order.
+func foundersOf(seeds []string) []Peer {
+	sorted := slices.Compact(slices.Sorted(slices.Values(seeds)))
+	founders := make([]Peer, 0, len(sorted))
+	for position, address := range sorted {
+		id := uint64(position + 1)
+		founders = append(founders, Peer{ID: id, Name: nodeName(address, id), Address: address})
+	}
+	return founders
+}
+
+// nodeName is a control node's name in logs and in the list of members.
+func nodeName(address string, id uint64) string {
+	return "control-" + address + "-" + strconv.FormatUint(id, 36)
+}
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -55,6 +55,9 @@
 	return file, nil
 }
 
+// ReadIdentity returns whose data folder a folder is, nil if it has no identity yet.
+func ReadIdentity(folder string) (*Identity, error) { return readIdentity(folder) }
+
 // readIdentity returns nil without an error if the folder has no identity yet.
 func readIdentity(folder string) (*Identity, error) {
 	path := filepath.Join(folder, identityFile)
