control: empty nodes join by seeds and replace lost voters

Cause: a machine that comes back without its disk, or at another address, is told of three addresses and of no identity; only an operator could put it in a lost node's place. Change: an empty node draws a random identity and asks every control node it can find (new call Join) until it votes in all groups. Each group's leader adds it as a learner, promotes it and then removes the voter whose address it has, or the one silent for longest (2 s at least); member.NextGroupChange chooses, purely. A voter without a candidate for its place stays. A greeting names its receiver: a node at a lost one's address was taken for it, by itself too, and stopped as refused. Conclusion: founding, replacing at the same and at other addresses, and a second loss right after a repair keep what was committed.

--- a/internal/consensus/addressbook.go
+++ b/internal/consensus/addressbook.go
@@ -127,6 +127,10 @@
 func (b *addressBook) greet(greeting *wire.RaftBatch) (news bool, err error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if greeting.ToNode != raft.None && greeting.ToNode != b.self {
+		return false, fmt.Errorf("node %d looks for node %d, this is node %d: it has that one's address now",
+			greeting.FromNode, greeting.ToNode, b.self)
+	}
 	if err := b.checkSender(greeting); err != nil {
 		return false, err
 	}
--- a/internal/consensus/exchange.go
+++ b/internal/consensus/exchange.go
@@ -78,7 +78,7 @@
 		r.host.fail(err)
 		return err
 	default:
-		r.host.config.Log.Warnf("refused a stream: %v", err)
+		r.host.config.Log.Debugf("refused a stream: %v", err)
 		return err
 	}
 	r.from = greeting.FromNode
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -160,6 +160,7 @@
 		ClusterId:     s.host.config.ClusterID,
 		FromIdentity:  s.host.config.Store.Identity().Folder,
 		FromNode:      s.host.config.NodeID,
+		ToNode:        s.node,
 		FromAddress:   s.host.config.Address,
 		Starts:        s.host.config.Store.Starts(),
 		StartNonce:    s.nonce,
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -49,6 +49,11 @@
 	Peers []Peer
 	// Join starts with an empty folder as a node that waits to be added to the groups.
 	Join bool
+	// Seeds are addresses of control nodes. A joining node asks there to carry the groups, until it does.
+	Seeds []string
+	// Voters is the number of voters that every group should have: nodes that ask to carry the groups take the
+	// places of lost ones by themselves. 0 leaves all changes to operators.
+	Voters int
 	// Zone and Region say where this node stands.
 	Zone   string
 	Region string
@@ -157,3 +162,11 @@
 		return c.Dial(ctx, "tcp", peer.Address)
 	}
 }
+
+// dialer is Dial or plain TCP.
+func (c *Config) dialer() controlclient.DialFunc {
+	if c.Dial != nil {
+		return c.Dial
+	}
+	return (&net.Dialer{}).DialContext
+}
--- a/internal/control/doors.go
+++ b/internal/control/doors.go
@@ -13,7 +13,7 @@
 // backup for operators, commands and queries for both.
 func rolesOf(rpc string) []auth.Role {
 	switch {
-	case strings.Contains(rpc, ".Raft/"), strings.HasSuffix(rpc, "/Session"):
+	case strings.Contains(rpc, ".Raft/"), strings.HasSuffix(rpc, "/Session"), strings.HasSuffix(rpc, "/Join"):
 		return []auth.Role{auth.Node}
 	case strings.HasSuffix(rpc, "/Backup"):
 		return []auth.Role{auth.Operator}
--- /dev/null
+++ b/internal/control/join.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/tamarindring/tamarindring/internal/consensus"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// joinInterval is how often a node asks to carry the groups until it does.
+	joinInterval = 300 * time.Millisecond
+	// joinTimeout bounds one question.
+	joinTimeout = 500 * time.Millisecond
+)
+
+// Join implements wire.DRPCControlServer: it notes that a node asks to carry the groups, and says which nodes
+// are known here. Each leader of a group decides by itself.
+func (s *Server) Join(_ context.Context, request *wire.JoinRequest) (*wire.JoinReply, error) {
+	if request.ClusterId != s.config.ClusterID {
+		return nil, trace.BadParameter("this is a node of cluster %q, not of %q", s.config.ClusterID, request.ClusterId)
+	}
+	s.voters.asks(request.Node, request.Address)
+	reply := &wire.JoinReply{}
+	for _, known := range s.replicas.Nodes() {
+		reply.Nodes = append(reply.Nodes, &wire.ControlNode{Node: known.ID, Address: known.Address})
+	}
+	return reply, nil
+}
+
+// join asks all control nodes that can be found, beginning with the seeds, to let this node carry the groups,
+// until it is a voter in all of them.
+func (s *Server) join(ctx context.Context) {
+	if !s.config.Join || len(s.config.Seeds) == 0 {
+		return
+	}
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for !s.votesEverywhere(ctx) {
+		s.askToJoin(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) votesEverywhere(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
+	for _, group := range s.groups() {
+		status, err := s.replicas.Status(ctx, group)
+		if err != nil || !status.Configuration.IsVoter(s.config.NodeID) {
+			return false
+		}
+	}
+	return true
+}
+
+// askToJoin asks every known node once, all at the same time: one that is cut off holds up nobody.
+func (s *Server) askToJoin(ctx context.Context) {
+	addresses := slices.Clone(s.config.Seeds)
+	for _, known := range s.replicas.Nodes() {
+		addresses = append(addresses, known.Address)
+	}
+	slices.Sort(addresses)
+	answers := make(chan *wire.JoinReply)
+	asked := 0
+	for _, address := range slices.Compact(addresses) {
+		if address == "" || address == s.Address() {
+			continue
+		}
+		asked++
+		go func() { answers <- s.askOne(ctx, address) }()
+	}
+	for range asked {
+		var nodes []consensus.Peer
+		for _, node := range (<-answers).GetNodes() {
+			nodes = append(nodes, consensus.Peer{ID: node.Node, Address: node.Address})
+		}
+		s.replicas.Introduce(nodes)
+	}
+}
+
+// askOne returns nil if there is no answer.
+func (s *Server) askOne(ctx context.Context, address string) *wire.JoinReply {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	connection, err := s.config.dialer()(ctx, "tcp", address)
+	if err != nil {
+		return nil
+	}
+	if credentials := s.config.Credentials; credentials != nil {
+		connection, ctx = credentials.Secure(connection), credentials.Context(ctx)
+	}
+	conn := drpcconn.New(connection)
+	defer conn.Close()
+	reply, err := wire.NewDRPCControlClient(conn).Join(ctx, &wire.JoinRequest{
+		ClusterId: s.config.ClusterID, Node: s.config.NodeID, Address: s.Address()})
+	if err != nil {
+		s.log.WithError(err).Debugf("control node %s can't be asked to join", address)
+		return nil
+	}
+	return reply
+}
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -31,6 +31,9 @@
 	LocalQuery(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error)
 	// Addresses are where the nodes of group listen, as far as is known here.
 	Addresses(ctx context.Context, group uint32) ([]string, error)
+	// Nodes are the nodes that this one knows, and Introduce tells of further ones.
+	Nodes() []consensus.Peer
+	Introduce(nodes []consensus.Peer)
 	// Status is this node's view of group.
 	Status(ctx context.Context, group uint32) (raft.Status, error)
 	// Capture is the encoded state of group as applied here, and the index of the last entry in it.
--- a/internal/control/seeds.go
+++ b/internal/control/seeds.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -11,6 +10,9 @@
 	"github.com/tamarindring/tamarindring/internal/storage"
 )
 
+// joinedIdentity is set in the identities of nodes that joined, so that none is a founder's.
+const joinedIdentity = 1 << 63
+
 // SeedConfig lets a control node find the others by a list of addresses instead of identities.
 type SeedConfig struct {
 	// Config is the node's; its name, identity and peers are found here. Listen must be the address under
@@ -26,28 +28,33 @@
 // OpenSeeded opens a control node that is not told its identity. A folder that holds one is used under it,
 // whatever the seeds are by now. With an empty folder a founder takes the identity that follows from its
 // place in the list, and any other node a random one, under which it waits to be added.
-func OpenSeeded(_ context.Context, seeded SeedConfig) (*Server, error) {
+func OpenSeeded(seeded SeedConfig) (*Server, error) {
 	config := seeded.Config
 	if len(seeded.Seeds) == 0 {
 		return nil, trace.BadParameter("control node %s needs seeds", config.Name)
 	}
 	founders := foundersOf(seeded.Seeds)
+	config.Seeds, config.Voters = seeded.Seeds, len(founders)
 	identity, err := storage.ReadIdentity(config.DataFolder)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	position := slices.IndexFunc(founders, func(peer Peer) bool { return peer.Address == config.Listen })
+	self := Peer{}
+	if position := slices.IndexFunc(founders, func(peer Peer) bool { return peer.Address == config.Listen }); position >= 0 {
+		self = founders[position]
+	}
 	switch {
 	case identity != nil:
 		config.NodeID, config.Name = identity.NodeID, identity.NodeName
-		config.Join = true // the stored membership counts
-		config.Peers = slices.DeleteFunc(founders, func(peer Peer) bool { return peer.Address == config.Listen })
-	case seeded.Found && position >= 0:
-		config.NodeID, config.Name, config.Peers = founders[position].ID, founders[position].Name, founders
+		config.Join = self.ID != identity.NodeID // a founder may have stopped before it had founded anything
+	case seeded.Found && self.ID != 0:
+		config.NodeID, config.Name = self.ID, nodeName(config.Listen, self.ID)
 	default:
-		config.NodeID, config.Join = rand.Uint64()|1<<63, true // never that of a founder
+		config.NodeID, config.Join = rand.Uint64()|joinedIdentity, true
 		config.Name = nodeName(config.Listen, config.NodeID)
-		config.Peers = slices.DeleteFunc(founders, func(peer Peer) bool { return peer.Address == config.Listen })
+	}
+	if !config.Join {
+		config.Peers = founders
 	}
 	return New(config)
 }
--- /dev/null
+++ b/internal/control/seeds_test.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+)
+
+// seededCluster is control nodes that find each other by a list of addresses.
+type seededCluster struct {
+	*cluster
+	seeds []string
+}
+
+// startSeeded founds a cluster; the founders start one after the other.
+func startSeeded(t *testing.T) *seededCluster {
+	t.Helper()
+	c := &seededCluster{cluster: &cluster{t: t, folder: t.TempDir()}}
+	listeners := make([]net.Listener, 3)
+	for position := range listeners {
+		listeners[position] = listen(t, "127.0.0.1:0")
+		c.seeds = append(c.seeds, listeners[position].Addr().String())
+	}
+	t.Cleanup(func() {
+		for position := range c.servers {
+			c.kill(position)
+		}
+	})
+	for position, listener := range listeners {
+		c.open(position, listener, true)
+	}
+	return c
+}
+
+func listen(t *testing.T, address string) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// open runs the node at a position, which may be a new one, with the folder that it has.
+func (c *seededCluster) open(position int, listener net.Listener, found bool) {
+	c.t.Helper()
+	seeds := slices.Clone(c.seeds)
+	slices.Reverse(seeds[:position%len(seeds)+1]) // the order must not matter
+	server, err := OpenSeeded(SeedConfig{Seeds: seeds, Found: found, Config: Config{
+		Name: fmt.Sprint("position-", position), ClusterID: "test", Listen: listener.Addr().String(), Listener: listener,
+		DataFolder: c.folderOf(position), LedgerGroups: 1, Tick: 20 * time.Millisecond,
+	}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	run := make(chan error, 1)
+	go func() { run <- server.Run(context.Background()) }()
+	for len(c.servers) <= position {
+		c.servers, c.runs = append(c.servers, nil), append(c.runs, nil)
+	}
+	c.servers[position], c.runs[position] = server, run
+}
+
+func (c *seededCluster) folderOf(position int) string {
+	return filepath.Join(c.folder, fmt.Sprint(position))
+}
+
+// wipe kills a node and empties its folder.
+func (c *seededCluster) wipe(position int) {
+	c.t.Helper()
+	c.kill(position)
+	if err := os.RemoveAll(c.folderOf(position)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// awaitVoters waits until exactly the nodes at the positions vote in all groups.
+func (c *seededCluster) awaitVoters(positions ...int) {
+	c.t.Helper()
+	var want []uint64
+	for _, position := range positions {
+		want = append(want, c.servers[position].config.NodeID)
+	}
+	slices.Sort(want)
+	eventually(c.t, fmt.Sprintf("the voters %v", want), func() bool {
+		for _, position := range positions {
+			for group := range uint32(2) {
+				status, err := c.servers[position].replicas.Status(testContext(c.t), group)
+				if err != nil || status.Leader == 0 || !slices.Equal(status.Configuration.Voters, want) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// seededClient knows the seeds only.
+func (c *seededCluster) seededClient() *controlclient.Client {
+	return c.client(controlclient.Config{Addresses: c.seeds, LedgerGroups: 1})
+}
+
+func TestSeedsFoundAndRestartFromTheirFolders(t *testing.T) {
+	c := startSeeded(t)
+	c.awaitVoters(0, 1, 2)
+	base, _ := mustAccept(t, c.seededClient(), poolChange("base", 0, "1"), false)
+	addresses := slices.Clone(c.seeds)
+	c.seeds = []string{addresses[1], addresses[0], "127.0.0.1:1"} // others by now
+	for position := range 3 {
+		c.kill(position)
+		c.open(position, listen(t, addresses[position]), false)
+	}
+	c.awaitVoters(0, 1, 2)
+	if version, _ := mustAccept(t, c.seededClient(), weightChange("after", base, "2"), false); version != base+1 {
+		t.Fatalf("version %d, want %d", version, base+1)
+	}
+}
+
+// TestEmptyNodeAtTheSameAddressTakesItsPlace wipes the leader, which comes back empty at its address, then loses
+// another node at once.
+func TestEmptyNodeAtTheSameAddressTakesItsPlace(t *testing.T) {
+	c := startSeeded(t)
+	c.awaitVoters(0, 1, 2)
+	client := c.seededClient()
+	base, _ := mustAccept(t, client, poolChange("base", 0, "1"), false)
+	wiped := c.leader()
+	before := c.servers[wiped].config.NodeID
+	c.wipe(wiped)
+	c.open(wiped, listen(t, c.seeds[wiped]), false)
+	if after := c.servers[wiped].config.NodeID; after == before || after < joinedIdentity {
+		t.Fatalf("the wiped node %d came back as node %d", before, after)
+	}
+	c.awaitVoters(0, 1, 2)
+	c.kill((wiped + 1) % 3)
+	if version, _ := mustAccept(t, client, weightChange("after", base, "2"), false); version != base+1 {
+		t.Fatalf("version %d, want %d", version, base+1)
+	}
+}
+
+// TestEmptyNodesElsewhereReplaceAllFounders replaces one founder after the other by empty nodes at other
+// addresses, each right after the repair of the one before.
+func TestEmptyNodesElsewhereReplaceAllFounders(t *testing.T) {
+	c := startSeeded(t)
+	c.awaitVoters(0, 1, 2)
+	client := c.seededClient()
+	version, _ := mustAccept(t, client, poolChange("base", 0, "1"), false)
+	place := []int{0, 1, 2}
+	for lost := range 3 {
+		c.wipe(lost)
+		place[lost] = lost + 3
+		fresh := listen(t, "127.0.0.1:0")
+		c.open(lost+3, fresh, true) // also where everything is said to start for the first time
+		c.awaitVoters(place...)
+		next, _ := mustAccept(t, c.client(controlclient.Config{Addresses: []string{fresh.Addr().String()}, LedgerGroups: 1}),
+			weightChange(fmt.Sprint("after-", lost), version, fmt.Sprint(lost+2)), false)
+		if next != version+1 {
+			t.Fatalf("version %d after loss %d, want %d", next, lost, version+1)
+		}
+		version = next
+		c.seeds[lost] = fresh.Addr().String()
+	}
+}
+
+// TestEmptyNodesFoundNothing checks that wiped nodes that find no member don't form a
+// group.
+func TestEmptyNodesFoundNothing(t *testing.T) {
+	c := startSeeded(t)
+	c.awaitVoters(0, 1, 2)
+	mustAccept(t, c.seededClient(), poolChange("base", 0, "1"), false)
+	for position := range 3 {
+		c.kill(position)
+	}
+	for _, position := range []int{1, 2} {
+		c.wipe(position)
+		c.open(position, listen(t, c.seeds[position]), false)
+	}
+	time.Sleep(50 * c.servers[1].config.Tick)
+	for _, position := range []int{1, 2} {
+		status, err := c.servers[position].replicas.Status(testContext(t), controlGroup)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(status.Configuration.Voters) != 0 || status.Leader != 0 {
+			t.Errorf("node %d has the voters %v and the leader %d", status.ID, status.Configuration.Voters, status.Leader)
+		}
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -50,6 +50,7 @@
 	detector  *detector
 	orphans   *orphans
 	retention *retention
+	voters    *voters
 	sessions  sessionSet
 	syncs     prometheus.Histogram
 	draining  atomic.Bool
@@ -89,6 +90,7 @@
 	server.detector = newDetector(server)
 	server.orphans = newOrphans(server)
 	server.retention = newRetention(server)
+	server.voters = newVoters(server)
 	if err := server.open(); err != nil {
 		server.cancel()
 		return nil, err
@@ -119,7 +121,7 @@
 }
 
 func (s *Server) peerAddresses() []string {
-	addresses := []string{s.listener.Addr().String()}
+	addresses := append([]string{s.listener.Addr().String()}, s.config.Seeds...)
 	for _, peer := range s.config.Peers {
 		if peer.ID != s.config.NodeID {
 			addresses = append(addresses, peer.Address)
@@ -157,7 +159,7 @@
 		},
 		Log: func(err error) { s.log.WithError(err).Debug("a connection ended") },
 	})
-	background := []func(context.Context){s.grantLoop, s.publisher.run, s.detector.run, s.orphans.run, s.retention.run, s.followLeader}
+	background := []func(context.Context){s.grantLoop, s.publisher.run, s.detector.run, s.orphans.run, s.retention.run, s.followLeader, s.join, s.voters.run}
 	for _, routine := range background {
 		s.routines.Go(func() { routine(ctx) })
 	}
--- /dev/null
+++ b/internal/control/voters.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/member"
+)
+
+const (
+	// votersInterval is how often a group's leader looks at the group's nodes.
+	votersInterval = 200 * time.Millisecond
+	// candidateLife is how long a request to carry the groups counts; it is repeated more often.
+	candidateLife = 2 * time.Second
+	// voterPatience is how long a voter may be silent before a node at another address takes its place.
+	voterPatience = 2 * time.Second
+	// voterChangeTimeout bounds one change of a group's nodes.
+	voterChangeTimeout = 2 * time.Second
+)
+
+// candidate is a node that asks to carry the groups.
+type candidate struct {
+	address string
+	askedAt time.Duration
+}
+
+// voters replaces lost nodes of the groups that this node leads by nodes that ask to carry them.
+type voters struct {
+	server *Server
+
+	mutex      sync.Mutex
+	candidates map[uint64]candidate
+
+	// Owned by run.
+	heardAt  []map[uint64]time.Duration // by group; nil while this node does not lead it
+	lastLook time.Duration
+}
+
+func newVoters(server *Server) *voters {
+	return &voters{server: server, candidates: make(map[uint64]candidate),
+		heardAt: make([]map[uint64]time.Duration, server.config.LedgerGroups+1)}
+}
+
+// asks notes that a node asks to carry the groups.
+func (v *voters) asks(node uint64, address string) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.candidates[node] = candidate{address: address, askedAt: v.server.config.Clock()}
+}
+
+// asking lists the nodes that have asked lately, and forgets the others.
+func (v *voters) asking(now time.Duration) []member.GroupNode {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	var nodes []member.GroupNode
+	for id, asked := range v.candidates {
+		if now-asked.askedAt > candidateLife {
+			delete(v.candidates, id)
+			continue
+		}
+		nodes = append(nodes, member.GroupNode{ID: id, Address: asked.address})
+	}
+	return nodes
+}
+
+// run looks after the groups until ctx ends.
+func (v *voters) run(ctx context.Context) {
+	if v.server.config.Voters == 0 {
+		return
+	}
+	ticker := time.NewTicker(votersInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := v.server.config.Clock()
+		if now-v.lastLook > 3*votersInterval {
+			clear(v.heardAt) // this node was paused or busy: silence counts from now
+		}
+		v.lastLook = now
+		asking := v.asking(now)
+		for group := range v.heardAt {
+			v.look(ctx, uint32(group), now, asking)
+		}
+	}
+}
+
+// look makes the next change of a group's nodes, if this node leads it.
+func (v *voters) look(ctx context.Context, group uint32, now time.Duration, asking []member.GroupNode) {
+	if !v.server.states[group].leader().Leading {
+		v.heardAt[group] = nil
+		return
+	}
+	seen, ok := v.observe(ctx, group, now)
+	if !ok {
+		return
+	}
+	seen.Candidates = asking
+	change := member.NextGroupChange(seen, v.server.config.Voters, voterPatience)
+	if change.Kind == member.NoGroupChange {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, voterChangeTimeout)
+	defer cancel()
+	if err := v.carryOut(ctx, group, change); err != nil {
+		v.server.log.WithError(err).Debugf("a change of the nodes of group %d waits", group)
+	}
+	v.lastLook = v.server.config.Clock()
+}
+
+// observe tells how long the nodes of a group that is led here have been silent.
+func (v *voters) observe(ctx context.Context, group uint32, now time.Duration) (member.Group, bool) {
+	ctx, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
+	status, err := v.server.replicas.Status(ctx, group)
+	if err != nil || status.Leader != status.ID {
+		return member.Group{}, false
+	}
+	if v.heardAt[group] == nil {
+		v.heardAt[group] = make(map[uint64]time.Duration)
+	}
+	heardAt := v.heardAt[group]
+	heardAt[status.ID] = now
+	for _, other := range status.Match {
+		if _, known := heardAt[other.Node]; other.RecentActive || !known {
+			heardAt[other.Node] = now
+		}
+	}
+	addresses := make(map[uint64]string)
+	for _, node := range v.server.replicas.Nodes() {
+		addresses[node.ID] = node.Address
+	}
+	describe := func(ids []uint64) []member.GroupNode {
+		nodes := make([]member.GroupNode, 0, len(ids))
+		for _, id := range ids {
+			nodes = append(nodes, member.GroupNode{ID: id, Address: addresses[id], Silence: now - heardAt[id]})
+		}
+		return nodes
+	}
+	return member.Group{Voters: describe(status.Configuration.Voters), Learners: describe(status.Configuration.Learners)}, true
+}
+
+func (v *voters) carryOut(ctx context.Context, group uint32, change member.GroupChange) error {
+	var err error
+	done := ""
+	switch change.Kind {
+	case member.AddLearner:
+		done, err = "joins as a learner", v.server.replicas.AddLearner(ctx, group, change.Node)
+	case member.PromoteLearner:
+		done, err = "is a voter", v.server.replicas.Promote(ctx, group, change.Node)
+	case member.RemoveNode:
+		done, err = "is removed", v.server.replicas.Remove(ctx, group, change.Node)
+	}
+	if err == nil {
+		v.server.log.Infof("group %d: node %d %s", group, change.Node, done)
+	}
+	return err
+}
