table, route: rows for routes, listeners and documents; matching by host and longest path prefix

Cause: the site's platform gives routes, limits and its whole configuration, and the table is the one truth. Change: row kinds route, listener and document with their columns and value types; a route's pools exist and its host and path prefix are its own; a document reads back exactly and is shown in the history by length and digest. Package route builds typed routes from a view and matches by the longest prefix. Conclusion: forwarding can be written against route.Table.

--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,77 @@
+package route
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+func viewOf(t interface{ Fatal(...any) }, texts ...string) *table.View {
+	change := &wire.TableChange{ChangeId: "one", Operator: "test"}
+	for _, text := range texts {
+		parts := strings.SplitN(text, " ", 3)
+		change.Cells = append(change.Cells, &wire.CellChange{Row: parts[0], Column: parts[1], Value: parts[2]})
+	}
+	made := table.New()
+	if result := made.Apply(change); result.GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+		t.Fatal(result)
+	}
+	view, err := table.NewView().Apply(made.Update(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return view
+}
+
+func TestMatch(t *testing.T) {
+	routes := NewTable(viewOf(t, "a kind pool", "b kind pool",
+		"one kind route", "one host Shop.example", "one path_prefix /", "one pools a:90,b:10", "one route_kind repeatable",
+		"two kind route", "two host shop.example", "two path_prefix /x/y/", "two pools b:1",
+		"three kind route", "three host shop.example:81", "three path_prefix /x/", "three pools b:1"))
+	for _, test := range []struct{ host, path, want string }{
+		{"shop.example", "/", "one"}, {"SHOP.example:8080", "/x/y", "one"}, {"shop.example", "/x/y/", "two"},
+		{"shop.example:81", "/x/y/z", "three"}, {"shop.example:81", "/", "one"}, {"shop.example", "/?a=/x/y/", "one"},
+		{"other.example", "/", ""}, {"shop.example", "", ""}, {"", "/", ""},
+	} {
+		got := ""
+		if found := routes.Match(test.host, test.path); found != nil {
+			got = found.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s: %q, not %q", test.host, test.path, got, test.want)
+		}
+	}
+	one := routes.Match("shop.example", "/")
+	if len(one.Pools) != 2 || one.Pools[0] != (Share{"a", 90}) || !one.Repeatable() || routes.Match("shop.example", "/x/y/").Repeatable() {
+		t.Fatalf("%+v", one)
+	}
+}
+
+// TestLongestPrefixWins compares the match with the plain rule: of the prefixes that begin the path, the longest.
+func TestLongestPrefixWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prefixes := rapid.SliceOfNDistinct(rapid.StringMatching(`/([ab]/){0,4}`), 1, 6, rapid.ID[string]).Draw(t, "prefixes")
+		texts := []string{"p kind pool"}
+		for position, prefix := range prefixes {
+			row := "r" + string(rune('0'+position))
+			texts = append(texts, row+" kind route", row+" host h", row+" path_prefix "+prefix, row+" pools p:1")
+		}
+		path, want := rapid.StringMatching(`/([ab]/){0,5}[ab]?`).Draw(t, "path"), ""
+		for _, prefix := range prefixes {
+			if strings.HasPrefix(path, prefix) && len(prefix) > len(want) {
+				want = prefix
+			}
+		}
+		found, got := NewTable(viewOf(t, texts...)).Match("h", path), ""
+		if found != nil {
+			got = found.PathPrefix
+		}
+		if got != want {
+			t.Fatalf("%s: %q, not %q", path, got, want)
+		}
+	})
+}
--- a/internal/table/change.go
+++ b/internal/table/change.go
@@ -36,7 +36,7 @@
 		}
 	}
 	for _, cell := range change.GetCells() {
-		if !boundedText(cell.GetRow()) || !boundedText(cell.GetColumn()) || !boundedText(cell.GetValue()) {
+		if !boundedText(cell.GetRow()) || !boundedText(cell.GetColumn()) || !boundedValue(cell) {
 			return false
 		}
 	}
@@ -50,6 +50,13 @@
 
 func boundedText(text string) bool { return len(text) <= MaximumValueBytes && utf8.ValidString(text) }
 
+func boundedValue(cell *wire.CellChange) bool {
+	if column := columnIndex[cell.GetColumn()]; column != nil && column.Type == Text {
+		return len(cell.GetValue()) <= MaximumTextBytes && utf8.ValidString(cell.GetValue())
+	}
+	return boundedText(cell.GetValue())
+}
+
 func wholeChange(reason string) []*wire.CellRefusal {
 	return []*wire.CellRefusal{{Reason: reason}}
 }
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -19,6 +19,7 @@
 	for _, name := range sortedNames(after) {
 		refusals = append(refusals, checkRow(after[name], after)...)
 	}
+	refusals = append(refusals, checkRoutes(after)...)
 	if len(refusals) == 0 && !forced(change) {
 		refusals = harmful(before, after, d)
 	}
@@ -78,6 +79,9 @@
 			refuse(ColumnAddress, "a back end needs an address")
 		}
 	}
+	if row.Kind == Route {
+		return checkRoute(row, rows)
+	}
 	if row.LiveRoom > row.MaxInFlight {
 		refuse(ColumnLiveRoom, "live_room is above max_in_flight")
 	}
--- a/internal/table/commit.go
+++ b/internal/table/commit.go
@@ -1,8 +1,11 @@
 package table
 
 import (
+	"fmt"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -60,10 +63,19 @@
 func (t *Table) remember(change *wire.TableChange, row, column, from, to string) {
 	t.history = append(t.history, &wire.HistoryEntry{
 		Version: t.version, Operator: change.GetOperator(), AtUnixMillis: change.GetAtUnixMillis(),
-		Row: row, Column: column, From: from, To: to, ChangeId: change.GetChangeId(), Note: change.GetNote(),
+		Row: row, Column: column, From: shown(column, from), To: shown(column, to),
+		ChangeId: change.GetChangeId(), Note: change.GetNote(),
 	})
 }
 
+// shown is a cell's value as the history and refusals hold it: of a document, its length and digest.
+func shown(column, value string) string {
+	if known := columnIndex[column]; known == nil || known.Type != Text || value == "" {
+		return value
+	}
+	return fmt.Sprintf("%d bytes, xxhash %016x", len(value), xxhash.Sum64String(value))
+}
+
 // trim keeps the history and the memory of removals within their bounds.
 func (t *Table) trim() {
 	if surplus := len(t.history) - MaximumHistory; surplus > 0 {
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -22,9 +22,44 @@
 	StalenessBound uint32 // weight versions
 	Deadline       time.Duration
 
+	MaxConnections uint32 // at one back end, over all gateways
+	HealthPath     string // empty: none
+	KVCapacity     uint64 // tokens; 0: unknown
+	Models         []string
+
+	// Of a route.
+	Host          string
+	PathPrefix    string
+	Pools         []WeightedName
+	RouteKind     RouteKind
+	Timeout       time.Duration
+	TargetLatency time.Duration // 0: none
+	Priority      uint32        // 0 is the highest
+	MaxAttempts   uint32
+	QueueTTL      time.Duration // 0: never given up
+	SingleVersion bool
+	Sticky        bool
+	Resumable     bool
+
+	// Of a listener.
+	MaxHeader     uint64 // bytes
+	MaxBody       uint64 // bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+
+	// Of a document.
+	Revision uint64
+	Text     string
+
 	explicit map[string]string // the row's own cells, canonical, without cleared ones
 }
 
+// WeightedName is one part of a weighted list.
+type WeightedName struct {
+	Name   string
+	Weight uint32
+}
+
 // Serving reports whether the row takes new work: it is active and has a weight above 0.
 func (r *Row) Serving() bool { return r.State == Active && r.Weight > 0 }
 
@@ -47,7 +82,7 @@
 		if !ok {
 			value = column.Default
 		}
-		if value == "" || (!column.AppliesTo(kind) && !column.Inherited) {
+		if value == "" || !column.holds(kind) {
 			continue
 		}
 		column.assign(row, value)
--- a/internal/table/schema.go
+++ b/internal/table/schema.go
@@ -5,8 +5,11 @@
 
 // The kinds of row, as written in the column "kind".
 const (
-	Pool    RowKind = "pool"
-	Backend RowKind = "backend"
+	Pool     RowKind = "pool"
+	Backend  RowKind = "backend"
+	Route    RowKind = "route"    // requests of a host under a path, and the pools that serve them
+	Listener RowKind = "listener" // what clients may send to the gateways
+	Document RowKind = "document" // text that a tool keeps as it was given, such as a site's configuration
 )
 
 // State says whether a row takes new work, as written in the column "state".
@@ -28,16 +31,32 @@
 	Application Service = "application" // application replica with named operations
 )
 
+// RouteKind says how often a route's requests may run, as written in the column "route_kind".
+type RouteKind string
+
+// The kinds of route.
+const (
+	Repeatable RouteKind = "repeatable" // may run more than once
+	Once       RouteKind = "once"       // at most once a try
+	Stream     RouteKind = "stream"     // answers with a series of events
+	Batch      RouteKind = "batch"      // many requests submitted together and run later
+)
+
 // ValueType says how the text of a cell is read.
 type ValueType uint8
 
 // The types of value.
 const (
-	Choice   ValueType = iota + 1 // one of Column.Choices
-	Name                          // letters, digits, '.', '_' and '-', at most 100 bytes
-	Address                       // IP:port
-	Unsigned                      // decimal number between Column.Minimum and Column.Maximum
-	NameList                      // names separated by commas, no name twice
+	Choice        ValueType = iota + 1 // one of Column.Choices
+	Name                               // letters, digits, '.', '_' and '-', at most 100 bytes
+	Address                            // IP:port
+	Unsigned                           // decimal number between Column.Minimum and Column.Maximum
+	NameList                           // names separated by commas, no name twice
+	Host                               // host name, with a port or without; lower case
+	Path                               // absolute path without a query
+	PathPrefix                         // path that starts and ends with a slash
+	WeightedNames                      // NAME:WEIGHT pairs separated by commas, no name twice
+	Text                               // any UTF-8 text up to MaximumTextBytes
 )
 
 // String returns the type's name as the operators' page prints it.
@@ -53,6 +72,16 @@
 		return "number"
 	case NameList:
 		return "list of names"
+	case Host:
+		return "host"
+	case Path:
+		return "path"
+	case PathPrefix:
+		return "path prefix"
+	case WeightedNames:
+		return "weighted names"
+	case Text:
+		return "text"
 	default:
 		return "unknown"
 	}
@@ -84,6 +113,11 @@
 	return false
 }
 
+// holds reports whether a row of the kind has a value of the column, of its own or its pool's.
+func (c *Column) holds(kind RowKind) bool {
+	return c.AppliesTo(kind) || (c.Inherited && kind == Backend)
+}
+
 // The names of the columns.
 const (
 	ColumnKind           = "kind"
@@ -101,76 +135,32 @@
 	ColumnClassOrder     = "class_order"
 	ColumnStalenessBound = "staleness_bound"
 	ColumnDeadline       = "deadline_millis"
+	ColumnMaxConnections = "max_connections"
+	ColumnHealthPath     = "health_path"
+	ColumnKVCapacity     = "kv_capacity_tokens"
+	ColumnModels         = "models"
+	ColumnHost           = "host"
+	ColumnPathPrefix     = "path_prefix"
+	ColumnPools          = "pools"
+	ColumnRouteKind      = "route_kind"
+	ColumnTimeout        = "timeout_millis"
+	ColumnTargetLatency  = "target_latency_millis"
+	ColumnPriority       = "priority"
+	ColumnMaxAttempts    = "max_attempts"
+	ColumnQueueTTL       = "queue_ttl_millis"
+	ColumnSingleVersion  = "single_version"
+	ColumnSticky         = "sticky"
+	ColumnResumable      = "resumable"
+	ColumnMaxHeader      = "max_header_bytes"
+	ColumnMaxBody        = "max_body_bytes"
+	ColumnHeaderTimeout  = "header_timeout_millis"
+	ColumnIdleTimeout    = "idle_timeout_millis"
+	ColumnRevision       = "revision"
+	ColumnText           = "text"
 )
 
-const (
-	maximumSlots  = 100_000
-	maximumQueue  = 1_000_000
-	maximumMillis = 24 * 60 * 60 * 1000
-)
-
-var (
-	bothKinds   = []RowKind{Pool, Backend}
-	poolOnly    = []RowKind{Pool}
-	backendOnly = []RowKind{Backend}
-)
-
-var columns = []Column{
-	{Name: ColumnKind, Type: Choice, Choices: []string{string(Pool), string(Backend)}, Rows: bothKinds,
-		Help:   "What the row stands for. Required, and fixed once the row exists.",
-		assign: func(row *Row, value string) { row.Kind = RowKind(value) }},
-	{Name: ColumnPool, Type: Name, Rows: backendOnly,
-		Help:   "Pool that the back end belongs to. Required; the pool's row must exist.",
-		assign: func(row *Row, value string) { row.Pool = value }},
-	{Name: ColumnAddress, Type: Address, Rows: backendOnly,
-		Help:   "Where the back end listens. Required.",
-		assign: func(row *Row, value string) { row.Address = value }},
-	{Name: ColumnZone, Type: Name, Rows: backendOnly,
-		Help:   "Zone of the back end; gateways of the same zone prefer it when loads are alike.",
-		assign: func(row *Row, value string) { row.Zone = value }},
-	{Name: ColumnState, Type: Choice, Default: string(Active), Rows: bothKinds,
-		Choices: []string{string(Active), string(Draining), string(Removed)},
-		Help:    "Whether the row takes new work. A pool's draining or removed state holds for its back ends too.",
-		assign:  func(row *Row, value string) { row.State = State(value) }},
-	{Name: ColumnService, Type: Choice, Default: string(Engine), Rows: poolOnly, Inherited: true,
-		Choices: []string{string(Engine), string(Application)},
-		Help:    "What the pool's back ends are: model engines or application replicas.",
-		assign:  func(row *Row, value string) { row.Service = Service(value) }},
-	{Name: ColumnWeight, Type: Unsigned, Maximum: 1000, Default: "100", Rows: bothKinds, Inherited: true,
-		Help:   "Relative share of the pool's requests; 0 takes nothing new.",
-		assign: func(row *Row, value string) { row.Weight = uint32(number(value)) }},
-	{Name: ColumnMaxInFlight, Type: Unsigned, Unit: "requests", Minimum: 1, Maximum: maximumSlots, Default: "64",
-		Rows: bothKinds, Inherited: true,
-		Help:   "Requests that all gateways together may have at one back end at a time.",
-		assign: func(row *Row, value string) { row.MaxInFlight = uint32(number(value)) }},
-	{Name: ColumnQueueLimit, Type: Unsigned, Unit: "requests", Maximum: maximumQueue, Default: "256",
-		Rows: bothKinds, Inherited: true,
-		Help:   "Requests that may wait for a slot; above it a request is refused at once as not run.",
-		assign: func(row *Row, value string) { row.QueueLimit = uint32(number(value)) }},
-	{Name: ColumnQueueWait, Type: Unsigned, Unit: "ms", Maximum: maximumMillis, Default: "1000",
-		Rows: bothKinds, Inherited: true,
-		Help:   "Longest time that a request may wait for a slot before it is refused as not run.",
-		assign: func(row *Row, value string) { row.QueueWait = milliseconds(value) }},
-	{Name: ColumnLiveRoom, Type: Unsigned, Unit: "requests", Maximum: maximumSlots, Default: "0",
-		Rows: bothKinds, Inherited: true,
-		Help:   "Slots of a back end that rollout work may not use. At most max_in_flight.",
-		assign: func(row *Row, value string) { row.LiveRoom = uint32(number(value)) }},
-	{Name: ColumnRolloutShare, Type: Unsigned, Unit: "%", Maximum: 100, Default: "100",
-		Rows: bothKinds, Inherited: true,
-		Help:   "Largest part of a back end's slots that rollout work may hold; 0 stops rollouts there.",
-		assign: func(row *Row, value string) { row.RolloutShare = uint32(number(value)) }},
-	{Name: ColumnClassOrder, Type: NameList, Default: "live,rollout", Rows: poolOnly, Inherited: true,
-		Help:   "Caller classes, most urgent first; a class that is not named comes after all of them.",
-		assign: func(row *Row, value string) { row.ClassOrder = names(value) }},
-	{Name: ColumnStalenessBound, Type: Unsigned, Unit: "versions", Maximum: 1000, Default: "4",
-		Rows: poolOnly, Inherited: true,
-		Help:   "Oldest sample that a trainer may be handed, in weight versions behind the trainer's own.",
-		assign: func(row *Row, value string) { row.StalenessBound = uint32(number(value)) }},
-	{Name: ColumnDeadline, Type: Unsigned, Unit: "ms", Minimum: 1, Maximum: maximumMillis, Default: "60000",
-		Rows: poolOnly, Inherited: true,
-		Help:   "Time that a request has from its arrival when its caller names no deadline.",
-		assign: func(row *Row, value string) { row.Deadline = milliseconds(value) }},
-}
+// columns are all columns in the order in which operators read them.
+var columns = append(append([]Column(nil), poolColumns...), routeColumns...)
 
 var columnIndex = func() map[string]*Column {
 	index := make(map[string]*Column, len(columns))
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -157,7 +157,7 @@
 	}
 	return &wire.CellRefusal{
 		Row: row, Column: column, Reason: "cell was changed after the base version",
-		CurrentValue: cell.value, ChangedVersion: cell.version, ChangedBy: cell.operator,
+		CurrentValue: shown(column, cell.value), ChangedVersion: cell.version, ChangedBy: cell.operator,
 	}
 }
 
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -65,6 +65,16 @@
 		{[]string{"-chat"}, "pool", "while it has this back end"},
 		{[]string{"-nothing"}, "", "does not exist"},
 		{[]string{"-chat-1", "chat-1 weight 1"}, "weight", "removed by the same change"},
+		{[]string{"r kind route", "r host h", "r path_prefix /a/", "r pools chat:1,other:1"}, "pools", "pool other does not exist"},
+		{[]string{"r kind route", "r host h", "r path_prefix /a/", "r pools chat-1:1"}, "pools", "does not exist"},
+		{[]string{"r kind route", "r host h", "r path_prefix /a/", "r pools chat:0"}, "pools", "sum to 0"},
+		{[]string{"r kind route", "r path_prefix /a", "r pools chat:1"}, "path_prefix", "start and end with a slash"},
+		{[]string{"r kind route", "r path_prefix /a/", "r pools chat:1"}, "host", "needs a host"},
+		{[]string{"r kind route", "r host h", "r path_prefix /a/", "r pools chat:1", "r timeout_millis 0"}, "timeout_millis", "outside 1"},
+		{[]string{"r kind route", "r host H", "r path_prefix /a/", "r pools chat:1",
+			"s kind route", "s host h", "s path_prefix /a/", "s pools chat:1"}, "path_prefix", "same host and path prefix"},
+		{[]string{"chat host h"}, "host", "does not apply"},
+		{[]string{"d kind document", "d text " + strings.Repeat("x", MaximumTextBytes+1)}, "", "too long"},
 		{[]string{"chat-1 state draining", "chat-2 weight 0"}, "state", "no back end that takes new work"},
 		{[]string{"chat state draining"}, "state", "no back end that takes new work"},
 		{[]string{"-chat-1", "-chat-2"}, "", "no back end that takes new work"},
@@ -82,6 +92,28 @@
 	}
 }
 
+// TestDocumentReadsBackExactly: a document is neither trimmed nor kept in the history, and a pool that a
+// route names stays.
+func TestDocumentReadsBackExactly(t *testing.T) {
+	made, text := example(t), " {\"a\":\n\"\u017e\"}\n"+strings.Repeat("long ", 2000)
+	made.Apply(change("one", 1, "d kind document", "d revision 7", "d text "+text,
+		"r kind route", "r host h", "r path_prefix /a/", "r pools chat:1", "r sticky true"))
+	view, err := NewView().Apply(made.Update(0))
+	if err != nil || view.Row("d").Text != text || view.Row("d").Revision != 7 || !view.Row("r").Sticky || view.Row("r").MaxAttempts != 1 {
+		t.Fatal(err, view.Row("d"))
+	}
+	late := made.Apply(change("late", 1, "d text x"))
+	for _, shown := range []string{made.History("d", ColumnText, 0)[0].GetTo(), late.GetRefusals()[0].GetCurrentValue()} {
+		if len(shown) > 100 || shown == "" {
+			t.Fatalf("document shown as %q", shown)
+		}
+	}
+	gone := change("gone", 2, "-chat", "-chat-1", "-chat-2")
+	if result := made.Apply(gone); result.GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_INVALID {
+		t.Fatal("a pool was removed under its route")
+	}
+}
+
 func TestHarmfulChangeNeedsForce(t *testing.T) {
 	made := example(t)
 	drain := change("drain", 1, "chat-1 state draining", "chat-2 state draining")
--- a/internal/table/value.go
+++ b/internal/table/value.go
@@ -14,13 +14,20 @@
 	MaximumNameBytes = 100
 	// MaximumListNames bounds the names in one list.
 	MaximumListNames = 16
-	// MaximumValueBytes bounds the text of a cell as an operator sends it.
+	// MaximumValueBytes bounds the text of a cell as an operator sends it, except for documents.
 	MaximumValueBytes = 2048
+	// MaximumTextBytes bounds a document.
+	MaximumTextBytes = 512 << 10
+	// MaximumNameWeight bounds the weight of one name in a weighted list.
+	MaximumNameWeight = 1_000_000
 )
 
 // Canonical returns the one text form of a value of the column, or an error that says what the column
 // takes. Empty text clears a cell and is not a value.
 func (c *Column) Canonical(text string) (string, error) {
+	if c.Type == Text {
+		return canonicalText(text)
+	}
 	if len(text) > MaximumValueBytes {
 		return "", trace.BadParameter("value is longer than %d bytes", MaximumValueBytes)
 	}
@@ -36,6 +43,14 @@
 		return c.canonicalNumber(text)
 	case NameList:
 		return canonicalList(text)
+	case Host:
+		return canonicalHost(text)
+	case Path:
+		return canonicalPath(text)
+	case PathPrefix:
+		return canonicalPrefix(text)
+	case WeightedNames:
+		return canonicalWeights(text)
 	default:
 		return "", trace.BadParameter("column %s has no known type", c.Name)
 	}
