--- a/internal/operator/sheet.go
+++ b/internal/operator/sheet.go
@@ -122,6 +122,16 @@
 	return records
 }
 
+// shown replaces texts that would not fit a line, in lines of text whose first is the heading.
+func (s *Sheet) shown(records [][]string) [][]string {
+	for _, record := range records[1:] {
+		for position, text := range record {
+			record[position] = table.Shown(records[0][position], text)
+		}
+	}
+	return records
+}
+
 // Format is how a sheet is written.
 type Format string
 
@@ -136,7 +146,7 @@
 func (s *Sheet) Write(out io.Writer, format Format, all bool) error {
 	switch format {
 	case FormatTable:
-		if err := writeAligned(out, s.records(all)); err != nil {
+		if err := writeAligned(out, s.shown(s.records(all))); err != nil {
 			return trace.Wrap(err)
 		}
 		_, err := io.WriteString(out, "version "+strconv.FormatUint(s.Version, 10)+"\n")
--- a/internal/page/assets/page.js
+++ b/internal/page/assets/page.js
@@ -142,6 +142,7 @@
   } else {
     input = element("input");
     input.placeholder = standsFor;
+    input.readOnly = column.type === "text"; // a document belongs to the tool that keeps it
   }
   input.value = value;
   input.dataset.cell = `${name} ${column.name}`;
--- a/internal/table/columns.go
+++ b/internal/table/columns.go
@@ -6,6 +6,9 @@
 	maximumMillis = 24 * 60 * 60 * 1000
 	maximumTokens = 1 << 40
 	maximumBytes  = 1 << 40
+
+	// MaximumSequence stands for a registered back end that left for good: no message comes after it.
+	MaximumSequence = 1<<63 - 1
 )
 
 var (
@@ -88,6 +91,9 @@
 		Rows: poolOnly, Inherited: true,
 		Help:   "Tokens that an engine's key-value cache holds, for running requests and kept prompts; 0 if unknown.",
 		assign: func(row *Row, value string) { row.KVCapacity = number(value) }},
+	{Name: ColumnSequence, Type: Unsigned, Maximum: MaximumSequence, Default: "0", Rows: backendOnly,
+		Help:   "Number of the message by which a registered back end last changed its row; the largest: it left for good.",
+		assign: func(row *Row, value string) { row.Sequence = number(value) }},
 	{Name: ColumnModels, Type: NameList, Rows: poolOnly, Inherited: true,
 		Help:   "Models that the pool's engines hold weights of.",
 		assign: func(row *Row, value string) { row.Models = names(value) }},
--- a/internal/table/commit.go
+++ b/internal/table/commit.go
@@ -63,13 +63,13 @@
 func (t *Table) remember(change *wire.TableChange, row, column, from, to string) {
 	t.history = append(t.history, &wire.HistoryEntry{
 		Version: t.version, Operator: change.GetOperator(), AtUnixMillis: change.GetAtUnixMillis(),
-		Row: row, Column: column, From: shown(column, from), To: shown(column, to),
+		Row: row, Column: column, From: Shown(column, from), To: Shown(column, to),
 		ChangeId: change.GetChangeId(), Note: change.GetNote(),
 	})
 }
 
-// shown is a cell's value as the history and refusals hold it: of a document, its length and digest.
-func shown(column, value string) string {
+// Shown is a cell's value as people read it in the history, refusals and lists: of a document, its length and digest.
+func Shown(column, value string) string {
 	if known := columnIndex[column]; known == nil || known.Type != Text || value == "" {
 		return value
 	}
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -26,6 +26,7 @@
 	HealthPath     string // empty: none
 	KVCapacity     uint64 // tokens; 0: unknown
 	Models         []string
+	Sequence       uint64 // of a registered back end's last message that changed the row
 
 	// Of a route.
 	Host          string
--- a/internal/table/schema.go
+++ b/internal/table/schema.go
@@ -139,6 +139,7 @@
 	ColumnHealthPath     = "health_path"
 	ColumnKVCapacity     = "kv_capacity_tokens"
 	ColumnModels         = "models"
+	ColumnSequence       = "sequence"
 	ColumnHost           = "host"
 	ColumnPathPrefix     = "path_prefix"
 	ColumnPools          = "pools"
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -13,7 +13,7 @@
 	// MaximumRows bounds the rows.
 	MaximumRows = 10_000
 	// MaximumChangeCells bounds the cells and removed rows of one change.
-	MaximumChangeCells = 4096
+	MaximumChangeCells = 32_768
 	// MaximumIDBytes bounds a change id and an operator's name, in bytes.
 	MaximumIDBytes = 128
 	// MaximumNoteBytes bounds a note, in bytes.
@@ -157,7 +157,7 @@
 	}
 	return &wire.CellRefusal{
 		Row: row, Column: column, Reason: "cell was changed after the base version",
-		CurrentValue: shown(column, cell.value), ChangedVersion: cell.version, ChangedBy: cell.operator,
+		CurrentValue: Shown(column, cell.value), ChangedVersion: cell.version, ChangedBy: cell.operator,
 	}
 }
 
