configure: a site's configuration as one table change, highest revision prevails

Cause: an operator of the platform sends whole configurations, at times two at once and in any order. Change: Check and Plan turn a configuration into the cells that differ and the routes that go; Importer makes the change against the version that it read and reads again after a conflict. Lists of names take 64 names. Ruled out: a change of the rows without a document row; the text would not read back exactly. Conclusion: the handlers can translate and call Put and Get.

--- /dev/null
+++ b/internal/configure/configure_test.go
@@ -0,0 +1,124 @@
+package configure
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"pgregory.net/rapid"
+
+	"github.com/tamarindring/tamarindring/internal/route"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// fakeControl is a table without consensus. before runs ahead of each change, as another operator would.
+type fakeControl struct {
+	table  *table.Table
+	before func()
+}
+
+func (f *fakeControl) Query(context.Context, uint32, *wire.Query) (*wire.View, error) {
+	return &wire.View{Kind: &wire.View_Table{Table: f.table.Update(0)}}, nil
+}
+
+func (f *fakeControl) ChangeTable(_ context.Context, change *wire.TableChange, _ bool) (*wire.TableResult, uint64, error) {
+	if hook := f.before; hook != nil {
+		f.before = nil
+		hook()
+	}
+	return f.table.Apply(change), 0, nil
+}
+
+func example(revision uint64) *Configuration {
+	return &Configuration{
+		Revision: revision, Text: fmt.Sprintf("{\"version\": %d}\n", revision),
+		Pools: []Pool{{Name: "a", Service: table.Engine, MaxInFlight: 12, HealthPath: "/healthz", Models: []string{"m0", "m1"}},
+			{Name: "odd name/ü", Service: table.Application}},
+		Routes: []route.Route{
+			{Name: "one", Host: "h", PathPrefix: "/a/", Pools: []route.Share{{Pool: "a", Weight: 9}, {Pool: "odd name/ü", Weight: 1}, {Pool: "a", Weight: 1}},
+				Kind: table.Batch, Timeout: 10 * time.Second, MaxAttempts: 3, QueueTTL: 40 * time.Second, Deadline: 7500 * time.Millisecond, Sticky: true},
+			{Name: "one", Host: "h", PathPrefix: "/b/", Pools: []route.Share{{Pool: "a", Weight: 1}}, Kind: table.Repeatable, Timeout: 1},
+		},
+	}
+}
+
+func TestConfigurationBecomesRows(t *testing.T) {
+	control := &fakeControl{table: table.New()}
+	importer := &Importer{Control: control, Operator: "test"}
+	if err := importer.Put(t.Context(), example(7)); err != nil {
+		t.Fatal(err)
+	}
+	view, _ := ReadView(t.Context(), control)
+	routes := route.NewTable(view)
+	one, other := routes.Match("h", "/a/x"), routes.Match("h", "/b/")
+	if one == nil || other == nil || len(one.Pools) != 2 || one.Pools[0] != (route.Share{Pool: "a", Weight: 10}) || one.QueueTTL != 40*time.Second ||
+		one.Deadline != 7500*time.Millisecond || !one.Sticky || one.MaxAttempts != 3 || other.Timeout != time.Millisecond || other.Kind != table.Repeatable {
+		t.Fatalf("%+v %+v", one, other)
+	}
+	if pool := view.Pool("a"); pool.MaxInFlight != 12 || pool.MaxConnections != 1024 || pool.HealthPath != "/healthz" || len(pool.Models) != 2 {
+		t.Fatalf("%+v", pool)
+	}
+	if view.Pool(RowName("odd name/ü")) == nil || view.Row(ListenerRow).MaxHeader != 16384 {
+		t.Fatal("a pool or the listener is missing")
+	}
+}
+
+func TestWhatIsInvalidChangesNothing(t *testing.T) {
+	for name, spoil := range map[string]func(*Configuration){
+		"revision":  func(c *Configuration) { c.Revision = 0 },
+		"pool":      func(c *Configuration) { c.Routes[0].Pools[0].Pool = "unknown" },
+		"no pool":   func(c *Configuration) { c.Routes[0].Pools = nil },
+		"weights":   func(c *Configuration) { c.Routes[1].Pools[0].Weight = 0 },
+		"timeout":   func(c *Configuration) { c.Routes[1].Timeout = 0 },
+		"same":      func(c *Configuration) { c.Routes[1].Host, c.Routes[1].PathPrefix = "H", "/a/" },
+		"prefix":    func(c *Configuration) { c.Routes[1].PathPrefix = "/b" },
+		"host":      func(c *Configuration) { c.Routes[1].Host = "a b" },
+		"two pools": func(c *Configuration) { c.Pools[1].Name = "a" },
+	} {
+		control := &fakeControl{table: table.New()}
+		importer := &Importer{Control: control}
+		spoiled := example(1)
+		spoil(spoiled)
+		if err := importer.Put(t.Context(), spoiled); !trace.IsBadParameter(err) || control.table.Version() != 0 {
+			t.Errorf("%s: %v, table version %d", name, err, control.table.Version())
+		}
+	}
+}
+
+// TestHighestRevisionPrevails sends revisions in any order, at times with another operator's change in between,
+// which makes the change at hand conflict.
+func TestHighestRevisionPrevails(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		control := &fakeControl{table: table.New()}
+		importer := &Importer{Control: control, Operator: "test"}
+		want := &Configuration{}
+		put := func(label string) {
+			c := example(uint64(rapid.IntRange(1, 9).Draw(t, label)))
+			c.Routes = c.Routes[:rapid.IntRange(0, 2).Draw(t, label+" routes")]
+			c.Text = strings.Repeat(c.Text, len(c.Routes)+1)
+			if err := importer.Put(context.Background(), c); err != nil {
+				t.Fatal(err)
+			}
+			if c.Revision > want.Revision { // a race within Put has ended before it
+				want = c
+			}
+			if revision, text, _ := importer.Get(context.Background()); revision != want.Revision || text != want.Text {
+				t.Fatalf("revision %d with %q, not %d with %q", revision, text, want.Revision, want.Text)
+			}
+			view, _ := ReadView(context.Background(), control)
+			if len(route.FromView(view)) != len(want.Routes) {
+				t.Fatalf("%d routes, not %d", len(route.FromView(view)), len(want.Routes))
+			}
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "raced") {
+				control.before = func() { put("other") }
+			}
+			put("own")
+		}
+	})
+}
--- /dev/null
+++ b/internal/configure/importer.go
@@ -0,0 +1,87 @@
+package configure
+
+import (
+	"context"
+	"crypto/rand"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Control is what this package needs of a client of the control nodes.
+type Control interface {
+	Query(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error)
+	ChangeTable(ctx context.Context, change *wire.TableChange, wait bool) (*wire.TableResult, uint64, error)
+}
+
+// Importer puts configurations into the table.
+type Importer struct {
+	Control  Control
+	Operator string // named in the table's history
+}
+
+// Put makes a configuration the table's unless that holds its revision or a higher one, which is no error.
+// Errors: trace.BadParameter for a configuration that can't be taken, nothing changed; any other error says
+// that its fate is not known, and the same call again settles it.
+func (i *Importer) Put(ctx context.Context, c *Configuration) error {
+	if err := Check(c); err != nil {
+		return err
+	}
+	for {
+		view, err := ReadView(ctx, i.Control)
+		if err != nil {
+			return err
+		}
+		change, err := Plan(view, c)
+		if err != nil || change == nil {
+			return err
+		}
+		change.ChangeId, change.Operator = rand.Text(), i.Operator
+		result, _, err := i.Control.ChangeTable(ctx, change, false)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		switch result.GetOutcome() {
+		case wire.TableOutcome_TABLE_OUTCOME_ACCEPTED:
+			return nil
+		case wire.TableOutcome_TABLE_OUTCOME_CONFLICT:
+			continue // another change was faster: judge against what it left
+		}
+		return trace.BadParameter("%s", reasons(result))
+	}
+}
+
+// Get returns the newest configuration by a linearizable read; revision 0 if there is none yet.
+func (i *Importer) Get(ctx context.Context) (revision uint64, text string, err error) {
+	view, err := ReadView(ctx, i.Control)
+	if err != nil {
+		return 0, "", err
+	}
+	revision, text = Held(view)
+	return revision, text, nil
+}
+
+// ReadView returns the current table by a linearizable read.
+func ReadView(ctx context.Context, control Control) (*table.View, error) {
+	answer, err := control.Query(ctx, state.ControlGroup, &wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{}}})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if answer.GetTable() == nil {
+		return nil, verdict.New(verdict.DidNotRun, "the control group answered without a table")
+	}
+	return table.NewView().Apply(answer.GetTable())
+}
+
+func reasons(result *wire.TableResult) string {
+	texts := make([]string, 0, len(result.GetRefusals()))
+	for _, refusal := range result.GetRefusals() {
+		texts = append(texts, refusal.GetRow()+" "+refusal.GetColumn()+": "+refusal.GetReason())
+	}
+	return strings.Join(texts, "; ")
+}
--- a/internal/table/value.go
+++ b/internal/table/value.go
@@ -13,7 +13,7 @@
 	// MaximumNameBytes bounds a row's name and any other name in a cell.
 	MaximumNameBytes = 100
 	// MaximumListNames bounds the names in one list.
-	MaximumListNames = 16
+	MaximumListNames = 64
 	// MaximumValueBytes bounds the text of a cell as an operator sends it, except for documents.
 	MaximumValueBytes = 2048
 	// MaximumTextBytes bounds a document.
