registry: replicas register themselves; late ones are known as such, silent ones are taken out

Cause: the platform keeps no list of replicas; they send heartbeats to any control node. Change: Judge compares a heartbeat with the replica's row, which carries the sequence of the heartbeat that last changed it; what says nothing new is answered from memory; changes are committed before the acknowledgement and made again after a conflict. The leader's Tracker takes out replicas after three missed heartbeats, but never more than half of a pool at once and not for a pause of its own. Conclusion: the platform's handlers can call Heartbeat and Deregister.

--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,169 @@
+// Package registry keeps the operators' table in step with replicas that register themselves: a heartbeat
+// that says something new becomes a change of the replica's row, one that says nothing new is answered from
+// memory, and a replica that falls silent is taken out until it is heard again.
+//
+// Judge, Change and Tracker are pure: time is an argument (since an arbitrary start, monotonic). Service is
+// the runtime over a client of the control nodes.
+package registry
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/configure"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// LastSequence is the sequence of a replica that left for good: no heartbeat comes after it.
+const LastSequence = table.MaximumSequence
+
+// Registration is what a replica says of itself with a heartbeat.
+type Registration struct {
+	Instance string // unique for every start of a replica; the name of its row
+	Pool     string
+	Address  string // IP:port
+	Zone     string // may be empty
+	Slots    uint64 // requests that it works on at once
+	Draining bool
+	Sequence uint64 // rises with every heartbeat of the instance, from 1
+	Models   []ModelVersion
+}
+
+// ModelVersion is the weight version of a model that a replica serves.
+type ModelVersion struct {
+	Model  string
+	Number uint64
+}
+
+// Check returns why a registration can't be taken; nil if it can.
+func (r *Registration) Check() error {
+	address, err := netip.ParseAddrPort(r.Address)
+	switch {
+	case r.Instance == "" || r.Pool == "":
+		return trace.BadParameter("a registration needs an instance and a pool")
+	case configure.RowName(r.Instance) != r.Instance:
+		return trace.BadParameter("instance %q can't name a row", r.Instance)
+	case err != nil || address.Port() == 0:
+		return trace.BadParameter("address %q is not an IP:port", r.Address)
+	case r.Sequence >= LastSequence:
+		return trace.BadParameter("sequence %d is too high", r.Sequence)
+	}
+	return nil
+}
+
+// Judgement is what a heartbeat means for the table.
+type Judgement uint8
+
+// The judgements.
+const (
+	Unchanged Judgement = iota + 1 // the row says it already
+	Late                           // a later heartbeat, or the replica's leaving, was taken before
+	Changed                        // the row must be changed before the heartbeat is acknowledged
+)
+
+// Judge compares a heartbeat with the replica's row; nil if it has none.
+func Judge(row *table.Row, heartbeat *Registration) Judgement {
+	switch {
+	case row == nil:
+		return Changed
+	case row.Kind != table.Backend:
+		return Late // the name stands for something else
+	case heartbeat.Sequence < row.Sequence:
+		return Late
+	case len(differing(row, heartbeat)) == 0:
+		return Unchanged
+	case heartbeat.Sequence == row.Sequence && row.Sequence > 0:
+		return Late // the row was changed by this very heartbeat, and by silence or an operator since
+	}
+	return Changed
+}
+
+// rowCells returns the cells that a registration stands for, without the sequence.
+func (r *Registration) rowCells() map[string]string {
+	state := table.Active
+	if r.Draining {
+		state = table.Draining
+	}
+	cells := map[string]string{
+		table.ColumnKind: string(table.Backend), table.ColumnPool: configure.RowName(r.Pool),
+		table.ColumnAddress: r.Address, table.ColumnState: string(state),
+		table.ColumnMaxInFlight: strconv.FormatUint(min(max(r.Slots, 1), maximumSlots), 10),
+	}
+	if r.Zone != "" {
+		cells[table.ColumnZone] = configure.RowName(r.Zone)
+	}
+	return cells
+}
+
+const maximumSlots = 100_000
+
+// columnOrder is the order in which a registration's cells stand in a change.
+var columnOrder = []string{
+	table.ColumnKind, table.ColumnPool, table.ColumnAddress, table.ColumnZone, table.ColumnState, table.ColumnMaxInFlight,
+}
+
+func differing(row *table.Row, heartbeat *Registration) []*wire.CellChange {
+	var cells []*wire.CellChange
+	desired := heartbeat.rowCells()
+	for _, column := range columnOrder {
+		value, said := desired[column]
+		if !said {
+			continue
+		}
+		held := ""
+		if row != nil {
+			held, _ = row.Explicit(column)
+		}
+		if held != value {
+			cells = append(cells, &wire.CellChange{Row: heartbeat.Instance, Column: column, Value: value})
+		}
+	}
+	return cells
+}
+
+// Change returns the change that makes the table say what a heartbeat says, without id and operator. It makes
+// the pool if there is none yet, and ends what else was registered at the address: that replica is gone.
+func Change(view *table.View, heartbeat *Registration) *wire.TableChange {
+	change := &wire.TableChange{BaseVersion: view.Version(), Note: table.ForceNote}
+	set := func(row, column, value string) {
+		change.Cells = append(change.Cells, &wire.CellChange{Row: row, Column: column, Value: value})
+	}
+	if pool := configure.RowName(heartbeat.Pool); view.Pool(pool) == nil {
+		set(pool, table.ColumnKind, string(table.Pool))
+	}
+	change.Cells = append(change.Cells, differing(view.Row(heartbeat.Instance), heartbeat)...)
+	set(heartbeat.Instance, table.ColumnSequence, strconv.FormatUint(heartbeat.Sequence, 10))
+	for _, row := range view.Rows() {
+		if registered(row) && row.Name != heartbeat.Instance && row.Address == heartbeat.Address && row.Sequence != LastSequence {
+			change.Cells = append(change.Cells, leaving(row)...)
+		}
+	}
+	return change
+}
+
+// Leave returns the change that takes a replica out for good, without id and operator; nil when there is
+// nothing to change.
+func Leave(view *table.View, instance string) *wire.TableChange {
+	row := view.Row(instance)
+	if row == nil || row.Kind != table.Backend || row.Sequence == LastSequence {
+		return nil
+	}
+	return &wire.TableChange{BaseVersion: view.Version(), Note: table.ForceNote, Cells: leaving(row)}
+}
+
+func leaving(row *table.Row) []*wire.CellChange {
+	cells := []*wire.CellChange{{Row: row.Name, Column: table.ColumnSequence, Value: strconv.FormatUint(LastSequence, 10)}}
+	if own, _ := row.Explicit(table.ColumnState); own != string(table.Removed) {
+		cells = append(cells, &wire.CellChange{Row: row.Name, Column: table.ColumnState, Value: string(table.Removed)})
+	}
+	return cells
+}
+
+// registered says whether a row was made by a registration; rows that operators made are left alone.
+func registered(row *table.Row) bool {
+	_, explicit := row.Explicit(table.ColumnSequence)
+	return row.Kind == table.Backend && explicit
+}
--- /dev/null
+++ b/internal/registry/service.go
@@ -0,0 +1,192 @@
+package registry
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/configure"
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/monotonic"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// silentHeartbeats is how many heartbeats a replica may miss before it is taken out.
+	silentHeartbeats = 3
+	// keepSilent is how long the row of a replica that is out is kept.
+	keepSilent = 90 * time.Second
+	// tickTimeout bounds one look at the silent replicas.
+	tickTimeout = time.Second
+	// ticksPerSilence is how often silence is looked for within its limit.
+	ticksPerSilence = 8
+)
+
+// Config says what a Service works with.
+type Config struct {
+	// Control reaches the leader of the control group. Required.
+	Control configure.Control
+	// View is a view that follows the table and may lag. Required; it may return nil.
+	View func() *table.View
+	// Leading says whether this process leads the control group. Required.
+	Leading func() bool
+	// Relay passes a heartbeat to the leader; an error says that it was not reached. Nil: not done.
+	Relay func(ctx context.Context, heartbeat *Registration) error
+	// Heartbeat is the replicas' interval. Required.
+	Heartbeat time.Duration
+	// Operator is named in the table's history. Default "registry".
+	Operator string
+	Clock    monotonic.Clock
+	Log      *logrus.Entry
+}
+
+// Service takes replicas' heartbeats. It is safe for concurrent use.
+type Service struct {
+	config Config
+
+	mutex   sync.Mutex
+	tracker *Tracker // nil while this process does not lead
+	heard   func(*Registration)
+}
+
+// New returns a service; Run makes it look for silent replicas.
+func New(config Config) (*Service, error) {
+	if config.Control == nil || config.View == nil || config.Leading == nil || config.Heartbeat <= 0 {
+		return nil, trace.BadParameter("a registry needs control, view, leading and the heartbeats' interval")
+	}
+	if config.Operator == "" {
+		config.Operator = "registry"
+	}
+	if config.Clock == nil {
+		config.Clock = monotonic.Now
+	}
+	if config.Log == nil {
+		config.Log = logging.Discard()
+	}
+	return &Service{config: config}, nil
+}
+
+// OnHeartbeat sets a listener that is called with every heartbeat that the leader hears. Set it before use.
+func (s *Service) OnHeartbeat(listener func(*Registration)) { s.heard = listener }
+
+// Heartbeat takes one heartbeat. nil: the table says what it says, or something newer. Errors:
+// trace.BadParameter for one that can't be taken; any other says that its fate is not known.
+func (s *Service) Heartbeat(ctx context.Context, heartbeat *Registration) error {
+	if err := heartbeat.Check(); err != nil {
+		return err
+	}
+	if !s.config.Leading() && s.config.Relay != nil && s.config.Relay(ctx, heartbeat) == nil {
+		return nil
+	}
+	return s.TakeHere(ctx, heartbeat)
+}
+
+// TakeHere is Heartbeat without a relay to the leader.
+func (s *Service) TakeHere(ctx context.Context, heartbeat *Registration) error {
+	if err := heartbeat.Check(); err != nil {
+		return err
+	}
+	s.noteHeard(heartbeat)
+	if view := s.config.View(); view != nil && Judge(view.Row(heartbeat.Instance), heartbeat) != Changed {
+		return nil
+	}
+	return s.commit(ctx, func(view *table.View) *wire.TableChange {
+		if Judge(view.Row(heartbeat.Instance), heartbeat) != Changed {
+			return nil
+		}
+		return Change(view, heartbeat)
+	})
+}
+
+// Deregister takes a replica out for good; one that is unknown is no error.
+func (s *Service) Deregister(ctx context.Context, instance string) error {
+	return s.commit(ctx, func(view *table.View) *wire.TableChange { return Leave(view, instance) })
+}
+
+// commit makes the change that plan returns for the newest table, again after each conflict.
+func (s *Service) commit(ctx context.Context, plan func(*table.View) *wire.TableChange) error {
+	for {
+		view, err := configure.ReadView(ctx, s.config.Control)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		change := plan(view)
+		if change == nil {
+			return nil
+		}
+		change.ChangeId, change.Operator = rand.Text(), s.config.Operator
+		result, _, err := s.config.Control.ChangeTable(ctx, change, false)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		switch result.GetOutcome() {
+		case wire.TableOutcome_TABLE_OUTCOME_ACCEPTED:
+			return nil
+		case wire.TableOutcome_TABLE_OUTCOME_CONFLICT:
+			continue
+		}
+		return trace.BadParameter("the table refused a registration: %v", result.GetRefusals())
+	}
+}
+
+func (s *Service) noteHeard(heartbeat *Registration) {
+	if !s.config.Leading() {
+		return
+	}
+	s.mutex.Lock()
+	s.lead().Heard(s.config.Clock(), heartbeat)
+	s.mutex.Unlock()
+	if s.heard != nil {
+		s.heard(heartbeat)
+	}
+}
+
+// lead returns the tracker of this leadership. The caller holds the mutex.
+func (s *Service) lead() *Tracker {
+	if s.tracker == nil {
+		s.tracker = NewTracker(s.config.Clock(), TrackerConfig{Silence: silentHeartbeats * s.config.Heartbeat, Keep: keepSilent})
+	}
+	return s.tracker
+}
+
+// Run looks for silent replicas while this process leads, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(silentHeartbeats * s.config.Heartbeat / ticksPerSilence)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.tick(ctx)
+	}
+}
+
+func (s *Service) tick(ctx context.Context) {
+	view := s.config.View()
+	s.mutex.Lock()
+	if !s.config.Leading() || view == nil {
+		s.tracker = nil
+		s.mutex.Unlock()
+		return
+	}
+	change := s.lead().Tick(s.config.Clock(), view)
+	s.mutex.Unlock()
+	if change == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tickTimeout)
+	defer cancel()
+	change.ChangeId, change.Operator = rand.Text(), s.config.Operator
+	// A conflict or an error is left to the next look: the replica may have been heard meanwhile.
+	result, _, err := s.config.Control.ChangeTable(ctx, change, false)
+	if err == nil && result.GetOutcome() == wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+		s.config.Log.Infof("registry: %d cells for silent replicas, %d rows dropped", len(change.Cells), len(change.RemoveRows))
+	}
+}
--- /dev/null
+++ b/internal/registry/tracker.go
@@ -0,0 +1,125 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// TrackerConfig holds a Tracker's parameters.
+type TrackerConfig struct {
+	// Silence is how long a replica may say nothing before it is taken out.
+	Silence time.Duration
+	// Keep is how long the row of a replica that is out is kept, so that its late heartbeats are known as
+	// such.
+	Keep time.Duration
+}
+
+// Tracker remembers which replicas were heard. It belongs to the process that leads the control group, and
+// is not safe for concurrent use.
+type Tracker struct {
+	config TrackerConfig
+	since  time.Duration // start of the leadership, or the end of this process's last pause
+	ticked time.Duration
+	heard  map[string]heard
+	out    map[string]time.Duration // since when a row is known to be out
+}
+
+type heard struct {
+	at       time.Duration
+	sequence uint64
+	models   []ModelVersion
+}
+
+// NewTracker returns a tracker of a process that begins to lead now.
+func NewTracker(now time.Duration, config TrackerConfig) *Tracker {
+	return &Tracker{config: config, since: now, ticked: now, heard: map[string]heard{}, out: map[string]time.Duration{}}
+}
+
+// Heard notes a heartbeat; one that is older than the newest says nothing.
+func (t *Tracker) Heard(now time.Duration, heartbeat *Registration) {
+	if known, ok := t.heard[heartbeat.Instance]; ok && heartbeat.Sequence < known.sequence {
+		return
+	}
+	t.heard[heartbeat.Instance] = heard{at: now, sequence: heartbeat.Sequence, models: heartbeat.Models}
+}
+
+// Models returns the weight versions that a replica last spoke of.
+func (t *Tracker) Models(instance string) []ModelVersion { return t.heard[instance].models }
+
+// Tick is called at least every half of Silence. It returns the change that takes out the replicas of the
+// view that fell silent and drops rows that have been out for long; nil when there is nothing to change.
+func (t *Tracker) Tick(now time.Duration, view *table.View) *wire.TableChange {
+	if now-t.ticked > t.config.Silence/2 {
+		t.since = now // this process slept: what was sent meanwhile was not read yet
+	}
+	t.ticked = now
+	change := &wire.TableChange{BaseVersion: view.Version(), Note: table.ForceNote}
+	known := map[string]bool{}
+	for _, pool := range view.Pools() {
+		t.tickPool(now, view.Backends(pool.Name), change)
+	}
+	for _, row := range view.Rows() {
+		if registered(row) {
+			known[row.Name] = true
+			t.tickOut(now, row, change)
+		}
+	}
+	t.forget(known, now)
+	if len(change.Cells)+len(change.RemoveRows) == 0 {
+		return nil
+	}
+	return change
+}
+
+// tickPool takes out a pool's silent replicas, but never more than half of it at once: then it is rather
+// this process that hears nothing.
+func (t *Tracker) tickPool(now time.Duration, backends []*table.Row, change *wire.TableChange) {
+	var silent []*table.Row
+	count := 0
+	for _, row := range backends {
+		if !registered(row) {
+			continue
+		}
+		count++
+		if now-max(t.since, t.heard[row.Name].at) > t.config.Silence {
+			silent = append(silent, row)
+		}
+	}
+	if len(silent)*2 > count && count > 1 {
+		return
+	}
+	for _, row := range silent {
+		change.Cells = append(change.Cells, &wire.CellChange{Row: row.Name, Column: table.ColumnState, Value: string(table.Removed)})
+	}
+}
+
+// tickOut drops the row of a replica that has been out for long.
+func (t *Tracker) tickOut(now time.Duration, row *table.Row, change *wire.TableChange) {
+	own, _ := row.Explicit(table.ColumnState)
+	if own != string(table.Removed) {
+		delete(t.out, row.Name)
+		return
+	}
+	since, known := t.out[row.Name]
+	if !known {
+		t.out[row.Name] = now
+	} else if now-since > t.config.Keep {
+		change.RemoveRows = append(change.RemoveRows, row.Name)
+	}
+}
+
+// forget drops what is remembered of instances without a row, a while after they were heard.
+func (t *Tracker) forget(known map[string]bool, now time.Duration) {
+	for instance, last := range t.heard {
+		if !known[instance] && now-last.at > t.config.Keep {
+			delete(t.heard, instance)
+		}
+	}
+	for instance := range t.out {
+		if !known[instance] {
+			delete(t.out, instance)
+		}
+	}
+}
