weights: named versions of models, and the leader's orders that bring replicas to them

Cause: trainers name versions at any control node, and the leader has to bring every registered replica to them without two machines ordering one replica in turn. Change: Put names a version in the release registry; Driver runs one wave.Planner per model with two loads at once over all models (new wave setting SwapTogether), under a token acquired per leadership; a new leader waits unless the token shows that nobody sent orders since its own. Every order names how many the replica has taken, so that one that arrives late is not carried out after a newer one.

--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -252,6 +252,9 @@
 		return len(p.replicas)
 	}
 	places := max(1, int(float64(len(p.replicas))*p.config.SwapShare))
+	if p.config.SwapTogether > 0 {
+		places = p.config.SwapTogether
+	}
 	for _, one := range p.replicas {
 		if one.order.Kind == Swap || one.refusing {
 			places--
--- a/internal/wave/types.go
+++ b/internal/wave/types.go
@@ -73,6 +73,8 @@
 	// SwapShare is the part of a pool's replicas that may be out for a swap at once, as a fraction; at
 	// least one is. Default 0.2: a pool keeps four fifths of its capacity and is through in five rounds.
 	SwapShare float64
+	// SwapTogether bounds the swaps in place of SwapShare, as a count. Default 0: SwapShare rules.
+	SwapTogether int
 	// QuickSwap is the swap time up to which all replicas may swap at once, because the gap is shorter
 	// than a few steps. Default 50ms.
 	QuickSwap time.Duration
--- /dev/null
+++ b/internal/weights/driver.go
@@ -0,0 +1,294 @@
+package weights
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/monotonic"
+	"github.com/tamarindring/tamarindring/internal/registry"
+	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wave"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Defaults of Config.
+const (
+	DefaultLoadsTogether = 2
+	DefaultPoll          = 250 * time.Millisecond
+	DefaultLoadTimeout   = 10 * time.Second
+)
+
+// controlTimeout bounds one question to the control group.
+const controlTimeout = 400 * time.Millisecond
+
+// Config says what a Driver works with.
+type Config struct {
+	Control Control
+	Sender  Sender
+	// View is a view that follows the table and may lag; it may return nil.
+	View func() *table.View
+	// Leading says whether this process leads the control group, confirmed within Confirmed.
+	Leading func() bool
+	// Owner is this process's name, as owner of the orders.
+	Owner string
+	// Takeover is how long a new leader waits before its first order: the time within which two holders may
+	// not take turns, and the time for which Leading may be out of date.
+	Takeover time.Duration
+	// LoadsTogether bounds the replicas that load at once, over all models. Default DefaultLoadsTogether.
+	LoadsTogether int
+	// Poll is how often newly named versions are looked for. Default DefaultPoll.
+	Poll time.Duration
+	// LoadTimeout bounds one order. Default DefaultLoadTimeout.
+	LoadTimeout time.Duration
+	Clock       monotonic.Clock
+	Log         *logrus.Entry
+}
+
+// Driver drives the waves of all models while its process leads.
+type Driver struct {
+	config Config
+	kick   chan struct{} // capacity 1: look at once
+	done   chan loaded
+	orders sync.WaitGroup
+
+	mutex sync.Mutex
+	heard map[string][]registry.ModelVersion // by instance
+
+	// What follows belongs to Run.
+	token     uint64        // 0 while no orders may be planned
+	lastToken uint64        // the last one that this process held
+	ready     time.Duration // no order is sent before
+	planners  map[string]*wave.Planner
+	queue     []queued
+	busy      map[string]bool // replicas with an order on its way
+}
+
+// queued is an order that waits for a place.
+type queued struct {
+	model string
+	order wave.Order
+}
+
+// loaded is the end of an order.
+type loaded struct {
+	queued
+	token   uint64
+	serving uint64
+	err     error
+}
+
+// NewDriver returns a driver; Run makes it work.
+func NewDriver(config Config) (*Driver, error) {
+	if config.Control == nil || config.Sender == nil || config.View == nil || config.Leading == nil || config.Owner == "" {
+		return nil, trace.BadParameter("a weights driver needs control, sender, view, leading and owner")
+	}
+	if config.LoadsTogether <= 0 {
+		config.LoadsTogether = DefaultLoadsTogether
+	}
+	if config.Poll <= 0 {
+		config.Poll = DefaultPoll
+	}
+	if config.LoadTimeout <= 0 {
+		config.LoadTimeout = DefaultLoadTimeout
+	}
+	if config.Clock == nil {
+		config.Clock = monotonic.Now
+	}
+	if config.Log == nil {
+		config.Log = logging.Discard()
+	}
+	return &Driver{config: config, kick: make(chan struct{}, 1), done: make(chan loaded, config.LoadsTogether),
+		heard: map[string][]registry.ModelVersion{}, busy: map[string]bool{}}, nil
+}
+
+// Heard notes what a replica serves. It is the registry's listener.
+func (d *Driver) Heard(heartbeat *registry.Registration) {
+	if len(heartbeat.Models) == 0 {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.heard[heartbeat.Instance] = heartbeat.Models
+}
+
+// Look makes the driver look for named versions at once.
+func (d *Driver) Look() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run drives the waves until ctx ends and every order under way has ended.
+func (d *Driver) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer d.orders.Wait()
+	defer cancel()
+	ticker := time.NewTicker(d.config.Poll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ended := <-d.done:
+			d.ended(ended)
+		case <-d.kick:
+		case <-ticker.C:
+		}
+		if !d.config.Leading() {
+			d.token, d.planners, d.queue = 0, nil, nil
+			continue
+		}
+		if d.token == 0 && !d.takeOver(ctx) {
+			continue
+		}
+		d.plan(ctx)
+		d.send(ctx)
+	}
+}
+
+// takeOver acquires the right to send orders.
+func (d *Driver) takeOver(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	result, err := d.config.Control.Execute(ctx, state.ControlGroup, &wire.Command{Kind: &wire.Command_FenceAcquire{
+		FenceAcquire: &wire.FenceAcquire{Resource: fenceResource, Owner: d.config.Owner, RequestId: rand.Text()}}})
+	if err != nil || result.GetFence().GetToken() == 0 {
+		return false
+	}
+	d.token, d.ready = result.GetFence().GetToken(), d.config.Clock()
+	if d.token > d.lastToken+1 {
+		d.ready += d.config.Takeover // somebody else sent orders since, or before this process began
+	}
+	d.lastToken = d.token
+	d.planners, d.queue = map[string]*wave.Planner{}, nil
+	d.config.Log.Infof("weights: sending orders under token %d", d.token)
+	return true
+}
+
+// plan brings the planners up to date and takes their orders.
+func (d *Driver) plan(ctx context.Context) {
+	view := d.config.View()
+	if view == nil {
+		return
+	}
+	replicas := d.replicas(view)
+	for model, reports := range replicas {
+		planner := d.planners[model]
+		if planner == nil {
+			planner = wave.New(wave.Config{SwapTogether: d.config.LoadsTogether, StageTime: 1})
+			d.planners[model] = planner
+		}
+		d.release(ctx, model, planner)
+		names := make([]string, 0, len(reports))
+		for name := range reports {
+			names = append(names, name)
+		}
+		planner.SetReplicas(names)
+		now := d.config.Clock()
+		for name, number := range reports {
+			planner.Report(now, name, wave.Report{Version: wave.Version{Number: number}})
+		}
+		d.take(model, planner)
+	}
+}
+
+// replicas returns, by model, the active replicas and the version that each last spoke of.
+func (d *Driver) replicas(view *table.View) map[string]map[string]uint64 {
+	found := map[string]map[string]uint64{}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for instance, models := range d.heard {
+		row := view.Row(instance)
+		if row == nil {
+			continue
+		}
+		if row.State == table.Removed {
+			delete(d.heard, instance)
+			continue
+		}
+		for _, one := range models {
+			if found[one.Model] == nil {
+				found[one.Model] = map[string]uint64{}
+			}
+			if row.State == table.Active {
+				found[one.Model][instance] = one.Number
+			}
+		}
+	}
+	return found
+}
+
+func (d *Driver) release(ctx context.Context, model string, planner *wave.Planner) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	newest, err := Newest(ctx, d.config.Control, model)
+	if err == nil && newest.Number > planner.Target().Number {
+		planner.Release(d.config.Clock(), newest)
+		d.config.Log.Infof("weights: model %s goes to version %d", model, newest.Number)
+	}
+}
+
+// take queues a planner's orders. These replicas have no staging: a stage order is done without being sent.
+func (d *Driver) take(model string, planner *wave.Planner) {
+	now := d.config.Clock()
+	for _, order := range planner.Next(now) {
+		if order.Kind == wave.Stage {
+			planner.Answered(now, order.ID, wave.Answer{Outcome: wave.Done})
+			continue
+		}
+		d.queue = append(d.queue, queued{model, order})
+	}
+	for _, order := range planner.Next(now + 1) {
+		d.queue = append(d.queue, queued{model, order})
+	}
+}
+
+// send starts the queued orders that have a place, oldest first.
+func (d *Driver) send(ctx context.Context) {
+	if d.config.Clock() < d.ready {
+		return
+	}
+	view := d.config.View()
+	waiting := d.queue[:0]
+	for _, next := range d.queue {
+		planner := d.planners[next.model]
+		row := view.Row(next.order.Replica)
+		switch {
+		case row == nil || row.State != table.Active || planner.Target().Number != next.order.Version.Number:
+			planner.Answered(d.config.Clock(), next.order.ID, wave.Answer{Outcome: wave.Failed})
+		case len(d.busy) >= d.config.LoadsTogether || d.busy[row.Name]:
+			waiting = append(waiting, next)
+		default:
+			d.start(ctx, next, row)
+		}
+	}
+	d.queue = waiting
+}
+
+// ended takes the end of an order; of one that was sent under an earlier token only the place counts.
+func (d *Driver) ended(ended loaded) {
+	delete(d.busy, ended.order.Replica)
+	if ended.token != d.token || d.planners[ended.model] == nil {
+		return
+	}
+	if errors.Is(ended.err, ErrSuperseded) {
+		d.config.Log.Warnf("weights: token %d is superseded", d.token)
+		d.token, d.planners, d.queue = 0, nil, nil
+		return
+	}
+	answer := wave.Answer{Outcome: wave.Done, Serving: ended.serving}
+	if ended.err != nil {
+		d.config.Log.Infof("weights: %s did not load %s version %d: %v", ended.order.Replica, ended.model, ended.order.Version.Number, ended.err)
+		answer = wave.Answer{Outcome: wave.Failed}
+	}
+	d.planners[ended.model].Answered(d.config.Clock(), ended.order.ID, answer)
+}
--- /dev/null
+++ b/internal/weights/load.go
@@ -0,0 +1,79 @@
+package weights
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/table"
+)
+
+const (
+	// firstLook is how long after an order its replica is asked for the first time, and nextLook the pause
+	// until each further question.
+	firstLook = 900 * time.Millisecond
+	nextLook  = 300 * time.Millisecond
+	// idleLooks is after how many accounts without an order under way one counts as not carried out: a
+	// replica's account may be older than the order.
+	idleLooks = 4
+)
+
+func (d *Driver) start(ctx context.Context, next queued, row *table.Row) {
+	d.busy[row.Name] = true
+	order := Order{Model: next.model, Number: next.order.Version.Number, Fence: d.token}
+	order.Instance, order.Address = row.Name, row.Address
+	d.orders.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, d.config.LoadTimeout)
+		defer cancel()
+		serving, err := d.load(ctx, order)
+		d.done <- loaded{next, order.Fence, serving, err}
+	})
+}
+
+// load carries one order through and returns the version that the replica then serves.
+func (d *Driver) load(ctx context.Context, order Order) (uint64, error) {
+	report, err := d.config.Sender.Report(ctx, order.Target, order.Model)
+	if err != nil {
+		return 0, err
+	}
+	if report.Serving >= order.Number {
+		return report.Serving, nil
+	}
+	if !report.Busy {
+		order.Expected = report.Taken
+		if !d.config.Leading() {
+			return 0, trace.ConnectionProblem(nil, "this process leads no more")
+		}
+		answer, err := d.config.Sender.Order(ctx, order)
+		if err != nil {
+			return 0, err
+		}
+		if answer == Holds {
+			return order.Number, nil
+		}
+	}
+	return d.await(ctx, order)
+}
+
+// await asks the replica until it serves the version.
+func (d *Driver) await(ctx context.Context, order Order) (uint64, error) {
+	timer := time.NewTimer(firstLook)
+	defer timer.Stop()
+	for idle := 0; idle < idleLooks; {
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-timer.C:
+		}
+		report, err := d.config.Sender.Report(ctx, order.Target, order.Model)
+		if err == nil && report.Serving >= order.Number {
+			return report.Serving, nil
+		}
+		if err != nil || !report.Busy {
+			idle++
+		}
+		timer.Reset(nextLook)
+	}
+	return 0, trace.ConnectionProblem(nil, "the order was not carried out")
+}
--- /dev/null
+++ b/internal/weights/weights_test.go
@@ -0,0 +1,208 @@
+package weights
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/goleak"
+
+	"github.com/tamarindring/tamarindring/internal/registry"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeControl is the control group's state machine without consensus.
+type fakeControl struct {
+	mutex   sync.Mutex
+	machine *state.Machine
+	index   uint64
+	queries atomic.Int64
+}
+
+func (f *fakeControl) Execute(_ context.Context, _ uint32, command *wire.Command) (*wire.Result, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.index++
+	return f.machine.Apply(f.index, command), nil
+}
+
+func (f *fakeControl) Query(_ context.Context, _ uint32, query *wire.Query) (*wire.View, error) {
+	f.queries.Add(1)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.machine.Query(query), nil
+}
+
+// fleet is replicas that load at once, and check what they are ordered.
+type fleet struct {
+	t        *testing.T
+	mutex    sync.Mutex
+	replicas map[string]*engine
+	loading  int
+	most     int
+	highest  uint64 // fence
+}
+
+type engine struct {
+	taken   uint64
+	serving map[string]uint64
+	lose    int // answers of orders that are lost after they were taken
+}
+
+func (f *fleet) Report(_ context.Context, target replica.Target, model string) (Report, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	one := f.replicas[target.Instance]
+	return Report{Taken: one.taken, Serving: one.serving[model]}, nil
+}
+
+func (f *fleet) Order(_ context.Context, order Order) (Acceptance, error) {
+	f.mutex.Lock()
+	f.loading++
+	f.most = max(f.most, f.loading)
+	f.mutex.Unlock()
+	time.Sleep(5 * time.Millisecond)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.loading--
+	one := f.replicas[order.Instance]
+	switch {
+	case order.Fence < f.highest:
+		return 0, ErrSuperseded
+	case order.Expected != one.taken:
+		return Conflict, nil
+	}
+	f.highest = order.Fence
+	one.taken++
+	if one.serving[order.Model] > order.Number {
+		f.t.Errorf("%s was ordered back to %d", order.Instance, order.Number)
+	}
+	one.serving[order.Model] = order.Number
+	if one.lose > 0 {
+		one.lose--
+		return 0, errors.New("answer lost")
+	}
+	return Holds, nil
+}
+
+func (f *fleet) serve(model string, number uint64) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, one := range f.replicas {
+		if one.serving[model] != number {
+			return false
+		}
+	}
+	return true
+}
+
+type fixture struct {
+	control *fakeControl
+	fleet   *fleet
+	leading atomic.Bool
+	driver  *Driver
+}
+
+func start(t *testing.T, replicas int) *fixture {
+	t.Helper()
+	f := prepare(t, replicas)
+	f.run(t)
+	return f
+}
+
+func (f *fixture) run(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.driver.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func prepare(t *testing.T, replicas int) *fixture {
+	t.Helper()
+	f := &fixture{control: &fakeControl{machine: state.New()}, fleet: &fleet{t: t, replicas: map[string]*engine{}}}
+	f.leading.Store(true)
+	made := table.New()
+	change := &wire.TableChange{ChangeId: "make", Operator: "test", Cells: []*wire.CellChange{{Row: "pool", Column: "kind", Value: "pool"}}}
+	for number := range replicas {
+		name := fmt.Sprint("i-", number)
+		f.fleet.replicas[name] = &engine{serving: map[string]uint64{"m0": 1, "m1": 1}, lose: number % 2}
+		for column, value := range map[string]string{"kind": "backend", "pool": "pool", "address": fmt.Sprint("10.0.0.1:", number+1)} {
+			change.Cells = append(change.Cells, &wire.CellChange{Row: name, Column: column, Value: value})
+		}
+	}
+	made.Apply(change)
+	view, err := table.NewView().Apply(made.Update(0))
+	if err != nil || len(view.Backends("pool")) != replicas {
+		t.Fatal(err, view.Rows())
+	}
+	driver, err := NewDriver(Config{Control: f.control, Sender: f.fleet, View: func() *table.View { return view },
+		Leading: f.leading.Load, Owner: "node", Poll: 5 * time.Millisecond, Takeover: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.driver = driver
+	for name := range f.fleet.replicas {
+		driver.Heard(&registry.Registration{Instance: name, Models: []registry.ModelVersion{{Model: "m0", Number: 1}, {Model: "m1", Number: 1}}})
+	}
+	return f
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for !holds() {
+		if t.Context().Err() != nil {
+			t.Fatal(what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// TestAllReplicasComeToTheNewestVersion: two at a time over both models, also where answers are lost; the first
+// leader of all does not wait.
+func TestAllReplicasComeToTheNewestVersion(t *testing.T) {
+	f := start(t, 5)
+	for _, version := range []struct {
+		model  string
+		number uint64
+	}{{"m0", 2}, {"m1", 2}, {"m0", 3}, {"m0", 2}, {"m0", 3}} {
+		if err := Put(t.Context(), f.control, version.model, version.number, "trainer"); err != nil {
+			t.Fatal(err)
+		}
+		f.driver.Look()
+	}
+	eventually(t, "m0", func() bool { return f.fleet.serve("m0", 3) })
+	eventually(t, "m1", func() bool { return f.fleet.serve("m1", 2) })
+	if f.fleet.most > DefaultLoadsTogether {
+		t.Fatalf("%d loads at once", f.fleet.most)
+	}
+	if err := Put(t.Context(), f.control, "", 1, "trainer"); !trace.IsBadParameter(err) {
+		t.Fatalf("a version without a model: %v", err)
+	}
+}
+
+// TestNewLeaderWaits: once another process has sent orders, this one waits before its first.
+func TestNewLeaderWaits(t *testing.T) {
+	f := prepare(t, 2)
+	acquire := &wire.FenceAcquire{Resource: fenceResource, Owner: "other", RequestId: "other"}
+	if _, err := f.control.Execute(t.Context(), 0, &wire.Command{Kind: &wire.Command_FenceAcquire{FenceAcquire: acquire}}); err != nil {
+		t.Fatal(err)
+	}
+	_ = Put(t.Context(), f.control, "m0", 2, "trainer")
+	f.run(t)
+	eventually(t, "polls", func() bool { return f.control.queries.Load() > 10 })
+	f.fleet.mutex.Lock()
+	defer f.fleet.mutex.Unlock()
+	if f.fleet.highest != 0 {
+		t.Fatal("a new leader did not wait")
+	}
+}
