replica: a client over pooled HTTP/1.1 connections

Cause: forwarding and batch jobs call replicas that may answer late, cut, twice or not at all. Change: Client implements Caller; header names are data; an answer is believed only with the echoed attempt id, a body is whole only with its length, its last chunk or an orderly end; idle connections end before the replica's time.

--- /dev/null
+++ b/internal/replica/client.go
@@ -0,0 +1,231 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxConnections = 16
+	DefaultDialTimeout    = 500 * time.Millisecond
+	DefaultIdleTimeout    = 400 * time.Millisecond
+	DefaultPeerTimeout    = 2 * time.Second
+	DefaultMaxHeadBytes   = 64 << 10
+)
+
+// Options of a Client. Zero fields take the defaults.
+type Options struct {
+	Names Names
+	// MaxConnections bounds the connections to one replica where the call names no bound of its own.
+	MaxConnections int
+	DialTimeout    time.Duration
+	// IdleTimeout is how long a connection is kept for a replica that announces no Keep-Alive time.
+	IdleTimeout time.Duration
+	// PeerTimeout ends a connection whose peer acknowledges nothing for so long.
+	PeerTimeout  time.Duration
+	MaxHeadBytes int
+	// Dial opens a connection; nil: TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Now is the clock; nil: time.Now.
+	Now func() time.Time
+}
+
+// The errors of an outcome.
+var (
+	ErrForeignAnswer = errors.New("replica: the answer belongs to another request")
+	ErrConnections   = errors.New("replica: all connections to the replica are in use")
+	ErrRefused       = errors.New("replica: the replica did not run the request")
+	ErrHeadTooLarge  = errors.New("replica: the head of the answer is too large")
+)
+
+// Client calls replicas over pooled HTTP/1.1 connections, one request at a time on each. It is safe for
+// concurrent use.
+type Client struct {
+	options Options
+	mu      sync.Mutex
+	peers   map[Target]*peer // guarded by mu
+	closed  bool             // guarded by mu
+}
+
+// NewClient returns a client without connections.
+func NewClient(options Options) *Client {
+	setDefault(&options.MaxConnections, DefaultMaxConnections)
+	setDefault(&options.DialTimeout, DefaultDialTimeout)
+	setDefault(&options.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&options.PeerTimeout, DefaultPeerTimeout)
+	setDefault(&options.MaxHeadBytes, DefaultMaxHeadBytes)
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Dial == nil {
+		options.Dial = tcpDialer(options.DialTimeout, options.PeerTimeout)
+	}
+	return &Client{options: options, peers: make(map[Target]*peer)}
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// Do implements Caller.
+func (c *Client) Do(ctx context.Context, call *Call, sink Sink) Outcome {
+	conn, refused, err := c.acquire(ctx, call)
+	if err != nil {
+		return Outcome{Verdict: verdict.DidNotRun, Refused: refused, Err: err}
+	}
+	stop := context.AfterFunc(ctx, conn.abort)
+	outcome, reusable := c.exchange(conn, call, sink)
+	if !stop() {
+		reusable = false
+		if outcome.Err != nil && ctx.Err() != nil {
+			outcome.Err = ctx.Err()
+		}
+	}
+	c.release(conn, reusable)
+	return outcome
+}
+
+// exchange sends the call and reads its answer; it reports whether the connection may carry another.
+func (c *Client) exchange(conn *connection, call *Call, sink Sink) (Outcome, bool) {
+	sent := conn.send(c.requestHead(call), call.Body)
+	response, err := c.readHead(conn, call)
+	if err != nil {
+		if failure := sent.failure(); failure != nil {
+			err = failure
+		}
+		if sent.neverLeft() {
+			return Outcome{Verdict: verdict.DidNotRun, Refused: RefusedUnreachable, Err: err}, false
+		}
+		return Outcome{Verdict: verdict.MayHaveRun, Err: err}, false
+	}
+	outcome := Outcome{Status: response.StatusCode, Verdict: verdict.Ran}
+	outcome.Load = parseLoad(c.field(response, c.options.Names.Load))
+	var ended bool
+	if refusal := c.refusal(response); refusal != RefusedNone {
+		outcome.Verdict, outcome.Refused, outcome.Err = verdict.DidNotRun, refusal, ErrRefused
+		ended = discard(response.Body)
+	} else {
+		outcome.Err = c.deliver(response, sink)
+		outcome.Whole = outcome.Err == nil
+		ended = outcome.Whole
+	}
+	conn.keep(response.Header, c.options.IdleTimeout)
+	return outcome, ended && !response.Close && sent.finished() && conn.reader.Buffered() == 0
+}
+
+// readHead reads the head of the answer to call, passing over interim answers.
+func (c *Client) readHead(conn *connection, call *Call) (*http.Response, error) {
+	request := &http.Request{Method: call.Method}
+	for {
+		conn.limit.N = int64(c.options.MaxHeadBytes)
+		response, err := http.ReadResponse(conn.reader, request)
+		if err != nil {
+			if conn.limit.N <= 0 {
+				return nil, ErrHeadTooLarge
+			}
+			return nil, err
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		conn.limit.N = unlimited
+		if c.foreign(conn, call, response) {
+			return nil, ErrForeignAnswer
+		}
+		conn.used = true
+		return response, nil
+	}
+}
+
+// foreign reports whether an answer is not the one to call: a surplus answer that came late, in its place.
+// An answer without an echo is believed only where no other request was on the connection before.
+func (c *Client) foreign(conn *connection, call *Call, response *http.Response) bool {
+	name := c.options.Names.AttemptID
+	if name == "" || call.AttemptID == "" {
+		return false
+	}
+	echoed := response.Header.Get(name)
+	if echoed == "" {
+		return conn.used
+	}
+	return echoed != call.AttemptID
+}
+
+// refusal is the replica's statement that the request did not run.
+func (c *Client) refusal(response *http.Response) Refusal {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return RefusedWrongTarget
+	}
+	if name := c.options.Names.NotExecuted; name != "" && len(response.Header.Values(name)) > 0 {
+		return RefusedFull
+	}
+	return RefusedNone
+}
+
+func (c *Client) field(response *http.Response, name string) string {
+	if name == "" {
+		return ""
+	}
+	return response.Header.Get(name)
+}
+
+// deliver passes an answer to the sink as it comes; nil when all of it was passed.
+func (c *Client) deliver(response *http.Response, sink Sink) error {
+	if err := sink.Head(c.head(response)); err != nil {
+		return err
+	}
+	buffer := buffers.Get().(*[bufferBytes]byte)
+	defer buffers.Put(buffer)
+	for {
+		n, err := response.Body.Read(buffer[:])
+		if n > 0 {
+			if refused := sink.Body(buffer[:n]); refused != nil {
+				return refused
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) head(response *http.Response) Head {
+	head := Head{Status: response.StatusCode, Length: response.ContentLength}
+	for name, values := range response.Header {
+		for _, value := range values {
+			head.Header = append(head.Header, Header{Name: name, Value: value})
+		}
+	}
+	head.Versions, _ = strconv.ParseUint(c.field(response, c.options.Names.Versions), 10, 64)
+	kind, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	head.Stream = strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+	return head
+}
+
+// maxDiscardBytes of a refusal's body are read for the sake of its connection.
+const maxDiscardBytes = 4 << 10
+
+// discard reads a refusal's body; false when it is too long or broke off.
+func discard(body io.Reader) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes+1))
+	return err == nil && n <= maxDiscardBytes
+}
+
+const bufferBytes = 8 << 10
+
+var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,8 @@
 	ResumeAfter int64
 	// ExpectedVersion makes a replica with other weights refuse the call as not run; 0: any will do.
 	ExpectedVersion uint64
+	// MaxConnections bounds this process's connections to the replica; 0: the client's own bound.
+	MaxConnections int
 }
 
 // Head is the beginning of an answer.
