--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,168 @@
+// Package forward answers callers' requests by sending them to back ends: the route says where a request may
+// go and how often, routing chooses the back end, admission bounds what is in flight, and the lease of the
+// control group is asked directly before each send. An answer reaches its caller whole and unchanged, is
+// replaced by another attempt's before its first byte, or is visibly broken off.
+package forward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/route"
+	"github.com/tamarindring/tamarindring/internal/routing"
+	"github.com/tamarindring/tamarindring/internal/table"
+)
+
+// Control is the lease on a table view.
+type Control interface {
+	// Admit says whether the lease holds at this instant and for which table version.
+	Admit() (version uint64, ok bool)
+}
+
+// Defaults of Config.
+const (
+	DefaultMaxBufferedAnswer = 256 << 10
+	DefaultConnectionShare   = 16
+)
+
+// Config of a Forwarder. Zero fields take the defaults.
+type Config struct {
+	Control Control
+	Caller  replica.Caller
+	Zone    string // of this process
+	Log     *logrus.Entry
+	// MaxBufferedAnswer is the size up to which an answer is held back until it is whole, so that another
+	// attempt can replace one that breaks off. Series of events are never held back.
+	MaxBufferedAnswer int
+	// ConnectionShare is the part of a pool's max_connections that this process may use, as a divisor.
+	ConnectionShare int
+	Routing         routing.Settings
+	// Now is the clock; nil: time.Now.
+	Now func() time.Time
+	// Seed of the random choices; 0: any.
+	Seed uint64
+}
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	config Config
+	start  time.Time
+	nextID atomic.Uint64
+	plan   atomic.Pointer[plan]
+
+	mu     sync.Mutex
+	pools  map[string]*pool // guarded by mu
+	random *rand.Rand       // guarded by mu
+}
+
+// plan is what one table version says. It is immutable, but for the pools' own state.
+type plan struct {
+	version uint64
+	known   bool // the table holds a configuration
+	routes  *route.Table
+	pools   map[string]*pool
+}
+
+// New returns a forwarder without a plan: it refuses everything until Update is called.
+func New(config Config) (*Forwarder, error) {
+	if config.Control == nil || config.Caller == nil {
+		return nil, trace.BadParameter("forward: Control and Caller are required")
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	if config.MaxBufferedAnswer <= 0 {
+		config.MaxBufferedAnswer = DefaultMaxBufferedAnswer
+	}
+	if config.ConnectionShare <= 0 {
+		config.ConnectionShare = DefaultConnectionShare
+	}
+	if config.Seed == 0 {
+		config.Seed = rand.Uint64()
+	}
+	if config.Log == nil {
+		config.Log = logrus.NewEntry(logrus.StandardLogger())
+	}
+	return &Forwarder{config: config, start: config.Now(), pools: map[string]*pool{},
+		random: rand.New(rand.NewPCG(config.Seed, config.Seed))}, nil
+}
+
+// Update takes over a table view. It is a listener of the control session: from its return on, everything is
+// decided on the new view.
+func (f *Forwarder) Update(view *table.View) {
+	next := &plan{version: view.Version(), routes: route.NewTable(view), pools: map[string]*pool{}}
+	next.known = len(next.routes.Routes()) > 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.plan.Load(); held != nil && held.version > next.version {
+		return
+	}
+	for _, row := range view.Rows() {
+		switch row.Kind {
+		case table.Document:
+			next.known = true
+		case table.Pool:
+			held := f.pools[row.Name]
+			if held == nil {
+				held = newPool(f.config.Routing, f.random.Uint64())
+			}
+			held.update(f.now(), view, row, &f.config)
+			next.pools[row.Name] = held
+		}
+	}
+	f.pools = next.pools
+	f.plan.Store(next)
+}
+
+// Ready tells whether requests can be served: there is a configuration, and the lease holds on it.
+func (f *Forwarder) Ready() bool {
+	plan := f.plan.Load()
+	if plan == nil || !plan.known {
+		return false
+	}
+	_, ok := f.config.Control.Admit()
+	return ok
+}
+
+// Match returns the route of a request, under the lease; known is false when there is no configuration to tell
+// by, or no lease.
+func (f *Forwarder) Match(host, path string) (matched *route.Route, known bool) {
+	for range maxStale {
+		plan := f.plan.Load()
+		if plan == nil || !plan.known {
+			return nil, false
+		}
+		version, ok := f.config.Control.Admit()
+		if !ok {
+			return nil, false
+		}
+		if version == plan.version {
+			return plan.routes.Match(host, path), true
+		}
+		time.Sleep(staleWait)
+	}
+	return nil, false
+}
+
+const (
+	// maxStale bounds how often a decision is made again because the table changed meanwhile.
+	maxStale = 50
+	// staleWait is the pause before that.
+	staleWait = time.Millisecond
+)
+
+// now is the time since the start, as routing and admission count it.
+func (f *Forwarder) now() time.Duration { return f.config.Now().Sub(f.start) }
+
+// draw returns a random number below n.
+func (f *Forwarder) draw(n uint32) uint32 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Uint32N(n)
+}
--- /dev/null
+++ b/internal/forward/pool.go
@@ -0,0 +1,218 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/admission"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/routing"
+	"github.com/tamarindring/tamarindring/internal/table"
+)
+
+// pool is one pool of back ends at this process.
+type pool struct {
+	mu             sync.Mutex // guards what follows
+	version        uint64     // of the table that the replicas come from
+	replicas       *routing.Pool
+	queue          *admission.Queue
+	targets        map[string]replica.Target // by row name
+	waiting        map[uint64]chan admission.Refusal
+	random         *rand.PCG
+	maxConnections int
+}
+
+// classOrder is the admission classes by a route's priority; lower ranks share the last.
+var classOrder = func() []string {
+	order := make([]string, maxClasses)
+	for rank := range order {
+		order[rank] = strconv.Itoa(rank)
+	}
+	return order
+}()
+
+const maxClasses = 10
+
+// className is the admission class of a priority.
+func className(priority uint32) string { return classOrder[min(priority, maxClasses-1)] }
+
+// Settings of routing that differ from its defaults: with few requests a failure must count at once, and a
+// replica that comes back must be found soon.
+const (
+	failureLimit    = 1
+	quarantineLimit = 8 * time.Second
+	returnRamp      = 2 * time.Second
+)
+
+func newPool(settings routing.Settings, seed uint64) *pool {
+	if settings.FailureLimit == 0 {
+		settings.FailureLimit = failureLimit
+	}
+	if settings.QuarantineLimit == 0 {
+		settings.QuarantineLimit = quarantineLimit
+	}
+	if settings.ReturnRamp == 0 {
+		settings.ReturnRamp = returnRamp
+	}
+	return &pool{replicas: routing.NewPool(settings), queue: admission.New(admission.Limits{}),
+		targets: map[string]replica.Target{}, waiting: map[uint64]chan admission.Refusal{},
+		random: rand.NewPCG(seed, seed+1)}
+}
+
+// update takes over the table's rows of the pool.
+func (p *pool) update(now time.Duration, view *table.View, row *table.Row, config *Config) {
+	backends := view.Backends(row.Name)
+	configs := make([]routing.ReplicaConfig, 0, len(backends))
+	targets := make(map[string]replica.Target, len(backends))
+	limits := admission.Limits{QueueLimit: int(row.QueueLimit), QueueWait: row.QueueWait, ClassOrder: classOrder}
+	for _, backend := range backends {
+		configs = append(configs, routing.ReplicaConfig{Name: backend.Name, Weight: float64(backend.Weight),
+			MaxInFlight: int(backend.MaxInFlight), Draining: backend.State != table.Active,
+			Distance: routing.DistanceBetween(config.Zone, backend.Zone)})
+		targets[backend.Name] = replica.Target{Instance: backend.Name, Address: backend.Address}
+		if backend.Serving() {
+			limits.Slots += int(backend.MaxInFlight)
+		}
+	}
+	limits.RolloutSlots = limits.Slots
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version, p.targets = view.Version(), targets
+	p.maxConnections = 0
+	if row.MaxConnections > 0 {
+		p.maxConnections = max(1, int(row.MaxConnections)/config.ConnectionShare)
+	}
+	p.replicas.SetReplicas(configs)
+	p.apply(p.queue.SetLimits(now, limits))
+}
+
+// apply passes the queue's decisions on. The caller holds the mutex.
+func (p *pool) apply(effects *admission.Effects) {
+	for _, id := range effects.Granted {
+		p.decide(id, admission.Refusal{})
+	}
+	for _, refusal := range effects.Refused {
+		p.decide(refusal.ID, refusal)
+	}
+}
+
+func (p *pool) decide(id uint64, refusal admission.Refusal) {
+	if decision := p.waiting[id]; decision != nil {
+		delete(p.waiting, id)
+		decision <- refusal
+	}
+}
+
+// enter waits for a slot, until at most wait from now. A refusal has a reason other than zero.
+func (p *pool) enter(ctx context.Context, clock func() time.Duration, request admission.Request, wait time.Duration) (admission.Refusal, error) {
+	decision := make(chan admission.Refusal, 1)
+	now := clock()
+	p.mu.Lock()
+	p.waiting[request.ID] = decision
+	effects, until := p.queue.Arrive(now, request)
+	p.apply(effects)
+	p.mu.Unlock()
+	select {
+	case refusal := <-decision:
+		return refusal, nil
+	default:
+	}
+	timer := time.NewTimer(max(min(until-now, wait), 0))
+	defer timer.Stop()
+	select {
+	case refusal := <-decision:
+		return refusal, nil
+	case <-timer.C:
+		p.expire(clock(), request.ID)
+		return <-decision, nil
+	case <-ctx.Done():
+		p.abandon(clock(), request.ID)
+		return admission.Refusal{}, ctx.Err()
+	}
+}
+
+func (p *pool) expire(now time.Duration, id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.apply(p.queue.Expire(now, id))
+}
+
+// abandon takes a request out, whether it waits or was granted meanwhile.
+func (p *pool) abandon(now time.Duration, id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, id)
+	p.apply(p.queue.Leave(now, id))
+	p.apply(p.queue.Done(now, id))
+}
+
+// leave gives a slot back.
+func (p *pool) leave(now time.Duration, id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.apply(p.queue.Done(now, id))
+}
+
+// choice is a chosen back end and the table version that the choice was made on.
+type choice struct {
+	target         replica.Target
+	version        uint64
+	maxConnections int
+	spare          bool // another back end could take the request too
+}
+
+// choose chooses a back end and counts the request there; ok is false when none may take it.
+func (p *pool) choose(now time.Duration, request *routing.Request, excluded []string) (chosen choice, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	request.Excluded = request.Excluded[:0]
+	for _, name := range excluded {
+		request.Excluded = append(request.Excluded, p.replicas.Index(name))
+	}
+	i := routing.Balanced{}.Choose(p.replicas, request, now, p.random)
+	if i == routing.None {
+		return choice{version: p.version}, false
+	}
+	name := p.replicas.Name(i)
+	p.replicas.Sent(i, request, now)
+	spare := p.replicas.Len()-len(excluded) > 1 && p.replicas.Spare(name, now)
+	return choice{target: p.targets[name], version: p.version, maxConnections: p.maxConnections, spare: spare}, true
+}
+
+// serves tells whether some back end of the pool takes new work.
+func (p *pool) serves() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Slots() > 0
+}
+
+// health is what a send said about its back end.
+type health uint8
+
+const (
+	healthNeutral health = iota
+	healthGood
+	healthBad
+	healthLeaving
+)
+
+// ended takes a request off its back end.
+func (p *pool) ended(now time.Duration, name string, request *routing.Request, how health, load *replica.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replicas.Ended(name, request, now)
+	switch how {
+	case healthGood:
+		p.replicas.Succeeded(name, now)
+	case healthBad:
+		p.replicas.Failed(name, now)
+	case healthLeaving:
+		p.replicas.RefusedLeaving(name, now)
+	}
+	if load != nil {
+		p.replicas.Report(name, routing.LoadReport{Requests: float64(load.Running + load.Waiting)}, now)
+	}
+}
--- /dev/null
+++ b/internal/forward/request.go
@@ -0,0 +1,90 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+// Request is a caller's request, read whole.
+type Request struct {
+	AttemptID string
+	Method    string
+	Path      string // with its query, unaltered
+	Host      string
+	Header    []replica.Header // end-to-end fields
+	Body      []byte           // must not change until Serve has returned and its context has ended
+	Received  time.Time
+	// Deadline is how long the caller waits, from Received on; 0: it does not say.
+	Deadline time.Duration
+	// Work is the expected work in tokens; 0: not known.
+	Work float64
+}
+
+// Reply takes the answer for the caller. An error says that the caller is gone.
+type Reply interface {
+	// Head is called once, before any Body.
+	Head(head replica.Head) error
+	// Body passes bytes on at once; they are valid during the call only.
+	Body(chunk []byte) error
+}
+
+// Reason says why a request got no whole answer.
+type Reason uint8
+
+// The reasons.
+const (
+	NoConfiguration Reason = iota + 1 // no configuration is known, or the lease on it does not hold
+	NoRoute                           // the configuration has no such route
+	Overloaded                        // no place and no time to wait for one
+	Unavailable                       // no back end took the request
+	Broken                            // a back end took it and its answer was lost
+	TimedOut                          // the deadline or the route's timeout passed
+	CallerGone                        // the caller closed its connection
+	Cut                               // part of an answer was passed on: the connection must not look complete
+)
+
+var reasonTexts = [...]string{NoConfiguration: "no configuration is in force here", NoRoute: "no route matches",
+	Overloaded: "no capacity", Unavailable: "no back end took the request", Broken: "the back end's answer was lost",
+	TimedOut: "no answer in time", CallerGone: "the caller is gone", Cut: "the answer broke off"}
+
+// String returns the reason for a person.
+func (r Reason) String() string {
+	if int(r) < len(reasonTexts) && r > 0 {
+		return reasonTexts[r]
+	}
+	return fmt.Sprintf("reason %d", uint8(r))
+}
+
+// Failure is the end of a request without a whole answer.
+type Failure struct {
+	Reason  Reason
+	Verdict verdict.Verdict
+	// RetryAfter is when coming back is useful; 0 when the request may have run.
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return fmt.Sprintf("%s (%s)", f.Reason, f.Verdict)
+	}
+	return fmt.Sprintf("%s (%s): %v", f.Reason, f.Verdict, f.Cause)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Bounds of the pause asked of a caller whose request did not run.
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 250 * time.Millisecond
+)
+
+// notRun is a failure of a request that was not sent, or that every back end refused.
+func notRun(reason Reason, retryAfter time.Duration, cause error) *Failure {
+	return &Failure{Reason: reason, Verdict: verdict.DidNotRun, RetryAfter: max(retryAfter, minRetryAfter), Cause: cause}
+}
--- /dev/null
+++ b/internal/forward/serve.go
@@ -0,0 +1,352 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/admission"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/route"
+	"github.com/tamarindring/tamarindring/internal/routing"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+var (
+	errNoLease     = errors.New("forward: the lease does not hold")
+	errStale       = errors.New("forward: the table changed meanwhile")
+	errSlow        = errors.New("forward: the back end did not begin to answer in time")
+	errReplaced    = errors.New("forward: the back end failed, another is tried")
+	errNotResumed  = errors.New("forward: the back end did not resume the stream")
+	errNoReplicas  = errors.New("forward: no back end may take the request")
+	errPassedOn    = errors.New("forward: the caller is gone")
+	errRouteGone   = errors.New("forward: the route was removed meanwhile")
+	errMaxAttempts = errors.New("forward: no attempt is left")
+)
+
+const (
+	// defaultWork is the work of a request of unknown size, in tokens. It is above the cost of another zone,
+	// so that of two back ends the one that is less busy is chosen.
+	defaultWork = 64
+	// waitShare is the part of the target latency that a request may wait for a slot; one that did not run by
+	// then is better offered again.
+	waitShare = 4
+	// patience is how many target latencies a back end may take to begin an answer that may be repeated.
+	patience    = 2
+	minPatience = 50 * time.Millisecond
+)
+
+// exchange is one request on its way through the forwarder.
+type exchange struct {
+	forwarder *Forwarder
+	request   *Request
+	reply     Reply
+	id        uint64
+	route     *route.Route
+	pool      *pool
+	poolName  string
+	work      routing.Request
+	tried     []string // back ends that are not tried again
+	sent      int      // back ends that the request was sent to, also those that refused it
+	stale     int
+	mayRan    bool
+	lastErr   error
+	passing   bool  // a part of an answer was passed on
+	passed    int64 // id of the last event passed on; -1: none
+}
+
+// Serve gets the request answered. nil: reply has got a whole answer.
+func (f *Forwarder) Serve(ctx context.Context, request *Request, reply Reply) *Failure {
+	x := &exchange{forwarder: f, request: request, reply: reply, id: f.nextID.Add(1), passed: -1,
+		work: routing.Request{Work: request.Work, Urgent: true}}
+	if x.work.Work <= 0 {
+		x.work.Work = defaultWork
+	}
+	matched, known := f.Match(request.Host, request.Path)
+	if !known {
+		return notRun(NoConfiguration, 0, nil)
+	}
+	if matched == nil {
+		return notRun(NoRoute, 0, nil)
+	}
+	x.route = matched
+	limited, cancel := context.WithDeadline(ctx, x.until())
+	defer cancel()
+	defer x.leavePool()
+	for {
+		if failure, done := x.attempt(limited); done {
+			return x.settle(ctx, failure)
+		}
+	}
+}
+
+// until is when the request is given up.
+func (x *exchange) until() time.Time {
+	hold := x.route.Timeout
+	if x.request.Deadline > 0 && x.request.Deadline < hold {
+		hold = x.request.Deadline
+	}
+	return x.request.Received.Add(hold)
+}
+
+// settle turns the end of the last attempt into the caller's.
+func (x *exchange) settle(ctx context.Context, failure *Failure) *Failure {
+	if failure == nil {
+		return nil
+	}
+	switch {
+	case ctx.Err() != nil || errors.Is(failure.Cause, errPassedOn):
+		failure.Reason = CallerGone
+	case x.passing:
+		failure.Reason = Cut
+	}
+	if x.mayRan {
+		failure.Verdict, failure.RetryAfter = verdict.MayHaveRun, 0
+	}
+	return failure
+}
+
+// failure is the end of a request after its attempts.
+func (x *exchange) failure(ctx context.Context, reason Reason, cause error) *Failure {
+	if ctx.Err() != nil {
+		reason = TimedOut
+	}
+	if x.mayRan {
+		if reason != TimedOut {
+			reason = Broken
+		}
+		return &Failure{Reason: reason, Verdict: verdict.MayHaveRun, Cause: cause}
+	}
+	return notRun(reason, 0, cause)
+}
+
+// attempt sends the request once, or finds out that it can't. done: the request has ended, with an answer when
+// the failure is nil.
+func (x *exchange) attempt(ctx context.Context) (failure *Failure, done bool) {
+	if ctx.Err() != nil {
+		return x.failure(ctx, TimedOut, x.lastErr), true
+	}
+	plan := x.forwarder.plan.Load()
+	matched := plan.routes.Match(x.request.Host, x.request.Path)
+	if matched == nil {
+		return x.gone(ctx, plan)
+	}
+	x.route = matched
+	if x.sent >= int(max(matched.MaxAttempts, 1)) {
+		return x.failure(ctx, Unavailable, errors.Join(errMaxAttempts, x.lastErr)), true
+	}
+	if failure := x.enterPool(ctx, plan); failure != nil {
+		return failure, true
+	}
+	chosen, ok := x.pool.choose(x.forwarder.now(), &x.work, x.tried)
+	if !ok {
+		return x.failure(ctx, Unavailable, errors.Join(errNoReplicas, x.lastErr)), true
+	}
+	if chosen.version != plan.version {
+		x.pool.ended(x.forwarder.now(), chosen.target.Instance, &x.work, healthNeutral, nil)
+		return x.again(ctx, errStale)
+	}
+	return x.send(ctx, chosen)
+}
+
+// gone is the end of a request whose route is no longer in the configuration.
+func (x *exchange) gone(ctx context.Context, plan *plan) (*Failure, bool) {
+	if err := x.admit(plan.version); err != nil {
+		return x.again(ctx, err)
+	}
+	if x.sent == 0 {
+		return notRun(NoRoute, 0, errRouteGone), true
+	}
+	return x.failure(ctx, Unavailable, errRouteGone), true
+}
+
+// again decides anew after the table changed, a bounded number of times.
+func (x *exchange) again(ctx context.Context, err error) (*Failure, bool) {
+	x.stale++
+	if errors.Is(err, errNoLease) || x.stale > maxStale {
+		return x.failure(ctx, NoConfiguration, err), true
+	}
+	time.Sleep(staleWait)
+	return nil, false
+}
+
+// admit asks the lease for a decision made on a table version.
+func (x *exchange) admit(version uint64) error {
+	admitted, ok := x.forwarder.config.Control.Admit()
+	if !ok {
+		return errNoLease
+	}
+	if admitted != version {
+		return errStale
+	}
+	return nil
+}
+
+// enterPool takes a slot in a pool of the route; one that is held already is kept while its pool still serves
+// the route.
+func (x *exchange) enterPool(ctx context.Context, plan *plan) *Failure {
+	if x.pool != nil && plan.pools[x.poolName] == x.pool && serves(x.route, x.poolName) {
+		return nil
+	}
+	x.leavePool()
+	name := x.drawPool(plan)
+	pool := plan.pools[name]
+	if pool == nil {
+		return x.failure(ctx, Unavailable, errNoReplicas)
+	}
+	x.tried = x.tried[:0]
+	now := x.forwarder.now()
+	refusal, err := pool.enter(ctx, x.forwarder.now, admission.Request{ID: x.id, Class: className(x.route.Priority),
+		Deadline: now + x.until().Sub(x.forwarder.config.Now())}, x.maxWait())
+	if err != nil {
+		return x.failure(ctx, TimedOut, err)
+	}
+	if refusal.Reason != 0 {
+		failure := x.failure(ctx, Overloaded, errors.New(refusal.Reason.String()))
+		if failure.Verdict == verdict.DidNotRun {
+			failure.RetryAfter = min(max(refusal.RetryAfter, minRetryAfter), maxRetryAfter)
+		}
+		return failure
+	}
+	x.pool, x.poolName = pool, name
+	return nil
+}
+
+// maxWait is how long the request may wait for a slot.
+func (x *exchange) maxWait() time.Duration {
+	if x.route.TargetLatency > 0 {
+		return x.route.TargetLatency / waitShare
+	}
+	return x.route.Timeout / waitShare
+}
+
+func (x *exchange) leavePool() {
+	if x.pool != nil {
+		x.pool.leave(x.forwarder.now(), x.id)
+		x.pool = nil
+	}
+}
+
+func serves(r *route.Route, pool string) bool {
+	for _, share := range r.Pools {
+		if share.Pool == pool && share.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// drawPool draws a pool of the route by weight, among those that take work; all others only if none does.
+func (x *exchange) drawPool(plan *plan) string {
+	draw := func(usable func(route.Share) bool) string {
+		var total uint32
+		for _, share := range x.route.Pools {
+			if usable(share) {
+				total += share.Weight
+			}
+		}
+		if total == 0 {
+			return ""
+		}
+		at := x.forwarder.draw(total)
+		for _, share := range x.route.Pools {
+			if !usable(share) {
+				continue
+			}
+			if at < share.Weight {
+				return share.Pool
+			}
+			at -= share.Weight
+		}
+		return ""
+	}
+	name := draw(func(share route.Share) bool {
+		pool := plan.pools[share.Pool]
+		return pool != nil && pool.serves()
+	})
+	if name == "" {
+		name = draw(func(route.Share) bool { return true })
+	}
+	return name
+}
+
+// repeatable tells whether another back end may get the request after it may have run at one.
+func (x *exchange) repeatable() bool {
+	return x.route.Repeatable() && x.route.Kind != table.Batch
+}
+
+// send sends the request to the chosen back end and judges how that ended.
+func (x *exchange) send(ctx context.Context, chosen choice) (*Failure, bool) {
+	answer := &answer{exchange: x}
+	answer.replaceable = x.repeatable() && chosen.spare && x.sent+1 < int(x.route.MaxAttempts)
+	sendContext, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if answer.replaceable && x.route.TargetLatency > 0 {
+		timer := time.AfterFunc(max(patience*x.route.TargetLatency, minPatience), func() {
+			if !answer.began.Load() {
+				cancel(errSlow)
+			}
+		})
+		defer timer.Stop()
+	}
+	outcome := x.forwarder.config.Caller.Do(sendContext, x.call(chosen), answer)
+	slow := errors.Is(context.Cause(sendContext), errSlow)
+	x.pool.ended(x.forwarder.now(), chosen.target.Instance, &x.work, x.healthOf(ctx, &outcome, slow), outcome.Load)
+	if outcome.Whole {
+		if err := answer.finish(); err != nil {
+			x.mayRan = true
+			return x.failure(ctx, Broken, errPassedOn), true
+		}
+		return nil, true
+	}
+	return x.judge(ctx, chosen, &outcome, answer)
+}
+
+func (x *exchange) call(chosen choice) *replica.Call {
+	return &replica.Call{Target: chosen.target, AttemptID: x.request.AttemptID, Method: x.request.Method,
+		Path: x.request.Path, Host: x.request.Host, Header: x.request.Header, Body: x.request.Body,
+		Deadline: max(x.until().Sub(x.forwarder.config.Now()), time.Millisecond), Urgency: -1, ResumeAfter: x.passed,
+		MaxConnections: chosen.maxConnections,
+		Admit:          func() error { return x.admit(chosen.version) }}
+}
+
+// healthOf is what an outcome says about its back end.
+func (x *exchange) healthOf(ctx context.Context, outcome *replica.Outcome, slow bool) health {
+	switch {
+	case outcome.Whole && outcome.Status < 500:
+		return healthGood
+	case outcome.Refused == replica.RefusedWrongTarget:
+		return healthLeaving
+	case outcome.Refused == replica.RefusedFull, errors.Is(outcome.Err, errStale), errors.Is(outcome.Err, errNoLease),
+		errors.Is(outcome.Err, errPassedOn), errors.Is(outcome.Err, replica.ErrConnections):
+		return healthNeutral
+	case ctx.Err() != nil && !slow:
+		return healthNeutral
+	}
+	return healthBad
+}
+
+// judge decides what follows an attempt that brought no whole answer.
+func (x *exchange) judge(ctx context.Context, chosen choice, outcome *replica.Outcome, answer *answer) (*Failure, bool) {
+	if errors.Is(outcome.Err, errStale) || errors.Is(outcome.Err, errNoLease) {
+		return x.again(ctx, outcome.Err)
+	}
+	x.lastErr = outcome.Err
+	x.tried = append(x.tried, chosen.target.Instance)
+	if outcome.Verdict == verdict.DidNotRun {
+		if outcome.Refused == replica.RefusedFull && !errors.Is(outcome.Err, replica.ErrConnections) {
+			x.sent++
+		}
+		return nil, false
+	}
+	x.sent++
+	x.mayRan = true
+	switch {
+	case errors.Is(outcome.Err, errPassedOn), !x.repeatable():
+		return x.failure(ctx, Broken, outcome.Err), true
+	case x.passing && !answer.resumable():
+		return x.failure(ctx, Cut, outcome.Err), true
+	}
+	return nil, false
+}
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -85,6 +85,12 @@
 	if err != nil {
 		return Outcome{Verdict: verdict.DidNotRun, Refused: refused, Err: err}
 	}
+	if call.Admit != nil {
+		if err := call.Admit(); err != nil {
+			c.release(conn, true)
+			return Outcome{Verdict: verdict.DidNotRun, Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, conn.abort)
 	outcome, reusable := c.exchange(conn, call, sink)
 	if !stop() {
--- a/internal/replica/connection.go
+++ b/internal/replica/connection.go
@@ -75,8 +75,8 @@
 		return nil, RefusedUnreachable, err
 	}
 	limited := &io.LimitedReader{R: raw, N: unlimited}
-	return &connection{Conn: raw, limit: limited, reader: bufio.NewReaderSize(limited, 4<<10), peer: peer},
-		RefusedNone, nil
+	return &connection{Conn: raw, limit: limited, reader: bufio.NewReaderSize(limited, 4<<10), peer: peer,
+		idleFor: c.options.IdleTimeout}, RefusedNone, nil
 }
 
 // reserve takes an idle connection or the right to open one.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -40,6 +40,9 @@
 	ExpectedVersion uint64
 	// MaxConnections bounds this process's connections to the replica; 0: the client's own bound.
 	MaxConnections int
+	// Admit is asked directly before the first byte is sent; its error ends the call as not run. nil: no
+	// condition. A connection that came up meanwhile is kept for another call.
+	Admit func() error
 }
 
 // Head is the beginning of an answer.
