forward: tests of attempts, streams, leases and slots

Cause: each ending of an attempt has one right consequence for a caller. Change: a scripted caller; what depends on time runs in virtual time. Conclusion: retries happen only where the route and the verdict allow them.

--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,348 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// testLease is a Control that admits the version that the test names.
+type testLease struct {
+	mu      sync.Mutex
+	version uint64
+	lost    bool
+}
+
+func (l *testLease) Admit() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.version, !l.lost
+}
+
+func (l *testLease) set(version uint64, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version, l.lost = version, lost
+}
+
+// scripted is a Caller whose attempts end as the script says, in order; the last entry holds for all later ones.
+type scripted struct {
+	mu     sync.Mutex
+	script []step
+	calls  []*replica.Call
+}
+
+type step func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome
+
+func (s *scripted) Do(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+	if err := call.Admit(); err != nil {
+		return replica.Outcome{Verdict: verdict.DidNotRun, Err: err}
+	}
+	s.mu.Lock()
+	next := s.script[min(len(s.calls), len(s.script)-1)]
+	s.calls = append(s.calls, call)
+	s.mu.Unlock()
+	return next(ctx, call, sink)
+}
+
+func (s *scripted) instances() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := map[string]int{}
+	for _, call := range s.calls {
+		counts[call.Instance]++
+	}
+	return counts
+}
+
+var errReset = errors.New("reset")
+
+// answers passes an answer on; pieces are its body, and whole says whether it ends as it should.
+func answers(status int, stream, whole bool, pieces ...string) step {
+	return func(_ context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		outcome := replica.Outcome{Verdict: verdict.Ran, Status: status, Err: errReset}
+		head := replica.Head{Status: status, Length: -1, Stream: stream, Header: []replica.Header{{Name: "Stamp", Value: call.Instance}}}
+		if err := sink.Head(head); err != nil {
+			outcome.Err = err
+			return outcome
+		}
+		for _, piece := range pieces {
+			if err := sink.Body([]byte(piece)); err != nil {
+				outcome.Err = err
+				return outcome
+			}
+		}
+		if whole {
+			outcome.Whole, outcome.Err = true, nil
+		}
+		return outcome
+	}
+}
+
+func ends(outcome replica.Outcome) step {
+	return func(context.Context, *replica.Call, replica.Sink) replica.Outcome { return outcome }
+}
+
+var (
+	full        = ends(replica.Outcome{Verdict: verdict.DidNotRun, Refused: replica.RefusedFull, Status: 503, Err: replica.ErrRefused})
+	unreachable = ends(replica.Outcome{Verdict: verdict.DidNotRun, Refused: replica.RefusedUnreachable, Err: errReset})
+	lost        = ends(replica.Outcome{Verdict: verdict.MayHaveRun, Err: errReset})
+	good        = answers(200, false, true, "good")
+)
+
+func silent(ctx context.Context, _ *replica.Call, _ replica.Sink) replica.Outcome {
+	<-ctx.Done()
+	return replica.Outcome{Verdict: verdict.MayHaveRun, Err: ctx.Err()}
+}
+
+// kept is a Reply that keeps what it gets.
+type kept struct {
+	heads []replica.Head
+	body  strings.Builder
+}
+
+func (k *kept) Head(head replica.Head) error { k.heads = append(k.heads, head); return nil }
+func (k *kept) Body(chunk []byte) error      { k.body.Write(chunk); return nil }
+
+const baseRows = "p kind pool;q kind pool;p1 kind backend;p1 pool p;p1 address 127.0.0.1:1;p2 kind backend;p2 pool p;p2 address 127.0.0.1:2;" +
+	"p3 kind backend;p3 pool p;p3 address 127.0.0.1:3;r kind route;r host h;r path_prefix /;r pools p:1;r max_attempts 2;"
+
+// viewsOf returns the views after each of a series of changes.
+func viewsOf(t *testing.T, changes ...string) (views []*table.View) {
+	t.Helper()
+	made := table.New()
+	for position, rows := range changes {
+		change := &wire.TableChange{ChangeId: fmt.Sprint(position), Operator: "test", BaseVersion: uint64(position)}
+		for text := range strings.SplitSeq(strings.Trim(rows, ";"), ";") {
+			parts := strings.SplitN(text, " ", 3)
+			change.Cells = append(change.Cells, &wire.CellChange{Row: parts[0], Column: parts[1], Value: parts[2]})
+		}
+		if result := made.Apply(change); result.GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+			t.Fatal(result)
+		}
+		view, err := table.NewView().Apply(made.Update(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		views = append(views, view)
+	}
+	return views
+}
+
+type fixture struct {
+	*Forwarder
+	lease  *testLease
+	caller *scripted
+}
+
+func newFixture(t *testing.T, rows string, script ...step) *fixture {
+	t.Helper()
+	lease, caller := &testLease{}, &scripted{script: script}
+	forwarder, err := New(Config{Control: lease, Caller: caller, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := viewsOf(t, rows)[0]
+	forwarder.Update(view)
+	lease.set(view.Version(), false)
+	return &fixture{Forwarder: forwarder, lease: lease, caller: caller}
+}
+
+func (f *fixture) serve(ctx context.Context) (*kept, *Failure) {
+	reply := &kept{}
+	return reply, f.Serve(ctx, &Request{AttemptID: "id", Method: "POST", Path: "/x?y", Host: "h", Received: time.Now()}, reply)
+}
+
+// TestAttempts: which endings permit another attempt, and what the caller gets.
+func TestAttempts(t *testing.T) {
+	for _, test := range []struct {
+		name, kind string
+		script     []step
+		calls      int
+		body       string // of a whole answer
+		reason     Reason
+		verdict    verdict.Verdict
+	}{
+		{"good", "once", []step{good}, 1, "good", 0, 0},
+		{"full, then good", "once", []step{full, good}, 2, "good", 0, 0},
+		{"all full", "repeatable", []step{full}, 2, "", Unavailable, verdict.DidNotRun},
+		{"all unreachable", "once", []step{unreachable}, 3, "", Unavailable, verdict.DidNotRun},
+		{"lost once", "once", []step{lost, good}, 1, "", Broken, verdict.MayHaveRun},
+		{"lost, then good", "repeatable", []step{lost, good}, 2, "good", 0, 0},
+		{"lost, then full", "repeatable", []step{lost, full}, 2, "", Broken, verdict.MayHaveRun},
+		{"cut, then good", "repeatable", []step{answers(200, false, false, "part"), good}, 2, "good", 0, 0},
+		{"cut once", "once", []step{answers(200, false, false, "part"), good}, 1, "", Broken, verdict.MayHaveRun},
+		{"failed, then good", "repeatable", []step{answers(500, false, true, "no"), good}, 2, "good", 0, 0},
+		{"failed twice", "repeatable", []step{answers(500, false, true, "no")}, 2, "no", 0, 0},
+		{"failed once", "once", []step{answers(500, false, true, "no"), good}, 1, "no", 0, 0},
+		{"cut stream", "stream", []step{answers(200, true, false, "id: 1\n\n"), good}, 1, "", Cut, verdict.MayHaveRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, baseRows+"r route_kind "+test.kind, test.script...)
+			reply, failure := f.serve(context.Background())
+			if counts := f.caller.instances(); len(counts) != test.calls || len(f.caller.calls) != test.calls {
+				t.Errorf("calls %v, want %d to different back ends", counts, test.calls)
+			}
+			if test.reason == 0 {
+				if failure != nil || len(reply.heads) != 1 || reply.body.String() != test.body || reply.heads[0].Length != int64(len(test.body)) {
+					t.Fatalf("%v %+v %q", failure, reply.heads, reply.body.String())
+				}
+				return
+			}
+			if failure == nil || failure.Reason != test.reason || failure.Verdict != test.verdict || (failure.RetryAfter > 0) != (test.verdict == verdict.DidNotRun) {
+				t.Fatalf("%+v", failure)
+			}
+			if test.reason != Cut && len(reply.heads) != 0 {
+				t.Error("a part was passed on")
+			}
+		})
+	}
+}
+
+func TestStreamsGoOnAtAnotherBackEnd(t *testing.T) {
+	rows := strings.Replace(baseRows, "max_attempts 2", "max_attempts 3", 1) + "r route_kind stream;r resumable true"
+	f := newFixture(t, rows, answers(200, true, false, "id: 1\ndata: a\n\nid: 2\nda", "ta: b\n\nid: 3\nda"), full,
+		answers(200, true, true, "id: 3\ndata: c\n\n"))
+	reply, failure := f.serve(context.Background())
+	if failure != nil || len(reply.heads) != 1 || reply.body.String() != "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n" {
+		t.Fatalf("%v %q", failure, reply.body.String())
+	}
+	if first := f.caller.calls[0]; first.ResumeAfter != -1 || reply.heads[0].Header[0].Value != first.Instance {
+		t.Errorf("the head is not the first back end's: %+v", reply.heads[0])
+	}
+	if f.caller.calls[2].ResumeAfter != 2 {
+		t.Errorf("resumed after %d", f.caller.calls[2].ResumeAfter)
+	}
+	f = newFixture(t, rows, answers(200, true, false, "id: 1\n\n"), answers(500, false, true, "no"), answers(200, false, true, "all"))
+	if reply, failure := f.serve(context.Background()); failure == nil || failure.Reason != Cut || reply.body.String() != "id: 1\n\n" {
+		t.Errorf("%v %q", failure, reply.body.String())
+	}
+}
+
+// TestLargeAnswersAreNotHeldBack: an answer over the bound is passed on as it comes and cut when it breaks off.
+func TestLargeAnswersAreNotHeldBack(t *testing.T) {
+	large := strings.Repeat("x", DefaultMaxBufferedAnswer)
+	f := newFixture(t, baseRows+"r route_kind repeatable", answers(200, false, true, large, "yz"))
+	if reply, failure := f.serve(context.Background()); failure != nil || reply.body.String() != large+"yz" || reply.heads[0].Length != -1 {
+		t.Errorf("%v, %d bytes", failure, reply.body.Len())
+	}
+	f = newFixture(t, baseRows+"r route_kind repeatable", answers(200, false, false, large, "yz"))
+	if _, failure := f.serve(context.Background()); failure == nil || failure.Reason != Cut {
+		t.Errorf("%v", failure)
+	}
+}
+
+func TestLeaseAndRoutes(t *testing.T) {
+	f := newFixture(t, baseRows+"r route_kind once", good)
+	request := &Request{Method: "GET", Host: "other", Path: "/", Received: time.Now()}
+	if failure := f.Serve(context.Background(), request, &kept{}); failure == nil || failure.Reason != NoRoute {
+		t.Errorf("%v", failure)
+	}
+	f.lease.set(f.plan.Load().version, true)
+	for _, host := range []string{"h", "other"} {
+		request.Host = host
+		if failure := f.Serve(context.Background(), request, &kept{}); failure == nil || failure.Reason != NoConfiguration || f.Ready() {
+			t.Errorf("without a lease: %v", failure)
+		}
+	}
+	empty, err := New(Config{Control: f.lease, Caller: f.caller})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.lease.set(0, false)
+	if failure := empty.Serve(context.Background(), request, &kept{}); failure == nil || failure.Reason != NoConfiguration || empty.Ready() {
+		t.Errorf("without a configuration: %v", failure)
+	}
+}
+
+// TestDecisionsAreMadeAnew: the table changes between the choice and the send; the request follows it.
+func TestDecisionsAreMadeAnew(t *testing.T) {
+	views := viewsOf(t, baseRows+"r route_kind once", "r pools q:1;q1 kind backend;q1 pool q;q1 address 127.0.0.1:4")
+	f := newFixture(t, baseRows+"r route_kind once", good)
+	asked := 0
+	f.config.Control = admitFunc(func() (uint64, bool) {
+		if asked++; asked == 2 { // the first time is for the route, the second for the send
+			f.Update(views[1])
+		}
+		return f.plan.Load().version, true
+	})
+	reply, failure := f.serve(context.Background())
+	if failure != nil || reply.body.String() != "good" || fmt.Sprint(f.caller.instances()) != "map[q1:1]" || asked < 3 {
+		t.Errorf("%v %v", failure, f.caller.instances())
+	}
+	f.Update(views[0])
+	if f.plan.Load().version != views[1].Version() {
+		t.Error("an older view was taken over")
+	}
+}
+
+type admitFunc func() (uint64, bool)
+
+func (a admitFunc) Admit() (uint64, bool) { return a() }
+
+// TestTimeAndCallers runs in virtual time.
+func TestTimeAndCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, baseRows+"r route_kind repeatable;r target_latency_millis 100", silent, good)
+		if reply, failure := f.serve(context.Background()); failure != nil || reply.body.String() != "good" {
+			t.Errorf("a silent back end: %v", failure)
+		}
+		f = newFixture(t, baseRows+"r route_kind once;r timeout_millis 300", silent)
+		started := time.Now()
+		if _, failure := f.serve(context.Background()); failure == nil || failure.Reason != TimedOut || failure.Verdict != verdict.MayHaveRun {
+			t.Errorf("%v", failure)
+		}
+		if held, left := time.Since(started), f.caller.calls[0].Deadline; left != 300*time.Millisecond || held != left {
+			t.Errorf("the back end was given %v, the caller was held %v", left, held)
+		}
+		f = newFixture(t, baseRows+"r route_kind repeatable", silent)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		started = time.Now()
+		if _, failure := f.serve(ctx); failure == nil || failure.Reason != CallerGone || len(f.caller.calls) != 1 || time.Since(started) > 10*time.Millisecond {
+			t.Errorf("%v", failure)
+		}
+	})
+}
+
+// TestSlots: a request waits for a slot a part of its target and is then refused as not run.
+func TestSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := "p kind pool;p max_in_flight 1;p1 kind backend;p1 pool p;p1 address 127.0.0.1:1;r kind route;r host h;r path_prefix /;r pools p:1;r target_latency_millis 40"
+		release := make(chan struct{})
+		f := newFixture(t, rows, func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+			<-release
+			return good(ctx, call, sink)
+		}, good)
+		first := make(chan *Failure)
+		go func() { _, failure := f.serve(context.Background()); first <- failure }()
+		synctest.Wait()
+		started := time.Now()
+		if _, failure := f.serve(context.Background()); failure == nil || failure.Reason != Overloaded || failure.Verdict != verdict.DidNotRun || failure.RetryAfter == 0 {
+			t.Errorf("%v", failure)
+		}
+		if held := time.Since(started); held > 10*time.Millisecond {
+			t.Errorf("refused after %v", held)
+		}
+		second := make(chan *Failure)
+		go func() { _, failure := f.serve(context.Background()); second <- failure }()
+		synctest.Wait()
+		close(release)
+		if one, two := <-first, <-second; one != nil || two != nil {
+			t.Errorf("%v, %v", one, two)
+		}
+		if _, failure := f.serve(context.Background()); failure != nil || f.pools["p"].queue.InFlight() != 0 {
+			t.Errorf("the slots were not given back: %v", failure)
+		}
+	})
+}
