platform: SIGHUP reads the settings file again

Change: SettingsFile reads again on SIGHUP, keeps the old settings if the new ones are not valid, and tells listeners.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -48,9 +48,11 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 	}
-	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	settings, err := platform.OpenSettingsFile(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 	}
-	return serve(environment.Context, settings, logging.Part(logger, role))
+	log := logging.Part(logger, role)
+	settings.Follow(environment.Context, log)
+	return serve(environment.Context, settings.Current(), log)
 }
