control: a replaced node that was only away takes another place

Cause: a voter can be replaced while it is frozen or cut off; it came back to no group and nobody used it. Change: a node that has heard of no leader for 3 s asks to carry the groups as an empty one does, and waits as a spare under its old identity, which is sound because its disk, with vote and log, is the same. Conclusion: a mistaken replacement costs a spare, not a machine.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/tamarindring/tamarindring/internal/consensus"
+	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -17,6 +18,8 @@
 	joinInterval = 300 * time.Millisecond
 	// joinTimeout bounds one question.
 	joinTimeout = 500 * time.Millisecond
+	// joinPatience is how long a voter hears of no leader before it asks as well.
+	joinPatience = 3 * time.Second
 )
 
 // Join implements wire.DRPCControlServer: it notes that a node asks to carry the groups, and says which nodes
@@ -33,16 +36,25 @@
 	return reply, nil
 }
 
-// join asks all control nodes that can be found, beginning with the seeds, to let this node carry the groups,
-// until it is a voter in all of them.
+// join asks all control nodes that can be found, beginning with the seeds, to let this node carry the groups:
+// until it is a voter in all of them, and again when it has heard of no leader for long. Then its place may
+// have been taken while it could not be reached; with its disk it takes another one under its old identity.
 func (s *Server) join(ctx context.Context) {
-	if !s.config.Join || len(s.config.Seeds) == 0 {
+	if len(s.currentSeeds()) == 0 {
 		return
 	}
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	for !s.votesEverywhere(ctx) {
-		s.askToJoin(ctx)
+	ledAt := s.config.Clock()
+	for {
+		votes, led := s.standing(ctx)
+		now := s.config.Clock()
+		if led {
+			ledAt = now
+		}
+		if !votes || now-ledAt > joinPatience {
+			s.askToJoin(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -51,21 +63,32 @@
 	}
 }
 
-func (s *Server) votesEverywhere(ctx context.Context) bool {
+// SetSeeds replaces the addresses at which this node asks to carry the groups. The voters stay as they are.
+func (s *Server) SetSeeds(seeds []string) { s.seeds.Store(&seeds) }
+
+func (s *Server) currentSeeds() []string {
+	if changed := s.seeds.Load(); changed != nil {
+		return *changed
+	}
+	return s.config.Seeds
+}
+
+// standing tells whether this node is a voter in all groups and knows a leader in all, as far as it can tell.
+func (s *Server) standing(ctx context.Context) (votes, led bool) {
 	ctx, cancel := context.WithTimeout(ctx, localTimeout)
 	defer cancel()
+	votes, led = true, true
 	for _, group := range s.groups() {
 		status, err := s.replicas.Status(ctx, group)
-		if err != nil || !status.Configuration.IsVoter(s.config.NodeID) {
-			return false
-		}
+		votes = votes && err == nil && status.Configuration.IsVoter(s.config.NodeID)
+		led = led && err == nil && status.Leader != raft.None
 	}
-	return true
+	return votes, led
 }
 
 // askToJoin asks every known node once, all at the same time: one that is cut off holds up nobody.
 func (s *Server) askToJoin(ctx context.Context) {
-	addresses := slices.Clone(s.config.Seeds)
+	addresses := slices.Clone(s.currentSeeds())
 	for _, known := range s.replicas.Nodes() {
 		addresses = append(addresses, known.Address)
 	}
--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -168,6 +168,23 @@
 	}
 }
 
+// TestReplacedNodeTakesAnotherPlace lets an empty node take the place of one that is only away. It comes back
+// with its disk, waits, and takes the place of one that is lost for good.
+func TestReplacedNodeTakesAnotherPlace(t *testing.T) {
+	c := startSeeded(t)
+	c.awaitVoters(0, 1, 2)
+	base, _ := mustAccept(t, c.seededClient(), poolChange("base", 0, "1"), false)
+	c.kill(1)
+	c.open(3, listen(t, "127.0.0.1:0"), false)
+	c.awaitVoters(0, 2, 3)
+	c.open(1, listen(t, c.seeds[1]), false)
+	c.wipe(2)
+	c.awaitVoters(0, 1, 3)
+	if version, _ := mustAccept(t, c.seededClient(), weightChange("after", base, "2"), false); version != base+1 {
+		t.Fatalf("version %d, want %d", version, base+1)
+	}
+}
+
 // TestEmptyNodesFoundNothing checks that wiped nodes that find no member don't form a
 // group.
 func TestEmptyNodesFoundNothing(t *testing.T) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -51,6 +51,7 @@
 	orphans   *orphans
 	retention *retention
 	voters    *voters
+	seeds     atomic.Pointer[[]string] // in place of the settings'
 	sessions  sessionSet
 	syncs     prometheus.Histogram
 	draining  atomic.Bool
