forward: a second attempt beside one that is slow to begin

Change: a repeatable request goes to a second back end after two fifths of its target latency; the first whole answer is passed on and the other attempt is cancelled, so no more back ends than max_attempts get it. Being outrun is half a failure for routing. Ruled out: cancelling the first attempt instead; an answer that just takes long would start anew.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -5,19 +5,23 @@
 	"sync/atomic"
 
 	"github.com/tamarindring/tamarindring/internal/replica"
-	"github.com/tamarindring/tamarindring/internal/table"
 )
 
 // answer is the sink of one attempt. It holds an answer back until it is whole, or too large to hold, or a
-// series of events; from then on it passes on what comes.
+// series of events; from then on it passes on what comes, unless another attempt's answer is passed on already.
 type answer struct {
-	exchange    *exchange
-	replaceable bool // another attempt may replace the answer before its first byte
+	owner       *atomic.Pointer[answer] // the answer that is passed on to the caller
+	reply       Reply
+	maxHeld     int
+	replaceable bool // another attempt may replace the answer before its first byte, or run beside it
+	resuming    bool // it goes on where another attempt's stream broke off
+	resumable   bool // as a stream it may be resumed
 	began       atomic.Bool
 	head        replica.Head
 	held        []byte
-	passing     bool // this attempt passes on what comes
+	passing     bool // it is passed on as it comes
 	events      *eventSplitter
+	last        int64 // id of the last event passed on; -1: none
 }
 
 // Head implements replica.Sink.
@@ -25,15 +29,18 @@
 	a.began.Store(true)
 	a.head = head
 	stream := head.Stream && head.Status == http.StatusOK
-	if a.exchange.passing { // the answer goes on where another attempt broke off
-		if !stream {
-			return errNotResumed
+	switch {
+	case a.resuming && !stream:
+		return errNotResumed
+	case a.resuming:
+		if !a.owner.CompareAndSwap(nil, a) {
+			return errOutrun
 		}
 		a.passing = true
-	} else if a.replaceable && head.Status >= http.StatusInternalServerError {
+	case a.replaceable && head.Status >= http.StatusInternalServerError:
 		return errReplaced
 	}
-	if stream && a.exchange.route.Resumable && a.exchange.route.Kind == table.Stream {
+	if stream && a.resumable {
 		a.events = &eventSplitter{}
 	}
 	return nil
@@ -51,14 +58,14 @@
 			return err
 		}
 		if id := a.events.last; id >= 0 {
-			a.exchange.passed = id
+			a.last = id
 		}
 		return nil
 	case a.passing || a.head.Stream:
 		return a.pass(chunk)
 	}
 	a.held = append(a.held, chunk...)
-	if len(a.held) <= a.exchange.forwarder.config.MaxBufferedAnswer {
+	if len(a.held) <= a.maxHeld {
 		return nil
 	}
 	held := a.held
@@ -69,15 +76,18 @@
 // pass passes bytes on to the caller, with the head before the first.
 func (a *answer) pass(data []byte) error {
 	if !a.passing {
-		a.passing, a.exchange.passing = true, true
-		if err := a.exchange.reply.Head(a.head); err != nil {
+		if !a.owner.CompareAndSwap(nil, a) {
+			return errOutrun
+		}
+		a.passing = true
+		if err := a.reply.Head(a.head); err != nil {
 			return errPassedOn
 		}
 	}
 	if len(data) == 0 {
 		return nil
 	}
-	if err := a.exchange.reply.Body(data); err != nil {
+	if err := a.reply.Body(data); err != nil {
 		return errPassedOn
 	}
 	return nil
@@ -93,8 +103,3 @@
 	}
 	return a.pass(a.held)
 }
-
-// resumable tells whether another back end can go on after the last event that was passed on.
-func (a *answer) resumable() bool {
-	return a.exchange.route.Resumable && a.exchange.passed >= 0
-}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/routing"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+const (
+	// hedgeNumerator and hedgeDenominator are the part of the target latency after which a request that may be
+	// repeated is sent to a second back end, when the first has not begun to answer.
+	hedgeNumerator   = 2
+	hedgeDenominator = 5
+	minHedgeDelay    = 20 * time.Millisecond
+)
+
+// attempt is one send to one back end. It touches nothing of its exchange that changes, because another
+// attempt may run beside it.
+type attempt struct {
+	forwarder *Forwarder
+	pool      *pool
+	target    replica.Target
+	work      routing.Request
+	call      *replica.Call
+	answer    *answer
+	outcome   replica.Outcome
+	owned     bool // its answer was the one passed on when it broke off
+}
+
+// newAttempt makes an attempt; owner is shared by those that run beside each other.
+func (x *exchange) newAttempt(chosen choice, owner *atomic.Pointer[answer], replaceable bool) *attempt {
+	held := &answer{owner: owner, reply: x.reply, maxHeld: x.forwarder.config.MaxBufferedAnswer, replaceable: replaceable,
+		resuming: x.passing, resumable: x.route.Resumable && x.route.Kind == table.Stream, last: x.passed}
+	return &attempt{forwarder: x.forwarder, pool: x.pool, target: chosen.target, work: x.work, call: x.call(chosen), answer: held}
+}
+
+// send sends the request to the chosen back end, to a second one when that is slow, and judges how that ended.
+func (x *exchange) send(ctx context.Context, chosen choice) (*Failure, bool) {
+	first := x.newAttempt(chosen, new(atomic.Pointer[answer]), x.repeatable() && chosen.spare && x.sent+1 < int(x.route.MaxAttempts))
+	if !first.answer.replaceable || x.passing || x.route.TargetLatency <= 0 {
+		first.run(ctx)
+		return x.conclude(ctx, first)
+	}
+	return x.hedge(ctx, first)
+}
+
+// hedge runs an attempt and, when it does not begin to answer for a while, a second one beside it. The first
+// whole answer wins and the other attempt is cancelled.
+func (x *exchange) hedge(ctx context.Context, first *attempt) (failure *Failure, done bool) {
+	raced, cancel := context.WithCancelCause(ctx)
+	defer cancel(errOutrun)
+	ended := make(chan *attempt, 2)
+	start := func(a *attempt) {
+		go func() { a.run(raced); ended <- a }()
+	}
+	start(first)
+	running := 1
+	timer := time.NewTimer(max(x.route.TargetLatency*hedgeNumerator/hedgeDenominator, minHedgeDelay))
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			if second := x.second(first); second != nil {
+				start(second)
+				running++
+			}
+		case a := <-ended:
+			running--
+			failure, done = x.conclude(ctx, a)
+			if done && (failure == nil || a.owned) || running == 0 {
+				return failure, done
+			}
+		}
+	}
+}
+
+// second chooses a second back end for a request whose first has not begun to answer; nil when there is none.
+func (x *exchange) second(first *attempt) *attempt {
+	if first.answer.began.Load() {
+		return nil
+	}
+	excluded := append(append([]string(nil), x.tried...), first.target.Instance)
+	chosen, ok := x.pool.choose(x.forwarder.now(), &x.work, excluded)
+	if !ok {
+		return nil
+	}
+	return x.newAttempt(chosen, first.answer.owner, false)
+}
+
+// run sends the request and takes the answer.
+func (a *attempt) run(ctx context.Context) {
+	a.outcome = a.forwarder.config.Caller.Do(ctx, a.call, a.answer)
+	a.pool.ended(a.forwarder.now(), a.target.Instance, &a.work, a.health(ctx), a.outcome.Load)
+}
+
+// health is what the attempt says about its back end.
+func (a *attempt) health(ctx context.Context) health {
+	outcome := &a.outcome
+	switch {
+	case outcome.Whole && outcome.Status < 500:
+		return healthGood
+	case outcome.Refused == replica.RefusedWrongTarget:
+		return healthLeaving
+	case outcome.Refused == replica.RefusedFull, errors.Is(outcome.Err, errStale), errors.Is(outcome.Err, errNoLease),
+		errors.Is(outcome.Err, errPassedOn), errors.Is(outcome.Err, errOutrun):
+		return healthNeutral
+	case errors.Is(context.Cause(ctx), errOutrun):
+		if a.answer.replaceable && !a.answer.began.Load() {
+			return healthSlow // it was the first, and the second was faster
+		}
+		return healthNeutral
+	case ctx.Err() != nil:
+		return healthNeutral
+	}
+	return healthBad
+}
+
+func (x *exchange) call(chosen choice) *replica.Call {
+	return &replica.Call{Target: chosen.target, AttemptID: x.request.AttemptID, Method: x.request.Method,
+		Path: x.request.Path, Host: x.request.Host, Header: x.request.Header, Body: x.request.Body,
+		Deadline: max(x.until().Sub(x.forwarder.config.Now()), time.Millisecond), Urgency: -1, ResumeAfter: x.passed,
+		MaxConnections: chosen.maxConnections,
+		Admit:          func() error { return x.admit(chosen.version) }}
+}
+
+// conclude passes a whole answer on, or decides what follows an attempt that brought none.
+func (x *exchange) conclude(ctx context.Context, a *attempt) (*Failure, bool) {
+	if !a.outcome.Whole {
+		return x.judge(ctx, a)
+	}
+	err := a.answer.finish()
+	switch {
+	case errors.Is(err, errOutrun):
+		return nil, false // the other attempt's answer is being passed on
+	case err != nil:
+		x.mayRan, a.owned = true, true
+		return x.failure(ctx, Broken, err), true
+	}
+	return nil, true
+}
+
+// judge decides what follows an attempt that brought no whole answer.
+func (x *exchange) judge(ctx context.Context, a *attempt) (*Failure, bool) {
+	outcome := &a.outcome
+	if errors.Is(outcome.Err, errStale) || errors.Is(outcome.Err, errNoLease) {
+		return x.again(ctx, outcome.Err)
+	}
+	x.lastErr = outcome.Err
+	x.tried = append(x.tried, a.target.Instance)
+	if outcome.Verdict == verdict.DidNotRun {
+		if outcome.Refused == replica.RefusedFull && !errors.Is(outcome.Err, replica.ErrConnections) {
+			x.sent++
+		}
+		return nil, false
+	}
+	x.sent++
+	x.mayRan = true
+	if a.owned = a.answer.owner.Load() == a.answer; a.owned {
+		x.passing, x.passed = true, a.answer.last
+	}
+	switch {
+	case errors.Is(outcome.Err, errPassedOn), !x.repeatable():
+		return x.failure(ctx, Broken, outcome.Err), true
+	case a.owned && (!a.answer.resumable || a.answer.last < 0):
+		return x.failure(ctx, Cut, outcome.Err), true
+	}
+	return nil, false
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -40,9 +40,9 @@
 func className(priority uint32) string { return classOrder[min(priority, maxClasses-1)] }
 
 // Settings of routing that differ from its defaults: with few requests a failure must count at once, and a
-// replica that comes back must be found soon.
+// replica that comes back must be found soon. Being slower than another one is half a failure.
 const (
-	failureLimit    = 1
+	failureLimit    = 2
 	quarantineLimit = 8 * time.Second
 	returnRamp      = 2 * time.Second
 )
@@ -195,6 +195,7 @@
 const (
 	healthNeutral health = iota
 	healthGood
+	healthSlow
 	healthBad
 	healthLeaving
 )
@@ -207,8 +208,12 @@
 	switch how {
 	case healthGood:
 		p.replicas.Succeeded(name, now)
-	case healthBad:
+	case healthSlow:
 		p.replicas.Failed(name, now)
+	case healthBad:
+		for range failureLimit {
+			p.replicas.Failed(name, now)
+		}
 	case healthLeaving:
 		p.replicas.RefusedLeaving(name, now)
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/admission"
-	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -16,7 +15,7 @@
 var (
 	errNoLease     = errors.New("forward: the lease does not hold")
 	errStale       = errors.New("forward: the table changed meanwhile")
-	errSlow        = errors.New("forward: the back end did not begin to answer in time")
+	errOutrun      = errors.New("forward: another back end was faster")
 	errReplaced    = errors.New("forward: the back end failed, another is tried")
 	errNotResumed  = errors.New("forward: the back end did not resume the stream")
 	errNoReplicas  = errors.New("forward: no back end may take the request")
@@ -32,9 +31,6 @@
 	// waitShare is the part of the target latency that a request may wait for a slot; one that did not run by
 	// then is better offered again.
 	waitShare = 4
-	// patience is how many target latencies a back end may take to begin an answer that may be repeated.
-	patience    = 2
-	minPatience = 50 * time.Millisecond
 )
 
 // exchange is one request on its way through the forwarder.
@@ -275,78 +271,3 @@
 func (x *exchange) repeatable() bool {
 	return x.route.Repeatable() && x.route.Kind != table.Batch
 }
-
-// send sends the request to the chosen back end and judges how that ended.
-func (x *exchange) send(ctx context.Context, chosen choice) (*Failure, bool) {
-	answer := &answer{exchange: x}
-	answer.replaceable = x.repeatable() && chosen.spare && x.sent+1 < int(x.route.MaxAttempts)
-	sendContext, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if answer.replaceable && x.route.TargetLatency > 0 {
-		timer := time.AfterFunc(max(patience*x.route.TargetLatency, minPatience), func() {
-			if !answer.began.Load() {
-				cancel(errSlow)
-			}
-		})
-		defer timer.Stop()
-	}
-	outcome := x.forwarder.config.Caller.Do(sendContext, x.call(chosen), answer)
-	slow := errors.Is(context.Cause(sendContext), errSlow)
-	x.pool.ended(x.forwarder.now(), chosen.target.Instance, &x.work, x.healthOf(ctx, &outcome, slow), outcome.Load)
-	if outcome.Whole {
-		if err := answer.finish(); err != nil {
-			x.mayRan = true
-			return x.failure(ctx, Broken, errPassedOn), true
-		}
-		return nil, true
-	}
-	return x.judge(ctx, chosen, &outcome, answer)
-}
-
-func (x *exchange) call(chosen choice) *replica.Call {
-	return &replica.Call{Target: chosen.target, AttemptID: x.request.AttemptID, Method: x.request.Method,
-		Path: x.request.Path, Host: x.request.Host, Header: x.request.Header, Body: x.request.Body,
-		Deadline: max(x.until().Sub(x.forwarder.config.Now()), time.Millisecond), Urgency: -1, ResumeAfter: x.passed,
-		MaxConnections: chosen.maxConnections,
-		Admit:          func() error { return x.admit(chosen.version) }}
-}
-
-// healthOf is what an outcome says about its back end.
-func (x *exchange) healthOf(ctx context.Context, outcome *replica.Outcome, slow bool) health {
-	switch {
-	case outcome.Whole && outcome.Status < 500:
-		return healthGood
-	case outcome.Refused == replica.RefusedWrongTarget:
-		return healthLeaving
-	case outcome.Refused == replica.RefusedFull, errors.Is(outcome.Err, errStale), errors.Is(outcome.Err, errNoLease),
-		errors.Is(outcome.Err, errPassedOn), errors.Is(outcome.Err, replica.ErrConnections):
-		return healthNeutral
-	case ctx.Err() != nil && !slow:
-		return healthNeutral
-	}
-	return healthBad
-}
-
-// judge decides what follows an attempt that brought no whole answer.
-func (x *exchange) judge(ctx context.Context, chosen choice, outcome *replica.Outcome, answer *answer) (*Failure, bool) {
-	if errors.Is(outcome.Err, errStale) || errors.Is(outcome.Err, errNoLease) {
-		return x.again(ctx, outcome.Err)
-	}
-	x.lastErr = outcome.Err
-	x.tried = append(x.tried, chosen.target.Instance)
-	if outcome.Verdict == verdict.DidNotRun {
-		if outcome.Refused == replica.RefusedFull && !errors.Is(outcome.Err, replica.ErrConnections) {
-			x.sent++
-		}
-		return nil, false
-	}
-	x.sent++
-	x.mayRan = true
-	switch {
-	case errors.Is(outcome.Err, errPassedOn), !x.repeatable():
-		return x.failure(ctx, Broken, outcome.Err), true
-	case x.passing && !answer.resumable():
-		return x.failure(ctx, Cut, outcome.Err), true
-	}
-	return nil, false
-}
