batch: batch jobs as replicated state of the ledger groups

Cause: the users' platform submits many requests as one job, run later and read as a list; nothing in the product held such a job. Change: commands JobSubmit, JobStore, JobEnd and JobExpire and queries for results, an item's body and open work, applied by the new pure package batch inside state.Machine. Results are append-only positions; a job is taken once by id and digest; ended jobs drop their items' content and expire after the retention.

--- /dev/null
+++ b/internal/batch/apply.go
@@ -0,0 +1,157 @@
+package batch
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Digest identifies what the caller of a job sent: everything but what was added on the way, such as the
+// route's settings and the clock. Two submits with one id are the same job only with one digest.
+func Digest(submit *wire.JobSubmit) []byte {
+	content := &wire.JobSubmit{
+		Id: submit.GetId(), Model: submit.GetModel(), Step: submit.GetStep(),
+		MinVersion: submit.GetMinVersion(), Desired: submit.GetDesired(), Items: submit.GetItems(),
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(content)
+	if err != nil {
+		return nil // text that is not UTF-8; Submit refuses a job without a digest
+	}
+	sum := sha256.Sum256(data)
+	return sum[:]
+}
+
+// Submit takes a job over. ACCEPTED also answers the resend of a job that is held, which changes nothing.
+// Errors: malformed command, nothing changed.
+func (s *Store) Submit(submit *wire.JobSubmit) (*wire.JobReply, error) {
+	if err := checkSubmit(submit); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.tick(submit.GetSentUnixMillis())
+	if held := s.jobs[submit.GetId()]; held != nil {
+		if !bytes.Equal(held.submit.GetDigest(), submit.GetDigest()) {
+			return reply(wire.JobOutcome_JOB_OUTCOME_OTHER_CONTENT), nil
+		}
+		return reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED), nil
+	}
+	if s.held+proto.Size(submit) > MaximumHeldBytes {
+		return reply(wire.JobOutcome_JOB_OUTCOME_FULL), nil
+	}
+	s.revision++
+	s.add(submit, s.revision)
+	return reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED), nil
+}
+
+func reply(outcome wire.JobOutcome) *wire.JobReply { return &wire.JobReply{Outcome: outcome} }
+
+func checkSubmit(submit *wire.JobSubmit) error {
+	switch {
+	case submit.GetId() == "" || len(submit.GetId()) > MaximumIDBytes:
+		return trace.BadParameter("a job's id must have 1 to %d bytes", MaximumIDBytes)
+	case len(submit.GetDigest()) == 0 || len(submit.GetDigest()) > MaximumDigestBytes:
+		return trace.BadParameter("a job's digest must have 1 to %d bytes", MaximumDigestBytes)
+	case len(submit.GetItems()) == 0 || len(submit.GetItems()) > MaximumItems:
+		return trace.BadParameter("a job must have 1 to %d items", MaximumItems)
+	case proto.Size(submit) > MaximumJobBytes:
+		return trace.BadParameter("a job must not be larger than %d bytes", MaximumJobBytes)
+	}
+	seen := make(map[string]bool, len(submit.GetItems()))
+	for _, item := range submit.GetItems() {
+		if item.GetId() == "" || len(item.GetId()) > MaximumIDBytes {
+			return trace.BadParameter("an item's id must have 1 to %d bytes", MaximumIDBytes)
+		}
+		if seen[item.GetId()] {
+			return trace.BadParameter("item %q stands twice in the job", item.GetId())
+		}
+		seen[item.GetId()] = true
+	}
+	return nil
+}
+
+// Store appends results to the lists of their jobs and says how many were new. The first result of an item
+// wins; results of unknown items, unknown jobs and ended jobs are passed over, since only a runner that does
+// not know of the end yet sends them. Errors: malformed command, nothing changed.
+func (s *Store) Store(command *wire.JobStore) (*wire.JobReply, error) {
+	for _, results := range command.GetJobs() {
+		for _, result := range results.GetResults() {
+			if err := checkResult(result); err != nil {
+				return nil, trace.Wrap(err)
+			}
+		}
+	}
+	s.tick(command.GetNowUnixMillis())
+	answer := reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
+	for _, results := range command.GetJobs() {
+		held := s.jobs[results.GetJob()]
+		if held == nil || held.ended {
+			continue
+		}
+		for _, result := range results.GetResults() {
+			known := held.items[result.GetItem()] != nil
+			if known && !held.listed[result.GetItem()] {
+				s.list(held, result)
+				answer.Stored++
+			}
+		}
+	}
+	return answer, nil
+}
+
+func checkResult(result *wire.JobResult) error {
+	switch result.GetState() {
+	case wire.JobItemState_JOB_ITEM_STATE_COMPLETED:
+	case wire.JobItemState_JOB_ITEM_STATE_TERMINATED:
+		if len(result.GetText()) > 0 || len(result.GetVersions()) > 0 {
+			return trace.BadParameter("item %q was terminated and has a text", result.GetItem())
+		}
+	default:
+		return trace.BadParameter("the result of item %q has no state", result.GetItem())
+	}
+	if len(result.GetText()) > MaximumResultBytes {
+		return trace.BadParameter("the text of item %q is longer than %d bytes", result.GetItem(), MaximumResultBytes)
+	}
+	return nil
+}
+
+// End ends a job. Errors: malformed command, nothing changed.
+func (s *Store) End(command *wire.JobEnd) (*wire.JobReply, error) {
+	if command.GetJob() == "" {
+		return nil, trace.BadParameter("a job's id is missing")
+	}
+	s.tick(command.GetNowUnixMillis())
+	held := s.jobs[command.GetJob()]
+	if held == nil {
+		return reply(wire.JobOutcome_JOB_OUTCOME_UNKNOWN_JOB), nil
+	}
+	if !held.ended {
+		held.ended = true
+		s.strip(held)
+	}
+	return reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED), nil
+}
+
+// Expire forgets ended jobs past their retention. One clock that runs ahead expires nothing too early.
+// Errors: malformed command, nothing changed.
+func (s *Store) Expire(command *wire.JobExpire) (*wire.JobReply, error) {
+	const maximumRetention = 1 << 50
+	if command.GetRetentionMillis() == 0 || command.GetRetentionMillis() > maximumRetention {
+		return nil, trace.BadParameter("the retention of jobs must be above 0 ms and at most %d ms", int64(maximumRetention))
+	}
+	now := min(command.GetNowUnixMillis(), s.clock)
+	kept := make([]*job, 0, len(s.order))
+	for _, held := range s.order {
+		expired := held.ended && now-held.submit.GetSentUnixMillis() > int64(command.GetRetentionMillis())
+		if !expired {
+			kept = append(kept, held)
+			continue
+		}
+		delete(s.jobs, held.submit.GetId())
+		s.held -= held.bytes
+	}
+	s.order = kept
+	return reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED), nil
+}
--- /dev/null
+++ b/internal/batch/query.go
@@ -0,0 +1,66 @@
+package batch
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Results returns results of a job from a position on: at least one if one exists there.
+func (s *Store) Results(query *wire.JobResultsQuery) *wire.JobResultsView {
+	held := s.jobs[query.GetJob()]
+	if held == nil {
+		return &wire.JobResultsView{}
+	}
+	view := &wire.JobResultsView{Known: true, Ended: held.ended, Total: uint64(len(held.items)), Next: query.GetSince()}
+	budget := MaximumReplyBytes
+	if limit := int(query.GetMaxBytes()); limit > 0 {
+		budget = min(budget, limit)
+	}
+	if query.GetSince() >= uint64(len(held.results)) {
+		return view
+	}
+	for _, result := range held.results[query.GetSince():] {
+		if budget -= proto.Size(result); budget < 0 && len(view.Results) > 0 {
+			break
+		}
+		view.Results = append(view.Results, result)
+		view.Next++
+	}
+	return view
+}
+
+// Item returns what is known of a job's item; the body only while the job is open.
+func (s *Store) Item(query *wire.JobItemQuery) *wire.JobItemView {
+	held := s.jobs[query.GetJob()]
+	if held == nil || held.items[query.GetItem()] == nil {
+		return &wire.JobItemView{}
+	}
+	view := &wire.JobItemView{Known: true, Listed: held.listed[query.GetItem()], Held: !held.ended}
+	view.Body = held.items[query.GetItem()].GetBody()
+	return view
+}
+
+// Work returns the open jobs that were taken after a revision, with their finished items, and the ids of all
+// open jobs.
+func (s *Store) Work(query *wire.JobWorkQuery) *wire.JobWorkView {
+	view := &wire.JobWorkView{Revision: s.revision}
+	for _, held := range s.order {
+		if held.ended {
+			if sent := held.submit.GetSentUnixMillis(); view.ExpirableUnixMillis == 0 || sent < view.ExpirableUnixMillis {
+				view.ExpirableUnixMillis = sent
+			}
+			continue
+		}
+		view.Open = append(view.Open, held.submit.GetId())
+		if held.revision <= query.GetAfterRevision() {
+			continue
+		}
+		work := &wire.JobWork{Job: held.submit}
+		for _, result := range held.results {
+			work.Finished = append(work.Finished, result.GetItem())
+		}
+		view.Jobs = append(view.Jobs, work)
+	}
+	return view
+}
--- /dev/null
+++ b/internal/batch/store.go
@@ -0,0 +1,95 @@
+package batch
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Bounds of the jobs, in bytes unless said otherwise.
+const (
+	MaximumIDBytes     = 256
+	MaximumDigestBytes = 32
+	MaximumItems       = 20_000 // of one job (a count)
+	MaximumJobBytes    = 24 << 20
+	// MaximumHeldBytes bounds all jobs together: above it another job is refused as FULL.
+	MaximumHeldBytes = 128 << 20
+	// MaximumResultBytes bounds one result's text. A longer one is refused as malformed.
+	MaximumResultBytes = 8 << 20
+	// MaximumReplyBytes bounds the results of one answer unless a single one is longer.
+	MaximumReplyBytes = 1 << 20
+)
+
+// Store holds the batch jobs of one ledger group.
+type Store struct {
+	jobs     map[string]*job
+	order    []*job // in the order in which they were taken
+	revision uint64 // rises with every job that is taken
+	clock    int64  // highest proposer's clock so far, Unix milliseconds
+	held     int    // bytes of all jobs
+}
+
+// job is one batch job. Messages are shared with snapshots and views and never modified.
+type job struct {
+	submit   *wire.JobSubmit
+	revision uint64
+	ended    bool
+	results  []*wire.JobResult // by position
+	listed   map[string]bool   // items with a result
+	items    map[string]*wire.JobItem
+	bytes    int
+}
+
+// New returns an empty Store.
+func New() *Store { return &Store{jobs: map[string]*job{}} }
+
+// Len returns the number of jobs that are kept.
+func (s *Store) Len() int { return len(s.order) }
+
+// Revision rises with every job that is taken.
+func (s *Store) Revision() uint64 { return s.revision }
+
+func (s *Store) add(submit *wire.JobSubmit, revision uint64) *job {
+	added := &job{submit: submit, revision: revision, bytes: proto.Size(submit), listed: map[string]bool{},
+		items: make(map[string]*wire.JobItem, len(submit.GetItems()))}
+	for _, item := range submit.GetItems() {
+		added.items[item.GetId()] = item
+	}
+	s.jobs[submit.GetId()] = added
+	s.order = append(s.order, added)
+	s.held += added.bytes
+	return added
+}
+
+// list appends a result.
+func (s *Store) list(j *job, result *wire.JobResult) {
+	j.results = append(j.results, result)
+	j.listed[result.GetItem()] = true
+	size := proto.Size(result)
+	j.bytes += size
+	s.held += size
+}
+
+// strip drops the content of an ended job's items, which nobody may ask for any more.
+func (s *Store) strip(j *job) {
+	stripped := &wire.JobSubmit{
+		Id: j.submit.GetId(), Digest: j.submit.GetDigest(), Route: j.submit.GetRoute(), Pools: j.submit.GetPools(),
+		Model: j.submit.GetModel(), Step: j.submit.GetStep(), MinVersion: j.submit.GetMinVersion(),
+		Desired: j.submit.GetDesired(), DeadlineMillis: j.submit.GetDeadlineMillis(),
+		QueueTtlMillis: j.submit.GetQueueTtlMillis(), MaxAttempts: j.submit.GetMaxAttempts(),
+		SingleVersion: j.submit.GetSingleVersion(), SentUnixMillis: j.submit.GetSentUnixMillis(),
+		Items: make([]*wire.JobItem, 0, len(j.submit.GetItems())),
+	}
+	for _, item := range j.submit.GetItems() {
+		kept := &wire.JobItem{Id: item.GetId(), Group: item.GetGroup(), Tokens: item.GetTokens()}
+		stripped.Items = append(stripped.Items, kept)
+		j.items[item.GetId()] = kept
+	}
+	saved := proto.Size(j.submit) - proto.Size(stripped)
+	j.submit = stripped
+	j.bytes -= saved
+	s.held -= saved
+}
+
+// tick takes a proposer's clock, which only ever moves the store's clock forward.
+func (s *Store) tick(nowUnixMillis int64) { s.clock = max(s.clock, nowUnixMillis) }
--- /dev/null
+++ b/internal/batch/store_test.go
@@ -0,0 +1,249 @@
+package batch
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+func exampleJob(id string, items int) *wire.JobSubmit {
+	submit := &wire.JobSubmit{Id: id, Route: "r", Pools: []string{"p"}, SentUnixMillis: 1000}
+	for number := range items {
+		submit.Items = append(submit.Items, &wire.JobItem{Id: fmt.Sprint("i", number), Body: []byte{byte(number), 255}, Group: "g"})
+	}
+	submit.Digest = Digest(submit)
+	return submit
+}
+
+func completed(item, text string) *wire.JobResult {
+	return &wire.JobResult{Item: item, State: wire.JobItemState_JOB_ITEM_STATE_COMPLETED, Text: []byte(text), Versions: []uint64{3}}
+}
+
+func stored(job string, results ...*wire.JobResult) *wire.JobStore {
+	return &wire.JobStore{NowUnixMillis: 2000, Jobs: []*wire.JobResults{{Job: job, Results: results}}}
+}
+
+func wantOutcome(t *testing.T, reply *wire.JobReply, err error, outcome wire.JobOutcome) {
+	t.Helper()
+	if err != nil || reply.GetOutcome() != outcome {
+		t.Fatalf("got %v (%v), want %v", reply, err, outcome)
+	}
+}
+
+func TestJobIsTakenOnce(t *testing.T) {
+	store := New()
+	for range 2 {
+		reply, err := store.Submit(exampleJob("a", 3))
+		wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
+	}
+	reply, err := store.Submit(exampleJob("a", 2))
+	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_OTHER_CONTENT)
+	if store.Len() != 1 || store.Revision() != 1 {
+		t.Fatalf("%d jobs, revision %d", store.Len(), store.Revision())
+	}
+	reply, err = store.End(&wire.JobEnd{Job: "a", NowUnixMillis: 3000})
+	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
+	reply, err = store.Submit(exampleJob("a", 3))
+	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
+	if work := store.Work(&wire.JobWorkQuery{}); len(work.GetOpen()) != 0 || work.GetExpirableUnixMillis() != 1000 {
+		t.Fatalf("a resend reopened an ended job: %v", work)
+	}
+	reply, err = store.End(&wire.JobEnd{Job: "b"})
+	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_UNKNOWN_JOB)
+}
+
+func TestDigestCoversWhatTheCallerSent(t *testing.T) {
+	first, second := exampleJob("a", 2), exampleJob("a", 2)
+	second.SentUnixMillis, second.Route, second.DeadlineMillis = 9, "other", 7
+	if !bytes.Equal(Digest(first), Digest(second)) {
+		t.Fatal("the digest follows what was added on the way")
+	}
+	second.Items[1].Body = []byte("x")
+	if bytes.Equal(Digest(first), Digest(second)) {
+		t.Fatal("two contents have one digest")
+	}
+}
+
+func TestResultsStayWhereTheyAre(t *testing.T) {
+	store := New()
+	if _, err := store.Submit(exampleJob("a", 3)); err != nil {
+		t.Fatal(err)
+	}
+	reply, err := store.Store(stored("a", completed("i1", "one"), completed("i1", "again"), completed("none", "x")))
+	if err != nil || reply.GetStored() != 1 {
+		t.Fatalf("%v %v", reply, err)
+	}
+	if _, err := store.Store(stored("a", &wire.JobResult{Item: "i0", State: wire.JobItemState_JOB_ITEM_STATE_TERMINATED}, completed("i1", "z"))); err != nil {
+		t.Fatal(err)
+	}
+	view := store.Results(&wire.JobResultsQuery{Job: "a", MaxBytes: 1})
+	if !view.GetKnown() || view.GetTotal() != 3 || view.GetNext() != 1 || string(view.GetResults()[0].GetText()) != "one" {
+		t.Fatalf("%v", view)
+	}
+	view = store.Results(&wire.JobResultsQuery{Job: "a", Since: 1})
+	if view.GetNext() != 2 || view.GetResults()[0].GetItem() != "i0" {
+		t.Fatalf("%v", view)
+	}
+	if view = store.Results(&wire.JobResultsQuery{Job: "a", Since: 9}); view.GetNext() != 9 || len(view.GetResults()) != 0 {
+		t.Fatalf("%v", view)
+	}
+	if store.Results(&wire.JobResultsQuery{Job: "b"}).GetKnown() {
+		t.Fatal("an unknown job is known")
+	}
+	item := store.Item(&wire.JobItemQuery{Job: "a", Item: "i2"})
+	if !item.GetHeld() || item.GetListed() || !bytes.Equal(item.GetBody(), []byte{2, 255}) {
+		t.Fatalf("%v", item)
+	}
+	work := store.Work(&wire.JobWorkQuery{})
+	if len(work.GetJobs()) != 1 || len(work.GetJobs()[0].GetFinished()) != 2 || len(store.Work(&wire.JobWorkQuery{AfterRevision: 1}).GetJobs()) != 0 {
+		t.Fatalf("%v", work)
+	}
+}
+
+func TestExpiryWaitsForEndAndRetention(t *testing.T) {
+	store := New()
+	for _, id := range []string{"a", "b"} {
+		if _, err := store.Submit(exampleJob(id, 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := store.End(&wire.JobEnd{Job: "a", NowUnixMillis: 4000}); err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct{ now, retention, left int }{
+		{now: 1 << 40, retention: 3000, left: 2}, // a clock far ahead of all others
+		{now: 4000, retention: 3000, left: 2},
+		{now: 4000, retention: 2999, left: 1},
+	} {
+		if _, err := store.Expire(&wire.JobExpire{NowUnixMillis: int64(step.now), RetentionMillis: uint64(step.retention)}); err != nil {
+			t.Fatal(err)
+		}
+		if store.Len() != step.left {
+			t.Fatalf("%v: %d jobs", step, store.Len())
+		}
+	}
+}
+
+func TestFullStoreRefuses(t *testing.T) {
+	store := New()
+	store.held = MaximumHeldBytes
+	reply, err := store.Submit(exampleJob("a", 1))
+	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_FULL)
+	for _, malformed := range []*wire.JobSubmit{{}, {Id: "a"}, {Id: "a", Digest: []byte{1}},
+		{Id: "a", Digest: []byte{1}, Items: []*wire.JobItem{{Id: "x"}, {Id: "x"}}}} {
+		if _, err := store.Submit(malformed); err == nil {
+			t.Fatalf("%v was taken", malformed)
+		}
+	}
+}
+
+// checkedStore is a store with what its readers have seen: nothing that was read may change.
+type checkedStore struct {
+	store *Store
+	read  map[string][]*wire.JobResult
+	ended map[string]bool
+}
+
+func (c *checkedStore) apply(t *rapid.T, step int) {
+	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
+	item := fmt.Sprint("i", rapid.IntRange(0, 3).Draw(t, "item"))
+	var err error
+	switch rapid.IntRange(0, 3).Draw(t, "command") {
+	case 0:
+		_, err = c.store.Submit(exampleJob(id, 3))
+	case 1, 2:
+		_, err = c.store.Store(stored(id, completed(item, fmt.Sprint(step))))
+	case 3:
+		_, err = c.store.End(&wire.JobEnd{Job: id, NowUnixMillis: int64(step)})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (c *checkedStore) check(t *rapid.T) {
+	for _, id := range []string{"a", "b", "c"} {
+		view := c.store.Results(&wire.JobResultsQuery{Job: id})
+		seen := map[string]bool{}
+		for position, result := range view.GetResults() {
+			if position < len(c.read[id]) && !proto.Equal(result, c.read[id][position]) {
+				t.Fatalf("position %d of %s changed from %v to %v", position, id, c.read[id][position], result)
+			}
+			if seen[result.GetItem()] {
+				t.Fatalf("item %s of %s stands at two positions", result.GetItem(), id)
+			}
+			seen[result.GetItem()] = true
+		}
+		if len(view.GetResults()) < len(c.read[id]) || c.ended[id] && !view.GetEnded() {
+			t.Fatalf("%s lost results or its end", id)
+		}
+		c.read[id], c.ended[id] = view.GetResults(), view.GetEnded()
+	}
+}
+
+// TestReadersSeeOneHistory applies random commands, with restores from snapshots in between.
+func TestReadersSeeOneHistory(t *testing.T) {
+	rapid.Check(t, playHistory)
+}
+
+func playHistory(t *rapid.T) {
+	checked := &checkedStore{store: New(), read: map[string][]*wire.JobResult{}, ended: map[string]bool{}}
+	for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+		checked.apply(t, step)
+		checked.check(t)
+		if rapid.IntRange(0, 4).Draw(t, "restore") > 0 {
+			continue
+		}
+		restored := New()
+		if err := restored.Restore(checked.store.Snapshot()); err != nil {
+			t.Fatal(err)
+		}
+		if !proto.Equal(restored.Snapshot(), checked.store.Snapshot()) || restored.held != checked.store.held {
+			t.Fatal("a restored store differs")
+		}
+		checked.store = restored
+	}
+}
+
+// FuzzStore takes any bytes as a snapshot and as a command's parts: nothing may panic, and what is restored
+// survives another restore.
+func FuzzStore(f *testing.F) {
+	store := New()
+	if _, err := store.Submit(exampleJob("a", 2)); err != nil {
+		f.Fatal(err)
+	}
+	if _, err := store.Store(stored("a", completed("i0", "x"))); err != nil {
+		f.Fatal(err)
+	}
+	data, err := proto.Marshal(store.Snapshot())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		snapshot := &wire.JobSnapshot{}
+		if proto.Unmarshal(data, snapshot) != nil {
+			return
+		}
+		first, second := New(), New()
+		if first.Restore(snapshot) != nil {
+			if first.Len() != 0 {
+				t.Fatal("a refused snapshot changed the store")
+			}
+			return
+		}
+		for _, record := range snapshot.GetJobs() {
+			if _, err := first.End(&wire.JobEnd{Job: record.GetSubmit().GetId()}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := second.Restore(first.Snapshot()); err != nil || !proto.Equal(first.Snapshot(), second.Snapshot()) {
+			t.Fatalf("the store does not survive a restore (%v)", err)
+		}
+	})
+}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -1,6 +1,6 @@
 // Package state is the replicated state machine of every consensus group. It composes the table, members,
-// fences and weight versions of the control group (group 0) with the claims and samples of the ledger groups (1 to N), and
-// routes each command to its part. Equal sequences of commands give equal states and equal snapshots, byte
+// fences and weight versions of the control group (group 0) with the claims, samples and batch jobs of the
+// ledger groups (1 to N), and routes each command to its part. Equal sequences of commands give equal states and equal snapshots, byte
 // for byte, on every node.
 //
 // The package is pure. Apply commands in log order; a Machine is not safe for concurrent use.
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/claim"
 	"github.com/tamarindring/tamarindring/internal/fence"
 	"github.com/tamarindring/tamarindring/internal/ledger"
@@ -51,6 +52,7 @@
 	ledger  *ledger.Ledger
 
 	releases *release.Registry
+	jobs     *batch.Store
 }
 
 // New returns an empty Machine.
@@ -66,6 +68,7 @@
 		ledger:  ledger.NewUnsafe(unsafe.Ledger),
 
 		releases: release.NewUnsafe(unsafe.Release),
+		jobs:     batch.New(),
 	}
 }
 
@@ -120,9 +123,33 @@
 	if result, known := m.applySample(command); known {
 		return result
 	}
+	if result, known := m.applyJob(command); known {
+		return result
+	}
 	return invalid(trace.BadParameter("command has no known kind"))
 }
 
+func (m *Machine) applyJob(command *wire.Command) (*wire.Result, bool) {
+	var result *wire.JobReply
+	var err error
+	switch kind := command.GetKind().(type) {
+	case *wire.Command_JobSubmit:
+		result, err = m.jobs.Submit(kind.JobSubmit)
+	case *wire.Command_JobStore:
+		result, err = m.jobs.Store(kind.JobStore)
+	case *wire.Command_JobEnd:
+		result, err = m.jobs.End(kind.JobEnd)
+	case *wire.Command_JobExpire:
+		result, err = m.jobs.Expire(kind.JobExpire)
+	default:
+		return nil, false
+	}
+	if err != nil {
+		return invalid(err), true
+	}
+	return &wire.Result{Kind: &wire.Result_Job{Job: result}}, true
+}
+
 func (m *Machine) applyClaim(index uint64, command *wire.Command) (*wire.Result, bool) {
 	var result *wire.ClaimResult
 	var err error
@@ -200,6 +227,12 @@
 		return &wire.View{Kind: &wire.View_Versions{Versions: m.releases.View(kind.Versions.GetPool())}}
 	case *wire.Query_Trainers:
 		return &wire.View{Kind: &wire.View_Trainers{Trainers: &wire.TrainersView{OpenTrainers: m.ledger.OpenTrainers()}}}
+	case *wire.Query_JobResults:
+		return &wire.View{Kind: &wire.View_JobResults{JobResults: m.jobs.Results(kind.JobResults)}}
+	case *wire.Query_JobItem:
+		return &wire.View{Kind: &wire.View_JobItem{JobItem: m.jobs.Item(kind.JobItem)}}
+	case *wire.Query_JobWork:
+		return &wire.View{Kind: &wire.View_JobWork{JobWork: m.jobs.Work(kind.JobWork)}}
 	case *wire.Query_Status:
 		return &wire.View{Kind: &wire.View_Status{Status: m.status()}}
 	default:
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -15,7 +15,7 @@
 func (m *Machine) Snapshot() ([]byte, error) { return m.Capture()() }
 
 // Capture fixes the state as it is now and returns the function that encodes it, which may run beside later
-// commands. Claims and samples, which grow with the traffic, are shared with the state: their messages are
+// commands. Claims, samples and batch jobs, which grow with the traffic, are shared with the state: their messages are
 // replaced and never modified. The rest is small and copied.
 func (m *Machine) Capture() (encode func() ([]byte, error)) {
 	snapshot := &wire.MachineSnapshot{
@@ -26,6 +26,7 @@
 		Fences:       proto.CloneOf(m.fences.Snapshot()),
 		Releases:     proto.CloneOf(m.releases.Snapshot()),
 		Ledger:       m.ledger.Snapshot(),
+		Jobs:         m.jobs.Snapshot(),
 	}
 	claims := m.claims.Capture()
 	return func() ([]byte, error) {
@@ -57,7 +58,7 @@
 // restoreParts restores copies first, so that an error in a later part leaves the earlier ones alone.
 func (m *Machine) restoreParts(snapshot *wire.MachineSnapshot) error {
 	tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy := *m.table, *m.members, *m.fences, *m.claims, *m.ledger
-	releasesCopy := *m.releases
+	releasesCopy, jobsCopy := *m.releases, *m.jobs
 	for _, restore := range []func() error{
 		func() error { return tableCopy.Restore(snapshot.GetTable()) },
 		func() error { return membersCopy.Restore(snapshot.GetMembers()) },
@@ -65,13 +66,14 @@
 		func() error { return claimsCopy.Restore(snapshot.GetClaims()) },
 		func() error { return ledgerCopy.Restore(snapshot.GetLedger()) },
 		func() error { return releasesCopy.Restore(snapshot.GetReleases()) },
+		func() error { return jobsCopy.Restore(snapshot.GetJobs()) },
 	} {
 		if err := restore(); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 	*m.table, *m.members, *m.fences, *m.claims, *m.ledger = tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy
-	*m.releases = releasesCopy
+	*m.releases, *m.jobs = releasesCopy, jobsCopy
 	m.applied = snapshot.GetAppliedIndex()
 	return nil
 }
