--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -10,12 +10,12 @@
 const (
 	MaximumIDBytes     = 256
 	MaximumDigestBytes = 32
-	MaximumItems       = 20_000 // of one job (a count)
-	MaximumJobBytes    = 24 << 20
+	MaximumItems       = 20_000       // of one job (a count)
+	MaximumJobBytes    = 2<<20 - 4096 // a command of the log holds no more
 	// MaximumHeldBytes bounds all jobs together: above it another job is refused as FULL.
-	MaximumHeldBytes = 128 << 20
+	MaximumHeldBytes = 48 << 20
 	// MaximumResultBytes bounds one result's text. A longer one is refused as malformed.
-	MaximumResultBytes = 8 << 20
+	MaximumResultBytes = 1 << 20
 	// MaximumReplyBytes bounds the results of one answer unless a single one is longer.
 	MaximumReplyBytes = 1 << 20
 )
@@ -78,7 +78,8 @@
 		Desired: j.submit.GetDesired(), DeadlineMillis: j.submit.GetDeadlineMillis(),
 		QueueTtlMillis: j.submit.GetQueueTtlMillis(), MaxAttempts: j.submit.GetMaxAttempts(),
 		SingleVersion: j.submit.GetSingleVersion(), SentUnixMillis: j.submit.GetSentUnixMillis(),
-		Items: make([]*wire.JobItem, 0, len(j.submit.GetItems())),
+		TableVersion: j.submit.GetTableVersion(),
+		Items:        make([]*wire.JobItem, 0, len(j.submit.GetItems())),
 	}
 	for _, item := range j.submit.GetItems() {
 		kept := &wire.JobItem{Id: item.GetId(), Group: item.GetGroup(), Tokens: item.GetTokens()}
--- /dev/null
+++ b/internal/batchrun/commits.go
@@ -0,0 +1,116 @@
+package batchrun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// commitLinger is how long a result waits for others to be committed together; commitPause is the wait
+	// after a commit that failed.
+	commitLinger = 10 * time.Millisecond
+	commitPause  = 50 * time.Millisecond
+	// commitBytes bounds the results of one command unless a single one is longer.
+	commitBytes = 256 << 10
+)
+
+// commits writes results to the group, many in one command, until they are there or the tenure ends: a result
+// that is not committed then is made anew by the next leader.
+type commits struct {
+	config *Config
+	wake   chan struct{} // capacity 1
+
+	mutex   sync.Mutex
+	pending []pendingResult
+}
+
+type pendingResult struct {
+	job    string
+	result *wire.JobResult
+}
+
+func newCommits(config *Config) *commits {
+	return &commits{config: config, wake: make(chan struct{}, 1)}
+}
+
+func (c *commits) add(job string, result *wire.JobResult) {
+	c.mutex.Lock()
+	c.pending = append(c.pending, pendingResult{job: job, result: result})
+	c.mutex.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run commits until ctx ends.
+func (c *commits) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		pause(ctx, commitLinger)
+		for command := c.next(); command != nil && c.commit(ctx, command); command = c.next() {
+		}
+	}
+}
+
+// next takes the next command's results; nil if there are none.
+func (c *commits) next() *wire.JobStore {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.pending) == 0 {
+		return nil
+	}
+	command := &wire.JobStore{}
+	byJob := map[string]*wire.JobResults{}
+	size, taken := 0, 0
+	for _, entry := range c.pending {
+		if size += proto.Size(entry.result); size > commitBytes && taken > 0 {
+			break
+		}
+		taken++
+		if byJob[entry.job] == nil {
+			byJob[entry.job] = &wire.JobResults{Job: entry.job}
+			command.Jobs = append(command.Jobs, byJob[entry.job])
+		}
+		byJob[entry.job].Results = append(byJob[entry.job].Results, entry.result)
+	}
+	c.pending = append([]pendingResult(nil), c.pending[taken:]...)
+	return command
+}
+
+// commit repeats a command, which is safe, until it is applied; false when ctx has ended.
+func (c *commits) commit(ctx context.Context, command *wire.JobStore) bool {
+	for ctx.Err() == nil {
+		command.NowUnixMillis = time.Now().UnixMilli()
+		attempt, cancel := context.WithTimeout(ctx, commitTimeout)
+		result, err := c.config.Group.Propose(attempt, &wire.Command{Kind: &wire.Command_JobStore{JobStore: command}})
+		cancel()
+		if err == nil {
+			if reason := result.GetInvalid(); reason != "" {
+				c.config.Log.Errorf("results of batch jobs were refused: %s", reason)
+			}
+			return true
+		}
+		c.config.Log.WithError(err).Debug("results of batch jobs are not committed yet")
+		pause(ctx, commitPause)
+	}
+	return false
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/batchrun/config.go
@@ -0,0 +1,81 @@
+// Package batchrun runs the items of batch jobs: on the node that leads their ledger group, it streams each item
+// from a replica of the route's pools and commits what is finished. Package schedule decides; this package
+// does. Nothing here must survive: a new leader finds the items without a result in the group's state and runs
+// them anew.
+//
+// An item may run more than once, but never at two replicas at a time under one leader: its call has ended
+// before the next one starts, and goes on after the last whole event that is held.
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/monotonic"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Defaults of Config.
+const DefaultRetention = 10 * time.Minute
+
+// Group is the ledger group as the node sees it that leads it; *control.LedgerGroup is the usual one.
+type Group interface {
+	Leads() (term uint64, leading bool)
+	Changed() <-chan struct{}
+	Query(ctx context.Context, query *wire.Query) (*wire.View, error)
+	LocalQuery(ctx context.Context, query *wire.Query) (*wire.View, error)
+	Propose(ctx context.Context, command *wire.Command) (*wire.Result, error)
+}
+
+// Session is the lease on the table; *controlclient.Session is the usual one.
+type Session interface {
+	AdmitView() (view *table.View, ok bool)
+}
+
+// Route is where the table sends a request now.
+type Route struct {
+	Pools []schedule.Share
+}
+
+// Config says what a Runner needs.
+type Config struct {
+	Group   Group
+	Session Session
+	Caller  replica.Caller
+	// Route finds the route of a request; false when the table has none.
+	Route func(view *table.View, host, path string) (Route, bool)
+	// VersionField is the name, in lower case, of the event field that names a weight version.
+	VersionField string
+	// LengthHeader is the header of an item that estimates the tokens of its answer; may be empty.
+	LengthHeader string
+	// Retention is how long ended jobs are kept, from when they were sent. Default DefaultRetention.
+	Retention time.Duration
+	Schedule  schedule.Settings
+	// Clock measures pauses. Default monotonic.Now.
+	Clock monotonic.Clock
+	// Log receives short sentences. Default: nothing.
+	Log *logrus.Entry
+}
+
+func (c *Config) setDefaults() error {
+	if c.Group == nil || c.Session == nil || c.Caller == nil || c.Route == nil {
+		return trace.BadParameter("a batch runner needs a group, a session, a caller and routes")
+	}
+	if c.Retention == 0 {
+		c.Retention = DefaultRetention
+	}
+	if c.Clock == nil {
+		c.Clock = monotonic.Now
+	}
+	if c.Log == nil {
+		c.Log = logging.Discard()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/batchrun/fixture_test.go
@@ -0,0 +1,321 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/batch"
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	testEvents   = 6                // of every item's answer
+	testPatience = 30 * time.Second // until a test gives up; nothing is asserted on how long things take
+)
+
+// fakeGroup is a ledger group of one node.
+type fakeGroup struct {
+	mutex   sync.Mutex
+	machine *state.Machine
+	index   uint64
+	term    uint64
+	leading bool
+	changed chan struct{}
+}
+
+func newFakeGroup() *fakeGroup {
+	return &fakeGroup{machine: state.New(), term: 1, leading: true, changed: make(chan struct{}, 1)}
+}
+
+func (g *fakeGroup) Leads() (uint64, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.term, g.leading
+}
+
+func (g *fakeGroup) lead(term uint64, leading bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.term, g.leading = term, leading
+}
+
+func (g *fakeGroup) Changed() <-chan struct{} { return g.changed }
+
+func (g *fakeGroup) Query(_ context.Context, query *wire.Query) (*wire.View, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.machine.Query(query), nil
+}
+
+func (g *fakeGroup) LocalQuery(ctx context.Context, query *wire.Query) (*wire.View, error) {
+	return g.Query(ctx, query)
+}
+
+func (g *fakeGroup) Propose(_ context.Context, command *wire.Command) (*wire.Result, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.index++
+	result := g.machine.Apply(g.index, command)
+	if command.GetJobSubmit() != nil || command.GetJobEnd() != nil {
+		select {
+		case g.changed <- struct{}{}:
+		default:
+		}
+	}
+	return result, nil
+}
+
+// fakeSession is a lease that holds unless it is taken away.
+type fakeSession struct {
+	mutex   sync.Mutex
+	view    *table.View
+	version uint64
+	lapsed  bool
+}
+
+func (s *fakeSession) AdmitView() (*table.View, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.view, !s.lapsed
+}
+
+// set replaces the back ends of pool p; each is given as "name state".
+func (s *fakeSession) set(t *testing.T, slots int, backends ...string) {
+	t.Helper()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	update := &wire.TableUpdate{ToVersion: s.version}
+	row := func(name string, cells ...string) {
+		added := &wire.TableRow{Name: name}
+		for _, cell := range cells {
+			column, value, _ := strings.Cut(cell, "=")
+			added.Cells = append(added.Cells, &wire.TableCell{Column: column, Value: value})
+		}
+		update.Rows = append(update.Rows, added)
+	}
+	row("p", "kind=pool", fmt.Sprint("max_in_flight=", slots))
+	for number, backend := range backends {
+		name, condition, _ := strings.Cut(backend, " ")
+		row(name, "kind=backend", "pool=p", fmt.Sprint("address=10.0.0.1:", 1000+number), "state="+condition)
+	}
+	view, err := table.NewView().Apply(update)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.view = view
+}
+
+// behaviour plays a call at a stand-in replica.
+type behaviour func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome
+
+// fakeReplicas is a replica.Caller with a behaviour for each instance.
+type fakeReplicas struct {
+	mutex   sync.Mutex
+	play    map[string]behaviour
+	calls   []replica.Call
+	running map[string]int // by attempt
+	doubled bool
+}
+
+func (f *fakeReplicas) Do(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+	f.mutex.Lock()
+	f.calls = append(f.calls, *call)
+	f.running[call.AttemptID]++
+	f.doubled = f.doubled || f.running[call.AttemptID] > 1
+	play := f.play[call.Instance]
+	f.mutex.Unlock()
+	defer func() {
+		f.mutex.Lock()
+		f.running[call.AttemptID]--
+		f.mutex.Unlock()
+	}()
+	if play == nil {
+		play = answering(5)
+	}
+	return play(ctx, call, sink)
+}
+
+// set replaces the behaviours of both replicas.
+func (f *fakeReplicas) set(first, second behaviour) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.play["r1"], f.play["r2"] = first, second
+}
+
+func (f *fakeReplicas) callsTo(instance string) []replica.Call {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var calls []replica.Call
+	for _, call := range f.calls {
+		if instance == "" || call.Instance == instance {
+			calls = append(calls, call)
+		}
+	}
+	return calls
+}
+
+// answering answers whole items; versions are those of the first event and, at each further one, the next.
+func answering(versions ...uint64) behaviour {
+	return func(_ context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		return play(call, sink, testEvents, versions...)
+	}
+}
+
+// play sends events up to a count. A count below testEvents ends the answer early, in the middle of an event.
+func play(call *replica.Call, sink replica.Sink, count int, versions ...uint64) replica.Outcome {
+	outcome := replica.Outcome{Status: 200, Verdict: verdict.Ran}
+	if outcome.Err = sink.Head(replica.Head{Status: 200, Stream: true, Length: -1, Versions: versions[0]}); outcome.Err != nil {
+		return outcome
+	}
+	for id := call.ResumeAfter + 1; id < int64(count); id++ {
+		event := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", id, call.AttemptID, id)
+		if int(id) < len(versions) {
+			event = fmt.Sprintf("x-version: %d\n%s", versions[id], event)
+		}
+		if outcome.Err = sink.Body([]byte(event)); outcome.Err != nil {
+			return outcome
+		}
+	}
+	if count < testEvents {
+		outcome.Err = sink.Body([]byte("id: 99\ndata: ha"))
+		return outcome
+	}
+	outcome.Whole = true
+	return outcome
+}
+
+func statusOnly(status int) behaviour {
+	return func(_ context.Context, _ *replica.Call, sink replica.Sink) replica.Outcome {
+		err := sink.Head(replica.Head{Status: status})
+		return replica.Outcome{Status: status, Verdict: verdict.Ran, Err: err}
+	}
+}
+
+func refusing(reason replica.Refusal) behaviour {
+	return func(context.Context, *replica.Call, replica.Sink) replica.Outcome {
+		return replica.Outcome{Verdict: verdict.DidNotRun, Refused: reason, Err: errors.New("refused")}
+	}
+}
+
+// rig is a runner with everything around it.
+type rig struct {
+	group    *fakeGroup
+	session  *fakeSession
+	replicas *fakeReplicas
+	routed   bool
+	mutex    sync.Mutex
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{group: newFakeGroup(), session: &fakeSession{}, routed: true,
+		replicas: &fakeReplicas{play: map[string]behaviour{}, running: map[string]int{}}}
+	r.session.set(t, 4, "r1 active", "r2 active")
+	return r
+}
+
+func (r *rig) route(*table.View, string, string) (Route, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return Route{Pools: []schedule.Share{{Pool: "p", Weight: 1}}}, r.routed
+}
+
+// run starts the runner, which is stopped with the test.
+func (r *rig) run(t *testing.T) {
+	t.Helper()
+	runner, err := New(Config{
+		Group: r.group, Session: r.session, Caller: r.replicas, Route: r.route, VersionField: "x-version",
+		Schedule: schedule.Settings{FirstEvent: 100 * time.Millisecond, FailurePause: 5 * time.Millisecond,
+			MaximumPause: 20 * time.Millisecond, VersionPause: 5 * time.Millisecond},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		runner.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		if r.replicas.doubled {
+			t.Error("an item ran at two replicas at a time")
+		}
+	})
+}
+
+func (r *rig) submit(t *testing.T, id string, items int, change func(*wire.JobSubmit)) {
+	t.Helper()
+	submit := &wire.JobSubmit{Id: id, SentUnixMillis: time.Now().UnixMilli(), DeadlineMillis: 5000}
+	for number := range items {
+		submit.Items = append(submit.Items, &wire.JobItem{Id: fmt.Sprint("i", number), Method: "POST", Path: "/x", Group: fmt.Sprint("g", number/2)})
+	}
+	if change != nil {
+		change(submit)
+	}
+	submit.Digest = batch.Digest(submit)
+	r.propose(t, &wire.Command{Kind: &wire.Command_JobSubmit{JobSubmit: submit}})
+}
+
+func (r *rig) propose(t *testing.T, command *wire.Command) {
+	t.Helper()
+	result, err := r.group.Propose(t.Context(), command)
+	if err != nil || result.GetJob().GetOutcome() != wire.JobOutcome_JOB_OUTCOME_ACCEPTED {
+		t.Fatalf("%v %v", result, err)
+	}
+}
+
+// await returns a job's results by item once it has as many as wanted.
+func (r *rig) await(t *testing.T, job string, count int) map[string]*wire.JobResult {
+	t.Helper()
+	found := map[string]*wire.JobResult{}
+	r.until(t, fmt.Sprintf("%d results of %s", count, job), func() bool {
+		query := &wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: job}}}
+		view, err := r.group.Query(t.Context(), query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, result := range view.GetJobResults().GetResults() {
+			found[result.GetItem()] = result
+		}
+		return len(found) >= count
+	})
+	return found
+}
+
+func (r *rig) until(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(testPatience); !reached(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// wantWhole checks that a result is its item's whole text.
+func wantWhole(t *testing.T, result *wire.JobResult, versions string) {
+	t.Helper()
+	var lines []string
+	for id := range testEvents {
+		lines = append(lines, fmt.Sprintf("%s-%d", result.GetItem(), id))
+	}
+	if result.GetState() != wire.JobItemState_JOB_ITEM_STATE_COMPLETED || string(result.GetText()) != strings.Join(lines, "\n") {
+		t.Fatalf("not the whole text: %v", result)
+	}
+	if got := fmt.Sprint(result.GetVersions()); got != versions {
+		t.Fatalf("versions %s, want %s", got, versions)
+	}
+}
--- /dev/null
+++ b/internal/batchrun/runner.go
@@ -0,0 +1,93 @@
+package batchrun
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/batch"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// idlePoll is how often a node that does not lead looks whether it does.
+	idlePoll = 100 * time.Millisecond
+	// busyTick is how often running calls, leadership and the table are looked at; idleTick while no job is open.
+	busyTick = 50 * time.Millisecond
+	idleTick = 200 * time.Millisecond
+	// queryTimeout bounds a question to the group, commitTimeout one attempt to commit results.
+	queryTimeout  = time.Second
+	commitTimeout = 2 * time.Second
+	// maximumTextBytes bounds an item's answer.
+	maximumTextBytes = batch.MaximumResultBytes
+)
+
+// Runner runs the items of a group's jobs while its node leads the group.
+type Runner struct {
+	config Config
+	kept   *keptTexts
+}
+
+// New returns a runner; Run runs it.
+func New(config Config) (*Runner, error) {
+	if err := config.setDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Runner{config: config, kept: newKeptTexts()}, nil
+}
+
+// Run works whenever the node leads, until ctx ends. No call is under way when it returns.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if term, leading := r.config.Group.Leads(); leading {
+			r.lead(ctx, term)
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// lead runs the group's items until the node no longer leads in term.
+func (r *Runner) lead(ctx context.Context, term uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	work, err := r.work(ctx, 0, r.config.Group.Query)
+	if err != nil {
+		r.config.Log.WithError(err).Debug("the open batch jobs could not be read")
+		return
+	}
+	r.config.Log.Infof("running %d open batch jobs in term %d", len(work.GetOpen()), term)
+	tenure := newTenure(r, term)
+	committed := make(chan struct{})
+	go func() {
+		defer close(committed)
+		tenure.commits.run(ctx)
+	}()
+	tenure.adopt(ctx, work)
+	tenure.loop(ctx)
+	cancel()
+	tenure.wait()
+	<-committed
+	r.config.Log.Infof("no longer running batch jobs in term %d", term)
+}
+
+type ask func(ctx context.Context, query *wire.Query) (*wire.View, error)
+
+// work asks for the open jobs taken after a revision.
+func (r *Runner) work(ctx context.Context, after uint64, query ask) (*wire.JobWorkView, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	view, err := query(ctx, &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{AfterRevision: after}}})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if view.GetJobWork() == nil {
+		return nil, trace.BadParameter("the group answered the question for open jobs with something else")
+	}
+	return view.GetJobWork(), nil
+}
--- /dev/null
+++ b/internal/batchrun/runner_test.go
@@ -0,0 +1,248 @@
+package batchrun
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+func TestItemsAreRunAndListed(t *testing.T) {
+	r := newRig(t)
+	r.run(t)
+	r.submit(t, "a", 20, nil)
+	for _, result := range r.await(t, "a", 20) {
+		wantWhole(t, result, "[5]")
+	}
+	if calls := len(r.replicas.callsTo("")); calls != 20 {
+		t.Fatalf("%d calls for 20 items", calls)
+	}
+}
+
+func TestBrokenAnswersGoOnElsewhere(t *testing.T) {
+	r := newRig(t)
+	r.replicas.play["r1"] = func(_ context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		return play(call, sink, 3, 5)
+	}
+	r.replicas.play["r2"] = answering(6)
+	r.run(t)
+	r.submit(t, "a", 8, nil)
+	resumed := false
+	for _, result := range r.await(t, "a", 8) {
+		if len(result.GetVersions()) == 2 {
+			wantWhole(t, result, "[5 6]")
+		} else {
+			wantWhole(t, result, "[6]")
+		}
+	}
+	for _, call := range r.replicas.callsTo("r2") {
+		resumed = resumed || call.ResumeAfter == 2
+	}
+	if !resumed {
+		t.Fatal("no answer went on after its last event")
+	}
+}
+
+func TestSilentReplicasLoseTheirItems(t *testing.T) {
+	r := newRig(t)
+	r.replicas.play["r1"] = func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		play(call, sink, 2, 5)
+		<-ctx.Done()
+		return replica.Outcome{Status: 200, Err: ctx.Err()}
+	}
+	r.run(t)
+	r.submit(t, "a", 8, nil)
+	for _, result := range r.await(t, "a", 8) {
+		wantWhole(t, result, "[5]")
+	}
+}
+
+func TestFailuresAreCounted(t *testing.T) {
+	r := newRig(t)
+	r.replicas.play["r1"], r.replicas.play["r2"] = statusOnly(500), statusOnly(500)
+	r.run(t)
+	r.submit(t, "a", 1, func(submit *wire.JobSubmit) { submit.MaxAttempts = 3 })
+	if state := r.await(t, "a", 1)["i0"].GetState(); state != wire.JobItemState_JOB_ITEM_STATE_TERMINATED {
+		t.Fatal(state)
+	}
+	if calls := len(r.replicas.callsTo("")); calls != 3 {
+		t.Fatalf("%d calls, want max_attempts", calls)
+	}
+}
+
+func TestImpossibleItemsEndAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.replicas.play["r1"], r.replicas.play["r2"] = statusOnly(422), statusOnly(422)
+	r.run(t)
+	r.submit(t, "a", 1, func(submit *wire.JobSubmit) { submit.MaxAttempts = 3 })
+	r.await(t, "a", 1)
+	if calls := len(r.replicas.callsTo("")); calls != 1 {
+		t.Fatalf("%d calls", calls)
+	}
+}
+
+func TestRefusalsAndOtherAnswersAreNoFailures(t *testing.T) {
+	r := newRig(t)
+	left := 6 // bad answers, then good ones
+	kinds := []behaviour{refusing(replica.RefusedFull), refusing(replica.RefusedUnreachable), refusing(replica.RefusedWrongTarget),
+		statusOnly(404), statusOnly(503), statusOnly(200)}
+	changing := func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		r.mutex.Lock()
+		kind := answering(5)
+		if left--; left >= 0 {
+			kind = kinds[left]
+		}
+		r.mutex.Unlock()
+		return kind(ctx, call, sink)
+	}
+	r.replicas.play["r1"], r.replicas.play["r2"] = changing, changing
+	r.run(t)
+	r.submit(t, "a", 1, func(submit *wire.JobSubmit) { submit.MaxAttempts = 1 })
+	wantWhole(t, r.await(t, "a", 1)["i0"], "[5]")
+}
+
+func TestOldWeightsMakeNoToken(t *testing.T) {
+	r := newRig(t)
+	r.replicas.play["r1"] = answering(4, 4, 4, 6) // a head of old weights
+	r.replicas.play["r2"] = answering(6, 6, 7)
+	r.run(t)
+	r.submit(t, "a", 6, func(submit *wire.JobSubmit) { submit.MinVersion = 6 })
+	for _, result := range r.await(t, "a", 6) {
+		wantWhole(t, result, "[6 7]")
+	}
+	r.replicas.set(answering(6, 6, 5), answering(6, 6, 7))
+	r.submit(t, "b", 6, func(submit *wire.JobSubmit) { submit.MinVersion = 6 })
+	for _, result := range r.await(t, "b", 6) {
+		if result.GetVersions()[0] < 6 {
+			t.Fatalf("%v", result)
+		}
+	}
+}
+
+func TestSingleVersionTextsAreMadeAnew(t *testing.T) {
+	r := newRig(t)
+	r.replicas.play["r1"] = answering(6, 6, 7) // changes in the middle
+	r.replicas.play["r2"] = func(_ context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		if call.ExpectedVersion > 0 && call.ExpectedVersion != 8 {
+			return replica.Outcome{Verdict: verdict.DidNotRun, Refused: replica.RefusedWrongTarget}
+		}
+		return play(call, sink, testEvents, 8)
+	}
+	r.run(t)
+	r.submit(t, "a", 6, func(submit *wire.JobSubmit) { submit.SingleVersion = true })
+	for _, result := range r.await(t, "a", 6) {
+		wantWhole(t, result, "[8]")
+	}
+}
+
+// held answers one event and then waits for the end of the call.
+func held(started chan<- string) behaviour {
+	return func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		play(call, sink, testEvents-1, 5)
+		started <- call.AttemptID
+		<-ctx.Done()
+		return replica.Outcome{Status: 200, Err: ctx.Err()}
+	}
+}
+
+func TestEndStopsItemsAndKeepsTheirText(t *testing.T) {
+	r := newRig(t)
+	started := make(chan string, 100)
+	r.replicas.play["r1"], r.replicas.play["r2"] = held(started), held(started)
+	r.run(t)
+	r.submit(t, "a", 4, nil)
+	for range 4 {
+		<-started
+	}
+	r.propose(t, &wire.Command{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: "a"}}})
+	r.until(t, "all calls end", func() bool {
+		r.replicas.mutex.Lock()
+		defer r.replicas.mutex.Unlock()
+		running := 0
+		for _, count := range r.replicas.running {
+			running += count
+		}
+		return running == 0
+	})
+	before := len(r.replicas.callsTo(""))
+	r.replicas.set(answering(5), answering(5))
+	r.submit(t, "b", 4, nil)
+	for _, result := range r.await(t, "b", 4) {
+		wantWhole(t, result, "[5]")
+	}
+	for _, call := range r.replicas.callsTo("")[before:] {
+		if call.ResumeAfter != testEvents-2 {
+			t.Fatalf("carried item %s starts after %d", call.AttemptID, call.ResumeAfter)
+		}
+	}
+}
+
+func TestDrainingReplicasGetNothing(t *testing.T) {
+	r := newRig(t)
+	r.session.set(t, 4, "r1 active", "r2 draining")
+	r.run(t)
+	r.submit(t, "a", 12, nil)
+	r.await(t, "a", 12)
+	if calls := len(r.replicas.callsTo("r2")); calls != 0 {
+		t.Fatalf("%d calls to a draining replica", calls)
+	}
+}
+
+func TestNothingStartsWithoutALease(t *testing.T) {
+	r := newRig(t)
+	r.session.lapsed = true
+	r.run(t)
+	r.submit(t, "a", 2, nil)
+	r.submit(t, "b", 2, func(submit *wire.JobSubmit) { submit.QueueTtlMillis = 1 })
+	r.await(t, "b", 2) // given up: the runner has had its chance at a as well
+	if calls := len(r.replicas.callsTo("")); calls != 0 {
+		t.Fatalf("%d calls without a lease", calls)
+	}
+	r.session.mutex.Lock()
+	r.session.lapsed = false
+	r.session.mutex.Unlock()
+	r.await(t, "a", 2)
+}
+
+func TestItemsWithoutARouteAreGivenUp(t *testing.T) {
+	r := newRig(t)
+	r.routed = false
+	r.run(t)
+	r.submit(t, "newer", 1, func(submit *wire.JobSubmit) { submit.TableVersion = 2 })
+	r.submit(t, "a", 2, nil)
+	for _, result := range r.await(t, "a", 2) {
+		if result.GetState() != wire.JobItemState_JOB_ITEM_STATE_TERMINATED {
+			t.Fatalf("%v", result)
+		}
+	}
+	r.mutex.Lock()
+	r.routed = true
+	r.mutex.Unlock()
+	r.session.set(t, 4, "r1 active")
+	wantWhole(t, r.await(t, "newer", 1)["i0"], "[5]")
+}
+
+func TestNextLeaderRunsWhatIsLeft(t *testing.T) {
+	r := newRig(t)
+	started := make(chan string, 100)
+	r.replicas.play["r1"], r.replicas.play["r2"] = held(started), held(started)
+	r.run(t)
+	r.submit(t, "a", 4, nil)
+	for range 4 {
+		<-started
+	}
+	r.group.lead(1, false)
+	r.until(t, "the calls of a leader that was deposed end", func() bool {
+		r.replicas.mutex.Lock()
+		defer r.replicas.mutex.Unlock()
+		return r.replicas.running["i0"]+r.replicas.running["i1"]+r.replicas.running["i2"]+r.replicas.running["i3"] == 0
+	})
+	r.replicas.set(answering(5), answering(5))
+	r.group.lead(2, true)
+	for number := range 4 {
+		wantWhole(t, r.await(t, "a", 4)[fmt.Sprint("i", number)], "[5]")
+	}
+}
--- /dev/null
+++ b/internal/batchrun/schedule/outcome.go
@@ -0,0 +1,119 @@
+package schedule
+
+import "time"
+
+// Progress notes how many events a run has brought so far, when the last one came, and the weight version that
+// made it (0: unknown).
+func (s *Scheduler) Progress(key Key, events int, last time.Duration, version uint64) {
+	entry := s.find(key)
+	if entry == nil || entry.state != running || events <= entry.run.events {
+		return
+	}
+	at := s.replicas[entry.run.instance]
+	if at == nil {
+		return
+	}
+	if before := entry.run.events; before > 0 && last > entry.run.last {
+		pause := (last - entry.run.last).Seconds() / float64(events-before)
+		average(&at.pace, pause)
+		average(&s.poolNamed(at.Pool).pace, pause)
+	}
+	entry.run.events, entry.run.last = events, last
+	at.failures = 0
+	if version > 0 {
+		at.version, at.versionAt = version, last
+	}
+}
+
+func average(mean *float64, value float64) {
+	if *mean == 0 {
+		*mean = value
+		return
+	}
+	*mean += paceWeight * (value - *mean)
+}
+
+// Stalled returns the runs that have brought no event for too long. They are to be stopped and reported with
+// Ended as Broken; until then they count as running.
+func (s *Scheduler) Stalled(now time.Duration) []Key {
+	var stalled []Key
+	for _, id := range s.Jobs() {
+		for _, member := range s.jobs[id].groups {
+			for _, entry := range member.items {
+				if entry.state == running && now-entry.run.last > s.patience(entry) {
+					stalled = append(stalled, Key{Job: id, Item: entry.ID})
+				}
+			}
+		}
+	}
+	return stalled
+}
+
+// patience is how long a run may go without an event.
+func (s *Scheduler) patience(entry *item) time.Duration {
+	if entry.run.events == 0 {
+		return s.settings.FirstEvent
+	}
+	usual := 0.0
+	if at := s.replicas[entry.run.instance]; at != nil {
+		usual = s.poolNamed(at.Pool).pace
+	}
+	return max(s.settings.MinimumStall, time.Duration(usual*float64(s.settings.StallFactor)*float64(time.Second)))
+}
+
+// Ended notes how an item's run ended and says what becomes of the item. version is the one that the replica
+// last named; 0 if none.
+func (s *Scheduler) Ended(now time.Duration, key Key, ending Ending, version uint64) Next {
+	entry := s.find(key)
+	if entry == nil || entry.state != running {
+		return Forgotten
+	}
+	at := s.replicas[entry.run.instance]
+	instance := entry.run.instance
+	s.leave(entry)
+	entry.state, s.order = waiting, nil
+	if at != nil {
+		s.judge(at, ending, version, now)
+	}
+	switch ending {
+	case Completed:
+		entry.state = finished
+		return Done
+	case Impossible:
+		entry.state = terminated
+		return GivenUp
+	case Failed:
+		entry.failures++
+		if entry.job.MaxAttempts > 0 && entry.failures >= entry.job.MaxAttempts {
+			entry.state = terminated
+			return GivenUp
+		}
+		entry.notBefore = now + s.settings.RetryPause
+	case Changed:
+		entry.notBefore = now + s.settings.RetryPause
+	}
+	if ending != Stopped {
+		entry.avoid = instance
+	}
+	return Again
+}
+
+// judge draws conclusions about a replica from the end of a run there.
+func (s *Scheduler) judge(at *replica, ending Ending, version uint64, now time.Duration) {
+	if version > 0 {
+		at.version, at.versionAt = version, now
+	}
+	switch ending {
+	case Completed:
+		at.failures = 0
+	case Full:
+		at.pausedTo = max(at.pausedTo, now+s.settings.FullPause)
+	case Broken, Unreachable, Misdirected:
+		if at.pausedTo > now {
+			return // runs that were lost together are one failure
+		}
+		pause := min(s.settings.FailurePause<<min(at.failures, 10), s.settings.MaximumPause)
+		at.failures++
+		at.pausedTo = now + pause
+	}
+}
--- /dev/null
+++ b/internal/batchrun/schedule/queue.go
@@ -0,0 +1,206 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Scheduler holds the open jobs and the replicas.
+type Scheduler struct {
+	settings Settings
+	jobs     map[string]*job
+	replicas map[string]*replica // by instance
+	pools    map[string]*pool
+	seen     map[string]bool // groups of jobs that ended without them whole
+	order    []*item         // waiting items in order of work; nil: to be made anew
+}
+
+type job struct {
+	Job
+	items  map[string]*item
+	groups []*group // as they stand in the job
+}
+
+type group struct {
+	id       string
+	position int
+	items    []*item
+	carried  bool
+	instance string // where an item of it began last
+}
+
+type state uint8
+
+const (
+	waiting state = iota
+	running
+	finished
+	terminated
+)
+
+type item struct {
+	Item
+	job       *job
+	group     *group
+	state     state
+	pools     []Share // none: not to be run now
+	failures  int
+	notBefore time.Duration
+	avoid     string // instance of the last run that ended badly
+	run       run
+	urgency   int
+}
+
+// run is the present run of an item.
+type run struct {
+	instance string
+	started  time.Duration
+	last     time.Duration // of the last event; started if there was none
+	events   int
+}
+
+// New returns a scheduler without jobs and replicas.
+func New(settings Settings) *Scheduler {
+	return &Scheduler{
+		settings: settings.WithDefaults(), jobs: map[string]*job{}, replicas: map[string]*replica{},
+		pools: map[string]*pool{}, seen: map[string]bool{},
+	}
+}
+
+// Open adds a job whose finished items are already done. A job that is held is left as it is.
+func (s *Scheduler) Open(opened Job, done []string) {
+	if s.jobs[opened.ID] != nil {
+		return
+	}
+	added := &job{Job: opened, items: make(map[string]*item, len(opened.Items))}
+	groups := map[string]*group{}
+	for _, described := range opened.Items {
+		name := described.Group
+		if name == "" {
+			name = "\x00" + described.ID
+		}
+		member := groups[name]
+		if member == nil {
+			member = &group{id: name, position: len(added.groups), carried: s.seen[name]}
+			groups[name] = member
+			added.groups = append(added.groups, member)
+		}
+		entry := &item{Item: described, job: added, group: member}
+		if slices.Contains(done, described.ID) {
+			entry.state = finished
+		}
+		added.items[described.ID] = entry
+		member.items = append(member.items, entry)
+	}
+	s.jobs[opened.ID] = added
+	s.order = nil
+}
+
+// End removes a job. Its running items are returned: their runs are to be stopped and reported with Ended.
+func (s *Scheduler) End(id string) []Key {
+	ended := s.jobs[id]
+	if ended == nil {
+		return nil
+	}
+	var stop []Key
+	for _, member := range ended.groups {
+		whole := true
+		for _, entry := range member.items {
+			whole = whole && entry.state == finished
+			if entry.state == running {
+				stop = append(stop, Key{Job: id, Item: entry.ID})
+				s.leave(entry)
+			}
+		}
+		if len(s.seen) > maximumSeen {
+			clear(s.seen)
+		}
+		if !whole {
+			s.seen[member.id] = true
+		}
+	}
+	delete(s.jobs, id)
+	s.order = nil
+	return stop
+}
+
+// maximumSeen bounds the groups that are remembered as not whole.
+const maximumSeen = 100_000
+
+// Jobs returns the ids of the open jobs, sorted.
+func (s *Scheduler) Jobs() []string {
+	ids := make([]string, 0, len(s.jobs))
+	for id := range s.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Route says which pools may run an item; without any it waits.
+func (s *Scheduler) Route(key Key, pools []Share) {
+	if entry := s.find(key); entry != nil {
+		entry.pools = pools
+	}
+}
+
+// Terminate ends an item for good for a reason of the caller's own. It reports whether the item was open.
+func (s *Scheduler) Terminate(key Key) bool {
+	entry := s.find(key)
+	if entry == nil || entry.state >= finished {
+		return false
+	}
+	if entry.state == running {
+		s.leave(entry)
+	}
+	entry.state, s.order = terminated, nil
+	return true
+}
+
+// Expired terminates the waiting items whose time is over and returns them.
+func (s *Scheduler) Expired(now time.Duration) []Key {
+	var expired []Key
+	for _, id := range s.Jobs() {
+		held := s.jobs[id]
+		if held.GiveUp == 0 || now < held.GiveUp {
+			continue
+		}
+		for _, member := range held.groups {
+			for _, entry := range member.items {
+				if entry.state == waiting {
+					entry.state, s.order = terminated, nil
+					expired = append(expired, Key{Job: id, Item: entry.ID})
+				}
+			}
+		}
+	}
+	return expired
+}
+
+func (s *Scheduler) find(key Key) *item {
+	if held := s.jobs[key.Job]; held != nil {
+		return held.items[key.Item]
+	}
+	return nil
+}
+
+// poolOf chooses the pool of an item by the route's shares; the same item gets the same pool while they stay.
+func (e *item) poolOf() string {
+	total := uint64(0)
+	for _, share := range e.pools {
+		total += uint64(share.Weight)
+	}
+	if total == 0 {
+		return ""
+	}
+	point := xxhash.Sum64String(e.ID) % total
+	for _, share := range e.pools {
+		if point < uint64(share.Weight) {
+			return share.Pool
+		}
+		point -= uint64(share.Weight)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -0,0 +1,229 @@
+package schedule
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const second = time.Second
+
+// newScheduler has replicas r1 to rN of pool p.
+func newScheduler(replicas, slots int) *Scheduler {
+	s := New(Settings{})
+	s.Replicas(someReplicas(replicas, slots))
+	return s
+}
+
+func someReplicas(count, slots int) []Replica {
+	var replicas []Replica
+	for number := range count {
+		replicas = append(replicas, Replica{Instance: fmt.Sprint("r", number+1), Pool: "p", Slots: slots})
+	}
+	return replicas
+}
+
+// open adds a job whose items are given as "group:length".
+func open(s *Scheduler, job Job, groups ...string) {
+	for number, text := range groups {
+		var group string
+		var length uint64
+		if _, err := fmt.Sscanf(text, "%1s:%d", &group, &length); err != nil {
+			panic(err)
+		}
+		job.Items = append(job.Items, Item{ID: fmt.Sprint("i", number), Group: group, Length: length})
+	}
+	s.Open(job, nil)
+	for _, item := range job.Items {
+		s.Route(Key{job.ID, item.ID}, []Share{{Pool: "p", Weight: 1}})
+	}
+}
+
+// order starts one item after the other and returns them as "job/item urgency".
+func order(s *Scheduler, now time.Duration) []string {
+	var names []string
+	for {
+		starts := s.Starts(now)
+		if len(starts) == 0 {
+			return names
+		}
+		for _, start := range starts {
+			names = append(names, fmt.Sprintf("%s/%s %d", start.Job, start.Item, start.Urgency))
+			s.Ended(now, start.Key, Completed, 0)
+		}
+	}
+}
+
+func wantOrder(t *testing.T, got []string, want ...string) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Fatalf("got  %v\nwant %v", got, want)
+	}
+}
+
+func TestOldestDeadlineFirstSurplusLast(t *testing.T) {
+	s := newScheduler(1, 1)
+	open(s, Job{ID: "late", Deadline: 9 * second, Desired: 1}, "a:1", "b:1")
+	open(s, Job{ID: "soon", Deadline: 5 * second, Desired: 1}, "a:1", "b:1")
+	wantOrder(t, order(s, 0), "soon/i0 6", "late/i0 6", "soon/i1 8", "late/i1 8")
+}
+
+func TestWholeGroupsLongItemsAndStragglers(t *testing.T) {
+	s := newScheduler(1, 1)
+	open(s, Job{ID: "j"}, "a:1", "a:2", "b:9", "b:1")
+	wantOrder(t, order(s, 0), "j/i2 6", "j/i3 4", "j/i1 6", "j/i0 4")
+}
+
+func TestCarriedGroupsStandFirst(t *testing.T) {
+	s := newScheduler(1, 1)
+	open(s, Job{ID: "first"}, "z:1")
+	s.End("first")
+	open(s, Job{ID: "next", Desired: 1}, "a:9", "z:1")
+	wantOrder(t, order(s, 0), "next/i1 6", "next/i0 8")
+}
+
+func TestHopelessGroupsAreNotWaitedFor(t *testing.T) {
+	s := newScheduler(1, 1)
+	open(s, Job{ID: "j", Desired: 1}, "a:9", "a:9", "b:1")
+	starts := s.Starts(0)
+	if next := s.Ended(0, starts[0].Key, Impossible, 0); next != GivenUp {
+		t.Fatal(next)
+	}
+	wantOrder(t, order(s, 0), "j/i2 6", "j/i1 8")
+}
+
+func TestGroupsStayTogetherWhileLoadsAreAlike(t *testing.T) {
+	s := newScheduler(2, 8)
+	open(s, Job{ID: "j"}, "a:1", "a:1", "b:1", "b:1")
+	at := map[string][]string{}
+	for _, start := range s.Starts(0) {
+		at[start.Instance] = append(at[start.Instance], start.Item)
+	}
+	if len(at["r1"]) != 2 || len(at["r2"]) != 2 {
+		t.Fatalf("%v", at)
+	}
+}
+
+func TestReplicasWithOldWeightsAreLeftAlone(t *testing.T) {
+	s := newScheduler(2, 4)
+	open(s, Job{ID: "j", MinVersion: 3}, "a:1")
+	first := s.Starts(0)[0]
+	if next := s.Ended(0, first.Key, OldVersion, 2); next != Again {
+		t.Fatal(next)
+	}
+	if again := s.Starts(0); len(again) != 1 || again[0].Instance == first.Instance {
+		t.Fatalf("%v", again)
+	}
+}
+
+func TestFailingReplicasRest(t *testing.T) {
+	s := newScheduler(1, 4)
+	open(s, Job{ID: "j"}, "a:1")
+	now, rests := time.Duration(0), []time.Duration{}
+	for range 7 {
+		starts := s.Starts(now)
+		s.Ended(now, starts[0].Key, Broken, 0)
+		failed := now
+		for len(s.Starts(now)) == 0 {
+			now += 10 * time.Millisecond
+		}
+		rests = append(rests, now-failed)
+		s.Ended(now, starts[0].Key, Stopped, 0)
+	}
+	if rests[0] != DefaultFailurePause || rests[1] != 2*DefaultFailurePause || rests[6] != DefaultMaximumPause {
+		t.Fatalf("%v", rests)
+	}
+}
+
+func TestSilenceIsMeasuredByTheUsualPause(t *testing.T) {
+	s := newScheduler(1, 4)
+	open(s, Job{ID: "j"}, "a:1", "b:1")
+	starts := s.Starts(0)
+	if stalled := s.Stalled(DefaultFirstEvent); len(stalled) != 0 {
+		t.Fatalf("%v", stalled)
+	}
+	if stalled := s.Stalled(DefaultFirstEvent + 1); len(stalled) != 2 {
+		t.Fatalf("%v", stalled)
+	}
+	s.Progress(starts[0].Key, 1, second, 7)
+	s.Progress(starts[0].Key, 11, 2*second, 7) // ten events in a second
+	last := 2*second + DefaultStallFactor*second/10
+	if stalled := s.Stalled(last); slices.Contains(stalled, starts[0].Key) {
+		t.Fatal("stalled too soon")
+	}
+	if stalled := s.Stalled(last + time.Millisecond); !slices.Contains(stalled, starts[0].Key) {
+		t.Fatal("not stalled")
+	}
+}
+
+func TestWaitingItemsExpire(t *testing.T) {
+	s := newScheduler(1, 1)
+	open(s, Job{ID: "j", GiveUp: 3 * second}, "a:1", "b:1")
+	running := s.Starts(0)[0]
+	if expired := s.Expired(3*second - 1); len(expired) != 0 {
+		t.Fatalf("%v", expired)
+	}
+	if expired := s.Expired(3 * second); len(expired) != 1 || expired[0] == running.Key {
+		t.Fatalf("%v", expired)
+	}
+	if next := s.Ended(3*second, running.Key, Completed, 0); next != Done {
+		t.Fatal(next)
+	}
+}
+
+// TestSlotsAndRunsAreNeverExceeded plays random commands: no replica has more runs than slots, no item two
+// runs, and a slot that is freed serves again.
+func TestSlotsAndRunsAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newScheduler(3, 2)
+		running := map[Key]string{}
+		now := time.Duration(0)
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "millis")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(t, "command") {
+			case 0:
+				open(s, Job{ID: fmt.Sprint("j", step), Desired: 1, MaxAttempts: 2, GiveUp: now + 20*second}, "a:1", "a:2", "b:3")
+			case 1:
+				s.Replicas(someReplicas(rapid.IntRange(0, 4).Draw(t, "replicas"), 2))
+			case 2:
+				if jobs := s.Jobs(); len(jobs) > 0 {
+					for _, key := range s.End(rapid.SampledFrom(jobs).Draw(t, "job")) {
+						delete(running, key)
+					}
+				}
+			case 3:
+				s.Expired(now)
+			default:
+				for _, key := range s.Stalled(now + 1) {
+					s.Ended(now, key, Ending(rapid.IntRange(0, int(Stopped)).Draw(t, "ending")), 0)
+					delete(running, key)
+				}
+			}
+			for _, start := range s.Starts(now) {
+				if running[start.Key] != "" {
+					t.Fatalf("%v runs twice", start)
+				}
+				running[start.Key] = start.Instance
+			}
+			at := map[string]int{}
+			for _, instance := range running {
+				at[instance]++
+				if at[instance] > 2 {
+					t.Fatalf("%s has %d runs", instance, at[instance])
+				}
+			}
+		}
+		now += time.Hour
+		s.Replicas(someReplicas(1, 2))
+		for key := range running {
+			s.Ended(now, key, Completed, 0)
+		}
+		open(s, Job{ID: "last", Deadline: 1}, "a:1")
+		if len(s.Starts(now)) == 0 {
+			t.Fatal("a free replica gets nothing")
+		}
+	})
+}
--- /dev/null
+++ b/internal/batchrun/schedule/types.go
@@ -0,0 +1,144 @@
+// Package schedule decides for the items of batch jobs what starts next, at which replica and how urgently,
+// what is moved elsewhere, and what is given up for good.
+//
+// The package is pure: no clock, goroutine or I/O. Times are durations since an arbitrary start. A Scheduler
+// is not safe for concurrent use. Order of work: the job with the oldest deadline first; in a job, groups that
+// an earlier job carried, then groups that have begun, then those with the longest items; groups beyond those
+// that the job's owner waits for come after all others of all jobs.
+package schedule
+
+import "time"
+
+// Key names an item: ids are unique within a job only.
+type Key struct{ Job, Item string }
+
+// Item is one request of a job.
+type Item struct {
+	ID    string
+	Group string // items of one group count only together; empty: a group of its own
+	// Length is the expected length of the answer in tokens, by which long items begin early.
+	Length uint64
+}
+
+// Job is a batch job as the scheduler needs it.
+type Job struct {
+	ID         string
+	MinVersion uint64 // oldest weight version that may make tokens; 0: any
+	Desired    int    // whole groups that its owner waits for; 0: all
+	Deadline   time.Duration
+	// GiveUp is when items that wait may be given up; 0: never.
+	GiveUp      time.Duration
+	MaxAttempts int // failed runs after which an item is given up; 0: no bound
+	Items       []Item
+}
+
+// Share is a pool's share of a route's items.
+type Share struct {
+	Pool   string
+	Weight uint32
+}
+
+// Replica is one replica of a pool that takes new work.
+type Replica struct {
+	Instance string
+	Address  string
+	Pool     string
+	Slots    int // items that may run there at a time
+}
+
+// Start is the order to run an item at a replica.
+type Start struct {
+	Key
+	Instance string
+	Address  string
+	Pool     string
+	Urgency  int // 0 (most urgent) to 9
+}
+
+// Ending is how a run of an item ended.
+type Ending uint8
+
+// The endings.
+const (
+	Completed   Ending = iota // the whole answer is held
+	Failed                    // the replica ran it and says that it failed
+	Impossible                // the replica says that it can never be done
+	Broken                    // it may have run; the answer broke off, was no answer, or was slow
+	Full                      // not run: no slot
+	Unreachable               // not run: no connection
+	Misdirected               // not run: another replica, or other weights than expected
+	OldVersion                // dropped: weights older than the job allows
+	Changed                   // dropped, or refused as not run: other weights than those that made the text so far
+	Stopped                   // dropped by the caller for a reason of its own
+)
+
+// Next is what becomes of an item after a run.
+type Next uint8
+
+// What becomes of an item.
+const (
+	Again     Next = iota // it waits for another replica
+	Done                  // it is completed
+	GivenUp               // it is terminated for good
+	Forgotten             // its job has ended
+)
+
+// The urgencies of starts: 0 to 9, 5 where none is given.
+const (
+	urgencyStraggler = 4 // the last items of a group that is waited for
+	urgencyWanted    = 6
+	urgencySurplus   = 8 // groups that nobody waits for
+)
+
+// Defaults of Settings.
+const (
+	DefaultFirstEvent    = 2 * time.Second
+	DefaultMinimumStall  = 500 * time.Millisecond
+	DefaultStallFactor   = 12
+	DefaultFullPause     = 60 * time.Millisecond
+	DefaultFailurePause  = 250 * time.Millisecond
+	DefaultMaximumPause  = 4 * time.Second
+	DefaultVersionPause  = 200 * time.Millisecond
+	DefaultRetryPause    = 50 * time.Millisecond
+	DefaultAffinityBonus = 0.25
+)
+
+// Settings of a Scheduler. Zero fields take the defaults.
+type Settings struct {
+	// FirstEvent is how long a run may stay without its first event, MinimumStall and StallFactor (times the
+	// pool's usual pause) how long without a further one.
+	FirstEvent   time.Duration
+	MinimumStall time.Duration
+	StallFactor  int
+	// FullPause is how long a replica that was full gets nothing; FailurePause one that failed, doubled with
+	// each failure in a row up to MaximumPause; VersionPause one whose weights were too old.
+	FullPause    time.Duration
+	FailurePause time.Duration
+	MaximumPause time.Duration
+	VersionPause time.Duration
+	// RetryPause is how long an item waits after a failed run.
+	RetryPause time.Duration
+	// AffinityBonus is the load, as a part of the slots, that a replica may have above others and still get an
+	// item whose group began there: its memory holds the group's prompt.
+	AffinityBonus float64
+}
+
+// WithDefaults fills unset fields.
+func (s Settings) WithDefaults() Settings {
+	set(&s.FirstEvent, DefaultFirstEvent)
+	set(&s.MinimumStall, DefaultMinimumStall)
+	set(&s.StallFactor, DefaultStallFactor)
+	set(&s.FullPause, DefaultFullPause)
+	set(&s.FailurePause, DefaultFailurePause)
+	set(&s.MaximumPause, DefaultMaximumPause)
+	set(&s.VersionPause, DefaultVersionPause)
+	set(&s.RetryPause, DefaultRetryPause)
+	set(&s.AffinityBonus, DefaultAffinityBonus)
+	return s
+}
+
+func set[T int | float64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/batchrun/start.go
@@ -0,0 +1,207 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// call is one run of an item. Its routine owns the stream and its text until the call is on the tenure's ends.
+type call struct {
+	schedule.Start
+	item    *wire.JobItem
+	text    *text
+	stream  *stream
+	cancel  context.CancelFunc
+	stopped bool // by the loop: the job has ended
+	ending  schedule.Ending
+	version uint64
+}
+
+// startAll starts what may start now.
+func (t *tenure) startAll(ctx context.Context) {
+	if len(t.jobs) == 0 {
+		return
+	}
+	view, ok := t.config.Session.AdmitView()
+	if !ok {
+		return
+	}
+	if t.view == nil || view.Version() != t.view.Version() {
+		t.follow(view)
+	}
+	for _, start := range t.scheduler.Starts(t.config.Clock()) {
+		t.start(ctx, start)
+	}
+}
+
+// follow tells the scheduler of a new table. Items whose route the table has no more are given up.
+func (t *tenure) follow(view *table.View) {
+	t.view = view
+	pools := map[string]bool{}
+	for id, held := range t.jobs {
+		for name, entry := range held.items {
+			if !entry.open {
+				continue
+			}
+			key := schedule.Key{Job: id, Item: name}
+			route, found := t.config.Route(view, entry.wire.GetHost(), entry.wire.GetPath())
+			switch {
+			case view.Version() < held.submit.GetTableVersion():
+				t.scheduler.Route(key, nil) // the job knows a newer table
+				continue
+			case !found:
+				t.giveUp(key)
+				continue
+			}
+			t.scheduler.Route(key, route.Pools)
+			for _, share := range route.Pools {
+				pools[share.Pool] = true
+			}
+		}
+	}
+	t.scheduler.Replicas(replicasOf(view, pools))
+}
+
+// giveUp ends an item that must not run any more.
+func (t *tenure) giveUp(key schedule.Key) {
+	if t.scheduler.Terminate(key) {
+		t.stop(key)
+		t.terminate(key)
+	}
+}
+
+func replicasOf(view *table.View, pools map[string]bool) []schedule.Replica {
+	var replicas []schedule.Replica
+	for pool := range pools {
+		for _, row := range view.Backends(pool) {
+			if slots := slotsOf(row); row.Serving() && slots > 0 {
+				replicas = append(replicas, schedule.Replica{Instance: row.Name, Address: row.Address, Pool: pool, Slots: slots})
+			}
+		}
+	}
+	return replicas
+}
+
+// slotsOf is how many items may run at a back end at a time: the table's share and room for live work.
+func slotsOf(row *table.Row) int {
+	share := uint64(row.MaxInFlight) * uint64(row.RolloutShare) / 100
+	left := uint64(row.MaxInFlight) - min(uint64(row.MaxInFlight), uint64(row.LiveRoom))
+	return int(min(share, left))
+}
+
+// start runs an item, on from the text that is held of it.
+func (t *tenure) start(ctx context.Context, start schedule.Start) {
+	held := t.jobs[start.Job]
+	entry := held.items[start.Item]
+	minimum, single := held.submit.GetMinVersion(), held.submit.GetSingleVersion()
+	if entry.text == nil {
+		if kept := t.runner.kept.take(entry.wire); kept != nil && kept.fits(minimum, single) {
+			entry.text = kept
+		}
+	}
+	if entry.text == nil || !entry.text.fits(minimum, single) {
+		entry.text = newText()
+	}
+	started := &call{Start: start, item: entry.wire, text: entry.text}
+	started.stream = &stream{clock: t.config.Clock, minVersion: minimum, single: single, text: entry.text}
+	started.stream.parser.VersionField = t.config.VersionField
+	t.calls[start.Key] = started
+	callContext, cancel := context.WithCancel(ctx)
+	started.cancel = cancel
+	t.routines.Go(func() {
+		defer cancel()
+		t.run(callContext, started)
+		t.ends <- started
+	})
+}
+
+// run carries out a call and notes how it ended.
+func (t *tenure) run(ctx context.Context, c *call) {
+	if c.text.whole {
+		c.ending = schedule.Completed
+		return
+	}
+	if !t.admits(c) {
+		c.ending = schedule.Stopped
+		return
+	}
+	request := t.request(c)
+	outcome := t.config.Caller.Do(ctx, request, c.stream)
+	c.version = c.stream.version
+	c.ending = c.stream.ending(outcome, request.ExpectedVersion > 0)
+	if ctx.Err() != nil && c.ending != schedule.Completed {
+		c.ending = schedule.Broken // stalled, or stopped, of which the scheduler knows
+	}
+	if errors.Is(c.stream.fault, errMixedVersion) || request.ExpectedVersion > 0 && outcome.Refused == replica.RefusedWrongTarget {
+		*c.text = *newText() // the version that made it is gone
+	}
+	c.text.whole = c.ending == schedule.Completed
+}
+
+// admits looks at the lease and the table once more, directly before a call is sent.
+func (t *tenure) admits(c *call) bool {
+	view, ok := t.config.Session.AdmitView()
+	if !ok {
+		return false
+	}
+	row := view.Row(c.Instance)
+	if row == nil || row.Kind != table.Backend || !row.Serving() || row.Address != c.Address || row.Pool != c.Pool {
+		return false
+	}
+	route, found := t.config.Route(view, c.item.GetHost(), c.item.GetPath())
+	return found && slices.ContainsFunc(route.Pools, func(share schedule.Share) bool { return share.Pool == c.Pool })
+}
+
+func (t *tenure) request(c *call) *replica.Call {
+	request := &replica.Call{
+		Target: replica.Target{Instance: c.Instance, Address: c.Address}, AttemptID: c.item.GetId(),
+		Method: c.item.GetMethod(), Path: c.item.GetPath(), Host: c.item.GetHost(), Body: c.item.GetBody(),
+		Urgency: c.Urgency, ResumeAfter: c.text.lastID,
+	}
+	for _, header := range c.item.GetHeaders() {
+		request.Header = append(request.Header, replica.Header{Name: header.GetName(), Value: header.GetValue()})
+	}
+	if c.stream.single && len(c.text.versions) > 0 {
+		request.ExpectedVersion = c.text.versions[0]
+	}
+	return request
+}
+
+// ended takes a call that is over.
+func (t *tenure) ended(c *call) {
+	delete(t.calls, c.Key)
+	events, last, version := c.stream.progress()
+	t.scheduler.Progress(c.Key, events, last, version)
+	switch t.scheduler.Ended(t.config.Clock(), c.Key, c.ending, c.version) {
+	case schedule.Done:
+		t.finish(c.Key, &wire.JobResult{
+			Item: c.Item, State: wire.JobItemState_JOB_ITEM_STATE_COMPLETED, Text: c.text.data, Versions: c.text.versions,
+		})
+	case schedule.GivenUp:
+		t.terminate(c.Key)
+	case schedule.Forgotten:
+		if c.stopped {
+			t.runner.kept.keep(c.item, c.text)
+		}
+	}
+}
+
+// length is the expected length of an item's answer: the estimate that came with it, or all its tokens.
+func (t *tenure) length(entry *wire.JobItem) uint64 {
+	for _, header := range entry.GetHeaders() {
+		if t.config.LengthHeader != "" && strings.EqualFold(header.GetName(), t.config.LengthHeader) {
+			if hint, err := strconv.ParseUint(header.GetValue(), 10, 64); err == nil {
+				return hint
+			}
+		}
+	}
+	return entry.GetTokens()
+}
--- /dev/null
+++ b/internal/batchrun/tenure.go
@@ -0,0 +1,246 @@
+package batchrun
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// tenure is the work of one leader in one term. Only its loop touches it; calls report through ends.
+type tenure struct {
+	runner    *Runner
+	config    *Config
+	term      uint64
+	scheduler *schedule.Scheduler
+	commits   *commits
+	jobs      map[string]*job
+	revision  uint64
+	expirable int64 // when the oldest ended job was sent, Unix milliseconds; 0: none has ended
+	expireAt  time.Duration
+	view      *table.View // that the scheduler was told of
+	calls     map[schedule.Key]*call
+	ends      chan *call
+	routines  sync.WaitGroup
+}
+
+// job is an open job with what its items have brought so far.
+type job struct {
+	submit *wire.JobSubmit
+	items  map[string]*item
+}
+
+type item struct {
+	wire *wire.JobItem
+	text *text // nil until the first run; a running call owns it
+	open bool  // without a result
+}
+
+func newTenure(r *Runner, term uint64) *tenure {
+	return &tenure{
+		runner: r, config: &r.config, term: term, scheduler: schedule.New(r.config.Schedule),
+		commits: newCommits(&r.config), jobs: map[string]*job{},
+		calls: map[schedule.Key]*call{}, ends: make(chan *call, 64),
+	}
+}
+
+// loop works until ctx ends or the node no longer leads in the term.
+func (t *tenure) loop(ctx context.Context) {
+	timer := time.NewTimer(busyTick)
+	defer timer.Stop()
+	for t.leads() {
+		t.startAll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.config.Group.Changed():
+			t.refresh(ctx)
+		case ended := <-t.ends:
+			t.ended(ended)
+			t.drainEnds()
+		case <-timer.C:
+			t.tick(ctx)
+			timer.Reset(t.interval())
+		}
+	}
+}
+
+func (t *tenure) leads() bool {
+	term, leading := t.config.Group.Leads()
+	return leading && term == t.term
+}
+
+func (t *tenure) interval() time.Duration {
+	if len(t.jobs) > 0 {
+		return busyTick
+	}
+	return idleTick
+}
+
+// drainEnds takes what else has ended, so that the freed slots are given away together.
+func (t *tenure) drainEnds() {
+	for {
+		select {
+		case ended := <-t.ends:
+			t.ended(ended)
+		default:
+			return
+		}
+	}
+}
+
+// wait returns once all calls have ended; their contexts must have.
+func (t *tenure) wait() {
+	done := make(chan struct{})
+	go func() {
+		t.routines.Wait()
+		close(done)
+	}()
+	for {
+		select {
+		case ended := <-t.ends:
+			t.ended(ended)
+		case <-done:
+			return
+		}
+	}
+}
+
+// refresh learns which jobs were taken and ended.
+func (t *tenure) refresh(ctx context.Context) {
+	work, err := t.runner.work(ctx, t.revision, t.config.Group.LocalQuery)
+	if err != nil {
+		t.config.Log.WithError(err).Debug("the open batch jobs could not be read")
+		return
+	}
+	t.adopt(ctx, work)
+}
+
+func (t *tenure) adopt(_ context.Context, work *wire.JobWorkView) {
+	open := make(map[string]bool, len(work.GetOpen()))
+	for _, id := range work.GetOpen() {
+		open[id] = true
+	}
+	for id := range t.jobs {
+		if !open[id] {
+			t.close(id)
+		}
+	}
+	for _, taken := range work.GetJobs() {
+		if t.jobs[taken.GetJob().GetId()] == nil {
+			t.open(taken)
+		}
+	}
+	t.revision, t.expirable = work.GetRevision(), work.GetExpirableUnixMillis()
+}
+
+// open adds a job to the schedule. Times count from now where the job's own clock would be earlier: an item is
+// never given up too soon, whatever the clocks say.
+func (t *tenure) open(taken *wire.JobWork) {
+	submit, now := taken.GetJob(), t.config.Clock()
+	added := &job{submit: submit, items: make(map[string]*item, len(submit.GetItems()))}
+	described := schedule.Job{
+		ID: submit.GetId(), MinVersion: submit.GetMinVersion(), Desired: int(submit.GetDesired()),
+		MaxAttempts: int(submit.GetMaxAttempts()), Deadline: now + millis(submit.GetDeadlineMillis()) - age(submit),
+	}
+	if submit.GetQueueTtlMillis() > 0 {
+		described.GiveUp = now + millis(submit.GetQueueTtlMillis())
+	}
+	for _, entry := range submit.GetItems() {
+		added.items[entry.GetId()] = &item{wire: entry, open: true}
+		described.Items = append(described.Items, schedule.Item{
+			ID: entry.GetId(), Group: entry.GetGroup(), Length: t.length(entry),
+		})
+	}
+	for _, finished := range taken.GetFinished() {
+		added.items[finished].open = false
+	}
+	t.jobs[submit.GetId()] = added
+	t.scheduler.Open(described, taken.GetFinished())
+	t.view = nil // the new items have no route yet
+}
+
+func millis(value uint32) time.Duration { return time.Duration(value) * time.Millisecond }
+
+// age is how long ago a job was sent, as far as two machines' clocks tell.
+func age(submit *wire.JobSubmit) time.Duration {
+	sent := time.UnixMilli(submit.GetSentUnixMillis())
+	return min(max(0, time.Since(sent)), millis(submit.GetDeadlineMillis()))
+}
+
+// close stops the items of a job that has ended. What they have brought is kept for a later job.
+func (t *tenure) close(id string) {
+	for _, key := range t.scheduler.End(id) {
+		t.stop(key)
+	}
+	for _, entry := range t.jobs[id].items {
+		if t.calls[schedule.Key{Job: id, Item: entry.wire.GetId()}] == nil {
+			t.runner.kept.keep(entry.wire, entry.text)
+		}
+	}
+	delete(t.jobs, id)
+}
+
+// stop ends a call; it is reported through ends.
+func (t *tenure) stop(key schedule.Key) {
+	if running := t.calls[key]; running != nil {
+		running.stopped = true
+		running.cancel()
+	}
+}
+
+// tick looks at what time changes.
+func (t *tenure) tick(ctx context.Context) {
+	now := t.config.Clock()
+	for key, running := range t.calls {
+		events, last, version := running.stream.progress()
+		t.scheduler.Progress(key, events, last, version)
+	}
+	for _, key := range t.scheduler.Stalled(now) {
+		if running := t.calls[key]; running != nil {
+			running.cancel()
+		}
+	}
+	for _, key := range t.scheduler.Expired(now) {
+		t.terminate(key)
+	}
+	t.expire(ctx, now)
+}
+
+// terminate lists an item as given up.
+func (t *tenure) terminate(key schedule.Key) {
+	t.finish(key, &wire.JobResult{Item: key.Item, State: wire.JobItemState_JOB_ITEM_STATE_TERMINATED})
+}
+
+func (t *tenure) finish(key schedule.Key, result *wire.JobResult) {
+	held := t.jobs[key.Job]
+	if held == nil || !held.items[key.Item].open {
+		return
+	}
+	held.items[key.Item].open = false
+	t.commits.add(key.Job, result)
+}
+
+// expire forgets ended jobs that are past their retention.
+func (t *tenure) expire(ctx context.Context, now time.Duration) {
+	due := t.expirable != 0 && time.Since(time.UnixMilli(t.expirable)) > t.config.Retention
+	if !due || now < t.expireAt {
+		return
+	}
+	t.expireAt = now + t.config.Retention/expiriesPerRetention
+	command := &wire.JobExpire{NowUnixMillis: time.Now().UnixMilli(), RetentionMillis: uint64(t.config.Retention.Milliseconds())}
+	t.routines.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		if _, err := t.config.Group.Propose(ctx, &wire.Command{Kind: &wire.Command_JobExpire{JobExpire: command}}); err != nil {
+			t.config.Log.WithError(err).Debug("ended batch jobs were not expired")
+		}
+	})
+	t.refresh(ctx)
+}
+
+// expiriesPerRetention is how often in one retention ended jobs are expired at most.
+const expiriesPerRetention = 8
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -79,6 +79,9 @@
 func (s *Server) applied(group uint32, index uint64, command *wire.Command, _ *wire.Result) {
 	s.states[group].applied.Store(index)
 	s.retention.applied(group, command)
+	if command.GetJobSubmit() != nil || command.GetJobEnd() != nil {
+		s.states[group].jobsApplied()
+	}
 	if group == controlGroup && (command.GetTableChange() != nil || command.GetMemberUpdate() != nil) {
 		s.publisher.applied()
 	}
@@ -87,6 +90,7 @@
 // restored is called from the host's loop.
 func (s *Server) restored(group uint32, index uint64) {
 	s.states[group].applied.Store(index)
+	s.states[group].jobsApplied()
 	if group == controlGroup {
 		s.publisher.applied()
 	}
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -46,6 +46,7 @@
 type groupState struct {
 	leadership atomic.Pointer[consensus.Leadership]
 	applied    atomic.Uint64
+	jobs       chan struct{} // capacity 1: batch jobs were taken or ended
 }
 
 // leader returns who leads, as far as is known here.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -83,6 +83,9 @@
 		moved:    make(chan struct{}, 1),
 		states:   make([]groupState, config.LedgerGroups+1),
 	}
+	for group := range server.states {
+		server.states[group].jobs = make(chan struct{}, 1)
+	}
 	server.finished = make(chan struct{})
 	server.release = sync.OnceValue(server.giveBack)
 	server.context, server.cancel = context.WithCancel(context.Background())
