control: a node that stops by plan makes room for one that waits

Cause: in a planned replacement the new machine is up before the old one stops; it took the place only 2 s after the old one had gone silent, and the group could not bear another loss meanwhile. Change: a draining node says so to all control nodes (Join with 'leaving'); for 3 s it counts as replaceable. Without a node that waits nothing changes, so a restart in turn replaces nobody.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -22,13 +22,17 @@
 	joinPatience = 3 * time.Second
 )
 
-// Join implements wire.DRPCControlServer: it notes that a node asks to carry the groups, and says which nodes
+// Join implements wire.DRPCControlServer: it notes that a node asks to carry the groups or leaves, and says which nodes
 // are known here. Each leader of a group decides by itself.
 func (s *Server) Join(_ context.Context, request *wire.JoinRequest) (*wire.JoinReply, error) {
 	if request.ClusterId != s.config.ClusterID {
 		return nil, trace.BadParameter("this is a node of cluster %q, not of %q", s.config.ClusterID, request.ClusterId)
 	}
-	s.voters.asks(request.Node, request.Address)
+	if request.Leaving {
+		s.voters.leaves(request.Node)
+	} else {
+		s.voters.asks(request.Node, request.Address)
+	}
 	reply := &wire.JoinReply{}
 	for _, known := range s.replicas.Nodes() {
 		reply.Nodes = append(reply.Nodes, &wire.ControlNode{Node: known.ID, Address: known.Address})
@@ -52,8 +56,8 @@
 		if led {
 			ledAt = now
 		}
-		if !votes || now-ledAt > joinPatience {
-			s.askToJoin(ctx)
+		if (!votes || now-ledAt > joinPatience) && !s.draining.Load() {
+			s.askAll(ctx, false)
 		}
 		select {
 		case <-ctx.Done():
@@ -86,8 +90,9 @@
 	return votes, led
 }
 
-// askToJoin asks every known node once, all at the same time: one that is cut off holds up nobody.
-func (s *Server) askToJoin(ctx context.Context) {
+// askAll tells every known node once that this one asks to carry the groups or leaves them, all at the same time:
+// one that is cut off holds up nobody.
+func (s *Server) askAll(ctx context.Context, leaving bool) {
 	addresses := slices.Clone(s.currentSeeds())
 	for _, known := range s.replicas.Nodes() {
 		addresses = append(addresses, known.Address)
@@ -100,7 +105,7 @@
 			continue
 		}
 		asked++
-		go func() { answers <- s.askOne(ctx, address) }()
+		go func() { answers <- s.askOne(ctx, address, leaving) }()
 	}
 	for range asked {
 		var nodes []consensus.Peer
@@ -112,7 +117,7 @@
 }
 
 // askOne returns nil if there is no answer.
-func (s *Server) askOne(ctx context.Context, address string) *wire.JoinReply {
+func (s *Server) askOne(ctx context.Context, address string, leaving bool) *wire.JoinReply {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	connection, err := s.config.dialer()(ctx, "tcp", address)
@@ -125,9 +130,9 @@
 	conn := drpcconn.New(connection)
 	defer conn.Close()
 	reply, err := wire.NewDRPCControlClient(conn).Join(ctx, &wire.JoinRequest{
-		ClusterId: s.config.ClusterID, Node: s.config.NodeID, Address: s.Address()})
+		ClusterId: s.config.ClusterID, Node: s.config.NodeID, Address: s.Address(), Leaving: leaving})
 	if err != nil {
-		s.log.WithError(err).Debugf("control node %s can't be asked to join", address)
+		s.log.WithError(err).Debugf("control node %s did not answer", address)
 		return nil
 	}
 	return reply
--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -185,6 +185,28 @@
 	}
 }
 
+// TestDrainedNodeIsReplacedByTheOneThatWaits starts a fourth node, which waits, and stops a voter by plan.
+func TestDrainedNodeIsReplacedByTheOneThatWaits(t *testing.T) {
+	c := startSeeded(t)
+	c.awaitVoters(0, 1, 2)
+	c.open(3, listen(t, "127.0.0.1:0"), false)
+	eventually(t, "the empty node's request", func() bool {
+		for _, server := range c.servers[:3] {
+			if len(server.voters.asking(server.config.Clock())) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	leader := c.leader()
+	if err := c.servers[leader].Drain(testContext(t)); err != nil {
+		t.Fatal(err)
+	}
+	c.kill(leader)
+	left := slices.DeleteFunc([]int{0, 1, 2, 3}, func(position int) bool { return position == leader })
+	c.awaitVoters(left...)
+}
+
 // TestEmptyNodesFoundNothing checks that wiped nodes that find no member don't form a
 // group.
 func TestEmptyNodesFoundNothing(t *testing.T) {
--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -15,6 +15,8 @@
 	candidateLife = 2 * time.Second
 	// voterPatience is how long a voter may be silent before a node at another address takes its place.
 	voterPatience = 2 * time.Second
+	// leavingLife is how long a node counts as leaving after it said so; it may just be started again.
+	leavingLife = 3 * time.Second
 	// voterChangeTimeout bounds one change of a group's nodes.
 	voterChangeTimeout = 2 * time.Second
 )
@@ -31,6 +33,7 @@
 
 	mutex      sync.Mutex
 	candidates map[uint64]candidate
+	leaving    map[uint64]time.Duration // when a node said that it stops
 
 	// Owned by run.
 	heardAt  []map[uint64]time.Duration // by group; nil while this node does not lead it
@@ -39,16 +42,37 @@
 
 func newVoters(server *Server) *voters {
 	return &voters{server: server, candidates: make(map[uint64]candidate),
-		heardAt: make([]map[uint64]time.Duration, server.config.LedgerGroups+1)}
+		leaving: make(map[uint64]time.Duration), heardAt: make([]map[uint64]time.Duration, server.config.LedgerGroups+1)}
 }
 
 // asks notes that a node asks to carry the groups.
 func (v *voters) asks(node uint64, address string) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
+	delete(v.leaving, node)
 	v.candidates[node] = candidate{address: address, askedAt: v.server.config.Clock()}
 }
 
+// leaves notes that a node stops by plan.
+func (v *voters) leaves(node uint64) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	delete(v.candidates, node)
+	v.leaving[node] = v.server.config.Clock()
+}
+
+// isLeaving tells whether a node has lately said that it stops.
+func (v *voters) isLeaving(node uint64, now time.Duration) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	saidAt, said := v.leaving[node]
+	if said && now-saidAt > leavingLife {
+		delete(v.leaving, node)
+		return false
+	}
+	return said
+}
+
 // asking lists the nodes that have asked lately, and forgets the others.
 func (v *voters) asking(now time.Duration) []member.GroupNode {
 	v.mutex.Lock()
@@ -91,7 +115,7 @@
 
 // look makes the next change of a group's nodes, if this node leads it.
 func (v *voters) look(ctx context.Context, group uint32, now time.Duration, asking []member.GroupNode) {
-	if !v.server.states[group].leader().Leading {
+	if !v.server.states[group].leader().Leading || v.server.draining.Load() {
 		v.heardAt[group] = nil
 		return
 	}
@@ -137,7 +161,7 @@
 	describe := func(ids []uint64) []member.GroupNode {
 		nodes := make([]member.GroupNode, 0, len(ids))
 		for _, id := range ids {
-			nodes = append(nodes, member.GroupNode{ID: id, Address: addresses[id], Silence: now - heardAt[id]})
+			nodes = append(nodes, member.GroupNode{ID: id, Address: addresses[id], Silence: now - heardAt[id], Leaving: v.isLeaving(id, now)})
 		}
 		return nodes
 	}
--- a/internal/member/voters.go
+++ b/internal/member/voters.go
@@ -7,6 +7,7 @@
 	ID      uint64
 	Address string        // where it listens; empty if unknown
 	Silence time.Duration // since it was last heard; 0 for the leader itself
+	Leaving bool          // it has said that it stops
 }
 
 // Group is what the choice of the next change of a group's nodes rests on.
@@ -35,7 +36,7 @@
 
 // NextGroupChange returns the next step towards a group with size voters that all answer. A candidate takes the
 // place of the voter whose address it has, for nobody else listens there any more, or else of the voter
-// unheard for longest, at least for patience. It becomes a learner, then a voter; only then the replaced one
+// unheard for longest, at least for patience; one that leaves counts as unheard for patience. It becomes a learner, then a voter; only then the replaced one
 // goes, so that a majority of voters that hold everything stands at each step. A silent voter without
 // a candidate for its place stays.
 func NextGroupChange(group Group, size int, patience time.Duration) GroupChange {
@@ -77,6 +78,9 @@
 				return voter, true
 			}
 		}
+		if voter.Leaving {
+			voter.Silence = max(voter.Silence, patience)
+		}
 		if voter.Silence > longest.Silence {
 			longest = voter
 		}
