--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -168,7 +168,9 @@
 	f.service.tick(t.Context())
 	f.leading = true
 	f.service.tick(t.Context())
-	f.now += time.Hour // slept
+	f.now += time.Hour // slept; two of three are heard before the next look
+	f.send(t, replica(1, 2))
+	f.send(t, replica(2, 2))
 	f.service.tick(t.Context())
 	for range 20 { // all silent
 		f.now += beat
