forward: ask callers to stay away for a second while there is no lease

Cause: after a loss of power callers with one retry came back after 0.1 s and met the same machine without a lease.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -251,7 +251,7 @@
 	f.lease.set(f.plan.Load().version, true)
 	for _, host := range []string{"h", "other"} {
 		request.Host = host
-		if failure := f.Serve(context.Background(), request, &kept{}); failure == nil || failure.Reason != NoConfiguration || f.Ready() {
+		if failure := f.Serve(context.Background(), request, &kept{}); failure == nil || failure.Reason != NoConfiguration || failure.RetryAfter < time.Second || f.Ready() {
 			t.Errorf("without a lease: %v", failure)
 		}
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -82,9 +82,14 @@
 const (
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 250 * time.Millisecond
+	// noLeaseRetryAfter is asked for while nothing may be sent from here: a lease comes back after an election.
+	noLeaseRetryAfter = time.Second
 )
 
 // notRun is a failure of a request that was not sent, or that every back end refused.
 func notRun(reason Reason, retryAfter time.Duration, cause error) *Failure {
+	if reason == NoConfiguration {
+		retryAfter = noLeaseRetryAfter
+	}
 	return &Failure{Reason: reason, Verdict: verdict.DidNotRun, RetryAfter: max(retryAfter, minRetryAfter), Cause: cause}
 }
