--- a/internal/batchrun/config.go
+++ b/internal/batchrun/config.go
@@ -49,7 +49,7 @@
 	Group   Group
 	Session Session
 	Caller  replica.Caller
-	// Route finds the route of a request; false when the table has none.
+	// Route finds the route of a request; false when the table has none. Default TableRoutes.
 	Route func(view *table.View, host, path string) (Route, bool)
 	// VersionField is the name, in lower case, of the event field that names a weight version.
 	VersionField string
@@ -65,8 +65,11 @@
 }
 
 func (c *Config) setDefaults() error {
-	if c.Group == nil || c.Session == nil || c.Caller == nil || c.Route == nil {
-		return trace.BadParameter("a batch runner needs a group, a session, a caller and routes")
+	if c.Group == nil || c.Session == nil || c.Caller == nil {
+		return trace.BadParameter("a batch runner needs a group, a session and a caller")
+	}
+	if c.Route == nil {
+		c.Route = TableRoutes()
 	}
 	if c.Retention == 0 {
 		c.Retention = DefaultRetention
--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -129,6 +129,9 @@
 }
 
 func (f *fakeReplicas) Do(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+	if err := call.Admit(); err != nil {
+		return replica.Outcome{Verdict: verdict.DidNotRun, Err: err}
+	}
 	f.mutex.Lock()
 	f.calls = append(f.calls, *call)
 	f.running[call.AttemptID]++
--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -26,7 +26,7 @@
 		s.enter(entry, chosen, now)
 		starts = append(starts, Start{
 			Key:      Key{Job: entry.job.ID, Item: entry.ID},
-			Instance: chosen.Instance, Address: chosen.Address, Pool: chosen.Pool, Urgency: entry.urgency,
+			Instance: chosen.Instance, Address: chosen.Address, Pool: chosen.Pool, Slots: chosen.Slots, Urgency: entry.urgency,
 		})
 	}
 	clear(s.order[len(left):])
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -52,6 +52,7 @@
 	Instance string
 	Address  string
 	Pool     string
+	Slots    int // of the replica
 	Urgency  int // 0 (most urgent) to 9
 }
 
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -13,6 +13,12 @@
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
+// spareConnections is the room for connections to a replica that are being closed while others open.
+const spareConnections = 2
+
+// errNotAdmitted ends a call that the table or the lease does not permit any more, before it is sent.
+var errNotAdmitted = errors.New("batchrun: the table does not permit the call any more")
+
 // call is one run of an item. Its routine owns the stream and its text until the call is on the tenure's ends.
 type call struct {
 	schedule.Start
@@ -129,14 +135,19 @@
 		c.ending = schedule.Completed
 		return
 	}
-	if !t.admits(c) {
-		c.ending = schedule.Stopped
-		return
-	}
 	request := t.request(c)
+	request.Admit = func() error {
+		if !t.admits(c) {
+			return errNotAdmitted
+		}
+		return nil
+	}
 	outcome := t.config.Caller.Do(ctx, request, c.stream)
 	c.version = c.stream.version
 	c.ending = c.stream.ending(outcome, request.ExpectedVersion > 0)
+	if errors.Is(outcome.Err, errNotAdmitted) {
+		c.ending = schedule.Stopped
+	}
 	if ctx.Err() != nil && c.ending != schedule.Completed {
 		c.ending = schedule.Broken // stalled, or stopped, of which the scheduler knows
 	}
@@ -164,7 +175,7 @@
 	request := &replica.Call{
 		Target: replica.Target{Instance: c.Instance, Address: c.Address}, AttemptID: c.item.GetId(),
 		Method: c.item.GetMethod(), Path: c.item.GetPath(), Host: c.item.GetHost(), Body: c.item.GetBody(),
-		Urgency: c.Urgency, ResumeAfter: c.text.lastID,
+		Urgency: c.Urgency, ResumeAfter: c.text.lastID, MaxConnections: c.Slots + spareConnections,
 	}
 	for _, header := range c.item.GetHeaders() {
 		request.Header = append(request.Header, replica.Header{Name: header.GetName(), Value: header.GetValue()})
