batchrun: one item at a time for a replica with old weights or on probation

Cause: a pause that ended gave a replica all waiting items at once, which were all refused or dropped again; weights were remembered per replica although it holds several models. Ruled out: stalls (5 runs) and ended jobs (8 runs) of the 4208 endings logged; 3560 were answers under old weights and 635 refusals as full while an order was under way. Change: versions are kept by model; a replica whose weights were too old, or that refused or failed, gets one item, and more once that brings an event; every second try of old weights asks for the newest version, so that the replica refuses rather than starts.

--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -23,10 +23,11 @@
 			left = append(left, entry)
 			continue
 		}
-		s.enter(entry, chosen, now)
+		expected := s.enter(entry, chosen, now)
 		starts = append(starts, Start{
 			Key:      Key{Job: entry.job.ID, Item: entry.ID},
-			Instance: chosen.Instance, Address: chosen.Address, Pool: chosen.Pool, Slots: chosen.Slots, Urgency: entry.urgency,
+			Instance: chosen.Instance, Address: chosen.Address, Pool: chosen.Pool, Slots: chosen.Slots,
+			Urgency: entry.urgency, ExpectedVersion: expected,
 		})
 	}
 	clear(s.order[len(left):])
--- a/internal/batchrun/schedule/outcome.go
+++ b/internal/batchrun/schedule/outcome.go
@@ -19,9 +19,18 @@
 		average(&s.poolNamed(at.Pool).pace, pause)
 	}
 	entry.run.events, entry.run.last = events, last
-	at.failures = 0
-	if version > 0 {
-		at.version, at.versionAt = version, last
+	at.proven(entry)
+	s.heard(at, entry.job.Model, version, last)
+}
+
+// proven ends a replica's probation when a run that began during it brings an event.
+func (r *replica) proven(entry *item) {
+	if r.probation && entry.run.started < r.since {
+		return
+	}
+	r.failures, r.refusals, r.probation = 0, 0, false
+	if r.probe == entry {
+		r.probe = nil
 	}
 }
 
@@ -70,11 +79,11 @@
 	}
 	at := s.replicas[entry.run.instance]
 	instance := entry.run.instance
-	s.leave(entry)
-	entry.state, s.order = waiting, nil
 	if at != nil {
-		s.judge(at, ending, version, now)
+		s.judge(at, entry, ending, version, now)
 	}
+	s.leave(entry)
+	entry.state, s.order = waiting, nil
 	switch ending {
 	case Completed:
 		entry.state = finished
@@ -99,21 +108,24 @@
 }
 
 // judge draws conclusions about a replica from the end of a run there.
-func (s *Scheduler) judge(at *replica, ending Ending, version uint64, now time.Duration) {
-	if version > 0 {
-		at.version, at.versionAt = version, now
-	}
+func (s *Scheduler) judge(at *replica, entry *item, ending Ending, version uint64, now time.Duration) {
+	s.heard(at, entry.job.Model, version, now)
 	switch ending {
 	case Completed:
-		at.failures = 0
+		at.proven(entry)
 	case Full:
-		at.pausedTo = max(at.pausedTo, now+s.settings.FullPause)
+		s.suspend(at, &at.refusals, s.settings.FullPause, s.settings.MaximumFullPause, now)
 	case Broken, Unreachable, Misdirected:
-		if at.pausedTo > now {
-			return // runs that were lost together are one failure
-		}
-		pause := min(s.settings.FailurePause<<min(at.failures, 10), s.settings.MaximumPause)
-		at.failures++
-		at.pausedTo = now + pause
+		s.suspend(at, &at.failures, s.settings.FailurePause, s.settings.MaximumPause, now)
+	}
+}
+
+// suspend keeps new items from a replica for a pause that doubles. Runs that end together count once.
+func (s *Scheduler) suspend(at *replica, count *int, pause, most, now time.Duration) {
+	if at.pausedTo > now {
+		return
 	}
+	at.pausedTo = now + min(pause<<min(*count, 10), most)
+	*count++
+	at.probation, at.since = true, now
 }
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -13,16 +13,49 @@
 	Replica
 	gone      bool // takes nothing new
 	running   int
-	failures  int           // in a row
-	pausedTo  time.Duration // gets nothing before
-	version   uint64        // of its weights when last heard; 0: unknown
-	versionAt time.Duration
-	pace      float64 // usual pause between events, seconds; 0: unknown
+	failures  int                // in a row
+	refusals  int                // as full, in a row
+	pausedTo  time.Duration      // gets nothing before
+	probation bool               // one item at a time, until one that began later brings an event
+	since     time.Duration      // of the probation
+	probe     *item              // that tries it out
+	versions  map[string]version // by model
+	pace      float64            // usual pause between events, seconds; 0: unknown
+}
+
+// version is what was last heard of a model's weights at a replica.
+type version struct {
+	number uint64
+	tries  int // since then, under which it was too old
+	at     time.Duration
 }
 
 type pool struct {
 	replicas []*replica // by instance; those that take new work
 	pace     float64
+	newest   map[string]uint64 // highest version heard, by model
+}
+
+// heard notes the weights under which a replica answered.
+func (s *Scheduler) heard(at *replica, model string, number uint64, now time.Duration) {
+	if number == 0 {
+		return
+	}
+	if at.versions[model].number == number {
+		known := at.versions[model]
+		known.at = max(known.at, now)
+		at.versions[model] = known
+		return
+	}
+	at.versions[model] = version{number: number, at: now}
+	of := s.poolNamed(at.Pool)
+	of.newest[model] = max(of.newest[model], number)
+}
+
+// tooOld reports whether a replica's weights were too old for a job when they were last heard.
+func (r *replica) tooOld(of *job) bool {
+	known := r.versions[of.Model]
+	return known.number > 0 && known.number < of.MinVersion
 }
 
 // Replicas replaces the replicas that take new work. What is known of those that stay is kept; items that run
@@ -36,7 +69,7 @@
 		named[described.Instance] = true
 		held := s.replicas[described.Instance]
 		if held == nil {
-			held = &replica{}
+			held = &replica{versions: map[string]version{}}
 			s.replicas[described.Instance] = held
 		}
 		held.Replica, held.gone = described, false
@@ -61,7 +94,7 @@
 
 func (s *Scheduler) poolNamed(name string) *pool {
 	if s.pools[name] == nil {
-		s.pools[name] = &pool{}
+		s.pools[name] = &pool{newest: map[string]uint64{}}
 	}
 	return s.pools[name]
 }
@@ -97,8 +130,11 @@
 	if candidate.running >= candidate.Slots || candidate.pausedTo > now {
 		return false
 	}
-	tooOld := candidate.version > 0 && candidate.version < entry.job.MinVersion
-	return !tooOld || now >= candidate.versionAt+s.settings.VersionPause
+	tooOld := candidate.tooOld(entry.job)
+	if (candidate.probation || tooOld) && candidate.probe != nil {
+		return false
+	}
+	return !tooOld || now >= candidate.versions[entry.job.Model].at+s.settings.VersionPause
 }
 
 // load is the part of a replica's slots that is taken with one more item, more for one that is slow.
@@ -110,17 +146,35 @@
 	return load
 }
 
-func (s *Scheduler) enter(entry *item, at *replica, now time.Duration) {
+// enter counts an item as running at a replica and returns the weight version to ask for, 0 for any. Every
+// second try of weights that were too old asks for none: the replica may be ahead of all others.
+func (s *Scheduler) enter(entry *item, at *replica, now time.Duration) (expected uint64) {
 	entry.state = running
 	entry.run = run{instance: at.Instance, started: now, last: now}
 	entry.group.instance = at.Instance
 	at.running++
+	model := entry.job.Model
+	if at.tooOld(entry.job) {
+		known := at.versions[model]
+		if known.tries%2 == 0 {
+			expected = max(s.poolNamed(at.Pool).newest[model], entry.job.MinVersion)
+		}
+		known.tries++
+		known.at = now
+		at.versions[model], at.probe = known, entry
+	} else if at.probation {
+		at.probe = entry
+	}
+	return expected
 }
 
 // leave takes a running item from its replica; the caller sets its next state.
 func (s *Scheduler) leave(entry *item) {
 	if at := s.replicas[entry.run.instance]; at != nil {
 		at.running--
+		if at.probe == entry {
+			at.probe = nil
+		}
 		if at.gone && at.running == 0 {
 			delete(s.replicas, at.Instance)
 		}
--- a/internal/batchrun/schedule/schedule_test.go
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -114,9 +114,22 @@
 	if next := s.Ended(0, first.Key, OldVersion, 2); next != Again {
 		t.Fatal(next)
 	}
-	if again := s.Starts(0); len(again) != 1 || again[0].Instance == first.Instance {
+	again := s.Starts(0)
+	if len(again) != 1 || again[0].Instance == first.Instance {
 		t.Fatalf("%v", again)
 	}
+	open(s, Job{ID: "k", MinVersion: 3}, "a:1", "a:1", "a:1", "a:1", "a:1", "a:1")
+	open(s, Job{ID: "other", Model: "m", MinVersion: 3}, "a:1") // weights of its own
+	s.Progress(again[0].Key, 1, 1, 4)
+	tried := map[string]uint64{}
+	for _, start := range s.Starts(DefaultVersionPause) {
+		if start.Instance == first.Instance {
+			tried[start.Job] = start.ExpectedVersion
+		}
+	}
+	if fmt.Sprint(tried) != "map[k:4 other:0]" {
+		t.Fatalf("tries of a replica whose weights were too old: %v", tried)
+	}
 }
 
 func TestFailingReplicasRest(t *testing.T) {
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -23,6 +23,7 @@
 // Job is a batch job as the scheduler needs it.
 type Job struct {
 	ID         string
+	Model      string // whose weights make the tokens; a replica may hold several models
 	MinVersion uint64 // oldest weight version that may make tokens; 0: any
 	Desired    int    // whole groups that its owner waits for; 0: all
 	Deadline   time.Duration
@@ -54,6 +55,9 @@
 	Pool     string
 	Slots    int // of the replica
 	Urgency  int // 0 (most urgent) to 9
+	// ExpectedVersion asks the replica to refuse the item under other weights: it had too old ones when it was
+	// last heard, and a refusal costs less than a run that is dropped. 0: any will do.
+	ExpectedVersion uint64
 }
 
 // Ending is how a run of an item ended.
@@ -93,15 +97,16 @@
 
 // Defaults of Settings.
 const (
-	DefaultFirstEvent    = 2 * time.Second
-	DefaultMinimumStall  = 500 * time.Millisecond
-	DefaultStallFactor   = 12
-	DefaultFullPause     = 60 * time.Millisecond
-	DefaultFailurePause  = 250 * time.Millisecond
-	DefaultMaximumPause  = 4 * time.Second
-	DefaultVersionPause  = 200 * time.Millisecond
-	DefaultRetryPause    = 50 * time.Millisecond
-	DefaultAffinityBonus = 0.25
+	DefaultFirstEvent       = 2 * time.Second
+	DefaultMinimumStall     = 500 * time.Millisecond
+	DefaultStallFactor      = 12
+	DefaultFullPause        = 60 * time.Millisecond
+	DefaultMaximumFullPause = 300 * time.Millisecond
+	DefaultFailurePause     = 250 * time.Millisecond
+	DefaultMaximumPause     = 4 * time.Second
+	DefaultVersionPause     = 200 * time.Millisecond
+	DefaultRetryPause       = 50 * time.Millisecond
+	DefaultAffinityBonus    = 0.25
 )
 
 // Settings of a Scheduler. Zero fields take the defaults.
@@ -111,12 +116,15 @@
 	FirstEvent   time.Duration
 	MinimumStall time.Duration
 	StallFactor  int
-	// FullPause is how long a replica that was full gets nothing; FailurePause one that failed, doubled with
-	// each failure in a row up to MaximumPause; VersionPause one whose weights were too old.
-	FullPause    time.Duration
-	FailurePause time.Duration
-	MaximumPause time.Duration
-	VersionPause time.Duration
+	// FullPause is how long a replica that was full gets nothing, doubled with each refusal in a row up to
+	// MaximumFullPause; FailurePause one that failed, doubled up to MaximumPause; VersionPause is the pause
+	// between two tries of one whose weights were too old. After each such pause it gets one item, and more
+	// once that has brought an event.
+	FullPause        time.Duration
+	MaximumFullPause time.Duration
+	FailurePause     time.Duration
+	MaximumPause     time.Duration
+	VersionPause     time.Duration
 	// RetryPause is how long an item waits after a failed run.
 	RetryPause time.Duration
 	// AffinityBonus is the load, as a part of the slots, that a replica may have above others and still get an
@@ -130,6 +138,7 @@
 	set(&s.MinimumStall, DefaultMinimumStall)
 	set(&s.StallFactor, DefaultStallFactor)
 	set(&s.FullPause, DefaultFullPause)
+	set(&s.MaximumFullPause, DefaultMaximumFullPause)
 	set(&s.FailurePause, DefaultFailurePause)
 	set(&s.MaximumPause, DefaultMaximumPause)
 	set(&s.VersionPause, DefaultVersionPause)
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -151,7 +151,7 @@
 	if ctx.Err() != nil && c.ending != schedule.Completed {
 		c.ending = schedule.Broken // stalled, or stopped, of which the scheduler knows
 	}
-	if errors.Is(c.stream.fault, errMixedVersion) || request.ExpectedVersion > 0 && outcome.Refused == replica.RefusedWrongTarget {
+	if errors.Is(c.stream.fault, errMixedVersion) || c.stream.single && request.ExpectedVersion > 0 && outcome.Refused == replica.RefusedWrongTarget {
 		*c.text = *newText() // the version that made it is gone
 	}
 	c.text.whole = c.ending == schedule.Completed
@@ -176,6 +176,7 @@
 		Target: replica.Target{Instance: c.Instance, Address: c.Address}, AttemptID: c.item.GetId(),
 		Method: c.item.GetMethod(), Path: c.item.GetPath(), Host: c.item.GetHost(), Body: c.item.GetBody(),
 		Urgency: c.Urgency, ResumeAfter: c.text.lastID, MaxConnections: c.Slots + spareConnections,
+		ExpectedVersion: c.ExpectedVersion,
 	}
 	for _, header := range c.item.GetHeaders() {
 		request.Header = append(request.Header, replica.Header{Name: header.GetName(), Value: header.GetValue()})
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -143,7 +143,7 @@
 	submit, now := taken.GetJob(), t.config.Clock()
 	added := &job{submit: submit, items: make(map[string]*item, len(submit.GetItems()))}
 	described := schedule.Job{
-		ID: submit.GetId(), MinVersion: submit.GetMinVersion(), Desired: int(submit.GetDesired()),
+		ID: submit.GetId(), Model: submit.GetModel(), MinVersion: submit.GetMinVersion(), Desired: int(submit.GetDesired()),
 		MaxAttempts: int(submit.GetMaxAttempts()), Deadline: now + millis(submit.GetDeadlineMillis()) - age(submit),
 	}
 	if submit.GetQueueTtlMillis() > 0 {
