batchrun: runs move from slow replicas to fast ones

Cause: the last items of a step ran on for seconds at replicas that were slow, beside free fast ones. Change: a replica's usual pause, compared with the pool's fastest, counts as load when an item is placed; a run at a replica 1.8 times slower than one with room is closed and goes on there after its last event.

--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -13,6 +13,7 @@
 	Replica
 	gone      bool // takes nothing new
 	running   int
+	coming    int                // runs that Slow has moved for the room here
 	failures  int                // in a row
 	refusals  int                // as full, in a row
 	pausedTo  time.Duration      // gets nothing before
@@ -137,15 +138,27 @@
 	return !tooOld || now >= candidate.versions[entry.job.Model].at+s.settings.VersionPause
 }
 
-// load is the part of a replica's slots that is taken with one more item, more for one that is slow.
+// load is the part of a replica's slots that is taken with one more item, and more for one that is slower than
+// the fastest of its pool.
 func (s *Scheduler) load(candidate *replica, of *pool) float64 {
 	load := float64(candidate.running+1) / float64(candidate.Slots)
-	if candidate.pace > 0 && of.pace > 0 {
-		load *= max(1, candidate.pace/of.pace)
+	if fastest := of.fastest(); candidate.pace > 0 && fastest > 0 {
+		load += s.settings.SlownessCost * (candidate.pace/fastest - 1)
 	}
 	return load
 }
 
+// fastest is the shortest usual pause of the pool's replicas; 0 if none is known.
+func (p *pool) fastest() float64 {
+	fastest := 0.0
+	for _, candidate := range p.replicas {
+		if candidate.pace > 0 && (fastest == 0 || candidate.pace < fastest) {
+			fastest = candidate.pace
+		}
+	}
+	return fastest
+}
+
 // enter counts an item as running at a replica and returns the weight version to ask for, 0 for any. Every
 // second try of weights that were too old asks for none: the replica may be ahead of all others.
 func (s *Scheduler) enter(entry *item, at *replica, now time.Duration) (expected uint64) {
@@ -153,6 +166,7 @@
 	entry.run = run{instance: at.Instance, started: now, last: now}
 	entry.group.instance = at.Instance
 	at.running++
+	entry.moving = false
 	model := entry.job.Model
 	if at.tooOld(entry.job) {
 		known := at.versions[model]
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -49,6 +49,7 @@
 	failures  int
 	notBefore time.Duration
 	avoid     string // instance of the last run that ended badly
+	moving    bool   // the run is being stopped for a faster replica
 	run       run
 	urgency   int
 }
--- a/internal/batchrun/schedule/schedule_test.go
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -172,6 +172,32 @@
 	}
 }
 
+func TestRunsAtSlowReplicasAreMoved(t *testing.T) {
+	s := newScheduler(2, 2)
+	open(s, Job{ID: "j"}, "a:1", "b:1")
+	at := map[string]Key{}
+	for _, start := range s.Starts(0) {
+		at[start.Instance] = start.Key
+	}
+	for number := range 20 {
+		s.Progress(at["r1"], 1+number, time.Duration(number)*10*time.Millisecond, 1)
+		s.Progress(at["r2"], 1+number, time.Duration(number)*50*time.Millisecond, 1)
+	}
+	if moved := s.Slow(DefaultMovePause - 1); len(moved) != 0 {
+		t.Fatalf("%v", moved)
+	}
+	if moved := s.Slow(second); len(moved) != 1 || moved[0] != at["r2"] {
+		t.Fatalf("%v", moved)
+	}
+	if moved := s.Slow(second); len(moved) != 0 {
+		t.Fatalf("moved twice: %v", moved)
+	}
+	s.Ended(second, at["r2"], Moved, 1)
+	if again := s.Starts(second); len(again) != 1 || again[0].Instance != "r1" {
+		t.Fatalf("%v", again)
+	}
+}
+
 func TestWaitingItemsExpire(t *testing.T) {
 	s := newScheduler(1, 1)
 	open(s, Job{ID: "j", GiveUp: 3 * second}, "a:1", "b:1")
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -73,6 +73,7 @@
 	Unreachable               // not run: no connection
 	Misdirected               // not run: another replica, or other weights than expected
 	OldVersion                // dropped: weights older than the job allows
+	Moved                     // stopped for a faster replica
 	Changed                   // dropped, or refused as not run: other weights than those that made the text so far
 	Stopped                   // dropped by the caller for a reason of its own
 )
@@ -106,6 +107,9 @@
 	DefaultMaximumPause     = 4 * time.Second
 	DefaultVersionPause     = 200 * time.Millisecond
 	DefaultRetryPause       = 50 * time.Millisecond
+	DefaultSlownessCost     = 2
+	DefaultMoveRatio        = 1.8
+	DefaultMovePause        = 600 * time.Millisecond
 	DefaultAffinityBonus    = 0.25
 )
 
@@ -130,6 +134,12 @@
 	// AffinityBonus is the load, as a part of the slots, that a replica may have above others and still get an
 	// item whose group began there: its memory holds the group's prompt.
 	AffinityBonus float64
+	// SlownessCost is what a replica that takes twice the fastest one's time counts as in load.
+	SlownessCost float64
+	// MoveRatio is how many times slower than another one with room a replica must be for its runs to be moved
+	// there, and MovePause how long a run stays before it is moved.
+	MoveRatio float64
+	MovePause time.Duration
 }
 
 // WithDefaults fills unset fields.
@@ -144,6 +154,9 @@
 	set(&s.VersionPause, DefaultVersionPause)
 	set(&s.RetryPause, DefaultRetryPause)
 	set(&s.AffinityBonus, DefaultAffinityBonus)
+	set(&s.SlownessCost, DefaultSlownessCost)
+	set(&s.MoveRatio, DefaultMoveRatio)
+	set(&s.MovePause, DefaultMovePause)
 	return s
 }
 
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -27,6 +27,7 @@
 	stream  *stream
 	cancel  context.CancelFunc
 	stopped bool // by the loop: the job has ended
+	moved   bool // by the loop: another replica is faster
 	ending  schedule.Ending
 	version uint64
 }
@@ -192,6 +193,9 @@
 	delete(t.calls, c.Key)
 	events, last, version := c.stream.progress()
 	t.scheduler.Progress(c.Key, events, last, version)
+	if c.moved && c.ending == schedule.Broken {
+		c.ending = schedule.Moved
+	}
 	switch t.scheduler.Ended(t.config.Clock(), c.Key, c.ending, c.version) {
 	case schedule.Done:
 		t.finish(c.Key, &wire.JobResult{
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -204,6 +204,12 @@
 			running.cancel()
 		}
 	}
+	for _, key := range t.scheduler.Slow(now) {
+		if running := t.calls[key]; running != nil {
+			running.moved = true
+			running.cancel()
+		}
+	}
 	for _, key := range t.scheduler.Expired(now) {
 		t.terminate(key)
 	}
