wave, weights: replicas that are furthest behind load first

Cause: orders went out by name. The answer that the driver gives to a stage order named no version, so that the planner took every replica's as 0. Ruled out: orders that fail (none of 'did not load' in the log), and the runner's view of the replicas (it tries old ones again every 200 ms). Change: the planner orders by the version served, oldest first; the driver answers with what the replica is known to serve. The two tests, one a package, failed before.

--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -1,6 +1,7 @@
 package wave
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -226,7 +227,7 @@
 	}
 	var orders []Order
 	places := p.swapPlaces()
-	for _, one := range p.replicas {
+	for _, one := range p.furthestBehind() {
 		if one.order.ID != 0 || p.serves(one) || now < one.notBefore {
 			continue
 		}
@@ -245,6 +246,14 @@
 	return orders
 }
 
+// furthestBehind returns the replicas that serve the oldest version first: where versions follow each other faster
+// than all replicas can swap, none stays behind for good.
+func (p *Planner) furthestBehind() []*replica {
+	ordered := slices.Clone(p.replicas)
+	slices.SortStableFunc(ordered, func(first, second *replica) int { return cmp.Compare(first.serving, second.serving) })
+	return ordered
+}
+
 // swapPlaces is how many more replicas may go out for a swap: those that are out already, by a swap or
 // because they take no work, count.
 func (p *Planner) swapPlaces() int {
--- a/internal/wave/planner_test.go
+++ b/internal/wave/planner_test.go
@@ -243,3 +243,26 @@
 		t.Fatal("a number that is not above the last one was taken, or the first one was not")
 	}
 }
+
+// TestNoReplicaStaysBehind releases a version whenever one replica has swapped: each replica gets its turn.
+func TestNoReplicaStaysBehind(t *testing.T) {
+	w := newWorld(Config{SwapTogether: 1, StageTime: 1}, 4)
+	for range 4 {
+		w.release(t)
+		w.next(t) // stage orders
+		for len(w.orders) > 0 {
+			w.answer(0, Done, false)
+		}
+		w.now += time.Second
+		w.next(t) // one swap
+		w.now += time.Second
+		for len(w.orders) > 0 {
+			w.answer(0, Done, false)
+		}
+	}
+	for _, name := range w.names {
+		if w.serving[name] == 0 {
+			t.Fatalf("%s was left at its first version: %v", name, w.serving)
+		}
+	}
+}
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -68,9 +68,13 @@
 	ready     time.Duration // no order is sent before
 	planners  map[string]*wave.Planner
 	queue     []queued
-	busy      map[string]bool // replicas with an order on its way
+	busy      map[string]bool   // replicas with an order on its way
+	loaded    map[served]uint64 // versions that orders of this leader brought
 }
 
+// served names a model at a replica.
+type served struct{ replica, model string }
+
 // queued is an order that waits for a place.
 type queued struct {
 	model string
@@ -106,7 +110,7 @@
 		config.Log = logging.Discard()
 	}
 	return &Driver{config: config, kick: make(chan struct{}, 1), done: make(chan loaded, config.LoadsTogether),
-		heard: map[string][]registry.ModelVersion{}, busy: map[string]bool{}}, nil
+		heard: map[string][]registry.ModelVersion{}, busy: map[string]bool{}, loaded: map[served]uint64{}}, nil
 }
 
 // Heard notes what a replica serves. It is the registry's listener.
@@ -169,7 +173,7 @@
 		d.ready += d.config.Takeover // somebody else sent orders since, or before this process began
 	}
 	d.lastToken = d.token
-	d.planners, d.queue = map[string]*wave.Planner{}, nil
+	d.planners, d.queue, d.loaded = map[string]*wave.Planner{}, nil, map[served]uint64{}
 	d.config.Log.Infof("weights: sending orders under token %d", d.token)
 	return true
 }
@@ -197,7 +201,7 @@
 		for name, number := range reports {
 			planner.Report(now, name, wave.Report{Version: wave.Version{Number: number}})
 		}
-		d.take(model, planner)
+		d.take(model, planner, reports)
 	}
 }
 
@@ -238,11 +242,13 @@
 }
 
 // take queues a planner's orders. These replicas have no staging: a stage order is done without being sent.
-func (d *Driver) take(model string, planner *wave.Planner) {
+// Each answer names what the replica serves, from its last load or its own account, whichever is newer.
+func (d *Driver) take(model string, planner *wave.Planner, reports map[string]uint64) {
 	now := d.config.Clock()
 	for _, order := range planner.Next(now) {
 		if order.Kind == wave.Stage {
-			planner.Answered(now, order.ID, wave.Answer{Outcome: wave.Done})
+			serving := max(reports[order.Replica], d.loaded[served{order.Replica, model}])
+			planner.Answered(now, order.ID, wave.Answer{Outcome: wave.Done, Serving: serving})
 			continue
 		}
 		d.queue = append(d.queue, queued{model, order})
@@ -286,7 +292,9 @@
 		return
 	}
 	answer := wave.Answer{Outcome: wave.Done, Serving: ended.serving}
-	if ended.err != nil {
+	if ended.err == nil {
+		d.loaded[served{ended.order.Replica, ended.model}] = ended.serving
+	} else {
 		d.config.Log.Infof("weights: %s did not load %s version %d: %v", ended.order.Replica, ended.model, ended.order.Version.Number, ended.err)
 		answer = wave.Answer{Outcome: wave.Failed}
 	}
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -106,6 +106,19 @@
 	return true
 }
 
+// count returns how many replicas serve a version.
+func (f *fleet) count(model string, number uint64) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	count := 0
+	for _, one := range f.replicas {
+		if one.serving[model] == number {
+			count++
+		}
+	}
+	return count
+}
+
 type fixture struct {
 	control *fakeControl
 	fleet   *fleet
@@ -190,6 +203,22 @@
 	}
 }
 
+// TestNoReplicaStaysBehind names a version whenever a replica serves the last one: still each gets its turn.
+func TestNoReplicaStaysBehind(t *testing.T) {
+	const replicas = 6
+	f := start(t, replicas)
+	for number := uint64(2); number < 2+2*replicas; number++ {
+		if err := Put(t.Context(), f.control, "m0", number, "trainer"); err != nil {
+			t.Fatal(err)
+		}
+		f.driver.Look()
+		eventually(t, "a replica with the version", func() bool { return f.fleet.count("m0", number) > 0 })
+	}
+	if left := f.fleet.count("m0", 1); left > 0 {
+		t.Fatalf("%d replicas still serve the first version", left)
+	}
+}
+
 // TestNewLeaderWaits: once another process has sent orders, this one waits before its first.
 func TestNewLeaderWaits(t *testing.T) {
 	f := prepare(t, 2)
