wave: oldest first is a choice of the planner's owner

Change: Config.OldestFirst, which the driver of named versions sets; coordinators keep the order of names.

--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -227,7 +227,7 @@
 	}
 	var orders []Order
 	places := p.swapPlaces()
-	for _, one := range p.furthestBehind() {
+	for _, one := range p.inOrder() {
 		if one.order.ID != 0 || p.serves(one) || now < one.notBefore {
 			continue
 		}
@@ -246,9 +246,11 @@
 	return orders
 }
 
-// furthestBehind returns the replicas that serve the oldest version first: where versions follow each other faster
-// than all replicas can swap, none stays behind for good.
-func (p *Planner) furthestBehind() []*replica {
+// inOrder returns the replicas in the order in which they get their orders.
+func (p *Planner) inOrder() []*replica {
+	if !p.config.OldestFirst {
+		return p.replicas
+	}
 	ordered := slices.Clone(p.replicas)
 	slices.SortStableFunc(ordered, func(first, second *replica) int { return cmp.Compare(first.serving, second.serving) })
 	return ordered
--- a/internal/wave/types.go
+++ b/internal/wave/types.go
@@ -75,6 +75,9 @@
 	SwapShare float64
 	// SwapTogether bounds the swaps in place of SwapShare, as a count. Default 0: SwapShare rules.
 	SwapTogether int
+	// OldestFirst gives orders to the replicas that serve the oldest version first, in place of the order of
+	// their names: where versions follow each other faster than all replicas can swap, none stays behind.
+	OldestFirst bool
 	// QuickSwap is the swap time up to which all replicas may swap at once, because the gap is shorter
 	// than a few steps. Default 50ms.
 	QuickSwap time.Duration
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -188,7 +188,7 @@
 	for model, reports := range replicas {
 		planner := d.planners[model]
 		if planner == nil {
-			planner = wave.New(wave.Config{SwapTogether: d.config.LoadsTogether, StageTime: 1})
+			planner = wave.New(wave.Config{SwapTogether: d.config.LoadsTogether, StageTime: 1, OldestFirst: true})
 			d.planners[model] = planner
 		}
 		d.release(ctx, model, planner)
