weights: a finished load is seen within two looks of 50 ms

Cause: two replicas load at once, and the next one waits for the place. Batch items that need the new version wait for those places. Change: further looks come each 50 ms; whether an order was not carried out is judged by the time since the order (2.1 s, as four looks were), not by the number of looks. Named versions are looked for each 100 ms instead of 250 ms: one named at another control node waits less.

--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -22,7 +22,7 @@
 // Defaults of Config.
 const (
 	DefaultLoadsTogether = 2
-	DefaultPoll          = 250 * time.Millisecond
+	DefaultPoll          = 100 * time.Millisecond
 	DefaultLoadTimeout   = 10 * time.Second
 )
 
--- a/internal/weights/load.go
+++ b/internal/weights/load.go
@@ -11,14 +11,34 @@
 
 const (
 	// firstLook is how long after an order its replica is asked for the first time, and nextLook the pause
-	// until each further question.
+	// until each further question: places are few, and the next replica waits for the place.
 	firstLook = 900 * time.Millisecond
-	nextLook  = 300 * time.Millisecond
-	// idleLooks is after how many accounts without an order under way one counts as not carried out: a
-	// replica's account may be older than the order.
-	idleLooks = 4
+	nextLook  = 50 * time.Millisecond
+	// carriedOutWithin is how long after an order an account without an order under way counts as not carried
+	// out: a replica's account may be older than the order.
+	carriedOutWithin = 2100 * time.Millisecond
 )
 
+// progress is what a replica's account says of an order.
+type progress uint8
+
+const (
+	pending progress = iota
+	finished
+	notCarriedOut
+)
+
+// judge says how an order stands by the answer to a question asked some time after it.
+func judge(order *Order, after time.Duration, report Report, err error) progress {
+	switch {
+	case err == nil && report.Serving >= order.Number:
+		return finished
+	case (err != nil || !report.Busy) && after >= carriedOutWithin:
+		return notCarriedOut
+	}
+	return pending
+}
+
 func (d *Driver) start(ctx context.Context, next queued, row *table.Row) {
 	d.busy[row.Name] = true
 	order := Order{Model: next.model, Number: next.order.Version.Number, Fence: d.token}
@@ -58,22 +78,23 @@
 
 // await asks the replica until it serves the version.
 func (d *Driver) await(ctx context.Context, order Order) (uint64, error) {
+	ordered := d.config.Clock()
 	timer := time.NewTimer(firstLook)
 	defer timer.Stop()
-	for idle := 0; idle < idleLooks; {
+	for {
 		select {
 		case <-ctx.Done():
 			return 0, ctx.Err()
 		case <-timer.C:
 		}
+		asked := d.config.Clock()
 		report, err := d.config.Sender.Report(ctx, order.Target, order.Model)
-		if err == nil && report.Serving >= order.Number {
+		switch judge(&order, asked-ordered, report, err) {
+		case finished:
 			return report.Serving, nil
-		}
-		if err != nil || !report.Busy {
-			idle++
+		case notCarriedOut:
+			return 0, trace.ConnectionProblem(err, "the order was not carried out")
 		}
 		timer.Reset(nextLook)
 	}
-	return 0, trace.ConnectionProblem(nil, "the order was not carried out")
 }
