weights, control: the machine that sent the last orders goes on after a loss of power

Ruled out: a shorter wait (what the former leader believes is up to a lease old), and the time since the start of the former leader's process as proof that its orders are over (saves 1 s less and needs an age in the members' messages). Change: orders are owned by a machine, named by its address. The fence is acquired when orders may begin, not before, so that its owner is who sent the last ones; the owner needs no wait when it leads again. The wait starts anew when the owner changes meanwhile. The control group answers who owns a fence (FenceQuery).

--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -227,6 +227,8 @@
 		return &wire.View{Kind: &wire.View_Versions{Versions: m.releases.View(kind.Versions.GetPool())}}
 	case *wire.Query_Trainers:
 		return &wire.View{Kind: &wire.View_Trainers{Trainers: &wire.TrainersView{OpenTrainers: m.ledger.OpenTrainers()}}}
+	case *wire.Query_Fence:
+		return &wire.View{Kind: &wire.View_Fence{Fence: m.fences.Current(kind.Fence.GetResource())}}
 	case *wire.Query_JobResults:
 		return &wire.View{Kind: &wire.View_JobResults{JobResults: m.jobs.Results(kind.JobResults)}}
 	case *wire.Query_JobItem:
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -61,6 +61,10 @@
 	if machine.TableVersion() != 2 {
 		t.Fatalf("table version %d", machine.TableVersion())
 	}
+	fence := machine.Query(&wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: "nobody's"}}}).GetFence()
+	if fence == nil || fence.GetToken() != 0 {
+		t.Fatalf("fence %v", fence)
+	}
 	versions := machine.Query(&wire.Query{Kind: &wire.Query_Versions{Versions: &wire.VersionsQuery{Pool: "chat"}}}).GetVersions()
 	if len(versions.GetVersions()) != 1 || versions.GetVersions()[0].GetVersion() != "t-v1" {
 		t.Fatalf("versions %v", versions)
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"sync"
 	"time"
@@ -13,10 +12,8 @@
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
 	"github.com/tamarindring/tamarindring/internal/registry"
-	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wave"
-	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // Defaults of Config.
@@ -37,11 +34,14 @@
 	View func() *table.View
 	// Leading says whether this process leads the control group, confirmed within Confirmed.
 	Leading func() bool
-	// Owner is this process's name, as owner of the orders.
+	// Owner names this process's machine, as owner of the orders.
 	Owner string
-	// Takeover is how long a new leader waits before its first order: the time within which two holders may
-	// not take turns, and the time for which Leading may be out of date.
+	// Takeover is how long a new leader waits before its first order if another machine sent the last ones: the
+	// time within which two holders may not take turns, and the time for which Leading may be out of date.
 	Takeover time.Duration
+	// HandOver asks the machine that owns the orders to lead in this one's place, if it is back: it need not
+	// wait. Optional.
+	HandOver func(ctx context.Context, owner string) error
 	// LoadsTogether bounds the replicas that load at once, over all models. Default DefaultLoadsTogether.
 	LoadsTogether int
 	// Poll is how often newly named versions are looked for. Default DefaultPoll.
@@ -63,13 +63,12 @@
 	heard map[string][]registry.ModelVersion // by instance
 
 	// What follows belongs to Run.
-	token     uint64        // 0 while no orders may be planned
-	lastToken uint64        // the last one that this process held
-	ready     time.Duration // no order is sent before
-	planners  map[string]*wave.Planner
-	queue     []queued
-	busy      map[string]bool   // replicas with an order on its way
-	loaded    map[served]uint64 // versions that orders of this leader brought
+	token    uint64 // 0 while no orders may be sent
+	takeover takeover
+	planners map[string]*wave.Planner
+	queue    []queued
+	busy     map[string]bool   // replicas with an order on its way
+	loaded   map[served]uint64 // versions that orders of this leader brought
 }
 
 // served names a model at a replica.
@@ -148,34 +147,17 @@
 		case <-ticker.C:
 		}
 		if !d.config.Leading() {
-			d.token, d.planners, d.queue = 0, nil, nil
+			d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
 			continue
 		}
-		if d.token == 0 && !d.takeOver(ctx) {
-			continue
+		if d.planners == nil {
+			d.planners, d.loaded = map[string]*wave.Planner{}, map[served]uint64{}
 		}
 		d.plan(ctx)
-		d.send(ctx)
-	}
-}
-
-// takeOver acquires the right to send orders.
-func (d *Driver) takeOver(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	result, err := d.config.Control.Execute(ctx, state.ControlGroup, &wire.Command{Kind: &wire.Command_FenceAcquire{
-		FenceAcquire: &wire.FenceAcquire{Resource: fenceResource, Owner: d.config.Owner, RequestId: rand.Text()}}})
-	if err != nil || result.GetFence().GetToken() == 0 {
-		return false
-	}
-	d.token, d.ready = result.GetFence().GetToken(), d.config.Clock()
-	if d.token > d.lastToken+1 {
-		d.ready += d.config.Takeover // somebody else sent orders since, or before this process began
+		if d.token != 0 || d.takeOver(ctx) {
+			d.send(ctx)
+		}
 	}
-	d.lastToken = d.token
-	d.planners, d.queue, d.loaded = map[string]*wave.Planner{}, nil, map[served]uint64{}
-	d.config.Log.Infof("weights: sending orders under token %d", d.token)
-	return true
 }
 
 // plan brings the planners up to date and takes their orders.
@@ -260,9 +242,6 @@
 
 // send starts the queued orders that have a place, oldest first.
 func (d *Driver) send(ctx context.Context) {
-	if d.config.Clock() < d.ready {
-		return
-	}
 	view := d.config.View()
 	waiting := d.queue[:0]
 	for _, next := range d.queue {
@@ -288,7 +267,7 @@
 	}
 	if errors.Is(ended.err, ErrSuperseded) {
 		d.config.Log.Warnf("weights: token %d is superseded", d.token)
-		d.token, d.planners, d.queue = 0, nil, nil
+		d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
 		return
 	}
 	answer := wave.Answer{Outcome: wave.Done, Serving: ended.serving}
--- /dev/null
+++ b/internal/weights/takeover.go
@@ -0,0 +1,110 @@
+package weights
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// handOverAfter is how long a new leader leads before it gives the leadership away again, and
+	// handOverWorth the least time of waiting that this must save.
+	handOverAfter = 200 * time.Millisecond
+	handOverWorth = 1500 * time.Millisecond
+)
+
+// takeover is what a leader without a token knows of the owner of the orders.
+type takeover struct {
+	looked  bool
+	since   time.Duration // from when on the owner is known to be this one
+	owner   string
+	token   uint64
+	offered bool // the leadership was offered to the owner
+}
+
+// takeOver acquires the right to send orders and reports whether it is held. The machine that owns them goes on at
+// once; any other one waits, counted from when it saw the present owner for the first time: a leader that does not
+// know yet that it leads no more must not take the orders from the one that does.
+func (d *Driver) takeOver(ctx context.Context) bool {
+	held, err := d.fence(ctx)
+	if err != nil {
+		return false
+	}
+	now := d.config.Clock()
+	if t := &d.takeover; !t.looked || held.GetToken() != t.token {
+		*t = takeover{looked: true, since: now, owner: held.GetOwner(), token: held.GetToken(), offered: t.offered}
+	}
+	if wait := d.takeover.wait(now, &d.config); wait > 0 {
+		d.offer(ctx, now, wait)
+		return false
+	}
+	token, err := d.acquire(ctx)
+	if err != nil {
+		return false
+	}
+	if token != d.takeover.token+1 {
+		d.takeover = takeover{offered: d.takeover.offered} // somebody else acquired them since
+		return false
+	}
+	d.token = token
+	d.config.Log.Infof("weights: sending orders under token %d", d.token)
+	return true
+}
+
+// wait is how much longer the orders must rest.
+func (t *takeover) wait(now time.Duration, config *Config) time.Duration {
+	if t.token == 0 || t.owner == config.Owner {
+		return 0
+	}
+	return t.since + config.Takeover - now
+}
+
+// offer offers the leadership to the owner of the orders, once.
+func (d *Driver) offer(ctx context.Context, now, wait time.Duration) {
+	t := &d.takeover
+	if d.config.HandOver == nil || t.offered || now < t.since+handOverAfter || wait < handOverWorth {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if err := d.config.HandOver(ctx, t.owner); err != nil {
+		d.config.Log.WithError(err).Debug("weights: the owner of the orders does not lead")
+		return
+	}
+	t.offered = true
+	d.config.Log.Infof("weights: the leadership was offered to %s, which sent the last orders", t.owner)
+}
+
+// fence reads who owns the orders.
+func (d *Driver) fence(ctx context.Context) (*wire.FenceResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	view, err := d.config.Control.Query(ctx, state.ControlGroup, &wire.Query{Kind: &wire.Query_Fence{
+		Fence: &wire.FenceQuery{Resource: fenceResource}}})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if view.GetFence() == nil {
+		return nil, trace.BadParameter("the control group does not tell the owner of the orders")
+	}
+	return view.GetFence(), nil
+}
+
+func (d *Driver) acquire(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	result, err := d.config.Control.Execute(ctx, state.ControlGroup, &wire.Command{Kind: &wire.Command_FenceAcquire{
+		FenceAcquire: &wire.FenceAcquire{Resource: fenceResource, Owner: d.config.Owner, RequestId: rand.Text()}}})
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	if result.GetFence().GetToken() == 0 {
+		return 0, trace.BadParameter("the orders can't be owned: %s", result.GetInvalid())
+	}
+	return result.GetFence().GetToken(), nil
+}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -2,8 +2,9 @@
 // named in the release registry of the control group. The process that leads the control group drives a wave
 // over the replicas of each model, with orders under a fencing token.
 //
-// Two processes never take turns at a replica: orders are sent only while the leadership is confirmed, and a
-// new leader waits until every order of the one before it must have arrived.
+// Two machines never take turns at a replica: orders are sent only while the leadership is confirmed, and a
+// new leader waits until every order of the one before it must have arrived. The machine that sent the last
+// orders need not wait; when it is back, it is offered the leadership.
 package weights
 
 import (
