batch, batchrun: another leader goes on from the texts of long runs

Change: the text of a run is committed each second (a run that is shorter commits its result alone) as a partial that follows what is held or begins anew; the next leader restores it and resumes after its last event.

--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -82,6 +82,11 @@
 				return nil, trace.Wrap(err)
 			}
 		}
+		for _, partial := range results.GetPartials() {
+			if err := checkPartial(partial); err != nil {
+				return nil, trace.Wrap(err)
+			}
+		}
 	}
 	s.tick(command.GetNowUnixMillis())
 	answer := reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
@@ -90,6 +95,11 @@
 		if held == nil || held.ended {
 			continue
 		}
+		for _, partial := range results.GetPartials() {
+			if held.items[partial.GetItem()] != nil && !held.listed[partial.GetItem()] {
+				s.extend(held, partial)
+			}
+		}
 		for _, result := range results.GetResults() {
 			known := held.items[result.GetItem()] != nil
 			if known && !held.listed[result.GetItem()] {
--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -60,6 +60,7 @@
 		for _, result := range held.results {
 			work.Finished = append(work.Finished, result.GetItem())
 		}
+		work.Partials = held.sortedPartials()
 		view.Jobs = append(view.Jobs, work)
 	}
 	return view
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -16,6 +16,7 @@
 	for _, held := range s.order {
 		snapshot.Jobs = append(snapshot.Jobs, &wire.JobRecord{
 			Submit: held.submit, Revision: held.revision, Ended: held.ended, Results: slices.Clone(held.results),
+			Partials: held.sortedPartials(),
 		})
 	}
 	return snapshot
@@ -56,5 +57,5 @@
 		}
 		s.list(held, result)
 	}
-	return nil
+	return trace.Wrap(s.restorePartials(held, record.GetPartials()))
 }
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -34,8 +34,9 @@
 	submit   *wire.JobSubmit
 	revision uint64
 	ended    bool
-	results  []*wire.JobResult // by position
-	listed   map[string]bool   // items with a result
+	results  []*wire.JobResult           // by position
+	listed   map[string]bool             // items with a result
+	partials map[string]*wire.JobPartial // texts of items without a result, whole
 	items    map[string]*wire.JobItem
 	bytes    int
 }
@@ -50,7 +51,7 @@
 func (s *Store) Revision() uint64 { return s.revision }
 
 func (s *Store) add(submit *wire.JobSubmit, revision uint64) *job {
-	added := &job{submit: submit, revision: revision, bytes: proto.Size(submit), listed: map[string]bool{},
+	added := &job{submit: submit, revision: revision, bytes: proto.Size(submit), listed: map[string]bool{}, partials: map[string]*wire.JobPartial{},
 		items: make(map[string]*wire.JobItem, len(submit.GetItems()))}
 	for _, item := range submit.GetItems() {
 		added.items[item.GetId()] = item
@@ -65,9 +66,8 @@
 func (s *Store) list(j *job, result *wire.JobResult) {
 	j.results = append(j.results, result)
 	j.listed[result.GetItem()] = true
-	size := proto.Size(result)
-	j.bytes += size
-	s.held += size
+	s.drop(j, result.GetItem())
+	s.count(j, proto.Size(result))
 }
 
 // strip drops the content of an ended job's items, which nobody may ask for any more.
@@ -86,10 +86,11 @@
 		stripped.Items = append(stripped.Items, kept)
 		j.items[item.GetId()] = kept
 	}
-	saved := proto.Size(j.submit) - proto.Size(stripped)
+	s.count(j, proto.Size(stripped)-proto.Size(j.submit))
 	j.submit = stripped
-	j.bytes -= saved
-	s.held -= saved
+	for item := range j.partials {
+		s.drop(j, item)
+	}
 }
 
 // tick takes a proposer's clock, which only ever moves the store's clock forward.
--- a/internal/batch/store_test.go
+++ b/internal/batch/store_test.go
@@ -28,6 +28,55 @@
 	return &wire.JobStore{NowUnixMillis: 2000, Jobs: []*wire.JobResults{{Job: job, Results: results}}}
 }
 
+// partial goes on after length bytes of events of one byte each.
+func partial(item string, length uint64, data string) *wire.JobPartial {
+	events := (length+1)/2 + uint64(len(data)+1)/2
+	return &wire.JobPartial{Item: item, Length: length, LastId: int64(length+1)/2 - 1, Data: []byte(data),
+		Events: events, NextLastId: int64(events) - 1, Dense: true, Versions: []uint64{3}}
+}
+
+func storedPartial(job string, partials ...*wire.JobPartial) *wire.JobStore {
+	return &wire.JobStore{NowUnixMillis: 2000, Jobs: []*wire.JobResults{{Job: job, Partials: partials}}}
+}
+
+func TestPartialTextsGoOnWhereTheyEnd(t *testing.T) {
+	store := New()
+	reply, err := store.Submit(exampleJob("a", 2))
+	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
+	held := store.held
+	for _, step := range []struct {
+		stored *wire.JobStore
+		want   string
+	}{
+		{storedPartial("a", partial("i0", 1, "\nb")), ""}, // nothing is held that it could follow
+		{storedPartial("a", partial("i0", 0, "a")), "a"},
+		{storedPartial("a", partial("i0", 1, "\nb")), "a\nb"},
+		{storedPartial("a", partial("i0", 1, "\nb")), "a\nb"}, // repeated
+		{storedPartial("a", partial("i0", 5, "\nd")), "a\nb"}, // one is missing
+		{storedPartial("a", partial("i0", 0, "c")), "c"},      // a run from the start
+		{storedPartial("x", partial("i0", 0, "d")), "c"},
+		{stored("a", completed("i0", "c\nd")), ""},
+		{storedPartial("a", partial("i0", 0, "d")), ""}, // later than the result
+	} {
+		if _, err := store.Store(step.stored); err != nil {
+			t.Fatal(err)
+		}
+		got := ""
+		for _, held := range store.Work(&wire.JobWorkQuery{}).GetJobs()[0].GetPartials() {
+			got += string(held.GetData())
+		}
+		if got != step.want {
+			t.Fatalf("after %v: %q is held, want %q", step.stored, got, step.want)
+		}
+	}
+	if want := held + proto.Size(completed("i0", "c\nd")); store.held != want {
+		t.Fatalf("%d bytes are held, want %d", store.held, want)
+	}
+	if _, err := store.Store(storedPartial("a", partial("i1", 0, ""))); err == nil {
+		t.Fatal("an empty text was taken")
+	}
+}
+
 func wantOutcome(t *testing.T, reply *wire.JobReply, err error, outcome wire.JobOutcome) {
 	t.Helper()
 	if err != nil || reply.GetOutcome() != outcome {
@@ -153,13 +202,15 @@
 	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
 	item := fmt.Sprint("i", rapid.IntRange(0, 3).Draw(t, "item"))
 	var err error
-	switch rapid.IntRange(0, 3).Draw(t, "command") {
+	switch rapid.IntRange(0, 4).Draw(t, "command") {
 	case 0:
 		_, err = c.store.Submit(exampleJob(id, 3))
 	case 1, 2:
 		_, err = c.store.Store(stored(id, completed(item, fmt.Sprint(step))))
 	case 3:
 		_, err = c.store.End(&wire.JobEnd{Job: id, NowUnixMillis: int64(step)})
+	case 4:
+		_, err = c.store.Store(storedPartial(id, partial(item, uint64(rapid.IntRange(0, 1).Draw(t, "length")), "x")))
 	}
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/batchrun/checkpoint.go
@@ -0,0 +1,46 @@
+package batchrun
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// checkpoints commits the growing text of a long run, so that another leader goes on from there.
+type checkpoints struct {
+	interval time.Duration
+	due      time.Duration
+	commit   func(*wire.JobPartial)
+}
+
+// reached is told after each event. Runs that are shorter than the interval commit nothing but their result.
+func (c *checkpoints) reached(now time.Duration, item string, held *text) {
+	if now < c.due || len(held.data) == held.committed {
+		return
+	}
+	c.due = now + c.interval
+	c.commit(held.checkpoint(item))
+}
+
+// checkpoint returns what the text has gained since the last one.
+func (t *text) checkpoint(item string) *wire.JobPartial {
+	partial := &wire.JobPartial{
+		Item: item, Length: uint64(t.committed), Data: slices.Clone(t.data[t.committed:]), Events: uint64(t.events),
+		NextLastId: t.lastID, Dense: t.dense, Versions: slices.Clone(t.versions),
+	}
+	if t.committed > 0 {
+		partial.LastId = t.committedID
+	}
+	t.committed, t.committedID = len(t.data), t.lastID
+	return partial
+}
+
+// restoredText is the text that an earlier leader committed.
+func restoredText(partial *wire.JobPartial) *text {
+	return &text{
+		data: slices.Clone(partial.GetData()), events: int(partial.GetEvents()), lastID: partial.GetNextLastId(),
+		dense: partial.GetDense(), versions: slices.Clone(partial.GetVersions()),
+		committed: len(partial.GetData()), committedID: partial.GetNextLastId(),
+	}
+}
--- a/internal/batchrun/commits.go
+++ b/internal/batchrun/commits.go
@@ -19,8 +19,8 @@
 	commitBytes = 256 << 10
 )
 
-// commits writes results to the group, many in one command, until they are there or the tenure ends: a result
-// that is not committed then is made anew by the next leader.
+// commits writes results and partial texts to the group, many in one command, until they are there or the tenure
+// ends: a result that is not committed then is made anew by the next leader.
 type commits struct {
 	config *Config
 	wake   chan struct{} // capacity 1
@@ -30,8 +30,16 @@
 }
 
 type pendingResult struct {
-	job    string
-	result *wire.JobResult
+	job     string
+	result  *wire.JobResult // or
+	partial *wire.JobPartial
+}
+
+func (p *pendingResult) size() int {
+	if p.partial != nil {
+		return proto.Size(p.partial)
+	}
+	return proto.Size(p.result)
 }
 
 func newCommits(config *Config) *commits {
@@ -39,8 +47,17 @@
 }
 
 func (c *commits) add(job string, result *wire.JobResult) {
+	c.append(pendingResult{job: job, result: result})
+}
+
+// addPartial takes a part of a running item's text. Parts of one item are committed in their order.
+func (c *commits) addPartial(job string, partial *wire.JobPartial) {
+	c.append(pendingResult{job: job, partial: partial})
+}
+
+func (c *commits) append(entry pendingResult) {
 	c.mutex.Lock()
-	c.pending = append(c.pending, pendingResult{job: job, result: result})
+	c.pending = append(c.pending, entry)
 	c.mutex.Unlock()
 	select {
 	case c.wake <- struct{}{}:
@@ -73,7 +90,7 @@
 	byJob := map[string]*wire.JobResults{}
 	size, taken := 0, 0
 	for _, entry := range c.pending {
-		if size += proto.Size(entry.result); size > commitBytes && taken > 0 {
+		if size += entry.size(); size > commitBytes && taken > 0 {
 			break
 		}
 		taken++
@@ -81,7 +98,11 @@
 			byJob[entry.job] = &wire.JobResults{Job: entry.job}
 			command.Jobs = append(command.Jobs, byJob[entry.job])
 		}
-		byJob[entry.job].Results = append(byJob[entry.job].Results, entry.result)
+		if held := byJob[entry.job]; entry.partial != nil {
+			held.Partials = append(held.Partials, entry.partial)
+		} else {
+			held.Results = append(held.Results, entry.result)
+		}
 	}
 	c.pending = append([]pendingResult(nil), c.pending[taken:]...)
 	return command
--- a/internal/batchrun/config.go
+++ b/internal/batchrun/config.go
@@ -1,7 +1,7 @@
 // Package batchrun runs the items of batch jobs: on the node that leads their ledger group, it streams each item
 // from a replica of the route's pools and commits what is finished. Package schedule decides; this package
-// does. Nothing here must survive: a new leader finds the items without a result in the group's state and runs
-// them anew.
+// does. Nothing here must survive: a new leader finds the items without a result in the group's state, with the
+// texts of long runs as of their last checkpoint, and runs them on.
 //
 // An item may run more than once, but never at two replicas at a time under one leader: its call has ended
 // before the next one starts, and goes on after the last whole event that is held.
@@ -23,7 +23,10 @@
 )
 
 // Defaults of Config.
-const DefaultRetention = 10 * time.Minute
+const (
+	DefaultRetention  = 10 * time.Minute
+	DefaultCheckpoint = time.Second
+)
 
 // Group is the ledger group as the node sees it that leads it; *control.LedgerGroup is the usual one.
 type Group interface {
@@ -57,7 +60,9 @@
 	LengthHeader string
 	// Retention is how long ended jobs are kept, from when they were sent. Default DefaultRetention.
 	Retention time.Duration
-	Schedule  schedule.Settings
+	// Checkpoint is how often the text of a running item is committed. Default DefaultCheckpoint.
+	Checkpoint time.Duration
+	Schedule   schedule.Settings
 	// Clock measures pauses. Default monotonic.Now.
 	Clock monotonic.Clock
 	// Log receives short sentences. Default: nothing.
@@ -74,6 +79,9 @@
 	if c.Retention == 0 {
 		c.Retention = DefaultRetention
 	}
+	if c.Checkpoint == 0 {
+		c.Checkpoint = DefaultCheckpoint
+	}
 	if c.Clock == nil {
 		c.Clock = monotonic.Now
 	}
--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -238,7 +238,7 @@
 func (r *rig) run(t *testing.T) {
 	t.Helper()
 	runner, err := New(Config{
-		Group: r.group, Session: r.session, Caller: r.replicas, Route: r.route, VersionField: "x-version",
+		Group: r.group, Session: r.session, Caller: r.replicas, Route: r.route, VersionField: "x-version", Checkpoint: 1, // after each event
 		Schedule: schedule.Settings{FirstEvent: 100 * time.Millisecond, FailurePause: 5 * time.Millisecond,
 			MaximumPause: 20 * time.Millisecond, VersionPause: 5 * time.Millisecond},
 	})
@@ -281,6 +281,21 @@
 	}
 }
 
+// partialEvents counts the events in the committed texts of unfinished items.
+func (r *rig) partialEvents(t *testing.T) (events uint64) {
+	t.Helper()
+	view, err := r.group.Query(t.Context(), &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, work := range view.GetJobWork().GetJobs() {
+		for _, partial := range work.GetPartials() {
+			events += partial.GetEvents()
+		}
+	}
+	return events
+}
+
 // await returns a job's results by item once it has as many as wanted.
 func (r *rig) await(t *testing.T, job string, count int) map[string]*wire.JobResult {
 	t.Helper()
--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -31,6 +31,7 @@
 	if len(k.texts) >= maximumKept {
 		clear(k.texts)
 	}
+	held.committed = 0 // for its own job only
 	k.texts[item.GetId()] = keptText{item: item, text: held}
 }
 
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -234,15 +234,25 @@
 	for range 4 {
 		<-started
 	}
+	r.until(t, "the texts of all items are committed", func() bool { return r.partialEvents(t) == 4*(testEvents-1) })
 	r.group.lead(1, false)
 	r.until(t, "the calls of a leader that was deposed end", func() bool {
 		r.replicas.mutex.Lock()
 		defer r.replicas.mutex.Unlock()
 		return r.replicas.running["i0"]+r.replicas.running["i1"]+r.replicas.running["i2"]+r.replicas.running["i3"] == 0
 	})
+	before := len(r.replicas.callsTo(""))
 	r.replicas.set(answering(5), answering(5))
 	r.group.lead(2, true)
 	for number := range 4 {
 		wantWhole(t, r.await(t, "a", 4)[fmt.Sprint("i", number)], "[5]")
 	}
+	for _, call := range r.replicas.callsTo("")[before:] {
+		if call.ResumeAfter != testEvents-2 {
+			t.Fatalf("item %s starts after %d at the next leader", call.AttemptID, call.ResumeAfter)
+		}
+	}
+	if left := r.partialEvents(t); left != 0 {
+		t.Fatalf("partial texts of %d events outlive the results", left)
+	}
 }
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -118,7 +118,13 @@
 		entry.text = newText()
 	}
 	started := &call{Start: start, item: entry.wire, text: entry.text}
-	started.stream = &stream{clock: t.config.Clock, minVersion: minimum, single: single, text: entry.text}
+	started.stream = &stream{
+		clock: t.config.Clock, minVersion: minimum, single: single, item: start.Item, text: entry.text,
+		checkpoints: checkpoints{
+			interval: t.config.Checkpoint, due: t.config.Clock() + t.config.Checkpoint,
+			commit: func(partial *wire.JobPartial) { t.commits.addPartial(start.Job, partial) },
+		},
+	}
 	started.stream.parser.VersionField = t.config.VersionField
 	t.calls[start.Key] = started
 	callContext, cancel := context.WithCancel(ctx)
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -31,6 +31,9 @@
 	dense    bool     // every id so far was one above the one before
 	versions []uint64 // that made an event, ascending
 	whole    bool
+
+	committed   int   // bytes of data that were handed over to be committed
+	committedID int64 // of the last event in them
 }
 
 func newText() *text { return &text{lastID: eventstream.NoID, dense: true} }
@@ -76,9 +79,11 @@
 	minVersion uint64
 	single     bool
 	text       *text
-	status     int
-	version    uint64
-	fault      error
+	item       string
+	checkpoints
+	status  int
+	version uint64
+	fault   error
 
 	// What the runner's loop reads while the answer comes.
 	events  atomic.Int64
@@ -117,8 +122,10 @@
 	if err := s.text.add(event, s.version); err != nil {
 		return err
 	}
+	now := s.clock()
+	s.checkpoints.reached(now, s.item, s.text)
 	s.current.Store(s.version)
-	s.last.Store(int64(s.clock()))
+	s.last.Store(int64(now))
 	s.events.Add(1)
 	return nil
 }
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -158,6 +158,9 @@
 	for _, finished := range taken.GetFinished() {
 		added.items[finished].open = false
 	}
+	for _, partial := range taken.GetPartials() {
+		added.items[partial.GetItem()].text = restoredText(partial)
+	}
 	t.jobs[submit.GetId()] = added
 	t.scheduler.Open(described, taken.GetFinished())
 	t.view = nil // the new items have no route yet
