operator, member, platform: storage machines can be retired

Change: the store process registers as a member of the new role storage. It holds no lease (controlclient.Register): it never acts on the table, and its pauses must hold up no change of it. A storage member that was asked to leave stays leaving over its restarts, which member.List decides. A session instead of a registration was ruled out: a frozen storage machine's lease would delay every table change.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -96,7 +96,7 @@
 	d.lastLook = now
 	d.mutex.Unlock()
 	for _, member := range d.server.publisher.currentMembers().Members {
-		if member.Role == wire.MemberRole_MEMBER_ROLE_CONTROL {
+		if !wire.HoldsLease(member.Role) {
 			continue
 		}
 		d.judge(ctx, member, d.silence(holderOf(member), now))
--- /dev/null
+++ b/internal/controlclient/register.go
@@ -0,0 +1,30 @@
+package controlclient
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Register makes this process a member that holds no lease: the control group knows it and an operator may
+// drain it, but it may not act on the table, and its pauses hold up nothing. It asks on until ctx ends.
+func (c *Client) Register(ctx context.Context) error {
+	if c.config.Member.GetName() == "" {
+		return trace.BadParameter("a registration needs a member name")
+	}
+	member := c.newMember()
+	if wire.HoldsLease(member.GetRole()) {
+		return trace.BadParameter("a %s holds a lease: start a session", wire.MemberRoleText(member.GetRole()))
+	}
+	command := &wire.Command{Kind: &wire.Command_MemberUpdate{MemberUpdate: &wire.MemberUpdate{Member: member}}}
+	result, err := c.Execute(ctx, ControlGroup, command)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if !result.GetMember().GetAccepted() {
+		return trace.CompareFailed("a later start of %s has registered", member.GetName())
+	}
+	return nil
+}
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -62,7 +62,8 @@
 	}
 }
 
-func (c *Client) newSession() *Session {
+// newMember is this process as a member: the configured one, with the incarnation of this start.
+func (c *Client) newMember() *wire.Member {
 	member := proto.Clone(c.config.Member).(*wire.Member)
 	if member.Incarnation == 0 {
 		member.Incarnation = uint64(time.Now().UnixMilli())
@@ -70,8 +71,12 @@
 	if member.State == wire.MemberState_MEMBER_STATE_UNSPECIFIED {
 		member.State = wire.MemberState_MEMBER_STATE_ALIVE
 	}
+	return member
+}
+
+func (c *Client) newSession() *Session {
 	session := &Session{
-		client: c, member: member,
+		client: c, member: c.newMember(),
 		stopped: make(chan struct{}),
 		granted: make(chan struct{}),
 		refused: make(chan error, 1),
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -55,6 +55,10 @@
 	if known != nil && !follows(known, next) {
 		return l.result(false), nil
 	}
+	if known != nil && staysDraining(known, next) {
+		next = proto.CloneOf(next)
+		next.State = wire.MemberState_MEMBER_STATE_LEAVING
+	}
 	if known != nil && proto.Equal(known.member, next) {
 		return l.result(true), nil
 	}
@@ -91,6 +95,13 @@
 	return next.GetState() == wire.MemberState_MEMBER_STATE_LEAVING || next.GetState() == wire.MemberState_MEMBER_STATE_GONE
 }
 
+// staysDraining reports whether a restarted storage member goes on leaving. Its process does not stop by
+// itself when it is asked to leave, and what is emptied must not be filled again by a restart.
+func staysDraining(known *entry, next *wire.Member) bool {
+	return known.left && next.GetRole() == wire.MemberRole_MEMBER_ROLE_STORAGE &&
+		known.member.GetRole() == next.GetRole() && next.GetState() == wire.MemberState_MEMBER_STATE_ALIVE
+}
+
 func check(member *wire.Member) error {
 	if member.GetName() == "" {
 		return trace.BadParameter("member has no name")
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -54,3 +54,33 @@
 		}
 	}
 }
+
+// TestAStorageMemberLeavesOverItsRestarts: its process is started again by whoever runs it, and what an operator
+// has emptied must stay so. Other roles begin anew.
+func TestAStorageMemberLeavesOverItsRestarts(t *testing.T) {
+	for role, want := range map[wire.MemberRole]wire.MemberState{
+		wire.MemberRole_MEMBER_ROLE_STORAGE: wire.MemberState_MEMBER_STATE_LEAVING,
+		wire.MemberRole_MEMBER_ROLE_GATEWAY: wire.MemberState_MEMBER_STATE_ALIVE,
+	} {
+		list := New()
+		for incarnation := uint64(1); incarnation <= 3; incarnation++ {
+			started := update(incarnation, wire.MemberState_MEMBER_STATE_ALIVE)
+			started.Member.Role = role
+			leaving := proto.CloneOf(started)
+			leaving.Member.State = wire.MemberState_MEMBER_STATE_LEAVING
+			for _, step := range []*wire.MemberUpdate{started, leaving}[:max(1, 3-int(incarnation))] {
+				if result, err := list.Apply(step); err != nil || !result.GetAccepted() {
+					t.Fatal(role, result, err)
+				}
+			}
+			restored := New()
+			if err := restored.Restore(proto.CloneOf(list.Snapshot())); err != nil {
+				t.Fatal(err)
+			}
+			list = restored
+		}
+		if got := list.Get("g1"); got.GetState() != want || got.GetIncarnation() != 3 {
+			t.Errorf("%s after two restarts is %s", wire.MemberRoleText(role), wire.MemberStateText(got.GetState()))
+		}
+	}
+}
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -17,11 +17,19 @@
 		return "gateway"
 	case MemberRole_MEMBER_ROLE_COORDINATOR:
 		return "coordinator"
+	case MemberRole_MEMBER_ROLE_STORAGE:
+		return "storage"
 	default:
 		return "unknown"
 	}
 }
 
+// HoldsLease says whether members of a role are kept alive by the lease that they renew. Others are judged
+// by nobody: control nodes by their groups, and storage members stay as they were registered.
+func HoldsLease(role MemberRole) bool {
+	return role == MemberRole_MEMBER_ROLE_GATEWAY || role == MemberRole_MEMBER_ROLE_COORDINATOR
+}
+
 // MemberStateText is a member's state for people.
 func MemberStateText(state MemberState) string {
 	switch state {
