--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -24,6 +24,9 @@
 	DefaultLedgerGroups  = 2
 	DefaultLeaseDuration = 1200 * time.Millisecond
 	DefaultTick          = 50 * time.Millisecond
+	// diskShare is the part of DiskBytes that HeadroomBytes and SnapshotBytes are: the log, two snapshots of a
+	// state as large as three times the log, and the headroom fit together.
+	diskShare = 8
 )
 
 // Peer is a control node.
@@ -59,9 +62,15 @@
 	Region string
 	// DataFolder holds everything that must survive. Required.
 	DataFolder string
-	// HeadroomBytes is the free disk space below which the node takes no new work. Default: that of package
-	// storage.
+	// DiskBytes is the size of a small disk that the data folder has for itself. HeadroomBytes and SnapshotBytes
+	// default to shares of it. Default: not known.
+	DiskBytes uint64
+	// HeadroomBytes is the free disk space below which the node takes no new work. Default: an eighth of
+	// DiskBytes, or that of package storage.
 	HeadroomBytes uint64
+	// SnapshotBytes is the size of applied log entries after which a group takes a snapshot and drops them, on
+	// disk and in memory. Default: an eighth of DiskBytes, or that of package consensus.
+	SnapshotBytes int
 	// LedgerGroups is the number of ledger groups; fixed for the life of a cluster. Default
 	// DefaultLedgerGroups: one busy group may not hold up all keys.
 	LedgerGroups int
@@ -119,6 +128,12 @@
 	if c.LeaseDuration < 4*c.Tick {
 		return trace.BadParameter("lease of %s is too short for a tick of %s: want at least four ticks", c.LeaseDuration, c.Tick)
 	}
+	if c.HeadroomBytes == 0 {
+		c.HeadroomBytes = c.DiskBytes / diskShare
+	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = int(min(c.DiskBytes/diskShare, consensus.DefaultSnapshotBytes))
+	}
 	if c.Clock == nil {
 		c.Clock = monotonic.Now
 	}
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -28,6 +28,7 @@
 		Store:           timedStore{Store: store, syncs: s.syncs},
 		NewStateMachine: func(uint32) consensus.StateMachine { return state.New() },
 		Tick:            s.config.Tick,
+		SnapshotBytes:   s.config.SnapshotBytes,
 		OnLeaderChange:  s.leaderChanged,
 		OnApply:         s.applied,
 		OnRestore:       s.restored,
--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -12,7 +12,7 @@
 	heapShare = 70
 	// collectPercent is the heap growth, in per cent, after which it is collected where memory is limited. Go's
 	// own 100 doubles what is held; collecting more often costs processor time.
-	collectPercent = 40
+	collectPercent = 25
 )
 
 // The variables by which an operator sets the Go runtime; what they say prevails.
