batchclient, forward, weights: decisions moved out of platform/

Cause: platform/ is to hold names, formats and calls. It also held the client of the batch jobs (settings of the route, digest, waiting for results), the weighing of prompt tokens against generated ones, and the time that a new leader waits before its first order. Change: internal/batchclient (the files as they were, with its tests), forward.Work, weights.TakeoverAfter. Checked: nothing under internal/ but cli names the platform's headers, paths or package. Conclusion: no behaviour is changed; the tests of the four packages pass.

--- a/platform/batch_store.go
+++ b/internal/batchclient/client.go
@@ -1,4 +1,4 @@
-package platform
+package batchclient
 
 import (
 	"cmp"
@@ -16,40 +16,40 @@
 )
 
 const (
-	// batchGroup is the ledger group of the batch jobs.
-	batchGroup uint32 = 1
-	// batchCallTime bounds one command or query of a batch call; resultsPoll is the pause between two looks for
+	// Group is the ledger group of the batch jobs.
+	Group uint32 = 1
+	// callTime bounds one command or query of a batch call; resultsPoll is the pause between two looks for
 	// results that a caller waits for.
-	batchCallTime = 1200 * time.Millisecond
-	resultsPoll   = 150 * time.Millisecond
-	// resultsBytes bounds the results of one answer before their encoding, which may make them longer: the
-	// platform takes 1 MB.
+	callTime    = 1200 * time.Millisecond
+	resultsPoll = 150 * time.Millisecond
+	// resultsBytes bounds the results of one answer before their encoding, which may make them longer: callers
+	// are promised 1 MB at most.
 	resultsBytes = 400 << 10
 )
 
 // errOtherView is the answer of a control node that does not know the question.
 var errOtherView = verdict.New(verdict.DidNotRun, "the control node answered the query with something else")
 
-// LedgerClient reaches the ledger groups; *controlclient.Client is the usual one.
-type LedgerClient interface {
+// Ledger reaches the ledger groups; *controlclient.Client is the usual one.
+type Ledger interface {
 	Execute(ctx context.Context, group uint32, command *wire.Command) (*wire.Result, error)
 	Query(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error)
 }
 
-// BatchStore is the BatchService over the ledger group of the batch jobs.
-type BatchStore struct {
-	client LedgerClient
+// Client is the Service over the ledger group of the batch jobs.
+type Client struct {
+	client Ledger
 	view   func() *table.View
 }
 
-// NewBatchStore returns a service that takes the routes' settings from the table that view returns; nil while
+// New returns a service that takes the routes' settings from the table that view returns; nil while
 // none is known.
-func NewBatchStore(client LedgerClient, view func() *table.View) *BatchStore {
-	return &BatchStore{client: client, view: view}
+func New(client Ledger, view func() *table.View) *Client {
+	return &Client{client: client, view: view}
 }
 
-// Submit implements BatchService.
-func (b *BatchStore) Submit(ctx context.Context, job *BatchJob) error {
+// Submit implements Service.
+func (b *Client) Submit(ctx context.Context, job *Job) error {
 	view := b.view()
 	if view == nil {
 		return verdict.New(verdict.DidNotRun, "the table is not known yet")
@@ -75,7 +75,7 @@
 }
 
 // submission is a job with the settings of its route.
-func submission(job *BatchJob, row *table.Row) *wire.JobSubmit {
+func submission(job *Job, row *table.Row) *wire.JobSubmit {
 	submit := &wire.JobSubmit{
 		Id: job.ID, Route: row.Name, Model: job.Model, Step: job.Step, MinVersion: job.MinVersion,
 		Desired: uint32(min(job.Desired, batch.MaximumItems)), DeadlineMillis: uint32(row.Deadline.Milliseconds()),
@@ -101,18 +101,18 @@
 	return submit
 }
 
-func (b *BatchStore) execute(ctx context.Context, command *wire.Command) (*wire.JobReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, batchCallTime)
+func (b *Client) execute(ctx context.Context, command *wire.Command) (*wire.JobReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	result, err := b.client.Execute(ctx, batchGroup, command)
+	result, err := b.client.Execute(ctx, Group, command)
 	if err != nil {
 		return nil, err
 	}
 	return result.GetJob(), nil
 }
 
-// Results implements BatchService.
-func (b *BatchStore) Results(ctx context.Context, id string, from uint64, wait time.Duration) (*BatchResults, error) {
+// Results implements Service.
+func (b *Client) Results(ctx context.Context, id string, from uint64, wait time.Duration) (*Results, error) {
 	query := &wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: id, Since: from, MaxBytes: resultsBytes}}}
 	for until := time.Now().Add(wait); ; {
 		view, err := b.query(ctx, query)
@@ -138,10 +138,10 @@
 	}
 }
 
-func resultsOf(found *wire.JobResultsView) *BatchResults {
-	results := &BatchResults{Total: found.GetTotal(), Results: make([]BatchResult, 0, len(found.GetResults()))}
+func resultsOf(found *wire.JobResultsView) *Results {
+	results := &Results{Total: found.GetTotal(), Results: make([]Result, 0, len(found.GetResults()))}
 	for _, result := range found.GetResults() {
-		results.Results = append(results.Results, BatchResult{
+		results.Results = append(results.Results, Result{
 			ID: result.GetItem(), Completed: result.GetState() == wire.JobItemState_JOB_ITEM_STATE_COMPLETED,
 			Text: string(result.GetText()), Versions: result.GetVersions(),
 		})
@@ -149,14 +149,14 @@
 	return results
 }
 
-func (b *BatchStore) query(ctx context.Context, query *wire.Query) (*wire.View, error) {
-	ctx, cancel := context.WithTimeout(ctx, batchCallTime)
+func (b *Client) query(ctx context.Context, query *wire.Query) (*wire.View, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	return b.client.Query(ctx, batchGroup, query)
+	return b.client.Query(ctx, Group, query)
 }
 
-// Item implements BatchService.
-func (b *BatchStore) Item(ctx context.Context, id, item string) ([]byte, error) {
+// Item implements Service.
+func (b *Client) Item(ctx context.Context, id, item string) ([]byte, error) {
 	view, err := b.query(ctx, &wire.Query{Kind: &wire.Query_JobItem{JobItem: &wire.JobItemQuery{Job: id, Item: item}}})
 	if err != nil {
 		return nil, err
@@ -171,8 +171,8 @@
 	return found.GetBody(), nil
 }
 
-// End implements BatchService.
-func (b *BatchStore) End(ctx context.Context, id string) error {
+// End implements Service.
+func (b *Client) End(ctx context.Context, id string) error {
 	command := &wire.JobEnd{Job: id, NowUnixMillis: time.Now().UnixMilli()}
 	reply, err := b.execute(ctx, &wire.Command{Kind: &wire.Command_JobEnd{JobEnd: command}})
 	if err != nil {
--- a/platform/batch_store_test.go
+++ b/internal/batchclient/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package batchclient
 
 import (
 	"context"
@@ -43,7 +43,7 @@
 	return l.machine.Query(query), nil
 }
 
-func newBatchStore(t *testing.T) (*BatchStore, *fakeLedger) {
+func newClient(t *testing.T) (*Client, *fakeLedger) {
 	t.Helper()
 	row := func(name string, cells ...string) *wire.TableRow {
 		made := &wire.TableRow{Name: name}
@@ -61,18 +61,18 @@
 		t.Fatal(err)
 	}
 	ledger := &fakeLedger{machine: state.New()}
-	return NewBatchStore(ledger, func() *table.View { return view }), ledger
+	return New(ledger, func() *table.View { return view }), ledger
 }
 
-func exampleBatch(header ...replica.Header) *BatchJob {
-	return &BatchJob{ID: "j", Host: "h.example", Route: "route-a", Received: time.UnixMilli(5000), Step: 2, Model: "m",
-		MinVersion: 4, Desired: 1, Items: []BatchItem{{ID: "i", Path: "/a/x", Header: header, Body: []byte{1, 2}, Tokens: 9, Group: "g"}}}
+func exampleBatch(header ...replica.Header) *Job {
+	return &Job{ID: "j", Host: "h.example", Route: "route-a", Received: time.UnixMilli(5000), Step: 2, Model: "m",
+		MinVersion: 4, Desired: 1, Items: []Item{{ID: "i", Path: "/a/x", Header: header, Body: []byte{1, 2}, Tokens: 9, Group: "g"}}}
 }
 
 func TestBatchJobIsSubmittedWithItsRoute(t *testing.T) {
-	store, ledger := newBatchStore(t)
+	store, ledger := newClient(t)
 	first, second := replica.Header{Name: "X-Model", Value: "m"}, replica.Header{Name: "X-B", Value: "b"}
-	for _, job := range []*BatchJob{exampleBatch(first, second), exampleBatch(second, first)} { // a resend has its fields in any order
+	for _, job := range []*Job{exampleBatch(first, second), exampleBatch(second, first)} { // a resend has its fields in any order
 		if err := store.Submit(t.Context(), job); err != nil {
 			t.Fatal(err)
 		}
@@ -95,7 +95,7 @@
 }
 
 func TestBatchErrorsKeepTheirVerdict(t *testing.T) {
-	store, ledger := newBatchStore(t)
+	store, ledger := newClient(t)
 	for _, known := range []verdict.Verdict{verdict.DidNotRun, verdict.MayHaveRun} {
 		ledger.failure = verdict.New(known, "no leader")
 		if err := store.Submit(t.Context(), exampleBatch()); verdict.Of(err) != known {
@@ -108,7 +108,7 @@
 }
 
 func TestBatchIsReadByPosition(t *testing.T) {
-	store, ledger := newBatchStore(t)
+	store, ledger := newClient(t)
 	if _, err := store.Results(t.Context(), "j", 0, 0); !trace.IsNotFound(err) {
 		t.Fatal(err)
 	}
--- a/platform/batch_service.go
+++ b/internal/batchclient/service.go
@@ -1,4 +1,6 @@
-package platform
+// Package batchclient is how gateways reach the batch jobs of the ledger group: it gives a job the settings of
+// its route, makes resends alike, and waits for results on behalf of a caller.
+package batchclient
 
 import (
 	"context"
@@ -7,22 +9,22 @@
 	"github.com/tamarindring/tamarindring/internal/replica"
 )
 
-// BatchService keeps batch jobs. Its errors carry a verdict: DidNotRun says that nothing was changed and
+// Service keeps batch jobs. Its errors carry a verdict: DidNotRun says that nothing was changed and
 // nothing will be; trace.NotFound says that there is no such batch job or item; anything else is not known.
-type BatchService interface {
+type Service interface {
 	// Submit keeps a batch job, once however often it comes. nil: all of it is kept.
-	Submit(ctx context.Context, job *BatchJob) error
+	Submit(ctx context.Context, job *Job) error
 	// Results returns the results from a position on. When there is none it waits up to wait for one, and
 	// then returns none.
-	Results(ctx context.Context, id string, from uint64, wait time.Duration) (*BatchResults, error)
+	Results(ctx context.Context, id string, from uint64, wait time.Duration) (*Results, error)
 	// Item returns the body of an item.
 	Item(ctx context.Context, id, item string) ([]byte, error)
 	// End ends a batch job; one that was ended already is no error.
 	End(ctx context.Context, id string) error
 }
 
-// BatchJob is a batch job as it was submitted.
-type BatchJob struct {
+// Job is a batch job as it was submitted.
+type Job struct {
 	ID         string
 	Host       string // as the caller named it
 	Route      string // row name of the route that the job was matched to
@@ -32,11 +34,11 @@
 	Model      string
 	MinVersion uint64
 	Desired    uint64
-	Items      []BatchItem
+	Items      []Item
 }
 
-// BatchItem is one request of a batch job.
-type BatchItem struct {
+// Item is one request of a batch job.
+type Item struct {
 	ID     string
 	Path   string
 	Header []replica.Header
@@ -45,14 +47,14 @@
 	Group  string
 }
 
-// BatchResults are results from a position on.
-type BatchResults struct {
+// Results are results from a position on.
+type Results struct {
 	Total   uint64 // items of the job
-	Results []BatchResult
+	Results []Result
 }
 
-// BatchResult is the end of one item.
-type BatchResult struct {
+// Result is the end of one item.
+type Result struct {
 	ID        string
 	Completed bool // false: terminated
 	Text      string
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -93,3 +93,9 @@
 	}
 	return &Failure{Reason: reason, Verdict: verdict.DidNotRun, RetryAfter: max(retryAfter, minRetryAfter), Cause: cause}
 }
+
+// prefillPerToken is how many prompt tokens cost as much as one generated.
+const prefillPerToken = 16
+
+// Work is the expected work of a generation, from its prompt tokens and the most that it may generate.
+func Work(prompt, generated float64) float64 { return prompt/prefillPerToken + generated }
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -26,6 +26,16 @@
 // controlTimeout bounds one question to the control group.
 const controlTimeout = 400 * time.Millisecond
 
+const (
+	// confirmedWithin is how old the knowledge of leading may be: a lease of the control group.
+	confirmedWithin = 1200 * time.Millisecond
+	// orderTime is added for the time that an order is on its way.
+	orderTime = 300 * time.Millisecond
+)
+
+// TakeoverAfter is the Takeover where two holders may not take turns at a replica within orderLease.
+func TakeoverAfter(orderLease time.Duration) time.Duration { return orderLease + confirmedWithin + orderTime }
+
 // Config says what a Driver works with.
 type Config struct {
 	Control Control
