batch, batchrun, batchclient: texts of results are stored deflated

Change: who completes an item deflates its text (batch.Completed), who reads it inflates it (batch.Text); the store only counts, and bounds answers by the texts as they are read.

--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -115,13 +115,13 @@
 	switch result.GetState() {
 	case wire.JobItemState_JOB_ITEM_STATE_COMPLETED:
 	case wire.JobItemState_JOB_ITEM_STATE_TERMINATED:
-		if len(result.GetText()) > 0 || len(result.GetVersions()) > 0 {
+		if len(result.GetText()) > 0 || result.GetDeflatedFrom() > 0 || len(result.GetVersions()) > 0 {
 			return trace.BadParameter("item %q was terminated and has a text", result.GetItem())
 		}
 	default:
 		return trace.BadParameter("the result of item %q has no state", result.GetItem())
 	}
-	if len(result.GetText()) > MaximumResultBytes {
+	if textBytes(result) > MaximumResultBytes || len(result.GetText()) > textBytes(result) {
 		return trace.BadParameter("the text of item %q is longer than %d bytes", result.GetItem(), MaximumResultBytes)
 	}
 	return nil
--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -6,7 +6,8 @@
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// Results returns results of a job from a position on: at least one if one exists there.
+// Results returns results of a job from a position on: at least one if one exists there. Their bound counts
+// the texts as they are read, not as they are stored.
 func (s *Store) Results(query *wire.JobResultsQuery) *wire.JobResultsView {
 	held := s.jobs[query.GetJob()]
 	if held == nil {
@@ -21,7 +22,7 @@
 		return view
 	}
 	for _, result := range held.results[query.GetSince():] {
-		if budget -= proto.Size(result); budget < 0 && len(view.Results) > 0 {
+		if budget -= proto.Size(result) - len(result.GetText()) + textBytes(result); budget < 0 && len(view.Results) > 0 {
 			break
 		}
 		view.Results = append(view.Results, result)
--- a/internal/batchclient/client.go
+++ b/internal/batchclient/client.go
@@ -128,7 +128,7 @@
 		}
 		done := from >= found.GetTotal() || found.GetEnded()
 		if len(found.GetResults()) > 0 || done || time.Now().Add(resultsPoll).After(until) {
-			return resultsOf(found), nil
+			return resultsOf(found)
 		}
 		select {
 		case <-ctx.Done():
@@ -138,15 +138,19 @@
 	}
 }
 
-func resultsOf(found *wire.JobResultsView) *Results {
+func resultsOf(found *wire.JobResultsView) (*Results, error) {
 	results := &Results{Total: found.GetTotal(), Results: make([]Result, 0, len(found.GetResults()))}
 	for _, result := range found.GetResults() {
+		text, err := batch.Text(result)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
 		results.Results = append(results.Results, Result{
 			ID: result.GetItem(), Completed: result.GetState() == wire.JobItemState_JOB_ITEM_STATE_COMPLETED,
-			Text: string(result.GetText()), Versions: result.GetVersions(),
+			Text: string(text), Versions: result.GetVersions(),
 		})
 	}
-	return results
+	return results, nil
 }
 
 func (b *Client) query(ctx context.Context, query *wire.Query) (*wire.View, error) {
--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -330,10 +330,19 @@
 	for id := range testEvents {
 		lines = append(lines, fmt.Sprintf("%s-%d", result.GetItem(), id))
 	}
-	if result.GetState() != wire.JobItemState_JOB_ITEM_STATE_COMPLETED || string(result.GetText()) != strings.Join(lines, "\n") {
+	if result.GetState() != wire.JobItemState_JOB_ITEM_STATE_COMPLETED || textOf(t, result) != strings.Join(lines, "\n") {
 		t.Fatalf("not the whole text: %v", result)
 	}
 	if got := fmt.Sprint(result.GetVersions()); got != versions {
 		t.Fatalf("versions %s, want %s", got, versions)
 	}
 }
+
+func textOf(t *testing.T, result *wire.JobResult) string {
+	t.Helper()
+	text, err := batch.Text(result)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -30,6 +31,7 @@
 	moved   bool // by the loop: another replica is faster
 	ending  schedule.Ending
 	version uint64
+	result  *wire.JobResult // of a call that completed its item
 }
 
 // startAll starts what may start now.
@@ -132,6 +134,9 @@
 	t.routines.Go(func() {
 		defer cancel()
 		t.run(callContext, started)
+		if started.ending == schedule.Completed {
+			started.result = batch.Completed(started.Item, started.text.data, started.text.versions)
+		}
 		t.ends <- started
 	})
 }
@@ -204,9 +209,7 @@
 	}
 	switch t.scheduler.Ended(t.config.Clock(), c.Key, c.ending, c.version) {
 	case schedule.Done:
-		t.finish(c.Key, &wire.JobResult{
-			Item: c.Item, State: wire.JobItemState_JOB_ITEM_STATE_COMPLETED, Text: c.text.data, Versions: c.text.versions,
-		})
+		t.finish(c.Key, c.result)
 	case schedule.GivenUp:
 		t.terminate(c.Key)
 	case schedule.Forgotten:
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -34,7 +34,9 @@
 )
 
 // TakeoverAfter is the Takeover where two holders may not take turns at a replica within orderLease.
-func TakeoverAfter(orderLease time.Duration) time.Duration { return orderLease + confirmedWithin + orderTime }
+func TakeoverAfter(orderLease time.Duration) time.Duration {
+	return orderLease + confirmedWithin + orderTime
+}
 
 // Config says what a Driver works with.
 type Config struct {
