bench consensus: an election while a log is filled costs time, not the run

Cause: on a machine with a load of 30 the run ended with 'outcome unknown; send the same command again'; filling a log offered each claim once, to the node that led at the beginning. Change: a claim whose fate is unknown is offered again as it is, to all nodes in turn, as the loss of a leader is measured; the leader is asked for anew at the end. Conclusion: the bench does what its error says.

--- a/internal/bench/consensusbench/recovery.go
+++ b/internal/bench/consensusbench/recovery.go
@@ -56,6 +56,11 @@
 // commitSomewhere offers a command to all running nodes in turn until one commits it.
 func (c *cluster) commitSomewhere(ctx context.Context, source *claims) error {
 	_, command := source.begin()
+	return c.resend(ctx, command)
+}
+
+// resend offers a command whose fate may be unknown to all running nodes in turn until one commits it.
+func (c *cluster) resend(ctx context.Context, command *wire.Command) error {
 	deadline := time.Now().Add(leaderWait)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		for _, node := range c.nodes {
@@ -87,7 +92,8 @@
 	return n.applied(ctx, recoveryGroup, status.Commit)
 }
 
-// fill commits a number of claims in the measured group.
+// fill commits a number of claims in the measured group and returns its leader. An election meanwhile, as on a
+// busy machine, costs time and no claim.
 func (c *cluster) fill(ctx context.Context, prefix string, count int) (*node, error) {
 	leader, err := c.leader(ctx, recoveryGroup)
 	if err != nil {
@@ -99,11 +105,16 @@
 	for range count {
 		running.Go(func() error {
 			_, command := source.begin()
-			_, _, err := leader.host.Propose(fillCtx, recoveryGroup, command)
-			return err
+			if _, _, err := leader.host.Propose(fillCtx, recoveryGroup, command); err != nil {
+				return c.resend(fillCtx, command)
+			}
+			return nil
 		})
 	}
-	return leader, running.Wait()
+	if err := running.Wait(); err != nil {
+		return nil, err
+	}
+	return c.leader(ctx, recoveryGroup)
 }
 
 // follower returns a running node other than the leader.
