weights: loads that are needed for the newest work go first

Ruled out: more loads at once (each takes longer then), and loads by the batch runner's demand (needs an edge from the ledger's leader to the control group's). Change: of the queued orders those for replicas more than one version behind go first, and among them those of the model that the fewest replicas can work for.

--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -79,8 +79,9 @@
 	takeover takeover
 	planners map[string]*wave.Planner
 	queue    []queued
-	busy     map[string]bool   // replicas with an order on its way
-	loaded   map[served]uint64 // versions that orders of this leader brought
+	busy     map[string]bool              // replicas with an order on its way
+	loaded   map[served]uint64            // versions that orders of this leader brought
+	serving  map[string]map[string]uint64 // by model and replica, as far as is known
 }
 
 // served names a model at a replica.
@@ -163,7 +164,7 @@
 			continue
 		}
 		if d.planners == nil {
-			d.planners, d.loaded = map[string]*wave.Planner{}, map[served]uint64{}
+			d.planners, d.loaded, d.serving = map[string]*wave.Planner{}, map[served]uint64{}, map[string]map[string]uint64{}
 		}
 		d.plan(ctx)
 		if d.token != 0 || d.takeOver(ctx) {
@@ -239,9 +240,13 @@
 // Each answer names what the replica serves, from its last load or its own account, whichever is newer.
 func (d *Driver) take(model string, planner *wave.Planner, reports map[string]uint64) {
 	now := d.config.Clock()
+	d.serving[model] = make(map[string]uint64, len(reports))
+	for name, number := range reports {
+		d.serving[model][name] = max(number, d.loaded[served{name, model}])
+	}
 	for _, order := range planner.Next(now) {
 		if order.Kind == wave.Stage {
-			serving := max(reports[order.Replica], d.loaded[served{order.Replica, model}])
+			serving := d.serving[model][order.Replica]
 			planner.Answered(now, order.ID, wave.Answer{Outcome: wave.Done, Serving: serving})
 			continue
 		}
@@ -252,9 +257,10 @@
 	}
 }
 
-// send starts the queued orders that have a place, oldest first.
+// send starts the queued orders that have a place.
 func (d *Driver) send(ctx context.Context) {
 	view := d.config.View()
+	d.arrange()
 	waiting := d.queue[:0]
 	for _, next := range d.queue {
 		planner := d.planners[next.model]
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wave"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -286,3 +288,29 @@
 		t.Fatal("did not take the orders over")
 	}
 }
+
+// TestLoadsThatAreNeededGoFirst: a model that no replica can work for goes before one that most can work for, and a
+// replica that can work already comes last.
+func TestLoadsThatAreNeededGoFirst(t *testing.T) {
+	f := prepare(t, 4)
+	d := f.driver
+	d.planners, d.serving = map[string]*wave.Planner{}, map[string]map[string]uint64{
+		"m0": {"i-0": 8, "i-1": 8, "i-2": 8, "i-3": 7}, "m1": {"i-0": 9, "i-1": 9, "i-2": 8, "i-3": 10}}
+	for model, target := range map[string]uint64{"m0": 9, "m1": 11} {
+		d.planners[model] = wave.New(wave.Config{})
+		d.planners[model].Release(0, wave.Version{Name: "newest", Number: target})
+	}
+	for _, one := range []queued{{"m0", wave.Order{Replica: "i-0"}}, {"m0", wave.Order{Replica: "i-3"}},
+		{"m1", wave.Order{Replica: "i-3"}}, {"m1", wave.Order{Replica: "i-1"}}, {"m1", wave.Order{Replica: "i-2"}}} {
+		one.order.Version = d.planners[one.model].Target()
+		d.queue = append(d.queue, one)
+	}
+	d.arrange()
+	var got []string
+	for _, one := range d.queue {
+		got = append(got, one.model+" "+one.order.Replica)
+	}
+	if want := []string{"m1 i-1", "m1 i-2", "m0 i-3", "m0 i-0", "m1 i-3"}; !slices.Equal(got, want) {
+		t.Fatalf("%v, want %v", got, want)
+	}
+}
