--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,6 +43,9 @@
 	// ConnectionShare is the part of a pool's max_connections that this process may use, as a divisor.
 	ConnectionShare int
 	Routing         routing.Settings
+	// StartWait is how long after the start requests may wait for the first lease, see AwaitStart. Default 0:
+	// they are refused at once.
+	StartWait time.Duration
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 	// Seed of the random choices; 0: any.
@@ -51,10 +54,11 @@
 
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
-	config Config
-	start  time.Time
-	nextID atomic.Uint64
-	plan   atomic.Pointer[plan]
+	config  Config
+	start   time.Time
+	started atomic.Bool // there was a lease on a configuration
+	nextID  atomic.Uint64
+	plan    atomic.Pointer[plan]
 
 	mu     sync.Mutex
 	pools  map[string]*pool // guarded by mu
@@ -127,6 +131,9 @@
 		return false
 	}
 	_, ok := f.config.Control.Admit()
+	if ok && !f.started.Load() {
+		f.started.Store(true)
+	}
 	return ok
 }
 
