control, controlclient: a node that knows no leader turns sessions away

Cause: a process that looks for a leader asked each control node that knew none for three renewals (570 ms), also an empty one that waits to be taken in and can't know. Change: such a node answers that it knows no leader, and the process asks the next one, with its growing wait of at least 50 ms (an election takes some hundred milliseconds, and every process asks). A node that leads but can't confirm it stays silent as before.

--- a/internal/control/granting.go
+++ b/internal/control/granting.go
@@ -99,14 +99,19 @@
 	return after.Term, true
 }
 
-// redirect tells holders which node leads, if that is another one and known.
+// redirect tells holders which other node leads, or that none is known: they find the next leader sooner by
+// asking around than by waiting here, where it may never be heard of.
 func (s *Server) redirect(ctx context.Context, batch []renewal) {
 	address := s.otherLeader(ctx, controlGroup)
-	if address == "" {
+	if address == "" && s.leading() {
 		return
 	}
 	for _, waiting := range batch {
-		waiting.session.redirectTo(address)
+		if address == "" {
+			waiting.session.turnAway()
+		} else {
+			waiting.session.redirectTo(address)
+		}
 	}
 }
 
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -32,6 +32,7 @@
 	answer      uint64 // sequence of the newest renewal to answer; 0 for none
 	granted     bool   // whether answer is a grant
 	redirect    string // leader's address, to be told once
+	turnedAway  bool   // no leader is known; to be told once
 	sentTable   uint64 // table version that the holder has or was sent
 	sentMembers uint64 // members version that it has or was sent
 }
@@ -115,6 +116,14 @@
 	s.wakeUp()
 }
 
+// turnAway tells the holder that this node knows no leader.
+func (s *session) turnAway() {
+	s.mutex.Lock()
+	s.turnedAway = true
+	s.mutex.Unlock()
+	s.wakeUp()
+}
+
 func (s *session) wakeUp() {
 	select {
 	case s.wake <- struct{}{}:
@@ -150,9 +159,9 @@
 func (s *session) due() *wire.SessionReply {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.redirect != "" {
-		reply := &wire.SessionReply{LeaderAddress: s.redirect}
-		s.answer, s.redirect = 0, ""
+	if s.redirect != "" || s.turnedAway {
+		reply := &wire.SessionReply{LeaderAddress: s.redirect, LeaderUnknown: s.redirect == ""}
+		s.answer, s.redirect, s.turnedAway = 0, "", false
 		return reply
 	}
 	reply := &wire.SessionReply{}
--- a/internal/controlclient/fake_test.go
+++ b/internal/controlclient/fake_test.go
@@ -18,9 +18,27 @@
 	wire.DRPCControlUnimplementedServer
 	address string
 	answer  func(*wire.ExecuteRequest) *wire.ExecuteReply // nil reply: silence
+	renew   func(*wire.SessionRequest) *wire.SessionReply
 
-	mutex sync.Mutex
-	seen  []*wire.ExecuteRequest
+	mutex    sync.Mutex
+	seen     []*wire.ExecuteRequest
+	renewals int
+}
+
+// Session implements wire.DRPCControlServer.
+func (n *fakeNode) Session(stream wire.DRPCControl_SessionStream) error {
+	for {
+		request, err := stream.Recv()
+		if err != nil {
+			return nil
+		}
+		n.mutex.Lock()
+		n.renewals++
+		n.mutex.Unlock()
+		if err := stream.Send(n.renew(request)); err != nil {
+			return err
+		}
+	}
 }
 
 func startFake(t *testing.T, answer func(*wire.ExecuteRequest) *wire.ExecuteReply) *fakeNode {
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -22,10 +23,16 @@
 	silenceFraction = 3
 	// firstRenewal is the renewal interval before the lease's duration is known.
 	firstRenewal = 200 * time.Millisecond
+	// leaderlessBackoff is the least wait after a node that knows no leader: an election takes some hundred
+	// milliseconds, and every process asks.
+	leaderlessBackoff = 50 * time.Millisecond
 	// sentMemory is the number of renewals whose send time is remembered.
 	sentMemory = 64
 )
 
+// errLeaderUnknown ends an attachment to a node that knows no leader.
+var errLeaderUnknown = errors.New("controlclient: the control node knows no leader")
+
 // attachment is one stream to one control node.
 type attachment struct {
 	session  *Session
@@ -63,6 +70,9 @@
 			wait.reset()
 			s.logLoss(address, err)
 		}
+		if errors.Is(err, errLeaderUnknown) {
+			wait.atLeast(leaderlessBackoff)
+		}
 		if !wait.sleep(ctx) {
 			return
 		}
@@ -197,6 +207,9 @@
 	if reply.LeaderAddress != "" && !reply.Granted {
 		return false, true, nil
 	}
+	if reply.LeaderUnknown {
+		return false, true, errLeaderUnknown
+	}
 	if a.leaveAt != 0 && reply.Sequence >= a.leaveAt {
 		s.leaveOnce.Do(func() { close(s.leaving) })
 		return false, true, nil
