--- a/internal/memlimit/memlimit.go
+++ b/internal/memlimit/memlimit.go
@@ -8,8 +8,9 @@
 
 const (
 	// heapShare is the part of the limit, in per cent, that the Go runtime stays below as long as it can by
-	// collecting more often. The rest is left to what it does not count: mapped pages and the system's buffers.
-	heapShare = 70
+	// collecting more often. The rest is left to what it does not count: mapped files and the system's buffers. A
+	// lower share would have a full process collect without end.
+	heapShare = 60
 	// collectPercent is the heap growth, in per cent, after which it is collected where memory is limited. Go's
 	// own 100 doubles what is held; collecting more often costs processor time.
 	collectPercent = 25
--- a/internal/memlimit/memlimit_test.go
+++ b/internal/memlimit/memlimit_test.go
@@ -19,9 +19,9 @@
 		want  Settings
 	}{
 		"no limit known":      {0, nil, Settings{}},
-		"a small machine":     {280 << 20, nil, Settings{HeapBytes: 280 << 20 / 100 * heapShare, CollectPercent: collectPercent}},
-		"an operator's own":   {280 << 20, []string{"GOGC", "GOMEMLIMIT"}, Settings{}},
-		"only the growth set": {100, []string{"GOGC"}, Settings{HeapBytes: heapShare}},
+		"a small machine":     {200, nil, Settings{HeapBytes: 2 * heapShare, CollectPercent: collectPercent}},
+		"an operator's own":   {200, []string{"GOGC", "GOMEMLIMIT"}, Settings{}},
+		"only the growth set": {200, []string{"GOGC"}, Settings{HeapBytes: 2 * heapShare}},
 	} {
 		if got := For(want.limit, set(want.set...)); got != want.want {
 			t.Errorf("%s: %+v", name, got)
--- a/internal/storage/fuzz_test.go
+++ b/internal/storage/fuzz_test.go
@@ -15,11 +15,11 @@
 	key := entryKey(3, 17)
 	f.Add(encodeEntry(key, raft.Entry{Index: 17, Term: 4, Data: []byte("command")}))
 	f.Add(seal(key, encodeHardState(raft.HardState{Term: 4, Vote: 2, Commit: 16})))
-	snapshot, err := encodeSnapshot(raft.Snapshot{Index: 9, Term: 2, Configuration: raft.Configuration{Voters: []uint64{1, 2}, Learners: []uint64{3}}, Data: []byte("state")})
+	snapshot, err := encodeSnapshot(key, raft.Snapshot{Index: 9, Term: 2, Configuration: raft.Configuration{Voters: []uint64{1, 2}, Learners: []uint64{3}}, Data: []byte("state")})
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(seal(key, snapshot))
+	f.Add(snapshot)
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, record []byte) {
 		entry, err := decodeEntry("entry", key, record)
@@ -30,7 +30,7 @@
 			t.Fatalf("a hard state of %d bytes was taken", len(record))
 		}
 		if state, err := decodeSnapshot("snapshot", record); err == nil {
-			if _, err := encodeSnapshot(state); err != nil {
+			if _, err := encodeSnapshot(key, state); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -91,8 +91,10 @@
 	}, nil
 }
 
-func encodeSnapshot(snapshot raft.Snapshot) ([]byte, error) {
-	return proto.Marshal(&wire.RaftSnapshot{
+// encodeSnapshot returns the sealed record of a snapshot. It is made in one buffer: a snapshot may be a large part
+// of a node's memory.
+func encodeSnapshot(key []byte, snapshot raft.Snapshot) ([]byte, error) {
+	message := &wire.RaftSnapshot{
 		Index: snapshot.Index,
 		Term:  snapshot.Term,
 		Configuration: &wire.RaftConfiguration{
@@ -100,7 +102,14 @@
 			Learners: snapshot.Configuration.Learners,
 		},
 		Data: snapshot.Data,
-	})
+	}
+	record := make([]byte, checksumBytes, checksumBytes+proto.Size(message))
+	record, err := proto.MarshalOptions{}.MarshalAppend(record, message)
+	if err != nil {
+		return nil, err
+	}
+	binary.BigEndian.PutUint64(record, checksum(key, record[checksumBytes:]))
+	return record, nil
 }
 
 func decodeSnapshot(name string, payload []byte) (raft.Snapshot, error) {
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -362,7 +362,7 @@
 	options := testOptions(t.TempDir())
 	store := mustOpen(t, options)
 	want := raft.Snapshot{Index: 5, Term: 2, Data: []byte("old state")}
-	payload, err := encodeSnapshot(want)
+	record, err := encodeSnapshot(groupKey(4), want)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -370,7 +370,7 @@
 		if err := tx.Bucket(bucketMeta).Put(keyFormat, []byte{0, 0, 0, 1}); err != nil {
 			return err
 		}
-		return tx.Bucket(bucketSnapshots).Put(groupKey(4), payload) // format 1: no checksum
+		return tx.Bucket(bucketSnapshots).Put(groupKey(4), record[checksumBytes:]) // format 1: no checksum
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/storage/write.go
+++ b/internal/storage/write.go
@@ -113,12 +113,12 @@
 }
 
 func putSnapshot(tx *bbolt.Tx, group uint32, snapshot *raft.Snapshot) error {
-	payload, err := encodeSnapshot(*snapshot)
+	key := groupKey(group)
+	record, err := encodeSnapshot(key, *snapshot)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	key := groupKey(group)
-	return tx.Bucket(bucketSnapshots).Put(key, seal(key, payload))
+	return tx.Bucket(bucketSnapshots).Put(key, record)
 }
 
 func putEntries(tx *bbolt.Tx, group uint32, entries []raft.Entry) error {
