status: show coordinators the operator's token

Cause: a coordinator with guards refused the status command and the page, which sent no token to it; its trainers were shown as 'no answer'. Seen by reading the code. Change: the fleet's reader shows the token of its control client to coordinators, never to back ends. Figures: the new test fails without the header (the coordinator's question comes without a token). Conclusion: status and page work where tokens are asked for.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -146,6 +146,15 @@
 	return reply.View.GetStatus(), nil
 }
 
+// Authorization returns the value of the HTTP header that proves this client's owner to other processes of ours,
+// or "" when its credentials have none.
+func (c *Client) Authorization() string {
+	if shown, ok := c.config.Credentials.(interface{ Authorization() string }); ok {
+		return shown.Authorization()
+	}
+	return ""
+}
+
 // Addresses returns the control nodes known so far.
 func (c *Client) Addresses() []string {
 	c.mutex.Lock()
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -111,10 +111,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return readFleet(sheet, members), nil
+	return readFleet(sheet, members, authorizationOf(control)), nil
 }
 
-func readFleet(sheet *Sheet, members []*wire.Member) *Fleet {
+// authorizationOf is what the caller shows to coordinators; back ends never see it.
+func authorizationOf(control Control) string {
+	if shown, ok := control.(interface{ Authorization() string }); ok {
+		return shown.Authorization()
+	}
+	return ""
+}
+
+func readFleet(sheet *Sheet, members []*wire.Member, authorization string) *Fleet {
 	asker := newAsker()
 	fleet := &Fleet{Pools: []PoolStatus{}, Coordinators: []CoordinatorStatus{}, Trainers: []TrainerStatus{}}
 	for _, row := range sheet.Rows {
@@ -127,7 +135,7 @@
 	}
 	for _, member := range members {
 		if member.Role == wire.MemberRole_MEMBER_ROLE_COORDINATOR && member.State != wire.MemberState_MEMBER_STATE_GONE {
-			fleet.askCoordinator(asker, member)
+			fleet.askCoordinator(asker, member, authorization)
 		}
 	}
 	asker.wait()
@@ -152,19 +160,26 @@
 func (a *asker) wait() { a.routines.Wait() }
 
 // ask reads the JSON at an address into answer, then hands over whether that worked.
-func (a *asker) ask(address, path string, answer any, done func(error)) {
+func (a *asker) ask(address, path, authorization string, answer any, done func(error)) {
 	a.routines.Go(func() {
 		a.slots <- struct{}{}
 		defer func() { <-a.slots }()
-		err := a.read("http://"+address+path, answer)
+		err := a.read("http://"+address+path, authorization, answer)
 		a.mutex.Lock()
 		defer a.mutex.Unlock()
 		done(err)
 	})
 }
 
-func (a *asker) read(address string, answer any) error {
-	response, err := a.client.Get(address)
+func (a *asker) read(address, authorization string, answer any) error {
+	request, err := http.NewRequest(http.MethodGet, address, nil)
+	if err != nil {
+		return err
+	}
+	if authorization != "" {
+		request.Header.Set("Authorization", authorization)
+	}
+	response, err := a.client.Do(request)
 	if err != nil {
 		return err
 	}
@@ -187,7 +202,7 @@
 	}
 	asker.mutex.Unlock()
 	report := &loadReport{}
-	asker.ask(row.Cells[table.ColumnAddress].Value, loadPath, report, func(err error) {
+	asker.ask(row.Cells[table.ColumnAddress].Value, loadPath, "", report, func(err error) {
 		if err != nil {
 			pool.Unreachable = append(pool.Unreachable, row.Name)
 			return
@@ -218,9 +233,9 @@
 	p.Versions = append(p.Versions, VersionCount{Version: report.WeightVersion, Number: report.VersionNumber, Replicas: 1})
 }
 
-func (f *Fleet) askCoordinator(asker *asker, member *wire.Member) {
+func (f *Fleet) askCoordinator(asker *asker, member *wire.Member, authorization string) {
 	report := &coordinatorReport{}
-	asker.ask(member.Address, statsPath, report, func(err error) {
+	asker.ask(member.Address, statsPath, authorization, report, func(err error) {
 		if err != nil {
 			*report = coordinatorReport{CoordinatorStatus: CoordinatorStatus{Error: err.Error()}}
 		}
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -55,7 +55,7 @@
 		{Name: "c0", Role: wire.MemberRole_MEMBER_ROLE_COORDINATOR, Address: coordinator, State: wire.MemberState_MEMBER_STATE_GONE},
 		{Name: "g1", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Address: coordinator},
 	}
-	fleet := readFleet(sheet, members)
+	fleet := readFleet(sheet, members, "")
 	want := []PoolStatus{{Pool: "copy", Backends: 5, Running: 7, Draining: []string{"e1"}, Unreachable: []string{"e4", "e5"},
 		Versions: []VersionCount{{Version: "v2", Number: 2, Replicas: 2}, {Version: "v1", Number: 1, Replicas: 1}}}}
 	if !reflect.DeepEqual(fleet.Pools, want) {
@@ -75,3 +75,23 @@
 		}
 	}
 }
+
+// TestOnlyCoordinatorsSeeTheToken: a coordinator that asks for a token shows its account, a back end gets none.
+func TestOnlyCoordinatorsSeeTheToken(t *testing.T) {
+	const authorization = "Bearer operator"
+	shown := make(chan string, 2)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		shown <- request.URL.Path + " " + request.Header.Get("Authorization")
+		fmt.Fprint(writer, "{}")
+	}))
+	t.Cleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	sheet := NewSheet(&wire.TableUpdate{ToVersion: 1, Rows: []*wire.TableRow{
+		sheetRow("copy", "kind", "pool"), sheetRow("e0", "kind", "backend", "pool", "copy", "address", address)}})
+	members := []*wire.Member{{Name: "c0", Role: wire.MemberRole_MEMBER_ROLE_COORDINATOR, Address: address}}
+	readFleet(sheet, members, authorization)
+	got := map[string]bool{<-shown: true, <-shown: true}
+	if !got[statsPath+" "+authorization] || !got[loadPath+" "] {
+		t.Errorf("shown %v", got)
+	}
+}
