consensus: a hung dial ends when the peer is heard from

Cause: after a loss of power the machines come back within some 0.1 s of each other. The first packet of a connection to a machine that has no power yet is lost and sent again after a second; the sender waited for it (dial timeout 1 s) even when the peer had connected to it meanwhile, because it looks at what it hears only between attempts. Change: an attempt to dial ends when the peer is heard from, and the next one begins at once. Test: TestDialOfANodeThatStartsLater; without the change no leader is elected in 20 s.

--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -217,3 +219,25 @@
 	})
 	c.commit(0, "under the new leader")
 }
+
+// TestDialOfANodeThatStartsLater: no first attempt of a node to connect to one with a higher number ever ends by
+// itself, as when that one's machine had no power yet. They elect a leader all the same, once they hear each other.
+func TestDialOfANodeThatStartsLater(t *testing.T) {
+	c := newCluster(t, 3, func(config *Config) {
+		dial, hung := config.Dial, map[uint64]bool{}
+		var mutex sync.Mutex
+		config.Dial = func(ctx context.Context, peer Peer) (net.Conn, error) {
+			mutex.Lock()
+			hangs := peer.ID > config.NodeID && !hung[peer.ID]
+			hung[peer.ID] = true
+			mutex.Unlock()
+			if hangs {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return dial(ctx, peer)
+		}
+	})
+	c.commit(0, "first")
+	c.commit(1, "first")
+}
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -94,7 +95,7 @@
 	if len(addresses) == 0 {
 		return false, errors.New("no address is known")
 	}
-	connection, err := s.host.config.Dial(ctx, Peer{ID: s.node, Address: addresses[attempt%len(addresses)]})
+	connection, err := s.dial(ctx, Peer{ID: s.node, Address: addresses[attempt%len(addresses)]})
 	if err != nil {
 		return false, err
 	}
@@ -120,6 +121,34 @@
 	return true, s.pump(ctx, stream)
 }
 
+// dial connects to the node. An attempt under way ends when the node is heard from, and another one begins: a
+// machine without power does not answer the first packet, and it is sent again no sooner than after a second.
+func (s *sender) dial(ctx context.Context, peer Peer) (net.Conn, error) {
+	for {
+		attempt, cancel := context.WithCancelCause(ctx)
+		done, watched := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(watched)
+			select {
+			case <-s.wake:
+				cancel(errHeard)
+			case <-done:
+			}
+		}()
+		connection, err := s.host.config.Dial(attempt, peer)
+		close(done)
+		<-watched
+		heard := errors.Is(context.Cause(attempt), errHeard)
+		cancel(nil)
+		if err == nil || !heard {
+			return connection, err
+		}
+	}
+}
+
+// errHeard ends an attempt to dial.
+var errHeard = errors.New("the node was heard from")
+
 // watch returns why the other side ended the stream.
 func watch(stream drpc.Stream) error {
 	err := stream.MsgRecv(&wire.RaftAcknowledgement{}, protoEncoding{})
