batch: a partial text names by its sum the text that it follows

Cause: a checkpoint followed the held text when length and last event id agreed. A leader that was deposed and leads again can still have a checkpoint of its earlier tenure on its way (proposals are not bound to a term), and two runs of an item often agree in both: the text would join pieces of two runs, under the versions of one.

Change: JobPartial carries the XXH64 of the text before its data; the store passes over one that follows another text. What is held is then always the text of one run as its runner had it.

Before: the new line of TestPartialTextsGoOnWhereTheyEnd holds "c\nb" of two runs; after: "c". go test ./internal/batch ./internal/batchrun/...: ok.

--- a/internal/batch/partial.go
+++ b/internal/batch/partial.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
@@ -21,12 +22,17 @@
 	return nil
 }
 
+// TextSum identifies a text that a partial text follows. Length and last event are not enough: runs of one item
+// that different leaders began may have both in common.
+func TextSum(text []byte) uint64 { return xxhash.Sum64(text) }
+
 // extend takes a partial text that begins anew or goes on where the held one ends.
 func (s *Store) extend(j *job, partial *wire.JobPartial) {
 	held := j.partials[partial.GetItem()]
 	whole := partial.GetData()
 	if partial.GetLength() > 0 {
-		if uint64(len(held.GetData())) != partial.GetLength() || held.GetNextLastId() != partial.GetLastId() {
+		same := uint64(len(held.GetData())) == partial.GetLength() && held.GetNextLastId() == partial.GetLastId()
+		if !same || TextSum(held.GetData()) != partial.GetFollows() {
 			return
 		}
 		whole = slices.Concat(held.GetData(), partial.GetData())
--- a/internal/batch/store_test.go
+++ b/internal/batch/store_test.go
@@ -28,11 +28,12 @@
 	return &wire.JobStore{NowUnixMillis: 2000, Jobs: []*wire.JobResults{{Job: job, Results: results}}}
 }
 
-// partial goes on after length bytes of events of one byte each.
-func partial(item string, length uint64, data string) *wire.JobPartial {
-	events := (length+1)/2 + uint64(len(data)+1)/2
-	return &wire.JobPartial{Item: item, Length: length, LastId: int64(length+1)/2 - 1, Data: []byte(data),
-		Events: events, NextLastId: int64(events) - 1, Dense: true, Versions: []uint64{3}}
+// partial goes on after a text of events of one byte each.
+func partial(item, before, data string) *wire.JobPartial {
+	earlier := uint64(len(before)+1) / 2
+	events := earlier + uint64(len(data)+1)/2
+	return &wire.JobPartial{Item: item, Length: uint64(len(before)), LastId: int64(earlier) - 1, Data: []byte(data),
+		Events: events, NextLastId: int64(events) - 1, Dense: true, Versions: []uint64{3}, Follows: TextSum([]byte(before))}
 }
 
 func storedPartial(job string, partials ...*wire.JobPartial) *wire.JobStore {
@@ -48,15 +49,16 @@
 		stored *wire.JobStore
 		want   string
 	}{
-		{storedPartial("a", partial("i0", 1, "\nb")), ""}, // nothing is held that it could follow
-		{storedPartial("a", partial("i0", 0, "a")), "a"},
-		{storedPartial("a", partial("i0", 1, "\nb")), "a\nb"},
-		{storedPartial("a", partial("i0", 1, "\nb")), "a\nb"}, // repeated
-		{storedPartial("a", partial("i0", 5, "\nd")), "a\nb"}, // one is missing
-		{storedPartial("a", partial("i0", 0, "c")), "c"},      // a run from the start
-		{storedPartial("x", partial("i0", 0, "d")), "c"},
+		{storedPartial("a", partial("i0", "a", "\nb")), ""}, // nothing is held that it could follow
+		{storedPartial("a", partial("i0", "", "a")), "a"},
+		{storedPartial("a", partial("i0", "a", "\nb")), "a\nb"},
+		{storedPartial("a", partial("i0", "a", "\nb")), "a\nb"},       // repeated
+		{storedPartial("a", partial("i0", "a\nb\nc", "\nd")), "a\nb"}, // one is missing
+		{storedPartial("a", partial("i0", "", "c")), "c"},             // a run from the start
+		{storedPartial("a", partial("i0", "a", "\nb")), "c"},          // an earlier leader's run, as long so far
+		{storedPartial("x", partial("i0", "", "d")), "c"},
 		{stored("a", completed("i0", "c\nd")), ""},
-		{storedPartial("a", partial("i0", 0, "d")), ""}, // later than the result
+		{storedPartial("a", partial("i0", "", "d")), ""}, // later than the result
 	} {
 		if _, err := store.Store(step.stored); err != nil {
 			t.Fatal(err)
@@ -72,7 +74,7 @@
 	if want := held + proto.Size(completed("i0", "c\nd")); store.held != want {
 		t.Fatalf("%d bytes are held, want %d", store.held, want)
 	}
-	if _, err := store.Store(storedPartial("a", partial("i1", 0, ""))); err == nil {
+	if _, err := store.Store(storedPartial("a", partial("i1", "", ""))); err == nil {
 		t.Fatal("an empty text was taken")
 	}
 }
@@ -210,7 +212,7 @@
 	case 3:
 		_, err = c.store.End(&wire.JobEnd{Job: id, NowUnixMillis: int64(step)})
 	case 4:
-		_, err = c.store.Store(storedPartial(id, partial(item, uint64(rapid.IntRange(0, 1).Draw(t, "length")), "x")))
+		_, err = c.store.Store(storedPartial(id, partial(item, rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "before"), "x")))
 	}
 	if err != nil {
 		t.Fatal(err)
--- a/internal/batchrun/checkpoint.go
+++ b/internal/batchrun/checkpoint.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -30,7 +31,7 @@
 		NextLastId: t.lastID, Dense: t.dense, Versions: slices.Clone(t.versions),
 	}
 	if t.committed > 0 {
-		partial.LastId = t.committedID
+		partial.LastId, partial.Follows = t.committedID, batch.TextSum(t.data[:t.committed])
 	}
 	t.committed, t.committedID = len(t.data), t.lastID
 	return partial
