batchrun: the texts kept of ended jobs are bounded in bytes

Cause: a leader keeps what the items of ended jobs brought for a job that carries them again, at most 4096 texts of up to 1 MiB each: 4 GiB. Change: at most 16 MiB of texts and bodies, all dropped above that as above the count.

Before: TestKeptTextsAreBoundedInBytes keeps bytes and goes on; after: ok. go test ./internal/batchrun: ok.

--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -8,13 +8,18 @@
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// maximumKept bounds the texts that are kept of ended jobs; above it all are dropped.
-const maximumKept = 4096
+// Bounds of the texts that are kept of ended jobs: a count, and the bytes of the texts with their items' bodies.
+// Above either all are dropped.
+const (
+	maximumKept      = 4096
+	maximumKeptBytes = 16 << 20
+)
 
 // keptTexts holds what the items of ended jobs have brought, by item id, for a later job that carries the same
 // items again. Only the runner's loop touches it.
 type keptTexts struct {
 	texts map[string]keptText
+	bytes int
 }
 
 type keptText struct {
@@ -22,17 +27,30 @@
 	text *text
 }
 
+func (k *keptText) size() int { return len(k.item.GetBody()) + len(k.text.data) }
+
 func newKeptTexts() *keptTexts { return &keptTexts{texts: map[string]keptText{}} }
 
 func (k *keptTexts) keep(item *wire.JobItem, held *text) {
 	if held == nil || held.events == 0 {
 		return
 	}
-	if len(k.texts) >= maximumKept {
+	entry := keptText{item: item, text: held}
+	k.drop(item.GetId())
+	if len(k.texts) >= maximumKept || k.bytes+entry.size() > maximumKeptBytes {
 		clear(k.texts)
+		k.bytes = 0
 	}
 	held.committed = 0 // for its own job only
-	k.texts[item.GetId()] = keptText{item: item, text: held}
+	k.texts[item.GetId()] = entry
+	k.bytes += entry.size()
+}
+
+func (k *keptTexts) drop(id string) {
+	if held, ok := k.texts[id]; ok {
+		k.bytes -= held.size()
+		delete(k.texts, id)
+	}
 }
 
 // take hands over the text of the same item; nil if none is kept.
@@ -41,7 +59,7 @@
 	if !ok || !sameItem(kept.item, item) {
 		return nil
 	}
-	delete(k.texts, item.GetId())
+	k.drop(item.GetId())
 	return kept.text
 }
 
