member: a learner becomes a voter only where it has a place

Cause: a candidate was added as a learner for a silent voter's place and then promoted whatever had become of that voter. One that was heard again in between left the group with size+1 voters until some voter fell silent: an even number, whose quorum is larger and which bears no more losses.

Change: the place is looked for again before the promotion; the learner waits otherwise.

--- a/internal/member/voters.go
+++ b/internal/member/voters.go
@@ -36,9 +36,10 @@
 
 // NextGroupChange returns the next step towards a group with size voters that all answer. A candidate takes the
 // place of the voter whose address it has, for nobody else listens there any more, or else of the voter
-// unheard for longest, at least for patience; one that leaves counts as unheard for patience. It becomes a learner, then a voter; only then the replaced one
-// goes, so that a majority of voters that hold everything stands at each step. A silent voter without
-// a candidate for its place stays.
+// unheard for longest, at least for patience; one that leaves counts as unheard for patience. It becomes a
+// learner, then a voter; only then the replaced one goes, so that a majority of voters that hold everything stands
+// at each step. A silent voter without a candidate for its place stays. A learner whose place was taken back by its
+// voter waits as a learner: an even number of voters bears no more losses, and needs one more of them.
 func NextGroupChange(group Group, size int, patience time.Duration) GroupChange {
 	if len(group.Voters) > size {
 		if replaced, found := replaceable(group.Voters, group.Voters, patience); found {
@@ -51,23 +52,26 @@
 			return GroupChange{RemoveNode, learner.ID}
 		}
 	}
-	for _, learner := range group.Learners {
-		if listed(group.Candidates, learner.ID) {
-			return GroupChange{PromoteLearner, learner.ID}
+	for _, candidate := range group.Candidates {
+		if listed(group.Learners, candidate.ID) && hasPlace(group.Voters, candidate, size, patience) {
+			return GroupChange{PromoteLearner, candidate.ID}
 		}
 	}
 	for _, candidate := range group.Candidates {
-		if listed(group.Voters, candidate.ID) {
-			continue
-		}
-		_, found := replaceable(group.Voters, []GroupNode{candidate}, patience)
-		if found || len(group.Voters) < size {
+		known := listed(group.Voters, candidate.ID) || listed(group.Learners, candidate.ID)
+		if !known && hasPlace(group.Voters, candidate, size, patience) {
 			return GroupChange{AddLearner, candidate.ID}
 		}
 	}
 	return GroupChange{}
 }
 
+// hasPlace reports whether a candidate may become a voter: one is missing, or there is one that it replaces.
+func hasPlace(voters []GroupNode, candidate GroupNode, size int, patience time.Duration) bool {
+	_, found := replaceable(voters, []GroupNode{candidate}, patience)
+	return found || len(voters) < size
+}
+
 // replaceable returns the voter that one of successors replaces.
 func replaceable(voters, successors []GroupNode, patience time.Duration) (GroupNode, bool) {
 	var longest GroupNode
