--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -79,7 +79,7 @@
 	takeover takeover
 	planners map[string]*wave.Planner
 	queue    []queued
-	busy     map[string]bool              // replicas with an order on its way
+	busy     map[string]string            // the model of the order on its way, by replica
 	loaded   map[served]uint64            // versions that orders of this leader brought
 	serving  map[string]map[string]uint64 // by model and replica, as far as is known
 }
@@ -122,7 +122,7 @@
 		config.Log = logging.Discard()
 	}
 	return &Driver{config: config, kick: make(chan struct{}, 1), done: make(chan loaded, config.LoadsTogether),
-		heard: map[string][]registry.ModelVersion{}, busy: map[string]bool{}, loaded: map[served]uint64{}}, nil
+		heard: map[string][]registry.ModelVersion{}, busy: map[string]string{}, loaded: map[served]uint64{}}, nil
 }
 
 // Heard notes what a replica serves. It is the registry's listener.
@@ -257,24 +257,32 @@
 	}
 }
 
-// send starts the queued orders that have a place.
+// send starts queued orders while there are places.
 func (d *Driver) send(ctx context.Context) {
 	view := d.config.View()
+	for d.sendNext(ctx, view) {
+	}
+}
+
+// sendNext starts the first queued order that has a place, and reports whether there was one.
+func (d *Driver) sendNext(ctx context.Context, view *table.View) bool {
 	d.arrange()
-	waiting := d.queue[:0]
+	waiting, started := d.queue[:0], false
 	for _, next := range d.queue {
 		planner := d.planners[next.model]
 		row := view.Row(next.order.Replica)
 		switch {
 		case row == nil || row.State != table.Active || planner.Target().Number != next.order.Version.Number:
 			planner.Answered(d.config.Clock(), next.order.ID, wave.Answer{Outcome: wave.Failed})
-		case len(d.busy) >= d.config.LoadsTogether || d.busy[row.Name]:
+		case started || len(d.busy) >= d.config.LoadsTogether || d.busy[row.Name] != "":
 			waiting = append(waiting, next)
 		default:
 			d.start(ctx, next, row)
+			started = true
 		}
 	}
 	d.queue = waiting
+	return started
 }
 
 // ended takes the end of an order; of one that was sent under an earlier token only the place counts.
--- a/internal/weights/load.go
+++ b/internal/weights/load.go
@@ -40,7 +40,7 @@
 }
 
 func (d *Driver) start(ctx context.Context, next queued, row *table.Row) {
-	d.busy[row.Name] = true
+	d.busy[row.Name] = next.model
 	order := Order{Model: next.model, Number: next.order.Version.Number, Fence: d.token}
 	order.Instance, order.Address = row.Name, row.Address
 	d.orders.Go(func() {
