batchrun: long answers leave replicas that are a third slower

Cause: a step ends with its longest answers, 5 s to 6 s after they began. Change: runs move to a replica with room that is 1.25 times as fast. A move costs a connection and reading the prompt again; a full replica is about 1.1 times slower than an idle one and keeps its runs.

--- a/internal/batchrun/schedule/schedule_test.go
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -198,6 +198,26 @@
 	}
 }
 
+// TestLongAnswersLeaveReplicasThatAreAThirdSlower: a step ends with its longest answers, and these gain most.
+func TestLongAnswersLeaveReplicasThatAreAThirdSlower(t *testing.T) {
+	for slow, want := range map[time.Duration]int{12 * time.Millisecond: 0, 13 * time.Millisecond: 1} {
+		s := newScheduler(2, 2)
+		open(s, Job{ID: "j"}, "a:1", "b:1")
+		for _, start := range s.Starts(0) {
+			pause := 10 * time.Millisecond
+			if start.Instance == "r2" {
+				pause = slow
+			}
+			for number := range 60 {
+				s.Progress(start.Key, 1+number, time.Duration(number)*pause, 1)
+			}
+		}
+		if moved := s.Slow(second); len(moved) != want {
+			t.Errorf("at %s an event %v moved", slow, moved)
+		}
+	}
+}
+
 func TestWaitingItemsExpire(t *testing.T) {
 	s := newScheduler(1, 1)
 	open(s, Job{ID: "j", GiveUp: 3 * second}, "a:1", "b:1")
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -108,7 +108,7 @@
 	DefaultVersionPause     = 200 * time.Millisecond
 	DefaultRetryPause       = 50 * time.Millisecond
 	DefaultSlownessCost     = 2
-	DefaultMoveRatio        = 1.8
+	DefaultMoveRatio        = 1.25
 	DefaultMovePause        = 600 * time.Millisecond
 	DefaultAffinityBonus    = 0.25
 )
