registry: a node that is cut off acknowledges no heartbeat

Cause: a control node that does not lead passed heartbeats to the leader, and where that failed it answered those that say nothing new from its own view of the table. Change: a heartbeat that says nothing new is acknowledged only if the leader heard it; else the replica calls the next node, as it does after a failure. Test: TestHeartbeatThatTheLeaderDidNotHearIsRefused, which fails without it.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -128,6 +128,29 @@
 	}
 }
 
+// TestHeartbeatThatTheLeaderDidNotHearIsRefused: a node that is cut off acknowledges none, also if it says nothing
+// new, so that the replica goes to another node; one that reaches the leader acknowledges it.
+func TestHeartbeatThatTheLeaderDidNotHearIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.send(t, replica(0, 1))
+	f.leading, f.control.cut = false, true
+	reached := false
+	f.service.config.Relay = func(context.Context, *Registration) error {
+		if reached {
+			return nil
+		}
+		return trace.ConnectionProblem(nil, "cut off")
+	}
+	heartbeat := replica(0, 2)
+	for _, take := range []func(context.Context, *Registration) error{f.service.Heartbeat, f.service.TakeHere} {
+		if err := take(t.Context(), &heartbeat); err == nil || trace.IsBadParameter(err) {
+			t.Fatalf("acknowledged without the leader: %v", err)
+		}
+	}
+	reached = true
+	f.send(t, heartbeat)
+}
+
 // TestSilenceTakesOut: a replica that says nothing goes and comes back with its next heartbeat; one that says
 // it late does not.
 func TestSilenceTakesOut(t *testing.T) {
--- a/internal/registry/service.go
+++ b/internal/registry/service.go
@@ -86,13 +86,20 @@
 	return s.TakeHere(ctx, heartbeat)
 }
 
+// errNotHeard refuses a heartbeat that says nothing new and that the leader did not get: were it acknowledged, a
+// replica would stay with a node that is cut off, and the leader would take it out as silent.
+var errNotHeard = trace.ConnectionProblem(nil, "the leader did not hear the heartbeat")
+
 // TakeHere is Heartbeat without a relay to the leader.
 func (s *Service) TakeHere(ctx context.Context, heartbeat *Registration) error {
 	if err := heartbeat.Check(); err != nil {
 		return err
 	}
-	s.noteHeard(heartbeat)
+	heard := s.noteHeard(heartbeat)
 	if view := s.config.View(); view != nil && Judge(view.Row(heartbeat.Instance), heartbeat) != Changed {
+		if !heard {
+			return errNotHeard
+		}
 		return nil
 	}
 	return s.commit(ctx, func(view *table.View) *wire.TableChange {
@@ -134,9 +141,10 @@
 	}
 }
 
-func (s *Service) noteHeard(heartbeat *Registration) {
+// noteHeard notes a heartbeat where this process leads, and reports whether it does.
+func (s *Service) noteHeard(heartbeat *Registration) bool {
 	if !s.config.Leading() {
-		return
+		return false
 	}
 	s.mutex.Lock()
 	s.lead().Heard(s.config.Clock(), heartbeat)
@@ -144,6 +152,7 @@
 	if s.heard != nil {
 		s.heard(heartbeat)
 	}
+	return true
 }
 
 // lead returns the tracker of this leadership. The caller holds the mutex.
