forward, batchrun, metrics: the platform's roles show metrics where an address is set

Cause: the front and the batch jobs had no metrics, and the platform's roles no operators' listener.

--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -27,6 +27,7 @@
 type Runner struct {
 	config Config
 	kept   *keptTexts
+	counts *counts
 }
 
 // New returns a runner; Run runs it.
@@ -34,7 +35,7 @@
 	if err := config.setDefaults(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Runner{config: config, kept: newKeptTexts()}, nil
+	return &Runner{config: config, kept: newKeptTexts(), counts: newCounts()}, nil
 }
 
 // Run works whenever the node leads, until ctx ends. No call is under way when it returns.
@@ -73,6 +74,7 @@
 	cancel()
 	tenure.wait()
 	<-committed
+	r.counts.jobs.Set(0)
 	r.config.Log.Infof("no longer running batch jobs in term %d", term)
 }
 
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -131,7 +131,9 @@
 	t.calls[start.Key] = started
 	callContext, cancel := context.WithCancel(ctx)
 	started.cancel = cancel
+	t.runner.counts.running.Inc()
 	t.routines.Go(func() {
+		defer t.runner.counts.running.Dec()
 		defer cancel()
 		t.run(callContext, started)
 		if started.ending == schedule.Completed {
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -197,6 +197,7 @@
 
 // tick looks at what time changes.
 func (t *tenure) tick(ctx context.Context) {
+	t.runner.counts.jobs.Set(float64(len(t.jobs)))
 	now := t.config.Clock()
 	for key, running := range t.calls {
 		events, last, version := running.stream.progress()
@@ -230,6 +231,7 @@
 		return
 	}
 	held.items[key.Item].open = false
+	t.runner.counts.result(result)
 	t.commits.add(key.Job, result)
 }
 
--- a/internal/cli/metrics_page_test.go
+++ b/internal/cli/metrics_page_test.go
@@ -11,11 +11,15 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/tamarindring/tamarindring/internal/batchrun"
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/coordinator"
+	"github.com/tamarindring/tamarindring/internal/forward"
 	"github.com/tamarindring/tamarindring/internal/gateway"
 	"github.com/tamarindring/tamarindring/internal/metrics"
+	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/strictyaml"
+	"github.com/tamarindring/tamarindring/internal/table"
 )
 
 // startGateway runs a gateway under the control node at address.
@@ -72,9 +76,30 @@
 			names[name] = true
 		}
 	}
+	forwarder, err := forward.New(forward.Config{Control: noLease{}, Caller: replica.NewClient(replica.Options{})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	runner, err := batchrun.New(batchrun.Config{Group: control.LedgerGroup(1), Session: noSession{}, Caller: replica.NewClient(replica.Options{})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, collector := range []prometheus.Collector{forwarder.Process().Collector(), runner.Collector()} {
+		for name := range described(collector) {
+			names[name] = true
+		}
+	}
 	return names
 }
 
+type noLease struct{}
+
+func (noLease) Admit() (uint64, bool) { return 0, false }
+
+type noSession struct{}
+
+func (noSession) AdmitView() (*table.View, bool) { return nil, false }
+
 var descName = regexp.MustCompile(`fqName: "([a-z_]+)"`)
 
 func described(collector prometheus.Collector) map[string]bool {
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -10,6 +10,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/memlimit"
+	"github.com/tamarindring/tamarindring/internal/metrics"
 	"github.com/tamarindring/tamarindring/platform"
 )
 
@@ -17,6 +18,7 @@
 type platformRole struct {
 	LogLevel  string `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
 	LogFormat string `long:"log-format" default:"text" description:"Log format: text or json"`
+	adminOptions
 }
 
 type platformControlCommand struct{ platformRole }
@@ -41,7 +43,7 @@
 }
 
 func (r *platformRole) run(environment Environment, arguments []string, role string,
-	serve func(context.Context, *platform.Settings, *logrus.Entry) error) error {
+	serve func(context.Context, *platform.Settings, platform.Show, *logrus.Entry) error) error {
 	if len(arguments) > 0 {
 		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("platform %s takes no arguments, got %q", role, arguments[0])}
 	}
@@ -57,5 +59,11 @@
 	collector := memlimit.Apply(settings.Current().Limits.MemoryBytes())
 	log.Debugf("the heap stays below %d MB, collected at %d%% growth", collector.HeapBytes>>20, collector.CollectPercent)
 	settings.Follow(environment.Context, log)
-	return serve(environment.Context, settings.Current(), log)
+	admin, err := r.adminOptions.open(role, settings.Current().Node, doors{}, log)
+	if err != nil {
+		return err
+	}
+	defer closeAdmin(admin)
+	show := func(process metrics.Process) error { return showAdmin(admin, process) }
+	return serve(environment.Context, settings.Current(), show, log)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -59,6 +59,7 @@
 	started atomic.Bool // there was a lease on a configuration
 	nextID  atomic.Uint64
 	plan    atomic.Pointer[plan]
+	counts  *counts
 
 	mu     sync.Mutex
 	pools  map[string]*pool // guarded by mu
@@ -93,7 +94,7 @@
 	if config.Log == nil {
 		config.Log = logrus.NewEntry(logrus.StandardLogger())
 	}
-	return &Forwarder{config: config, start: config.Now(), pools: map[string]*pool{},
+	return &Forwarder{config: config, counts: newCounts(), start: config.Now(), pools: map[string]*pool{},
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed))}, nil
 }
 
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -54,6 +54,15 @@
 
 // Serve gets the request answered. nil: reply has got a whole answer.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, reply Reply) *Failure {
+	f.counts.inFlight.Inc()
+	defer f.counts.inFlight.Dec()
+	kind, failure := f.serve(ctx, request, reply)
+	f.counts.count(kind, failure, time.Since(request.Received))
+	return failure
+}
+
+// serve also returns the kind of the route, empty for none.
+func (f *Forwarder) serve(ctx context.Context, request *Request, reply Reply) (table.RouteKind, *Failure) {
 	x := &exchange{forwarder: f, request: request, reply: reply, id: f.nextID.Add(1), passed: -1,
 		work: routing.Request{Work: request.Work, Urgent: true}}
 	if x.work.Work <= 0 {
@@ -61,10 +70,10 @@
 	}
 	matched, known := f.Match(request.Host, request.Path)
 	if !known {
-		return notRun(NoConfiguration, 0, nil)
+		return "", notRun(NoConfiguration, 0, nil)
 	}
 	if matched == nil {
-		return notRun(NoRoute, 0, nil)
+		return "", notRun(NoRoute, 0, nil)
 	}
 	x.route = matched
 	limited, cancel := context.WithDeadline(ctx, x.until())
@@ -72,7 +81,7 @@
 	defer x.leavePool()
 	for {
 		if failure, done := x.attempt(limited); done {
-			return x.settle(ctx, failure)
+			return matched.Kind, x.settle(ctx, failure)
 		}
 	}
 }
