batch: mutations of the store, found by a model of what callers were told

Change: seven safety steps can be switched off by tests (as in claim, ledger and release); a rapid history compares the store with what its callers were told, with restores, late parts of runs and one clock far ahead.

--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -32,8 +32,8 @@
 		return nil, trace.Wrap(err)
 	}
 	s.tick(submit.GetSentUnixMillis())
-	if held := s.jobs[submit.GetId()]; held != nil {
-		if !bytes.Equal(held.submit.GetDigest(), submit.GetDigest()) {
+	if held := s.jobs[submit.GetId()]; held != nil && !s.unsafe.TakeTwice {
+		if !bytes.Equal(held.submit.GetDigest(), submit.GetDigest()) && !s.unsafe.ForgetDigest {
 			return reply(wire.JobOutcome_JOB_OUTCOME_OTHER_CONTENT), nil
 		}
 		return reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED), nil
@@ -92,7 +92,7 @@
 	answer := reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
 	for _, results := range command.GetJobs() {
 		held := s.jobs[results.GetJob()]
-		if held == nil || held.ended {
+		if held == nil || held.ended && !s.unsafe.ListAfterEnd {
 			continue
 		}
 		for _, partial := range results.GetPartials() {
@@ -102,7 +102,7 @@
 		}
 		for _, result := range results.GetResults() {
 			known := held.items[result.GetItem()] != nil
-			if known && !held.listed[result.GetItem()] {
+			if known && (!held.listed[result.GetItem()] || s.unsafe.ListTwice) {
 				s.list(held, result)
 				answer.Stored++
 			}
@@ -152,9 +152,12 @@
 		return nil, trace.BadParameter("the retention of jobs must be above 0 ms and at most %d ms", int64(maximumRetention))
 	}
 	now := min(command.GetNowUnixMillis(), s.clock)
+	if s.unsafe.TrustClock {
+		now = command.GetNowUnixMillis()
+	}
 	kept := make([]*job, 0, len(s.order))
 	for _, held := range s.order {
-		expired := held.ended && now-held.submit.GetSentUnixMillis() > int64(command.GetRetentionMillis())
+		expired := (held.ended || s.unsafe.ExpireOpen) && now-held.submit.GetSentUnixMillis() > int64(command.GetRetentionMillis())
 		if !expired {
 			kept = append(kept, held)
 			continue
--- /dev/null
+++ b/internal/batch/history_test.go
@@ -0,0 +1,236 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	historyRetention = 20
+	historySteps     = 80
+	mutationSeeds    = 300 // histories within which each mutation must be found
+)
+
+// expectedJob is what callers were told of a job.
+type expectedJob struct {
+	variant int
+	sent    int64
+	ended   bool
+	results []*wire.JobResult
+}
+
+// run is one leader's run of an item. Runs differ in their texts, but neither in length nor in event ids.
+type run struct {
+	text      []byte
+	committed int
+}
+
+// history plays commands against a store and compares it with what its callers were told. Runs commit their texts
+// in parts that may come late, as those of a leader that was deposed.
+type history struct {
+	store   *Store
+	now     int64
+	jobs    map[string]*expectedJob
+	runs    map[string]*run // by job, item and leader
+	texts   map[string]bool // job, item and a text that a run had
+	late    []*wire.JobStore
+	letters int
+}
+
+func newHistory(unsafe Unsafe) *history {
+	return &history{store: NewUnsafe(unsafe), now: 1000, jobs: map[string]*expectedJob{}, runs: map[string]*run{}, texts: map[string]bool{}}
+}
+
+func variantOf(id string, variant int) *wire.JobSubmit {
+	submit := exampleJob(id, 2)
+	submit.Model = fmt.Sprint("m", variant)
+	submit.Digest = Digest(submit)
+	return submit
+}
+
+func (h *history) step(t *rapid.T) error {
+	h.now += rapid.Int64Range(0, 3).Draw(t, "passes")
+	id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job")
+	item := fmt.Sprint("i", rapid.IntRange(0, 1).Draw(t, "item"))
+	switch rapid.IntRange(0, 9).Draw(t, "command") {
+	case 0, 1:
+		return h.submit(id, rapid.IntRange(0, 3).Draw(t, "variant")/3)
+	case 2:
+		return h.finish(id, item)
+	case 3:
+		return h.end(id)
+	case 4:
+		ahead := rapid.SampledFrom([]int64{0, 1 << 40}).Draw(t, "ahead")
+		_, err := h.store.Expire(&wire.JobExpire{NowUnixMillis: h.now + ahead, RetentionMillis: historyRetention})
+		return err
+	case 5:
+		return h.restore()
+	case 6:
+		if len(h.late) == 0 {
+			return nil
+		}
+		_, err := h.store.Store(rapid.SampledFrom(h.late).Draw(t, "late"))
+		return err
+	}
+	return h.progress(t, id, item)
+}
+
+func (h *history) submit(id string, variant int) error {
+	submit := variantOf(id, variant)
+	submit.SentUnixMillis = h.now
+	reply, err := h.store.Submit(submit)
+	want := wire.JobOutcome_JOB_OUTCOME_ACCEPTED
+	switch known := h.jobs[id]; {
+	case known == nil:
+		h.jobs[id] = &expectedJob{variant: variant, sent: h.now}
+	case known.variant != variant:
+		want = wire.JobOutcome_JOB_OUTCOME_OTHER_CONTENT
+	}
+	if err == nil && reply.GetOutcome() != want {
+		return trace.Errorf("submitting %s gives %v, want %v", id, reply.GetOutcome(), want)
+	}
+	return err
+}
+
+func (h *history) finish(id, item string) error {
+	result := completed(item, fmt.Sprint(h.now))
+	command := stored(id, result)
+	command.NowUnixMillis = h.now
+	if known := h.jobs[id]; known != nil && !known.ended && !slices.ContainsFunc(known.results, func(listed *wire.JobResult) bool { return listed.GetItem() == item }) {
+		known.results = append(known.results, result)
+	}
+	_, err := h.store.Store(command)
+	return err
+}
+
+func (h *history) end(id string) error {
+	if known := h.jobs[id]; known != nil {
+		known.ended = true
+	}
+	_, err := h.store.End(&wire.JobEnd{Job: id, NowUnixMillis: h.now})
+	return err
+}
+
+func (h *history) restore() error {
+	restored := NewUnsafe(h.store.unsafe)
+	if err := restored.Restore(h.store.Snapshot()); err != nil {
+		return err
+	}
+	if !proto.Equal(restored.Snapshot(), h.store.Snapshot()) || restored.held != h.store.held {
+		return trace.Errorf("a restored store differs")
+	}
+	h.store = restored
+	return nil
+}
+
+// progress begins a run of an item, goes on with the held text, or commits one more event.
+func (h *history) progress(t *rapid.T, id, item string) error {
+	key := fmt.Sprint(id, item, rapid.IntRange(0, 1).Draw(t, "leader"))
+	running := h.runs[key]
+	if next := rapid.IntRange(0, 7).Draw(t, "progress"); running == nil || next == 0 {
+		running = &run{}
+		h.runs[key] = running
+	} else if held := h.partials(id)[item]; next == 1 && held != nil {
+		running.text, running.committed = slices.Clone(held), len(held)
+	}
+	if len(running.text) > 0 {
+		running.text = append(running.text, '\n')
+	}
+	running.text = append(running.text, byte('a'+h.letters%26))
+	h.letters++
+	h.texts[id+item+string(running.text)] = true
+	command := storedPartial(id, partial(item, string(running.text[:running.committed]), string(running.text[running.committed:])))
+	command.NowUnixMillis = h.now
+	running.committed = len(running.text)
+	h.late = append(h.late, command)
+	if rapid.Bool().Draw(t, "delayed") {
+		return nil
+	}
+	_, err := h.store.Store(command)
+	return err
+}
+
+// partials returns the held texts of a job's items.
+func (h *history) partials(id string) map[string][]byte {
+	texts := map[string][]byte{}
+	for _, work := range h.store.Work(&wire.JobWorkQuery{}).GetJobs() {
+		for _, held := range work.GetPartials() {
+			if work.GetJob().GetId() == id {
+				texts[held.GetItem()] = held.GetData()
+			}
+		}
+	}
+	return texts
+}
+
+func (h *history) check() error {
+	for id, known := range h.jobs {
+		view := h.store.Results(&wire.JobResultsQuery{Job: id})
+		if !view.GetKnown() && known.ended && h.now-known.sent > historyRetention {
+			delete(h.jobs, id)
+			continue
+		}
+		if !view.GetKnown() || view.GetEnded() != known.ended || len(view.GetResults()) != len(known.results) {
+			return trace.Errorf("job %s is %v, want %+v", id, view, known)
+		}
+		for position, result := range view.GetResults() {
+			if !proto.Equal(result, known.results[position]) {
+				return trace.Errorf("position %d of %s holds %v, want %v", position, id, result, known.results[position])
+			}
+		}
+		for item, text := range h.partials(id) {
+			if !h.texts[id+item+string(text)] {
+				return trace.Errorf("item %s of %s has text %q of no run", item, id, text)
+			}
+		}
+	}
+	if h.store.Len() != len(h.jobs) {
+		return trace.Errorf("%d jobs are held, want %d", h.store.Len(), len(h.jobs))
+	}
+	return nil
+}
+
+func playCommands(t *rapid.T, unsafe Unsafe) error {
+	played := newHistory(unsafe)
+	for range rapid.IntRange(1, historySteps).Draw(t, "steps") {
+		if err := played.step(t); err != nil {
+			return err
+		}
+		if err := played.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestStoreKeepsWhatCallersWereTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := playCommands(t, Unsafe{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// TestMutationsOfTheStoreAreFound switches each safety step off: some history must show it.
+func TestMutationsOfTheStoreAreFound(t *testing.T) {
+	for _, unsafe := range []Unsafe{{TakeTwice: true}, {ForgetDigest: true}, {ListTwice: true}, {ListAfterEnd: true},
+		{JoinRuns: true}, {ExpireOpen: true}, {TrustClock: true}} {
+		histories := rapid.Custom(func(t *rapid.T) error { return playCommands(t, unsafe) })
+		seed := 0
+		for seed < mutationSeeds && histories.Example(seed) == nil {
+			seed++
+		}
+		if seed == mutationSeeds {
+			t.Errorf("%+v was not found in %d histories", unsafe, mutationSeeds)
+			continue
+		}
+		t.Logf("%+v: seed %d: %v", unsafe, seed, histories.Example(seed))
+	}
+}
--- a/internal/batch/partial.go
+++ b/internal/batch/partial.go
@@ -32,7 +32,7 @@
 	whole := partial.GetData()
 	if partial.GetLength() > 0 {
 		same := uint64(len(held.GetData())) == partial.GetLength() && held.GetNextLastId() == partial.GetLastId()
-		if !same || TextSum(held.GetData()) != partial.GetFollows() {
+		if !same || TextSum(held.GetData()) != partial.GetFollows() && !s.unsafe.JoinRuns {
 			return
 		}
 		whole = slices.Concat(held.GetData(), partial.GetData())
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -25,7 +25,7 @@
 // Restore replaces the state with a snapshot's. On an error the store is unchanged. The store keeps the
 // snapshot's messages.
 func (s *Store) Restore(snapshot *wire.JobSnapshot) error {
-	restored := New()
+	restored := NewUnsafe(s.unsafe)
 	restored.revision, restored.clock = snapshot.GetRevision(), snapshot.GetClockUnixMillis()
 	last := uint64(0)
 	for _, record := range snapshot.GetJobs() {
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -20,8 +20,20 @@
 	MaximumReplyBytes = 1 << 20
 )
 
+// Unsafe switches safety steps off. Only tests set it, to show that the checks find the fault.
+type Unsafe struct {
+	TakeTwice    bool // take a job anew that is submitted again
+	ForgetDigest bool // accept other content under the id of a job
+	ListTwice    bool // list every result of an item
+	ListAfterEnd bool // list results of jobs that have ended
+	JoinRuns     bool // let a partial text follow the text of another run
+	ExpireOpen   bool // forget jobs that have not ended
+	TrustClock   bool // expire by the clock of whoever asks for it
+}
+
 // Store holds the batch jobs of one ledger group.
 type Store struct {
+	unsafe   Unsafe
 	jobs     map[string]*job
 	order    []*job // in the order in which they were taken
 	revision uint64 // rises with every job that is taken
@@ -42,7 +54,10 @@
 }
 
 // New returns an empty Store.
-func New() *Store { return &Store{jobs: map[string]*job{}} }
+func New() *Store { return NewUnsafe(Unsafe{}) }
+
+// NewUnsafe returns an empty Store with safety steps switched off.
+func NewUnsafe(unsafe Unsafe) *Store { return &Store{unsafe: unsafe, jobs: map[string]*job{}} }
 
 // Len returns the number of jobs that are kept.
 func (s *Store) Len() int { return len(s.order) }
