batch: retention is counted by the leaders' monotonic clocks

Cause: a job expired by the lower of the proposer's clock and the highest clock that any command had brought. A gateway whose clock was stepped back had its jobs forgotten as soon as they ended.

Change: JobExpire carries how much time has passed since the leader's last one, by its monotonic clock; a job's age is what was counted since the first count after it was taken. No wall clock takes part; the commands carry none any more. Jobs are kept longer over a change of leaders. A count is one small command per eighth of a retention while jobs are kept.

--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -31,7 +31,6 @@
 	if err := checkSubmit(submit); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s.tick(submit.GetSentUnixMillis())
 	if held := s.jobs[submit.GetId()]; held != nil && !s.unsafe.TakeTwice {
 		if !bytes.Equal(held.submit.GetDigest(), submit.GetDigest()) && !s.unsafe.ForgetDigest {
 			return reply(wire.JobOutcome_JOB_OUTCOME_OTHER_CONTENT), nil
@@ -88,7 +87,6 @@
 			}
 		}
 	}
-	s.tick(command.GetNowUnixMillis())
 	answer := reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
 	for _, results := range command.GetJobs() {
 		held := s.jobs[results.GetJob()]
@@ -132,7 +130,6 @@
 	if command.GetJob() == "" {
 		return nil, trace.BadParameter("a job's id is missing")
 	}
-	s.tick(command.GetNowUnixMillis())
 	held := s.jobs[command.GetJob()]
 	if held == nil {
 		return reply(wire.JobOutcome_JOB_OUTCOME_UNKNOWN_JOB), nil
@@ -144,20 +141,25 @@
 	return reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED), nil
 }
 
-// Expire forgets ended jobs past their retention. One clock that runs ahead expires nothing too early.
-// Errors: malformed command, nothing changed.
+// Expire counts time that has passed and forgets ended jobs past their retention. Errors: malformed command,
+// nothing changed.
 func (s *Store) Expire(command *wire.JobExpire) (*wire.JobReply, error) {
-	const maximumRetention = 1 << 50
-	if command.GetRetentionMillis() == 0 || command.GetRetentionMillis() > maximumRetention {
-		return nil, trace.BadParameter("the retention of jobs must be above 0 ms and at most %d ms", int64(maximumRetention))
-	}
-	now := min(command.GetNowUnixMillis(), s.clock)
-	if s.unsafe.TrustClock {
-		now = command.GetNowUnixMillis()
+	const maximumMillis = 1 << 50
+	retention, elapsed := command.GetRetentionMillis(), command.GetElapsedMillis()
+	if retention == 0 || retention > maximumMillis || elapsed == 0 || elapsed > maximumMillis {
+		return nil, trace.BadParameter("the retention of jobs and the time that has passed must be above 0 ms and at most %d ms", int64(maximumMillis))
 	}
+	before := s.clock
+	s.clock += elapsed
 	kept := make([]*job, 0, len(s.order))
 	for _, held := range s.order {
-		expired := (held.ended || s.unsafe.ExpireOpen) && now-held.submit.GetSentUnixMillis() > int64(command.GetRetentionMillis())
+		if held.countedFrom == 0 {
+			held.countedFrom = s.clock
+			if s.unsafe.CountEarly {
+				held.countedFrom = max(before, 1)
+			}
+		}
+		expired := (held.ended || s.unsafe.ExpireOpen) && s.clock-held.countedFrom > retention
 		if !expired {
 			kept = append(kept, held)
 			continue
--- a/internal/batch/history_test.go
+++ b/internal/batch/history_test.go
@@ -37,6 +37,7 @@
 type history struct {
 	store   *Store
 	now     int64
+	counted int64 // up to when time was counted
 	jobs    map[string]*expectedJob
 	runs    map[string]*run // by job, item and leader
 	texts   map[string]bool // job, item and a text that a run had
@@ -45,7 +46,7 @@
 }
 
 func newHistory(unsafe Unsafe) *history {
-	return &history{store: NewUnsafe(unsafe), now: 1000, jobs: map[string]*expectedJob{}, runs: map[string]*run{}, texts: map[string]bool{}}
+	return &history{store: NewUnsafe(unsafe), now: 1000, counted: 1000, jobs: map[string]*expectedJob{}, runs: map[string]*run{}, texts: map[string]bool{}}
 }
 
 func variantOf(id string, variant int) *wire.JobSubmit {
@@ -67,9 +68,7 @@
 	case 3:
 		return h.end(id)
 	case 4:
-		ahead := rapid.SampledFrom([]int64{0, 1 << 40}).Draw(t, "ahead")
-		_, err := h.store.Expire(&wire.JobExpire{NowUnixMillis: h.now + ahead, RetentionMillis: historyRetention})
-		return err
+		return h.expire(rapid.Bool().Draw(t, "new leader"))
 	case 5:
 		return h.restore()
 	case 6:
@@ -102,7 +101,6 @@
 func (h *history) finish(id, item string) error {
 	result := completed(item, fmt.Sprint(h.now))
 	command := stored(id, result)
-	command.NowUnixMillis = h.now
 	if known := h.jobs[id]; known != nil && !known.ended && !slices.ContainsFunc(known.results, func(listed *wire.JobResult) bool { return listed.GetItem() == item }) {
 		known.results = append(known.results, result)
 	}
@@ -114,7 +112,20 @@
 	if known := h.jobs[id]; known != nil {
 		known.ended = true
 	}
-	_, err := h.store.End(&wire.JobEnd{Job: id, NowUnixMillis: h.now})
+	_, err := h.store.End(&wire.JobEnd{Job: id})
+	return err
+}
+
+// expire counts the time since the last count, or nothing that passed before a new leader began.
+func (h *history) expire(newLeader bool) error {
+	if newLeader {
+		h.counted = h.now
+	}
+	if h.now == h.counted {
+		return nil
+	}
+	_, err := h.store.Expire(&wire.JobExpire{ElapsedMillis: uint64(h.now - h.counted), RetentionMillis: historyRetention})
+	h.counted = h.now
 	return err
 }
 
@@ -147,7 +158,6 @@
 	h.letters++
 	h.texts[id+item+string(running.text)] = true
 	command := storedPartial(id, partial(item, string(running.text[:running.committed]), string(running.text[running.committed:])))
-	command.NowUnixMillis = h.now
 	running.committed = len(running.text)
 	h.late = append(h.late, command)
 	if rapid.Bool().Draw(t, "delayed") {
@@ -221,7 +231,7 @@
 // TestMutationsOfTheStoreAreFound switches each safety step off: some history must show it.
 func TestMutationsOfTheStoreAreFound(t *testing.T) {
 	for _, unsafe := range []Unsafe{{TakeTwice: true}, {ForgetDigest: true}, {ListTwice: true}, {ListAfterEnd: true},
-		{JoinRuns: true}, {ExpireOpen: true}, {TrustClock: true}} {
+		{JoinRuns: true}, {ExpireOpen: true}, {CountEarly: true}} {
 		histories := rapid.Custom(func(t *rapid.T) error { return playCommands(t, unsafe) })
 		seed := 0
 		for seed < mutationSeeds && histories.Example(seed) == nil {
--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -45,12 +45,9 @@
 // Work returns the open jobs that were taken after a revision, with their finished items, and the ids of all
 // open jobs.
 func (s *Store) Work(query *wire.JobWorkQuery) *wire.JobWorkView {
-	view := &wire.JobWorkView{Revision: s.revision}
+	view := &wire.JobWorkView{Revision: s.revision, Kept: len(s.order) > 0}
 	for _, held := range s.order {
 		if held.ended {
-			if sent := held.submit.GetSentUnixMillis(); view.ExpirableUnixMillis == 0 || sent < view.ExpirableUnixMillis {
-				view.ExpirableUnixMillis = sent
-			}
 			continue
 		}
 		view.Open = append(view.Open, held.submit.GetId())
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -11,12 +11,12 @@
 // Snapshot returns the whole state as a message; equal stores give equal messages. Later commands don't change
 // it: it shares messages with the store, which never modifies them.
 func (s *Store) Snapshot() *wire.JobSnapshot {
-	snapshot := &wire.JobSnapshot{Revision: s.revision, ClockUnixMillis: s.clock,
+	snapshot := &wire.JobSnapshot{Revision: s.revision, ClockMillis: s.clock,
 		Jobs: make([]*wire.JobRecord, 0, len(s.order))}
 	for _, held := range s.order {
 		snapshot.Jobs = append(snapshot.Jobs, &wire.JobRecord{
 			Submit: held.submit, Revision: held.revision, Ended: held.ended, Results: slices.Clone(held.results),
-			Partials: held.sortedPartials(),
+			Partials: held.sortedPartials(), CountedFromMillis: held.countedFrom,
 		})
 	}
 	return snapshot
@@ -26,7 +26,7 @@
 // snapshot's messages.
 func (s *Store) Restore(snapshot *wire.JobSnapshot) error {
 	restored := NewUnsafe(s.unsafe)
-	restored.revision, restored.clock = snapshot.GetRevision(), snapshot.GetClockUnixMillis()
+	restored.revision, restored.clock = snapshot.GetRevision(), snapshot.GetClockMillis()
 	last := uint64(0)
 	for _, record := range snapshot.GetJobs() {
 		if err := restored.restoreJob(record, last); err != nil {
@@ -43,11 +43,11 @@
 		return trace.Wrap(err, "snapshot has a malformed job")
 	}
 	id := record.GetSubmit().GetId()
-	if s.jobs[id] != nil || record.GetRevision() <= after || record.GetRevision() > s.revision {
+	if s.jobs[id] != nil || record.GetRevision() <= after || record.GetRevision() > s.revision || record.GetCountedFromMillis() > s.clock {
 		return trace.BadParameter("snapshot has a job twice or out of order: %q", id)
 	}
 	held := s.add(record.GetSubmit(), record.GetRevision())
-	held.ended = record.GetEnded()
+	held.ended, held.countedFrom = record.GetEnded(), record.GetCountedFromMillis()
 	for _, result := range record.GetResults() {
 		if err := checkResult(result); err != nil {
 			return trace.Wrap(err, "snapshot has a malformed result of job %q", id)
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -28,7 +28,7 @@
 	ListAfterEnd bool // list results of jobs that have ended
 	JoinRuns     bool // let a partial text follow the text of another run
 	ExpireOpen   bool // forget jobs that have not ended
-	TrustClock   bool // expire by the clock of whoever asks for it
+	CountEarly   bool // count time for a job that had passed before it was taken
 }
 
 // Store holds the batch jobs of one ledger group.
@@ -37,7 +37,7 @@
 	jobs     map[string]*job
 	order    []*job // in the order in which they were taken
 	revision uint64 // rises with every job that is taken
-	clock    int64  // highest proposer's clock so far, Unix milliseconds
+	clock    uint64 // time that leaders have counted, milliseconds
 	held     int    // bytes of all jobs
 }
 
@@ -46,11 +46,14 @@
 	submit   *wire.JobSubmit
 	revision uint64
 	ended    bool
-	results  []*wire.JobResult           // by position
-	listed   map[string]bool             // items with a result
-	partials map[string]*wire.JobPartial // texts of items without a result, whole
-	items    map[string]*wire.JobItem
-	bytes    int
+	// countedFrom is the store's clock at the first count after the job was taken, from which its retention is
+	// counted: the time of that count began before it. 0: there was none yet.
+	countedFrom uint64
+	results     []*wire.JobResult           // by position
+	listed      map[string]bool             // items with a result
+	partials    map[string]*wire.JobPartial // texts of items without a result, whole
+	items       map[string]*wire.JobItem
+	bytes       int
 }
 
 // New returns an empty Store.
@@ -107,6 +110,3 @@
 		s.drop(j, item)
 	}
 }
-
-// tick takes a proposer's clock, which only ever moves the store's clock forward.
-func (s *Store) tick(nowUnixMillis int64) { s.clock = max(s.clock, nowUnixMillis) }
--- a/internal/batch/store_test.go
+++ b/internal/batch/store_test.go
@@ -25,7 +25,7 @@
 }
 
 func stored(job string, results ...*wire.JobResult) *wire.JobStore {
-	return &wire.JobStore{NowUnixMillis: 2000, Jobs: []*wire.JobResults{{Job: job, Results: results}}}
+	return &wire.JobStore{Jobs: []*wire.JobResults{{Job: job, Results: results}}}
 }
 
 // partial goes on after a text of events of one byte each.
@@ -37,7 +37,7 @@
 }
 
 func storedPartial(job string, partials ...*wire.JobPartial) *wire.JobStore {
-	return &wire.JobStore{NowUnixMillis: 2000, Jobs: []*wire.JobResults{{Job: job, Partials: partials}}}
+	return &wire.JobStore{Jobs: []*wire.JobResults{{Job: job, Partials: partials}}}
 }
 
 func TestPartialTextsGoOnWhereTheyEnd(t *testing.T) {
@@ -97,11 +97,11 @@
 	if store.Len() != 1 || store.Revision() != 1 {
 		t.Fatalf("%d jobs, revision %d", store.Len(), store.Revision())
 	}
-	reply, err = store.End(&wire.JobEnd{Job: "a", NowUnixMillis: 3000})
+	reply, err = store.End(&wire.JobEnd{Job: "a"})
 	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
 	reply, err = store.Submit(exampleJob("a", 3))
 	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
-	if work := store.Work(&wire.JobWorkQuery{}); len(work.GetOpen()) != 0 || work.GetExpirableUnixMillis() != 1000 {
+	if work := store.Work(&wire.JobWorkQuery{}); len(work.GetOpen()) != 0 || !work.GetKept() {
 		t.Fatalf("a resend reopened an ended job: %v", work)
 	}
 	reply, err = store.End(&wire.JobEnd{Job: "b"})
@@ -163,15 +163,15 @@
 			t.Fatal(err)
 		}
 	}
-	if _, err := store.End(&wire.JobEnd{Job: "a", NowUnixMillis: 4000}); err != nil {
+	if _, err := store.End(&wire.JobEnd{Job: "a"}); err != nil {
 		t.Fatal(err)
 	}
-	for _, step := range []struct{ now, retention, left int }{
-		{now: 1 << 40, retention: 3000, left: 2}, // a clock far ahead of all others
-		{now: 4000, retention: 3000, left: 2},
-		{now: 4000, retention: 2999, left: 1},
+	for _, step := range []struct{ elapsed, retention, left int }{
+		{elapsed: 1 << 40, retention: 3000, left: 2}, // had begun to pass before the jobs were taken
+		{elapsed: 3000, retention: 3000, left: 2},
+		{elapsed: 1, retention: 3000, left: 1},
 	} {
-		if _, err := store.Expire(&wire.JobExpire{NowUnixMillis: int64(step.now), RetentionMillis: uint64(step.retention)}); err != nil {
+		if _, err := store.Expire(&wire.JobExpire{ElapsedMillis: uint64(step.elapsed), RetentionMillis: uint64(step.retention)}); err != nil {
 			t.Fatal(err)
 		}
 		if store.Len() != step.left {
@@ -210,7 +210,7 @@
 	case 1, 2:
 		_, err = c.store.Store(stored(id, completed(item, fmt.Sprint(step))))
 	case 3:
-		_, err = c.store.End(&wire.JobEnd{Job: id, NowUnixMillis: int64(step)})
+		_, err = c.store.End(&wire.JobEnd{Job: id})
 	case 4:
 		_, err = c.store.Store(storedPartial(id, partial(item, rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "before"), "x")))
 	}
--- a/internal/batchclient/client.go
+++ b/internal/batchclient/client.go
@@ -177,7 +177,7 @@
 
 // End implements Service.
 func (b *Client) End(ctx context.Context, id string) error {
-	command := &wire.JobEnd{Job: id, NowUnixMillis: time.Now().UnixMilli()}
+	command := &wire.JobEnd{Job: id}
 	reply, err := b.execute(ctx, &wire.Command{Kind: &wire.Command_JobEnd{JobEnd: command}})
 	if err != nil {
 		return err
--- a/internal/batchrun/commits.go
+++ b/internal/batchrun/commits.go
@@ -111,7 +111,6 @@
 // commit repeats a command, which is safe, until it is applied; false when ctx has ended.
 func (c *commits) commit(ctx context.Context, command *wire.JobStore) bool {
 	for ctx.Err() == nil {
-		command.NowUnixMillis = time.Now().UnixMilli()
 		attempt, cancel := context.WithTimeout(ctx, commitTimeout)
 		result, err := c.config.Group.Propose(attempt, &wire.Command{Kind: &wire.Command_JobStore{JobStore: command}})
 		cancel()
--- a/internal/batchrun/config.go
+++ b/internal/batchrun/config.go
@@ -58,7 +58,7 @@
 	VersionField string
 	// LengthHeader is the header of an item that estimates the tokens of its answer; may be empty.
 	LengthHeader string
-	// Retention is how long ended jobs are kept, from when they were sent. Default DefaultRetention.
+	// Retention is how long ended jobs are kept at least, from when they were taken. Default DefaultRetention.
 	Retention time.Duration
 	// Checkpoint is how often the text of a running item is committed. Default DefaultCheckpoint.
 	Checkpoint time.Duration
--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -213,11 +213,12 @@
 
 // rig is a runner with everything around it.
 type rig struct {
-	group    *fakeGroup
-	session  *fakeSession
-	replicas *fakeReplicas
-	routed   bool
-	mutex    sync.Mutex
+	retention time.Duration
+	group     *fakeGroup
+	session   *fakeSession
+	replicas  *fakeReplicas
+	routed    bool
+	mutex     sync.Mutex
 }
 
 func newRig(t *testing.T) *rig {
@@ -239,6 +240,7 @@
 	t.Helper()
 	runner, err := New(Config{
 		Group: r.group, Session: r.session, Caller: r.replicas, Route: r.route, VersionField: "x-version", Checkpoint: 1, // after each event
+		Retention: r.retention,
 		Schedule: schedule.Settings{FirstEvent: 100 * time.Millisecond, FailurePause: 5 * time.Millisecond,
 			MaximumPause: 20 * time.Millisecond, VersionPause: 5 * time.Millisecond},
 	})
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/verdict"
@@ -180,6 +181,26 @@
 	}
 }
 
+func TestEndedJobsAreForgottenAndOpenOnesAreNot(t *testing.T) {
+	r := newRig(t)
+	r.retention = 20 * time.Millisecond
+	r.replicas.set(answering(5), answering(5))
+	r.run(t)
+	r.submit(t, "a", 1, nil)
+	r.submit(t, "b", 1, nil)
+	r.await(t, "a", 1)
+	r.await(t, "b", 1)
+	r.propose(t, &wire.Command{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: "a"}}})
+	known := func(job string) bool {
+		view, err := r.group.Query(t.Context(), &wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: job}}})
+		return err == nil && view.GetJobResults().GetKnown()
+	}
+	r.until(t, "the ended job is forgotten", func() bool { return !known("a") })
+	if !known("b") {
+		t.Fatal("an open job was forgotten")
+	}
+}
+
 func TestDrainingReplicasGetNothing(t *testing.T) {
 	r := newRig(t)
 	r.session.set(t, 4, "r1 active", "r2 draining")
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
@@ -19,9 +20,10 @@
 	commits   *commits
 	jobs      map[string]*job
 	revision  uint64
-	expirable int64 // when the oldest ended job was sent, Unix milliseconds; 0: none has ended
-	expireAt  time.Duration
-	view      *table.View // that the scheduler was told of
+	kept      bool          // the group keeps jobs, open or ended
+	countedAt time.Duration // up to when time was counted for their retention
+	counting  atomic.Bool   // a count is on its way
+	view      *table.View   // that the scheduler was told of
 	calls     map[schedule.Key]*call
 	ends      chan *call
 	routines  sync.WaitGroup
@@ -43,7 +45,7 @@
 	return &tenure{
 		runner: r, config: &r.config, term: term, scheduler: schedule.New(r.config.Schedule),
 		commits: newCommits(&r.config), jobs: map[string]*job{},
-		calls: map[schedule.Key]*call{}, ends: make(chan *call, 64),
+		countedAt: r.config.Clock(), calls: map[schedule.Key]*call{}, ends: make(chan *call, 64),
 	}
 }
 
@@ -134,7 +136,7 @@
 			t.open(taken)
 		}
 	}
-	t.revision, t.expirable = work.GetRevision(), work.GetExpirableUnixMillis()
+	t.revision, t.kept = work.GetRevision(), work.GetKept()
 }
 
 // open adds a job to the schedule. Times count from now where the job's own clock would be earlier: an item is
@@ -235,15 +237,18 @@
 	t.commits.add(key.Job, result)
 }
 
-// expire forgets ended jobs that are past their retention.
+// expire counts the time for the retention of jobs, which forgets ended ones that are past it. A count that is
+// lost is not made up for: jobs are kept longer then.
 func (t *tenure) expire(ctx context.Context, now time.Duration) {
-	due := t.expirable != 0 && time.Since(time.UnixMilli(t.expirable)) > t.config.Retention
-	if !due || now < t.expireAt {
+	interval := max(t.config.Retention/countsPerRetention, time.Millisecond)
+	if !t.kept || now-t.countedAt < interval || !t.counting.CompareAndSwap(false, true) {
 		return
 	}
-	t.expireAt = now + t.config.Retention/expiriesPerRetention
-	command := &wire.JobExpire{NowUnixMillis: time.Now().UnixMilli(), RetentionMillis: uint64(t.config.Retention.Milliseconds())}
+	command := &wire.JobExpire{RetentionMillis: uint64(t.config.Retention.Milliseconds()),
+		ElapsedMillis: uint64((now - t.countedAt).Milliseconds())}
+	t.countedAt = now
 	t.routines.Go(func() {
+		defer t.counting.Store(false)
 		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
 		if _, err := t.config.Group.Propose(ctx, &wire.Command{Kind: &wire.Command_JobExpire{JobExpire: command}}); err != nil {
@@ -253,5 +258,5 @@
 	t.refresh(ctx)
 }
 
-// expiriesPerRetention is how often in one retention ended jobs are expired at most.
-const expiriesPerRetention = 8
+// countsPerRetention is how often in one retention time is counted.
+const countsPerRetention = 8
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -44,9 +44,9 @@
 		{Kind: &wire.Command_BatchAcknowledge{BatchAcknowledge: &wire.BatchAcknowledge{Trainer: "t", Cursor: 1}}},
 		{Kind: &wire.Command_JobSubmit{JobSubmit: &wire.JobSubmit{Id: "j", Digest: []byte{1}, SentUnixMillis: 5000,
 			Items: []*wire.JobItem{{Id: "i1", Body: []byte("a")}, {Id: "i2"}}}}},
-		{Kind: &wire.Command_JobStore{JobStore: &wire.JobStore{NowUnixMillis: 6000, Jobs: []*wire.JobResults{{Job: "j",
+		{Kind: &wire.Command_JobStore{JobStore: &wire.JobStore{Jobs: []*wire.JobResults{{Job: "j",
 			Results: []*wire.JobResult{{Item: "i1", State: wire.JobItemState_JOB_ITEM_STATE_COMPLETED, Text: []byte("t"), Versions: []uint64{1}}}}}}}},
-		{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: "j", NowUnixMillis: 7000}}},
+		{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: "j"}}},
 	}
 }
 
@@ -159,10 +159,10 @@
 		&wire.Command{Kind: &wire.Command_ClaimExpire{ClaimExpire: claim.Retention{Answers: 3e9, Keys: 6e9, Attempts: 2e9}.Command(now)}},
 		&wire.Command{Kind: &wire.Command_JobSubmit{JobSubmit: &wire.JobSubmit{Id: key, Digest: []byte{1}, SentUnixMillis: now,
 			Items: []*wire.JobItem{{Id: "i1", Body: []byte("a")}, {Id: "i2"}}}}},
-		&wire.Command{Kind: &wire.Command_JobStore{JobStore: &wire.JobStore{NowUnixMillis: now, Jobs: []*wire.JobResults{{Job: key,
+		&wire.Command{Kind: &wire.Command_JobStore{JobStore: &wire.JobStore{Jobs: []*wire.JobResults{{Job: key,
 			Results: []*wire.JobResult{{Item: "i2", State: wire.JobItemState_JOB_ITEM_STATE_TERMINATED}}}}}}},
-		&wire.Command{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: key, NowUnixMillis: now}}},
-		&wire.Command{Kind: &wire.Command_JobExpire{JobExpire: &wire.JobExpire{NowUnixMillis: now, RetentionMillis: 9000}}},
+		&wire.Command{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: key}}},
+		&wire.Command{Kind: &wire.Command_JobExpire{JobExpire: &wire.JobExpire{ElapsedMillis: 4000, RetentionMillis: 9000}}},
 		&wire.Command{Kind: &wire.Command_FenceAcquire{FenceAcquire: &wire.FenceAcquire{Resource: key, Owner: "o", RequestId: attempt}}},
 		&wire.Command{Kind: &wire.Command_SampleStore{SampleStore: &wire.SampleStore{Sample: sample, Fence: uint64(index)}}},
 		&wire.Command{Kind: &wire.Command_BatchDiscard{BatchDiscard: &wire.BatchDiscard{Trainer: "t", SampleIds: []string{sample.GetId()}, DiscardedTokens: 3, Fence: uint64(index)}}},
