models: automatic replacement of a group's nodes

Change: replacement.pml explores the choice of the next change of nodes with crashes, a lost disk, a joiner, commands and a removed node that comes back.

--- a/models/check.sh
+++ b/models/check.sh
@@ -53,6 +53,11 @@
   echo "membership fails -DVOTE_AFTER_DISK_LOSS -DVOTERS=3 -DENTRIES=2 -DTERMS=2"
   echo "membership fails -DCHANGE_WITHOUT_OWN_COMMIT -DVOTERS=4 -DENTRIES=2 -DTERMS=3"
   echo "membership fails -DCONCURRENT_CHANGES $repair"
+  echo "replacement holds -DCOMMANDS -DENTRIES=4"
+  echo "replacement holds -DENTRIES=5"
+  for step in KEEP_IDENTITY VOTE_FOR_OLD_LOG REMOVE_FIRST PROMOTE_WITHOUT_PLACE PROMOTE_SILENT PROMOTE_BEHIND; do
+    echo "replacement fails -D$step -DCOMMANDS -DENTRIES=4"
+  done
   echo "lease holds $lease"
   echo "lease holds -DHOLDERS=1 -DSLOTS=2 -DTERMS=2 -DVERSIONS=1 -DRESTARTS=1"
   echo "lease holds -DHOLDERS=2 -DSLOTS=1 -DTERMS=1 -DVERSIONS=1 -DRESTARTS=0"
