--- a/internal/consensus/compaction_test.go
+++ b/internal/consensus/compaction_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"testing"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
 )
 
 // slowJournal encodes a captured state only when it is let.
@@ -85,3 +87,10 @@
 		}
 	}
 }
+
+func TestOlderCompactionIsWrittenOverReceivedSnapshot(t *testing.T) {
+	g := &hostedGroup{ready: &raft.Ready{Snapshot: &raft.Snapshot{Index: 9}}, compaction: &raft.Snapshot{Index: 5}}
+	if write := g.write(); write.Compaction != nil || write.Snapshot.Index != 9 {
+		t.Fatalf("a snapshot at 9 and a compaction at %d are written together", write.Compaction.Index)
+	}
+}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -104,6 +104,9 @@
 	write := storage.GroupWrite{Group: g.id, Compaction: g.compaction}
 	if g.ready != nil {
 		write.Snapshot = g.ready.Snapshot
+		if write.Snapshot != nil && g.compaction != nil && g.compaction.Index < write.Snapshot.Index {
+			write.Compaction, g.compaction = nil, nil // it would be written over the newer one
+		}
 		write.Entries = g.ready.Entries
 	}
 	if g.stateDirty {
