--- a/internal/consensus/compaction.go
+++ b/internal/consensus/compaction.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "github.com/gravitational/trace"
+import (
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+)
 
 // freeSnapshotBytes is the size of a snapshot up to which Config.SnapshotCost does not count.
 const freeSnapshotBytes = 1 << 20
@@ -86,3 +90,18 @@
 	g.snapshots.index, g.snapshots.size = encoded.index, len(encoded.data)
 	return nil
 }
+
+// sendStored sends a snapshot that raft no longer holds, read from disk beside the loop. One that a newer one has
+// replaced meanwhile is not sent: raft begins anew when the snapshot isn't acknowledged.
+func (h *Host) sendStored(group uint32, message raft.Message) {
+	h.encoders.Go(func() {
+		stored, err := h.config.Store.LoadSnapshot(group)
+		switch {
+		case err != nil:
+			h.fail(trace.Wrap(err, "consensus: group %d cannot read its snapshot", group))
+		case stored.Index == message.Snapshot.Index:
+			message.Snapshot = &stored
+			h.peers.send(group, &message)
+		}
+	})
+}
--- a/internal/consensus/compaction_test.go
+++ b/internal/consensus/compaction_test.go
@@ -88,6 +88,35 @@
 	}
 }
 
+// heldSnapshotBytes is what raft holds of a group's snapshot in memory.
+func (n *testNode) heldSnapshotBytes(group uint32) int {
+	var held int
+	err := n.host.call(context.Background(), group, func(g *hostedGroup) error {
+		held = g.node.SnapshotBytes()
+		return nil
+	})
+	if err != nil {
+		n.cluster.t.Fatal(err)
+	}
+	return held
+}
+
+func TestStoredSnapshotStaysInMemory(t *testing.T) {
+	c := newCluster(t, 1, func(config *Config) { config.SnapshotEntries = 10 })
+	for i := range 40 {
+		c.commit(0, fmt.Sprint(i))
+	}
+	node := c.nodes[1]
+	released := func() bool { return node.snapshotIndex(0) > 0 && node.heldSnapshotBytes(0) == 0 }
+	c.wait("the snapshot is stored and not held", released)
+	if stored, err := node.store.LoadSnapshot(0); err != nil || len(stored.Data) == 0 {
+		t.Fatalf("%d bytes of snapshot are stored: %v", len(stored.Data), err)
+	}
+	node.kill()
+	node.start()
+	c.wait("a restarted node does not hold it either", released)
+}
+
 func TestOlderCompactionIsWrittenOverReceivedSnapshot(t *testing.T) {
 	g := &hostedGroup{ready: &raft.Ready{Snapshot: &raft.Snapshot{Index: 9}}, compaction: &raft.Snapshot{Index: 5}}
 	if write := g.write(); write.Compaction != nil || write.Snapshot.Index != 9 {
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -40,6 +40,8 @@
 type Store interface {
 	// Load returns what a group has on disk.
 	Load(group uint32) (raft.Restored, error)
+	// LoadSnapshot returns a group's snapshot, also while Write is called.
+	LoadSnapshot(group uint32) (raft.Snapshot, error)
 	// Groups lists the groups that were founded or joined on this disk.
 	Groups() ([]uint32, error)
 	// Write makes a batch durable as a whole. storage.ErrNoSpace says that nothing of it was written
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -31,6 +31,7 @@
 
 	snapshots  snapshots
 	compaction *raft.Snapshot // waits to be written
+	compacting uint64         // index of the one that the writer has; 0: none
 
 	pending map[uint64]*proposal // proposed, by log index
 	reads   readQueue
@@ -61,6 +62,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "consensus: group %d", id)
 	}
+	g.node.ReleaseSnapshot(restored.Snapshot.Index)
 	return g, nil
 }
 
@@ -113,6 +115,9 @@
 		state := g.hardState
 		write.HardState = &state
 	}
+	if g.compaction != nil {
+		g.compacting = g.compaction.Index
+	}
 	g.writing, g.queued, g.stateDirty, g.compaction = g.ready, false, false, nil
 	return write
 }
@@ -139,6 +144,7 @@
 		if err := g.restore(ready.Snapshot); err != nil {
 			return err
 		}
+		g.node.ReleaseSnapshot(ready.Snapshot.Index)
 	}
 	if err := g.apply(ready.Committed); err != nil {
 		return err
--- a/internal/consensus/host.go
+++ b/internal/consensus/host.go
@@ -28,7 +28,7 @@
 	proposed  int            // proposals taken since the last write began
 	diskFull  bool
 	encoded   chan *encodedState // has room for one of each group
-	encoders  sync.WaitGroup     // goroutines that encode a state
+	encoders  sync.WaitGroup     // goroutines that encode a state or read one
 
 	ctx    context.Context // ends with the host
 	cancel context.CancelFunc
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -212,6 +212,10 @@
 		return err
 	}
 	for _, g := range h.inWrite {
+		if g.compacting > 0 {
+			g.node.ReleaseSnapshot(g.compacting)
+			g.compacting = 0
+		}
 		ready := g.writing
 		if ready == nil {
 			continue // only a compaction
@@ -227,6 +231,10 @@
 
 func (h *Host) send(g *hostedGroup, messages []raft.Message) {
 	for i := range messages {
+		if snapshot := messages[i].Snapshot; snapshot != nil && snapshot.Data == nil {
+			h.sendStored(g.id, messages[i])
+			continue
+		}
 		h.peers.send(g.id, &messages[i])
 	}
 }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -16,7 +16,7 @@
 
 	log            entryLog
 	configurations configurationHistory
-	snapshot       Snapshot // the last one taken or received, kept for sending
+	snapshot       Snapshot // the last one taken or received, for sending; without data once released
 
 	electionElapsed  int
 	electionTimeout  int
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -4,7 +4,7 @@
 
 // Compact records data as the state machine's state as of index, which must be applied, and drops the
 // log before it except for RetainedEntries. The driver stores the snapshot that is returned; the node
-// keeps it for members that have fallen behind the log.
+// keeps it for members that have fallen behind the log, until ReleaseSnapshot.
 func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
 	if index > n.log.applied || index <= n.snapshot.Index {
 		return Snapshot{}, trace.BadParameter("raft: cannot compact at %d: the last snapshot is at %d, applied is %d",
@@ -20,6 +20,17 @@
 	return n.snapshot, nil
 }
 
+// ReleaseSnapshot drops the data of the last snapshot if that is the one at index: the driver holds it durably and
+// completes the snapshot messages without data that leave from now on. A large state is then not in memory twice.
+func (n *Node) ReleaseSnapshot(index uint64) {
+	if n.snapshot.Index == index {
+		n.snapshot.Data = nil
+	}
+}
+
+// SnapshotBytes is the size of the snapshot's data that the node holds.
+func (n *Node) SnapshotBytes() int { return len(n.snapshot.Data) }
+
 // sendSnapshot sends the last snapshot to a member that needs entries from before the log. A member that
 // is silent is not sent one: it would only fill the connection.
 func (n *Node) sendSnapshot(p *progress) {
--- a/internal/storage/load.go
+++ b/internal/storage/load.go
@@ -27,6 +27,37 @@
 	return restored, err
 }
 
+// LoadSnapshot returns a group's snapshot; the zero value if it has none.
+func (s *Store) LoadSnapshot(group uint32) (raft.Snapshot, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed {
+		return raft.Snapshot{}, ErrClosed
+	}
+	var snapshot raft.Snapshot
+	err := guarded(dataFile, func() error {
+		return s.database.View(func(tx *bbolt.Tx) error {
+			var err error
+			snapshot, err = loadSnapshot(tx, group)
+			return err
+		})
+	})
+	return snapshot, err
+}
+
+func loadSnapshot(tx *bbolt.Tx, group uint32) (raft.Snapshot, error) {
+	key := groupKey(group)
+	record := tx.Bucket(bucketSnapshots).Get(key)
+	if record == nil {
+		return raft.Snapshot{}, nil
+	}
+	payload, err := unseal(snapshotName(group), key, record)
+	if err != nil {
+		return raft.Snapshot{}, err
+	}
+	return decodeSnapshot(snapshotName(group), payload)
+}
+
 // Groups lists the groups that have a hard state or a snapshot on disk.
 func (s *Store) Groups() ([]uint32, error) {
 	s.mutex.Lock()
@@ -76,16 +107,10 @@
 			return raft.Restored{}, err
 		}
 	}
-	if record := tx.Bucket(bucketSnapshots).Get(key); record != nil {
-		payload, err := unseal(snapshotName(group), key, record)
-		if err != nil {
-			return raft.Restored{}, err
-		}
-		if restored.Snapshot, err = decodeSnapshot(snapshotName(group), payload); err != nil {
-			return raft.Restored{}, err
-		}
-	}
 	var err error
+	if restored.Snapshot, err = loadSnapshot(tx, group); err != nil {
+		return raft.Restored{}, err
+	}
 	restored.Entries, err = loadEntries(tx, group, restored.Snapshot.Index)
 	if err != nil {
 		return raft.Restored{}, err
