--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -98,7 +98,8 @@
 	// SnapshotEntries is the number of applied entries after which a group takes a snapshot and
 	// compacts its log. Default 10000: a restart replays them in well under a second.
 	SnapshotEntries int
-	// SnapshotBytes is the size of applied entries after which a group takes a snapshot. Default 64 MiB.
+	// SnapshotBytes is the size of applied entries after which a group takes a snapshot. A quarter of it may stay
+	// in memory behind the snapshot. Default 64 MiB.
 	SnapshotBytes int
 	// SnapshotCost bounds what snapshots of a large state write: at most about so many bytes of snapshot for
 	// each byte of applied entries. Default 4: little beside the entries' own synced writes, while the log
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -37,6 +37,10 @@
 	reads   readQueue
 }
 
+// retainedShare is the part of Config.SnapshotBytes that entries behind a snapshot may take in memory, for followers
+// that are a little behind.
+const retainedShare = 4
+
 func newGroup(config *Config, id uint32, restored raft.Restored) (*hostedGroup, error) {
 	g := &hostedGroup{
 		config:    config,
@@ -57,6 +61,7 @@
 		ID:             config.NodeID,
 		ElectionTicks:  config.ElectionTicks,
 		HeartbeatTicks: config.HeartbeatTicks,
+		RetainedBytes:  config.SnapshotBytes / retainedShare,
 		Random:         rand.New(rand.NewSource(electionSeed(config, id))),
 	}, restored)
 	if err != nil {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -80,6 +80,7 @@
 		{&c.MaxInflightAppends, 64},
 		{&c.MaxUncommittedBytes, 64 << 20},
 		{&c.RetainedEntries, 1000},
+		{&c.RetainedBytes, 16 << 20},
 	} {
 		if *option.value < 0 {
 			return c, trace.BadParameter("raft: an option is negative: %d", *option.value)
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -72,3 +72,25 @@
 		t.Fatalf("configuration %+v", got)
 	}
 }
+
+func TestCompactedLogHoldsTooManyBytes(t *testing.T) {
+	const size, written = 1000, 100
+	for _, example := range []struct{ entries, bytes, held int }{
+		{50, size * written, 50}, {50, 10*size + size/2, 10}, {50, size - 1, 0}, {2 * written, 2 * size * written, written},
+	} {
+		c := newCluster(rand.New(rand.NewSource(1)), Config{RetainedEntries: example.entries, RetainedBytes: example.bytes}, 1)
+		node := c.mustLead(t, 60).node
+		for range written {
+			if _, _, err := node.Propose(make([]byte, size)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.settle(2)
+		if _, err := node.Compact(node.log.applied, nil); err != nil {
+			t.Fatal(err)
+		}
+		if held := node.log.bytes(node.log.offset+1, node.log.last()); held != example.held*size {
+			t.Errorf("%d entries and %d bytes may stay: %d bytes do", example.entries, example.bytes, held)
+		}
+	}
+}
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -3,7 +3,7 @@
 import "github.com/gravitational/trace"
 
 // Compact records data as the state machine's state as of index, which must be applied, and drops the
-// log before it except for RetainedEntries. The driver stores the snapshot that is returned; the node
+// log before it except for what Config retains. The driver stores the snapshot that is returned; the node
 // keeps it for members that have fallen behind the log, until ReleaseSnapshot.
 func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
 	if index > n.log.applied || index <= n.snapshot.Index {
@@ -14,12 +14,22 @@
 	term, _ := n.log.term(index)
 	n.configurations.compact(index)
 	n.snapshot = Snapshot{Index: index, Term: term, Configuration: n.configurations.at(index).Clone(), Data: data}
-	if retained := uint64(n.config.RetainedEntries); index > retained {
-		n.log.compact(index - retained)
-	}
+	n.log.compact(n.retainedAfter(index))
 	return n.snapshot, nil
 }
 
+// retainedAfter returns the index after which entries up to a compaction's index stay in memory: the newest ones
+// that keep to RetainedEntries and RetainedBytes.
+func (n *Node) retainedAfter(index uint64) uint64 {
+	oldest := max(n.log.offset, index-min(index, uint64(n.config.RetainedEntries)))
+	for size := 0; index > oldest; index-- {
+		if size += n.log.bytes(index, index); size > n.config.RetainedBytes {
+			break
+		}
+	}
+	return index
+}
+
 // ReleaseSnapshot drops the data of the last snapshot if that is the one at index: the driver holds it durably and
 // completes the snapshot messages without data that leave from now on. A large state is then not in memory twice.
 func (n *Node) ReleaseSnapshot(index uint64) {
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -144,6 +144,8 @@
 	// RetainedEntries is the number of entries before a compaction's index that stay in memory, so that
 	// a follower that is a little behind needs no snapshot. Default 1000.
 	RetainedEntries int
+	// RetainedBytes bounds the data of these entries. Default 16 MiB.
+	RetainedBytes int
 	// SnapshotRetryTicks is the number of ticks after which a snapshot that was not acknowledged is sent
 	// again. Default five times ElectionTicks; a transport with large snapshots may need more.
 	SnapshotRetryTicks int
