batchrun: time for the retention of jobs is counted 32 times a retention

Change: 32 counts, so at most a sixteenth longer. Test: TestEndedJobsStayLongPastRetention; with 8 counts it fails with "jobs kept for 1m0s may stay 15s longer".

--- a/internal/batchrun/kept_test.go
+++ b/internal/batchrun/kept_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -26,3 +27,11 @@
 		}
 	}
 }
+
+func TestEndedJobsStayLongPastRetention(t *testing.T) {
+	for _, retention := range []time.Duration{time.Minute, DefaultRetention} {
+		if longer := 2 * countInterval(retention); longer <= 0 || longer > retention/10 {
+			t.Errorf("jobs kept for %s may stay %s longer", retention, longer)
+		}
+	}
+}
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -240,8 +240,7 @@
 // expire counts the time for the retention of jobs, which forgets ended ones that are past it. A count that is
 // lost is not made up for: jobs are kept longer then.
 func (t *tenure) expire(ctx context.Context, now time.Duration) {
-	interval := max(t.config.Retention/countsPerRetention, time.Millisecond)
-	if !t.kept || now-t.countedAt < interval || !t.counting.CompareAndSwap(false, true) {
+	if !t.kept || now-t.countedAt < countInterval(t.config.Retention) || !t.counting.CompareAndSwap(false, true) {
 		return
 	}
 	command := &wire.JobExpire{RetentionMillis: uint64(t.config.Retention.Milliseconds()),
@@ -258,5 +257,11 @@
 	t.refresh(ctx)
 }
 
-// countsPerRetention is how often in one retention time is counted.
-const countsPerRetention = 8
+// countsPerRetention is how often in one retention time is counted. An ended job may stay in memory for two counts
+// beyond its retention.
+const countsPerRetention = 32
+
+// countInterval is the time between two counts.
+func countInterval(retention time.Duration) time.Duration {
+	return max(retention/countsPerRetention, time.Millisecond)
+}
