control: nodes that stop together don't pass leaderships back and forth

Cause: a node that stops by plan asks the most advanced voter to lead. When the last two voters stop at once, each hands its groups to the other, in a new term each 20 ms, until its drain time is over; then one exits with an error. Change: the handover (now a type of its own) passes over nodes that were asked in an earlier term and gave the leadership back, prefers those that have not said that they stop, and ends when all others have given it back.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -7,7 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/lease"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -148,7 +150,6 @@
 		defer d.end(member.Name)
 		if d.propose(ctx, member, state) {
 			d.server.orphans.look()
-			d.server.log.Infof("member %s is %s", wire.OwnerName(member), wire.MemberStateText(state))
 		}
 	}()
 }
@@ -165,6 +166,7 @@
 		return false
 	}
 	d.server.publisher.applied()
+	logging.Emit(d.server.log, &events.MemberChanged{Member: wire.OwnerName(member), State: wire.MemberStateText(state)})
 	return true
 }
 
@@ -201,7 +203,6 @@
 		return
 	}
 	d.server.publisher.refresh()
-	d.server.log.Infof("member %s is alive", wire.OwnerName(member))
 	select {
 	case d.server.renewals <- waiting:
 	case <-ctx.Done():
@@ -225,7 +226,6 @@
 		left := d.propose(ctx, member, wire.MemberState_MEMBER_STATE_LEAVING) // this start may not come back
 		if left && d.propose(ctx, member, wire.MemberState_MEMBER_STATE_GONE) {
 			d.server.orphans.look()
-			d.server.log.Infof("member %s left", wire.OwnerName(member))
 			waiting.session.answerRenewal(waiting.request.Sequence, false)
 		}
 	}()
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
@@ -175,6 +177,35 @@
 	})
 }
 
+// TestLastNodesStopAtOnce stops one node and then the other two together: they must not pass their leaderships to
+// each other until their time is over.
+func TestLastNodesStopAtOnce(t *testing.T) {
+	for range 5 {
+		c := startCluster(t)
+		first := c.leader()
+		if err := c.servers[first].Drain(testContext(t)); err != nil {
+			t.Fatal(err)
+		}
+		c.leader()
+		stopped := make(chan error, len(c.servers))
+		for node, server := range c.servers {
+			if node == first {
+				continue
+			}
+			go func() {
+				ctx, cancel := context.WithTimeout(testContext(t), 5*time.Second)
+				defer cancel()
+				stopped <- server.Drain(ctx)
+			}()
+		}
+		for range len(c.servers) - 1 {
+			if err := <-stopped; err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
 // TestCatchUpAfterHundredsOfChanges cuts a holder off while the table moves on by 300 versions.
 func TestCatchUpAfterHundredsOfChanges(t *testing.T) {
 	c := startCluster(t)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,7 +19,6 @@
 	"github.com/tamarindring/tamarindring/internal/consensus"
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/lease"
-	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/storage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -30,8 +28,6 @@
 	maximumMessageBytes = 64 << 20
 	// renewalQueueLength is the number of renewals that may wait for the next read round.
 	renewalQueueLength = 4096
-	// transferPoll is how often a draining node looks whether its leaderships have gone.
-	transferPoll = 20 * time.Millisecond
 )
 
 // Server is one control node.
@@ -266,49 +262,11 @@
 		defer close(announced)
 		s.announceLeaving(ctx)
 	}()
-	err := s.handOver(ctx)
+	err := newHandover(s).run(ctx)
 	<-announced
 	return trace.NewAggregate(err, s.Close())
 }
 
-func (s *Server) handOver(ctx context.Context) error {
-	for ctx.Err() == nil {
-		led := 0
-		for group := uint32(0); int(group) <= s.config.LedgerGroups; group++ {
-			led += s.transferAway(ctx, group)
-		}
-		if led == 0 {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(transferPoll):
-		}
-	}
-	return trace.ConnectionProblem(ctx.Err(), "control node %s stops while it still leads a group: no other voter took over in time", s.config.Name)
-}
-
-// transferAway asks the most advanced other voter to lead group; it returns 1 if this node leads it.
-func (s *Server) transferAway(ctx context.Context, group uint32) int {
-	status, err := s.replicas.Status(ctx, group)
-	if err != nil || status.Leader != status.ID || len(status.Configuration.Voters) < 2 {
-		return 0
-	}
-	best := raft.Progress{}
-	for _, candidate := range status.Match {
-		eligible := candidate.Node != status.ID && !candidate.Learner && candidate.RecentActive
-		if eligible && (best.Node == raft.None || candidate.Match > best.Match) {
-			best = candidate
-		}
-	}
-	if best.Node != raft.None {
-		if err := s.replicas.TransferLeadership(ctx, group, best.Node); err != nil {
-			s.log.WithError(err).Debugf("group %d was not handed over", group)
-		}
-	}
-	return 1
-}
-
 // Close stops abruptly: nothing is handed over. It returns when Run has.
 func (s *Server) Close() error {
 	s.cancel()
--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/member"
 )
 
@@ -130,7 +132,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, voterChangeTimeout)
 	defer cancel()
-	if err := v.carryOut(ctx, group, change); err != nil {
+	if err := v.carryOut(ctx, group, change, len(seen.Voters)); err != nil {
 		v.server.log.WithError(err).Debugf("a change of the nodes of group %d waits", group)
 	}
 	v.lastLook = v.server.config.Clock()
@@ -168,19 +170,19 @@
 	return member.Group{Voters: describe(status.Configuration.Voters), Learners: describe(status.Configuration.Learners)}, true
 }
 
-func (v *voters) carryOut(ctx context.Context, group uint32, change member.GroupChange) error {
+func (v *voters) carryOut(ctx context.Context, group uint32, change member.GroupChange, voterCount int) error {
 	var err error
-	done := ""
+	event := events.GroupChanged{Group: group, Node: change.Node, Voters: voterCount}
 	switch change.Kind {
 	case member.AddLearner:
-		done, err = "joins as a learner", v.server.replicas.AddLearner(ctx, group, change.Node)
+		event.Change, err = "learner_added", v.server.replicas.AddLearner(ctx, group, change.Node)
 	case member.PromoteLearner:
-		done, err = "is a voter", v.server.replicas.Promote(ctx, group, change.Node)
+		event.Change, err = "promoted", v.server.replicas.Promote(ctx, group, change.Node)
 	case member.RemoveNode:
-		done, err = "is removed", v.server.replicas.Remove(ctx, group, change.Node)
+		event.Change, err = "removed", v.server.replicas.Remove(ctx, group, change.Node)
 	}
 	if err == nil {
-		v.server.log.Infof("group %d: node %d %s", group, change.Node, done)
+		logging.Emit(v.server.log, &event)
 	}
 	return err
 }
