--- a/internal/batchrun/commits.go
+++ b/internal/batchrun/commits.go
@@ -110,14 +110,13 @@
 
 // commit repeats a command, which is safe, until it is applied; false when ctx has ended.
 func (c *commits) commit(ctx context.Context, command *wire.JobStore) bool {
-	for ctx.Err() == nil {
+	began := c.config.Clock()
+	for tries := 1; ctx.Err() == nil; tries++ {
 		attempt, cancel := context.WithTimeout(ctx, commitTimeout)
 		result, err := c.config.Group.Propose(attempt, &wire.Command{Kind: &wire.Command_JobStore{JobStore: command}})
 		cancel()
 		if err == nil {
-			if reason := result.GetInvalid(); reason != "" {
-				c.config.Log.Errorf("results of batch jobs were refused: %s", reason)
-			}
+			c.logCommitted(command, tries, result.GetInvalid(), c.config.Clock()-began)
 			return true
 		}
 		c.config.Log.WithError(err).Debug("results of batch jobs are not committed yet")
--- /dev/null
+++ b/internal/batchrun/log.go
@@ -0,0 +1,147 @@
+package batchrun
+
+import (
+	"errors"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// Why an item is given up, in logs.
+const (
+	whyImpossible   = "impossible"
+	whyFailedOften  = "failed_too_often"
+	whyTooOld       = "too_old"
+	whyNoRoute      = "no_route"
+	whyNotPermitted = "not_admitted"
+)
+
+// givenUpFor names why an item is given up after a run.
+func givenUpFor(ending schedule.Ending) string {
+	if ending == schedule.Impossible {
+		return whyImpossible
+	}
+	return whyFailedOften
+}
+
+// runCounts counts the runs of a job's items under this leader.
+type runCounts struct {
+	first                      time.Duration
+	started, moved, full, lost int
+}
+
+func (j *job) noteStart(now time.Duration) {
+	if j.runs.started == 0 {
+		j.runs.first = now
+	}
+	j.runs.started++
+}
+
+func (j *job) noteEnd(ending schedule.Ending) {
+	switch ending {
+	case schedule.Completed:
+	case schedule.Moved:
+		j.runs.moved++
+	case schedule.Full:
+		j.runs.full++
+	default:
+		j.runs.lost++
+	}
+}
+
+// groups counts a job's groups, and those all of whose items have a result.
+func (j *job) groups() (all, whole int) {
+	open := map[string]bool{}
+	for _, entry := range j.items {
+		name := entry.wire.GetGroup()
+		if name == "" {
+			name = entry.wire.GetId()
+		}
+		open[name] = open[name] || entry.open
+	}
+	for _, unfinished := range open {
+		if !unfinished {
+			whole++
+		}
+	}
+	return len(open), whole
+}
+
+func (t *tenure) logOpened(taken *wire.JobWork, opened *job) {
+	submit := opened.submit
+	logging.Emit(t.config.Log, &events.JobOpened{
+		Job: submit.GetId(), Route: submit.GetRoute(), Model: submit.GetModel(), Step: submit.GetStep(), MinVersion: submit.GetMinVersion(),
+		Desired: submit.GetDesired(), Items: len(submit.GetItems()), Finished: len(taken.GetFinished()),
+		DueMs: events.Millis(opened.due - opened.opened), AgeMs: events.Millis(age(submit)), TableNeeded: submit.GetTableVersion(),
+	})
+}
+
+func (t *tenure) logClosed(closed *job, running int) {
+	submit, now := closed.submit, t.config.Clock()
+	event := &events.JobClosed{
+		Job: submit.GetId(), Step: submit.GetStep(), Items: len(submit.GetItems()), Desired: submit.GetDesired(), Running: running,
+		OverdueMs: events.Millis(now - closed.due), Runs: closed.runs.started, RunsMoved: closed.runs.moved, RunsFull: closed.runs.full,
+		RunsFailed: closed.runs.lost,
+	}
+	event.Groups, event.Whole = closed.groups()
+	for _, entry := range closed.items {
+		if !entry.open {
+			event.Finished++
+		}
+	}
+	if closed.runs.started > 0 {
+		event.FirstRunMs = events.Millis(closed.runs.first - closed.opened)
+	}
+	logging.Emit(t.config.Log, event)
+}
+
+func (t *tenure) logStart(c *call) {
+	event := &events.RunStarted{
+		Job: c.Job, Item: c.Item, Replica: c.Instance, Pool: c.Pool, TableVersion: t.view.Version(), Urgency: c.Urgency, Running: c.Running,
+		Slots: c.Slots, KnownVersion: c.Known, ExpectedVersion: c.ExpectedVersion, ResumeAfter: max(c.text.lastID, 0),
+	}
+	if c.Known > 0 {
+		event.KnownAgeMs = events.Millis(c.KnownAge)
+	}
+	logging.Emit(t.config.Log, event)
+}
+
+func (t *tenure) logEnd(c *call, brought int, next schedule.Next) {
+	event := &events.RunEnded{
+		Job: c.Job, Item: c.Item, Replica: c.Instance, Ending: c.ending.String(), Why: string(c.why), Next: next.String(),
+		Status: c.outcome.Status, Events: brought, Version: c.version, Cause: events.ErrorText(c.outcome.Err),
+		TookMs: events.Millis(t.config.Clock() - c.started),
+	}
+	if c.stream.fault != nil {
+		event.Cause = events.ErrorText(c.stream.fault)
+	}
+	if errors.Is(c.outcome.Err, errNotAdmitted) {
+		event.Why = whyNotPermitted
+	}
+	logging.Emit(t.config.Log, event)
+	for _, one := range t.scheduler.Suspended() {
+		logging.Emit(t.config.Log, &events.ReplicaSuspended{Replica: one.Instance, Ending: one.Ending.String(), Job: one.Job, Item: one.Item,
+			InRow: one.InRow, PauseMs: events.Millis(one.Pause)})
+	}
+}
+
+func (t *tenure) logCompleted(key schedule.Key, result *wire.JobResult) {
+	logging.Emit(t.config.Log, &events.ItemFinished{Job: key.Job, Item: key.Item, State: stateCompleted, Versions: result.GetVersions()})
+}
+
+func (t *tenure) logTerminated(key schedule.Key, why string) {
+	logging.Emit(t.config.Log, &events.ItemFinished{Job: key.Job, Item: key.Item, State: stateTerminated, Why: why})
+}
+
+func (c *commits) logCommitted(command *wire.JobStore, tries int, refused string, took time.Duration) {
+	event := &events.ResultsCommitted{Tries: tries, Refused: refused, TookMs: events.Millis(took)}
+	for _, results := range command.GetJobs() {
+		event.Jobs = append(event.Jobs, results.GetJob())
+		event.Results += len(results.GetResults())
+		event.Partials += len(results.GetPartials())
+	}
+	logging.Emit(c.config.Log, event)
+}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -7,6 +7,8 @@
 	"github.com/gravitational/trace"
 
 	"github.com/tamarindring/tamarindring/internal/batch"
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -62,7 +64,7 @@
 		r.config.Log.WithError(err).Debug("the open batch jobs could not be read")
 		return
 	}
-	r.config.Log.Infof("running %d open batch jobs in term %d", len(work.GetOpen()), term)
+	logging.Emit(r.config.Log, &events.RunnerBegan{Term: term, Open: len(work.GetOpen()), Revision: work.GetRevision()})
 	tenure := newTenure(r, term)
 	committed := make(chan struct{})
 	go func() {
@@ -71,11 +73,12 @@
 	}()
 	tenure.adopt(ctx, work)
 	tenure.loop(ctx)
+	ended := events.RunnerEnded{Term: term, Open: len(tenure.jobs), Running: len(tenure.calls)}
 	cancel()
 	tenure.wait()
 	<-committed
 	r.counts.jobs.Set(0)
-	r.config.Log.Infof("no longer running batch jobs in term %d", term)
+	logging.Emit(r.config.Log, &ended)
 }
 
 type ask func(ctx context.Context, query *wire.Query) (*wire.View, error)
--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -23,11 +23,13 @@
 			left = append(left, entry)
 			continue
 		}
+		known := chosen.versions[entry.job.Model]
 		expected := s.enter(entry, chosen, now)
 		starts = append(starts, Start{
 			Key:      Key{Job: entry.job.ID, Item: entry.ID},
 			Instance: chosen.Instance, Address: chosen.Address, Pool: chosen.Pool, Slots: chosen.Slots,
 			Urgency: entry.urgency, ExpectedVersion: expected,
+			Running: chosen.running, Known: known.number, KnownAge: now - known.at,
 		})
 	}
 	clear(s.order[len(left):])
--- a/internal/batchrun/schedule/outcome.go
+++ b/internal/batchrun/schedule/outcome.go
@@ -114,18 +114,27 @@
 	case Completed:
 		at.proven(entry)
 	case Full:
-		s.suspend(at, &at.refusals, s.settings.FullPause, s.settings.MaximumFullPause, now)
+		s.suspend(at, &at.refusals, s.settings.FullPause, s.settings.MaximumFullPause, now, entry, ending)
 	case Broken, Unreachable, Misdirected:
-		s.suspend(at, &at.failures, s.settings.FailurePause, s.settings.MaximumPause, now)
+		s.suspend(at, &at.failures, s.settings.FailurePause, s.settings.MaximumPause, now, entry, ending)
 	}
 }
 
+// Suspended returns the suspensions since the last call.
+func (s *Scheduler) Suspended() []Suspension {
+	suspended := s.suspended
+	s.suspended = nil
+	return suspended
+}
+
 // suspend keeps new items from a replica for a pause that doubles. Runs that end together count once.
-func (s *Scheduler) suspend(at *replica, count *int, pause, most, now time.Duration) {
+func (s *Scheduler) suspend(at *replica, count *int, pause, most, now time.Duration, entry *item, ending Ending) {
 	if at.pausedTo > now {
 		return
 	}
 	at.pausedTo = now + min(pause<<min(*count, 10), most)
 	*count++
 	at.probation, at.since = true, now
+	s.suspended = append(s.suspended, Suspension{Key: Key{Job: entry.job.ID, Item: entry.ID}, Instance: at.Instance, Ending: ending,
+		Pause: at.pausedTo - now, InRow: *count})
 }
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -9,12 +9,13 @@
 
 // Scheduler holds the open jobs and the replicas.
 type Scheduler struct {
-	settings Settings
-	jobs     map[string]*job
-	replicas map[string]*replica // by instance
-	pools    map[string]*pool
-	seen     map[string]bool // groups of jobs that ended without them whole
-	order    []*item         // waiting items in order of work; nil: to be made anew
+	settings  Settings
+	jobs      map[string]*job
+	replicas  map[string]*replica // by instance
+	pools     map[string]*pool
+	seen      map[string]bool // groups of jobs that ended without them whole
+	suspended []Suspension    // that Suspended has not returned
+	order     []*item         // waiting items in order of work; nil: to be made anew
 }
 
 type job struct {
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -58,6 +58,20 @@
 	// ExpectedVersion asks the replica to refuse the item under other weights: it had too old ones when it was
 	// last heard, and a refusal costs less than a run that is dropped. 0: any will do.
 	ExpectedVersion uint64
+	// What the choice was made on: items that run there with this one, the weight version last heard there (0: none)
+	// and how long ago.
+	Running  int
+	Known    uint64
+	KnownAge time.Duration
+}
+
+// Suspension is a replica that gets no items for a pause.
+type Suspension struct {
+	Key      // of the run whose ending is the reason
+	Instance string
+	Ending   Ending
+	Pause    time.Duration
+	InRow    int // pauses in a row for such a reason, with this one
 }
 
 // Ending is how a run of an item ended.
@@ -78,6 +92,13 @@
 	Stopped                   // dropped by the caller for a reason of its own
 )
 
+// String names an ending in logs.
+func (e Ending) String() string {
+	return [...]string{Completed: "completed", Failed: "failed", Impossible: "impossible", Broken: "broken", Full: "full",
+		Unreachable: "unreachable", Misdirected: "misdirected", OldVersion: "old_version", Moved: "moved", Changed: "changed",
+		Stopped: "stopped"}[e]
+}
+
 // Next is what becomes of an item after a run.
 type Next uint8
 
@@ -89,6 +110,11 @@
 	Forgotten             // its job has ended
 )
 
+// String names it in logs.
+func (n Next) String() string {
+	return [...]string{Again: "again", Done: "done", GivenUp: "given_up", Forgotten: "forgotten"}[n]
+}
+
 // The urgencies of starts: 0 to 9, 5 where none is given.
 const (
 	urgencyStraggler = 4 // the last items of a group that is waited for
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
@@ -27,8 +28,9 @@
 	text    *text
 	stream  *stream
 	cancel  context.CancelFunc
-	stopped bool // by the loop: the job has ended
-	moved   bool // by the loop: another replica is faster
+	started time.Duration
+	why     stopReason // by the loop, when it ended the run
+	outcome replica.Outcome
 	ending  schedule.Ending
 	version uint64
 	result  *wire.JobResult // of a call that completed its item
@@ -83,7 +85,7 @@
 func (t *tenure) giveUp(key schedule.Key) {
 	if t.scheduler.Terminate(key) {
 		t.stop(key)
-		t.terminate(key)
+		t.terminate(key, whyNoRoute)
 	}
 }
 
@@ -119,7 +121,7 @@
 	if entry.text == nil || !entry.text.fits(minimum, single) {
 		entry.text = newText()
 	}
-	started := &call{Start: start, item: entry.wire, text: entry.text}
+	started := &call{Start: start, item: entry.wire, text: entry.text, started: t.config.Clock()}
 	started.stream = &stream{
 		clock: t.config.Clock, minVersion: minimum, single: single, item: start.Item, text: entry.text,
 		checkpoints: checkpoints{
@@ -129,6 +131,8 @@
 	}
 	started.stream.parser.VersionField = t.config.VersionField
 	t.calls[start.Key] = started
+	held.noteStart(started.started)
+	t.logStart(started)
 	callContext, cancel := context.WithCancel(ctx)
 	started.cancel = cancel
 	t.runner.counts.running.Inc()
@@ -157,6 +161,7 @@
 		return nil
 	}
 	outcome := t.config.Caller.Do(ctx, request, c.stream)
+	c.outcome = outcome
 	c.version = c.stream.version
 	c.ending = c.stream.ending(outcome, request.ExpectedVersion > 0)
 	if errors.Is(outcome.Err, errNotAdmitted) {
@@ -206,16 +211,21 @@
 	delete(t.calls, c.Key)
 	events, last, version := c.stream.progress()
 	t.scheduler.Progress(c.Key, events, last, version)
-	if c.moved && c.ending == schedule.Broken {
+	if c.why == stopMoved && c.ending == schedule.Broken {
 		c.ending = schedule.Moved
 	}
-	switch t.scheduler.Ended(t.config.Clock(), c.Key, c.ending, c.version) {
+	if held := t.jobs[c.Job]; held != nil {
+		held.noteEnd(c.ending)
+	}
+	next := t.scheduler.Ended(t.config.Clock(), c.Key, c.ending, c.version)
+	t.logEnd(c, events, next)
+	switch next {
 	case schedule.Done:
 		t.finish(c.Key, c.result)
 	case schedule.GivenUp:
-		t.terminate(c.Key)
+		t.terminate(c.Key, givenUpFor(c.ending))
 	case schedule.Forgotten:
-		if c.stopped {
+		if c.why == stopJobEnded {
 			t.runner.kept.keep(c.item, c.text)
 		}
 	}
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -33,6 +33,9 @@
 type job struct {
 	submit *wire.JobSubmit
 	items  map[string]*item
+	opened time.Duration
+	due    time.Duration
+	runs   runCounts
 }
 
 type item struct {
@@ -41,6 +44,15 @@
 	open bool  // without a result
 }
 
+// stopReason is why the loop has ended a run.
+type stopReason string
+
+const (
+	stopJobEnded stopReason = "job_ended"
+	stopStalled  stopReason = "stalled"
+	stopMoved    stopReason = "moved" // another replica is faster
+)
+
 func newTenure(r *Runner, term uint64) *tenure {
 	return &tenure{
 		runner: r, config: &r.config, term: term, scheduler: schedule.New(r.config.Schedule),
@@ -143,7 +155,7 @@
 // never given up too soon, whatever the clocks say.
 func (t *tenure) open(taken *wire.JobWork) {
 	submit, now := taken.GetJob(), t.config.Clock()
-	added := &job{submit: submit, items: make(map[string]*item, len(submit.GetItems()))}
+	added := &job{submit: submit, items: make(map[string]*item, len(submit.GetItems())), opened: now}
 	described := schedule.Job{
 		ID: submit.GetId(), Model: submit.GetModel(), MinVersion: submit.GetMinVersion(), Desired: int(submit.GetDesired()),
 		MaxAttempts: int(submit.GetMaxAttempts()), Deadline: now + millis(submit.GetDeadlineMillis()) - age(submit),
@@ -163,7 +175,9 @@
 	for _, partial := range taken.GetPartials() {
 		added.items[partial.GetItem()].text = restoredText(partial)
 	}
+	added.due = described.Deadline
 	t.jobs[submit.GetId()] = added
+	t.logOpened(taken, added)
 	t.scheduler.Open(described, taken.GetFinished())
 	t.view = nil // the new items have no route yet
 }
@@ -178,9 +192,11 @@
 
 // close stops the items of a job that has ended. What they have brought is kept for a later job.
 func (t *tenure) close(id string) {
-	for _, key := range t.scheduler.End(id) {
+	running := t.scheduler.End(id)
+	for _, key := range running {
 		t.stop(key)
 	}
+	t.logClosed(t.jobs[id], len(running))
 	for _, entry := range t.jobs[id].items {
 		if t.calls[schedule.Key{Job: id, Item: entry.wire.GetId()}] == nil {
 			t.runner.kept.keep(entry.wire, entry.text)
@@ -192,7 +208,7 @@
 // stop ends a call; it is reported through ends.
 func (t *tenure) stop(key schedule.Key) {
 	if running := t.calls[key]; running != nil {
-		running.stopped = true
+		running.why = stopJobEnded
 		running.cancel()
 	}
 }
@@ -207,23 +223,25 @@
 	}
 	for _, key := range t.scheduler.Stalled(now) {
 		if running := t.calls[key]; running != nil {
+			running.why = stopStalled
 			running.cancel()
 		}
 	}
 	for _, key := range t.scheduler.Slow(now) {
 		if running := t.calls[key]; running != nil {
-			running.moved = true
+			running.why = stopMoved
 			running.cancel()
 		}
 	}
 	for _, key := range t.scheduler.Expired(now) {
-		t.terminate(key)
+		t.terminate(key, whyTooOld)
 	}
 	t.expire(ctx, now)
 }
 
 // terminate lists an item as given up.
-func (t *tenure) terminate(key schedule.Key) {
+func (t *tenure) terminate(key schedule.Key, why string) {
+	t.logTerminated(key, why)
 	t.finish(key, &wire.JobResult{Item: key.Item, State: wire.JobItemState_JOB_ITEM_STATE_TERMINATED})
 }
 
@@ -234,6 +252,9 @@
 	}
 	held.items[key.Item].open = false
 	t.runner.counts.result(result)
+	if result.GetState() == wire.JobItemState_JOB_ITEM_STATE_COMPLETED {
+		t.logCompleted(key, result)
+	}
 	t.commits.add(key.Job, result)
 }
 
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -47,6 +47,8 @@
 		{parent: "member", name: "add", short: "Make a control node that was started with --join a voter", constructor: func() command { return &memberAddCommand{} }},
 		{parent: "member", name: "remove", short: "Take a control node out", constructor: func() command { return &memberRemoveCommand{} }},
 		{parent: "member", name: "replace", short: "Put a control node that was started with --join in another's place", constructor: func() command { return &memberReplaceCommand{} }},
+		{name: "explain", short: "Tell the story of one request, batch job or item from the logs of many processes", constructor: func() command { return &explainCommand{} }},
+		{name: "events", short: "Print the reference page of the events in logs", constructor: func() command { return &eventsCommand{} }},
 		{name: "token", short: "Tokens of operators, trainers, callers and nodes"},
 		{parent: "token", name: "create", short: "Make a token and print its entry for the file of accepted tokens", constructor: func() command { return &tokenCreateCommand{} }},
 		{name: "data", short: "Check, back up and restore data folders"},
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -13,7 +13,7 @@
 	"github.com/tamarindring/tamarindring/internal/control"
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/credentials"
-	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/page"
 )
 
@@ -33,9 +33,8 @@
 	Tick         time.Duration `long:"tick" default:"50ms" description:"Step of the consensus clock; a dead leader is replaced after 10 to 20 of them"`
 	DrainTimeout time.Duration `long:"drain-timeout" default:"10s" description:"Longest time to hand leaderships over when stopped by SIGINT or SIGTERM"`
 	PageListen   string        `long:"page-listen" value-name:"IP:PORT" description:"Address of the operators' page; none if empty. Without 'tokens' whoever reaches it can change the table"`
-	LogLevel     string        `long:"log-level" default:"info" description:"debug, info, warning or error"`
-	LogFormat    string        `long:"log-format" default:"text" description:"text or json"`
 	PageToken    string        `long:"page-token" value-name:"FILE" description:"File with the operator's token that the page changes the table with; needed when tokens are asked for"`
+	logOptions
 	adminOptions
 	serverOptions
 }
@@ -46,16 +45,20 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 	}
-	logger, err := logging.New(logging.Config{Level: c.LogLevel, Format: c.LogFormat, Output: environment.Stderr})
+	log, err := c.logOptions.open(environment, "control", c.Name, events.ProcessStarted{Zone: c.Zone})
 	if err != nil {
-		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+		return err
 	}
-	log := logging.Part(logger, "control")
+	return log.end(c.serve(environment, peers, log))
+}
+
+func (c *controlCommand) serve(environment Environment, peers []control.Peer, process *processLog) error {
+	log := process.Entry
 	opened, err := c.doors(log)
 	if err != nil {
 		return err
 	}
-	admin, err := c.open("control", c.Name, opened, log)
+	admin, err := c.adminOptions.open("control", c.Name, opened, log)
 	if err != nil {
 		return err
 	}
@@ -78,6 +81,7 @@
 		return trace.NewAggregate(err, server.Close())
 	}
 	defer closePage()
+	process.serving(server.Address())
 	finished := make(chan error, 1)
 	go func() { finished <- server.Run(context.Background()) }()
 	select {
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -8,7 +8,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
-	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/memlimit"
 	"github.com/tamarindring/tamarindring/internal/metrics"
 	"github.com/tamarindring/tamarindring/platform"
@@ -16,8 +16,7 @@
 
 // platformRole runs one role of the users' platform from the platform's settings file.
 type platformRole struct {
-	LogLevel  string `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
-	LogFormat string `long:"log-format" default:"text" description:"Log format: text or json"`
+	logOptions
 	adminOptions
 }
 
@@ -47,23 +46,31 @@
 	if len(arguments) > 0 {
 		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("platform %s takes no arguments, got %q", role, arguments[0])}
 	}
-	logger, err := logging.New(logging.Config{Level: r.LogLevel, Format: r.LogFormat, Output: environment.Stderr})
-	if err != nil {
-		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
-	}
 	settings, err := platform.OpenSettingsFile(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 	}
-	log := logging.Part(logger, role)
-	collector := memlimit.Apply(settings.Current().Limits.MemoryBytes())
-	log.Debugf("the heap stays below %d MB, collected at %d%% growth", collector.HeapBytes>>20, collector.CollectPercent)
-	settings.Follow(environment.Context, log)
-	admin, err := r.adminOptions.open(role, settings.Current().Node, doors{}, log)
+	current := settings.Current()
+	collector := memlimit.Apply(current.Limits.MemoryBytes())
+	log, err := r.logOptions.open(environment, role, current.Node, events.ProcessStarted{Zone: current.Zone, MemoryMB: current.Limits.MemoryMB})
 	if err != nil {
 		return err
 	}
+	log.Debugf("the heap stays below %d MB, collected at %d%% growth", collector.HeapBytes>>20, collector.CollectPercent)
+	settings.Follow(environment.Context, log.Entry)
+	admin := r.openMetrics(role, current.Node, log.Entry)
 	defer closeAdmin(admin)
 	show := func(process metrics.Process) error { return showAdmin(admin, process) }
-	return serve(environment.Context, settings.Current(), show, log)
+	return log.end(serve(environment.Context, current, show, log.Entry))
+}
+
+// openMetrics opens the operators' listener. On the platform another process may have its port: then this one goes
+// without metrics, since callers matter more.
+func (r *platformRole) openMetrics(role, node string, log *logrus.Entry) *metrics.Admin {
+	admin, err := r.adminOptions.open(role, node, doors{}, log)
+	if err != nil {
+		log.WithError(err).Error("no metrics are shown")
+		return nil
+	}
+	return admin
 }
--- a/internal/cli/role.go
+++ b/internal/cli/role.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tamarindring/tamarindring/internal/controlclient"
-	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/events"
 )
 
 // memberOptions are the flags of the roles that hold a session with the control group.
@@ -19,8 +19,7 @@
 	LedgerGroups int           `long:"ledger-groups" default:"2" description:"Number of ledger groups; the same as the control nodes'"`
 	StartTime    time.Duration `long:"start-time" default:"30s" description:"Longest time to wait for the first lease"`
 	LostTime     time.Duration `long:"lost-time" default:"2m" description:"Longest time without a lease before the process drains and fails, so that its supervisor starts it with the settings of the moment; 0 for ever"`
-	LogLevel     string        `long:"log-level" default:"info" description:"Lowest level logged: debug, info, warning or error"`
-	LogFormat    string        `long:"log-format" default:"text" description:"Log format: text or json"`
+	logOptions
 	adminOptions
 	serverOptions
 }
@@ -45,11 +44,15 @@
 	if len(arguments) > 0 {
 		return &ExitError{Code: ExitUsage, Message: fmt.Sprintf("%s takes no arguments, got %q", role.role, arguments[0])}
 	}
-	logger, err := logging.New(logging.Config{Level: o.LogLevel, Format: o.LogFormat, Output: environment.Stderr})
+	log, err := o.logOptions.open(environment, role.role, role.name, events.ProcessStarted{})
 	if err != nil {
-		return &ExitError{Code: ExitUsage, Message: err.Error()}
+		return err
 	}
-	log := logging.Part(logger, role.role)
+	return log.end(o.serve(environment, role, log))
+}
+
+func (o memberOptions) serve(environment Environment, role memberRole, process *processLog) error {
+	log := process.Entry
 	opened, err := o.doors(log)
 	if err != nil {
 		return err
@@ -67,7 +70,7 @@
 		return trace.NewAggregate(err, server.Close())
 	}
 	opened.warnIfOpen(log, "the listener", server.Address())
-	log.Infof("serving on %s", server.Address())
+	process.serving(server.Address())
 	return serveMember(environment.Context, server, role.drainTime, &lostWatch{limit: o.LostTime}, log)
 }
 
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/storage"
 )
@@ -61,11 +63,7 @@
 	full := !h.config.Store.HasHeadroom()
 	if full != h.diskFull {
 		h.diskFull = full
-		if full {
-			h.config.Log.Error("the disk is nearly full, new work is refused")
-		} else {
-			h.config.Log.Info("the disk has room again")
-		}
+		logging.Emit(h.config.Log, &events.DiskChanged{Full: full})
 	}
 }
 
@@ -176,12 +174,7 @@
 
 func (h *Host) announce(g *hostedGroup) {
 	leadership := g.leadership
-	switch {
-	case leadership.Leading:
-		h.config.Log.Infof("group %d is led by this node in term %d", g.id, leadership.Term)
-	case leadership.Leader != raft.None:
-		h.config.Log.Infof("group %d is led by node %d in term %d", g.id, leadership.Leader, leadership.Term)
-	}
+	logging.Emit(h.config.Log, &events.LeaderChanged{Group: g.id, Term: leadership.Term, Leader: leadership.Leader, Self: leadership.Leading})
 	if h.config.OnLeaderChange != nil {
 		h.config.OnLeaderChange(g.id, leadership)
 	}
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -12,6 +12,8 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcerr"
 
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -70,7 +72,7 @@
 		}
 		if connected {
 			backoff = firstBackoff
-			s.host.config.Log.Debugf("lost the stream to node %d: %v", s.node, err)
+			logging.Emit(s.host.config.Log, &events.PeerLost{Peer: s.node, Cause: events.ErrorText(err)})
 		}
 		s.forget()
 		select {
@@ -118,6 +120,7 @@
 	watching.Go(func() { cancel(watch(stream)) })
 	defer watching.Wait()
 	defer conn.Close()
+	logging.Emit(s.host.config.Log, &events.PeerFound{Peer: s.node, Address: addresses[attempt%len(addresses)]})
 	return true, s.pump(ctx, stream)
 }
 
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -29,10 +29,14 @@
 	members atomic.Pointer[wire.MembersView]
 	renewer atomic.Pointer[string] // address of the node that granted the lease last
 
+	found string // by run: the control node that the log names as the present one
+
 	mutex     sync.Mutex // guards what follows, and keeps view and holder in step
 	holder    *lease.Holder
 	listeners []func(*table.View)
 	everHeld  bool
+	holds     bool          // whether the log says that the lease holds
+	lapsed    time.Duration // end of the last lease, while none holds
 	leaving   chan struct{} // non-nil once Leave was called; closed when the leader has confirmed
 	leaveOnce sync.Once
 	kick      chan struct{} // wakes the loop to renew at once
@@ -82,6 +86,7 @@
 		refused: make(chan error, 1),
 		holder:  lease.NewHolder(),
 		kick:    make(chan struct{}, 1),
+		lapsed:  c.config.Clock(),
 	}
 	session.view.Store(table.NewView())
 	session.members.Store(&wire.MembersView{})
@@ -114,14 +119,19 @@
 func (s *Session) Admit() (version uint64, ok bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.holder.Admit(s.client.config.Clock())
+	now := s.client.config.Clock()
+	version, ok = s.holder.Admit(now)
+	s.noteLease(now, ok)
+	return version, ok
 }
 
 // AdmitView is Admit with the view of the version that it admits.
 func (s *Session) AdmitView() (*table.View, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	_, ok := s.holder.Admit(s.client.config.Clock())
+	now := s.client.config.Clock()
+	_, ok := s.holder.Admit(now)
+	s.noteLease(now, ok)
 	return s.view.Load(), ok
 }
 
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -79,15 +79,6 @@
 	}
 }
 
-// logLoss tells that a control node that served this session is gone; err is nil after an orderly end.
-func (s *Session) logLoss(address string, err error) {
-	if err != nil {
-		s.client.config.Log.WithError(err).Warnf("lost control node %s", address)
-		return
-	}
-	s.client.config.Log.Infof("control node %s ended the session", address)
-}
-
 // noteRefusal tells StartSession, or the log when the session runs, that the token is not accepted.
 func (s *Session) noteRefusal(address string, err error) {
 	select {
@@ -216,7 +207,7 @@
 	}
 	if reply.Granted && reply.Sequence+sentMemory > a.sequence && reply.Sequence <= a.sequence {
 		a.lease = time.Duration(reply.LeaseMillis) * time.Millisecond
-		s.renewer.Store(&a.address)
+		s.noteRenewer(a.address, a.lease)
 		s.grant(a.sentAt[reply.Sequence%sentMemory], a.lease)
 		granted = true
 	}
@@ -276,7 +267,12 @@
 	if s.leaving != nil {
 		return
 	}
+	now := s.client.config.Clock()
+	_, held := s.holder.Admit(now)
+	s.noteLease(now, held) // one that ended unnoticed
 	s.holder.Renewed(sentAt, duration)
+	_, held = s.holder.Admit(now)
+	s.noteLease(now, held)
 	if !s.everHeld {
 		s.everHeld = true
 		close(s.granted)
--- /dev/null
+++ b/internal/events/control.go
@@ -0,0 +1,177 @@
+package events
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/logging"
+)
+
+// LeaderChanged is a node's new belief of who leads a consensus group.
+type LeaderChanged struct {
+	Group  uint32 `json:"group" doc:"0: the control group; others: ledger groups"`
+	Term   uint64 `json:"term" doc:"term of the group"`
+	Leader uint64 `json:"leader,omitempty" doc:"node that leads; none: not known"`
+	Self   bool   `json:"self" doc:"whether that is this node"`
+}
+
+var leaderChangedKind = kind("leader_changed", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*LeaderChanged) Kind() *logging.Kind { return &leaderChangedKind }
+
+// GroupChanged is a change of the nodes of a consensus group.
+type GroupChanged struct {
+	Group  uint32 `json:"group" doc:"0: the control group; others: ledger groups"`
+	Node   uint64 `json:"node_id" doc:"node that it is about"`
+	Change string `json:"change" doc:"learner_added, promoted or removed"`
+	Voters int    `json:"voters" doc:"voters before the change"`
+}
+
+var groupChangedKind = kind("group_changed", logrus.WarnLevel, perChange)
+
+// Kind implements logging.Event.
+func (*GroupChanged) Kind() *logging.Kind { return &groupChangedKind }
+
+// PeerLost is a lost connection to another control node.
+type PeerLost struct {
+	Peer  uint64 `json:"peer" doc:"id of the node"`
+	Cause string `json:"cause,omitempty" doc:"how the connection ended"`
+}
+
+var peerLostKind = kind("peer_lost", logrus.WarnLevel, perChange)
+
+// Kind implements logging.Event.
+func (*PeerLost) Kind() *logging.Kind { return &peerLostKind }
+
+// PeerFound is a connection to another control node that is up again, or for the first time.
+type PeerFound struct {
+	Peer    uint64 `json:"peer" doc:"id of the node"`
+	Address string `json:"address" doc:"where it was found"`
+}
+
+var peerFoundKind = kind("peer_found", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*PeerFound) Kind() *logging.Kind { return &peerFoundKind }
+
+// DiskChanged is a disk that has no room left for new work, or has room again.
+type DiskChanged struct {
+	Full bool `json:"full" doc:"whether new work is refused"`
+}
+
+var diskChangedKind = kind("disk_changed", logrus.ErrorLevel, perChange)
+
+// Kind implements logging.Event.
+func (*DiskChanged) Kind() *logging.Kind { return &diskChangedKind }
+
+// MemberChanged is a member's new state as the control group's leader recorded it.
+type MemberChanged struct {
+	Member string `json:"member" doc:"name and incarnation of the process"`
+	State  string `json:"state" doc:"alive, suspect, leaving or gone"`
+}
+
+var memberChangedKind = kind("member_changed", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*MemberChanged) Kind() *logging.Kind { return &memberChangedKind }
+
+// ControlFound is the control node that grants this process its lease.
+type ControlFound struct {
+	Address      string  `json:"address" doc:"of the control node"`
+	TableVersion uint64  `json:"table_version" doc:"version of the table that this process acts on"`
+	LeaseMs      float64 `json:"lease_ms" doc:"length of the lease"`
+}
+
+var controlFoundKind = kind("control_found", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*ControlFound) Kind() *logging.Kind { return &controlFoundKind }
+
+// ControlLost is the loss of the control node that granted this process its lease.
+type ControlLost struct {
+	Address     string  `json:"address" doc:"of the control node"`
+	Cause       string  `json:"cause,omitempty" doc:"how the session ended; none: by plan"`
+	LeaseLeftMs float64 `json:"lease_left_ms" doc:"time until the lease ends; 0: it has ended"`
+}
+
+var controlLostKind = kind("control_lost", logrus.WarnLevel, perChange)
+
+// Kind implements logging.Event.
+func (*ControlLost) Kind() *logging.Kind { return &controlLostKind }
+
+// LeaseLost is a lease that ended before it was renewed: this process refuses work.
+type LeaseLost struct {
+	TableVersion uint64  `json:"table_version" doc:"version of the table that this process acted on"`
+	SinceMs      float64 `json:"since_ms" doc:"time since its end"`
+}
+
+var leaseLostKind = kind("lease_lost", logrus.WarnLevel, perChange)
+
+// Kind implements logging.Event.
+func (*LeaseLost) Kind() *logging.Kind { return &leaseLostKind }
+
+// LeaseRegained is a lease that holds again, or for the first time.
+type LeaseRegained struct {
+	TableVersion uint64  `json:"table_version" doc:"version of the table that this process acts on"`
+	WithoutMs    float64 `json:"without_ms" doc:"how long this process was without a lease"`
+}
+
+var leaseRegainedKind = kind("lease_regained", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*LeaseRegained) Kind() *logging.Kind { return &leaseRegainedKind }
+
+// TableAdopted is a new version of the table that this process acts on.
+type TableAdopted struct {
+	TableVersion  uint64 `json:"table_version" doc:"the new version"`
+	BeforeVersion uint64 `json:"before_version" doc:"the version before"`
+	Routes        int    `json:"routes" doc:"routes in it"`
+	Replicas      int    `json:"replicas" doc:"back ends in it that take new work"`
+}
+
+var tableAdoptedKind = kind("table_adopted", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*TableAdopted) Kind() *logging.Kind { return &tableAdoptedKind }
+
+// OperatorCall is a change that an operator, a trainer or a back end asked of a control node.
+type OperatorCall struct {
+	Method  string  `json:"method" doc:"of the call"`
+	Path    string  `json:"path" doc:"of the call"`
+	Subject string  `json:"subject,omitempty" doc:"what it is about: a configuration's version, a model's version, a machine"`
+	Status  int     `json:"status" doc:"status that the caller got"`
+	Cause   string  `json:"cause,omitempty" doc:"why it was not taken"`
+	TookMs  float64 `json:"took_ms" doc:"time from its arrival"`
+}
+
+var operatorCallKind = kind("operator_call", logrus.InfoLevel, perRequest)
+
+// Kind implements logging.Event.
+func (*OperatorCall) Kind() *logging.Kind { return &operatorCallKind }
+
+// ReplicaRegistered is a change of a back end's row that its own account brought.
+type ReplicaRegistered struct {
+	Replica      string `json:"replica" doc:"the back end"`
+	Pool         string `json:"pool,omitempty" doc:"its pool"`
+	Address      string `json:"address,omitempty" doc:"where it is reached"`
+	State        string `json:"state" doc:"active, draining or removed"`
+	Heartbeat    uint64 `json:"heartbeat,omitempty" doc:"number of the heartbeat that said so"`
+	TableVersion uint64 `json:"table_version" doc:"version of the table with the change"`
+}
+
+var replicaRegisteredKind = kind("replica_registered", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*ReplicaRegistered) Kind() *logging.Kind { return &replicaRegisteredKind }
+
+// ReplicasSilent is a change that takes out back ends which say nothing, or drops rows of ones long out.
+type ReplicasSilent struct {
+	Silent  []string `json:"silent,omitempty" doc:"back ends that were taken out"`
+	Dropped int      `json:"dropped,omitempty" doc:"rows that were dropped"`
+	LimitMs float64  `json:"limit_ms" doc:"how long a back end may say nothing"`
+}
+
+var replicasSilentKind = kind("replicas_silent", logrus.WarnLevel, perChange)
+
+// Kind implements logging.Event.
+func (*ReplicasSilent) Kind() *logging.Kind { return &replicasSilentKind }
--- /dev/null
+++ b/internal/events/request.go
@@ -0,0 +1,131 @@
+package events
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/logging"
+)
+
+// RequestAnswered is a request that got a back end's whole answer.
+type RequestAnswered struct {
+	Request      string  `json:"request" doc:"the caller's attempt id"`
+	Route        string  `json:"route,omitempty" doc:"route that matched"`
+	RouteKind    string  `json:"route_kind,omitempty" doc:"what the route permits, such as idempotent"`
+	Pool         string  `json:"pool,omitempty" doc:"pool that the request went to"`
+	Replica      string  `json:"replica,omitempty" doc:"back end whose answer was passed on"`
+	Status       int     `json:"status,omitempty" doc:"status of the answer"`
+	TableVersion uint64  `json:"table_version" doc:"version of the table that was acted on"`
+	Sends        int     `json:"sends" doc:"back ends that the request was sent to"`
+	TookMs       float64 `json:"took_ms" doc:"time from the request's arrival"`
+}
+
+var requestAnsweredKind = kind("request_answered", logrus.InfoLevel, perRequest)
+
+// Kind implements logging.Event.
+func (*RequestAnswered) Kind() *logging.Kind { return &requestAnsweredKind }
+
+// RequestFailed is a request that ended without a back end's whole answer.
+type RequestFailed struct {
+	Request      string  `json:"request" doc:"the caller's attempt id"`
+	Method       string  `json:"method,omitempty" doc:"of the request"`
+	Host         string  `json:"host,omitempty" doc:"of the request"`
+	Path         string  `json:"path,omitempty" doc:"of the request"`
+	Route        string  `json:"route,omitempty" doc:"route that matched; none: no route or no configuration"`
+	RouteKind    string  `json:"route_kind,omitempty" doc:"what the route permits, such as idempotent"`
+	Pool         string  `json:"pool,omitempty" doc:"pool that the request went to last"`
+	Reason       string  `json:"reason" doc:"why it ended"`
+	Verdict      string  `json:"verdict" doc:"whether it may have run"`
+	RetryAfterMs float64 `json:"retry_after_ms,omitempty" doc:"when the caller was asked to come back"`
+	Cause        string  `json:"cause,omitempty" doc:"last error"`
+	TableVersion uint64  `json:"table_version" doc:"version of the table that was acted on; 0: none is known"`
+	LeaseHeld    bool    `json:"lease_held" doc:"whether the lease on the table held at the end"`
+	Sends        int     `json:"sends" doc:"back ends that the request was sent to"`
+	DeadlineMs   float64 `json:"deadline_ms,omitempty" doc:"how long the caller waits"`
+	TimeoutMs    float64 `json:"timeout_ms,omitempty" doc:"how long the route lets a request be held"`
+	TookMs       float64 `json:"took_ms" doc:"time from the request's arrival"`
+}
+
+var requestFailedKind = kind("request_failed", logrus.WarnLevel, perFailure)
+
+// Kind implements logging.Event.
+func (*RequestFailed) Kind() *logging.Kind { return &requestFailedKind }
+
+// RequestRefused is a request that was refused before it was matched with a route: it can't be read, or is too large.
+type RequestRefused struct {
+	Request string `json:"request,omitempty" doc:"the caller's attempt id"`
+	Method  string `json:"method,omitempty" doc:"of the request"`
+	Path    string `json:"path,omitempty" doc:"of the request"`
+	Status  int    `json:"status" doc:"status that the caller got"`
+	Cause   string `json:"cause,omitempty" doc:"what is wrong with it"`
+}
+
+var requestRefusedKind = kind("request_refused", logrus.WarnLevel, perFailure)
+
+// Kind implements logging.Event.
+func (*RequestRefused) Kind() *logging.Kind { return &requestRefusedKind }
+
+// AttemptFailed is one send of a request that brought no whole answer.
+type AttemptFailed struct {
+	Request       string  `json:"request" doc:"the caller's attempt id"`
+	Attempt       int     `json:"attempt" doc:"number of the send, from 1"`
+	Pool          string  `json:"pool" doc:"of the back end"`
+	Replica       string  `json:"replica" doc:"back end that it was sent to"`
+	TableVersion  uint64  `json:"table_version" doc:"version of the table that the choice was made on"`
+	Refused       string  `json:"refused,omitempty" doc:"why it did not run there: full, wrong_target or unreachable"`
+	Status        int     `json:"status,omitempty" doc:"status of the back end; none: no answer came"`
+	Verdict       string  `json:"verdict" doc:"whether it may have run there"`
+	Health        string  `json:"health" doc:"what it says of the back end: good, neutral, slow, bad or leaving"`
+	Cause         string  `json:"cause,omitempty" doc:"how it ended"`
+	Running       int     `json:"running" doc:"requests of this process that ran there when it was chosen"`
+	ReportRunning int     `json:"report_running,omitempty" doc:"requests that the back end says it runs"`
+	ReportWaiting int     `json:"report_waiting,omitempty" doc:"requests that the back end says wait there"`
+	ReportedSlots int     `json:"reported_slots,omitempty" doc:"slots that the back end says it has; none: it said nothing"`
+	PassedOn      bool    `json:"passed_on,omitempty" doc:"a part of its answer was passed on to the caller"`
+	TookMs        float64 `json:"took_ms" doc:"time from the send"`
+	RequestLeftMs float64 `json:"request_left_ms" doc:"time that is left to the request"`
+	MostSends     int     `json:"most_sends,omitempty" doc:"sends that the route permits"`
+}
+
+var attemptFailedKind = kind("attempt_failed", logrus.InfoLevel, perFailure)
+
+// Kind implements logging.Event.
+func (*AttemptFailed) Kind() *logging.Kind { return &attemptFailedKind }
+
+// AttemptHedged is a second send beside a first one that has not begun to answer.
+type AttemptHedged struct {
+	Request string  `json:"request" doc:"the caller's attempt id"`
+	First   string  `json:"first" doc:"back end that has not begun to answer"`
+	Second  string  `json:"second" doc:"back end that the request is sent to as well"`
+	AfterMs float64 `json:"after_ms" doc:"how long the first was waited for"`
+}
+
+var attemptHedgedKind = kind("attempt_hedged", logrus.InfoLevel, perFailure)
+
+// Kind implements logging.Event.
+func (*AttemptHedged) Kind() *logging.Kind { return &attemptHedgedKind }
+
+// ReplicaQuarantined is a back end that gets nothing for a while because requests failed there.
+type ReplicaQuarantined struct {
+	Pool     string  `json:"pool" doc:"of the back end"`
+	Replica  string  `json:"replica" doc:"the back end"`
+	Request  string  `json:"request,omitempty" doc:"request whose failure was the last one"`
+	Health   string  `json:"health" doc:"what the last failure was: slow, bad or leaving"`
+	LengthMs float64 `json:"length_ms,omitempty" doc:"how long it gets nothing; it doubles with each one in a row"`
+	InRow    int     `json:"in_row,omitempty" doc:"quarantines in a row"`
+}
+
+var replicaQuarantinedKind = kind("replica_quarantined", logrus.WarnLevel, perChange)
+
+// Kind implements logging.Event.
+func (*ReplicaQuarantined) Kind() *logging.Kind { return &replicaQuarantinedKind }
+
+// ReplicaRestored is a back end that counts as sound again after quarantines.
+type ReplicaRestored struct {
+	Pool    string `json:"pool" doc:"of the back end"`
+	Replica string `json:"replica" doc:"the back end"`
+}
+
+var replicaRestoredKind = kind("replica_restored", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*ReplicaRestored) Kind() *logging.Kind { return &replicaRestoredKind }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -26,6 +26,10 @@
 	forwarder *Forwarder
 	pool      *pool
 	target    replica.Target
+	chosen    choice
+	number    int // of the sends of its request, from 1
+	started   time.Time
+	said      health // of its back end, once it has ended
 	work      routing.Request
 	call      *replica.Call
 	answer    *answer
@@ -37,7 +41,9 @@
 func (x *exchange) newAttempt(chosen choice, owner *atomic.Pointer[answer], replaceable bool) *attempt {
 	held := &answer{owner: owner, reply: x.reply, maxHeld: x.forwarder.config.MaxBufferedAnswer, replaceable: replaceable,
 		resuming: x.passing, resumable: x.route.Resumable && x.route.Kind == table.Stream, last: x.passed}
-	return &attempt{forwarder: x.forwarder, pool: x.pool, target: chosen.target, work: x.work, call: x.call(chosen), answer: held}
+	x.begun++
+	return &attempt{forwarder: x.forwarder, pool: x.pool, target: chosen.target, chosen: chosen, number: x.begun, work: x.work,
+		call: x.call(chosen), answer: held}
 }
 
 // send sends the request to the chosen back end, to a second one when that is slow, and judges how that ended.
@@ -67,6 +73,7 @@
 		select {
 		case <-timer.C:
 			if second := x.second(first); second != nil {
+				x.logHedge(first, second)
 				start(second)
 				running++
 			}
@@ -95,8 +102,11 @@
 
 // run sends the request and takes the answer.
 func (a *attempt) run(ctx context.Context) {
+	a.started = a.forwarder.config.Now()
 	a.outcome = a.forwarder.config.Caller.Do(ctx, a.call, a.answer)
-	a.pool.ended(a.forwarder.now(), a.target.Instance, &a.work, a.health(ctx), a.outcome.Load)
+	a.said = a.health(ctx)
+	changed := a.pool.ended(a.forwarder.now(), a.target.Instance, &a.work, a.said, a.outcome.Load)
+	a.logBelief(changed)
 }
 
 // health is what the attempt says about its back end.
@@ -132,6 +142,7 @@
 // conclude passes a whole answer on, or decides what follows an attempt that brought none.
 func (x *exchange) conclude(ctx context.Context, a *attempt) (*Failure, bool) {
 	if !a.outcome.Whole {
+		x.logAttempt(a)
 		return x.judge(ctx, a)
 	}
 	err := a.answer.finish()
@@ -142,6 +153,7 @@
 		x.mayRan, a.owned = true, true
 		return x.failure(ctx, Broken, err), true
 	}
+	x.answeredBy, x.status = a, a.outcome.Status
 	return nil, true
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/routing"
@@ -92,7 +93,7 @@
 		config.Seed = rand.Uint64()
 	}
 	if config.Log == nil {
-		config.Log = logrus.NewEntry(logrus.StandardLogger())
+		config.Log = logging.Discard()
 	}
 	return &Forwarder{config: config, counts: newCounts(), start: config.Now(), pools: map[string]*pool{},
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed))}, nil
@@ -115,12 +116,13 @@
 		case table.Pool:
 			held := f.pools[row.Name]
 			if held == nil {
-				held = newPool(f.config.Routing, f.random.Uint64())
+				held = newPool(row.Name, f.config.Routing, f.random.Uint64())
 			}
 			held.update(f.now(), view, row, &f.config)
 			next.pools[row.Name] = held
 		}
 	}
+	f.logTable(view, next)
 	f.pools = next.pools
 	f.plan.Store(next)
 }
@@ -138,6 +140,14 @@
 	return ok
 }
 
+// TableVersion is that of the table in use; 0 before the first one.
+func (f *Forwarder) TableVersion() uint64 {
+	if plan := f.plan.Load(); plan != nil {
+		return plan.version
+	}
+	return 0
+}
+
 // Match returns the route of a request, under the lease; known is false when there is no configuration to tell
 // by, or no lease.
 func (f *Forwarder) Match(host, path string) (matched *route.Route, known bool) {
--- /dev/null
+++ b/internal/forward/log.go
@@ -0,0 +1,94 @@
+package forward
+
+import (
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/table"
+)
+
+// logEnd tells how a request ended.
+func (x *exchange) logEnd(failure *Failure) {
+	if failure == nil {
+		x.logAnswered()
+		return
+	}
+	version, held := x.forwarder.config.Control.Admit()
+	event := &events.RequestFailed{
+		Request: x.request.AttemptID, Method: x.request.Method, Host: x.request.Host, Path: x.request.Path,
+		Reason: failure.Reason.String(), Verdict: failure.Verdict.String(), RetryAfterMs: events.Millis(failure.RetryAfter),
+		Cause: events.ErrorText(failure.Cause), TableVersion: version, LeaseHeld: held, Sends: x.begun, Pool: x.poolName,
+		DeadlineMs: events.Millis(x.request.Deadline), TookMs: x.tookMs(),
+	}
+	if x.route != nil {
+		event.Route, event.RouteKind = x.route.Name, string(x.route.Kind)
+		event.TimeoutMs = events.Millis(x.route.Timeout)
+	}
+	logging.Emit(x.forwarder.config.Log, event)
+}
+
+func (x *exchange) logAnswered() {
+	answered := x.answeredBy
+	logging.Emit(x.forwarder.config.Log, &events.RequestAnswered{
+		Request: x.request.AttemptID, Route: x.route.Name, RouteKind: string(x.route.Kind), Pool: x.poolName,
+		Replica: answered.target.Instance, Status: x.status, TableVersion: answered.chosen.version, Sends: x.begun, TookMs: x.tookMs(),
+	})
+}
+
+func (x *exchange) tookMs() float64 {
+	return events.Millis(x.forwarder.config.Now().Sub(x.request.Received))
+}
+
+// refusalNames name in logs why a call did not run at a back end.
+var refusalNames = [...]string{replica.RefusedNone: "", replica.RefusedFull: "full", replica.RefusedWrongTarget: "wrong_target",
+	replica.RefusedUnreachable: "unreachable"}
+
+// logAttempt tells of a send that brought no whole answer.
+func (x *exchange) logAttempt(a *attempt) {
+	now := x.forwarder.config.Now()
+	event := &events.AttemptFailed{
+		Request: x.request.AttemptID, Attempt: a.number, Pool: x.poolName, Replica: a.target.Instance, TableVersion: a.chosen.version,
+		Refused: refusalNames[a.outcome.Refused], Status: a.outcome.Status, Verdict: a.outcome.Verdict.String(), Health: a.said.String(),
+		Cause: events.ErrorText(a.outcome.Err), Running: a.chosen.running, PassedOn: a.answer.owner.Load() == a.answer,
+		TookMs: events.Millis(now.Sub(a.started)), RequestLeftMs: events.Millis(x.until().Sub(now)), MostSends: int(x.route.MaxAttempts),
+	}
+	if load := a.outcome.Load; load != nil {
+		event.ReportRunning, event.ReportWaiting, event.ReportedSlots = load.Running, load.Waiting, load.Slots
+	}
+	logging.Emit(x.forwarder.config.Log, event)
+}
+
+func (x *exchange) logHedge(first, second *attempt) {
+	logging.Emit(x.forwarder.config.Log, &events.AttemptHedged{Request: x.request.AttemptID, First: first.target.Instance,
+		Second: second.target.Instance, AfterMs: events.Millis(x.forwarder.config.Now().Sub(first.started))})
+}
+
+// logBelief tells when a send has changed what is held of its back end.
+func (a *attempt) logBelief(changed belief) {
+	switch {
+	case changed.quarantined:
+		logging.Emit(a.forwarder.config.Log, &events.ReplicaQuarantined{Pool: a.pool.name, Replica: a.target.Instance,
+			Request: a.call.AttemptID, Health: a.said.String(), LengthMs: events.Millis(changed.left), InRow: changed.inRow})
+	case changed.restored:
+		logging.Emit(a.forwarder.config.Log, &events.ReplicaRestored{Pool: a.pool.name, Replica: a.target.Instance})
+	}
+}
+
+// logTable tells of a new table version. The caller holds the mutex.
+func (f *Forwarder) logTable(view *table.View, next *plan) {
+	if !logging.Wanted(f.config.Log, (&events.TableAdopted{}).Kind()) {
+		return
+	}
+	event := &events.TableAdopted{TableVersion: next.version, Routes: len(next.routes.Routes())}
+	if held := f.plan.Load(); held != nil {
+		event.BeforeVersion = held.version
+	}
+	for name := range next.pools {
+		for _, backend := range view.Backends(name) {
+			if backend.Serving() {
+				event.Replicas++
+			}
+		}
+	}
+	logging.Emit(f.config.Log, event)
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -15,6 +15,7 @@
 
 // pool is one pool of back ends at this process.
 type pool struct {
+	name           string
 	mu             sync.Mutex // guards what follows
 	version        uint64     // of the table that the replicas come from
 	replicas       *routing.Pool
@@ -47,7 +48,7 @@
 	returnRamp      = 2 * time.Second
 )
 
-func newPool(settings routing.Settings, seed uint64) *pool {
+func newPool(name string, settings routing.Settings, seed uint64) *pool {
 	if settings.FailureLimit == 0 {
 		settings.FailureLimit = failureLimit
 	}
@@ -57,7 +58,7 @@
 	if settings.ReturnRamp == 0 {
 		settings.ReturnRamp = returnRamp
 	}
-	return &pool{replicas: routing.NewPool(settings), queue: admission.New(admission.Limits{}),
+	return &pool{name: name, replicas: routing.NewPool(settings), queue: admission.New(admission.Limits{}),
 		targets: map[string]replica.Target{}, waiting: map[uint64]chan admission.Refusal{},
 		random: rand.NewPCG(seed, seed+1)}
 }
@@ -162,6 +163,7 @@
 	version        uint64
 	maxConnections int
 	spare          bool // another back end could take the request too
+	running        int  // requests of this process there, with this one
 }
 
 // choose chooses a back end and counts the request there; ok is false when none may take it.
@@ -179,7 +181,8 @@
 	name := p.replicas.Name(i)
 	p.replicas.Sent(i, request, now)
 	spare := p.replicas.Len()-len(excluded) > 1 && p.replicas.Spare(name, now)
-	return choice{target: p.targets[name], version: p.version, maxConnections: p.maxConnections, spare: spare}, true
+	return choice{target: p.targets[name], version: p.version, maxConnections: p.maxConnections, spare: spare,
+		running: p.replicas.InFlight(i)}, true
 }
 
 // serves tells whether some back end of the pool takes new work.
@@ -200,10 +203,31 @@
 	healthLeaving
 )
 
-// ended takes a request off its back end.
-func (p *pool) ended(now time.Duration, name string, request *routing.Request, how health, load *replica.Load) {
+// String names what a send said in logs.
+func (h health) String() string {
+	return [...]string{healthNeutral: "neutral", healthGood: "good", healthSlow: "slow", healthBad: "bad", healthLeaving: "leaving"}[h]
+}
+
+// belief is what a pool holds of a back end after a send: whether that has changed, and its quarantine.
+type belief struct {
+	quarantined bool // with this send
+	restored    bool // with this send
+	left        time.Duration
+	inRow       int
+}
+
+// ended takes a request off its back end and returns what that changed.
+func (p *pool) ended(now time.Duration, name string, request *routing.Request, how health, load *replica.Load) belief {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	leftBefore, inRowBefore := p.replicas.Quarantine(name, now)
+	p.judge(now, name, request, how, load)
+	left, inRow := p.replicas.Quarantine(name, now)
+	return belief{quarantined: left > 0 && leftBefore == 0, restored: inRow == 0 && inRowBefore > 0, left: left, inRow: inRow}
+}
+
+// judge notes the end of a send. The caller holds the mutex.
+func (p *pool) judge(now time.Duration, name string, request *routing.Request, how health, load *replica.Load) {
 	p.replicas.Ended(name, request, now)
 	switch how {
 	case healthGood:
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -35,45 +35,61 @@
 
 // exchange is one request on its way through the forwarder.
 type exchange struct {
-	forwarder *Forwarder
-	request   *Request
-	reply     Reply
-	id        uint64
-	route     *route.Route
-	pool      *pool
-	poolName  string
-	work      routing.Request
-	tried     []string // back ends that are not tried again
-	sent      int      // back ends that the request was sent to, also those that refused it
-	stale     int
-	mayRan    bool
-	lastErr   error
-	passing   bool  // a part of an answer was passed on
-	passed    int64 // id of the last event passed on; -1: none
+	forwarder  *Forwarder
+	request    *Request
+	reply      Reply
+	id         uint64
+	route      *route.Route
+	pool       *pool
+	poolName   string
+	work       routing.Request
+	tried      []string // back ends that are not tried again
+	sent       int      // back ends that the request was sent to, also those that refused it
+	stale      int
+	mayRan     bool
+	lastErr    error
+	begun      int      // sends
+	answeredBy *attempt // whose answer was passed on whole
+	status     int      // of that answer
+	passing    bool     // a part of an answer was passed on
+	passed     int64    // id of the last event passed on; -1: none
 }
 
 // Serve gets the request answered. nil: reply has got a whole answer.
 func (f *Forwarder) Serve(ctx context.Context, request *Request, reply Reply) *Failure {
 	f.counts.inFlight.Inc()
 	defer f.counts.inFlight.Dec()
-	kind, failure := f.serve(ctx, request, reply)
-	f.counts.count(kind, failure, time.Since(request.Received))
+	x := f.newExchange(request, reply)
+	failure := x.serve(ctx)
+	f.counts.count(x.kind(), failure, time.Since(request.Received))
+	x.logEnd(failure)
 	return failure
 }
 
-// serve also returns the kind of the route, empty for none.
-func (f *Forwarder) serve(ctx context.Context, request *Request, reply Reply) (table.RouteKind, *Failure) {
+func (f *Forwarder) newExchange(request *Request, reply Reply) *exchange {
 	x := &exchange{forwarder: f, request: request, reply: reply, id: f.nextID.Add(1), passed: -1,
 		work: routing.Request{Work: request.Work, Urgent: true}}
 	if x.work.Work <= 0 {
 		x.work.Work = defaultWork
 	}
-	matched, known := f.Match(request.Host, request.Path)
+	return x
+}
+
+// kind is that of the route; empty for none.
+func (x *exchange) kind() table.RouteKind {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Kind
+}
+
+func (x *exchange) serve(ctx context.Context) *Failure {
+	matched, known := x.forwarder.Match(x.request.Host, x.request.Path)
 	if !known {
-		return "", notRun(NoConfiguration, 0, nil)
+		return notRun(NoConfiguration, 0, nil)
 	}
 	if matched == nil {
-		return "", notRun(NoRoute, 0, nil)
+		return notRun(NoRoute, 0, nil)
 	}
 	x.route = matched
 	limited, cancel := context.WithDeadline(ctx, x.until())
@@ -81,7 +97,7 @@
 	defer x.leavePool()
 	for {
 		if failure, done := x.attempt(limited); done {
-			return matched.Kind, x.settle(ctx, failure)
+			return x.settle(ctx, failure)
 		}
 	}
 }
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -62,5 +62,8 @@
 	return h.expires - now
 }
 
+// Expires returns when the last lease ends or has ended; 0 before the first one.
+func (h *Holder) Expires() time.Duration { return h.expires }
+
 // Drop ends the lease at once, for a holder that leaves.
 func (h *Holder) Drop() { h.held = false }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,40 +1,36 @@
-// Package logging makes the loggers of all parts: short sentences behind a fixed prefix per part.
+// Package logging makes the loggers of all parts. A process writes one line per event: JSON objects on its
+// standard output, or text for a person. Events with a type of their own (see Event) are the usual case; other
+// messages are short sentences.
+//
+// Writing never blocks the caller: lines go through a bounded queue to a goroutine of their own. Each kind of event
+// has a rate of its own. What is left out, for either reason, is counted, and a line says so.
 package logging
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 )
 
+// The formats of lines.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
 // Config says where and how to log.
 type Config struct {
 	// Level is the lowest level written: debug, info, warning or error. Default info.
 	Level string
-	// Format is text or json. Default text.
+	// Format is FormatText or FormatJSON. Default FormatText.
 	Format string
-	// Output receives the lines. Required.
+	// Node names the process in JSON lines; may be empty.
+	Node string
+	// Output receives the lines. Required. A *Sink keeps a slow reader from blocking the callers.
 	Output io.Writer
 }
 
-// prefixHook puts the part's prefix before each message.
-type prefixHook struct{}
-
-const partField = "part"
-
-// Levels implements logrus.Hook.
-func (prefixHook) Levels() []logrus.Level { return logrus.AllLevels }
-
-// Fire implements logrus.Hook.
-func (prefixHook) Fire(entry *logrus.Entry) error {
-	if part, ok := entry.Data[partField].(string); ok {
-		entry.Message = fmt.Sprintf("%s: %s", part, entry.Message)
-	}
-	return nil
-}
-
 // New returns the process's logger.
 func New(config Config) (*logrus.Logger, error) {
 	if config.Level == "" {
@@ -47,12 +43,12 @@
 	logger := logrus.New()
 	logger.SetLevel(level)
 	logger.SetOutput(config.Output)
-	logger.AddHook(prefixHook{})
+	sink, _ := config.Output.(*Sink)
 	switch config.Format {
-	case "", "text":
-		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
-	case "json":
-		logger.SetFormatter(&logrus.JSONFormatter{})
+	case "", FormatText:
+		logger.SetFormatter(newFormatter(&textEncoder{logrus.TextFormatter{FullTimestamp: true, DisableColors: true}}, sink))
+	case FormatJSON:
+		logger.SetFormatter(newFormatter(&jsonEncoder{node: config.Node}, sink))
 	default:
 		return nil, trace.BadParameter("log format %q: want text or json", config.Format)
 	}
@@ -68,5 +64,6 @@
 func Discard() *logrus.Entry {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	logger.SetLevel(logrus.PanicLevel)
 	return logrus.NewEntry(logger)
 }
--- a/internal/registry/service.go
+++ b/internal/registry/service.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tamarindring/tamarindring/internal/configure"
+	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -102,42 +103,52 @@
 		}
 		return nil
 	}
-	return s.commit(ctx, func(view *table.View) *wire.TableChange {
+	version, err := s.commit(ctx, func(view *table.View) *wire.TableChange {
 		if Judge(view.Row(heartbeat.Instance), heartbeat) != Changed {
 			return nil
 		}
 		return Change(view, heartbeat)
 	})
+	if version > 0 {
+		logging.Emit(s.config.Log, &events.ReplicaRegistered{Replica: heartbeat.Instance, Pool: heartbeat.Pool, Address: heartbeat.Address,
+			State: heartbeat.rowCells()[table.ColumnState], Heartbeat: heartbeat.Sequence, TableVersion: version})
+	}
+	return err
 }
 
 // Deregister takes a replica out for good; one that is unknown is no error.
 func (s *Service) Deregister(ctx context.Context, instance string) error {
-	return s.commit(ctx, func(view *table.View) *wire.TableChange { return Leave(view, instance) })
+	version, err := s.commit(ctx, func(view *table.View) *wire.TableChange { return Leave(view, instance) })
+	if version > 0 {
+		logging.Emit(s.config.Log, &events.ReplicaRegistered{Replica: instance, State: string(table.Removed), TableVersion: version})
+	}
+	return err
 }
 
-// commit makes the change that plan returns for the newest table, again after each conflict.
-func (s *Service) commit(ctx context.Context, plan func(*table.View) *wire.TableChange) error {
+// commit makes the change that plan returns for the newest table, again after each conflict. It returns the table's
+// version with the change; 0 when there was nothing to change.
+func (s *Service) commit(ctx context.Context, plan func(*table.View) *wire.TableChange) (version uint64, err error) {
 	for {
 		view, err := configure.ReadView(ctx, s.config.Control)
 		if err != nil {
-			return trace.Wrap(err)
+			return 0, trace.Wrap(err)
 		}
 		change := plan(view)
 		if change == nil {
-			return nil
+			return 0, nil
 		}
 		change.ChangeId, change.Operator = rand.Text(), s.config.Operator
 		result, _, err := s.config.Control.ChangeTable(ctx, change, false)
 		if err != nil {
-			return trace.Wrap(err)
+			return 0, trace.Wrap(err)
 		}
 		switch result.GetOutcome() {
 		case wire.TableOutcome_TABLE_OUTCOME_ACCEPTED:
-			return nil
+			return result.GetVersion(), nil
 		case wire.TableOutcome_TABLE_OUTCOME_CONFLICT:
 			continue
 		}
-		return trace.BadParameter("the table refused a registration: %v", result.GetRefusals())
+		return 0, trace.BadParameter("the table refused a registration: %v", result.GetRefusals())
 	}
 }
 
@@ -196,6 +207,10 @@
 	// A conflict or an error is left to the next look: the replica may have been heard meanwhile.
 	result, _, err := s.config.Control.ChangeTable(ctx, change, false)
 	if err == nil && result.GetOutcome() == wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
-		s.config.Log.Infof("registry: %d cells for silent replicas, %d rows dropped", len(change.Cells), len(change.RemoveRows))
+		event := &events.ReplicasSilent{Dropped: len(change.RemoveRows), LimitMs: events.Millis(silentHeartbeats * s.config.Heartbeat)}
+		for _, cell := range change.Cells {
+			event.Silent = append(event.Silent, cell.GetRow())
+		}
+		logging.Emit(s.config.Log, event)
 	}
 }
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -54,6 +54,17 @@
 	}
 }
 
+// Quarantine returns for how long a replica gets nothing yet, and how many quarantines it had in a row; both are 0 for
+// one that is sound.
+func (p *Pool) Quarantine(name string, now time.Duration) (left time.Duration, inRow int) {
+	i := p.Index(name)
+	if i < 0 || !p.replicas[i].health.everFailed {
+		return 0, 0
+	}
+	h := &p.replicas[i].health
+	return max(h.until-now, 0), h.ejections
+}
+
 // Quarantined tells whether a replica gets nothing because it failed.
 func (p *Pool) Quarantined(i int, now time.Duration) bool {
 	return p.replicas[i].health.quarantined(now)
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
 	"github.com/tamarindring/tamarindring/internal/registry"
@@ -99,6 +100,12 @@
 	token   uint64
 	serving uint64
 	err     error
+	took    time.Duration
+}
+
+func (d *Driver) logEnded(ended *loaded) {
+	logging.Emit(d.config.Log, &events.OrderEnded{Replica: ended.order.Replica, Model: ended.model, Version: ended.order.Version.Number,
+		Token: ended.token, Serving: ended.serving, Cause: events.ErrorText(ended.err), TookMs: events.Millis(ended.took)})
 }
 
 // NewDriver returns a driver; Run makes it work.
@@ -186,7 +193,7 @@
 			planner = wave.New(wave.Config{SwapTogether: d.config.LoadsTogether, StageTime: 1, OldestFirst: true})
 			d.planners[model] = planner
 		}
-		d.release(ctx, model, planner)
+		d.release(ctx, model, planner, len(reports))
 		names := make([]string, 0, len(reports))
 		for name := range reports {
 			names = append(names, name)
@@ -226,13 +233,13 @@
 	return found
 }
 
-func (d *Driver) release(ctx context.Context, model string, planner *wave.Planner) {
+func (d *Driver) release(ctx context.Context, model string, planner *wave.Planner, replicas int) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	newest, err := Newest(ctx, d.config.Control, model)
 	if err == nil && newest.Number > planner.Target().Number {
 		planner.Release(d.config.Clock(), newest)
-		d.config.Log.Infof("weights: model %s goes to version %d", model, newest.Number)
+		logging.Emit(d.config.Log, &events.VersionReleased{Model: model, Version: newest.Number, Replicas: replicas})
 	}
 }
 
@@ -288,11 +295,12 @@
 // ended takes the end of an order; of one that was sent under an earlier token only the place counts.
 func (d *Driver) ended(ended loaded) {
 	delete(d.busy, ended.order.Replica)
+	d.logEnded(&ended)
 	if ended.token != d.token || d.planners[ended.model] == nil {
 		return
 	}
 	if errors.Is(ended.err, ErrSuperseded) {
-		d.config.Log.Warnf("weights: token %d is superseded", d.token)
+		logging.Emit(d.config.Log, &events.OrdersSuperseded{Token: d.token, Replica: ended.order.Replica})
 		d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
 		return
 	}
@@ -300,7 +308,6 @@
 	if ended.err == nil {
 		d.loaded[served{ended.order.Replica, ended.model}] = ended.serving
 	} else {
-		d.config.Log.Infof("weights: %s did not load %s version %d: %v", ended.order.Replica, ended.model, ended.order.Version.Number, ended.err)
 		answer = wave.Answer{Outcome: wave.Failed}
 	}
 	d.planners[ended.model].Answered(d.config.Clock(), ended.order.ID, answer)
--- a/internal/weights/load.go
+++ b/internal/weights/load.go
@@ -6,6 +6,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/table"
 )
 
@@ -43,11 +45,14 @@
 	d.busy[row.Name] = next.model
 	order := Order{Model: next.model, Number: next.order.Version.Number, Fence: d.token}
 	order.Instance, order.Address = row.Name, row.Address
+	began := d.config.Clock()
+	logging.Emit(d.config.Log, &events.OrderSent{Replica: row.Name, Model: next.model, Version: order.Number, Token: d.token,
+		Loading: len(d.busy), Most: d.config.LoadsTogether, Waiting: len(d.queue)})
 	d.orders.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, d.config.LoadTimeout)
 		defer cancel()
 		serving, err := d.load(ctx, order)
-		d.done <- loaded{next, order.Fence, serving, err}
+		d.done <- loaded{next, order.Fence, serving, err, d.config.Clock() - began}
 	})
 }
 
--- a/internal/weights/takeover.go
+++ b/internal/weights/takeover.go
@@ -7,6 +7,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -25,6 +27,7 @@
 	owner   string
 	token   uint64
 	offered bool // the leadership was offered to the owner
+	failed  bool // it was, and the owner did not take it
 }
 
 // takeOver acquires the right to send orders and reports whether it is held. The machine that owns them goes on at
@@ -52,7 +55,11 @@
 		return false
 	}
 	d.token = token
-	d.config.Log.Infof("weights: sending orders under token %d", d.token)
+	event := events.OrdersTaken{Token: d.token, Owner: d.takeover.owner}
+	if d.takeover.token > 0 && d.takeover.owner != d.config.Owner {
+		event.WaitedMs = events.Millis(now - d.takeover.since)
+	}
+	logging.Emit(d.config.Log, &event)
 	return true
 }
 
@@ -72,12 +79,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	if err := d.config.HandOver(ctx, t.owner); err != nil {
-		d.config.Log.WithError(err).Debug("weights: the owner of the orders does not lead")
-		return
+	err := d.config.HandOver(ctx, t.owner)
+	if err == nil || !t.failed {
+		logging.Emit(d.config.Log, &events.OrdersOffered{Owner: t.owner, Cause: events.ErrorText(err)})
 	}
-	t.offered = true
-	d.config.Log.Infof("weights: the leadership was offered to %s, which sent the last orders", t.owner)
+	t.offered, t.failed = err == nil, err != nil
 }
 
 // fence reads who owns the orders.
