--- a/internal/batchrun/commits.go
+++ b/internal/batchrun/commits.go
@@ -23,6 +23,7 @@
 // ends: a result that is not committed then is made anew by the next leader.
 type commits struct {
 	config *Config
+	counts *counts
 	wake   chan struct{} // capacity 1
 
 	mutex   sync.Mutex
@@ -42,8 +43,8 @@
 	return proto.Size(p.result)
 }
 
-func newCommits(config *Config) *commits {
-	return &commits{config: config, wake: make(chan struct{}, 1)}
+func newCommits(config *Config, counts *counts) *commits {
+	return &commits{config: config, counts: counts, wake: make(chan struct{}, 1)}
 }
 
 func (c *commits) add(job string, result *wire.JobResult) {
--- a/internal/batchrun/log.go
+++ b/internal/batchrun/log.go
@@ -33,11 +33,14 @@
 	started, moved, full, lost int
 }
 
-func (j *job) noteStart(now time.Duration) {
-	if j.runs.started == 0 {
-		j.runs.first = now
-	}
+// noteStart counts a run, and tells whether it is the job's first.
+func (j *job) noteStart(now time.Duration) (first bool) {
 	j.runs.started++
+	if j.runs.started > 1 {
+		return false
+	}
+	j.runs.first = now
+	return true
 }
 
 func (j *job) noteEnd(ending schedule.Ending) {
@@ -95,6 +98,7 @@
 	if closed.runs.started > 0 {
 		event.FirstRunMs = events.Millis(closed.runs.first - closed.opened)
 	}
+	t.runner.counts.overdue.WithLabelValues().Observe(max(now-closed.due, 0).Seconds())
 	logging.Emit(t.config.Log, event)
 }
 
@@ -137,6 +141,7 @@
 }
 
 func (c *commits) logCommitted(command *wire.JobStore, tries int, refused string, took time.Duration) {
+	c.counts.commit.WithLabelValues().Observe(took.Seconds())
 	event := &events.ResultsCommitted{Tries: tries, Refused: refused, TookMs: events.Millis(took)}
 	for _, results := range command.GetJobs() {
 		event.Jobs = append(event.Jobs, results.GetJob())
--- a/internal/batchrun/metrics.go
+++ b/internal/batchrun/metrics.go
@@ -1,15 +1,16 @@
 package batchrun
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/metrics"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-const metricsSubsystem = "batch"
-
-// States of results, as metrics name them.
+// States of results, as logs and metrics name them.
 const (
 	stateCompleted  = "completed"
 	stateTerminated = "terminated"
@@ -17,44 +18,49 @@
 
 // counts are the runner's metrics. All are of this node since its start: a node that does not lead runs nothing.
 type counts struct {
+	metrics.Set
 	results *prometheus.CounterVec
 	running prometheus.Gauge
 	jobs    prometheus.Gauge
+	runs    *prometheus.CounterVec
+	run     *prometheus.HistogramVec
+	wait    *prometheus.HistogramVec
+	item    *prometheus.HistogramVec
+	commit  *prometheus.HistogramVec
+	overdue *prometheus.HistogramVec
 }
 
 func newCounts() *counts {
-	gauge := func(name, help string) prometheus.Gauge {
-		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem, Name: name, Help: help})
-	}
-	return &counts{
-		results: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
-			Name: "results_total", Help: "Results of items that this node made while it led, by state: completed or terminated."}, []string{"state"}),
-		running: gauge("items_running", "Items that run at a back end now."),
-		jobs:    gauge("jobs_open", "Batch jobs that have not ended, as the leader knows them; 0 on other nodes."),
+	part := metrics.Part("batch")
+	c := &counts{
+		results: part.Counter("results_total", "Results of items that this node made while it led, by state: completed or terminated.", "state"),
+		running: part.Gauge("items_running", "Items that run at a back end now."),
+		jobs:    part.Gauge("jobs_open", "Batch jobs that have not ended, as the leader knows them; 0 on other nodes."),
+		runs:    part.Counter("runs_total", "Runs of items at back ends that are over, by how they ended.", "ending"),
+		run:     part.Latency("run_duration_seconds", "Time from a run's start to its end, by how it ended.", "ending"),
+		wait:    part.Latency("first_run_wait_seconds", "Time from a job's opening by this leader to its first run."),
+		item:    part.Latency("item_duration_seconds", "Time from a job's opening by this leader to an item's result, by state.", "state"),
+		commit:  part.Latency("commit_duration_seconds", "Time until a command of results and texts was applied."),
+		overdue: part.Latency("job_overdue_seconds", "Time by which jobs ended after their results were due; 0 for those in time."),
 	}
+	c.Set = metrics.Set{c.results, c.running, c.jobs, c.runs, c.run, c.wait, c.item, c.commit, c.overdue}
+	return c
 }
 
-func (c *counts) result(result *wire.JobResult) {
+// result records an item's result, some time after its job was opened.
+func (c *counts) result(result *wire.JobResult, after time.Duration) {
 	state := stateTerminated
 	if result.GetState() == wire.JobItemState_JOB_ITEM_STATE_COMPLETED {
 		state = stateCompleted
 	}
 	c.results.WithLabelValues(state).Inc()
+	c.item.WithLabelValues(state).Observe(after.Seconds())
 }
 
-// Collector returns the runner's metrics.
-func (r *Runner) Collector() prometheus.Collector { return r.counts }
-
-// Describe implements prometheus.Collector.
-func (c *counts) Describe(descs chan<- *prometheus.Desc) {
-	c.results.Describe(descs)
-	c.running.Describe(descs)
-	c.jobs.Describe(descs)
+func (c *counts) ended(ending schedule.Ending, took time.Duration) {
+	c.runs.WithLabelValues(ending.String()).Inc()
+	c.run.WithLabelValues(ending.String()).Observe(took.Seconds())
 }
 
-// Collect implements prometheus.Collector.
-func (c *counts) Collect(samples chan<- prometheus.Metric) {
-	c.results.Collect(samples)
-	c.running.Collect(samples)
-	c.jobs.Collect(samples)
-}
+// Collector returns the runner's metrics.
+func (r *Runner) Collector() prometheus.Collector { return r.counts }
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -131,7 +131,9 @@
 	}
 	started.stream.parser.VersionField = t.config.VersionField
 	t.calls[start.Key] = started
-	held.noteStart(started.started)
+	if held.noteStart(started.started) {
+		t.runner.counts.wait.WithLabelValues().Observe((started.started - held.opened).Seconds())
+	}
 	t.logStart(started)
 	callContext, cancel := context.WithCancel(ctx)
 	started.cancel = cancel
@@ -218,6 +220,7 @@
 		held.noteEnd(c.ending)
 	}
 	next := t.scheduler.Ended(t.config.Clock(), c.Key, c.ending, c.version)
+	t.runner.counts.ended(c.ending, t.config.Clock()-c.started)
 	t.logEnd(c, events, next)
 	switch next {
 	case schedule.Done:
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -56,7 +56,7 @@
 func newTenure(r *Runner, term uint64) *tenure {
 	return &tenure{
 		runner: r, config: &r.config, term: term, scheduler: schedule.New(r.config.Schedule),
-		commits: newCommits(&r.config), jobs: map[string]*job{},
+		commits: newCommits(&r.config, r.counts), jobs: map[string]*job{},
 		countedAt: r.config.Clock(), calls: map[schedule.Key]*call{}, ends: make(chan *call, 64),
 	}
 }
@@ -251,7 +251,7 @@
 		return
 	}
 	held.items[key.Item].open = false
-	t.runner.counts.result(result)
+	t.runner.counts.result(result, t.config.Clock()-held.opened)
 	if result.GetState() == wire.JobItemState_JOB_ITEM_STATE_COMPLETED {
 		t.logCompleted(key, result)
 	}
--- a/internal/cli/metrics_page_test.go
+++ b/internal/cli/metrics_page_test.go
@@ -20,6 +20,7 @@
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/strictyaml"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/weights"
 )
 
 // startGateway runs a gateway under the control node at address.
@@ -84,7 +85,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, collector := range []prometheus.Collector{forwarder.Process().Collector(), runner.Collector()} {
+	driver, err := weights.NewDriver(weights.Config{Control: noControl{}, Sender: noSender{}, View: func() *table.View { return nil },
+		Leading: func() bool { return false }, Owner: "o"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, collector := range []prometheus.Collector{forwarder.Process().Collector(), runner.Collector(), driver.Collector()} {
 		for name := range described(collector) {
 			names[name] = true
 		}
@@ -96,6 +102,10 @@
 
 func (noLease) Admit() (uint64, bool) { return 0, false }
 
+type noControl struct{ weights.Control }
+
+type noSender struct{ weights.Sender }
+
 type noSession struct{}
 
 func (noSession) AdmitView() (*table.View, bool) { return nil, false }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -106,6 +106,7 @@
 	a.outcome = a.forwarder.config.Caller.Do(ctx, a.call, a.answer)
 	a.said = a.health(ctx)
 	changed := a.pool.ended(a.forwarder.now(), a.target.Instance, &a.work, a.said, a.outcome.Load)
+	a.forwarder.counts.countSend(a, a.forwarder.config.Now().Sub(a.started))
 	a.logBelief(changed)
 }
 
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -59,6 +59,7 @@
 }
 
 func (x *exchange) logHedge(first, second *attempt) {
+	x.forwarder.counts.hedges.WithLabelValues().Inc()
 	logging.Emit(x.forwarder.config.Log, &events.AttemptHedged{Request: x.request.AttemptID, First: first.target.Instance,
 		Second: second.target.Instance, AfterMs: events.Millis(x.forwarder.config.Now().Sub(first.started))})
 }
@@ -67,6 +68,7 @@
 func (a *attempt) logBelief(changed belief) {
 	switch {
 	case changed.quarantined:
+		a.forwarder.counts.quarantines.WithLabelValues(a.said.String()).Inc()
 		logging.Emit(a.forwarder.config.Log, &events.ReplicaQuarantined{Pool: a.pool.name, Replica: a.target.Instance,
 			Request: a.call.AttemptID, Health: a.said.String(), LengthMs: events.Millis(changed.left), InRow: changed.inRow})
 	case changed.restored:
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -11,29 +11,40 @@
 	"github.com/tamarindring/tamarindring/internal/table"
 )
 
-const metricsSubsystem = "forward"
-
 // outcomeAnswered is the outcome of a request that got a back end's whole answer; others are named by Reason.
 const outcomeAnswered = "answered"
 
+// Outcomes of sends beside the names of refusals.
+const (
+	sendWhole  = "whole"
+	sendFailed = "failed"
+)
+
 // counts are the forwarder's metrics.
 type counts struct {
-	requests *prometheus.CounterVec
-	inFlight prometheus.Gauge
-	latency  *prometheus.HistogramVec
+	metrics.Set
+	requests    *prometheus.CounterVec
+	inFlight    prometheus.Gauge
+	latency     *prometheus.HistogramVec
+	sends       *prometheus.CounterVec
+	sendLatency *prometheus.HistogramVec
+	hedges      *prometheus.CounterVec
+	quarantines *prometheus.CounterVec
 }
 
 func newCounts() *counts {
-	return &counts{
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
-			Name: "requests_total", Help: "Requests by kind of route (empty: no route) and outcome: answered, or the reason why not."},
-			[]string{"kind", "outcome"}),
-		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
-			Name: "requests_in_flight", Help: "Requests that are being answered."}),
-		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: metrics.Namespace, Subsystem: metricsSubsystem,
-			Name: "request_duration_seconds", Help: "Time from a request's arrival to its end.",
-			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18)}, []string{"kind"}),
+	part := metrics.Part("forward")
+	c := &counts{
+		requests:    part.Counter("requests_total", "Requests by kind of route (empty: no route) and outcome: answered, or the reason why not.", "kind", "outcome"),
+		inFlight:    part.Gauge("requests_in_flight", "Requests that are being answered."),
+		latency:     part.Latency("request_duration_seconds", "Time from a request's arrival to its end.", "kind"),
+		sends:       part.Counter("sends_total", "Sends to back ends by outcome: whole, failed, or why it did not run there.", "outcome"),
+		sendLatency: part.Latency("send_duration_seconds", "Time from a send to its end, by outcome.", "outcome"),
+		hedges:      part.Counter("hedges_total", "Second sends beside a slow first one."),
+		quarantines: part.Counter("quarantines_total", "Back ends that got nothing for a while, by what the last failure was.", "health"),
 	}
+	c.Set = metrics.Set{c.requests, c.inFlight, c.latency, c.sends, c.sendLatency, c.hedges, c.quarantines}
+	return c
 }
 
 // count records a request that is over. Routes come and go with configurations, so their names are no labels.
@@ -46,6 +57,19 @@
 	c.latency.WithLabelValues(string(kind)).Observe(took.Seconds())
 }
 
+// countSend records a send that is over.
+func (c *counts) countSend(a *attempt, took time.Duration) {
+	outcome := refusalNames[a.outcome.Refused]
+	switch {
+	case a.outcome.Whole:
+		outcome = sendWhole
+	case outcome == "":
+		outcome = sendFailed
+	}
+	c.sends.WithLabelValues(outcome).Inc()
+	c.sendLatency.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
 // Process returns the forwarder as operators see it.
 func (f *Forwarder) Process() metrics.Process { return process{f} }
 
@@ -63,17 +87,3 @@
 
 // Collector implements metrics.Process.
 func (p process) Collector() prometheus.Collector { return p.forwarder.counts }
-
-// Describe implements prometheus.Collector.
-func (c *counts) Describe(descs chan<- *prometheus.Desc) {
-	c.requests.Describe(descs)
-	c.inFlight.Describe(descs)
-	c.latency.Describe(descs)
-}
-
-// Collect implements prometheus.Collector.
-func (c *counts) Collect(samples chan<- prometheus.Metric) {
-	c.requests.Collect(samples)
-	c.inFlight.Collect(samples)
-	c.latency.Collect(samples)
-}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -30,29 +30,12 @@
 
 type extended struct {
 	Process
-	collectors collectorList
+	collectors Set
 }
 
 // Collector implements Process.
 func (e extended) Collector() prometheus.Collector { return e.collectors }
 
-// collectorList is several collectors as one.
-type collectorList []prometheus.Collector
-
-// Describe implements prometheus.Collector.
-func (l collectorList) Describe(descs chan<- *prometheus.Desc) {
-	for _, collector := range l {
-		collector.Describe(descs)
-	}
-}
-
-// Collect implements prometheus.Collector.
-func (l collectorList) Collect(samples chan<- prometheus.Metric) {
-	for _, collector := range l {
-		collector.Collect(samples)
-	}
-}
-
 // Describe returns the description of a metric with the project's naming.
 func Describe(subsystem, name, help string, labels ...string) *prometheus.Desc {
 	return prometheus.NewDesc(prometheus.BuildFQName(Namespace, subsystem, name), help, labels, nil)
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -68,6 +68,7 @@
 // Driver drives the waves of all models while its process leads.
 type Driver struct {
 	config Config
+	counts *counts
 	kick   chan struct{} // capacity 1: look at once
 	done   chan loaded
 	orders sync.WaitGroup
@@ -104,6 +105,7 @@
 }
 
 func (d *Driver) logEnded(ended *loaded) {
+	d.counts.ended(ended.err, ended.took)
 	logging.Emit(d.config.Log, &events.OrderEnded{Replica: ended.order.Replica, Model: ended.model, Version: ended.order.Version.Number,
 		Token: ended.token, Serving: ended.serving, Cause: events.ErrorText(ended.err), TookMs: events.Millis(ended.took)})
 }
@@ -128,7 +130,7 @@
 	if config.Log == nil {
 		config.Log = logging.Discard()
 	}
-	return &Driver{config: config, kick: make(chan struct{}, 1), done: make(chan loaded, config.LoadsTogether),
+	return &Driver{config: config, counts: newCounts(), kick: make(chan struct{}, 1), done: make(chan loaded, config.LoadsTogether),
 		heard: map[string][]registry.ModelVersion{}, busy: map[string]string{}, loaded: map[served]uint64{}}, nil
 }
 
@@ -166,6 +168,8 @@
 		case <-d.kick:
 		case <-ticker.C:
 		}
+		d.counts.loading.Set(float64(len(d.busy)))
+		d.counts.waiting.Set(float64(len(d.queue)))
 		if !d.config.Leading() {
 			d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
 			continue
