weights: a fifth of the replicas may load at once, two at least

Cause: two loads at a time over all models, however many replicas. Ruled out: memory and slots of the replicas (8 slots, 34,747 tokens; 276 + 640 to 1,160 tokens a run). Change: places = max(2, a fifth of the replicas that hold a model), 64 at most; 2 on both small sites as before.

--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -256,6 +256,9 @@
 	return ordered
 }
 
+// SetSwapTogether replaces Config.SwapTogether; swaps under way go on.
+func (p *Planner) SetSwapTogether(count int) { p.config.SwapTogether = count }
+
 // swapPlaces is how many more replicas may go out for a swap: those that are out already, by a swap or
 // because they take no work, count.
 func (p *Planner) swapPlaces() int {
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 // Defaults of Config.
 const (
 	DefaultLoadsTogether = 2
+	DefaultLoadsShare    = 0.2
 	DefaultPoll          = 100 * time.Millisecond
 	DefaultLoadTimeout   = 10 * time.Second
 )
@@ -55,8 +57,12 @@
 	// HandOver asks the machine that owns the orders to lead in this one's place, if it is back: it need not
 	// wait. Optional.
 	HandOver func(ctx context.Context, owner string) error
-	// LoadsTogether bounds the replicas that load at once, over all models. Default DefaultLoadsTogether.
+	// LoadsTogether and LoadsShare bound the replicas that load at once, over all models: a count, and a part of the
+	// replicas that hold a model, whichever is more. A load takes longer when too many run, and a replica that loads
+	// begins nothing; but with few places a fleet of many replicas stays behind its trainers. Defaults
+	// DefaultLoadsTogether, DefaultLoadsShare.
 	LoadsTogether int
+	LoadsShare    float64
 	// Poll is how often newly named versions are looked for. Default DefaultPoll.
 	Poll time.Duration
 	// LoadTimeout bounds one order. Default DefaultLoadTimeout.
@@ -81,6 +87,7 @@
 	takeover takeover
 	planners map[string]*wave.Planner
 	queue    []queued
+	places   int                          // replicas that may load at once
 	busy     map[string]string            // the model of the order on its way, by replica
 	loaded   map[served]uint64            // versions that orders of this leader brought
 	serving  map[string]map[string]uint64 // by model and replica, as far as is known
@@ -118,6 +125,9 @@
 	if config.LoadsTogether <= 0 {
 		config.LoadsTogether = DefaultLoadsTogether
 	}
+	if config.LoadsShare <= 0 {
+		config.LoadsShare = DefaultLoadsShare
+	}
 	if config.Poll <= 0 {
 		config.Poll = DefaultPoll
 	}
@@ -130,7 +140,7 @@
 	if config.Log == nil {
 		config.Log = logging.Discard()
 	}
-	return &Driver{config: config, counts: newCounts(), kick: make(chan struct{}, 1), done: make(chan loaded, config.LoadsTogether),
+	return &Driver{config: config, counts: newCounts(), kick: make(chan struct{}, 1), done: make(chan loaded, maximumPlaces), places: config.LoadsTogether,
 		heard: map[string][]registry.ModelVersion{}, busy: map[string]string{}, loaded: map[served]uint64{}}, nil
 }
 
@@ -191,12 +201,14 @@
 		return
 	}
 	replicas := d.replicas(view)
+	d.places = d.placesFor(replicas)
 	for model, reports := range replicas {
 		planner := d.planners[model]
 		if planner == nil {
-			planner = wave.New(wave.Config{SwapTogether: d.config.LoadsTogether, StageTime: 1, OldestFirst: true})
+			planner = wave.New(wave.Config{SwapTogether: d.places, StageTime: 1, OldestFirst: true})
 			d.planners[model] = planner
 		}
+		planner.SetSwapTogether(d.places)
 		d.release(ctx, model, planner, len(reports))
 		names := make([]string, 0, len(reports))
 		for name := range reports {
@@ -211,6 +223,21 @@
 	}
 }
 
+// maximumPlaces bounds the replicas that load at once, however many there are.
+const maximumPlaces = 64
+
+// placesFor is how many of the replicas may load at once.
+func (d *Driver) placesFor(byModel map[string]map[string]uint64) int {
+	holders := map[string]bool{}
+	for _, replicas := range byModel {
+		for name := range replicas {
+			holders[name] = true
+		}
+	}
+	share := int(math.Round(d.config.LoadsShare * float64(len(holders))))
+	return min(max(share, d.config.LoadsTogether), maximumPlaces)
+}
+
 // replicas returns, by model, the active replicas and the version that each last spoke of.
 func (d *Driver) replicas(view *table.View) map[string]map[string]uint64 {
 	found := map[string]map[string]uint64{}
@@ -285,7 +312,7 @@
 		switch {
 		case row == nil || row.State != table.Active || planner.Target().Number != next.order.Version.Number:
 			planner.Answered(d.config.Clock(), next.order.ID, wave.Answer{Outcome: wave.Failed})
-		case started || len(d.busy) >= d.config.LoadsTogether || d.busy[row.Name] != "":
+		case started || len(d.busy) >= d.places || d.busy[row.Name] != "":
 			waiting = append(waiting, next)
 		default:
 			d.start(ctx, next, row)
--- a/internal/weights/load.go
+++ b/internal/weights/load.go
@@ -47,7 +47,7 @@
 	order.Instance, order.Address = row.Name, row.Address
 	began := d.config.Clock()
 	logging.Emit(d.config.Log, &events.OrderSent{Replica: row.Name, Model: next.model, Version: order.Number, Token: d.token,
-		Loading: len(d.busy), Most: d.config.LoadsTogether, Waiting: len(d.queue)})
+		Loading: len(d.busy), Most: d.places, Waiting: len(d.queue)})
 	d.orders.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, d.config.LoadTimeout)
 		defer cancel()
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -205,6 +205,25 @@
 	}
 }
 
+// TestPlacesGrowWithTheReplicas: with few places a fleet of many replicas falls behind its trainers.
+func TestPlacesGrowWithTheReplicas(t *testing.T) {
+	for replicas, want := range map[int]int{1: 2, 5: 2, 9: 2, 11: 2, 30: 6, 45: 9, 48: 10} {
+		f := prepare(t, replicas)
+		if got := f.driver.placesFor(f.driver.replicas(f.driver.config.View())); got != want {
+			t.Errorf("%d replicas load at once of %d, want %d", got, replicas, want)
+		}
+	}
+	f := start(t, 30)
+	if err := Put(t.Context(), f.control, "m0", 2, "trainer"); err != nil {
+		t.Fatal(err)
+	}
+	f.driver.Look()
+	eventually(t, "m0", func() bool { return f.fleet.serve("m0", 2) })
+	if f.fleet.most <= DefaultLoadsTogether || f.fleet.most > 6 {
+		t.Fatalf("%d loads at once", f.fleet.most)
+	}
+}
+
 // TestNoReplicaStaysBehind names a version whenever a replica serves the last one: still each gets its turn.
 func TestNoReplicaStaysBehind(t *testing.T) {
 	const replicas = 6
