control, platform: two disks may be lost at once where the platform asks for it

Chosen: the storage machines' process is a standby control node where 2 x losses + 1 is more than the seeds; it votes, keeps the state, stands for election two election timeouts later, and gives any leadership back, because only core machines serve replicas and operators and run batch jobs. It must be able to lead: the others may all lack what only standbys hold. A standby is known by a mark in its identity; groups prefer voters that are none, a leaving core node's place is not given to a standby, and an emptied storage machine is replaced by a spare before 'completed'; an order that would leave too few is refused (409). Small sites: nothing changes there, three voters bear one loss.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -93,6 +93,8 @@
 	// ElectionTicks is the least number of ticks without a leader before a node stands for election.
 	// Default 10.
 	ElectionTicks int
+	// CampaignDelayTicks is how much later than others this node stands for election. Default 0.
+	CampaignDelayTicks int
 	// HeartbeatTicks is the number of ticks between heartbeats. Default 2.
 	HeartbeatTicks int
 	// SnapshotEntries is the number of applied entries after which a group takes a snapshot and
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -58,11 +58,12 @@
 	}
 	var err error
 	g.node, err = raft.New(raft.Config{
-		ID:             config.NodeID,
-		ElectionTicks:  config.ElectionTicks,
-		HeartbeatTicks: config.HeartbeatTicks,
-		RetainedBytes:  config.SnapshotBytes / retainedShare,
-		Random:         rand.New(rand.NewSource(electionSeed(config, id))),
+		ID:                 config.NodeID,
+		ElectionTicks:      config.ElectionTicks,
+		HeartbeatTicks:     config.HeartbeatTicks,
+		CampaignDelayTicks: config.CampaignDelayTicks,
+		RetainedBytes:      config.SnapshotBytes / retainedShare,
+		Random:             rand.New(rand.NewSource(electionSeed(config, id))),
 	}, restored)
 	if err != nil {
 		return nil, trace.Wrap(err, "consensus: group %d", id)
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -57,6 +57,9 @@
 	// Voters is the number of voters that every group should have: nodes that ask to carry the groups take the
 	// places of lost ones by themselves. 0 leaves all changes to operators.
 	Voters int
+	// Standby is for a node that votes and keeps the state, but leads only as long as no other voter can: its machine
+	// is slower, or lacks what a leader serves beside the groups. Its NodeID must be a standby's (see OpenSeeded).
+	Standby bool
 	// Zone and Region say where this node stands.
 	Zone   string
 	Region string
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -64,11 +64,11 @@
 	return false
 }
 
-// choose returns the most advanced voter that was heard lately, one that is not known to stop first. It passes over
+// choose returns the most advanced voter that was heard lately, those first that can stay leader. It passes over
 // those that led since they were asked and no longer do: returned tells that there are such.
 func (h *handover) choose(group uint32, status *raft.Status) (best uint64, returned bool) {
 	var chosen raft.Progress
-	chosenLeaving := false
+	chosenRank := 0
 	now := h.server.config.Clock()
 	for _, candidate := range status.Match {
 		if candidate.Node == status.ID || candidate.Learner || !candidate.RecentActive {
@@ -78,11 +78,21 @@
 			returned = true
 			continue
 		}
-		leaving := h.server.voters.isLeaving(candidate.Node, now)
-		better := chosen.Node == raft.None || chosenLeaving && !leaving || chosenLeaving == leaving && candidate.Match > chosen.Match
-		if better {
-			chosen, chosenLeaving = candidate, leaving
+		rank := rankLeader(h.server.voters.isLeaving(candidate.Node, now), isStandby(candidate.Node))
+		if chosen.Node == raft.None || rank < chosenRank || rank == chosenRank && candidate.Match > chosen.Match {
+			chosen, chosenRank = candidate, rank
 		}
 	}
 	return chosen.Node, returned
 }
+
+// rankLeader orders the nodes that may lead next, the best first.
+func rankLeader(leaving, standby bool) int {
+	switch {
+	case leaving:
+		return 2
+	case standby:
+		return 1
+	}
+	return 0
+}
--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -16,13 +16,20 @@
 // seededCluster is control nodes that find each other by a list of addresses.
 type seededCluster struct {
 	*cluster
-	seeds []string
+	seeds    []string
+	losses   int   // that the groups bear at once
+	standbys []int // positions
 }
 
 // startSeeded founds a cluster; the founders start one after the other.
 func startSeeded(t *testing.T) *seededCluster {
 	t.Helper()
-	c := &seededCluster{cluster: &cluster{t: t, folder: t.TempDir()}}
+	return startSeededWith(t, &seededCluster{})
+}
+
+func startSeededWith(t *testing.T, c *seededCluster) *seededCluster {
+	t.Helper()
+	c.cluster = &cluster{t: t, folder: t.TempDir()}
 	listeners := make([]net.Listener, 3)
 	for position := range listeners {
 		listeners[position] = listen(t, "127.0.0.1:0")
@@ -53,9 +60,9 @@
 	c.t.Helper()
 	seeds := slices.Clone(c.seeds)
 	slices.Reverse(seeds[:position%len(seeds)+1]) // the order must not matter
-	server, err := OpenSeeded(SeedConfig{Seeds: seeds, Found: found, Config: Config{
+	server, err := OpenSeeded(SeedConfig{Seeds: seeds, Found: found, Losses: c.losses, Config: Config{
 		Name: fmt.Sprint("position-", position), ClusterID: "test", Listen: listener.Addr().String(), Listener: listener,
-		DataFolder: c.folderOf(position), LedgerGroups: 1, Tick: 20 * time.Millisecond,
+		DataFolder: c.folderOf(position), LedgerGroups: 1, Tick: 20 * time.Millisecond, Standby: slices.Contains(c.standbys, position),
 	}})
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -80,12 +80,15 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	var nodes []member.GroupNode
+	retiring := v.server.retiring()
 	for id, asked := range v.candidates {
 		if now-asked.askedAt > candidateLife {
 			delete(v.candidates, id)
 			continue
 		}
-		nodes = append(nodes, member.GroupNode{ID: id, Address: asked.address})
+		if !retiring[asked.address] {
+			nodes = append(nodes, member.GroupNode{ID: id, Address: asked.address, Standby: isStandby(id)})
+		}
 	}
 	return nodes
 }
@@ -160,10 +163,12 @@
 	for _, node := range v.server.replicas.Nodes() {
 		addresses[node.ID] = node.Address
 	}
+	retiring := v.server.retiring()
 	describe := func(ids []uint64) []member.GroupNode {
 		nodes := make([]member.GroupNode, 0, len(ids))
 		for _, id := range ids {
-			nodes = append(nodes, member.GroupNode{ID: id, Address: addresses[id], Silence: now - heardAt[id], Leaving: v.isLeaving(id, now)})
+			nodes = append(nodes, member.GroupNode{ID: id, Address: addresses[id], Silence: now - heardAt[id],
+				Leaving: v.isLeaving(id, now) || retiring[addresses[id]], Standby: isStandby(id), Leads: id == status.ID})
 		}
 		return nodes
 	}
--- a/internal/member/voters.go
+++ b/internal/member/voters.go
@@ -1,13 +1,19 @@
 package member
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // GroupNode is a node that carries a consensus group, as the group's leader sees it.
 type GroupNode struct {
 	ID      uint64
 	Address string        // where it listens; empty if unknown
 	Silence time.Duration // since it was last heard; 0 for the leader itself
-	Leaving bool          // it has said that it stops
+	Leaving bool          // it has said that it stops, or an operator has asked it to
+	Standby bool          // it votes, but others are to lead
+	Leads   bool          // it leads the group now
 }
 
 // Group is what the choice of the next change of a group's nodes rests on.
@@ -34,16 +40,18 @@
 	Node uint64
 }
 
-// NextGroupChange returns the next step towards a group with size voters that all answer. A candidate takes the
-// place of the voter whose address it has, for nobody else listens there any more, or else of the voter
-// unheard for longest, at least for patience; one that leaves counts as unheard for patience. It becomes a
-// learner, then a voter; only then the replaced one goes, so that a majority of voters that hold everything stands
-// at each step. A silent voter without a candidate for its place stays. A learner whose place was taken back by its
-// voter waits as a learner: an even number of voters bears no more losses, and needs one more of them.
+// NextGroupChange returns the next step towards a group with size voters that all answer, of which as few as possible
+// are standbys. A candidate takes the place of the voter whose address it has, for nobody else listens there any more,
+// or else of the voter unheard for longest, at least for patience; one that leaves counts as unheard for patience, but
+// only for a candidate of its kind: a standby would have to give the place back. A candidate that is none also takes
+// a standby's place. It becomes a learner, then a voter; only then the replaced one goes, so that a majority of voters
+// that hold everything stands at each step. A silent voter without a candidate for its place stays. A learner whose
+// place was taken back by its voter waits as a learner: an even number of voters bears no more losses, and needs one
+// more of them.
 func NextGroupChange(group Group, size int, patience time.Duration) GroupChange {
 	if len(group.Voters) > size {
-		if replaced, found := replaceable(group.Voters, group.Voters, patience); found {
-			return GroupChange{RemoveNode, replaced.ID}
+		if surplus, found := surplusVoter(group.Voters, patience); found {
+			return GroupChange{RemoveNode, surplus.ID}
 		}
 		return GroupChange{}
 	}
@@ -52,12 +60,13 @@
 			return GroupChange{RemoveNode, learner.ID}
 		}
 	}
-	for _, candidate := range group.Candidates {
+	candidates := inOrder(group.Candidates)
+	for _, candidate := range candidates {
 		if listed(group.Learners, candidate.ID) && hasPlace(group.Voters, candidate, size, patience) {
 			return GroupChange{PromoteLearner, candidate.ID}
 		}
 	}
-	for _, candidate := range group.Candidates {
+	for _, candidate := range candidates {
 		known := listed(group.Voters, candidate.ID) || listed(group.Learners, candidate.ID)
 		if !known && hasPlace(group.Voters, candidate, size, patience) {
 			return GroupChange{AddLearner, candidate.ID}
@@ -66,23 +75,38 @@
 	return GroupChange{}
 }
 
+// inOrder returns the candidates in the order in which they get places: standbys last.
+func inOrder(candidates []GroupNode) []GroupNode {
+	ordered := slices.Clone(candidates)
+	slices.SortFunc(ordered, func(a, b GroupNode) int {
+		if a.Standby != b.Standby {
+			if a.Standby {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return ordered
+}
+
 // hasPlace reports whether a candidate may become a voter: one is missing, or there is one that it replaces.
 func hasPlace(voters []GroupNode, candidate GroupNode, size int, patience time.Duration) bool {
-	_, found := replaceable(voters, []GroupNode{candidate}, patience)
-	return found || len(voters) < size
+	if len(voters) < size || !candidate.Standby && slices.ContainsFunc(voters, func(voter GroupNode) bool { return voter.Standby }) {
+		return true
+	}
+	_, found := replaceable(voters, candidate, patience)
+	return found
 }
 
-// replaceable returns the voter that one of successors replaces.
-func replaceable(voters, successors []GroupNode, patience time.Duration) (GroupNode, bool) {
+// replaceable returns the voter that a candidate replaces.
+func replaceable(voters []GroupNode, candidate GroupNode, patience time.Duration) (GroupNode, bool) {
 	var longest GroupNode
 	for _, voter := range voters {
-		for _, successor := range successors {
-			sameAddress := voter.Address != "" && voter.Address == successor.Address
-			if voter.ID != successor.ID && sameAddress && voter.Silence > successor.Silence {
-				return voter, true
-			}
+		if outlived(voter, candidate) {
+			return voter, true
 		}
-		if voter.Leaving {
+		if voter.Leaving && voter.Standby == candidate.Standby {
 			voter.Silence = max(voter.Silence, patience)
 		}
 		if voter.Silence > longest.Silence {
@@ -92,6 +116,39 @@
 	return longest, longest.Silence >= patience
 }
 
+// outlived tells whether another node listens where a voter did.
+func outlived(voter, successor GroupNode) bool {
+	sameAddress := voter.Address != "" && voter.Address == successor.Address
+	return voter.ID != successor.ID && sameAddress && voter.Silence > successor.Silence
+}
+
+// surplusVoter returns the voter that goes when there is one too many: one whose address another voter has, the one
+// silent for longest, one that leaves, or a standby; never the leader as long as it answers.
+func surplusVoter(voters []GroupNode, patience time.Duration) (GroupNode, bool) {
+	var surplus GroupNode
+	var standby GroupNode
+	for _, voter := range voters {
+		for _, other := range voters {
+			if outlived(voter, other) {
+				return voter, true
+			}
+		}
+		if voter.Leaving {
+			voter.Silence = max(voter.Silence, patience)
+		}
+		if voter.Silence > surplus.Silence {
+			surplus = voter
+		}
+		if voter.Standby && !voter.Leads && voter.ID > standby.ID {
+			standby = voter
+		}
+	}
+	if surplus.Silence >= patience {
+		return surplus, true
+	}
+	return standby, standby.ID != 0
+}
+
 func listed(nodes []GroupNode, id uint64) bool {
 	for _, node := range nodes {
 		if node.ID == id {
--- a/internal/member/voters_test.go
+++ b/internal/member/voters_test.go
@@ -40,3 +40,41 @@
 		}
 	}
 }
+
+// TestStandbysGivePlacesBack covers groups of five voters, some of them standbys.
+func TestStandbysGivePlacesBack(t *testing.T) {
+	const patience = 2 * time.Second
+	full := func(id uint64) GroupNode { return GroupNode{ID: id, Address: string(rune('a' + id))} }
+	standby := func(id uint64) GroupNode { return GroupNode{ID: id, Address: string(rune('a' + id)), Standby: true} }
+	with := func(node GroupNode, change func(*GroupNode)) GroupNode { change(&node); return node }
+	leaving := func(node *GroupNode) { node.Leaving = true }
+	lost := func(node *GroupNode) { node.Silence = patience }
+	leads := func(node *GroupNode) { node.Leads = true }
+	five := []GroupNode{full(1), full(2), full(3), standby(4), standby(5)}
+	replaced := func(position int, change func(*GroupNode)) []GroupNode {
+		voters := append([]GroupNode(nil), five...)
+		change(&voters[position])
+		return voters
+	}
+	for name, test := range map[string]struct {
+		group Group
+		want  GroupChange
+	}{
+		"standbys fill up":                {Group{Voters: five[:3], Candidates: []GroupNode{standby(5), standby(4)}}, GroupChange{AddLearner, 4}},
+		"others come first":               {Group{Voters: five[:3], Candidates: []GroupNode{standby(4), full(9)}}, GroupChange{AddLearner, 9}},
+		"a standby waits":                 {Group{Voters: five, Candidates: []GroupNode{standby(6)}}, GroupChange{}},
+		"a standby is replaced":           {Group{Voters: five, Candidates: []GroupNode{full(9)}}, GroupChange{AddLearner, 9}},
+		"and promoted":                    {Group{Voters: five, Learners: []GroupNode{full(9)}, Candidates: []GroupNode{full(9)}}, GroupChange{PromoteLearner, 9}},
+		"then a standby goes":             {Group{Voters: append(five[:5:5], full(9))}, GroupChange{RemoveNode, 5}},
+		"but not the leader":              {Group{Voters: append(append(five[:4:4], with(standby(5), leads)), full(9))}, GroupChange{RemoveNode, 4}},
+		"a lost one goes before standbys": {Group{Voters: append(replaced(0, lost), full(9))}, GroupChange{RemoveNode, 1}},
+		"a standby takes a lost place":    {Group{Voters: replaced(0, lost), Candidates: []GroupNode{standby(6)}}, GroupChange{AddLearner, 6}},
+		"not that of one that restarts":   {Group{Voters: replaced(0, leaving), Candidates: []GroupNode{standby(6)}}, GroupChange{}},
+		"a standby that leaves":           {Group{Voters: replaced(4, leaving), Candidates: []GroupNode{standby(6)}}, GroupChange{AddLearner, 6}},
+		"and goes":                        {Group{Voters: append(replaced(4, leaving), standby(6))}, GroupChange{RemoveNode, 5}},
+	} {
+		if got := NextGroupChange(test.group, 5, patience); got != test.want {
+			t.Errorf("%s: %+v, want %+v", name, got, test.want)
+		}
+	}
+}
--- a/internal/operator/retire.go
+++ b/internal/operator/retire.go
@@ -17,26 +17,61 @@
 	RetirementCompleted Retirement = "completed" // nothing of ours is kept there: the machine may be removed
 )
 
+// Keepers knows which storage machines keep a part of the replicated state; *control.Server is the usual one.
+type Keepers interface {
+	// MayRetire tells whether enough others remain when the one at an address goes.
+	MayRetire(ctx context.Context, address string) (bool, error)
+	// AddressOf is where a control node listens; empty if that is not known.
+	AddressOf(node uint64) string
+}
+
 // RetireMember drains a storage member so that its machine can be removed, disk included. Safe to repeat, at
-// any control node. Errors: trace.NotFound if no storage member has that name; otherwise a verdict.
-//
-// No retirement is refused for what would remain: storage members keep nothing that others don't, because the
-// control nodes carry all groups.
-func RetireMember(ctx context.Context, control MemberControl, name string) error {
+// any control node: an order that was taken is never refused later. Errors: trace.NotFound if no storage member has
+// that name, trace.CompareFailed if too few would remain; otherwise a verdict.
+func RetireMember(ctx context.Context, control MemberControl, keepers Keepers, name string) error {
 	member, err := storageMember(ctx, control, name)
 	if err != nil {
 		return err
 	}
+	if leaves(member) {
+		return nil
+	}
+	may, err := keepers.MayRetire(ctx, member.Address)
+	if err != nil {
+		return err
+	}
+	if !may {
+		return trace.CompareFailed("too few storage members would remain without %q", name)
+	}
 	return DrainMember(ctx, control, member)
 }
 
 // ReadRetirement returns how far the retirement of a storage member has come. Errors as for RetireMember.
-func ReadRetirement(ctx context.Context, control Control, name string) (Retirement, error) {
+func ReadRetirement(ctx context.Context, control MemberControl, keepers Keepers, name string) (Retirement, error) {
 	member, err := storageMember(ctx, control, name)
 	if err != nil {
 		return "", err
 	}
-	return retirementOf(member), nil
+	if !leaves(member) {
+		return RetirementRunning, nil
+	}
+	state := RetirementCompleted
+	err = eachGroup(ctx, control, func(group uint32) error {
+		view, err := leaderStatus(ctx, control, group)
+		if err != nil {
+			return err
+		}
+		for _, voter := range view.GetVoters() {
+			if address := keepers.AddressOf(voter); address == member.Address || address == "" {
+				state = RetirementRunning
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return "", err
+	}
+	return state, nil
 }
 
 func storageMember(ctx context.Context, control Control, name string) (*wire.Member, error) {
@@ -51,11 +86,11 @@
 	return member, nil
 }
 
-// retirementOf derives the state from the member alone: it is empty from the moment that it takes nothing new.
-func retirementOf(member *wire.Member) Retirement {
+// leaves tells whether a member was asked to leave.
+func leaves(member *wire.Member) bool {
 	switch member.GetState() {
 	case wire.MemberState_MEMBER_STATE_LEAVING, wire.MemberState_MEMBER_STATE_GONE:
-		return RetirementCompleted
+		return true
 	}
-	return RetirementRunning
+	return false
 }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -92,8 +92,8 @@
 	if c.SnapshotRetryTicks == 0 {
 		c.SnapshotRetryTicks = 5 * c.ElectionTicks
 	}
-	if c.ElectionTicks <= c.HeartbeatTicks || c.SnapshotRetryTicks < 0 {
-		return c, trace.BadParameter("raft: %d election ticks are not more than %d heartbeat ticks, or a negative retry",
+	if c.ElectionTicks <= c.HeartbeatTicks || c.SnapshotRetryTicks < 0 || c.CampaignDelayTicks < 0 {
+		return c, trace.BadParameter("raft: %d election ticks are not more than %d heartbeat ticks, or a negative retry or delay",
 			c.ElectionTicks, c.HeartbeatTicks)
 	}
 	return c, nil
@@ -255,7 +255,7 @@
 // resetRole forgets what belongs to a role or a term.
 func (n *Node) resetRole() {
 	n.electionElapsed, n.heartbeatElapsed = 0, 0
-	n.electionTimeout = n.config.ElectionTicks + n.config.Random.Intn(n.config.ElectionTicks)
+	n.electionTimeout = n.config.ElectionTicks + n.config.Random.Intn(n.config.ElectionTicks) + n.config.CampaignDelayTicks
 	n.votes = n.votes[:0]
 	n.progress, n.reads = nil, nil
 	n.uncommittedBytes, n.transferTarget = 0, None
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -132,6 +132,9 @@
 	// ElectionTicks is the number of ticks without a leader's message after which a follower asks for
 	// pre-votes; the real timeout is drawn from [ElectionTicks, 2*ElectionTicks). Default 10.
 	ElectionTicks int
+	// CampaignDelayTicks is added to the timeout after which this node asks for pre-votes, and to nothing else: it
+	// votes like any other, but lets others lead where they can. Default 0.
+	CampaignDelayTicks int
 	// HeartbeatTicks is the number of ticks between a leader's heartbeats. Default 1.
 	HeartbeatTicks int
 	// MaxAppendBytes bounds the entry data of one append message. Default 1 MiB.
