memlimit: a process tells every five seconds what memory it holds

Cause: control nodes of the grown sites end over their memory limit, and neither log nor report says what holds it. Change: event process_memory (heap, runtime, resident, limit, collections) each 5 s of platform roles.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -58,6 +58,7 @@
 	}
 	log.Debugf("the heap stays below %d MB, collected at %d%% growth", collector.HeapBytes>>20, collector.CollectPercent)
 	settings.Follow(environment.Context, log.Entry)
+	go memlimit.Report(environment.Context, log.Entry, current.Limits.MemoryBytes())
 	admin := r.openMetrics(role, current.Node, log.Entry)
 	defer closeAdmin(admin)
 	show := func(process metrics.Process) error { return showAdmin(admin, process) }
--- a/internal/events/catalog.go
+++ b/internal/events/catalog.go
@@ -25,7 +25,7 @@
 		{"Control", []logging.Event{&LeaderChanged{}, &GroupChanged{}, &PeerLost{}, &PeerFound{}, &DiskChanged{}, &MemberChanged{},
 			&ControlFound{}, &ControlLost{}, &LeaseLost{}, &LeaseRegained{}, &TableAdopted{}, &OperatorCall{}, &ReplicaRegistered{},
 			&ReplicasSilent{}}},
-		{"Processes", []logging.Event{&ProcessStarted{}, &ProcessServing{}, &ProcessStopping{}, &ProcessStopped{}, &SettingsReloaded{},
+		{"Processes", []logging.Event{&ProcessStarted{}, &ProcessMemory{}, &ProcessServing{}, &ProcessStopping{}, &ProcessStopped{}, &SettingsReloaded{},
 			&logging.LinesLeftOut{}}},
 	}
 }
--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -20,6 +20,20 @@
 // Kind implements logging.Event.
 func (*ProcessStarted) Kind() *logging.Kind { return &processStartedKind }
 
+// ProcessMemory is what a process holds, told every few seconds.
+type ProcessMemory struct {
+	HeapMB     float64 `json:"heap_mb" doc:"objects of the Go heap, also those that are garbage by now"`
+	RuntimeMB  float64 `json:"runtime_mb" doc:"all memory that the Go runtime holds and has not given back"`
+	ResidentMB float64 `json:"resident_mb,omitempty" doc:"memory of the process in the machine, mapped files with it"`
+	LimitMB    int     `json:"limit_mb,omitempty" doc:"memory that it may use"`
+	Collects   uint64  `json:"collects" doc:"garbage collections since the start"`
+}
+
+var processMemoryKind = kind("process_memory", logrus.InfoLevel, perStart)
+
+// Kind implements logging.Event.
+func (*ProcessMemory) Kind() *logging.Kind { return &processMemoryKind }
+
 // ProcessServing is a process whose listeners are open.
 type ProcessServing struct {
 	Role    string `json:"role" doc:"what it serves"`
--- /dev/null
+++ b/internal/memlimit/report.go
@@ -0,0 +1,72 @@
+package memlimit
+
+import (
+	"context"
+	"os"
+	"runtime/metrics"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
+)
+
+// reportInterval is how often a process tells of its memory.
+const reportInterval = 5 * time.Second
+
+// Names of the Go runtime's metrics.
+const (
+	metricObjects  = "/memory/classes/heap/objects:bytes"
+	metricTotal    = "/memory/classes/total:bytes"
+	metricReleased = "/memory/classes/heap/released:bytes"
+	metricCollects = "/gc/cycles/total:gc-cycles"
+)
+
+// Report logs what the process holds every few seconds, until ctx ends.
+func Report(ctx context.Context, log *logrus.Entry, limitBytes int64) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			logging.Emit(log, read(limitBytes))
+		}
+	}
+}
+
+func read(limitBytes int64) *events.ProcessMemory {
+	samples := []metrics.Sample{{Name: metricObjects}, {Name: metricTotal}, {Name: metricReleased}, {Name: metricCollects}}
+	metrics.Read(samples)
+	return &events.ProcessMemory{
+		HeapMB: megabytes(samples[0].Value.Uint64()), RuntimeMB: megabytes(samples[1].Value.Uint64() - samples[2].Value.Uint64()),
+		ResidentMB: megabytes(resident()), LimitMB: int(limitBytes >> 20), Collects: samples[3].Value.Uint64(),
+	}
+}
+
+// resident is the process's memory in the machine; 0 where the system does not tell.
+func resident() uint64 {
+	content, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(content))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseUint(fields[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * uint64(os.Getpagesize())
+}
+
+// megabytes rounds to a tenth of a megabyte.
+func megabytes(bytes uint64) float64 {
+	const tenth = 1 << 20 / 10
+	return float64(bytes/tenth) / 10
+}
