--- a/internal/batchclient/client.go
+++ b/internal/batchclient/client.go
@@ -22,9 +22,11 @@
 	// results that a caller waits for.
 	callTime    = 1200 * time.Millisecond
 	resultsPoll = 150 * time.Millisecond
-	// resultsBytes bounds the results of one answer before their encoding, which may make them longer: callers
-	// are promised 1 MB at most.
-	resultsBytes = 400 << 10
+	// answerBytes bounds the results of one answer before their encoding, which may make them longer: callers
+	// are promised 1 MB at most. They are asked for in pieces of about pieceBytes: a control node keeps a buffer as
+	// large as the largest message for each gateway that it has answered.
+	answerBytes = 400 << 10
+	pieceBytes  = 48 << 10
 )
 
 // errOtherView is the answer of a control node that does not know the question.
@@ -113,7 +115,7 @@
 
 // Results implements Service.
 func (b *Client) Results(ctx context.Context, id string, from uint64, wait time.Duration) (*Results, error) {
-	query := &wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: id, Since: from, MaxBytes: resultsBytes}}}
+	query := pieceQuery(id, from)
 	for until := time.Now().Add(wait); ; {
 		view, err := b.query(ctx, query)
 		if err != nil {
@@ -128,7 +130,7 @@
 		}
 		done := from >= found.GetTotal() || found.GetEnded()
 		if len(found.GetResults()) > 0 || done || time.Now().Add(resultsPoll).After(until) {
-			return resultsOf(found)
+			return b.further(ctx, id, from, found)
 		}
 		select {
 		case <-ctx.Done():
@@ -138,6 +140,39 @@
 	}
 }
 
+func pieceQuery(id string, from uint64) *wire.Query {
+	return &wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: id, Since: from, MaxBytes: pieceBytes}}}
+}
+
+// further adds the pieces after the first one, as far as the answer has room and they can be had.
+func (b *Client) further(ctx context.Context, id string, from uint64, first *wire.JobResultsView) (*Results, error) {
+	results, err := resultsOf(first)
+	if err != nil {
+		return nil, err
+	}
+	for results.bytes() < answerBytes-pieceBytes && from+uint64(len(results.Results)) < results.Total && len(results.Results) > 0 {
+		view, err := b.query(ctx, pieceQuery(id, from+uint64(len(results.Results))))
+		if err != nil || len(view.GetJobResults().GetResults()) == 0 {
+			break // what was found is an answer
+		}
+		piece, err := resultsOf(view.GetJobResults())
+		if err != nil {
+			return nil, err
+		}
+		results.Results = append(results.Results, piece.Results...)
+	}
+	return results, nil
+}
+
+// bytes is the length of the texts.
+func (r *Results) bytes() int {
+	size := 0
+	for i := range r.Results {
+		size += len(r.Results[i].Text)
+	}
+	return size
+}
+
 func resultsOf(found *wire.JobResultsView) (*Results, error) {
 	results := &Results{Total: found.GetTotal(), Results: make([]Result, 0, len(found.GetResults()))}
 	for _, result := range found.GetResults() {
--- a/internal/batchclient/client_test.go
+++ b/internal/batchclient/client_test.go
@@ -44,6 +44,13 @@
 }
 
 func newClient(t *testing.T) (*Client, *fakeLedger) {
+	t.Helper()
+	ledger := &fakeLedger{machine: state.New()}
+	return New(ledger, viewOf(t)), ledger
+}
+
+// viewOf returns a table with one route for batch jobs.
+func viewOf(t *testing.T) func() *table.View {
 	t.Helper()
 	row := func(name string, cells ...string) *wire.TableRow {
 		made := &wire.TableRow{Name: name}
@@ -60,8 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ledger := &fakeLedger{machine: state.New()}
-	return New(ledger, func() *table.View { return view }), ledger
+	return func() *table.View { return view }
 }
 
 func exampleBatch(header ...replica.Header) *Job {
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -15,8 +15,9 @@
 
 // Format is the newest format of the data folder, the one that this program writes.
 //
-// Format 1 kept snapshots without a checksum; format 2 has one on every record.
-const Format = 2
+// Format 1 kept snapshots without a checksum; format 2 has one on every record; format 3 keeps the states of snapshots
+// in files of their own.
+const Format = 3
 
 // Names of the files in a data folder.
 const (
--- a/internal/storage/load.go
+++ b/internal/storage/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path/filepath"
 
 	"go.etcd.io/bbolt"
 
@@ -55,7 +56,16 @@
 	if err != nil {
 		return raft.Snapshot{}, err
 	}
-	return decodeSnapshot(snapshotName(group), payload)
+	snapshot, err := decodeSnapshot(snapshotName(group), payload)
+	if err != nil || len(snapshot.Data) == 0 {
+		return snapshot, err
+	}
+	file, err := decodeSnapshotFile(snapshotName(group), snapshot.Data)
+	if err != nil {
+		return raft.Snapshot{}, err
+	}
+	snapshot.Data, err = file.read(filepath.Dir(tx.DB().Path()), snapshotName(group))
+	return snapshot, err
 }
 
 // Groups lists the groups that have a hard state or a snapshot on disk.
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -91,8 +91,7 @@
 	}, nil
 }
 
-// encodeSnapshot returns the sealed record of a snapshot. It is made in one buffer: a snapshot may be a large part
-// of a node's memory.
+// encodeSnapshot returns the sealed record of a snapshot, whose Data is the reference to the file with the state.
 func encodeSnapshot(key []byte, snapshot raft.Snapshot) ([]byte, error) {
 	message := &wire.RaftSnapshot{
 		Index: snapshot.Index,
--- /dev/null
+++ b/internal/storage/snapshotfile_test.go
@@ -0,0 +1,159 @@
+package storage
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.etcd.io/bbolt"
+	"golang.org/x/sys/unix"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+)
+
+// snapshotsIn lists the files with snapshots' states.
+func snapshotsIn(t *testing.T, folder string) []string {
+	t.Helper()
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, entry := range entries {
+		if strings.HasPrefix(entry.Name(), snapshotPrefix) {
+			names = append(names, entry.Name())
+		}
+	}
+	return names
+}
+
+func compaction(index uint64, state string) GroupWrite {
+	return GroupWrite{Group: 3, Compaction: &raft.Snapshot{Index: index, Term: 1, Data: []byte(state),
+		Configuration: raft.Configuration{Voters: []uint64{1, 2}}}}
+}
+
+func wantState(t *testing.T, store *Store, index uint64, state string) {
+	t.Helper()
+	for _, load := range []func() (raft.Snapshot, error){
+		func() (raft.Snapshot, error) { return store.LoadSnapshot(3) },
+		func() (raft.Snapshot, error) { restored, err := store.Load(3); return restored.Snapshot, err },
+	} {
+		snapshot, err := load()
+		if err != nil || snapshot.Index != index || string(snapshot.Data) != state || len(snapshot.Configuration.Voters) != 2 {
+			t.Fatalf("snapshot %+v, %v; want %d with %q", snapshot, err, index, state)
+		}
+	}
+}
+
+// TestOnlyTheNewestSnapshotIsKept replaces snapshots and leaves a file behind as a loss of power would.
+func TestOnlyTheNewestSnapshotIsKept(t *testing.T) {
+	options := testOptions(t.TempDir())
+	store := mustOpen(t, options)
+	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
+	mustWrite(t, store, compaction(5, "five"), GroupWrite{Group: 4, Snapshot: &raft.Snapshot{Index: 2, Term: 1, Data: []byte("other")}})
+	mustWrite(t, store, compaction(9, "nine"))
+	wantState(t, store, 9, "nine")
+	if names := snapshotsIn(t, options.Folder); len(names) != 2 {
+		t.Fatalf("files %v", names)
+	}
+	received := compaction(15, "both")
+	received.Snapshot = &raft.Snapshot{Index: 12, Term: 1, Data: []byte("received")}
+	mustWrite(t, store, received)
+	store.Close()
+	stray := filepath.Join(options.Folder, snapshotPrefix+"3-99-1")
+	if err := os.WriteFile(stray, []byte("not committed"), fileMode); err != nil {
+		t.Fatal(err)
+	}
+	store = mustOpen(t, options)
+	wantState(t, store, 15, "both")
+	if names := snapshotsIn(t, options.Folder); len(names) != 2 {
+		t.Fatalf("files after the start %v", names)
+	}
+}
+
+// TestDamagedSnapshotFileIsFound garbles, cuts and removes the file.
+func TestDamagedSnapshotFileIsFound(t *testing.T) {
+	for name, damage := range map[string]func(path string) error{
+		"garbled": func(path string) error { return os.WriteFile(path, []byte("fivf"), fileMode) },
+		"cut":     func(path string) error { return os.Truncate(path, 2) },
+		"missing": os.Remove,
+	} {
+		t.Run(name, func(t *testing.T) {
+			options := testOptions(t.TempDir())
+			store := mustOpen(t, options)
+			mustWrite(t, store, compaction(5, "five"))
+			if err := damage(filepath.Join(options.Folder, snapshotsIn(t, options.Folder)[0])); err != nil {
+				t.Fatal(err)
+			}
+			var damaged *DamageError
+			if _, err := store.Load(3); !errors.As(err, &damaged) {
+				t.Fatalf("loaded: %v", err)
+			}
+			store.Close()
+			report, err := Check(options.Folder)
+			if err != nil || report.Sound() {
+				t.Fatalf("the check finds nothing: %+v, %v", report, err)
+			}
+		})
+	}
+}
+
+// TestFullDiskKeepsTheOldSnapshot fails the transaction after the file was written, for lack of space.
+func TestFullDiskKeepsTheOldSnapshot(t *testing.T) {
+	options := testOptions(t.TempDir())
+	full := false
+	options.Hooks.BeforeCommit = func() error {
+		if full {
+			return &fs.PathError{Op: "write", Path: dataFile, Err: unix.ENOSPC}
+		}
+		return nil
+	}
+	store := mustOpen(t, options)
+	mustWrite(t, store, compaction(5, "five"))
+	full = true
+	if err := store.Write([]GroupWrite{compaction(9, "nine")}); !errors.Is(err, ErrNoSpace) {
+		t.Fatal(err)
+	}
+	wantState(t, store, 5, "five")
+	if names := snapshotsIn(t, options.Folder); len(names) != 1 {
+		t.Fatalf("files %v", names)
+	}
+	full = false
+	mustWrite(t, store, compaction(9, "nine"))
+	wantState(t, store, 9, "nine")
+}
+
+// TestUpgradeFromFormat2 opens a folder whose record holds the state itself.
+func TestUpgradeFromFormat2(t *testing.T) {
+	options := testOptions(t.TempDir())
+	store := mustOpen(t, options)
+	mustWrite(t, store, compaction(5, "five"))
+	err := store.database.Update(func(tx *bbolt.Tx) error {
+		key := groupKey(3)
+		record, err := encodeSnapshot(key, *compaction(5, "inline").Compaction)
+		if err != nil {
+			return err
+		}
+		if err := tx.Bucket(bucketSnapshots).Put(key, record); err != nil {
+			return err
+		}
+		return tx.Bucket(bucketMeta).Put(keyFormat, []byte{0, 0, 0, 2})
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	identity := store.Identity()
+	store.Close()
+	identity.Format = 2
+	if err := writeIdentity(options.Folder, identity); err != nil {
+		t.Fatal(err)
+	}
+	store = mustOpen(t, options)
+	wantState(t, store, 5, "inline")
+	if store.Identity().Format != Format || len(snapshotsIn(t, options.Folder)) != 1 {
+		t.Fatalf("format %d, files %v", store.Identity().Format, snapshotsIn(t, options.Folder))
+	}
+}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -52,12 +52,13 @@
 
 // Store is an open data folder. Its methods may be called from any goroutine; writes are serialized.
 type Store struct {
-	options  Options
-	identity Identity
-	starts   uint64
-	lock     *os.File
-	database *bbolt.DB
-	commits  atomic.Uint64 // writes that became durable
+	options   Options
+	identity  Identity
+	starts    uint64
+	lock      *os.File
+	database  *bbolt.DB
+	commits   atomic.Uint64 // writes that became durable
+	fileBytes atomic.Uint64 // written to snapshots' files
 
 	mutex    sync.Mutex
 	poisoned error
@@ -116,6 +117,9 @@
 	if err := s.upgrade(); err != nil {
 		return err
 	}
+	if err := s.removeStraySnapshots(); err != nil {
+		return err
+	}
 	return s.countStart()
 }
 
@@ -288,9 +292,9 @@
 	return trace.Wrap(err)
 }
 
-// WrittenBytes returns how many bytes of pages the store has written since it was opened, one meta page for
+// WrittenBytes returns how many bytes of pages and snapshots the store has written since it was opened, one meta page for
 // each write included. What the file system and the disk add is not in it.
 func (s *Store) WrittenBytes() uint64 {
 	pages := s.database.Stats().TxStats
-	return uint64(pages.GetPageAlloc()) + s.commits.Load()*uint64(s.database.Info().PageSize)
+	return s.fileBytes.Load() + uint64(pages.GetPageAlloc()) + s.commits.Load()*uint64(s.database.Info().PageSize)
 }
--- a/internal/storage/upgrade.go
+++ b/internal/storage/upgrade.go
@@ -7,9 +7,10 @@
 	"go.etcd.io/bbolt"
 )
 
-// migrations[n] turns format n into n+1 within one transaction.
-var migrations = map[uint32]func(*bbolt.Tx) error{
-	1: sealSnapshots,
+// migrations[n] turns format n into n+1 within one transaction. Files that it makes are synced before.
+var migrations = map[uint32]func(*Store, *bbolt.Tx) error{
+	1: func(_ *Store, tx *bbolt.Tx) error { return sealSnapshots(tx) },
+	2: (*Store).moveSnapshots,
 }
 
 // upgrade brings an older folder to the newest format. The identity file is raised first, so that an
@@ -29,7 +30,7 @@
 			if migrate == nil {
 				return trace.BadParameter("storage: no upgrade path from format %d", format)
 			}
-			if err := migrate(tx); err != nil {
+			if err := migrate(s, tx); err != nil {
 				return err
 			}
 		}
--- a/internal/storage/write.go
+++ b/internal/storage/write.go
@@ -31,26 +31,86 @@
 // Write makes the work of all groups durable in one synced transaction: all of it or nothing. After an
 // error other than ErrNoSpace every later write returns ErrPoisoned.
 func (s *Store) Write(batch []GroupWrite) error {
-	return s.update(func(tx *bbolt.Tx) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.usable(); err != nil {
+		return err
+	}
+	files, err := s.writeSnapshotFiles(batch)
+	if err != nil {
+		return s.failed(err, noSpace(err))
+	}
+	replaced := snapshotFiles{}
+	err = s.commit(func(tx *bbolt.Tx) error {
+		if replaced, err = replacedFiles(tx, files, batch); err != nil {
+			return err
+		}
 		for i := range batch {
-			if err := writeGroup(tx, &batch[i]); err != nil {
+			if err := writeGroup(tx, &batch[i], files[batch[i].Group]); err != nil {
 				return err
 			}
 		}
 		return nil
 	})
+	switch {
+	case err == nil:
+		replaced.remove(s.options.Folder)
+	case errors.Is(err, ErrNoSpace):
+		files.remove(s.options.Folder) // after any other error they may be named by the transaction
+	}
+	return err
 }
 
-// update runs one synced transaction and judges its failure.
-func (s *Store) update(change func(*bbolt.Tx) error) error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+// replacedFiles returns the files of the snapshots that a batch replaces.
+func replacedFiles(tx *bbolt.Tx, files snapshotFiles, batch []GroupWrite) (snapshotFiles, error) {
+	replaced := snapshotFiles{}
+	if len(files) == 0 {
+		return replaced, nil
+	}
+	named, err := snapshotFilesOf(tx)
+	if err != nil {
+		return nil, err
+	}
+	for i := range batch {
+		if old := named[batch[i].Group]; old != nil && batch[i].newest() != nil {
+			replaced[batch[i].Group] = old
+		}
+	}
+	return replaced, nil
+}
+
+// usable tells whether writes are taken. The caller holds the mutex.
+func (s *Store) usable() error {
 	if s.closed {
 		return ErrClosed
 	}
 	if s.poisoned != nil {
 		return ErrPoisoned
 	}
+	return nil
+}
+
+// failed judges a write that failed: full tells that the disk had no room and the old state stands.
+func (s *Store) failed(err error, full bool) error {
+	if full {
+		return ErrNoSpace
+	}
+	s.poisoned = err
+	return trace.Wrap(err, "storage: write failed")
+}
+
+// update runs one synced transaction and judges its failure.
+func (s *Store) update(change func(*bbolt.Tx) error) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.usable(); err != nil {
+		return err
+	}
+	return s.commit(change)
+}
+
+// commit is update for a caller that holds the mutex.
+func (s *Store) commit(change func(*bbolt.Tx) error) error {
 	err := s.database.Update(func(tx *bbolt.Tx) error {
 		if s.options.Hooks.BeforeCommit != nil {
 			if err := s.options.Hooks.BeforeCommit(); err != nil {
@@ -66,11 +126,7 @@
 		s.commits.Add(1)
 		return nil
 	}
-	if fullBeforeCommit(err) {
-		return ErrNoSpace
-	}
-	s.poisoned = err
-	return trace.Wrap(err, "storage: write failed")
+	return s.failed(err, fullBeforeCommit(err))
 }
 
 // fullBeforeCommit recognises a disk that had no room for the data pages. They are written before the
@@ -81,12 +137,12 @@
 	return errors.Is(err, unix.ENOSPC) && errors.As(err, &pathError) && pathError.Op == "write"
 }
 
-func writeGroup(tx *bbolt.Tx, write *GroupWrite) error {
+func writeGroup(tx *bbolt.Tx, write *GroupWrite, file *snapshotFile) error {
 	if write.Snapshot != nil {
 		if err := dropEntriesFrom(tx, write.Group, 0); err != nil {
 			return err
 		}
-		if err := putSnapshot(tx, write.Group, write.Snapshot); err != nil {
+		if err := putSnapshot(tx, write.Group, write.Snapshot, file); err != nil {
 			return err
 		}
 	}
@@ -101,7 +157,7 @@
 	if write.Compaction == nil {
 		return nil
 	}
-	if err := putSnapshot(tx, write.Group, write.Compaction); err != nil {
+	if err := putSnapshot(tx, write.Group, write.Compaction, file); err != nil {
 		return err
 	}
 	return trimEntries(tx, write.Group, write.Compaction.Index)
@@ -112,9 +168,15 @@
 	return tx.Bucket(bucketHardStates).Put(key, seal(key, encodeHardState(state)))
 }
 
-func putSnapshot(tx *bbolt.Tx, group uint32, snapshot *raft.Snapshot) error {
+// putSnapshot writes the record of a snapshot whose state is in a file; nil for an empty state.
+func putSnapshot(tx *bbolt.Tx, group uint32, snapshot *raft.Snapshot, file *snapshotFile) error {
 	key := groupKey(group)
-	record, err := encodeSnapshot(key, *snapshot)
+	described := *snapshot
+	described.Data = nil
+	if file != nil {
+		described.Data = file.encode()
+	}
+	record, err := encodeSnapshot(key, described)
 	if err != nil {
 		return trace.Wrap(err)
 	}
