batchrun, weights: items start only where the weights are known to fit

The scheduler learned versions from answers only and tried replicas out each 200 ms, while the node that orders the loads knew them; the two groups are mostly led by different nodes. Ways weighed: moving the ledger group's leadership to the control group's leader cuts running items at each failover, and the reverse makes loads wait out the orders' lease; versions in the table would bump it ten times a second everywhere. Chosen: the weights driver publishes what replicas serve and load; the node that runs jobs asks it each 150 ms while jobs are open, and the scheduler leaves out replicas that are too old or load. After 2 s without news it tries out as before.

--- a/internal/batchrun/config.go
+++ b/internal/batchrun/config.go
@@ -19,6 +19,7 @@
 	"github.com/tamarindring/tamarindring/internal/monotonic"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/weights"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -54,6 +55,8 @@
 	Caller  replica.Caller
 	// Route finds the route of a request; false when the table has none. Default TableRoutes.
 	Route func(view *table.View, host, path string) (Route, bool)
+	// Serving tells what the replicas serve, as whoever orders their loads knows it; nil: not known now. Optional.
+	Serving func() *weights.Serving
 	// VersionField is the name, in lower case, of the event field that names a weight version.
 	VersionField string
 	// LengthHeader is the header of an item that estimates the tokens of its answer; may be empty.
@@ -82,6 +85,9 @@
 	if c.Checkpoint == 0 {
 		c.Checkpoint = DefaultCheckpoint
 	}
+	if c.Serving == nil {
+		c.Serving = func() *weights.Serving { return nil }
+	}
 	if c.Clock == nil {
 		c.Clock = monotonic.Now
 	}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,6 +30,7 @@
 type Runner struct {
 	config Config
 	kept   *keptTexts
+	open   atomic.Bool // jobs are open that this node runs
 	counts *counts
 }
 
@@ -40,6 +42,9 @@
 	return &Runner{config: config, kept: newKeptTexts(), counts: newCounts()}, nil
 }
 
+// Busy tells whether this node runs open jobs. It is safe for concurrent use.
+func (r *Runner) Busy() bool { return r.open.Load() }
+
 // Run works whenever the node leads, until ctx ends. No call is under way when it returns.
 func (r *Runner) Run(ctx context.Context) {
 	ticker := time.NewTicker(idlePoll)
@@ -78,6 +83,7 @@
 	tenure.wait()
 	<-committed
 	r.counts.jobs.Set(0)
+	r.open.Store(false)
 	logging.Emit(r.config.Log, &ended)
 }
 
--- a/internal/batchrun/schedule/move.go
+++ b/internal/batchrun/schedule/move.go
@@ -31,7 +31,8 @@
 	for _, candidate := range s.poolNamed(at.Pool).replicas {
 		room := candidate.running+candidate.coming < candidate.Slots
 		usable := candidate.pausedTo <= now && !candidate.probation && !candidate.tooOld(entry.job)
-		if room && usable && candidate.pace > 0 && at.pace > s.settings.MoveRatio*candidate.pace {
+		known := candidate.versions[entry.job.Model]
+		if room && usable && !(known.fresh(now) && known.loading) && candidate.pace > 0 && at.pace > s.settings.MoveRatio*candidate.pace {
 			candidate.coming++
 			return true
 		}
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -29,8 +29,33 @@
 	number uint64
 	tries  int // since then, under which it was too old
 	at     time.Duration
+	// told is when whoever orders the replicas' loads said so last, and loading that the replica loads another one;
+	// 0: never.
+	told    time.Duration
+	loading bool
 }
 
+// toldLife is how long it counts what whoever orders the loads said. Then replicas are tried out again.
+const toldLife = 2 * time.Second
+
+// Told notes what whoever orders the replicas' loads knows of one: the version of a model that it serves, and whether
+// it loads another one, for which time it begins no item of that model.
+func (s *Scheduler) Told(instance, model string, number uint64, loading bool, now time.Duration) {
+	at := s.replicas[instance]
+	if at == nil || number == 0 {
+		return
+	}
+	if known := at.versions[model]; number > known.number {
+		s.heard(at, model, number, now)
+	}
+	known := at.versions[model]
+	known.told, known.loading = max(now, 1), loading
+	at.versions[model] = known
+}
+
+// fresh tells whether what was told of the replica still counts.
+func (v version) fresh(now time.Duration) bool { return v.told > 0 && now < v.told+toldLife }
+
 type pool struct {
 	replicas []*replica // by instance; those that take new work
 	pace     float64
@@ -48,7 +73,7 @@
 		at.versions[model] = known
 		return
 	}
-	at.versions[model] = version{number: number, at: now}
+	at.versions[model] = version{number: number, at: now, told: at.versions[model].told, loading: at.versions[model].loading}
 	of := s.poolNamed(at.Pool)
 	of.newest[model] = max(of.newest[model], number)
 }
@@ -131,11 +156,15 @@
 	if candidate.running >= candidate.Slots || candidate.pausedTo > now {
 		return false
 	}
+	known := candidate.versions[entry.job.Model]
 	tooOld := candidate.tooOld(entry.job)
+	if known.fresh(now) && (tooOld || known.loading) {
+		return false // it is known not to take the item
+	}
 	if (candidate.probation || tooOld) && candidate.probe != nil {
 		return false
 	}
-	return !tooOld || now >= candidate.versions[entry.job.Model].at+s.settings.VersionPause
+	return !tooOld || now >= known.at+s.settings.VersionPause
 }
 
 // load is the part of a replica's slots that is taken with one more item, and more for one that is slower than
--- a/internal/batchrun/schedule/schedule_test.go
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -286,3 +286,51 @@
 		}
 	})
 }
+
+// TestToldVersionsAreNotTriedOut: a replica that is known to be too old, or to load, gets nothing; one that came to the
+// version does at once; and when nothing is told for a while, replicas are tried out again.
+func TestToldVersionsAreNotTriedOut(t *testing.T) {
+	s := newScheduler(3, 4)
+	tell := func(now time.Duration, numbers ...uint64) {
+		for position, number := range numbers {
+			s.Told(fmt.Sprint("r", position+1), "m", number, position == 1, now)
+		}
+	}
+	open(s, Job{ID: "j", Model: "m", MinVersion: 5}, "a:1", "b:1", "c:1", "d:1", "e:1", "f:1")
+	started := func(now time.Duration) map[string]int {
+		found := map[string]int{}
+		for _, start := range s.Starts(now) {
+			found[start.Instance]++
+			if start.ExpectedVersion != 0 {
+				t.Errorf("%s is asked for version %d", start.Instance, start.ExpectedVersion)
+			}
+		}
+		return found
+	}
+	tell(0, 4, 5, 5) // r1 is too old, r2 loads
+	if got := started(0); len(got) != 1 || got["r3"] != 4 {
+		t.Fatalf("started at %v", got)
+	}
+	for now := 100 * time.Millisecond; now < second; now += 100 * time.Millisecond {
+		tell(now, 4, 5, 5)
+		if got := started(now); len(got) > 0 {
+			t.Fatalf("tried out %v", got)
+		}
+	}
+	tell(second, 5, 5, 5) // r2 still loads
+	if got := started(second); got["r1"] != 2 || len(got) != 1 {
+		t.Fatalf("started at %v", got)
+	}
+}
+
+func TestReplicasAreTriedOutOnceNothingIsTold(t *testing.T) {
+	s := newScheduler(1, 4)
+	s.Told("r1", "m", 4, false, second)
+	open(s, Job{ID: "j", Model: "m", MinVersion: 5}, "a:1")
+	if got := s.Starts(second + toldLife - 1); len(got) > 0 {
+		t.Fatalf("started %v", got)
+	}
+	if got := s.Starts(second + toldLife); len(got) != 1 {
+		t.Fatalf("started %v", got)
+	}
+}
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -8,6 +8,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/weights"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -20,10 +21,11 @@
 	commits   *commits
 	jobs      map[string]*job
 	revision  uint64
-	kept      bool          // the group keeps jobs, open or ended
-	countedAt time.Duration // up to when time was counted for their retention
-	counting  atomic.Bool   // a count is on its way
-	view      *table.View   // that the scheduler was told of
+	kept      bool             // the group keeps jobs, open or ended
+	countedAt time.Duration    // up to when time was counted for their retention
+	counting  atomic.Bool      // a count is on its way
+	view      *table.View      // that the scheduler was told of
+	serving   *weights.Serving // likewise
 	calls     map[schedule.Key]*call
 	ends      chan *call
 	routines  sync.WaitGroup
@@ -149,6 +151,7 @@
 		}
 	}
 	t.revision, t.kept = work.GetRevision(), work.GetKept()
+	t.runner.open.Store(len(t.jobs) > 0)
 }
 
 // open adds a job to the schedule. Times count from now where the job's own clock would be earlier: an item is
@@ -217,6 +220,7 @@
 func (t *tenure) tick(ctx context.Context) {
 	t.runner.counts.jobs.Set(float64(len(t.jobs)))
 	now := t.config.Clock()
+	t.learnServing(now)
 	for key, running := range t.calls {
 		events, last, version := running.stream.progress()
 		t.scheduler.Progress(key, events, last, version)
@@ -239,6 +243,20 @@
 	t.expire(ctx, now)
 }
 
+// learnServing tells the scheduler what the replicas serve, if there is news.
+func (t *tenure) learnServing(now time.Duration) {
+	serving := t.config.Serving()
+	if serving == nil || serving == t.serving {
+		return
+	}
+	t.serving = serving
+	for model, replicas := range serving.Versions {
+		for replica, number := range replicas {
+			t.scheduler.Told(replica, model, number, serving.Loading[replica] == model, now)
+		}
+	}
+}
+
 // terminate lists an item as given up.
 func (t *tenure) terminate(key schedule.Key, why string) {
 	t.logTerminated(key, why)
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -79,6 +80,8 @@
 	done   chan loaded
 	orders sync.WaitGroup
 
+	known atomic.Pointer[Serving] // nil before the first plan as leader
+
 	mutex sync.Mutex
 	heard map[string][]registry.ModelVersion // by instance
 
@@ -182,6 +185,7 @@
 		d.counts.waiting.Set(float64(len(d.queue)))
 		if !d.config.Leading() {
 			d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
+			d.known.Store(nil)
 			continue
 		}
 		if d.planners == nil {
@@ -191,6 +195,7 @@
 		if d.token != 0 || d.takeOver(ctx) {
 			d.send(ctx)
 		}
+		d.publish()
 	}
 }
 
