consensus: a node whose address another one has is asked twice a second, not seventy times

Change: the pause doubles up to 500 ms unless a connection lasted a second; a node that is heard from is still dialled at once. Ruled out: losses of links, there were none at that time.

--- a/internal/consensus/dial.go
+++ b/internal/consensus/dial.go
@@ -19,6 +19,9 @@
 	unacknowledgedTimeout = 2 * time.Second
 	firstBackoff          = 20 * time.Millisecond
 	lastBackoff           = 500 * time.Millisecond
+	// steadyTime is how long a connection lasts that counts as one that works; maximumDoublings bounds the shift.
+	steadyTime       = time.Second
+	maximumDoublings = 10
 )
 
 func dialTCP(ctx context.Context, peer Peer) (net.Conn, error) {
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -64,26 +64,41 @@
 
 // run connects again and again until ctx ends.
 func (s *sender) run(ctx context.Context) {
-	backoff := firstBackoff
+	var wait reconnect
 	for attempt := 0; ctx.Err() == nil; attempt++ {
+		began := time.Now()
 		connected, err := s.serve(ctx, attempt)
 		if drpcerr.Code(err) == refusedCode {
 			s.host.fail(&ErrRefused{Peer: s.node, Reason: err.Error()})
 		}
 		if connected {
-			backoff = firstBackoff
 			logging.Emit(s.host.config.Log, &events.PeerLost{Peer: s.node, Cause: events.ErrorText(err)})
 		}
 		s.forget()
 		select {
 		case <-ctx.Done():
 		case <-s.wake:
-		case <-time.After(backoff):
-			backoff = min(2*backoff, lastBackoff)
+		case <-time.After(wait.pause(connected, time.Since(began))):
 		}
 	}
 }
 
+// reconnect is the wait between connections to a node.
+type reconnect struct {
+	failures int // in a row
+}
+
+// pause returns how long to wait after a connection that lasted so long. One that ended at once counts as failed: the
+// node refuses this one, or another one has its address.
+func (r *reconnect) pause(connected bool, lasted time.Duration) time.Duration {
+	if connected && lasted >= steadyTime {
+		r.failures = 0
+	}
+	pause := min(firstBackoff<<min(r.failures, maximumDoublings), lastBackoff)
+	r.failures++
+	return pause
+}
+
 // forget drops what waited for a connection that failed: raft sends anew what still matters.
 func (s *sender) forget() {
 	s.mutex.Lock()
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -46,6 +46,9 @@
 	ClusterID string
 	// Listen is IP:port; port 0 takes any. Ignored when Listener is set.
 	Listen string
+	// Bind is the IP:port that the node listens on where the others reach it under another one, which is Listen then: by
+	// way of a forwarder. Default: Listen.
+	Bind string
 	// Listener is an already bound listener, for tests and for inherited sockets.
 	Listener net.Listener
 	// Peers are the control nodes that form the groups at the first start, this one included.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -101,9 +102,9 @@
 // open acquires what Close gives back.
 func (s *Server) open() error {
 	if s.listener = s.config.Listener; s.listener == nil {
-		listener, err := net.Listen("tcp", s.config.Listen)
+		listener, err := net.Listen("tcp", cmp.Or(s.config.Bind, s.config.Listen))
 		if err != nil {
-			return trace.Wrap(err, "control node %s can't listen on %s", s.config.Name, s.config.Listen)
+			return trace.Wrap(err, "control node %s can't listen on %s", s.config.Name, cmp.Or(s.config.Bind, s.config.Listen))
 		}
 		s.listener = listener
 	}
@@ -130,8 +131,13 @@
 	return addresses
 }
 
-// Address is the listener's IP:port.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+// Address is the IP:port under which others reach this node.
+func (s *Server) Address() string {
+	if s.config.Bind != "" && s.config.Listener == nil {
+		return s.config.Listen
+	}
+	return s.listener.Addr().String()
+}
 
 // WrittenBytes returns how many bytes this node has written to its data file since it was opened.
 func (s *Server) WrittenBytes() uint64 { return s.store.WrittenBytes() }
