raft: the first election after a start comes sooner

A node that has met none since its start needs no such patience: pre-votes are refused by those that hear a leader. Change: until the first leader the timeout is drawn from a third of the usual ticks.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -128,7 +128,7 @@
 // becomeLeader starts a leadership. Its term and vote are synced by now, so its appends may leave before
 // the next sync.
 func (n *Node) becomeLeader() {
-	n.role, n.leader = Leader, n.id
+	n.role, n.leader, n.metLeader = Leader, n.id, true
 	n.resetRole()
 	n.addProgress()
 	n.uncommittedBytes = n.log.bytes(n.log.commit+1, n.log.last())
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -19,6 +19,7 @@
 	snapshot       Snapshot // the last one taken or received, for sending; without data once released
 
 	electionElapsed  int
+	metLeader        bool // since the start: another one, or itself
 	electionTimeout  int
 	heartbeatElapsed int
 
@@ -255,12 +256,26 @@
 // resetRole forgets what belongs to a role or a term.
 func (n *Node) resetRole() {
 	n.electionElapsed, n.heartbeatElapsed = 0, 0
-	n.electionTimeout = n.config.ElectionTicks + n.config.Random.Intn(n.config.ElectionTicks) + n.config.CampaignDelayTicks
+	n.drawElectionTimeout()
 	n.votes = n.votes[:0]
 	n.progress, n.reads = nil, nil
 	n.uncommittedBytes, n.transferTarget = 0, None
 	n.flushNeeded = false
 }
 
+// drawElectionTimeout draws the ticks without a leader after which this node asks for pre-votes. Until it has met a leader
+// since its start they are fewer: after a loss of power all nodes start without one, and a leader that lives is
+// protected by those that hear it, whatever this node asks.
+func (n *Node) drawElectionTimeout() {
+	least := n.config.ElectionTicks
+	if !n.metLeader {
+		least = max(least/startDivisor, n.config.HeartbeatTicks+1)
+	}
+	n.electionTimeout = least + n.config.Random.Intn(least) + n.config.CampaignDelayTicks
+}
+
+// startDivisor is the part of ElectionTicks that counts before the first leader.
+const startDivisor = 3
+
 // configuration is the one in force on this node.
 func (n *Node) configuration() Configuration { return n.configurations.latest().configuration }
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -94,3 +94,24 @@
 		}
 	}
 }
+
+// TestFirstElectionIsSoon starts groups in which nobody has met a leader: one leads within an election timeout and a
+// round of messages; whoever has met it waits as long as ever.
+func TestFirstElectionIsSoon(t *testing.T) {
+	for seed := range int64(20) {
+		c := newCluster(rand.New(rand.NewSource(seed)), Config{}, 3)
+		c.settle(usualElectionTicks)
+		if c.leader() == nil {
+			t.Errorf("seed %d: no leader after an election timeout:\n%s", seed, c.describe())
+			continue
+		}
+		for _, one := range c.machines {
+			if timeout := one.node.electionTimeout; timeout < usualElectionTicks {
+				t.Errorf("seed %d: node %d met a leader and stands for election after %d ticks", seed, one.node.id, timeout)
+			}
+		}
+	}
+}
+
+// usualElectionTicks is the default of Config.ElectionTicks.
+const usualElectionTicks = 10
