--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -10,6 +10,7 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/lease"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -74,18 +75,11 @@
 // run looks at the members until ctx ends.
 func (d *detector) run(ctx context.Context) {
 	interval := d.server.settings.Lease / detectionsPerLease
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if d.server.leading() {
-				d.look(ctx, interval)
-			}
+	pause.Every(ctx, interval, func(ctx context.Context) {
+		if d.server.leading() {
+			d.look(ctx, interval)
 		}
-	}
+	})
 }
 
 // look judges every member once.
--- a/internal/control/retention.go
+++ b/internal/control/retention.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -36,20 +37,13 @@
 // run expires claims until ctx ends.
 func (r *retention) run(ctx context.Context) {
 	interval := max(min(retentionInterval, r.server.config.Retention.Answers/retentionsPerAnswer), time.Millisecond)
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, interval, func(ctx context.Context) {
 		for group := uint32(1); int(group) <= r.server.config.LedgerGroups; group++ {
 			if r.due(group, 2*interval) && r.server.states[group].leader().Leading {
 				r.expire(ctx, group)
 			}
 		}
-	}
+	})
 }
 
 // due tells whether a group may have claims to expire: those of the last command have their answers dropped
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/consensus"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -31,20 +32,13 @@
 	if !s.config.Standby {
 		return
 	}
-	ticker := time.NewTicker(yieldInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, yieldInterval, func(ctx context.Context) {
 		for _, group := range s.groups() {
 			if s.states[group].leader().Leading {
 				s.yieldGroup(ctx, group)
 			}
 		}
-	}
+	})
 }
 
 func (s *Server) yieldGroup(ctx context.Context, group uint32) {
--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -8,6 +8,7 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/member"
+	"github.com/tamarindring/tamarindring/internal/pause"
 )
 
 const (
@@ -98,23 +99,19 @@
 	if v.server.config.Voters == 0 {
 		return
 	}
-	ticker := time.NewTicker(votersInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := v.server.config.Clock()
-		if now-v.lastLook > 3*votersInterval {
-			clear(v.heardAt) // this node was paused or busy: silence counts from now
-		}
-		v.lastLook = now
-		asking := v.asking(now)
-		for group := range v.heardAt {
-			v.look(ctx, uint32(group), now, asking)
-		}
+	pause.Every(ctx, votersInterval, v.lookAll)
+}
+
+// lookAll looks at each group once.
+func (v *voters) lookAll(ctx context.Context) {
+	now := v.server.config.Clock()
+	if now-v.lastLook > 3*votersInterval {
+		clear(v.heardAt) // this node was paused or busy: silence counts from now
+	}
+	v.lastLook = now
+	asking := v.asking(now)
+	for group := range v.heardAt {
+		v.look(ctx, uint32(group), now, asking)
 	}
 }
 
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/memlimit"
 	"github.com/tamarindring/tamarindring/internal/rolecost"
 	"github.com/tamarindring/tamarindring/internal/workload/caller"
 )
@@ -56,7 +57,7 @@
 	if err := f.load(ctx, calls); err != nil {
 		return nil, err
 	}
-	resident := rolecost.ResidentBytes()
+	resident := memlimit.ResidentBytes()
 	cost, err := recorder.Stop()
 	if err != nil {
 		return nil, err
--- a/internal/memlimit/report.go
+++ b/internal/memlimit/report.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/pause"
 )
 
 // reportInterval is how often a process tells of its memory.
@@ -27,16 +28,7 @@
 
 // Report logs what the process holds every few seconds, until ctx ends.
 func Report(ctx context.Context, log *logrus.Entry, limitBytes int64) {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			logging.Emit(log, read(limitBytes))
-		}
-	}
+	pause.Every(ctx, reportInterval, func(context.Context) { logging.Emit(log, read(limitBytes)) })
 }
 
 func read(limitBytes int64) *events.ProcessMemory {
@@ -44,12 +36,12 @@
 	metrics.Read(samples)
 	return &events.ProcessMemory{
 		HeapMB: megabytes(samples[0].Value.Uint64()), RuntimeMB: megabytes(samples[1].Value.Uint64() - samples[2].Value.Uint64()),
-		ResidentMB: megabytes(resident()), LimitMB: int(limitBytes >> 20), Collects: samples[3].Value.Uint64(),
+		ResidentMB: megabytes(ResidentBytes()), LimitMB: int(limitBytes >> 20), Collects: samples[3].Value.Uint64(),
 	}
 }
 
-// resident is the process's memory in the machine; 0 where the system does not tell.
-func resident() uint64 {
+// ResidentBytes is the process's memory in the machine; 0 where the system does not tell.
+func ResidentBytes() uint64 {
 	content, err := os.ReadFile("/proc/self/statm")
 	if err != nil {
 		return 0
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -21,3 +21,18 @@
 		return ctx.Err()
 	}
 }
+
+// Every calls work once in each interval, the first time after one, until ctx ends. A call that takes longer than the
+// interval delays the next one.
+func Every(ctx context.Context, interval time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work(ctx)
+		}
+	}
+}
--- a/internal/registry/service.go
+++ b/internal/registry/service.go
@@ -13,6 +13,7 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -176,16 +177,7 @@
 
 // Run looks for silent replicas while this process leads, until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(silentHeartbeats * s.config.Heartbeat / ticksPerSilence)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		s.tick(ctx)
-	}
+	pause.Every(ctx, silentHeartbeats*s.config.Heartbeat/ticksPerSilence, s.tick)
 }
 
 func (s *Service) tick(ctx context.Context) {
--- a/internal/rolecost/rolecost.go
+++ b/internal/rolecost/rolecost.go
@@ -7,10 +7,7 @@
 import (
 	"bytes"
 	"context"
-	"os"
 	"runtime/pprof"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -120,20 +117,3 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
-
-// ResidentBytes returns the process's resident memory, 0 where the system does not tell.
-func ResidentBytes() uint64 {
-	content, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(content))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, err := strconv.ParseUint(fields[1], 10, 64)
-	if err != nil {
-		return 0
-	}
-	return pages * uint64(os.Getpagesize())
-}
--- a/internal/rolecost/rolecost_test.go
+++ b/internal/rolecost/rolecost_test.go
@@ -31,7 +31,4 @@
 	if cost.Cores("busy") <= cost.Cores("idle") || cost.Cores("busy") == 0 {
 		t.Fatalf("cost %+v (sink %d): the busy role has no more than the idle one", cost, sink)
 	}
-	if ResidentBytes() == 0 {
-		t.Fatal("no resident memory")
-	}
 }
