events of the product's own gateways and coordinators: requests and samples

Each request of a gateway ends with one line (code, verdict, idempotency key, sends, lease), each attempt at a sample begins and ends with one (tokens held, whether the next attempt goes on from them, versions of the segments), as the platform's roles do. Sentences of these parts that said the same went.

--- a/internal/coordinator/finish.go
+++ b/internal/coordinator/finish.go
@@ -9,7 +9,9 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/ledger"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -47,9 +49,19 @@
 	one.generated, one.cancel = true, cancel
 	one.pool.after++
 	s.wake()
+	s.logGenerated(one)
 	return one.sample()
 }
 
+// logGenerated tells of a text that is whole. The caller holds the mutex.
+func (s *Server) logGenerated(one *run) {
+	event := &events.SampleGenerated{Sample: one.id.String(), Replica: one.replica, Tokens: one.partial.tokens}
+	for _, segment := range one.partial.segments {
+		event.Versions = append(event.Versions, segment.GetVersionNumber())
+	}
+	logging.Emit(s.config.Log, event)
+}
+
 func (r *run) sample() *wire.Sample {
 	return &wire.Sample{
 		Id: r.id.String(), Trainer: r.id.Trainer, Step: r.id.Step, PromptId: r.id.Prompt, Index: r.id.Index,
--- a/internal/coordinator/generate.go
+++ b/internal/coordinator/generate.go
@@ -13,6 +13,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/rollout"
 )
 
@@ -68,6 +70,7 @@
 	}
 	delete(t.partials, start.ID.String())
 	p.running[start.ID] = one
+	logging.Emit(s.config.Log, &events.SampleStarted{Sample: one.id.String(), Pool: p.name, Kept: one.partial.tokens})
 	cancel := one.cancel
 	s.start(func() {
 		defer cancel()
@@ -118,7 +121,11 @@
 		return
 	}
 	s.stats.Interrupted++
-	if kept := one.pool.scheduler.Interrupted(now, one.id); kept > 0 && kept == one.partial.tokens {
+	kept := one.pool.scheduler.Interrupted(now, one.id)
+	goesOn := kept > 0 && kept == one.partial.tokens
+	logging.Emit(s.config.Log, &events.SampleInterrupted{Sample: one.id.String(), Gateway: one.gateway, Replica: one.replica,
+		Request: one.requestID, Tokens: one.partial.tokens, Kept: goesOn, Cause: events.ErrorText(cause)})
+	if goesOn {
 		one.trainer.partials[one.id.String()] = one.partial
 	} else {
 		s.stats.DiscardedTokens += uint64(one.partial.tokens)
@@ -130,7 +137,6 @@
 	case errors.Is(cause, errNoGateway):
 		one.pool.paused = max(one.pool.paused, now+retryFirst)
 	}
-	s.config.Log.Debugf("sample %s stopped at token %d: %v", one.id, one.partial.tokens, cause)
 	s.wake()
 }
 
--- a/internal/events/catalog.go
+++ b/internal/events/catalog.go
@@ -21,6 +21,7 @@
 			&ReplicaQuarantined{}, &ReplicaRestored{}}},
 		{"Batch jobs", []logging.Event{&JobSubmitted{}, &JobCallFailed{}, &JobEnded{}, &RunnerBegan{}, &RunnerEnded{}, &JobOpened{},
 			&JobClosed{}, &RunStarted{}, &RunEnded{}, &ItemFinished{}, &ResultsCommitted{}, &ReplicaSuspended{}}},
+		{"Samples", []logging.Event{&SampleStarted{}, &SampleInterrupted{}, &SampleGenerated{}}},
 		{"Weights", []logging.Event{&VersionReleased{}, &OrderSent{}, &OrderEnded{}, &OrdersTaken{}, &OrdersOffered{}, &OrdersSuperseded{}}},
 		{"Control", []logging.Event{&LeaderChanged{}, &GroupChanged{}, &PeerLost{}, &PeerFound{}, &DiskChanged{}, &MemberChanged{},
 			&ControlFound{}, &ControlLost{}, &LeaseLost{}, &LeaseRegained{}, &TableAdopted{}, &OperatorCall{}, &ReplicaRegistered{},
--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -8,7 +8,8 @@
 
 // RequestAnswered is a request that got a back end's whole answer.
 type RequestAnswered struct {
-	Request      string  `json:"request" doc:"the caller's attempt id"`
+	Request      string  `json:"request" doc:"the caller's attempt id, or the gateway's where the caller names none"`
+	Key          string  `json:"key,omitempty" doc:"idempotency key"`
 	Route        string  `json:"route,omitempty" doc:"route that matched"`
 	RouteKind    string  `json:"route_kind,omitempty" doc:"what the route permits, such as idempotent"`
 	Pool         string  `json:"pool,omitempty" doc:"pool that the request went to"`
@@ -26,7 +27,8 @@
 
 // RequestFailed is a request that ended without a back end's whole answer.
 type RequestFailed struct {
-	Request      string  `json:"request" doc:"the caller's attempt id"`
+	Request      string  `json:"request" doc:"the caller's attempt id, or the gateway's where the caller names none"`
+	Key          string  `json:"key,omitempty" doc:"idempotency key"`
 	Method       string  `json:"method,omitempty" doc:"of the request"`
 	Host         string  `json:"host,omitempty" doc:"of the request"`
 	Path         string  `json:"path,omitempty" doc:"of the request"`
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -167,6 +167,7 @@
 	x.dropUpstream()
 	x.leaveBackend(outcomeNeutral)
 	x.server.counts.count(x, x.server.now()-x.arrived)
+	x.logEnd(x.server.now() - x.arrived)
 	x.server.memory.give(x.call.reserved + x.stream.reserved)
 	x.call.body = nil // what waits for the ledger needs only its digest
 	if !x.late {
