--- a/internal/bench/capacity/capacity.go
+++ b/internal/bench/capacity/capacity.go
@@ -1,6 +1,6 @@
 // Package capacity measures what each role costs at several sizes, fits lines, and works out from them
 // what every role needs at the target size. Hollow processes share one process; they speak over real TCP
-// and the control nodes write real files. The result is JSON, and docs/CAPACITY.md is rendered from it.
+// and the control nodes write real files. The result is JSON, and docs/CAPACITY-loopback.md is rendered from it.
 package capacity
 
 import (
--- a/internal/bench/capacity/capacity_test.go
+++ b/internal/bench/capacity/capacity_test.go
@@ -15,7 +15,7 @@
 
 const docs = "../../../docs"
 
-// TestPageStandsAgainstItsFigures holds docs/CAPACITY.md equal to what its figures render to.
+// TestPageStandsAgainstItsFigures holds docs/CAPACITY-loopback.md equal to what its figures render to.
 func TestPageStandsAgainstItsFigures(t *testing.T) {
 	figures, err := os.ReadFile(filepath.Join(docs, "capacity.json"))
 	if err != nil {
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile(filepath.Join(docs, "CAPACITY.md"))
+	page, err := os.ReadFile(filepath.Join(docs, "CAPACITY-loopback.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,10 +34,10 @@
 		t.Fatal(err)
 	}
 	if !bytes.Equal(page, rendered.Bytes()) {
-		t.Fatal("docs/CAPACITY.md is not what docs/capacity.json renders to: run `tamarindring bench capacity --from docs/capacity.json --page docs/CAPACITY.md`")
+		t.Fatal("docs/CAPACITY-loopback.md is not what docs/capacity.json renders to: run `tamarindring bench capacity --from docs/capacity.json --page docs/CAPACITY-loopback.md`")
 	}
 	if bytes.Contains(page, []byte("NaN")) || bytes.Contains(page, []byte("Inf")) {
-		t.Fatal("docs/CAPACITY.md has a figure that is not a number")
+		t.Fatal("docs/CAPACITY-loopback.md has a figure that is not a number")
 	}
 }
 
--- a/internal/bench/capacity/page.go
+++ b/internal/bench/capacity/page.go
@@ -32,7 +32,7 @@
 	return report, nil
 }
 
-// Render writes docs/CAPACITY.md. Every figure of it comes from the report.
+// Render writes docs/CAPACITY-loopback.md. Every figure of it comes from the report.
 func Render(writer io.Writer, report *Report) error {
 	page, err := template.New("page").Funcs(template.FuncMap{"number": number, "bytes": bytesText, "cores": coresText,
 		"percent": func(share float64) string { return number(100*share) + "%" }, "date": func(at time.Time) string { return at.Format("2006-01-02 15:04 UTC") },
--- a/internal/cli/benchcapacity.go
+++ b/internal/cli/benchcapacity.go
@@ -13,7 +13,7 @@
 	"github.com/tamarindring/tamarindring/internal/bench/capacity"
 )
 
-// benchCapacityCommand measures what each role costs and renders docs/CAPACITY.md from it.
+// benchCapacityCommand measures what each role costs and renders docs/CAPACITY-loopback.md from it.
 type benchCapacityCommand struct {
 	Folder   string        `long:"folder" description:"Folder on the disk to measure (default: the system's folder for temporary files)"`
 	PerPoint time.Duration `long:"per-point" default:"4s" description:"Time of each measurement"`
