forward: the time of a send is set before its goroutine starts

Only the event's after_ms was concerned. Change: the time is set when the attempt is made. go test -race on forward, batchrun, logging and weights, three times: green.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -43,7 +43,7 @@
 		resuming: x.passing, resumable: x.route.Resumable && x.route.Kind == table.Stream, last: x.passed}
 	x.begun++
 	return &attempt{forwarder: x.forwarder, pool: x.pool, target: chosen.target, chosen: chosen, number: x.begun, work: x.work,
-		call: x.call(chosen), answer: held}
+		started: x.forwarder.config.Now(), call: x.call(chosen), answer: held}
 }
 
 // send sends the request to the chosen back end, to a second one when that is slow, and judges how that ended.
@@ -102,7 +102,6 @@
 
 // run sends the request and takes the answer.
 func (a *attempt) run(ctx context.Context) {
-	a.started = a.forwarder.config.Now()
 	a.outcome = a.forwarder.config.Caller.Do(ctx, a.call, a.answer)
 	a.said = a.health(ctx)
 	changed := a.pool.ended(a.forwarder.now(), a.target.Instance, &a.work, a.said, a.outcome.Load)
