batchrun: a test let two open jobs with one item id run beside each other

Its two jobs name their item alike, the second was submitted before the first had run, and the stand-in tells items apart by id only; the runner promises one run for each job's item. Ruled out: the runner, whose key is job and item; no job carries an item that another open job of its trainer has.

--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -187,8 +187,8 @@
 	r.replicas.set(answering(5), answering(5))
 	r.run(t)
 	r.submit(t, "a", 1, nil)
-	r.submit(t, "b", 1, nil)
 	r.await(t, "a", 1)
+	r.submit(t, "b", 1, nil) // not before: its item has the same id, and may run beside that of an open job
 	r.await(t, "b", 1)
 	r.propose(t, &wire.Command{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: "a"}}})
 	known := func(job string) bool {
