registry: what waits while a change of the table is under way goes into the next one

Cause: each replica that started, drained or left took a change of the table for itself: a read of the whole table at the leader, a commit and a version that every process adopts; replicas that start together conflicted and read again. Change: registrations and leaves are committed in batches of up to 128, in their order, planned on the view that the leader follows anyway; only a fresh read says that there is nothing to do. A refused batch is made one by one. The table is searched for an address by an index that is built once a batch. The test's control group that is cut off now refuses changes too, as a real one does: it only refused reads, which the leader no longer makes.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -127,6 +127,23 @@
 // Change returns the change that makes the table say what a heartbeat says, without id and operator. It makes
 // the pool if there is none yet, and ends what else was registered at the address: that replica is gone.
 func Change(view *table.View, heartbeat *Registration) *wire.TableChange {
+	return changeAt(view, heartbeat, addressesOf(view))
+}
+
+// addresses holds the registered replicas that have not left for good, by address.
+type addresses map[string][]*table.Row
+
+func addressesOf(view *table.View) addresses {
+	found := addresses{}
+	for _, row := range view.Rows() {
+		if registered(row) && row.Sequence != LastSequence {
+			found[row.Address] = append(found[row.Address], row)
+		}
+	}
+	return found
+}
+
+func changeAt(view *table.View, heartbeat *Registration, at addresses) *wire.TableChange {
 	change := &wire.TableChange{BaseVersion: view.Version(), Note: table.ForceNote}
 	set := func(row, column, value string) {
 		change.Cells = append(change.Cells, &wire.CellChange{Row: row, Column: column, Value: value})
@@ -136,8 +153,8 @@
 	}
 	change.Cells = append(change.Cells, differing(view.Row(heartbeat.Instance), heartbeat)...)
 	set(heartbeat.Instance, table.ColumnSequence, strconv.FormatUint(heartbeat.Sequence, 10))
-	for _, row := range view.Rows() {
-		if registered(row) && row.Name != heartbeat.Instance && row.Address == heartbeat.Address && row.Sequence != LastSequence {
+	for _, row := range at[heartbeat.Address] {
+		if row.Name != heartbeat.Instance {
 			change.Cells = append(change.Cells, leaving(row)...)
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -29,6 +29,9 @@
 }
 
 func (f *fakeControl) ChangeTable(_ context.Context, change *wire.TableChange, _ bool) (*wire.TableResult, uint64, error) {
+	if f.cut {
+		return nil, 0, trace.ConnectionProblem(nil, "cut off")
+	}
 	if hook := f.before; hook != nil {
 		f.before = nil
 		hook()
--- a/internal/registry/service.go
+++ b/internal/registry/service.go
@@ -49,7 +49,8 @@
 
 // Service takes replicas' heartbeats. It is safe for concurrent use.
 type Service struct {
-	config Config
+	config  Config
+	batches batches
 
 	mutex   sync.Mutex
 	tracker *Tracker // nil while this process does not lead
@@ -70,7 +71,9 @@
 	if config.Log == nil {
 		config.Log = logging.Discard()
 	}
-	return &Service{config: config}, nil
+	service := &Service{config: config}
+	service.batches.config = &service.config
+	return service, nil
 }
 
 // OnHeartbeat sets a listener that is called with every heartbeat that the leader hears. Set it before use.
@@ -104,12 +107,7 @@
 		}
 		return nil
 	}
-	version, err := s.commit(ctx, func(view *table.View) *wire.TableChange {
-		if Judge(view.Row(heartbeat.Instance), heartbeat) != Changed {
-			return nil
-		}
-		return Change(view, heartbeat)
-	})
+	version, err := s.batches.do(ctx, heartbeat.Instance, heartbeat)
 	if version > 0 {
 		logging.Emit(s.config.Log, &events.ReplicaRegistered{Replica: heartbeat.Instance, Pool: heartbeat.Pool, Address: heartbeat.Address,
 			State: heartbeat.rowCells()[table.ColumnState], Heartbeat: heartbeat.Sequence, TableVersion: version})
@@ -119,40 +117,13 @@
 
 // Deregister takes a replica out for good; one that is unknown is no error.
 func (s *Service) Deregister(ctx context.Context, instance string) error {
-	version, err := s.commit(ctx, func(view *table.View) *wire.TableChange { return Leave(view, instance) })
+	version, err := s.batches.do(ctx, instance, nil)
 	if version > 0 {
 		logging.Emit(s.config.Log, &events.ReplicaRegistered{Replica: instance, State: string(table.Removed), TableVersion: version})
 	}
 	return err
 }
 
-// commit makes the change that plan returns for the newest table, again after each conflict. It returns the table's
-// version with the change; 0 when there was nothing to change.
-func (s *Service) commit(ctx context.Context, plan func(*table.View) *wire.TableChange) (version uint64, err error) {
-	for {
-		view, err := configure.ReadView(ctx, s.config.Control)
-		if err != nil {
-			return 0, trace.Wrap(err)
-		}
-		change := plan(view)
-		if change == nil {
-			return 0, nil
-		}
-		change.ChangeId, change.Operator = rand.Text(), s.config.Operator
-		result, _, err := s.config.Control.ChangeTable(ctx, change, false)
-		if err != nil {
-			return 0, trace.Wrap(err)
-		}
-		switch result.GetOutcome() {
-		case wire.TableOutcome_TABLE_OUTCOME_ACCEPTED:
-			return result.GetVersion(), nil
-		case wire.TableOutcome_TABLE_OUTCOME_CONFLICT:
-			continue
-		}
-		return 0, trace.BadParameter("the table refused a registration: %v", result.GetRefusals())
-	}
-}
-
 // noteHeard notes a heartbeat where this process leads, and reports whether it does.
 func (s *Service) noteHeard(heartbeat *Registration) bool {
 	if !s.config.Leading() {
