registry, platform: heartbeats of many replicas stay at the node that they reached and are passed on together

Cause: every replica keeps a connection to the control node that takes its heartbeats. Change: above 600 registered replicas a heartbeat's answer names the node that it reached. Followers pass heartbeats on in messages of up to 256, those that come while one is under way in the next (batching.Queue, which the batches of registrations use too).

--- a/internal/registry/batch.go
+++ b/internal/registry/batch.go
@@ -4,12 +4,11 @@
 	"context"
 	"crypto/rand"
 	"net/netip"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/batching"
 	"github.com/tamarindring/tamarindring/internal/configure"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -24,12 +23,9 @@
 
 // wanted is what one caller wants the table to say of a replica.
 type wanted struct {
-	ctx       context.Context
 	instance  string
 	heartbeat *Registration // nil: the replica leaves for good
-	done      chan struct{} // closed once version and err are set
-	version   uint64        // table version with the change; 0 when there was nothing to change
-	err       error
+	version   uint64        // set before the answer: table version with the change; 0 when there was nothing to change
 }
 
 // plan returns the change that brings the table to what is wanted; nil when it says so already.
@@ -43,115 +39,81 @@
 	return changeAt(view, w.heartbeat, at)
 }
 
-// batches turns what many callers want at once into few changes of the table: while one change is under way, what
-// arrives waits and goes into the next one. Each change makes a new version that every process of the fleet adopts, so
-// replicas that start or leave together must not take one each.
+// address is where the replica says that it listens, in canonical form; empty for one that leaves.
+func (w *wanted) address() string {
+	if w.heartbeat == nil {
+		return ""
+	}
+	if parsed, err := netip.ParseAddrPort(w.heartbeat.Address); err == nil {
+		return parsed.String()
+	}
+	return w.heartbeat.Address
+}
+
+type wantedCall = batching.Call[*wanted]
+
+// batches makes few changes of the table of what many replicas want at once. Each change makes a new version that every
+// process of the fleet adopts, so replicas that start or leave together must not take one each.
 type batches struct {
 	config *Config
-
-	mutex   sync.Mutex
-	waiting []*wanted
-	running bool
+	queue  batching.Queue[*wanted]
 }
 
-// do waits until the table says what is wanted. An error leaves open whether it does.
-func (b *batches) do(ctx context.Context, instance string, heartbeat *Registration) (version uint64, err error) {
-	one := &wanted{ctx: ctx, instance: instance, heartbeat: heartbeat, done: make(chan struct{})}
-	b.mutex.Lock()
-	b.waiting = append(b.waiting, one)
-	start := !b.running
-	b.running = true
-	b.mutex.Unlock()
-	if start {
-		go b.run()
-	}
-	select {
-	case <-one.done:
-		return one.version, one.err
-	case <-ctx.Done():
-		return 0, trace.Wrap(ctx.Err())
-	}
+func newBatches(config *Config) *batches {
+	b := &batches{config: config}
+	b.queue.Take, b.queue.Run = takeIndependent, b.commit
+	return b
 }
 
-// run commits batches until nothing waits. Each batch is bounded in time, so it ends soon after its callers.
-func (b *batches) run() {
-	for {
-		batch := b.next()
-		if len(batch) == 0 {
-			return
-		}
-		b.commit(batch)
+// do waits until the table says what is wanted, and returns the version that does; 0 when it said so already. An error
+// leaves open whether it does.
+func (b *batches) do(ctx context.Context, instance string, heartbeat *Registration) (version uint64, err error) {
+	one := &wanted{instance: instance, heartbeat: heartbeat}
+	if err = b.queue.Do(ctx, one); err != nil {
+		return 0, err
 	}
+	return one.version, nil
 }
 
-// next takes those that wait in their order, up to the first that builds on an earlier one of the batch: the same
-// instance or the same address. An empty batch ends the run.
-func (b *batches) next() []*wanted {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	// Callers that are gone were told that the outcome is not known.
-	b.waiting = slices.DeleteFunc(b.waiting, func(one *wanted) bool { return one.ctx.Err() != nil })
+// takeIndependent takes those that wait in their order, up to the first that builds on an earlier one: the same instance
+// or the same address.
+func takeIndependent(waiting []*wantedCall) int {
 	taken := map[string]bool{}
-	count := 0
-	for _, one := range b.waiting {
-		address := one.address()
-		if count == maximumBatch || taken[one.instance] || taken[address] {
-			break
+	for count, call := range waiting {
+		address := call.Value.address()
+		if count == maximumBatch || taken[call.Value.instance] || taken[address] {
+			return count
 		}
-		taken[one.instance] = true
+		taken[call.Value.instance] = true
 		if address != "" {
 			taken[address] = true
 		}
-		count++
 	}
-	batch := slices.Clone(b.waiting[:count])
-	b.waiting = slices.Delete(b.waiting, 0, count)
-	b.running = count > 0
-	return batch
+	return len(waiting)
 }
 
-// address is where the replica says that it listens, in canonical form; empty for one that leaves.
-func (w *wanted) address() string {
-	if w.heartbeat == nil {
-		return ""
-	}
-	if parsed, err := netip.ParseAddrPort(w.heartbeat.Address); err == nil {
-		return parsed.String()
-	}
-	return w.heartbeat.Address
-}
-
-// commit makes one batch's change and tells its callers. A change that the table refuses is made again for each
-// replica alone, so that one bad registration fails by itself.
-func (b *batches) commit(batch []*wanted) {
+// commit makes one batch's change. A change that the table refuses is made again for each replica alone, so that one bad
+// registration fails by itself.
+func (b *batches) commit(batch []*wantedCall) (postponed []*wantedCall) {
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
 	postponed, err := b.settle(ctx, batch)
 	if trace.IsBadParameter(err) && len(batch) > 1 {
-		for _, one := range batch {
-			_, err = b.settle(ctx, []*wanted{one})
-			one.finish(err)
+		for _, call := range batch {
+			_, err = b.settle(ctx, []*wantedCall{call})
+			call.Finish(err)
 		}
-		return
+		return nil
 	}
-	b.mutex.Lock()
-	b.waiting = append(slices.Clone(postponed), b.waiting...)
-	b.mutex.Unlock()
-	for _, one := range batch {
-		if !slices.Contains(postponed, one) {
-			one.finish(err)
-		}
+	for _, call := range batch[:len(batch)-len(postponed)] {
+		call.Finish(err)
 	}
-}
-
-func (w *wanted) finish(err error) {
-	w.err = err
-	close(w.done)
+	return postponed
 }
 
 // settle brings the table to what a batch wants, again after each conflict, and notes the version that does. It
 // returns those that must wait for another change, from the first that wants a cell otherwise than an earlier one.
-func (b *batches) settle(ctx context.Context, batch []*wanted) (postponed []*wanted, err error) {
+func (b *batches) settle(ctx context.Context, batch []*wantedCall) (postponed []*wantedCall, err error) {
 	view := b.followed()
 	for {
 		fresh := view == nil
@@ -174,7 +136,7 @@
 		}
 		if done {
 			for _, one := range planned.included {
-				one.version = version
+				one.Value.version = version
 			}
 			return planned.postponed, nil
 		}
@@ -209,18 +171,18 @@
 // plannedBatch is one change for what many want.
 type plannedBatch struct {
 	change    *wire.TableChange
-	included  []*wanted // by the change
-	postponed []*wanted // for another change
-	nothing   int       // how many the table satisfies already
+	included  []*wantedCall // by the change
+	postponed []*wantedCall // for another change: the last ones of the batch
+	nothing   int           // how many the table satisfies already
 }
 
 // mergeChanges plans one change for a batch on a view.
-func mergeChanges(view *table.View, batch []*wanted) plannedBatch {
+func mergeChanges(view *table.View, batch []*wantedCall) plannedBatch {
 	planned := plannedBatch{change: &wire.TableChange{BaseVersion: view.Version(), Note: table.ForceNote}}
 	at := addressesOf(view)
 	cells := map[cellName]string{}
 	for number, one := range batch {
-		change := one.plan(view, at)
+		change := one.Value.plan(view, at)
 		if change == nil {
 			planned.nothing++
 			continue
--- a/internal/registry/service.go
+++ b/internal/registry/service.go
@@ -37,8 +37,9 @@
 	View func() *table.View
 	// Leading says whether this process leads the control group. Required.
 	Leading func() bool
-	// Relay passes a heartbeat to the leader; an error says that it was not reached. Nil: not done.
-	Relay func(ctx context.Context, heartbeat *Registration) error
+	// Relay passes heartbeats to the leader's TakeRelayed and returns its answer; an error says that the fate of all of
+	// them is not known. Nil: not done.
+	Relay func(ctx context.Context, heartbeats []*Registration) (taken []bool, err error)
 	// Heartbeat is the replicas' interval. Required.
 	Heartbeat time.Duration
 	// Operator is named in the table's history. Default "registry".
@@ -50,7 +51,9 @@
 // Service takes replicas' heartbeats. It is safe for concurrent use.
 type Service struct {
 	config  Config
-	batches batches
+	batches *batches
+	relays  *relays // nil: none are passed on
+	counted replicaCount
 
 	mutex   sync.Mutex
 	tracker *Tracker // nil while this process does not lead
@@ -72,7 +75,10 @@
 		config.Log = logging.Discard()
 	}
 	service := &Service{config: config}
-	service.batches.config = &service.config
+	service.batches = newBatches(&service.config)
+	if config.Relay != nil {
+		service.relays = newRelays(config.Relay)
+	}
 	return service, nil
 }
 
@@ -85,7 +91,7 @@
 	if err := heartbeat.Check(); err != nil {
 		return err
 	}
-	if !s.config.Leading() && s.config.Relay != nil && s.config.Relay(ctx, heartbeat) == nil {
+	if !s.config.Leading() && s.relays != nil && s.relays.queue.Do(ctx, heartbeat) == nil {
 		return nil
 	}
 	return s.TakeHere(ctx, heartbeat)
