batchrun/schedule: a placement looks at the emptiest replica, not at all of them against all

Cause: to place one item every replica's load was worked out, and each of these looked for the fastest replica of the pool: quadratic in replicas. Change: the fastest pause is kept until a pause or the replicas change; a round of placements keeps its candidates in a heap by load, whose top alone is looked at again; the group's replica and the one to avoid are weighed by themselves.

--- /dev/null
+++ b/internal/batchrun/schedule/candidates.go
@@ -0,0 +1,163 @@
+package schedule
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// demand is what decides which replicas may take an item, whichever item it is.
+type demand struct {
+	pool, model string
+	minVersion  uint64
+}
+
+func (e *item) demand(pool string) demand {
+	return demand{pool: pool, model: e.job.Model, minVersion: e.job.MinVersion}
+}
+
+// round is one look for starts at a moment. Within it replicas only fill up, so candidates that are collected once stay
+// in order but for those that were chosen since.
+type round struct {
+	scheduler  *Scheduler
+	now        time.Duration
+	candidates map[demand]*candidates
+}
+
+func (s *Scheduler) newRound(now time.Duration) *round {
+	return &round{scheduler: s, now: now, candidates: map[demand]*candidates{}}
+}
+
+// candidate is a replica with its load when that was last looked at; it may have grown since.
+type candidate struct {
+	at   *replica
+	load float64
+}
+
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(c.load, other.load), cmp.Compare(c.at.position, other.at.position))
+}
+
+// candidates are the replicas that may meet a demand, the emptiest first. It implements heap.Interface.
+type candidates []candidate
+
+func (c candidates) Len() int           { return len(c) }
+func (c candidates) Less(i, j int) bool { return c[i].compare(c[j]) < 0 }
+func (c candidates) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
+
+// Push implements heap.Interface.
+func (c *candidates) Push(added any) { *c = append(*c, added.(candidate)) }
+
+// Pop implements heap.Interface.
+func (c *candidates) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+// place chooses the replica for an item; nil if none may take it now.
+func (r *round) place(entry *item) *replica {
+	name := entry.poolOf()
+	of := r.scheduler.pools[name]
+	if name == "" || of == nil {
+		return nil
+	}
+	best, found := r.emptiest(entry, of, entry.demand(name))
+	for _, instance := range []string{entry.group.instance, entry.avoid} {
+		special, fits := r.special(entry, of, instance)
+		if fits && (!found || special.compare(best) < 0) {
+			best, found = special, true
+		}
+	}
+	return best.at
+}
+
+// special is one of the replicas that an item prefers or avoids, with what that counts as load.
+func (r *round) special(entry *item, of *pool, instance string) (found candidate, fits bool) {
+	at := r.scheduler.replicas[instance]
+	if instance == "" || at == nil || at.gone || r.scheduler.pools[at.Pool] != of || !r.scheduler.fits(at, entry, r.now) {
+		return candidate{}, false
+	}
+	load := r.scheduler.load(at, of)
+	if instance == entry.group.instance {
+		load -= r.scheduler.settings.AffinityBonus
+	}
+	if instance == entry.avoid && len(of.replicas) > 1 {
+		load += avoidanceLoad
+	}
+	return candidate{at: at, load: load}, true
+}
+
+// emptiest is the replica with the lowest load but for those that special answers for.
+func (r *round) emptiest(entry *item, of *pool, wanted demand) (best candidate, found bool) {
+	held := r.collected(entry, of, wanted)
+	var aside []candidate
+	for held.Len() > 0 && !found {
+		top := (*held)[0]
+		switch load := r.scheduler.load(top.at, of); {
+		case !r.scheduler.fits(top.at, entry, r.now):
+			heap.Pop(held)
+		case load != top.load:
+			(*held)[0].load = load
+			heap.Fix(held, 0)
+		case top.at.Instance == entry.avoid || top.at.Instance == entry.group.instance:
+			aside = append(aside, top)
+			heap.Pop(held)
+		default:
+			best, found = top, true
+		}
+	}
+	for _, one := range aside {
+		heap.Push(held, one)
+	}
+	return best, found
+}
+
+// collected returns the candidates of a demand, collecting them when they are asked for first.
+func (r *round) collected(entry *item, of *pool, wanted demand) *candidates {
+	if held := r.candidates[wanted]; held != nil {
+		return held
+	}
+	held := &candidates{}
+	for _, at := range of.replicas {
+		if r.scheduler.fits(at, entry, r.now) {
+			*held = append(*held, candidate{at: at, load: r.scheduler.load(at, of)})
+		}
+	}
+	heap.Init(held)
+	r.candidates[wanted] = held
+	return held
+}
+
+// faster are the replicas with room that runs may be moved to, the fastest first.
+type faster []*replica
+
+// fasterFor collects the replicas of a pool that bring events, have room and may take an item like this one.
+func (s *Scheduler) fasterFor(entry *item, of *pool, now time.Duration) faster {
+	var found faster
+	for _, at := range of.replicas {
+		known := at.versions[entry.job.Model]
+		usable := at.pausedTo <= now && !at.probation && !at.tooOld(entry.job) && !(known.fresh(now) && known.loading)
+		if usable && at.pace > 0 && at.hasRoom() {
+			found = append(found, at)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b *replica) int { return cmp.Compare(a.pace, b.pace) })
+	return found
+}
+
+// take takes the room of the fastest replica if that is faster than a pace by the ratio.
+func (f *faster) take(pace, ratio float64) bool {
+	for len(*f) > 0 && !(*f)[0].hasRoom() {
+		*f = (*f)[1:]
+	}
+	if len(*f) == 0 || pace <= ratio*(*f)[0].pace {
+		return false
+	}
+	(*f)[0].coming++
+	return true
+}
+
+// hasRoom tells whether one more run may come.
+func (r *replica) hasRoom() bool { return r.running+r.coming < r.Slots }
--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -13,11 +13,12 @@
 		s.arrange()
 	}
 	var starts []Start
+	look := s.newRound(now)
 	left := s.order[:0]
 	for _, entry := range s.order {
 		var chosen *replica
 		if entry.notBefore <= now {
-			chosen = s.place(entry, now)
+			chosen = look.place(entry)
 		}
 		if chosen == nil {
 			left = append(left, entry)
--- a/internal/batchrun/schedule/outcome.go
+++ b/internal/batchrun/schedule/outcome.go
@@ -15,8 +15,7 @@
 	}
 	if before := entry.run.events; before > 0 && last > entry.run.last {
 		pause := (last - entry.run.last).Seconds() / float64(events-before)
-		average(&at.pace, pause)
-		average(&s.poolNamed(at.Pool).pace, pause)
+		s.poolNamed(at.Pool).paced(at, pause)
 	}
 	entry.run.events, entry.run.last = events, last
 	at.proven(entry)
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -11,6 +11,7 @@
 // replica is a replica with what is known of it.
 type replica struct {
 	Replica
+	position  int  // among the pool's replicas
 	gone      bool // takes nothing new
 	running   int
 	coming    int                // runs that Slow has moved for the room here
@@ -60,6 +61,9 @@
 	replicas []*replica // by instance; those that take new work
 	pace     float64
 	newest   map[string]uint64 // highest version heard, by model
+
+	fastestPace  float64
+	fastestKnown bool
 }
 
 // heard notes the weights under which a replica answered.
@@ -89,7 +93,7 @@
 func (s *Scheduler) Replicas(replicas []Replica) {
 	named := make(map[string]bool, len(replicas))
 	for _, held := range s.pools {
-		held.replicas = nil
+		held.replicas, held.fastestKnown = nil, false
 	}
 	for _, described := range replicas {
 		named[described.Instance] = true
@@ -115,6 +119,9 @@
 			}
 			return 1
 		})
+		for position, at := range held.replicas {
+			at.position = position
+		}
 	}
 }
 
@@ -125,33 +132,11 @@
 	return s.pools[name]
 }
 
-// place chooses the replica for an item; nil if none may take it now.
-func (s *Scheduler) place(entry *item, now time.Duration) *replica {
-	name := entry.poolOf()
-	if name == "" || s.pools[name] == nil {
-		return nil
-	}
-	of := s.pools[name]
-	var best *replica
-	var bestLoad float64
-	for _, candidate := range of.replicas {
-		if !s.fits(candidate, entry, now) {
-			continue
-		}
-		load := s.load(candidate, of)
-		if candidate.Instance == entry.group.instance {
-			load -= s.settings.AffinityBonus
-		}
-		if candidate.Instance == entry.avoid && len(of.replicas) > 1 {
-			load += 2 // only if all others are taken
-		}
-		if best == nil || load < bestLoad {
-			best, bestLoad = candidate, load
-		}
-	}
-	return best
-}
+// avoidanceLoad is what a replica counts as fuller for an item whose last run ended badly there: it is taken only if all
+// others are.
+const avoidanceLoad = 2
 
+// fits tells whether a replica may take an item now.
 func (s *Scheduler) fits(candidate *replica, entry *item, now time.Duration) bool {
 	if candidate.running >= candidate.Slots || candidate.pausedTo > now {
 		return false
@@ -177,15 +162,26 @@
 	return load
 }
 
-// fastest is the shortest usual pause of the pool's replicas; 0 if none is known.
+// fastest is the shortest usual pause of the pool's replicas; 0 if none is known. It is looked for again once a pause or
+// the replicas have changed.
 func (p *pool) fastest() float64 {
-	fastest := 0.0
+	if p.fastestKnown {
+		return p.fastestPace
+	}
+	p.fastestPace, p.fastestKnown = 0, true
 	for _, candidate := range p.replicas {
-		if candidate.pace > 0 && (fastest == 0 || candidate.pace < fastest) {
-			fastest = candidate.pace
+		if candidate.pace > 0 && (p.fastestPace == 0 || candidate.pace < p.fastestPace) {
+			p.fastestPace = candidate.pace
 		}
 	}
-	return fastest
+	return p.fastestPace
+}
+
+// paced notes a replica's new pause.
+func (p *pool) paced(at *replica, pause float64) {
+	average(&at.pace, pause)
+	average(&p.pace, pause)
+	p.fastestKnown = false
 }
 
 // enter counts an item as running at a replica and returns the weight version to ask for, 0 for any. Every
--- /dev/null
+++ b/internal/batchrun/schedule/scale_test.go
@@ -0,0 +1,133 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// largeScheduler holds many replicas, each with a pace of its own and told to serve the job's model, and one job.
+func largeScheduler(replicas, items int) *Scheduler {
+	s := New(Settings{})
+	var described []Replica
+	for number := range replicas {
+		described = append(described, Replica{Instance: fmt.Sprintf("i-%05d", number), Address: "10.0.0.1:80", Pool: "pool", Slots: 8})
+	}
+	s.Replicas(described)
+	job := Job{ID: "job", Model: "m", MinVersion: 1, Desired: items / 4, Deadline: time.Minute}
+	for number := range items {
+		job.Items = append(job.Items, Item{ID: fmt.Sprint("item-", number), Group: fmt.Sprint("group-", number/4), Length: uint64(number)})
+	}
+	s.Open(job, nil)
+	for number := range items {
+		s.Route(Key{Job: "job", Item: fmt.Sprint("item-", number)}, []Share{{Pool: "pool", Weight: 1}})
+	}
+	for number, one := range described {
+		s.Told(one.Instance, "m", 1, false, 0)
+		s.replicas[one.Instance].pace = 0.04 + 0.00001*float64(number)
+	}
+	return s
+}
+
+// BenchmarkStarts places a job's items on a large fleet: the cost of an item should grow no faster than the replicas.
+func BenchmarkStarts(b *testing.B) {
+	for _, replicas := range []int{45, 450, 3000} {
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+			const items = 256
+			for range b.N {
+				b.StopTimer()
+				s := largeScheduler(replicas, items)
+				b.StartTimer()
+				if started := len(s.Starts(0)); started != items {
+					b.Fatalf("%d of %d items started", started, items)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*items), "us/item")
+		})
+	}
+}
+
+// BenchmarkSlow looks for runs to move on a large fleet.
+func BenchmarkSlow(b *testing.B) {
+	for _, replicas := range []int{45, 450, 3000} {
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
+			s := largeScheduler(replicas, 256)
+			for _, start := range s.Starts(0) {
+				s.Progress(start.Key, 1, time.Millisecond, 1)
+			}
+			for range b.N {
+				s.Slow(time.Second)
+			}
+		})
+	}
+}
+
+// placeByLooking is the definition of a placement: look at all replicas and take the emptiest that fits.
+func (s *Scheduler) placeByLooking(entry *item, now time.Duration) *replica {
+	of := s.pools[entry.poolOf()]
+	var best *replica
+	var bestLoad float64
+	for _, at := range of.replicas {
+		if !s.fits(at, entry, now) {
+			continue
+		}
+		load := s.load(at, of)
+		if at.Instance == entry.group.instance {
+			load -= s.settings.AffinityBonus
+		}
+		if at.Instance == entry.avoid && len(of.replicas) > 1 {
+			load += avoidanceLoad
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = at, load
+		}
+	}
+	return best
+}
+
+// drawnScheduler is a scheduler in any state: replicas that are slow, paused, on probation, of old weights or loading,
+// some of them already busy, and items that prefer or avoid one.
+func drawnScheduler(t *rapid.T) *Scheduler {
+	replicas := rapid.IntRange(1, 6).Draw(t, "replicas")
+	s := largeScheduler(replicas, rapid.IntRange(1, 24).Draw(t, "items"))
+	for _, of := range s.pools {
+		for _, at := range of.replicas {
+			at.Slots = rapid.IntRange(1, 4).Draw(t, "slots")
+			at.pace = rapid.SampledFrom([]float64{0, 0.04, 0.04, 0.06, 0.2}).Draw(t, "pace")
+			at.running = rapid.IntRange(0, 2).Draw(t, "running")
+			at.probation = rapid.IntRange(0, 3).Draw(t, "probation") == 0
+			at.pausedTo = time.Duration(rapid.IntRange(0, 2).Draw(t, "paused")) * time.Second
+			at.versions["m"] = version{number: uint64(rapid.IntRange(0, 2).Draw(t, "version")), told: time.Second, loading: rapid.IntRange(0, 3).Draw(t, "loading") == 0}
+		}
+		of.fastestKnown = false
+	}
+	for _, entry := range s.jobs["job"].items {
+		entry.avoid = fmt.Sprintf("i-%05d", rapid.IntRange(0, 6).Draw(t, "avoid"))
+		entry.group.instance = fmt.Sprintf("i-%05d", rapid.IntRange(0, 6).Draw(t, "group at"))
+		entry.job.MinVersion = uint64(rapid.IntRange(0, 2).Draw(t, "oldest"))
+	}
+	return s
+}
+
+// TestPlacementIsThatOfLookingAtAll: the candidates that a round keeps in order give each item the replica that looking
+// at all of them would.
+func TestPlacementIsThatOfLookingAtAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const now = time.Second
+		s := drawnScheduler(t)
+		s.arrange()
+		look := s.newRound(now)
+		for _, entry := range s.order {
+			want := s.placeByLooking(entry, now)
+			got := look.place(entry)
+			if got != want {
+				t.Fatalf("item %s goes to %+v, not %+v", entry.ID, got, want)
+			}
+			if got != nil {
+				s.enter(entry, got, now)
+			}
+		}
+	})
+}
