weights: the driver plans for a tenth of the time, once for loads that end together

Change: ends that wait are taken together; versions are looked for at each interval and when one is named; supplies are counted once a turn; after a turn the driver rests nine times its own work (without the questions), 200 ms at most. Planning stands in a file of its own. Test: TestEndsOfLoadsAskNothing, which fails without the change.

--- a/internal/weights/arrange.go
+++ b/internal/weights/arrange.go
@@ -20,9 +20,8 @@
 	newest   int // serve the newest version or load: what the next step will find
 }
 
-// arrange sorts the queue: places are few. Models that too few replicas can work for go first, and otherwise those
-// whose newest version the fewest replicas serve or load. Among a model's orders the order of its wave stays.
-func (d *Driver) arrange() {
+// supplies counts, by model, the replicas that serve it or load.
+func (d *Driver) supplies() map[string]supply {
 	supplies := make(map[string]supply, len(d.planners))
 	for model, planner := range d.planners {
 		of, target := supply{replicas: len(d.serving[model])}, planner.Target().Number
@@ -34,14 +33,26 @@
 				of.newest++
 			}
 		}
-		for _, loading := range d.busy {
-			if loading == model {
-				of.newest++
-				of.usable++
-			}
-		}
 		supplies[model] = of
 	}
+	for _, loading := range d.busy {
+		if of, known := supplies[loading]; known {
+			supplies[loading] = of.withLoad()
+		}
+	}
+	return supplies
+}
+
+// withLoad counts one more replica that loads the newest version.
+func (s supply) withLoad() supply {
+	s.newest++
+	s.usable++
+	return s
+}
+
+// arrange sorts the queue: places are few. Models that too few replicas can work for go first, and otherwise those
+// whose newest version the fewest replicas serve or load. Among a model's orders the order of its wave stays.
+func (d *Driver) arrange(supplies map[string]supply) {
 	slices.SortStableFunc(d.queue, func(a, b queued) int {
 		return supplies[a.model].compare(supplies[b.model])
 	})
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/registry"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wave"
@@ -173,143 +173,53 @@
 	ticker := time.NewTicker(d.config.Poll)
 	defer ticker.Stop()
 	for {
+		look := true // for named versions
 		select {
 		case <-ctx.Done():
 			return
 		case ended := <-d.done:
 			d.ended(ended)
+			look = false
 		case <-d.kick:
 		case <-ticker.C:
 		}
+		d.endedMeanwhile()
 		d.counts.loading.Set(float64(len(d.busy)))
 		d.counts.waiting.Set(float64(len(d.queue)))
-		if !d.config.Leading() {
-			d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
-			d.known.Store(nil)
-			continue
-		}
-		if d.planners == nil {
-			d.planners, d.loaded, d.serving = map[string]*wave.Planner{}, map[served]uint64{}, map[string]map[string]uint64{}
-		}
-		d.plan(ctx)
-		if d.token != 0 || d.takeOver(ctx) {
-			d.send(ctx)
-		}
-		d.publish()
+		spent := d.turn(ctx, look)
+		_ = pause.For(ctx, min(restShare*spent, maximumRest)) // the loop sees that ctx has ended
 	}
 }
 
-// plan brings the planners up to date and takes their orders.
-func (d *Driver) plan(ctx context.Context) {
-	view := d.config.View()
-	if view == nil {
-		return
-	}
-	replicas := d.replicas(view)
-	d.places = d.placesFor(replicas)
-	for model, reports := range replicas {
-		planner := d.planners[model]
-		if planner == nil {
-			planner = wave.New(wave.Config{SwapTogether: d.places, StageTime: 1, OldestFirst: true})
-			d.planners[model] = planner
-		}
-		planner.SetSwapTogether(d.places)
-		d.release(ctx, model, planner, len(reports))
-		names := make([]string, 0, len(reports))
-		for name := range reports {
-			names = append(names, name)
-		}
-		planner.SetReplicas(names)
-		now := d.config.Clock()
-		for name, number := range reports {
-			planner.Report(now, name, wave.Report{Version: wave.Version{Number: number}})
-		}
-		d.take(model, planner, reports)
-	}
-}
-
-// maximumPlaces bounds the replicas that load at once, however many there are.
-const maximumPlaces = 64
-
-// placesFor is how many of the replicas may load at once.
-func (d *Driver) placesFor(byModel map[string]map[string]uint64) int {
-	holders := map[string]bool{}
-	for _, replicas := range byModel {
-		for name := range replicas {
-			holders[name] = true
-		}
-	}
-	share := int(math.Round(d.config.LoadsShare * float64(len(holders))))
-	return min(max(share, d.config.LoadsTogether), maximumPlaces)
-}
-
-// replicas returns, by model, the active replicas and the version that each last spoke of.
-func (d *Driver) replicas(view *table.View) map[string]map[string]uint64 {
-	found := map[string]map[string]uint64{}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for instance, models := range d.heard {
-		row := view.Row(instance)
-		if row == nil {
-			continue
-		}
-		if row.State == table.Removed {
-			delete(d.heard, instance)
-			continue
-		}
-		for _, one := range models {
-			if found[one.Model] == nil {
-				found[one.Model] = map[string]uint64{}
-			}
-			if row.State == table.Active {
-				found[one.Model][instance] = one.Number
-			}
-		}
-	}
-	return found
-}
-
-func (d *Driver) release(ctx context.Context, model string, planner *wave.Planner, replicas int) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	newest, err := Newest(ctx, d.config.Control, model)
-	if err == nil && newest.Number > planner.Target().Number {
-		planner.Release(d.config.Clock(), newest)
-		logging.Emit(d.config.Log, &events.VersionReleased{Model: model, Version: newest.Number, Replicas: replicas})
-	}
-}
+const (
+	// restShare is how many times as long as a turn's own work the driver rests after it, so that planning for many
+	// replicas takes a tenth of the processor; the work for a few replicas takes microseconds.
+	restShare   = 9
+	maximumRest = 200 * time.Millisecond
+)
 
-// take queues a planner's orders. These replicas have no staging: a stage order is done without being sent.
-// Each answer names what the replica serves, from its last load or its own account, whichever is newer.
-func (d *Driver) take(model string, planner *wave.Planner, reports map[string]uint64) {
-	now := d.config.Clock()
-	d.serving[model] = make(map[string]uint64, len(reports))
-	for name, number := range reports {
-		d.serving[model][name] = max(number, d.loaded[served{name, model}])
-	}
-	for _, order := range planner.Next(now) {
-		if order.Kind == wave.Stage {
-			serving := d.serving[model][order.Replica]
-			planner.Answered(now, order.ID, wave.Answer{Outcome: wave.Done, Serving: serving})
-			continue
+// endedMeanwhile takes the other orders that have ended, so that loads that end together are planned for once.
+func (d *Driver) endedMeanwhile() {
+	for {
+		select {
+		case ended := <-d.done:
+			d.ended(ended)
+		default:
+			return
 		}
-		d.queue = append(d.queue, queued{model, order})
-	}
-	for _, order := range planner.Next(now + 1) {
-		d.queue = append(d.queue, queued{model, order})
 	}
 }
 
 // send starts queued orders while there are places.
-func (d *Driver) send(ctx context.Context) {
-	view := d.config.View()
-	for d.sendNext(ctx, view) {
+func (d *Driver) send(ctx context.Context, view *table.View) {
+	supplies := d.supplies()
+	for d.sendNext(ctx, view, supplies) {
 	}
 }
 
 // sendNext starts the first queued order that has a place, and reports whether there was one.
-func (d *Driver) sendNext(ctx context.Context, view *table.View) bool {
-	d.arrange()
+func (d *Driver) sendNext(ctx context.Context, view *table.View, supplies map[string]supply) bool {
+	d.arrange(supplies)
 	waiting, started := d.queue[:0], false
 	for _, next := range d.queue {
 		planner := d.planners[next.model]
@@ -321,6 +231,7 @@
 			waiting = append(waiting, next)
 		default:
 			d.start(ctx, next, row)
+			supplies[next.model] = supplies[next.model].withLoad()
 			started = true
 		}
 	}
--- /dev/null
+++ b/internal/weights/plan.go
@@ -0,0 +1,156 @@
+package weights
+
+import (
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wave"
+)
+
+// turn plans, sends and publishes once, while this process leads. It returns how long its own work took, without the
+// questions to the control group.
+func (d *Driver) turn(ctx context.Context, look bool) (spent time.Duration) {
+	if !d.config.Leading() {
+		d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
+		d.known.Store(nil)
+		return 0
+	}
+	if d.planners == nil {
+		d.planners, d.loaded, d.serving = map[string]*wave.Planner{}, map[served]uint64{}, map[string]map[string]uint64{}
+	}
+	view := d.config.View()
+	if view == nil {
+		return 0
+	}
+	work := func(step func()) {
+		began := d.config.Clock()
+		step()
+		spent += d.config.Clock() - began
+	}
+	var replicas map[string]map[string]uint64
+	work(func() {
+		replicas = d.replicas(view)
+		look = d.observe(replicas) || look
+	})
+	if look {
+		d.lookForVersions(ctx, replicas)
+	}
+	work(func() { d.takeOrders(replicas) })
+	if d.token != 0 || d.takeOver(ctx) {
+		work(func() { d.send(ctx, view) })
+	}
+	work(d.publish)
+	return spent
+}
+
+// observe tells the planners what the replicas serve, and reports whether there is a new planner.
+func (d *Driver) observe(replicas map[string]map[string]uint64) (added bool) {
+	d.places = d.placesFor(replicas)
+	now := d.config.Clock()
+	for model, reports := range replicas {
+		planner := d.planners[model]
+		if planner == nil {
+			planner = wave.New(wave.Config{SwapTogether: d.places, StageTime: 1, OldestFirst: true})
+			d.planners[model] = planner
+			added = true
+		}
+		planner.SetSwapTogether(d.places)
+		planner.SetReplicas(slices.Collect(maps.Keys(reports)))
+		for name, number := range reports {
+			planner.Report(now, name, wave.Report{Version: wave.Version{Number: number}})
+		}
+	}
+	return added
+}
+
+// lookForVersions asks the control group for the newest named versions.
+func (d *Driver) lookForVersions(ctx context.Context, replicas map[string]map[string]uint64) {
+	for model, reports := range replicas {
+		d.release(ctx, model, d.planners[model], len(reports))
+	}
+}
+
+// takeOrders queues the planners' orders.
+func (d *Driver) takeOrders(replicas map[string]map[string]uint64) {
+	for model, reports := range replicas {
+		d.take(model, d.planners[model], reports)
+	}
+}
+
+// maximumPlaces bounds the replicas that load at once, however many there are.
+const maximumPlaces = 64
+
+// placesFor is how many of the replicas may load at once.
+func (d *Driver) placesFor(byModel map[string]map[string]uint64) int {
+	holders := map[string]bool{}
+	for _, replicas := range byModel {
+		for name := range replicas {
+			holders[name] = true
+		}
+	}
+	share := int(math.Round(d.config.LoadsShare * float64(len(holders))))
+	return min(max(share, d.config.LoadsTogether), maximumPlaces)
+}
+
+// replicas returns, by model, the active replicas and the version that each last spoke of.
+func (d *Driver) replicas(view *table.View) map[string]map[string]uint64 {
+	found := map[string]map[string]uint64{}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for instance, models := range d.heard {
+		row := view.Row(instance)
+		if row == nil {
+			continue
+		}
+		if row.State == table.Removed {
+			delete(d.heard, instance)
+			continue
+		}
+		for _, one := range models {
+			if found[one.Model] == nil {
+				found[one.Model] = map[string]uint64{}
+			}
+			if row.State == table.Active {
+				found[one.Model][instance] = one.Number
+			}
+		}
+	}
+	return found
+}
+
+func (d *Driver) release(ctx context.Context, model string, planner *wave.Planner, replicas int) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	newest, err := Newest(ctx, d.config.Control, model)
+	if err == nil && newest.Number > planner.Target().Number {
+		planner.Release(d.config.Clock(), newest)
+		logging.Emit(d.config.Log, &events.VersionReleased{Model: model, Version: newest.Number, Replicas: replicas})
+	}
+}
+
+// take queues a planner's orders. These replicas have no staging: a stage order is done without being sent.
+// Each answer names what the replica serves, from its last load or its own account, whichever is newer.
+func (d *Driver) take(model string, planner *wave.Planner, reports map[string]uint64) {
+	now := d.config.Clock()
+	d.serving[model] = make(map[string]uint64, len(reports))
+	for name, number := range reports {
+		d.serving[model][name] = max(number, d.loaded[served{name, model}])
+	}
+	for _, order := range planner.Next(now) {
+		if order.Kind == wave.Stage {
+			serving := d.serving[model][order.Replica]
+			planner.Answered(now, order.ID, wave.Answer{Outcome: wave.Done, Serving: serving})
+			continue
+		}
+		d.queue = append(d.queue, queued{model, order})
+	}
+	for _, order := range planner.Next(now + 1) {
+		d.queue = append(d.queue, queued{model, order})
+	}
+}
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -224,6 +224,23 @@
 	}
 }
 
+// TestEndsOfLoadsAskNothing: named versions are looked for at each interval and when one is named, not whenever one of
+// many loads ends.
+func TestEndsOfLoadsAskNothing(t *testing.T) {
+	f := prepare(t, 60)
+	f.driver.config.Poll = time.Hour
+	if err := Put(t.Context(), f.control, "m0", 2, "trainer"); err != nil {
+		t.Fatal(err)
+	}
+	f.run(t)
+	before := f.control.queries.Load()
+	f.driver.Look()
+	eventually(t, "m0", func() bool { return f.fleet.serve("m0", 2) })
+	if asked := f.control.queries.Load() - before; asked > 8 {
+		t.Fatalf("60 loads asked the control group %d times", asked)
+	}
+}
+
 // TestNoReplicaStaysBehind names a version whenever a replica serves the last one: still each gets its turn.
 func TestNoReplicaStaysBehind(t *testing.T) {
 	const replicas = 6
@@ -335,7 +352,7 @@
 		for _, model := range []string{"m0", "m1", "m0", "m1"} {
 			d.queue = append(d.queue, queued{model, wave.Order{Version: d.planners[model].Target()}})
 		}
-		d.arrange()
+		d.arrange(d.supplies())
 		var got []string
 		for _, next := range d.queue {
 			got = append(got, next.model)
