controlclient, control: a process hears of the leader from whichever node knows it first

Each asked the nodes one by one with a growing pause (up to 250 ms), and requests that waited for the lease were refused meanwhile. Change: once all nodes were asked in vain, a session keeps a stream open to each of them, and takes the first word of a leader. A node that becomes the leader says so to the streams that are open (an empty reply, which older clients pass over); followers did so already. A renewal that comes while its member is being registered on behalf of another stream is judged afterwards; it was dropped, and its holder waited for its next one, 0.19 s later. Tests: TestLeaderIsHeardOfWhereverItIsKnownFirst, TestRenewalDuringARegistrationIsAnswered; both fail without it.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -30,7 +30,8 @@
 	leadSince time.Duration // silence counts from here at the earliest
 	lastLook  time.Duration
 	heardAt   map[lease.HolderID]time.Duration
-	recording map[string]bool // members, by name, for whom a command is under way
+	recording map[string]bool    // members, by name, for whom a command is under way
+	later     map[string]renewal // newest renewal, by member's name, that came meanwhile
 	routines  sync.WaitGroup
 }
 
@@ -39,6 +40,7 @@
 		server:    server,
 		heardAt:   make(map[lease.HolderID]time.Duration),
 		recording: make(map[string]bool),
+		later:     make(map[string]renewal),
 	}
 }
 
@@ -128,11 +130,38 @@
 	return true
 }
 
+// end frees the right that begin reserved, and has a renewal that came meanwhile judged again.
 func (d *detector) end(name string) {
+	defer d.routines.Done()
 	d.mutex.Lock()
 	delete(d.recording, name)
+	waiting, waits := d.later[name]
+	delete(d.later, name)
 	d.mutex.Unlock()
-	d.routines.Done()
+	if waits {
+		d.judgeAgain(waiting)
+	}
+}
+
+// keep remembers a renewal of a member for whom a command is under way; false when there is none any more.
+func (d *detector) keep(waiting renewal) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	name := waiting.session.member.Name
+	if !d.recording[name] {
+		return false
+	}
+	d.later[name] = waiting
+	return true
+}
+
+// judgeAgain puts a renewal back among those that wait.
+func (d *detector) judgeAgain(waiting renewal) {
+	select {
+	case d.server.renewals <- waiting:
+	case <-waiting.session.stream.Context().Done():
+	case <-d.server.context.Done():
+	}
 }
 
 // record replicates a member's state in the background.
@@ -179,12 +208,15 @@
 		}
 		return true
 	}
-	if d.begin(member.Name) {
-		go func() {
-			defer d.end(member.Name)
-			d.register(waiting)
-		}()
+	for !d.begin(member.Name) {
+		if d.keep(waiting) { // otherwise its holder would hear nothing until it renews again
+			return false
+		}
 	}
+	go func() {
+		defer d.end(member.Name)
+		d.register(waiting)
+	}()
 	return false
 }
 
@@ -197,10 +229,7 @@
 		return
 	}
 	d.server.publisher.refresh()
-	select {
-	case d.server.renewals <- waiting:
-	case <-ctx.Done():
-	}
+	d.judgeAgain(waiting)
 }
 
 // leave records that a member has left by plan, then confirms it.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -222,6 +222,7 @@
 		}
 		if s.leading() {
 			s.settle(ctx)
+			s.sessions.each((*session).invite)
 			continue
 		}
 		s.leases.follow()
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -33,6 +33,7 @@
 	granted     bool   // whether answer is a grant
 	redirect    string // leader's address, to be told once
 	turnedAway  bool   // no leader is known; to be told once
+	invited     bool   // this node leads now; to be told once
 	sentTable   uint64 // table version that the holder has or was sent
 	sentMembers uint64 // members version that it has or was sent
 }
@@ -124,6 +125,14 @@
 	s.wakeUp()
 }
 
+// invite tells the holder that this node leads now: one that was turned away and stayed may ask again.
+func (s *session) invite() {
+	s.mutex.Lock()
+	s.invited = true
+	s.mutex.Unlock()
+	s.wakeUp()
+}
+
 func (s *session) wakeUp() {
 	select {
 	case s.wake <- struct{}{}:
@@ -161,11 +170,12 @@
 	defer s.mutex.Unlock()
 	if s.redirect != "" || s.turnedAway {
 		reply := &wire.SessionReply{LeaderAddress: s.redirect, LeaderUnknown: s.redirect == ""}
-		s.answer, s.redirect, s.turnedAway = 0, "", false
+		s.answer, s.redirect, s.turnedAway, s.invited = 0, "", false, false
 		return reply
 	}
 	reply := &wire.SessionReply{}
-	worth := false
+	worth := s.invited // an empty reply is an invitation
+	s.invited = false
 	if s.answer != 0 {
 		reply.Sequence, reply.Granted = s.answer, s.granted
 		if s.granted {
--- a/internal/control/turnaway_test.go
+++ b/internal/control/turnaway_test.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"storj.io/drpc/drpcconn"
 
+	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -19,23 +21,69 @@
 	}
 	c.wipe(1)
 	c.open(1, listen(t, c.seeds[1]), false)
-	transport, err := net.Dial("tcp", c.seeds[1])
+	stream := openSession(t, c.seeds[1])
+	member := gatewayMember("g")
+	member.Incarnation = 1
+	if err := stream.Send(&wire.SessionRequest{Member: member, Sequence: 1}); err != nil {
+		t.Fatal(err)
+	}
+	reply, err := stream.Recv()
+	if err != nil || !reply.LeaderUnknown || reply.Granted {
+		t.Fatalf("%v (%v)", reply, err)
+	}
+}
+
+func openSession(t *testing.T, address string) wire.DRPCControl_SessionClient {
+	t.Helper()
+	transport, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	conn := drpcconn.New(transport)
-	defer conn.Close()
+	t.Cleanup(func() { _ = conn.Close() })
 	stream, err := wire.NewDRPCControlClient(conn).Session(testContext(t))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return stream
+}
+
+// TestRenewalDuringARegistrationIsAnswered: a process that opens its stream while something is being recorded about it,
+// on behalf of an earlier stream, gets its lease without renewing again.
+func TestRenewalDuringARegistrationIsAnswered(t *testing.T) {
+	c := startCluster(t)
+	if _, err := c.client(controlclient.Config{}).Query(testContext(t), controlGroup,
+		&wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{}}}); err != nil {
+		t.Fatal(err)
+	}
+	leader := c.leader()
+	detector := c.servers[leader].detector
+	if !detector.begin("g") {
+		t.Fatal("something is recorded about a member that does not exist")
+	}
+	stream := openSession(t, c.addresses()[leader])
 	member := gatewayMember("g")
 	member.Incarnation = 1
 	if err := stream.Send(&wire.SessionRequest{Member: member, Sequence: 1}); err != nil {
 		t.Fatal(err)
 	}
-	reply, err := stream.Recv()
-	if err != nil || !reply.LeaderUnknown || reply.Granted {
-		t.Fatalf("%v (%v)", reply, err)
+	kept := func() bool {
+		detector.mutex.Lock()
+		defer detector.mutex.Unlock()
+		_, waits := detector.later["g"]
+		return waits
+	}
+	for !kept() {
+		time.Sleep(time.Millisecond)
+	}
+	detector.end("g")
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if reply.Granted && reply.Sequence == 1 {
+			return
+		}
 	}
 }
--- a/internal/controlclient/backoff.go
+++ b/internal/controlclient/backoff.go
@@ -23,9 +23,6 @@
 
 func (b *backoff) reset() { b.next = 0 }
 
-// atLeast raises the next bound.
-func (b *backoff) atLeast(bound time.Duration) { b.next = max(b.next, bound) }
-
 // sleep waits for the next duration; it returns false when ctx ended first.
 func (b *backoff) sleep(ctx context.Context) bool {
 	return pause.For(ctx, b.duration()) == nil
--- a/internal/controlclient/config.go
+++ b/internal/controlclient/config.go
@@ -82,6 +82,8 @@
 
 	// pause waits between two attempts of one request, while none is under way. Default pause.For.
 	pause func(context.Context, time.Duration) error
+	// awaitTime is how long a session waits at all nodes for word of a leader. Default awaitTime.
+	awaitTime time.Duration
 }
 
 func (c *Config) setDefaults() error {
@@ -117,6 +119,9 @@
 	if c.Log == nil {
 		c.Log = logging.Discard()
 	}
+	if c.awaitTime <= 0 {
+		c.awaitTime = awaitTime
+	}
 	if c.pause == nil {
 		c.pause = pause.For
 	}
--- a/internal/controlclient/fake_test.go
+++ b/internal/controlclient/fake_test.go
@@ -19,35 +19,67 @@
 	address string
 	answer  func(*wire.ExecuteRequest) *wire.ExecuteReply // nil reply: silence
 	renew   func(*wire.SessionRequest) *wire.SessionReply
+	push    chan *wire.SessionReply // replies that nobody asked for
 
 	mutex    sync.Mutex
 	seen     []*wire.ExecuteRequest
 	renewals int
+	streams  int // of sessions
 }
 
 // Session implements wire.DRPCControlServer.
 func (n *fakeNode) Session(stream wire.DRPCControl_SessionStream) error {
+	n.mutex.Lock()
+	n.streams++
+	n.mutex.Unlock()
+	requests := make(chan *wire.SessionRequest)
+	go func() {
+		defer close(requests)
+		for {
+			request, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			select {
+			case requests <- request:
+			case <-stream.Context().Done():
+				return
+			}
+		}
+	}()
 	for {
-		request, err := stream.Recv()
-		if err != nil {
-			return nil
+		var reply *wire.SessionReply
+		select {
+		case request, open := <-requests:
+			if !open {
+				return nil
+			}
+			n.mutex.Lock()
+			n.renewals++
+			n.mutex.Unlock()
+			reply = n.renew(request)
+		case reply = <-n.push:
 		}
-		n.mutex.Lock()
-		n.renewals++
-		n.mutex.Unlock()
-		if err := stream.Send(n.renew(request)); err != nil {
+		if err := stream.Send(reply); err != nil {
 			return err
 		}
 	}
 }
 
+// hasStreams tells whether count streams of sessions, at least, have been opened and have renewed.
+func (n *fakeNode) hasStreams(count int) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.streams >= count && n.renewals >= count
+}
+
 func startFake(t *testing.T, answer func(*wire.ExecuteRequest) *wire.ExecuteReply) *fakeNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	node := &fakeNode{address: listener.Addr().String(), answer: answer}
+	node := &fakeNode{address: listener.Addr().String(), answer: answer, push: make(chan *wire.SessionReply)}
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterControl(mux, node); err != nil {
 		t.Fatal(err)
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -23,9 +23,6 @@
 	silenceFraction = 3
 	// firstRenewal is the renewal interval before the lease's duration is known.
 	firstRenewal = 200 * time.Millisecond
-	// leaderlessBackoff is the least wait after a node that knows no leader: an election takes some hundred
-	// milliseconds, and every process asks.
-	leaderlessBackoff = 50 * time.Millisecond
 	// sentMemory is the number of renewals whose send time is remembered.
 	sentMemory = 64
 )
@@ -51,7 +48,11 @@
 func (s *Session) run(ctx context.Context) {
 	defer close(s.stopped)
 	var wait backoff
+	inVain := 0 // nodes that were asked since one led or named the leader
 	for ctx.Err() == nil {
+		if inVain >= len(s.client.Addresses()) {
+			s.awaitLeader(ctx)
+		}
 		address := s.client.pick(ControlGroup)
 		worked, redirect, err := s.attach(ctx, address)
 		if ctx.Err() != nil || s.hasLeft() {
@@ -66,12 +67,15 @@
 		} else {
 			s.client.rotate(address)
 		}
+		inVain++
+		if worked || redirect != "" {
+			inVain = 0
+		}
 		if worked {
-			wait.reset()
 			s.logLoss(address, err)
 		}
-		if errors.Is(err, errLeaderUnknown) {
-			wait.atLeast(leaderlessBackoff)
+		if worked || errors.Is(err, errLeaderUnknown) {
+			wait.reset() // the next node may know more; when all were asked, awaitLeader waits
 		}
 		if !wait.sleep(ctx) {
 			return
@@ -201,6 +205,9 @@
 	if reply.LeaderUnknown {
 		return false, true, errLeaderUnknown
 	}
+	if isInvitation(reply) {
+		return false, false, a.renew()
+	}
 	if a.leaveAt != 0 && reply.Sequence >= a.leaveAt {
 		s.leaveOnce.Do(func() { close(s.leaving) })
 		return false, true, nil
--- a/internal/controlclient/session_test.go
+++ b/internal/controlclient/session_test.go
@@ -1,7 +1,9 @@
 package controlclient
 
 import (
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -26,3 +28,59 @@
 		t.Fatalf("the lease is from %s, after %d renewals at the node without a leader", session.RenewedBy(), leaderless.renewals)
 	}
 }
+
+func granted(request *wire.SessionRequest) *wire.SessionReply {
+	return &wire.SessionReply{Sequence: request.Sequence, Granted: true, LeaseMillis: 1200}
+}
+
+// TestLeaderIsHeardOfWhereverItIsKnownFirst: once no node knows a leader, the session waits at all of them; an invitation
+// of one, or its word of another one, brings the lease although the others never hear of it.
+func TestLeaderIsHeardOfWhereverItIsKnownFirst(t *testing.T) {
+	for _, wins := range []string{"the node itself", "another node"} {
+		t.Run(wins, func(t *testing.T) {
+			ignorant, node, other := startFake(t, nil), startFake(t, nil), startFake(t, nil)
+			var elected atomic.Bool
+			ignorant.renew = func(*wire.SessionRequest) *wire.SessionReply { return &wire.SessionReply{LeaderUnknown: true} }
+			node.renew = func(request *wire.SessionRequest) *wire.SessionReply {
+				if !elected.Load() {
+					return &wire.SessionReply{LeaderUnknown: true}
+				}
+				return granted(request)
+			}
+			other.renew = granted
+			go func() {
+				for !ignorant.hasStreams(2) || !node.hasStreams(2) { // the second one waits
+					time.Sleep(time.Millisecond)
+				}
+				reply := &wire.SessionReply{LeaderAddress: other.address}
+				if wins == "the node itself" {
+					elected.Store(true)
+					reply = &wire.SessionReply{}
+				}
+				for t.Context().Err() == nil { // a stream that is being left may take one
+					select {
+					case node.push <- reply:
+					case <-t.Context().Done():
+					}
+				}
+			}()
+			client := newTestClient(t, Config{Addresses: []string{ignorant.address, node.address}, awaitTime: time.Hour,
+				Member: &wire.Member{Name: "g", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Incarnation: 1}})
+			session, err := client.StartSession(testContext(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer session.Close()
+			want := node.address
+			if wins == "another node" {
+				want = other.address
+			}
+			if session.RenewedBy() != want {
+				t.Fatalf("the lease is from %s, not %s", session.RenewedBy(), want)
+			}
+			if ignorant.hasStreams(3) {
+				t.Fatal("a node that knows no leader was asked again although it was waited at")
+			}
+		})
+	}
+}
