raft: of two nodes that ask for pre-votes at once the one with the lower id goes on

Change: a pre-candidate that grants a lower id's pre-vote for the same term gives its own request up. Pre-votes bind nobody, so what a vote means is as before.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -67,6 +67,9 @@
 		free = m.Term > n.term
 	}
 	granted := free && (n.log.upToDate(m.Index, m.LogTerm) || n.config.Unsafe.SkipLogUpToDateCheck)
+	if granted && n.yieldsTo(m) {
+		n.becomeFollower(n.term, None)
+	}
 	reply := Message{Kind: MessagePreVoteReply, To: m.From, Term: n.term, Reject: !granted}
 	if granted {
 		reply.Term = m.Term
@@ -81,6 +84,13 @@
 	n.send(reply)
 }
 
+// yieldsTo reports whether this node gives its own request for pre-votes up for another one's. Nodes that start together
+// ask at the same tick, win each other's pre-votes and would then split the votes of a whole term; of two that ask at
+// once the one with the lower id goes on. Pre-votes bind nobody, so this changes who may win, never what a vote means.
+func (n *Node) yieldsTo(m Message) bool {
+	return n.role == PreCandidate && m.Kind == MessagePreVote && m.Term == n.term+1 && m.From < n.id
+}
+
 // countReply counts an answer to the running campaign; others are old.
 func (n *Node) countReply(m Message) {
 	switch {
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -115,3 +115,21 @@
 
 // usualElectionTicks is the default of Config.ElectionTicks.
 const usualElectionTicks = 10
+
+// TestNodesThatStartTogetherDoNotSplitTheVote: whatever timeouts are drawn, groups whose nodes start at once get their
+// leader in the first term for which anybody stands.
+func TestNodesThatStartTogetherDoNotSplitTheVote(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		for seed := range int64(200) {
+			c := newCluster(rand.New(rand.NewSource(seed)), Config{}, size)
+			c.settle(usualElectionTicks)
+			leader := c.leader()
+			if leader == nil {
+				t.Fatalf("%d nodes, seed %d: no leader after an election timeout:\n%s", size, seed, c.describe())
+			}
+			if leader.node.term > 1 {
+				t.Errorf("%d nodes, seed %d: the leader was elected in term %d", size, seed, leader.node.term)
+			}
+		}
+	}
+}
