controlclient: a session without a leader asks all nodes at once, and not for the one that has just failed

Followers besides name a lost leader until their own timeout, and a session went back to it each time. Change: whenever no leader is known the session waits at all nodes at once (as it did after a vain round), and others' word for the node whose stream has just ended does not count. Test: TestWordOfALostLeaderDoesNotCount; control, gateway and coordinator tests pass.

--- a/internal/controlclient/await.go
+++ b/internal/controlclient/await.go
@@ -21,8 +21,10 @@
 
 // awaitLeader waits at all known nodes at once until one of them leads or names the leader, and remembers that one. A
 // node tells the streams that stay with it who has won an election, so a process learns it at once and without asking
-// again and again; a node that is cut off or empty never hears of it, so one alone must not be waited for.
-func (s *Session) awaitLeader(ctx context.Context) {
+// again and again; a node that is cut off or empty never hears of it, and one without power does not even refuse, so one
+// alone must not be waited for. The word of others for the node failed does not count: they believe in a leader for a
+// while after its end.
+func (s *Session) awaitLeader(ctx context.Context, failed string) {
 	ctx, cancel := context.WithTimeout(ctx, s.client.config.awaitTime)
 	defer cancel()
 	var watchers sync.WaitGroup
@@ -30,7 +32,7 @@
 	found := make(chan string, 1)
 	for _, address := range s.client.Addresses() {
 		watchers.Go(func() {
-			if leader := s.watch(ctx, address); leader != "" {
+			if leader := s.watch(ctx, address, failed); leader != "" {
 				select {
 				case found <- leader:
 				default: // another node was faster
@@ -49,9 +51,9 @@
 }
 
 // watch stays with one node until it leads or names the leader, whose address is returned; empty once ctx has ended.
-func (s *Session) watch(ctx context.Context, address string) (leader string) {
+func (s *Session) watch(ctx context.Context, address, failed string) (leader string) {
 	for ctx.Err() == nil {
-		leader, err := s.watchOnce(ctx, address)
+		leader, err := s.watchOnce(ctx, address, failed)
 		if err == nil {
 			return leader
 		}
@@ -61,7 +63,7 @@
 }
 
 // watchOnce reads one stream until it tells of a leader or breaks.
-func (s *Session) watchOnce(ctx context.Context, address string) (leader string, err error) {
+func (s *Session) watchOnce(ctx context.Context, address, failed string) (leader string, err error) {
 	conn, err := openControl(ctx, &s.client.config, address)
 	if err != nil {
 		return "", err
@@ -87,7 +89,7 @@
 			return "", trace.Wrap(err)
 		}
 		switch {
-		case reply.LeaderAddress != "":
+		case reply.LeaderAddress != "" && reply.LeaderAddress != failed:
 			return reply.LeaderAddress, nil
 		case reply.Granted || isInvitation(reply):
 			return address, nil
--- a/internal/controlclient/request.go
+++ b/internal/controlclient/request.go
@@ -225,6 +225,13 @@
 	return c.addresses[c.rotation%len(c.addresses)]
 }
 
+// knowsLeader says whether a node is known that leads group, as far as was heard.
+func (c *Client) knowsLeader(group uint32) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.leaders[group] != ""
+}
+
 // rotate moves on from a node that did not help; nothing happens if another caller has moved already.
 func (c *Client) rotate(from string) {
 	c.mutex.Lock()
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -48,10 +48,11 @@
 func (s *Session) run(ctx context.Context) {
 	defer close(s.stopped)
 	var wait backoff
-	inVain := 0 // nodes that were asked since one led or named the leader
+	failed := "" // the node that led last, as far as was known, and does not answer
 	for ctx.Err() == nil {
-		if inVain >= len(s.client.Addresses()) {
-			s.awaitLeader(ctx)
+		if !s.client.knowsLeader(ControlGroup) {
+			s.awaitLeader(ctx, failed)
+			failed = ""
 		}
 		address := s.client.pick(ControlGroup)
 		worked, redirect, err := s.attach(ctx, address)
@@ -66,16 +67,13 @@
 			s.client.setLeader(ControlGroup, redirect)
 		} else {
 			s.client.rotate(address)
-		}
-		inVain++
-		if worked || redirect != "" {
-			inVain = 0
+			failed = address
 		}
 		if worked {
 			s.logLoss(address, err)
 		}
 		if worked || errors.Is(err, errLeaderUnknown) {
-			wait.reset() // the next node may know more; when all were asked, awaitLeader waits
+			wait.reset() // awaitLeader waits
 		}
 		if !wait.sleep(ctx) {
 			return
