--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -11,6 +11,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcstream"
 
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
@@ -120,7 +122,8 @@
 		connection = credentials.Secure(connection)
 		ctx = credentials.Context(ctx)
 	}
-	conn := drpcconn.New(connection)
+	conn := drpcconn.NewWithOptions(connection, drpcconn.Options{Manager: drpcmanager.Options{
+		Stream: drpcstream.Options{MaximumBufferSize: wire.KeptBufferBytes}}})
 	defer conn.Close()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/consensus/sender_test.go
+++ b/internal/consensus/sender_test.go
@@ -1,8 +1,13 @@
 package consensus
 
 import (
+	"runtime"
 	"testing"
 	"time"
+	"weak"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // TestConnectionsThatEndAtOnceAreRare: a node whose address another one has takes the connection and ends it; after the
@@ -25,3 +30,30 @@
 		t.Fatalf("pauses %v and %v", first, second)
 	}
 }
+
+// TestSentSnapshotIsNotHeld: once all pieces of a snapshot were taken to be sent, nothing of the queue keeps its data in
+// memory; a node that has sent one would otherwise hold it for as long as the connection lasts.
+func TestSentSnapshotIsNotHeld(t *testing.T) {
+	waiting := &queue{}
+	data := func() weak.Pointer[byte] {
+		snapshot := &raft.Snapshot{Index: 7, Term: 1, Data: make([]byte, 3*chunkBytes+1)}
+		waiting.addChunks(snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: snapshot}))
+		return weak.Make(&snapshot.Data[0])
+	}()
+	taken := 0
+	for {
+		batch := &wire.RaftBatch{}
+		if !waiting.take(batch) {
+			break
+		}
+		taken += len(batch.Messages)
+	}
+	if taken != 4 {
+		t.Fatalf("%d pieces were taken", taken)
+	}
+	runtime.GC()
+	if data.Value() != nil {
+		t.Fatal("the queue holds a snapshot that was sent")
+	}
+	runtime.KeepAlive(waiting)
+}
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -130,7 +130,11 @@
 	}
 	if len(q.chunks) > 0 {
 		batch.Messages = append(batch.Messages, q.chunks[0])
+		q.chunks[0] = nil // it refers to the whole snapshot
 		q.chunks = q.chunks[1:]
 	}
+	if len(q.chunks) == 0 {
+		q.chunks = nil
+	}
 	return len(batch.Messages) > 0
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -161,7 +161,7 @@
 	server := drpcserver.NewWithOptions(s.config.Guard.Wrap(mux, rolesOf), drpcserver.Options{
 		Manager: drpcmanager.Options{
 			Reader: drpcwire.ReaderOptions{MaximumBufferSize: maximumMessageBytes},
-			Stream: drpcstream.Options{ManualFlush: true},
+			Stream: drpcstream.Options{ManualFlush: true, MaximumBufferSize: wire.KeptBufferBytes},
 		},
 		Log: func(err error) { s.log.WithError(err).Debug("a connection ended") },
 	})
