weights: the orders of a silent owner are taken early where replicas check fencing tokens

The wait protects against an owner that does not know yet that it leads no more. Where replicas refuse lower tokens the token does that; the wait is still needed for an owner that is well, since turns between such are not wanted. Change: an owner that has been silent for 0.5 s and has not said that it stops loses the orders, if the settings say that replicas check tokens. One that stops by plan, lags, or was heard keeps them for its time, as before.

--- a/internal/control/handover.go
+++ b/internal/control/handover.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/gravitational/trace"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
 )
 
+// ErrVoterSilent says that a voter is not heard, and has not said that it stops.
+var ErrVoterSilent = errors.New("the voter is silent")
+
 // OfferControl asks the voter that listens at an address to lead the control group in this node's place. It returns
 // nil once the voter was asked, which tells nothing of whether it takes over. Errors: trace.BadParameter when this
-// node does not lead or no voter listens there, and trace.ConnectionProblem while that voter is not heard, lags or
-// stops.
+// node does not lead or no voter listens there, and trace.ConnectionProblem while that voter lags, stops or is not heard;
+// the last is ErrVoterSilent.
 func (s *Server) OfferControl(ctx context.Context, address string) error {
 	status, err := s.replicas.Status(ctx, controlGroup)
 	if err != nil {
@@ -24,8 +28,12 @@
 	switch {
 	case chosen.Node == raft.None:
 		return trace.BadParameter("no voter of the control group listens at %s", address)
-	case !chosen.RecentActive || chosen.Match < status.Commit || s.voters.isLeaving(chosen.Node, s.config.Clock()):
-		return trace.ConnectionProblem(nil, "the voter at %s can't lead now", address)
+	case s.voters.isLeaving(chosen.Node, s.config.Clock()):
+		return trace.ConnectionProblem(nil, "the voter at %s stops", address)
+	case !chosen.RecentActive:
+		return trace.ConnectionProblem(ErrVoterSilent, "the voter at %s is not heard", address)
+	case chosen.Match < status.Commit:
+		return trace.ConnectionProblem(nil, "the voter at %s lags", address)
 	}
 	return trace.Wrap(s.replicas.TransferLeadership(ctx, controlGroup, chosen.Node))
 }
--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/gravitational/trace"
@@ -31,7 +32,8 @@
 	gone := (first + 1) % 3
 	c.kill(gone)
 	eventually(t, "a refusal", func() bool {
-		return trace.IsConnectionProblem(leader.OfferControl(testContext(t), c.seeds[gone]))
+		err := leader.OfferControl(testContext(t), c.seeds[gone])
+		return trace.IsConnectionProblem(err) && errors.Is(err, ErrVoterSilent)
 	})
 	if c.leader() != first {
 		t.Error("the leadership went to a node that is gone")
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -55,8 +55,11 @@
 	// Takeover is how long a new leader waits before its first order if another machine sent the last ones: the
 	// time within which two holders may not take turns, and the time for which Leading may be out of date.
 	Takeover time.Duration
+	// FencesChecked says that the replicas refuse orders with a lower fencing token than they have seen. Then a new leader
+	// need not wait for an owner that has fallen silent.
+	FencesChecked bool
 	// HandOver asks the machine that owns the orders to lead in this one's place, if it is back: it need not
-	// wait. Optional.
+	// wait. It returns ErrOwnerSilent when that machine is not heard. Optional.
 	HandOver func(ctx context.Context, owner string) error
 	// LoadsTogether and LoadsShare bound the replicas that load at once, over all models: a count, and a part of the
 	// replicas that hold a model, whichever is more. A load takes longer when too many run, and a replica that loads
--- a/internal/weights/takeover.go
+++ b/internal/weights/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -18,8 +19,15 @@
 	// handOverWorth the least time of waiting that this must save.
 	handOverAfter = 200 * time.Millisecond
 	handOverWorth = 1500 * time.Millisecond
+	// silentOwner is for how long the owner of the orders must not have been heard until they are taken from it before
+	// its time is over, where replicas check fencing tokens.
+	silentOwner = 500 * time.Millisecond
 )
 
+// ErrOwnerSilent is returned by Config.HandOver when the owner of the orders is not heard, although it has not said that it
+// stops: it is down, frozen or cut off.
+var ErrOwnerSilent = errors.New("the owner of the orders is silent")
+
 // takeover is what a leader without a token knows of the owner of the orders.
 type takeover struct {
 	looked  bool
@@ -28,6 +36,9 @@
 	token   uint64
 	offered bool // the leadership was offered to the owner
 	failed  bool // it was, and the owner did not take it
+	// silent says that the owner was not heard when it was asked last, and silentSince since when.
+	silent      bool
+	silentSince time.Duration
 }
 
 // takeOver acquires the right to send orders and reports whether it is held. The machine that owns them goes on at
@@ -44,7 +55,9 @@
 	}
 	if wait := d.takeover.wait(now, &d.config); wait > 0 {
 		d.offer(ctx, now, wait)
-		return false
+		if !d.takeover.ownerLost(d.config.Clock(), &d.config) {
+			return false
+		}
 	}
 	token, err := d.acquire(ctx)
 	if err != nil {
@@ -71,6 +84,12 @@
 	return t.since + config.Takeover - now
 }
 
+// ownerLost reports whether the orders may be taken before the owner's time is over: it was silent for a while, and the
+// replicas refuse what it may still send, since its token is lower. Where they don't check tokens only time protects them.
+func (t *takeover) ownerLost(now time.Duration, config *Config) bool {
+	return config.FencesChecked && t.silent && now >= t.silentSince+silentOwner
+}
+
 // offer offers the leadership to the owner of the orders, once.
 func (d *Driver) offer(ctx context.Context, now, wait time.Duration) {
 	t := &d.takeover
@@ -84,6 +103,15 @@
 		logging.Emit(d.config.Log, &events.OrdersOffered{Owner: t.owner, Cause: events.ErrorText(err)})
 	}
 	t.offered, t.failed = err == nil, err != nil
+	t.heard(errors.Is(err, ErrOwnerSilent), now)
+}
+
+// heard notes whether the owner was silent when it was asked.
+func (t *takeover) heard(silent bool, now time.Duration) {
+	if silent && !t.silent {
+		t.silentSince = now
+	}
+	t.silent = silent
 }
 
 // fence reads who owns the orders.
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -325,6 +325,48 @@
 	}
 }
 
+// TestOrdersOfALostOwnerAreTaken: an owner that is silent loses the orders soon where replicas check fencing tokens; one
+// that stops by plan, that was heard meanwhile, or whose replicas check nothing keeps them for its time.
+func TestOrdersOfALostOwnerAreTaken(t *testing.T) {
+	stops := errors.New("the owner stops")
+	const step = 100 * time.Millisecond
+	for name, one := range map[string]struct {
+		unchecked bool
+		answers   func(now time.Duration) error
+		want      time.Duration
+	}{
+		"silent":              {false, func(time.Duration) error { return ErrOwnerSilent }, handOverAfter + silentOwner},
+		"silent, not checked": {true, func(time.Duration) error { return ErrOwnerSilent }, 4 * time.Second},
+		"stops":               {false, func(time.Duration) error { return stops }, 4 * time.Second},
+		"heard in between": {false, func(now time.Duration) error {
+			if now < time.Second {
+				return stops
+			}
+			return ErrOwnerSilent
+		}, time.Second + silentOwner},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := prepare(t, 1)
+			now := time.Duration(0)
+			f.driver.config.Clock, f.driver.config.Takeover = func() time.Duration { return now }, 4*time.Second
+			f.driver.config.FencesChecked = !one.unchecked
+			f.driver.config.HandOver = func(context.Context, string) error { return one.answers(now) }
+			acquire := &wire.FenceAcquire{Resource: fenceResource, Owner: "other", RequestId: "other"}
+			if _, err := f.control.Execute(t.Context(), 0, &wire.Command{Kind: &wire.Command_FenceAcquire{FenceAcquire: acquire}}); err != nil {
+				t.Fatal(err)
+			}
+			for !f.driver.takeOver(t.Context()) {
+				if now += step; now > one.want {
+					t.Fatalf("not taken after %s", now)
+				}
+			}
+			if now < one.want {
+				t.Fatalf("taken after %s, want %s", now, one.want)
+			}
+		})
+	}
+}
+
 // TestLoadsThatAreNeededGoFirst: a model that too few replicas can work for goes first, then the one whose newest
 // version fewer replicas serve or load.
 func TestLoadsThatAreNeededGoFirst(t *testing.T) {
