durable: what becomes durable in which order stands once, for consensus and the simulator

Cause: the simulator carried a copy of the code between raft and the disk (taking a Ready, the write of a group, what may be applied before the sync).

Change: package durable, pure, with tests of its own; both drive it. No behaviour of consensus changes.

--- a/internal/consensus/compaction.go
+++ b/internal/consensus/compaction.go
@@ -45,7 +45,7 @@
 // compact moves a group's snapshot on: it captures the state when that is due, and compacts the log once the
 // captured state is encoded. No Ready may be out in either step.
 func (h *Host) compact(g *hostedGroup) error {
-	if g.ready != nil || g.compaction != nil {
+	if !g.cycle.Idle() {
 		return nil
 	}
 	if g.snapshots.due(g.config, g.applied) {
@@ -86,7 +86,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	g.compaction = &snapshot
+	g.cycle.Compact(&snapshot)
 	g.snapshots.index, g.snapshots.size = encoded.index, len(encoded.data)
 	return nil
 }
--- a/internal/consensus/compaction_test.go
+++ b/internal/consensus/compaction_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"sync"
 	"testing"
-
-	"github.com/tamarindring/tamarindring/internal/raft"
 )
 
 // slowJournal encodes a captured state only when it is let.
@@ -116,10 +114,3 @@
 	node.start()
 	c.wait("a restarted node does not hold it either", released)
 }
-
-func TestOlderCompactionIsWrittenOverReceivedSnapshot(t *testing.T) {
-	g := &hostedGroup{ready: &raft.Ready{Snapshot: &raft.Snapshot{Index: 9}}, compaction: &raft.Snapshot{Index: 5}}
-	if write := g.write(); write.Compaction != nil || write.Snapshot.Index != 9 {
-		t.Fatalf("a snapshot at 9 and a compaction at %d are written together", write.Compaction.Index)
-	}
-}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -9,8 +9,8 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindring/tamarindring/internal/durable"
 	"github.com/tamarindring/tamarindring/internal/raft"
-	"github.com/tamarindring/tamarindring/internal/storage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -21,17 +21,11 @@
 	node    *raft.Node
 	machine StateMachine
 
-	ready      *raft.Ready    // taken and not yet durable
-	writing    *raft.Ready    // the same while the writer has it
-	queued     bool           // waits for the next write
-	hardState  raft.HardState // newest one handed out
-	stateDirty bool           // hardState is newer than the stored one
+	cycle      *durable.Cycle
 	applied    uint64
 	leadership Leadership
 
-	snapshots  snapshots
-	compaction *raft.Snapshot // waits to be written
-	compacting uint64         // index of the one that the writer has; 0: none
+	snapshots snapshots
 
 	pending map[uint64]*proposal // proposed, by log index
 	reads   readQueue
@@ -46,7 +40,6 @@
 		config:    config,
 		id:        id,
 		machine:   config.NewStateMachine(id),
-		hardState: restored.HardState,
 		applied:   restored.Snapshot.Index,
 		snapshots: snapshots{index: restored.Snapshot.Index, size: len(restored.Snapshot.Data)},
 		pending:   map[uint64]*proposal{},
@@ -69,6 +62,7 @@
 		return nil, trace.Wrap(err, "consensus: group %d", id)
 	}
 	g.node.ReleaseSnapshot(restored.Snapshot.Index)
+	g.cycle = durable.New(id, g.node, restored.HardState)
 	return g, nil
 }
 
@@ -95,55 +89,6 @@
 	}
 }
 
-// takeReady returns raft's next work, if there is any and the last is done.
-func (g *hostedGroup) takeReady() *raft.Ready {
-	if g.ready != nil || !g.node.HasReady() {
-		return nil
-	}
-	ready := g.node.Ready()
-	if ready.HardState != g.hardState {
-		g.hardState, g.stateDirty = ready.HardState, true
-	}
-	return &ready
-}
-
-// write returns what has to be made durable for the group now.
-func (g *hostedGroup) write() storage.GroupWrite {
-	write := storage.GroupWrite{Group: g.id, Compaction: g.compaction}
-	if g.ready != nil {
-		write.Snapshot = g.ready.Snapshot
-		if write.Snapshot != nil && g.compaction != nil && g.compaction.Index < write.Snapshot.Index {
-			write.Compaction, g.compaction = nil, nil // it would be written over the newer one
-		}
-		write.Entries = g.ready.Entries
-	}
-	if g.stateDirty {
-		state := g.hardState
-		write.HardState = &state
-	}
-	if g.compaction != nil {
-		g.compacting = g.compaction.Index
-	}
-	g.writing, g.queued, g.stateDirty, g.compaction = g.ready, false, false, nil
-	return write
-}
-
-// applyDurable applies the committed entries that this node already holds durably. They are committed
-// by a quorum and no sync of this node is needed before their proposers hear of it.
-func (g *hostedGroup) applyDurable(ready *raft.Ready) error {
-	if ready.Snapshot != nil {
-		return nil
-	}
-	committed := ready.Committed
-	if len(ready.Entries) > 0 {
-		first := ready.Entries[0].Index
-		for len(committed) > 0 && committed[len(committed)-1].Index >= first {
-			committed = committed[:len(committed)-1]
-		}
-	}
-	return g.apply(committed)
-}
-
 // finishReady applies the rest once the Ready is durable, and lets raft go on.
 func (g *hostedGroup) finishReady(ready *raft.Ready) error {
 	if ready.Snapshot != nil {
@@ -155,8 +100,7 @@
 	if err := g.apply(ready.Committed); err != nil {
 		return err
 	}
-	g.ready = nil
-	g.node.Advance(*ready)
+	g.cycle.Finish(ready)
 	g.reads.confirm(ready.ReadStates)
 	g.reads.serve(g)
 	return nil
--- a/internal/consensus/host.go
+++ b/internal/consensus/host.go
@@ -130,7 +130,7 @@
 // requireKnown makes a node that is new to all its groups wait until every voter knows its folder.
 func (h *Host) requireKnown() {
 	for _, group := range h.groups {
-		if group.hardState != (raft.HardState{}) || group.applied > 0 {
+		if !group.cycle.Blank() || group.applied > 0 {
 			return
 		}
 	}
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/durable"
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/raft"
@@ -138,13 +139,13 @@
 }
 
 func (h *Host) advanceGroup(g *hostedGroup) error {
-	for ready := g.takeReady(); ready != nil; ready = g.takeReady() {
+	for ready := g.cycle.Take(); ready != nil; ready = g.cycle.Take() {
 		h.send(g, ready.EarlyMessages)
-		if err := g.applyDurable(ready); err != nil {
+		if err := g.apply(durable.Durable(ready)); err != nil {
 			return err
 		}
 		if ready.MustSync {
-			g.ready = ready
+			g.cycle.Hold(ready)
 			h.queueWrite(g)
 			break
 		}
@@ -159,15 +160,14 @@
 	if err := h.compact(g); err != nil {
 		return err
 	}
-	if g.compaction != nil {
+	if g.cycle.Compacts() {
 		h.queueWrite(g)
 	}
 	return nil
 }
 
 func (h *Host) queueWrite(g *hostedGroup) {
-	if !g.queued {
-		g.queued = true
+	if g.cycle.Queue() {
 		h.nextWrite = append(h.nextWrite, g)
 	}
 }
@@ -191,7 +191,7 @@
 	}
 	batch := make([]storage.GroupWrite, 0, len(h.nextWrite))
 	for _, g := range h.nextWrite {
-		batch = append(batch, g.write())
+		batch = append(batch, g.cycle.Write())
 	}
 	h.inWrite, h.nextWrite = h.nextWrite, h.inWrite[:0]
 	h.writer.submit(batch)
@@ -205,15 +205,13 @@
 		return err
 	}
 	for _, g := range h.inWrite {
-		if g.compacting > 0 {
-			g.node.ReleaseSnapshot(g.compacting)
-			g.compacting = 0
+		ready, compacted := g.cycle.Written()
+		if compacted > 0 {
+			g.node.ReleaseSnapshot(compacted)
 		}
-		ready := g.writing
 		if ready == nil {
 			continue // only a compaction
 		}
-		g.writing = nil
 		h.send(g, ready.Messages)
 		if err := g.finishReady(ready); err != nil {
 			return err
--- a/internal/sim/group.go
+++ b/internal/sim/group.go
@@ -8,9 +8,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindring/tamarindring/internal/durable"
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/state"
-	"github.com/tamarindring/tamarindring/internal/storage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -49,16 +49,11 @@
 	node    *raft.Node
 	machine *state.Machine
 
-	ready      *raft.Ready
-	writing    *raft.Ready
-	queued     bool
-	hardState  raft.HardState
-	stateDirty bool
+	cycle      *durable.Cycle
 	applied    uint64
 	leadership leadership
 
 	snapshotIndex uint64
-	compaction    *raft.Snapshot
 
 	pending     map[uint64]*proposal
 	lastContext uint64
@@ -67,7 +62,7 @@
 
 func (h *host) loadGroup(id uint32) (*group, error) {
 	restored := h.disk.load(id)
-	g := &group{host: h, id: id, machine: state.NewUnsafe(h.world.mutation.stateUnsafe()), hardState: restored.HardState,
+	g := &group{host: h, id: id, machine: state.NewUnsafe(h.world.mutation.stateUnsafe()),
 		applied: restored.Snapshot.Index, snapshotIndex: restored.Snapshot.Index, pending: map[uint64]*proposal{}}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := g.machine.Restore(restored.Snapshot.Data); err != nil {
@@ -77,7 +72,11 @@
 	var err error
 	g.node, err = raft.New(raft.Config{ID: h.id, HeartbeatTicks: heartbeatTicks, RetainedEntries: retainedEntries,
 		Random: rand.New(rand.NewSource(h.world.random.Int63())), Unsafe: h.world.mutation.raftUnsafe()}, restored)
-	return g, err
+	if err != nil {
+		return nil, err
+	}
+	g.cycle = durable.New(id, g.node, restored.HardState)
+	return g, nil
 }
 
 func (g *group) propose(data []byte, done func(*wire.Result, uint64, error)) {
@@ -120,53 +119,12 @@
 	}
 }
 
-func (g *group) takeReady() *raft.Ready {
-	if g.ready != nil || !g.node.HasReady() {
-		return nil
-	}
-	ready := g.node.Ready()
-	if ready.HardState != g.hardState {
-		g.hardState, g.stateDirty = ready.HardState, true
-	}
-	return &ready
-}
-
-func (g *group) write() storage.GroupWrite {
-	write := storage.GroupWrite{Group: g.id, Compaction: g.compaction}
-	if g.ready != nil {
-		write.Snapshot = g.ready.Snapshot
-		write.Entries = g.ready.Entries
-	}
-	if g.stateDirty {
-		hardState := g.hardState
-		write.HardState = &hardState
-	}
-	g.writing, g.queued, g.stateDirty, g.compaction = g.ready, false, false, nil
-	return write
-}
-
-// applyDurable applies the committed entries that this node holds durably.
-func (g *group) applyDurable(ready *raft.Ready) {
-	if ready.Snapshot != nil {
-		return
-	}
-	committed := ready.Committed
-	if len(ready.Entries) > 0 {
-		first := ready.Entries[0].Index
-		for len(committed) > 0 && committed[len(committed)-1].Index >= first {
-			committed = committed[:len(committed)-1]
-		}
-	}
-	g.apply(committed)
-}
-
 func (g *group) finishReady(ready *raft.Ready) {
 	if ready.Snapshot != nil {
 		g.restore(ready.Snapshot)
 	}
 	g.apply(ready.Committed)
-	g.ready = nil
-	g.node.Advance(*ready)
+	g.cycle.Finish(ready)
 	for _, confirmed := range ready.ReadStates {
 		for i := range g.reads {
 			if g.reads[i].context == confirmed.Context {
@@ -274,7 +232,7 @@
 }
 
 func (g *group) compactIfDue() {
-	if g.applied-g.snapshotIndex < snapshotEntries || g.ready != nil || g.compaction != nil {
+	if g.applied-g.snapshotIndex < snapshotEntries || !g.cycle.Idle() {
 		return
 	}
 	data, err := g.machine.Snapshot()
@@ -290,6 +248,6 @@
 		g.host.world.truth.broken("node %d cannot compact: %v", g.host.id, err)
 		return
 	}
-	g.compaction = &snapshot
+	g.cycle.Compact(&snapshot)
 	g.snapshotIndex = g.applied
 }
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindring/tamarindring/internal/durable"
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/storage"
@@ -80,7 +81,7 @@
 // requireKnown makes a node that is new to all groups wait until every voter knows its folder.
 func (h *host) requireKnown() {
 	for _, g := range h.groups {
-		if g.hardState != (raft.HardState{}) || g.applied > 0 {
+		if !g.cycle.Blank() || g.applied > 0 {
 			return
 		}
 	}
@@ -205,11 +206,11 @@
 }
 
 func (h *host) advanceGroup(g *group) {
-	for ready := g.takeReady(); ready != nil; ready = g.takeReady() {
+	for ready := g.cycle.Take(); ready != nil; ready = g.cycle.Take() {
 		h.send(g, ready.EarlyMessages)
-		g.applyDurable(ready)
+		g.apply(durable.Durable(ready))
 		if ready.MustSync {
-			g.ready = ready
+			g.cycle.Hold(ready)
 			h.queueWrite(g)
 			break
 		}
@@ -223,14 +224,13 @@
 		}
 	}
 	g.compactIfDue()
-	if g.compaction != nil {
+	if g.cycle.Compacts() {
 		h.queueWrite(g)
 	}
 }
 
 func (h *host) queueWrite(g *group) {
-	if !g.queued {
-		g.queued = true
+	if g.cycle.Queue() {
 		h.nextWrite = append(h.nextWrite, g)
 	}
 }
@@ -241,7 +241,7 @@
 	}
 	batch := make([]storage.GroupWrite, 0, len(h.nextWrite))
 	for _, g := range h.nextWrite {
-		batch = append(batch, g.write())
+		batch = append(batch, g.cycle.Write())
 	}
 	h.inWrite, h.nextWrite = h.nextWrite, nil
 	h.busy = true
@@ -259,8 +259,7 @@
 	written := h.inWrite
 	h.inWrite = nil
 	for _, g := range written {
-		if ready := g.writing; ready != nil {
-			g.writing = nil
+		if ready, _ := g.cycle.Written(); ready != nil {
 			h.send(g, ready.Messages)
 			g.finishReady(ready)
 		}
