--- a/internal/operator/retire.go
+++ b/internal/operator/retire.go
@@ -17,8 +17,8 @@
 	RetirementCompleted Retirement = "completed" // nothing of ours is kept there: the machine may be removed
 )
 
-// Keepers knows which storage machines keep a part of the replicated state; *control.Server is the usual one.
-type Keepers interface {
+// Standbys knows which storage machines keep a part of the replicated state; *control.Server is the usual one.
+type Standbys interface {
 	// MayRetire tells whether enough others remain when the one at an address goes.
 	MayRetire(ctx context.Context, address string) (bool, error)
 	// AddressOf is where a control node listens; empty if that is not known.
@@ -28,7 +28,7 @@
 // RetireMember drains a storage member so that its machine can be removed, disk included. Safe to repeat, at
 // any control node: an order that was taken is never refused later. Errors: trace.NotFound if no storage member has
 // that name, trace.CompareFailed if too few would remain; otherwise a verdict.
-func RetireMember(ctx context.Context, control MemberControl, keepers Keepers, name string) error {
+func RetireMember(ctx context.Context, control MemberControl, standbys Standbys, name string) error {
 	member, err := storageMember(ctx, control, name)
 	if err != nil {
 		return err
@@ -36,7 +36,7 @@
 	if leaves(member) {
 		return nil
 	}
-	may, err := keepers.MayRetire(ctx, member.Address)
+	may, err := standbys.MayRetire(ctx, member.Address)
 	if err != nil {
 		return err
 	}
@@ -47,7 +47,7 @@
 }
 
 // ReadRetirement returns how far the retirement of a storage member has come. Errors as for RetireMember.
-func ReadRetirement(ctx context.Context, control MemberControl, keepers Keepers, name string) (Retirement, error) {
+func ReadRetirement(ctx context.Context, control MemberControl, standbys Standbys, name string) (Retirement, error) {
 	member, err := storageMember(ctx, control, name)
 	if err != nil {
 		return "", err
@@ -62,7 +62,7 @@
 			return err
 		}
 		for _, voter := range view.GetVoters() {
-			if address := keepers.AddressOf(voter); address == member.Address || address == "" {
+			if address := standbys.AddressOf(voter); address == member.Address || address == "" {
 				state = RetirementRunning
 			}
 		}
