registry: the tests' control group is safe for callers at once; a dead function is gone

Cause: TestRelayedHeartbeatsAreJudgedOneByOne has three heartbeats taken at once, and its fake of the control group read and changed one table without a lock: a race, and now and then a fatal error of the map, in the test only.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -2,7 +2,7 @@
 // that says something new becomes a change of the replica's row, one that says nothing new is answered from
 // memory, and a replica that falls silent is taken out until it is heard again.
 //
-// Judge, Change and Tracker are pure: time is an argument (since an arbitrary start, monotonic). Service is
+// Judge, Leave and Tracker are pure: time is an argument (since an arbitrary start, monotonic). Service is
 // the runtime over a client of the control nodes.
 package registry
 
@@ -124,12 +124,6 @@
 	return cells
 }
 
-// Change returns the change that makes the table say what a heartbeat says, without id and operator. It makes
-// the pool if there is none yet, and ends what else was registered at the address: that replica is gone.
-func Change(view *table.View, heartbeat *Registration) *wire.TableChange {
-	return changeAt(view, heartbeat, addressesOf(view))
-}
-
 // addresses holds the registered replicas that have not left for good, by address.
 type addresses map[string][]*table.Row
 
@@ -143,6 +137,8 @@
 	return found
 }
 
+// changeAt returns the change that makes the table say what a heartbeat says, without id and operator. It makes
+// the pool if there is none yet, and ends what else was registered at the address: that replica is gone.
 func changeAt(view *table.View, heartbeat *Registration, at addresses) *wire.TableChange {
 	change := &wire.TableChange{BaseVersion: view.Version(), Note: table.ForceNote}
 	set := func(row, column, value string) {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 
 // fakeControl is a table without consensus. before runs ahead of the next change.
 type fakeControl struct {
+	mutex  sync.Mutex // of table
 	table  *table.Table
 	before func()
 	cut    bool
@@ -26,6 +28,8 @@
 	if f.cut {
 		return nil, trace.ConnectionProblem(nil, "cut off")
 	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	return &wire.View{Kind: &wire.View_Table{Table: f.table.Update(0)}}, nil
 }
 
@@ -37,10 +41,14 @@
 		f.before = nil
 		hook()
 	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	return f.table.Apply(change), 0, nil
 }
 
 func (f *fakeControl) view() *table.View {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	view, _ := table.NewView().Apply(f.table.Update(0))
 	return view
 }
