controlclient: a node's invitations are answered by one renewal at a time

The fake node goes on inviting; the session renewed for each invitation, so renewals without a reply grew past sentMemory (64), and a grant for a renewal older than that does not count: no grant ever counted. Change: an invitation is answered by a renewal only if the one that answered the last invitation has its reply. Conclusion: a fault of the session, not of the test: a node that repeats itself could keep a process without a lease.

--- a/internal/controlclient/fake_test.go
+++ b/internal/controlclient/fake_test.go
@@ -21,6 +21,7 @@
 	renew   func(*wire.SessionRequest) *wire.SessionReply
 	push    chan *wire.SessionReply // replies that nobody asked for
 	stop    func()                  // ends the node
+	greet   int                     // invitations sent on each new stream of a session before a renewal is read
 
 	mutex    sync.Mutex
 	seen     []*wire.ExecuteRequest
@@ -33,6 +34,11 @@
 	n.mutex.Lock()
 	n.streams++
 	n.mutex.Unlock()
+	for range n.greet {
+		if err := stream.Send(&wire.SessionReply{}); err != nil {
+			return err
+		}
+	}
 	requests := make(chan *wire.SessionRequest)
 	go func() {
 		defer close(requests)
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -42,6 +42,7 @@
 	lease    time.Duration
 	heard    time.Duration // time of the last grant or update
 	leaveAt  uint64        // sequence of the renewal that said leaving
+	invited  bool          // an invitation was answered by a renewal that has no reply yet
 }
 
 // run keeps one attachment alive until ctx ends.
@@ -204,8 +205,9 @@
 		return false, true, errLeaderUnknown
 	}
 	if isInvitation(reply) {
-		return false, false, a.renew()
+		return false, false, a.acceptInvitation()
 	}
+	a.invited = false
 	if a.leaveAt != 0 && reply.Sequence >= a.leaveAt {
 		s.leaveOnce.Do(func() { close(s.leaving) })
 		return false, true, nil
@@ -225,6 +227,16 @@
 	return granted, false, a.renew()
 }
 
+// acceptInvitation renews at once, unless the renewal that answered an earlier invitation is still without a reply. A
+// renewal for each would let a node that sends many push the unanswered ones past sentMemory, where no grant counts.
+func (a *attachment) acceptInvitation() error {
+	if a.invited {
+		return nil
+	}
+	a.invited = true
+	return a.renew()
+}
+
 // renew sends one renewal; the lease that it brings counts from before the send.
 func (a *attachment) renew() error {
 	s := a.session
--- a/internal/controlclient/session_test.go
+++ b/internal/controlclient/session_test.go
@@ -85,6 +85,27 @@
 	}
 }
 
+// TestManyInvitationsAreAnsweredOnce: a node invites a session many times before it reads a renewal. A renewal for each
+// left more unanswered than the session remembers, and a node that went on inviting never had a grant counted.
+func TestManyInvitationsAreAnsweredOnce(t *testing.T) {
+	leader := startFake(t, nil)
+	leader.renew = granted
+	leader.greet = 5 * sentMemory
+	client := newTestClient(t, Config{Addresses: []string{leader.address},
+		Member: &wire.Member{Name: "g", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Incarnation: 1}})
+	client.setLeader(ControlGroup, leader.address)
+	session, err := client.StartSession(testContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer session.Close()
+	leader.mutex.Lock()
+	defer leader.mutex.Unlock()
+	if leader.renewals > sentMemory {
+		t.Fatalf("%d invitations led to %d renewals until the first grant counted", leader.greet, leader.renewals)
+	}
+}
+
 // TestWordOfALostLeaderDoesNotCount: when the leader's stream breaks, the other nodes still name it for a while; the session
 // waits until one of them names the next leader.
 func TestWordOfALostLeaderDoesNotCount(t *testing.T) {
