table: a change costs what it touches, not the whole table

A process that follows the table compared all rows again, and an update for it sorted them. Ruled out: the size of updates (a delta holds the changed rows only) and the choice of replicas (mended before). Change: View.amend resolves the rows that change, or whose pool does, and shares the others; the table keeps a view of itself and judges a change of back ends alone by the rows that it touches. All other changes are judged as before. Tests: refusals and rows are those of the whole table, for random changes (TestTouchedRowsAreEnough); rows that stay are shared (TestRowsThatStayAreShared), which holders rely on.

--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -1,51 +1,70 @@
 package table
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// check judges the table that a draft would leave behind as a whole. Every row was sound before, so
-// whatever is wrong comes from this change.
-func (t *Table) check(d *draft, change *wire.TableChange) []*wire.CellRefusal {
-	before := t.resolveAll(nil)
-	after := t.resolveAll(d)
-	if len(after) > MaximumRows {
+// check judges the table that a draft would leave behind. Every row was sound before, so whatever is wrong comes from
+// this change. A change of back ends alone, of which a large fleet makes many, is judged by the rows that it touches:
+// no other row depends on a back end.
+func (t *Table) check(d *draft, after *View, change *wire.TableChange) []*wire.CellRefusal {
+	if len(after.rows) > MaximumRows {
 		return wholeChange("table would have too many rows")
 	}
+	before := t.current()
 	var refusals []*wire.CellRefusal
-	for _, name := range sortedNames(after) {
-		refusals = append(refusals, checkRow(after[name], after)...)
+	if d.onlyBackends(before, after) {
+		refusals = checkRows(d.touched(), after)
+	} else {
+		refusals = append(checkRows(after.names, after), checkRoutes(after)...)
 	}
-	refusals = append(refusals, checkRoutes(after)...)
 	if len(refusals) == 0 && !forced(change) {
-		refusals = harmful(before, after, d)
+		refusals = harmful(before.rows, after.rows, d)
 	}
 	return refusals
 }
 
-// resolveAll returns the typed rows of the table with the draft's rows in their place.
-func (t *Table) resolveAll(d *draft) map[string]*Row {
-	own := make(map[string]map[string]string, len(t.rows))
-	for name := range t.rows {
-		own[name] = t.ownCells(name)
-	}
-	if d != nil {
-		for name, cells := range d.rows {
-			if cells == nil {
-				delete(own, name)
-			} else {
-				own[name] = cells
-			}
+// current returns the table as typed rows.
+func (t *Table) current() *View {
+	if t.view == nil {
+		own := make(map[string]map[string]string, len(t.rows))
+		for name := range t.rows {
+			own[name] = t.ownCells(name)
+		}
+		t.view = NewView().amend(t.version, own)
+	}
+	return t.view
+}
+
+// checkRows judges rows, in the order of their names.
+func checkRows(names []string, after *View) []*wire.CellRefusal {
+	var refusals []*wire.CellRefusal
+	for _, name := range names {
+		if row := after.rows[name]; row != nil {
+			refusals = append(refusals, checkRow(row, after.rows)...)
 		}
 	}
-	rows := make(map[string]*Row, len(own))
-	for name, cells := range own {
-		rows[name] = resolve(name, cells, own[cells[ColumnPool]])
+	return refusals
+}
+
+// touched returns the names of the draft's rows, sorted.
+func (d *draft) touched() []string { return slices.Sorted(maps.Keys(d.rows)) }
+
+// onlyBackends reports whether every row that the draft touches is a back end, before and after.
+func (d *draft) onlyBackends(before, after *View) bool {
+	for name := range d.rows {
+		for _, view := range []*View{before, after} {
+			if row := view.rows[name]; row != nil && row.Kind != Backend {
+				return false
+			}
+		}
 	}
-	return rows
+	return true
 }
 
 func sortedNames(rows map[string]*Row) []string {
--- a/internal/table/check_route.go
+++ b/internal/table/check_route.go
@@ -26,12 +26,12 @@
 }
 
 // checkRoutes refuses two routes of one host and path prefix.
-func checkRoutes(rows map[string]*Row) []*wire.CellRefusal {
+func checkRoutes(view *View) []*wire.CellRefusal {
 	type place struct{ host, prefix string }
 	var refusals []*wire.CellRefusal
 	taken := map[place]string{}
-	for _, name := range sortedNames(rows) {
-		row := rows[name]
+	for _, name := range view.names {
+		row := view.rows[name]
 		if row.Kind != Route || row.Host == "" || row.PathPrefix == "" {
 			continue
 		}
--- a/internal/table/commit.go
+++ b/internal/table/commit.go
@@ -98,11 +98,16 @@
 		fromVersion = 0
 	}
 	update := &wire.TableUpdate{FromVersion: fromVersion, ToVersion: t.version}
-	for _, name := range t.sortedRows() {
-		if stored := t.rows[name]; stored.version > fromVersion {
-			update.Rows = append(update.Rows, wireRow(name, stored, false))
+	var changed []string
+	for name, stored := range t.rows {
+		if stored.version > fromVersion {
+			changed = append(changed, name)
 		}
 	}
+	sort.Strings(changed)
+	for _, name := range changed {
+		update.Rows = append(update.Rows, wireRow(name, t.rows[name], false))
+	}
 	if fromVersion == 0 {
 		return update
 	}
--- /dev/null
+++ b/internal/table/incremental_test.go
@@ -0,0 +1,94 @@
+package table
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+var incrementalTexts = append([]string{
+	"c kind backend", "c pool q", "c pool p", "c address 10.0.0.2:1", "c live_room 90", "c max_in_flight 5", "-c", "q state draining", "q max_in_flight 3",
+	"p live_room 2", "r kind route", "r host h", "r path_prefix /a/", "r pools p:1", "r pools q:1", "-r", "s kind route", "s host h", "s path_prefix /a/",
+	"s pools p:1",
+}, drawnTexts...)
+
+// wholeCheck judges every row that a draft would leave behind, as resolved from the table's cells anew.
+func wholeCheck(made *Table, d *draft, change *wire.TableChange) []*wire.CellRefusal {
+	own := map[string]map[string]string{}
+	for name := range made.rows {
+		own[name] = made.ownCells(name)
+	}
+	before := NewView().amend(made.version, own)
+	for name, cells := range d.rows {
+		own[name] = cells
+	}
+	after := NewView().amend(made.version+1, own)
+	refusals := append(checkRows(after.names, after), checkRoutes(after)...)
+	if len(refusals) == 0 && !forced(change) {
+		refusals = harmful(before.rows, after.rows, d)
+	}
+	return refusals
+}
+
+// TestTouchedRowsAreEnough judges random changes by the rows that they touch and by the whole table: the refusals are the
+// same, and so are the typed rows that a change leaves and those that are made from nothing.
+func TestTouchedRowsAreEnough(t *testing.T) {
+	var accepted, refused int
+	rapid.Check(t, func(t *rapid.T) {
+		made := New()
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			next := change(fmt.Sprint(step), made.Version(), rapid.SliceOfN(rapid.SampledFrom(incrementalTexts), 1, 6).Draw(t, "texts")...)
+			if rapid.Bool().Draw(t, "forced") {
+				next.Note = ForceNote
+			}
+			if d, wrong := made.draft(next); len(wrong) == 0 {
+				after := made.current().amend(made.version+1, d.rows)
+				want, got := wholeCheck(made, d, next), made.check(d, after, next)
+				if fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Fatalf("%v is refused for %v, by the whole table for %v", next, got, want)
+				}
+			}
+			if made.Apply(next).GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+				refused++
+				continue
+			}
+			accepted++
+			fresh, err := NewView().Apply(made.Update(0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := describe(made.current()), describe(fresh); got != want {
+				t.Fatalf("after the change:\n%s\nfresh:\n%s", got, want)
+			}
+		}
+	})
+	if accepted == 0 || refused == 0 {
+		t.Fatalf("%d changes accepted, %d refused: nothing was examined", accepted, refused)
+	}
+}
+
+// TestRowsThatStayAreShared: a change resolves what it touches; holders compare the other rows by identity.
+func TestRowsThatStayAreShared(t *testing.T) {
+	made := fleetOf(t, 40)
+	before, err := NewView().Apply(made.Update(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	made.Apply(drainOf(made, 7, 2))
+	after, err := before.Apply(made.Update(before.Version()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var renewed []string
+	for _, row := range after.Rows() {
+		if before.Row(row.Name) != row {
+			renewed = append(renewed, row.Name)
+		}
+	}
+	if len(renewed) != 1 || renewed[0] != "r00007" || after.Row("r00007").State != Draining || len(after.Backends("p")) != 40 {
+		t.Fatalf("rows made anew: %v", renewed)
+	}
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -48,6 +48,7 @@
 	removalFloor uint64       // removals at or below it are forgotten
 	history      []*wire.HistoryEntry
 	changes      changeMemory
+	view         *View // the rows, typed; nil until it is needed after a restore
 }
 
 // storedRow is a row's cells with their origin. A cleared cell stays with an empty value, so that a change
@@ -106,13 +107,15 @@
 		return t.result(change, wire.TableOutcome_TABLE_OUTCOME_CONFLICT, conflicts)
 	}
 	draft, refusals := t.draft(change)
-	if len(refusals) == 0 {
-		refusals = t.check(draft, change)
-	}
 	if len(refusals) > 0 {
 		return t.invalid(change, refusals)
 	}
+	after := t.current().amend(t.version+1, draft.rows)
+	if refusals = t.check(draft, after, change); len(refusals) > 0 {
+		return t.invalid(change, refusals)
+	}
 	t.commit(draft, change)
+	t.view = after
 	return t.result(change, wire.TableOutcome_TABLE_OUTCOME_ACCEPTED, nil)
 }
 
--- a/internal/table/view.go
+++ b/internal/table/view.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"maps"
-	"sort"
+	"slices"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -84,23 +85,25 @@
 	if update.GetFromVersion() > v.version {
 		return nil, &GapError{From: update.GetFromVersion(), Held: v.version}
 	}
-	own := make(map[string]map[string]string, len(v.rows)+len(update.GetRows()))
-	if update.GetFromVersion() > 0 {
-		for name, row := range v.rows {
-			own[name] = row.explicit
-		}
-	}
+	changed := make(map[string]map[string]string, len(update.GetRows())+len(update.GetRemovedRows()))
 	for _, name := range update.GetRemovedRows() {
-		delete(own, name)
+		changed[name] = nil
 	}
 	for _, row := range update.GetRows() {
 		cells, err := readRow(row)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		own[row.GetName()] = cells
+		changed[row.GetName()] = cells
 	}
-	return v.rebuild(update.GetToVersion(), own), nil
+	if update.GetFromVersion() == 0 { // the whole table
+		for name := range v.rows {
+			if _, listed := changed[name]; !listed {
+				changed[name] = nil
+			}
+		}
+	}
+	return v.amend(update.GetToVersion(), changed), nil
 }
 
 func readRow(row *wire.TableRow) (map[string]string, error) {
@@ -125,27 +128,116 @@
 	return cells, nil
 }
 
-// rebuild resolves the rows that changed themselves or whose pool did, and keeps the others.
-func (v *View) rebuild(version uint64, own map[string]map[string]string) *View {
-	next := &View{version: version, rows: make(map[string]*Row, len(own)), backends: map[string][]*Row{}}
-	same := func(name string) bool {
-		held := v.rows[name]
-		return held != nil && own[name] != nil && maps.Equal(held.explicit, own[name])
-	}
-	for name, cells := range own {
-		pool := cells[ColumnPool]
-		if same(name) && (pool == "" || same(pool)) {
-			next.rows[name] = v.rows[name]
-		} else {
-			next.rows[name] = resolve(name, cells, own[pool])
+// amend returns the view with other cells in the changed rows; nil cells take a row out. It resolves the rows that change
+// themselves or whose pool does, and shares the others: what it costs is what changes, and a copy of the map of rows.
+func (v *View) amend(version uint64, changed map[string]map[string]string) *View {
+	next := &View{version: version, rows: maps.Clone(v.rows), names: v.names, backends: maps.Clone(v.backends)}
+	differing := v.differing(changed)
+	var added, removed []string
+	pools := map[string]map[string]bool{} // rows whose place in their pool's list is to be made anew, by pool
+	touch := func(row *Row) {
+		if row == nil || row.Kind != Backend {
+			return
 		}
-		next.names = append(next.names, name)
+		if pools[row.Pool] == nil {
+			pools[row.Pool] = map[string]bool{}
+		}
+		pools[row.Pool][row.Name] = true
 	}
-	sort.Strings(next.names)
-	for _, name := range next.names {
-		if row := next.rows[name]; row.Kind == Backend && row.State != Removed {
-			next.backends[row.Pool] = append(next.backends[row.Pool], row)
+	for name, cells := range differing {
+		held := v.rows[name]
+		touch(held)
+		switch {
+		case cells == nil:
+			delete(next.rows, name)
+			removed = append(removed, name)
+			continue
+		case held == nil:
+			added = append(added, name)
 		}
+		next.rows[name] = resolve(name, cells, v.cellsAfter(cells[ColumnPool], differing))
+		touch(next.rows[name])
+	}
+	if len(added)+len(removed) > 0 {
+		next.names = mergeNames(v.names, added, removed)
+	}
+	for pool, names := range pools {
+		next.relist(pool, names)
 	}
 	return next
 }
+
+// differing returns the cells of the rows that are not as they were, those of pools that changed included.
+func (v *View) differing(changed map[string]map[string]string) map[string]map[string]string {
+	differing := make(map[string]map[string]string, len(changed))
+	poolChanged := false
+	for name, cells := range changed {
+		held := v.rows[name]
+		if cells == nil && held == nil || held != nil && cells != nil && maps.Equal(held.explicit, cells) {
+			continue
+		}
+		differing[name] = cells
+		poolChanged = poolChanged || held != nil && held.Kind == Pool || cells[ColumnKind] == string(Pool)
+	}
+	if !poolChanged {
+		return differing
+	}
+	for name, row := range v.rows {
+		if _, changes := differing[row.explicit[ColumnPool]]; !changes {
+			continue
+		}
+		if _, listed := differing[name]; !listed {
+			differing[name] = row.explicit
+		}
+	}
+	return differing
+}
+
+// cellsAfter returns a row's own cells once the differing ones are taken over; nil if there is no such row.
+func (v *View) cellsAfter(name string, differing map[string]map[string]string) map[string]string {
+	if cells, listed := differing[name]; listed {
+		return cells
+	}
+	if held := v.rows[name]; held != nil {
+		return held.explicit
+	}
+	return nil
+}
+
+// mergeNames returns sorted names with some added and some removed.
+func mergeNames(names, added, removed []string) []string {
+	gone := make(map[string]bool, len(removed))
+	for _, name := range removed {
+		gone[name] = true
+	}
+	merged := make([]string, 0, len(names)+len(added)-len(removed))
+	for _, name := range names {
+		if !gone[name] {
+			merged = append(merged, name)
+		}
+	}
+	merged = append(merged, added...)
+	slices.Sort(merged)
+	return merged
+}
+
+// relist brings a pool's list of back ends up to date with the named rows.
+func (v *View) relist(pool string, names map[string]bool) {
+	listed := make([]*Row, 0, len(v.backends[pool])+len(names))
+	for _, row := range v.backends[pool] {
+		if !names[row.Name] {
+			listed = append(listed, row)
+		}
+	}
+	for name := range names {
+		if row := v.rows[name]; row != nil && row.Kind == Backend && row.Pool == pool && row.State != Removed {
+			listed = append(listed, row)
+		}
+	}
+	if len(listed) == 0 {
+		delete(v.backends, pool)
+		return
+	}
+	slices.SortFunc(listed, func(a, b *Row) int { return strings.Compare(a.Name, b.Name) })
+	v.backends[pool] = listed
+}
