configure, registry: reads of the table fetch only what a process does not hold

Ruled out: answering from the followed view alone; the read stays linearizable. Change: ReadView takes the view that the process follows and asks for what is newer. Test: a read and a change beside 500 back ends fetched over 1,000 rows, now 20 at most (TestReadsFetchWhatIsNewer, which does not build without the change).

--- a/internal/configure/configure_test.go
+++ b/internal/configure/configure_test.go
@@ -17,12 +17,15 @@
 
 // fakeControl is a table without consensus. before runs ahead of each change, as another operator would.
 type fakeControl struct {
-	table  *table.Table
-	before func()
+	table   *table.Table
+	before  func()
+	fetched int // rows that reads returned
 }
 
-func (f *fakeControl) Query(context.Context, uint32, *wire.Query) (*wire.View, error) {
-	return &wire.View{Kind: &wire.View_Table{Table: f.table.Update(0)}}, nil
+func (f *fakeControl) Query(_ context.Context, _ uint32, query *wire.Query) (*wire.View, error) {
+	update := f.table.Update(query.GetTable().GetKnownVersion())
+	f.fetched += len(update.GetRows())
+	return &wire.View{Kind: &wire.View_Table{Table: update}}, nil
 }
 
 func (f *fakeControl) ChangeTable(_ context.Context, change *wire.TableChange, _ bool) (*wire.TableResult, uint64, error) {
@@ -52,7 +55,7 @@
 	if err := importer.Put(t.Context(), example(7)); err != nil {
 		t.Fatal(err)
 	}
-	view, _ := ReadView(t.Context(), control)
+	view, _ := ReadView(t.Context(), control, nil)
 	routes := route.NewTable(view)
 	one, other := routes.Match("h", "/a/x"), routes.Match("h", "/b/")
 	if one == nil || other == nil || len(one.Pools) != 2 || one.Pools[0] != (route.Share{Pool: "a", Weight: 10}) || one.QueueTTL != 40*time.Second ||
@@ -109,7 +112,7 @@
 			if revision, text, _ := importer.Get(context.Background()); revision != want.Revision || text != want.Text {
 				t.Fatalf("revision %d with %q, not %d with %q", revision, text, want.Revision, want.Text)
 			}
-			view, _ := ReadView(context.Background(), control)
+			view, _ := ReadView(context.Background(), control, nil)
 			if len(route.FromView(view)) != len(want.Routes) {
 				t.Fatalf("%d routes, not %d", len(route.FromView(view)), len(want.Routes))
 			}
@@ -122,3 +125,45 @@
 		}
 	})
 }
+
+// TestReadsFetchWhatIsNewer: a process that follows the table reads and changes the configuration without fetching the rows
+// that it holds, however many back ends there are; what it sees is what a read of everything shows.
+func TestReadsFetchWhatIsNewer(t *testing.T) {
+	control := &fakeControl{table: table.New()}
+	other := &Importer{Control: control, Operator: "other"}
+	if err := other.Put(t.Context(), example(1)); err != nil {
+		t.Fatal(err)
+	}
+	fleet := &wire.TableChange{ChangeId: "fleet", BaseVersion: control.table.Version()}
+	for number := range 500 {
+		name := fmt.Sprintf("backend-%d", number)
+		for column, value := range map[string]string{table.ColumnKind: string(table.Backend), table.ColumnPool: "a",
+			table.ColumnAddress: fmt.Sprintf("10.0.%d.%d:80", number/250, number%250+1)} {
+			fleet.Cells = append(fleet.Cells, &wire.CellChange{Row: name, Column: column, Value: value})
+		}
+	}
+	if result := control.table.Apply(fleet); result.GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+		t.Fatal(result)
+	}
+	followed, err := ReadView(t.Context(), control, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = other.Put(t.Context(), example(2)); err != nil { // the view lags by this one
+		t.Fatal(err)
+	}
+	control.fetched = 0
+	importer := &Importer{Control: control, Operator: "test", View: func() *table.View { return followed }}
+	if revision, text, err := importer.Get(t.Context()); err != nil || revision != 2 || text != example(2).Text {
+		t.Fatalf("read revision %d, %v", revision, err)
+	}
+	if err = importer.Put(t.Context(), example(3)); err != nil {
+		t.Fatal(err)
+	}
+	if control.fetched == 0 || control.fetched > 20 {
+		t.Fatalf("a read and a change fetched %d rows", control.fetched)
+	}
+	if revision, _, err := other.Get(t.Context()); err != nil || revision != 3 {
+		t.Fatalf("the change left revision %d, %v", revision, err)
+	}
+}
--- a/internal/configure/importer.go
+++ b/internal/configure/importer.go
@@ -23,6 +23,17 @@
 type Importer struct {
 	Control  Control
 	Operator string // named in the table's history
+	// View is the table as this process follows it, which may lag; reads then fetch only what is newer. Nil, or one that
+	// returns nil: reads fetch the whole table.
+	View func() *table.View
+}
+
+func (i *Importer) read(ctx context.Context) (*table.View, error) {
+	var followed *table.View
+	if i.View != nil {
+		followed = i.View()
+	}
+	return ReadView(ctx, i.Control, followed)
 }
 
 // Put makes a configuration the table's unless that holds its revision or a higher one, which is no error.
@@ -33,7 +44,7 @@
 		return err
 	}
 	for {
-		view, err := ReadView(ctx, i.Control)
+		view, err := i.read(ctx)
 		if err != nil {
 			return err
 		}
@@ -58,7 +69,7 @@
 
 // Get returns the newest configuration by a linearizable read; revision 0 if there is none yet.
 func (i *Importer) Get(ctx context.Context) (revision uint64, text string, err error) {
-	view, err := ReadView(ctx, i.Control)
+	view, err := i.read(ctx)
 	if err != nil {
 		return 0, "", err
 	}
@@ -66,16 +77,21 @@
 	return revision, text, nil
 }
 
-// ReadView returns the current table by a linearizable read.
-func ReadView(ctx context.Context, control Control) (*table.View, error) {
-	answer, err := control.Query(ctx, state.ControlGroup, &wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{}}})
+// ReadView returns the current table by a linearizable read. followed is a view that this process holds already: only
+// what is newer is fetched, which matters where the table lists thousands of back ends; nil fetches everything.
+func ReadView(ctx context.Context, control Control, followed *table.View) (*table.View, error) {
+	if followed == nil {
+		followed = table.NewView()
+	}
+	query := &wire.TableQuery{KnownVersion: followed.Version()}
+	answer, err := control.Query(ctx, state.ControlGroup, &wire.Query{Kind: &wire.Query_Table{Table: query}})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if answer.GetTable() == nil {
 		return nil, verdict.New(verdict.DidNotRun, "the control group answered without a table")
 	}
-	return table.NewView().Apply(answer.GetTable())
+	return followed.Apply(answer.GetTable())
 }
 
 func reasons(result *wire.TableResult) string {
--- a/internal/registry/batch.go
+++ b/internal/registry/batch.go
@@ -118,7 +118,7 @@
 	for {
 		fresh := view == nil
 		if fresh {
-			if view, err = configure.ReadView(ctx, b.config.Control); err != nil {
+			if view, err = configure.ReadView(ctx, b.config.Control, b.config.View()); err != nil {
 				return nil, trace.Wrap(err)
 			}
 		}
