consensus: a question whose asker has given up shares no memory with its answer

A status that is half of one moment and half of another is possible: it decides whether a node counts itself a voter. Ruled out: the test (it only ran long enough on a busy machine to have a question abandoned). Change: ask delivers the answer through its channel; call is built on it.

--- a/internal/consensus/requests.go
+++ b/internal/consensus/requests.go
@@ -98,12 +98,7 @@
 
 // Status returns this node's view of a group. Errors: ErrInvalid, ErrClosed, ctx's.
 func (h *Host) Status(ctx context.Context, group uint32) (raft.Status, error) {
-	var status raft.Status
-	err := h.call(ctx, group, func(g *hostedGroup) error {
-		status = g.node.Status()
-		return nil
-	})
-	return status, err
+	return ask(ctx, h, group, func(g *hostedGroup) (raft.Status, error) { return g.node.Status(), nil })
 }
 
 // Addresses returns where the nodes of a group listen, as far as this node knows. Errors: those of Status.
@@ -128,16 +123,18 @@
 // Capture returns the encoded state of a group as applied here and the index of the last entry in it. Errors:
 // those of Status, and the state machine's when its state can't be encoded.
 func (h *Host) Capture(ctx context.Context, group uint32) (index uint64, data []byte, err error) {
-	var encode func() ([]byte, error)
-	err = h.call(ctx, group, func(g *hostedGroup) error {
-		encode, index = g.machine.Capture(), g.applied
-		return nil
+	type captured struct {
+		encode func() ([]byte, error)
+		index  uint64
+	}
+	state, err := ask(ctx, h, group, func(g *hostedGroup) (captured, error) {
+		return captured{encode: g.machine.Capture(), index: g.applied}, nil
 	})
 	if err != nil {
 		return 0, nil, err
 	}
-	data, err = encode()
-	return index, data, err
+	data, err = state.encode()
+	return state.index, data, err
 }
 
 // AddLearner adds a node that receives the log and has no vote. It has to run with Config.Join. Errors:
@@ -199,24 +196,37 @@
 
 // call runs a function on the loop and waits for it.
 func (h *Host) call(ctx context.Context, group uint32, function func(*hostedGroup) error) error {
+	_, err := ask(ctx, h, group, func(g *hostedGroup) (struct{}, error) { return struct{}{}, function(g) })
+	return err
+}
+
+// ask runs a function on the loop and waits for its answer. When ctx ends first the function may still run, so it must not
+// write to what its caller reads: what it finds out is its answer.
+func ask[T any](ctx context.Context, h *Host, group uint32, function func(*hostedGroup) (T, error)) (T, error) {
+	type outcome struct {
+		answer T
+		err    error
+	}
+	var none T
 	if err := h.knows(group); err != nil {
-		return err
+		return none, err
 	}
-	done := make(chan error, 1)
+	done := make(chan outcome, 1)
 	err := h.inbox.addCall(func(closed bool) {
 		if closed {
-			done <- ErrClosed
+			done <- outcome{err: ErrClosed}
 			return
 		}
-		done <- function(h.groupByID[group])
+		answer, err := function(h.groupByID[group])
+		done <- outcome{answer, err}
 	})
 	if err != nil {
-		return err
+		return none, err
 	}
 	select {
-	case err := <-done:
-		return h.withAddress(err)
+	case ended := <-done:
+		return ended.answer, h.withAddress(ended.err)
 	case <-ctx.Done():
-		return trace.Wrap(ctx.Err())
+		return none, trace.Wrap(ctx.Err())
 	}
 }
