control: the whole table is made and packed once for all holders that need it

Cause: after a loss of all processes each of 302 processes is sent the whole table; with 3,000 replicas that is some 900 KB for each, encoded and buffered for each by the leader: 270 MB beside a memory limit of 280 MB and 0.96 of a core. Ruled out by reading: deltas, which are made once and are small.

--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -18,9 +18,9 @@
 	server *Server
 	wake   chan struct{} // capacity 1: something was applied
 
+	table *tableUpdates
+
 	mutex   sync.Mutex
-	table   uint64                       // table version that deltas lead to
-	deltas  map[uint64]*wire.TableUpdate // by the version that they start from
 	members *wire.MembersView
 	// changedAt is the members version at which a member was last seen to change, by name.
 	changedAt    map[string]uint64
@@ -28,13 +28,14 @@
 }
 
 func newPublisher(server *Server) *publisher {
-	return &publisher{
+	p := &publisher{
 		server: server, wake: make(chan struct{}, 1),
-		deltas:       make(map[uint64]*wire.TableUpdate),
 		members:      &wire.MembersView{},
 		changedAt:    make(map[string]uint64),
 		memberDeltas: make(map[uint64]*wire.MembersView),
 	}
+	p.table = newTableUpdates(p.queryTable)
+	return p
 }
 
 // applied is called after each command of the control group.
@@ -67,22 +68,14 @@
 }
 
 func (p *publisher) refreshTable() bool {
-	p.mutex.Lock()
-	known := p.table
-	p.mutex.Unlock()
-	update := p.queryTable(known)
-	if update == nil || update.ToVersion <= known {
-		return false
+	version, newer, err := p.table.refresh()
+	if err != nil {
+		p.server.log.WithError(err).Warn("a table update can't be made")
 	}
-	p.mutex.Lock()
-	if update.ToVersion > p.table {
-		p.table = update.ToVersion
-		clear(p.deltas)
-		p.deltas[known] = update
+	if newer {
+		p.server.leases.tableApplied(version)
 	}
-	p.mutex.Unlock()
-	p.server.leases.tableApplied(update.ToVersion)
-	return true
+	return newer
 }
 
 func (p *publisher) refreshMembers() bool {
@@ -122,28 +115,16 @@
 	return view.GetTable()
 }
 
-// updateFrom returns what brings a holder of version known to the newest one; nil if it has that.
-func (p *publisher) updateFrom(known uint64) *wire.TableUpdate {
-	p.mutex.Lock()
-	current, update := p.table, p.deltas[known]
-	p.mutex.Unlock()
-	if known >= current {
-		return nil
-	}
-	if update != nil {
-		return update
-	}
-	update = p.queryTable(known)
-	if update == nil || update.ToVersion <= known {
-		return nil
+// updateFrom returns what brings a holder of version known forward; nil if it has the newest one.
+func (p *publisher) updateFrom(known uint64) *publishedUpdate {
+	published, err := p.table.from(known)
+	if err != nil {
+		p.server.log.WithError(err).Warn("a table update can't be made")
 	}
-	p.server.leases.tableApplied(update.ToVersion)
-	p.mutex.Lock()
-	if update.ToVersion == p.table {
-		p.deltas[known] = update
+	if published != nil {
+		p.server.leases.tableApplied(published.update.ToVersion)
 	}
-	p.mutex.Unlock()
-	return update
+	return published
 }
 
 // membersAfter returns what changed after version known of the members; nil if nothing did.
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -23,6 +23,7 @@
 type session struct {
 	server *Server
 	stream wire.DRPCControl_SessionStream
+	packed bool          // the holder reads packed updates
 	wake   chan struct{} // capacity 1: something is due
 	ended  chan struct{} // closed when the stream has ended
 
@@ -48,7 +49,7 @@
 		return trace.Wrap(err)
 	}
 	holder := &session{
-		server: s, stream: stream,
+		server: s, stream: stream, packed: first.AcceptsPacked,
 		wake: make(chan struct{}, 1), ended: make(chan struct{}),
 		member:    first.Member,
 		holder:    lease.HolderID{Name: first.Member.Name, Incarnation: first.Member.Incarnation},
@@ -186,10 +187,13 @@
 		s.answer = 0
 		worth = true
 	}
-	if update := s.server.publisher.updateFrom(s.sentTable); update != nil {
-		reply.Update = update
-		s.sentTable = update.ToVersion
+	if published := s.server.publisher.updateFrom(s.sentTable); published != nil {
+		published.put(reply, s.packed)
+		s.sentTable = published.update.ToVersion
 		worth = true
+		if s.sentTable < s.server.publisher.table.version() {
+			s.wakeUp() // what is newer follows
+		}
 	}
 	if members := s.server.publisher.membersAfter(s.sentMembers); members != nil {
 		reply.Members = members
--- a/internal/controlclient/await.go
+++ b/internal/controlclient/await.go
@@ -76,7 +76,7 @@
 		return "", trace.Wrap(err)
 	}
 	request := &wire.SessionRequest{Member: s.member, Sequence: 1, ActedVersion: s.view.Load().Version(),
-		MembersVersion: s.Members().MembersVersion}
+		MembersVersion: s.Members().MembersVersion, AcceptsPacked: true}
 	if err = stream.Send(request); err != nil {
 		return "", trace.Wrap(err)
 	}
@@ -100,5 +100,5 @@
 // isInvitation tells whether a reply says that its node leads now: it carries nothing else.
 func isInvitation(reply *wire.SessionReply) bool {
 	return reply.Sequence == 0 && !reply.Granted && reply.LeaderAddress == "" && !reply.LeaderUnknown &&
-		reply.Update == nil && reply.Members == nil
+		reply.Update == nil && len(reply.PackedUpdate) == 0 && reply.Members == nil
 }
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -188,6 +188,11 @@
 // handle acts on one reply. done means that this stream is of no further use.
 func (a *attachment) handle(reply *wire.SessionReply) (granted, done bool, err error) {
 	s := a.session
+	if len(reply.PackedUpdate) > 0 {
+		if reply.Update, err = wire.UnpackUpdate(reply.PackedUpdate); err != nil {
+			return false, true, err
+		}
+	}
 	if reply.Granted || reply.Update != nil {
 		a.heard = s.client.config.Clock()
 	}
@@ -255,6 +260,7 @@
 		Leaving:      leaving,
 
 		MembersVersion: s.Members().MembersVersion,
+		AcceptsPacked:  true,
 	}
 	if err := a.stream.Send(request); err != nil {
 		return trace.Wrap(err)
--- a/internal/controlclient/session_test.go
+++ b/internal/controlclient/session_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -85,6 +86,59 @@
 	}
 }
 
+// TestPackedTableIsRead: a session says that it reads packed updates, and has the table before it is granted a lease.
+func TestPackedTableIsRead(t *testing.T) {
+	packed, err := wire.PackUpdate(&wire.TableUpdate{ToVersion: 3, Rows: []*wire.TableRow{{Name: "chat",
+		Cells: []*wire.TableCell{{Column: table.ColumnKind, Value: string(table.Pool)}}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader := startFake(t, nil)
+	leader.renew = func(request *wire.SessionRequest) *wire.SessionReply {
+		reply := granted(request)
+		if request.AcceptsPacked && request.ActedVersion == 0 {
+			reply.PackedUpdate = packed
+		}
+		return reply
+	}
+	client := newTestClient(t, Config{Addresses: []string{leader.address},
+		Member: &wire.Member{Name: "g", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Incarnation: 1}})
+	session, err := client.StartSession(testContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer session.Close()
+	for session.View().Pool("chat") == nil {
+		if t.Context().Err() != nil || testContext(t).Err() != nil {
+			t.Fatal("the packed table was not read")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if version := session.View().Version(); version != 3 {
+		t.Fatalf("the view is at version %d", version)
+	}
+}
+
+// TestSpoiledPackedTableEndsTheStream: a node that sends what can't be read is left for another one.
+func TestSpoiledPackedTableEndsTheStream(t *testing.T) {
+	broken, leader := startFake(t, nil), startFake(t, nil)
+	broken.renew = func(request *wire.SessionRequest) *wire.SessionReply {
+		return &wire.SessionReply{Sequence: request.Sequence, PackedUpdate: []byte("no table")}
+	}
+	leader.renew = granted
+	client := newTestClient(t, Config{Addresses: []string{broken.address, leader.address},
+		Member: &wire.Member{Name: "g", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Incarnation: 1}})
+	client.setLeader(ControlGroup, broken.address)
+	session, err := client.StartSession(testContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer session.Close()
+	if session.RenewedBy() != leader.address {
+		t.Fatalf("the lease is from %s", session.RenewedBy())
+	}
+}
+
 // TestManyInvitationsAreAnsweredOnce: a node invites a session many times before it reads a renewal. A renewal for each
 // left more unanswered than the session remembers, and a node that went on inviting never had a grant counted.
 func TestManyInvitationsAreAnsweredOnce(t *testing.T) {
