--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -14,7 +14,6 @@
 		{name: "bench", short: "Measurements; each prints JSON"},
 		{parent: "bench", name: "gateway", short: "Measure the gateway's added latency and its cost", constructor: func() command { return &benchGatewayCommand{} }},
 		{parent: "bench", name: "control", short: "Cost of control sessions and time until a table change is in force, by number of nodes", constructor: func() command { return &benchControlCommand{} }},
-		{parent: "bench", name: "capacity", short: "What each role costs by size; renders docs/CAPACITY-loopback.md", constructor: func() command { return &benchCapacityCommand{} }},
 		{parent: "bench", name: "processes", short: "Memory, processor time and bytes of running processes", constructor: func() command { return &benchProcessesCommand{} }},
 		{parent: "bench", name: "consensus", short: "Durable claims a second, latency, failover and recovery of three local nodes", constructor: func() command { return &benchConsensusCommand{} }},
 		{name: "standin", short: "Stand-ins for outside systems, for tests and demonstrations"},
