--- /dev/null
+++ b/internal/forward/placement_test.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// TestDrainingBackEndsGetNothing: requests go to the back ends that stay, and when none stays they are refused as not run.
+func TestDrainingBackEndsGetNothing(t *testing.T) {
+	f := newFixture(t, baseRows+"r route_kind repeatable;p1 state draining;p3 state removed", good)
+	for range 30 {
+		if _, failure := f.serve(context.Background()); failure != nil {
+			t.Fatal(failure)
+		}
+	}
+	if got := fmt.Sprint(f.caller.instances()); got != "map[p2:30]" {
+		t.Errorf("the requests went to %s", got)
+	}
+	f = newFixture(t, baseRows+"r route_kind repeatable;p1 state draining;p2 state draining;p3 state draining", good)
+	if _, failure := f.serve(context.Background()); failure == nil || failure.Reason != Unavailable && failure.Reason != Overloaded || len(f.caller.instances()) > 0 {
+		t.Errorf("%v %v", failure, f.caller.instances())
+	}
+}
+
+var twoPools = strings.Replace(baseRows, "r pools p:1", "r pools p:70,q:30", 1) + "q1 kind backend;q1 pool q;q1 address 127.0.0.1:4;r route_kind repeatable;"
+
+// TestPoolsGetTheirShares: the pools of a route get requests by their weights; one that takes none leaves its share to the
+// others, and comes back to it.
+func TestPoolsGetTheirShares(t *testing.T) {
+	const requests = 2000
+	f := newFixture(t, twoPools, good)
+	for range requests {
+		if _, failure := f.serve(context.Background()); failure != nil {
+			t.Fatal(failure)
+		}
+	}
+	if share := float64(f.caller.instances()["q1"]) / requests; share < 0.26 || share > 0.34 {
+		t.Errorf("a pool with 30%% of the weight got %.1f%%", 100*share)
+	}
+	f = newFixture(t, twoPools+"q1 state draining", good)
+	for range 100 {
+		if _, failure := f.serve(context.Background()); failure != nil {
+			t.Fatal(failure)
+		}
+	}
+	if got := f.caller.instances()["q1"]; got > 0 {
+		t.Errorf("a pool that takes no work got %d requests", got)
+	}
+}
