--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // TestDrainingBackEndsGetNothing: requests go to the back ends that stay, and when none stays they are refused as not run.
@@ -49,3 +51,17 @@
 		t.Errorf("a pool that takes no work got %d requests", got)
 	}
 }
+
+// TestSecondSendsCount: where a route allows one send, a slow back end gets no second one beside it.
+func TestSecondSendsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := strings.Replace(baseRows, "r max_attempts 2", "r max_attempts 1", 1)
+		f := newFixture(t, rows+"r route_kind repeatable;r target_latency_millis 100", after(80*time.Millisecond, good))
+		if _, failure := f.serve(context.Background()); failure != nil {
+			t.Error(failure)
+		}
+		if calls := len(f.caller.calls); calls != 1 {
+			t.Errorf("%d sends where one is allowed", calls)
+		}
+	})
+}
