--- a/internal/batchrun/stream_test.go
+++ b/internal/batchrun/stream_test.go
@@ -47,6 +47,7 @@
 		"one is missing":       {held: -1, body: event(0) + event(1) + event(3), kept: 1, err: errOutOfOrder},
 		"missing after resume": {held: 4, body: event(6), kept: 4, err: errOutOfOrder},
 		"no id":                {held: -1, body: event(0) + "data: e1\n\n", kept: 0, err: errOutOfOrder},
+		"falling":              {held: -1, body: event(0) + event(10) + event(5), kept: 10, err: errOutOfOrder},
 	} {
 		s, err := streamOf(test.held, test.body)
 		if !errors.Is(err, test.err) || s.text.lastID != test.kept {
