--- a/internal/forward/placement_test.go
+++ b/internal/forward/placement_test.go
@@ -65,3 +65,16 @@
 		}
 	})
 }
+
+// TestRoutesTimeoutEndsARequestThatMayTakeLonger: a caller that would wait longer than the route allows gets its answer
+// when the route's time is over.
+func TestRoutesTimeoutEndsARequestThatMayTakeLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, baseRows+"r route_kind once;r timeout_millis 1000", silent)
+		started := time.Now()
+		failure := f.Serve(t.Context(), &Request{AttemptID: "id", Method: "POST", Path: "/", Host: "h", Received: started, Deadline: 5 * time.Second}, &kept{})
+		if failure == nil || failure.Reason != TimedOut || time.Since(started) != time.Second {
+			t.Errorf("%v after %v", failure, time.Since(started))
+		}
+	})
+}
