weights: orders that another machine took in between are waited out

Cause: a leader that takes over reads who owns the orders and then acquires them. Where another machine acquired them in between (a leader that is out of date takes a moment longer than the one that leads), it rightly did not use its token, but at its next look it saw itself as the owner and sent orders at once: two holders taking turns within the lease, a broken rule. Ruled out: the fence itself, which orders the tokens. Change: such a machine waits the full time from that moment, and offers the leadership to nobody meanwhile.

--- a/internal/weights/takeover.go
+++ b/internal/weights/takeover.go
@@ -32,7 +32,7 @@
 type takeover struct {
 	looked  bool
 	since   time.Duration // from when on the owner is known to be this one
-	owner   string
+	owner   string // empty: a machine that is not known
 	token   uint64
 	offered bool // the leadership was offered to the owner
 	failed  bool // it was, and the owner did not take it
@@ -64,7 +64,9 @@
 		return false
 	}
 	if token != d.takeover.token+1 {
-		d.takeover = takeover{offered: d.takeover.offered} // somebody else acquired them since
+		// Another machine acquired them since the look, and may have sent orders: its time is waited out from now, although
+		// this machine is named as the owner.
+		d.takeover = takeover{looked: true, since: now, token: token, offered: d.takeover.offered}
 		return false
 	}
 	d.token = token
@@ -93,7 +95,7 @@
 // offer offers the leadership to the owner of the orders, once.
 func (d *Driver) offer(ctx context.Context, now, wait time.Duration) {
 	t := &d.takeover
-	if d.config.HandOver == nil || t.offered || now < t.since+handOverAfter || wait < handOverWorth {
+	if d.config.HandOver == nil || t.owner == "" || t.offered || now < t.since+handOverAfter || wait < handOverWorth {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
