--- a/internal/weights/takeover.go
+++ b/internal/weights/takeover.go
@@ -32,7 +32,7 @@
 type takeover struct {
 	looked  bool
 	since   time.Duration // from when on the owner is known to be this one
-	owner   string // empty: a machine that is not known
+	owner   string        // empty: a machine that is not known
 	token   uint64
 	offered bool // the leadership was offered to the owner
 	failed  bool // it was, and the owner did not take it
