tests: servers and the output of processes are handled in one package

Change: package servertest (Run, Output); the checks are the same ones. The starts in tests of gateways and control nodes, which pass over an error of the end or look at that of Close, are left as they are.

--- a/internal/cli/load_test.go
+++ b/internal/cli/load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -10,6 +9,7 @@
 	"testing"
 
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 	"github.com/tamarindring/tamarindring/internal/standin/engine"
 	"github.com/tamarindring/tamarindring/internal/workload/caller"
 )
@@ -32,14 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan error, 1)
-	go func() { done <- server.Run(context.Background()) }()
-	t.Cleanup(func() {
-		_ = server.Close()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
+	servertest.Run(t, server)
 	out := filepath.Join(t.TempDir(), "out")
 	arguments := []string{"load", "--gateway", server.Address(), "--workload", writeWorkload(t, loadWorkload), "--duration", "300ms", "--out", out}
 	var stdout, stderr bytes.Buffer
--- a/internal/fleet/daemon_test.go
+++ b/internal/fleet/daemon_test.go
@@ -8,10 +8,11 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/tamarindring/tamarindring/internal/servertest"
 )
 
 const (
@@ -42,25 +43,6 @@
 	return listener.Addr().String()
 }
 
-// output keeps what a daemon wrote.
-type output struct {
-	mutex sync.Mutex
-	text  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (o *output) Write(content []byte) (int, error) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.text.Write(content)
-}
-
-func (o *output) String() string {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.text.String()
-}
-
 // daemon is one real process of the built binary.
 type daemon struct {
 	t         *testing.T
@@ -69,7 +51,7 @@
 	arguments []string
 	address   string
 	ready     func(context.Context, *daemon) error
-	written   output
+	written   servertest.Output
 
 	command *exec.Cmd
 	ended   chan error
--- a/internal/standin/application/application_test.go
+++ b/internal/standin/application/application_test.go
@@ -1,7 +1,6 @@
 package application
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -10,6 +9,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
@@ -27,15 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan error, 1)
-	go func() { done <- server.Run(context.Background()) }()
-	t.Cleanup(func() {
-		_ = server.Close()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-		http.DefaultClient.CloseIdleConnections()
-	})
+	servertest.Run(t, server)
 	return server
 }
 
--- a/internal/standin/engine/life_test.go
+++ b/internal/standin/engine/life_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/engine/text"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 	"github.com/tamarindring/tamarindring/internal/standin/weightstore"
 )
 
@@ -54,14 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan error, 1)
-	go func() { done <- store.Run(context.Background()) }()
-	t.Cleanup(func() {
-		_ = store.Close()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
+	servertest.Run(t, store)
 	store.Put(weightstore.Version{Version: "v2", VersionNumber: 2})
 	server := startServer(t, func(config *Config) { config.WeightStore = store.Address() })
 	order := func(version string, number uint64, stage bool) *http.Response {
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,6 +14,7 @@
 	emulator "github.com/tamarindring/tamarindring/internal/engine"
 	"github.com/tamarindring/tamarindring/internal/engine/text"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
@@ -38,15 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan error, 1)
-	go func() { done <- server.Run(context.Background()) }()
-	t.Cleanup(func() {
-		_ = server.Close()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-		http.DefaultClient.CloseIdleConnections()
-	})
+	servertest.Run(t, server)
 	return server
 }
 
--- a/internal/standin/scorer/scorer_test.go
+++ b/internal/standin/scorer/scorer_test.go
@@ -1,13 +1,13 @@
 package scorer
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 )
 
 func TestScoresAreFunctionsOfTheText(t *testing.T) {
@@ -15,14 +15,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan error, 1)
-	go func() { done <- server.Run(context.Background()) }()
-	t.Cleanup(func() {
-		_ = server.Close()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
+	servertest.Run(t, server)
 	for body, samples := range map[string]int{
 		`{"samples":[{"id":"a","prompt":"p","text":"t"},{"id":"b","prompt":"p","text":"u"}]}`: 2,
 		`{"id":"a","prompt":"p","text":"t"}`:                                                  1,
--- a/internal/standin/weightstore/weightstore_test.go
+++ b/internal/standin/weightstore/weightstore_test.go
@@ -1,12 +1,12 @@
 package weightstore
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 )
 
 func startServer(t *testing.T, config Config) *Server {
@@ -16,14 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan error, 1)
-	go func() { done <- server.Run(context.Background()) }()
-	t.Cleanup(func() {
-		_ = server.Close()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
+	servertest.Run(t, server)
 	return server
 }
 
--- a/internal/workload/caller/caller_test.go
+++ b/internal/workload/caller/caller_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 	"github.com/tamarindring/tamarindring/internal/standin/application"
 	"github.com/tamarindring/tamarindring/internal/standin/engine"
 	"github.com/tamarindring/tamarindring/internal/verdict"
@@ -25,23 +26,6 @@
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
 }
 
-type server interface {
-	Run(context.Context) error
-	Close() error
-}
-
-func run(t *testing.T, server server) {
-	t.Helper()
-	done := make(chan error, 1)
-	go func() { done <- server.Run(context.Background()) }()
-	t.Cleanup(func() {
-		_ = server.Close()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	})
-}
-
 // drive calls the addresses for a short while and returns the caller when every call is over.
 func drive(t *testing.T, source workload.Source, addresses ...string) *Caller {
 	t.Helper()
@@ -70,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	run(t, started)
+	servertest.Run(t, started)
 	started.SetFaults(engine.Faults{CutProbability: 0.3, CutCleanly: true})
 	stats := drive(t, workload.Source{StreamedShare: 0.7, ChatShare: 0.5}, started.Address()).Stats()
 	total := stats.Total
@@ -92,7 +76,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	run(t, started)
+	servertest.Run(t, started)
 	started.SetFaults(engine.Faults{DuplicateProbability: 1})
 	total := drive(t, workload.Source{StreamedShare: 1}, started.Address()).Stats().Total
 	if total.Requests == 0 || total.Wrong != total.Requests {
@@ -133,7 +117,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	run(t, replica)
+	servertest.Run(t, replica)
 	replica.SetFaults(application.Faults{RefuseProbability: 0.2, CrashBeforeRunProbability: 0.2})
 	made := drive(t, workload.Source{Service: workload.ServiceApplication, Operation: "push"}, poolProxy(t, replica.Address()))
 	stats := made.Stats()
