--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -126,9 +126,13 @@
 	calls   []replica.Call
 	running map[string]int // by attempt
 	doubled bool
+	arrive  func() // before a call is admitted; may be nil
 }
 
 func (f *fakeReplicas) Do(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+	if f.arrive != nil {
+		f.arrive()
+	}
 	if err := call.Admit(); err != nil {
 		return replica.Outcome{Verdict: verdict.DidNotRun, Err: err}
 	}
