--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -13,7 +13,7 @@
 }
 
 // open starts the operators' listener, or returns nil when none is wanted.
-func (o adminOptions) open(role, name string, opened doors, log *logrus.Entry) (*metrics.Admin, error) {
+func (o adminOptions) open(role, name string, opened roleCredentials, log *logrus.Entry) (*metrics.Admin, error) {
 	if o.AdminListen == "" {
 		return nil, nil
 	}
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -54,7 +54,7 @@
 
 func (c *controlCommand) serve(environment Environment, peers []control.Peer, process *processLog) error {
 	log := process.Entry
-	opened, err := c.doors(log)
+	opened, err := c.roleCredentials(log)
 	if err != nil {
 		return err
 	}
@@ -97,7 +97,7 @@
 
 // openPage serves the operators' page, if one is wanted, by way of this node and its peers. It returns what
 // ends it.
-func (c *controlCommand) openPage(own string, peers []control.Peer, opened doors, log *logrus.Entry) (func(), error) {
+func (c *controlCommand) openPage(own string, peers []control.Peer, opened roleCredentials, log *logrus.Entry) (func(), error) {
 	if c.PageListen == "" {
 		return func() {}, nil
 	}
--- a/internal/cli/coordinator.go
+++ b/internal/cli/coordinator.go
@@ -35,7 +35,7 @@
 	return c.run(environment, arguments, memberRole{role: "coordinator", name: c.Name, drainTime: c.DrainTime, open: c.openServer})
 }
 
-func (c *coordinatorCommand) openServer(ctx context.Context, opened doors, log *logrus.Entry) (memberServer, error) {
+func (c *coordinatorCommand) openServer(ctx context.Context, opened roleCredentials, log *logrus.Entry) (memberServer, error) {
 	return coordinator.Open(ctx, coordinator.Config{Name: c.Name, Listen: c.Listen, Zone: c.Zone, Region: c.Region,
 		Control: c.client(opened, log), Scorer: c.Scorer, WeightStore: c.WeightStore, Policy: rolloutPolicies[c.Policy],
 		MaxBodyBytes: c.MaxBody, DrainPatience: c.DrainPatience, Guard: opened.guard, Credentials: opened.client, Log: log})
--- a/internal/cli/credentials.go
+++ b/internal/cli/credentials.go
@@ -51,31 +51,31 @@
 	Tokens string `long:"tokens" value-name:"FILE" description:"File of the tokens that are accepted, by hash; everybody is let in if empty"`
 }
 
-// doors are a role's credentials; the fields are nil for what is not configured.
-type doors struct {
+// roleCredentials are what a role proves itself and checks others with; the fields are nil for what is not configured.
+type roleCredentials struct {
 	guard  *credentials.Guard
 	client *credentials.Client
 	tls    *credentials.TLS
 }
 
-func (o serverOptions) doors(log *logrus.Entry) (doors, error) {
+func (o serverOptions) roleCredentials(log *logrus.Entry) (roleCredentials, error) {
 	client, secure, err := o.shown(log)
 	if err != nil {
-		return doors{}, err
+		return roleCredentials{}, err
 	}
-	opened := doors{client: client, tls: secure}
+	opened := roleCredentials{client: client, tls: secure}
 	if o.Tokens == "" {
 		return opened, nil
 	}
 	opened.guard, err = credentials.NewGuard(o.Tokens, log)
 	if err != nil {
-		return doors{}, &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
+		return roleCredentials{}, &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 	}
 	return opened, nil
 }
 
 // warnIfOpen logs a warning when a listener that others can reach asks for no tokens.
-func (d doors) warnIfOpen(log *logrus.Entry, what, address string) {
+func (d roleCredentials) warnIfOpen(log *logrus.Entry, what, address string) {
 	if bound, err := net.ResolveTCPAddr("tcp", address); err == nil {
 		d.guard.WarnIfOpen(log, what, bound)
 	}
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -27,7 +27,7 @@
 	return c.run(environment, arguments, memberRole{role: "gateway", name: c.Name, drainTime: c.DrainTime, open: c.openServer})
 }
 
-func (c *gatewayCommand) openServer(ctx context.Context, opened doors, log *logrus.Entry) (memberServer, error) {
+func (c *gatewayCommand) openServer(ctx context.Context, opened roleCredentials, log *logrus.Entry) (memberServer, error) {
 	return gateway.Open(ctx, gateway.Config{Name: c.Name, Listen: c.Listen, Zone: c.Zone, Region: c.Region,
 		MaxBodyBytes: c.MaxBody, MaxConnections: c.Connections, MaxConnectionsPerAddress: c.PerAddress,
 		Guard: opened.guard, Log: log}, c.client(opened, log))
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -68,7 +68,7 @@
 // openMetrics opens the operators' listener. On the platform another process may have its port: then this one goes
 // without metrics, since callers matter more.
 func (r *platformRole) openMetrics(role, node string, log *logrus.Entry) *metrics.Admin {
-	admin, err := r.adminOptions.open(role, node, doors{}, log)
+	admin, err := r.adminOptions.open(role, node, roleCredentials{}, log)
 	if err != nil {
 		log.WithError(err).Error("no metrics are shown")
 		return nil
--- a/internal/cli/role.go
+++ b/internal/cli/role.go
@@ -30,11 +30,11 @@
 	name      string
 	drainTime time.Duration
 	// open starts the server; it is given the time that a start may take.
-	open func(ctx context.Context, opened doors, log *logrus.Entry) (memberServer, error)
+	open func(ctx context.Context, opened roleCredentials, log *logrus.Entry) (memberServer, error)
 }
 
 // client is the configuration of the role's client of the control group.
-func (o memberOptions) client(opened doors, log *logrus.Entry) controlclient.Config {
+func (o memberOptions) client(opened roleCredentials, log *logrus.Entry) controlclient.Config {
 	return controlclient.Config{Addresses: strings.Split(o.Control, ","), LedgerGroups: o.LedgerGroups,
 		Credentials: opened.client, Log: log}
 }
@@ -53,7 +53,7 @@
 
 func (o memberOptions) serve(environment Environment, role memberRole, process *processLog) error {
 	log := process.Entry
-	opened, err := o.doors(log)
+	opened, err := o.roleCredentials(log)
 	if err != nil {
 		return err
 	}
@@ -74,7 +74,7 @@
 	return serveMember(environment.Context, server, role.drainTime, &lostWatch{limit: o.LostTime}, log)
 }
 
-func (o memberOptions) start(ctx context.Context, opened doors, log *logrus.Entry, role memberRole) (memberServer, error) {
+func (o memberOptions) start(ctx context.Context, opened roleCredentials, log *logrus.Entry, role memberRole) (memberServer, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.StartTime)
 	defer cancel()
 	server, err := role.open(ctx, opened, log)
--- a/internal/control/standby_test.go
+++ b/internal/control/standby_test.go
@@ -129,16 +129,16 @@
 			voting = position
 		}
 	}
-	keeper := c.servers[0]
+	server := c.servers[0]
 	address := c.servers[voting].Address()
-	eventually(t, "a spare that has asked", func() bool {
-		may, err := keeper.MayRetire(testContext(t), address)
+	eventually(t, "a standby that has asked", func() bool {
+		may, err := server.MayRetire(testContext(t), address)
 		return err == nil && may
 	})
 	retire(t, client, "storage-1", address)
 	eventually(t, "the standby without votes", func() bool {
 		voters := slices.Concat(c.voters(0), c.voters(1))
-		return len(voters) > 0 && !slices.ContainsFunc(voters, func(voter uint64) bool { return keeper.AddressOf(voter) == address })
+		return len(voters) > 0 && !slices.ContainsFunc(voters, func(voter uint64) bool { return server.AddressOf(voter) == address })
 	})
 	c.awaitSize(5)
 	for _, position := range c.standbys {
--- a/internal/coordinator/doors_test.go
+++ b/internal/coordinator/authorization_test.go
@@ -13,14 +13,14 @@
 	"github.com/tamarindring/tamarindring/internal/logging"
 )
 
-func TestTrainersGetThroughTheDoorUnderTheirOwnNameOnly(t *testing.T) {
+func TestTrainersAreAdmittedUnderTheirOwnNameOnly(t *testing.T) {
 	path, tokens := credentialtest.WriteTokens(t, t.TempDir(), map[string]auth.Role{"wording": auth.Trainer, "other": auth.Trainer,
 		"alice": auth.Operator, "c1": auth.Node, "shop": auth.Caller})
 	tokens["none"] = ""
 	guard, err := credentials.NewGuard(path, logging.Discard())
 	must(t, err)
 	server := &Server{config: Config{Guard: guard}}
-	server.leaving.Store(true) // what gets through the door is refused as draining
+	server.leaving.Store(true) // what is admitted is refused as draining
 	for name, token := range tokens {
 		for _, target := range []string{"PUT /v1/trainers/wording/steps/1", "POST /v1/trainers/wording/fetch", "POST /v1/trainers/wording/versions", "GET /v1/stats", "POST " + handOverPath, "GET " + newsPath + "copy"} {
 			var method, url string
--- a/internal/dispatch/settlements.go
+++ b/internal/dispatch/settlements.go
@@ -1,7 +1,7 @@
 package dispatch
 
 // Settlements decides which of the answered requests of one ledger group may tell the ledger now how they ended. A
-// ledger that was away for long must not find thousands of them at its door when it is back, beside the claims of
+// ledger that was away for long must not meet thousands of them when it is back, beside the claims of
 // callers that wait: few are under way at a time, fewer still while the ledger does not answer. What frees a key or
 // keeps an answer for others goes first. It is not safe for concurrent use.
 type Settlements struct {
--- a/internal/gateway/api_test.go
+++ b/internal/gateway/api_test.go
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	codes := map[string]bool{}
-	for _, file := range []string{"request.go", "handler.go", "reply.go", "doors.go", "body.go", "../dispatch/codes.go"} {
+	for _, file := range []string{"request.go", "handler.go", "reply.go", "authorization.go", "body.go", "../dispatch/codes.go"} {
 		source, err := os.ReadFile(file)
 		if err != nil {
 			t.Fatal(err)
