control: a version that one holder was sent first is still announced to the others

The other holders got the version with their next renewal, up to 0.2 s later, instead of at once. Change: refresh reports what it has not reported, whoever saw it first. Test: TestVersionThatAHolderGotFirstIsAnnounced, which fails before.

--- a/internal/control/tableupdates.go
+++ b/internal/control/tableupdates.go
@@ -46,7 +46,8 @@
 	// read returns what is newer than a version in the table as applied here; nil if that is not known.
 	read func(known uint64) *wire.TableUpdate
 
-	making sync.Mutex // held while an update is made, so that it is made once
+	making    sync.Mutex // held while an update is made, so that it is made once
+	announced uint64     // newest version that refresh reported; guarded by making
 
 	mutex   sync.Mutex
 	current uint64                      // newest version that was seen
@@ -65,21 +66,23 @@
 	return u.current
 }
 
-// refresh looks for a newer version, and reports whether there is one.
+// refresh looks for a newer version, and reports whether there is one that it has not reported yet: a holder may have been
+// sent it before, and the others wait to be told.
 func (u *tableUpdates) refresh() (version uint64, newer bool, err error) {
 	u.making.Lock()
 	defer u.making.Unlock()
 	known := u.version()
-	update := u.read(known)
-	if update == nil || update.ToVersion <= known {
-		return known, false, nil
-	}
-	published, err := publish(update)
-	if err != nil {
-		return known, false, err
+	if update := u.read(known); update != nil && update.ToVersion > known {
+		published, err := publish(update)
+		if err != nil {
+			return known, false, err
+		}
+		u.keep(known, published)
 	}
-	u.keep(known, published)
-	return update.ToVersion, true, nil
+	version = u.version()
+	newer = version > u.announced
+	u.announced = version
+	return version, newer, nil
 }
 
 // from returns what brings a holder of version known forward; nil if it has the newest. The holder may need another
--- a/internal/control/tableupdates_test.go
+++ b/internal/control/tableupdates_test.go
@@ -147,3 +147,29 @@
 		t.Fatalf("the whole table is not packed: %v", err)
 	}
 }
+
+// TestVersionThatAHolderGotFirstIsAnnounced: a holder renews between the moment at which a change is applied and the one at
+// which the publisher looks. The holder gets it, and the others are told all the same, once.
+func TestVersionThatAHolderGotFirstIsAnnounced(t *testing.T) {
+	source := newCountedTable(t, 10)
+	updates := newTableUpdates(source.read)
+	if _, newer, err := updates.refresh(); !newer || err != nil {
+		t.Fatal(newer, err)
+	}
+	behind := updates.version()
+	source.drain(t, 1)
+	if _, newer, err := updates.refresh(); !newer || err != nil {
+		t.Fatal(newer, err)
+	}
+	source.drain(t, 2) // applied; the publisher has not looked yet
+	if published, err := updates.from(behind); err != nil || published == nil || published.update.ToVersion != source.table.Version() {
+		t.Fatalf("%v, %v: the holder that is behind did not get the newest version", published, err)
+	}
+	version, newer, err := updates.refresh()
+	if err != nil || !newer || version != source.table.Version() {
+		t.Fatalf("version %d of %d, newer %v, %v", version, source.table.Version(), newer, err)
+	}
+	if _, newer, err = updates.refresh(); newer || err != nil {
+		t.Fatalf("a version was announced twice: %v", err)
+	}
+}
