member: the registration of a storage machine that leaves may be sent again

Cause: TestRetireAStorageMachine failed once beside other work ('a later start of storage-1 has registered'). A storage machine that an operator has asked to leave stays leaving over its restarts; where the answer to the registration of such a restart is lost, the client sends it again, and the list compared it with what the first one had left (leaving, same start) and refused it. The process then logs that it can't be retired, although it is known. Ruled out: a later start (there was none), the order of the test. Change: the same registration is accepted and changes nothing; an earlier start and a member that is gone are refused as before. Test: TestARegistrationMayBeSentAgain, which fails before (first accepted, again refused).

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -86,7 +86,7 @@
 	if next.GetRole() != held.GetRole() || next.GetAddress() != held.GetAddress() {
 		return false
 	}
-	if !known.left {
+	if !known.left || staysDraining(known, next) && held.GetState() == wire.MemberState_MEMBER_STATE_LEAVING {
 		return true
 	}
 	if held.GetState() == wire.MemberState_MEMBER_STATE_GONE {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -84,3 +84,35 @@
 		}
 	}
 }
+
+// TestARegistrationMayBeSentAgain: a storage member that an operator has asked to leave starts again, and the answer to its
+// registration is lost. The same registration is taken once more, and changes nothing.
+func TestARegistrationMayBeSentAgain(t *testing.T) {
+	list := New()
+	apply := func(incarnation uint64, state wire.MemberState) *wire.MemberResult {
+		step := update(incarnation, state)
+		step.Member.Role = wire.MemberRole_MEMBER_ROLE_STORAGE
+		result, err := list.Apply(step)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return result
+	}
+	apply(1, wire.MemberState_MEMBER_STATE_ALIVE)
+	apply(1, wire.MemberState_MEMBER_STATE_LEAVING)
+	first := apply(2, wire.MemberState_MEMBER_STATE_ALIVE)
+	again := apply(2, wire.MemberState_MEMBER_STATE_ALIVE)
+	if !first.GetAccepted() || !again.GetAccepted() || again.GetMembersVersion() != first.GetMembersVersion() {
+		t.Fatalf("first %v, again %v", first, again)
+	}
+	if got := list.Get("g1").GetState(); got != wire.MemberState_MEMBER_STATE_LEAVING {
+		t.Fatalf("the member is %s", wire.MemberStateText(got))
+	}
+	if apply(1, wire.MemberState_MEMBER_STATE_ALIVE).GetAccepted() {
+		t.Fatal("an earlier start was taken")
+	}
+	apply(2, wire.MemberState_MEMBER_STATE_GONE)
+	if apply(2, wire.MemberState_MEMBER_STATE_ALIVE).GetAccepted() {
+		t.Fatal("a member that is gone came back")
+	}
+}
