--- a/internal/controlclient/session_test.go
+++ b/internal/controlclient/session_test.go
@@ -103,13 +103,14 @@
 	}
 	client := newTestClient(t, Config{Addresses: []string{leader.address},
 		Member: &wire.Member{Name: "g", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Incarnation: 1}})
-	session, err := client.StartSession(testContext(t))
+	ctx := testContext(t)
+	session, err := client.StartSession(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer session.Close()
 	for session.View().Pool("chat") == nil {
-		if t.Context().Err() != nil || testContext(t).Err() != nil {
+		if ctx.Err() != nil {
 			t.Fatal("the packed table was not read")
 		}
 		time.Sleep(time.Millisecond)
