--- a/internal/gateway/authorization_test.go
+++ b/internal/gateway/authorization_test.go
@@ -28,7 +28,7 @@
 	return guard, tokens
 }
 
-func TestOnlyTokensOfTheRightRoleGetThroughTheDoor(t *testing.T) {
+func TestOnlyTokensOfTheRightRoleAreAdmitted(t *testing.T) {
 	guard, tokens := guardWithAllRoles(t)
 	f := newFixture(t, 0, 1, 1, func(c *Config) { c.Guard = guard })
 	tokens["nobody"], tokens["wrong"] = "", tokens[auth.Caller]+"x"
@@ -46,7 +46,7 @@
 				open = open || one == role
 			}
 			key := fmt.Sprintf("%s-%s", strings.ReplaceAll(path, "/", "_"), role)
-			f.expectDoor(t, path, key, token, open)
+			f.expectAdmission(t, path, key, token, open)
 		}
 	}
 	for _, execution := range f.apps[0].Log() {
@@ -59,8 +59,8 @@
 	}
 }
 
-// expectDoor sends a request and fails unless it was let in or refused as it should be.
-func (f *fixture) expectDoor(t *testing.T, target, key, token string, open bool) {
+// expectAdmission sends a request and fails unless it was let in or refused as it should be.
+func (f *fixture) expectAdmission(t *testing.T, target, key, token string, open bool) {
 	t.Helper()
 	method, path, _ := strings.Cut(target, " ")
 	request, err := http.NewRequest(method, "http://"+f.gateways[0].Address()+path, strings.NewReader(`{"model":"copy"}`))
