--- a/internal/configure/configure_test.go
+++ b/internal/configure/configure_test.go
@@ -19,7 +19,8 @@
 type fakeControl struct {
 	table   *table.Table
 	before  func()
-	fetched int // rows that reads returned
+	fetched int   // rows that reads returned
+	lost    error // of every change: its fate is not known
 }
 
 func (f *fakeControl) Query(_ context.Context, _ uint32, query *wire.Query) (*wire.View, error) {
@@ -33,6 +34,9 @@
 		f.before = nil
 		hook()
 	}
+	if f.lost != nil {
+		return nil, 0, f.lost
+	}
 	return f.table.Apply(change), 0, nil
 }
 
@@ -167,3 +171,20 @@
 		t.Fatalf("the change left revision %d, %v", revision, err)
 	}
 }
+
+// TestPutWhoseFateIsNotKnownIsNoSuccess: a change that got no answer is not acknowledged, nor called invalid; the same
+// configuration, sent again, is taken.
+func TestPutWhoseFateIsNotKnownIsNoSuccess(t *testing.T) {
+	control := &fakeControl{table: table.New(), lost: trace.ConnectionProblem(nil, "no answer")}
+	importer := &Importer{Control: control, Operator: "test"}
+	if err := importer.Put(t.Context(), example(3)); err == nil || trace.IsBadParameter(err) {
+		t.Fatalf("a change without an answer ended with %v", err)
+	}
+	control.lost = nil
+	if err := importer.Put(t.Context(), example(3)); err != nil {
+		t.Fatal(err)
+	}
+	if revision, _, err := importer.Get(t.Context()); err != nil || revision != 3 {
+		t.Fatalf("revision %d, %v", revision, err)
+	}
+}
