--- a/internal/batchrun/rewards_test.go
+++ b/internal/batchrun/rewards_test.go
@@ -177,6 +177,31 @@
 	}
 }
 
+// TestWholeTextsNeedTheirItemsRouteNoMore drops the items' route while their texts wait for a score.
+func TestWholeTextsNeedTheirItemsRouteNoMore(t *testing.T) {
+	r := newRig(t)
+	r.scorers(t)
+	down := refusing(replica.RefusedUnreachable)
+	r.replicas.play["s1"], r.replicas.play["s2"] = down, down
+	r.run(t)
+	r.submit(t, "a", 2, rewarded)
+	r.until(t, "all texts are committed", func() bool { return len(r.unscored(t)) == 2 })
+	r.mutex.Lock()
+	r.routed = false
+	r.mutex.Unlock()
+	r.session.set(t, 4, "r1 active", "r2 active") // a newer table
+	r.submit(t, "b", 1, func(submit *wire.JobSubmit) { submit.Items[0].Id = "other" })
+	if state := r.await(t, "b", 1)["other"].GetState(); state != wire.JobItemState_JOB_ITEM_STATE_TERMINATED {
+		t.Fatalf("an item without a route is %s", state) // so the runner has seen the table
+	}
+	r.replicas.mutex.Lock()
+	r.replicas.play["s1"], r.replicas.play["s2"] = scoring, scoring
+	r.replicas.mutex.Unlock()
+	for _, result := range r.await(t, "a", 2) {
+		wantWhole(t, result, "[5]")
+	}
+}
+
 func TestEndedJobsStopTheirRewardCalls(t *testing.T) {
 	r := newRig(t)
 	r.scorers(t)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// TestLateScoreLeadsToItsRequests goes from an item to the requests of its reward call, which name the call only.
+func TestLateScoreLeadsToItsRequests(t *testing.T) {
+	leader := newProcess(t, "core-1", 0)
+	leader.at(0, &events.JobOpened{Job: "j1", Items: 1})
+	leader.at(10*time.Millisecond, &events.RunEnded{Job: "j1", Item: "a", Replica: "i-1", Ending: "completed", Next: "to_score"})
+	leader.at(10*time.Millisecond, &events.RewardBegan{Job: "j1", Item: "a", Call: "c9"})
+	leader.at(900*time.Millisecond, &events.AttemptFailed{Request: "c9", Replica: "i-7", Cause: "connection reset"})
+	leader.at(901*time.Millisecond, &events.RequestFailed{Request: "c9", Reason: "no back end took the request", Verdict: "may-have-run"})
+	leader.at(902*time.Millisecond, &events.RewardTried{Job: "j1", Item: "a", Call: "c9", Ending: "lost", Tries: 1})
+	leader.at(990*time.Millisecond, &events.RequestAnswered{Request: "c9", Replica: "i-8", Status: 200})
+	leader.at(991*time.Millisecond, &events.RewardEnded{Job: "j1", Item: "a", Call: "c9", Ending: "scored", Tries: 1})
+	leader.at(991*time.Millisecond, &events.ItemFinished{Job: "j1", Item: "a", State: "completed"})
+	story := tell(t, "a", leader)
+	want := "job_opened run_ended reward_began attempt_failed request_failed reward_tried request_answered reward_ended item_finished"
+	if got := eventNames(story); got != want {
+		t.Fatalf("told %q, want %q", got, want)
+	}
+	if job := tell(t, "j1", leader); eventNames(job) != "job_opened" || job.Items[0].State != "completed" {
+		t.Fatalf("the job's story is %q, its items %+v", eventNames(job), job.Items)
+	}
+}
+
 // TestCausesComeFirst orders lines of machines whose clocks differ.
 func TestCausesComeFirst(t *testing.T) {
 	gateway, leader := newProcess(t, "edge-1", 300*time.Millisecond), newProcess(t, "core-1", 0)
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -20,7 +20,7 @@
 	replicaBeliefs = []string{"replica_quarantined", "replica_restored", "replica_suspended", "replica_registered", "replicas_silent",
 		"order_sent", "order_ended"}
 	// runEvents come for each run of an item: a job's story counts them, an item's tells them.
-	runEvents = []string{"run_started", "run_ended", "item_finished", "results_committed"}
+	runEvents = []string{"run_started", "run_ended", "item_finished", "results_committed", "reward_began", "reward_tried", "reward_ended"}
 )
 
 // Story is what the logs say of one id.
@@ -52,6 +52,7 @@
 		story.Items = items(own, id)
 		own = slices.DeleteFunc(own, func(line *Line) bool { return slices.Contains(runEvents, line.Event) })
 	} else if job := jobOf(own); job != "" {
+		own = append(own, l.rewardLines(own)...)
 		own = append(own, l.jobLines(job, own)...)
 	}
 	story.Lines = order(append(own, l.beliefs(own)...))
@@ -82,6 +83,30 @@
 	return ""
 }
 
+// rewardLines returns what the requests of an item's reward calls left, which name the calls' ids.
+func (l *Logs) rewardLines(known []*Line) []*Line {
+	var found []*Line
+	for _, call := range rewardCalls(known) {
+		for _, line := range l.naming(call) {
+			if !slices.Contains(known, line) && !slices.Contains(found, line) {
+				found = append(found, line)
+			}
+		}
+	}
+	return found
+}
+
+// rewardCalls are the ids of the reward calls that an item's lines name.
+func rewardCalls(lines []*Line) []string {
+	var calls []string
+	for _, line := range lines {
+		if call := line.Value("call"); call != "" && !slices.Contains(calls, call) {
+			calls = append(calls, call)
+		}
+	}
+	return calls
+}
+
 // jobLines returns a job's own lines, without those of its items.
 func (l *Logs) jobLines(job string, known []*Line) []*Line {
 	var found []*Line
