batch: a committed part of a text is not sent again with its result

Change: parts are deflated and held in pieces; a result or unscored text brings what no part has brought and names what it follows by length and XXH64. One that follows a text which is not held is passed over and told (JobReply.unmatched), and comes again with the whole text. Histories of the store play it, and a runner whose parts are lost.

--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 
 	"github.com/gravitational/trace"
@@ -102,25 +103,35 @@
 		if held == nil || held.ended && !s.unsafe.ListAfterEnd {
 			continue
 		}
-		s.takeTexts(held, results)
+		answer.Unmatched = append(answer.Unmatched, s.takeTexts(held, results)...)
 		for _, score := range results.GetScores() {
-			if s.score(held, score) {
+			switch id := score.GetItem(); {
+			case s.score(held, score):
 				answer.Stored++
+			case held.items[id].GetReward() != nil && !held.listed[id]:
+				answer.Unmatched = append(answer.Unmatched, &wire.JobItemRef{Job: results.GetJob(), Item: id})
 			}
 		}
 		for _, result := range results.GetResults() {
-			known := held.items[result.GetItem()] != nil
-			if known && (!held.listed[result.GetItem()] || s.unsafe.ListTwice) {
-				s.list(held, result)
-				answer.Stored++
+			id := result.GetItem()
+			if held.items[id] == nil || held.listed[id] && !s.unsafe.ListTwice {
+				continue
+			}
+			whole, matched := s.whole(held, result)
+			if !matched {
+				answer.Unmatched = append(answer.Unmatched, &wire.JobItemRef{Job: results.GetJob(), Item: id})
+				continue
 			}
+			s.list(held, whole)
+			answer.Stored++
 		}
 	}
 	return answer, nil
 }
 
-// takeTexts takes what is new of texts that are not listed yet.
-func (s *Store) takeTexts(held *job, results *wire.JobResults) {
+// takeTexts takes what is new of texts that are not listed yet. It returns the whole texts that follow one that is not
+// held.
+func (s *Store) takeTexts(held *job, results *wire.JobResults) (unmatched []*wire.JobItemRef) {
 	for _, partial := range results.GetPartials() {
 		id := partial.GetItem()
 		if held.items[id] != nil && !held.listed[id] && held.unscored[id] == nil {
@@ -128,23 +139,26 @@
 		}
 	}
 	for _, text := range results.GetUnscored() {
-		s.awaitScore(held, text)
+		if !s.awaitScore(held, text) {
+			unmatched = append(unmatched, &wire.JobItemRef{Job: results.GetJob(), Item: text.GetItem()})
+		}
 	}
+	return unmatched
 }
 
 func (s *Store) checkResults(results *wire.JobResults) error {
 	for _, result := range results.GetResults() {
-		if err := checkResult(result); err != nil {
+		if err := cmp.Or(checkResult(result), checkPieces(result.GetItem(), result.GetPieces())); err != nil {
 			return err
 		}
 	}
 	for _, partial := range results.GetPartials() {
-		if err := checkPartial(partial); err != nil {
+		if err := cmp.Or(checkPartial(partial), checkPieces(partial.GetItem(), partial.GetPieces())); err != nil {
 			return err
 		}
 	}
 	for _, text := range results.GetUnscored() {
-		if err := checkUnscored(text); err != nil {
+		if err := cmp.Or(checkUnscored(text), checkPieces(text.GetItem(), text.GetPieces())); err != nil {
 			return err
 		}
 	}
@@ -156,17 +170,26 @@
 	return s.checkScored(results)
 }
 
+// checkPieces refuses what a command must not have: the store itself puts texts together.
+func checkPieces(item string, pieces []*wire.JobText) error {
+	if len(pieces) > 0 {
+		return trace.BadParameter("the text of item %q comes in pieces", item)
+	}
+	return nil
+}
+
 func checkResult(result *wire.JobResult) error {
 	switch result.GetState() {
 	case wire.JobItemState_JOB_ITEM_STATE_COMPLETED:
 	case wire.JobItemState_JOB_ITEM_STATE_TERMINATED:
-		if len(result.GetText()) > 0 || result.GetDeflatedFrom() > 0 || len(result.GetVersions()) > 0 || result.GetScore() != "" {
+		if len(result.GetText()) > 0 || result.GetDeflatedFrom() > 0 || len(result.GetPieces()) > 0 || result.GetFollowsLength() > 0 || len(result.GetVersions()) > 0 || result.GetScore() != "" {
 			return trace.BadParameter("item %q was terminated and has a text or a score", result.GetItem())
 		}
 	default:
 		return trace.BadParameter("the result of item %q has no state", result.GetItem())
 	}
-	if textBytes(result) > MaximumResultBytes || len(result.GetText()) > textBytes(result) {
+	tooLong := result.GetFollowsLength() > MaximumResultBytes || textBytes(result)+int(result.GetFollowsLength()) > MaximumResultBytes
+	if tooLong || storedBytes(result) > textBytes(result) {
 		return trace.BadParameter("the text of item %q is longer than %d bytes", result.GetItem(), MaximumResultBytes)
 	}
 	if len(result.GetScore()) > MaximumScoreBytes {
--- a/internal/batch/history_test.go
+++ b/internal/batch/history_test.go
@@ -61,7 +61,7 @@
 	h.now += rapid.Int64Range(0, 3).Draw(t, "passes")
 	id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job")
 	item := fmt.Sprint("i", rapid.IntRange(0, 1).Draw(t, "item"))
-	switch rapid.IntRange(0, 11).Draw(t, "command") {
+	switch rapid.IntRange(0, 13).Draw(t, "command") {
 	case 0, 1:
 		return h.submit(id, rapid.IntRange(0, 3).Draw(t, "variant")/3)
 	case 2:
@@ -70,6 +70,8 @@
 		return h.awaitScore(id)
 	case 11:
 		return h.score(id)
+	case 12, 13:
+		return h.finishRun(id, item, rapid.IntRange(0, 1).Draw(t, "leader"))
 	case 3:
 		return h.end(id)
 	case 4:
@@ -120,6 +122,52 @@
 	return err
 }
 
+// finishRun commits the end of a run of which a part is committed: it counts only after the text of that very run.
+func (h *history) finishRun(id, item string, leader int) error {
+	running := h.runs[fmt.Sprint(id, item, leader)]
+	if running == nil || running.committed == 0 {
+		return nil
+	}
+	text := append(slices.Clone(running.text), fmt.Sprint("\nend at ", h.now)...)
+	result := CompletedAfter(item, text, running.committed, []uint64{3})
+	known := h.jobs[id]
+	open := known != nil && !known.ended && !known.lists(item)
+	waits := item == "i0"
+	matches := open && string(h.partials(id)[item]) == string(running.text[:running.committed])
+	command := stored(id, result)
+	if waits {
+		command = unscored(id, result)
+	}
+	reply, err := h.store.Store(command)
+	if err != nil {
+		return err
+	}
+	wanted := open && !(waits && h.whole[id] != nil)
+	if unmatched := len(reply.GetUnmatched()) > 0; wanted && unmatched == matches {
+		return trace.Errorf("the end of a run of %s of %s is taken: %v, the text before it is held: %v", item, id, !unmatched, matches)
+	}
+	if !wanted || !matches {
+		return nil
+	}
+	if waits {
+		h.whole[id] = &wire.JobResult{Item: item, State: result.GetState(), Text: text, Versions: result.GetVersions()}
+	} else {
+		known.results = append(known.results, &wire.JobResult{Item: item, State: result.GetState(), Text: text, Versions: result.GetVersions()})
+	}
+	return nil
+}
+
+// read is a result with its text in one piece, as it is read.
+func read(result *wire.JobResult) (*wire.JobResult, error) {
+	text, err := Text(result)
+	if err != nil {
+		return nil, err
+	}
+	whole := proto.Clone(result).(*wire.JobResult)
+	whole.Text, whole.DeflatedFrom, whole.Pieces = text, 0, nil
+	return whole, nil
+}
+
 func (e *expectedJob) lists(item string) bool {
 	return slices.ContainsFunc(e.results, func(listed *wire.JobResult) bool { return listed.GetItem() == item })
 }
@@ -213,7 +261,11 @@
 	for _, work := range h.store.Work(&wire.JobWorkQuery{}).GetJobs() {
 		for _, held := range work.GetPartials() {
 			if work.GetJob().GetId() == id {
-				texts[held.GetItem()] = held.GetData()
+				text, err := PartialText(held)
+				if err != nil {
+					panic(err) // made by this test
+				}
+				texts[held.GetItem()] = text
 			}
 		}
 	}
@@ -231,6 +283,10 @@
 			return trace.Errorf("job %s is %v, want %+v", id, view, known)
 		}
 		for position, result := range view.GetResults() {
+			result, err := read(result)
+			if err != nil {
+				return err
+			}
 			if !proto.Equal(result, known.results[position]) {
 				return trace.Errorf("position %d of %s holds %v, want %v", position, id, result, known.results[position])
 			}
--- a/internal/batch/partial.go
+++ b/internal/batch/partial.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
@@ -16,31 +15,55 @@
 	switch {
 	case len(partial.GetData()) == 0 || partial.GetEvents() == 0:
 		return trace.BadParameter("the partial text of item %q is empty", partial.GetItem())
-	case partial.GetLength() > MaximumResultBytes || int(partial.GetLength())+len(partial.GetData()) > MaximumResultBytes:
+	case len(partial.GetData()) > rawLength(partial.GetData(), partial.GetDeflatedFrom()):
+		return trace.BadParameter("the partial text of item %q grew when it was deflated", partial.GetItem())
+	case partial.GetLength() > MaximumResultBytes || int(partial.GetLength())+rawBytes(partialPieces(partial)) > MaximumResultBytes:
 		return trace.BadParameter("the partial text of item %q is longer than %d bytes", partial.GetItem(), MaximumResultBytes)
 	}
 	return nil
 }
 
-// TextSum identifies a text that a partial text follows. Length and last event are not enough: runs of one item
-// that different leaders began may have both in common.
-func TextSum(text []byte) uint64 { return xxhash.Sum64(text) }
-
 // extend takes a partial text that begins anew or goes on where the held one ends.
 func (s *Store) extend(j *job, partial *wire.JobPartial) {
 	held := j.partials[partial.GetItem()]
-	whole := partial.GetData()
+	added := &wire.JobPartial{
+		Item: partial.GetItem(), Data: partial.GetData(), DeflatedFrom: partial.GetDeflatedFrom(), Events: partial.GetEvents(),
+		NextLastId: partial.GetNextLastId(), Dense: partial.GetDense(), Versions: partial.GetVersions(), Sum: partial.GetSum(),
+	}
 	if partial.GetLength() > 0 {
-		same := uint64(len(held.GetData())) == partial.GetLength() && held.GetNextLastId() == partial.GetLastId()
-		if !same || TextSum(held.GetData()) != partial.GetFollows() && !s.unsafe.JoinRuns {
+		if held == nil || held.GetNextLastId() != partial.GetLastId() || !s.holds(held, partial.GetLength(), partial.GetFollows()) {
+			return
+		}
+		added.Pieces = partialPieces(held)
+	}
+	if added.Sum == 0 { // of an earlier version of the program, which told none
+		text, err := PartialText(added)
+		if err != nil {
 			return
 		}
-		whole = slices.Concat(held.GetData(), partial.GetData())
+		added.Sum = TextSum(text)
+	}
+	s.hold(j, added)
+}
+
+// holds tells whether a held partial text is the one that something follows.
+func (s *Store) holds(held *wire.JobPartial, length, sum uint64) bool {
+	return uint64(rawBytes(partialPieces(held))) == length && (held.GetSum() == sum || s.unsafe.JoinRuns)
+}
+
+// whole returns a result with the held partial text that it follows; false if that is not held.
+func (s *Store) whole(j *job, result *wire.JobResult) (*wire.JobResult, bool) {
+	if result.GetFollowsLength() == 0 {
+		return result, true
+	}
+	held := j.partials[result.GetItem()]
+	if held == nil || !s.holds(held, result.GetFollowsLength(), result.GetFollows()) {
+		return nil, false
 	}
-	s.hold(j, &wire.JobPartial{
-		Item: partial.GetItem(), Data: whole, Events: partial.GetEvents(), NextLastId: partial.GetNextLastId(),
-		Dense: partial.GetDense(), Versions: partial.GetVersions(),
-	})
+	return &wire.JobResult{
+		Item: result.GetItem(), State: result.GetState(), Text: result.GetText(), DeflatedFrom: result.GetDeflatedFrom(),
+		Versions: result.GetVersions(), Score: result.GetScore(), Pieces: partialPieces(held),
+	}, true
 }
 
 func (s *Store) hold(j *job, partial *wire.JobPartial) {
--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -27,7 +27,7 @@
 		return view
 	}
 	for _, result := range held.results[query.GetSince():] {
-		if budget -= proto.Size(result) - len(result.GetText()) + textBytes(result); budget < 0 && len(view.Results) > 0 {
+		if budget -= proto.Size(result) - storedBytes(result) + textBytes(result); budget < 0 && len(view.Results) > 0 {
 			break
 		}
 		view.Results = append(view.Results, result)
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -52,7 +52,7 @@
 		if err := checkResult(result); err != nil {
 			return trace.Wrap(err, "snapshot has a malformed result of job %q", id)
 		}
-		if held.items[result.GetItem()] == nil || held.listed[result.GetItem()] {
+		if held.items[result.GetItem()] == nil || held.listed[result.GetItem()] || result.GetFollowsLength() > 0 {
 			return trace.BadParameter("snapshot has a result of job %q for no item or twice: %q", id, result.GetItem())
 		}
 		s.list(held, result)
--- a/internal/batch/store_test.go
+++ b/internal/batch/store_test.go
@@ -36,6 +36,15 @@
 		Events: events, NextLastId: int64(events) - 1, Dense: true, Versions: []uint64{3}, Follows: TextSum([]byte(before))}
 }
 
+func partialText(t *testing.T, held *wire.JobPartial) []byte {
+	t.Helper()
+	text, err := PartialText(held)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
 func storedPartial(job string, partials ...*wire.JobPartial) *wire.JobStore {
 	return &wire.JobStore{Jobs: []*wire.JobResults{{Job: job, Partials: partials}}}
 }
@@ -65,7 +74,7 @@
 		}
 		got := ""
 		for _, held := range store.Work(&wire.JobWorkQuery{}).GetJobs()[0].GetPartials() {
-			got += string(held.GetData())
+			got += string(partialText(t, held))
 		}
 		if got != step.want {
 			t.Fatalf("after %v: %q is held, want %q", step.stored, got, step.want)
--- a/internal/batch/unscored.go
+++ b/internal/batch/unscored.go
@@ -47,16 +47,22 @@
 	return nil
 }
 
-// awaitScore holds an item's whole text. The first one wins: the score of another run's text is as good for it.
-func (s *Store) awaitScore(j *job, text *wire.JobResult) {
+// awaitScore holds an item's whole text. The first one wins: the score of another run's text is as good for it. It
+// reports false if the text follows one that is not held.
+func (s *Store) awaitScore(j *job, text *wire.JobResult) bool {
 	id := text.GetItem()
 	if j.items[id].GetReward() == nil || j.listed[id] || j.unscored[id] != nil && !s.unsafe.ReplaceText {
-		return
+		return true
+	}
+	text, matched := s.whole(j, text)
+	if !matched {
+		return false
 	}
 	s.drop(j, id)
 	s.dropUnscored(j, id)
 	j.unscored[id] = text
 	s.count(j, proto.Size(text))
+	return true
 }
 
 // score lists the text that is held of an item; it reports whether there was one.
@@ -67,7 +73,7 @@
 	}
 	s.list(j, &wire.JobResult{
 		Item: text.GetItem(), State: text.GetState(), Text: text.GetText(), Versions: text.GetVersions(),
-		DeflatedFrom: text.GetDeflatedFrom(), Score: score.GetScore(),
+		DeflatedFrom: text.GetDeflatedFrom(), Pieces: text.GetPieces(), Score: score.GetScore(),
 	})
 	return true
 }
@@ -90,10 +96,12 @@
 			return trace.Wrap(err, "snapshot has a malformed text without score")
 		}
 		id := text.GetItem()
-		if held.ended || held.items[id].GetReward() == nil || held.listed[id] || held.unscored[id] != nil || held.partials[id] != nil {
+		if held.ended || held.items[id].GetReward() == nil || held.listed[id] || held.unscored[id] != nil || held.partials[id] != nil || text.GetFollowsLength() > 0 {
 			return trace.BadParameter("snapshot has a text without score that no open item can have: %q", id)
 		}
-		s.awaitScore(held, text)
+		if !s.awaitScore(held, text) {
+			return trace.BadParameter("snapshot has a text without score that follows none: %q", id)
+		}
 	}
 	return nil
 }
--- a/internal/batchrun/checkpoint.go
+++ b/internal/batchrun/checkpoint.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -27,9 +29,10 @@
 // checkpoint returns what the text has gained since the last one.
 func (t *text) checkpoint(item string) *wire.JobPartial {
 	partial := &wire.JobPartial{
-		Item: item, Length: uint64(t.committed), Data: slices.Clone(t.data[t.committed:]), Events: uint64(t.events),
-		NextLastId: t.lastID, Dense: t.dense, Versions: slices.Clone(t.versions),
+		Item: item, Length: uint64(t.committed), Events: uint64(t.events), NextLastId: t.lastID, Dense: t.dense,
+		Versions: slices.Clone(t.versions), Sum: batch.TextSum(t.data),
 	}
+	partial.Data, partial.DeflatedFrom = batch.Deflate(slices.Clone(t.data[t.committed:]))
 	if t.committed > 0 {
 		partial.LastId, partial.Follows = t.committedID, batch.TextSum(t.data[:t.committed])
 	}
@@ -38,10 +41,14 @@
 }
 
 // restoredText is the text that an earlier leader committed.
-func restoredText(partial *wire.JobPartial) *text {
+func restoredText(partial *wire.JobPartial) (*text, error) {
+	data, err := batch.PartialText(partial)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	return &text{
-		data: slices.Clone(partial.GetData()), events: int(partial.GetEvents()), lastID: partial.GetNextLastId(),
+		data: slices.Clone(data), events: int(partial.GetEvents()), lastID: partial.GetNextLastId(),
 		dense: partial.GetDense(), versions: slices.Clone(partial.GetVersions()),
-		committed: len(partial.GetData()), committedID: partial.GetNextLastId(),
-	}
+		committed: len(data), committedID: partial.GetNextLastId(),
+	}, nil
 }
--- a/internal/batchrun/commits.go
+++ b/internal/batchrun/commits.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -17,6 +18,9 @@
 	commitPause  = 50 * time.Millisecond
 	// commitBytes bounds the results of one command unless a single one is longer.
 	commitBytes = 256 << 10
+	// maximumAgain bounds how often an entry is committed again that was passed over: once is enough for a text, and a
+	// score comes right after its text.
+	maximumAgain = 3
 )
 
 // commits writes results and partial texts to the group, many in one command, until they are there or the tenure
@@ -32,6 +36,11 @@
 
 // pendingEntry is one thing to commit for a job: exactly one of its messages is set.
 type pendingEntry struct {
+	// whole makes the result or the unscored text anew with its whole text, should the text that it follows not be
+	// held. nil: it follows none.
+	whole func() *wire.JobResult
+	again int // times that it was committed and passed over
+
 	job      string
 	result   *wire.JobResult
 	partial  *wire.JobPartial
@@ -51,6 +60,19 @@
 	return p.score
 }
 
+// item is the id of the entry's item.
+func (p *pendingEntry) item() string {
+	switch {
+	case p.result != nil:
+		return p.result.GetItem()
+	case p.partial != nil:
+		return p.partial.GetItem()
+	case p.unscored != nil:
+		return p.unscored.GetItem()
+	}
+	return p.score.GetItem()
+}
+
 // addTo adds the entry to its job's part of a command.
 func (p *pendingEntry) addTo(results *wire.JobResults) {
 	switch {
@@ -89,19 +111,19 @@
 		case <-c.wake:
 		}
 		pause(ctx, commitLinger)
-		for command := c.next(); command != nil && c.commit(ctx, command); command = c.next() {
+		for command, entries := c.next(); command != nil && c.commit(ctx, command, entries); command, entries = c.next() {
 		}
 	}
 }
 
-// next takes the next command's results; nil if there are none.
-func (c *commits) next() *wire.JobStore {
+// next takes the next command with its entries; nil if there are none.
+func (c *commits) next() (command *wire.JobStore, entries []pendingEntry) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(c.pending) == 0 {
-		return nil
+		return nil, nil
 	}
-	command := &wire.JobStore{}
+	command = &wire.JobStore{}
 	byJob := map[string]*wire.JobResults{}
 	size, taken := 0, 0
 	for _, entry := range c.pending {
@@ -115,19 +137,21 @@
 		}
 		entry.addTo(byJob[entry.job])
 	}
+	entries = c.pending[:taken]
 	c.pending = append([]pendingEntry(nil), c.pending[taken:]...)
-	return command
+	return command, entries
 }
 
 // commit repeats a command, which is safe, until it is applied; false when ctx has ended.
-func (c *commits) commit(ctx context.Context, command *wire.JobStore) bool {
+func (c *commits) commit(ctx context.Context, command *wire.JobStore, entries []pendingEntry) bool {
 	began := c.config.Clock()
 	for tries := 1; ctx.Err() == nil; tries++ {
 		attempt, cancel := context.WithTimeout(ctx, commitTimeout)
 		result, err := c.config.Group.Propose(attempt, &wire.Command{Kind: &wire.Command_JobStore{JobStore: command}})
 		cancel()
 		if err == nil {
-			c.logCommitted(command, tries, result.GetInvalid(), c.config.Clock()-began)
+			c.logCommitted(command, tries, result, c.config.Clock()-began)
+			c.addAgain(entries, result.GetJob().GetUnmatched())
 			return true
 		}
 		c.config.Log.WithError(err).Debug("results of batch jobs are not committed yet")
@@ -136,6 +160,28 @@
 	return false
 }
 
+// addAgain adds the entries of items that were passed over again, with their whole text: the one that they follow is not
+// held. A score comes after its text.
+func (c *commits) addAgain(entries []pendingEntry, passedOver []*wire.JobItemRef) {
+	items := make(map[schedule.Key]bool, len(passedOver))
+	for _, reference := range passedOver {
+		items[schedule.Key{Job: reference.GetJob(), Item: reference.GetItem()}] = true
+	}
+	for _, entry := range entries {
+		if !items[schedule.Key{Job: entry.job, Item: entry.item()}] || entry.again >= maximumAgain {
+			continue
+		}
+		switch {
+		case entry.score != nil:
+			c.add(pendingEntry{job: entry.job, score: entry.score, again: entry.again + 1})
+		case entry.result != nil && entry.whole != nil:
+			c.add(pendingEntry{job: entry.job, result: entry.whole(), again: entry.again + 1})
+		case entry.unscored != nil && entry.whole != nil:
+			c.add(pendingEntry{job: entry.job, unscored: entry.whole(), again: entry.again + 1})
+		}
+	}
+}
+
 func pause(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -31,6 +31,7 @@
 	term    uint64
 	leading bool
 	changed chan struct{}
+	spoil   func(command *wire.Command) // before it is applied; may be nil
 }
 
 func newFakeGroup() *fakeGroup {
@@ -65,6 +66,9 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.index++
+	if g.spoil != nil {
+		g.spoil(command)
+	}
 	result := g.machine.Apply(g.index, command)
 	if command.GetJobSubmit() != nil || command.GetJobEnd() != nil {
 		select {
--- a/internal/batchrun/log.go
+++ b/internal/batchrun/log.go
@@ -144,9 +144,11 @@
 	logging.Emit(t.config.Log, &events.ItemFinished{Job: key.Job, Item: key.Item, State: stateTerminated, Why: why})
 }
 
-func (c *commits) logCommitted(command *wire.JobStore, tries int, refused string, took time.Duration) {
+func (c *commits) logCommitted(command *wire.JobStore, tries int, result *wire.Result, took time.Duration) {
 	c.counts.commit.WithLabelValues().Observe(took.Seconds())
-	event := &events.ResultsCommitted{Tries: tries, Refused: refused, TookMs: events.Millis(took)}
+	event := &events.ResultsCommitted{
+		Tries: tries, Refused: result.GetInvalid(), Unmatched: len(result.GetJob().GetUnmatched()), TookMs: events.Millis(took),
+	}
 	for _, results := range command.GetJobs() {
 		event.Jobs = append(event.Jobs, results.GetJob())
 		event.Results += len(results.GetResults())
--- a/internal/batchrun/rewards_test.go
+++ b/internal/batchrun/rewards_test.go
@@ -303,3 +303,42 @@
 	}
 	return texts
 }
+
+// TestTextsAreCommittedOnce: what a checkpoint has brought is not in the result again, and what it has not brought is.
+func TestTextsAreCommittedOnce(t *testing.T) {
+	for name, lost := range map[string]bool{"checkpoints applied": false, "checkpoints lost": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.scorers(t)
+			r.replicas.play["s1"], r.replicas.play["s2"] = scoring, scoring
+			follow, whole := 0, 0
+			r.group.spoil = func(command *wire.Command) {
+				for _, results := range command.GetJobStore().GetJobs() {
+					for _, result := range append(results.GetUnscored(), results.GetResults()...) {
+						if result.GetFollowsLength() > 0 {
+							follow++
+						} else {
+							whole++
+						}
+					}
+					if lost {
+						results.Partials = nil
+					}
+				}
+			}
+			r.run(t)
+			r.submit(t, "a", 6, func(submit *wire.JobSubmit) {
+				rewarded(submit)
+				submit.Items[0].Reward, submit.Items[1].Reward = nil, nil
+			})
+			for _, result := range r.await(t, "a", 6) {
+				wantWhole(t, result, "[5]")
+			}
+			r.group.mutex.Lock()
+			defer r.group.mutex.Unlock()
+			if follow != 6 || lost && whole != 6 || !lost && whole != 0 {
+				t.Fatalf("%d texts follow their checkpoints, %d came whole", follow, whole)
+			}
+		})
+	}
+}
--- a/internal/batchrun/scoring.go
+++ b/internal/batchrun/scoring.go
@@ -31,7 +31,7 @@
 // scoreText commits an item's whole text and asks for its score meanwhile: a leader that comes next finds the text
 // and asks for the score only.
 func (t *tenure) scoreText(ctx context.Context, c *call) {
-	t.commits.add(pendingEntry{job: c.Job, unscored: c.result})
+	t.commits.add(pendingEntry{job: c.Job, unscored: c.result, whole: c.whole})
 	t.rate(ctx, c.Key, c.result.GetVersions())
 }
 
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -36,6 +36,9 @@
 	result  *wire.JobResult // of a call that completed its item
 }
 
+// whole is the result of a call with its whole text, whatever of it is committed.
+func (c *call) whole() *wire.JobResult { return batch.Completed(c.Item, c.text.data, c.text.versions) }
+
 // startAll starts what may start now.
 func (t *tenure) startAll(ctx context.Context) {
 	if len(t.jobs) == 0 {
@@ -146,7 +149,7 @@
 		defer cancel()
 		t.run(callContext, started)
 		if started.ending == schedule.Completed {
-			started.result = batch.Completed(started.Item, started.text.data, started.text.versions)
+			started.result = batch.CompletedAfter(started.Item, started.text.data, started.text.committed, started.text.versions)
 		}
 		t.ends <- started
 	})
@@ -227,7 +230,7 @@
 	t.logEnd(c, events, next)
 	switch next {
 	case schedule.Done:
-		t.finish(c.Key, c.result)
+		t.finish(c.Key, c.result, c.whole)
 	case schedule.GivenUp:
 		t.terminate(c.Key, givenUpFor(c.ending))
 	case schedule.ToScore:
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -188,7 +188,12 @@
 		added.items[finished].open = false
 	}
 	for _, partial := range taken.GetPartials() {
-		added.items[partial.GetItem()].text = restoredText(partial)
+		held, err := restoredText(partial)
+		if err != nil {
+			t.config.Log.WithError(err).Error("a committed text can't be read; its item begins anew")
+			continue
+		}
+		added.items[partial.GetItem()].text = held
 	}
 	added.due = described.Deadline
 	t.jobs[submit.GetId()] = added
@@ -279,10 +284,11 @@
 func (t *tenure) terminate(key schedule.Key, why string) {
 	t.stopRating(key, stopGivenUp)
 	t.logTerminated(key, why)
-	t.finish(key, &wire.JobResult{Item: key.Item, State: wire.JobItemState_JOB_ITEM_STATE_TERMINATED})
+	t.finish(key, &wire.JobResult{Item: key.Item, State: wire.JobItemState_JOB_ITEM_STATE_TERMINATED}, nil)
 }
 
-func (t *tenure) finish(key schedule.Key, result *wire.JobResult) {
+// finish lists an item. whole makes its result with the whole text, if the result itself follows a committed one.
+func (t *tenure) finish(key schedule.Key, result *wire.JobResult, whole func() *wire.JobResult) {
 	held := t.jobs[key.Job]
 	if held == nil || !held.items[key.Item].open {
 		return
@@ -292,7 +298,7 @@
 	if result.GetState() == wire.JobItemState_JOB_ITEM_STATE_COMPLETED {
 		t.logCompleted(key, result.GetVersions())
 	}
-	t.commits.add(pendingEntry{job: key.Job, result: result})
+	t.commits.add(pendingEntry{job: key.Job, result: result, whole: whole})
 }
 
 // expire counts the time for the retention of jobs, which forgets ended ones that are past it. A count that is
--- a/internal/events/batch.go
+++ b/internal/events/batch.go
@@ -196,7 +196,9 @@
 	Scores   int      `json:"scores,omitempty" doc:"scores of such texts in it"`
 	Tries    int      `json:"tries" doc:"times that it was proposed"`
 	Refused  string   `json:"refused,omitempty" doc:"why the group refused it"`
-	TookMs   float64  `json:"took_ms" doc:"time from the first proposal"`
+	// Unmatched results are committed again.
+	Unmatched int     `json:"unmatched,omitempty" doc:"results that follow a text which the group does not hold; they come again with their whole text"`
+	TookMs    float64 `json:"took_ms" doc:"time from the first proposal"`
 }
 
 var resultsCommittedKind = kind("results_committed", logrus.InfoLevel, perRequest)
