--- a/internal/batchrun/checkpoint.go
+++ b/internal/batchrun/checkpoint.go
@@ -10,20 +10,22 @@
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// checkpoints commits the growing text of a long run, so that another leader goes on from there.
+// checkpoints commits the growing text of an item, so that another leader goes on from there. A run may be shorter than
+// the interval, which is counted over all runs of the text.
 type checkpoints struct {
 	interval time.Duration
-	due      time.Duration
 	commit   func(*wire.JobPartial)
 }
 
-// reached is told after each event. Runs that are shorter than the interval commit nothing but their result.
+// reached is told after each event. A text that is whole before the first interval is over commits nothing but its result.
 func (c *checkpoints) reached(now time.Duration, item string, held *text) {
-	if now < c.due || len(held.data) == held.committed {
-		return
+	switch {
+	case !held.growing:
+		held.growing, held.checkpointDue = true, now+c.interval
+	case now >= held.checkpointDue && len(held.data) > held.committed:
+		held.checkpointDue = now + c.interval
+		c.commit(held.checkpoint(item))
 	}
-	c.due = now + c.interval
-	c.commit(held.checkpoint(item))
 }
 
 // checkpoint returns what the text has gained since the last one.
--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -41,7 +41,7 @@
 		clear(k.texts)
 		k.bytes = 0
 	}
-	held.committed = 0 // for its own job only
+	held.committed, held.growing = 0, false // for its own job only
 	k.texts[item.GetId()] = entry
 	k.bytes += entry.size()
 }
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -131,8 +131,8 @@
 	started.stream = &stream{
 		clock: t.config.Clock, minVersion: minimum, single: single, item: start.Item, text: entry.text,
 		checkpoints: checkpoints{
-			interval: t.config.Checkpoint, due: t.config.Clock() + t.config.Checkpoint,
-			commit: func(partial *wire.JobPartial) { t.commits.add(pendingEntry{job: start.Job, partial: partial}) },
+			interval: t.config.Checkpoint,
+			commit:   func(partial *wire.JobPartial) { t.commits.add(pendingEntry{job: start.Job, partial: partial}) },
 		},
 	}
 	started.stream.parser.VersionField = t.config.VersionField
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -34,6 +34,9 @@
 
 	committed   int   // bytes of data that were handed over to be committed
 	committedID int64 // of the last event in them
+
+	growing       bool          // the first event has come since the text was begun or taken over
+	checkpointDue time.Duration // when the next part is to be committed
 }
 
 func newText() *text { return &text{lastID: eventstream.NoID, dense: true} }
--- a/internal/batchrun/stream_test.go
+++ b/internal/batchrun/stream_test.go
@@ -20,7 +20,7 @@
 		taken.events, taken.lastID = taken.events+1, id
 	}
 	s := &stream{text: taken, clock: func() time.Duration { return 0 }}
-	s.checkpoints.due = time.Hour
+	s.checkpoints.interval = time.Hour
 	s.parser.VersionField = "x-version"
 	if err := s.Head(replica.Head{Status: 200, Stream: true, Versions: 3}); err != nil {
 		return s, err
