weights: orders are taken only from the owner that was waited out

Cause: a machine that took the orders right after another one had taken them was named as their owner. It noticed and waited, but a process that starts anew in between finds itself named and sends at once, within the time of the other's orders. Where replicas don't check fencing tokens only that time protects them. Ruled out: remembering the wait on the machine (a lost disk forgets it). Change: FenceAcquire names the token that it follows and is refused where there is another one, with the present owner. The test asserted that this machine becomes the owner (the fault itself); it asserts now that the other stays, waits as long as before, and plays a process that starts anew, which fails on the code before. The registry has its own test and a switched-off step.

--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -27,6 +27,7 @@
 // Unsafe switches safety steps off. Only tests set it, to show that the checks find the fault.
 type Unsafe struct {
 	RepeatToken bool // a new owner gets the token of the owner before
+	FollowAny   bool // an acquisition displaces an owner that it does not name
 }
 
 // Registry holds the tokens of all resources. The zero value is not ready; use New.
@@ -49,7 +50,8 @@
 
 // Acquire makes the command's owner the owner of the resource, with a token above every earlier one. A
 // resend of the request gets the token that it got before, even if the resource has another owner by now:
-// that token is then stale. Errors: malformed command, or too many resources; nothing changed.
+// that token is then stale. An acquisition that names the token it follows is refused where the resource has another
+// one. Errors: malformed command, or too many resources; nothing changed.
 func (r *Registry) Acquire(command *wire.FenceAcquire) (*wire.FenceResult, error) {
 	for _, text := range []string{command.GetResource(), command.GetOwner(), command.GetRequestId()} {
 		if text == "" || len(text) > MaximumTextBytes {
@@ -63,6 +65,9 @@
 		return &wire.FenceResult{Token: known.GetToken(), Owner: known.GetOwner()}, nil
 	}
 	held := r.resources[command.GetResource()]
+	if command.GetIfFollows() && held.GetToken() != command.GetFollows() && !r.unsafe.FollowAny {
+		return &wire.FenceResult{Token: held.GetToken(), Owner: held.GetOwner(), Refused: true}, nil
+	}
 	if held == nil {
 		if len(r.resources) >= MaximumResources {
 			return nil, trace.LimitExceeded("more than %d fenced resources", MaximumResources)
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -53,3 +53,35 @@
 		}
 	}
 }
+
+// TestAcquisitionsFollowTheTokenThatTheyName: one that names another token displaces nobody, and says who is there.
+func TestAcquisitionsFollowTheTokenThatTheyName(t *testing.T) {
+	for _, unsafe := range []Unsafe{{}, {FollowAny: true}} {
+		registry := NewUnsafe(unsafe)
+		acquire := func(owner, request string, follows uint64) *wire.FenceResult {
+			result, err := registry.Acquire(&wire.FenceAcquire{Resource: "r", Owner: owner, RequestId: request, IfFollows: true, Follows: follows})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return result
+		}
+		first := acquire("a", "1", 0)
+		if first.GetRefused() || first.GetToken() != 1 {
+			t.Fatalf("%v", first)
+		}
+		late := acquire("b", "2", 0)
+		found := late.GetRefused() && late.GetToken() == 1 && late.GetOwner() == "a" && registry.Current("r").GetOwner() == "a"
+		if found == unsafe.FollowAny {
+			t.Fatalf("%+v: an acquisition that follows nobody gives %v", unsafe, late)
+		}
+		if unsafe.FollowAny {
+			continue
+		}
+		if again := acquire("a", "1", 0); again.GetRefused() || again.GetToken() != 1 {
+			t.Fatalf("a resend gives %v", again)
+		}
+		if next := acquire("b", "2", 1); next.GetRefused() || next.GetToken() != 2 || next.GetOwner() != "b" {
+			t.Fatalf("%v", next)
+		}
+	}
+}
--- a/internal/weights/takeover.go
+++ b/internal/weights/takeover.go
@@ -59,17 +59,17 @@
 			return false
 		}
 	}
-	token, err := d.acquire(ctx)
+	acquired, err := d.acquire(ctx, d.takeover.token)
 	if err != nil {
 		return false
 	}
-	if token != d.takeover.token+1 {
-		// Another machine acquired them since the look, and may have sent orders: its time is waited out from now, although
-		// this machine is named as the owner.
-		d.takeover = takeover{looked: true, since: now, token: token, offered: d.takeover.offered}
+	if acquired.GetRefused() {
+		// Another machine acquired them since the look, and may have sent orders: its time is waited out from now. It stays
+		// the owner, so that this machine waits also if it starts again meanwhile.
+		d.takeover = takeover{looked: true, since: now, owner: acquired.GetOwner(), token: acquired.GetToken(), offered: d.takeover.offered}
 		return false
 	}
-	d.token = token
+	d.token = acquired.GetToken()
 	event := events.OrdersTaken{Token: d.token, Owner: d.takeover.owner}
 	if d.takeover.token > 0 && d.takeover.owner != d.config.Owner {
 		event.WaitedMs = events.Millis(now - d.takeover.since)
@@ -131,16 +131,17 @@
 	return view.GetFence(), nil
 }
 
-func (d *Driver) acquire(ctx context.Context) (uint64, error) {
+// acquire takes the orders from the owner with a token; refused if there is another one by now.
+func (d *Driver) acquire(ctx context.Context, follows uint64) (*wire.FenceResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	result, err := d.config.Control.Execute(ctx, state.ControlGroup, &wire.Command{Kind: &wire.Command_FenceAcquire{
-		FenceAcquire: &wire.FenceAcquire{Resource: fenceResource, Owner: d.config.Owner, RequestId: rand.Text()}}})
+		FenceAcquire: &wire.FenceAcquire{Resource: fenceResource, Owner: d.config.Owner, RequestId: rand.Text(), IfFollows: true, Follows: follows}}})
 	if err != nil {
-		return 0, trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	if result.GetFence().GetToken() == 0 {
-		return 0, trace.BadParameter("the orders can't be owned: %s", result.GetInvalid())
+		return nil, trace.BadParameter("the orders can't be owned: %s", result.GetInvalid())
 	}
-	return result.GetFence().GetToken(), nil
+	return result.GetFence(), nil
 }
--- a/internal/weights/takeover_test.go
+++ b/internal/weights/takeover_test.go
@@ -26,22 +26,34 @@
 }
 
 // TestOrdersThatWereTakenMeanwhileWait: between this machine's look at the owner of the orders and its own taking of them
-// another one takes them. That one may have sent orders, so the time is waited out once more.
+// another one takes them. That one may have sent orders, so its time is waited out, also by a process that starts anew
+// right after the look: it must not find this machine named as the owner.
 func TestOrdersThatWereTakenMeanwhileWait(t *testing.T) {
+	for name, startsAnew := range map[string]bool{"the same process": false, "a process that starts anew": true} {
+		t.Run(name, func(t *testing.T) { takenMeanwhile(t, startsAnew) })
+	}
+}
+
+func takenMeanwhile(t *testing.T, startsAnew bool) {
+	t.Helper()
 	f := prepare(t, 1)
 	now := time.Duration(0)
 	f.driver.config.Clock, f.driver.config.Takeover = func() time.Duration { return now }, 4*time.Second
-	f.driver.config.FencesChecked = true
-	f.driver.config.HandOver = func(context.Context, string) error { return ErrOwnerSilent }
 	f.driver.config.Control = &overtaken{fakeControl: f.control, times: 1}
 	if f.driver.takeOver(t.Context()) {
 		t.Fatal("took the orders of a machine that had taken them a moment before")
 	}
 	held := f.control.machine.Query(&wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: fenceResource}}}).GetFence()
-	if held.GetOwner() != f.driver.config.Owner || held.GetToken() != 2 {
-		t.Fatalf("the orders are %v: nothing was examined", held)
+	if held.GetOwner() != "other" || held.GetToken() != 1 {
+		t.Fatalf("the orders are %v: the machine that took them before is not their owner", held)
+	}
+	const step = 100 * time.Millisecond
+	until := f.driver.config.Takeover // counted from the look
+	if startsAnew {
+		f.driver.takeover = takeover{}
+		until += step // its first look comes a step later
 	}
-	for now = 100 * time.Millisecond; now < 4*time.Second; now += 100 * time.Millisecond {
+	for now = step; now < until; now += step {
 		if f.driver.takeOver(t.Context()) {
 			t.Fatalf("sends orders %s after another machine may have", now)
 		}
