batchrun: a result that stays passed over is told

Cause: an entry that the group passes over for the third time was dropped without a line. Change: an error line with job and item.

--- a/internal/batchrun/commits.go
+++ b/internal/batchrun/commits.go
@@ -168,7 +168,11 @@
 		items[schedule.Key{Job: reference.GetJob(), Item: reference.GetItem()}] = true
 	}
 	for _, entry := range entries {
-		if !items[schedule.Key{Job: entry.job, Item: entry.item()}] || entry.again >= maximumAgain {
+		if !items[schedule.Key{Job: entry.job, Item: entry.item()}] {
+			continue
+		}
+		if entry.again >= maximumAgain {
+			c.config.Log.Errorf("item %s of batch job %s stays without its result: the group passed it over %d times", entry.item(), entry.job, entry.again)
 			continue
 		}
 		switch {
