--- a/internal/batchrun/rewards_test.go
+++ b/internal/batchrun/rewards_test.go
@@ -26,6 +26,13 @@
 	r.session.set(t, 4, "r1 active", "r2 active")
 }
 
+// rateBy replaces the behaviour of both scorers.
+func (r *rig) rateBy(play behaviour) {
+	r.replicas.mutex.Lock()
+	defer r.replicas.mutex.Unlock()
+	r.replicas.play["s1"], r.replicas.play["s2"] = play, play
+}
+
 // scoring answers a reward call with the call's id and the back end as score.
 func scoring(_ context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
 	return rate(call, sink, http.StatusOK, call.AttemptID+" by "+call.Instance)
@@ -67,7 +74,7 @@
 func TestTextsAreScoredBeforeTheyAreListed(t *testing.T) {
 	r := newRig(t)
 	r.scorers(t)
-	r.replicas.play["s1"], r.replicas.play["s2"] = scoring, scoring
+	r.rateBy(scoring)
 	r.run(t)
 	r.submit(t, "a", 12, rewarded)
 	for _, result := range r.await(t, "a", 12) {
@@ -122,7 +129,7 @@
 				r.mutex.Unlock()
 				return play(ctx, call, sink)
 			}
-			r.replicas.play["s1"], r.replicas.play["s2"] = changing, changing
+			r.rateBy(changing)
 			r.run(t)
 			r.submit(t, "a", 1, func(submit *wire.JobSubmit) { rewarded(submit); submit.MaxAttempts = 4 })
 			result := r.await(t, "a", 1)["i0"]
@@ -154,7 +161,7 @@
 func TestRewardCallsThatAlwaysFailEndTheirItem(t *testing.T) {
 	r := newRig(t)
 	r.scorers(t)
-	r.replicas.play["s1"], r.replicas.play["s2"] = failing, failing
+	r.rateBy(failing)
 	r.run(t)
 	r.submit(t, "a", 1, func(submit *wire.JobSubmit) { rewarded(submit); submit.MaxAttempts = 3 })
 	if result := r.await(t, "a", 1)["i0"]; result.GetState() != wire.JobItemState_JOB_ITEM_STATE_TERMINATED {
@@ -168,8 +175,7 @@
 func TestTextsWaitForAScorerUntilTheirTimeIsOver(t *testing.T) {
 	r := newRig(t)
 	r.scorers(t)
-	down := refusing(replica.RefusedUnreachable)
-	r.replicas.play["s1"], r.replicas.play["s2"] = down, down
+	r.rateBy(refusing(replica.RefusedUnreachable))
 	r.run(t)
 	r.submit(t, "a", 1, func(submit *wire.JobSubmit) { rewarded(submit); submit.MaxAttempts = 1; submit.QueueTtlMillis = 300 })
 	if result := r.await(t, "a", 1)["i0"]; result.GetState() != wire.JobItemState_JOB_ITEM_STATE_TERMINATED {
@@ -181,8 +187,7 @@
 func TestWholeTextsNeedTheirItemsRouteNoMore(t *testing.T) {
 	r := newRig(t)
 	r.scorers(t)
-	down := refusing(replica.RefusedUnreachable)
-	r.replicas.play["s1"], r.replicas.play["s2"] = down, down
+	r.rateBy(refusing(replica.RefusedUnreachable))
 	r.run(t)
 	r.submit(t, "a", 2, rewarded)
 	r.until(t, "all texts are committed", func() bool { return len(r.unscored(t)) == 2 })
@@ -194,9 +199,7 @@
 	if state := r.await(t, "b", 1)["other"].GetState(); state != wire.JobItemState_JOB_ITEM_STATE_TERMINATED {
 		t.Fatalf("an item without a route is %s", state) // so the runner has seen the table
 	}
-	r.replicas.mutex.Lock()
-	r.replicas.play["s1"], r.replicas.play["s2"] = scoring, scoring
-	r.replicas.mutex.Unlock()
+	r.rateBy(scoring)
 	for _, result := range r.await(t, "a", 2) {
 		wantWhole(t, result, "[5]")
 	}
@@ -211,7 +214,7 @@
 		<-ctx.Done()
 		return replica.Outcome{Verdict: verdict.MayHaveRun, Err: ctx.Err()}
 	}
-	r.replicas.play["s1"], r.replicas.play["s2"] = silent, silent
+	r.rateBy(silent)
 	r.run(t)
 	r.submit(t, "a", 1, rewarded)
 	<-started
@@ -222,9 +225,7 @@
 		return r.replicas.running["call-i0"] == 0
 	})
 	before := len(r.replicas.callsTo(""))
-	r.replicas.mutex.Lock()
-	r.replicas.play["s1"], r.replicas.play["s2"] = scoring, scoring
-	r.replicas.mutex.Unlock()
+	r.rateBy(scoring)
 	r.submit(t, "b", 1, rewarded) // carries the same item again
 	wantWhole(t, r.await(t, "b", 1)["i0"], "[5]")
 	if calls := r.replicas.callsTo("")[before:]; len(calls) != 1 || calls[0].AttemptID != "call-i0" {
@@ -236,8 +237,7 @@
 func TestNextLeaderAsksForScoresOnly(t *testing.T) {
 	r := newRig(t)
 	r.scorers(t)
-	down := refusing(replica.RefusedUnreachable)
-	r.replicas.play["s1"], r.replicas.play["s2"] = down, down
+	r.rateBy(refusing(replica.RefusedUnreachable))
 	r.run(t)
 	r.submit(t, "a", 4, rewarded)
 	r.until(t, "all texts are committed", func() bool { return len(r.unscored(t)) == 4 })
@@ -253,9 +253,7 @@
 		return true
 	})
 	made := len(r.replicas.callsTo("")) - len(rewardCalls(r.replicas.callsTo("")))
-	r.replicas.mutex.Lock()
-	r.replicas.play["s1"], r.replicas.play["s2"] = scoring, scoring
-	r.replicas.mutex.Unlock()
+	r.rateBy(scoring)
 	r.group.lead(2, true)
 	for number := range 4 {
 		wantWhole(t, r.await(t, "a", 4)[fmt.Sprint("i", number)], "[5]")
@@ -270,7 +268,7 @@
 func TestRewardCallsActOnNoOlderTable(t *testing.T) {
 	r := newRig(t)
 	r.scorers(t)
-	r.replicas.play["s1"], r.replicas.play["s2"] = scoring, scoring
+	r.rateBy(scoring)
 	call := &rewardCall{job: &wire.JobSubmit{TableVersion: r.session.version + 1},
 		request: &wire.JobReward{Id: "call-i0", Host: "scores.example", Path: "/score/1"}}
 	config := Config{Group: r.group, Session: r.session, Caller: r.replicas, ScoreHeader: "x-score"}
@@ -310,7 +308,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.scorers(t)
-			r.replicas.play["s1"], r.replicas.play["s2"] = scoring, scoring
+			r.rateBy(scoring)
 			follow, whole := 0, 0
 			r.group.spoil = func(command *wire.Command) {
 				for _, results := range command.GetJobStore().GetJobs() {
