--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -81,7 +82,7 @@
 	}
 	parameters := engine.DefaultParameters()
 	if c.Parameters != "" {
-		if parameters, err = engine.LoadParameters(c.Parameters); err != nil {
+		if parameters, err = loadEngineParameters(c.Parameters); err != nil {
 			return &ExitError{Code: ExitUsage, Message: trace.UserMessage(err)}
 		}
 	}
@@ -240,3 +241,12 @@
 	}
 	return runError
 }
+
+// loadEngineParameters reads a YAML file of an engine's parameters.
+func loadEngineParameters(path string) (engine.Parameters, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return engine.Parameters{}, trace.ConvertSystemError(err)
+	}
+	return engine.ParseParameters(path, content)
+}
--- a/internal/engine/parameters.go
+++ b/internal/engine/parameters.go
@@ -1,11 +1,8 @@
 package engine
 
 import (
-	"os"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/strictyaml"
 )
@@ -55,17 +52,8 @@
 	return parameters
 }
 
-// LoadParameters reads a YAML file; unknown fields and impossible values are refused with file, line and
-// field.
-func LoadParameters(path string) (Parameters, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return Parameters{}, trace.ConvertSystemError(err)
-	}
-	return ParseParameters(path, content)
-}
-
-// ParseParameters reads parameters from YAML. Errors call the content file.
+// ParseParameters reads parameters from YAML; unknown fields and impossible values are refused with file, line and field.
+// Errors call the content file.
 func ParseParameters(file string, content []byte) (Parameters, error) {
 	var parameters Parameters
 	if err := strictyaml.Decode(file, content, &parameters); err != nil {
