controlclient: two tests don't depend on who is counted first

Change: the client of the first test knows the leader from the start; the leader of the second waits for the other node. The assertions are the same.

--- a/internal/controlclient/fake_test.go
+++ b/internal/controlclient/fake_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
@@ -26,11 +27,13 @@
 	mutex    sync.Mutex
 	seen     []*wire.ExecuteRequest
 	renewals int
-	streams  int // of sessions
+	streams  int           // of sessions
+	late     time.Duration // by which a stream is counted after it was opened
 }
 
 // Session implements wire.DRPCControlServer.
 func (n *fakeNode) Session(stream wire.DRPCControl_SessionStream) error {
+	time.Sleep(n.late)
 	n.mutex.Lock()
 	n.streams++
 	n.mutex.Unlock()
--- a/internal/controlclient/session_test.go
+++ b/internal/controlclient/session_test.go
@@ -13,12 +13,16 @@
 func TestLeaderlessNodeIsLeftAtOnce(t *testing.T) {
 	leaderless, leader := startFake(t, nil), startFake(t, nil)
 	leaderless.renew = func(*wire.SessionRequest) *wire.SessionReply { return &wire.SessionReply{LeaderUnknown: true} }
+	ctx := testContext(t)
 	leader.renew = func(request *wire.SessionRequest) *wire.SessionReply {
-		return &wire.SessionReply{Sequence: request.Sequence, Granted: true, LeaseMillis: 1200}
+		for !leaderless.hasStreams(1) && ctx.Err() == nil { // both are asked at once; this one answers second
+			time.Sleep(time.Millisecond)
+		}
+		return granted(request)
 	}
 	client := newTestClient(t, Config{Addresses: []string{leaderless.address, leader.address},
 		Member: &wire.Member{Name: "g", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Incarnation: 1}})
-	session, err := client.StartSession(testContext(t))
+	session, err := client.StartSession(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -166,11 +170,13 @@
 func TestWordOfALostLeaderDoesNotCount(t *testing.T) {
 	first, follower, second := startFake(t, nil), startFake(t, nil), startFake(t, nil)
 	first.renew, second.renew = granted, granted
+	follower.late = 20 * time.Millisecond // a busy machine's delay, beside which the test must hold
 	follower.renew = func(*wire.SessionRequest) *wire.SessionReply {
 		return &wire.SessionReply{LeaderAddress: first.address}
 	}
 	client := newTestClient(t, Config{Addresses: []string{first.address, follower.address}, awaitTime: time.Hour,
 		Member: &wire.Member{Name: "g", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Incarnation: 1}})
+	client.setLeader(ControlGroup, first.address) // else the start asks the follower too, which may count that late
 	ctx := testContext(t)
 	session, err := client.StartSession(ctx)
 	if err != nil {
