batchrun/schedule: items start by their latest start, whichever group they are of

The long answers that close a step had waited 1.12 s on average for their first run, 1.2 to 1.4 s in nearly every step of the long classes (critical path from the control nodes' logs, 32 steps). Ruled out: slots (a third of all is taken on average); refusals by replicas (59 runs of 11,475 not run). Change: waiting items are sorted by the moment at which each must start to be whole by its job's deadline. Its length is the estimate that came with it, at the events a token that whole answers brought and the pool's pace. Where nothing is known yet the longest item of a job goes first. What a cut run brought counts.

--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -38,23 +38,22 @@
 	return starts
 }
 
-// arrange sorts the waiting items of all jobs into the order of work.
+// arrange sorts the waiting items of all jobs into the order of work: those of groups that are waited for by the moment at
+// which each must start to be whole by its job's deadline, then all others.
+//
+// The unit is the item and not its group: a step ends with its longest answers, so these begin before the short ones of
+// their own group take the slots whose weights the job allows. In logs of a day with 128 replicas and six models, the
+// answers that closed a step had waited 1.12 s on average for their first run while groups began one after the other.
 func (s *Scheduler) arrange() {
-	jobs := make([]*job, 0, len(s.jobs))
-	for _, held := range s.jobs {
-		jobs = append(jobs, held)
-	}
-	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.Deadline, b.Deadline), cmp.Compare(a.ID, b.ID))
-	})
 	s.order = []*item{}
 	var surplus []*item
-	for _, held := range jobs {
+	for _, held := range s.jobs {
 		wanted := held.Desired
 		if wanted <= 0 {
 			wanted = len(held.groups)
 		}
-		for _, member := range held.byUrgency() {
+		for rank, member := range held.byUrgency() {
+			member.rank = rank
 			if wanted > 0 {
 				s.order = member.appendWaiting(s.order, urgencyWanted)
 			} else {
@@ -65,9 +64,40 @@
 			}
 		}
 	}
+	s.sortByLatestStart(s.order)
+	s.sortByLatestStart(surplus)
 	s.order = append(s.order, surplus...)
 }
 
+// sortByLatestStart sorts items by their latest starts; those of a job that can't be told apart by their expected length,
+// the longest first, and then by the order of their groups.
+func (s *Scheduler) sortByLatestStart(items []*item) {
+	for _, entry := range items {
+		entry.latestStart = entry.job.Deadline - s.expected(entry)
+	}
+	slices.SortFunc(items, func(a, b *item) int {
+		return cmp.Or(
+			cmp.Compare(a.latestStart, b.latestStart),
+			cmp.Compare(a.job.Deadline, b.job.Deadline),
+			cmp.Compare(a.job.ID, b.job.ID),
+			cmp.Compare(b.Length, a.Length),
+			cmp.Compare(a.group.rank, b.group.rank),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+}
+
+// expected is how long an item's answer is expected to take at the usual pace of its pool; 0 while that is not known.
+func (s *Scheduler) expected(entry *item) time.Duration {
+	of := s.pools[entry.poolOf()]
+	if of == nil || of.meanLength == 0 {
+		return 0
+	}
+	events := float64(entry.Length) * of.meanEvents / of.meanLength
+	left := max(events-float64(entry.brought), 0)
+	return time.Duration(left * of.pace * float64(time.Second))
+}
+
 // byUrgency returns a job's groups in order of work.
 func (j *job) byUrgency() []*group {
 	groups := slices.Clone(j.groups)
@@ -111,7 +141,7 @@
 	return longest
 }
 
-// appendWaiting adds the group's waiting items, the longest first.
+// appendWaiting adds the group's waiting items.
 func (g *group) appendWaiting(order []*item, urgency int) []*item {
 	first := len(order)
 	done := 0
@@ -130,6 +160,5 @@
 			entry.urgency = urgencyStraggler
 		}
 	}
-	slices.SortStableFunc(added, func(a, b *item) int { return cmp.Compare(b.Length, a.Length) })
 	return order
 }
--- a/internal/batchrun/schedule/outcome.go
+++ b/internal/batchrun/schedule/outcome.go
@@ -102,6 +102,7 @@
 		}
 		entry.notBefore = now + s.settings.RetryPause
 	case Changed:
+		entry.brought = 0 // the text begins anew
 		entry.notBefore = now + s.settings.RetryPause
 	}
 	if ending != Stopped {
@@ -116,6 +117,7 @@
 	switch ending {
 	case Completed:
 		at.proven(entry)
+		s.poolNamed(at.Pool).answered(entry.brought+entry.run.events, entry.Length)
 	case Full:
 		s.suspend(at, &at.refusals, s.settings.FullPause, s.settings.MaximumFullPause, now, entry, ending)
 	case Broken, Unreachable, Misdirected:
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -61,6 +61,9 @@
 	replicas []*replica // by instance; those that take new work
 	pace     float64
 	newest   map[string]uint64 // highest version heard, by model
+	// The usual number of events and expected length of the whole answers; 0: none was seen. Their quotient says how many
+	// events an answer of an expected length brings.
+	meanEvents, meanLength float64
 
 	fastestPace  float64
 	fastestKnown bool
@@ -184,6 +187,15 @@
 	p.fastestKnown = false
 }
 
+// answered notes a whole answer.
+func (p *pool) answered(events int, length uint64) {
+	if events == 0 || length == 0 {
+		return
+	}
+	average(&p.meanEvents, float64(events))
+	average(&p.meanLength, float64(length))
+}
+
 // enter counts an item as running at a replica and returns the weight version to ask for, 0 for any. Every
 // second try of weights that were too old asks for none: the replica may be ahead of all others.
 func (s *Scheduler) enter(entry *item, at *replica, now time.Duration) (expected uint64) {
@@ -218,5 +230,6 @@
 			delete(s.replicas, at.Instance)
 		}
 	}
+	entry.brought += entry.run.events
 	entry.run = run{}
 }
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -29,6 +29,7 @@
 	position int
 	items    []*item
 	carried  bool
+	rank     int    // in the order of work of its job's groups
 	instance string // where an item of it began last
 }
 
@@ -54,6 +55,9 @@
 	moving    bool   // the run is being stopped for a faster replica
 	run       run
 	urgency   int
+	brought   int // events of the runs that have ended
+	// latestStart is when the item must start to be whole by its job's deadline, as far as its length is known.
+	latestStart time.Duration
 }
 
 // run is the present run of an item.
