weights: places are free once loads are over, looks hold nothing up, models share places by their work

Cause: weights are what steps wait for. Ruled out: the replicas' load time (10th to 90th percentile of the accounts 1.011 to 1.030 s). Named versions are read beside the loop, all models at once.

--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -231,6 +231,7 @@
 	replicas  *fakeReplicas
 	routed    bool
 	mutex     sync.Mutex
+	runner    *Runner // once it runs
 }
 
 func newRig(t *testing.T) *rig {
@@ -259,6 +260,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.runner = runner
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -30,7 +30,8 @@
 type Runner struct {
 	config  Config
 	kept    *keptTexts
-	open    atomic.Bool // jobs are open that this node runs
+	open    atomic.Bool                       // jobs are open that this node runs
+	demand  atomic.Pointer[map[string]uint64] // see Demand; nil while this node does not run the jobs
 	counts  *counts
 	rewards *rewards
 }
@@ -52,6 +53,15 @@
 // Busy tells whether this node runs open jobs. It is safe for concurrent use.
 func (r *Runner) Busy() bool { return r.open.Load() }
 
+// Demand returns the expected length, in tokens, of the newest job of each model; nil while this node does not run the jobs.
+// It is safe for concurrent use; the map must not be changed.
+func (r *Runner) Demand() map[string]uint64 {
+	if held := r.demand.Load(); held != nil {
+		return *held
+	}
+	return nil
+}
+
 // Run works whenever the node leads, until ctx ends. No call is under way when it returns.
 func (r *Runner) Run(ctx context.Context) {
 	ticker := time.NewTicker(idlePoll)
@@ -91,6 +101,7 @@
 	<-committed
 	r.counts.jobs.Set(0)
 	r.open.Store(false)
+	r.demand.Store(nil)
 	logging.Emit(r.config.Log, &ended)
 }
 
--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -277,3 +277,32 @@
 		t.Fatalf("partial texts of %d events outlive the results", left)
 	}
 }
+
+// TestDemandIsTheWorkOfTheNewestJobs: it is known to the node that runs the jobs, by model, and outlasts a job until the next
+// one of its model.
+func TestDemandIsTheWorkOfTheNewestJobs(t *testing.T) {
+	r := newRig(t)
+	r.run(t)
+	of := func(model string, tokens uint64) func(*wire.JobSubmit) {
+		return func(job *wire.JobSubmit) {
+			job.Model = model
+			for _, entry := range job.GetItems() {
+				entry.Tokens = tokens
+			}
+		}
+	}
+	r.submit(t, "a", 4, of("m0", 10))
+	r.submit(t, "b", 2, of("m1", 300))
+	r.until(t, "the work of both models", func() bool {
+		demand := r.runner.Demand()
+		return demand["m0"] == 40 && demand["m1"] == 600
+	})
+	r.propose(t, &wire.Command{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: "a"}}})
+	r.submit(t, "c", 1, of("m1", 7))
+	r.until(t, "the work of the newest job", func() bool {
+		demand := r.runner.Demand()
+		return demand["m0"] == 40 && demand["m1"] == 7
+	})
+	r.group.lead(1, false)
+	r.until(t, "nothing known to a node that does not run the jobs", func() bool { return r.runner.Demand() == nil })
+}
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -203,10 +204,25 @@
 		unscored = append(unscored, committed.GetItem())
 	}
 	t.scheduler.Open(described, taken.GetFinished(), unscored)
+	t.noteDemand(&described)
 	t.rescore(ctx, submit.GetId(), taken.GetUnscored())
 	t.view = nil // the new items have no route yet
 }
 
+// noteDemand publishes the work of a model's newest job. It stays when the job ends: the next one is about to come.
+func (t *tenure) noteDemand(opened *schedule.Job) {
+	tokens := uint64(0)
+	for _, entry := range opened.Items {
+		tokens += entry.Length
+	}
+	demand := maps.Clone(t.runner.Demand())
+	if demand == nil {
+		demand = map[string]uint64{}
+	}
+	demand[opened.Model] = tokens
+	t.runner.demand.Store(&demand)
+}
+
 func millis(value uint32) time.Duration { return time.Duration(value) * time.Millisecond }
 
 // age is how long ago a job was sent, as far as two machines' clocks tell.
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -69,6 +69,9 @@
 	LoadsShare    float64
 	// Poll is how often newly named versions are looked for. Default DefaultPoll.
 	Poll time.Duration
+	// Demand tells the work of the open batch jobs by model, as their expected length in tokens: models share the places in
+	// its proportion. A model that it lacks counts like the least of them. nil, or nothing told: all models count alike.
+	Demand func() map[string]uint64
 	// LoadTimeout bounds one order. Default DefaultLoadTimeout.
 	LoadTimeout time.Duration
 	Clock       monotonic.Clock
@@ -81,6 +84,8 @@
 	counts *counts
 	kick   chan struct{} // capacity 1: look at once
 	done   chan loaded
+	freed  chan *load // those that are over by the time that loads take
+	looked chan namedVersions
 	orders sync.WaitGroup
 
 	known atomic.Pointer[Serving] // nil before the first plan as leader
@@ -95,6 +100,10 @@
 	queue    []queued
 	places   int                          // replicas that may load at once
 	busy     map[string]string            // the model of the order on its way, by replica
+	holding  map[string]*load             // the orders that take a place, by replica
+	loads    loadTimes                    // of the last loads
+	looking  bool                         // for named versions
+	lookNext bool                         // once more after that
 	loaded   map[served]uint64            // versions that orders of this leader brought
 	serving  map[string]map[string]uint64 // by model and replica, as far as is known
 }
@@ -115,6 +124,8 @@
 	serving uint64
 	err     error
 	took    time.Duration
+	// loading is the time from the acceptance until the replica told that it serves the version; 0 where it wasn't watched.
+	loading time.Duration
 }
 
 func (d *Driver) logEnded(ended *loaded) {
@@ -140,14 +151,18 @@
 	if config.LoadTimeout <= 0 {
 		config.LoadTimeout = DefaultLoadTimeout
 	}
+	if config.Demand == nil {
+		config.Demand = func() map[string]uint64 { return nil }
+	}
 	if config.Clock == nil {
 		config.Clock = monotonic.Now
 	}
 	if config.Log == nil {
 		config.Log = logging.Discard()
 	}
-	return &Driver{config: config, counts: newCounts(), kick: make(chan struct{}, 1), done: make(chan loaded, maximumPlaces), places: config.LoadsTogether,
-		heard: map[string][]registry.ModelVersion{}, busy: map[string]string{}, loaded: map[served]uint64{}}, nil
+	return &Driver{config: config, counts: newCounts(), kick: make(chan struct{}, 1), done: make(chan loaded, maximumPlaces),
+		freed: make(chan *load, maximumPlaces), looked: make(chan namedVersions, 1), places: config.LoadsTogether,
+		heard: map[string][]registry.ModelVersion{}, busy: map[string]string{}, holding: map[string]*load{}, loaded: map[served]uint64{}}, nil
 }
 
 // Heard notes what a replica serves. It is the registry's listener.
@@ -183,6 +198,12 @@
 		case ended := <-d.done:
 			d.ended(ended)
 			look = false
+		case over := <-d.freed:
+			d.free(over)
+			look = false
+		case named := <-d.looked:
+			d.release(named)
+			look = d.lookNext
 		case <-d.kick:
 		case <-ticker.C:
 		}
@@ -201,12 +222,14 @@
 	maximumRest = 200 * time.Millisecond
 )
 
-// endedMeanwhile takes the other orders that have ended, so that loads that end together are planned for once.
+// endedMeanwhile takes the other orders and loads that have ended, so that loads that end together are planned for once.
 func (d *Driver) endedMeanwhile() {
 	for {
 		select {
 		case ended := <-d.done:
 			d.ended(ended)
+		case over := <-d.freed:
+			d.free(over)
 		default:
 			return
 		}
@@ -230,7 +253,7 @@
 		switch {
 		case row == nil || row.State != table.Active || planner.Target().Number != next.order.Version.Number:
 			planner.Answered(d.config.Clock(), next.order.ID, wave.Answer{Outcome: wave.Failed})
-		case started || len(d.busy) >= d.places || d.busy[row.Name] != "":
+		case started || len(d.holding) >= d.places || d.busy[row.Name] != "":
 			waiting = append(waiting, next)
 		default:
 			d.start(ctx, next, row)
@@ -245,6 +268,10 @@
 // ended takes the end of an order; of one that was sent under an earlier token only the place counts.
 func (d *Driver) ended(ended loaded) {
 	delete(d.busy, ended.order.Replica)
+	delete(d.holding, ended.order.Replica)
+	if ended.loading > 0 {
+		d.loads.add(ended.loading)
+	}
 	d.logEnded(&ended)
 	if ended.token != d.token || d.planners[ended.model] == nil {
 		return
--- a/internal/weights/load.go
+++ b/internal/weights/load.go
@@ -42,48 +42,66 @@
 }
 
 func (d *Driver) start(ctx context.Context, next queued, row *table.Row) {
-	d.busy[row.Name] = next.model
 	order := Order{Model: next.model, Number: next.order.Version.Number, Fence: d.token}
 	order.Instance, order.Address = row.Name, row.Address
+	one := &load{driver: d, order: order, expected: d.loads.expected()}
+	d.busy[row.Name], d.holding[row.Name] = next.model, one
 	began := d.config.Clock()
 	logging.Emit(d.config.Log, &events.OrderSent{Replica: row.Name, Model: next.model, Version: order.Number, Token: d.token,
-		Loading: len(d.busy), Most: d.places, Waiting: len(d.queue)})
+		Loading: len(d.holding), Most: d.places, Waiting: len(d.queue)})
 	d.orders.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, d.config.LoadTimeout)
 		defer cancel()
-		serving, err := d.load(ctx, order)
-		d.done <- loaded{next, order.Fence, serving, err, d.config.Clock() - began}
+		serving, err := one.run(ctx)
+		d.done <- loaded{next, order.Fence, serving, err, d.config.Clock() - began, one.took}
 	})
 }
 
-// load carries one order through and returns the version that the replica then serves.
-func (d *Driver) load(ctx context.Context, order Order) (uint64, error) {
-	report, err := d.config.Sender.Report(ctx, order.Target, order.Model)
+// load is one order on its way.
+type load struct {
+	driver   *Driver
+	order    Order
+	expected time.Duration // that the replica loads; 0: not known
+	took     time.Duration // from the acceptance until the replica told of the end, where that was watched
+}
+
+// run carries the order through and returns the version that the replica then serves.
+func (l *load) run(ctx context.Context) (uint64, error) {
+	config, order := &l.driver.config, &l.order
+	report, err := config.Sender.Report(ctx, order.Target, order.Model)
 	if err != nil {
 		return 0, err
 	}
 	if report.Serving >= order.Number {
 		return report.Serving, nil
 	}
+	accepted := false
 	if !report.Busy {
 		order.Expected = report.Taken
-		if !d.config.Leading() {
+		if !config.Leading() {
 			return 0, trace.ConnectionProblem(nil, "this process leads no more")
 		}
-		answer, err := d.config.Sender.Order(ctx, order)
+		answer, err := config.Sender.Order(ctx, *order)
 		if err != nil {
 			return 0, err
 		}
 		if answer == Holds {
 			return order.Number, nil
 		}
+		accepted = answer == Underway
 	}
-	return d.await(ctx, order)
+	return l.await(ctx, accepted)
 }
 
-// await asks the replica until it serves the version.
-func (d *Driver) await(ctx context.Context, order Order) (uint64, error) {
-	ordered := d.config.Clock()
+// await asks the replica until it serves the version. The place of an order that was accepted is free once a load of the
+// usual length is over.
+func (l *load) await(ctx context.Context, accepted bool) (uint64, error) {
+	config := &l.driver.config
+	ordered := config.Clock()
+	if accepted && l.expected > 0 {
+		free := time.AfterFunc(l.expected, l.freePlace)
+		defer free.Stop()
+	}
 	timer := time.NewTimer(firstLook)
 	defer timer.Stop()
 	for {
@@ -92,10 +110,13 @@
 			return 0, ctx.Err()
 		case <-timer.C:
 		}
-		asked := d.config.Clock()
-		report, err := d.config.Sender.Report(ctx, order.Target, order.Model)
-		switch judge(&order, asked-ordered, report, err) {
+		asked := config.Clock()
+		report, err := config.Sender.Report(ctx, l.order.Target, l.order.Model)
+		switch judge(&l.order, asked-ordered, report, err) {
 		case finished:
+			if accepted {
+				l.took = asked - ordered
+			}
 			return report.Serving, nil
 		case notCarriedOut:
 			return 0, trace.ConnectionProblem(err, "the order was not carried out")
@@ -103,3 +124,19 @@
 		timer.Reset(nextLook)
 	}
 }
+
+// freePlace tells Run that the load is over by the time that loads take. A place that Run has no time to take back is free
+// with the end of the order.
+func (l *load) freePlace() {
+	select {
+	case l.driver.freed <- l:
+	default:
+	}
+}
+
+// free gives back the place of a load, if it still holds one.
+func (d *Driver) free(over *load) {
+	if d.holding[over.order.Instance] == over {
+		delete(d.holding, over.order.Instance)
+	}
+}
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/events"
@@ -39,7 +40,7 @@
 		look = d.observe(replicas) || look
 	})
 	if look {
-		d.lookForVersions(ctx, replicas)
+		d.lookForVersions(ctx, slices.Collect(maps.Keys(replicas)))
 	}
 	work(func() { d.takeOrders(replicas) })
 	if d.token != 0 || d.takeOver(ctx) {
@@ -69,10 +70,54 @@
 	return added
 }
 
-// lookForVersions asks the control group for the newest named versions.
-func (d *Driver) lookForVersions(ctx context.Context, replicas map[string]map[string]uint64) {
-	for model, reports := range replicas {
-		d.release(ctx, model, d.planners[model], len(reports))
+// namedVersions are the newest named versions by model, as of one look.
+type namedVersions map[string]wave.Version
+
+// lookForVersions asks the control group for the newest named versions beside the work of Run, which takes the answer from
+// looked; a look that is under way is followed by another one. One question takes some milliseconds of a quorum's time: asked one
+// after the other, those of six models kept freed places empty for a sixth of the time.
+func (d *Driver) lookForVersions(ctx context.Context, models []string) {
+	if d.looking {
+		d.lookNext = true
+		return
+	}
+	d.looking, d.lookNext = true, false
+	d.orders.Go(func() { d.looked <- d.newest(ctx, models) })
+}
+
+// newest asks for the newest versions of models, all at once; those that can't be had are left out.
+func (d *Driver) newest(ctx context.Context, models []string) namedVersions {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var mutex sync.Mutex
+	var questions sync.WaitGroup
+	named := namedVersions{}
+	for _, model := range models {
+		questions.Go(func() {
+			newest, err := Newest(ctx, d.config.Control, model)
+			if err != nil {
+				d.config.Log.WithError(err).Debugf("the newest version of model %s could not be read", model)
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			named[model] = newest
+		})
+	}
+	questions.Wait()
+	return named
+}
+
+// release makes named versions the ones that the replicas are to serve.
+func (d *Driver) release(named namedVersions) {
+	d.looking = false
+	for model, newest := range named {
+		planner := d.planners[model]
+		if planner == nil || newest.Number <= planner.Target().Number {
+			continue
+		}
+		planner.Release(d.config.Clock(), newest)
+		logging.Emit(d.config.Log, &events.VersionReleased{Model: model, Version: newest.Number, Replicas: planner.Status().Replicas})
 	}
 }
 
@@ -124,16 +169,6 @@
 	return found
 }
 
-func (d *Driver) release(ctx context.Context, model string, planner *wave.Planner, replicas int) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	newest, err := Newest(ctx, d.config.Control, model)
-	if err == nil && newest.Number > planner.Target().Number {
-		planner.Release(d.config.Clock(), newest)
-		logging.Emit(d.config.Log, &events.VersionReleased{Model: model, Version: newest.Number, Replicas: replicas})
-	}
-}
-
 // take queues a planner's orders. These replicas have no staging: a stage order is done without being sent.
 // Each answer names what the replica serves, from its last load or its own account, whichever is newer.
 func (d *Driver) take(model string, planner *wave.Planner, reports map[string]uint64) {
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -66,7 +66,8 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	one := f.replicas[target.Instance]
-	return Report{Taken: one.taken, Serving: one.serving[model]}, nil
+	report := Report{Taken: one.taken, Serving: one.serving[model]}
+	return report, nil
 }
 
 func (f *fleet) Order(_ context.Context, order Order) (Acceptance, error) {
@@ -392,26 +393,106 @@
 	}
 }
 
+// TestPlacesAreFreeOnceLoadsAreOver: an order takes a place until its load is over by the time that loads take, and its
+// replica gets no other order before its own has ended.
+func TestPlacesAreFreeOnceLoadsAreOver(t *testing.T) {
+	f := prepare(t, 3)
+	d := f.driver
+	view := d.config.View()
+	d.planners = map[string]*wave.Planner{"m0": wave.New(wave.Config{})}
+	d.planners["m0"].Release(0, wave.Version{Name: "newest", Number: 2})
+	first, later := &load{order: Order{Target: replica.Target{Instance: "i-0"}}}, &load{order: Order{Target: replica.Target{Instance: "i-0"}}}
+	d.places, d.busy["i-0"], d.holding["i-0"] = 1, "m0", first
+	next := func(instance string) queued {
+		return queued{"m0", wave.Order{Replica: instance, Version: d.planners["m0"].Target()}}
+	}
+	d.queue = []queued{next("i-0"), next("i-1")}
+	if d.sendNext(t.Context(), view, d.supplies()) {
+		t.Fatal("an order was sent without a place")
+	}
+	d.free(later)
+	if d.sendNext(t.Context(), view, d.supplies()) {
+		t.Fatal("the place of another order was given away")
+	}
+	d.free(first)
+	if !d.sendNext(t.Context(), view, d.supplies()) || d.holding["i-1"] == nil || d.busy["i-0"] == "" {
+		t.Fatalf("holding %v, busy %v", d.holding, d.busy)
+	}
+	d.orders.Wait()
+	d.ended(<-d.done)
+	if d.sendNext(t.Context(), view, d.supplies()) {
+		t.Fatal("a replica got a second order before the end of its first")
+	}
+}
+
+// TestLooksForVersionsHoldNothingUp: while the control group answers no question, loads go on.
+func TestLooksForVersionsHoldNothingUp(t *testing.T) {
+	f := prepare(t, 8)
+	if err := Put(t.Context(), f.control, "m0", 2, "trainer"); err != nil {
+		t.Fatal(err)
+	}
+	blocked := make(chan struct{})
+	f.driver.config.Control = &silentControl{fakeControl: f.control, answers: 6, blocked: blocked}
+	f.run(t)
+	f.driver.Look()
+	<-blocked
+	eventually(t, "m0", func() bool { return f.fleet.serve("m0", 2) })
+}
+
+// silentControl answers some questions, and then none.
+type silentControl struct {
+	*fakeControl
+	mutex   sync.Mutex
+	answers int
+	blocked chan struct{} // closed with the first question without an answer
+}
+
+func (s *silentControl) Query(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error) {
+	s.mutex.Lock()
+	s.answers--
+	left := s.answers
+	s.mutex.Unlock()
+	if left >= 0 || query.GetVersions() == nil {
+		return s.fakeControl.Query(ctx, group, query)
+	}
+	if left == -1 {
+		close(s.blocked)
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 // TestLoadsThatAreNeededGoFirst: a model that too few replicas can work for goes first, then the one whose newest
 // version fewer replicas serve or load.
 func TestLoadsThatAreNeededGoFirst(t *testing.T) {
 	for name, one := range map[string]struct {
 		serving map[string]map[string]uint64
 		busy    map[string]string
+		demand  map[string]uint64
 		want    []string
 	}{
 		"too few can work for m1": {map[string]map[string]uint64{
 			"m0": {"i-0": 8, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 9, "i-1": 9, "i-2": 11, "i-3": 9}},
-			nil, []string{"m1", "m1", "m0", "m0"}},
+			nil, nil, []string{"m1", "m1", "m0", "m0"}},
 		"m0's next step would find none": {map[string]map[string]uint64{
 			"m0": {"i-0": 8, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 9, "i-1": 10, "i-2": 11, "i-3": 9}},
-			nil, []string{"m0", "m0", "m1", "m1"}},
+			nil, nil, []string{"m0", "m0", "m1", "m1"}},
+		"m1 has three times the work": {map[string]map[string]uint64{
+			"m0": {"i-0": 9, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 11, "i-1": 11, "i-2": 10, "i-3": 10}},
+			nil, map[string]uint64{"m0": 100, "m1": 300}, []string{"m1", "m1", "m0", "m0"}},
+		"m1 has the same work": {map[string]map[string]uint64{
+			"m0": {"i-0": 9, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 11, "i-1": 11, "i-2": 10, "i-3": 10}},
+			nil, map[string]uint64{"m0": 300, "m1": 300}, []string{"m0", "m0", "m1", "m1"}},
+		"m1 had so much more work that m0 would find nothing": {map[string]map[string]uint64{
+			"m0": {"i-0": 8, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 11, "i-1": 10, "i-2": 10, "i-3": 10}},
+			nil, map[string]uint64{"m0": 1, "m1": 1_000_000}, []string{"m0", "m0", "m1", "m1"}},
 		"m0 is loading": {map[string]map[string]uint64{
 			"m0": {"i-0": 8, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 9, "i-1": 10, "i-2": 11, "i-3": 9}},
-			map[string]string{"i-0": "m0", "i-1": "m0"}, []string{"m1", "m1", "m0", "m0"}},
+			map[string]string{"i-0": "m0", "i-1": "m0"}, nil, []string{"m1", "m1", "m0", "m0"}},
 	} {
 		d := prepare(t, 4).driver
 		d.planners, d.serving, d.busy = map[string]*wave.Planner{}, one.serving, one.busy
+		d.config.Demand = func() map[string]uint64 { return one.demand }
 		for model, target := range map[string]uint64{"m0": 9, "m1": 11} {
 			d.planners[model] = wave.New(wave.Config{})
 			d.planners[model].Release(0, wave.Version{Name: "newest", Number: target})
