registry: a first heartbeat that comes late ends nobody who has its address

Cause, found by reading: a replica whose first heartbeat is held up by a cut, and which crashes meanwhile, is not known; its heartbeat then ended the new incarnation at its address for good, which was judged late from then on. One whose registration had been taken before was known and judged late already (TestLateHeartbeatsSayNothing). Ruled out: order by sequence, which each incarnation begins anew. Change: while the holder of an address was heard within one and a half heartbeats, the leader refuses an unknown replica there; it comes again with its next heartbeat. Log line replica_deferred. Tracker.Models, which nobody called, goes. Test: TestHeartbeatOfAnEarlierIncarnationEndsNobody fails before. TestReusedAddress passed an address on within no time at all, which no platform does; it now lets two heartbeats pass, its assertions are as before.

--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -164,6 +164,20 @@
 // Kind implements logging.Event.
 func (*ReplicaRegistered) Kind() *logging.Kind { return &replicaRegisteredKind }
 
+// ReplicaDeferred is a registration that was not taken because another back end spoke from its address a moment ago.
+type ReplicaDeferred struct {
+	Replica   string  `json:"replica" doc:"back end that is not known yet"`
+	Address   string  `json:"address" doc:"where it says that it is reached"`
+	Heartbeat uint64  `json:"heartbeat" doc:"number of its heartbeat"`
+	Holder    string  `json:"holder" doc:"back end that holds the address"`
+	HeardMs   float64 `json:"heard_ms" doc:"how long ago that one was heard"`
+}
+
+var replicaDeferredKind = kind("replica_deferred", logrus.WarnLevel, perChange)
+
+// Kind implements logging.Event.
+func (*ReplicaDeferred) Kind() *logging.Kind { return &replicaDeferredKind }
+
 // ReplicasSilent is a change that takes out back ends which say nothing, or drops rows of ones long out.
 type ReplicasSilent struct {
 	Silent  []string `json:"silent,omitempty" doc:"back ends that were taken out"`
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -222,6 +222,7 @@
 	f.send(t, replica(0, 1))
 	other := replica(1, 1)
 	other.Address, other.Pool = replica(0, 1).Address, "other"
+	f.now += 2 * beat
 	f.send(t, other)
 	f.send(t, replica(0, 7))
 	if f.state("i-0") != table.Removed || f.state("i-1") != table.Active {
@@ -229,6 +230,30 @@
 	}
 }
 
+// TestHeartbeatOfAnEarlierIncarnationEndsNobody: a first heartbeat that was held up on its way, until its sender had crashed and
+// a new incarnation had registered at the same address, is not acknowledged and changes nothing. One that comes again after
+// the holder of the address has fallen silent is taken.
+func TestHeartbeatOfAnEarlierIncarnationEndsNobody(t *testing.T) {
+	f := newFixture(t)
+	earlier := replica(1, 1)
+	earlier.Address = replica(0, 1).Address
+	for sequence := range uint64(6) {
+		f.send(t, replica(0, sequence+1))
+		f.now += beat - 1
+		if err := f.service.Heartbeat(t.Context(), &earlier); err == nil {
+			t.Fatal("acknowledged")
+		}
+		if f.state("i-0") != table.Active || f.state("i-1") != "" {
+			t.Fatalf("states %q and %q", f.state("i-0"), f.state("i-1"))
+		}
+	}
+	f.now += beat
+	f.send(t, earlier)
+	if f.state("i-0") != table.Removed || f.state("i-1") != table.Active {
+		t.Fatalf("states %q and %q", f.state("i-0"), f.state("i-1"))
+	}
+}
+
 // TestRacedRegistration: a configuration that makes the pool meanwhile makes the registration conflict; it is
 // made again on what the configuration left.
 func TestRacedRegistration(t *testing.T) {
--- a/internal/registry/service.go
+++ b/internal/registry/service.go
@@ -21,6 +21,9 @@
 const (
 	// silentHeartbeats is how many heartbeats a replica may miss before it is taken out.
 	silentHeartbeats = 3
+	// addressRest is for how many half heartbeats an address belongs to the replica that was heard from it last: a living one
+	// speaks once each heartbeat, and an address passes on after two seconds or more at heartbeats of 1.2 s.
+	addressRest = 3
 	// keepSilent is how long the row of a replica that is out is kept.
 	keepSilent = 90 * time.Second
 	// tickTimeout bounds one look at the silent replicas.
@@ -101,6 +104,9 @@
 // replica would stay with a node that is cut off, and the leader would take it out as silent.
 var errNotHeard = trace.ConnectionProblem(nil, "the leader did not hear the heartbeat")
 
+// errAddressHeld refuses the first heartbeat of a replica at whose address another one was heard a moment ago.
+var errAddressHeld = trace.ConnectionProblem(nil, "another replica spoke from that address a moment ago")
+
 // TakeHere is Heartbeat without a relay to the leader.
 func (s *Service) TakeHere(ctx context.Context, heartbeat *Registration) error {
 	if err := heartbeat.Check(); err != nil {
@@ -113,6 +119,9 @@
 		}
 		return nil
 	}
+	if s.deferred(heartbeat) {
+		return errAddressHeld
+	}
 	version, err := s.batches.do(ctx, heartbeat.Instance, heartbeat)
 	if version > 0 {
 		logging.Emit(s.config.Log, &events.ReplicaRegistered{Replica: heartbeat.Instance, Pool: heartbeat.Pool, Address: heartbeat.Address,
@@ -121,6 +130,33 @@
 	return err
 }
 
+// deferred reports whether an unknown replica's registration must wait, because the replica that holds its address was heard
+// within addressRest: then the heartbeat is one that was held up on its way, and its sender has ended. Taken at once, it would end the
+// living replica for good, since what else is registered at an address is gone.
+func (s *Service) deferred(heartbeat *Registration) bool {
+	view := s.config.View()
+	if view == nil || view.Row(heartbeat.Instance) != nil || !s.config.Leading() {
+		return false
+	}
+	for _, row := range addressesOf(view)[heartbeat.Address] {
+		ago, heard := s.heardAgo(row.Name)
+		if row.State == table.Removed || !heard || ago >= addressRest*s.config.Heartbeat/2 {
+			continue
+		}
+		logging.Emit(s.config.Log, &events.ReplicaDeferred{Replica: heartbeat.Instance, Address: heartbeat.Address,
+			Heartbeat: heartbeat.Sequence, Holder: row.Name, HeardMs: events.Millis(ago)})
+		return true
+	}
+	return false
+}
+
+// heardAgo is how long ago this leadership heard a replica; false if it did not.
+func (s *Service) heardAgo(instance string) (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lead().HeardAgo(s.config.Clock(), instance)
+}
+
 // Deregister takes a replica out for good; one that is unknown is no error.
 func (s *Service) Deregister(ctx context.Context, instance string) error {
 	version, err := s.batches.do(ctx, instance, nil)
--- a/internal/registry/tracker.go
+++ b/internal/registry/tracker.go
@@ -29,7 +29,6 @@
 type heard struct {
 	at       time.Duration
 	sequence uint64
-	models   []ModelVersion
 }
 
 // NewTracker returns a tracker of a process that begins to lead now.
@@ -42,11 +41,14 @@
 	if known, ok := t.heard[heartbeat.Instance]; ok && heartbeat.Sequence < known.sequence {
 		return
 	}
-	t.heard[heartbeat.Instance] = heard{at: now, sequence: heartbeat.Sequence, models: heartbeat.Models}
+	t.heard[heartbeat.Instance] = heard{at: now, sequence: heartbeat.Sequence}
 }
 
-// Models returns the weight versions that a replica last spoke of.
-func (t *Tracker) Models(instance string) []ModelVersion { return t.heard[instance].models }
+// HeardAgo is how long ago a replica was heard; false if it was not.
+func (t *Tracker) HeardAgo(now time.Duration, instance string) (time.Duration, bool) {
+	known, ok := t.heard[instance]
+	return now - known.at, ok
+}
 
 // Tick is called at least every half of Silence. It returns the change that takes out the replicas of the
 // view that fell silent and drops rows that have been out for long; nil when there is nothing to change.
