weights: planned orders go out between two turns

Ruled out: the control group's answers, which are read beside the loop by now. Change: the rest is a time before which no turn plans; orders that are planned go out as places come free, and what is known of the loads is published with them. Test: TestPlacesAreFreeOnceLoadsAreOver covers the sending; no test asserts on time.

--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -13,7 +13,6 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
-	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/registry"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wave"
@@ -100,14 +99,16 @@
 	takeover takeover
 	planners map[string]*wave.Planner
 	queue    []queued
-	places   int                          // replicas that may load at once
-	busy     map[string]string            // the model of the order on its way, by replica
-	holding  map[string]*load             // the orders that take a place, by replica
-	loads    loadTimes                    // of the last loads
-	looking  bool                         // for named versions
-	lookNext bool                         // once more after that
-	loaded   map[served]uint64            // versions that orders of this leader brought
-	serving  map[string]map[string]uint64 // by model and replica, as far as is known
+	places   int               // replicas that may load at once
+	busy     map[string]string // the model of the order on its way, by replica
+	holding  map[string]*load  // the orders that take a place, by replica
+	loads    loadTimes         // of the last loads
+	looking  bool              // for named versions
+	// restUntil is when the next turn may plan again.
+	restUntil time.Duration
+	lookNext  bool                         // once more after that
+	loaded    map[served]uint64            // versions that orders of this leader brought
+	serving   map[string]map[string]uint64 // by model and replica, as far as is known
 }
 
 // served names a model at a replica.
@@ -190,38 +191,58 @@
 	defer cancel()
 	ticker := time.NewTicker(d.config.Poll)
 	defer ticker.Stop()
+	rested := time.NewTimer(0)
+	defer rested.Stop()
+	look := true // for named versions, with the next turn
 	for {
-		look := true // for named versions
 		select {
 		case <-ctx.Done():
 			return
 		case ended := <-d.done:
 			d.ended(ended)
-			look = false
 		case over := <-d.freed:
 			d.free(over)
-			look = false
 		case named := <-d.looked:
 			d.release(named)
-			look = d.lookNext
+			look = look || d.lookNext
 		case <-d.kick:
+			look = true
 		case <-ticker.C:
+			look = true
+		case <-rested.C:
 		}
 		d.endedMeanwhile()
-		d.counts.loading.Set(float64(len(d.busy)))
+		if now := d.config.Clock(); now < d.restUntil {
+			d.sendQueued(ctx)
+			rested.Reset(d.restUntil - now)
+			continue
+		}
+		d.counts.loading.Set(float64(len(d.holding)))
 		d.counts.waiting.Set(float64(len(d.queue)))
 		spent := d.turn(ctx, look)
-		_ = pause.For(ctx, min(restShare*spent, maximumRest)) // the loop sees that ctx has ended
+		look = false
+		d.restUntil = d.config.Clock() + min(restShare*spent, maximumRest)
 	}
 }
 
 const (
 	// restShare is how many times as long as a turn's own work the driver rests after it, so that planning for many
-	// replicas takes a tenth of the processor; the work for a few replicas takes microseconds.
+	// replicas takes a tenth of the processor; the work for a few replicas takes microseconds. Orders that are planned
+	// already go out meanwhile: a place that waits for the rest to end stands idle for a twentieth of its time.
 	restShare   = 9
 	maximumRest = 200 * time.Millisecond
 )
 
+// sendQueued starts planned orders where places are free, between two turns.
+func (d *Driver) sendQueued(ctx context.Context) {
+	if d.token == 0 || len(d.holding) >= d.places || len(d.queue) == 0 || !d.config.Leading() {
+		return
+	}
+	if view := d.config.View(); view != nil && d.send(ctx, view) {
+		d.publish()
+	}
+}
+
 // endedMeanwhile takes the other orders and loads that have ended, so that loads that end together are planned for once.
 func (d *Driver) endedMeanwhile() {
 	for {
@@ -236,11 +257,13 @@
 	}
 }
 
-// send starts queued orders while there are places.
-func (d *Driver) send(ctx context.Context, view *table.View) {
+// send starts queued orders while there are places, and reports whether it started any.
+func (d *Driver) send(ctx context.Context, view *table.View) (started bool) {
 	supplies := d.supplies()
 	for d.sendNext(ctx, view, supplies) {
+		started = true
 	}
+	return started
 }
 
 // sendNext starts the first queued order that has a place, and reports whether there was one.
