weights: a leader says what replicas serve once it has asked them all

Ruled out: the length of the wait (250 ms; a survey takes 24 to 57 ms). Change: a leader publishes nothing before its first survey has ended, and a Serving that tells of no replica counts as none: the next source is asked. Tests: TestNewLeaderAsksTheReplicas holds the answers back, TestServingIsAskedOfTheLeader has a leader that has heard nothing. TestDemandIsTheWorkOfTheNewestJobs gave items of jobs that run together the same ids, which the fixture takes for one item at two replicas: seen once in three runs, now distinct.

--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -289,6 +289,7 @@
 		return func(job *wire.JobSubmit) {
 			job.Model = model
 			for _, entry := range job.GetItems() {
+				entry.Id = job.GetId() + entry.GetId() // the jobs run together
 				entry.Tokens = tokens
 			}
 		}
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -301,7 +301,7 @@
 // too old costs its item a tenth of a second and the next choice is no better: the 170 that a new leader of a fleet of 128 replicas
 // made in its first two seconds went to the items that had the least time left.
 func (t *tenure) awaitsServing(now time.Duration) bool {
-	return t.serving == nil && now < t.began+t.config.ServingWait
+	return !t.serving.Knows() && now < t.began+t.config.ServingWait
 }
 
 // terminate lists an item as given up.
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -87,7 +87,9 @@
 	looked chan namedVersions
 	orders sync.WaitGroup
 
-	known atomic.Pointer[Serving] // nil before the first plan as leader
+	known atomic.Pointer[Serving] // nil while this process does not lead, or has not asked the replicas yet
+	// surveyed is the leadership, by its number, in which the replicas were asked first.
+	surveyed atomic.Uint64
 
 	mutex sync.Mutex
 	heard map[string][]registry.ModelVersion // by instance
@@ -95,6 +97,7 @@
 	asked map[string]time.Duration           // when an instance was surveyed under it
 
 	// What follows belongs to Run.
+	tenure   uint64 // number of this leadership or, while there is none, of the next one; from 1
 	token    uint64 // 0 while no orders may be sent
 	takeover takeover
 	planners map[string]*wave.Planner
@@ -103,7 +106,9 @@
 	busy     map[string]string // the model of the order on its way, by replica
 	holding  map[string]*load  // the orders that take a place, by replica
 	loads    loadTimes         // of the last loads
-	looking  bool              // for named versions
+	// surveying says that the replicas were asked under this leadership.
+	surveying bool
+	looking   bool // for named versions
 	// restUntil is when the next turn may plan again.
 	restUntil time.Duration
 	lookNext  bool                         // once more after that
@@ -163,7 +168,7 @@
 	if config.Log == nil {
 		config.Log = logging.Discard()
 	}
-	return &Driver{config: config, counts: newCounts(), kick: make(chan struct{}, 1), done: make(chan loaded, maximumPlaces),
+	return &Driver{config: config, counts: newCounts(), tenure: 1, kick: make(chan struct{}, 1), done: make(chan loaded, maximumPlaces),
 		freed: make(chan *load, maximumPlaces), looked: make(chan namedVersions, 1), places: config.LoadsTogether,
 		heard: map[string][]registry.ModelVersion{}, told: map[string]bool{}, asked: map[string]time.Duration{}, busy: map[string]string{}, holding: map[string]*load{}, loaded: map[served]uint64{}}, nil
 }
--- a/internal/weights/serving.go
+++ b/internal/weights/serving.go
@@ -11,6 +11,9 @@
 	Loading map[string]string
 }
 
+// Knows reports whether it tells of any replica.
+func (s *Serving) Knows() bool { return s != nil && len(s.Versions) > 0 }
+
 // Serving returns what the replicas serve, while this process leads; nil otherwise. It is safe for concurrent use.
 func (d *Driver) Serving() *Serving {
 	if !d.config.Leading() {
@@ -33,8 +36,12 @@
 	return made
 }
 
-// publish makes a new Serving of what Run holds.
+// publish makes a new Serving of what Run holds, once the replicas were asked under this leadership: who takes the few that were
+// heard by then for all would try out the others.
 func (d *Driver) publish() {
+	if len(d.serving) > 0 && d.surveyed.Load() != d.tenure {
+		return
+	}
 	made := &Serving{Versions: make(map[string]map[string]uint64, len(d.serving)), Loading: make(map[string]string, len(d.busy))}
 	for model, replicas := range d.serving {
 		made.Versions[model] = make(map[string]uint64, len(replicas))
--- a/internal/weights/survey.go
+++ b/internal/weights/survey.go
@@ -53,24 +53,39 @@
 // the last of them an interval later, and until then items are tried at replicas whose weights turn out too old: in the first two
 // seconds of new leaders 100 to 400 such runs were seen on a fleet of 128 replicas.
 func (d *Driver) survey(ctx context.Context, view *table.View) {
-	targets := d.unheard(view)
+	targets, heard := d.unheard(view)
+	tenure := d.tenure
 	if len(targets) == 0 {
+		if heard && d.surveyed.Load() != tenure && !d.surveying {
+			d.noteSurveyed(tenure)
+		}
 		return
 	}
+	d.surveying = true
 	d.orders.Go(func() {
 		began := d.config.Clock()
 		found := Survey(ctx, d.config.Sender, targets)
 		for instance, models := range found {
 			d.learn(instance, models)
 		}
+		d.noteSurveyed(tenure)
 		logging.Emit(d.config.Log, &events.ReplicasSurveyed{Asked: len(targets), Answered: len(found), TookMs: events.Millis(d.config.Clock() - began)})
 		d.Look()
 	})
 }
 
+// noteSurveyed notes that the replicas were asked under a leadership; the end of an earlier one's survey changes nothing.
+func (d *Driver) noteSurveyed(tenure uint64) {
+	for known := d.surveyed.Load(); known < tenure; known = d.surveyed.Load() {
+		if d.surveyed.CompareAndSwap(known, tenure) {
+			return
+		}
+	}
+}
+
 // unheard returns the active replicas, of pools that hold models, that were neither heard nor asked lately under this
-// leadership, and notes that they are asked.
-func (d *Driver) unheard(view *table.View) []replica.Target {
+// leadership, and notes that they are asked. heard says that any replica was ever heard, so that such pools are known.
+func (d *Driver) unheard(view *table.View) (targets []replica.Target, heard bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	pools := map[string]bool{}
@@ -80,7 +95,6 @@
 		}
 	}
 	now := d.config.Clock()
-	var targets []replica.Target
 	for pool := range pools {
 		for _, row := range view.Backends(pool) {
 			asked, before := d.asked[row.Name]
@@ -91,7 +105,7 @@
 			targets = append(targets, replica.Target{Instance: row.Name, Address: row.Address})
 		}
 	}
-	return targets
+	return targets, len(pools) > 0
 }
 
 // learn notes the versions that a replica told. They only rise, so that of two accounts in any order the higher one
@@ -115,6 +129,10 @@
 
 // forgetSurvey makes the next leadership ask anew: what was heard before it may be long past.
 func (d *Driver) forgetSurvey() {
+	if d.surveying || d.surveyed.Load() == d.tenure {
+		d.tenure++
+		d.surveying = false
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	clear(d.told)
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -54,6 +54,21 @@
 	most     int
 	highest  uint64         // fence
 	refused  map[uint64]int // orders with a lower one, by fence
+	reports  int            // that were asked for
+	held     chan struct{}  // reports wait until it is closed; nil: they don't
+}
+
+// asked waits until so many reports were asked for.
+func (f *fleet) asked(count int) {
+	for {
+		f.mutex.Lock()
+		reached := f.reports >= count
+		f.mutex.Unlock()
+		if reached {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
 }
 
 type engine struct {
@@ -63,6 +78,12 @@
 }
 
 func (f *fleet) Report(_ context.Context, target replica.Target, model string) (Report, error) {
+	f.mutex.Lock()
+	f.reports++
+	f.mutex.Unlock()
+	if f.held != nil {
+		<-f.held
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	one := f.replicas[target.Instance]
@@ -470,6 +491,7 @@
 func TestNewLeaderAsksTheReplicas(t *testing.T) {
 	f := prepare(t, 6)
 	f.driver.heard, f.driver.told = map[string][]registry.ModelVersion{}, map[string]bool{}
+	f.fleet.held = make(chan struct{})
 	for number := range 6 {
 		f.fleet.replicas[fmt.Sprint("i-", number)].serving["m0"] = 3
 	}
@@ -487,6 +509,11 @@
 		return true
 	}
 	f.driver.Heard(&registry.Registration{Instance: "i-0", Models: []registry.ModelVersion{{Model: "m0", Number: 3}}})
+	f.fleet.asked(5)
+	if f.driver.Serving() != nil {
+		t.Fatal("one replica of six is taken for all")
+	}
+	close(f.fleet.held)
 	eventually(t, "all replicas known", func() bool { return known(3) })
 	f.driver.Heard(&registry.Registration{Instance: "i-0", Models: []registry.ModelVersion{{Model: "m0", Number: 1}}})
 	f.leading.Store(false)
