batchrun: the line of a job's end tells where its time went

The line now names the item with which the desired groups were whole and splits the time from the opening to the end into waiting, running, between runs and after its result; tamarindring_batch_critical_path_seconds has the same as histograms. One line a job, as before.

--- a/internal/batchrun/log.go
+++ b/internal/batchrun/log.go
@@ -102,6 +102,12 @@
 	if closed.runs.started > 0 {
 		event.FirstRunMs = events.Millis(closed.runs.first - closed.opened)
 	}
+	if path, found := closed.criticalPath(now); found {
+		t.runner.counts.critical(path)
+		event.Critical, event.CriticalRuns, event.CriticalEvents = path.item, path.runs, path.events
+		event.WaitMs, event.RunningMs = events.Millis(path.wait), events.Millis(path.running)
+		event.BetweenMs, event.AfterMs = events.Millis(path.between), events.Millis(path.after)
+	}
 	t.runner.counts.overdue.WithLabelValues().Observe(max(now-closed.due, 0).Seconds())
 	logging.Emit(t.config.Log, event)
 }
--- a/internal/batchrun/metrics.go
+++ b/internal/batchrun/metrics.go
@@ -28,6 +28,7 @@
 	item    *prometheus.HistogramVec
 	commit  *prometheus.HistogramVec
 	overdue *prometheus.HistogramVec
+	path    *prometheus.HistogramVec
 	// Reward calls.
 	unscored prometheus.Gauge
 	rewards  *prometheus.HistogramVec
@@ -45,10 +46,11 @@
 		item:     part.Latency("item_duration_seconds", "Time from a job's opening by this leader to an item's result, by state.", "state"),
 		commit:   part.Latency("commit_duration_seconds", "Time until a command of results and texts was applied."),
 		overdue:  part.Latency("job_overdue_seconds", "Time by which jobs ended after their results were due; 0 for those in time."),
+		path:     part.Latency("critical_path_seconds", "Time of the item with which a job's desired groups were whole, by part: wait, running, between or after.", "part"),
 		unscored: part.Gauge("texts_unscored", "Whole texts that wait for the answer to their reward call."),
 		rewards:  part.Latency("reward_duration_seconds", "Time from a whole text to the end of its reward call: scored, given_up or stopped.", "ending"),
 	}
-	c.Set = metrics.Set{c.results, c.running, c.jobs, c.runs, c.run, c.wait, c.item, c.commit, c.overdue, c.unscored, c.rewards}
+	c.Set = metrics.Set{c.results, c.running, c.jobs, c.runs, c.run, c.wait, c.item, c.commit, c.overdue, c.path, c.unscored, c.rewards}
 	return c
 }
 
@@ -62,6 +64,14 @@
 	c.item.WithLabelValues(state).Observe(after.Seconds())
 }
 
+// critical records where the time of a job went that has ended.
+func (c *counts) critical(path criticalPath) {
+	c.path.WithLabelValues("wait").Observe(path.wait.Seconds())
+	c.path.WithLabelValues("running").Observe(path.running.Seconds())
+	c.path.WithLabelValues("between").Observe(path.between.Seconds())
+	c.path.WithLabelValues("after").Observe(path.after.Seconds())
+}
+
 func (c *counts) ended(ending schedule.Ending, took time.Duration) {
 	c.runs.WithLabelValues(ending.String()).Inc()
 	c.run.WithLabelValues(ending.String()).Observe(took.Seconds())
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -147,6 +147,7 @@
 	}
 	started.stream.parser.VersionField = t.config.VersionField
 	t.calls[start.Key] = started
+	entry.path.started(started.started)
 	if held.noteStart(started.started) {
 		t.runner.counts.wait.WithLabelValues().Observe((started.started - held.opened).Seconds())
 	}
@@ -235,6 +236,7 @@
 	if held := t.jobs[c.Job]; held != nil {
 		held.noteEnd(c.ending)
 	}
+	t.path(c.Key).ended(t.config.Clock()-c.started, events)
 	next := t.scheduler.Ended(t.config.Clock(), c.Key, c.ending, c.version)
 	t.runner.counts.ended(c.ending, t.config.Clock()-c.started)
 	t.logEnd(c, events, next)
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -49,6 +49,7 @@
 	wire *wire.JobItem
 	text *text // nil until the first run; a running call owns it
 	open bool  // without a result
+	path itemPath
 }
 
 // stopReason is why the loop has ended a run.
@@ -317,7 +318,7 @@
 	if held == nil || !held.items[key.Item].open {
 		return
 	}
-	held.items[key.Item].open = false
+	held.items[key.Item].open, held.items[key.Item].path.finished = false, t.config.Clock()
 	t.runner.counts.result(result.GetState(), t.config.Clock()-held.opened)
 	if result.GetState() == wire.JobItemState_JOB_ITEM_STATE_COMPLETED {
 		t.logCompleted(key, result.GetVersions())
--- a/internal/events/batch.go
+++ b/internal/events/batch.go
@@ -125,6 +125,14 @@
 	RunsFull   int     `json:"runs_full,omitempty" doc:"of these, refused by a back end without room"`
 	RunsFailed int     `json:"runs_failed,omitempty" doc:"of these, ended without a whole answer for another reason"`
 	FirstRunMs float64 `json:"first_run_ms,omitempty" doc:"time from the opening to the first run"`
+	// The critical item is the one with which as many groups were whole as the trainer waits for.
+	Critical       string  `json:"critical,omitempty" doc:"item with which the desired groups were whole; none: they never were under this leader"`
+	WaitMs         float64 `json:"wait_ms,omitempty" doc:"of the critical item: time from the opening to its first run"`
+	RunningMs      float64 `json:"running_ms,omitempty" doc:"of the critical item: time in its runs"`
+	BetweenMs      float64 `json:"between_ms,omitempty" doc:"of the critical item: time between its runs, and for its score"`
+	AfterMs        float64 `json:"after_ms,omitempty" doc:"time from the critical item's result to the end of the job"`
+	CriticalRuns   int     `json:"critical_runs,omitempty" doc:"runs of the critical item"`
+	CriticalEvents int     `json:"critical_events,omitempty" doc:"events that these brought"`
 }
 
 var jobClosedKind = kind("job_closed", logrus.InfoLevel, perRequest)
