batchrun/schedule: runs are moved where that saves time

A move reads the prompt again, mostly on a new connection. Change: a move must be expected to save 0.2 s of what is left of the answer, by its estimated length or a quarter of what it has brought already. Test: TestRunsThatAreNearlyOverAreNotMoved.

--- a/internal/batchrun/schedule/move.go
+++ b/internal/batchrun/schedule/move.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Slow returns runs of groups that are waited for which would go on much faster elsewhere, or whose replica leaves before
 // they are over, at most as many as there is room for that no waiting item could take. They are to be stopped and reported with Ended as Moved; until then
@@ -37,7 +40,8 @@
 	if at.pace <= s.settings.MoveRatio*of.fastest() {
 		return false // nowhere, whoever has room
 	}
-	return s.roomFor(entry, of, rooms, now).take(at.pace, s.settings.MoveRatio)
+	gain := time.Duration(float64(s.remaining(entry)) * (1 - of.fastest()/at.pace))
+	return gain >= s.settings.MoveGain && s.roomFor(entry, of, rooms, now).take(at.pace, s.settings.MoveRatio)
 }
 
 // roomFor returns the replicas with room for runs like this one, collecting them when they are asked for first.
@@ -50,14 +54,17 @@
 	return rooms[wanted]
 }
 
-// overrunShare is how much of what an answer has brought is expected to follow once it is longer than it was estimated: the
-// lengths of answers have long tails.
-const overrunShare = 0.5
+// overrunShare is how much of what an answer has brought is expected to follow at least: estimates are often far off, and
+// the lengths of answers have long tails.
+const overrunShare = 0.25
 
-// remaining is how long a run is expected to go on at its replica.
+// remaining is how long a run is expected to go on at its replica; as long as any while no whole answer was seen.
 func (s *Scheduler) remaining(entry *item) time.Duration {
-	at := s.replicas[entry.run.instance]
+	at, expected := s.replicas[entry.run.instance], s.expectedEvents(entry)
+	if expected == 0 {
+		return math.MaxInt64
+	}
 	brought := float64(entry.brought + entry.run.events)
-	left := max(s.expectedEvents(entry)-brought, overrunShare*brought)
+	left := max(expected-brought, overrunShare*brought)
 	return time.Duration(left * at.pace * float64(time.Second))
 }
--- a/internal/batchrun/schedule/schedule_test.go
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -240,6 +240,36 @@
 	}
 }
 
+// TestRunsThatAreNearlyOverAreNotMoved: of two runs at a slow replica the one goes on elsewhere that gains by it.
+func TestRunsThatAreNearlyOverAreNotMoved(t *testing.T) {
+	s := newScheduler(2, 2)
+	open(s, Job{ID: "known"}, "a:10")
+	first := s.Starts(0)[0].Key
+	for event := range 10 { // an event a token
+		s.Progress(first, 1+event, time.Duration(event)*50*time.Millisecond, 1)
+	}
+	s.Ended(second, first, Completed, 1)
+	open(s, Job{ID: "j"}, "a:40", "b:12", "c:11")
+	var slow []Key
+	for _, start := range s.Starts(second) {
+		pause := 50 * time.Millisecond
+		if start.Instance == "r2" {
+			pause, slow = 100*time.Millisecond, append(slow, start.Key)
+		}
+		for event := range 10 {
+			s.Progress(start.Key, 1+event, second+time.Duration(event)*pause, 1)
+		}
+	}
+	s.replicas["r1"].Slots = 10
+	moved := s.Slow(3 * second)
+	for _, key := range slow {
+		long := s.find(key).Length == 40
+		if slices.Contains(moved, key) != long {
+			t.Errorf("of %d tokens 10 are there, moved %v", s.find(key).Length, !long)
+		}
+	}
+}
+
 // TestLongRunsLeaveReplicasThatLeave: a run that is expected to outlast its leaving replica goes on elsewhere at once, one that
 // is over soon ends there, and nothing is moved to where no room is.
 func TestLongRunsLeaveReplicasThatLeave(t *testing.T) {
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -139,6 +139,7 @@
 	DefaultSlownessCost     = 2
 	DefaultMoveRatio        = 1.25
 	DefaultMovePause        = 600 * time.Millisecond
+	DefaultMoveGain         = 200 * time.Millisecond
 	DefaultLeavingTime      = time.Second
 	DefaultAffinityBonus    = 0.25
 )
@@ -170,6 +171,9 @@
 	// there, and MovePause how long a run stays before it is moved.
 	MoveRatio float64
 	MovePause time.Duration
+	// MoveGain is the time that a move must be expected to save: a run that goes on elsewhere reads its prompt again, on a new
+	// connection mostly, and loses the event that was being made.
+	MoveGain time.Duration
 	// LeavingTime is how long a run must be expected to go on to be moved away from a replica that leaves. Replicas serve
 	// for some seconds after they said so, and then fall silent: on a day with 18 replicas taken away, 10 runs of up to 60 events
 	// stood still for about a second each until that was noticed.
@@ -191,6 +195,7 @@
 	set(&s.SlownessCost, DefaultSlownessCost)
 	set(&s.MoveRatio, DefaultMoveRatio)
 	set(&s.MovePause, DefaultMovePause)
+	set(&s.MoveGain, DefaultMoveGain)
 	set(&s.LeavingTime, DefaultLeavingTime)
 	return s
 }
