--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -27,7 +27,7 @@
 	counting  atomic.Bool      // a count is on its way
 	view      *table.View      // that the scheduler was told of
 	serving   *weights.Serving // likewise
-	began     time.Duration
+	ready     time.Duration    // when it could have started items for the first time; 0: not yet
 	calls     map[schedule.Key]*call
 	ends      chan *call
 	// rewardCalls are those of texts that wait for their score; the calls report through scores.
@@ -69,7 +69,7 @@
 	return &tenure{
 		runner: r, config: &r.config, term: term, scheduler: schedule.New(r.config.Schedule),
 		commits: newCommits(&r.config, r.counts), jobs: map[string]*job{},
-		began: r.config.Clock(), countedAt: r.config.Clock(), calls: map[schedule.Key]*call{}, ends: make(chan *call, endsBuffer),
+		countedAt: r.config.Clock(), calls: map[schedule.Key]*call{}, ends: make(chan *call, endsBuffer),
 		rewardCalls: map[schedule.Key]*rewardCall{}, scores: make(chan *rewardCall, endsBuffer),
 	}
 }
@@ -302,7 +302,10 @@
 // too old costs its item a tenth of a second and the next choice is no better: the 170 that a new leader of a fleet of 128 replicas
 // made in its first two seconds went to the items that had the least time left.
 func (t *tenure) awaitsServing(now time.Duration) bool {
-	return !t.serving.Knows() && now < t.began+t.config.ServingWait
+	if t.ready == 0 {
+		t.ready = now
+	}
+	return !t.serving.Knows() && now < t.ready+t.config.ServingWait
 }
 
 // terminate lists an item as given up.
