batchrun: parts of long texts are committed twice a second

Cause: a lost leader's runs begin again after their last committed part. Change: DefaultCheckpoint 0.5 s.

--- a/internal/batchrun/config.go
+++ b/internal/batchrun/config.go
@@ -26,8 +26,10 @@
 
 // Defaults of Config.
 const (
-	DefaultRetention  = 10 * time.Minute
-	DefaultCheckpoint = time.Second
+	DefaultRetention = 10 * time.Minute
+	// DefaultCheckpoint bounds what a lost leader's runs lose: half of it on average, and the long answers that steps
+	// wait for are under way at any time.
+	DefaultCheckpoint = 500 * time.Millisecond
 )
 
 // Group is the ledger group as the node sees it that leads it; *control.LedgerGroup is the usual one.
@@ -64,8 +66,8 @@
 	Reward reward.Settings
 	// Serving tells what the replicas serve, as whoever orders their loads knows it; nil: not known now. Optional.
 	Serving func() *weights.Serving
-	// ServingWait is how long a new leader starts nothing while Serving knows nothing; 0: it starts at once, and finds out at
-	// which replicas the weights are too old. Only with Serving.
+	// ServingWait is how long a new leader that could start items does not while Serving knows nothing; 0: it starts at once,
+	// and finds out at which replicas the weights are too old. Only with Serving.
 	ServingWait time.Duration
 	// VersionField is the name, in lower case, of the event field that names a weight version.
 	VersionField string
