batchrun/schedule, weights: rooms are those of the run's own pool; fields in order

Read as a newcomer would: the rooms that runs may be moved to were collected from the pool of the run's replica and kept under the pool that the item's route names now; after a change of the route these differ, and a run could have been stopped for room in the wrong pool. One line; the fields of the driver stand in the order of their use again.

--- a/internal/batchrun/schedule/move.go
+++ b/internal/batchrun/schedule/move.go
@@ -6,8 +6,8 @@
 )
 
 // Slow returns runs of groups that are waited for which would go on much faster elsewhere, or whose replica leaves before
-// they are over, at most as many as there is room for that no waiting item could take. They are to be stopped and reported with Ended as Moved; until then
-// they count as running.
+// they are over, at most as many as there is room for that no waiting item could take. They are to be stopped and reported
+// with Ended as Moved; until then they count as running.
 func (s *Scheduler) Slow(now time.Duration) []Key {
 	for _, at := range s.replicas {
 		at.coming = 0
@@ -46,7 +46,7 @@
 
 // roomFor returns the replicas with room for runs like this one, collecting them when they are asked for first.
 func (s *Scheduler) roomFor(entry *item, of *pool, rooms map[demand]*faster, now time.Duration) *faster {
-	wanted := entry.demand(entry.poolOf())
+	wanted := entry.demand(s.replicas[entry.run.instance].Pool)
 	if rooms[wanted] == nil {
 		found := s.fasterFor(entry, of, now)
 		rooms[wanted] = &found
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -102,18 +102,17 @@
 	takeover takeover
 	planners map[string]*wave.Planner
 	queue    []queued
-	places   int               // replicas that may load at once
-	busy     map[string]string // the model of the order on its way, by replica
-	holding  map[string]*load  // the orders that take a place, by replica
-	loads    loadTimes         // of the last loads
-	// surveying says that the replicas were asked under this leadership.
-	surveying bool
-	looking   bool // for named versions
-	// restUntil is when the next turn may plan again.
-	restUntil time.Duration
-	lookNext  bool                         // once more after that
-	loaded    map[served]uint64            // versions that orders of this leader brought
-	serving   map[string]map[string]uint64 // by model and replica, as far as is known
+	places   int                          // replicas that may load at once
+	busy     map[string]string            // the model of the order on its way, by replica
+	holding  map[string]*load             // the orders that take a place, by replica
+	loads    loadTimes                    // of the last loads
+	loaded   map[served]uint64            // versions that orders of this leader brought
+	serving  map[string]map[string]uint64 // by model and replica, as far as is known
+
+	surveying bool          // the replicas were asked under this leadership
+	looking   bool          // for named versions
+	lookNext  bool          // once more after that
+	restUntil time.Duration // when the next turn may plan again
 }
 
 // served names a model at a replica.
