--- a/internal/batchrun/schedule/schedule_test.go
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -250,7 +250,7 @@
 		s.Progress(first, 1+event, time.Duration(event)*100*time.Millisecond, 1)
 	}
 	s.Ended(second, first, Completed, 1)
-	open(s, Job{ID: "j", Deadline: 6 * second}, "a:40", "b:9", "c:9", "d:9", "e:9", "f:9")
+	open(s, Job{ID: "j", Deadline: 6 * second}, "a:40", "b:9", "c:9", "d:9", "e:9")
 	at, urgencies := map[string]int{}, map[string]int{}
 	var alone string
 	for _, start := range s.Starts(second) {
@@ -260,7 +260,7 @@
 			alone = start.Instance
 		}
 	}
-	if at[alone] != 3 || urgencies["i0"] != urgencyStraggler || urgencies["i1"] != urgencyWanted {
+	if at[alone] != 2 || urgencies["i0"] != urgencyStraggler || urgencies["i1"] != urgencyWanted {
 		t.Fatalf("%v run, the long one at %s; urgencies %v", at, alone, urgencies)
 	}
 	s.End("j")
@@ -325,6 +325,11 @@
 	staying := someReplicas(2, 4)[1:]
 	staying[0].Slots = len(at["r2"]) + 1 // room for one
 	s.Replicas(staying)
+	s.replicas["r2"].pace *= 2
+	if moved := s.Slow(2 * second); len(moved) != 0 {
+		t.Fatalf("%v moved to a replica that is slower by half", moved)
+	}
+	s.replicas["r2"].pace /= 2
 	moved := s.Slow(2 * second)
 	if len(moved) != 1 || !slices.Contains(at["r1"], moved[0].Item) || s.find(moved[0]).Length != 60 {
 		t.Fatalf("%v moved; %v run at the replica that leaves", moved, at["r1"])
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -456,8 +456,10 @@
 		t.Fatal(err)
 	}
 	blocked := make(chan struct{})
-	f.driver.config.Control = &silentControl{fakeControl: f.control, answers: 6, blocked: blocked}
+	release := make(chan struct{})
+	f.driver.config.Control = &silentControl{fakeControl: f.control, answers: 6, blocked: blocked, release: release}
 	f.run(t)
+	t.Cleanup(func() { close(release) }) // before the driver is stopped
 	f.driver.Look()
 	<-blocked
 	eventually(t, "m0", func() bool { return f.fleet.serve("m0", 2) })
@@ -469,6 +471,7 @@
 	mutex   sync.Mutex
 	answers int
 	blocked chan struct{} // closed with the first question without an answer
+	release chan struct{} // closed when the questions may end
 }
 
 func (s *silentControl) Query(ctx context.Context, group uint32, query *wire.Query) (*wire.View, error) {
@@ -482,8 +485,8 @@
 	if left == -1 {
 		close(s.blocked)
 	}
-	<-ctx.Done()
-	return nil, ctx.Err()
+	<-s.release
+	return nil, errors.New("no answer")
 }
 
 // TestNewLeaderAsksTheReplicas: one heartbeat tells which pool holds models, and the replicas tell the rest; what they told
@@ -516,6 +519,11 @@
 	close(f.fleet.held)
 	eventually(t, "all replicas known", func() bool { return known(3) })
 	f.driver.Heard(&registry.Registration{Instance: "i-0", Models: []registry.ModelVersion{{Model: "m0", Number: 1}}})
+	f.driver.mutex.Lock()
+	if held := f.driver.heard["i-0"]; len(held) != 1 || held[0].Number != 3 {
+		t.Errorf("an older account changed what is known to %v", held)
+	}
+	f.driver.mutex.Unlock()
 	f.leading.Store(false)
 	eventually(t, "the loss of the leadership", func() bool { return f.driver.known.Load() == nil })
 	f.fleet.mutex.Lock()
@@ -551,6 +559,9 @@
 		"m1 had so much more work that m0 would find nothing": {map[string]map[string]uint64{
 			"m0": {"i-0": 8, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 11, "i-1": 10, "i-2": 10, "i-3": 10}},
 			nil, map[string]uint64{"m0": 1, "m1": 1_000_000}, []string{"m0", "m0", "m1", "m1"}},
+		"m1 has so much more work, and four times the replicas": {map[string]map[string]uint64{
+			"m0": {"i-0": 9, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 11, "i-1": 11, "i-2": 11, "i-3": 11}},
+			map[string]string{"i-0": "m1"}, map[string]uint64{"m0": 1, "m1": 1_000_000}, []string{"m0", "m0", "m1", "m1"}},
 		"m0 is loading": {map[string]map[string]uint64{
 			"m0": {"i-0": 8, "i-1": 8, "i-2": 8, "i-3": 8}, "m1": {"i-0": 9, "i-1": 10, "i-2": 11, "i-3": 9}},
 			map[string]string{"i-0": "m0", "i-1": "m0"}, nil, []string{"m1", "m1", "m0", "m0"}},
