--- a/internal/batchrun/schedule/schedule_test.go
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// knowPace has an answer of ten tokens bring so many events with a pause between them, all within the first second.
+func knowPace(s *Scheduler, events int, pause time.Duration) {
+	open(s, Job{ID: "known"}, "a:10")
+	first := s.Starts(0)[0].Key
+	for event := range events {
+		s.Progress(first, 1+event, time.Duration(event)*pause, 1)
+	}
+	s.Ended(second, first, Completed, 1)
+}
+
 func wantOrder(t *testing.T, got []string, want ...string) {
 	t.Helper()
 	if !slices.Equal(got, want) {
@@ -82,12 +92,7 @@
 // of a job that is due sooner, if it must start before them to be in time; what is left of it counts.
 func TestItemsStartByTheirLatestStart(t *testing.T) {
 	s := newScheduler(1, 1)
-	open(s, Job{ID: "known"}, "a:10")
-	first := s.Starts(0)[0].Key
-	for event := range 5 { // 10 tokens take 5 events, one each 100 ms
-		s.Progress(first, 1+event, time.Duration(event)*100*time.Millisecond, 1)
-	}
-	s.Ended(second, first, Completed, 1)
+	knowPace(s, 5, 100*time.Millisecond)
 	open(s, Job{ID: "soon", Deadline: 5 * second}, "a:10", "b:30", "c:12")
 	open(s, Job{ID: "late", Deadline: 6 * second}, "a:60", "b:5")
 	wantOrder(t, order(s, second), "late/i0 4", "soon/i1 6", "soon/i2 6", "soon/i0 6", "late/i1 6")
@@ -244,12 +249,7 @@
 // fuller by more than one run, and it is as urgent as a straggler.
 func TestItemsThatPressAreLeftAlone(t *testing.T) {
 	s := newScheduler(2, 8)
-	open(s, Job{ID: "known"}, "a:10")
-	first := s.Starts(0)[0].Key
-	for event := range 10 { // an event a token, each 100 ms
-		s.Progress(first, 1+event, time.Duration(event)*100*time.Millisecond, 1)
-	}
-	s.Ended(second, first, Completed, 1)
+	knowPace(s, 10, 100*time.Millisecond)
 	open(s, Job{ID: "j", Deadline: 6 * second}, "a:40", "b:9", "c:9", "d:9", "e:9")
 	at, urgencies := map[string]int{}, map[string]int{}
 	var alone string
@@ -274,12 +274,7 @@
 // TestRunsThatAreNearlyOverAreNotMoved: of two runs at a slow replica the one goes on elsewhere that gains by it.
 func TestRunsThatAreNearlyOverAreNotMoved(t *testing.T) {
 	s := newScheduler(2, 2)
-	open(s, Job{ID: "known"}, "a:10")
-	first := s.Starts(0)[0].Key
-	for event := range 10 { // an event a token
-		s.Progress(first, 1+event, time.Duration(event)*50*time.Millisecond, 1)
-	}
-	s.Ended(second, first, Completed, 1)
+	knowPace(s, 10, 50*time.Millisecond)
 	open(s, Job{ID: "j"}, "a:40", "b:12", "c:11")
 	var slow []Key
 	for _, start := range s.Starts(second) {
@@ -305,12 +300,7 @@
 // is over soon ends there, and nothing is moved to where no room is.
 func TestLongRunsLeaveReplicasThatLeave(t *testing.T) {
 	s := newScheduler(2, 4)
-	open(s, Job{ID: "known"}, "a:10")
-	first := s.Starts(0)[0].Key
-	for event := range 10 { // an event a token, each 100 ms
-		s.Progress(first, 1+event, time.Duration(event)*100*time.Millisecond, 1)
-	}
-	s.Ended(second, first, Completed, 1)
+	knowPace(s, 10, 100*time.Millisecond)
 	open(s, Job{ID: "j"}, "a:60", "b:60", "c:12", "d:9", "e:60")
 	at := map[string][]string{}
 	for _, start := range s.Starts(second) {
