--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -2,9 +2,10 @@
 // what is moved elsewhere, and what is given up for good.
 //
 // The package is pure: no clock, goroutine or I/O. Times are durations since an arbitrary start. A Scheduler
-// is not safe for concurrent use. Order of work: the job with the oldest deadline first; in a job, groups that
-// an earlier job carried, then groups that have begun, then those with the longest items; groups beyond those
-// that the job's owner waits for come after all others of all jobs.
+// is not safe for concurrent use. Order of work: items by the moment at which each must start to be whole by its
+// job's deadline, of those that must at the same moment the longest first; groups beyond those that the job's owner
+// waits for come after all others of all jobs. Those are, in this order, groups that an earlier job carried, that have
+// begun, that have the longest items.
 package schedule
 
 import "time"
