--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -232,7 +232,8 @@
 const (
 	// restShare is how many times as long as a turn's own work the driver rests after it, so that planning for many
 	// replicas takes a tenth of the processor; the work for a few replicas takes microseconds. Orders that are planned
-	// already go out meanwhile: a place that waits for the rest to end stands idle for a twentieth of its time.
+	// already go out meanwhile: 26 places brought 26 loads a second while they waited for the rest
+	// to end, and 28.4 since (counted in the log of one played day each).
 	restShare   = 9
 	maximumRest = 200 * time.Millisecond
 )
--- a/internal/weights/loadtime.go
+++ b/internal/weights/loadtime.go
@@ -30,8 +30,8 @@
 }
 
 // expected is after what time a load that is under way is over, whatever the accounts that are still to come; 0: not known.
-// A place that waits for the account stands idle for a tenth of its time: 22 loads a second came from 26 places with loads
-// of 0.9 s.
+// A place that waits for the account stands idle for a tenth of its time: accounts told of loads of 0.9 s after 1.02 s in the
+// middle (857 loads in the log of a played day).
 func (l *loadTimes) expected() time.Duration {
 	if len(l.kept) == 0 {
 		return 0
--- a/internal/weights/survey.go
+++ b/internal/weights/survey.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// surveyTogether bounds the replicas that are asked at once: a question takes a millisecond or two, and 128 replicas
-	// are through in about ten.
+	// surveyTogether bounds the replicas that are asked at once: surveys of 114 to 127 replicas took 24 to 60 ms on machines
+	// at rest, and 315 to 690 ms on one that had just started.
 	surveyTogether = 32
 	// surveyTime bounds one question, so that silent replicas hold the others up for no longer.
 	surveyTime = 300 * time.Millisecond
@@ -50,8 +50,8 @@
 }
 
 // survey asks the replicas that were not heard since this process leads, beside the work of Run. Heartbeats tell the same, but
-// the last of them an interval later, and until then items are tried at replicas whose weights turn out too old: in the first two
-// seconds of new leaders 100 to 400 such runs were seen on a fleet of 128 replicas.
+// the last of them an interval later, and until then items are tried at replicas whose weights turn out too old: in the first four
+// seconds of new leaders 57 to 560 such runs were counted in the logs of a fleet of 128 replicas.
 func (d *Driver) survey(ctx context.Context, view *table.View) {
 	targets, heard := d.unheard(view)
 	tenure := d.tenure
