tenants: requests need a tenant's key, replicas are told its name, jobs belong to it

Change: rows of kind tenant with digests of keys, keys_required on the listener, anonymous on routes; package tenant (pure index, kept while no listener or tenant changes); forward authenticates by the plan that each attempt is decided on, so that a key that goes before the send refuses and one that goes after it sends nothing more; the replica client alone writes the tenant's field; jobs keep their tenant in the ledger group, and their reads, bodies and ends find them by it alone; kept texts go to the same tenant only; a tenant's rank goes before its route's. Tables may hold 20,000 rows (10,000 tenants beside the replicas). One test outside this change panicked once while the whole suite ran (TestSwapSplitsSegmentsAsLogged, an answer without segments); being traced.

--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -16,7 +16,7 @@
 func Digest(submit *wire.JobSubmit) []byte {
 	content := &wire.JobSubmit{
 		Id: submit.GetId(), Model: submit.GetModel(), Step: submit.GetStep(),
-		MinVersion: submit.GetMinVersion(), Desired: submit.GetDesired(), Items: submit.GetItems(),
+		MinVersion: submit.GetMinVersion(), Desired: submit.GetDesired(), Items: submit.GetItems(), Tenant: submit.GetTenant(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(content)
 	if err != nil {
@@ -203,7 +203,7 @@
 	if command.GetJob() == "" {
 		return nil, trace.BadParameter("a job's id is missing")
 	}
-	held := s.jobs[command.GetJob()]
+	held := s.ofTenant(command.GetJob(), command.GetTenant())
 	if held == nil {
 		return reply(wire.JobOutcome_JOB_OUTCOME_UNKNOWN_JOB), nil
 	}
--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -9,7 +9,7 @@
 // Results returns results of a job from a position on: at least one if one exists there. Their bound counts
 // the texts as they are read, not as they are stored.
 func (s *Store) Results(query *wire.JobResultsQuery) *wire.JobResultsView {
-	held := s.jobs[query.GetJob()]
+	held := s.ofTenant(query.GetJob(), query.GetTenant())
 	if held == nil {
 		return &wire.JobResultsView{}
 	}
@@ -38,7 +38,7 @@
 
 // Item returns what is known of a job's item; the body only while the job is open.
 func (s *Store) Item(query *wire.JobItemQuery) *wire.JobItemView {
-	held := s.jobs[query.GetJob()]
+	held := s.ofTenant(query.GetJob(), query.GetTenant())
 	if held == nil || held.items[query.GetItem()] == nil {
 		return &wire.JobItemView{}
 	}
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -30,6 +30,7 @@
 	ListUnscored bool // list a text as completed without the score that its item needs
 	ReplaceText  bool // let another run's text take the place of one that waits for its score
 	ExpireOpen   bool // forget jobs that have not ended
+	AnyTenant    bool // show and end the jobs of other tenants
 	CountEarly   bool // count time for a job that had passed before it was taken
 }
 
@@ -71,6 +72,16 @@
 // Revision rises with every job that is taken.
 func (s *Store) Revision() uint64 { return s.revision }
 
+// ofTenant returns a job of a tenant; nil if there is none. Another tenant's job is as good as none, so that nobody learns of
+// it, however its id came to be known.
+func (s *Store) ofTenant(id, tenant string) *job {
+	held := s.jobs[id]
+	if held == nil || held.submit.GetTenant() != tenant && !s.unsafe.AnyTenant {
+		return nil
+	}
+	return held
+}
+
 func (s *Store) add(submit *wire.JobSubmit, revision uint64) *job {
 	added := &job{submit: submit, revision: revision, bytes: proto.Size(submit), listed: map[string]bool{}, partials: map[string]*wire.JobPartial{},
 		unscored: map[string]*wire.JobResult{},
@@ -101,8 +112,8 @@
 		Desired: j.submit.GetDesired(), DeadlineMillis: j.submit.GetDeadlineMillis(),
 		QueueTtlMillis: j.submit.GetQueueTtlMillis(), MaxAttempts: j.submit.GetMaxAttempts(),
 		SingleVersion: j.submit.GetSingleVersion(), SentUnixMillis: j.submit.GetSentUnixMillis(),
-		TableVersion: j.submit.GetTableVersion(),
-		Items:        make([]*wire.JobItem, 0, len(j.submit.GetItems())),
+		TableVersion: j.submit.GetTableVersion(), Tenant: j.submit.GetTenant(),
+		Items: make([]*wire.JobItem, 0, len(j.submit.GetItems())),
 	}
 	for _, item := range j.submit.GetItems() {
 		kept := &wire.JobItem{Id: item.GetId(), Group: item.GetGroup(), Tokens: item.GetTokens()}
--- a/internal/batchclient/client.go
+++ b/internal/batchclient/client.go
@@ -109,7 +109,7 @@
 		Id: job.ID, Route: row.Name, Model: job.Model, Step: job.Step, MinVersion: job.MinVersion,
 		Desired: uint32(min(job.Desired, batch.MaximumItems)), DeadlineMillis: uint32(row.Deadline.Milliseconds()),
 		QueueTtlMillis: uint32(row.QueueTTL.Milliseconds()), MaxAttempts: row.MaxAttempts,
-		SingleVersion: row.SingleVersion, SentUnixMillis: job.Received.UnixMilli(),
+		SingleVersion: row.SingleVersion, SentUnixMillis: job.Received.UnixMilli(), Tenant: job.Tenant,
 	}
 	for _, share := range row.Pools {
 		submit.Pools = append(submit.Pools, share.Name)
@@ -144,16 +144,16 @@
 }
 
 // Results implements Service.
-func (b *Client) Results(ctx context.Context, id string, from uint64, wait time.Duration) (*Results, error) {
+func (b *Client) Results(ctx context.Context, job Reference, from uint64, wait time.Duration) (*Results, error) {
 	for until := time.Now().Add(wait); ; {
 		near := b.near.address()
-		found, err := b.ask(ctx, id, from, near != "")
+		found, err := b.ask(ctx, job, from, near != "")
 		if err != nil {
 			return nil, err
 		}
 		done := from >= found.GetTotal() || found.GetEnded()
 		if listed(found) > from || done || time.Now().Add(resultsPoll).After(until) {
-			return b.collect(ctx, id, from, near, found)
+			return b.collect(ctx, job, from, near, found)
 		}
 		select {
 		case <-ctx.Done():
@@ -163,13 +163,13 @@
 	}
 }
 
-func pieceQuery(id string, from uint64) *wire.Query {
-	return &wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: id, Since: from, MaxBytes: pieceBytes}}}
+func pieceQuery(job Reference, from uint64) *wire.Query {
+	return &wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: job.ID, Tenant: job.Tenant, Since: from, MaxBytes: pieceBytes}}}
 }
 
 // ask asks the leader for a job's results from a position on, or for their number only.
-func (b *Client) ask(ctx context.Context, id string, from uint64, countOnly bool) (*wire.JobResultsView, error) {
-	query := pieceQuery(id, from)
+func (b *Client) ask(ctx context.Context, job Reference, from uint64, countOnly bool) (*wire.JobResultsView, error) {
+	query := pieceQuery(job, from)
 	query.GetJobResults().CountOnly = countOnly
 	view, err := b.query(ctx, query)
 	if err != nil {
@@ -180,7 +180,7 @@
 		return nil, errOtherView
 	}
 	if !found.GetKnown() {
-		return nil, trace.NotFound("no batch job %q", id)
+		return nil, trace.NotFound("no batch job %q", job.ID)
 	}
 	return found, nil
 }
@@ -190,7 +190,7 @@
 
 // collect adds pieces to what the leader has answered with, as far as the answer has room and they can be had: from the
 // near node, and from the leader where that has none.
-func (b *Client) collect(ctx context.Context, id string, from uint64, near string, first *wire.JobResultsView) (*Results, error) {
+func (b *Client) collect(ctx context.Context, job Reference, from uint64, near string, first *wire.JobResultsView) (*Results, error) {
 	results, err := resultsOf(first)
 	if err != nil {
 		return nil, err
@@ -202,11 +202,11 @@
 		}
 		var piece *wire.JobResultsView
 		if near != "" {
-			piece = b.near.results(ctx, near, id, next)
+			piece = b.near.results(ctx, near, job, next)
 		}
 		if piece == nil {
 			near = ""
-			if piece, err = b.ask(ctx, id, next, false); err != nil {
+			if piece, err = b.ask(ctx, job, next, false); err != nil {
 				break
 			}
 		}
@@ -256,8 +256,8 @@
 }
 
 // Item implements Service.
-func (b *Client) Item(ctx context.Context, id, item string) ([]byte, error) {
-	view, err := b.query(ctx, &wire.Query{Kind: &wire.Query_JobItem{JobItem: &wire.JobItemQuery{Job: id, Item: item}}})
+func (b *Client) Item(ctx context.Context, job Reference, item string) ([]byte, error) {
+	view, err := b.query(ctx, &wire.Query{Kind: &wire.Query_JobItem{JobItem: &wire.JobItemQuery{Job: job.ID, Tenant: job.Tenant, Item: item}}})
 	if err != nil {
 		return nil, err
 	}
@@ -266,20 +266,20 @@
 		return nil, errOtherView
 	}
 	if !found.GetKnown() || !found.GetHeld() {
-		return nil, trace.NotFound("no item %q of an open batch job %q", item, id)
+		return nil, trace.NotFound("no item %q of an open batch job %q", item, job.ID)
 	}
 	return found.GetBody(), nil
 }
 
 // End implements Service.
-func (b *Client) End(ctx context.Context, id string) error {
-	command := &wire.JobEnd{Job: id}
+func (b *Client) End(ctx context.Context, job Reference) error {
+	command := &wire.JobEnd{Job: job.ID, Tenant: job.Tenant}
 	reply, err := b.execute(ctx, &wire.Command{Kind: &wire.Command_JobEnd{JobEnd: command}})
 	if err != nil {
 		return err
 	}
 	if reply.GetOutcome() == wire.JobOutcome_JOB_OUTCOME_UNKNOWN_JOB {
-		return trace.NotFound("no batch job %q", id)
+		return trace.NotFound("no batch job %q", job.ID)
 	}
 	return nil
 }
--- a/internal/batchclient/client_test.go
+++ b/internal/batchclient/client_test.go
@@ -147,7 +147,7 @@
 		if err := store.Submit(t.Context(), exampleBatch()); verdict.Of(err) != known {
 			t.Fatalf("%v: %v", known, err)
 		}
-		if _, err := store.Results(t.Context(), "j", 0, 0); err == nil || trace.IsNotFound(err) {
+		if _, err := store.Results(t.Context(), Reference{ID: "j"}, 0, 0); err == nil || trace.IsNotFound(err) {
 			t.Fatalf("a read that failed says: %v", err)
 		}
 	}
@@ -155,42 +155,42 @@
 
 func TestBatchIsReadByPosition(t *testing.T) {
 	store, ledger := newClient(t)
-	if _, err := store.Results(t.Context(), "j", 0, 0); !trace.IsNotFound(err) {
+	if _, err := store.Results(t.Context(), Reference{ID: "j"}, 0, 0); !trace.IsNotFound(err) {
 		t.Fatal(err)
 	}
-	if err := store.End(t.Context(), "j"); !trace.IsNotFound(err) {
+	if err := store.End(t.Context(), Reference{ID: "j"}); !trace.IsNotFound(err) {
 		t.Fatal(err)
 	}
 	if err := store.Submit(t.Context(), exampleBatch()); err != nil {
 		t.Fatal(err)
 	}
-	body, err := store.Item(t.Context(), "j", "i")
+	body, err := store.Item(t.Context(), Reference{ID: "j"}, "i")
 	if err != nil || string(body) != "\x01\x02" {
 		t.Fatalf("%q %v", body, err)
 	}
-	found, err := store.Results(t.Context(), "j", 0, 0)
+	found, err := store.Results(t.Context(), Reference{ID: "j"}, 0, 0)
 	if err != nil || found.Total != 1 || len(found.Results) != 0 {
 		t.Fatalf("%v %v", found, err)
 	}
 	result := &wire.JobResult{Item: "i", State: wire.JobItemState_JOB_ITEM_STATE_COMPLETED, Text: []byte("a\nb"), Versions: []uint64{4, 5}}
 	ledger.queries, ledger.arrival = 0, &wire.JobStore{Jobs: []*wire.JobResults{{Job: "j", Results: []*wire.JobResult{result}}}}
-	if found, err = store.Results(t.Context(), "j", 0, time.Minute); err != nil || len(found.Results) != 1 {
+	if found, err = store.Results(t.Context(), Reference{ID: "j"}, 0, time.Minute); err != nil || len(found.Results) != 1 {
 		t.Fatalf("a reader that waits gets %v %v", found, err)
 	}
 	for range 2 {
-		if err := store.End(t.Context(), "j"); err != nil {
+		if err := store.End(t.Context(), Reference{ID: "j"}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	found, err = store.Results(t.Context(), "j", 0, time.Second)
+	found, err = store.Results(t.Context(), Reference{ID: "j"}, 0, time.Second)
 	if err != nil || !found.Results[0].Completed || found.Results[0].Text != "a\nb" || len(found.Results[0].Versions) != 2 {
 		t.Fatalf("%v %v", found, err)
 	}
-	if _, err := store.Item(t.Context(), "j", "i"); !trace.IsNotFound(err) {
+	if _, err := store.Item(t.Context(), Reference{ID: "j"}, "i"); !trace.IsNotFound(err) {
 		t.Fatal(err)
 	}
 	ledger.failure = errors.New("cut off")
-	if _, err := store.Item(t.Context(), "j", "i"); err == nil || trace.IsNotFound(err) {
+	if _, err := store.Item(t.Context(), Reference{ID: "j"}, "i"); err == nil || trace.IsNotFound(err) {
 		t.Fatal(err)
 	}
 }
--- a/internal/batchclient/near.go
+++ b/internal/batchclient/near.go
@@ -83,7 +83,7 @@
 
 // results asks a near node for results from a position on; none if it has none or does not answer, which leaves it out
 // for a while.
-func (n *Near) results(ctx context.Context, address, job string, from uint64) *wire.JobResultsView {
+func (n *Near) results(ctx context.Context, address string, job Reference, from uint64) *wire.JobResultsView {
 	ctx, cancel := context.WithTimeout(ctx, nearTime)
 	defer cancel()
 	view, err := n.Ledger.LocalQuery(ctx, address, Group, pieceQuery(job, from))
@@ -92,7 +92,7 @@
 		return found
 	}
 	n.rest(address)
-	logging.Emit(n.Log, &events.NearNodeRests{Address: address, Job: job, From: from, Cause: events.ErrorText(err), PauseMs: events.Millis(nearPause)})
+	logging.Emit(n.Log, &events.NearNodeRests{Address: address, Job: job.ID, From: from, Cause: events.ErrorText(err), PauseMs: events.Millis(nearPause)})
 	return nil
 }
 
--- a/internal/batchclient/near_test.go
+++ b/internal/batchclient/near_test.go
@@ -88,7 +88,7 @@
 
 func (f *nearFixture) read(t *testing.T, from uint64) []Result {
 	t.Helper()
-	results, err := f.Results(t.Context(), "j", from, 0)
+	results, err := f.Results(t.Context(), Reference{ID: "j"}, from, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/batchclient/pieces_test.go
+++ b/internal/batchclient/pieces_test.go
@@ -46,7 +46,7 @@
 	ledger.machine.Apply(ledger.index, &wire.Command{Kind: &wire.Command_JobStore{JobStore: &wire.JobStore{Jobs: []*wire.JobResults{results}}}})
 	reads := 0
 	for from := uint64(0); from < items; reads++ {
-		found, err := store.Results(t.Context(), "j", from, 0)
+		found, err := store.Results(t.Context(), Reference{ID: "j"}, from, 0)
 		if err != nil || len(found.Results) == 0 || found.Total != items {
 			t.Fatalf("from %d: %v, %v", from, found, err)
 		}
--- a/internal/batchclient/service.go
+++ b/internal/batchclient/service.go
@@ -16,16 +16,23 @@
 	Submit(ctx context.Context, job *Job) error
 	// Results returns the results from a position on. When there is none it waits up to wait for one, and
 	// then returns none.
-	Results(ctx context.Context, id string, from uint64, wait time.Duration) (*Results, error)
+	Results(ctx context.Context, job Reference, from uint64, wait time.Duration) (*Results, error)
 	// Item returns the body of an item.
-	Item(ctx context.Context, id, item string) ([]byte, error)
+	Item(ctx context.Context, job Reference, item string) ([]byte, error)
 	// End ends a batch job; one that was ended already is no error.
-	End(ctx context.Context, id string) error
+	End(ctx context.Context, job Reference) error
+}
+
+// Reference names a batch job as a caller does. Only the tenant that submitted a job finds it.
+type Reference struct {
+	ID     string
+	Tenant string // whose key the caller showed; empty: the caller is anonymous
 }
 
 // Job is a batch job as it was submitted.
 type Job struct {
 	ID         string
+	Tenant     string // that submits it; empty: the caller is anonymous
 	Host       string // as the caller named it
 	Route      string // row name of the route that the job was matched to
 	Path       string
--- a/internal/batchrun/kept.go
+++ b/internal/batchrun/kept.go
@@ -23,19 +23,20 @@
 }
 
 type keptText struct {
-	item *wire.JobItem
-	text *text
+	tenant string // whose job brought it: no other one gets it
+	item   *wire.JobItem
+	text   *text
 }
 
 func (k *keptText) size() int { return len(k.item.GetBody()) + len(k.text.data) }
 
 func newKeptTexts() *keptTexts { return &keptTexts{texts: map[string]keptText{}} }
 
-func (k *keptTexts) keep(item *wire.JobItem, held *text) {
+func (k *keptTexts) keep(tenant string, item *wire.JobItem, held *text) {
 	if held == nil || held.events == 0 {
 		return
 	}
-	entry := keptText{item: item, text: held}
+	entry := keptText{tenant: tenant, item: item, text: held}
 	k.drop(item.GetId())
 	if len(k.texts) >= maximumKept || k.bytes+entry.size() > maximumKeptBytes {
 		clear(k.texts)
@@ -54,9 +55,9 @@
 }
 
 // take hands over the text of the same item; nil if none is kept.
-func (k *keptTexts) take(item *wire.JobItem) *text {
+func (k *keptTexts) take(tenant string, item *wire.JobItem) *text {
 	kept, ok := k.texts[item.GetId()]
-	if !ok || !sameItem(kept.item, item) {
+	if !ok || kept.tenant != tenant || !sameItem(kept.item, item) {
 		return nil
 	}
 	k.drop(item.GetId())
--- a/internal/batchrun/kept_test.go
+++ b/internal/batchrun/kept_test.go
@@ -14,8 +14,8 @@
 	kept := newKeptTexts()
 	for number := range 3 * maximumKeptBytes / maximumTextBytes {
 		item := &wire.JobItem{Id: fmt.Sprint("i", number/2), Body: []byte("body")}
-		kept.keep(item, &text{data: make([]byte, maximumTextBytes), events: 1})
-		if number%5 == 0 && kept.take(item) == nil {
+		kept.keep("", item, &text{data: make([]byte, maximumTextBytes), events: 1})
+		if number%5 == 0 && kept.take("", item) == nil {
 			t.Fatalf("the text that was kept last is gone")
 		}
 		held := 0
--- a/internal/batchrun/rewards.go
+++ b/internal/batchrun/rewards.go
@@ -81,7 +81,7 @@
 	answer := &rewardAnswer{scoreHeader: r.config.ScoreHeader}
 	failure := r.forwarder.Serve(ctx, &forward.Request{
 		AttemptID: call.request.GetId(), Method: http.MethodPost, Host: call.request.GetHost(), Path: call.request.GetPath(),
-		Body: call.request.GetBody(), Received: time.Now(), Deadline: r.config.Reward.Deadline,
+		Body: call.request.GetBody(), Tenant: call.job.GetTenant(), Received: time.Now(), Deadline: r.config.Reward.Deadline,
 		Failed: func(string) { tried.failures++ },
 	}, answer)
 	switch {
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -25,6 +25,7 @@
 type call struct {
 	schedule.Start
 	item    *wire.JobItem
+	tenant  string // of its job
 	text    *text
 	stream  *stream
 	cancel  context.CancelFunc
@@ -130,14 +131,14 @@
 	entry := held.items[start.Item]
 	minimum, single := held.submit.GetMinVersion(), held.submit.GetSingleVersion()
 	if entry.text == nil {
-		if kept := t.runner.kept.take(entry.wire); kept != nil && kept.fits(minimum, single) {
+		if kept := t.runner.kept.take(held.submit.GetTenant(), entry.wire); kept != nil && kept.fits(minimum, single) {
 			entry.text = kept
 		}
 	}
 	if entry.text == nil || !entry.text.fits(minimum, single) {
 		entry.text = newText()
 	}
-	started := &call{Start: start, item: entry.wire, text: entry.text, started: t.config.Clock()}
+	started := &call{Start: start, item: entry.wire, tenant: held.submit.GetTenant(), text: entry.text, started: t.config.Clock()}
 	started.stream = &stream{
 		clock: t.config.Clock, minVersion: minimum, single: single, item: start.Item, text: entry.text,
 		checkpoints: checkpoints{
@@ -212,7 +213,7 @@
 func (t *tenure) request(c *call) *replica.Call {
 	request := &replica.Call{
 		Target: replica.Target{Instance: c.Instance, Address: c.Address}, AttemptID: c.item.GetId(),
-		Method: c.item.GetMethod(), Path: c.item.GetPath(), Host: c.item.GetHost(), Body: c.item.GetBody(),
+		Method: c.item.GetMethod(), Path: c.item.GetPath(), Host: c.item.GetHost(), Tenant: c.tenant, Body: c.item.GetBody(),
 		Urgency: c.Urgency, ResumeAfter: c.text.lastID, MaxConnections: c.Slots + spareConnections,
 		ExpectedVersion: c.ExpectedVersion,
 	}
@@ -249,7 +250,7 @@
 		t.scoreText(ctx, c)
 	case schedule.Forgotten:
 		if c.why == stopJobEnded {
-			t.runner.kept.keep(c.item, c.text)
+			t.runner.kept.keep(c.tenant, c.item, c.text)
 		}
 	}
 }
--- a/internal/batchrun/stream_test.go
+++ b/internal/batchrun/stream_test.go
@@ -88,13 +88,13 @@
 		"field":  func(item *wire.JobItem) { item.Headers = nil },
 	} {
 		kept := newKeptTexts()
-		kept.keep(first, &text{data: []byte("e0"), events: 1})
+		kept.keep("", first, &text{data: []byte("e0"), events: 1})
 		other := &wire.JobItem{Id: first.Id, Path: first.Path, Host: first.Host, Body: first.Body, Headers: first.Headers}
 		change(other)
-		if kept.take(other) != nil {
+		if kept.take("", other) != nil {
 			t.Errorf("an item with another %s got the text", name)
 		}
-		if kept.take(first) == nil {
+		if kept.take("", first) == nil {
 			t.Errorf("%s: the item's own text is gone", name)
 		}
 	}
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -235,6 +235,7 @@
 
 // close stops the items of a job that has ended. What they have brought is kept for a later job.
 func (t *tenure) close(id string) {
+	tenant := t.jobs[id].submit.GetTenant()
 	running := t.scheduler.End(id)
 	for _, key := range running {
 		t.stop(key)
@@ -243,7 +244,7 @@
 	for _, entry := range t.jobs[id].items {
 		t.stopRating(schedule.Key{Job: id, Item: entry.wire.GetId()}, stopJobEnded)
 		if t.calls[schedule.Key{Job: id, Item: entry.wire.GetId()}] == nil {
-			t.runner.kept.keep(entry.wire, entry.text)
+			t.runner.kept.keep(tenant, entry.wire, entry.text)
 		}
 	}
 	delete(t.jobs, id)
--- a/internal/configure/configuration.go
+++ b/internal/configure/configuration.go
@@ -20,10 +20,11 @@
 
 // The rows that a configuration owns; those of pools have the pools' own names.
 const (
-	DocumentRow = "document.configuration"
-	ListenerRow = "listener.gateways"
-	routePrefix = "route."
-	namePrefix  = "named."
+	DocumentRow  = "document.configuration"
+	ListenerRow  = "listener.gateways"
+	routePrefix  = "route."
+	tenantPrefix = "tenant."
+	namePrefix   = "named."
 )
 
 // Configuration is a site's whole configuration.
@@ -33,6 +34,9 @@
 	Pools    []Pool
 	Routes   []route.Route // names are unique among routes, and need not be row names
 	Listener Listener
+	// KeysRequired says that requests need the key of a tenant.
+	KeysRequired bool
+	Tenants      []Tenant
 }
 
 // Pool is a service of the site.
@@ -90,7 +94,7 @@
 		}
 		taken[at] = one.Name
 	}
-	return nil
+	return checkTenants(c.Tenants)
 }
 
 func checkRoute(one *route.Route, known map[string]bool) error {
@@ -124,7 +128,8 @@
 			table.ColumnRevision: decimal(c.Revision), table.ColumnText: c.Text},
 		ListenerRow: {table.ColumnKind: string(table.Listener),
 			table.ColumnMaxHeader: optional(c.Listener.MaxHeader), table.ColumnMaxBody: optional(c.Listener.MaxBody),
-			table.ColumnHeaderTimeout: duration(c.Listener.HeaderTimeout), table.ColumnIdleTimeout: duration(c.Listener.IdleTimeout)},
+			table.ColumnHeaderTimeout: duration(c.Listener.HeaderTimeout), table.ColumnIdleTimeout: duration(c.Listener.IdleTimeout),
+			table.ColumnKeysRequired: flag(c.KeysRequired)},
 	}
 	for _, pool := range c.Pools {
 		rows[RowName(pool.Name)] = cells{table.ColumnKind: string(table.Pool),
@@ -140,6 +145,10 @@
 		}
 		rows[name] = routeCells(one)
 	}
+	for position := range c.Tenants {
+		one := &c.Tenants[position]
+		rows[rowName(tenantPrefix, one.Name)] = one.cells()
+	}
 	return rows
 }
 
@@ -150,7 +159,7 @@
 		table.ColumnTargetLatency: duration(one.TargetLatency), table.ColumnPriority: decimal(uint64(one.Priority)),
 		table.ColumnMaxAttempts: optional(uint64(one.MaxAttempts)), table.ColumnDeadline: duration(one.Deadline),
 		table.ColumnQueueTTL: duration(one.QueueTTL), table.ColumnSingleVersion: flag(one.SingleVersion),
-		table.ColumnSticky: flag(one.Sticky), table.ColumnResumable: flag(one.Resumable)}
+		table.ColumnSticky: flag(one.Sticky), table.ColumnResumable: flag(one.Resumable), table.ColumnAnonymous: flag(one.Anonymous)}
 }
 
 // shares joins the parts of one pool, so that no pool stands twice.
--- a/internal/configure/plan.go
+++ b/internal/configure/plan.go
@@ -20,7 +20,7 @@
 }
 
 // Plan returns the change that makes the configuration the view's, without id, operator and note; nil when
-// the view has its revision or a higher one. Routes that it does not name go; pools stay, because registered
+// the view has its revision or a higher one. Routes and tenants that it does not name go; pools stay, because registered
 // back ends may still belong to them.
 func Plan(view *table.View, c *Configuration) (*wire.TableChange, error) {
 	if held, _ := Held(view); held >= c.Revision {
@@ -40,13 +40,19 @@
 	}
 	for _, row := range view.Rows() {
 		_, stays := desired[row.Name]
-		if row.Kind == table.Route && strings.HasPrefix(row.Name, routePrefix) && !stays {
+		if !stays && ownsRow(row) {
 			change.RemoveRows = append(change.RemoveRows, row.Name)
 		}
 	}
 	return change, nil
 }
 
+// ownsRow tells whether a row came with a configuration and goes with it.
+func ownsRow(row *table.Row) bool {
+	return row.Kind == table.Route && strings.HasPrefix(row.Name, routePrefix) ||
+		row.Kind == table.Tenant && strings.HasPrefix(row.Name, tenantPrefix)
+}
+
 // planRow returns the cells of a row that differ from what is held.
 func planRow(held *table.Row, name string, desired cells) ([]*wire.CellChange, error) {
 	var planned []*wire.CellChange
--- /dev/null
+++ b/internal/configure/tenant_test.go
@@ -0,0 +1,81 @@
+package configure
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/tenant"
+)
+
+// withTenants is an example whose callers need keys.
+func withTenants(revision uint64, tenants ...Tenant) *Configuration {
+	made := example(revision)
+	made.KeysRequired, made.Tenants = true, tenants
+	return made
+}
+
+// TestTenantsComeMoveAndGo with the configurations that name them; the rows hold no key.
+func TestTenantsComeMoveAndGo(t *testing.T) {
+	control := &fakeControl{table: table.New()}
+	importer := &Importer{Control: control, Operator: "test"}
+	rank := uint32(0)
+	for number, step := range []struct {
+		tenants []Tenant
+		want    map[string]string // tenant by key; empty: none
+	}{
+		{[]Tenant{{Name: "One", Keys: []string{"k1", "k2"}, Priority: &rank}, {Name: "two words", Keys: []string{"k3"}}},
+			map[string]string{"k1": "One", "k2": "One", "k3": "two words", "k4": ""}},
+		{[]Tenant{{Name: "One", Keys: []string{"k3"}}, {Name: "two words", Keys: []string{"k1", "k4"}}},
+			map[string]string{"k1": "two words", "k2": "", "k3": "One", "k4": "two words"}},
+		{[]Tenant{{Name: "One"}}, map[string]string{"k1": "", "k3": ""}},
+		{nil, map[string]string{"k1": ""}},
+	} {
+		if err := importer.Put(t.Context(), withTenants(uint64(number+1), step.tenants...)); err != nil {
+			t.Fatal(err)
+		}
+		view, err := ReadView(t.Context(), control, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		index := tenant.NewIndex(view, nil)
+		for key, want := range step.want {
+			found, refused := index.Authenticate(key, false)
+			if refused != (want == "") || found != nil && found.Name != want {
+				t.Errorf("step %d, key %s: %+v, refused %v", number, key, found, refused)
+			}
+		}
+		if one := index.Named("One"); one != nil && one.Ranked != (number == 0) {
+			t.Errorf("step %d: %+v", number, one)
+		}
+		for _, row := range view.Rows() {
+			if row.Kind == table.Tenant && strings.Contains(strings.Join(row.KeyDigests, ","), "k1") {
+				t.Errorf("row %s holds a key", row.Name)
+			}
+		}
+	}
+}
+
+func TestTenantsThatCantBeToldApart(t *testing.T) {
+	for name, tenants := range map[string][]Tenant{
+		"no name":           {{Keys: []string{"k"}}},
+		"a name twice":      {{Name: "a", Keys: []string{"k"}}, {Name: "a", Keys: []string{"l"}}},
+		"a key twice":       {{Name: "a", Keys: []string{"k", "k"}}},
+		"a shared key":      {{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"l", "k"}}},
+		"an empty key":      {{Name: "a", Keys: []string{""}}},
+		"a very long key":   {{Name: "a", Keys: []string{strings.Repeat("k", 16384)}}},
+		"a key of 2 lines":  {{Name: "a", Keys: []string{"k\nX: y"}}},
+		"a name of 2 lines": {{Name: "a\nX: y", Keys: []string{"k"}}},
+	} {
+		control := &fakeControl{table: table.New()}
+		err := (&Importer{Control: control}).Put(t.Context(), withTenants(1, tenants...))
+		if !trace.IsBadParameter(err) || control.table.Version() != 0 {
+			t.Errorf("%s: %v, table version %d", name, err, control.table.Version())
+		}
+		if err != nil && strings.Contains(err.Error(), "kkkk") {
+			t.Errorf("%s: the error holds a key: %v", name, err)
+		}
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/tenant"
 )
 
 // Control is the lease on a table view.
@@ -76,6 +77,7 @@
 	version uint64
 	known   bool // the table holds a configuration
 	routes  *route.Table
+	tenants *tenant.Index
 	pools   map[string]*pool
 }
 
@@ -113,9 +115,14 @@
 	next.known = len(next.routes.Routes()) > 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if held := f.plan.Load(); held != nil && held.version > next.version {
-		return
+	var heldTenants *tenant.Index
+	if held := f.plan.Load(); held != nil {
+		if held.version > next.version {
+			return
+		}
+		heldTenants = held.tenants
 	}
+	next.tenants = tenant.NewIndex(view, heldTenants)
 	for _, row := range view.Rows() {
 		switch row.Kind {
 		case table.Document:
@@ -155,24 +162,23 @@
 	return 0
 }
 
-// Match returns the route of a request, under the lease; known is false when there is no configuration to tell
-// by, or no lease.
-func (f *Forwarder) Match(host, path string) (matched *route.Route, known bool) {
+// current is the plan in force, under the lease; nil when there is no configuration to decide by, or no lease.
+func (f *Forwarder) current() *plan {
 	for range maxStale {
 		plan := f.plan.Load()
 		if plan == nil || !plan.known {
-			return nil, false
+			return nil
 		}
 		version, ok := f.config.Control.Admit()
 		if !ok {
-			return nil, false
+			return nil
 		}
 		if version == plan.version {
-			return plan.routes.Match(host, path), true
+			return plan
 		}
 		time.Sleep(staleWait)
 	}
-	return nil, false
+	return nil
 }
 
 const (
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -14,9 +14,12 @@
 	Method    string
 	Path      string // with its query, unaltered
 	Host      string
-	Header    []replica.Header // end-to-end fields
-	Body      []byte           // must not change until Serve has returned and its context has ended
-	Received  time.Time
+	Header    []replica.Header // end-to-end fields, without the key
+	Key       string           // that the caller shows; empty: none
+	// Tenant is set where the caller was authenticated before, and goes before Key.
+	Tenant   string
+	Body     []byte // must not change until Serve has returned and its context has ended
+	Received time.Time
 	// Deadline is how long the caller waits, from Received on; 0: it does not say.
 	Deadline time.Duration
 	// Work is the expected work in tokens; 0: not known.
@@ -41,6 +44,7 @@
 const (
 	NoConfiguration Reason = iota + 1 // no configuration is known, or the lease on it does not hold
 	NoRoute                           // the configuration has no such route
+	Unauthenticated                   // the key is missing, or no tenant of the configuration has it
 	Overloaded                        // no place and no time to wait for one
 	Unavailable                       // no back end took the request
 	Broken                            // a back end took it and its answer was lost
@@ -50,7 +54,8 @@
 )
 
 var reasonTexts = [...]string{NoConfiguration: "no configuration is in force here", NoRoute: "no route matches",
-	Overloaded: "no capacity", Unavailable: "no back end took the request", Broken: "the back end's answer was lost",
+	Unauthenticated: "no tenant is known by the key",
+	Overloaded:      "no capacity", Unavailable: "no back end took the request", Broken: "the back end's answer was lost",
 	TimedOut: "no answer in time", CallerGone: "the caller is gone", Cut: "the answer broke off"}
 
 // String returns the reason for a person.
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -9,6 +9,7 @@
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/tenant"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
@@ -40,6 +41,8 @@
 	reply      Reply
 	id         uint64
 	route      *route.Route
+	caller     *tenant.Tenant // nil: anonymous, or the tenant is in the table no more
+	tenant     string         // name that back ends are told; empty: none
 	pool       *pool
 	poolName   string
 	work       routing.Request
@@ -84,14 +87,18 @@
 }
 
 func (x *exchange) serve(ctx context.Context) *Failure {
-	matched, known := x.forwarder.Match(x.request.Host, x.request.Path)
-	if !known {
+	plan := x.forwarder.current()
+	if plan == nil {
 		return notRun(NoConfiguration, 0, nil)
 	}
+	matched := plan.routes.Match(x.request.Host, x.request.Path)
 	if matched == nil {
 		return notRun(NoRoute, 0, nil)
 	}
 	x.route = matched
+	if err := x.authenticate(plan, matched); err != nil {
+		return notRun(Unauthenticated, 0, err)
+	}
 	limited, cancel := context.WithDeadline(ctx, x.until())
 	defer cancel()
 	defer x.leavePool()
@@ -151,7 +158,10 @@
 	plan := x.forwarder.plan.Load()
 	matched := plan.routes.Match(x.request.Host, x.request.Path)
 	if matched == nil {
-		return x.gone(ctx, plan)
+		return x.gone(ctx, plan, NoRoute, errRouteGone)
+	}
+	if err := x.authenticate(plan, matched); err != nil {
+		return x.gone(ctx, plan, Unauthenticated, err)
 	}
 	x.route = matched
 	if x.sent >= int(max(matched.MaxAttempts, 1)) {
@@ -171,15 +181,15 @@
 	return x.send(ctx, chosen)
 }
 
-// gone is the end of a request whose route is no longer in the configuration.
-func (x *exchange) gone(ctx context.Context, plan *plan) (*Failure, bool) {
+// gone is the end of a request whose route or key is no longer in the configuration.
+func (x *exchange) gone(ctx context.Context, plan *plan, reason Reason, cause error) (*Failure, bool) {
 	if err := x.admit(plan.version); err != nil {
 		return x.again(ctx, err)
 	}
 	if x.sent == 0 {
-		return notRun(NoRoute, 0, errRouteGone), true
+		return notRun(reason, 0, cause), true
 	}
-	return x.failure(ctx, Unavailable, errRouteGone), true
+	return x.failure(ctx, Unavailable, cause), true
 }
 
 // again decides anew after the table changed, a bounded number of times.
@@ -218,7 +228,7 @@
 	}
 	x.tried = x.tried[:0]
 	now := x.forwarder.now()
-	refusal, err := pool.enter(ctx, x.forwarder.now, admission.Request{ID: x.id, Class: className(x.route.Priority),
+	refusal, err := pool.enter(ctx, x.forwarder.now, admission.Request{ID: x.id, Class: className(x.priority()),
 		Deadline: now + x.until().Sub(x.forwarder.config.Now())}, x.maxWait())
 	if err != nil {
 		return x.failure(ctx, TimedOut, err)
--- a/internal/replica/names.go
+++ b/internal/replica/names.go
@@ -15,6 +15,7 @@
 	Versions        string // weight version that an answer starts under
 	NotExecuted     string // marks an answer as "did not run"
 	Load            string // running, waiting and slots, separated by commas
+	Tenant          string // name of the tenant that the request is from
 }
 
 // lastEventID is the field of server-sent events with which a stream is resumed.
@@ -34,7 +35,7 @@
 			return true
 		}
 	}
-	for _, field := range [...]string{n.AttemptID, n.Deadline, n.Target, n.Urgency, n.ExpectedVersion} {
+	for _, field := range [...]string{n.AttemptID, n.Deadline, n.Target, n.Urgency, n.ExpectedVersion, n.Tenant} {
 		if field != "" && strings.EqualFold(field, name) {
 			return true
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -31,6 +31,7 @@
 	Host      string   // the caller's Host
 	Header    []Header // end-to-end fields, without those that this package sets itself
 	Body      []byte
+	Tenant    string        // that the request is from; empty: none is named
 	Deadline  time.Duration // time that remains; 0: none is sent
 	// Urgency is 0 (most urgent) to 9; negative: none is sent.
 	Urgency int
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -28,6 +28,7 @@
 	}
 	head = appendField(head, names.AttemptID, call.AttemptID)
 	head = appendField(head, names.Target, call.Instance)
+	head = appendField(head, names.Tenant, call.Tenant)
 	if call.Deadline > 0 {
 		head = appendField(head, names.Deadline, strconv.FormatInt(max(1, call.Deadline.Milliseconds()), 10))
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -32,6 +33,7 @@
 	SingleVersion bool
 	Sticky        bool
 	Resumable     bool
+	Anonymous     bool // requests need no key
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -59,7 +61,7 @@
 		Name: row.Name, Host: row.Host, PathPrefix: row.PathPrefix, Pools: shares, Kind: row.RouteKind,
 		Timeout: row.Timeout, TargetLatency: row.TargetLatency, Priority: row.Priority,
 		MaxAttempts: row.MaxAttempts, Deadline: row.Deadline, QueueTTL: row.QueueTTL,
-		SingleVersion: row.SingleVersion, Sticky: row.Sticky, Resumable: row.Resumable,
+		SingleVersion: row.SingleVersion, Sticky: row.Sticky, Resumable: row.Resumable, Anonymous: row.Anonymous,
 	}
 }
 
@@ -105,6 +107,15 @@
 	return nil
 }
 
+// Anonymous tells whether a route of the host takes requests without a key.
+func (t *Table) Anonymous(host string) bool {
+	host = strings.ToLower(host)
+	if colon := strings.LastIndexByte(host, ':'); len(t.byHost[host]) == 0 && colon > 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return slices.ContainsFunc(t.byHost[host], func(one *Route) bool { return one.Anonymous })
+}
+
 func longest(routes []*Route, path string) *Route {
 	for _, route := range routes {
 		if strings.HasPrefix(path, route.PathPrefix) {
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -21,7 +21,7 @@
 	if d.onlyBackends(before, after) {
 		refusals = checkRows(d.touched(), after)
 	} else {
-		refusals = append(checkRows(after.names, after), checkRoutes(after)...)
+		refusals = append(append(checkRows(after.names, after), checkRoutes(after)...), checkTenants(after)...)
 	}
 	if len(refusals) == 0 && !forced(change) {
 		refusals = harmful(before.rows, after.rows, d)
@@ -98,8 +98,11 @@
 			refuse(ColumnAddress, "a back end needs an address")
 		}
 	}
-	if row.Kind == Route {
+	switch row.Kind {
+	case Route:
 		return checkRoute(row, rows)
+	case Tenant:
+		return checkTenant(row)
 	}
 	if row.LiveRoom > row.MaxInFlight {
 		refuse(ColumnLiveRoom, "live_room is above max_in_flight")
--- a/internal/table/columns.go
+++ b/internal/table/columns.go
@@ -16,7 +16,7 @@
 	poolOnly    = []RowKind{Pool}
 	backendOnly = []RowKind{Backend}
 	poolOrRoute = []RowKind{Pool, Route}
-	everyKind   = []RowKind{Pool, Backend, Route, Listener, Document}
+	everyKind   = []RowKind{Pool, Backend, Route, Listener, Tenant, Document}
 	routeOnly   = []RowKind{Route}
 	listenOnly  = []RowKind{Listener}
 	textOnly    = []RowKind{Document}
@@ -26,7 +26,7 @@
 
 var poolColumns = []Column{
 	{Name: ColumnKind, Type: Choice, Rows: everyKind,
-		Choices: []string{string(Pool), string(Backend), string(Route), string(Listener), string(Document)},
+		Choices: []string{string(Pool), string(Backend), string(Route), string(Listener), string(Tenant), string(Document)},
 		Help:    "What the row stands for. Required, and fixed once the row exists.",
 		assign:  func(row *Row, value string) { row.Kind = RowKind(value) }},
 	{Name: ColumnPool, Type: Name, Rows: backendOnly,
--- a/internal/table/incremental_test.go
+++ b/internal/table/incremental_test.go
@@ -26,7 +26,7 @@
 		own[name] = cells
 	}
 	after := NewView().amend(made.version+1, own)
-	refusals := append(checkRows(after.names, after), checkRoutes(after)...)
+	refusals := append(append(checkRows(after.names, after), checkRoutes(after)...), checkTenants(after)...)
 	if len(refusals) == 0 && !forced(change) {
 		refusals = harmful(before.rows, after.rows, d)
 	}
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -42,12 +42,20 @@
 	Sticky        bool
 	Resumable     bool
 
+	Anonymous bool // requests need no key
+
 	// Of a listener.
 	MaxHeader     uint64 // bytes
 	MaxBody       uint64 // bytes
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 
+	KeysRequired bool // requests need a tenant's key, but for routes that are anonymous
+
+	// Of a tenant, which may also have a Priority.
+	TenantName string
+	KeyDigests []string // hexadecimal, see tenant.Digest
+
 	// Of a document.
 	Revision uint64
 	Text     string
--- a/internal/table/schema.go
+++ b/internal/table/schema.go
@@ -1,5 +1,7 @@
 package table
 
+import "slices"
+
 // RowKind says what a row stands for.
 type RowKind string
 
@@ -9,6 +11,7 @@
 	Backend  RowKind = "backend"
 	Route    RowKind = "route"    // requests of a host under a path, and the pools that serve them
 	Listener RowKind = "listener" // what clients may send to the gateways
+	Tenant   RowKind = "tenant"   // a caller of the gateways, known by its keys
 	Document RowKind = "document" // text that a tool keeps as it was given, such as a site's configuration
 )
 
@@ -56,6 +59,7 @@
 	Path                               // absolute path without a query
 	PathPrefix                         // path that starts and ends with a slash
 	WeightedNames                      // NAME:WEIGHT pairs separated by commas, no name twice
+	HeaderValue                        // printable ASCII that an HTTP header field can carry, at most MaximumHeaderValueBytes
 	Text                               // any UTF-8 text up to MaximumTextBytes
 )
 
@@ -80,6 +84,8 @@
 		return "path prefix"
 	case WeightedNames:
 		return "weighted names"
+	case HeaderValue:
+		return "header value"
 	case Text:
 		return "text"
 	default:
@@ -152,6 +158,10 @@
 	ColumnSingleVersion  = "single_version"
 	ColumnSticky         = "sticky"
 	ColumnResumable      = "resumable"
+	ColumnAnonymous      = "anonymous"
+	ColumnTenantName     = "tenant_name"
+	ColumnKeyDigests     = "key_digests"
+	ColumnKeysRequired   = "keys_required"
 	ColumnMaxHeader      = "max_header_bytes"
 	ColumnMaxBody        = "max_body_bytes"
 	ColumnHeaderTimeout  = "header_timeout_millis"
@@ -161,7 +171,7 @@
 )
 
 // columns are all columns in the order in which operators read them.
-var columns = append(append([]Column(nil), poolColumns...), routeColumns...)
+var columns = slices.Concat(poolColumns, routeColumns, tenantColumns)
 
 var columnIndex = func() map[string]*Column {
 	index := make(map[string]*Column, len(columns))
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -11,9 +11,9 @@
 // Bounds of a Table. All are counts unless said otherwise.
 const (
 	// MaximumRows bounds the rows.
-	MaximumRows = 10_000
+	MaximumRows = 20_000
 	// MaximumChangeCells bounds the cells and removed rows of one change.
-	MaximumChangeCells = 32_768
+	MaximumChangeCells = 65_536
 	// MaximumIDBytes bounds a change id and an operator's name, in bytes.
 	MaximumIDBytes = 128
 	// MaximumNoteBytes bounds a note, in bytes.
--- a/internal/table/value.go
+++ b/internal/table/value.go
@@ -49,6 +49,8 @@
 		return canonicalPath(text)
 	case PathPrefix:
 		return canonicalPrefix(text)
+	case HeaderValue:
+		return canonicalHeaderValue(text)
 	case WeightedNames:
 		return canonicalWeights(text)
 	default:
--- a/internal/table/view.go
+++ b/internal/table/view.go
@@ -29,6 +29,8 @@
 	rows     map[string]*Row
 	names    []string // sorted
 	backends map[string][]*Row
+	// accessVersion is the version of the last change of a listener or tenant.
+	accessVersion uint64
 }
 
 // NewView returns the empty view at version 0.
@@ -39,6 +41,10 @@
 // Version returns the table version that the view shows; 0 before the first update.
 func (v *View) Version() uint64 { return v.version }
 
+// AccessVersion is the version of the last change of who may call: what is made of the listeners and tenants of one view
+// holds for every later one with the same number.
+func (v *View) AccessVersion() uint64 { return v.accessVersion }
+
 // Row returns a row of any kind; nil if there is none of the name.
 func (v *View) Row(name string) *Row { return v.rows[name] }
 
@@ -131,7 +137,7 @@
 // amend returns the view with other cells in the changed rows; nil cells take a row out. It resolves the rows that change
 // themselves or whose pool does, and shares the others: what it costs is what changes, and a copy of the map of rows.
 func (v *View) amend(version uint64, changed map[string]map[string]string) *View {
-	next := &View{version: version, rows: maps.Clone(v.rows), names: v.names, backends: maps.Clone(v.backends)}
+	next := &View{version: version, rows: maps.Clone(v.rows), names: v.names, backends: maps.Clone(v.backends), accessVersion: v.accessVersion}
 	differing := v.differing(changed)
 	var added, removed []string
 	pools := map[string]map[string]bool{} // rows whose place in their pool's list is to be made anew, by pool
@@ -147,6 +153,9 @@
 	for name, cells := range differing {
 		held := v.rows[name]
 		touch(held)
+		if governsAccess(held) || cells[ColumnKind] == string(Tenant) || cells[ColumnKind] == string(Listener) {
+			next.accessVersion = version
+		}
 		switch {
 		case cells == nil:
 			delete(next.rows, name)
@@ -167,6 +176,11 @@
 	return next
 }
 
+// governsAccess reports whether a row says who may call.
+func governsAccess(row *Row) bool {
+	return row != nil && (row.Kind == Tenant || row.Kind == Listener)
+}
+
 // differing returns the cells of the rows that are not as they were, those of pools that changed included.
 func (v *View) differing(changed map[string]map[string]string) map[string]map[string]string {
 	differing := make(map[string]map[string]string, len(changed))
--- /dev/null
+++ b/internal/tenant/tenant_test.go
@@ -0,0 +1,123 @@
+package tenant
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// viewAfter returns the view after changes of "row column value" texts separated by semicolons.
+func viewAfter(t testing.TB, changes ...string) *table.View {
+	t.Helper()
+	made, view := table.New(), table.NewView()
+	for number, cells := range changes {
+		change := &wire.TableChange{ChangeId: fmt.Sprint(number), Operator: "test", BaseVersion: made.Version()}
+		for cell := range strings.SplitSeq(cells, ";") {
+			fields := strings.SplitN(cell, " ", 3)
+			change.Cells = append(change.Cells, &wire.CellChange{Row: fields[0], Column: fields[1], Value: fields[2]})
+		}
+		if result := made.Apply(change); result.GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+			t.Fatal(result)
+		}
+		next, err := view.Apply(made.Update(view.Version()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		view = next
+	}
+	return view
+}
+
+func row(name string, keys ...string) string {
+	digests := make([]string, 0, len(keys))
+	for _, key := range keys {
+		digests = append(digests, Digest(key))
+	}
+	return fmt.Sprintf("%s kind tenant;%s tenant_name %s;%s key_digests %s", name, name, strings.ToUpper(name), name, strings.Join(digests, ","))
+}
+
+const required = "l kind listener;l keys_required true"
+
+func TestCallersAreKnownByTheirKeys(t *testing.T) {
+	index := NewIndex(viewAfter(t, required+";"+row("a", "k1", "k2")+";"+row("b", "k3")+";b priority 2;c kind tenant;c tenant_name C"), nil)
+	for _, test := range []struct {
+		key       string
+		anonymous bool
+		want      string
+		refused   bool
+	}{
+		{"k1", false, "A", false}, {"k2", false, "A", false}, {"k3", false, "B", false}, {"k3", true, "B", false},
+		{"k4", false, "", true}, {"k4", true, "", true}, {"", false, "", true}, {"", true, "", false}, {Digest("k1"), false, "", true},
+	} {
+		found, refused := index.Authenticate(test.key, test.anonymous)
+		if refused != test.refused || (found == nil) != (test.want == "") || found != nil && found.Name != test.want {
+			t.Errorf("key %q, anonymous %v: %+v, refused %v", test.key, test.anonymous, found, refused)
+		}
+	}
+	if b := index.Named("B"); !b.Ranked || b.Priority != 2 || index.Named("A").Ranked || index.Named("C") == nil || index.Named("a") != nil {
+		t.Errorf("%+v", index.byName)
+	}
+}
+
+// TestWithoutKeysRequiredNobodyIsAsked: tenants alone, as an operator enters them one by one, shut nobody out.
+func TestWithoutKeysRequiredNobodyIsAsked(t *testing.T) {
+	index := NewIndex(viewAfter(t, row("a", "k1")), nil)
+	if found, refused := index.Authenticate("other", false); found != nil || refused {
+		t.Fatal(found, refused)
+	}
+	var none *Index
+	if found, refused := none.Authenticate("", false); found != nil || refused || none.Named("a") != nil {
+		t.Fatal(found, refused)
+	}
+}
+
+// TestKeyMovesAndGoes: with the view in which a key has gone or belongs to another tenant it does so, and an index of a view in
+// which nothing of the kind has changed is the one that was held.
+func TestKeyMovesAndGoes(t *testing.T) {
+	changes := []string{required + ";" + row("a", "k1", "k2"), "p kind pool", "a key_digests " + Digest("k2"), row("b", "k1"), "l keys_required false"}
+	var index *Index
+	for number, want := range []string{"A", "A", "", "B", ""} {
+		held := index
+		index = NewIndex(viewAfter(t, changes[:number+1]...), held)
+		if unchanged := number == 1; held != nil && (index == held) != unchanged {
+			t.Errorf("view %d: same index %v", number, index == held)
+		}
+		if found, _ := index.Authenticate("k1", false); (found == nil) != (want == "") || found != nil && found.Name != want {
+			t.Errorf("view %d: %+v", number, found)
+		}
+	}
+}
+
+func TestWhatCanBeNoKey(t *testing.T) {
+	for _, key := range []string{"", " k", "k\n", "k\u00e9", strings.Repeat("k", MaximumKeyBytes+1)} {
+		if CheckKey(key) == nil {
+			t.Errorf("%.20q is taken", key)
+		}
+	}
+	if err := CheckKey(strings.Repeat("k", MaximumKeyBytes)); err != nil {
+		t.Error(err)
+	}
+}
+
+// BenchmarkAuthenticate looks keys up among 10,000 tenants with two keys each.
+func BenchmarkAuthenticate(b *testing.B) {
+	const tenants = 10_000
+	changes := []string{required}
+	for first := 0; first < tenants; first += 500 { // a change has bounds
+		var rows []string
+		for number := first; number < first+500; number++ {
+			rows = append(rows, row(fmt.Sprintf("t%d", number), fmt.Sprintf("first-%d", number), fmt.Sprintf("second-%d", number)))
+		}
+		changes = append(changes, strings.Join(rows, ";"))
+	}
+	index := NewIndex(viewAfter(b, changes...), nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		if found, _ := index.Authenticate("second-5000", false); found == nil {
+			b.Fatal("not found")
+		}
+	}
+}
