metering: usage by tenant and window, sealed by the control group and reported once

Change: package metering (replicated ledger of totals by life of a gateway, seal before report, meter, steady clock, flusher, reporter); forward tells what began to run, once a send; the right to report is that of the orders to replicas (one takeover); platform/duties.go speaks the call; events usage_sealed, usage_reported, usage_late, three metrics, docs/design/usage.md with the ways weighed.

--- a/internal/cli/metrics_page_test.go
+++ b/internal/cli/metrics_page_test.go
@@ -16,6 +16,7 @@
 	"github.com/tamarindring/tamarindring/internal/coordinator"
 	"github.com/tamarindring/tamarindring/internal/forward"
 	"github.com/tamarindring/tamarindring/internal/gateway"
+	"github.com/tamarindring/tamarindring/internal/metering"
 	"github.com/tamarindring/tamarindring/internal/metrics"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/strictyaml"
@@ -90,7 +91,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, collector := range []prometheus.Collector{forwarder.Process().Collector(), runner.Collector(), driver.Collector()} {
+	reporter, err := metering.NewReporter(metering.ReporterConfig{Control: noControl{}, Sender: noReceiver{}, Right: driver.Right, Length: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, collector := range []prometheus.Collector{forwarder.Process().Collector(), runner.Collector(), driver.Collector(), reporter.Collector()} {
 		for name := range described(collector) {
 			names[name] = true
 		}
@@ -106,6 +111,8 @@
 
 type noSender struct{ weights.Sender }
 
+type noReceiver struct{ metering.Sender }
+
 type noSession struct{}
 
 func (noSession) AdmitView() (*table.View, bool) { return nil, false }
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -181,7 +181,8 @@
 // isControlCommand says whether a command belongs to the control group.
 func isControlCommand(command *wire.Command) bool {
 	switch command.Kind.(type) {
-	case *wire.Command_TableChange, *wire.Command_MemberUpdate, *wire.Command_FenceAcquire, *wire.Command_VersionRelease:
+	case *wire.Command_TableChange, *wire.Command_MemberUpdate, *wire.Command_FenceAcquire, *wire.Command_VersionRelease,
+		*wire.Command_UsageAdd, *wire.Command_UsageSeal, *wire.Command_UsageDeliver:
 		return true
 	}
 	return false
--- a/internal/events/catalog.go
+++ b/internal/events/catalog.go
@@ -24,6 +24,7 @@
 			&ResultsCommitted{}, &ReplicaSuspended{}}},
 		{"Samples", []logging.Event{&SampleStarted{}, &SampleInterrupted{}, &SampleGenerated{}}},
 		{"Weights", []logging.Event{&VersionReleased{}, &OrderSent{}, &OrderEnded{}, &OrdersTaken{}, &OrdersOffered{}, &OrdersSuperseded{}, &ReplicasSurveyed{}}},
+		{"Usage", []logging.Event{&UsageSealed{}, &UsageReported{}, &UsageLate{}}},
 		{"Control", []logging.Event{&LeaderChanged{}, &GroupChanged{}, &PeerLost{}, &PeerFound{}, &DiskChanged{}, &MemberChanged{},
 			&ControlFound{}, &ControlLost{}, &LeaseLost{}, &LeaseRegained{}, &TableAdopted{}, &OperatorCall{}, &ReplicaRegistered{}, &ReplicaDeferred{},
 			&ReplicasSilent{}}},
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -17,6 +17,7 @@
 	resuming    bool // it goes on where another attempt's stream broke off
 	resumable   bool // as a stream it may be resumed
 	began       atomic.Bool
+	onHead      func(stream bool)
 	head        replica.Head
 	held        []byte
 	passing     bool // it is passed on as it comes
@@ -29,6 +30,9 @@
 	a.began.Store(true)
 	a.head = head
 	stream := head.Stream && head.Status == http.StatusOK
+	if a.onHead != nil {
+		a.onHead(stream)
+	}
 	switch {
 	case a.resuming && !stream:
 		return errNotResumed
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -30,7 +30,9 @@
 	chosen    choice
 	number    int // of the sends of its request, from 1
 	started   time.Time
-	said      health // of its back end, once it has ended
+	sentAt    time.Time // directly before the first byte; zero: nothing was sent
+	told      bool      // Config.Began was told
+	said      health    // of its back end, once it has ended
 	work      routing.Request
 	call      *replica.Call
 	answer    *answer
@@ -44,8 +46,10 @@
 	held := &answer{owner: owner, reply: x.reply, maxHeld: x.forwarder.config.MaxBufferedAnswer, replaceable: replaceable,
 		resuming: x.passing, resumable: x.route.Resumable && x.route.Kind == table.Stream, last: x.passed}
 	x.begun++
-	return &attempt{forwarder: x.forwarder, pool: x.pool, target: chosen.target, chosen: chosen, number: x.begun, work: x.work,
+	made := &attempt{forwarder: x.forwarder, pool: x.pool, target: chosen.target, chosen: chosen, number: x.begun, work: x.work,
 		started: x.forwarder.config.Now(), call: x.call(chosen), answer: held, mayFail: x.request.Failed != nil}
+	made.watchBegin()
+	return made
 }
 
 // send sends the request to the chosen back end, to a second one when that is slow, and judges how that ended.
@@ -102,9 +106,40 @@
 	return x.newAttempt(chosen, first.answer.owner, false)
 }
 
+// watchBegin has Config.Began told as soon as an answer shows that the request runs: a long stream ends much later.
+func (a *attempt) watchBegin() {
+	if a.forwarder.config.Began == nil {
+		return
+	}
+	admit := a.call.Admit
+	a.call.Admit = func() error {
+		a.sentAt = a.forwarder.config.Now()
+		return admit()
+	}
+	a.answer.onHead = func(stream bool) {
+		if stream {
+			a.tellBegan(a.forwarder.config.Now())
+			return
+		}
+		a.tellBegan(a.sentAt)
+	}
+}
+
+// tellBegan tells Config.Began, once.
+func (a *attempt) tellBegan(at time.Time) {
+	if a.told || a.forwarder.config.Began == nil {
+		return
+	}
+	a.told = true
+	a.forwarder.config.Began(a.call.Tenant, at)
+}
+
 // run sends the request and takes the answer.
 func (a *attempt) run(ctx context.Context) {
 	a.outcome = a.forwarder.config.Caller.Do(ctx, a.call, a.answer)
+	if a.outcome.Verdict != verdict.DidNotRun {
+		a.tellBegan(a.sentAt)
+	}
 	a.said = a.health(ctx)
 	changed := a.pool.ended(a.forwarder.now(), a.target.Instance, &a.work, a.said, a.outcome.Load)
 	a.forwarder.counts.countSend(a, a.forwarder.config.Now().Sub(a.started))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,6 +52,9 @@
 	// StartWait is how long after the start requests may wait for the first lease, see AwaitStart. Default 0:
 	// they are refused at once.
 	StartWait time.Duration
+	// Began is told of each send that began to run at a back end, or may have, with the time of its first event or, where
+	// an answer has none, of the send. nil: nobody is.
+	Began func(tenant string, at time.Time)
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 	// Seed of the random choices; 0: any.
--- /dev/null
+++ b/internal/metering/ledger_test.go
@@ -0,0 +1,174 @@
+package metering
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+func add(reporter string, window uint64, tenant string, requests uint64) *wire.UsageAdd {
+	return &wire.UsageAdd{Reporter: reporter, Windows: []*wire.UsageWindow{{Window: window, Counts: []*wire.UsageCount{{Tenant: tenant, Requests: requests}}}}}
+}
+
+// must adds counts that have to be taken.
+func must(t *testing.T, ledger *Ledger, command *wire.UsageAdd) *wire.UsageView {
+	t.Helper()
+	view, err := ledger.Add(command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return view
+}
+
+func figures(window *wire.UsageWindow) map[string]uint64 {
+	counted := map[string]uint64{}
+	for _, count := range window.GetCounts() {
+		counted[count.GetTenant()] = count.GetRequests()
+	}
+	return counted
+}
+
+// TestSealedFiguresNeverChange: repeats and late copies of counts change nothing, what comes after the seal is dropped, and a
+// window without counts is sealed as well.
+func TestSealedFiguresNeverChange(t *testing.T) {
+	ledger := NewLedger()
+	must(t, ledger, add("g1/a", 5, "one", 3))
+	must(t, ledger, add("g1/a", 5, "one", 7)) // its total so far
+	must(t, ledger, add("g1/a", 5, "one", 3)) // an older copy
+	must(t, ledger, add("g1/b", 5, "one", 2)) // its next life
+	must(t, ledger, add("g2/a", 5, "two", 1))
+	if oldest := ledger.View().GetOldest(); oldest != 5 {
+		t.Errorf("oldest window %d", oldest)
+	}
+	view, err := ledger.Seal(&wire.UsageSeal{First: 5, Through: 6})
+	if err != nil || view.GetNext() != 7 || len(view.GetPending()) != 2 {
+		t.Fatal(view, err)
+	}
+	if got := figures(view.GetPending()[0]); !maps.Equal(got, map[string]uint64{"one": 9, "two": 1}) {
+		t.Errorf("sealed %v", got)
+	}
+	if late := must(t, ledger, add("g2/a", 5, "two", 4)); late.GetNext() != 7 {
+		t.Errorf("a late count is answered %v", late)
+	}
+	again, err := ledger.Seal(&wire.UsageSeal{First: 5, Through: 6})
+	if err != nil || !proto.Equal(again, view) {
+		t.Errorf("sealed again: %v, %v", again, err)
+	}
+	if left := ledger.Deliver(&wire.UsageDeliver{Window: 5}); len(left.GetPending()) != 1 || left.GetPending()[0].GetWindow() != 6 {
+		t.Errorf("after a delivery %v", left)
+	}
+	if left := ledger.Deliver(&wire.UsageDeliver{Window: 5}); len(left.GetPending()) != 1 {
+		t.Errorf("after its repeat %v", left)
+	}
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	ledger := NewLedger()
+	for _, command := range []*wire.UsageAdd{add("", 1, "one", 1), add("g", 1, string(make([]byte, maximumNameBytes+1)), 1)} {
+		if _, err := ledger.Add(command); err == nil {
+			t.Errorf("%.40v is taken", command)
+		}
+	}
+	for window := range uint64(maximumOpen) {
+		must(t, ledger, add("g", window+1, "one", 1))
+	}
+	if _, err := ledger.Add(add("g", maximumOpen+1, "one", 1)); err == nil {
+		t.Error("too many windows are opened")
+	}
+	if _, err := ledger.Seal(&wire.UsageSeal{First: 2, Through: 1}); err == nil {
+		t.Error("nothing is sealed")
+	}
+	for ledger.View().GetNext() <= maximumPending+1 {
+		before := ledger.View().GetNext()
+		if view, err := ledger.Seal(&wire.UsageSeal{First: 1, Through: 1 << 40}); err != nil || view.GetNext() == before {
+			break
+		}
+	}
+	if pending := len(ledger.View().GetPending()); pending != maximumPending {
+		t.Errorf("%d windows are pending", pending)
+	}
+	if _, err := ledger.Add(add("g", ledger.View().GetNext()+maximumOpen, "one", 1)); err == nil {
+		t.Error("a window far ahead is opened")
+	}
+}
+
+// TestEachRequestIsInOneFigureAtMost plays reporters whose hand-overs are lost, repeated and late against a ledger that is
+// restored from its snapshot at any time: the figures of a window are what had arrived when it was sealed, whoever asks.
+func TestEachRequestIsInOneFigureAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledger, meters := NewLedger(), map[string]*Meter{}
+		arrived := map[uint64]map[string]uint64{} // by window and reporter: what had arrived last
+		sealed := map[uint64]map[string]uint64{}
+		var copies []*wire.UsageAdd
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "reporter")
+			if meters[name] == nil {
+				meters[name] = NewMeter(1)
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				window := ledger.View().GetNext() + rapid.Uint64Range(1, 4).Draw(t, "window")
+				meters[name].Count("t", EndOf(window, 1).Add(-1))
+			case 2:
+				command := &wire.UsageAdd{Reporter: name, Windows: meters[name].Unsent()}
+				copies = append(copies, command)
+				if rapid.Bool().Draw(t, "lost") {
+					meters[name].Lost(command.GetWindows())
+					break
+				}
+				deliver(t, ledger, command, arrived)
+			case 3:
+				if len(copies) > 0 {
+					deliver(t, ledger, rapid.SampledFrom(copies).Draw(t, "copy"), arrived)
+				}
+			case 4:
+				view, err := ledger.Seal(&wire.UsageSeal{First: 1, Through: ledger.View().GetNext() + 1})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, window := range view.GetPending() {
+					if before, known := sealed[window.GetWindow()]; known && !maps.Equal(before, figures(window)) {
+						t.Fatalf("window %d changed from %v to %v", window.GetWindow(), before, figures(window))
+					}
+					sealed[window.GetWindow()] = figures(window)
+				}
+			case 5:
+				restored := NewLedger()
+				if err := restored.Restore(proto.CloneOf(ledger.Snapshot())); err != nil || fmt.Sprint(restored.Snapshot()) != fmt.Sprint(ledger.Snapshot()) {
+					t.Fatalf("restored %v, %v", restored.Snapshot(), err)
+				}
+				ledger = restored
+			}
+		}
+		for window, got := range sealed {
+			want := uint64(0)
+			for _, requests := range arrived[window] {
+				want += requests
+			}
+			if got["t"] != want {
+				t.Fatalf("window %d: sealed %d, arrived %d", window, got["t"], want)
+			}
+		}
+	})
+}
+
+func deliver(t *rapid.T, ledger *Ledger, command *wire.UsageAdd, arrived map[uint64]map[string]uint64) {
+	next := ledger.View().GetNext()
+	if _, err := ledger.Add(command); err != nil {
+		t.Fatal(err)
+	}
+	for _, window := range command.GetWindows() {
+		if window.GetWindow() < next {
+			continue
+		}
+		if arrived[window.GetWindow()] == nil {
+			arrived[window.GetWindow()] = map[string]uint64{}
+		}
+		arrived[window.GetWindow()][command.GetReporter()] = max(arrived[window.GetWindow()][command.GetReporter()], figures(window)["t"])
+	}
+}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -15,6 +15,7 @@
 	"github.com/tamarindring/tamarindring/internal/fence"
 	"github.com/tamarindring/tamarindring/internal/ledger"
 	"github.com/tamarindring/tamarindring/internal/member"
+	"github.com/tamarindring/tamarindring/internal/metering"
 	"github.com/tamarindring/tamarindring/internal/release"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -53,6 +54,7 @@
 
 	releases *release.Registry
 	jobs     *batch.Store
+	usage    *metering.Ledger
 }
 
 // New returns an empty Machine.
@@ -69,6 +71,7 @@
 
 		releases: release.NewUnsafe(unsafe.Release),
 		jobs:     batch.New(),
+		usage:    metering.NewLedger(),
 	}
 }
 
@@ -126,9 +129,31 @@
 	if result, known := m.applyJob(command); known {
 		return result
 	}
+	if result, known := m.applyUsage(command); known {
+		return result
+	}
 	return invalid(trace.BadParameter("command has no known kind"))
 }
 
+func (m *Machine) applyUsage(command *wire.Command) (*wire.Result, bool) {
+	var view *wire.UsageView
+	var err error
+	switch kind := command.GetKind().(type) {
+	case *wire.Command_UsageAdd:
+		view, err = m.usage.Add(kind.UsageAdd)
+	case *wire.Command_UsageSeal:
+		view, err = m.usage.Seal(kind.UsageSeal)
+	case *wire.Command_UsageDeliver:
+		view = m.usage.Deliver(kind.UsageDeliver)
+	default:
+		return nil, false
+	}
+	if err != nil {
+		return invalid(err), true
+	}
+	return &wire.Result{Kind: &wire.Result_Usage{Usage: view}}, true
+}
+
 func (m *Machine) applyJob(command *wire.Command) (*wire.Result, bool) {
 	var result *wire.JobReply
 	var err error
@@ -235,6 +260,8 @@
 		return &wire.View{Kind: &wire.View_JobItem{JobItem: m.jobs.Item(kind.JobItem)}}
 	case *wire.Query_JobWork:
 		return &wire.View{Kind: &wire.View_JobWork{JobWork: m.jobs.Work(kind.JobWork)}}
+	case *wire.Query_Usage:
+		return &wire.View{Kind: &wire.View_Usage{Usage: m.usage.View()}}
 	case *wire.Query_Status:
 		return &wire.View{Kind: &wire.View_Status{Status: m.status()}}
 	default:
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -27,6 +27,7 @@
 		Releases:     proto.CloneOf(m.releases.Snapshot()),
 		Ledger:       m.ledger.Snapshot(),
 		Jobs:         m.jobs.Snapshot(),
+		Usage:        m.usage.Snapshot(),
 	}
 	claims := m.claims.Capture()
 	return func() ([]byte, error) {
@@ -58,7 +59,7 @@
 // restoreParts restores copies first, so that an error in a later part leaves the earlier ones alone.
 func (m *Machine) restoreParts(snapshot *wire.MachineSnapshot) error {
 	tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy := *m.table, *m.members, *m.fences, *m.claims, *m.ledger
-	releasesCopy, jobsCopy := *m.releases, *m.jobs
+	releasesCopy, jobsCopy, usageCopy := *m.releases, *m.jobs, *m.usage
 	for _, restore := range []func() error{
 		func() error { return tableCopy.Restore(snapshot.GetTable()) },
 		func() error { return membersCopy.Restore(snapshot.GetMembers()) },
@@ -67,13 +68,14 @@
 		func() error { return ledgerCopy.Restore(snapshot.GetLedger()) },
 		func() error { return releasesCopy.Restore(snapshot.GetReleases()) },
 		func() error { return jobsCopy.Restore(snapshot.GetJobs()) },
+		func() error { return usageCopy.Restore(snapshot.GetUsage()) },
 	} {
 		if err := restore(); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 	*m.table, *m.members, *m.fences, *m.claims, *m.ledger = tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy
-	*m.releases, *m.jobs = releasesCopy, jobsCopy
+	*m.releases, *m.jobs, *m.usage = releasesCopy, jobsCopy, usageCopy
 	m.applied = snapshot.GetAppliedIndex()
 	return nil
 }
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -87,6 +87,8 @@
 	looked chan namedVersions
 	orders sync.WaitGroup
 
+	right atomic.Uint64 // the fencing token under which this process may order; 0: none
+
 	known atomic.Pointer[Serving] // nil while this process does not lead, or has not asked the replicas yet
 	// surveyed is the leadership, by its number, in which the replicas were asked first.
 	surveyed atomic.Uint64
@@ -172,6 +174,19 @@
 		heard: map[string][]registry.ModelVersion{}, told: map[string]bool{}, asked: map[string]time.Duration{}, busy: map[string]string{}, holding: map[string]*load{}, loaded: map[served]uint64{}}, nil
 }
 
+// Right tells whether this process holds the right to order at this instant, and under which fencing token. Whatever else only
+// one process may do for the deployment goes by the same right, so that one takeover settles all of it.
+func (d *Driver) Right() (token uint64, held bool) {
+	token = d.right.Load()
+	return token, token != 0 && d.config.Leading()
+}
+
+// dropToken gives the right to order up.
+func (d *Driver) dropToken() {
+	d.right.Store(0)
+	d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
+}
+
 // Heard notes what a replica serves. It is the registry's listener.
 func (d *Driver) Heard(heartbeat *registry.Registration) {
 	if len(heartbeat.Models) == 0 {
@@ -306,7 +321,7 @@
 	}
 	if errors.Is(ended.err, ErrSuperseded) {
 		logging.Emit(d.config.Log, &events.OrdersSuperseded{Token: d.token, Replica: ended.order.Replica})
-		d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
+		d.dropToken()
 		return
 	}
 	answer := wave.Answer{Outcome: wave.Done, Serving: ended.serving}
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -18,7 +18,7 @@
 // questions to the control group.
 func (d *Driver) turn(ctx context.Context, look bool) (spent time.Duration) {
 	if !d.config.Leading() {
-		d.token, d.planners, d.queue, d.takeover = 0, nil, nil, takeover{}
+		d.dropToken()
 		d.known.Store(nil)
 		d.forgetSurvey()
 		return 0
--- a/internal/weights/takeover.go
+++ b/internal/weights/takeover.go
@@ -70,6 +70,7 @@
 		return false
 	}
 	d.token = acquired.GetToken()
+	d.right.Store(d.token)
 	event := events.OrdersTaken{Token: d.token, Owner: d.takeover.owner}
 	if d.takeover.token > 0 && d.takeover.owner != d.config.Owner {
 		event.WaitedMs = events.Millis(now - d.takeover.since)
