batchrun/listing: a job's results are listed together, and waiting reads look more often

Change: package listing (pure): results of a job are listed at most every 0.75 s, at once when the desired groups are whole and once the job is due, so that the last one finds a read open. Waiting reads look each 50 ms in place of 150. Ruled out: reads held although something is new (their page holds them until one exists). Cost: a leader that is lost takes results of up to 0.75 s with it, of which texts committed each 0.5 s remain.

--- a/internal/batchclient/client.go
+++ b/internal/batchclient/client.go
@@ -22,7 +22,7 @@
 	// callTime bounds one command or query of a batch call; resultsPoll is the pause between two looks for
 	// results that a caller waits for.
 	callTime    = 1200 * time.Millisecond
-	resultsPoll = 150 * time.Millisecond
+	resultsPoll = 50 * time.Millisecond
 	// answerBytes bounds the results of one answer before their encoding, which may make them longer: callers
 	// are promised 1 MB at most. They are asked for in pieces of about pieceBytes: a control node keeps a buffer as
 	// large as the largest message for each gateway that it has answered.
--- a/internal/batchrun/config.go
+++ b/internal/batchrun/config.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/batchrun/listing"
 	"github.com/tamarindring/tamarindring/internal/batchrun/reward"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/logging"
@@ -77,7 +78,10 @@
 	Retention time.Duration
 	// Checkpoint is how often the text of a running item is committed. Default DefaultCheckpoint.
 	Checkpoint time.Duration
-	Schedule   schedule.Settings
+	// ListInterval is the shortest time between two listings of a job's results, see package listing. Default
+	// listing.DefaultInterval.
+	ListInterval time.Duration
+	Schedule     schedule.Settings
 	// Clock measures pauses. Default monotonic.Now.
 	Clock monotonic.Clock
 	// Log receives short sentences. Default: nothing.
@@ -97,6 +101,9 @@
 	if c.Checkpoint == 0 {
 		c.Checkpoint = DefaultCheckpoint
 	}
+	if c.ListInterval == 0 {
+		c.ListInterval = listing.DefaultInterval
+	}
 	c.Reward = c.Reward.WithDefaults()
 	if c.Serving == nil {
 		c.Serving = func() *weights.Serving { return nil }
--- a/internal/batchrun/critical.go
+++ b/internal/batchrun/critical.go
@@ -37,7 +37,7 @@
 func (j *job) criticalItem() *item {
 	last := map[string]*item{} // of each group, nil for one that is not whole
 	for _, entry := range j.items {
-		name := cmp.Or(entry.wire.GetGroup(), entry.wire.GetId())
+		name := entry.group()
 		latest, known := last[name]
 		switch {
 		case entry.open || known && latest == nil:
--- a/internal/batchrun/scoring.go
+++ b/internal/batchrun/scoring.go
@@ -112,5 +112,5 @@
 	held.items[c.Item].open = false
 	t.runner.counts.result(wire.JobItemState_JOB_ITEM_STATE_COMPLETED, t.config.Clock()-held.opened)
 	t.logCompleted(c.Key, c.versions)
-	t.commits.add(pendingEntry{job: c.Job, score: &wire.JobScore{Item: c.Item, Score: c.score}})
+	t.list(held, pendingEntry{job: c.Job, score: &wire.JobScore{Item: c.Item, Score: c.score}})
 }
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -1,12 +1,14 @@
 package batchrun
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/batchrun/listing"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/weights"
@@ -43,6 +45,8 @@
 	opened time.Duration
 	due    time.Duration
 	runs   runCounts
+	pace   *listing.Pace
+	held   []pendingEntry // results that are to be listed
 }
 
 type item struct {
@@ -52,6 +56,9 @@
 	path itemPath
 }
 
+// group names the item's group: one without a group is its own.
+func (i *item) group() string { return cmp.Or(i.wire.GetGroup(), i.wire.GetId()) }
+
 // stopReason is why the loop has ended a run.
 type stopReason string
 
@@ -199,6 +206,7 @@
 		added.items[partial.GetItem()].text = held
 	}
 	added.due = described.Deadline
+	added.pace = t.newPace(added, now)
 	t.jobs[submit.GetId()] = added
 	t.logOpened(taken, added)
 	unscored := make([]string, 0, len(taken.GetUnscored()))
@@ -211,6 +219,36 @@
 	t.view = nil // the new items have no route yet
 }
 
+// newPace returns the pace at which a job that is opened now is listed.
+func (t *tenure) newPace(opened *job, now time.Duration) *listing.Pace {
+	groups, open := map[string]bool{}, map[string]int{}
+	for _, entry := range opened.items {
+		groups[entry.group()] = true
+		if entry.open {
+			open[entry.group()]++
+		}
+	}
+	return listing.New(t.config.ListInterval, now, opened.due, open, len(groups)-len(open), int(opened.submit.GetDesired()))
+}
+
+// list has an item's result listed, together with others of its job.
+func (t *tenure) list(held *job, entry pendingEntry) {
+	held.pace.Finished(held.items[entry.item()].group())
+	held.held = append(held.held, entry)
+	t.release(held)
+}
+
+// release commits the results of a job that wait to be listed, if it is time.
+func (t *tenure) release(held *job) {
+	if len(held.held) == 0 || !held.pace.Release(t.config.Clock()) {
+		return
+	}
+	for _, entry := range held.held {
+		t.commits.add(entry)
+	}
+	held.held = nil
+}
+
 // noteDemand publishes the work of a model's newest job. It stays when the job ends: the next one is about to come.
 func (t *tenure) noteDemand(opened *schedule.Job) {
 	tokens := uint64(0)
@@ -282,6 +320,9 @@
 	for _, key := range t.scheduler.Expired(now) {
 		t.terminate(key, whyTooOld)
 	}
+	for _, held := range t.jobs {
+		t.release(held)
+	}
 	t.expire(ctx, now)
 }
 
@@ -327,7 +368,7 @@
 	if result.GetState() == wire.JobItemState_JOB_ITEM_STATE_COMPLETED {
 		t.logCompleted(key, result.GetVersions())
 	}
-	t.commits.add(pendingEntry{job: key.Job, result: result, whole: whole})
+	t.list(held, pendingEntry{job: key.Job, result: result, whole: whole})
 }
 
 // expire counts the time for the retention of jobs, which forgets ended ones that are past it. A count that is
