standin/engine: an answer's execution is logged before its end is seen

Cause: TestSwapSplitsSegmentsAsLogged panicked once while the whole suite ran (index 0 of an empty log). A stream's end woke its writer before the execution was logged, so that a caller could have the whole answer first. Ruled out: a fault of the swap (the segments read were whole). The old test is unchanged.

--- a/internal/standin/engine/drive.go
+++ b/internal/standin/engine/drive.go
@@ -99,11 +99,9 @@
 // endStream records a stream's end and keeps it for resumes.
 func (s *Server) endStream(ended *stream, outcome Outcome) {
 	delete(s.byHandle, ended.handle)
-	if !ended.end(outcome, time.Now()) {
-		return
+	if ended.end(outcome, time.Now(), s.log.finish) {
+		s.retained = append(s.retained, ended)
 	}
-	s.retained = append(s.retained, ended)
-	s.log.finish(ended.execution())
 }
 
 func (s *Server) failStreams(outcome Outcome) {
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -60,14 +60,16 @@
 	s.preemptions++
 }
 
-// end records the outcome once; it reports whether this call did.
-func (s *stream) end(outcome Outcome, now time.Time) bool {
+// end records the outcome once; it reports whether this call did. record gets the execution before any reader learns of the
+// end, so that whoever has read a whole answer finds it in the log.
+func (s *stream) end(outcome Outcome, now time.Time, record func(Execution)) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.outcome != OutcomeRunning {
 		return false
 	}
 	s.outcome, s.ended = outcome, now
+	record(s.entry())
 	close(s.over)
 	s.changed.Broadcast()
 	return true
@@ -145,9 +147,15 @@
 	return generator
 }
 
+// execution is the stream's entry of the log, as it stands.
 func (s *stream) execution() Execution {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	return s.entry()
+}
+
+// entry is execution for a caller that holds the mutex.
+func (s *stream) entry() Execution {
 	return Execution{
 		RequestID: s.requestID, IdempotencyKey: s.key, Prompt: s.request.Prompt, Seed: s.request.Seed,
 		MaxTokens: s.request.MaxTokens, Arrived: s.arrived, Ended: s.ended,
