--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -234,6 +234,8 @@
 	mutex     sync.Mutex
 	runner    *Runner // once it runs
 	serving   func() *weights.Serving
+	// listInterval is Config.ListInterval; 0: the default.
+	listInterval time.Duration
 }
 
 func newRig(t *testing.T) *rig {
@@ -255,7 +257,7 @@
 	t.Helper()
 	runner, err := New(Config{
 		Group: r.group, Session: r.session, Caller: r.replicas, Route: r.route, VersionField: "x-version", ScoreHeader: "x-score", Checkpoint: 1, // after each event
-		Retention: r.retention, Serving: r.serving, ServingWait: time.Hour,
+		Retention: r.retention, ListInterval: r.listInterval, Serving: r.serving, ServingWait: time.Hour,
 		Schedule: schedule.Settings{FirstEvent: 100 * time.Millisecond, FailurePause: 5 * time.Millisecond,
 			MaximumPause: 20 * time.Millisecond, VersionPause: 5 * time.Millisecond},
 	})
--- /dev/null
+++ b/internal/batchrun/listed_test.go
@@ -0,0 +1,69 @@
+package batchrun
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// listings counts the commands that list results.
+func (r *rig) listings() *int {
+	commands := 0
+	r.group.spoil = func(command *wire.Command) {
+		for _, results := range command.GetJobStore().GetJobs() {
+			if len(results.GetResults()) > 0 {
+				commands++
+			}
+		}
+	}
+	return &commands
+}
+
+// heldBack lets the item of an id end only once release is closed.
+func heldBack(id string, release chan struct{}) behaviour {
+	return func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		if call.AttemptID == id {
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+		}
+		return play(call, sink, testEvents, 5)
+	}
+}
+
+// TestResultsAreListedOnceTheStepIsWhole: with an interval that never passes, the results of the groups that are waited for come
+// in one command, and what follows comes at once.
+func TestResultsAreListedOnceTheStepIsWhole(t *testing.T) {
+	r := newRig(t)
+	r.listInterval = time.Hour
+	commands := r.listings()
+	release := make(chan struct{})
+	r.replicas.set(heldBack("i7", release), heldBack("i7", release))
+	r.run(t)
+	r.submit(t, "a", 8, func(submit *wire.JobSubmit) { submit.Desired, submit.DeadlineMillis = 3, 3_600_000 })
+	r.await(t, "a", 6)
+	r.group.mutex.Lock()
+	if *commands > 2 {
+		t.Errorf("%d commands list the groups that are waited for", *commands)
+	}
+	r.group.mutex.Unlock()
+	close(release)
+	r.await(t, "a", 8)
+}
+
+// TestResultsAreNotHeldForGood: a step that does not become whole is listed after the interval.
+func TestResultsAreNotHeldForGood(t *testing.T) {
+	r := newRig(t)
+	r.listInterval = 20 * time.Millisecond
+	release := make(chan struct{})
+	r.replicas.set(heldBack("i7", release), heldBack("i7", release))
+	r.run(t)
+	r.submit(t, "a", 8, func(submit *wire.JobSubmit) { submit.DeadlineMillis = 3_600_000 })
+	r.await(t, "a", 7)
+	close(release)
+	r.await(t, "a", 8)
+}
--- a/internal/configure/tenant_test.go
+++ b/internal/configure/tenant_test.go
@@ -74,6 +74,9 @@
 		if !trace.IsBadParameter(err) || control.table.Version() != 0 {
 			t.Errorf("%s: %v, table version %d", name, err, control.table.Version())
 		}
+		if name == "a shared key" && !(strings.Contains(err.Error(), `"a"`) && strings.Contains(err.Error(), `"b"`)) {
+			t.Errorf("%s: the error does not name both tenants: %v", name, err)
+		}
 		if err != nil && strings.Contains(err.Error(), "kkkk") {
 			t.Errorf("%s: the error holds a key: %v", name, err)
 		}
--- a/internal/metering/reporter_test.go
+++ b/internal/metering/reporter_test.go
@@ -66,7 +66,8 @@
 	highest uint64
 	taken   map[uint64]map[string]uint64
 	calls   int
-	fail    int // calls that are carried out and get no answer
+	fail    int    // calls that are carried out and get no answer
+	after   func() // called after each call; may be nil
 	away    bool
 }
 
@@ -74,6 +75,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.calls++
+	if f.after != nil {
+		defer f.after()
+	}
 	switch {
 	case f.away:
 		return errAway
@@ -262,6 +266,42 @@
 	})
 }
 
+// TestRightIsLookedAtBeforeEachReport: a node that loses it between two reports of one turn sends no more.
+func TestRightIsLookedAtBeforeEachReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newReportFixture(t)
+		f.receiver.away = true
+		f.rights[0].set(1)
+		f.runFor(40)
+		f.receiver.mutex.Lock()
+		f.receiver.away, f.receiver.calls = false, 0
+		f.receiver.after = func() { f.rights[0].set(0) }
+		f.receiver.mutex.Unlock()
+		f.runFor(10)
+		f.receiver.mutex.Lock()
+		defer f.receiver.mutex.Unlock()
+		if f.receiver.calls != 1 {
+			t.Errorf("%d reports, one of them with the right", f.receiver.calls)
+		}
+	})
+}
+
+// TestHandOverThatIsLostGoesAgain, also when nothing new is counted in its window.
+func TestHandOverThatIsLostGoesAgain(t *testing.T) {
+	control := &fakeControl{ledger: NewLedger(), away: true}
+	flusher, err := NewFlusher(FlusherConfig{Control: control, Reporter: "g/1", Length: length})
+	if err != nil {
+		t.Fatal(err)
+	}
+	flusher.Count("one", time.Now())
+	flusher.Flush(t.Context())
+	control.away = false
+	flusher.Flush(t.Context())
+	if control.ledger.View().GetOldest() == 0 {
+		t.Error("the count is lost")
+	}
+}
+
 func TestViewsAreNotShared(t *testing.T) {
 	ledger := NewLedger()
 	must(t, ledger, add("g", 1, "one", 1))
--- a/internal/tenant/tenant_test.go
+++ b/internal/tenant/tenant_test.go
@@ -91,6 +91,19 @@
 	}
 }
 
+// TestTenantThatIsRemovedIsForgotten, though its row is all that changes.
+func TestTenantThatIsRemovedIsForgotten(t *testing.T) {
+	view := viewAfter(t, required+";"+row("a", "k1"))
+	held := NewIndex(view, nil)
+	next, err := view.Apply(&wire.TableUpdate{FromVersion: view.Version(), ToVersion: view.Version() + 1, RemovedRows: []string{"a"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if found, refused := NewIndex(next, held).Authenticate("k1", false); found != nil || !refused {
+		t.Error("the key of a removed tenant is taken")
+	}
+}
+
 func TestWhatCanBeNoKey(t *testing.T) {
 	for _, key := range []string{"", " k", "k\n", "k\u00e9", strings.Repeat("k", MaximumKeyBytes+1)} {
 		if CheckKey(key) == nil {
--- a/internal/weights/takeover_test.go
+++ b/internal/weights/takeover_test.go
@@ -62,3 +62,25 @@
 		t.Fatal("the orders are never taken")
 	}
 }
+
+// TestRightGoesWithTheLeadership, at once and not with the next turn, and with a token that was superseded.
+func TestRightGoesWithTheLeadership(t *testing.T) {
+	f := prepare(t, 1)
+	if _, held := f.driver.Right(); held {
+		t.Error("the right is held before it was taken")
+	}
+	f.driver.turn(t.Context(), false)
+	token, held := f.driver.Right()
+	if !held || token == 0 || token != f.driver.token {
+		t.Fatalf("token %d, held %v", token, held)
+	}
+	f.leading.Store(false)
+	if _, held = f.driver.Right(); held {
+		t.Error("the right is held by a node that leads no more")
+	}
+	f.leading.Store(true)
+	f.driver.dropToken()
+	if _, held = f.driver.Right(); held {
+		t.Error("the right is held without a token")
+	}
+}
