batchrun: results that are listed together go in one command; its tests see both steps off

Cause: entries were added one by one, so that a busy machine could split what is listed together; of the two tests of the runner one let a silent run end its step (the mechanism could be off unseen). Change: add takes several entries under one lock; the tests hold the run back also when it is ended for its silence.

--- a/internal/batchrun/commits.go
+++ b/internal/batchrun/commits.go
@@ -91,10 +91,10 @@
 	return &commits{config: config, counts: counts, wake: make(chan struct{}, 1)}
 }
 
-// add takes what is to be committed. Entries are committed in their order.
-func (c *commits) add(entry pendingEntry) {
+// add takes what is to be committed. Entries are committed in their order, those of one call in one command if it holds them.
+func (c *commits) add(entries ...pendingEntry) {
 	c.mutex.Lock()
-	c.pending = append(c.pending, entry)
+	c.pending = append(c.pending, entries...)
 	c.mutex.Unlock()
 	select {
 	case c.wake <- struct{}{}:
--- a/internal/batchrun/listed_test.go
+++ b/internal/batchrun/listed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,15 +23,16 @@
 	return &commands
 }
 
+// apart has the first items end one after the other, so that each would be listed by itself.
+var apart = map[string]time.Duration{"i1": 40 * time.Millisecond, "i2": 80 * time.Millisecond, "i3": 120 * time.Millisecond, "i4": 160 * time.Millisecond}
+
 // heldBack lets the item of an id end only once release is closed.
 func heldBack(id string, release chan struct{}) behaviour {
-	return func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+	return func(_ context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
 		if call.AttemptID == id {
-			select {
-			case <-release:
-			case <-ctx.Done():
-			}
+			<-release // also when the call is ended because it is silent
 		}
+		time.Sleep(apart[call.AttemptID])
 		return play(call, sink, testEvents, 5)
 	}
 }
@@ -42,28 +44,32 @@
 	r.listInterval = time.Hour
 	commands := r.listings()
 	release := make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	defer let()
 	r.replicas.set(heldBack("i7", release), heldBack("i7", release))
 	r.run(t)
 	r.submit(t, "a", 8, func(submit *wire.JobSubmit) { submit.Desired, submit.DeadlineMillis = 3, 3_600_000 })
 	r.await(t, "a", 6)
 	r.group.mutex.Lock()
-	if *commands > 2 {
+	if *commands != 1 {
 		t.Errorf("%d commands list the groups that are waited for", *commands)
 	}
 	r.group.mutex.Unlock()
-	close(release)
+	let()
 	r.await(t, "a", 8)
 }
 
 // TestResultsAreNotHeldForGood: a step that does not become whole is listed after the interval.
 func TestResultsAreNotHeldForGood(t *testing.T) {
 	r := newRig(t)
-	r.listInterval = 20 * time.Millisecond
+	r.listInterval = 500 * time.Millisecond // all but one have ended by then
 	release := make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	defer let()
 	r.replicas.set(heldBack("i7", release), heldBack("i7", release))
 	r.run(t)
 	r.submit(t, "a", 8, func(submit *wire.JobSubmit) { submit.DeadlineMillis = 3_600_000 })
 	r.await(t, "a", 7)
-	close(release)
+	let()
 	r.await(t, "a", 8)
 }
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -243,9 +243,7 @@
 	if len(held.held) == 0 || !held.pace.Release(t.config.Clock()) {
 		return
 	}
-	for _, entry := range held.held {
-		t.commits.add(entry)
-	}
+	t.commits.add(held.held...)
 	held.held = nil
 }
 
