cli: tenant list, add, rotate and revoke

Cause: tenants could be changed cell by cell only, with digests made by hand. Ruled out: keys as arguments (they would stand in shells' histories).

--- /dev/null
+++ b/internal/cli/tenant.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/operator"
+)
+
+// tenantListCommand prints the tenants.
+type tenantListCommand struct {
+	controlAccess
+}
+
+// Run lists the tenants with the beginnings of their keys' digests.
+func (c *tenantListCommand) Run(environment Environment, _ []string) error {
+	return c.use(environment, func(ctx context.Context, client *controlclient.Client) error {
+		sheet, err := operator.ReadSheet(ctx, client)
+		if err != nil {
+			return err
+		}
+		return operator.WriteTenants(environment.Stdout, sheet)
+	})
+}
+
+// tenantName is the argument of commands that concern one tenant.
+type tenantName struct {
+	Arguments struct {
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"true" required:"true"`
+}
+
+// withKey plans a change with a new key and prints the key before it is sent: should the answer be lost, the same command
+// settles that very change.
+func withKey(environment Environment, dryRun bool, plan func(key string) (*operator.Plan, error)) (*operator.Plan, error) {
+	key := operator.NewKey()
+	planned, err := plan(key)
+	if err == nil && !dryRun {
+		fmt.Fprintf(environment.Stdout, "key (shown this once): %s\n", key)
+	}
+	return planned, err
+}
+
+// tenantAddCommand makes a tenant with one key.
+type tenantAddCommand struct {
+	changeFlags
+	Priority string `long:"priority" value-name:"RANK" description:"Rank of its requests, 0 to 255, before that of their routes"`
+	tenantName
+}
+
+// Run adds the tenant and prints its key.
+func (c *tenantAddCommand) Run(environment Environment, _ []string) error {
+	request := fmt.Sprintf("tenant add\x00%s\x00%s", c.Arguments.Name, c.Priority)
+	return c.change(environment, request, func(_ context.Context, _ *controlclient.Client, sheet *operator.Sheet) (*operator.Plan, error) {
+		return withKey(environment, c.DryRun, func(key string) (*operator.Plan, error) {
+			return operator.PlanTenantAdd(sheet, c.Arguments.Name, key, c.Priority)
+		})
+	})
+}
+
+// tenantRotateCommand gives a tenant a further key.
+type tenantRotateCommand struct {
+	changeFlags
+	tenantName
+}
+
+// Run adds the key beside the old ones and prints it.
+func (c *tenantRotateCommand) Run(environment Environment, _ []string) error {
+	request := "tenant rotate\x00" + c.Arguments.Name
+	return c.change(environment, request, func(_ context.Context, _ *controlclient.Client, sheet *operator.Sheet) (*operator.Plan, error) {
+		return withKey(environment, c.DryRun, func(key string) (*operator.Plan, error) {
+			return operator.PlanTenantRotate(sheet, c.Arguments.Name, key)
+		})
+	})
+}
+
+// tenantRevokeCommand takes keys of a tenant away.
+type tenantRevokeCommand struct {
+	changeFlags
+	Digest string `long:"digest" value-name:"PREFIX" description:"Beginning of the digest of the one key that is taken away"`
+	All    bool   `long:"all" description:"Take all keys away"`
+	tenantName
+}
+
+// Run takes one key away, or all.
+func (c *tenantRevokeCommand) Run(environment Environment, _ []string) error {
+	if c.All == (c.Digest != "") {
+		return &ExitError{Code: ExitUsage, Message: "name the key with --digest, or --all"}
+	}
+	request := fmt.Sprintf("tenant revoke\x00%s\x00%s\x00%t", c.Arguments.Name, c.Digest, c.All)
+	return c.change(environment, request, func(_ context.Context, _ *controlclient.Client, sheet *operator.Sheet) (*operator.Plan, error) {
+		return operator.PlanTenantRevoke(sheet, c.Arguments.Name, c.Digest)
+	})
+}
