weights: surveys of replicas are bounded, one at a time

At 3,000 replicas a new leader asked 900 to 2,400 of them in 2 to 5 s, several surveys beside each other, answered neither heartbeats nor renewals meanwhile and lost its leadership, again and again (log of a trial of that size). Ruled out: connections and memory of the control nodes (2,400 of 4,096 files, 133 of 280 MB).

--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -92,6 +92,7 @@
 	known atomic.Pointer[Serving] // nil while this process does not lead, or has not asked the replicas yet
 	// surveyed is the leadership, by its number, in which the replicas were asked first.
 	surveyed atomic.Uint64
+	asking   atomic.Bool // a survey is under way
 
 	mutex sync.Mutex
 	heard map[string][]registry.ModelVersion // by instance
--- a/internal/weights/survey.go
+++ b/internal/weights/survey.go
@@ -18,15 +18,19 @@
 	// surveyTogether bounds the replicas that are asked at once: surveys of 114 to 127 replicas took 24 to 60 ms on machines
 	// at rest, and 315 to 690 ms on one that had just started.
 	surveyTogether = 32
+	// surveyMost bounds the replicas of one survey. Heartbeats tell of the others within their interval; asked one after the
+	// other, 3,000 replicas kept a new leader busy for 2 to 5 s, in which it lost its leadership.
+	surveyMost = 256
 	// surveyTime bounds one question, so that silent replicas hold the others up for no longer.
 	surveyTime = 300 * time.Millisecond
 	// surveyAgain is how long a replica that did not answer is left to its heartbeats before it is asked again.
 	surveyAgain = time.Second
 )
 
-// Survey asks replicas for their accounts of themselves and returns the weight versions of those that answered, by
-// instance.
+// Survey asks replicas, surveyMost of them at most, for their accounts of themselves and returns the weight versions of those
+// that answered, by instance.
 func Survey(ctx context.Context, sender Sender, targets []replica.Target) map[string][]registry.ModelVersion {
+	targets = targets[:min(len(targets), surveyMost)]
 	var mutex sync.Mutex
 	found := make(map[string][]registry.ModelVersion, len(targets))
 	var questions errgroup.Group
@@ -53,6 +57,9 @@
 // the last of them an interval later, and until then items are tried at replicas whose weights turn out too old: in the first four
 // seconds of new leaders 57 to 560 such runs were counted in the logs of a fleet of 128 replicas.
 func (d *Driver) survey(ctx context.Context, view *table.View) {
+	if d.asking.Load() {
+		return // one at a time: those that are registered meanwhile are asked next
+	}
 	targets, heard := d.unheard(view)
 	tenure := d.tenure
 	if len(targets) == 0 {
@@ -62,7 +69,9 @@
 		return
 	}
 	d.surveying = true
+	d.asking.Store(true)
 	d.orders.Go(func() {
+		defer d.asking.Store(false)
 		began := d.config.Clock()
 		found := Survey(ctx, d.config.Sender, targets)
 		for instance, models := range found {
@@ -83,7 +92,7 @@
 	}
 }
 
-// unheard returns the active replicas, of pools that hold models, that were neither heard nor asked lately under this
+// unheard returns active replicas, surveyMost at most, of pools that hold models, that were neither heard nor asked lately under this
 // leadership, and notes that they are asked. heard says that any replica was ever heard, so that such pools are known.
 func (d *Driver) unheard(view *table.View) (targets []replica.Target, heard bool) {
 	d.mutex.Lock()
@@ -101,6 +110,9 @@
 			if row.State != table.Active || d.told[row.Name] || before && now < asked+surveyAgain {
 				continue
 			}
+			if len(targets) == surveyMost {
+				return targets, true
+			}
 			d.asked[row.Name] = now
 			targets = append(targets, replica.Target{Instance: row.Name, Address: row.Address})
 		}
