usage: the replicated ledger and the meter stand in a pure package of their own

Cause: package state, which is pure, imported package metering for its ledger, and with it logging, events and metrics. Change: package usage (ledger, meter, clock; pure) below package metering (flusher, reporter). Files and tests moved, nothing else; what state depends on is pure again (go list -deps).

--- a/internal/metering/flusher.go
+++ b/internal/metering/flusher.go
@@ -1,3 +1,5 @@
+// Package metering is the runtime of usage: gateways hand their counts to the control group (Flusher), and the node that holds the
+// right to seals windows and reports them (Reporter). Whoever reports later reports the same figures.
 package metering
 
 import (
@@ -11,6 +13,7 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/pause"
+	"github.com/tamarindring/tamarindring/internal/usage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -46,8 +49,8 @@
 	start  time.Time
 
 	mutex sync.Mutex // guards what follows
-	meter *Meter
-	clock Steady
+	meter *usage.Meter
+	clock usage.Steady
 }
 
 // NewFlusher returns a flusher; Run makes it hand counts over.
@@ -58,7 +61,7 @@
 	if config.Log == nil {
 		config.Log = logging.Discard()
 	}
-	return &Flusher{config: config, start: time.Now(), meter: NewMeter(config.Length)}, nil
+	return &Flusher{config: config, start: time.Now(), meter: usage.NewMeter(config.Length)}, nil
 }
 
 // Count notes that a request of a tenant began to run; at is this process's clock.
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -11,6 +11,7 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/pause"
+	"github.com/tamarindring/tamarindring/internal/usage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -61,7 +62,7 @@
 	start  time.Time
 
 	// What follows belongs to Run.
-	clock   Steady
+	clock   usage.Steady
 	began   uint64 // window of the first look under a right
 	token   uint64 // that view was read under
 	refused uint64 // highest token that the receiver refused
@@ -98,7 +99,7 @@
 		return
 	}
 	if r.began == 0 {
-		r.began = WindowOf(steady, r.config.Length)
+		r.began = usage.WindowOf(steady, r.config.Length)
 	}
 	r.seal(ctx, steady)
 	r.counts.pending.Set(float64(len(r.view.GetPending())))
@@ -135,7 +136,7 @@
 
 // seal seals the windows that ended long enough ago.
 func (r *Reporter) seal(ctx context.Context, now time.Time) {
-	open := WindowOf(now.Add(-r.config.Settle), r.config.Length)
+	open := usage.WindowOf(now.Add(-r.config.Settle), r.config.Length)
 	first := r.first()
 	if open == 0 || first >= open {
 		return
@@ -152,7 +153,7 @@
 		}
 		r.counts.sealed.WithLabelValues().Inc()
 		logging.Emit(r.config.Log, &events.UsageSealed{Window: window.GetWindow(), Tenants: len(window.GetCounts()), Requests: requestsOf(window),
-			AfterMs: events.Millis(now.Sub(EndOf(window.GetWindow(), r.config.Length)))})
+			AfterMs: events.Millis(now.Sub(usage.EndOf(window.GetWindow(), r.config.Length)))})
 	}
 }
 
--- a/internal/metering/reporter_test.go
+++ b/internal/metering/reporter_test.go
@@ -9,17 +9,18 @@
 	"testing/synctest"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
+	"github.com/tamarindring/tamarindring/internal/usage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
+const length = 5 * time.Second
+
 var errAway = errors.New("away")
 
 // fakeControl is the control group's ledger; lost commands are carried out and get no answer.
 type fakeControl struct {
 	mutex  sync.Mutex
-	ledger *Ledger
+	ledger *usage.Ledger
 	away   bool
 	lose   int // answers to commands
 }
@@ -123,7 +124,7 @@
 
 // newReportFixture starts two nodes that may report and one process that counts, in a synctest bubble.
 func newReportFixture(t *testing.T) *reportFixture {
-	f := &reportFixture{control: &fakeControl{ledger: NewLedger()}, receiver: &fakeReceiver{t: t, taken: map[uint64]map[string]uint64{}}}
+	f := &reportFixture{control: &fakeControl{ledger: usage.NewLedger()}, receiver: &fakeReceiver{t: t, taken: map[uint64]map[string]uint64{}}}
 	ctx, cancel := context.WithCancel(t.Context())
 	var routines sync.WaitGroup
 	t.Cleanup(func() { cancel(); routines.Wait() })
@@ -288,7 +289,7 @@
 
 // TestHandOverThatIsLostGoesAgain, also when nothing new is counted in its window.
 func TestHandOverThatIsLostGoesAgain(t *testing.T) {
-	control := &fakeControl{ledger: NewLedger(), away: true}
+	control := &fakeControl{ledger: usage.NewLedger(), away: true}
 	flusher, err := NewFlusher(FlusherConfig{Control: control, Reporter: "g/1", Length: length})
 	if err != nil {
 		t.Fatal(err)
@@ -302,16 +303,11 @@
 	}
 }
 
-func TestViewsAreNotShared(t *testing.T) {
-	ledger := NewLedger()
-	must(t, ledger, add("g", 1, "one", 1))
-	view, err := ledger.Seal(&wire.UsageSeal{First: 1, Through: 1})
-	if err != nil {
-		t.Fatal(err)
-	}
-	before := proto.CloneOf(view)
-	ledger.Deliver(&wire.UsageDeliver{Window: 1})
-	if !proto.Equal(before, view) {
-		t.Errorf("%v became %v", before, view)
+// figures are a window's requests by tenant.
+func figures(window *wire.UsageWindow) map[string]uint64 {
+	counted := map[string]uint64{}
+	for _, count := range window.GetCounts() {
+		counted[count.GetTenant()] = count.GetRequests()
 	}
+	return counted
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -15,9 +15,9 @@
 	"github.com/tamarindring/tamarindring/internal/fence"
 	"github.com/tamarindring/tamarindring/internal/ledger"
 	"github.com/tamarindring/tamarindring/internal/member"
-	"github.com/tamarindring/tamarindring/internal/metering"
 	"github.com/tamarindring/tamarindring/internal/release"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/usage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -54,7 +54,7 @@
 
 	releases *release.Registry
 	jobs     *batch.Store
-	usage    *metering.Ledger
+	usage    *usage.Ledger
 }
 
 // New returns an empty Machine.
@@ -71,7 +71,7 @@
 
 		releases: release.NewUnsafe(unsafe.Release),
 		jobs:     batch.New(),
-		usage:    metering.NewLedger(),
+		usage:    usage.NewLedger(),
 	}
 }
 
--- a/internal/metering/ledger.go
+++ b/internal/usage/ledger.go
@@ -1,10 +1,9 @@
-// Package metering counts the requests that began to run, by tenant and by window of true time, and has each window's figures
-// reported once. Gateways count (Meter) and hand their counts to the control group (Flusher), whose Ledger seals a window by
-// a commit before its figures leave: whoever reports later reports the same ones. Reporter seals and reports at the node that
-// holds the right to.
+// Package usage counts the requests that began to run, by tenant and by window of true time. A Meter counts in one process, the
+// Ledger of the control group adds up what all processes hand over and seals a window's figures, once, before they leave. Package
+// metering is the runtime of both.
 //
-// Ledger, Meter, Steady and the delays are pure.
-package metering
+// The package is pure.
+package usage
 
 import (
 	"maps"
--- a/internal/metering/ledger_test.go
+++ b/internal/usage/ledger_test.go
@@ -1,4 +1,4 @@
-package metering
+package usage
 
 import (
 	"fmt"
@@ -172,3 +172,17 @@
 		arrived[window.GetWindow()][command.GetReporter()] = max(arrived[window.GetWindow()][command.GetReporter()], figures(window)["t"])
 	}
 }
+
+func TestViewsAreNotShared(t *testing.T) {
+	ledger := NewLedger()
+	must(t, ledger, add("g", 1, "one", 1))
+	view, err := ledger.Seal(&wire.UsageSeal{First: 1, Through: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := proto.CloneOf(view)
+	ledger.Deliver(&wire.UsageDeliver{Window: 1})
+	if !proto.Equal(before, view) {
+		t.Errorf("%v became %v", before, view)
+	}
+}
--- a/internal/metering/meter_test.go
+++ b/internal/usage/meter_test.go
@@ -1,4 +1,4 @@
-package metering
+package usage
 
 import (
 	"testing"
