usage: the first seal begins with the oldest counts that have arrived

The node that seals had looked before any count arrived, and began with the window of its look; counts of the window before it were dropped with the first seal. A real fault, at the first start only. Ruled out: gateways (no usage_late in their logs), the loss of the leader (its windows add up). TestFirstSealBeginsWithTheOldestCounts fails without it (one window sealed, the counts gone). Conclusion: mended; the test over processes is unchanged.

--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -105,7 +105,7 @@
 		return nil, trace.BadParameter("windows %d to %d can't be sealed", command.GetFirst(), command.GetThrough())
 	}
 	if l.next == 0 {
-		l.next = command.GetFirst()
+		l.next = l.firstOf(command.GetFirst())
 	}
 	for range maximumSealed {
 		if l.next > command.GetThrough() || len(l.pending) >= maximumPending {
@@ -118,6 +118,18 @@
 	return l.View(), nil
 }
 
+// firstOf is the window that the first seal begins with: the named one, or an earlier one with counts. Requests may be counted
+// before any node looks for windows to seal. One far before the named one comes from a wrong clock and is left out.
+func (l *Ledger) firstOf(named uint64) uint64 {
+	first := named
+	for window := range l.open {
+		if window+maximumOpen > named {
+			first = min(first, window)
+		}
+	}
+	return first
+}
+
 // total is what all reporters counted in a window.
 func (l *Ledger) total(window uint64) counts {
 	sums := counts{}
--- a/internal/usage/ledger_test.go
+++ b/internal/usage/ledger_test.go
@@ -67,6 +67,18 @@
 	}
 }
 
+// TestFirstSealBeginsWithTheOldestCounts, which may have arrived after the node that seals looked; not with those of a clock that
+// is far wrong.
+func TestFirstSealBeginsWithTheOldestCounts(t *testing.T) {
+	ledger := NewLedger()
+	must(t, ledger, add("g1/a", 1, "one", 1))
+	must(t, ledger, add("g1/a", 9_999, "one", 4))
+	view, err := ledger.Seal(&wire.UsageSeal{First: 10_000, Through: 10_000})
+	if err != nil || len(view.GetPending()) != 2 || view.GetPending()[0].GetWindow() != 9_999 || figures(view.GetPending()[0])["one"] != 4 {
+		t.Errorf("sealed %v, %v", view, err)
+	}
+}
+
 func TestLedgerIsBounded(t *testing.T) {
 	ledger := NewLedger()
 	for _, command := range []*wire.UsageAdd{add("", 1, "one", 1), add("g", 1, string(make([]byte, maximumNameBytes+1)), 1)} {
