batchrun/listing: a step is listed in turns up to its last moment, and at once only with the groups that it needs

Cause: steps that take about 7.5 s, the ones whose chains slip, gained nothing from listing together: from the due moment on, and once as many groups were whole as are desired, each result was listed at once. The groups that a step has from an earlier one must be whole too, so that the last results of a step came one by one, each ending the open read, and the reader's turn of half a second passed up to twice. Ruled out: the size of an answer (reads near a step's end bring 30 to 250 kB of 400), the looks (50 ms), slow commits.

--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 	jobs      map[string]*job
 	replicas  map[string]*replica // by instance
 	pools     map[string]*pool
-	seen      map[string]bool // groups of jobs that ended without them whole
+	seen      map[string]bool // groups of jobs that have ended
 	suspended []Suspension    // that Suspended has not returned
 	order     []*item         // waiting items in order of work; nil: to be made anew
 }
@@ -118,28 +119,42 @@
 		return nil
 	}
 	var stop []Key
+	if len(s.seen) > maximumSeen {
+		clear(s.seen)
+	}
 	for _, member := range ended.groups {
-		whole := true
 		for _, entry := range member.items {
-			whole = whole && entry.state == finished
 			if entry.state == running {
 				stop = append(stop, Key{Job: id, Item: entry.ID})
 				s.leave(entry)
 			}
 		}
-		if len(s.seen) > maximumSeen {
-			clear(s.seen)
-		}
-		if !whole {
-			s.seen[member.id] = true
-		}
+		s.seen[member.id] = true
 	}
 	delete(s.jobs, id)
 	s.order = nil
 	return stop
 }
 
-// maximumSeen bounds the groups that are remembered as not whole.
+// Carried returns the open groups of a job that it has from an earlier one, as far as is known: the scheduler has seen that
+// job end. Their owner did not have them whole then, whatever was finished: the last results may not have been read. An item
+// without a group is named in its place.
+func (s *Scheduler) Carried(id string) []string {
+	held := s.jobs[id]
+	if held == nil {
+		return nil
+	}
+	var carried []string
+	for _, member := range held.groups {
+		whole := !slices.ContainsFunc(member.items, func(entry *item) bool { return entry.state < finished })
+		if member.carried && !whole {
+			carried = append(carried, cmp.Or(member.items[0].Group, member.items[0].ID))
+		}
+	}
+	return carried
+}
+
+// maximumSeen bounds the groups of ended jobs that are remembered.
 const maximumSeen = 100_000
 
 // Jobs returns the ids of the open jobs, sorted.
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -206,7 +206,6 @@
 		added.items[partial.GetItem()].text = held
 	}
 	added.due = described.Deadline
-	added.pace = t.newPace(added, now)
 	t.jobs[submit.GetId()] = added
 	t.logOpened(taken, added)
 	unscored := make([]string, 0, len(taken.GetUnscored()))
@@ -214,13 +213,14 @@
 		unscored = append(unscored, committed.GetItem())
 	}
 	t.scheduler.Open(described, taken.GetFinished(), unscored)
+	added.pace = t.newPace(added)
 	t.noteDemand(&described)
 	t.rescore(ctx, submit.GetId(), taken.GetUnscored())
 	t.view = nil // the new items have no route yet
 }
 
-// newPace returns the pace at which a job that is opened now is listed.
-func (t *tenure) newPace(opened *job, now time.Duration) *listing.Pace {
+// newPace returns the pace at which an opened job that the scheduler knows is listed.
+func (t *tenure) newPace(opened *job) *listing.Pace {
 	groups, open := map[string]bool{}, map[string]int{}
 	for _, entry := range opened.items {
 		groups[entry.group()] = true
@@ -228,7 +228,10 @@
 			open[entry.group()]++
 		}
 	}
-	return listing.New(t.config.ListInterval, now, opened.due, open, len(groups)-len(open), int(opened.submit.GetDesired()))
+	return listing.New(t.config.ListInterval, &listing.Job{
+		Opened: opened.opened, Due: opened.due, Open: open, Whole: len(groups) - len(open),
+		Desired: int(opened.submit.GetDesired()), Carried: t.scheduler.Carried(opened.submit.GetId()),
+	})
 }
 
 // list has an item's result listed, together with others of its job.
