control: a ledger group's leader without a lease gives the group to one that has one

Cause: where the core is split, the control group's leader and a ledger group's leader on the other side can both keep a majority by the votes of standbys. The ledger group's leader then has no lease and starts nothing until the cut ends. Ruled out: replicas without fitting weights (others of the step ran), a slow election (both leaders stayed).

--- a/internal/control/seeds_test.go
+++ b/internal/control/seeds_test.go
@@ -19,6 +19,8 @@
 	seeds    []string
 	losses   int   // that the groups bear at once
 	standbys []int // positions
+	// dial is how the node at a position reaches others. Optional.
+	dial func(position int) controlclient.DialFunc
 }
 
 // startSeeded founds a cluster; the founders start one after the other.
@@ -62,7 +64,7 @@
 	slices.Reverse(seeds[:position%len(seeds)+1]) // the order must not matter
 	server, err := OpenSeeded(SeedConfig{Seeds: seeds, Found: found, Losses: c.losses, Config: Config{
 		Name: fmt.Sprint("position-", position), ClusterID: "test", Listen: listener.Addr().String(), Listener: listener,
-		DataFolder: c.folderOf(position), LedgerGroups: 1, Tick: 20 * time.Millisecond, Standby: slices.Contains(c.standbys, position),
+		DataFolder: c.folderOf(position), LedgerGroups: 1, Tick: 20 * time.Millisecond, Standby: slices.Contains(c.standbys, position), Dial: c.dialOf(position),
 	}})
 	if err != nil {
 		c.t.Fatal(err)
@@ -75,6 +77,14 @@
 	c.servers[position], c.runs[position] = server, run
 }
 
+// dialOf is how a node reaches others; nil: plain TCP.
+func (c *seededCluster) dialOf(position int) controlclient.DialFunc {
+	if c.dial == nil {
+		return nil
+	}
+	return c.dial(position)
+}
+
 func (c *seededCluster) folderOf(position int) string {
 	return filepath.Join(c.folder, fmt.Sprint(position))
 }
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -2,21 +2,14 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/tamarindring/tamarindring/internal/consensus"
-	"github.com/tamarindring/tamarindring/internal/pause"
-	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-const (
-	// standbyDelay is how much later than others a standby stands for election: two further election timeouts, in
-	// which the others mostly have elected one of theirs.
-	standbyDelay = 2 * consensus.DefaultElectionTicks
-	// yieldInterval is how often a standby that leads looks for another leader.
-	yieldInterval = 100 * time.Millisecond
-)
+// standbyDelay is how much later than others a standby stands for election: two further election timeouts, in
+// which the others mostly have elected one of theirs.
+const standbyDelay = 2 * consensus.DefaultElectionTicks
 
 // campaignDelay is the consensus groups' CampaignDelayTicks.
 func (c *Config) campaignDelay() int {
@@ -26,43 +19,6 @@
 	return 0
 }
 
-// yield gives the groups that this standby leads to voters that are none, until ctx ends. It must be able to lead: the
-// others may all lack entries that only standbys hold with the lost ones.
-func (s *Server) yield(ctx context.Context) {
-	if !s.config.Standby {
-		return
-	}
-	pause.Every(ctx, yieldInterval, func(ctx context.Context) {
-		for _, group := range s.groups() {
-			if s.states[group].leader().Leading {
-				s.yieldGroup(ctx, group)
-			}
-		}
-	})
-}
-
-func (s *Server) yieldGroup(ctx context.Context, group uint32) {
-	ctx, cancel := context.WithTimeout(ctx, localTimeout)
-	defer cancel()
-	status, err := s.replicas.Status(ctx, group)
-	if err != nil || status.Leader != status.ID {
-		return
-	}
-	successor := raft.Progress{}
-	for _, candidate := range status.Match {
-		usable := !candidate.Learner && candidate.RecentActive && !isStandby(candidate.Node)
-		if usable && (successor.Node == raft.None || candidate.Match > successor.Match) {
-			successor = candidate
-		}
-	}
-	if successor.Node == raft.None {
-		return
-	}
-	if err := s.replicas.TransferLeadership(ctx, group, successor.Node); err != nil {
-		s.log.WithError(err).Debugf("group %d stays with this standby for now", group)
-	}
-}
-
 // MayRetire tells whether the groups keep all their voters when the standby at an address goes: there are as many
 // others, voters or nodes that have asked lately, as are needed beside the voters that are no standbys. It is this
 // node's view, which may lag.
--- /dev/null
+++ b/internal/control/succession_test.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/raft"
+)
+
+// TestWhoLeadsNext names the voter to which a leader gives its group.
+func TestWhoLeadsNext(t *testing.T) {
+	const self, first, second uint64 = 1, 2, 3
+	standby, otherStandby := newIdentity(true), newIdentity(true)
+	heard := func(node, match uint64) raft.Progress {
+		return raft.Progress{Node: node, Match: match, RecentActive: true}
+	}
+	for name, test := range map[string]struct {
+		of   tenure
+		want uint64
+	}{
+		"a leader with contact goes on": {
+			tenure{group: 1, self: self, controlLeader: first, voters: []raft.Progress{heard(first, 9), heard(standby, 9)}}, raft.None},
+		"the control group's leader goes on": {
+			tenure{group: controlGroup, self: self, alone: time.Hour, voters: []raft.Progress{heard(first, 9), heard(standby, 9)}}, raft.None},
+		"an election is awaited": {
+			tenure{group: 1, self: self, alone: aloneTime - 1, voters: []raft.Progress{heard(standby, 9)}}, raft.None},
+		"without contact to the most advanced standby": {
+			tenure{group: 1, self: self, alone: aloneTime, voters: []raft.Progress{heard(first, 9), heard(standby, 5), heard(otherStandby, 6)}}, otherStandby},
+		"to another voter where no standby is": {
+			tenure{group: 1, self: self, alone: aloneTime, voters: []raft.Progress{heard(first, 8), heard(second, 9)}}, second},
+		"not to one that is silent or no voter": {
+			tenure{group: 1, self: self, alone: aloneTime, voters: []raft.Progress{{Node: standby, Match: 9},
+				{Node: first, Match: 9, RecentActive: true, Learner: true}}}, raft.None},
+		"a standby gives to the control group's leader": {
+			tenure{group: 1, self: standby, controlLeader: first, voters: []raft.Progress{heard(first, 4), heard(second, 9), heard(otherStandby, 9)}}, first},
+		"a standby gives to the most advanced one otherwise": {
+			tenure{group: 1, self: standby, controlLeader: first, voters: []raft.Progress{{Node: first, Match: 9}, heard(second, 4), heard(self, 5)}}, self},
+		"a standby gives the control group away too": {
+			tenure{group: controlGroup, self: standby, controlLeader: standby, voters: []raft.Progress{heard(second, 4)}}, second},
+		"a standby without another voter goes on": {
+			tenure{group: 1, self: standby, controlLeader: standby, voters: []raft.Progress{heard(otherStandby, 9)}}, raft.None},
+	} {
+		if got := test.of.successor(); got != test.want {
+			t.Errorf("%s: %d, want %d", name, got, test.want)
+		}
+	}
+}
+
+// links has a gate for each pair of founders.
+type links struct {
+	mutex sync.Mutex
+	seeds func() []string
+	gates map[[2]int]*gate
+}
+
+func (l *links) between(a, b int) *gate {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	key := [2]int{min(a, b), max(a, b)}
+	if l.gates[key] == nil {
+		l.gates[key] = newGate()
+	}
+	return l.gates[key]
+}
+
+// dial reaches other founders through the gate between.
+func (l *links) dial(position int) controlclient.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		for other, seed := range l.seeds() {
+			if seed == address && position < 3 && other != position {
+				return l.between(position, other).dial(ctx, network, address)
+			}
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+}
+
+// TestLedgerGroupFollowsItsLease cuts the leader of the control group off from the other founders, one of which leads the
+// ledger group. Both keep a majority by the standbys; the ledger group is led with the control group soon, and stays there.
+func TestLedgerGroupFollowsItsLease(t *testing.T) {
+	network := &links{gates: map[[2]int]*gate{}}
+	c := &seededCluster{losses: 2, standbys: []int{3, 4, 5}, dial: network.dial}
+	network.seeds = func() []string { return c.seeds }
+	startSeededWith(t, c)
+	for _, position := range c.standbys {
+		c.open(position, listen(t, "127.0.0.1:0"), true)
+	}
+	c.awaitSize(5)
+	leads := func(group uint32) int {
+		for position, server := range c.servers {
+			if server.states[group].leader().Leading {
+				return position
+			}
+		}
+		return -1
+	}
+	var control, ledger int
+	eventually(t, "the groups led by two founders", func() bool {
+		control, ledger = leads(0), leads(1)
+		if control >= 0 && ledger >= 0 && control == ledger {
+			_ = c.servers[ledger].replicas.TransferLeadership(testContext(t), 1, c.servers[(ledger+1)%3].config.NodeID)
+		}
+		return control >= 0 && ledger >= 0 && control < 3 && ledger < 3 && control != ledger
+	})
+	for other := range 3 {
+		if other != control {
+			network.between(control, other).cut()
+			defer network.between(control, other).heal()
+		}
+	}
+	eventually(t, "both groups led by one founder", func() bool { return leads(0) >= 0 && leads(0) == leads(1) && leads(0) < 3 })
+	if leads(0) != control {
+		t.Logf("the control group is led by %d now, %d before", leads(0), control)
+	}
+}
--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -32,6 +32,20 @@
 // Kind implements logging.Event.
 func (*GroupChanged) Kind() *logging.Kind { return &groupChangedKind }
 
+// LeadershipYielded is a leader of a consensus group that asks another voter to lead it.
+type LeadershipYielded struct {
+	Group         uint32  `json:"group" doc:"0: the control group; others: ledger groups"`
+	Successor     uint64  `json:"successor" doc:"node that is asked"`
+	ControlLeader uint64  `json:"control_leader,omitempty" doc:"node that leads the control group; none: not known here"`
+	AloneMs       float64 `json:"alone_ms,omitempty" doc:"for how long none has been known here"`
+	Cause         string  `json:"cause,omitempty" doc:"why it was not asked after all"`
+}
+
+var leadershipYieldedKind = kind("leadership_yielded", logrus.InfoLevel, perChange)
+
+// Kind implements logging.Event.
+func (*LeadershipYielded) Kind() *logging.Kind { return &leadershipYieldedKind }
+
 // PeerLost is a lost connection to another control node.
 type PeerLost struct {
 	Peer  uint64 `json:"peer" doc:"id of the node"`
