batchrun/schedule: a run is slow if its latest events are; the load of steps replayed in virtual time

Cause: the pace of a run over its last events still counted a pause, such as a load of weights makes, as slowness for half a second. Change: besides its average the two latest looks that found events must be slow too; pauses need no bound any more.

--- a/internal/batchrun/schedule/move.go
+++ b/internal/batchrun/schedule/move.go
@@ -61,8 +61,7 @@
 		return s.remaining(entry) >= s.settings.LeavingTime
 	}
 	of := s.poolNamed(at.Pool)
-	// A replica that has paused is not slow for a run that goes on at the usual pace since.
-	if min(at.pace, entry.run.measured.value(0)) <= s.settings.MoveRatio*of.fastest() {
+	if at.pace <= s.settings.MoveRatio*of.fastest() || !entry.run.pace.isSlow(of.fastest(), s.settings.MoveRatio) {
 		return false // nowhere, whoever has room
 	}
 	gain := time.Duration(float64(s.remaining(entry)) * (1 - of.fastest()/at.pace))
--- a/internal/batchrun/schedule/pace.go
+++ b/internal/batchrun/schedule/pace.go
@@ -2,15 +2,12 @@
 
 import "math"
 
-// The events after which a pace counts half. That of a run follows a replica that turns slow within some events and forgets a
-// pause, such as a load of weights makes, as soon; that of a replica and of a pool are steady.
+// The events after which a pace counts half: that of a run follows a replica that turns slow within some events, those of a
+// replica and of a pool are steady.
 const (
 	runPaceLife     = 4
 	replicaPaceLife = 20
 	poolPaceLife    = 200
-	// longestPause is what a pause counts at most, in usual ones of its pool. How long a run may be silent has a bound of its
-	// own; a replica that goes on as before has been seen as slow for a second after a pause that counted whole.
-	longestPause = 6
 	// paceEvents is how many events the pace of a replica needs: its first ones may come together.
 	paceEvents = 5
 )
@@ -34,3 +31,21 @@
 	}
 	return p.seconds / p.events
 }
+
+// runPace is the pace of a run.
+type runPace struct {
+	average        paceAverage
+	latest, before float64 // of the events between the last two looks that found some, and between the two before
+}
+
+func (p *runPace) add(seconds float64, events int) {
+	p.average.add(seconds, events, runPaceLife)
+	p.before, p.latest = p.latest, seconds/float64(events)
+}
+
+// isSlow reports whether the run's events have taken more than ratio times a usual pause for a while and still do: after a pause,
+// such as a load of weights makes, it goes on as before.
+func (p *runPace) isSlow(usual, ratio float64) bool {
+	still := (1 + ratio) / 2
+	return p.average.value(0) > ratio*usual && min(p.latest, p.before) > still*usual
+}
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -188,10 +188,7 @@
 
 // paced notes events of a run at a replica that took some seconds together.
 func (p *pool) paced(at *replica, run *run, seconds float64, events int) {
-	if p.pace > 0 {
-		seconds = min(seconds, longestPause*p.pace*float64(events))
-	}
-	run.measured.add(seconds, events, runPaceLife)
+	run.pace.add(seconds, events)
 	at.measured.add(seconds, events, replicaPaceLife)
 	p.measured.add(seconds, events, poolPaceLife)
 	at.pace, p.pace = at.measured.value(paceEvents), p.measured.value(0)
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -69,7 +69,7 @@
 	started  time.Duration
 	last     time.Duration // of the last event; started if there was none
 	events   int
-	measured paceAverage
+	pace     runPace
 }
 
 // New returns a scheduler without jobs and replicas.
