--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -162,6 +162,12 @@
 	return play(ctx, call, sink)
 }
 
+func (f *fakeReplicas) isRunning(attempt string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.running[attempt] > 0
+}
+
 // set replaces the behaviours of both replicas.
 func (f *fakeReplicas) set(first, second behaviour) {
 	f.mutex.Lock()
--- a/internal/batchrun/listed_test.go
+++ b/internal/batchrun/listed_test.go
@@ -107,6 +107,7 @@
 	r.group.mutex.Lock()
 	before := *commands
 	r.group.mutex.Unlock()
+	r.until(t, "the end of the stopped run", func() bool { return !r.replicas.isRunning("i7") })
 	r.submit(t, "b", 8, change)
 	r.until(t, "calls for all items of b", func() bool { return len(r.replicas.callsTo("")) >= 16 })
 	time.Sleep(apart["i4"] + 4*busyTick) // they end, and the loop has looked
