batchrun: what a move and a listing were decided by, in logs and metrics; listing in a file of its own

Cause: run_ended told that a run was moved, not by which paces and how much longer it was expected to go on; nothing told how long results waited to be listed, nor whether carried groups were known.

--- a/internal/batchrun/log.go
+++ b/internal/batchrun/log.go
@@ -91,7 +91,7 @@
 	event := &events.JobClosed{
 		Job: submit.GetId(), Step: submit.GetStep(), Items: len(submit.GetItems()), Desired: submit.GetDesired(), Running: running,
 		OverdueMs: events.Millis(now - closed.due), Runs: closed.runs.started, RunsMoved: closed.runs.moved, RunsFull: closed.runs.full,
-		RunsFailed: closed.runs.lost,
+		RunsFailed: closed.runs.lost, Listings: closed.listed.count, Carried: closed.listed.carried,
 	}
 	event.Groups, event.Whole = closed.groups()
 	for _, entry := range closed.items {
@@ -132,6 +132,10 @@
 	if c.stream.fault != nil {
 		event.Cause = events.ErrorText(c.stream.fault)
 	}
+	if c.why == stopMoved {
+		event.PaceMs, event.UsualMs = events.Millis(c.move.Pace), events.Millis(c.move.Fastest)
+		event.LeftMs, event.Leaving = events.Millis(c.move.Left), c.move.Leaving
+	}
 	if errors.Is(c.outcome.Err, errNotAdmitted) {
 		event.Why = whyNotPermitted
 	}
--- a/internal/batchrun/metrics.go
+++ b/internal/batchrun/metrics.go
@@ -27,6 +27,7 @@
 	wait    *prometheus.HistogramVec
 	item    *prometheus.HistogramVec
 	commit  *prometheus.HistogramVec
+	listing *prometheus.HistogramVec
 	overdue *prometheus.HistogramVec
 	path    *prometheus.HistogramVec
 	// Reward calls.
@@ -45,12 +46,13 @@
 		wait:     part.Latency("first_run_wait_seconds", "Time from a job's opening by this leader to its first run."),
 		item:     part.Latency("item_duration_seconds", "Time from a job's opening by this leader to an item's result, by state.", "state"),
 		commit:   part.Latency("commit_duration_seconds", "Time until a command of results and texts was applied."),
+		listing:  part.Latency("listing_wait_seconds", "Time for which the first of the results that are listed together waited for it."),
 		overdue:  part.Latency("job_overdue_seconds", "Time by which jobs ended after their results were due; 0 for those in time."),
 		path:     part.Latency("critical_path_seconds", "Time of the item with which a job's desired groups were whole, by part: wait, running, between or after.", "part"),
 		unscored: part.Gauge("texts_unscored", "Whole texts that wait for the answer to their reward call."),
 		rewards:  part.Latency("reward_duration_seconds", "Time from a whole text to the end of its reward call: scored, given_up or stopped.", "ending"),
 	}
-	c.Set = metrics.Set{c.results, c.running, c.jobs, c.runs, c.run, c.wait, c.item, c.commit, c.overdue, c.path, c.unscored, c.rewards}
+	c.Set = metrics.Set{c.results, c.running, c.jobs, c.runs, c.run, c.wait, c.item, c.commit, c.listing, c.overdue, c.path, c.unscored, c.rewards}
 	return c
 }
 
--- a/internal/batchrun/schedule/move.go
+++ b/internal/batchrun/schedule/move.go
@@ -10,21 +10,38 @@
 // Slow returns runs of groups that are waited for which would go on much faster elsewhere, or whose replica leaves before
 // they are over, at most as many as there is room for that no waiting item could take. They are to be stopped and reported
 // with Ended as Moved; until then they count as running.
-func (s *Scheduler) Slow(now time.Duration) []Key {
+func (s *Scheduler) Slow(now time.Duration) []Move {
 	for _, at := range s.replicas {
 		at.coming = 0
 	}
 	rooms := map[demand]*faster{}
-	var moved []Key
+	var moved []Move
 	for _, found := range s.movable(now) {
 		if s.takeRoom(found.item, rooms, now) {
 			found.moving = true
-			moved = append(moved, Key{Job: found.job.ID, Item: found.ID})
+			moved = append(moved, s.moveOf(found.item))
 		}
 	}
 	return moved
 }
 
+// moveOf describes the move of a run.
+func (s *Scheduler) moveOf(entry *item) Move {
+	at := s.replicas[entry.run.instance]
+	move := Move{
+		Key: Key{Job: entry.job.ID, Item: entry.ID}, Leaving: at.gone,
+		Pace: inSeconds(at.pace), Fastest: inSeconds(s.poolNamed(at.Pool).fastest()),
+	}
+	if left := s.remaining(entry); left < farAway {
+		move.Left = left
+	}
+	return move
+}
+
+func inSeconds(value float64) time.Duration {
+	return time.Duration(math.Round(value * float64(time.Second)))
+}
+
 // movableRun is an item whose run is to be moved if there is room.
 type movableRun struct {
 	*item
--- a/internal/batchrun/schedule/replay_test.go
+++ b/internal/batchrun/schedule/replay_test.go
@@ -285,13 +285,13 @@
 		}
 		r.s.Progress(key, run.events, run.came, 0)
 	}
-	for _, key := range r.s.Slow(now) {
-		if run := r.runs[key]; run != nil {
+	for _, move := range r.s.Slow(now) {
+		if run := r.runs[move.Key]; run != nil {
 			r.moved++
 			if r.replicas[run.at].pace == fastPace {
 				r.needless++
 			}
-			r.end(key, run, Moved, now)
+			r.end(move.Key, run, Moved, now)
 		}
 	}
 }
--- a/internal/batchrun/schedule/schedule_test.go
+++ b/internal/batchrun/schedule/schedule_test.go
@@ -67,6 +67,15 @@
 	s.Ended(second, first, Completed, 1)
 }
 
+// movedAt are the items whose runs are to be moved.
+func movedAt(s *Scheduler, now time.Duration) []Key {
+	var keys []Key
+	for _, move := range s.Slow(now) {
+		keys = append(keys, move.Key)
+	}
+	return keys
+}
+
 func wantOrder(t *testing.T, got []string, want ...string) {
 	t.Helper()
 	if !slices.Equal(got, want) {
@@ -226,13 +235,14 @@
 		s.Progress(at["r1"], 1+number, time.Duration(number)*10*time.Millisecond, 1)
 		s.Progress(at["r2"], 1+number, time.Duration(number)*50*time.Millisecond, 1)
 	}
-	if moved := s.Slow(DefaultMovePause - 1); len(moved) != 0 {
+	if moved := movedAt(s, DefaultMovePause-1); len(moved) != 0 {
 		t.Fatalf("%v", moved)
 	}
-	if moved := s.Slow(second); len(moved) != 1 || moved[0] != at["r2"] {
+	moved := s.Slow(second)
+	if len(moved) != 1 || moved[0] != (Move{Key: at["r2"], Pace: 50 * time.Millisecond, Fastest: 10 * time.Millisecond}) {
 		t.Fatalf("%v", moved)
 	}
-	if moved := s.Slow(second); len(moved) != 0 {
+	if moved := movedAt(s, second); len(moved) != 0 {
 		t.Fatalf("moved twice: %v", moved)
 	}
 	s.Ended(second, at["r2"], Moved, 1)
@@ -273,7 +283,7 @@
 			if !settled {
 				continue
 			}
-			if moved := s.Slow(time.Hour); len(moved) != 0 {
+			if moved := movedAt(s, time.Hour); len(moved) != 0 {
 				t.Fatalf("%s: moved after %d events", name, event+1)
 			}
 		}
@@ -293,7 +303,7 @@
 			s.Progress(start.Key, 1+event, time.Duration(event)*pause, 1)
 		}
 	}
-	if moved := s.Slow(time.Hour); len(moved) != 0 {
+	if moved := movedAt(s, time.Hour); len(moved) != 0 {
 		t.Fatalf("%v moved", moved)
 	}
 }
@@ -313,7 +323,7 @@
 			s.Progress(start.Key, 1+event, when, 1)
 		}
 	}
-	if moved := s.Slow(time.Hour); len(moved) != 1 {
+	if moved := movedAt(s, time.Hour); len(moved) != 1 {
 		t.Fatalf("%v moved", moved)
 	}
 }
@@ -332,7 +342,7 @@
 				s.Progress(start.Key, 1+number, time.Duration(number)*pause, 1)
 			}
 		}
-		if moved := s.Slow(second); len(moved) != want {
+		if moved := movedAt(s, second); len(moved) != want {
 			t.Errorf("at %s an event %v moved", slow, moved)
 		}
 	}
@@ -385,7 +395,7 @@
 	s.replicas["r1"].Slots = s.replicas["r1"].running
 	for _, want := range []string{"b", "c", "a"} { // 9 s less 39 s, 4 s less 19 s, 9 s less 5 s
 		s.replicas["r1"].Slots++
-		moved := s.Slow(2 * second)
+		moved := movedAt(s, 2*second)
 		if len(slow) != 3 || len(moved) != 1 || moved[0].Job != want {
 			t.Fatalf("of %v is moved %v, not that of %s", slow, moved, want)
 		}
@@ -411,7 +421,7 @@
 		}
 	}
 	s.replicas["r1"].Slots = 10
-	moved := s.Slow(3 * second)
+	moved := movedAt(s, 3*second)
 	for _, key := range slow {
 		long := s.find(key).Length == 40
 		if slices.Contains(moved, key) != long {
@@ -433,24 +443,24 @@
 			s.Progress(start.Key, 1+event, second+time.Duration(event)*100*time.Millisecond, 1)
 		}
 	}
-	if moved := s.Slow(2 * second); len(moved) != 0 {
+	if moved := movedAt(s, 2*second); len(moved) != 0 {
 		t.Fatalf("%v moved without a cause", moved)
 	}
 	staying := someReplicas(2, 4)[1:]
 	staying[0].Slots = len(at["r2"]) + 1 // room for one
 	s.Replicas(staying)
 	s.replicas["r2"].pace *= 2
-	if moved := s.Slow(2 * second); len(moved) != 0 {
+	if moved := movedAt(s, 2*second); len(moved) != 0 {
 		t.Fatalf("%v moved to a replica that is slower by half", moved)
 	}
 	s.replicas["r2"].pace /= 2
-	moved := s.Slow(2 * second)
+	moved := movedAt(s, 2*second)
 	if len(moved) != 1 || !slices.Contains(at["r1"], moved[0].Item) || s.find(moved[0]).Length != 60 {
 		t.Fatalf("%v moved; %v run at the replica that leaves", moved, at["r1"])
 	}
 	staying[0].Slots = 10
 	s.Replicas(staying)
-	for _, key := range s.Slow(2 * second) {
+	for _, key := range movedAt(s, 2*second) {
 		if s.find(key).Length != 60 {
 			t.Errorf("%s moved, of which little is left", key.Item)
 		}
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -68,6 +68,14 @@
 	KnownAge time.Duration
 }
 
+// Move is a run that is to go on at another replica, with what that was decided by.
+type Move struct {
+	Key
+	Pace, Fastest time.Duration // between two events at its replica and at the fastest one of its pool; 0: unknown
+	Left          time.Duration // expected until its end; 0: unknown
+	Leaving       bool          // its replica takes nothing new
+}
+
 // Suspension is a replica that gets no items for a pause.
 type Suspension struct {
 	Key      // of the run whose ending is the reason
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -30,7 +30,8 @@
 	stream  *stream
 	cancel  context.CancelFunc
 	started time.Duration
-	why     stopReason // by the loop, when it ended the run
+	why     stopReason    // by the loop, when it ended the run
+	move    schedule.Move // with stopMoved
 	outcome replica.Outcome
 	ending  schedule.Ending
 	version uint64
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/tamarindring/tamarindring/internal/batchrun/listing"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/weights"
@@ -45,8 +44,7 @@
 	opened time.Duration
 	due    time.Duration
 	runs   runCounts
-	pace   *listing.Pace
-	held   []pendingEntry // results that are to be listed
+	listed listings
 }
 
 type item struct {
@@ -213,43 +211,12 @@
 		unscored = append(unscored, committed.GetItem())
 	}
 	t.scheduler.Open(described, taken.GetFinished(), unscored)
-	added.pace = t.newPace(added)
+	t.beginListing(added)
 	t.noteDemand(&described)
 	t.rescore(ctx, submit.GetId(), taken.GetUnscored())
 	t.view = nil // the new items have no route yet
 }
 
-// newPace returns the pace at which an opened job that the scheduler knows is listed.
-func (t *tenure) newPace(opened *job) *listing.Pace {
-	groups, open := map[string]bool{}, map[string]int{}
-	for _, entry := range opened.items {
-		groups[entry.group()] = true
-		if entry.open {
-			open[entry.group()]++
-		}
-	}
-	return listing.New(t.config.ListInterval, &listing.Job{
-		Opened: opened.opened, Due: opened.due, Open: open, Whole: len(groups) - len(open),
-		Desired: int(opened.submit.GetDesired()), Carried: t.scheduler.Carried(opened.submit.GetId()),
-	})
-}
-
-// list has an item's result listed, together with others of its job.
-func (t *tenure) list(held *job, entry pendingEntry) {
-	held.pace.Finished(held.items[entry.item()].group())
-	held.held = append(held.held, entry)
-	t.release(held)
-}
-
-// release commits the results of a job that wait to be listed, if it is time.
-func (t *tenure) release(held *job) {
-	if len(held.held) == 0 || !held.pace.Release(t.config.Clock()) {
-		return
-	}
-	t.commits.add(held.held...)
-	held.held = nil
-}
-
 // noteDemand publishes the work of a model's newest job. It stays when the job ends: the next one is about to come.
 func (t *tenure) noteDemand(opened *schedule.Job) {
 	tokens := uint64(0)
@@ -312,9 +279,9 @@
 			running.cancel()
 		}
 	}
-	for _, key := range t.scheduler.Slow(now) {
-		if running := t.calls[key]; running != nil {
-			running.why = stopMoved
+	for _, move := range t.scheduler.Slow(now) {
+		if running := t.calls[move.Key]; running != nil {
+			running.why, running.move = stopMoved, move
 			running.cancel()
 		}
 	}
--- a/internal/events/batch.go
+++ b/internal/events/batch.go
@@ -125,6 +125,8 @@
 	RunsFull   int     `json:"runs_full,omitempty" doc:"of these, refused by a back end without room"`
 	RunsFailed int     `json:"runs_failed,omitempty" doc:"of these, ended without a whole answer for another reason"`
 	FirstRunMs float64 `json:"first_run_ms,omitempty" doc:"time from the opening to the first run"`
+	Listings   int     `json:"listings" doc:"times that results were listed under this leader"`
+	Carried    int     `json:"carried,omitempty" doc:"groups known to come from an earlier job when this one was opened: they must be whole too"`
 	// The critical item is the one with which as many groups were whole as the trainer waits for.
 	Critical       string  `json:"critical,omitempty" doc:"item with which the desired groups were whole; none: they never were under this leader"`
 	WaitMs         float64 `json:"wait_ms,omitempty" doc:"of the critical item: time from the opening to its first run"`
@@ -174,6 +176,11 @@
 	Version uint64  `json:"version,omitempty" doc:"weight version that it ended under"`
 	Cause   string  `json:"cause,omitempty" doc:"error of the call or of the answer"`
 	TookMs  float64 `json:"took_ms" doc:"time from its start"`
+	// What a move was decided by.
+	PaceMs  float64 `json:"pace_ms,omitempty" doc:"of a run that is moved: the time between two events at its back end"`
+	UsualMs float64 `json:"usual_ms,omitempty" doc:"of a run that is moved: the same at the fastest back end"`
+	LeftMs  float64 `json:"left_ms,omitempty" doc:"of a run that is moved: how much longer it was expected to go on; none: not known"`
+	Leaving bool    `json:"leaving,omitempty" doc:"of a run that is moved: its back end takes nothing new"`
 }
 
 var runEndedKind = kind("run_ended", logrus.InfoLevel, perRequest)
