weights: a leader that was about to say what no replica serves tells nothing while it asks them

A turn of the driver before the first heartbeat publishes that no replica is heard; that stayed published while the replicas were asked, though nothing is to be told then. Ruled out: the survey (its questions were held back by the test), a lost wake-up (the loop turned every 5 ms). Change: nothing is told from the moment at which replicas are heard until they were asked. Readers of what is told take 'none heard' and 'nothing told' alike, so that no start or load goes another way. TestNothingIsToldWhileReplicasAreAsked fails without it at once.

--- a/internal/weights/serving.go
+++ b/internal/weights/serving.go
@@ -37,9 +37,11 @@
 }
 
 // publish makes a new Serving of what Run holds, once the replicas were asked under this leadership: who takes the few that were
-// heard by then for all would try out the others.
+// heard by then for all would try out the others. Until then nothing is told, also where it was told before that no replica was
+// heard.
 func (d *Driver) publish() {
 	if len(d.serving) > 0 && d.surveyed.Load() != d.tenure {
+		d.known.Store(nil)
 		return
 	}
 	made := &Serving{Versions: make(map[string]map[string]uint64, len(d.serving)), Loading: make(map[string]string, len(d.busy))}
--- a/internal/weights/serving_test.go
+++ b/internal/weights/serving_test.go
@@ -30,3 +30,22 @@
 		t.Fatalf("a process that does not lead knows %v", serving)
 	}
 }
+
+// TestNothingIsToldWhileReplicasAreAsked, also by a leader that told before that it had heard none.
+func TestNothingIsToldWhileReplicasAreAsked(t *testing.T) {
+	d := prepare(t, 1).driver
+	d.publish()
+	if serving := d.Serving(); serving == nil || serving.Knows() {
+		t.Fatalf("a leader that has heard no replica tells %v", serving)
+	}
+	d.serving = map[string]map[string]uint64{"m0": {"i-0": 1}}
+	d.publish()
+	if serving := d.Serving(); serving != nil {
+		t.Fatalf("%v is told before the replicas were asked", serving)
+	}
+	d.noteSurveyed(d.tenure)
+	d.publish()
+	if !d.Serving().Knows() {
+		t.Fatal("nothing is told once they were asked")
+	}
+}
