--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -4,13 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+
 	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -242,11 +247,12 @@
 	serving   func() *weights.Serving
 	// listInterval is Config.ListInterval; 0: the default.
 	listInterval time.Duration
+	logged       *logrustest.Hook // what the runner has logged
 }
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	r := &rig{group: newFakeGroup(), session: &fakeSession{}, routed: true,
+	r := &rig{group: newFakeGroup(), session: &fakeSession{}, routed: true, logged: new(logrustest.Hook),
 		replicas: &fakeReplicas{play: map[string]behaviour{}, running: map[string]int{}}}
 	r.session.set(t, 4, "r1 active", "r2 active")
 	return r
@@ -258,6 +264,27 @@
 	return Route{Pools: []schedule.Share{{Pool: "p", Weight: 1}}}, r.routed
 }
 
+// log is a log that only logged reads.
+func (r *rig) log() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.AddHook(r.logged)
+	return logrus.NewEntry(logger)
+}
+
+// eventsOf are the events of a type that the runner has logged.
+func eventsOf[T logging.Event](r *rig) []T {
+	var found []T
+	for _, entry := range r.logged.AllEntries() {
+		for _, value := range entry.Data {
+			if event, is := value.(T); is {
+				found = append(found, event)
+			}
+		}
+	}
+	return found
+}
+
 // run starts the runner, which is stopped with the test.
 func (r *rig) run(t *testing.T) {
 	t.Helper()
@@ -266,6 +293,7 @@
 		Retention: r.retention, ListInterval: r.listInterval, Serving: r.serving, ServingWait: time.Hour,
 		Schedule: schedule.Settings{FirstEvent: 100 * time.Millisecond, FailurePause: 5 * time.Millisecond,
 			MaximumPause: 20 * time.Millisecond, VersionPause: 5 * time.Millisecond},
+		Log: r.log(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/batchrun/listed_test.go
+++ b/internal/batchrun/listed_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -118,4 +120,26 @@
 	r.group.mutex.Unlock()
 	let()
 	r.await(t, "b", 8)
+	r.propose(t, &wire.Command{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: "b"}}})
+	r.until(t, "the log of the end of b", func() bool { return len(eventsOf[*events.JobClosed](r)) == 2 })
+	first, second := eventsOf[*events.JobClosed](r)[0], eventsOf[*events.JobClosed](r)[1]
+	if first.Carried != 0 || second.Carried != 4 || second.Listings != 1 {
+		t.Errorf("logged %d and %d carried groups, and %d listings of the second job", first.Carried, second.Carried, second.Listings)
+	}
+}
+
+// TestMovesAreLoggedWithTheirReasons.
+func TestMovesAreLoggedWithTheirReasons(t *testing.T) {
+	r := newRig(t)
+	runner, err := New(Config{Group: r.group, Session: r.session, Caller: r.replicas, Route: r.route, Log: r.log()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := &call{Start: schedule.Start{Key: schedule.Key{Job: "a", Item: "i0"}}, stream: &stream{}, why: stopMoved, ending: schedule.Moved,
+		move: schedule.Move{Pace: 60 * time.Millisecond, Fastest: 40 * time.Millisecond, Left: 2 * time.Second, Leaving: true}}
+	newTenure(runner, 1).logEnd(moved, 9, schedule.Again)
+	ended := eventsOf[*events.RunEnded](r)
+	if len(ended) != 1 || ended[0].PaceMs != 60 || ended[0].UsualMs != 40 || ended[0].LeftMs != 2000 || !ended[0].Leaving || ended[0].Events != 9 {
+		t.Fatalf("%+v", ended)
+	}
 }
