forward, batchrun, replica: logs tell a crash from a lost answer, and a request by what comes again

Cause: both ends of a run show as "unexpected EOF", and lines name a request by its attempt id, which differs each time it comes. Change: after a connection broke off the replica's address is dialled once (100 ms at most): refused means that it crashed. The lines attempt_failed, request_failed and run_ended carry that and a digest of tenant, method, host, path, caller's headers and body. Nothing decides on either yet.

--- a/internal/batchrun/log.go
+++ b/internal/batchrun/log.go
@@ -132,6 +132,9 @@
 	if c.stream.fault != nil {
 		event.Cause = events.ErrorText(c.stream.fault)
 	}
+	if c.ending == schedule.Broken {
+		event.Digest, event.Peer = c.digest().String(), c.outcome.Peer.String()
+	}
 	if c.why == stopMoved {
 		event.PaceMs, event.UsualMs = events.Millis(c.move.Pace), events.Millis(c.move.Fastest)
 		event.LeftMs, event.Leaving = events.Millis(c.move.Left), c.move.Leaving
--- a/internal/events/batch.go
+++ b/internal/events/batch.go
@@ -175,6 +175,8 @@
 	Events  int     `json:"events" doc:"events that the run brought"`
 	Version uint64  `json:"version,omitempty" doc:"weight version that it ended under"`
 	Cause   string  `json:"cause,omitempty" doc:"error of the call or of the answer"`
+	Digest  string  `json:"digest,omitempty" doc:"of a run whose connection broke off: what stays the same when the item runs again"`
+	Peer    string  `json:"peer,omitempty" doc:"likewise: whether the back end still listens: listening or gone (it crashed)"`
 	TookMs  float64 `json:"took_ms" doc:"time from its start"`
 	// What a move was decided by.
 	PaceMs  float64 `json:"pace_ms,omitempty" doc:"of a run that is moved: the time between two events at its back end"`
--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -39,6 +39,7 @@
 	Verdict      string  `json:"verdict" doc:"whether it may have run"`
 	RetryAfterMs float64 `json:"retry_after_ms,omitempty" doc:"when the caller was asked to come back"`
 	Cause        string  `json:"cause,omitempty" doc:"last error"`
+	Digest       string  `json:"digest,omitempty" doc:"what stays the same when the request comes again under another id, where it may have run"`
 	TableVersion uint64  `json:"table_version" doc:"version of the table that was acted on; 0: none is known"`
 	LeaseHeld    bool    `json:"lease_held" doc:"whether the lease on the table held at the end"`
 	Sends        int     `json:"sends" doc:"back ends that the request was sent to"`
@@ -78,6 +79,8 @@
 	Verdict       string  `json:"verdict" doc:"whether it may have run there"`
 	Health        string  `json:"health" doc:"what it says of the back end: good, neutral, slow, bad or leaving"`
 	Cause         string  `json:"cause,omitempty" doc:"how it ended"`
+	Digest        string  `json:"digest,omitempty" doc:"what stays the same when the request comes again under another id, where it may have run"`
+	Peer          string  `json:"peer,omitempty" doc:"whether the back end still listens after its connection broke off: listening or gone (it crashed)"`
 	Running       int     `json:"running" doc:"requests of this process that ran there when it was chosen"`
 	ReportRunning int     `json:"report_running,omitempty" doc:"requests that the back end says it runs"`
 	ReportWaiting int     `json:"report_waiting,omitempty" doc:"requests that the back end says wait there"`
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -5,6 +5,7 @@
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
 // logEnd tells how a request ended.
@@ -20,6 +21,9 @@
 		Cause: events.ErrorText(failure.Cause), TableVersion: version, LeaseHeld: held, Sends: x.begun, Pool: x.poolName,
 		DeadlineMs: events.Millis(x.request.Deadline), TookMs: x.tookMs(),
 	}
+	if x.mayRan {
+		event.Digest = x.digest().String()
+	}
 	if x.route != nil {
 		event.Route, event.RouteKind = x.route.Name, string(x.route.Kind)
 		event.TimeoutMs = events.Millis(x.route.Timeout)
@@ -52,6 +56,9 @@
 		Cause: events.ErrorText(a.outcome.Err), Running: a.chosen.running, PassedOn: a.answer.owner.Load() == a.answer,
 		TookMs: events.Millis(now.Sub(a.started)), RequestLeftMs: events.Millis(x.until().Sub(now)), MostSends: int(x.route.MaxAttempts),
 	}
+	if a.outcome.Verdict != verdict.DidNotRun {
+		event.Digest, event.Peer = x.digest().String(), a.outcome.Peer.String()
+	}
 	if load := a.outcome.Load; load != nil {
 		event.ReportRunning, event.ReportWaiting, event.ReportedSlots = load.Running, load.Waiting, load.Slots
 	}
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/admission"
+	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -51,11 +52,12 @@
 	stale      int
 	mayRan     bool
 	lastErr    error
-	begun      int      // sends
-	answeredBy *attempt // whose answer was passed on whole
-	status     int      // of that answer
-	passing    bool     // a part of an answer was passed on
-	passed     int64    // id of the last event passed on; -1: none
+	begun      int           // sends
+	answeredBy *attempt      // whose answer was passed on whole
+	status     int           // of that answer
+	passing    bool          // a part of an answer was passed on
+	identified poison.Digest // NoDigest until it is asked for
+	passed     int64         // id of the last event passed on; -1: none
 }
 
 // Serve gets the request answered. nil: reply has got a whole answer.
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -100,6 +100,9 @@
 		}
 	}
 	c.release(conn, reusable)
+	if outcome.Verdict != verdict.DidNotRun && ctx.Err() == nil && brokeOff(outcome.Err) {
+		outcome.Peer = c.probe(ctx, call.Address)
+	}
 	return outcome
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -76,9 +76,26 @@
 	Refused Refusal
 	// Load is what the replica said of itself with its answer; nil if it said nothing.
 	Load *Load
+	// Peer is what became of the replica whose connection broke off while the call may have run.
+	Peer Peer
 	Err  error // nil when Whole
 }
 
+// Peer is what is known of a replica after one of its connections broke off.
+type Peer uint8
+
+// What is known of a replica.
+const (
+	PeerUnknown   Peer = iota // nobody asked, or it stayed silent
+	PeerListening             // it takes connections: the answer was lost, and the replica was not
+	PeerGone                  // nothing listens at its address any more: it crashed, or was ended
+)
+
+// String names it in logs; empty for PeerUnknown.
+func (p Peer) String() string {
+	return [...]string{PeerUnknown: "", PeerListening: "listening", PeerGone: "gone"}[p]
+}
+
 // Refusal is a replica's reason not to run a call.
 type Refusal uint8
 
