poison, poisonguard: a request under which back ends crashed is remembered by the deployment, and rests

Cause: nothing that a request did to a back end outlived its attempt, at gateways, the scheduler of batch items and the reward calls alike. Ruled out: restraint within one call alone (a call that may not be repeated is sent once and crashes as many); a count in each process (no gateway sees all of it); soft state beside the leases (lost with the leader); verdicts by the connection's end alone (a lost answer looks like a crash). Change: one record in the operators' table, rows of kind suspect, which all processes follow under their leases. A crash is reported and committed before the request is sent again. After the first the request runs without a second send beside it and away from other suspects; after the second it rests 5 s and then runs one at a time, by a claim that counts as a crash until it is given back; after the third it rests 10 min, ten times as long after each further one. A whole answer clears it. Calls, streams, items and reward calls ask the same guard. An item that rests is not ended; its group is no longer waited for.

--- a/internal/batchrun/config.go
+++ b/internal/batchrun/config.go
@@ -19,6 +19,7 @@
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/weights"
@@ -82,6 +83,8 @@
 	// listing.DefaultInterval.
 	ListInterval time.Duration
 	Schedule     schedule.Settings
+	// Guard permits the runs of items and reward calls and is told how they ended; nil: all are permitted.
+	Guard *poisonguard.Guard
 	// Clock measures pauses. Default monotonic.Now.
 	Clock monotonic.Clock
 	// Log receives short sentences. Default: nothing.
--- a/internal/batchrun/log.go
+++ b/internal/batchrun/log.go
@@ -10,6 +10,7 @@
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -21,6 +22,7 @@
 	whyNoRoute      = "no_route"
 	whyNotPermitted = "not_admitted"
 	whyScoreFailed  = "score_failed"
+	whySuspected    = "suspected"
 )
 
 // givenUpFor names why an item is given up after a run.
@@ -139,8 +141,11 @@
 		event.PaceMs, event.UsualMs = events.Millis(c.move.Pace), events.Millis(c.move.Fastest)
 		event.LeftMs, event.Leaving = events.Millis(c.move.Left), c.move.Leaving
 	}
-	if errors.Is(c.outcome.Err, errNotAdmitted) {
+	switch {
+	case errors.Is(c.outcome.Err, errNotAdmitted):
 		event.Why = whyNotPermitted
+	case c.judged.Permission == poison.Rest:
+		event.Why, event.Digest = whySuspected, c.digest().String()
 	}
 	logging.Emit(t.config.Log, event)
 	for _, one := range t.scheduler.Suspended() {
--- a/internal/batchrun/reward/reward.go
+++ b/internal/batchrun/reward/reward.go
@@ -16,11 +16,12 @@
 	Failed                // the back ends answered that the call failed there
 	Refused               // no back end ran it: no room, no route, no lease
 	Lost                  // it may have run; no answer that can be used came
+	Held                  // back ends crashed under it, and it must not run yet
 )
 
 // String names an ending in logs and metrics.
 func (e Ending) String() string {
-	return [...]string{Scored: "scored", Failed: "failed", Refused: "refused", Lost: "lost"}[e]
+	return [...]string{Scored: "scored", Failed: "failed", Refused: "refused", Lost: "lost", Held: "held"}[e]
 }
 
 // Defaults of Settings.
@@ -41,6 +42,9 @@
 	Deadline     time.Duration // of one try; back ends stop working on it then
 }
 
+// heldPause is the longest pause of a call that must not run yet. It is looked at again within it, since it may be cleared at any time.
+const heldPause = 5 * time.Second
+
 // WithDefaults fills unset fields.
 func (s Settings) WithDefaults() Settings {
 	if s.Pause == 0 {
@@ -75,6 +79,12 @@
 	Pause time.Duration
 }
 
+// Rested notes a try that was not permitted for a time that is left.
+func (c *Call) Rested(left time.Duration) Next {
+	c.tries++
+	return Next{Pause: min(left, heldPause)}
+}
+
 // Ended notes a try that brought no score. failures is how many back ends answered during it that the call failed,
 // most is after how many in all the item is given up (0: never), after is when the refusal advised to come back (0: it did
 // not), and jitter a random number from 0 to 1, which spreads the tries of many texts.
--- a/internal/batchrun/rewards.go
+++ b/internal/batchrun/rewards.go
@@ -36,7 +36,7 @@
 func newRewards(config *Config) (*rewards, error) {
 	made := &rewards{config: config}
 	forwarder, err := forward.New(forward.Config{
-		Control: made, Caller: config.Caller, Zone: config.Zone, SlotShare: rewardSlotShare, Log: config.Log,
+		Control: made, Caller: config.Caller, Zone: config.Zone, SlotShare: rewardSlotShare, Guard: config.Guard, Log: config.Log,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -64,7 +64,9 @@
 	failures int           // back ends that answered that it failed
 	most     int           // failures after which its item is given up; 0: never
 	after    time.Duration // when a refusal advised to come back; 0: it did not
-	cause    error
+	// condemned says of one that is held that it counts as the cause of crashes.
+	condemned bool
+	cause     error
 }
 
 // try asks for a score once, of as many back ends as the route allows.
@@ -89,6 +91,8 @@
 		tried.ending, tried.score = reward.Scored, answer.score
 	case tried.failures > 0:
 		tried.ending = reward.Failed
+	case failure != nil && failure.Reason == forward.Suspected:
+		tried.ending, tried.after, tried.condemned = reward.Held, failure.RetryAfter, failure.Condemned
 	case failure != nil && failure.Verdict == verdict.DidNotRun:
 		tried.ending, tried.after = reward.Refused, failure.RetryAfter
 	default:
@@ -135,7 +139,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		next := call.course.Ended(r.config.Reward, tried.failures, tried.most, tried.after, rand.Float64())
+		var next reward.Next
+		if tried.ending == reward.Held {
+			next = call.course.Rested(tried.after)
+		} else {
+			next = call.course.Ended(r.config.Reward, tried.failures, tried.most, tried.after, rand.Float64())
+		}
 		call.logTry(r.config.Log, &tried, next)
 		if next.GiveUp {
 			call.givenUp = true
--- a/internal/batchrun/schedule/candidates.go
+++ b/internal/batchrun/schedule/candidates.go
@@ -12,10 +12,11 @@
 	pool, model string
 	minVersion  uint64
 	pressing    bool
+	suspected   bool
 }
 
 func (e *item) demand(pool string) demand {
-	return demand{pool: pool, model: e.job.Model, minVersion: e.job.MinVersion, pressing: e.pressing}
+	return demand{pool: pool, model: e.job.Model, minVersion: e.job.MinVersion, pressing: e.pressing, suspected: e.suspected}
 }
 
 // round is one look for starts at a moment. Within it replicas only fill up, so candidates that are collected once stay
@@ -80,7 +81,7 @@
 	if instance == "" || at == nil || at.gone || r.scheduler.pools[at.Pool] != of || !r.scheduler.fits(at, entry, r.now) {
 		return candidate{}, false
 	}
-	load := r.scheduler.load(at, of, entry.pressing)
+	load := r.scheduler.load(at, of, entry.demand(at.Pool))
 	if instance == entry.group.instance {
 		load -= r.scheduler.settings.AffinityBonus
 	}
@@ -96,7 +97,7 @@
 	var aside []candidate
 	for held.Len() > 0 && !found {
 		top := (*held)[0]
-		switch load := r.scheduler.load(top.at, of, wanted.pressing); {
+		switch load := r.scheduler.load(top.at, of, wanted); {
 		case !r.scheduler.fits(top.at, entry, r.now):
 			heap.Pop(held)
 		case load != top.load:
@@ -123,7 +124,7 @@
 	held := &candidates{}
 	for _, at := range of.replicas {
 		if r.scheduler.fits(at, entry, r.now) {
-			*held = append(*held, candidate{at: at, load: r.scheduler.load(at, of, wanted.pressing)})
+			*held = append(*held, candidate{at: at, load: r.scheduler.load(at, of, wanted)})
 		}
 	}
 	heap.Init(held)
--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -149,7 +149,9 @@
 
 // hopeless reports that the group can't become whole.
 func (g *group) hopeless() bool {
-	return slices.ContainsFunc(g.items, func(entry *item) bool { return entry.state == terminated })
+	return slices.ContainsFunc(g.items, func(entry *item) bool {
+		return entry.state == terminated || entry.condemned && entry.state != finished
+	})
 }
 
 func (g *group) begun() bool {
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -15,6 +15,7 @@
 	gone      bool // takes nothing new
 	running   int
 	pressing  int                // of the running ones
+	suspects  int                // likewise
 	coming    int                // runs that Slow has moved for the room here
 	failures  int                // in a row
 	refusals  int                // as full, in a row
@@ -142,6 +143,9 @@
 // others are.
 const avoidanceLoad = 2
 
+// suspectLoad is what each suspect at a replica counts as for another one: more than a full replica and any slowness.
+const suspectLoad = 10
+
 // fits tells whether a replica may take an item now.
 func (s *Scheduler) fits(candidate *replica, entry *item, now time.Duration) bool {
 	if candidate.running >= candidate.Slots || candidate.pausedTo > now {
@@ -160,11 +164,15 @@
 
 // load is the part of a replica's slots that is taken with one more item, and more for one that is slower than
 // the fastest of its pool. For an item that does not press, runs that do count more: each run beside them slows them down.
-func (s *Scheduler) load(candidate *replica, of *pool, pressing bool) float64 {
+// A suspect goes beside another one only where all replicas run some.
+func (s *Scheduler) load(candidate *replica, of *pool, wanted demand) float64 {
 	load := float64(candidate.running+1) / float64(candidate.Slots)
-	if !pressing {
+	if !wanted.pressing {
 		load += s.settings.CompanyCost * float64(candidate.pressing) / float64(candidate.Slots)
 	}
+	if wanted.suspected {
+		load += suspectLoad * float64(candidate.suspects)
+	}
 	if fastest := of.fastest(); candidate.pace > 0 && fastest > 0 {
 		load += s.settings.SlownessCost * (candidate.pace/fastest - 1)
 	}
@@ -214,6 +222,10 @@
 	if entry.pressing {
 		at.pressing++
 	}
+	if entry.suspected {
+		at.suspects++
+	}
+	entry.run.suspected = entry.suspected
 	entry.moving = false
 	model := entry.job.Model
 	if at.tooOld(entry.job) {
@@ -237,6 +249,9 @@
 		if entry.pressing {
 			at.pressing--
 		}
+		if entry.run.suspected {
+			at.suspects--
+		}
 		if at.probe == entry {
 			at.probe = nil
 		}
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -54,6 +54,8 @@
 	notBefore time.Duration
 	avoid     string // instance of the last run that ended badly
 	moving    bool   // the run is being stopped for a faster replica
+	suspected bool   // replicas crashed under it
+	condemned bool   // it counts as the cause, and rests for long
 	run       run
 	urgency   int
 	brought   int // events of the runs that have ended
@@ -70,6 +72,8 @@
 	last     time.Duration // of the last event; started if there was none
 	events   int
 	pace     runPace
+	// suspected is what the item was when the run began.
+	suspected bool
 }
 
 // New returns a scheduler without jobs and replicas.
@@ -188,6 +192,23 @@
 	return true
 }
 
+// Suspect notes that a replica crashed under an item: its next runs keep away from those of other suspects, so that a further crash
+// tells which of them it was.
+func (s *Scheduler) Suspect(key Key) {
+	if entry := s.find(key); entry != nil {
+		entry.suspected, s.order = true, nil
+	}
+}
+
+// Hold puts an item off that must not run, for a pause. The group of one that is condemned will not be whole in time: others of its
+// job are waited for in its place.
+func (s *Scheduler) Hold(key Key, until time.Duration, condemned bool) {
+	if entry := s.find(key); entry != nil {
+		entry.suspected, entry.condemned = true, condemned
+		entry.notBefore, s.order = until, nil
+	}
+}
+
 // Scored finishes an item whose text has got its score. It reports whether the item waited for one.
 func (s *Scheduler) Scored(key Key) bool {
 	entry := s.find(key)
--- a/internal/batchrun/schedule/scale_test.go
+++ b/internal/batchrun/schedule/scale_test.go
@@ -73,7 +73,7 @@
 		if !s.fits(at, entry, now) {
 			continue
 		}
-		load := s.load(at, of, entry.pressing)
+		load := s.load(at, of, entry.demand(at.Pool))
 		if at.Instance == entry.group.instance {
 			load -= s.settings.AffinityBonus
 		}
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -10,6 +10,8 @@
 
 	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/poison"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -36,6 +38,9 @@
 	ending  schedule.Ending
 	version uint64
 	result  *wire.JobResult // of a call that completed its item
+
+	permitted *poisonguard.Run // nil: it was not permitted, or nobody permits runs
+	judged    poison.Judgment  // of one that was not permitted: why
 }
 
 // whole is the result of a call with its whole text, whatever of it is committed.
@@ -185,6 +190,10 @@
 		c.ending = schedule.Completed
 		return
 	}
+	if !t.permit(ctx, c) {
+		c.ending = schedule.Stopped
+		return
+	}
 	request := t.request(c)
 	request.Admit = func() error {
 		if !t.admits(c) {
@@ -251,6 +260,7 @@
 	}
 	t.path(c.Key).ended(t.config.Clock()-c.started, events)
 	next := t.scheduler.Ended(t.config.Clock(), c.Key, c.ending, c.version)
+	t.judgeRun(ctx, c)
 	t.runner.counts.ended(c.ending, t.config.Clock()-c.started)
 	t.logEnd(c, events, next)
 	switch next {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -37,8 +38,9 @@
 	call      *replica.Call
 	answer    *answer
 	outcome   replica.Outcome
-	owned     bool // its answer was the one passed on when it broke off
-	mayFail   bool // the request may itself be why it fails
+	owned     bool             // its answer was the one passed on when it broke off
+	mayFail   bool             // the request may itself be why it fails
+	permitted *poisonguard.Run // nil: nobody permits runs
 }
 
 // newAttempt makes an attempt; owner is shared by those that run beside each other.
@@ -47,7 +49,10 @@
 		resuming: x.passing, resumable: x.route.Resumable && x.route.Kind == table.Stream, last: x.passed}
 	x.begun++
 	made := &attempt{forwarder: x.forwarder, pool: x.pool, target: chosen.target, chosen: chosen, number: x.begun, work: x.work,
-		started: x.forwarder.config.Now(), call: x.call(chosen), answer: held, mayFail: x.request.Failed != nil}
+		started: x.forwarder.config.Now(), call: x.call(chosen), answer: held, mayFail: x.request.Failed != nil, permitted: x.run}
+	if x.run = nil; made.permitted != nil {
+		made.permitted.At(chosen.target.Instance, chosen.target.Address)
+	}
 	made.watchBegin()
 	return made
 }
@@ -55,7 +60,7 @@
 // send sends the request to the chosen back end, to a second one when that is slow, and judges how that ended.
 func (x *exchange) send(ctx context.Context, chosen choice) (*Failure, bool) {
 	first := x.newAttempt(chosen, new(atomic.Pointer[answer]), x.repeatable() && chosen.spare && x.sent+1 < int(x.route.MaxAttempts))
-	if !first.answer.replaceable || x.passing || x.route.TargetLatency <= 0 {
+	if !first.answer.replaceable || x.passing || x.route.TargetLatency <= 0 || first.suspected() {
 		first.run(ctx)
 		return x.conclude(ctx, first)
 	}
@@ -95,7 +100,8 @@
 
 // second chooses a second back end for a request whose first has not begun to answer; nil when there is none.
 func (x *exchange) second(first *attempt) *attempt {
-	if first.answer.began.Load() {
+	if first.answer.began.Load() || x.permit(context.Background()) != nil || x.run != nil && x.run.Suspected() {
+		x.returnRun(context.Background())
 		return nil
 	}
 	excluded := append(append([]string(nil), x.tried...), first.target.Instance)
@@ -145,12 +151,16 @@
 	if a.outcome.Verdict != verdict.DidNotRun {
 		a.tellBegan(a.sentAt)
 	}
+	a.noteRun(ctx)
 	a.said = a.health(ctx)
 	changed := a.pool.ended(a.forwarder.now(), a.target.Instance, &a.work, a.said, a.outcome.Load)
 	a.forwarder.counts.countSend(a, a.forwarder.config.Now().Sub(a.started))
 	a.logBelief(changed)
 }
 
+// suspected tells whether the request is suspected, so that it runs at one back end at a time.
+func (a *attempt) suspected() bool { return a.permitted != nil && a.permitted.Suspected() }
+
 // health is what the attempt says about its back end.
 func (a *attempt) health(ctx context.Context) health {
 	outcome := &a.outcome
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/routing"
@@ -55,6 +56,8 @@
 	// Began is told of each send that began to run at a back end, or may have, with the time of its first event or, where
 	// an answer has none, of the send. nil: nobody is.
 	Began func(tenant string, at time.Time)
+	// Guard permits the runs of requests and is told how they ended; nil: all are permitted.
+	Guard *poisonguard.Guard
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 	// Seed of the random choices; 0: any.
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -1,16 +1,83 @@
 package forward
 
-import "github.com/tamarindring/tamarindring/internal/poison"
+import (
+	"context"
+	"errors"
+	"fmt"
 
-// digest names what stays the same when the request comes again. It is computed when it is asked for first: most requests never need it.
-func (x *exchange) digest() poison.Digest {
-	if x.identified != poison.NoDigest {
-		return x.identified
-	}
+	"github.com/tamarindring/tamarindring/internal/poison"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
+)
+
+// identity is what stays the same when the request comes again.
+func (x *exchange) identity() poison.Identity {
 	identity := poison.Identity{Tenant: x.tenant, Method: x.request.Method, Host: x.request.Host, Path: x.request.Path, Body: x.request.Body}
 	for _, field := range x.request.Header {
 		identity.Header = append(identity.Header, poison.Field(field))
 	}
-	x.identified = identity.Digest()
-	return x.identified
+	return identity
+}
+
+// digest names the request's identity.
+func (x *exchange) digest() poison.Digest {
+	identity := x.identity()
+	return identity.Digest()
+}
+
+// permit asks for one more run of the request; a failure when there may be none now. Each send is one run: between two of them the
+// back end of the first may have crashed.
+func (x *exchange) permit(ctx context.Context) *Failure {
+	guard := x.forwarder.config.Guard
+	if guard == nil || x.run != nil {
+		return nil
+	}
+	run, judged := guard.Begin(ctx, x.identity)
+	if run != nil {
+		x.run = run
+		return nil
+	}
+	x.rests = true
+	failure := x.failure(ctx, Suspected, errors.Join(fmt.Errorf("forward: %d back ends crashed under the request", judged.Crashes), x.lastErr))
+	failure.Condemned = judged.Condemned()
+	if !x.mayRan {
+		failure.RetryAfter = judged.Left
+	}
+	return failure
+}
+
+// returnRun gives a permitted run back that was not used.
+func (x *exchange) returnRun(ctx context.Context) {
+	if x.run != nil {
+		x.run.End(ctx, poisonguard.NotRun)
+		x.run = nil
+	}
+}
+
+// avoided are the back ends that the request is better not sent to: those that it was tried at, and for a suspect those that run
+// another one, unless no other is left.
+func (x *exchange) avoided() (preferred, needed []string) {
+	if x.run == nil || !x.run.Suspected() {
+		return x.tried, x.tried
+	}
+	return append(x.forwarder.config.Guard.Occupied(), x.tried...), x.tried
+}
+
+// noteRun tells the guard how the attempt's run ended, before anything else is decided on it.
+func (a *attempt) noteRun(ctx context.Context) {
+	if a.permitted == nil {
+		return
+	}
+	ending := poisonguard.EndingOf(a.outcome)
+	switch {
+	case errors.Is(a.outcome.Err, errRestarted):
+		ending = poisonguard.Crashed
+	case ending == poisonguard.BrokeOff && errors.Is(ctx.Err(), context.Canceled):
+		ending = poisonguard.Stopped
+	}
+	settle := a.permitted.Note(ending)
+	if ending == poisonguard.Answered {
+		go settle(ctx) // the answer waits for nobody
+		return
+	}
+	settle(ctx)
 }
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -21,7 +21,7 @@
 		Cause: events.ErrorText(failure.Cause), TableVersion: version, LeaseHeld: held, Sends: x.begun, Pool: x.poolName,
 		DeadlineMs: events.Millis(x.request.Deadline), TookMs: x.tookMs(),
 	}
-	if x.mayRan {
+	if x.mayRan || x.rests {
 		event.Digest = x.digest().String()
 	}
 	if x.route != nil {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -51,12 +51,14 @@
 	TimedOut                          // the deadline or the route's timeout passed
 	CallerGone                        // the caller closed its connection
 	Cut                               // part of an answer was passed on: the connection must not look complete
+	Suspected                         // back ends crashed under the request, and it must not run now
 )
 
 var reasonTexts = [...]string{NoConfiguration: "no configuration is in force here", NoRoute: "no route matches",
 	Unauthenticated: "no tenant is known by the key",
 	Overloaded:      "no capacity", Unavailable: "no back end took the request", Broken: "the back end's answer was lost",
-	TimedOut: "no answer in time", CallerGone: "the caller is gone", Cut: "the answer broke off"}
+	TimedOut: "no answer in time", CallerGone: "the caller is gone", Cut: "the answer broke off",
+	Suspected: "back ends crashed under the request"}
 
 // String returns the reason for a person.
 func (r Reason) String() string {
@@ -72,7 +74,9 @@
 	Verdict verdict.Verdict
 	// RetryAfter is when coming back is useful; 0 when the request may have run.
 	RetryAfter time.Duration
-	Cause      error
+	// Condemned is set with Suspected: the request counts as the cause of crashes and rests for long.
+	Condemned bool
+	Cause     error
 }
 
 // Error implements error.
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/admission"
-	"github.com/tamarindring/tamarindring/internal/poison"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -52,12 +52,13 @@
 	stale      int
 	mayRan     bool
 	lastErr    error
-	begun      int           // sends
-	answeredBy *attempt      // whose answer was passed on whole
-	status     int           // of that answer
-	passing    bool          // a part of an answer was passed on
-	identified poison.Digest // NoDigest until it is asked for
-	passed     int64         // id of the last event passed on; -1: none
+	begun      int              // sends
+	answeredBy *attempt         // whose answer was passed on whole
+	status     int              // of that answer
+	passing    bool             // a part of an answer was passed on
+	run        *poisonguard.Run // permitted, and not part of an attempt yet
+	rests      bool             // it must not run now
+	passed     int64            // id of the last event passed on; -1: none
 }
 
 // Serve gets the request answered. nil: reply has got a whole answer.
@@ -104,6 +105,7 @@
 	limited, cancel := context.WithDeadline(ctx, x.until())
 	defer cancel()
 	defer x.leavePool()
+	defer x.returnRun(ctx)
 	for {
 		if failure, done := x.attempt(limited); done {
 			return x.settle(ctx, failure)
@@ -169,10 +171,13 @@
 	if x.sent >= int(max(matched.MaxAttempts, 1)) {
 		return x.failure(ctx, Unavailable, errors.Join(errMaxAttempts, x.lastErr)), true
 	}
+	if failure := x.permit(ctx); failure != nil {
+		return failure, true
+	}
 	if failure := x.enterPool(ctx, plan); failure != nil {
 		return failure, true
 	}
-	chosen, ok := x.pool.choose(x.forwarder.now(), &x.work, x.tried)
+	chosen, ok := x.choose()
 	if !ok {
 		return x.failure(ctx, Unavailable, errors.Join(errNoReplicas, x.lastErr)), true
 	}
@@ -183,6 +188,17 @@
 	return x.send(ctx, chosen)
 }
 
+// choose chooses a back end for the next send.
+func (x *exchange) choose() (chosen choice, ok bool) {
+	preferred, needed := x.avoided()
+	if len(preferred) > len(needed) {
+		if chosen, ok = x.pool.choose(x.forwarder.now(), &x.work, preferred); ok {
+			return chosen, ok
+		}
+	}
+	return x.pool.choose(x.forwarder.now(), &x.work, needed)
+}
+
 // gone is the end of a request whose route or key is no longer in the configuration.
 func (x *exchange) gone(ctx context.Context, plan *plan, reason Reason, cause error) (*Failure, bool) {
 	if err := x.admit(plan.version); err != nil {
--- /dev/null
+++ b/internal/poisonguard/run.go
@@ -0,0 +1,269 @@
+package poisonguard
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/poison"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+// Ending is how a run ended, as far as it says something of the request.
+type Ending uint8
+
+// The endings.
+const (
+	NotRun   Ending = iota // it never began
+	Answered               // whole, with whatever status: the back end has survived it
+	Stopped                // by its caller or by this process
+	BrokeOff               // it may have run, and what became of the back end is not known yet
+	Crashed                // the back end crashed
+)
+
+// EndingOf is the ending of a call to a back end that nobody has stopped.
+func EndingOf(outcome replica.Outcome) Ending {
+	switch {
+	case outcome.Verdict == verdict.DidNotRun:
+		return NotRun
+	case outcome.Whole:
+		return Answered
+	case outcome.Peer == replica.PeerGone:
+		return Crashed
+	}
+	return BrokeOff
+}
+
+// Run is one permitted run of a request at one back end.
+type Run struct {
+	guard    *Guard
+	identify func() poison.Identity
+	digest   poison.Digest // NoDigest until it is needed
+	judged   poison.Judgment
+	claimed  uint32 // crashes on record with the claim; 0: it was not claimed
+	instance string // empty until the back end is chosen
+	address  string
+}
+
+// Begin asks for one run of a request. The run is nil if it must not run now; otherwise it is ended by End, or by Note and what that
+// returns. identify is called only when somebody is suspected or something crashes.
+func (g *Guard) Begin(ctx context.Context, identify func() poison.Identity) (*Run, poison.Judgment) {
+	run := &Run{guard: g, identify: identify}
+	g.mutex.Lock()
+	if g.book.Empty() {
+		g.mutex.Unlock()
+		return run, poison.Judgment{}
+	}
+	g.mutex.Unlock()
+	digest := run.named() // may take a while for a long body
+	g.mutex.Lock()
+	run.judged = g.book.Judge(g.config.Clock(), digest)
+	g.mutex.Unlock()
+	switch run.judged.Permission {
+	case poison.Rest:
+		g.counts.refused.WithLabelValues(run.judged.Permission.String()).Inc()
+		return nil, run.judged
+	case poison.Trial:
+		return run.claim(ctx)
+	}
+	return run, run.judged
+}
+
+// overtakenRest is how long a request is put off whose run another process has claimed just now, or whose claim has no answer.
+const overtakenRest = time.Second
+
+// claim takes the right to the one run of a suspect.
+func (r *Run) claim(ctx context.Context) (*Run, poison.Judgment) {
+	outcome, err := r.guard.send(ctx, poison.Want{Step: poison.Claim, Digest: r.digest, Crashes: r.judged.Recorded})
+	if err != nil || !outcome.Done {
+		r.guard.counts.refused.WithLabelValues(poison.Trial.String()).Inc()
+		return nil, poison.Judgment{Permission: poison.Rest, Crashes: r.judged.Crashes, Recorded: r.judged.Recorded, Left: overtakenRest}
+	}
+	r.claimed = outcome.Crashes
+	return r, r.judged
+}
+
+// named is the digest of the run's request.
+func (r *Run) named() poison.Digest {
+	if r.digest == poison.NoDigest {
+		identity := r.identify()
+		r.digest = identity.Digest()
+	}
+	return r.digest
+}
+
+// Suspected tells whether the request is suspected: nothing may run beside this run for it.
+func (r *Run) Suspected() bool { return r.judged.Permission != poison.Free }
+
+// At says which back end the run goes to.
+func (r *Run) At(instance, address string) {
+	r.instance, r.address = instance, address
+	if r.Suspected() {
+		r.guard.count(instance, 1)
+	}
+}
+
+// count counts the suspects that this process runs at a back end.
+func (g *Guard) count(instance string, by int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.beside[instance] += by
+	if g.beside[instance] == 0 {
+		delete(g.beside, instance)
+	}
+}
+
+// Occupied are the back ends at which this process runs suspects: another one is better run elsewhere, so that a crash tells which of
+// them it was.
+func (g *Guard) Occupied() []string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	occupied := make([]string, 0, len(g.beside))
+	for instance := range g.beside {
+		occupied = append(occupied, instance)
+	}
+	return occupied
+}
+
+// End notes how the run ended and returns once that is on record, or after sendTime.
+func (r *Run) End(ctx context.Context, ending Ending) { r.Note(ending)(ctx) }
+
+// Note notes how the run ended for this process, which judges by it from then on. The function that it returns puts it on record and
+// must be called.
+func (r *Run) Note(ending Ending) (settle func(ctx context.Context)) {
+	if r.instance != "" && r.Suspected() {
+		r.guard.count(r.instance, -1)
+	}
+	switch {
+	case ending == Crashed && r.guard.leaving(r.instance):
+		ending = Stopped // a planned end cuts off what is left
+	case ending == BrokeOff:
+		unclaimed := *r // a claim is given back now, so the crash counts if it shows later
+		unclaimed.claimed = 0
+		r.guard.remember(&unclaimed)
+	}
+	if ending == Crashed {
+		r.noteCrash()
+	}
+	if ending != Crashed && r.claimed == 0 && (ending != Answered || !r.Suspected()) {
+		return func(context.Context) {}
+	}
+	return func(ctx context.Context) { r.settle(ctx, ending) }
+}
+
+func (r *Run) noteCrash() {
+	digest := r.named()
+	r.guard.counts.crashes.WithLabelValues().Inc()
+	r.guard.mutex.Lock()
+	defer r.guard.mutex.Unlock()
+	if r.claimed == 0 { // otherwise it is counted already
+		r.guard.book.Crashed(r.guard.config.Clock(), digest, r.instance)
+	}
+}
+
+// settle puts the end of a run on record. Callers may be gone by then, so their contexts don't end it.
+func (r *Run) settle(ctx context.Context, ending Ending) {
+	ctx = context.WithoutCancel(ctx)
+	switch ending {
+	case Crashed:
+		r.report(ctx)
+	case Answered:
+		r.guard.deliver(ctx, poison.Want{Step: poison.Clear, Digest: r.named()})
+	default:
+		r.guard.deliver(ctx, poison.Want{Step: poison.Return, Digest: r.named(), Crashes: r.claimed})
+	}
+}
+
+func (r *Run) report(ctx context.Context) {
+	identity := r.identify()
+	want := poison.Want{Step: poison.Report, Digest: r.named(), Instance: r.instance, Subject: identity.Subject(), Counted: r.claimed > 0}
+	outcome, err := r.guard.send(ctx, want)
+	switch {
+	case err != nil:
+		r.guard.postpone(want)
+	case !outcome.Done:
+		r.guard.mutex.Lock()
+		r.guard.book.Lost(want.Digest, want.Instance)
+		r.guard.mutex.Unlock()
+		r.guard.counts.dropped.WithLabelValues(want.Step.String()).Inc()
+	}
+}
+
+const (
+	// brokenTime is for how long after a run broke off the end of its back end is put down to it: a back end that starts again has
+	// registered within 3.4 s, one heartbeat late at most.
+	brokenTime = 5 * time.Second
+	// maximumBroken bounds the runs that are remembered for it; the oldest go first.
+	maximumBroken = 1024
+)
+
+// brokenRun is a run that broke off while what became of its back end was not known.
+type brokenRun struct {
+	run *Run
+	at  time.Duration
+}
+
+// remember keeps a run that broke off until the table tells what became of its back end.
+func (g *Guard) remember(run *Run) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.leavingLocked(run.instance) {
+		return
+	}
+	if len(g.broken) >= maximumBroken {
+		g.broken = slices.Delete(g.broken, 0, 1)
+	}
+	g.broken = append(g.broken, brokenRun{run: run, at: g.config.Clock()})
+}
+
+// crashedMeanwhile takes out the runs that broke off and whose back ends are known to have ended since: they have started again, or
+// another one has their address. Behind a cut nothing else tells. The caller holds the mutex.
+func (g *Guard) crashedMeanwhile(now time.Duration) (crashed []*Run) {
+	g.broken = slices.DeleteFunc(g.broken, func(one brokenRun) bool { return now-one.at > brokenTime })
+	if len(g.broken) == 0 {
+		return nil
+	}
+	holders := map[string]string{} // instance by address
+	for _, row := range g.view.Rows() {
+		if row.Kind == table.Backend && row.Serving() {
+			holders[row.Address] = row.Instance
+		}
+	}
+	g.broken = slices.DeleteFunc(g.broken, func(one brokenRun) bool {
+		holder := holders[one.run.address]
+		over := g.view.Ended(one.run.instance) || holder != "" && holder != one.run.instance
+		if over {
+			g.book.Crashed(now, one.run.named(), one.run.instance)
+			g.counts.crashes.WithLabelValues().Inc()
+			crashed = append(crashed, one.run)
+		}
+		return over
+	})
+	return crashed
+}
+
+// leaving tells whether a back end leaves by plan, as far as the table tells.
+func (g *Guard) leaving(instance string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.leavingLocked(instance)
+}
+
+func (g *Guard) leavingLocked(instance string) bool {
+	if g.view == nil {
+		return false
+	}
+	row := g.view.Backend(instance)
+	return row != nil && row.State != table.Active
+}
+
+// postpone keeps a step for the next look.
+func (g *Guard) postpone(want poison.Want) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if len(g.waiting) < maximumWaiting {
+		g.waiting = append(g.waiting, want)
+	}
+}
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -10,15 +10,15 @@
 )
 
 // check judges the table that a draft would leave behind. Every row was sound before, so whatever is wrong comes from
-// this change. A change of back ends alone, of which a large fleet makes many, is judged by the rows that it touches:
-// no other row depends on a back end.
+// this change. A change of back ends and suspects alone, of which a large fleet makes many, is judged by the rows that it
+// touches: no other row depends on these.
 func (t *Table) check(d *draft, after *View, change *wire.TableChange) []*wire.CellRefusal {
 	if len(after.rows) > MaximumRows {
 		return wholeChange("table would have too many rows")
 	}
 	before := t.current()
 	var refusals []*wire.CellRefusal
-	if d.onlyBackends(before, after) {
+	if d.onlyLeaves(before, after) {
 		refusals = checkRows(d.touched(), after)
 	} else {
 		refusals = append(append(checkRows(after.names, after), checkRoutes(after)...), checkTenants(after)...)
@@ -55,11 +55,11 @@
 // touched returns the names of the draft's rows, sorted.
 func (d *draft) touched() []string { return slices.Sorted(maps.Keys(d.rows)) }
 
-// onlyBackends reports whether every row that the draft touches is a back end, before and after.
-func (d *draft) onlyBackends(before, after *View) bool {
+// onlyLeaves reports whether every row that the draft touches is one that no other row depends on, before and after.
+func (d *draft) onlyLeaves(before, after *View) bool {
 	for name := range d.rows {
 		for _, view := range []*View{before, after} {
-			if row := view.rows[name]; row != nil && row.Kind != Backend {
+			if row := view.rows[name]; row != nil && row.Kind != Backend && row.Kind != Suspect {
 				return false
 			}
 		}
@@ -103,6 +103,8 @@
 		return checkRoute(row, rows)
 	case Tenant:
 		return checkTenant(row)
+	case Suspect:
+		return checkSuspect(row)
 	}
 	if row.LiveRoom > row.MaxInFlight {
 		refuse(ColumnLiveRoom, "live_room is above max_in_flight")
--- a/internal/table/columns.go
+++ b/internal/table/columns.go
@@ -18,7 +18,7 @@
 	poolOnly    = []RowKind{Pool}
 	backendOnly = []RowKind{Backend}
 	poolOrRoute = []RowKind{Pool, Route}
-	everyKind   = []RowKind{Pool, Backend, Route, Listener, Tenant, Document}
+	everyKind   = []RowKind{Pool, Backend, Route, Listener, Tenant, Document, Suspect}
 	routeOnly   = []RowKind{Route}
 	listenOnly  = []RowKind{Listener}
 	textOnly    = []RowKind{Document}
@@ -28,7 +28,7 @@
 
 var poolColumns = []Column{
 	{Name: ColumnKind, Type: Choice, Rows: everyKind,
-		Choices: []string{string(Pool), string(Backend), string(Route), string(Listener), string(Tenant), string(Document)},
+		Choices: []string{string(Pool), string(Backend), string(Route), string(Listener), string(Tenant), string(Document), string(Suspect)},
 		Help:    "What the row stands for. Required, and fixed once the row exists.",
 		assign:  func(row *Row, value string) { row.Kind = RowKind(value) }},
 	{Name: ColumnPool, Type: Name, Rows: backendOnly,
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -68,6 +68,11 @@
 	Revision uint64
 	Text     string
 
+	// Of a suspect.
+	Crashes         uint32
+	CrashedBackEnds string // separated by commas, oldest first
+	Subject         string
+
 	explicit map[string]string // the row's own cells, canonical, without cleared ones
 }
 
--- a/internal/table/schema.go
+++ b/internal/table/schema.go
@@ -13,6 +13,7 @@
 	Listener RowKind = "listener" // what clients may send to the gateways
 	Tenant   RowKind = "tenant"   // a caller of the gateways, known by its keys
 	Document RowKind = "document" // text that a tool keeps as it was given, such as a site's configuration
+	Suspect  RowKind = "suspect"  // a request under which back ends crashed, named by SuspectPrefix and its digest
 )
 
 // State says whether a row takes new work, as written in the column "state".
@@ -169,10 +170,13 @@
 	ColumnIdleTimeout    = "idle_timeout_millis"
 	ColumnRevision       = "revision"
 	ColumnText           = "text"
+	ColumnCrashes        = "crashes"
+	ColumnCrashed        = "crashed_back_ends"
+	ColumnSubject        = "subject"
 )
 
 // columns are all columns in the order in which operators read them.
-var columns = slices.Concat(poolColumns, routeColumns, tenantColumns)
+var columns = slices.Concat(poolColumns, routeColumns, tenantColumns, suspectColumns)
 
 var columnIndex = func() map[string]*Column {
 	index := make(map[string]*Column, len(columns))
--- a/internal/table/view.go
+++ b/internal/table/view.go
@@ -32,6 +32,7 @@
 	backends map[string][]*Row
 	// accessVersion is the version of the last change of a listener or tenant.
 	accessVersion uint64
+	suspects      []*Row // by name
 }
 
 // NewView returns the empty view at version 0.
@@ -102,6 +103,9 @@
 	return pools
 }
 
+// Suspects returns the rows of the requests under which back ends crashed, by name. The slice is shared: do not change it.
+func (v *View) Suspects() []*Row { return v.suspects }
+
 // Backends returns the back ends of a pool by name, active and draining, without removed ones. The slice
 // is shared: do not change it.
 func (v *View) Backends(pool string) []*Row { return v.backends[pool] }
@@ -163,7 +167,8 @@
 // amend returns the view with other cells in the changed rows; nil cells take a row out. It resolves the rows that change
 // themselves or whose pool does, and shares the others: what it costs is what changes, and a copy of the map of rows.
 func (v *View) amend(version uint64, changed map[string]map[string]string) *View {
-	next := &View{version: version, rows: maps.Clone(v.rows), names: v.names, backends: maps.Clone(v.backends), accessVersion: v.accessVersion}
+	next := &View{version: version, rows: maps.Clone(v.rows), names: v.names, backends: maps.Clone(v.backends), accessVersion: v.accessVersion,
+		suspects: v.suspects}
 	differing := v.differing(changed)
 	var added, removed []string
 	pools := map[string]map[string]bool{} // rows whose place in their pool's list is to be made anew, by pool
@@ -176,9 +181,11 @@
 		}
 		pools[row.Pool][row.Name] = true
 	}
+	suspectsChange := false
 	for name, cells := range differing {
 		held := v.rows[name]
 		touch(held)
+		suspectsChange = suspectsChange || strings.HasPrefix(name, SuspectPrefix)
 		if governsAccess(held) || cells[ColumnKind] == string(Tenant) || cells[ColumnKind] == string(Listener) {
 			next.accessVersion = version
 		}
@@ -199,9 +206,26 @@
 	for pool, names := range pools {
 		next.relist(pool, names)
 	}
+	if suspectsChange {
+		next.listSuspects()
+	}
 	return next
 }
 
+// listSuspects lists the rows of suspects anew; there are few of them.
+func (v *View) listSuspects() {
+	v.suspects = nil
+	first, _ := slices.BinarySearch(v.names, SuspectPrefix)
+	for _, name := range v.names[first:] {
+		if !strings.HasPrefix(name, SuspectPrefix) {
+			return
+		}
+		if row := v.rows[name]; row.Kind == Suspect {
+			v.suspects = append(v.suspects, row)
+		}
+	}
+}
+
 // governsAccess reports whether a row says who may call.
 func governsAccess(row *Row) bool {
 	return row != nil && (row.Kind == Tenant || row.Kind == Listener)
