poisonguard, forward: tests of the guard; steps that would change nothing are judged on the newest record

Cause: a step planned on the view that a process follows may find nothing to do because the view is behind, as the return of a claim just made did: a harmless suspect whose trial its caller had left stayed condemned (found by TestBystandersAreCleared). Change: only a view that is known to be the newest says that there is nothing to do.

--- /dev/null
+++ b/internal/forward/suspects_test.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/poison"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// noControl is a control group without a leader: guards judge by what they saw themselves.
+type noControl struct{}
+
+var errNoLeader = errors.New("no leader")
+
+func (noControl) Query(context.Context, uint32, *wire.Query) (*wire.View, error) {
+	return nil, errNoLeader
+}
+
+func (noControl) ChangeTable(context.Context, *wire.TableChange, bool) (*wire.TableResult, uint64, error) {
+	return nil, 0, errNoLeader
+}
+
+// guarded is a fixture whose runs a guard permits; suspects are rows of the table.
+func guarded(t *testing.T, rows string, script ...step) (*fixture, *poisonguard.Guard) {
+	t.Helper()
+	start := time.Now()
+	guard, err := poisonguard.New(poisonguard.Config{Control: noControl{}, Clock: func() time.Duration { return time.Since(start) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFixture(t, rows, script...)
+	f.config.Guard = guard
+	guard.Follow(viewsOf(t, rows)[0])
+	return f, guard
+}
+
+// crashes is a back end that crashes under the request.
+func crashes(ctx context.Context, _ *replica.Call, _ replica.Sink) replica.Outcome {
+	select {
+	case <-time.After(50 * time.Millisecond):
+		return replica.Outcome{Verdict: verdict.MayHaveRun, Peer: replica.PeerGone, Err: errReset}
+	case <-ctx.Done():
+		return replica.Outcome{Verdict: verdict.MayHaveRun, Err: ctx.Err()}
+	}
+}
+
+// TestCrashesEndARequest: one call takes two back ends at most, whatever its route allows, and the next one is refused at once as not
+// run, whatever its attempt id. Requests that crash nothing go on as if it were not there.
+func TestCrashesEndARequest(t *testing.T) {
+	for _, kind := range []string{"repeatable", "once", "stream"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := strings.Replace(baseRows, "max_attempts 2", "max_attempts 5", 1) + "r route_kind " + kind + ";r resumable true"
+				f, _ := guarded(t, rows, crashes)
+				ask := func(id, body string) *Failure {
+					request := &Request{AttemptID: id, Method: "POST", Path: "/x", Host: "h", Body: []byte(body), Received: time.Now()}
+					return f.Serve(t.Context(), request, &kept{})
+				}
+				most := poison.TrialCrashes
+				for _, id := range []string{"one", "two"} {
+					if kind == "once" || id == "one" {
+						if failure := ask(id, "bad"); failure == nil || failure.Verdict != verdict.MayHaveRun {
+							t.Fatalf("%s: %v", id, failure)
+						}
+					}
+				}
+				if len(f.caller.calls) != most {
+					t.Fatalf("%d sends, want %d", len(f.caller.calls), most)
+				}
+				failure := ask("three", "bad")
+				if failure == nil || failure.Reason != Suspected || failure.Verdict != verdict.DidNotRun || failure.RetryAfter <= 0 || len(f.caller.calls) != most {
+					t.Errorf("%+v after %d sends", failure, len(f.caller.calls))
+				}
+				f.caller.mu.Lock()
+				f.caller.script, f.caller.calls = []step{good}, nil
+				f.caller.mu.Unlock()
+				time.Sleep(quarantineLimit)
+				if failure = ask("four", "good"); failure != nil {
+					t.Errorf("a harmless request: %v", failure)
+				}
+			})
+		})
+	}
+}
+
+// suspectRow is the request of the fixture on record with so many crashes.
+func suspectRow(crashes string) string {
+	identity := poison.Identity{Method: "POST", Host: "h", Path: "/x?y"}
+	name := poison.RowName(identity.Digest())
+	return ";" + name + " kind " + string(table.Suspect) + ";" + name + " crashes " + crashes
+}
+
+// TestSuspectsRunWithoutASecondSend: a hedge would take a second back end before the first one's crash is known.
+func TestSuspectsRunWithoutASecondSend(t *testing.T) {
+	for crashed, want := range map[string]int{"": 2, "1": 1} {
+		synctest.Test(t, func(t *testing.T) {
+			rows := baseRows + "r route_kind repeatable;r target_latency_millis 100"
+			if crashed != "" {
+				rows += suspectRow(crashed)
+			}
+			slow := func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+				time.Sleep(300 * time.Millisecond)
+				return good(ctx, call, sink)
+			}
+			f, _ := guarded(t, rows, slow)
+			if _, failure := f.serve(t.Context()); failure != nil || len(f.caller.instances()) != want {
+				t.Errorf("with %q crashes: %v, sends %v, want %d", crashed, failure, f.caller.instances(), want)
+			}
+			synctest.Wait()
+			time.Sleep(time.Second) // the answer clears the suspect, in vain without a leader
+		})
+	}
+}
+
+// TestSuspectsKeepApart: two suspects run at different back ends while there are enough.
+func TestSuspectsKeepApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := baseRows + "r route_kind repeatable" + suspectRow("1")
+		f, guard := guarded(t, rows, silent)
+		for number := range 2 {
+			go func() { _, _ = f.serve(t.Context()) }()
+			synctest.Wait()
+			if occupied := guard.Occupied(); len(occupied) != number+1 {
+				t.Errorf("%d suspects run at %v", number+1, occupied)
+			}
+		}
+	})
+}
+
+// TestCondemnedRequestsTellWhenToComeBack.
+func TestCondemnedRequestsTellWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := guarded(t, baseRows+"r route_kind repeatable"+suspectRow("3"), good)
+		_, failure := f.serve(t.Context())
+		if failure == nil || !failure.Condemned || failure.RetryAfter != poison.DefaultCondemnedRest || len(f.caller.calls) != 0 {
+			t.Errorf("%+v", failure)
+		}
+	})
+}
--- a/internal/poison/plan.go
+++ b/internal/poison/plan.go
@@ -39,6 +39,7 @@
 // Outcome is what became of a step.
 type Outcome struct {
 	Done    bool   // the record says what was wanted, or will with the change
+	Changed bool   // the change does something for it
 	Crashes uint32 // that the record then holds; 0: it holds none
 }
 
@@ -108,7 +109,10 @@
 	}
 	p.weakest = weakest(view, touched)
 	for _, want := range wants {
-		p.planned.Outcomes = append(p.planned.Outcomes, p.step(want))
+		before := p.size()
+		outcome := p.step(want)
+		outcome.Changed = p.size() > before
+		p.planned.Outcomes = append(p.planned.Outcomes, outcome)
 	}
 	return p.planned
 }
@@ -131,6 +135,9 @@
 	planned Planned
 }
 
+// size is how much the change does so far.
+func (p *planner) size() int { return len(p.planned.Change.Cells) + len(p.planned.Change.RemoveRows) }
+
 func (p *planner) step(want Want) Outcome {
 	name := RowName(want.Digest)
 	row := p.view.Row(name)
--- /dev/null
+++ b/internal/poisonguard/guard_test.go
@@ -0,0 +1,361 @@
+package poisonguard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/tamarindring/tamarindring/internal/poison"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// group is the control group with its table; all guards follow it.
+type group struct {
+	t       *testing.T
+	mutex   sync.Mutex
+	held    *table.Table
+	away    bool          // no leader
+	commit  time.Duration // that a change takes
+	changes int
+	guards  []*Guard
+}
+
+var errAway = errors.New("no leader")
+
+func newGroup(t *testing.T, rows ...string) *group {
+	g := &group{t: t, held: table.New()}
+	g.put(append([]string{"app kind pool", "a kind backend", "a pool app", "a address 10.0.0.1:1", "b kind backend", "b pool app",
+		"b address 10.0.0.2:1", "c kind backend", "c pool app", "c address 10.0.0.3:1"}, rows...)...)
+	return g
+}
+
+// put changes the table as another process does.
+func (g *group) put(rows ...string) {
+	g.t.Helper()
+	g.mutex.Lock()
+	change := &wire.TableChange{BaseVersion: g.held.Version(), ChangeId: fmt.Sprint("put-", g.held.Version()), Operator: "test", Note: table.ForceNote}
+	for _, text := range rows {
+		if name, removed := strings.CutPrefix(text, "-"); removed {
+			change.RemoveRows = append(change.RemoveRows, name)
+			continue
+		}
+		parts := strings.SplitN(text, " ", 3)
+		change.Cells = append(change.Cells, &wire.CellChange{Row: parts[0], Column: parts[1], Value: parts[2]})
+	}
+	result := g.held.Apply(change)
+	g.mutex.Unlock()
+	if result.GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+		g.t.Fatal(result)
+	}
+	g.follow()
+}
+
+// follow has all guards follow the table.
+func (g *group) follow() {
+	g.mutex.Lock()
+	view, err := table.NewView().Apply(g.held.Update(0))
+	guards := g.guards
+	g.mutex.Unlock()
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	for _, guard := range guards {
+		guard.Follow(view)
+	}
+}
+
+// Query implements configure.Control.
+func (g *group) Query(_ context.Context, _ uint32, query *wire.Query) (*wire.View, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.away {
+		return nil, errAway
+	}
+	return &wire.View{Kind: &wire.View_Table{Table: g.held.Update(query.GetTable().GetKnownVersion())}}, nil
+}
+
+// ChangeTable implements configure.Control.
+func (g *group) ChangeTable(_ context.Context, change *wire.TableChange, _ bool) (*wire.TableResult, uint64, error) {
+	time.Sleep(g.commit)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.away {
+		return nil, 0, errAway
+	}
+	g.changes++
+	return g.held.Apply(change), 0, nil
+}
+
+func (g *group) setAway(away bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.away = away
+}
+
+// records is the record.
+func (g *group) records() []poison.Record {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	view, err := table.NewView().Apply(g.held.Update(0))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return poison.Records(view)
+}
+
+// guard is a process that follows the table.
+func (g *group) guard() *Guard {
+	start := time.Now()
+	made, err := New(Config{Control: g, Clock: func() time.Duration { return time.Since(start) }, Leading: func() bool { return true }})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.guards = append(g.guards, made)
+	g.follow()
+	return made
+}
+
+func identify(body string) func() poison.Identity {
+	return func() poison.Identity {
+		return poison.Identity{Method: "POST", Host: "h", Path: "/x", Body: []byte(body)}
+	}
+}
+
+// run begins a run at a back end, ends it and returns what it was permitted by.
+func run(t *testing.T, guard *Guard, body, instance string, ending Ending) poison.Judgment {
+	t.Helper()
+	made, judged := guard.Begin(t.Context(), identify(body))
+	if made == nil {
+		return judged
+	}
+	made.At(instance, map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1", "c": "10.0.0.3:1"}[instance])
+	made.End(t.Context(), ending)
+	return judged
+}
+
+// TestCrashesAreKnownEverywhere: a request crashes one back end under each of two processes, rests, has one trial in the whole
+// deployment, and is condemned; a process that starts then knows it. What runs beside it is free.
+func TestCrashesAreKnownEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one, other := g.guard(), g.guard()
+		run(t, one, "bad", "a", Crashed)
+		g.follow()
+		if judged := run(t, other, "bad", "b", Crashed); judged.Permission != poison.Apart {
+			t.Fatalf("after one crash: %+v", judged)
+		}
+		g.follow()
+		for _, guard := range g.guards {
+			if judged := run(t, guard, "bad", "c", Crashed); judged.Permission != poison.Rest || judged.Left != poison.DefaultTrialRest || judged.Condemned() {
+				t.Fatalf("after two crashes: %+v", judged)
+			}
+		}
+		time.Sleep(poison.DefaultTrialRest)
+		trial, _ := one.Begin(t.Context(), identify("bad"))
+		if second, judged := other.Begin(t.Context(), identify("bad")); trial == nil || second != nil || judged.Permission != poison.Rest {
+			t.Fatalf("of two claims %v and %v were taken: %+v", trial, second, judged)
+		}
+		trial.At("c", "10.0.0.3:1")
+		trial.End(t.Context(), Crashed)
+		late := g.guard()
+		g.follow()
+		for _, guard := range []*Guard{one, other, late} {
+			if judged := run(t, guard, "bad", "a", Crashed); !judged.Condemned() || judged.Left != poison.DefaultCondemnedRest {
+				t.Errorf("after three crashes: %+v", judged)
+			}
+			if judged := run(t, guard, "good", "a", Answered); judged.Permission != poison.Free {
+				t.Errorf("another request: %+v", judged)
+			}
+		}
+		if records := g.records(); len(records) != 1 || records[0].Crashes != 3 || fmt.Sprint(records[0].Crashed) != "[a b c]" {
+			t.Errorf("on record %+v", records)
+		}
+	})
+}
+
+// TestBystandersAreCleared: a harmless request was beside a crash twice; it rests, its trial is answered, and it is free everywhere. A
+// trial that its caller has left says nothing and is given back.
+func TestBystandersAreCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one, other := g.guard(), g.guard()
+		run(t, one, "good", "a", Crashed)
+		run(t, one, "good", "b", Crashed)
+		g.follow()
+		for _, ending := range []Ending{Stopped, NotRun, Answered} {
+			time.Sleep(poison.DefaultTrialRest)
+			if judged := run(t, one, "good", "c", ending); judged.Permission != poison.Trial {
+				t.Fatalf("before a trial that is %d: %+v", ending, judged)
+			}
+			g.follow()
+		}
+		if judged := run(t, other, "good", "a", Answered); judged.Permission != poison.Free || len(g.records()) != 0 {
+			t.Errorf("after the answer %+v, on record %v", judged, g.records())
+		}
+	})
+}
+
+// TestWithoutALeader: a process judges by its own crashes, holds nobody up for long, and reports once there is a leader.
+func TestWithoutALeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.guard()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { one.Run(ctx); close(ended) }()
+		g.setAway(true)
+		began := time.Now()
+		run(t, one, "bad", "a", Crashed)
+		if took := time.Since(began); took > sendTime {
+			t.Errorf("a crash held its request up for %s", took)
+		}
+		run(t, one, "bad", "b", Crashed)
+		time.Sleep(poison.DefaultTrialRest)
+		if judged := run(t, one, "bad", "c", Crashed); judged.Permission != poison.Rest || judged.Crashes != 2 {
+			t.Errorf("without a leader: %+v", judged)
+		}
+		g.setAway(false)
+		time.Sleep(2 * retryInterval)
+		if records := g.records(); len(records) != 1 || records[0].Crashes != 2 {
+			t.Errorf("with a leader again, on record %+v", records)
+		}
+		cancel()
+		<-ended
+	})
+}
+
+// TestCrashesThatShowLate: a run that broke off for a reason that nobody can tell counts as a crash once its back end is known to have
+// started again, or another one has its address; not when it lives on, leaves by plan, or its end has nothing to do with the run.
+func TestCrashesThatShowLate(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after []string
+		wait          time.Duration
+		want          int
+	}{
+		"started again":       {after: []string{"a start_unix_millis 9"}, want: 1},
+		"another one there":   {after: []string{"-a", "n kind backend", "n pool app", "n address 10.0.0.1:1"}, want: 1},
+		"lives on":            {after: []string{"b start_unix_millis 9"}},
+		"left by plan":        {before: []string{"a state draining"}, after: []string{"-a", "n kind backend", "n pool app", "n address 10.0.0.1:1"}},
+		"long after the run":  {wait: 2 * brokenTime, after: []string{"a start_unix_millis 9"}},
+		"taken out by nobody": {after: []string{"-a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t)
+				one := g.guard()
+				if test.before != nil {
+					g.put(test.before...)
+				}
+				run(t, one, "bad", "a", BrokeOff)
+				time.Sleep(test.wait)
+				g.put(test.after...)
+				synctest.Wait()
+				if records := g.records(); len(records) != test.want {
+					t.Errorf("on record %+v, want %d", records, test.want)
+				}
+			})
+		})
+	}
+}
+
+// TestPlannedEndsAreNoCrash: what is left at a back end that leaves is cut off at its end.
+func TestPlannedEndsAreNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.guard()
+		g.put("a state draining")
+		run(t, one, "good", "a", Crashed)
+		if records := g.records(); len(records) != 0 {
+			t.Errorf("on record %+v", records)
+		}
+	})
+}
+
+// TestManyAtOneCrashAreFewChanges: an engine crashed with sixteen runs; while the first one's report is committed the others wait and go
+// together.
+func TestManyAtOneCrashAreFewChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.guard()
+		g.commit = 5 * time.Millisecond
+		var ending sync.WaitGroup
+		for number := range 16 {
+			made, _ := one.Begin(t.Context(), identify(fmt.Sprint(number)))
+			made.At("a", "10.0.0.1:1")
+			ending.Go(func() { made.End(t.Context(), Crashed) })
+		}
+		ending.Wait()
+		if g.changes != 2 || len(g.records()) != 16 {
+			t.Errorf("%d changes for %d suspects", g.changes, len(g.records()))
+		}
+		if occupied := one.Occupied(); len(occupied) != 0 {
+			t.Errorf("suspects run at %v after their end", occupied)
+		}
+	})
+}
+
+// TestOutdatedSuspectsAreForgotten, by the leader.
+func TestOutdatedSuspectsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.guard()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { one.Run(ctx); close(ended) }()
+		run(t, one, "good", "a", Crashed)
+		g.follow()
+		time.Sleep(poison.DefaultCondemnedRest - time.Second)
+		if len(g.records()) != 1 {
+			t.Error("forgotten too soon")
+		}
+		time.Sleep(2 * time.Second)
+		if records := g.records(); len(records) != 0 {
+			t.Errorf("on record %+v", records)
+		}
+		cancel()
+		<-ended
+	})
+}
+
+// TestOperatorsReleaseAndCondemn by the row of a suspect.
+func TestOperatorsReleaseAndCondemn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.guard()
+		identity := identify("bad")()
+		name := poison.RowName(identity.Digest())
+		g.put(name+" kind suspect", name+" crashes 3")
+		if judged := run(t, one, "bad", "a", Answered); !judged.Condemned() {
+			t.Errorf("condemned by hand: %+v", judged)
+		}
+		g.put("-" + name)
+		if judged := run(t, one, "bad", "a", Answered); judged.Permission != poison.Free {
+			t.Errorf("released: %+v", judged)
+		}
+	})
+}
+
+func TestEndingsOfCalls(t *testing.T) {
+	for want, outcome := range map[Ending]replica.Outcome{
+		NotRun:   {Verdict: verdict.DidNotRun, Peer: replica.PeerGone},
+		Answered: {Verdict: verdict.Ran, Whole: true, Status: 500},
+		Crashed:  {Verdict: verdict.MayHaveRun, Peer: replica.PeerGone},
+		BrokeOff: {Verdict: verdict.Ran, Peer: replica.PeerListening},
+	} {
+		if got := EndingOf(outcome); got != want {
+			t.Errorf("%+v is ending %d, want %d", outcome, got, want)
+		}
+	}
+}
--- a/internal/poisonguard/record.go
+++ b/internal/poisonguard/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -92,6 +93,10 @@
 			fresh = true
 		}
 		planned := poison.Plan(view, wants, g.config.Settings)
+		if !fresh && slices.ContainsFunc(planned.Outcomes, func(outcome poison.Outcome) bool { return !outcome.Changed }) {
+			view = nil // only a view that is known to be the newest says that there is nothing to do
+			continue
+		}
 		if len(planned.Change.Cells)+len(planned.Change.RemoveRows) == 0 {
 			return planned.Outcomes, nil
 		}
