--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -248,6 +249,7 @@
 	// listInterval is Config.ListInterval; 0: the default.
 	listInterval time.Duration
 	logged       *logrustest.Hook // what the runner has logged
+	guard        *poisonguard.Guard
 }
 
 func newRig(t *testing.T) *rig {
@@ -293,7 +295,7 @@
 		Retention: r.retention, ListInterval: r.listInterval, Serving: r.serving, ServingWait: time.Hour,
 		Schedule: schedule.Settings{FirstEvent: 100 * time.Millisecond, FailurePause: 5 * time.Millisecond,
 			MaximumPause: 20 * time.Millisecond, VersionPause: 5 * time.Millisecond},
-		Log: r.log(),
+		Guard: r.guard, Log: r.log(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/batchrun/rewards.go
+++ b/internal/batchrun/rewards.go
@@ -128,8 +128,9 @@
 // Body implements forward.Reply.
 func (a *rewardAnswer) Body([]byte) error { return nil }
 
-// rate asks for a text's score until there is one, the call fails for good, or ctx ends.
-func (r *rewards) rate(ctx context.Context, call *rewardCall) {
+// rate asks for a text's score until there is one, the call fails for good, or ctx ends. condemned is called when the call counts as the
+// cause of crashes.
+func (r *rewards) rate(ctx context.Context, call *rewardCall, condemned func()) {
 	for ctx.Err() == nil {
 		tried := r.try(ctx, call)
 		if tried.ending == reward.Scored {
@@ -140,6 +141,9 @@
 			return
 		}
 		var next reward.Next
+		if tried.condemned {
+			condemned()
+		}
 		if tried.ending == reward.Held {
 			next = call.course.Rested(tried.after)
 		} else {
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -227,6 +227,7 @@
 	}
 	entry.run.suspected = entry.suspected
 	entry.moving = false
+	entry.condemned = false
 	model := entry.job.Model
 	if at.tooOld(entry.job) {
 		known := at.versions[model]
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -200,12 +200,18 @@
 	}
 }
 
-// Hold puts an item off that must not run, for a pause. The group of one that is condemned will not be whole in time: others of its
-// job are waited for in its place.
-func (s *Scheduler) Hold(key Key, until time.Duration, condemned bool) {
+// Hold puts an item off that must not run before a time.
+func (s *Scheduler) Hold(key Key, until time.Duration) {
 	if entry := s.find(key); entry != nil {
-		entry.suspected, entry.condemned = true, condemned
-		entry.notBefore, s.order = until, nil
+		entry.suspected, entry.notBefore = true, until
+	}
+}
+
+// Condemn notes that an item, or the call for its score, counts as the cause of crashes and rests for long. Its group will not be whole
+// in time: others of its job are waited for in its place, until it runs again.
+func (s *Scheduler) Condemn(key Key) {
+	if entry := s.find(key); entry != nil && !entry.condemned {
+		entry.condemned, s.order = true, nil
 	}
 }
 
--- a/internal/batchrun/scoring.go
+++ b/internal/batchrun/scoring.go
@@ -76,11 +76,20 @@
 	t.routines.Go(func() {
 		defer t.runner.counts.unscored.Dec()
 		defer cancel()
-		t.runner.rewards.rate(callContext, started)
+		t.runner.rewards.rate(callContext, started, func() { t.noteCondemned(key) })
 		t.scores <- started
 	})
 }
 
+// noteCondemned tells the loop of an item whose reward call is condemned, unless it is told of many already: it is told again at the
+// call's next look.
+func (t *tenure) noteCondemned(key schedule.Key) {
+	select {
+	case t.condemned <- key:
+	default:
+	}
+}
+
 // stopRating ends an item's reward call; it is reported through scores.
 func (t *tenure) stopRating(key schedule.Key, why stopReason) {
 	if rating := t.rewardCalls[key]; rating != nil {
--- /dev/null
+++ b/internal/batchrun/suspects_test.go
@@ -0,0 +1,119 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/tamarindring/tamarindring/internal/batchrun/reward"
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/poison"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// noControl is a control group without a leader: the guard judges by what it saw itself.
+type noControl struct{}
+
+var errNoLeader = errors.New("no leader")
+
+func (noControl) Query(context.Context, uint32, *wire.Query) (*wire.View, error) {
+	return nil, errNoLeader
+}
+
+func (noControl) ChangeTable(context.Context, *wire.TableChange, bool) (*wire.TableResult, uint64, error) {
+	return nil, 0, errNoLeader
+}
+
+// guardedRig is a rig whose runs a guard permits.
+func guardedRig(t *testing.T) *rig {
+	t.Helper()
+	guard, err := poisonguard.New(poisonguard.Config{Control: noControl{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newRig(t)
+	r.guard = guard
+	return r
+}
+
+// crashing plays a replica that one attempt crashes.
+func crashing(attempt string) behaviour {
+	return func(_ context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		if call.AttemptID == attempt {
+			return replica.Outcome{Verdict: verdict.MayHaveRun, Peer: replica.PeerGone, Err: errors.New("reset")}
+		}
+		return play(call, sink, testEvents, 5)
+	}
+}
+
+// ownBodies has each item ask something of its own.
+func ownBodies(submit *wire.JobSubmit) {
+	for _, item := range submit.Items {
+		item.Body = []byte(item.GetId())
+	}
+}
+
+func (r *rig) sendsOf(attempt string, instances ...string) (sends int) {
+	for _, instance := range instances {
+		for _, call := range r.replicas.callsTo(instance) {
+			if call.AttemptID == attempt {
+				sends++
+			}
+		}
+	}
+	return sends
+}
+
+// One item crashed each replica that began to run it, and this node brought it back until its job was due: with the items of others
+// beside it none of the pool's replicas was up for longer than the item took to find it. The log showed run_ended lines of one item at
+// all replicas, each with "unexpected EOF". An item rests after its second crash; it is not ended, and the others are made whole.
+func TestItemThatCrashesReplicasRests(t *testing.T) {
+	r := guardedRig(t)
+	r.replicas.play["r1"], r.replicas.play["r2"] = crashing("i0"), crashing("i0")
+	r.run(t)
+	r.submit(t, "a", 8, ownBodies)
+	for _, result := range r.await(t, "a", 7) {
+		wantWhole(t, result, "[5]")
+	}
+	r.until(t, "the item rests", func() bool {
+		for _, ended := range eventsOf[*events.RunEnded](r) {
+			if ended.Item == "i0" && ended.Why == whySuspected && ended.Digest != "" {
+				return true
+			}
+		}
+		return false
+	})
+	if sends := r.sendsOf("i0", "r1", "r2"); sends != poison.TrialCrashes {
+		t.Errorf("the item ran %d times, want %d", sends, poison.TrialCrashes)
+	}
+}
+
+// The reward call of one item crashed the scorers for as long as its item waited for a score: the call was made again after a pause of
+// 0.4 s at most, whatever became of those that ran it.
+func TestRewardCallThatCrashesScorersRests(t *testing.T) {
+	r := guardedRig(t)
+	r.scorers(t)
+	r.rateBy(func(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+		if call.AttemptID == "call-i0" {
+			return replica.Outcome{Verdict: verdict.MayHaveRun, Peer: replica.PeerGone, Err: errors.New("reset")}
+		}
+		return scoring(ctx, call, sink)
+	})
+	r.run(t)
+	r.submit(t, "a", 4, rewarded)
+	r.await(t, "a", 3)
+	r.until(t, "the call rests", func() bool {
+		for _, tried := range eventsOf[*events.RewardTried](r) {
+			if tried.Item == "i0" && tried.Ending == reward.Held.String() {
+				return true
+			}
+		}
+		return false
+	})
+	if sends := r.sendsOf("call-i0", "s1", "s2"); sends != poison.TrialCrashes {
+		t.Errorf("the call ran %d times, want %d", sends, poison.TrialCrashes)
+	}
+}
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -34,6 +34,7 @@
 	// rewardCalls are those of texts that wait for their score; the calls report through scores.
 	rewardCalls map[schedule.Key]*rewardCall
 	scores      chan *rewardCall
+	condemned   chan schedule.Key // items whose reward calls are condemned
 	routines    sync.WaitGroup
 }
 
@@ -77,6 +78,7 @@
 		commits: newCommits(&r.config, r.counts), jobs: map[string]*job{},
 		countedAt: r.config.Clock(), calls: map[schedule.Key]*call{}, ends: make(chan *call, endsBuffer),
 		rewardCalls: map[schedule.Key]*rewardCall{}, scores: make(chan *rewardCall, endsBuffer),
+		condemned: make(chan schedule.Key, endsBuffer),
 	}
 }
 
@@ -96,6 +98,8 @@
 			t.drainEnds(ctx)
 		case rated := <-t.scores:
 			t.rated(rated)
+		case key := <-t.condemned:
+			t.scheduler.Condemn(key)
 		case <-timer.C:
 			t.tick(ctx)
 			timer.Reset(t.interval())
