forward, poisonguard: a run that is decided again under a newer table is permitted again; a trial outlives its own claim

Cause: a permission was kept while the table changed beneath it, so a request that was condemned meanwhile could still be sent; and the claim of a trial changes the table itself, on which the send was given up and the claim returned. Both by reading. Also: crashes of a back end whose start is not known each count; a suspect rests 4 s before its trial, within which an item is at no replica.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -223,7 +223,8 @@
 // judge decides what follows an attempt that brought no whole answer.
 func (x *exchange) judge(ctx context.Context, a *attempt) (*Failure, bool) {
 	outcome := &a.outcome
-	if errors.Is(outcome.Err, errStale) || errors.Is(outcome.Err, errNoLease) {
+	if a.unsent() {
+		x.keepRun(a)
 		return x.again(ctx, outcome.Err)
 	}
 	x.lastErr = outcome.Err
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -45,6 +45,14 @@
 	return failure
 }
 
+// askAnew has a run permitted anew that is not sent yet: what the newer table says of the request may forbid it. The claim of a run
+// changes the table itself, and stays.
+func (x *exchange) askAnew() {
+	if x.run != nil && !x.run.Claimed() {
+		x.returnRun(context.Background())
+	}
+}
+
 // returnRun gives a permitted run back that was not used.
 func (x *exchange) returnRun(ctx context.Context) {
 	if x.run != nil {
@@ -62,9 +70,24 @@
 	return append(x.forwarder.config.Guard.Occupied(), x.tried...), x.tried
 }
 
+// unsent tells whether the table or the lease forbade the attempt before it was sent; its run may still be used.
+func (a *attempt) unsent() bool {
+	return errors.Is(a.outcome.Err, errStale) || errors.Is(a.outcome.Err, errNoLease)
+}
+
+// keepRun takes the run of an attempt back that was not sent.
+func (x *exchange) keepRun(a *attempt) {
+	if a.permitted == nil {
+		return
+	}
+	a.permitted.Leave()
+	x.returnRun(context.Background())
+	x.run = a.permitted
+}
+
 // noteRun tells the guard how the attempt's run ended, before anything else is decided on it.
 func (a *attempt) noteRun(ctx context.Context) {
-	if a.permitted == nil {
+	if a.permitted == nil || a.unsent() {
 		return
 	}
 	ending := poisonguard.EndingOf(a.outcome)
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -213,6 +213,7 @@
 // again decides anew after the table changed, a bounded number of times.
 func (x *exchange) again(ctx context.Context, err error) (*Failure, bool) {
 	x.stale++
+	x.askAnew()
 	if errors.Is(err, errNoLease) || x.stale > maxStale {
 		return x.failure(ctx, NoConfiguration, err), true
 	}
--- a/internal/forward/suspects_test.go
+++ b/internal/forward/suspects_test.go
@@ -146,3 +146,51 @@
 		}
 	})
 }
+
+// TestTrialIsSentAlthoughItsClaimChangedTheTable: the claim of a run makes a new version of the table, under which the send is decided
+// again; the claim stays.
+func TestTrialIsSentAlthoughItsClaimChangedTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := baseRows + "r route_kind repeatable" + suspectRow("2")
+		group := &oneTable{}
+		views := viewsOf(t, rows)
+		f, _ := guarded(t, rows, good)
+		start := time.Now()
+		guard, err := poisonguard.New(poisonguard.Config{Control: group, Clock: func() time.Duration { return time.Since(start) }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.config.Guard = guard
+		guard.Follow(views[0])
+		group.taken = func() { // the change reaches this process before its answer does
+			next := viewsOf(t, rows, "p queue_limit 9")[1]
+			guard.Follow(next)
+			f.Update(next)
+			f.lease.set(next.Version(), false)
+		}
+		time.Sleep(poison.DefaultTrialRest)
+		if _, failure := f.serve(t.Context()); failure != nil || len(f.caller.calls) != 1 {
+			t.Errorf("the trial: %v after %d sends", failure, len(f.caller.calls))
+		}
+		synctest.Wait()
+		if steps := group.steps; len(steps) != 2 {
+			t.Errorf("%d changes of the record, want the claim and the clearing", len(steps))
+		}
+	})
+}
+
+// oneTable takes every change and tells when the first one is taken.
+type oneTable struct {
+	noControl
+	steps []*wire.TableChange
+	taken func()
+}
+
+// ChangeTable implements configure.Control.
+func (o *oneTable) ChangeTable(_ context.Context, change *wire.TableChange, _ bool) (*wire.TableResult, uint64, error) {
+	o.steps = append(o.steps, change)
+	if len(o.steps) == 1 {
+		o.taken()
+	}
+	return &wire.TableResult{Outcome: wire.TableOutcome_TABLE_OUTCOME_ACCEPTED}, 0, nil
+}
--- a/internal/poison/settings.go
+++ b/internal/poison/settings.go
@@ -14,8 +14,9 @@
 // Defaults of Settings.
 const (
 	// DefaultTrialRest lets the back ends of the first two crashes come back, which takes 3.2 s to 3.4 s for a process that starts
-	// again, so that a third crash leaves a service of three with two.
-	DefaultTrialRest = 5 * time.Second
+	// again, so that a third crash leaves a service of three with two. A batch item that was beside two crashes waits no longer than
+	// that for nothing.
+	DefaultTrialRest = 4 * time.Second
 	// DefaultCondemnedRest is the rest after the third crash. A caller that comes again without end costs one more back end after it,
 	// and the next one ten times as late.
 	DefaultCondemnedRest = 10 * time.Minute
--- a/internal/poisonguard/guard_test.go
+++ b/internal/poisonguard/guard_test.go
@@ -36,8 +36,9 @@
 
 func newGroup(t *testing.T, rows ...string) *group {
 	g := &group{t: t, held: table.New()}
-	g.put(append([]string{"app kind pool", "a kind backend", "a pool app", "a address 10.0.0.1:1", "b kind backend", "b pool app",
-		"b address 10.0.0.2:1", "c kind backend", "c pool app", "c address 10.0.0.3:1"}, rows...)...)
+	g.put(append([]string{"app kind pool", "a kind backend", "a pool app", "a address 10.0.0.1:1", "a start_unix_millis 1", "b kind backend", "b pool app",
+		"b address 10.0.0.2:1", "b start_unix_millis 1", "c kind backend", "c pool app", "c address 10.0.0.3:1", "c start_unix_millis 1",
+		"old kind backend", "old pool app", "old address 10.0.0.4:1"}, rows...)...)
 	return g
 }
 
@@ -140,7 +141,11 @@
 	if made == nil {
 		return judged
 	}
-	made.At(instance, map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1", "c": "10.0.0.3:1"}[instance])
+	address := map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1", "c": "10.0.0.3:1", "old": "10.0.0.4:1"}[instance]
+	if instance != "old" {
+		instance += "@1"
+	}
+	made.At(instance, address)
 	made.End(t.Context(), ending)
 	return judged
 }
@@ -167,7 +172,7 @@
 		if second, judged := other.Begin(t.Context(), identify("bad")); trial == nil || second != nil || judged.Permission != poison.Rest {
 			t.Fatalf("of two claims %v and %v were taken: %+v", trial, second, judged)
 		}
-		trial.At("c", "10.0.0.3:1")
+		trial.At("c@1", "10.0.0.3:1")
 		trial.End(t.Context(), Crashed)
 		late := g.guard()
 		g.follow()
@@ -179,12 +184,28 @@
 				t.Errorf("another request: %+v", judged)
 			}
 		}
-		if records := g.records(); len(records) != 1 || records[0].Crashes != 3 || fmt.Sprint(records[0].Crashed) != "[a b c]" {
+		if records := g.records(); len(records) != 1 || records[0].Crashes != 3 || fmt.Sprint(records[0].Crashed) != "[a@1 b@1 c@1]" {
 			t.Errorf("on record %+v", records)
 		}
 	})
 }
 
+// TestCrashesOfOneStartCountOnce: two processes saw one crash. A back end that does not say when it started may have started again
+// under its name, so each of its crashes counts.
+func TestCrashesOfOneStartCountOnce(t *testing.T) {
+	for instance, want := range map[string]uint32{"a": 1, "old": 2} {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(t)
+			one, other := g.guard(), g.guard()
+			run(t, one, "bad", instance, Crashed)
+			run(t, other, "bad", instance, Crashed)
+			if records := g.records(); len(records) != 1 || records[0].Crashes != want {
+				t.Errorf("two reports of %s: %+v, want %d crashes", instance, records, want)
+			}
+		})
+	}
+}
+
 // TestBystandersAreCleared: a harmless request was beside a crash twice; it rests, its trial is answered, and it is free everywhere. A
 // trial that its caller has left says nothing and is given back.
 func TestBystandersAreCleared(t *testing.T) {
@@ -293,7 +314,7 @@
 		var ending sync.WaitGroup
 		for number := range 16 {
 			made, _ := one.Begin(t.Context(), identify(fmt.Sprint(number)))
-			made.At("a", "10.0.0.1:1")
+			made.At("a@1", "10.0.0.1:1")
 			ending.Go(func() { made.End(t.Context(), Crashed) })
 		}
 		ending.Wait()
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"slices"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/incarnation"
 	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -45,6 +47,8 @@
 	claimed  uint32 // crashes on record with the claim; 0: it was not claimed
 	instance string // empty until the back end is chosen
 	address  string
+	alone    string // name of its crash where the start of the back end is not known
+	placed   bool   // it counts among the suspects at the back end
 }
 
 // Begin asks for one run of a request. The run is nil if it must not run now; otherwise it is ended by End, or by Note and what that
@@ -97,11 +101,16 @@
 // Suspected tells whether the request is suspected: nothing may run beside this run for it.
 func (r *Run) Suspected() bool { return r.judged.Permission != poison.Free }
 
+// Claimed tells whether the run is the one that is permitted in the whole deployment. It stays permitted whatever others do meanwhile;
+// any other run is asked for again before it is sent under a newer table.
+func (r *Run) Claimed() bool { return r.claimed > 0 }
+
 // At says which back end the run goes to.
 func (r *Run) At(instance, address string) {
 	r.instance, r.address = instance, address
 	if r.Suspected() {
 		r.guard.count(instance, 1)
+		r.placed = true
 	}
 }
 
@@ -127,15 +136,21 @@
 	return occupied
 }
 
+// Leave says that the run does not go to the back end that it was to go to.
+func (r *Run) Leave() {
+	if r.placed {
+		r.guard.count(r.instance, -1)
+		r.placed = false
+	}
+}
+
 // End notes how the run ended and returns once that is on record, or after sendTime.
 func (r *Run) End(ctx context.Context, ending Ending) { r.Note(ending)(ctx) }
 
 // Note notes how the run ended for this process, which judges by it from then on. The function that it returns puts it on record and
 // must be called.
 func (r *Run) Note(ending Ending) (settle func(ctx context.Context)) {
-	if r.instance != "" && r.Suspected() {
-		r.guard.count(r.instance, -1)
-	}
+	r.Leave()
 	switch {
 	case ending == Crashed && r.guard.leaving(r.instance):
 		ending = Stopped // a planned end cuts off what is left
@@ -159,10 +174,25 @@
 	r.guard.mutex.Lock()
 	defer r.guard.mutex.Unlock()
 	if r.claimed == 0 { // otherwise it is counted already
-		r.guard.book.Crashed(r.guard.config.Clock(), digest, r.instance)
+		r.guard.book.Crashed(r.guard.config.Clock(), digest, r.crash())
+	}
+}
+
+// crash names the crash of the run's back end: by the instance, so that all processes that saw it name it alike. Where the start of a
+// back end is not known its next crash would have the same name, so each run names its own.
+func (r *Run) crash() string {
+	if incarnation.Parse(r.instance).Start > 0 {
+		return r.instance
+	}
+	if r.alone == "" {
+		r.alone = r.instance + "#" + rand.Text()[:suffixLength]
 	}
+	return r.alone
 }
 
+// suffixLength tells crashes of one back end apart, of which few are on record at a time.
+const suffixLength = 6
+
 // settle puts the end of a run on record. Callers may be gone by then, so their contexts don't end it.
 func (r *Run) settle(ctx context.Context, ending Ending) {
 	ctx = context.WithoutCancel(ctx)
@@ -178,7 +208,7 @@
 
 func (r *Run) report(ctx context.Context) {
 	identity := r.identify()
-	want := poison.Want{Step: poison.Report, Digest: r.named(), Instance: r.instance, Subject: identity.Subject(), Counted: r.claimed > 0}
+	want := poison.Want{Step: poison.Report, Digest: r.named(), Instance: r.crash(), Subject: identity.Subject(), Counted: r.claimed > 0}
 	outcome, err := r.guard.send(ctx, want)
 	switch {
 	case err != nil:
@@ -235,7 +265,7 @@
 		holder := holders[one.run.address]
 		over := g.view.Ended(one.run.instance) || holder != "" && holder != one.run.instance
 		if over {
-			g.book.Crashed(now, one.run.named(), one.run.instance)
+			g.book.Crashed(now, one.run.named(), one.run.crash())
 			g.counts.crashes.WithLabelValues().Inc()
 			crashed = append(crashed, one.run)
 		}
