--- a/internal/control/permissions.go
+++ b/internal/control/permissions.go
@@ -6,6 +6,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/auth"
 	"github.com/tamarindring/tamarindring/internal/credentials"
+	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -21,6 +22,22 @@
 	return []auth.Role{auth.Node, auth.Operator}
 }
 
+// onlySuspects tells whether a change concerns nothing but requests under which back ends crashed: nodes keep that record, and operators
+// release from it.
+func onlySuspects(change *wire.TableChange) bool {
+	for _, cell := range change.GetCells() {
+		if !strings.HasPrefix(cell.GetRow(), table.SuspectPrefix) || cell.GetColumn() == table.ColumnKind && cell.GetValue() != string(table.Suspect) {
+			return false
+		}
+	}
+	for _, name := range change.GetRemoveRows() {
+		if !strings.HasPrefix(name, table.SuspectPrefix) {
+			return false
+		}
+	}
+	return true
+}
+
 // forbidden returns why the stream's owner may not make a request, or "". Operators change the table, the
 // members and the groups; all other commands are for nodes. Queries are for both.
 func forbidden(ctx context.Context, request *wire.ExecuteRequest) string {
@@ -28,7 +45,11 @@
 	if !known || request.Query != nil {
 		return ""
 	}
-	operators := request.Change != nil || request.Command.GetTableChange() != nil
+	change := request.Command.GetTableChange()
+	if change != nil && onlySuspects(change) {
+		return ""
+	}
+	operators := request.Change != nil || change != nil
 	nodes := !operators && request.Command.GetMemberUpdate() == nil
 	switch {
 	case operators && principal.Role != auth.Operator:
--- a/internal/control/permissions_test.go
+++ b/internal/control/permissions_test.go
@@ -14,6 +14,7 @@
 	"github.com/tamarindring/tamarindring/internal/credentials"
 	"github.com/tamarindring/tamarindring/internal/credentials/credentialtest"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -42,6 +43,27 @@
 	return startTunedCluster(t, func(c *Config) { c.Guard, c.Credentials = guard, shown[auth.Node] }), shown
 }
 
+// TestNodesKeepTheRecordOfSuspects and change nothing else of the table with it.
+func TestNodesKeepTheRecordOfSuspects(t *testing.T) {
+	c, shown := guardedCluster(t)
+	node := c.client(controlclient.Config{Credentials: shown[auth.Node]})
+	change := func(id string, cells ...*wire.CellChange) error {
+		_, _, err := node.ChangeTable(testContext(t), &wire.TableChange{ChangeId: id, Operator: "gateway", Cells: cells}, false)
+		return err
+	}
+	suspect := &wire.CellChange{Row: "suspect.00000000000000ab", Column: table.ColumnKind, Value: string(table.Suspect)}
+	pool := &wire.CellChange{Row: "pool", Column: table.ColumnKind, Value: string(table.Pool)}
+	hidden := &wire.CellChange{Row: "suspect.pool", Column: table.ColumnKind, Value: string(table.Pool)}
+	if err := change("1", suspect); err != nil {
+		t.Errorf("a suspect: %v", err)
+	}
+	for id, cells := range map[string][]*wire.CellChange{"2": {pool}, "3": {suspect, pool}, "4": {hidden}} {
+		if err := change(id, cells...); err == nil || !strings.Contains(err.Error(), "token") {
+			t.Errorf("%v: %v", cells, err)
+		}
+	}
+}
+
 // TestRolesAreToldApartAtTheControlNodes lets every role try what operators and nodes do.
 func TestRolesAreToldApartAtTheControlNodes(t *testing.T) {
 	c, shown := guardedCluster(t)
--- a/internal/dispatch/codes.go
+++ b/internal/dispatch/codes.go
@@ -12,4 +12,5 @@
 	CodeOutcomeUnknown    = "outcome_unknown"
 	CodeAnswerExpired     = "answer_no_longer_held"
 	CodeRefusedEarlier    = "refused_earlier"
+	CodeSuspected         = "back_ends_crashed"
 )
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -17,6 +17,7 @@
 	ClaimAnswered                         // the outstanding claim command was applied: Claim
 	ClaimUnknown                          // the fate of the outstanding claim command is unknown
 	BackendChosen                         // Backend
+	Suspected                             // the request must not run now, because back ends crashed under it: Reason, RetryAfter
 	BackendNone                           // no back end may take the request now: RetryAfter (may be 0)
 	LeaseLapsed                           // the last Send, Resume or Replay was not made: no valid lease
 	TableMoved                            // the last Send or Replay was not made: the choice was made on an older table
--- a/internal/dispatch/machine.go
+++ b/internal/dispatch/machine.go
@@ -93,6 +93,8 @@
 		m.onClaim(now, event)
 	case BackendChosen:
 		m.onChosen(event)
+	case Suspected:
+		m.onSuspected(event)
 	case BackendNone:
 		m.onNone(now, event)
 	case LeaseLapsed:
@@ -209,6 +211,14 @@
 	m.act(Action{Kind: kind, Backend: m.backend, Offset: m.tokens, Unchecked: unchecked})
 }
 
+// onSuspected ends a request that must not be sent now, or not again.
+func (m *Machine) onSuspected(event *Event) {
+	if m.state != stateChoosing {
+		return
+	}
+	m.giveUp(Outcome{Status: http.StatusServiceUnavailable, Code: CodeSuspected, Reason: event.Reason, RetryAfter: event.RetryAfter})
+}
+
 func (m *Machine) onNone(now time.Duration, event *Event) {
 	if m.state != stateChoosing {
 		return
--- a/internal/fleet/checks.go
+++ b/internal/fleet/checks.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/invariant"
 	"github.com/tamarindring/tamarindring/internal/operator"
 	"github.com/tamarindring/tamarindring/internal/standin/trainer"
+	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 	"github.com/tamarindring/tamarindring/internal/workload/caller"
@@ -123,7 +125,8 @@
 	row, column string
 }
 
-// compareHistory checks that every accepted change is in the history, and nothing that was refused.
+// compareHistory checks that every accepted change is in the history, and nothing that was refused. Gateways change the rows of requests
+// under which back ends crashed, and nothing else.
 func (f *fleet) compareHistory(entries []*wire.HistoryEntry) {
 	byCell := make(map[historyKey]*wire.HistoryEntry, len(entries))
 	known := map[string]bool{}
@@ -139,6 +142,11 @@
 		}
 	}
 	for _, entry := range entries {
+		if strings.HasPrefix(entry.Row, table.SuspectPrefix) {
+			byGateway := strings.HasPrefix(entry.Operator, gatewayPrefix) && !known[entry.ChangeId]
+			f.registry.Examine(invariant.TableNoReversal, byGateway, "version %d of %s %s was made by %s, which keeps no record of suspects", entry.Version, entry.Row, entry.Column, entry.Operator)
+			continue
+		}
 		legitimate := known[entry.ChangeId] || f.evidence.table.maybeMade(entry.ChangeId)
 		f.registry.Examine(invariant.TableNoReversal, legitimate, "version %d of %s %s was made by a refused change", entry.Version, entry.Row, entry.Column)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,7 @@
 
 const (
 	clusterID      = "fleet"
+	gatewayPrefix  = "gateway-" // of the gateways' names
 	startLimit     = 30 * time.Second
 	initialVersion = 1
 	loadReportLag  = 100 * time.Millisecond
@@ -101,7 +102,7 @@
 
 func (f *fleet) describeGateways() {
 	for index := range f.config.Deployment.Gateways {
-		part := &process[*gateway.Server]{name: fmt.Sprintf("gateway-%d", index+1), zone: f.config.Deployment.zone(index), cable: newCable()}
+		part := &process[*gateway.Server]{name: fmt.Sprintf(gatewayPrefix+"%d", index+1), zone: f.config.Deployment.zone(index), cable: newCable()}
 		part.open = func(ctx context.Context, listener net.Listener) (*gateway.Server, error) {
 			return gateway.Open(ctx, gateway.Config{Name: part.name, Listener: listener, Zone: part.zone, Log: f.log(part.name)},
 				f.controlConfig(part.name, part.cable))
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -97,10 +97,5 @@
 	case ending == poisonguard.BrokeOff && errors.Is(ctx.Err(), context.Canceled):
 		ending = poisonguard.Stopped
 	}
-	settle := a.permitted.Note(ending)
-	if ending == poisonguard.Answered {
-		go settle(ctx) // the answer waits for nobody
-		return
-	}
-	settle(ctx)
+	a.permitted.End(ctx, ending)
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -14,6 +14,7 @@
 	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/routing"
 )
 
@@ -63,6 +64,8 @@
 	Control Control
 	// Guard checks the tokens of callers, nodes and operators. Nil: none are asked for.
 	Guard *credentials.Guard
+	// Suspects permits the runs of requests and is told how they ended; set by Open. Nil: all are permitted.
+	Suspects *poisonguard.Guard
 	// Policy chooses among replicas. Default routing.Balanced.
 	Policy routing.Policy
 	// Routing are the parameters of the choice; zero fields take their defaults.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/admission"
 	"github.com/tamarindring/tamarindring/internal/dispatch"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -40,7 +41,8 @@
 
 	routed  routing.Request
 	chosen  choice
-	routing bool // the request is counted at the chosen back end
+	run     *poisonguard.Run // permitted, and under way once it is sent; nil: none, or nobody permits runs
+	routing bool             // the request is counted at the chosen back end
 	sends   int
 
 	admission chan admissionAnswer
@@ -189,6 +191,7 @@
 		time.Sleep(action.Pause)
 		x.feed(dispatch.Event{Kind: dispatch.TimerFired})
 	case dispatch.Finish:
+		x.endRun(poisonguard.NotRun)
 		x.ended = true
 	}
 }
@@ -252,6 +255,9 @@
 func (x *exchange) choose(excluded []string) {
 	x.leaveBackend(outcomeNeutral)
 	x.abandoned.Store(false)
+	if !x.permit() {
+		return
+	}
 	chosen, ok := x.pool.choose(x.server.now(), &x.routed, excluded, x.call.preferred)
 	x.chosen = chosen
 	if !ok {
@@ -259,6 +265,9 @@
 		return
 	}
 	x.routing = true
+	if x.run != nil {
+		x.run.At(chosen.name, chosen.address)
+	}
 	x.at.Store(&chosen.name)
 	x.feed(dispatch.Event{Kind: dispatch.BackendChosen, Backend: chosen.name})
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindring/tamarindring/internal/dispatch"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -33,6 +34,7 @@
 	x.dropUpstream()
 	payload, err := x.payload(action)
 	if err != nil || (action.Kind == dispatch.Resume && x.abandoned.Load()) {
+		x.endRun(poisonguard.NotRun)
 		x.feed(dispatch.Event{Kind: dispatch.SendFailed})
 		return
 	}
@@ -40,6 +42,7 @@
 	up, err := x.server.transport.acquire(x.chosen.address, x.wallLimit)
 	x.stages.add(stageConnect, x.server.now()-began)
 	if err != nil {
+		x.endRun(poisonguard.NotRun)
 		x.leaveBackend(outcomeBad)
 		x.feed(dispatch.Event{Kind: dispatch.SendFailed})
 		return
@@ -47,11 +50,13 @@
 	version, leased := x.server.config.Control.Admit()
 	if !leased && !action.Unchecked {
 		x.server.transport.release(up)
+		x.endRun(poisonguard.NotRun)
 		x.feed(dispatch.Event{Kind: dispatch.LeaseLapsed})
 		return
 	}
 	if version != x.chosen.version && action.Kind != dispatch.Resume && leased {
 		x.server.transport.release(up)
+		x.putOff()
 		x.feed(dispatch.Event{Kind: dispatch.TableMoved})
 		return
 	}
@@ -209,9 +214,15 @@
 func (x *exchange) failSend(reached bool, cause error) {
 	x.dropUpstream()
 	if x.feedInterruption(cause) {
+		x.endRun(poisonguard.Stopped)
 		x.leaveBackend(outcomeNeutral)
 		return
 	}
+	if reached {
+		x.breakOff(cause)
+	} else {
+		x.endRun(poisonguard.NotRun)
+	}
 	x.leaveBackend(outcomeBad)
 	if reached {
 		x.feed(dispatch.Event{Kind: dispatch.SendUnknown})
@@ -267,6 +278,11 @@
 
 func (x *exchange) classifyWhole(action *dispatch.Action, answer *wire.Answer, said verdict.Verdict, retryAfter time.Duration) {
 	status := int(answer.Status)
+	if said == verdict.DidNotRun || action.Kind == dispatch.Resume {
+		x.endRun(poisonguard.NotRun)
+	} else {
+		x.endRun(poisonguard.Answered)
+	}
 	switch {
 	case action.Kind == dispatch.Resume:
 		// Nothing of the stream is kept there; it has to be replayed elsewhere.
@@ -338,6 +354,7 @@
 // it keeps a stream for a while so that it can be resumed.
 func (x *exchange) cancel() {
 	x.dropUpstream()
+	x.endRun(poisonguard.Stopped)
 	x.leaveBackend(outcomeNeutral)
 	if x.call.service == table.Engine && x.streamID != "" {
 		x.server.cancelStream(x.chosen.address, x.streamID)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -132,6 +132,10 @@
 	s.scrape = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
 	s.pools.Store(&poolSet{byName: map[string]*pool{}})
 	config.Control.OnUpdate(func(view *table.View) { s.update(view, false) })
+	if config.Suspects != nil {
+		config.Control.OnUpdate(config.Suspects.Follow)
+		config.Suspects.Follow(config.Control.View())
+	}
 	s.update(config.Control.View(), true)
 	return s, nil
 }
@@ -198,6 +202,12 @@
 	})
 	group.Go(func() error { return s.refresh(groupContext) })
 	group.Go(func() error { return s.pollLoads(groupContext) })
+	if s.config.Suspects != nil {
+		group.Go(func() error {
+			s.config.Suspects.Run(groupContext)
+			return nil
+		})
+	}
 	return group.Wait()
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/tamarindring/tamarindring/internal/controlclient"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -38,6 +39,10 @@
 		return nil, err
 	}
 	config.Control = opened
+	config.Suspects, err = poisonguard.New(poisonguard.Config{Control: opened.client, Leading: opened.forgetsSuspects, Operator: config.Name, Log: config.Log})
+	if err != nil {
+		return nil, trace.NewAggregate(err, opened.Close(), config.Listener.Close())
+	}
 	server, err := New(config)
 	if err != nil {
 		_ = opened.Close()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/dispatch"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -113,8 +114,10 @@
 func (x *exchange) cutStream(cause error) {
 	x.dropUpstream()
 	if x.feedInterruption(cause) {
+		x.endRun(poisonguard.Stopped)
 		return
 	}
+	x.breakOff(cause)
 	x.pool.failed(x.server.now(), x.chosen.name)
 	x.feed(dispatch.Event{Kind: dispatch.StreamCut})
 }
@@ -284,6 +287,7 @@
 func (x *exchange) completeStream() {
 	x.stream.out = append(x.stream.out, doneEvent...)
 	x.collect(doneEvent)
+	x.endRun(poisonguard.Answered)
 	x.leaveBackend(outcomeGood)
 	x.step(&dispatch.Event{Kind: dispatch.Completed, Answer: &wire.Answer{Status: http.StatusOK,
 		ContentType: eventStreamType, Body: x.stream.collected}})
--- a/internal/poison/settings.go
+++ b/internal/poison/settings.go
@@ -20,7 +20,7 @@
 	// DefaultCondemnedRest is the rest after the third crash. A caller that comes again without end costs one more back end after it,
 	// and the next one ten times as late.
 	DefaultCondemnedRest = 10 * time.Minute
-	// DefaultMaximum bounds the suspects on record: 512 rows of the table, about 0.25 KB each.
+	// DefaultMaximum bounds the suspects on record, which all processes hold: a fortieth of the table's rows.
 	DefaultMaximum = 512
 )
 
--- a/internal/poisonguard/guard_test.go
+++ b/internal/poisonguard/guard_test.go
@@ -147,6 +147,7 @@
 	}
 	made.At(instance, address)
 	made.End(t.Context(), ending)
+	synctest.Wait() // an answer goes on record behind its back
 	return judged
 }
 
--- a/internal/poisonguard/record.go
+++ b/internal/poisonguard/record.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	// maximumBatch bounds the steps of one change: a crashed engine had up to 16 runs.
+	// maximumBatch bounds the steps of one change: an engine that crashes takes as many runs along as it has slots.
 	maximumBatch = 64
 	// changeTime bounds the making of one change, conflicts included.
 	changeTime = time.Second
 	// sendTime is how long whoever waits for a step waits: a harmless request is not held up for longer by a control group that
-	// has no leader. Commits take 2 ms to 10 ms.
+	// has no leader.
 	sendTime = 150 * time.Millisecond
 )
 
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -144,8 +144,16 @@
 	}
 }
 
-// End notes how the run ended and returns once that is on record, or after sendTime.
-func (r *Run) End(ctx context.Context, ending Ending) { r.Note(ending)(ctx) }
+// End notes how the run ended and returns once that is on record, or after sendTime. An answer waits for nobody: that it clears its
+// request goes on record behind its back.
+func (r *Run) End(ctx context.Context, ending Ending) {
+	settle := r.Note(ending)
+	if ending == Answered {
+		go settle(ctx)
+		return
+	}
+	settle(ctx)
+}
 
 // Note notes how the run ended for this process, which judges by it from then on. The function that it returns puts it on record and
 // must be called.
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,7 +34,7 @@
 	PeerTimeout  time.Duration
 	MaxHeadBytes int
 	// Dial opens a connection; nil: TCP.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Dial Dial
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 }
@@ -100,8 +99,8 @@
 		}
 	}
 	c.release(conn, reusable)
-	if outcome.Verdict != verdict.DidNotRun && ctx.Err() == nil && brokeOff(outcome.Err) {
-		outcome.Peer = c.probe(ctx, call.Address)
+	if outcome.Verdict != verdict.DidNotRun && ctx.Err() == nil {
+		outcome.Peer = Examine(ctx, c.options.Dial, call.Address, outcome.Err)
 	}
 	return outcome
 }
--- a/internal/replica/probe.go
+++ b/internal/replica/probe.go
@@ -19,12 +19,19 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
 }
 
-// probe asks whether anything listens at a replica's address, directly after a connection to it broke off. Replicas that lose an answer
-// or reset a connection live on; without the question they can't be told from those that crashed, which look alike on the connection.
-func (c *Client) probe(ctx context.Context, address string) Peer {
+// Dial opens a connection to an IP:port.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Examine tells what became of a replica whose connection ended with a cause: it asks whether anything listens at the address. Replicas
+// that lose an answer or reset a connection live on; without the question they can't be told from those that crashed, which look alike
+// on the connection.
+func Examine(ctx context.Context, dial Dial, address string, cause error) Peer {
+	if !brokeOff(cause) {
+		return PeerUnknown
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
-	conn, err := c.options.Dial(ctx, address)
+	conn, err := dial(ctx, address)
 	switch {
 	case err == nil:
 		_ = conn.Close() // nothing was sent on it
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -85,6 +85,9 @@
 		refuse(ColumnKind, "a row needs a kind")
 		return refusals
 	}
+	if reserved := checkNamed(row); reserved != nil {
+		return reserved
+	}
 	if row.Kind == Backend {
 		switch pool := rows[row.Pool]; {
 		case row.Pool == "":
--- a/internal/table/incremental_test.go
+++ b/internal/table/incremental_test.go
@@ -13,6 +13,7 @@
 	"c kind backend", "c pool q", "c pool p", "c address 10.0.0.2:1", "c live_room 90", "c max_in_flight 5", "-c", "q state draining", "q max_in_flight 3",
 	"p live_room 2", "r kind route", "r host h", "r path_prefix /a/", "r pools p:1", "r pools q:1", "-r", "s kind route", "s host h", "s path_prefix /a/",
 	"s pools p:1",
+	"suspect.00000000000000ab kind suspect", "suspect.00000000000000ab crashes 2", "-suspect.00000000000000ab", "suspect.00000000000000ab kind pool",
 }, drawnTexts...)
 
 // wholeCheck judges every row that a draft would leave behind, as resolved from the table's cells anew.
--- /dev/null
+++ b/internal/table/suspect_test.go
@@ -0,0 +1,48 @@
+package table
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+// TestSuspectsAreNamedByTheirDigests: rows of suspects have names that requests can be compared with, no other row has such a name, and
+// the view lists them as they come and go.
+func TestSuspectsAreNamedByTheirDigests(t *testing.T) {
+	held := New()
+	changes := 0
+	apply := func(want bool, change *wire.TableChange) {
+		t.Helper()
+		changes++
+		change.ChangeId, change.BaseVersion, change.Operator = fmt.Sprint(changes), held.Version(), "test"
+		result := held.Apply(change)
+		if accepted := result.GetOutcome() == wire.TableOutcome_TABLE_OUTCOME_ACCEPTED; accepted != want {
+			t.Fatalf("%v: %v", change.GetCells(), result)
+		}
+	}
+	suspects := func() (names []string) {
+		view, err := NewView().Apply(held.Update(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, row := range view.Suspects() {
+			names = append(names, fmt.Sprint(row.Name, " ", row.Crashes))
+		}
+		return names
+	}
+	for _, name := range []string{"suspect.1", "suspect.00000000000000AB", "other", "suspect.00000000000000xy"} {
+		apply(false, &wire.TableChange{Cells: cellsOf(name, ColumnKind, "suspect")})
+	}
+	apply(false, &wire.TableChange{Cells: cellsOf("suspect.00000000000000ab", ColumnKind, "pool")})
+	apply(true, &wire.TableChange{Cells: cellsOf("suspect.00000000000000ab", ColumnKind, "suspect")})
+	apply(true, &wire.TableChange{Cells: cellsOf("suspect.00000000000000aa", ColumnKind, "suspect", ColumnCrashes, "2")})
+	apply(true, &wire.TableChange{Cells: cellsOf("pool", ColumnKind, "pool")})
+	if got := fmt.Sprint(suspects()); got != "[suspect.00000000000000aa 2 suspect.00000000000000ab 1]" {
+		t.Errorf("listed %s", got)
+	}
+	apply(true, &wire.TableChange{RemoveRows: []string{"suspect.00000000000000aa"}})
+	if got := suspects(); len(got) != 1 {
+		t.Errorf("after a removal %v", got)
+	}
+}
