weights, batchrun, control: three counts that began again where what they wait for goes on

Change: an acquisition without an answer is recognised by the token that it left; the time of a commit doubles up to 16 s; each owner's claims are given up within a time of their own. A status is answered by any node, also one that is cut off, so comparing with it shows nothing; it stays listed as suspected.

--- a/internal/batchrun/commits.go
+++ b/internal/batchrun/commits.go
@@ -16,6 +16,9 @@
 	// after a commit that failed.
 	commitLinger = 10 * time.Millisecond
 	commitPause  = 50 * time.Millisecond
+	// maximumCommitTime bounds one attempt to commit. An attempt whose time is over may still be applied, so on a disk that takes
+	// longer than commitTimeout each one that follows at once adds the same results to the log again: the time doubles.
+	maximumCommitTime = 16 * time.Second
 	// commitBytes bounds the results of one command unless a single one is longer.
 	commitBytes = 256 << 10
 	// maximumAgain bounds how often an entry is committed again that was passed over: once is enough for a text, and a
@@ -146,7 +149,7 @@
 func (c *commits) commit(ctx context.Context, command *wire.JobStore, entries []pendingEntry) bool {
 	began := c.config.Clock()
 	for tries := 1; ctx.Err() == nil; tries++ {
-		attempt, cancel := context.WithTimeout(ctx, commitTimeout)
+		attempt, cancel := context.WithTimeout(ctx, commitTime(tries))
 		result, err := c.config.Group.Propose(attempt, &wire.Command{Kind: &wire.Command_JobStore{JobStore: command}})
 		cancel()
 		if err == nil {
@@ -160,6 +163,12 @@
 	return false
 }
 
+// commitTime is how long an attempt may take.
+func commitTime(tries int) time.Duration {
+	const maximumDoublings = 8
+	return min(commitTimeout<<min(tries-1, maximumDoublings), maximumCommitTime)
+}
+
 // addAgain adds the entries of items that were passed over again, with their whole text: the one that they follow is not
 // held. A score comes after its text.
 func (c *commits) addAgain(entries []pendingEntry, passedOver []*wire.JobItemRef) {
--- a/internal/control/orphans.go
+++ b/internal/control/orphans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -53,23 +54,42 @@
 
 // sweep gives up the orphaned claims of one ledger group, which another node may lead.
 func (o *orphans) sweep(ctx context.Context, group uint32) {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	view, err := o.server.client.Query(ctx, group, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}})
+	owners, err := o.owners(ctx, group)
 	if err != nil {
 		o.server.log.WithError(err).Debugf("the claims of group %d could not be looked at", group)
 		return
 	}
-	for _, owner := range view.GetStatus().GetClaimOwners() {
-		if !o.gone(owner) {
-			continue
-		}
+	giveUpAll(ctx, owners, func(ctx context.Context, owner string) {
 		command := &wire.Command{Kind: &wire.Command_ClaimOrphan{ClaimOrphan: &wire.ClaimOrphan{Owner: owner}}}
 		if _, err := o.server.client.Execute(ctx, group, command); err != nil {
 			o.server.log.WithError(err).Debugf("the claims of %s could not be given up", owner)
 			return
 		}
 		o.server.log.Infof("gave up the running claims of %s in group %d", owner, group)
+	})
+}
+
+// owners lists the owners of claims in a ledger group that are gone.
+func (o *orphans) owners(ctx context.Context, group uint32) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	view, err := o.server.client.Query(ctx, group, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}})
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(view.GetStatus().GetClaimOwners(), func(owner string) bool { return !o.gone(owner) }), nil
+}
+
+// giveUpAll gives up the claims of each owner within a time of its own: one whose command fails again and again must not keep the
+// claims of the others.
+func giveUpAll(ctx context.Context, owners []string, giveUp func(ctx context.Context, owner string)) {
+	for _, owner := range owners {
+		if ctx.Err() != nil {
+			return
+		}
+		limited, cancel := context.WithTimeout(ctx, recordTimeout)
+		giveUp(limited, owner)
+		cancel()
 	}
 }
 
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -101,18 +101,19 @@
 	asked map[string]time.Duration // when an instance was surveyed under it
 
 	// What follows belongs to Run.
-	tenure   uint64 // number of this leadership or, while there is none, of the next one; from 1
-	token    uint64 // 0 while no orders may be sent
-	takeover takeover
-	planners map[string]*wave.Planner
-	queue    []queued
-	places   int                          // replicas that may load at once
-	busy     map[string]string            // the model of the order on its way, by replica
-	holding  map[string]*load             // the orders that take a place, by replica
-	underWay map[string]*load             // the orders that have not ended, by replica
-	loads    loadTimes                    // of the last loads
-	loaded   map[served]uint64            // versions that orders of this leader brought
-	serving  map[string]map[string]uint64 // by model and replica, as far as is known
+	tenure     uint64 // number of this leadership or, while there is none, of the next one; from 1
+	token      uint64 // 0 while no orders may be sent
+	takeover   takeover
+	unanswered acquisition
+	planners   map[string]*wave.Planner
+	queue      []queued
+	places     int                          // replicas that may load at once
+	busy       map[string]string            // the model of the order on its way, by replica
+	holding    map[string]*load             // the orders that take a place, by replica
+	underWay   map[string]*load             // the orders that have not ended, by replica
+	loads      loadTimes                    // of the last loads
+	loaded     map[served]uint64            // versions that orders of this leader brought
+	serving    map[string]map[string]uint64 // by model and replica, as far as is known
 
 	surveying bool          // the replicas were asked under this leadership
 	looking   bool          // for named versions
--- a/internal/weights/takeover.go
+++ b/internal/weights/takeover.go
@@ -50,6 +50,10 @@
 		return false
 	}
 	now := d.config.Clock()
+	if d.unanswered.tookEffect(held, d.config.Owner) {
+		d.hold(held.GetToken(), now)
+		return true
+	}
 	if t := &d.takeover; !t.looked || held.GetToken() != t.token {
 		*t = takeover{looked: true, since: now, owner: held.GetOwner(), token: held.GetToken(), offered: t.offered}
 	}
@@ -61,22 +65,42 @@
 	}
 	acquired, err := d.acquire(ctx, d.takeover.token)
 	if err != nil {
+		d.unanswered = acquisition{sent: true, follows: d.takeover.token}
 		return false
 	}
+	d.unanswered = acquisition{}
 	if acquired.GetRefused() {
 		// Another machine acquired them since the look, and may have sent orders: its time is waited out from now. It stays
 		// the owner, so that this machine waits also if it starts again meanwhile.
 		d.takeover = takeover{looked: true, since: now, owner: acquired.GetOwner(), token: acquired.GetToken(), offered: d.takeover.offered}
 		return false
 	}
-	d.token = acquired.GetToken()
-	d.right.Store(d.token)
-	event := events.OrdersTaken{Token: d.token, Owner: d.takeover.owner}
+	d.hold(acquired.GetToken(), now)
+	return true
+}
+
+// hold notes the token under which this machine sends orders.
+func (d *Driver) hold(token uint64, now time.Duration) {
+	d.token, d.unanswered = token, acquisition{}
+	d.right.Store(token)
+	event := events.OrdersTaken{Token: token, Owner: d.takeover.owner}
 	if d.takeover.token > 0 && d.takeover.owner != d.config.Owner {
 		event.WaitedMs = events.Millis(now - d.takeover.since)
 	}
 	logging.Emit(d.config.Log, &event)
-	return true
+}
+
+// acquisition is an attempt to take the orders whose answer did not come in time.
+type acquisition struct {
+	sent    bool
+	follows uint64 // token that it was to follow
+}
+
+// tookEffect reports whether the attempt was carried out after all: this machine owns the orders by a token above the one that the
+// attempt followed. Where commits take longer than controlTimeout no answer ever comes in time, and whoever asked anew each time
+// would never hold the orders.
+func (a *acquisition) tookEffect(held *wire.FenceResult, owner string) bool {
+	return a.sent && held.GetOwner() == owner && held.GetToken() > a.follows
 }
 
 // wait is how much longer the orders must rest.
--- a/internal/weights/takeover_test.go
+++ b/internal/weights/takeover_test.go
@@ -84,3 +84,19 @@
 		t.Error("the right is held without a token")
 	}
 }
+
+// TestOrdersAreHeldWhereCommitsAreSlow: each command that acquires the orders is applied after its caller has given up. The driver asked
+// anew each time, displaced itself, and never sent an order.
+func TestOrdersAreHeldWhereCommitsAreSlow(t *testing.T) {
+	f := prepare(t, 3)
+	f.control.lateFences.Store(true)
+	f.run(t)
+	if err := Put(t.Context(), f.control, "m0", 2, "trainer"); err != nil {
+		t.Fatal(err)
+	}
+	f.driver.Look()
+	eventually(t, "the new weights at all replicas", func() bool { return f.fleet.serve("m0", 2) })
+	if token := f.control.machine.Query(&wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: fenceResource}}}).GetFence().GetToken(); token != 1 {
+		t.Errorf("the orders were acquired %d times", token)
+	}
+}
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -29,13 +29,19 @@
 	machine *state.Machine
 	index   uint64
 	queries atomic.Int64
+	// lateFences: commands that acquire a token are applied after their callers have given up.
+	lateFences atomic.Bool
 }
 
 func (f *fakeControl) Execute(_ context.Context, _ uint32, command *wire.Command) (*wire.Result, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.index++
-	return f.machine.Apply(f.index, command), nil
+	result := f.machine.Apply(f.index, command)
+	if f.lateFences.Load() && command.GetFenceAcquire() != nil {
+		return nil, context.DeadlineExceeded
+	}
+	return result, nil
 }
 
 func (f *fakeControl) Query(_ context.Context, _ uint32, query *wire.Query) (*wire.View, error) {
