poisonguard, forward, batchrun: a run names its request before it ends, and the end of a tenure waits for no report

By reading: what a request's identity is read from may be used again once its exchange is over, but a run that broke off is named only when the table tells of its back end; and a report was added to the routines that a tenure's end was already waiting for.

--- a/internal/batchrun/identity.go
+++ b/internal/batchrun/identity.go
@@ -57,7 +57,7 @@
 		t.scheduler.Suspect(c.Key)
 	}
 	settle := c.permitted.Note(ending)
-	t.routines.Go(func() { settle(ctx) })
+	go settle(ctx) // bounded by the guard; the tenure may have ended, and waits for it no more
 }
 
 // runEnding is how the run ended as the guard sees it.
--- a/internal/forward/identity.go
+++ b/internal/forward/identity.go
@@ -9,10 +9,10 @@
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
 )
 
-// identity is what stays the same when the request comes again.
-func (x *exchange) identity() poison.Identity {
-	identity := poison.Identity{Tenant: x.tenant, Method: x.request.Method, Host: x.request.Host, Path: x.request.Path, Body: x.request.Body}
-	for _, field := range x.request.Header {
+// identityOf is what stays the same when a request comes again.
+func identityOf(request *Request, tenant string) poison.Identity {
+	identity := poison.Identity{Tenant: tenant, Method: request.Method, Host: request.Host, Path: request.Path, Body: request.Body}
+	for _, field := range request.Header {
 		identity.Header = append(identity.Header, poison.Field(field))
 	}
 	return identity
@@ -20,7 +20,7 @@
 
 // digest names the request's identity.
 func (x *exchange) digest() poison.Digest {
-	identity := x.identity()
+	identity := identityOf(x.request, x.tenant)
 	return identity.Digest()
 }
 
@@ -31,7 +31,8 @@
 	if guard == nil || x.run != nil {
 		return nil
 	}
-	run, judged := guard.Begin(ctx, x.identity)
+	tenant := x.tenant // which later attempts set anew
+	run, judged := guard.Begin(ctx, func() poison.Identity { return identityOf(x.request, tenant) })
 	if run != nil {
 		x.run = run
 		return nil
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -41,8 +41,9 @@
 // Run is one permitted run of a request at one back end.
 type Run struct {
 	guard    *Guard
-	identify func() poison.Identity
-	digest   poison.Digest // NoDigest until it is needed
+	identify func() poison.Identity // what it reads may change once the run has ended
+	digest   poison.Digest          // NoDigest until it is needed
+	subject  string                 // likewise
 	judged   poison.Judgment
 	claimed  uint32 // crashes on record with the claim; 0: it was not claimed
 	instance string // empty until the back end is chosen
@@ -93,7 +94,7 @@
 func (r *Run) named() poison.Digest {
 	if r.digest == poison.NoDigest {
 		identity := r.identify()
-		r.digest = identity.Digest()
+		r.digest, r.subject = identity.Digest(), identity.Subject()
 	}
 	return r.digest
 }
@@ -163,6 +164,7 @@
 	case ending == Crashed && r.guard.leaving(r.instance):
 		ending = Stopped // a planned end cuts off what is left
 	case ending == BrokeOff:
+		r.named()
 		unclaimed := *r // a claim is given back now, so the crash counts if it shows later
 		unclaimed.claimed = 0
 		r.guard.remember(&unclaimed)
@@ -215,8 +217,7 @@
 }
 
 func (r *Run) report(ctx context.Context) {
-	identity := r.identify()
-	want := poison.Want{Step: poison.Report, Digest: r.named(), Instance: r.crash(), Subject: identity.Subject(), Counted: r.claimed > 0}
+	want := poison.Want{Step: poison.Report, Digest: r.named(), Instance: r.crash(), Subject: r.subject, Counted: r.claimed > 0}
 	outcome, err := r.guard.send(ctx, want)
 	switch {
 	case err != nil:
