--- a/internal/batchrun/schedule/suspect_test.go
+++ b/internal/batchrun/schedule/suspect_test.go
@@ -32,6 +32,19 @@
 	}
 }
 
+// TestSuspectsLeaveTheEmptiestReplica: without its first suspect the larger replica would get the second one, too.
+func TestSuspectsLeaveTheEmptiestReplica(t *testing.T) {
+	s := New(Settings{})
+	s.Replicas([]Replica{{Instance: "large", Pool: "p", Slots: 64}, {Instance: "small", Pool: "p", Slots: 4}})
+	open(s, Job{ID: "j"}, "a:10", "b:10")
+	s.Suspect(Key{"j", "i0"})
+	s.Suspect(Key{"j", "i1"})
+	starts := s.Starts(0)
+	if len(starts) != 2 || starts[0].Instance == starts[1].Instance {
+		t.Errorf("two suspects start as %+v", starts)
+	}
+}
+
 // TestHeldItemsWait: an item that must not run waits for its time and takes no slot; once it is condemned its group is no longer waited
 // for and another one of the job takes its place, until it may run again.
 func TestHeldItemsWait(t *testing.T) {
--- a/internal/batchrun/suspects_test.go
+++ b/internal/batchrun/suspects_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/tamarindring/tamarindring/internal/batchrun/reward"
+	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
@@ -89,6 +90,49 @@
 	if sends := r.sendsOf("i0", "r1", "r2"); sends != poison.TrialCrashes {
 		t.Errorf("the item ran %d times, want %d", sends, poison.TrialCrashes)
 	}
+	r.submit(t, "b", 8, func(submit *wire.JobSubmit) { ownBodies(submit); submit.Items = submit.Items[1:] })
+	r.await(t, "b", 7)
+	rests := 0
+	for _, ended := range eventsOf[*events.RunEnded](r) {
+		if ended.Why == whySuspected {
+			rests++
+		}
+	}
+	if rests > 5 { // it is looked at again once a second, and not at each turn
+		t.Errorf("the item was started %d times while it rests", rests)
+	}
+}
+
+// TestCondemnedRewardCallIsTold: its item's group is not waited for any more.
+func TestCondemnedRewardCallIsTold(t *testing.T) {
+	r := guardedRig(t)
+	r.scorers(t)
+	identity := poison.Identity{Method: "POST", Host: "scores.example", Path: "/score/1", Body: []byte("i0")}
+	scorers := r.session.extra
+	r.session.extra = func(row func(name string, cells ...string)) {
+		scorers(row)
+		row(poison.RowName(identity.Digest()), "kind=suspect", "crashes=3")
+	}
+	r.session.set(t, 4, "r1 active", "r2 active")
+	view, _ := r.session.AdmitView()
+	r.guard.Follow(view)
+	r.rateBy(scoring)
+	r.run(t)
+	tenure := newTenure(r.runner, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	key := schedule.Key{Job: "a", Item: "i0"}
+	call := &rewardCall{Key: key, job: &wire.JobSubmit{}, request: &wire.JobReward{Id: "call-i0", Host: "scores.example", Path: "/score/1", Body: []byte("i0")}}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.runner.rewards.rate(ctx, call, func() { tenure.noteCondemned(key) })
+	}()
+	if told := <-tenure.condemned; told != key {
+		t.Errorf("told of %v", told)
+	}
+	cancel()
+	<-ended
 }
 
 // The reward call of one item crashed the scorers for as long as its item waited for a score: the call was made again after a pause of
@@ -108,7 +152,7 @@
 	r.until(t, "the call rests", func() bool {
 		for _, tried := range eventsOf[*events.RewardTried](r) {
 			if tried.Item == "i0" && tried.Ending == reward.Held.String() {
-				return true
+				return tried.PauseMs > events.Millis(reward.DefaultMaximumPause)
 			}
 		}
 		return false
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -60,7 +60,7 @@
 // send sends the request to the chosen back end, to a second one when that is slow, and judges how that ended.
 func (x *exchange) send(ctx context.Context, chosen choice) (*Failure, bool) {
 	first := x.newAttempt(chosen, new(atomic.Pointer[answer]), x.repeatable() && chosen.spare && x.sent+1 < int(x.route.MaxAttempts))
-	if !first.answer.replaceable || x.passing || x.route.TargetLatency <= 0 || first.suspected() {
+	if !first.answer.replaceable || x.passing || x.route.TargetLatency <= 0 {
 		first.run(ctx)
 		return x.conclude(ctx, first)
 	}
@@ -98,7 +98,8 @@
 	}
 }
 
-// second chooses a second back end for a request whose first has not begun to answer; nil when there is none.
+// second chooses a second back end for a request whose first has not begun to answer; nil when there is none, and for a suspect, which
+// runs at one back end at a time.
 func (x *exchange) second(first *attempt) *attempt {
 	if first.answer.began.Load() || x.permit(context.Background()) != nil || x.run != nil && x.run.Suspected() {
 		x.returnRun(context.Background())
@@ -158,9 +159,6 @@
 	a.logBelief(changed)
 }
 
-// suspected tells whether the request is suspected, so that it runs at one back end at a time.
-func (a *attempt) suspected() bool { return a.permitted != nil && a.permitted.Suspected() }
-
 // health is what the attempt says about its back end.
 func (a *attempt) health(ctx context.Context) health {
 	outcome := &a.outcome
--- a/internal/forward/suspects_test.go
+++ b/internal/forward/suspects_test.go
@@ -124,7 +124,7 @@
 // TestSuspectsKeepApart: two suspects run at different back ends while there are enough.
 func TestSuspectsKeepApart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rows := baseRows + "r route_kind repeatable" + suspectRow("1")
+		rows := baseRows + "r route_kind repeatable;p1 weight 1000;p2 weight 1;p3 weight 0" + suspectRow("1") // p1 is chosen by itself
 		f, guard := guarded(t, rows, silent)
 		for number := range 2 {
 			go func() { _, _ = f.serve(t.Context()) }()
@@ -147,6 +147,39 @@
 	})
 }
 
+// condemnedMeanwhile is a Caller to which a newer table comes while it opens a connection.
+type condemnedMeanwhile struct {
+	scripted
+	newer func()
+}
+
+func (c *condemnedMeanwhile) Do(ctx context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
+	if c.newer != nil {
+		c.newer()
+		c.newer = nil
+	}
+	return c.scripted.Do(ctx, call, sink)
+}
+
+// TestPermissionEndsWithItsTable: between the permission and the send another process has condemned the request. It is not sent.
+func TestPermissionEndsWithItsTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := baseRows + "r route_kind repeatable"
+		f, guard := guarded(t, rows, good)
+		caller := &condemnedMeanwhile{scripted: scripted{script: []step{good}}}
+		f.config.Caller = caller
+		caller.newer = func() {
+			next := viewsOf(t, rows, suspectRow("3"))[1]
+			guard.Follow(next)
+			f.Update(next)
+			f.lease.set(next.Version(), false)
+		}
+		if _, failure := f.serve(t.Context()); failure == nil || !failure.Condemned || len(caller.calls) != 0 {
+			t.Errorf("%+v after %d sends", failure, len(caller.calls))
+		}
+	})
+}
+
 // TestTrialIsSentAlthoughItsClaimChangedTheTable: the claim of a run makes a new version of the table, under which the send is decided
 // again; the claim stays.
 func TestTrialIsSentAlthoughItsClaimChangedTheTable(t *testing.T) {
