batchrun: carried items wait until their runs under the ended job are over

Cause: a job that carries the items of one that was ended a moment before began them while their former runs were still being stopped: at two replicas at a time, and anew, since a former run's text is kept with its end. Change: such an item is put off by 10 ms at a time. TestCarriedItemsWaitForTheirFormerRuns fails without it each time.

--- a/internal/batchrun/identity.go
+++ b/internal/batchrun/identity.go
@@ -43,6 +43,7 @@
 // judgeRun tells the guard how a run ended, and the scheduler what follows for the item.
 func (t *tenure) judgeRun(ctx context.Context, c *call) {
 	if c.judged.Permission == poison.Rest {
+		t.scheduler.Suspect(c.Key)
 		t.scheduler.Hold(c.Key, t.config.Clock()+min(c.judged.Left, holdPause))
 		if c.judged.Condemned() {
 			t.scheduler.Condemn(c.Key)
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -203,7 +203,7 @@
 // Hold puts an item off that must not run before a time.
 func (s *Scheduler) Hold(key Key, until time.Duration) {
 	if entry := s.find(key); entry != nil {
-		entry.suspected, entry.notBefore = true, until
+		entry.notBefore = until
 	}
 }
 
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -30,6 +30,7 @@
 	tenant  string // of its job
 	text    *text
 	stream  *stream
+	leaving bool // its job has ended
 	cancel  context.CancelFunc
 	started time.Duration
 	why     stopReason    // by the loop, when it ended the run
@@ -63,10 +64,25 @@
 		return
 	}
 	for _, start := range t.scheduler.Starts(t.config.Clock()) {
+		if t.leaving[start.Item] > 0 {
+			t.postpone(start.Key)
+			continue
+		}
 		t.start(ctx, start)
 	}
 }
 
+// leavingPause is after how long an item is looked at again whose run under an ended job has not ended.
+const leavingPause = 10 * time.Millisecond
+
+// postpone takes a start back. A job may carry items whose runs under the one before are still being stopped: begun at once they would run
+// at two replicas, and anew, since the text that the former run brings is kept only with its end.
+func (t *tenure) postpone(key schedule.Key) {
+	now := t.config.Clock()
+	t.scheduler.Ended(now, key, schedule.Stopped, 0)
+	t.scheduler.Hold(key, now+leavingPause)
+}
+
 // follow tells the scheduler of a new table. Items whose route the table has no more are given up.
 func (t *tenure) follow(view *table.View) {
 	t.view = view
@@ -250,6 +266,7 @@
 // ended takes a call that is over.
 func (t *tenure) ended(ctx context.Context, c *call) {
 	delete(t.calls, c.Key)
+	t.left(c)
 	events, last, version := c.stream.progress()
 	t.scheduler.Progress(c.Key, events, last, version)
 	if c.why == stopMoved && c.ending == schedule.Broken {
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -30,6 +30,7 @@
 	serving   *weights.Serving // likewise
 	ready     time.Duration    // when it could have started items for the first time; 0: not yet
 	calls     map[schedule.Key]*call
+	leaving   map[string]int // calls of jobs that have ended, by item, which have not ended yet
 	ends      chan *call
 	// rewardCalls are those of texts that wait for their score; the calls report through scores.
 	rewardCalls map[schedule.Key]*rewardCall
@@ -76,7 +77,7 @@
 	return &tenure{
 		runner: r, config: &r.config, term: term, scheduler: schedule.New(r.config.Schedule),
 		commits: newCommits(&r.config, r.counts), jobs: map[string]*job{},
-		countedAt: r.config.Clock(), calls: map[schedule.Key]*call{}, ends: make(chan *call, endsBuffer),
+		countedAt: r.config.Clock(), calls: map[schedule.Key]*call{}, leaving: map[string]int{}, ends: make(chan *call, endsBuffer),
 		rewardCalls: map[schedule.Key]*rewardCall{}, scores: make(chan *rewardCall, endsBuffer),
 		condemned: make(chan schedule.Key, endsBuffer),
 	}
@@ -249,7 +250,7 @@
 	tenant := t.jobs[id].submit.GetTenant()
 	running := t.scheduler.End(id)
 	for _, key := range running {
-		t.stop(key)
+		t.leave(key)
 	}
 	t.logClosed(t.jobs[id], len(running))
 	for _, entry := range t.jobs[id].items {
@@ -261,6 +262,25 @@
 	delete(t.jobs, id)
 }
 
+// leave ends a call of a job that has ended.
+func (t *tenure) leave(key schedule.Key) {
+	if running := t.calls[key]; running != nil && !running.leaving {
+		running.leaving = true
+		t.leaving[key.Item]++
+	}
+	t.stop(key)
+}
+
+// left notes the end of a call that was left.
+func (t *tenure) left(c *call) {
+	if !c.leaving {
+		return
+	}
+	if t.leaving[c.Item]--; t.leaving[c.Item] == 0 {
+		delete(t.leaving, c.Item)
+	}
+}
+
 // stop ends a call; it is reported through ends.
 func (t *tenure) stop(key schedule.Key) {
 	if running := t.calls[key]; running != nil {
