--- a/internal/batchrun/suspects_test.go
+++ b/internal/batchrun/suspects_test.go
@@ -10,28 +10,16 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/poisonguard/poisonguardtest"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// noControl is a control group without a leader: the guard judges by what it saw itself.
-type noControl struct{}
-
-var errNoLeader = errors.New("no leader")
-
-func (noControl) Query(context.Context, uint32, *wire.Query) (*wire.View, error) {
-	return nil, errNoLeader
-}
-
-func (noControl) ChangeTable(context.Context, *wire.TableChange, bool) (*wire.TableResult, uint64, error) {
-	return nil, 0, errNoLeader
-}
-
 // guardedRig is a rig whose runs a guard permits.
 func guardedRig(t *testing.T) *rig {
 	t.Helper()
-	guard, err := poisonguard.New(poisonguard.Config{Control: noControl{}})
+	guard, err := poisonguard.New(poisonguard.Config{Control: poisonguardtest.NoControl{}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/suspects_test.go
+++ b/internal/forward/suspects_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,30 +9,18 @@
 
 	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/poisonguard/poisonguardtest"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// noControl is a control group without a leader: guards judge by what they saw themselves.
-type noControl struct{}
-
-var errNoLeader = errors.New("no leader")
-
-func (noControl) Query(context.Context, uint32, *wire.Query) (*wire.View, error) {
-	return nil, errNoLeader
-}
-
-func (noControl) ChangeTable(context.Context, *wire.TableChange, bool) (*wire.TableResult, uint64, error) {
-	return nil, 0, errNoLeader
-}
-
 // guarded is a fixture whose runs a guard permits; suspects are rows of the table.
 func guarded(t *testing.T, rows string, script ...step) (*fixture, *poisonguard.Guard) {
 	t.Helper()
 	start := time.Now()
-	guard, err := poisonguard.New(poisonguard.Config{Control: noControl{}, Clock: func() time.Duration { return time.Since(start) }})
+	guard, err := poisonguard.New(poisonguard.Config{Control: poisonguardtest.NoControl{}, Clock: func() time.Duration { return time.Since(start) }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -214,7 +201,7 @@
 
 // oneTable takes every change and tells when the first one is taken.
 type oneTable struct {
-	noControl
+	poisonguardtest.NoControl
 	steps []*wire.TableChange
 	taken func()
 }
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,23 +11,10 @@
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/poisonguard/poisonguardtest"
 	"github.com/tamarindring/tamarindring/internal/verdict"
-	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// noControl is a control group without a leader: the guard judges by what it saw itself.
-type noControl struct{}
-
-var errNoLeader = errors.New("no leader")
-
-func (noControl) Query(context.Context, uint32, *wire.Query) (*wire.View, error) {
-	return nil, errNoLeader
-}
-
-func (noControl) ChangeTable(context.Context, *wire.TableChange, bool) (*wire.TableResult, uint64, error) {
-	return nil, 0, errNoLeader
-}
-
 // A request crashed each back end that ran it, and its caller sent it again: this gateway gave it to another back end each time, until
 // none was left. What a request did to back ends was forgotten with its exchange.
 func TestRequestThatCrashesBackEndsRests(t *testing.T) {
@@ -44,7 +29,7 @@
 		"completion":  {"/v1/completions", strings.Replace(completion(false), prompt, long, 1), completion(false), "true"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			guard, err := poisonguard.New(poisonguard.Config{Control: noControl{}})
+			guard, err := poisonguard.New(poisonguard.Config{Control: poisonguardtest.NoControl{}})
 			if err != nil {
 				t.Fatal(err)
 			}
