metering: windows of usage keep their time over a suspension of the machine

Cause, found while the readings of time were listed: the time of day was held against a clock that does not count a suspension, so after one of 5 s it counted as stepped, and a gateway counted in windows 5 s behind for a minute. Change: the boot clock.

--- a/internal/metering/flusher.go
+++ b/internal/metering/flusher.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/monotonic"
 	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/usage"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -40,13 +41,17 @@
 	// Reporter names this life of this process; no other one has its name.
 	Reporter string
 	Length   time.Duration // of a window
-	Log      *logrus.Entry
+	// Clock counts the time that the machine is suspended, as the time of day does: on one that does not, windows fell behind by a
+	// suspension for a minute, until the time of day was believed. Default monotonic.Now.
+	Clock monotonic.Clock
+	// Now is the time of day. Default time.Now.
+	Now func() time.Time
+	Log *logrus.Entry
 }
 
 // Flusher counts what a process sees begin to run, and hands the counts to the control group. It is safe for concurrent use.
 type Flusher struct {
 	config FlusherConfig
-	start  time.Time
 
 	mutex sync.Mutex // guards what follows
 	meter *usage.Meter
@@ -61,7 +66,13 @@
 	if config.Log == nil {
 		config.Log = logging.Discard()
 	}
-	return &Flusher{config: config, start: time.Now(), meter: usage.NewMeter(config.Length)}, nil
+	if config.Clock == nil {
+		config.Clock = monotonic.Now
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Flusher{config: config, meter: usage.NewMeter(config.Length)}, nil
 }
 
 // Count notes that a request of a tenant began to run; at is this process's clock.
@@ -71,7 +82,7 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.meter.Count(tenant, f.clock.At(at, at.Sub(f.start)))
+	f.meter.Count(tenant, f.clock.At(at, f.config.Clock()-f.config.Now().Sub(at)))
 }
 
 // Run hands counts over until ctx ends.
--- a/internal/metering/reporter.go
+++ b/internal/metering/reporter.go
@@ -10,6 +10,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/monotonic"
 	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/usage"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -52,14 +53,15 @@
 	Right  func() (token uint64, held bool)
 	Length time.Duration // of a window
 	Settle time.Duration // from a window's end until it is sealed
-	Log    *logrus.Entry
+	// Clock counts the time that the machine is suspended, see FlusherConfig. Default monotonic.Now.
+	Clock monotonic.Clock
+	Log   *logrus.Entry
 }
 
 // Reporter seals windows and reports them while its node holds the right to.
 type Reporter struct {
 	config ReporterConfig
 	counts *reporterCounts
-	start  time.Time
 
 	// What follows belongs to Run.
 	clock   usage.Steady
@@ -68,7 +70,7 @@
 	refused uint64 // highest token that the receiver refused
 	view    *wire.UsageView
 	pause   time.Duration // after the last report that was not taken; 0: it was
-	resume  time.Duration // when the next report may go, since start
+	resume  time.Duration // when the next report may go, on Clock
 }
 
 // NewReporter returns a reporter; Run makes it work.
@@ -79,7 +81,10 @@
 	if config.Log == nil {
 		config.Log = logging.Discard()
 	}
-	return &Reporter{config: config, counts: newReporterCounts(), start: time.Now()}, nil
+	if config.Clock == nil {
+		config.Clock = monotonic.Now
+	}
+	return &Reporter{config: config, counts: newReporterCounts()}, nil
 }
 
 // Run works until ctx ends.
@@ -89,8 +94,7 @@
 
 // turn seals what is due and reports what is sealed.
 func (r *Reporter) turn(ctx context.Context) {
-	now := time.Now()
-	steady := r.clock.At(now, now.Sub(r.start))
+	steady := r.clock.At(time.Now(), r.config.Clock())
 	if !r.holds() {
 		r.view = nil
 		return
@@ -103,7 +107,7 @@
 	}
 	r.seal(ctx, steady)
 	r.counts.pending.Set(float64(len(r.view.GetPending())))
-	for len(r.view.GetPending()) > 0 && time.Since(r.start) >= r.resume && r.holds() {
+	for len(r.view.GetPending()) > 0 && r.config.Clock() >= r.resume && r.holds() {
 		if !r.report(ctx, r.view.GetPending()[0]) {
 			return
 		}
@@ -184,7 +188,7 @@
 		return false
 	case err != nil:
 		r.pause = min(max(2*r.pause, firstRetry), lastRetry)
-		r.resume = time.Since(r.start) + r.pause
+		r.resume = r.config.Clock() + r.pause
 		return false
 	}
 	r.pause = 0
--- a/internal/metering/reporter_test.go
+++ b/internal/metering/reporter_test.go
@@ -131,13 +131,13 @@
 	for range 2 {
 		held := &right{}
 		f.rights = append(f.rights, held)
-		reporter, err := NewReporter(ReporterConfig{Control: f.control, Sender: f.receiver, Right: held.now, Length: length, Settle: SettleTime(2 * length)})
+		reporter, err := NewReporter(ReporterConfig{Control: f.control, Sender: f.receiver, Right: held.now, Length: length, Settle: SettleTime(2 * length), Clock: bubbleClock()})
 		if err != nil {
 			t.Fatal(err)
 		}
 		routines.Go(func() { reporter.Run(ctx) })
 	}
-	flusher, err := NewFlusher(FlusherConfig{Control: f.control, Reporter: "g/1", Length: length})
+	flusher, err := NewFlusher(FlusherConfig{Control: f.control, Reporter: "g/1", Length: length, Clock: bubbleClock()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -290,7 +290,7 @@
 // TestHandOverThatIsLostGoesAgain, also when nothing new is counted in its window.
 func TestHandOverThatIsLostGoesAgain(t *testing.T) {
 	control := &fakeControl{ledger: usage.NewLedger(), away: true}
-	flusher, err := NewFlusher(FlusherConfig{Control: control, Reporter: "g/1", Length: length})
+	flusher, err := NewFlusher(FlusherConfig{Control: control, Reporter: "g/1", Length: length, Clock: bubbleClock()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -311,3 +311,32 @@
 	}
 	return counted
 }
+
+// bubbleClock is a clock that follows the test's virtual time.
+func bubbleClock() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
+// The time of day and the boot clock count the time for which a machine is suspended, and the steady clock does not. A flusher that held
+// the time of day by the steady clock took it for stepped after a suspension, and counted in windows 5 s behind for a minute.
+func TestSuspensionMovesNoWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := &fakeControl{ledger: usage.NewLedger()}
+		suspended, steady := time.Duration(0), bubbleClock()
+		wall := func() time.Time { return time.Now().Round(0).Add(suspended) }
+		flusher, err := NewFlusher(FlusherConfig{Control: control, Reporter: "g/1", Length: length, Now: wall,
+			Clock: func() time.Duration { return steady() + suspended }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		flusher.Count("one", wall())
+		suspended = 5 * time.Second
+		flusher.Count("one", wall())
+		flusher.Flush(t.Context())
+		view := control.ledger.Snapshot()
+		if open := view.GetOpen(); len(open) != 2 || open[1].GetWindow() != usage.WindowOf(wall(), length) {
+			t.Errorf("counted in %v, the second request is of window %d", open, usage.WindowOf(wall(), length))
+		}
+	})
+}
