forward: a request's time goes on while the machine is suspended

Cause, by the list of clocks: deadlines were counted on a clock that a suspension doesn't move. After waking a request was sent to another back end with a deadline that its caller no longer had, or although its caller had given up. Change: what is left is counted on the boot clock. Contexts still end late what is under way.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -192,7 +192,7 @@
 	return &replica.Call{Target: chosen.target, AttemptID: x.request.AttemptID, Method: x.request.Method,
 		Path: x.request.Path, Host: x.request.Host, Header: x.request.Header, Body: x.request.Body,
 		Tenant:   x.tenant,
-		Deadline: max(x.until().Sub(x.forwarder.config.Now()), time.Millisecond), Urgency: -1, ResumeAfter: x.passed,
+		Deadline: max(x.left(), time.Millisecond), Urgency: -1, ResumeAfter: x.passed,
 		MaxConnections: chosen.maxConnections,
 		Admit:          func() error { return x.admit(chosen.version) }}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/monotonic"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/route"
@@ -60,6 +61,9 @@
 	Guard *poisonguard.Guard
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
+	// Clock counts the time that the machine is suspended, which a request's caller waits as well: after a suspension of 5 s replicas
+	// were named deadlines 5 s beyond their callers'. nil: monotonic.Now.
+	Clock monotonic.Clock
 	// Seed of the random choices; 0: any.
 	Seed uint64
 }
@@ -95,6 +99,9 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.Clock == nil {
+		config.Clock = monotonic.Now
+	}
 	if config.MaxBufferedAnswer <= 0 {
 		config.MaxBufferedAnswer = DefaultMaxBufferedAnswer
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -148,7 +148,7 @@
 func newFixture(t *testing.T, rows string, script ...step) *fixture {
 	t.Helper()
 	lease, caller := &testLease{}, &scripted{script: script}
-	forwarder, err := New(Config{Control: lease, Caller: caller, Seed: 1})
+	forwarder, err := New(Config{Control: lease, Caller: caller, Seed: 1, Clock: bubbleClock()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -441,7 +441,7 @@
 // TestSlotShare: a process that may fill half of a pool's slots has no more requests there at once.
 func TestSlotShare(t *testing.T) {
 	lease := &testLease{}
-	forwarder, err := New(Config{Control: lease, Caller: &scripted{script: []step{silent}}, SlotShare: 0.5, Seed: 1})
+	forwarder, err := New(Config{Control: lease, Caller: &scripted{script: []step{silent}}, SlotShare: 0.5, Seed: 1, Clock: bubbleClock()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -54,7 +54,7 @@
 		Request: x.request.AttemptID, Attempt: a.number, Pool: x.poolName, Replica: a.target.Instance, TableVersion: a.chosen.version,
 		Refused: refusalNames[a.outcome.Refused], Status: a.outcome.Status, Verdict: a.outcome.Verdict.String(), Health: a.said.String(),
 		Cause: events.ErrorText(a.outcome.Err), Running: a.chosen.running, PassedOn: a.answer.owner.Load() == a.answer,
-		TookMs: events.Millis(now.Sub(a.started)), RequestLeftMs: events.Millis(x.until().Sub(now)), MostSends: int(x.route.MaxAttempts),
+		TookMs: events.Millis(now.Sub(a.started)), RequestLeftMs: events.Millis(x.left()), MostSends: int(x.route.MaxAttempts),
 	}
 	if a.outcome.Verdict != verdict.DidNotRun {
 		event.Digest, event.Peer = x.digest().String(), a.outcome.Peer.String()
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -56,6 +56,8 @@
 	answeredBy *attempt         // whose answer was passed on whole
 	status     int              // of that answer
 	passing    bool             // a part of an answer was passed on
+	arrived    time.Duration    // on Config.Clock, when the exchange began
+	before     time.Duration    // that had passed then since the request was received
 	run        *poisonguard.Run // permitted, and not part of an attempt yet
 	rests      bool             // it must not run now
 	passed     int64            // id of the last event passed on; -1: none
@@ -78,6 +80,7 @@
 	if x.work.Work <= 0 {
 		x.work.Work = defaultWork
 	}
+	x.arrived, x.before = f.config.Clock(), f.config.Now().Sub(request.Received)
 	return x
 }
 
@@ -113,13 +116,20 @@
 	}
 }
 
-// until is when the request is given up.
-func (x *exchange) until() time.Time {
-	hold := x.route.Timeout
-	if x.request.Deadline > 0 && x.request.Deadline < hold {
-		hold = x.request.Deadline
+// hold is how long the request is held at most, from its arrival on.
+func (x *exchange) hold() time.Duration {
+	if x.request.Deadline > 0 {
+		return min(x.request.Deadline, x.route.Timeout)
 	}
-	return x.request.Received.Add(hold)
+	return x.route.Timeout
+}
+
+// until is when the request is given up.
+func (x *exchange) until() time.Time { return x.request.Received.Add(x.hold()) }
+
+// left is how much longer the request may be held.
+func (x *exchange) left() time.Duration {
+	return x.hold() - x.before - (x.forwarder.config.Clock() - x.arrived)
 }
 
 // settle turns the end of the last attempt into the caller's.
@@ -156,7 +166,7 @@
 // attempt sends the request once, or finds out that it can't. done: the request has ended, with an answer when
 // the failure is nil.
 func (x *exchange) attempt(ctx context.Context) (failure *Failure, done bool) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || x.route != nil && x.left() <= 0 {
 		return x.failure(ctx, TimedOut, x.lastErr), true
 	}
 	plan := x.forwarder.plan.Load()
@@ -248,7 +258,7 @@
 	x.tried = x.tried[:0]
 	now := x.forwarder.now()
 	refusal, err := pool.enter(ctx, x.forwarder.now, admission.Request{ID: x.id, Class: className(x.priority()),
-		Deadline: now + x.until().Sub(x.forwarder.config.Now())}, x.maxWait())
+		Deadline: now + x.left()}, x.maxWait())
 	if err != nil {
 		return x.failure(ctx, TimedOut, err)
 	}
