--- a/internal/cli/metrics_page_test.go
+++ b/internal/cli/metrics_page_test.go
@@ -19,6 +19,7 @@
 	"github.com/tamarindring/tamarindring/internal/gateway"
 	"github.com/tamarindring/tamarindring/internal/metering"
 	"github.com/tamarindring/tamarindring/internal/metrics"
+	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/registry"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/strictyaml"
@@ -102,7 +103,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, collector := range []prometheus.Collector{forwarder.Process().Collector(), runner.Collector(), driver.Collector(), reporter.Collector(),
+	guard, err := poisonguard.New(poisonguard.Config{Control: noRegistryControl{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, collector := range []prometheus.Collector{guard.Collector(), forwarder.Process().Collector(), runner.Collector(), driver.Collector(), reporter.Collector(),
 		replicas.Collector()} {
 		for name := range described(collector) {
 			names[name] = true
--- a/internal/poisonguard/metrics.go
+++ b/internal/poisonguard/metrics.go
@@ -19,7 +19,7 @@
 func newCounts() *counts {
 	part := metrics.Part("suspects")
 	c := &counts{
-		suspects: part.Gauge("suspects", "Requests under which back ends crashed, as this process knows them."),
+		suspects: part.Gauge("known", "Requests under which back ends crashed, as this process knows them."),
 		crashes:  part.Counter("crashes_total", "Runs of this process under which their back ends crashed."),
 		refused:  part.Counter("refused_total", "Runs that were not permitted: the request rests, or its one trial is claimed by another process.", "permission"),
 		steps:    part.Counter("steps_total", "Steps on the record of suspects, by step and outcome: taken, overtaken by another process, or failed.", "step", "outcome"),
