--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -8,7 +8,7 @@
 // Record is what the deployment holds of one suspect.
 type Record struct {
 	Digest  Digest
-	Crashes uint32   // back ends that crashed under it, with runs that are still permitted
+	Crashes uint32   // back ends that crashed under it, counting a run that is claimed and not over
 	Crashed []string // the last of these back ends, by instance
 }
 
--- a/internal/poisonguard/guard.go
+++ b/internal/poisonguard/guard.go
@@ -141,3 +141,12 @@
 	}
 	g.counts.dropped.WithLabelValues(want.Step.String()).Inc()
 }
+
+// postpone keeps a step for the next look.
+func (g *Guard) postpone(want poison.Want) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if len(g.waiting) < maximumWaiting {
+		g.waiting = append(g.waiting, want)
+	}
+}
--- a/internal/table/columns_suspect.go
+++ b/internal/table/columns_suspect.go
@@ -10,7 +10,7 @@
 // suspectColumns are the columns of requests under which back ends crashed.
 var suspectColumns = []Column{
 	{Name: ColumnCrashes, Type: Unsigned, Unit: "back ends", Minimum: 1, Maximum: maximumCrashes, Default: "1", Rows: suspectOnly,
-		Help:   "Back ends that crashed while they ran the request, with runs that are still permitted. From 2 on it runs one at a time, from 3 on it rests.",
+		Help:   "Back ends that crashed while they ran the request, counting a run that is claimed and not over. From 2 on it runs one at a time, from 3 on it rests.",
 		assign: func(row *Row, value string) { row.Crashes = uint32(number(value)) }},
 	{Name: ColumnCrashed, Type: HeaderValue, Rows: suspectOnly,
 		Help:   "The back ends that crashed last, oldest first, separated by commas.",
