poisonguard: a crash that the record refuses late is let go

Cause: a report that waited for a leader was sent again without looking at its outcome. Where the record was full by then, the process counted the crash for ever: the entry was neither on record nor dropped, and with two of them the request rested in that process without end. A report that found the queue of waiting steps full was lost uncounted, with the same entry left behind. Ruled out: the first send, which did look at the outcome. Change: one way for all steps (deliver, postpone, drop); what is dropped is counted and let go of in the book. Run.report and a second copy of the queueing are gone. Conclusion: mended.

--- a/internal/poisonguard/guard.go
+++ b/internal/poisonguard/guard.go
@@ -130,23 +130,35 @@
 
 // deliver has the record take a step; one that it did not take waits for the next look.
 func (g *Guard) deliver(ctx context.Context, want poison.Want) {
-	if _, err := g.send(ctx, want); err == nil || want.Step == poison.Forget {
-		return
+	outcome, err := g.send(ctx, want)
+	switch {
+	case err != nil && want.Step != poison.Forget: // what is outdated is looked for anew each time
+		g.postpone(want)
+	case err == nil && want.Step == poison.Report && !outcome.Done:
+		g.drop(want)
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if len(g.waiting) < maximumWaiting {
-		g.waiting = append(g.waiting, want)
-		return
-	}
-	g.counts.dropped.WithLabelValues(want.Step.String()).Inc()
 }
 
 // postpone keeps a step for the next look.
 func (g *Guard) postpone(want poison.Want) {
 	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if len(g.waiting) < maximumWaiting {
+	room := len(g.waiting) < maximumWaiting
+	if room {
 		g.waiting = append(g.waiting, want)
 	}
+	g.mutex.Unlock()
+	if !room {
+		g.drop(want)
+	}
+}
+
+// drop gives up a step that there is no room for. A crash that is never recorded must not count here for ever.
+func (g *Guard) drop(want poison.Want) {
+	g.counts.dropped.WithLabelValues(want.Step.String()).Inc()
+	if want.Step != poison.Report {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.book.Lost(want.Digest, want.Instance)
 }
--- a/internal/poisonguard/guard_test.go
+++ b/internal/poisonguard/guard_test.go
@@ -328,6 +328,29 @@
 	})
 }
 
+// TestLateReportsToAFullRecord: a crash that the control group refuses only once it has a leader again is not held for ever.
+func TestLateReportsToAFullRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.guard()
+		one.config.Settings.Maximum = 1
+		other := identify("other")()
+		name := poison.RowName(other.Digest())
+		g.put(name+" kind suspect", name+" crashes 3")
+		g.setAway(true)
+		run(t, one, "good", "a", Crashed)
+		g.setAway(false)
+		if one.book.Len() != 2 {
+			t.Fatalf("%d suspects are known before the report is refused, want 2", one.book.Len())
+		}
+		one.sendWaiting(t.Context())
+		g.follow()
+		if one.book.Len() != 1 {
+			t.Errorf("%d suspects are known, want the one on record", one.book.Len())
+		}
+	})
+}
+
 // TestOutdatedSuspectsAreForgotten, by the leader.
 func TestOutdatedSuspectsAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -184,24 +184,11 @@
 	ctx = context.WithoutCancel(ctx)
 	switch ending {
 	case Crashed:
-		r.report(ctx)
+		digest := r.named() // sets the subject
+		r.guard.deliver(ctx, poison.Want{Step: poison.Report, Digest: digest, Instance: r.crash(), Subject: r.subject, Counted: r.claimed > 0})
 	case Answered:
 		r.guard.deliver(ctx, poison.Want{Step: poison.Clear, Digest: r.named()})
 	default:
 		r.guard.deliver(ctx, poison.Want{Step: poison.Return, Digest: r.named(), Crashes: r.claimed})
 	}
 }
-
-func (r *Run) report(ctx context.Context) {
-	want := poison.Want{Step: poison.Report, Digest: r.named(), Instance: r.crash(), Subject: r.subject, Counted: r.claimed > 0}
-	outcome, err := r.guard.send(ctx, want)
-	switch {
-	case err != nil:
-		r.guard.postpone(want)
-	case !outcome.Done:
-		r.guard.mutex.Lock()
-		r.guard.book.Lost(want.Digest, want.Instance)
-		r.guard.mutex.Unlock()
-		r.guard.counts.dropped.WithLabelValues(want.Step.String()).Inc()
-	}
-}
