--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -69,6 +69,9 @@
 // Len returns the number of jobs that are kept.
 func (s *Store) Len() int { return len(s.order) }
 
+// HeldBytes is the size of all jobs that are kept.
+func (s *Store) HeldBytes() int { return s.held }
+
 // Revision rises with every job that is taken.
 func (s *Store) Revision() uint64 { return s.revision }
 
--- /dev/null
+++ b/internal/control/holdings.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/pause"
+	"github.com/tamarindring/tamarindring/internal/wire"
+)
+
+const (
+	// holdingsInterval is how often a node tells what it holds of each group, as often as of its memory in all.
+	holdingsInterval = 5 * time.Second
+	// holdingsTimeout bounds the questions to a group for it: a loop that is held up is told by other lines.
+	holdingsTimeout = time.Second
+)
+
+// holdings is what this node holds of a group: its state's large part, the log and snapshots.
+func (s *Server) holdings(ctx context.Context, group uint32) (*events.GroupHoldings, error) {
+	ctx, cancel := context.WithTimeout(ctx, holdingsTimeout)
+	defer cancel()
+	held, err := s.replicas.Holdings(ctx, group)
+	if err != nil {
+		return nil, err
+	}
+	told := &events.GroupHoldings{
+		Group: group, LogMB: events.Megabytes(uint64(held.Log)), SnapshotMB: events.Megabytes(uint64(held.Snapshot)),
+		UnstoredMB: events.Megabytes(uint64(held.Unstored)),
+	}
+	if free, err := s.store.FreeBytes(); err == nil {
+		told.DiskFreeMB = events.Megabytes(free)
+	}
+	if group == controlGroup {
+		return told, nil
+	}
+	view, err := s.replicas.LocalQuery(ctx, group, &wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}})
+	if err != nil {
+		return nil, err
+	}
+	told.Jobs, told.JobsMB = view.GetStatus().GetJobs(), events.Megabytes(view.GetStatus().GetJobBytes())
+	return told, nil
+}
+
+// tellHoldings logs what this node holds, until ctx ends.
+func (s *Server) tellHoldings(ctx context.Context) {
+	pause.Every(ctx, holdingsInterval, func(ctx context.Context) {
+		for group := range s.states {
+			if told, err := s.holdings(ctx, uint32(group)); err == nil {
+				logging.Emit(s.log, told)
+			}
+		}
+	})
+}
+
+var (
+	logBytesDesc      = describe("log_bytes", "Data of the group's log entries that the node holds in memory.", "group")
+	snapshotBytesDesc = describe("snapshot_bytes", "Size of the group's last snapshot here.", "group")
+	unstoredBytesDesc = describe("snapshot_unstored_bytes", "Part of it that is in memory since it is on no disk.", "group")
+	jobsDesc          = describe("jobs", "Batch jobs that the ledger group holds, open or ended.", "group")
+	jobBytesDesc      = describe("job_bytes", "Size of the batch jobs that the ledger group holds.", "group")
+
+	holdingsDescs = []*prometheus.Desc{logBytesDesc, snapshotBytesDesc, unstoredBytesDesc, jobsDesc, jobBytesDesc}
+)
+
+// collectHoldings shows what this node holds of a group.
+func (c *collector) collectHoldings(ctx context.Context, found chan<- prometheus.Metric, group uint32, status *wire.StatusView) {
+	held, err := c.server.replicas.Holdings(ctx, group)
+	if err != nil {
+		return
+	}
+	label := strconv.FormatUint(uint64(group), 10)
+	gauge(found, logBytesDesc, uint64(held.Log), label)
+	gauge(found, snapshotBytesDesc, uint64(held.Snapshot), label)
+	gauge(found, unstoredBytesDesc, uint64(held.Unstored), label)
+	if group != controlGroup {
+		gauge(found, jobsDesc, status.GetJobs(), label)
+		gauge(found, jobBytesDesc, status.GetJobBytes(), label)
+	}
+}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -83,6 +83,9 @@
 	for _, desc := range shareDescs {
 		descs <- desc
 	}
+	for _, desc := range holdingsDescs {
+		descs <- desc
+	}
 	c.server.syncs.Describe(descs)
 }
 
@@ -99,6 +102,7 @@
 			continue
 		}
 		collectGroup(found, uint32(group), view.GetStatus())
+		c.collectHoldings(ctx, found, uint32(group), view.GetStatus())
 	}
 }
 
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -43,6 +43,8 @@
 	// Sight is what this node has seen of a group's elections, and SilentFor for how long it has not heard a node.
 	Sight(ctx context.Context, group uint32) (consensus.Sight, error)
 	SilentFor(node uint64) time.Duration
+	// Holdings is what this node holds of group beside its state.
+	Holdings(ctx context.Context, group uint32) (consensus.Holdings, error)
 	// Capture is the encoded state of group as applied here, and the index of the last entry in it.
 	Capture(ctx context.Context, group uint32) (index uint64, data []byte, err error)
 	// TransferLeadership asks a voter to take over group.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -170,7 +170,7 @@
 		},
 		Log: func(err error) { s.log.WithError(err).Debug("a connection ended") },
 	})
-	background := []func(context.Context){s.grantLoop, s.publisher.run, s.detector.run, s.orphans.run, s.retention.run, s.followLeader, s.join, s.voters.run, s.yield, s.levels.run}
+	background := []func(context.Context){s.grantLoop, s.publisher.run, s.detector.run, s.orphans.run, s.retention.run, s.followLeader, s.join, s.voters.run, s.yield, s.levels.run, s.tellHoldings}
 	for _, routine := range background {
 		s.routines.Go(func() { routine(ctx) })
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -47,5 +47,6 @@
 		return nil, err
 	}
 	view.Claims, view.ClaimOwners = local.GetStatus().GetClaims(), local.GetStatus().GetClaimOwners()
+	view.Jobs, view.JobBytes = local.GetStatus().GetJobs(), local.GetStatus().GetJobBytes()
 	return &wire.View{Kind: &wire.View_Status{Status: view}}, nil
 }
--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -85,6 +85,22 @@
 // Kind implements logging.Event.
 func (*DiskChanged) Kind() *logging.Kind { return &diskChangedKind }
 
+// GroupHoldings is what a control node holds of a group, told every few seconds.
+type GroupHoldings struct {
+	Group      uint32  `json:"group" doc:"0: the control group; others: ledger groups"`
+	Jobs       uint64  `json:"jobs,omitempty" doc:"batch jobs in the state, open or ended"`
+	JobsMB     float64 `json:"jobs_mb,omitempty" doc:"their size"`
+	LogMB      float64 `json:"log_mb" doc:"entries of the log in memory"`
+	SnapshotMB float64 `json:"snapshot_mb" doc:"size of the last snapshot"`
+	UnstoredMB float64 `json:"unstored_mb,omitempty" doc:"part of it that is in memory since it is on no disk"`
+	DiskFreeMB float64 `json:"disk_free_mb,omitempty" doc:"room on the disk"`
+}
+
+var groupHoldingsKind = kind("group_holdings", logrus.InfoLevel, perStart)
+
+// Kind implements logging.Event.
+func (*GroupHoldings) Kind() *logging.Kind { return &groupHoldingsKind }
+
 // SnapshotLeftOut is a snapshot of a group that found no room on the disk. Where it is the node's own, the log before it stays.
 type SnapshotLeftOut struct {
 	Group uint32 `json:"group" doc:"0: the control group; others: ledger groups"`
--- a/internal/events/doc.go
+++ b/internal/events/doc.go
@@ -29,6 +29,12 @@
 	return float64(duration.Round(100*time.Microsecond)) / float64(time.Millisecond)
 }
 
+// Megabytes is a size as events hold it, rounded to a tenth of a megabyte.
+func Megabytes(bytes uint64) float64 {
+	const tenth = 1 << 20 / 10
+	return float64(bytes/tenth) / 10
+}
+
 // ErrorText is an error as events hold it; empty for nil.
 func ErrorText(err error) string {
 	if err == nil {
--- a/internal/memlimit/report.go
+++ b/internal/memlimit/report.go
@@ -35,8 +35,8 @@
 	samples := []metrics.Sample{{Name: metricObjects}, {Name: metricTotal}, {Name: metricReleased}, {Name: metricCollects}}
 	metrics.Read(samples)
 	return &events.ProcessMemory{
-		HeapMB: megabytes(samples[0].Value.Uint64()), RuntimeMB: megabytes(samples[1].Value.Uint64() - samples[2].Value.Uint64()),
-		ResidentMB: megabytes(ResidentBytes()), LimitMB: int(limitBytes >> 20), Collects: samples[3].Value.Uint64(),
+		HeapMB: events.Megabytes(samples[0].Value.Uint64()), RuntimeMB: events.Megabytes(samples[1].Value.Uint64() - samples[2].Value.Uint64()),
+		ResidentMB: events.Megabytes(ResidentBytes()), LimitMB: int(limitBytes >> 20), Collects: samples[3].Value.Uint64(),
 	}
 }
 
@@ -56,9 +56,3 @@
 	}
 	return pages * uint64(os.Getpagesize())
 }
-
-// megabytes rounds to a tenth of a megabyte.
-func megabytes(bytes uint64) float64 {
-	const tenth = 1 << 20 / 10
-	return float64(bytes/tenth) / 10
-}
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// LogBytes is the size of the entries' data that the node holds.
+func (n *Node) LogBytes() int { return n.log.bytes(n.log.first(), n.log.last()) }
+
 // SnapshotBytes is the size of the snapshot's data that the node holds.
 func (n *Node) SnapshotBytes() int { return len(n.snapshot.Data) }
 
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -282,5 +282,6 @@
 		AppliedIndex: m.applied, TableVersion: m.table.Version(),
 		Claims: uint64(m.claims.Len()), ClaimOwners: m.claims.Owners(),
 		Level: uint32(m.level), Speaks: uint32(compat.Newest),
+		Jobs: uint64(m.jobs.Len()), JobBytes: uint64(m.jobs.HeldBytes()),
 	}
 }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -274,6 +274,9 @@
 	return err != nil || free >= uint64(bytes)+s.options.HeadroomBytes/lastRoomShare
 }
 
+// FreeBytes is the free space of the folder's disk.
+func (s *Store) FreeBytes() (uint64, error) { return s.free() }
+
 func (s *Store) free() (uint64, error) {
 	if measure := s.options.Hooks.FreeBytes; measure != nil {
 		return measure()
