--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -109,7 +109,7 @@
 	for _, group := range backup.Groups {
 		batch = append(batch, storage.GroupWrite{
 			Group: group.Group,
-			Snapshot: &raft.Snapshot{Index: group.Index, Term: restoredTerm, Data: group.Data,
+			Snapshot: &raft.Snapshot{Index: group.Index, Term: restoredTerm, Data: raft.Parts{group.Data},
 				Configuration: raft.Configuration{Voters: []uint64{options.NodeID}}},
 			HardState: &raft.HardState{Term: restoredTerm, Commit: group.Index},
 		})
--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -210,6 +210,7 @@
 	if !held.ended {
 		held.ended = true
 		s.strip(held)
+		s.seal(held)
 	}
 	return reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED), nil
 }
@@ -231,6 +232,7 @@
 			if s.unsafe.CountEarly {
 				held.countedFrom = max(before, 1)
 			}
+			s.seal(held)
 		}
 		expired := (held.ended || s.unsafe.ExpireOpen) && s.clock-held.countedFrom > retention
 		if !expired {
--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -14,7 +14,7 @@
 		return &wire.JobResultsView{}
 	}
 	view := &wire.JobResultsView{
-		Known: true, Ended: held.ended, Total: uint64(len(held.items)), Next: query.GetSince(), Listed: uint64(len(held.results)),
+		Known: true, Ended: held.ended, Total: uint64(held.itemCount()), Next: query.GetSince(), Listed: uint64(held.resultCount()),
 	}
 	if query.GetCountOnly() {
 		return view
@@ -23,28 +23,28 @@
 	if limit := int(query.GetMaxBytes()); limit > 0 {
 		budget = min(budget, limit)
 	}
-	if query.GetSince() >= uint64(len(held.results)) {
-		return view
-	}
-	for _, result := range held.results[query.GetSince():] {
+	held.eachResult(query.GetSince(), func(result *wire.JobResult) bool {
 		if budget -= proto.Size(result) - storedBytes(result) + textBytes(result); budget < 0 && len(view.Results) > 0 {
-			break
+			return false
 		}
 		view.Results = append(view.Results, result)
 		view.Next++
-	}
+		return true
+	})
 	return view
 }
 
 // Item returns what is known of a job's item; the body only while the job is open.
 func (s *Store) Item(query *wire.JobItemQuery) *wire.JobItemView {
 	held := s.ofTenant(query.GetJob(), query.GetTenant())
-	if held == nil || held.items[query.GetItem()] == nil {
+	if held == nil {
 		return &wire.JobItemView{}
 	}
-	view := &wire.JobItemView{Known: true, Listed: held.listed[query.GetItem()], Held: !held.ended}
-	view.Body = held.items[query.GetItem()].GetBody()
-	return view
+	known, listed := held.hasItem(query.GetItem())
+	if !known {
+		return &wire.JobItemView{}
+	}
+	return &wire.JobItemView{Known: true, Listed: listed, Held: !held.ended, Body: held.items[query.GetItem()].GetBody()}
 }
 
 // Work returns the open jobs that were taken after a revision, with their finished items, and the ids of all
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -4,61 +4,145 @@
 	"slices"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// Snapshot returns the whole state as a message; equal stores give equal messages. Later commands don't change
-// it: it shares messages with the store, which never modifies them.
-func (s *Store) Snapshot() *wire.JobSnapshot {
-	snapshot := &wire.JobSnapshot{Revision: s.revision, ClockMillis: s.clock,
-		Jobs: make([]*wire.JobRecord, 0, len(s.order))}
+// Captured is a Store's state at one moment. Later commands don't change it: it shares messages with the store, which
+// never modifies them.
+type Captured struct {
+	head *wire.JobSnapshot
+	jobs []capturedJob
+}
+
+// capturedJob is either sealed or a message.
+type capturedJob struct {
+	sealed *sealedJob
+	record *wire.JobRecord
+}
+
+// Capture fixes the state as it is now.
+func (s *Store) Capture() *Captured {
+	captured := &Captured{head: &wire.JobSnapshot{Revision: s.revision, ClockMillis: s.clock}, jobs: make([]capturedJob, 0, len(s.order))}
 	for _, held := range s.order {
-		snapshot.Jobs = append(snapshot.Jobs, &wire.JobRecord{
-			Submit: held.submit, Revision: held.revision, Ended: held.ended, Results: slices.Clone(held.results),
-			Partials: held.sortedPartials(), CountedFromMillis: held.countedFrom, Unscored: held.sortedUnscored(),
-		})
+		if held.sealed != nil {
+			captured.jobs = append(captured.jobs, capturedJob{sealed: held.sealed})
+			continue
+		}
+		record := held.record()
+		record.Results = slices.Clone(record.Results)
+		captured.jobs = append(captured.jobs, capturedJob{record: record})
+	}
+	return captured
+}
+
+// Head is the state without its jobs.
+func (c *Captured) Head() *wire.JobSnapshot { return c.head }
+
+// Parts encodes the jobs, each part as a wire.MachineSnapshot that holds nothing else: merged in their order they are all
+// jobs. Sealed jobs are parts by themselves, shared with the store.
+func (c *Captured) Parts() ([][]byte, error) {
+	var parts [][]byte
+	var open *wire.JobSnapshot // neighbours that are not sealed
+	flush := func() error {
+		if open == nil {
+			return nil
+		}
+		part, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.MachineSnapshot{Jobs: open})
+		open, parts = nil, append(parts, part)
+		return trace.Wrap(err, "encoding batch jobs")
+	}
+	for _, captured := range c.jobs {
+		if captured.sealed == nil {
+			if open == nil {
+				open = &wire.JobSnapshot{}
+			}
+			open.Jobs = append(open.Jobs, captured.record)
+			continue
+		}
+		if err := flush(); err != nil {
+			return nil, err
+		}
+		parts = append(parts, captured.sealed.Part)
+	}
+	return parts, flush()
+}
+
+// Snapshot returns the whole state as a message; equal stores give equal messages.
+func (s *Store) Snapshot() *wire.JobSnapshot {
+	captured := s.Capture()
+	snapshot := captured.head
+	snapshot.Jobs = make([]*wire.JobRecord, 0, len(captured.jobs))
+	for _, held := range captured.jobs {
+		if held.sealed != nil {
+			held.record = held.sealed.decode()
+		}
+		snapshot.Jobs = append(snapshot.Jobs, held.record)
 	}
 	return snapshot
 }
 
-// Restore replaces the state with a snapshot's. On an error the store is unchanged. The store keeps the
-// snapshot's messages.
+// Restore replaces the state with a snapshot's. On an error the store is unchanged.
 func (s *Store) Restore(snapshot *wire.JobSnapshot) error {
+	records := make([]Record, 0, len(snapshot.GetJobs()))
+	for _, record := range snapshot.GetJobs() {
+		encoded, err := proto.Marshal(record)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		records = append(records, Record{Encoded: encoded})
+	}
+	return s.RestoreRecords(snapshot, records)
+}
+
+// RestoreRecords replaces the state with the head of a snapshot and the records of its jobs, in their order. On an error the
+// store is unchanged. The store keeps the parts of records that change no more.
+func (s *Store) RestoreRecords(head *wire.JobSnapshot, records []Record) error {
 	restored := NewUnsafe(s.unsafe)
-	restored.revision, restored.clock = snapshot.GetRevision(), snapshot.GetClockMillis()
+	restored.revision, restored.clock = head.GetRevision(), head.GetClockMillis()
 	last := uint64(0)
-	for _, record := range snapshot.GetJobs() {
-		if err := restored.restoreJob(record, last); err != nil {
+	for _, encoded := range records {
+		record := &wire.JobRecord{}
+		if err := proto.Unmarshal(encoded.Encoded, record); err != nil {
+			return trace.BadParameter("snapshot has a record that is none: %v", err)
+		}
+		held, err := restored.restoreJob(record, last)
+		if err != nil {
 			return trace.Wrap(err)
 		}
+		if held.ended && held.countedFrom != 0 && encoded.Part != nil && !s.unsafe.ListAfterEnd {
+			restored.sealAs(held, encoded)
+		}
+		restored.seal(held)
 		last = record.GetRevision()
 	}
 	*s = *restored
 	return nil
 }
 
-func (s *Store) restoreJob(record *wire.JobRecord, after uint64) error {
+// restoreJob adds a job, unless its record is malformed or out of order.
+func (s *Store) restoreJob(record *wire.JobRecord, after uint64) (*job, error) {
 	if err := checkSubmit(record.GetSubmit()); err != nil {
-		return trace.Wrap(err, "snapshot has a malformed job")
+		return nil, trace.Wrap(err, "snapshot has a malformed job")
 	}
 	id := record.GetSubmit().GetId()
 	if s.jobs[id] != nil || record.GetRevision() <= after || record.GetRevision() > s.revision || record.GetCountedFromMillis() > s.clock {
-		return trace.BadParameter("snapshot has a job twice or out of order: %q", id)
+		return nil, trace.BadParameter("snapshot has a job twice or out of order: %q", id)
 	}
 	held := s.add(record.GetSubmit(), record.GetRevision())
 	held.ended, held.countedFrom = record.GetEnded(), record.GetCountedFromMillis()
 	for _, result := range record.GetResults() {
 		if err := checkResult(result); err != nil {
-			return trace.Wrap(err, "snapshot has a malformed result of job %q", id)
+			return nil, trace.Wrap(err, "snapshot has a malformed result of job %q", id)
 		}
 		if held.items[result.GetItem()] == nil || held.listed[result.GetItem()] || result.GetFollowsLength() > 0 {
-			return trace.BadParameter("snapshot has a result of job %q for no item or twice: %q", id, result.GetItem())
+			return nil, trace.BadParameter("snapshot has a result of job %q for no item or twice: %q", id, result.GetItem())
 		}
 		s.list(held, result)
 	}
 	if err := s.restorePartials(held, record.GetPartials()); err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
-	return trace.Wrap(s.restoreUnscored(held, record.GetUnscored()))
+	return held, trace.Wrap(s.restoreUnscored(held, record.GetUnscored()))
 }
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -58,6 +58,7 @@
 	unscored    map[string]*wire.JobResult  // whole texts whose score is still out
 	items       map[string]*wire.JobItem
 	bytes       int
+	sealed      *sealedJob // once it changes no more: in place of the messages above, of which submit keeps what names the job
 }
 
 // New returns an empty Store.
--- a/internal/compat/compat.go
+++ b/internal/compat/compat.go
@@ -19,6 +19,8 @@
 	Base Level = iota
 	// Shares adds the division of resources between processes, the weights and quotas of tenants, and the orders to executors.
 	Shares
+	// SnapshotParts adds snapshots whose state is in several files, and jobs that name the bound of what may be held.
+	SnapshotParts
 
 	// Newest is the level that this build speaks: the one declared last. Levels are added above it.
 	Newest Level = iota - 1
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -43,12 +44,17 @@
 	return &wire.View{Kind: &wire.View_Trainer{Trainer: &wire.TrainerView{Trainer: string(text)}}}
 }
 
-func (j *journal) Capture() func() ([]byte, error) {
+func (j *journal) Capture() func() ([][]byte, error) {
 	applied := slices.Clone(j.applied)
-	return func() ([]byte, error) { return json.Marshal(applied) }
+	return func() ([][]byte, error) {
+		data, err := json.Marshal(applied)
+		return [][]byte{data}, err
+	}
 }
 
-func (j *journal) Restore(data []byte) error { return json.Unmarshal(data, &j.applied) }
+func (j *journal) RestoreParts(parts [][]byte) error {
+	return json.Unmarshal(bytes.Join(parts, nil), &j.applied)
+}
 
 func listOf(t *testing.T, view *wire.View) []string {
 	t.Helper()
--- a/internal/consensus/compaction.go
+++ b/internal/consensus/compaction.go
@@ -6,13 +6,14 @@
 	"github.com/tamarindring/tamarindring/internal/raft"
 )
 
-// freeSnapshotBytes is the size of a snapshot up to which Config.SnapshotCost does not count.
+// freeSnapshotBytes is what a snapshot may write without Config.SnapshotCost counting.
 const freeSnapshotBytes = 1 << 20
 
 // snapshots is a group's account of when the next snapshot is due. The loop owns it.
 type snapshots struct {
 	index        uint64        // of the last one
 	size         int           // of the last one, in bytes
+	written      int           // bytes of it that were in none before
 	appliedBytes int           // of the entries since its state was captured
 	encoding     bool          // one is being encoded beside the loop
 	wanted       bool          // one is due at once: what an older build may not read is to replace what it would
@@ -23,7 +24,7 @@
 type encodedState struct {
 	group *hostedGroup
 	index uint64
-	data  []byte
+	parts raft.Parts
 	err   error
 }
 
@@ -35,15 +36,15 @@
 	if s.wanted {
 		return true
 	}
-	if s.size > freeSnapshotBytes && s.appliedBytes < s.size/config.SnapshotCost {
+	if s.written > freeSnapshotBytes && s.appliedBytes < s.written/config.SnapshotCost {
 		return false
 	}
 	return applied-s.index >= uint64(config.SnapshotEntries) || s.appliedBytes >= config.SnapshotBytes
 }
 
 // received notes a snapshot that replaced the state.
-func (s *snapshots) received(index uint64, size int) {
-	s.index, s.size, s.appliedBytes = index, size, 0
+func (s *snapshots) received(snapshot *raft.Snapshot) {
+	s.index, s.size, s.written, s.appliedBytes = snapshot.Index, snapshot.Data.Size(), 0, 0
 }
 
 // compact moves a group's snapshot on: it captures the state when that is due, and compacts the log once the
@@ -67,8 +68,8 @@
 	g.snapshots.encoding, g.snapshots.appliedBytes, g.snapshots.wanted = true, 0, false
 	encode, index := g.machine.Capture(), g.applied
 	h.encoders.Go(func() {
-		data, err := encode()
-		h.encoded <- &encodedState{group: g, index: index, data: data, err: err}
+		parts, err := encode()
+		h.encoded <- &encodedState{group: g, index: index, parts: parts, err: err}
 	})
 }
 
@@ -86,12 +87,13 @@
 	if encoded.index <= g.snapshots.index {
 		return nil
 	}
-	snapshot, err := g.node.Compact(encoded.index, encoded.data)
+	snapshot, err := g.node.Compact(encoded.index, encoded.parts)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	g.cycle.Compact(&snapshot)
-	g.snapshots.index, g.snapshots.size = encoded.index, len(encoded.data)
+	g.snapshots.index, g.snapshots.size = encoded.index, encoded.parts.Size()
+	g.snapshots.written = g.config.Store.SizeOfNew(g.id, encoded.parts)
 	return nil
 }
 
--- a/internal/consensus/compaction_test.go
+++ b/internal/consensus/compaction_test.go
@@ -14,9 +14,9 @@
 	let      chan struct{}
 }
 
-func (j *slowJournal) Capture() func() ([]byte, error) {
+func (j *slowJournal) Capture() func() ([][]byte, error) {
 	encode := j.journal.Capture()
-	return func() ([]byte, error) {
+	return func() ([][]byte, error) {
 		select {
 		case j.captured <- struct{}{}:
 		default:
@@ -72,10 +72,10 @@
 		applied uint64
 		due     bool
 	}{
-		{"few entries", snapshots{index: 5, size: 100, appliedBytes: 50}, 14, false},
-		{"enough entries of a small state", snapshots{index: 5, size: 100, appliedBytes: 1}, 15, true},
-		{"enough entries, too few bytes for a large state", snapshots{index: 5, size: 8 << 20, appliedBytes: 2<<20 - 1}, 500, false},
-		{"a quarter of a large state", snapshots{index: 5, size: 8 << 20, appliedBytes: 2 << 20}, 500, true},
+		{"few entries", snapshots{index: 5, written: 100, appliedBytes: 50}, 14, false},
+		{"enough entries of a small state", snapshots{index: 5, written: 100, appliedBytes: 1}, 15, true},
+		{"enough entries, too few bytes for a large state", snapshots{index: 5, written: 8 << 20, appliedBytes: 2<<20 - 1}, 500, false},
+		{"a quarter of a large state", snapshots{index: 5, written: 8 << 20, appliedBytes: 2 << 20}, 500, true},
 		{"one is being encoded", snapshots{index: 5, encoding: true, appliedBytes: 1 << 30}, 500, false},
 		{"one waits to be taken", snapshots{index: 5, encoded: &encodedState{}, appliedBytes: 1 << 30}, 500, false},
 		{"nothing new", snapshots{index: 5, appliedBytes: 1 << 31}, 5, false},
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -33,10 +33,11 @@
 	// Query answers from the applied state.
 	Query(query *wire.Query) *wire.View
 	// Capture fixes the whole state as it is now. The function that it returns encodes that state; it is
-	// called from another goroutine while further commands are applied.
-	Capture() (encode func() ([]byte, error))
-	// Restore replaces the state by an encoded one.
-	Restore(data []byte) error
+	// called from another goroutine while further commands are applied. Parts that were in an encoding before may be the
+	// same memory again: they are not written to the disk again.
+	Capture() (encode func() ([][]byte, error))
+	// RestoreParts replaces the state by an encoded one, whose parts it may share.
+	RestoreParts(parts [][]byte) error
 }
 
 // Store is the durable state of a node; *storage.Store is one, a simulated disk another.
@@ -52,8 +53,10 @@
 	Write(batch []storage.GroupWrite) error
 	// Room tells what there is room for, beside the headroom.
 	Room() storage.Room
-	// HasRoomFor tells whether so many bytes fit and leave what votes need.
-	HasRoomFor(bytes int) bool
+	// HasRoomFor tells whether a snapshot of a group fits and leaves what votes need.
+	HasRoomFor(group uint32, snapshot raft.Parts) bool
+	// SizeOfNew is the size of what a snapshot of a group would add to the disk.
+	SizeOfNew(group uint32, snapshot raft.Parts) int
 	// Peers and PutPeer keep what is known of other nodes.
 	Peers() ([]storage.PeerRecord, error)
 	PutPeer(record storage.PeerRecord) error
--- a/internal/consensus/convert.go
+++ b/internal/consensus/convert.go
@@ -38,24 +38,33 @@
 	return encoded
 }
 
-// snapshotChunks encodes a snapshot message as several, each with a piece of the data.
+// snapshotChunks encodes a snapshot message as several, each with a piece of a part of the data.
 func snapshotChunks(group uint32, message *raft.Message) []*wire.RaftMessage {
 	snapshot := message.Snapshot
-	count := max(1, (len(snapshot.Data)+chunkBytes-1)/chunkBytes)
-	chunks := make([]*wire.RaftMessage, count)
-	for i := range chunks {
-		chunks[i] = toWire(group, message)
-		chunks[i].Snapshot = &wire.RaftSnapshot{
+	var chunks []*wire.RaftMessage
+	add := func(data []byte, begins bool) {
+		chunk := toWire(group, message)
+		chunk.Snapshot = &wire.RaftSnapshot{
 			Index: snapshot.Index,
 			Term:  snapshot.Term,
 			Configuration: &wire.RaftConfiguration{
 				Voters:   snapshot.Configuration.Voters,
 				Learners: snapshot.Configuration.Learners,
 			},
-			Data:       snapshot.Data[i*chunkBytes : min((i+1)*chunkBytes, len(snapshot.Data))],
-			Chunk:      uint32(i),
-			ChunkCount: uint32(count),
+			Data: data, Chunk: uint32(len(chunks)), BeginsPart: begins,
 		}
+		chunks = append(chunks, chunk)
+	}
+	for _, part := range snapshot.Data {
+		for from := 0; from < len(part); from += chunkBytes {
+			add(part[from:min(from+chunkBytes, len(part))], from == 0)
+		}
+	}
+	if len(chunks) == 0 {
+		add(nil, true)
+	}
+	for _, chunk := range chunks {
+		chunk.Snapshot.ChunkCount = uint32(len(chunks))
 	}
 	return chunks
 }
@@ -102,7 +111,18 @@
 type partialSnapshot struct {
 	index, term uint64
 	next, count uint32
-	data        []byte
+	parts       raft.Parts
+}
+
+// take adds a chunk's data. It has memory of its own. One that begins no part goes on with the part before.
+func (p *partialSnapshot) take(chunk *wire.RaftSnapshot) {
+	if last := len(p.parts) - 1; last >= 0 && !chunk.BeginsPart {
+		p.parts[last] = append(p.parts[last], chunk.Data...)
+		return
+	}
+	if len(chunk.Data) > 0 {
+		p.parts = append(p.parts, chunk.Data)
+	}
 }
 
 // add returns the whole snapshot once its last chunk is there, else nil. Chunks come in order; one out of
@@ -118,7 +138,7 @@
 		delete(a.partial, group)
 		return nil
 	}
-	gathered.data = append(gathered.data, chunk.Data...)
+	gathered.take(chunk)
 	gathered.next++
 	if gathered.next < gathered.count {
 		return nil
@@ -131,6 +151,6 @@
 			Voters:   chunk.Configuration.GetVoters(),
 			Learners: chunk.Configuration.GetLearners(),
 		},
-		Data: gathered.data,
+		Data: gathered.parts,
 	}
 }
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -42,11 +42,11 @@
 		id:        id,
 		machine:   config.NewStateMachine(id),
 		applied:   restored.Snapshot.Index,
-		snapshots: snapshots{index: restored.Snapshot.Index, size: len(restored.Snapshot.Data)},
+		snapshots: snapshots{index: restored.Snapshot.Index, size: restored.Snapshot.Data.Size()},
 		pending:   map[uint64]*proposal{},
 	}
 	if len(restored.Snapshot.Data) > 0 {
-		if err := g.machine.Restore(restored.Snapshot.Data); err != nil {
+		if err := g.machine.RestoreParts(restored.Snapshot.Data); err != nil {
 			return nil, trace.Wrap(err, "consensus: group %d cannot restore its snapshot at %d", id, restored.Snapshot.Index)
 		}
 	}
@@ -113,11 +113,11 @@
 }
 
 func (g *hostedGroup) restore(snapshot *raft.Snapshot) error {
-	if err := g.machine.Restore(snapshot.Data); err != nil {
+	if err := g.machine.RestoreParts(snapshot.Data); err != nil {
 		return trace.Wrap(err, "consensus: group %d cannot restore a snapshot at %d", g.id, snapshot.Index)
 	}
 	g.applied = snapshot.Index
-	g.snapshots.received(snapshot.Index, len(snapshot.Data))
+	g.snapshots.received(snapshot)
 	if g.config.OnRestore != nil {
 		g.config.OnRestore(g.id, snapshot.Index)
 	}
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/compat"
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/raft"
@@ -196,7 +197,9 @@
 	}
 	batch := make([]storage.GroupWrite, 0, len(h.nextWrite))
 	for _, g := range h.nextWrite {
-		batch = append(batch, g.cycle.Write())
+		write := g.cycle.Write()
+		write.InParts = h.config.Agreed().Includes(compat.SnapshotParts)
+		batch = append(batch, write)
 	}
 	h.inWrite, h.nextWrite = h.nextWrite, h.inWrite[:0]
 	h.writer.submit(batch)
--- a/internal/consensus/requests.go
+++ b/internal/consensus/requests.go
@@ -124,7 +124,7 @@
 // those of Status, and the state machine's when its state can't be encoded.
 func (h *Host) Capture(ctx context.Context, group uint32) (index uint64, data []byte, err error) {
 	type captured struct {
-		encode func() ([]byte, error)
+		encode func() ([][]byte, error)
 		index  uint64
 	}
 	state, err := ask(ctx, h, group, func(g *hostedGroup) (captured, error) {
@@ -133,8 +133,8 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	data, err = state.encode()
-	return state.index, data, err
+	parts, err := state.encode()
+	return state.index, raft.Parts(parts).Join(), err
 }
 
 // AddLearner adds a node that receives the log and has no vote. It has to run with Config.Join. Errors:
--- a/internal/consensus/room.go
+++ b/internal/consensus/room.go
@@ -40,9 +40,9 @@
 // room, and always in a reserved group: a leader whose disk has more room may take one that the next leader must hand on
 // before its own first entry.
 func (h *Host) fits(g *hostedGroup, message *raft.Message) bool {
-	if message.Snapshot != nil && !h.config.Store.HasRoomFor(len(message.Snapshot.Data)) {
+	if message.Snapshot != nil && !h.config.Store.HasRoomFor(g.id, message.Snapshot.Data) {
 		// Its write would be repeated until there is room, with the votes of all groups behind it.
-		logging.Emit(h.config.Log, &events.SnapshotLeftOut{Group: g.id, Index: message.Snapshot.Index, Bytes: len(message.Snapshot.Data), Received: true})
+		logging.Emit(h.config.Log, &events.SnapshotLeftOut{Group: g.id, Index: message.Snapshot.Index, Bytes: message.Snapshot.Data.Size(), Received: true})
 		return false
 	}
 	return h.room != storage.RoomForVotes || h.isReserved(g) || fitsLastRoom(message.Entries)
--- a/internal/consensus/sender_test.go
+++ b/internal/consensus/sender_test.go
@@ -1,11 +1,15 @@
 package consensus
 
 import (
+	"bytes"
+	"reflect"
 	"runtime"
 	"testing"
 	"time"
 	"weak"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -36,9 +40,9 @@
 func TestSentSnapshotIsNotHeld(t *testing.T) {
 	waiting := &queue{}
 	data := func() weak.Pointer[byte] {
-		snapshot := &raft.Snapshot{Index: 7, Term: 1, Data: make([]byte, 3*chunkBytes+1)}
+		snapshot := &raft.Snapshot{Index: 7, Term: 1, Data: raft.Parts{make([]byte, 3*chunkBytes+1)}}
 		waiting.addChunks(snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: snapshot}))
-		return weak.Make(&snapshot.Data[0])
+		return weak.Make(&snapshot.Data[0][0])
 	}()
 	taken := 0
 	for {
@@ -57,3 +61,33 @@
 	}
 	runtime.KeepAlive(waiting)
 }
+
+// TestPartsArriveAsTheyWereSent, and in one piece where sender or receiver is a build that knows no parts.
+func TestPartsArriveAsTheyWereSent(t *testing.T) {
+	parts := raft.Parts{[]byte("head"), bytes.Repeat([]byte{1}, 2*chunkBytes+1), bytes.Repeat([]byte{2}, chunkBytes), []byte("end")}
+	chunks := snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: &raft.Snapshot{Index: 7, Term: 1, Data: parts}})
+	receive := func() raft.Parts {
+		receiving := assembler{partial: map[uint32]*partialSnapshot{}}
+		for _, chunk := range chunks {
+			chunk = proto.CloneOf(chunk)
+			if whole := receiving.add(1, chunk.Snapshot); whole != nil {
+				return whole.Data
+			}
+		}
+		return nil
+	}
+	if got := receive(); !reflect.DeepEqual(got, parts) {
+		t.Errorf("%d parts of %d bytes arrived", len(got), got.Size())
+	}
+	var older []byte
+	for _, chunk := range chunks {
+		older = append(older, chunk.Snapshot.Data...)
+		chunk.Snapshot.BeginsPart = false
+	}
+	if !bytes.Equal(older, parts.Join()) {
+		t.Error("a receiver that knows no parts gets another state")
+	}
+	if got := receive(); len(got) != 1 || !bytes.Equal(got[0], older) {
+		t.Errorf("from a sender that knows no parts came %d", len(got))
+	}
+}
--- a/internal/raft/checker_test.go
+++ b/internal/raft/checker_test.go
@@ -59,7 +59,7 @@
 func (c *checker) snapshot(node uint64, snapshot *Snapshot) {
 	c.snapshots++
 	known, ok := c.log[snapshot.Index]
-	if !ok || known.term != snapshot.Term || known.digest != string(snapshot.Data) {
+	if !ok || known.term != snapshot.Term || known.digest != string(snapshot.Data.Join()) {
 		c.fail("state machine safety: node %d took a snapshot at %d of term %d that nobody committed", node, snapshot.Index, snapshot.Term)
 	}
 }
--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -84,7 +84,7 @@
 		c.check.fail("node %d refused its own disk: %v", m.id, err)
 		return
 	}
-	m.node, m.ready, m.applied, m.index = node, nil, m.disk.snapshot.Data, m.disk.snapshot.Index
+	m.node, m.ready, m.applied, m.index = node, nil, m.disk.snapshot.Data.Join(), m.disk.snapshot.Index
 	m.reads = nil
 }
 
@@ -173,7 +173,7 @@
 
 func (c *cluster) apply(m *machine, ready Ready) {
 	if ready.Snapshot != nil {
-		m.applied, m.index = ready.Snapshot.Data, ready.Snapshot.Index
+		m.applied, m.index = ready.Snapshot.Data.Join(), ready.Snapshot.Index
 		c.check.snapshot(m.id, ready.Snapshot)
 	}
 	c.applyEntries(m, ready.Committed...)
@@ -234,7 +234,7 @@
 	if m.node == nil || m.ready != nil || m.node.log.applied <= m.node.snapshot.Index {
 		return
 	}
-	snapshot, err := m.node.Compact(m.node.log.applied, m.applied)
+	snapshot, err := m.node.Compact(m.node.log.applied, Parts{m.applied})
 	if err != nil {
 		c.check.fail("compaction: %v", err)
 		return
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -5,7 +5,7 @@
 // Compact records data as the state machine's state as of index, which must be applied, and drops the
 // log before it except for what Config retains. The driver stores the snapshot that is returned; the node
 // keeps it for members that have fallen behind the log, until ReleaseSnapshot.
-func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
+func (n *Node) Compact(index uint64, data Parts) (Snapshot, error) {
 	if index > n.log.applied || index <= n.snapshot.Index {
 		return Snapshot{}, trace.BadParameter("raft: cannot compact at %d: the last snapshot is at %d, applied is %d",
 			index, n.snapshot.Index, n.log.applied)
@@ -42,7 +42,7 @@
 func (n *Node) LogBytes() int { return n.log.bytes(n.log.first(), n.log.last()) }
 
 // SnapshotBytes is the size of the snapshot's data that the node holds.
-func (n *Node) SnapshotBytes() int { return len(n.snapshot.Data) }
+func (n *Node) SnapshotBytes() int { return n.snapshot.Data.Size() }
 
 // sendSnapshot sends the last snapshot to a member that needs entries from before the log. A member that
 // is silent is not sent one: it would only fill the connection.
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -80,7 +80,7 @@
 	Index         uint64
 	Term          uint64
 	Configuration Configuration
-	Data          []byte
+	Data          Parts
 }
 
 // MessageKind names a protocol message.
--- a/internal/sim/group.go
+++ b/internal/sim/group.go
@@ -65,7 +65,7 @@
 	g := &group{host: h, id: id, machine: state.NewUnsafe(h.world.mutation.stateUnsafe()),
 		applied: restored.Snapshot.Index, snapshotIndex: restored.Snapshot.Index, pending: map[uint64]*proposal{}}
 	if len(restored.Snapshot.Data) > 0 {
-		if err := g.machine.Restore(restored.Snapshot.Data); err != nil {
+		if err := g.machine.RestoreParts(restored.Snapshot.Data); err != nil {
 			return nil, err
 		}
 	}
@@ -157,7 +157,7 @@
 }
 
 func (g *group) restore(snapshot *raft.Snapshot) {
-	if err := g.machine.Restore(snapshot.Data); err != nil {
+	if err := g.machine.RestoreParts(snapshot.Data); err != nil {
 		g.host.world.truth.broken("node %d cannot restore a snapshot: %v", g.host.id, err)
 		return
 	}
@@ -248,7 +248,7 @@
 	if g.host.world.mutated(SnapshotForgetsChangeIDs) && g.id == state.ControlGroup {
 		data = withoutChangeIDs(data)
 	}
-	snapshot, err := g.node.Compact(g.applied, data)
+	snapshot, err := g.node.Compact(g.applied, raft.Parts{data})
 	if err != nil {
 		g.host.world.truth.broken("node %d cannot compact: %v", g.host.id, err)
 		return
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -47,6 +47,7 @@
 		{Kind: &wire.Command_JobStore{JobStore: &wire.JobStore{Jobs: []*wire.JobResults{{Job: "j",
 			Results: []*wire.JobResult{{Item: "i1", State: wire.JobItemState_JOB_ITEM_STATE_COMPLETED, Text: []byte("t"), Versions: []uint64{1}}}}}}}},
 		{Kind: &wire.Command_JobEnd{JobEnd: &wire.JobEnd{Job: "j"}}},
+		{Kind: &wire.Command_JobExpire{JobExpire: &wire.JobExpire{RetentionMillis: 60_000, ElapsedMillis: 4000}}},
 	}
 }
 
@@ -202,12 +203,25 @@
 	}
 }
 
+// inOnePiece reads an encoded state as builds that know no parts do, and encodes it anew.
+func inOnePiece(t interface{ Fatal(...any) }, parts [][]byte) []byte {
+	whole := &wire.MachineSnapshot{}
+	if err := proto.Unmarshal(bytes.Join(parts, nil), whole); err != nil {
+		t.Fatal(err)
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
 // TestCaptureChangesWithLaterCommands encodes captured states only after more commands were applied: what was
 // captured must not have changed.
 func TestCaptureChangesWithLaterCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		machine := New()
-		var encoders []func() ([]byte, error)
+		var encoders []func() ([][]byte, error)
 		var wanted [][]byte
 		for index := range rapid.IntRange(1, 60).Draw(t, "commands") {
 			machine.Apply(uint64(index+1), proto.CloneOf(drawCommand(t, index)))
@@ -218,8 +232,19 @@
 			wanted, encoders = append(wanted, data), append(encoders, machine.Capture())
 		}
 		for position, encode := range encoders {
-			if data, err := encode(); err != nil || !bytes.Equal(data, wanted[position]) {
-				t.Fatalf("the state captured after command %d has changed (%v)", position+1, err)
+			parts, err := encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if data := inOnePiece(t, parts); !bytes.Equal(data, wanted[position]) {
+				t.Fatalf("the state captured after command %d has changed", position+1)
+			}
+			restored := New()
+			if err := restored.RestoreParts(parts); err != nil {
+				t.Fatal(err)
+			}
+			if data, err := restored.Snapshot(); err != nil || !bytes.Equal(data, wanted[position]) {
+				t.Fatalf("the state captured after command %d is another one when it is restored (%v)", position+1, err)
 			}
 		}
 	})
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -4,6 +4,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/compat"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -25,12 +26,29 @@
 }
 
 // Snapshot encodes the whole state. Equal states give equal bytes.
-func (m *Machine) Snapshot() ([]byte, error) { return m.Capture()() }
+func (m *Machine) Snapshot() ([]byte, error) {
+	parts, err := m.Capture()()
+	if err != nil {
+		return nil, err
+	}
+	whole := &wire.MachineSnapshot{}
+	for _, part := range parts {
+		if err := (proto.UnmarshalOptions{Merge: true}).Unmarshal(part, whole); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(whole)
+	return data, trace.Wrap(err, "encoding a snapshot")
+}
 
 // Capture fixes the state as it is now and returns the function that encodes it, which may run beside later
 // commands. Claims, samples and batch jobs, which grow with the traffic, are shared with the state: their messages are
 // replaced and never modified. The rest is small and copied.
-func (m *Machine) Capture() (encode func() ([]byte, error)) {
+//
+// Each part is a wire.MachineSnapshot with some of the state, and their concatenation one with all of it, as builds that know no
+// parts read it. Batch jobs that change no more are parts by themselves, the same in each encoding.
+func (m *Machine) Capture() (encode func() ([][]byte, error)) {
+	jobs := m.jobs.Capture()
 	snapshot := &wire.MachineSnapshot{
 		Format:       m.format(),
 		Level:        uint32(m.level),
@@ -40,26 +58,30 @@
 		Fences:       proto.CloneOf(m.fences.Snapshot()),
 		Releases:     proto.CloneOf(m.releases.Snapshot()),
 		Ledger:       m.ledger.Snapshot(),
-		Jobs:         m.jobs.Snapshot(),
+		Jobs:         jobs.Head(),
 		Usage:        m.usage.Snapshot(),
 	}
 	snapshot.ProtoReflect().SetUnknown(m.unknown)
 	claims := m.claims.Capture()
-	return func() ([]byte, error) {
+	return func() ([][]byte, error) {
 		snapshot.Claims = claims.Message()
-		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+		head, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 		if err != nil {
 			return nil, trace.Wrap(err, "encoding a snapshot")
 		}
-		return data, nil
+		parts, err := jobs.Parts()
+		return append([][]byte{head}, parts...), trace.Wrap(err)
 	}
 }
 
-// Restore replaces the state with a snapshot's. Errors: data that is not a snapshot, or of a newer format;
-// the Machine is then unchanged.
-func (m *Machine) Restore(data []byte) error {
-	snapshot := &wire.MachineSnapshot{}
-	if err := proto.Unmarshal(data, snapshot); err != nil {
+// Restore replaces the state with a snapshot's. Errors: those of RestoreParts.
+func (m *Machine) Restore(data []byte) error { return m.RestoreParts([][]byte{data}) }
+
+// RestoreParts replaces the state with a snapshot's, whose parts it may share from now on. Errors: data that is not a snapshot,
+// or of a newer format; the Machine is then unchanged.
+func (m *Machine) RestoreParts(parts [][]byte) error {
+	snapshot, records, err := decodeParts(parts)
+	if err != nil {
 		return trace.BadParameter("data is not a snapshot: %v", err)
 	}
 	if snapshot.GetFormat() == 0 {
@@ -71,11 +93,11 @@
 	if level := compat.Level(snapshot.GetLevel()); !compat.Newest.Includes(level) {
 		return unreadable(level)
 	}
-	return trace.Wrap(m.restoreParts(snapshot))
+	return trace.Wrap(m.restoreState(snapshot, records))
 }
 
-// restoreParts restores copies first, so that an error in a later part leaves the earlier ones alone.
-func (m *Machine) restoreParts(snapshot *wire.MachineSnapshot) error {
+// restoreState restores copies first, so that an error in a later part leaves the earlier ones alone.
+func (m *Machine) restoreState(snapshot *wire.MachineSnapshot, records []batch.Record) error {
 	tableCopy, membersCopy, fencesCopy, claimsCopy, ledgerCopy := *m.table, *m.members, *m.fences, *m.claims, *m.ledger
 	releasesCopy, jobsCopy, usageCopy := *m.releases, *m.jobs, *m.usage
 	for _, restore := range []func() error{
@@ -85,7 +107,7 @@
 		func() error { return claimsCopy.Restore(snapshot.GetClaims()) },
 		func() error { return ledgerCopy.Restore(snapshot.GetLedger()) },
 		func() error { return releasesCopy.Restore(snapshot.GetReleases()) },
-		func() error { return jobsCopy.Restore(snapshot.GetJobs()) },
+		func() error { return jobsCopy.RestoreRecords(snapshot.GetJobs(), records) },
 		func() error { return usageCopy.Restore(snapshot.GetUsage()) },
 	} {
 		if err := restore(); err != nil {
--- a/internal/storage/check.go
+++ b/internal/storage/check.go
@@ -122,7 +122,7 @@
 }
 
 func (r *Report) readGroup(tx *bbolt.Tx, group uint32) {
-	restored, err := loadGroup(tx, group)
+	restored, err := loadGroup(tx, group, newHeldParts())
 	if err != nil {
 		r.damaged(err)
 		return
@@ -133,7 +133,7 @@
 		Vote:          restored.HardState.Vote,
 		Commit:        restored.HardState.Commit,
 		SnapshotIndex: restored.Snapshot.Index,
-		SnapshotBytes: len(restored.Snapshot.Data),
+		SnapshotBytes: restored.Snapshot.Data.Size(),
 		Entries:       len(restored.Entries),
 		LastIndex:     restored.Snapshot.Index + uint64(len(restored.Entries)),
 	})
--- a/internal/storage/fuzz_test.go
+++ b/internal/storage/fuzz_test.go
@@ -15,7 +15,8 @@
 	key := entryKey(3, 17)
 	f.Add(encodeEntry(key, raft.Entry{Index: 17, Term: 4, Data: []byte("command")}))
 	f.Add(seal(key, encodeHardState(raft.HardState{Term: 4, Vote: 2, Commit: 16})))
-	snapshot, err := encodeSnapshot(key, raft.Snapshot{Index: 9, Term: 2, Configuration: raft.Configuration{Voters: []uint64{1, 2}, Learners: []uint64{3}}, Data: []byte("state")})
+	snapshot, err := encodeSnapshot(key, &raft.Snapshot{Index: 9, Term: 2, Configuration: raft.Configuration{Voters: []uint64{1, 2}, Learners: []uint64{3}}},
+		snapshotFiles{{name: snapshotPrefix + "a", size: 5}, {name: snapshotPrefix + "b", size: 6, checksum: 7}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -30,7 +31,7 @@
 			t.Fatalf("a hard state of %d bytes was taken", len(record))
 		}
 		if state, err := decodeSnapshot("snapshot", record); err == nil {
-			if _, err := encodeSnapshot(key, state); err != nil {
+			if _, err := encodeSnapshot(key, &state.Snapshot, state.files); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/storage/load.go
+++ b/internal/storage/load.go
@@ -21,7 +21,7 @@
 	err := guarded(dataFile, func() error {
 		return s.database.View(func(tx *bbolt.Tx) error {
 			var err error
-			restored, err = loadGroup(tx, group)
+			restored, err = loadGroup(tx, group, s.held)
 			return err
 		})
 	})
@@ -39,14 +39,16 @@
 	err := guarded(dataFile, func() error {
 		return s.database.View(func(tx *bbolt.Tx) error {
 			var err error
-			snapshot, err = loadSnapshot(tx, group)
+			snapshot, err = loadSnapshot(tx, group, s.held)
 			return err
 		})
 	})
 	return snapshot, err
 }
 
-func loadSnapshot(tx *bbolt.Tx, group uint32) (raft.Snapshot, error) {
+// loadSnapshot returns a group's snapshot. Large parts stay known: the state shares them, and a node that lags is sent them
+// without another copy.
+func loadSnapshot(tx *bbolt.Tx, group uint32, held *heldParts) (raft.Snapshot, error) {
 	key := groupKey(group)
 	record := tx.Bucket(bucketSnapshots).Get(key)
 	if record == nil {
@@ -56,16 +58,22 @@
 	if err != nil {
 		return raft.Snapshot{}, err
 	}
-	snapshot, err := decodeSnapshot(snapshotName(group), payload)
-	if err != nil || len(snapshot.Data) == 0 {
-		return snapshot, err
-	}
-	file, err := decodeSnapshotFile(snapshotName(group), snapshot.Data)
+	stored, err := decodeSnapshot(snapshotName(group), payload)
 	if err != nil {
 		return raft.Snapshot{}, err
 	}
-	snapshot.Data, err = file.read(filepath.Dir(tx.DB().Path()), snapshotName(group))
-	return snapshot, err
+	snapshot := stored.Snapshot
+	for _, file := range stored.files {
+		part := held.part(file)
+		if part == nil {
+			if part, err = file.read(filepath.Dir(tx.DB().Path()), snapshotName(group)); err != nil {
+				return raft.Snapshot{}, err
+			}
+		}
+		held.note(file, part)
+		snapshot.Data = append(snapshot.Data, part)
+	}
+	return snapshot, nil
 }
 
 // Groups lists the groups that have a hard state or a snapshot on disk.
@@ -105,7 +113,7 @@
 	return groups
 }
 
-func loadGroup(tx *bbolt.Tx, group uint32) (raft.Restored, error) {
+func loadGroup(tx *bbolt.Tx, group uint32, held *heldParts) (raft.Restored, error) {
 	var restored raft.Restored
 	key := groupKey(group)
 	if record := tx.Bucket(bucketHardStates).Get(key); record != nil {
@@ -118,7 +126,7 @@
 		}
 	}
 	var err error
-	if restored.Snapshot, err = loadSnapshot(tx, group); err != nil {
+	if restored.Snapshot, err = loadSnapshot(tx, group, held); err != nil {
 		return raft.Restored{}, err
 	}
 	restored.Entries, err = loadEntries(tx, group, restored.Snapshot.Index)
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -91,8 +91,15 @@
 	}, nil
 }
 
-// encodeSnapshot returns the sealed record of a snapshot, whose Data is the reference to the file with the state.
-func encodeSnapshot(key []byte, snapshot raft.Snapshot) ([]byte, error) {
+// storedSnapshot is a snapshot as its record has it, with the files that hold its state.
+type storedSnapshot struct {
+	raft.Snapshot
+	files snapshotFiles
+}
+
+// encodeSnapshot returns the sealed record of a snapshot whose state is in files. One file is named as builds name it that know
+// no parts.
+func encodeSnapshot(key []byte, snapshot *raft.Snapshot, files snapshotFiles) ([]byte, error) {
 	message := &wire.RaftSnapshot{
 		Index: snapshot.Index,
 		Term:  snapshot.Term,
@@ -100,7 +107,16 @@
 			Voters:   snapshot.Configuration.Voters,
 			Learners: snapshot.Configuration.Learners,
 		},
-		Data: snapshot.Data,
+	}
+	switch len(files) {
+	case 0:
+	case 1:
+		message.Data = files[0].encode()
+	default:
+		message.Data = (&snapshotFile{name: inParts}).encode()
+		for _, file := range files {
+			message.Files = append(message.Files, &wire.SnapshotFile{Name: file.name, Size: file.size, Checksum: file.checksum})
+		}
 	}
 	record := make([]byte, checksumBytes, checksumBytes+proto.Size(message))
 	record, err := proto.MarshalOptions{}.MarshalAppend(record, message)
@@ -111,11 +127,16 @@
 	return record, nil
 }
 
-func decodeSnapshot(name string, payload []byte) (raft.Snapshot, error) {
+func decodeSnapshotMessage(name string, payload []byte) (*wire.RaftSnapshot, error) {
 	message := &wire.RaftSnapshot{}
 	if err := proto.Unmarshal(payload, message); err != nil {
-		return raft.Snapshot{}, &DamageError{Record: name, Reason: err.Error()}
+		return nil, &DamageError{Record: name, Reason: err.Error()}
 	}
+	return message, nil
+}
+
+// snapshotOf is a record's snapshot without its state.
+func snapshotOf(message *wire.RaftSnapshot) raft.Snapshot {
 	return raft.Snapshot{
 		Index: message.Index,
 		Term:  message.Term,
@@ -123,6 +144,29 @@
 			Voters:   message.Configuration.GetVoters(),
 			Learners: message.Configuration.GetLearners(),
 		},
-		Data: message.Data,
-	}, nil
+	}
+}
+
+func decodeSnapshot(name string, payload []byte) (storedSnapshot, error) {
+	message, err := decodeSnapshotMessage(name, payload)
+	if err != nil {
+		return storedSnapshot{}, err
+	}
+	snapshot := storedSnapshot{Snapshot: snapshotOf(message)}
+	for _, named := range message.Files {
+		file := &snapshotFile{name: named.Name, size: named.Size, checksum: named.Checksum}
+		if err := file.check(name); err != nil {
+			return storedSnapshot{}, err
+		}
+		snapshot.files = append(snapshot.files, file)
+	}
+	if len(snapshot.files) > 0 || len(message.Data) == 0 {
+		return snapshot, nil
+	}
+	file, err := decodeSnapshotFile(name, message.Data)
+	if err != nil {
+		return storedSnapshot{}, err
+	}
+	snapshot.files = snapshotFiles{file}
+	return snapshot, nil
 }
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,27 +17,38 @@
 	"github.com/tamarindring/tamarindring/internal/raft"
 )
 
-// The state of a snapshot is in a file of its own beside the data file. In the data file it would be copied into a
+// The state of a snapshot is in files of its own beside the data file. In the data file it would be copied into a
 // record and again into the transaction's pages, each as large as the state, and would leave the file that large.
 //
-// Order of durable steps: the state's file and its name are synced, then the transaction that names it commits, then
-// the file that it replaces is removed. A file that no record names is left over from a write that did not commit, or
+// Large parts of a state have a file each. A part that the snapshot before had as well keeps its file, so that a snapshot
+// writes, and needs room for, what has changed.
+//
+// Order of durable steps: the state's new files and their names are synced, then the transaction that names them commits, then
+// the files that it no longer names are removed. A file that no record names is left over from a write that did not commit, or
 // from a removal that a loss of power undid; Open removes it.
 
 // snapshotPrefix begins the names of these files.
 const snapshotPrefix = "snapshot-"
 
-// snapshotFile is how a snapshot's record names the file with its state.
+// ownFileBytes is the size from which a part has a file of its own. Smaller neighbours share one, which is written anew each
+// time: a file costs a sync.
+const ownFileBytes = 256 << 10
+
+// snapshotFile is how a snapshot's record names a file with a part of its state.
 type snapshotFile struct {
 	name     string
 	size     uint64 // bytes
-	checksum uint64 // xxhash of the state
+	checksum uint64 // xxhash of the content
 }
 
-// snapshotFileHeader is the size of a reference without the name, in bytes.
-const snapshotFileHeader = 16
+// Before states were in parts, a record's data was a reference to the only file: size, checksum and name.
+const (
+	snapshotFileHeader = 16 // bytes of size and checksum
+	// inParts is the name in the reference of a state in parts. Builds that know no parts find it damaged and stop.
+	inParts = "in-parts"
+)
 
-// encode returns the reference as it stands in a record, in place of the state.
+// encode returns the reference to the only file of a state.
 func (f *snapshotFile) encode() []byte {
 	reference := make([]byte, snapshotFileHeader, snapshotFileHeader+len(f.name))
 	binary.BigEndian.PutUint64(reference, f.size)
@@ -50,33 +62,18 @@
 	}
 	file := &snapshotFile{name: string(reference[snapshotFileHeader:]), size: binary.BigEndian.Uint64(reference),
 		checksum: binary.BigEndian.Uint64(reference[8:])}
-	if filepath.Base(file.name) != file.name || !strings.HasPrefix(file.name, snapshotPrefix) {
-		return nil, &DamageError{Record: record, Reason: fmt.Sprintf("it names the file %q", file.name)}
-	}
-	return file, nil
+	return file, file.check(record)
 }
 
-// writeSnapshotFile writes a snapshot's state to a new file and syncs it; the caller syncs the folder. An empty state
-// needs no file.
-func writeSnapshotFile(folder string, group uint32, snapshot *raft.Snapshot) (*snapshotFile, error) {
-	if len(snapshot.Data) == 0 {
-		return nil, nil
+// check refuses a name that is none of these files'.
+func (f *snapshotFile) check(record string) error {
+	if filepath.Base(f.name) != f.name || !strings.HasPrefix(f.name, snapshotPrefix) {
+		return &DamageError{Record: record, Reason: fmt.Sprintf("it names the file %q", f.name)}
 	}
-	file, err := os.CreateTemp(folder, fmt.Sprintf("%s%d-%d-*", snapshotPrefix, group, snapshot.Index))
-	if err != nil {
-		return nil, err
-	}
-	_, err = file.Write(snapshot.Data)
-	if err == nil {
-		err = file.Sync()
-	}
-	if err = errors.Join(err, file.Close()); err != nil {
-		return nil, errors.Join(err, os.Remove(file.Name()))
-	}
-	return &snapshotFile{name: filepath.Base(file.Name()), size: uint64(len(snapshot.Data)), checksum: xxhash.Sum64(snapshot.Data)}, nil
+	return nil
 }
 
-// read returns the state in the file.
+// read returns what the file holds.
 func (f *snapshotFile) read(folder, record string) ([]byte, error) {
 	state, err := os.ReadFile(filepath.Join(folder, f.name))
 	switch {
@@ -88,37 +85,109 @@
 	return state, nil
 }
 
-// snapshotFiles are the files of one write's snapshots, by group.
-type snapshotFiles map[uint32]*snapshotFile
+// writeSnapshotFile writes a part of a state to a new file and syncs it; the caller syncs the folder.
+func writeSnapshotFile(folder string, group uint32, index uint64, parts raft.Parts) (*snapshotFile, error) {
+	file, err := os.CreateTemp(folder, fmt.Sprintf("%s%d-%d-*", snapshotPrefix, group, index))
+	if err != nil {
+		return nil, err
+	}
+	digest := xxhash.New()
+	for _, part := range parts {
+		if err == nil {
+			_, err = io.MultiWriter(file, digest).Write(part)
+		}
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.Join(err, file.Close()); err != nil {
+		return nil, errors.Join(err, os.Remove(file.Name()))
+	}
+	return &snapshotFile{name: filepath.Base(file.Name()), size: uint64(parts.Size()), checksum: digest.Sum64()}, nil
+}
+
+// snapshotFiles are the files of one snapshot, in the order of its parts.
+type snapshotFiles []*snapshotFile
+
+// writtenFiles are the files of one write's snapshots.
+type writtenFiles struct {
+	byGroup map[uint32]snapshotFiles
+	made    snapshotFiles       // by this write
+	parts   map[string]heldPart // large parts by the name of their file
+}
 
 // writeSnapshotFiles writes the states of a batch's snapshots. After an error nothing of it is left.
-func (s *Store) writeSnapshotFiles(batch []GroupWrite) (snapshotFiles, error) {
-	files := snapshotFiles{}
+func (s *Store) writeSnapshotFiles(batch []GroupWrite) (*writtenFiles, error) {
+	files := &writtenFiles{byGroup: map[uint32]snapshotFiles{}, parts: map[string]heldPart{}}
 	for i := range batch {
-		snapshot := batch[i].newest()
-		if snapshot == nil {
+		if batch[i].newest() == nil {
 			continue
 		}
-		file, err := writeSnapshotFile(s.options.Folder, batch[i].Group, snapshot)
-		if err != nil {
-			files.remove(s.options.Folder)
+		if err := s.writeState(&batch[i], files); err != nil {
+			files.made.remove(s.options.Folder)
 			return nil, err
 		}
-		if file != nil {
-			files[batch[i].Group] = file
-			s.fileBytes.Add(file.size)
-		}
 	}
-	if len(files) == 0 {
+	if len(files.made) == 0 {
 		return files, nil
 	}
 	if err := syncFolder(s.options.Folder); err != nil {
-		files.remove(s.options.Folder)
+		files.made.remove(s.options.Folder)
 		return nil, err
 	}
 	return files, nil
 }
 
+// writeState writes the files of one group's new snapshot, but for those that it has in common with the one before. An empty
+// state needs no file.
+func (s *Store) writeState(write *GroupWrite, files *writtenFiles) error {
+	snapshot := write.newest()
+	files.byGroup[write.Group] = nil
+	inParts := write.InParts || s.held.inParts(write.Group)
+	for _, parts := range arrange(snapshot.Data, inParts) {
+		file := s.held.fileOf(write.Group, parts)
+		if file == nil {
+			made, err := writeSnapshotFile(s.options.Folder, write.Group, snapshot.Index, parts)
+			if err != nil {
+				return err
+			}
+			s.fileBytes.Add(made.size)
+			file, files.made = made, append(files.made, made)
+		}
+		files.byGroup[write.Group] = append(files.byGroup[write.Group], file)
+		if len(parts) == 1 && len(parts[0]) >= ownFileBytes {
+			files.parts[file.name] = newHeldPart(parts[0])
+		}
+	}
+	return nil
+}
+
+// arrange returns which parts of a state have a file in common: all of them where builds read it that know no parts.
+func arrange(state raft.Parts, inParts bool) []raft.Parts {
+	if len(state) == 0 {
+		return nil
+	}
+	if !inParts {
+		return []raft.Parts{state}
+	}
+	var arranged []raft.Parts
+	var small raft.Parts
+	for _, part := range state {
+		if len(part) < ownFileBytes {
+			small = append(small, part)
+			continue
+		}
+		if len(small) > 0 {
+			arranged, small = append(arranged, small), nil
+		}
+		arranged = append(arranged, raft.Parts{part})
+	}
+	if len(small) > 0 {
+		arranged = append(arranged, small)
+	}
+	return arranged
+}
+
 // newest is the snapshot that the group has after the write; nil if the write has none.
 func (w *GroupWrite) newest() *raft.Snapshot {
 	if w.Compaction != nil {
@@ -134,9 +203,9 @@
 	}
 }
 
-// snapshotFilesOf returns the files that the records name.
-func snapshotFilesOf(tx *bbolt.Tx) (snapshotFiles, error) {
-	files := snapshotFiles{}
+// snapshotFilesOf returns the files that the records name, by group.
+func snapshotFilesOf(tx *bbolt.Tx) (map[uint32]snapshotFiles, error) {
+	files := map[uint32]snapshotFiles{}
 	cursor := tx.Bucket(bucketSnapshots).Cursor()
 	for key, record := cursor.First(); key != nil; key, record = cursor.Next() {
 		name := snapshotName(groupOf(key))
@@ -148,29 +217,27 @@
 		if err != nil {
 			return nil, err
 		}
-		if len(snapshot.Data) == 0 {
-			continue
-		}
-		if files[groupOf(key)], err = decodeSnapshotFile(name, snapshot.Data); err != nil {
-			return nil, err
-		}
+		files[groupOf(key)] = snapshot.files
 	}
 	return files, nil
 }
 
 // removeStraySnapshots removes the files that no record names, if all records can be read.
 func (s *Store) removeStraySnapshots() error {
-	var named snapshotFiles
+	var named map[uint32]snapshotFiles
 	err := s.database.View(func(tx *bbolt.Tx) (err error) {
 		named, err = snapshotFilesOf(tx)
 		return err
 	})
 	if err != nil {
-		return nil // a damaged record is told when its group is loaded; until then its file is wanted
+		return nil // a damaged record is told when its group is loaded; until then its files are wanted
 	}
+	s.held.set(named)
 	known := map[string]bool{}
-	for _, file := range named {
-		known[file.name] = true
+	for _, files := range named {
+		for _, file := range files {
+			known[file.name] = true
+		}
 	}
 	entries, err := os.ReadDir(s.options.Folder)
 	if err != nil {
@@ -197,18 +264,26 @@
 		if err != nil {
 			return err
 		}
-		snapshot, err := decodeSnapshot(name, payload)
+		message, err := decodeSnapshotMessage(name, payload)
 		if err != nil {
 			return err
 		}
+		snapshot := snapshotOf(message)
+		if len(message.Data) > 0 {
+			snapshot.Data = raft.Parts{message.Data}
+		}
 		moved[groupOf(key)] = &snapshot
 	}
 	for group, snapshot := range moved {
-		file, err := writeSnapshotFile(s.options.Folder, group, snapshot)
-		if err != nil {
-			return trace.ConvertSystemError(err)
+		var files snapshotFiles
+		if len(snapshot.Data) > 0 {
+			file, err := writeSnapshotFile(s.options.Folder, group, snapshot.Index, snapshot.Data)
+			if err != nil {
+				return trace.ConvertSystemError(err)
+			}
+			files = snapshotFiles{file}
 		}
-		if err := putSnapshot(tx, group, snapshot, file); err != nil {
+		if err := putSnapshot(tx, group, snapshot, files); err != nil {
 			return err
 		}
 	}
--- a/internal/storage/snapshotfile_test.go
+++ b/internal/storage/snapshotfile_test.go
@@ -10,8 +10,10 @@
 
 	"go.etcd.io/bbolt"
 	"golang.org/x/sys/unix"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // snapshotsIn lists the files with snapshots' states.
@@ -31,7 +33,7 @@
 }
 
 func compaction(index uint64, state string) GroupWrite {
-	return GroupWrite{Group: 3, Compaction: &raft.Snapshot{Index: index, Term: 1, Data: []byte(state),
+	return GroupWrite{Group: 3, Compaction: &raft.Snapshot{Index: index, Term: 1, Data: raft.Parts{[]byte(state)},
 		Configuration: raft.Configuration{Voters: []uint64{1, 2}}}}
 }
 
@@ -42,7 +44,7 @@
 		func() (raft.Snapshot, error) { restored, err := store.Load(3); return restored.Snapshot, err },
 	} {
 		snapshot, err := load()
-		if err != nil || snapshot.Index != index || string(snapshot.Data) != state || len(snapshot.Configuration.Voters) != 2 {
+		if err != nil || snapshot.Index != index || string(snapshot.Data.Join()) != state || len(snapshot.Configuration.Voters) != 2 {
 			t.Fatalf("snapshot %+v, %v; want %d with %q", snapshot, err, index, state)
 		}
 	}
@@ -53,14 +55,14 @@
 	options := testOptions(t.TempDir())
 	store := mustOpen(t, options)
 	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
-	mustWrite(t, store, compaction(5, "five"), GroupWrite{Group: 4, Snapshot: &raft.Snapshot{Index: 2, Term: 1, Data: []byte("other")}})
+	mustWrite(t, store, compaction(5, "five"), GroupWrite{Group: 4, Snapshot: &raft.Snapshot{Index: 2, Term: 1, Data: raft.Parts{[]byte("other")}}})
 	mustWrite(t, store, compaction(9, "nine"))
 	wantState(t, store, 9, "nine")
 	if names := snapshotsIn(t, options.Folder); len(names) != 2 {
 		t.Fatalf("files %v", names)
 	}
 	received := compaction(15, "both")
-	received.Snapshot = &raft.Snapshot{Index: 12, Term: 1, Data: []byte("received")}
+	received.Snapshot = &raft.Snapshot{Index: 12, Term: 1, Data: raft.Parts{[]byte("received")}}
 	mustWrite(t, store, received)
 	store.Close()
 	stray := filepath.Join(options.Folder, snapshotPrefix+"3-99-1")
@@ -126,6 +128,13 @@
 	wantState(t, store, 9, "nine")
 }
 
+// inlineSnapshot is a record of formats 1 and 2, which holds the state itself.
+func inlineSnapshot(key []byte, snapshot *raft.Snapshot) ([]byte, error) {
+	payload, err := proto.Marshal(&wire.RaftSnapshot{Index: snapshot.Index, Term: snapshot.Term, Data: snapshot.Data.Join(),
+		Configuration: &wire.RaftConfiguration{Voters: snapshot.Configuration.Voters, Learners: snapshot.Configuration.Learners}})
+	return seal(key, payload), err
+}
+
 // TestUpgradeFromFormat2 opens a folder whose record holds the state itself.
 func TestUpgradeFromFormat2(t *testing.T) {
 	options := testOptions(t.TempDir())
@@ -133,7 +142,7 @@
 	mustWrite(t, store, compaction(5, "five"))
 	err := store.database.Update(func(tx *bbolt.Tx) error {
 		key := groupKey(3)
-		record, err := encodeSnapshot(key, *compaction(5, "inline").Compaction)
+		record, err := inlineSnapshot(key, compaction(5, "inline").Compaction)
 		if err != nil {
 			return err
 		}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -59,6 +59,7 @@
 	database  *bbolt.DB
 	commits   atomic.Uint64 // writes that became durable
 	fileBytes atomic.Uint64 // written to snapshots' files
+	held      *heldParts
 
 	mutex    sync.Mutex
 	poisoned error
@@ -80,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := &Store{options: options, lock: lock}
+	store := &Store{options: options, lock: lock, held: newHeldParts()}
 	if err := store.open(); err != nil {
 		store.Close()
 		return nil, err
@@ -268,10 +269,15 @@
 	return RoomForVotes
 }
 
-// HasRoomFor tells whether so many bytes fit and leave what votes need.
-func (s *Store) HasRoomFor(bytes int) bool {
+// HasRoomFor tells whether a group's snapshot fits, beside the one that it has, and leaves what votes need.
+func (s *Store) HasRoomFor(group uint32, snapshot raft.Parts) bool {
 	free, err := s.free()
-	return err != nil || free >= uint64(bytes)+s.options.HeadroomBytes/lastRoomShare
+	return err != nil || free >= uint64(s.SizeOfNew(group, snapshot))+s.options.HeadroomBytes/lastRoomShare
+}
+
+// SizeOfNew is the size of those parts of a group's snapshot that are in no file of the one before.
+func (s *Store) SizeOfNew(group uint32, snapshot raft.Parts) int {
+	return s.held.sizeOfNew(group, snapshot)
 }
 
 // FreeBytes is the free space of the folder's disk.
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -57,7 +57,7 @@
 	store := mustOpen(t, options)
 	mustWrite(t, store,
 		GroupWrite{Group: 0, Entries: entriesFrom(1, 5, 1), HardState: &raft.HardState{Term: 1, Vote: 2, Commit: 3}},
-		GroupWrite{Group: 7, Snapshot: &raft.Snapshot{Index: 9, Term: 4, Data: []byte("state"),
+		GroupWrite{Group: 7, Snapshot: &raft.Snapshot{Index: 9, Term: 4, Data: raft.Parts{[]byte("state")},
 			Configuration: raft.Configuration{Voters: []uint64{1, 2, 3}, Learners: []uint64{4}}}})
 	mustWrite(t, store, GroupWrite{Group: 0, Entries: entriesFrom(4, 1, 2)})
 	store.Close()
@@ -67,7 +67,7 @@
 		t.Fatalf("group 0 came back as %+v", zero)
 	}
 	seven := mustLoad(t, store, 7)
-	if seven.Snapshot.Index != 9 || string(seven.Snapshot.Data) != "state" || len(seven.Snapshot.Configuration.Learners) != 1 {
+	if seven.Snapshot.Index != 9 || string(seven.Snapshot.Data.Join()) != "state" || len(seven.Snapshot.Configuration.Learners) != 1 {
 		t.Fatalf("group 7 came back as %+v", seven)
 	}
 	if store.Starts() != 2 {
@@ -354,7 +354,7 @@
 			t.Fatalf("%d bytes are room for %v, want %v", free, store.Room(), want.room)
 		}
 	}
-	if free = defaultHeadroomBytes/2 + 100; !store.HasRoomFor(100) || store.HasRoomFor(101) {
+	if free = defaultHeadroomBytes/2 + 100; !store.HasRoomFor(0, raft.Parts{make([]byte, 100)}) || store.HasRoomFor(0, raft.Parts{make([]byte, 100), {1}}) {
 		t.Fatal("100 bytes more than half the headroom are room for 100 bytes")
 	}
 	if found := mustLoad(t, store, 0); len(found.Entries) != 2 || found.Entries[1].Term != 1 {
@@ -370,8 +370,8 @@
 func TestUpgradeFromFormat1(t *testing.T) {
 	options := testOptions(t.TempDir())
 	store := mustOpen(t, options)
-	want := raft.Snapshot{Index: 5, Term: 2, Data: []byte("old state")}
-	record, err := encodeSnapshot(groupKey(4), want)
+	want := raft.Snapshot{Index: 5, Term: 2, Data: raft.Parts{[]byte("old state")}}
+	record, err := inlineSnapshot(groupKey(4), &want)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -393,7 +393,7 @@
 		}
 		store = mustOpen(t, options)
 		found := mustLoad(t, store, 4)
-		if found.Snapshot.Index != want.Index || string(found.Snapshot.Data) != string(want.Data) {
+		if found.Snapshot.Index != want.Index || string(found.Snapshot.Data.Join()) != string(want.Data.Join()) {
 			t.Fatalf("upgraded snapshot is %+v", found.Snapshot)
 		}
 		store.Close()
--- a/internal/storage/upgrade.go
+++ b/internal/storage/upgrade.go
@@ -45,7 +45,7 @@
 	var plain []keyed
 	cursor := bucket.Cursor()
 	for key, payload := cursor.First(); key != nil; key, payload = cursor.Next() {
-		if _, err := decodeSnapshot(snapshotName(groupOf(key)), payload); err != nil {
+		if _, err := decodeSnapshotMessage(snapshotName(groupOf(key)), payload); err != nil {
 			return err
 		}
 		plain = append(plain, keyed{key: append([]byte(nil), key...), payload: append([]byte(nil), payload...)})
--- a/internal/storage/write.go
+++ b/internal/storage/write.go
@@ -22,6 +22,8 @@
 	HardState *raft.HardState
 	// Compaction is the node's own snapshot; the entries up to its index are dropped. Nil: none.
 	Compaction *raft.Snapshot
+	// InParts: all builds that may read the folder know states in parts. Without it a state is written as one file.
+	InParts bool
 }
 
 // trimPerWrite bounds how many compacted entries one write deletes, so that a compaction does not delay
@@ -40,13 +42,9 @@
 	if err != nil {
 		return s.failed(err, noSpace(err))
 	}
-	replaced := snapshotFiles{}
 	err = s.commit(func(tx *bbolt.Tx) error {
-		if replaced, err = replacedFiles(tx, files, batch); err != nil {
-			return err
-		}
 		for i := range batch {
-			if err := writeGroup(tx, &batch[i], files[batch[i].Group]); err != nil {
+			if err := writeGroup(tx, &batch[i], files.byGroup[batch[i].Group]); err != nil {
 				return err
 			}
 		}
@@ -54,31 +52,13 @@
 	})
 	switch {
 	case err == nil:
-		replaced.remove(s.options.Folder)
+		s.held.keep(s.options.Folder, files)
 	case errors.Is(err, ErrNoSpace):
-		files.remove(s.options.Folder) // after any other error they may be named by the transaction
+		files.made.remove(s.options.Folder) // after any other error they may be named by the transaction
 	}
 	return err
 }
 
-// replacedFiles returns the files of the snapshots that a batch replaces.
-func replacedFiles(tx *bbolt.Tx, files snapshotFiles, batch []GroupWrite) (snapshotFiles, error) {
-	replaced := snapshotFiles{}
-	if len(files) == 0 {
-		return replaced, nil
-	}
-	named, err := snapshotFilesOf(tx)
-	if err != nil {
-		return nil, err
-	}
-	for i := range batch {
-		if old := named[batch[i].Group]; old != nil && batch[i].newest() != nil {
-			replaced[batch[i].Group] = old
-		}
-	}
-	return replaced, nil
-}
-
 // usable tells whether writes are taken. The caller holds the mutex.
 func (s *Store) usable() error {
 	if s.closed {
@@ -137,12 +117,12 @@
 	return errors.Is(err, unix.ENOSPC) && errors.As(err, &pathError) && pathError.Op == "write"
 }
 
-func writeGroup(tx *bbolt.Tx, write *GroupWrite, file *snapshotFile) error {
+func writeGroup(tx *bbolt.Tx, write *GroupWrite, files snapshotFiles) error {
 	if write.Snapshot != nil {
 		if err := dropEntriesFrom(tx, write.Group, 0); err != nil {
 			return err
 		}
-		if err := putSnapshot(tx, write.Group, write.Snapshot, file); err != nil {
+		if err := putSnapshot(tx, write.Group, write.Snapshot, files); err != nil {
 			return err
 		}
 	}
@@ -157,7 +137,7 @@
 	if write.Compaction == nil {
 		return nil
 	}
-	if err := putSnapshot(tx, write.Group, write.Compaction, file); err != nil {
+	if err := putSnapshot(tx, write.Group, write.Compaction, files); err != nil {
 		return err
 	}
 	return trimEntries(tx, write.Group, write.Compaction.Index)
@@ -168,15 +148,10 @@
 	return tx.Bucket(bucketHardStates).Put(key, seal(key, encodeHardState(state)))
 }
 
-// putSnapshot writes the record of a snapshot whose state is in a file; nil for an empty state.
-func putSnapshot(tx *bbolt.Tx, group uint32, snapshot *raft.Snapshot, file *snapshotFile) error {
+// putSnapshot writes the record of a snapshot whose state is in files; none for an empty state.
+func putSnapshot(tx *bbolt.Tx, group uint32, snapshot *raft.Snapshot, files snapshotFiles) error {
 	key := groupKey(group)
-	described := *snapshot
-	described.Data = nil
-	if file != nil {
-		described.Data = file.encode()
-	}
-	record, err := encodeSnapshot(key, described)
+	record, err := encodeSnapshot(key, snapshot, files)
 	if err != nil {
 		return trace.Wrap(err)
 	}
