Batch jobs are bounded by what the control nodes can hold

Change: each node knows what it can hold, five eighths of its disk or a third of its memory, and tells it with its greetings; the leader writes the least of its voters' into each submit, so that all nodes judge it alike.

--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -38,7 +38,7 @@
 		}
 		return reply(wire.JobOutcome_JOB_OUTCOME_ACCEPTED), nil
 	}
-	if s.held+proto.Size(submit) > MaximumHeldBytes {
+	if uint64(s.held+proto.Size(submit)) > cmp.Or(submit.GetMostHeldBytes(), MaximumHeldBytes) {
 		return reply(wire.JobOutcome_JOB_OUTCOME_FULL), nil
 	}
 	s.revision++
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -12,7 +12,7 @@
 	MaximumDigestBytes = 32
 	MaximumItems       = 20_000       // of one job (a count)
 	MaximumJobBytes    = 2<<20 - 4096 // a command of the log holds no more
-	// MaximumHeldBytes bounds all jobs together: above it another job is refused as FULL.
+	// MaximumHeldBytes bounds all jobs together where a submit names no other bound: above it another job is refused as FULL.
 	MaximumHeldBytes = 48 << 20
 	// MaximumResultBytes bounds one result's text. A longer one is refused as malformed.
 	MaximumResultBytes = 1 << 20
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -142,6 +142,8 @@
 	Reserved func(group uint32) bool
 	// Speaks is the highest level of package compat that this node reads and writes; greetings tell it. Default Base.
 	Speaks compat.Level
+	// CapacityBytes is the size of state that this node can hold, as it tells the others. Default: it does not tell.
+	CapacityBytes uint64
 	// Agreed is the level in force: a greeting of a node that does not speak it is refused. Default: Base.
 	Agreed compat.Agreed
 	// Log receives what operators should know. Default: nothing is logged.
--- a/internal/consensus/contacts.go
+++ b/internal/consensus/contacts.go
@@ -23,6 +23,7 @@
 	connectedAt time.Time    // when this node's stream to the other one came up; zero: it is not
 	greeted     bool         // it has greeted since the start
 	speaks      compat.Level // as its last greeting told
+	capacity    uint64       // likewise, bytes; 0: it does not tell
 	refused     string       // why this node refused its last greeting; empty: it did not
 	refusedBy   string       // why this node's last stream to it was refused; empty: none was
 }
@@ -82,9 +83,11 @@
 	c.update(node, func(contact *contact) { contact.heardAt, contact.refused = now, "" })
 }
 
-// spoke notes the level that a node's greeting told.
-func (c *contacts) spoke(node uint64, speaks compat.Level) {
-	c.update(node, func(contact *contact) { contact.greeted, contact.speaks = true, speaks })
+// spoke notes the level and the capacity that a node's greeting told.
+func (c *contacts) spoke(node uint64, speaks compat.Level, capacity uint64) {
+	c.update(node, func(contact *contact) {
+		contact.greeted, contact.speaks, contact.capacity = true, speaks, capacity
+	})
 }
 
 // refused notes why this node refused a greeting that was meant for it.
--- a/internal/consensus/exchange.go
+++ b/internal/consensus/exchange.go
@@ -92,7 +92,7 @@
 		return drpcerr.WithCode(err, turnedAwayCode)
 	}
 	r.from = greeting.FromNode
-	r.host.contacts.spoke(greeting.FromNode, compat.Level(greeting.Speaks))
+	r.host.contacts.spoke(greeting.FromNode, compat.Level(greeting.Speaks), greeting.CapacityBytes)
 	r.host.peers.met(greeting.FromNode, news)
 	return nil
 }
--- a/internal/consensus/holdings.go
+++ b/internal/consensus/holdings.go
@@ -19,3 +19,19 @@
 		}, nil
 	})
 }
+
+// Capacity is the size of state that each voter of a group can hold, as far as they have told since this node started; 0 if none
+// has. Errors: those of Status.
+func (h *Host) Capacity(ctx context.Context, group uint32) (uint64, error) {
+	status, err := h.Status(ctx, group)
+	if err != nil {
+		return 0, err
+	}
+	least := h.config.CapacityBytes
+	for _, voter := range status.Configuration.Voters {
+		if told := h.contacts.of(voter).capacity; told > 0 && (least == 0 || told < least) {
+			least = told
+		}
+	}
+	return least, nil
+}
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -221,6 +221,7 @@
 		StartNonce:    s.nonce,
 		KnownIdentity: s.host.book.knownFolder(s.node),
 		Speaks:        uint32(s.host.config.Speaks),
+		CapacityBytes: s.host.config.CapacityBytes,
 	}
 }
 
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/claim"
 	"github.com/tamarindring/tamarindring/internal/compat"
 	"github.com/tamarindring/tamarindring/internal/consensus"
@@ -25,9 +26,17 @@
 	DefaultLedgerGroups  = 2
 	DefaultLeaseDuration = 1200 * time.Millisecond
 	DefaultTick          = 50 * time.Millisecond
-	// diskShare is the part of DiskBytes that HeadroomBytes and SnapshotBytes are: the log, two snapshots of a
-	// state as large as three times the log, and the headroom fit together.
+	// diskShare is the part of DiskBytes that HeadroomBytes is.
 	diskShare = 8
+	// logShare is the part of DiskBytes that SnapshotBytes is. The data file grows to several times the log that it holds, for
+	// pages of the log that was dropped are used again only after the next write.
+	logShare = 32
+	// jobDiskShare, in eighths, is the part of DiskBytes that JobBytes is: beside it stay the headroom, the log, and what two
+	// snapshots do not have in common.
+	jobDiskShare = 5
+	// jobMemoryShare is the part of MemoryBytes that JobBytes is. A leader holds about as much for its sessions and runs, and the
+	// collector keeps all below 60%.
+	jobMemoryShare = 3
 )
 
 // Peer is a control node.
@@ -72,11 +81,16 @@
 	// DiskBytes is the size of a small disk that the data folder has for itself. HeadroomBytes and SnapshotBytes
 	// default to shares of it. Default: not known.
 	DiskBytes uint64
+	// MemoryBytes is what the process may use. Default: not known.
+	MemoryBytes uint64
+	// JobBytes is the size of batch jobs, open and ended, that this node can hold; the least of all voters' bounds what a ledger
+	// group takes. Default: shares of DiskBytes and MemoryBytes, the smaller one, or the bound of package batch.
+	JobBytes uint64
 	// HeadroomBytes is the free disk space below which the node takes no new work. Default: an eighth of
 	// DiskBytes, or that of package storage.
 	HeadroomBytes uint64
 	// SnapshotBytes is the size of applied log entries after which a group takes a snapshot and drops them, on
-	// disk and in memory. Default: an eighth of DiskBytes, or that of package consensus.
+	// disk and in memory. Default: a 32nd of DiskBytes, or that of package consensus.
 	SnapshotBytes int
 	// LedgerGroups is the number of ledger groups; fixed for the life of a cluster. Default
 	// DefaultLedgerGroups: one busy group may not hold up all keys.
@@ -145,7 +159,10 @@
 		c.HeadroomBytes = c.DiskBytes / diskShare
 	}
 	if c.SnapshotBytes == 0 {
-		c.SnapshotBytes = int(min(c.DiskBytes/diskShare, consensus.DefaultSnapshotBytes))
+		c.SnapshotBytes = int(min(c.DiskBytes/logShare, consensus.DefaultSnapshotBytes))
+	}
+	if c.JobBytes == 0 {
+		c.JobBytes = jobBytes(c.DiskBytes, c.MemoryBytes)
 	}
 	if c.Clock == nil {
 		c.Clock = monotonic.Now
@@ -198,3 +215,17 @@
 	}
 	return (&net.Dialer{}).DialContext
 }
+
+// jobBytes is the default of JobBytes.
+func jobBytes(disk, memory uint64) uint64 {
+	byDisk, byMemory := disk/8*jobDiskShare, memory/jobMemoryShare
+	switch {
+	case disk == 0 && memory == 0:
+		return batch.MaximumHeldBytes
+	case disk == 0:
+		return byMemory
+	case memory == 0:
+		return byDisk
+	}
+	return min(byDisk, byMemory)
+}
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -110,6 +110,11 @@
 	if request.Change != nil {
 		return s.changeGroup(ctx, request)
 	}
+	if submit := request.Command.GetJobSubmit(); submit != nil {
+		if err := s.boundJobs(ctx, request.Group, submit); err != nil {
+			return s.failure(request.Group, err)
+		}
+	}
 	result, index, err := s.replicas.Propose(ctx, request.Group, request.Command)
 	if err != nil {
 		return s.failure(request.Group, err)
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -44,6 +44,7 @@
 		Dial:               s.config.dialPeer(),
 		IsStandby:          isStandby,
 		Speaks:             s.config.speaks(),
+		CapacityBytes:      s.config.JobBytes,
 		Agreed:             s.levels.agreed,
 		Log:                s.log,
 	})
--- a/internal/control/replicas.go
+++ b/internal/control/replicas.go
@@ -45,6 +45,8 @@
 	SilentFor(node uint64) time.Duration
 	// Holdings is what this node holds of group beside its state.
 	Holdings(ctx context.Context, group uint32) (consensus.Holdings, error)
+	// Capacity is the size of state that each voter of group can hold, as far as is known; 0: it is not.
+	Capacity(ctx context.Context, group uint32) (uint64, error)
 	// Capture is the encoded state of group as applied here, and the index of the last entry in it.
 	Capture(ctx context.Context, group uint32) (index uint64, data []byte, err error)
 	// TransferLeadership asks a voter to take over group.
