A batch job that is known to find no room is refused at once, as not run, and leaves no entry in the log

Change: the leader looks before it proposes: at what is applied, then behind a read barrier, and at its own proposals that have no outcome yet (control/jobroom.go). The answer says that nothing was proposed, so the gateway refuses with 503 and the time in which the next job is forgotten as Retry-After; where an earlier attempt of the same client may have been proposed it promises nothing. A job that is held is accepted again. New: line jobs_full, metric jobs_refused_total.

--- a/internal/batch/apply.go
+++ b/internal/batch/apply.go
@@ -226,6 +226,7 @@
 	before := s.clock
 	s.clock += elapsed
 	kept := make([]*job, 0, len(s.order))
+	s.roomIn = 0
 	for _, held := range s.order {
 		if held.countedFrom == 0 {
 			held.countedFrom = s.clock
@@ -237,6 +238,9 @@
 		expired := (held.ended || s.unsafe.ExpireOpen) && s.clock-held.countedFrom > retention
 		if !expired {
 			kept = append(kept, held)
+			if left := retention - min(s.clock-held.countedFrom, retention); held.ended && (s.roomIn == 0 || left < s.roomIn) {
+				s.roomIn = max(left, 1)
+			}
 			continue
 		}
 		delete(s.jobs, held.submit.GetId())
--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -34,6 +34,13 @@
 	return view
 }
 
+// Room returns whether a job is held, how much all jobs take, and when the next one is forgotten.
+func (s *Store) Room(query *wire.JobRoomQuery) *wire.JobRoomView {
+	return &wire.JobRoomView{
+		Known: s.ofTenant(query.GetJob(), query.GetTenant()) != nil, HeldBytes: uint64(s.held), RoomInMillis: uint32(s.roomIn),
+	}
+}
+
 // Item returns what is known of a job's item; the body only while the job is open.
 func (s *Store) Item(query *wire.JobItemQuery) *wire.JobItemView {
 	held := s.ofTenant(query.GetJob(), query.GetTenant())
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -42,6 +42,9 @@
 	revision uint64 // rises with every job that is taken
 	clock    uint64 // time that leaders have counted, milliseconds
 	held     int    // bytes of all jobs
+	// roomIn is the time, in milliseconds, until the next ended job is forgotten, as of the last count. It is no part of the state:
+	// 0 until time is counted here.
+	roomIn uint64
 }
 
 // job is one batch job. Messages are shared with snapshots and views and never modified.
--- a/internal/batchclient/client.go
+++ b/internal/batchclient/client.go
@@ -30,6 +30,16 @@
 	pieceBytes  = 48 << 10
 )
 
+// FullError refuses a batch job since the jobs that are kept leave no room for it.
+type FullError struct {
+	RoomIn time.Duration // until the next job is forgotten; 0: not known
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return "the batch jobs that are kept leave no room; the next one is forgotten in " + e.RoomIn.String()
+}
+
 // errOtherView is the answer of a control node that does not know the question.
 var errOtherView = verdict.New(verdict.DidNotRun, "the control node answered the query with something else")
 
@@ -77,6 +87,10 @@
 	case wire.JobOutcome_JOB_OUTCOME_OTHER_CONTENT:
 		return trace.BadParameter("batch job %q has other content than before", job.ID)
 	}
+	if reply.GetOutcome() == wire.JobOutcome_JOB_OUTCOME_FULL && reply.GetUnproposed() {
+		full := &FullError{RoomIn: time.Duration(reply.GetRoomInMillis()) * time.Millisecond}
+		return verdict.Wrap(verdict.DidNotRun, full, "batch job %q was not taken", job.ID)
+	}
 	// An earlier, delayed copy of the command may still be taken: nothing is promised.
 	return verdict.New(verdict.MayHaveRun, "batch job %q was not taken: %s", job.ID, reply.GetOutcome())
 }
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -111,9 +111,7 @@
 		return s.changeGroup(ctx, request)
 	}
 	if submit := request.Command.GetJobSubmit(); submit != nil {
-		if err := s.boundJobs(ctx, request.Group, submit); err != nil {
-			return s.failure(request.Group, err)
-		}
+		return s.submitJob(ctx, request, submit)
 	}
 	result, index, err := s.replicas.Propose(ctx, request.Group, request.Command)
 	if err != nil {
--- a/internal/control/holdings.go
+++ b/internal/control/holdings.go
@@ -63,8 +63,9 @@
 	unstoredBytesDesc = describe("snapshot_unstored_bytes", "Part of it that is in memory since it is on no disk.", "group")
 	jobsDesc          = describe("jobs", "Batch jobs that the ledger group holds, open or ended.", "group")
 	jobBytesDesc      = describe("job_bytes", "Size of the batch jobs that the ledger group holds.", "group")
+	jobsRefusedDesc   = describe("jobs_refused_total", "Batch jobs that this node refused for want of room while it led their group.")
 
-	holdingsDescs = []*prometheus.Desc{logBytesDesc, snapshotBytesDesc, unstoredBytesDesc, jobsDesc, jobBytesDesc}
+	holdingsDescs = []*prometheus.Desc{logBytesDesc, snapshotBytesDesc, unstoredBytesDesc, jobsDesc, jobBytesDesc, jobsRefusedDesc}
 )
 
 // collectHoldings shows what this node holds of a group.
--- a/internal/control/manyjobs_test.go
+++ b/internal/control/manyjobs_test.go
@@ -120,6 +120,10 @@
 	}
 	leader := m.cluster.servers[m.cluster.ledgerLeader()]
 	applied := leader.states[ledger].applied.Load()
+	if reply := m.execute(&wire.Command{Kind: &wire.Command_JobSubmit{JobSubmit: &wire.JobSubmit{Id: "job-1", Digest: []byte{1}, Items: []*wire.JobItem{{Id: "item"}}}}}); reply.GetOutcome() != wire.JobOutcome_JOB_OUTCOME_ACCEPTED {
+		t.Fatalf("a job that is held comes again: %s", reply.GetOutcome())
+	}
+	applied++
 	for range 20 {
 		if _, outcome := m.submit(); outcome != wire.JobOutcome_JOB_OUTCOME_FULL {
 			t.Fatalf("a job without room: %s", outcome)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -95,6 +95,7 @@
 	defer cancel()
 	c.server.syncs.Collect(found)
 	collectShares(found, c.server.shares.usages())
+	counter(found, jobsRefusedDesc, c.server.jobRoom.refusals())
 	for group := range c.server.states {
 		c.collectElections(ctx, found, uint32(group))
 		view, err := c.server.statusView(ctx, uint32(group))
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -50,6 +50,7 @@
 	levels    *levels
 	retention *retention
 	voters    *voters
+	jobRoom   *jobRoom
 	seeds     atomic.Pointer[[]string] // in place of the settings'
 	sessions  sessionSet
 	opened    atomic.Uint64 // sessions since the start
@@ -97,6 +98,7 @@
 	server.levels = newLevels(server)
 	server.retention = newRetention(server)
 	server.voters = newVoters(server)
+	server.jobRoom = newJobRoom()
 	if err := server.open(); err != nil {
 		server.cancel()
 		return nil, err
--- a/internal/controlclient/request.go
+++ b/internal/controlclient/request.go
@@ -124,6 +124,9 @@
 		state.last = trace.BadParameter("%s", reply.Error)
 		return nil, state.final(state.last)
 	}
+	if job := reply.Result.GetJob(); job.GetUnproposed() && state.proposed {
+		job.Unproposed = false // an earlier attempt may be taken yet
+	}
 	if template.group != ControlGroup {
 		c.learnTicket(template.group, reply.Result.GetClaim().GetIndex())
 	}
--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -101,6 +101,20 @@
 // Kind implements logging.Event.
 func (*GroupHoldings) Kind() *logging.Kind { return &groupHoldingsKind }
 
+// JobsFull is that batch jobs begin or cease to find no room in their ledger group: each is refused before it is proposed.
+type JobsFull struct {
+	Group    uint32  `json:"group" doc:"the ledger group"`
+	Full     bool    `json:"full" doc:"whether jobs are refused"`
+	JobsMB   float64 `json:"jobs_mb" doc:"what its jobs take, open and ended"`
+	MostMB   float64 `json:"most_mb" doc:"what they may take: what the smallest voter can hold"`
+	RoomInMs uint32  `json:"room_in_ms,omitempty" doc:"time until the next ended job is forgotten"`
+}
+
+var jobsFullKind = kind("jobs_full", logrus.WarnLevel, perChange)
+
+// Kind implements logging.Event.
+func (*JobsFull) Kind() *logging.Kind { return &jobsFullKind }
+
 // SnapshotLeftOut is a snapshot of a group that found no room on the disk. Where it is the node's own, the log before it stays.
 type SnapshotLeftOut struct {
 	Group uint32 `json:"group" doc:"0: the control group; others: ledger groups"`
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -268,6 +268,8 @@
 		return &wire.View{Kind: &wire.View_JobItem{JobItem: m.jobs.Item(kind.JobItem)}}
 	case *wire.Query_JobWork:
 		return &wire.View{Kind: &wire.View_JobWork{JobWork: m.jobs.Work(kind.JobWork)}}
+	case *wire.Query_JobRoom:
+		return &wire.View{Kind: &wire.View_JobRoom{JobRoom: m.jobs.Room(kind.JobRoom)}}
 	case *wire.Query_Usage:
 		return &wire.View{Kind: &wire.View_Usage{Usage: m.usage.View()}}
 	case *wire.Query_Status:
