--- a/internal/control/manyjobs_test.go
+++ b/internal/control/manyjobs_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// TestJobsOfTheirRetentionAtFullSizeAreTaken: jobs are kept for 135 s, and a deployment of 128 replicas brings 0.8 MB of texts a
+// second. They outgrow the disk of a control node.
+func TestJobsOfTheirRetentionAtFullSizeAreTaken(t *testing.T) {
+	m := newJobMaker(t)
+	for range 135 * 8 / 10 {
+		job, outcome := m.submit()
+		if outcome != wire.JobOutcome_JOB_OUTCOME_ACCEPTED {
+			t.Fatalf("%s: %s", job.Id, outcome)
+		}
+		m.end(job)
+	}
+}
+
 // TestRefusedJobsAreNotLogged: jobs that found no room went through the log all the same, 1.1 MB a second, until the disks were
 // full and no snapshot fitted beside the log. A job that is known to find no room must leave nothing behind.
 func TestRefusedJobsAreNotLogged(t *testing.T) {
