The data file grows by 1 MiB, and batch jobs get the room: eleven sixteenths of a known disk

Cause: bbolt's file grows by 16 MiB, an eighth of a control node's disk, for a log of 4 MB. Each growth costs a sync; there are some ten in a node's life.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -31,9 +31,9 @@
 	// logShare is the part of DiskBytes that SnapshotBytes is. The data file grows to several times the log that it holds, for
 	// pages of the log that was dropped are used again only after the next write.
 	logShare = 32
-	// jobDiskShare, in eighths, is the part of DiskBytes that JobBytes is: beside it stay the headroom, the log, and what two
+	// jobDiskShare, in sixteenths, is the part of DiskBytes that JobBytes is: beside it stay the headroom, the log, and what two
 	// snapshots do not have in common.
-	jobDiskShare = 5
+	jobDiskShare = 11
 	// jobMemoryShare is the part of MemoryBytes that JobBytes is. A leader holds about as much for its sessions and runs, and the
 	// collector keeps all below 60%.
 	jobMemoryShare = 3
@@ -218,7 +218,7 @@
 
 // jobBytes is the default of JobBytes.
 func jobBytes(disk, memory uint64) uint64 {
-	byDisk, byMemory := disk/8*jobDiskShare, memory/jobMemoryShare
+	byDisk, byMemory := disk/16*jobDiskShare, memory/jobMemoryShare
 	switch {
 	case disk == 0 && memory == 0:
 		return batch.MaximumHeldBytes
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -47,6 +47,7 @@
 	defaultHeadroomBytes = 256 << 20
 	openTimeout          = time.Second
 	initialMapBytes      = 64 << 20 // fewer remaps while the file grows
+	growBytes            = 1 << 20  // by which the file grows; bbolt's own 16 MiB are an eighth of a small disk
 	entryFillPercent     = 0.95     // entries are appended in order
 )
 
@@ -201,6 +202,7 @@
 	if err != nil {
 		return openError(path, err)
 	}
+	database.AllocSize = growBytes
 	s.database = database
 	return nil
 }
