--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -108,9 +108,11 @@
 	// SnapshotEntries is the number of applied entries after which a group takes a snapshot and
 	// compacts its log. Default 10000: a restart replays them in well under a second.
 	SnapshotEntries int
-	// SnapshotBytes is the size of applied entries after which a group takes a snapshot. A quarter of it may stay
-	// in memory behind the snapshot. Default 64 MiB.
+	// SnapshotBytes is the size of applied entries after which a group takes a snapshot. Default 64 MiB.
 	SnapshotBytes int
+	// RetainedBytes is the size of entries that may stay in memory behind a snapshot, for followers that are a little behind: one
+	// that lacks others is sent the whole state. Default a quarter of SnapshotBytes.
+	RetainedBytes int
 	// SnapshotCost bounds what snapshots of a large state write: at most about so many bytes of snapshot for
 	// each byte of applied entries. Default 4: little beside the entries' own synced writes, while the log
 	// that a restart replays stays at a quarter of the state. It does not hold back a snapshot of up to
@@ -175,6 +177,7 @@
 	defaults.Set(&c.HeartbeatTicks, DefaultHeartbeatTicks)
 	defaults.Set(&c.SnapshotEntries, DefaultSnapshotEntries)
 	defaults.Set(&c.SnapshotBytes, DefaultSnapshotBytes)
+	defaults.Set(&c.RetainedBytes, c.SnapshotBytes/4)
 	defaults.Set(&c.SnapshotCost, DefaultSnapshotCost)
 	defaults.Set(&c.MaxPendingProposals, DefaultMaxPendingProposals)
 	defaults.Set(&c.MaxBatchProposals, DefaultMaxBatchProposals)
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -32,10 +32,6 @@
 	reads   readQueue
 }
 
-// retainedShare is the part of Config.SnapshotBytes that entries behind a snapshot may take in memory, for followers
-// that are a little behind.
-const retainedShare = 4
-
 func newGroup(config *Config, id uint32, restored raft.Restored) (*hostedGroup, error) {
 	g := &hostedGroup{
 		config:    config,
@@ -56,7 +52,7 @@
 		ElectionTicks:      config.ElectionTicks,
 		HeartbeatTicks:     config.HeartbeatTicks,
 		CampaignDelayTicks: config.CampaignDelayTicks,
-		RetainedBytes:      config.SnapshotBytes / retainedShare,
+		RetainedBytes:      config.RetainedBytes,
 		Random:             rand.New(rand.NewSource(electionSeed(config, id))),
 	}, restored)
 	if err != nil {
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -31,6 +31,9 @@
 	// logShare is the part of DiskBytes that SnapshotBytes is. The data file grows to several times the log that it holds, for
 	// pages of the log that was dropped are used again only after the next write.
 	logShare = 32
+	// retainedShare is the part of DiskBytes that log entries behind a snapshot may take in memory: a node that is back after some
+	// seconds is sent what it missed, and not the whole state.
+	retainedShare = 16
 	// jobDiskShare, in sixteenths, is the part of DiskBytes that JobBytes is: beside it stay the headroom, the log, and what two
 	// snapshots do not have in common.
 	jobDiskShare = 11
@@ -83,8 +86,8 @@
 	DiskBytes uint64
 	// MemoryBytes is what the process may use. Default: not known.
 	MemoryBytes uint64
-	// JobBytes is the size of batch jobs, open and ended, that this node can hold; the least of all voters' bounds what a ledger
-	// group takes. Default: shares of DiskBytes and MemoryBytes, the smaller one, or the bound of package batch.
+	// JobBytes is the size of batch jobs, open and ended, that this node can hold in all ledger groups; the least of all voters'
+	// bounds what they take, each an equal part. Default: shares of DiskBytes and MemoryBytes, the smaller one, or the bound of package batch.
 	JobBytes uint64
 	// HeadroomBytes is the free disk space below which the node takes no new work. Default: an eighth of
 	// DiskBytes, or that of package storage.
--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -36,6 +36,7 @@
 		Tick:               s.config.Tick,
 		CampaignDelayTicks: s.config.campaignDelay(),
 		SnapshotBytes:      s.config.SnapshotBytes,
+		RetainedBytes:      int(s.config.DiskBytes / retainedShare),
 		Reserved:           func(group uint32) bool { return group == controlGroup },
 		OnLeaderChange:     s.leaderChanged,
 		OnApply:            s.applied,
--- a/internal/control/jobroom.go
+++ b/internal/control/jobroom.go
@@ -83,7 +83,7 @@
 	}
 	capacity, err := s.replicas.Capacity(ctx, group)
 	if err == nil {
-		submit.MostHeldBytes = capacity
+		submit.MostHeldBytes = capacity / uint64(s.config.LedgerGroups) // they are on the same machines
 	}
 	return err
 }
--- a/internal/control/jobroom_test.go
+++ b/internal/control/jobroom_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/tamarindring/tamarindring/internal/consensus"
+	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // TestJobsWithoutOutcomeMayBeTaken: a job whose proposal had no outcome must not be refused as not taken until a later entry is
@@ -29,3 +30,20 @@
 		t.Fatal("an applied entry settles those before")
 	}
 }
+
+// TestLedgerGroupsDivideWhatNodesHold: all groups are on the same machines.
+func TestLedgerGroupsDivideWhatNodesHold(t *testing.T) {
+	const groups = 2
+	c := startTunedCluster(t, func(config *Config) { config.DiskBytes, config.LedgerGroups = smallDisk, groups })
+	leader := c.servers[c.ledgerLeader()]
+	submit := &wire.JobSubmit{}
+	eventually(t, "the level is in force", func() bool {
+		if err := leader.boundJobs(testContext(t), ledger, submit); err != nil {
+			t.Fatal(err)
+		}
+		return submit.MostHeldBytes > 0
+	})
+	if want := uint64(smallDisk / 16 * jobDiskShare / groups); submit.MostHeldBytes != want {
+		t.Errorf("a group may take %d bytes, want %d", submit.MostHeldBytes, want)
+	}
+}
