--- a/internal/state/parts.go
+++ b/internal/state/parts.go
@@ -10,45 +10,69 @@
 
 // decodeParts decodes a snapshot but for the records of its batch jobs, which it finds in the parts without copying them.
 func decodeParts(parts [][]byte) (*wire.MachineSnapshot, []batch.Record, error) {
-	var rest, jobsRest []byte
-	var records []batch.Record
+	var found partsContent
 	for _, part := range parts {
-		fields, err := split(part)
-		if err != nil {
+		if err := found.add(part); err != nil {
 			return nil, nil, err
 		}
-		for _, field := range fields {
-			if field.number != batch.JobsField || !field.delimited {
-				rest = append(rest, field.encoded...)
-				continue
-			}
-			inner, err := split(field.value)
-			if err != nil {
-				return nil, nil, err
-			}
-			alone := len(fields) == 1 && len(inner) == 1
-			for _, held := range inner {
-				if held.number != batch.RecordsField || !held.delimited {
-					jobsRest = append(jobsRest, held.encoded...)
-					continue
-				}
-				record := batch.Record{Encoded: held.value}
-				if alone {
-					record.Part = part
-				}
-				records = append(records, record)
-			}
-		}
 	}
 	snapshot, jobs := &wire.MachineSnapshot{}, &wire.JobSnapshot{}
-	if err := proto.Unmarshal(rest, snapshot); err != nil {
+	if err := proto.Unmarshal(found.head, snapshot); err != nil {
 		return nil, nil, err
 	}
-	if err := proto.Unmarshal(jobsRest, jobs); err != nil {
+	if err := proto.Unmarshal(found.jobsHead, jobs); err != nil {
 		return nil, nil, err
 	}
 	snapshot.Jobs = jobs
-	return snapshot, records, nil
+	return snapshot, found.records, nil
+}
+
+// partsContent is what the parts of a snapshot hold.
+type partsContent struct {
+	head     []byte // a wire.MachineSnapshot without its batch jobs
+	jobsHead []byte // a wire.JobSnapshot without its records
+	records  []batch.Record
+}
+
+// add takes in a part.
+func (c *partsContent) add(part []byte) error {
+	fields, err := split(part)
+	if err != nil {
+		return err
+	}
+	for _, field := range fields {
+		if field.number != batch.JobsField || !field.delimited {
+			c.head = append(c.head, field.encoded...)
+			continue
+		}
+		records := len(c.records)
+		onlyRecords, err := c.addJobs(field.value)
+		if err != nil {
+			return err
+		}
+		if onlyRecords && len(fields) == 1 && len(c.records) == records+1 {
+			c.records[records].Part = part
+		}
+	}
+	return nil
+}
+
+// addJobs takes in an encoded wire.JobSnapshot, and tells whether it holds nothing but records.
+func (c *partsContent) addJobs(jobs []byte) (onlyRecords bool, err error) {
+	fields, err := split(jobs)
+	if err != nil {
+		return false, err
+	}
+	onlyRecords = true
+	for _, field := range fields {
+		if field.number == batch.RecordsField && field.delimited {
+			c.records = append(c.records, batch.Record{Encoded: field.value})
+			continue
+		}
+		c.jobsHead = append(c.jobsHead, field.encoded...)
+		onlyRecords = false
+	}
+	return onlyRecords, nil
 }
 
 // encodedField is a field of an encoded message.
