A state that a node receives is stored in parts even before it knows the level

Class: a decision by what is not known yet, taken for 'no'.

TestReceivedSnapshotIsStoredInParts fails before (1 file, wanted 3) and passes. All tests of consensus pass.

--- a/internal/consensus/convert.go
+++ b/internal/consensus/convert.go
@@ -39,7 +39,7 @@
 }
 
 // snapshotChunks encodes a snapshot message as several, each with a piece of a part of the data.
-func snapshotChunks(group uint32, message *raft.Message) []*wire.RaftMessage {
+func snapshotChunks(group uint32, message *raft.Message, partsAgreed bool) []*wire.RaftMessage {
 	snapshot := message.Snapshot
 	var chunks []*wire.RaftMessage
 	add := func(data []byte, begins bool) {
@@ -51,7 +51,7 @@
 				Voters:   snapshot.Configuration.Voters,
 				Learners: snapshot.Configuration.Learners,
 			},
-			Data: data, Chunk: uint32(len(chunks)), BeginsPart: begins,
+			Data: data, Chunk: uint32(len(chunks)), BeginsPart: begins, PartsAgreed: partsAgreed,
 		}
 		chunks = append(chunks, chunk)
 	}
--- a/internal/consensus/exchange.go
+++ b/internal/consensus/exchange.go
@@ -66,6 +66,9 @@
 			return err
 		}
 		if encoded.Snapshot != nil {
+			if encoded.Snapshot.PartsAgreed {
+				r.host.partsAgreed.Store(true)
+			}
 			if message.Snapshot = r.assembler.add(encoded.Group, encoded.Snapshot); message.Snapshot == nil {
 				continue
 			}
--- a/internal/consensus/fuzz_test.go
+++ b/internal/consensus/fuzz_test.go
@@ -19,7 +19,7 @@
 		toWire(0, &raft.Message{Kind: raft.MessageVoteReply, To: 1, From: 2, Term: 9, Reject: true}),
 	}
 	snapshot := raft.Snapshot{Index: 3, Term: 1, Configuration: raft.Configuration{Voters: []uint64{1, 2}}, Data: raft.Parts{make([]byte, 2*chunkBytes+1), {1}}}
-	messages = append(messages, snapshotChunks(0, &raft.Message{Kind: raft.MessageSnapshot, To: 1, From: 2, Term: 2, Snapshot: &snapshot})[2])
+	messages = append(messages, snapshotChunks(0, &raft.Message{Kind: raft.MessageSnapshot, To: 1, From: 2, Term: 2, Snapshot: &snapshot}, true)[2])
 	for _, message := range messages {
 		data, err := proto.Marshal(message)
 		if err != nil {
--- a/internal/consensus/host.go
+++ b/internal/consensus/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -21,6 +22,8 @@
 	peers    *peerSet
 	contacts *contacts
 	silences *silences
+	// partsAgreed: a node that sent a snapshot has told that SnapshotParts is in force. Levels never fall.
+	partsAgreed atomic.Bool
 
 	// Owned by the loop.
 	groups    []*hostedGroup
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -201,7 +201,7 @@
 	batch := make([]storage.GroupWrite, 0, len(h.nextWrite))
 	for _, g := range h.nextWrite {
 		write := g.cycle.Write()
-		write.InParts = h.config.Agreed().Includes(compat.SnapshotParts)
+		write.InParts = h.storesParts()
 		batch = append(batch, write)
 	}
 	h.inWrite, h.nextWrite = h.nextWrite, h.inWrite[:0]
@@ -239,6 +239,12 @@
 	return nil
 }
 
+// storesParts tells whether all builds that may read the folder know states in parts. A node whose disk is empty is sent states
+// before it knows the level: their sender tells.
+func (h *Host) storesParts() bool {
+	return h.partsAgreed.Load() || h.config.Agreed().Includes(compat.SnapshotParts)
+}
+
 func (h *Host) send(g *hostedGroup, messages []raft.Message) {
 	for i := range messages {
 		if snapshot := messages[i].Snapshot; snapshot != nil && snapshot.Data == nil {
--- /dev/null
+++ b/internal/consensus/partsagreed_test.go
@@ -0,0 +1,64 @@
+package consensus
+
+import (
+	"bytes"
+	"context"
+	"path/filepath"
+	"testing"
+
+	"github.com/tamarindring/tamarindring/internal/compat"
+	"github.com/tamarindring/tamarindring/internal/raft"
+)
+
+// bulkyJournal has a state with two large parts that never change.
+type bulkyJournal struct {
+	journal
+	large [][]byte
+}
+
+func newBulkyJournal() *bulkyJournal {
+	return &bulkyJournal{large: [][]byte{bytes.Repeat([]byte{'a'}, 1<<20), bytes.Repeat([]byte{'b'}, 1<<20)}}
+}
+
+func (j *bulkyJournal) Capture() func() ([][]byte, error) {
+	encode := j.journal.Capture()
+	return func() ([][]byte, error) {
+		parts, err := encode()
+		return append(parts, j.large...), err
+	}
+}
+
+func (j *bulkyJournal) RestoreParts(parts [][]byte) error {
+	j.large = parts[len(parts)-2:]
+	return j.journal.RestoreParts(parts[:len(parts)-2])
+}
+
+// TestReceivedSnapshotIsStoredInParts: a node with an empty disk was sent a state of 86 MB before it knew the level, and wrote it as one
+// file. Its next snapshot, in parts, found no room beside that file on a disk of 128 MB, nor did any later one.
+func TestReceivedSnapshotIsStoredInParts(t *testing.T) {
+	c := newCluster(t, 3, func(config *Config) {
+		config.SnapshotEntries, config.SnapshotCost = 4, 1<<30
+		config.NewStateMachine = func(uint32) StateMachine { return newBulkyJournal() }
+		config.Agreed = func() compat.Level { return compat.SnapshotParts }
+		config.Speaks = compat.SnapshotParts
+	})
+	for range 2000 {
+		c.commit(0, "fills the log")
+		if c.leader(0).snapshotIndex(0) > 1200 {
+			break
+		}
+	}
+	late := c.add(4, func(config *Config) {
+		config.SnapshotEntries = 1 << 20
+		config.NewStateMachine = func(uint32) StateMachine { return newBulkyJournal() }
+		config.Speaks = compat.SnapshotParts // it knows no level
+	})
+	late.join = true
+	late.start()
+	c.manage("add the late node", 0, func(ctx context.Context, host *Host) error { return host.AddLearner(ctx, 0, 4) }, raft.ErrAlreadyMember)
+	c.wait("the late node has the state", func() bool { return late.snapshotIndex(0) > 0 })
+	files, err := filepath.Glob(filepath.Join(late.folder, "snapshot-0-*"))
+	if err != nil || len(files) < 3 {
+		t.Fatalf("the received state is in %d files: %v", len(files), err)
+	}
+}
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -39,7 +39,7 @@
 func (s *sender) enqueue(group uint32, message *raft.Message) {
 	s.mutex.Lock()
 	if message.Snapshot != nil {
-		s.queue.addChunks(snapshotChunks(group, message))
+		s.queue.addChunks(snapshotChunks(group, message, s.host.storesParts()))
 	} else {
 		s.queue.add(toWire(group, message))
 	}
--- a/internal/consensus/sender_test.go
+++ b/internal/consensus/sender_test.go
@@ -41,7 +41,7 @@
 	waiting := &queue{}
 	data := func() weak.Pointer[byte] {
 		snapshot := &raft.Snapshot{Index: 7, Term: 1, Data: raft.Parts{make([]byte, 3*chunkBytes+1)}}
-		waiting.addChunks(snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: snapshot}))
+		waiting.addChunks(snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: snapshot}, true))
 		return weak.Make(&snapshot.Data[0][0])
 	}()
 	taken := 0
@@ -65,7 +65,7 @@
 // TestPartsArriveAsTheyWereSent, and in one piece where sender or receiver is a build that knows no parts.
 func TestPartsArriveAsTheyWereSent(t *testing.T) {
 	parts := raft.Parts{[]byte("head"), bytes.Repeat([]byte{1}, 2*chunkBytes+1), bytes.Repeat([]byte{2}, chunkBytes), []byte("end")}
-	chunks := snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: &raft.Snapshot{Index: 7, Term: 1, Data: parts}})
+	chunks := snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: &raft.Snapshot{Index: 7, Term: 1, Data: parts}}, true)
 	receive := func() raft.Parts {
 		receiving := assembler{partial: map[uint32]*partialSnapshot{}}
 		for _, chunk := range chunks {
