A received part of a state takes its own size

Found by reading: parts are put together from pieces by growing, and the state keeps them for as long as the job; a part of 1,048,577 bytes took 1,286,144. It is copied once where more than an eighth would be lost. TestPartsArriveAsTheyWereSent fails before.

--- a/internal/consensus/convert.go
+++ b/internal/consensus/convert.go
@@ -120,11 +120,26 @@
 		p.parts[last] = append(p.parts[last], chunk.Data...)
 		return
 	}
+	p.trim()
 	if len(chunk.Data) > 0 {
 		p.parts = append(p.parts, chunk.Data)
 	}
 }
 
+// trimShare is the part of a received part's size that may be lost to its growth: the state keeps the part for as long as the job.
+const trimShare = 8
+
+// trim gives back what the growth of the newest part took beyond its size.
+func (p *partialSnapshot) trim() {
+	last := len(p.parts) - 1
+	if last < 0 || cap(p.parts[last]) <= len(p.parts[last])+len(p.parts[last])/trimShare {
+		return
+	}
+	exact := make([]byte, len(p.parts[last]))
+	copy(exact, p.parts[last])
+	p.parts[last] = exact
+}
+
 // add returns the whole snapshot once its last chunk is there, else nil. Chunks come in order; one out of
 // order drops what was gathered, and the leader sends the snapshot again.
 func (a *assembler) add(group uint32, chunk *wire.RaftSnapshot) *raft.Snapshot {
@@ -144,6 +159,7 @@
 		return nil
 	}
 	delete(a.partial, group)
+	gathered.trim()
 	return &raft.Snapshot{
 		Index: chunk.Index,
 		Term:  chunk.Term,
--- a/internal/consensus/sender_test.go
+++ b/internal/consensus/sender_test.go
@@ -76,9 +76,15 @@
 		}
 		return nil
 	}
-	if got := receive(); !reflect.DeepEqual(got, parts) {
+	got := receive()
+	if !reflect.DeepEqual(got, parts) {
 		t.Errorf("%d parts of %d bytes arrived", len(got), got.Size())
 	}
+	for position, part := range got {
+		if cap(part) > len(part)+len(part)/trimShare {
+			t.Errorf("part %d takes %d bytes for %d", position, cap(part), len(part))
+		}
+	}
 	var older []byte
 	for _, chunk := range chunks {
 		older = append(older, chunk.Snapshot.Data...)
