control: reads of the applied state that fail are told, and by which table version leases are granted

On-call could not tell the hypotheses of the incident apart: a failed read of the table was a free sentence, and no figure showed by which version the leader grants leases. No decision changes.

--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -70,6 +70,13 @@
 	return l.current
 }
 
+// granting is the table version that leases are granted by; false on a node that grants none.
+func (l *leases) granting() (version uint64, leads bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.current, l.granter != nil
+}
+
 // leads says whether leases are granted here in term.
 func (l *leases) leads(term uint64) bool {
 	l.mutex.Lock()
--- a/internal/control/levels.go
+++ b/internal/control/levels.go
@@ -158,6 +158,7 @@
 func (l *levels) refresh() bool {
 	view, err := l.server.publisher.local(&wire.Query{Kind: &wire.Query_Status{Status: &wire.StatusQuery{}}})
 	if err != nil {
+		l.server.publisher.noteUnread(unreadLevel, uint64(l.agreed()), err)
 		return false
 	}
 	l.note(compat.Level(view.GetStatus().GetLevel()))
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -65,11 +65,13 @@
 	claimsDesc        = describe("claims", "Claims that the ledger group holds.", "group")
 	tableVersionDesc  = describe("table_version", "Version of the table that is applied here.")
 	inForceDesc       = describe("table_version_in_force", "Version below which no process acts; only on the leader, absent while it is not known.")
+	grantedDesc       = describe("table_version_granted", "Version of the table that leases are granted by; only on the leader.")
+	unreadDesc        = describe("state_reads_failed_total", "Reads of the state applied here that failed, by what was read: table, members or level.", "what")
 	levelDesc         = describe("level", "Level of what the processes say to each other that is in force, as applied here.")
 	holdersDesc       = describe("lease_holders", "Processes that hold a lease on the table; only on the leader.")
 	oldestDesc        = describe("lease_holders_behind", "Lease holders that act on an older version than the newest; only on the leader.")
 	controlStateDescs = []*prometheus.Desc{hasLeaderDesc, leadingDesc, termDesc, commitDesc, appliedDesc, votersDesc,
-		unreachableDesc, lagDesc, claimsDesc, tableVersionDesc, levelDesc, inForceDesc, holdersDesc, oldestDesc}
+		unreachableDesc, lagDesc, claimsDesc, tableVersionDesc, levelDesc, inForceDesc, grantedDesc, unreadDesc, holdersDesc, oldestDesc}
 )
 
 // Describe implements prometheus.Collector.
@@ -96,6 +98,13 @@
 	c.server.syncs.Collect(found)
 	collectShares(found, c.server.shares.usages())
 	counter(found, jobsRefusedDesc, c.server.jobRoom.refusals())
+	unreads := c.server.publisher.unreads()
+	for _, what := range []string{unreadTable, unreadMembers, unreadLevel} {
+		counter(found, unreadDesc, unreads[what], what)
+	}
+	if granted, leads := c.server.leases.granting(); leads {
+		gauge(found, grantedDesc, granted)
+	}
 	for group := range c.server.states {
 		c.collectElections(ctx, found, uint32(group))
 		view, err := c.server.statusView(ctx, uint32(group))
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/member"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -22,6 +25,7 @@
 
 	mutex   sync.Mutex
 	members *wire.MembersView
+	unread  map[string]uint64 // reads of the state applied here that failed, by what was read
 	// changedAt is the members version at which a member was last seen to change, by name.
 	changedAt    map[string]uint64
 	memberDeltas map[uint64]*wire.MembersView // by the version that they start from
@@ -31,6 +35,7 @@
 	p := &publisher{
 		server: server, wake: make(chan struct{}, 1),
 		members:      &wire.MembersView{},
+		unread:       make(map[string]uint64),
 		changedAt:    make(map[string]uint64),
 		memberDeltas: make(map[uint64]*wire.MembersView),
 	}
@@ -82,7 +87,7 @@
 	known := p.currentMembers().MembersVersion
 	view, err := p.local(&wire.Query{Kind: &wire.Query_Members{Members: &wire.MembersQuery{KnownVersion: known}}})
 	if err != nil {
-		p.server.log.WithError(err).Warn("the members can't be read")
+		p.noteUnread(unreadMembers, known, err)
 		return false
 	}
 	changes := view.GetMembers()
@@ -99,6 +104,28 @@
 	return true
 }
 
+// What is read of the state applied here.
+const (
+	unreadTable   = "table"
+	unreadMembers = "members"
+	unreadLevel   = "level"
+)
+
+// noteUnread counts and logs a read that failed.
+func (p *publisher) noteUnread(what string, known uint64, err error) {
+	p.mutex.Lock()
+	p.unread[what]++
+	p.mutex.Unlock()
+	logging.Emit(p.server.log, &events.StateUnread{What: what, KnownVersion: known, Cause: events.ErrorText(err)})
+}
+
+// unreads returns how many reads have failed since the start, by what was read.
+func (p *publisher) unreads() map[string]uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return maps.Clone(p.unread)
+}
+
 // local asks the control group's state here.
 func (p *publisher) local(query *wire.Query) (*wire.View, error) {
 	ctx, cancel := context.WithTimeout(p.server.context, localTimeout)
@@ -109,7 +136,7 @@
 func (p *publisher) queryTable(known uint64) *wire.TableUpdate {
 	view, err := p.local(&wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{KnownVersion: known}}})
 	if err != nil {
-		p.server.log.WithError(err).Warn("the table can't be read")
+		p.noteUnread(unreadTable, known, err)
 		return nil
 	}
 	return view.GetTable()
--- a/internal/events/catalog.go
+++ b/internal/events/catalog.go
@@ -27,7 +27,7 @@
 		{"Usage", []logging.Event{&UsageSealed{}, &UsageReported{}, &UsageLate{}}},
 		{"Control", []logging.Event{&LeaderChanged{}, &GroupWithoutLeader{}, &GroupLeaderKnown{}, &VotersSilent{}, &GreetingRefused{}, &StreamRefused{},
 			&LeadershipYielded{}, &GroupChanged{}, &PeerLost{}, &PeerFound{}, &DiskChanged{}, &SnapshotLeftOut{}, &GroupHoldings{}, &JobsFull{}, &MemberChanged{}, &ControlFound{}, &ControlLost{}, &LeaseLost{},
-			&LeaseRegained{}, &TableAdopted{}, &OperatorCall{}, &ReplicaRegistered{}, &ReplicaRestarted{}, &EntrySkipped{}, &ReplicaDeferred{},
+			&LeaseRegained{}, &TableAdopted{}, &StateUnread{}, &OperatorCall{}, &ReplicaRegistered{}, &ReplicaRestarted{}, &EntrySkipped{}, &ReplicaDeferred{},
 			&ReplicasSilent{}, &LevelRaised{}, &LevelKnown{}}},
 		{"Processes", []logging.Event{&ProcessStarted{}, &ProcessMemory{}, &ProcessServing{}, &ProcessStopping{}, &ProcessStopped{}, &SettingsReloaded{},
 			&logging.LinesLeftOut{}}},
--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -199,6 +199,19 @@
 // Kind implements logging.Event.
 func (*TableAdopted) Kind() *logging.Kind { return &tableAdoptedKind }
 
+// StateUnread is a read of the state applied here that failed: what this node tells the processes that hold leases stays behind until it is
+// read again.
+type StateUnread struct {
+	What         string `json:"what" doc:"table, members or level"`
+	KnownVersion uint64 `json:"known_version" doc:"version that this node goes on with; of a level, the level"`
+	Cause        string `json:"cause" doc:"why it could not be read"`
+}
+
+var stateUnreadKind = kind("state_unread", logrus.WarnLevel, perStart)
+
+// Kind implements logging.Event.
+func (*StateUnread) Kind() *logging.Kind { return &stateUnreadKind }
+
 // OperatorCall is a change that an operator, a trainer or a back end asked of a control node.
 type OperatorCall struct {
 	Method  string  `json:"method" doc:"of the call"`
