--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -24,8 +24,13 @@
 	servers []*Server // nil while a node is down
 	runs    []chan error
 	tune    func(*Config) // changes each node's settings; may be nil
+	// wrap puts something between a node and its groups; nil: nothing.
+	wrap func(position int, replicas Replicas) Replicas
 }
 
+// clusterNodes is the number of a cluster's nodes.
+const clusterNodes = 3
+
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
 	return startTunedCluster(t, nil)
@@ -33,8 +38,19 @@
 
 func startTunedCluster(t *testing.T, tune func(*Config)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, tune: tune, folder: t.TempDir(), servers: make([]*Server, 3), runs: make([]chan error, 3)}
-	listeners := make([]net.Listener, 3)
+	return startClusterOf(t, &cluster{tune: tune})
+}
+
+// startWrappedCluster is a cluster with something between each node and its groups.
+func startWrappedCluster(t *testing.T, wrap func(position int, replicas Replicas) Replicas) *cluster {
+	t.Helper()
+	return startClusterOf(t, &cluster{wrap: wrap})
+}
+
+func startClusterOf(t *testing.T, c *cluster) *cluster {
+	t.Helper()
+	c.t, c.folder, c.servers, c.runs = t, t.TempDir(), make([]*Server, clusterNodes), make([]chan error, clusterNodes)
+	listeners := make([]net.Listener, clusterNodes)
 	for position := range listeners {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -69,6 +85,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if c.wrap != nil {
+		server.replicas = c.wrap(position, server.replicas)
+	}
 	run := make(chan error, 1)
 	go func() { run <- server.Run(context.Background()) }()
 	c.servers[position], c.runs[position] = server, run
