A failed read of the applied table is made again: it held a change up until something else changed

Callers saw an acknowledged configuration that no gateway acted on. Cause: the loop that applies wakes the publisher once; a read that failed (refused, or given up after 1 s) used the wake up, and nothing repeated it. Class: a wake that is spent on an attempt, whatever became of it.

Change: reads return their error, and the publisher reads again every 20 ms until all that is applied is read. A member's registration now tells the sessions what its own read found; before, the publisher's next look found nothing new and left them to their next renewal.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -228,7 +228,7 @@
 	if !d.propose(ctx, member, wire.MemberState_MEMBER_STATE_ALIVE) {
 		return
 	}
-	d.server.publisher.refresh()
+	d.server.publisher.push()
 	d.judgeAgain(waiting)
 }
 
--- a/internal/control/granting.go
+++ b/internal/control/granting.go
@@ -92,7 +92,7 @@
 	}
 	s.nodes.refresh(ctx, s)
 	if !s.leases.leads(after.Term) {
-		s.publisher.refresh()
+		_, _ = s.publisher.refresh()
 		s.levels.beginLeading(s.leases.version() == 0)
 		s.beginGranting(after.Term)
 		s.detector.lead()
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -6,14 +6,21 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/member"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// localTimeout bounds a question to this node's own state.
-const localTimeout = time.Second
+const (
+	// localTimeout bounds a question to this node's own state.
+	localTimeout = time.Second
+	// readAgain is the pause before a read of it that failed is made again.
+	readAgain = 20 * time.Millisecond
+)
 
 // publisher brings applied changes of the table and the members to the sessions. One update serves all
 // holders that are at the same version.
@@ -59,40 +66,51 @@
 			return
 		case <-p.wake:
 		}
-		if p.refresh() {
-			p.server.sessions.each((*session).wakeUp)
+		for !p.push() {
+			if pause.For(ctx, readAgain) != nil {
+				return
+			}
 		}
 	}
 }
 
-// refresh takes over what is applied here and says whether anything is new.
-func (p *publisher) refresh() bool {
-	tableChanged := p.refreshTable()
-	membersChanged := p.refreshMembers()
-	return tableChanged || membersChanged
+// push tells the sessions what is new; false: not all that is applied here could be read.
+func (p *publisher) push() bool {
+	changed, err := p.refresh()
+	if changed {
+		p.server.sessions.each((*session).wakeUp)
+	}
+	return err == nil
 }
 
-func (p *publisher) refreshTable() bool {
+// refresh takes over what is applied here and says whether anything is new. After an error what is known may be older.
+func (p *publisher) refresh() (changed bool, err error) {
+	tableChanged, tableError := p.refreshTable()
+	membersChanged, membersError := p.refreshMembers()
+	return tableChanged || membersChanged, trace.NewAggregate(tableError, membersError)
+}
+
+func (p *publisher) refreshTable() (changed bool, err error) {
 	version, newer, err := p.table.refresh()
 	if err != nil {
-		p.server.log.WithError(err).Warn("a table update can't be made")
+		p.noteUnread(unreadTable, version, err)
 	}
 	if newer {
 		p.server.leases.tableApplied(version)
 	}
-	return newer
+	return newer, err
 }
 
-func (p *publisher) refreshMembers() bool {
+func (p *publisher) refreshMembers() (changed bool, err error) {
 	known := p.currentMembers().MembersVersion
 	view, err := p.local(&wire.Query{Kind: &wire.Query_Members{Members: &wire.MembersQuery{KnownVersion: known}}})
 	if err != nil {
 		p.noteUnread(unreadMembers, known, err)
-		return false
+		return false, err
 	}
 	changes := view.GetMembers()
 	if changes.GetMembersVersion() <= known {
-		return false
+		return false, nil
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -101,7 +119,7 @@
 		p.changedAt[changed.Name] = changes.MembersVersion
 	}
 	clear(p.memberDeltas)
-	return true
+	return true, nil
 }
 
 // What is read of the state applied here.
@@ -133,20 +151,27 @@
 	return p.server.replicas.LocalQuery(ctx, controlGroup, query)
 }
 
-func (p *publisher) queryTable(known uint64) *wire.TableUpdate {
+// queryTable returns what is newer than a version in the table as applied here.
+func (p *publisher) queryTable(known uint64) (*wire.TableUpdate, error) {
 	view, err := p.local(&wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{KnownVersion: known}}})
+	return view.GetTable(), err
+}
+
+// tableSince is queryTable for those that ask again by themselves; nil if that is not known.
+func (p *publisher) tableSince(known uint64) *wire.TableUpdate {
+	update, err := p.queryTable(known)
 	if err != nil {
 		p.noteUnread(unreadTable, known, err)
 		return nil
 	}
-	return view.GetTable()
+	return update
 }
 
 // updateFrom returns what brings a holder of version known forward; nil if it has the newest one.
 func (p *publisher) updateFrom(known uint64) *publishedUpdate {
 	published, err := p.table.from(known)
 	if err != nil {
-		p.server.log.WithError(err).Warn("a table update can't be made")
+		p.noteUnread(unreadTable, known, err)
 	}
 	if published != nil {
 		p.server.leases.tableApplied(published.update.ToVersion)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -92,7 +92,7 @@
 	server.context, server.cancel = context.WithCancel(context.Background())
 	server.leases = newLeases(config.Clock, server.settings)
 	server.publisher = newPublisher(server)
-	server.shares = newShares(config.Clock, server.settings, server.publisher.queryTable)
+	server.shares = newShares(config.Clock, server.settings, server.publisher.tableSince)
 	server.detector = newDetector(server)
 	server.orphans = newOrphans(server)
 	server.levels = newLevels(server)
--- a/internal/control/tableupdates.go
+++ b/internal/control/tableupdates.go
@@ -43,8 +43,8 @@
 
 // tableUpdates makes each update once, however many holders are to get it. It is safe for concurrent use.
 type tableUpdates struct {
-	// read returns what is newer than a version in the table as applied here; nil if that is not known.
-	read func(known uint64) *wire.TableUpdate
+	// read returns what is newer than a version in the table as applied here.
+	read func(known uint64) (*wire.TableUpdate, error)
 
 	making    sync.Mutex // held while an update is made, so that it is made once
 	announced uint64     // newest version that refresh reported; guarded by making
@@ -55,7 +55,7 @@
 	whole   *publishedUpdate            // for holders without a table; may lag by wholeReuse versions
 }
 
-func newTableUpdates(read func(known uint64) *wire.TableUpdate) *tableUpdates {
+func newTableUpdates(read func(known uint64) (*wire.TableUpdate, error)) *tableUpdates {
 	return &tableUpdates{read: read, deltas: map[uint64]*publishedUpdate{}}
 }
 
@@ -72,7 +72,11 @@
 	u.making.Lock()
 	defer u.making.Unlock()
 	known := u.version()
-	if update := u.read(known); update != nil && update.ToVersion > known {
+	update, err := u.read(known)
+	if err != nil {
+		return known, false, err
+	}
+	if update.GetToVersion() > known {
 		published, err := publish(update)
 		if err != nil {
 			return known, false, err
@@ -96,9 +100,9 @@
 	if found, settled := u.held(known); settled {
 		return found, nil
 	}
-	update := u.read(known)
-	if update == nil || update.ToVersion <= known {
-		return nil, nil
+	update, err := u.read(known)
+	if err != nil || update.GetToVersion() <= known {
+		return nil, err
 	}
 	published, err := publish(update)
 	if err != nil {
--- a/internal/control/tableupdates_test.go
+++ b/internal/control/tableupdates_test.go
@@ -34,11 +34,11 @@
 	return c
 }
 
-func (c *countedTable) read(known uint64) *wire.TableUpdate {
+func (c *countedTable) read(known uint64) (*wire.TableUpdate, error) {
 	c.reads.Add(1)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.table.Update(known)
+	return c.table.Update(known), nil
 }
 
 // drain makes one more version.
