Leases follow the table as it is applied, not as the publisher has read it

Callers saw requests judged by a table that an acknowledged change had replaced, for as long as the leader could not read that change: 20 s in the test, against a bound of 1.7 s. Cause: the grace of holders on the version before began when the publisher had read the new one, and a new leader asked of holders the version that it had read last. Class: a safety bound that counts from a step which may come late or never, in place of the event that it bounds.

Change: the loop tells the granter each table version as it applies it, before the change's proposer is answered. What is sent to holders is still what was read. A failed read now costs availability alone.

--- a/internal/control/hosted.go
+++ b/internal/control/hosted.go
@@ -96,6 +96,10 @@
 	if command.GetJobSubmit() != nil || command.GetJobEnd() != nil {
 		s.states[group].jobsApplied()
 	}
+	if group == controlGroup && result.GetTable() != nil {
+		// The grace of those that act on the version before begins here, however late the publisher reads the change.
+		s.leases.tableApplied(result.GetTable().Version)
+	}
 	if group == controlGroup && result.GetLevel() != nil {
 		s.levels.applied(compat.Level(result.GetLevel().Level))
 	}
