A new leader grants nothing, and raises no level, before it has read its state

What it meant for callers: a leader that came up while reads of its own state failed granted leases by whatever version it had applied or none, sent holders no table, and, with none, took the group for one founded just now, which raises the level at once although older builds may run. Cause: the read before the first grant of a term was made once and its error dropped, for the table, the members and the level alike. Class: what is not known taken for what is not there.

Change: a term's first grant waits for a read of table, members and level; the level is raised only by a node that grants leases.

TestLeaderThatHasReadNothingGrantsNothing failed before ("grants leases by version 1, and has read nothing") and passes.

--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -72,6 +72,17 @@
 
 // start runs a node; without a listener it binds its address again.
 func (c *cluster) start(position int, listener net.Listener) {
+	c.t.Helper()
+	c.open(position, listener, func() {})
+}
+
+// startWith runs a node again, and prepares it right before.
+func (c *cluster) startWith(position int, prepare func()) {
+	c.t.Helper()
+	c.open(position, nil, prepare)
+}
+
+func (c *cluster) open(position int, listener net.Listener, prepare func()) {
 	c.t.Helper()
 	peer := c.peers[position]
 	config := Config{
@@ -88,6 +99,7 @@
 	if c.wrap != nil {
 		server.replicas = c.wrap(position, server.replicas)
 	}
+	prepare()
 	run := make(chan error, 1)
 	go func() { run <- server.Run(context.Background()) }()
 	c.servers[position], c.runs[position] = server, run
--- a/internal/control/granting.go
+++ b/internal/control/granting.go
@@ -91,15 +91,26 @@
 		return 0, false
 	}
 	s.nodes.refresh(ctx, s)
-	if !s.leases.leads(after.Term) {
-		_, _ = s.publisher.refresh()
-		s.levels.beginLeading(s.leases.version() == 0)
-		s.beginGranting(after.Term)
-		s.detector.lead()
+	if !s.leases.leads(after.Term) && !s.beginTerm(after.Term) {
+		return 0, false
 	}
 	return after.Term, true
 }
 
+// beginTerm prepares the first grant of a term whose leadership was confirmed; false: not all that is applied here could be read.
+func (s *Server) beginTerm(term uint64) bool {
+	if _, err := s.publisher.refresh(); err != nil {
+		return false
+	}
+	if !s.levels.beginLeading(s.leases.version() == 0) {
+		return false
+	}
+	s.beginGranting(term)
+	s.detector.lead()
+	s.levels.lookSoon()
+	return true
+}
+
 // beginGranting begins to grant leases in a term. The shares come first: a grant without them would tell its holder that nothing is divided.
 func (s *Server) beginGranting(term uint64) {
 	s.shares.beginLeading(term)
--- a/internal/control/levels.go
+++ b/internal/control/levels.go
@@ -45,10 +45,17 @@
 }
 
 // beginLeading notes that this node begins to lead, before it grants the first lease: what registers from then on would make a group that
-// was founded just now look like one that was there before, and the first grant tells the level.
-func (l *levels) beginLeading(fresh bool) {
+// was founded just now look like one that was there before, and the first grant tells the level. False: the level could not be read.
+func (l *levels) beginLeading(fresh bool) bool {
+	if !l.refresh() {
+		return false
+	}
 	l.fresh.Store(fresh)
-	l.refresh()
+	return true
+}
+
+// lookSoon asks for a look now that leases are granted here.
+func (l *levels) lookSoon() {
 	select {
 	case l.led <- struct{}{}:
 	default:
@@ -136,7 +143,8 @@
 	if !l.read || l.server.leading() {
 		l.read = l.refresh() || l.read
 	}
-	if !l.server.leading() || l.server.draining.Load() || l.agreed().Includes(compat.Newest) {
+	_, grants := l.server.leases.granting() // before that the members may be unread, and older builds among them
+	if !grants || !l.server.leading() || l.server.draining.Load() || l.agreed().Includes(compat.Newest) {
 		l.settling = nil
 		return
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -20,6 +20,7 @@
 	"github.com/tamarindring/tamarindring/internal/consensus"
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/lease"
+	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/storage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -246,6 +247,7 @@
 			s.log.Infof("leading the control group in term %d", term)
 			return
 		}
+		_ = pause.For(ctx, readAgain)
 	}
 }
 
--- a/internal/control/unread_test.go
+++ b/internal/control/unread_test.go
@@ -119,3 +119,31 @@
 		return ok && admitted == version
 	})
 }
+
+// TestLeaderThatHasReadNothingGrantsNothing: nodes that start again can't read their state at first. The leader among them took the
+// group for one without a table, which raises the level at once, and granted leases.
+func TestLeaderThatHasReadNothingGrantsNothing(t *testing.T) {
+	c, nodes := startUnreadableCluster(t)
+	c.leader()
+	client := c.client(controlclient.Config{})
+	base, _ := mustAccept(t, client, poolChange("base", 0, "1"), true)
+	for position := range nodes {
+		c.kill(position)
+	}
+	for position := range nodes {
+		c.startWith(position, func() { nodes[position].refusals.Store(manyRefusals) })
+	}
+	leader := c.leader()
+	eventually(t, "some reads of the new leader", func() bool { return manyRefusals-nodes[leader].refusals.Load() > 5 })
+	if version, grants := c.servers[leader].leases.granting(); grants {
+		t.Errorf("the leader grants leases by version %d, and has read nothing", version)
+	}
+	for _, one := range nodes {
+		one.refusals.Store(0)
+	}
+	session := c.session("gateway", nil)
+	eventually(t, "a lease on the newest table", func() bool {
+		admitted, ok := session.Admit()
+		return ok && admitted == base
+	})
+}
