A process that starts with its clock behind takes a number above that of its earlier start

Callers of a gateway that had started again after its machine's clock was set back got 503 from it until the clock had passed the earlier start, minutes or hours; a storage machine could not be retired. Cause: a start is numbered by its own time of day and the group takes the higher number of a name for the later start; the leader left its renewals without an answer. Class: an order of events at different times or machines taken from clocks that nobody compares.

Change: the leader answers such a renewal with the number that it holds, and a process that has not held a lease yet takes one above it (with a random part); one that has held one stays out, since the other start came later. Registrations without a lease are answered alike.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -199,7 +199,8 @@
 	member := waiting.session.member
 	known := d.server.publisher.member(member.Name)
 	if known.GetIncarnation() > member.Incarnation {
-		d.server.log.Warnf("a stale process renews as %s; %s has taken its place", wire.OwnerName(member), wire.OwnerName(known))
+		logging.Emit(d.server.log, &events.MemberOutranked{Member: wire.OwnerName(member), By: wire.OwnerName(known)})
+		waiting.session.supersede(waiting.request.Sequence, known.GetIncarnation())
 		return false
 	}
 	if known.GetIncarnation() == member.Incarnation && known.State != wire.MemberState_MEMBER_STATE_GONE {
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -32,6 +32,7 @@
 	holder      lease.HolderID
 	ordinal     uint64                         // among the sessions of this node
 	answer      uint64                         // sequence of the newest renewal to answer; 0 for none
+	superseded  uint64                         // number of a later start of the holder's name, that answer tells; 0 for none
 	granted     bool                           // whether answer is a grant
 	shares      map[string]*wire.ResourceShare // that come with the grant, by resource
 	redirect    string                         // leader's address, to be told once
@@ -120,6 +121,14 @@
 	s.wakeUp()
 }
 
+// supersede answers a renewal of a start whose name a start with a higher number has.
+func (s *session) supersede(sequence, by uint64) {
+	s.mutex.Lock()
+	s.superseded = by
+	s.mutex.Unlock()
+	s.answerRenewal(sequence, false, nil)
+}
+
 // answerNumber numbers the answer to a renewal among those of all sessions of this node, so that a later session of a holder has
 // higher numbers.
 func (s *session) answerNumber(sequence uint64) uint64 { return s.ordinal<<sequenceBits | sequence }
@@ -188,7 +197,7 @@
 	defer s.mutex.Unlock()
 	if s.redirect != "" || s.turnedAway {
 		reply := &wire.SessionReply{LeaderAddress: s.redirect, LeaderUnknown: s.redirect == ""}
-		s.answer, s.redirect, s.turnedAway, s.invited = 0, "", false, false
+		s.answer, s.superseded, s.redirect, s.turnedAway, s.invited = 0, 0, "", false, false
 		clear(s.shares) // given by a leadership that this node has lost
 		return reply
 	}
@@ -196,7 +205,7 @@
 	worth := s.invited // an empty reply is an invitation
 	s.invited = false
 	if s.answer != 0 {
-		reply.Sequence, reply.Granted = s.answer, s.granted
+		reply.Sequence, reply.Granted, reply.SupersededBy = s.answer, s.granted, s.superseded
 		if s.granted {
 			reply.LeaseMillis = uint32(s.server.settings.Lease.Milliseconds())
 			reply.LedgerIndexes = s.server.ledgerIndexes()
@@ -207,7 +216,7 @@
 			}
 			clear(s.shares)
 		}
-		s.answer = 0
+		s.answer, s.superseded = 0, 0
 		worth = true
 	}
 	if published := s.server.publisher.updateFrom(s.sentTable); published != nil {
--- a/internal/controlclient/await.go
+++ b/internal/controlclient/await.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
-	request := &wire.SessionRequest{Member: s.member, Sequence: 1, ActedVersion: s.view.Load().Version(),
+	request := &wire.SessionRequest{Member: s.member.Load(), Sequence: 1, ActedVersion: s.view.Load().Version(),
 		MembersVersion: s.Members().MembersVersion, AcceptsPacked: true}
 	if err = stream.Send(request); err != nil {
 		return "", trace.Wrap(err)
@@ -91,7 +91,7 @@
 		switch {
 		case reply.LeaderAddress != "" && reply.LeaderAddress != failed:
 			return reply.LeaderAddress, nil
-		case reply.Granted || isInvitation(reply):
+		case reply.Granted || reply.SupersededBy != 0 || isInvitation(reply):
 			return address, nil
 		}
 	}
--- a/internal/controlclient/config.go
+++ b/internal/controlclient/config.go
@@ -59,8 +59,8 @@
 type Config struct {
 	// Addresses are the control nodes' listen addresses (IP:port). At least one; others are learned.
 	Addresses []string
-	// Member describes this process; its name must be unique and its incarnation must rise with each
-	// start. Needed by StartSession only.
+	// Member describes this process; its name must be unique. Its incarnation should rise with each start; where the group holds a
+	// higher one, the process takes a number above that. Default of the incarnation: the time of day. Needed by StartSession and Register.
 	Member *wire.Member
 	// LedgerGroups is the number of ledger groups of the cluster; it must equal that of the control
 	// nodes. Default DefaultLedgerGroups.
--- a/internal/controlclient/register.go
+++ b/internal/controlclient/register.go
@@ -18,13 +18,20 @@
 	if wire.HoldsLease(member.GetRole()) {
 		return trace.BadParameter("a %s holds a lease: start a session", wire.MemberRoleText(member.GetRole()))
 	}
-	command := &wire.Command{Kind: &wire.Command_MemberUpdate{MemberUpdate: &wire.MemberUpdate{Member: member}}}
-	result, err := c.Execute(ctx, ControlGroup, command)
-	if err != nil {
-		return trace.Wrap(err)
+	for {
+		command := &wire.Command{Kind: &wire.Command_MemberUpdate{MemberUpdate: &wire.MemberUpdate{Member: member}}}
+		result, err := c.Execute(ctx, ControlGroup, command)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if result.GetMember().GetAccepted() {
+			return nil
+		}
+		renumbered, later := after(member, result.GetMember().GetHeldIncarnation())
+		if !later {
+			return trace.CompareFailed("%s was not registered: another state of it is", wire.OwnerName(member))
+		}
+		c.noteRenumbered(member, renumbered)
+		member = renumbered
 	}
-	if !result.GetMember().GetAccepted() {
-		return trace.CompareFailed("a later start of %s has registered", member.GetName())
-	}
-	return nil
 }
--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -20,7 +20,7 @@
 // table and the members, and learns ledger indexes. It reconnects by itself.
 type Session struct {
 	client  *Client
-	member  *wire.Member
+	member  atomic.Pointer[wire.Member] // stands from the first grant on
 	cancel  context.CancelFunc
 	stopped chan struct{} // closed when the session's goroutine has ended
 	granted chan struct{} // closed at the first grant
@@ -42,6 +42,7 @@
 	lapsed    time.Duration // end of the last lease, while none holds
 	leaving   chan struct{} // non-nil once Leave was called; closed when the leader has confirmed
 	leaveOnce sync.Once
+	outranked uint64        // highest number of another start of this name that the log tells of
 	kick      chan struct{} // wakes the loop to renew at once
 }
 
@@ -84,7 +85,7 @@
 
 func (c *Client) newSession() *Session {
 	session := &Session{
-		client: c, member: c.newMember(),
+		client:  c,
 		stopped: make(chan struct{}),
 		granted: make(chan struct{}),
 		refused: make(chan error, 1),
@@ -93,13 +94,14 @@
 		sharing: newSharing(),
 		lapsed:  c.config.Clock(),
 	}
+	session.member.Store(c.newMember())
 	session.view.Store(table.NewView())
 	session.members.Store(&wire.MembersView{})
 	return session
 }
 
 // Owner is the name under which this process owns claims.
-func (s *Session) Owner() string { return wire.OwnerName(s.member) }
+func (s *Session) Owner() string { return wire.OwnerName(s.member.Load()) }
 
 // View returns the current table.
 func (s *Session) View() *table.View { return s.view.Load() }
@@ -170,9 +172,9 @@
 	case <-confirmed:
 		return nil
 	case <-s.stopped:
-		return trace.ConnectionProblem(nil, "the session was closed before the leader confirmed that %s left", s.member.Name)
+		return trace.ConnectionProblem(nil, "the session was closed before the leader confirmed that %s left", s.member.Load().Name)
 	case <-ctx.Done():
-		return trace.ConnectionProblem(ctx.Err(), "the leader did not confirm that %s left; it will count as gone after its lease", s.member.Name)
+		return trace.ConnectionProblem(ctx.Err(), "the leader did not confirm that %s left; it will count as gone after its lease", s.member.Load().Name)
 	}
 }
 
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -10,6 +10,8 @@
 	"storj.io/drpc/drpcerr"
 
 	"github.com/tamarindring/tamarindring/internal/auth"
+	"github.com/tamarindring/tamarindring/internal/events"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/member"
 	"github.com/tamarindring/tamarindring/internal/share"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -28,6 +30,9 @@
 	sentMemory = 64
 )
 
+// errRenumbered ends an attachment of a start whose number is changed: a stream speaks for one.
+var errRenumbered = errors.New("controlclient: this start has another number now")
+
 // errLeaderUnknown ends an attachment to a node that knows no leader.
 var errLeaderUnknown = errors.New("controlclient: the control node knows no leader")
 
@@ -63,6 +68,9 @@
 		if ctx.Err() != nil || s.hasLeft() {
 			return
 		}
+		if errors.Is(err, errRenumbered) {
+			continue
+		}
 		if drpcerr.Code(err) == auth.RefusedCode {
 			s.noteRefusal(address, err)
 		}
@@ -217,6 +225,9 @@
 		return false, false, a.acceptInvitation()
 	}
 	a.invited = false
+	if reply.SupersededBy != 0 && s.renumber(reply.SupersededBy) {
+		return false, true, errRenumbered
+	}
 	if a.leaveAt != 0 && reply.Sequence >= a.leaveAt {
 		s.leaveOnce.Do(func() { close(s.leaving) })
 		return false, true, nil
@@ -277,7 +288,7 @@
 	due := s.sharing.due()
 	a.told[a.sequence%sentMemory] = due
 	request := &wire.SessionRequest{
-		Member:       s.member,
+		Member:       s.member.Load(),
 		Sequence:     a.sequence,
 		ActedVersion: s.view.Load().Version(),
 		Leaving:      leaving,
@@ -308,6 +319,28 @@
 	return a.session.client.config.Clock()-a.heard > limit
 }
 
+// renumber takes a number above that of another start under this name, as of an earlier one when the clock was ahead of the present one;
+// false for a process that held a lease: it is the other start that came later, and this one is out.
+func (s *Session) renumber(held uint64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.member.Load()
+	if s.everHeld {
+		if held > max(s.outranked, before.Incarnation) {
+			s.outranked = held
+			other := &wire.Member{Name: before.Name, Incarnation: held}
+			logging.Emit(s.client.config.Log, &events.StartSuperseded{Member: wire.OwnerName(before), By: wire.OwnerName(other)})
+		}
+		return false
+	}
+	now, later := after(before, held)
+	if later {
+		s.member.Store(now)
+		s.client.noteRenumbered(before, now)
+	}
+	return later
+}
+
 // grant extends the lease from the moment its renewal was sent.
 func (s *Session) grant(sentAt, duration time.Duration) {
 	s.mutex.Lock()
--- a/internal/controlclient/session_test.go
+++ b/internal/controlclient/session_test.go
@@ -199,3 +199,43 @@
 		t.Fatalf("the follower was asked %d times", asked)
 	}
 }
+
+// TestOutrankedStartTakesAHigherNumber: a start that was never granted a lease takes a number above the one that the leader names, wherever it
+// hears of that; one that held a lease keeps its own.
+func TestOutrankedStartTakesAHigherNumber(t *testing.T) {
+	const held, later = 5, 1 << 40
+	leader := startFake(t, nil)
+	var outranks atomic.Uint64
+	outranks.Store(held)
+	leader.renew = func(request *wire.SessionRequest) *wire.SessionReply {
+		if by := outranks.Load(); request.Member.Incarnation <= by {
+			return &wire.SessionReply{Sequence: request.Sequence, SupersededBy: by}
+		}
+		return granted(request)
+	}
+	client := newTestClient(t, Config{Addresses: []string{leader.address}, awaitTime: time.Hour,
+		Member: &wire.Member{Name: "g", Role: wire.MemberRole_MEMBER_ROLE_GATEWAY, Incarnation: 1}})
+	ctx := testContext(t)
+	session, err := client.StartSession(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer session.Close()
+	owner := session.Owner()
+	if owner == "g#1" {
+		t.Fatalf("the owner is %s", owner)
+	}
+	outranks.Store(later)
+	for {
+		if _, holds := session.Admit(); !holds {
+			break
+		}
+		if ctx.Err() != nil {
+			t.Fatal("the lease of a start that is outranked goes on")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if session.Owner() != owner {
+		t.Fatalf("a start that held a lease became %s", session.Owner())
+	}
+}
--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -199,6 +199,40 @@
 // Kind implements logging.Event.
 func (*TableAdopted) Kind() *logging.Kind { return &tableAdoptedKind }
 
+// StartRenumbered is a start of this process whose number was not above that of an earlier one, as where the clock was set back between them:
+// it has taken a higher one.
+type StartRenumbered struct {
+	Member string `json:"member" doc:"name and number of this start from now on"`
+	Before string `json:"before" doc:"what it had by its own clock"`
+}
+
+var startRenumberedKind = kind("start_renumbered", logrus.WarnLevel, perStart)
+
+// Kind implements logging.Event.
+func (*StartRenumbered) Kind() *logging.Kind { return &startRenumberedKind }
+
+// StartSuperseded is that a later start runs under this process's name: this one gets no lease any more.
+type StartSuperseded struct {
+	Member string `json:"member" doc:"name and number of this start"`
+	By     string `json:"by" doc:"name and number of the later one"`
+}
+
+var startSupersededKind = kind("start_superseded", logrus.ErrorLevel, perStart)
+
+// Kind implements logging.Event.
+func (*StartSuperseded) Kind() *logging.Kind { return &startSupersededKind }
+
+// MemberOutranked is a renewal that the leader refuses since a later start of its sender's name is registered.
+type MemberOutranked struct {
+	Member string `json:"member" doc:"name and number of the start that renews"`
+	By     string `json:"by" doc:"name and number of the registered one"`
+}
+
+var memberOutrankedKind = kind("member_outranked", logrus.WarnLevel, perStart)
+
+// Kind implements logging.Event.
+func (*MemberOutranked) Kind() *logging.Kind { return &memberOutrankedKind }
+
 // StateUnread is a read of the state applied here that failed: what this node tells the processes that hold leases stays behind until it is
 // read again.
 type StateUnread struct {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -53,7 +53,9 @@
 	}
 	known := l.members[next.GetName()]
 	if known != nil && !follows(known, next) {
-		return l.result(false), nil
+		refused := l.result(false)
+		refused.HeldIncarnation = known.member.GetIncarnation()
+		return refused, nil
 	}
 	if known != nil && staysDraining(known, next) {
 		next = proto.CloneOf(next)
