Gateways never go back to a table that they read before a newer one came

A starting gateway reads the session's view and adopts it, while its session may be sent a newer one; a gateway of our own dialect does the same each time its group changes. Class: a value that is read, and put in place after a newer one.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"github.com/tamarindring/tamarindring/internal/engine/text"
 	"github.com/tamarindring/tamarindring/internal/standin/application"
 	enginestandin "github.com/tamarindring/tamarindring/internal/standin/engine"
+	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
@@ -241,3 +242,18 @@
 		}
 	}
 }
+
+// TestPoolsNeverGoBack: a gateway that looks at its group again has read the table before a newer one came; it went back to it.
+func TestPoolsNeverGoBack(t *testing.T) {
+	f := newFixture(t, 1, 0, 1, nil)
+	gateway := f.gateways[0]
+	before := f.controls[0].View()
+	f.cluster.change(t, [3]string{"later", table.ColumnKind, string(table.Pool)})
+	if gateway.pool("later") == nil {
+		t.Fatal("the new pool is not known")
+	}
+	gateway.update(before, true)
+	if gateway.pool("later") == nil {
+		t.Error("the table before is acted on again")
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -258,12 +258,12 @@
 	return err
 }
 
-// update takes over a table view. Pools keep what they know about replicas that stay.
+// update takes over a table view unless it is older than the one in use, or, without force, the same. Pools keep what they know about replicas that stay.
 func (s *Server) update(view *table.View, force bool) {
 	s.updateMutex.Lock()
 	defer s.updateMutex.Unlock()
 	old := s.pools.Load()
-	if !force && view.Version() <= old.version {
+	if view.Version() < old.version || !force && view.Version() == old.version {
 		return
 	}
 	own := s.currentGroup()
