--- a/internal/member/voters_model_run_test.go
+++ b/internal/member/voters_model_run_test.go
@@ -83,3 +83,13 @@
 	t.Logf("%d changes; whole after %s in the median, %s at the 99th percentile, %s at most",
 		changes, took[len(took)/2], took[len(took)*99/100], took[len(took)-1])
 }
+
+// TestASeedThatLosesItsMajority: a leader gives up, or is away, three times within 3 s while the successor of a lost voter catches up as a
+// learner, and each leader waits for that anew; then the next two disks are lost.
+func TestASeedThatLosesItsMajority(t *testing.T) {
+	w := newModelWorld(40987)
+	w.run()
+	if where := w.broken[noMajority]; where != "" {
+		t.Error(where)
+	}
+}
