consensus: the test of slow syncs holds writes of nodes that lost the leader of the group that it is about

Traced: a node counted as without a leader when any of its groups had none. Group 1's election was still under way when writes began to be held, so that its candidate's write was held, and behind it the entry of group 0 that the node took as a follower: both nodes stayed pre-candidates, and no candidate waited for its disk. A fault of the test.

--- a/internal/consensus/absence_test.go
+++ b/internal/consensus/absence_test.go
@@ -214,9 +214,13 @@
 	var killed atomic.Uint64 // node whose writes pass: its end waits for them
 	var begun atomic.Int32   // writes, of any node, since writes of nodes without a leader are held
 	c, logs := startLogged(t, func(node *testNode) {
-		alone := new(atomic.Bool) // knows no leader
+		alone := new(atomic.Bool) // knows no leader of group 0
 		node.change = func(config *Config) {
-			config.OnLeaderChange = func(_ uint32, seen Leadership) { alone.Store(seen.Leader == raft.None) }
+			config.OnLeaderChange = func(group uint32, seen Leadership) {
+				if group == 0 {
+					alone.Store(seen.Leader == raft.None)
+				}
+			}
 		}
 		node.hooks = storage.Hooks{BeforeCommit: func() error {
 			if held.Load() {
@@ -229,7 +233,9 @@
 		}}
 	})
 	t.Cleanup(func() { held.Store(false) })
+	t.Cleanup(func() { tellRoles(t, c, killed.Load()) })
 	c.commit(0, "kept")
+	c.commit(1, "kept") // its election would be held, and the writes of group 0 behind it
 	leader := c.leader(0)
 	held.Store(true)
 	if proposed {
@@ -251,6 +257,23 @@
 	})
 }
 
+// tellRoles shows what each node that runs takes itself for, if the test has failed.
+func tellRoles(t *testing.T, c *testCluster, killed uint64) {
+	if !t.Failed() {
+		return
+	}
+	t.Logf("node %d was killed", killed)
+	for id, node := range c.nodes {
+		if id == killed {
+			continue
+		}
+		for group := range uint32(2) {
+			status, err := node.host.Status(context.Background(), group)
+			t.Logf("node %d, group %d: %+v, %v", id, group, status, err)
+		}
+	}
+}
+
 // proposeBeside proposes a command whose fate does not matter, until the test ends.
 func proposeBeside(t *testing.T, host *Host) {
 	ctx, cancel := context.WithCancel(t.Context())
