--- a/internal/control/manyjobs_test.go
+++ b/internal/control/manyjobs_test.go
@@ -132,6 +132,7 @@
 		m.end(job)
 	}
 	leader := m.cluster.servers[m.cluster.ledgerLeader()]
+	term := leader.states[ledger].leader().Term
 	applied := leader.states[ledger].applied.Load()
 	if reply := m.execute(&wire.Command{Kind: &wire.Command_JobSubmit{JobSubmit: &wire.JobSubmit{Id: "job-1", Digest: []byte{1}, Items: []*wire.JobItem{{Id: "item"}}}}}); reply.GetOutcome() != wire.JobOutcome_JOB_OUTCOME_ACCEPTED {
 		t.Fatalf("a job that is held comes again: %s", reply.GetOutcome())
@@ -143,6 +144,6 @@
 		}
 	}
 	if now := leader.states[ledger].applied.Load(); now != applied {
-		t.Fatalf("20 refused jobs took %d entries of the log", now-applied)
+		t.Fatalf("20 refused jobs took %d entries of the log; term %d, and %d before", now-applied, leader.states[ledger].leader().Term, term)
 	}
 }
