A change of the table costs what it touches, at control nodes and followers

Cause: each version copied the map of all rows and of all names (View.withRows), copied 10,000 entries of history (trim) and, for each holder's version, looked at all rows (UpdateSince) and at all removals. With 10,000 replicas that is work for the square of the fleet while it registers.

The table keeps its rows in order of their last change and its removals by name.

--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sort"
 	"strings"
 
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -13,18 +12,18 @@
 // problem comes from this change. For a change of back ends and suspects only, which a large fleet sends often, it
 // checks just the changed rows, because no other row depends on them.
 func (t *Table) check(d *draft, after *View, change *wire.TableChange) []*wire.CellRefusal {
-	if len(after.rows) > MaximumRows {
+	if after.Len() > MaximumRows {
 		return refuseWholeChange("table would have too many rows")
 	}
 	before := t.current()
 	var refusals []*wire.CellRefusal
 	if d.changesOnlyLeaves(before, after) {
-		refusals = checkRows(d.changedRows(), after)
+		refusals = checkRows(d.changedRows(after), after)
 	} else {
-		refusals = append(append(checkRows(after.names, after), checkRoutes(after)...), checkTenants(after)...)
+		refusals = append(append(checkRows(after.Rows(), after), checkRoutes(after)...), checkTenants(after)...)
 	}
 	if len(refusals) == 0 && !isForced(change) {
-		refusals = checkPoolsServed(before.rows, after.rows, d)
+		refusals = checkPoolsServed(before, after, d)
 	}
 	return refusals
 }
@@ -43,25 +42,31 @@
 	return t.view
 }
 
-// checkRows checks the named rows in the given order. Rows that do not exist are skipped.
-func checkRows(names []string, after *View) []*wire.CellRefusal {
+// checkRows checks rows of a view in the given order.
+func checkRows(rows []*Row, after *View) []*wire.CellRefusal {
 	var refusals []*wire.CellRefusal
-	for _, name := range names {
-		if row := after.rows[name]; row != nil {
-			refusals = append(refusals, checkRow(row, after.rows)...)
-		}
+	for _, row := range rows {
+		refusals = append(refusals, checkRow(row, after)...)
 	}
 	return refusals
 }
 
-// changedRows returns the names of the draft's rows, sorted.
-func (d *draft) changedRows() []string { return slices.Sorted(maps.Keys(d.rows)) }
+// changedRows returns the draft's rows as they are in the view after it, in order of name and without removed ones.
+func (d *draft) changedRows(after *View) []*Row {
+	var rows []*Row
+	for _, name := range slices.Sorted(maps.Keys(d.rows)) {
+		if row := after.Row(name); row != nil {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
 
 // changesOnlyLeaves reports whether no other row depends on any row that the draft changes, before or after the change.
 func (d *draft) changesOnlyLeaves(before, after *View) bool {
 	for name := range d.rows {
 		for _, view := range []*View{before, after} {
-			if row := view.rows[name]; row != nil && row.Kind != Backend && row.Kind != Suspect {
+			if row := view.Row(name); row != nil && row.Kind != Backend && row.Kind != Suspect {
 				return false
 			}
 		}
@@ -69,16 +74,7 @@
 	return true
 }
 
-func sortedNames(rows map[string]*Row) []string {
-	names := make([]string, 0, len(rows))
-	for name := range rows {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
-func checkRow(row *Row, rows map[string]*Row) []*wire.CellRefusal {
+func checkRow(row *Row, after *View) []*wire.CellRefusal {
 	var refusals []*wire.CellRefusal
 	refuse := func(column, reason string) {
 		refusals = append(refusals, &wire.CellRefusal{Row: row.Name, Column: column, Reason: reason})
@@ -91,7 +87,7 @@
 		return reserved
 	}
 	if row.Kind == Backend {
-		switch pool := rows[row.Pool]; {
+		switch pool := after.Row(row.Pool); {
 		case row.Pool == "":
 			refuse(ColumnPool, "a back end needs a pool")
 		case pool == nil:
@@ -105,7 +101,7 @@
 	}
 	switch row.Kind {
 	case Route:
-		return checkRoute(row, rows)
+		return checkRoute(row, after)
 	case Tenant:
 		return checkTenant(row)
 	case Suspect:
@@ -128,35 +124,29 @@
 }
 
 // checkPoolsServed refuses a change that leaves an existing pool without any serving back end although it had one.
-func checkPoolsServed(before, after map[string]*Row, d *draft) []*wire.CellRefusal {
-	servingBefore, servingAfter := countServingByPool(before), countServingByPool(after)
+func checkPoolsServed(before, after *View, d *draft) []*wire.CellRefusal {
 	var refusals []*wire.CellRefusal
-	for _, name := range sortedNames(after) {
-		if after[name].Kind == Pool && servingBefore[name] > 0 && servingAfter[name] == 0 {
-			refusals = append(refusals, refuseUnservedPool(name, before, after, d)...)
+	for _, pool := range after.Pools() {
+		if hasServing(before, pool.Name) && !hasServing(after, pool.Name) {
+			refusals = append(refusals, refuseUnservedPool(pool.Name, before, after, d)...)
 		}
 	}
 	return refusals
 }
 
-func countServingByPool(rows map[string]*Row) map[string]int {
-	count := map[string]int{}
-	for _, row := range rows {
-		if row.Kind == Backend && row.Serving() {
-			count[row.Pool]++
-		}
-	}
-	return count
+// hasServing reports whether some back end of a pool accepts new work.
+func hasServing(view *View, pool string) bool {
+	return slices.ContainsFunc(view.Backends(pool), (*Row).Serving)
 }
 
 // refuseUnservedPool refuses the cells and row removals by which the change takes the pool's last serving back ends.
-func refuseUnservedPool(pool string, before, after map[string]*Row, d *draft) []*wire.CellRefusal {
+func refuseUnservedPool(pool string, before, after *View, d *draft) []*wire.CellRefusal {
 	reason := "pool " + pool + " would have no back end that takes new work; write " + ForceNote + " in the note to do it all the same"
 	concerns := func(name string) bool {
 		if name == pool {
 			return true
 		}
-		old, now := before[name], after[name]
+		old, now := before.Row(name), after.Row(name)
 		return (old != nil && old.Kind == Backend && old.Pool == pool) || (now != nil && now.Kind == Backend && now.Pool == pool)
 	}
 	var refusals []*wire.CellRefusal
--- a/internal/table/check_tenant.go
+++ b/internal/table/check_tenant.go
@@ -35,20 +35,16 @@
 func checkTenants(view *View) []*wire.CellRefusal {
 	var refusals []*wire.CellRefusal
 	names, keys := map[string]string{}, map[string]string{}
-	for _, name := range view.names {
-		row := view.rows[name]
-		if row.Kind != Tenant {
-			continue
-		}
+	for _, row := range view.OfKind(Tenant) {
 		if other, duplicate := names[row.TenantName]; duplicate {
-			refusals = append(refusals, &wire.CellRefusal{Row: name, Column: ColumnTenantName, Reason: "row " + other + " has the same tenant name"})
+			refusals = append(refusals, &wire.CellRefusal{Row: row.Name, Column: ColumnTenantName, Reason: "row " + other + " has the same tenant name"})
 		}
-		names[row.TenantName] = name
+		names[row.TenantName] = row.Name
 		for _, digest := range row.KeyDigests {
 			if other, duplicate := keys[digest]; duplicate {
-				refusals = append(refusals, &wire.CellRefusal{Row: name, Column: ColumnKeyDigests, Reason: "row " + other + " has the same key"})
+				refusals = append(refusals, &wire.CellRefusal{Row: row.Name, Column: ColumnKeyDigests, Reason: "row " + other + " has the same key"})
 			}
-			keys[digest] = name
+			keys[digest] = row.Name
 		}
 	}
 	return refusals
--- a/internal/table/commit.go
+++ b/internal/table/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,17 +31,19 @@
 		}
 	}
 	delete(t.rows, name)
-	t.removed = append(t.removed, removedRow{name: name, version: t.version, operator: change.GetOperator()})
+	t.recency.drop(stored)
+	t.listRemoval(removedRow{name: name, version: t.version, operator: change.GetOperator()})
 }
 
 func (t *Table) setCell(cell *wire.CellChange, change *wire.TableChange) {
 	stored := t.rows[cell.GetRow()]
 	if stored == nil {
-		stored = &storedRow{cells: map[string]storedCell{}}
+		stored = &storedRow{name: cell.GetRow(), cells: map[string]storedCell{}}
 		t.rows[cell.GetRow()] = stored
 		t.moveRemovalToCells(cell.GetRow())
 	}
 	stored.version = t.version
+	t.recency.touch(stored)
 	if _, exists := stored.cells[cell.GetColumn()]; !exists {
 		t.countOptional(cell.GetColumn(), 1)
 	}
@@ -51,22 +54,26 @@
 // moveRemovalToCells drops an earlier removal of a row that exists again. A change based on a version before the
 // removal must still conflict in every column, so the removal is recorded as a cleared cell of each column.
 func (t *Table) moveRemovalToCells(name string) {
-	remaining := t.removed[:0]
-	for _, removal := range t.removed {
-		if removal.name != name {
-			remaining = append(remaining, removal)
+	removal, ok := t.removals[name]
+	if !ok {
+		return
+	}
+	for position := range columns {
+		column := &columns[position]
+		if !t.isKnownToAll(column) {
 			continue
 		}
-		for position := range columns {
-			column := &columns[position]
-			if !t.isKnownToAll(column) {
-				continue
-			}
-			t.countOptional(column.Name, 1)
-			t.rows[name].cells[column.Name] = storedCell{version: removal.version, operator: removal.operator}
-		}
+		t.countOptional(column.Name, 1)
+		t.rows[name].cells[column.Name] = storedCell{version: removal.version, operator: removal.operator}
 	}
-	t.removed = remaining
+	delete(t.removals, name)
+	t.removed = slices.DeleteFunc(t.removed, func(listed removedRow) bool { return listed.name == name })
+}
+
+// listRemoval adds a removal to those that are kept.
+func (t *Table) listRemoval(removal removedRow) {
+	t.removed = append(t.removed, removal)
+	t.removals[removal.name] = removal
 }
 
 func (t *Table) recordHistory(change *wire.TableChange, row, column, from, to string) {
@@ -89,11 +96,15 @@
 // trim drops the oldest history entries and removals above their bounds.
 func (t *Table) trim() {
 	if surplus := len(t.history) - MaximumHistory; surplus > 0 {
-		t.history = append([]*wire.HistoryEntry(nil), t.history[surplus:]...)
+		clear(t.history[:surplus])
+		t.history = t.history[surplus:] // append moves the rest to a new array once this one is full
 	}
 	if surplus := len(t.removed) - MaximumRemoved; surplus > 0 {
 		t.removalFloor = t.removed[surplus-1].version
-		t.removed = append([]removedRow(nil), t.removed[surplus:]...)
+		for _, dropped := range t.removed[:surplus] {
+			delete(t.removals, dropped.name)
+		}
+		t.removed = t.removed[surplus:]
 	}
 }
 
@@ -108,23 +119,15 @@
 		fromVersion = 0
 	}
 	update := &wire.TableUpdate{FromVersion: fromVersion, ToVersion: t.version}
-	var changed []string
-	for name, stored := range t.rows {
-		if stored.version > fromVersion {
-			changed = append(changed, name)
-		}
-	}
-	sort.Strings(changed)
-	for _, name := range changed {
-		update.Rows = append(update.Rows, wireRow(name, t.rows[name], false))
+	for _, stored := range t.recency.since(fromVersion) {
+		update.Rows = append(update.Rows, wireRow(stored.name, stored, false))
 	}
 	if fromVersion == 0 {
 		return update
 	}
-	for _, removal := range t.removed {
-		if removal.version > fromVersion {
-			update.RemovedRows = append(update.RemovedRows, removal.name)
-		}
+	first := sort.Search(len(t.removed), func(position int) bool { return t.removed[position].version > fromVersion })
+	for _, removal := range t.removed[first:] {
+		update.RemovedRows = append(update.RemovedRows, removal.name)
 	}
 	sort.Strings(update.RemovedRows)
 	return update
--- a/internal/table/incremental_test.go
+++ b/internal/table/incremental_test.go
@@ -28,9 +28,9 @@
 		own[name] = cells
 	}
 	after := NewView().withRows(table.version+1, own)
-	refusals := append(append(checkRows(after.names, after), checkRoutes(after)...), checkTenants(after)...)
+	refusals := append(append(checkRows(after.Rows(), after), checkRoutes(after)...), checkTenants(after)...)
 	if len(refusals) == 0 && !isForced(change) {
-		refusals = checkPoolsServed(before.rows, after.rows, d)
+		refusals = checkPoolsServed(before, after, d)
 	}
 	return refusals
 }
--- a/internal/table/row.go
+++ b/internal/table/row.go
@@ -92,6 +92,12 @@
 // Serving reports whether the row accepts new work, which requires that it is active and has a weight above 0.
 func (r *Row) Serving() bool { return r.State == Active && r.Weight > 0 }
 
+// IsRegistered reports whether the row is that of a back end that registered itself. Operators create the others.
+func (r *Row) IsRegistered() bool {
+	_, explicit := r.explicit[ColumnSequence]
+	return r.Kind == Backend && explicit
+}
+
 // Incarnation returns the id and start time of the back end that the row describes.
 func (r *Row) Incarnation() incarnation.Incarnation {
 	return incarnation.Incarnation{ID: r.Name, Start: r.Start}
--- a/internal/table/snapshot.go
+++ b/internal/table/snapshot.go
@@ -37,13 +37,15 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
+		stored.name = row.GetName()
 		restored.rows[row.GetName()] = stored
 		for column := range stored.cells {
 			restored.countOptional(column, 1)
 		}
 	}
+	restored.recency = newRecency(restored.rows)
 	for _, removal := range snapshot.GetRemoved() {
-		restored.removed = append(restored.removed, removedRow{
+		restored.listRemoval(removedRow{
 			name: removal.GetName(), version: removal.GetVersion(), operator: removal.GetOperator(),
 		})
 	}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"container/list"
 	"sort"
 
 	"google.golang.org/protobuf/proto"
@@ -45,8 +46,10 @@
 	unsafe       Unsafe
 	version      uint64
 	rows         map[string]*storedRow
-	removed      []removedRow // in order of version; rows that were created again are not listed
-	removalFloor uint64       // removals at or below this version are no longer listed
+	recency      recency               // the rows in order of their last change
+	removed      []removedRow          // in order of version; rows that were created again are not listed
+	removals     map[string]removedRow // the same by name
+	removalFloor uint64                // removals at or below this version are no longer listed
 	history      []*wire.HistoryEntry
 	changes      changeMemory
 	level        compat.Level   // in force for the group
@@ -57,8 +60,10 @@
 // storedRow holds a row's cells with the change that set each. A cleared cell is kept with an empty value, so that a
 // change based on a version before the clearing conflicts.
 type storedRow struct {
+	name    string
 	version uint64 // version of the last change of the row
 	cells   map[string]storedCell
+	place   *list.Element // its place in Table.recency
 }
 
 type storedCell struct {
@@ -78,7 +83,7 @@
 
 // NewUnsafe is New with safety checks disabled.
 func NewUnsafe(unsafe Unsafe) *Table {
-	return &Table{unsafe: unsafe, rows: map[string]*storedRow{}, changes: newChangeMemory(), level: compat.Newest, optional: map[string]int{}}
+	return &Table{unsafe: unsafe, rows: map[string]*storedRow{}, recency: newRecency(nil), removals: map[string]removedRow{}, changes: newChangeMemory(), level: compat.Newest, optional: map[string]int{}}
 }
 
 // Version returns the version of the last accepted change.
@@ -171,12 +176,10 @@
 // findRemovalConflict reports a conflict for a row that was removed after the base version. It also does so for a row
 // that does not exist when the base version is so old that the row's removal may no longer be listed.
 func (t *Table) findRemovalConflict(row, column string, base uint64) *wire.CellRefusal {
-	for _, removal := range t.removed {
-		if removal.name == row && removal.version > base {
-			return &wire.CellRefusal{
-				Row: row, Column: column, Reason: "row was removed after the base version",
-				ChangedVersion: removal.version, ChangedBy: removal.operator,
-			}
+	if removal, ok := t.removals[row]; ok && removal.version > base {
+		return &wire.CellRefusal{
+			Row: row, Column: column, Reason: "row was removed after the base version",
+			ChangedVersion: removal.version, ChangedBy: removal.operator,
 		}
 	}
 	if base < t.removalFloor {
