No look at all rows for one replica, route or tenant

Cause: each heartbeat of an unknown replica built an index of all addresses (mustDefer), each batch of registrations built it again, each new view counted all replicas to answer heartbeats (ShouldSpread), and gateways walked all rows for their listener, routes, tenants, pools and suspects. A fleet that starts pays replicas squared at the leader.

Change: these use the view's lists by kind and address and its count of registered back ends.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -151,7 +151,7 @@
 // once it returns, all decisions use the new view.
 func (f *Forwarder) Update(view *table.View) {
 	next := &plan{version: view.Version(), routes: route.NewTable(view), pools: map[string]*pool{}}
-	next.configured = len(next.routes.Routes()) > 0
+	next.configured = len(next.routes.Routes())+len(view.OfKind(table.Document)) > 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var previousTenants *tenant.Index
@@ -162,20 +162,15 @@
 		previousTenants = previous.tenants
 	}
 	next.tenants = tenant.NewIndex(view, previousTenants)
-	for _, row := range view.Rows() {
-		switch row.Kind {
-		case table.Document:
-			next.configured = true
-		case table.Pool:
-			existing := f.pools[row.Name]
-			if existing == nil {
-				existing = newPool(row.Name, &f.config, f.random.Uint64(), f.metrics)
-			}
-			existing.onShareUse = f.wakeShareFollower
-			existing.ensureRetryBudget(f.now(), f.config.Retries)
-			existing.update(f.now(), view, row, &f.config)
-			next.pools[row.Name] = existing
+	for _, row := range view.Pools() {
+		existing := f.pools[row.Name]
+		if existing == nil {
+			existing = newPool(row.Name, &f.config, f.random.Uint64(), f.metrics)
 		}
+		existing.onShareUse = f.wakeShareFollower
+		existing.ensureRetryBudget(f.now(), f.config.Retries)
+		existing.update(f.now(), view, row, &f.config)
+		next.pools[row.Name] = existing
 	}
 	f.logTable(view, next)
 	for name, removed := range f.pools {
--- a/internal/poisonguard/late.go
+++ b/internal/poisonguard/late.go
@@ -42,14 +42,8 @@
 	if len(g.brokenRuns) == 0 {
 		return nil
 	}
-	holders := map[string]string{} // instance by address
-	for _, row := range g.view.Rows() {
-		if row.Kind == table.Backend && row.Serving() {
-			holders[row.Address] = row.Instance
-		}
-	}
 	g.brokenRuns = slices.DeleteFunc(g.brokenRuns, func(one brokenRun) bool {
-		holder := holders[one.run.address]
+		holder := servingAt(g.view, one.run.address)
 		ended := g.view.HasRestarted(one.run.instance) || holder != "" && holder != one.run.instance
 		if ended {
 			g.book.Crashed(now, one.run.ensureDigest(), one.run.crashName())
@@ -61,6 +55,16 @@
 	return crashed
 }
 
+// servingAt returns the instance that serves at an address, or "" if none does.
+func servingAt(view *table.View, address string) (instance string) {
+	for _, row := range view.AtAddress(address) {
+		if row.Serving() {
+			instance = row.Instance
+		}
+	}
+	return instance
+}
+
 // isLeaving reports whether the followed table shows a planned end of a back end: its state is not active.
 func (g *Guard) isLeaving(instance string) bool {
 	g.mutex.Lock()
--- a/internal/registry/batch.go
+++ b/internal/registry/batch.go
@@ -33,7 +33,7 @@
 }
 
 // plan returns the change that applies the update to a view of the table; nil if the table needs no change.
-func (u *pendingUpdate) plan(view *table.View, byAddress addressIndex) *wire.TableChange {
+func (u *pendingUpdate) plan(view *table.View) *wire.TableChange {
 	if u.heartbeat == nil {
 		return PlanDeregistration(view, u.replica)
 	}
@@ -45,7 +45,7 @@
 	if row != nil && u.replica.Compare(row.Incarnation()) == incarnation.Newer {
 		u.formerStart = row.Start
 	}
-	return planRegistration(view, u.heartbeat, byAddress)
+	return planRegistration(view, u.heartbeat)
 }
 
 // address returns the replica's address in canonical form; empty for a deregistration.
@@ -189,10 +189,9 @@
 // mergeChanges plans one change for a batch on a view of the table.
 func mergeChanges(view *table.View, batch []*updateCall) plannedBatch {
 	planned := plannedBatch{change: &wire.TableChange{BaseVersion: view.Version(), Note: table.ForceNote}}
-	byAddress := indexAddresses(view)
 	cells := map[cellName]string{}
 	for number, one := range batch {
-		change := one.Value.plan(view, byAddress)
+		change := one.Value.plan(view)
 		if change == nil {
 			planned.unchanged++
 			continue
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -153,23 +153,10 @@
 	return cells
 }
 
-// addressIndex holds the rows of registered replicas by address, without deregistered ones.
-type addressIndex map[string][]*table.Row
-
-func indexAddresses(view *table.View) addressIndex {
-	found := addressIndex{}
-	for _, row := range view.Rows() {
-		if isRegistered(row) && row.Sequence != LastSequence {
-			found[row.Address] = append(found[row.Address], row)
-		}
-	}
-	return found
-}
-
 // planRegistration returns the change that records a heartbeat in the table, without id and operator. The change
 // creates the pool if there is none. It deregisters every other replica at the same address, because that replica must
 // have ended.
-func planRegistration(view *table.View, heartbeat *Registration, byAddress addressIndex) *wire.TableChange {
+func planRegistration(view *table.View, heartbeat *Registration) *wire.TableChange {
 	change := &wire.TableChange{BaseVersion: view.Version(), Note: table.ForceNote}
 	set := func(row, column, value string) {
 		change.Cells = append(change.Cells, &wire.CellChange{Row: row, Column: column, Value: value})
@@ -179,7 +166,7 @@
 	}
 	change.Cells = append(change.Cells, diffCells(view.Row(heartbeat.Instance), heartbeat)...)
 	set(heartbeat.Instance, table.ColumnSequence, strconv.FormatUint(heartbeat.Sequence, 10))
-	for _, row := range byAddress[heartbeat.Address] {
+	for _, row := range holders(view, heartbeat.Address) {
 		if row.Name != heartbeat.Instance {
 			change.Cells = append(change.Cells, deregistrationCells(row)...)
 		}
@@ -187,6 +174,17 @@
 	return change
 }
 
+// holders returns the registered replicas at an address, without deregistered ones.
+func holders(view *table.View, address string) []*table.Row {
+	var found []*table.Row
+	for _, row := range view.AtAddress(address) {
+		if row.IsRegistered() && row.Sequence != LastSequence {
+			found = append(found, row)
+		}
+	}
+	return found
+}
+
 // PlanDeregistration returns the change that removes one start of a replica permanently, without id and operator. It
 // returns nil if there is nothing to change. A replica without a start stands for the start that is registered.
 func PlanDeregistration(view *table.View, replica incarnation.Incarnation) *wire.TableChange {
@@ -217,9 +215,3 @@
 	}
 	return cells
 }
-
-// isRegistered reports whether a row was created by a registration. Rows that operators created are not changed.
-func isRegistered(row *table.Row) bool {
-	_, explicit := row.Explicit(table.ColumnSequence)
-	return row.Kind == table.Backend && explicit
-}
--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/batching"
-	"github.com/tamarindring/tamarindring/internal/table"
 )
 
 const (
@@ -79,27 +78,5 @@
 // them. Otherwise they should send their heartbeats to the leader.
 func (s *Service) ShouldSpread() bool {
 	view := s.config.View()
-	return view != nil && s.replicas.count(view) > spreadThreshold
-}
-
-// replicaCount counts the registered replicas of a view that are not removed, and caches the count for the latest view.
-type replicaCount struct {
-	mutex       sync.Mutex
-	view        *table.View
-	cachedCount int
-}
-
-func (c *replicaCount) count(view *table.View) int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.view == view {
-		return c.cachedCount
-	}
-	c.view, c.cachedCount = view, 0
-	for _, row := range view.Rows() {
-		if isRegistered(row) && row.State != table.Removed {
-			c.cachedCount++
-		}
-	}
-	return c.cachedCount
+	return view != nil && view.Registered() > spreadThreshold
 }
--- a/internal/registry/service.go
+++ b/internal/registry/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"slices"
 	"sync"
 	"time"
 
@@ -60,11 +59,10 @@
 
 // Service processes replicas' heartbeats. It is safe for concurrent use.
 type Service struct {
-	config   Config
-	batches  *batches
-	relays   *relays // nil if heartbeats are not forwarded
-	replicas replicaCount
-	counts   *counts
+	config  Config
+	batches *batches
+	relays  *relays // nil if heartbeats are not forwarded
+	counts  *counts
 
 	mutex       sync.Mutex          // guards tracker
 	tracker     *Tracker            // nil while this process does not lead
@@ -131,7 +129,7 @@
 
 // hasConfiguration reports whether the table has a route, and therefore a configuration.
 func hasConfiguration(view *table.View) bool {
-	return slices.ContainsFunc(view.Rows(), func(row *table.Row) bool { return row.Kind == table.Route })
+	return len(view.OfKind(table.Route)) > 0
 }
 
 // TakeHere is like Heartbeat, but does not forward the heartbeat to the leader.
@@ -196,7 +194,7 @@
 	if view == nil || view.Row(heartbeat.Instance) != nil || !s.config.Leading() {
 		return false
 	}
-	for _, row := range indexAddresses(view)[heartbeat.Address] {
+	for _, row := range holders(view, heartbeat.Address) {
 		ago, heard := s.sinceHeard(row.Name)
 		if row.State == table.Removed || !heard || ago >= addressHold*s.config.Heartbeat/2 {
 			continue
--- a/internal/registry/tracker.go
+++ b/internal/registry/tracker.go
@@ -88,7 +88,7 @@
 		t.removeSilent(attention, view.Backends(pool.Name), change)
 	}
 	for _, row := range view.Rows() {
-		if isRegistered(row) {
+		if row.IsRegistered() {
 			known[row.Name] = true
 			t.dropRemoved(now, row, change)
 		}
@@ -106,7 +106,7 @@
 	var silent []*table.Row
 	count := 0
 	for _, row := range backends {
-		if !isRegistered(row) {
+		if !row.IsRegistered() {
 			continue
 		}
 		count++
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -44,10 +44,8 @@
 // FromView returns the routes of a table view in the order of their row names.
 func FromView(view *table.View) []Route {
 	var routes []Route
-	for _, row := range view.Rows() {
-		if row.Kind == table.Route {
-			routes = append(routes, fromRow(row))
-		}
+	for _, row := range view.OfKind(table.Route) {
+		routes = append(routes, fromRow(row))
 	}
 	return routes
 }
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -86,13 +86,11 @@
 		return previous
 	}
 	built := &Index{version: view.AccessVersion(), byDigest: map[[sha256.Size]byte]*Tenant{}, byName: map[string]*Tenant{}}
-	for _, row := range view.Rows() {
-		switch row.Kind {
-		case table.Listener:
-			built.required = built.required || row.KeysRequired
-		case table.Tenant:
-			built.add(row)
-		}
+	for _, row := range view.OfKind(table.Listener) {
+		built.required = built.required || row.KeysRequired
+	}
+	for _, row := range view.OfKind(table.Tenant) {
+		built.add(row)
 	}
 	return built
 }
