A lease is looked up by its holder, and the version in force by the versions in use

Cause: for each member that had become silent, twelve times a lease, the leader made a sorted list of all leases; and each look at the version in force went over all holders, for each waiting change at each renewal. After the loss of a third of all processes at once that is work for the square of the members, on the one node that everybody waits for.

Change: the granter finds a grant by its holder, keeps grants in order of their end, and counts them by version.

A property test holds the version in force against a look at all holders.

--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -115,15 +115,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := l.clock()
-	if l.granter == nil || now < l.allKnownFrom {
-		return true
-	}
-	for _, known := range l.granter.Holders(now) {
-		if known.ID == holder {
-			return true
-		}
-	}
-	return false
+	return l.granter == nil || now < l.allKnownFrom || l.granter.MayHold(now, holder)
 }
 
 // inForce returns the version below which no process acts, or 0 while this is unknown.
--- a/internal/lease/granter.go
+++ b/internal/lease/granter.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"container/list"
 	"sort"
 	"time"
 
@@ -84,6 +85,7 @@
 }
 
 type grant struct {
+	holder  HolderID
 	version uint64
 	expires time.Duration
 }
@@ -102,7 +104,9 @@
 	newestVersion        uint64        // newest committed table version
 	minimumVersion       uint64        // holders that act on an older version are not renewed
 	recentCommits        []commit      // commits less than Grace ago, oldest first
-	holders              map[HolderID]grant
+	holders              map[HolderID]*list.Element // of *grant, in byExpiry
+	byExpiry             *list.List                 // all grants, the one that ends first in front
+	versions             map[uint64]int             // number of grants by version
 }
 
 // NewGranter returns the Granter of a node that has just become leader and has applied every entry up to the first
@@ -117,7 +121,7 @@
 	settings = settings.WithDefaults()
 	return &Granter{
 		unsafe: unsafe, settings: settings, predecessorLeasesEnd: now + settings.granterLease(),
-		newestVersion: tableVersion, minimumVersion: tableVersion, holders: map[HolderID]grant{},
+		newestVersion: tableVersion, minimumVersion: tableVersion, holders: map[HolderID]*list.Element{}, byExpiry: list.New(), versions: map[uint64]int{},
 	}
 }
 
@@ -144,21 +148,75 @@
 // arrived. A holder whose renewal is refused gets the table update in the reply and renews again immediately.
 func (g *Granter) Renew(holder HolderID, now time.Duration, actedVersion uint64) bool {
 	g.raiseMinimum(now)
-	existing, known := g.holders[holder]
-	if known && now < existing.expires {
+	existing := g.find(holder)
+	if existing != nil && now < existing.expires {
 		// The acknowledged version counts whether or not the lease is renewed.
 		actedVersion = max(actedVersion, existing.version)
-		g.holders[holder] = grant{version: actedVersion, expires: existing.expires}
+		g.setVersion(existing, actedVersion)
 	}
 	if actedVersion < g.minimumVersion && !g.unsafe.GrantAnyVersion {
 		return false
 	}
-	g.holders[holder] = grant{version: actedVersion, expires: max(existing.expires, now+g.settings.granterLease())}
+	if existing == nil {
+		existing = &grant{holder: holder}
+		g.holders[holder] = g.byExpiry.PushBack(existing)
+		g.versions[existing.version]++
+	}
+	g.setVersion(existing, actedVersion)
+	existing.expires = max(existing.expires, now+g.settings.granterLease())
+	g.byExpiry.MoveToBack(g.holders[holder])
 	return true
 }
 
+// find returns the grant of a holder, or nil.
+func (g *Granter) find(holder HolderID) *grant {
+	if listed := g.holders[holder]; listed != nil {
+		return listed.Value.(*grant)
+	}
+	return nil
+}
+
+// setVersion sets the version that a listed grant covers.
+func (g *Granter) setVersion(listed *grant, version uint64) {
+	g.forgetVersion(listed.version)
+	listed.version = version
+	g.versions[version]++
+}
+
+// forgetVersion counts one grant less for a version.
+func (g *Granter) forgetVersion(version uint64) {
+	if g.versions[version]--; g.versions[version] == 0 {
+		delete(g.versions, version)
+	}
+}
+
 // Leave removes a holder that has promised not to act any more.
-func (g *Granter) Leave(holder HolderID) { delete(g.holders, holder) }
+func (g *Granter) Leave(holder HolderID) {
+	listed := g.holders[holder]
+	if listed == nil {
+		return
+	}
+	g.forgetVersion(listed.Value.(*grant).version)
+	g.byExpiry.Remove(listed)
+	delete(g.holders, holder)
+}
+
+// MayHold reports whether the lease of a holder has not ended.
+func (g *Granter) MayHold(now time.Duration, holder HolderID) bool {
+	existing := g.find(holder)
+	return existing != nil && now < existing.expires
+}
+
+// dropExpired removes the grants that have ended.
+func (g *Granter) dropExpired(now time.Duration) {
+	for first := g.byExpiry.Front(); first != nil; first = g.byExpiry.Front() {
+		ended := first.Value.(*grant)
+		if now < ended.expires {
+			return
+		}
+		g.Leave(ended.holder)
+	}
+}
 
 // InForce returns the highest version for which no process acts on an older one. It is 0 until the leases that the
 // previous leader may have granted have ended. It never decreases during the life of this Granter.
@@ -167,13 +225,10 @@
 	if now < g.predecessorLeasesEnd && !g.unsafe.SkipNewLeaderWait {
 		return 0
 	}
+	g.dropExpired(now)
 	version := g.newestVersion
-	for id, existing := range g.holders {
-		if now >= existing.expires {
-			delete(g.holders, id)
-			continue
-		}
-		version = min(version, existing.version)
+	for acted := range g.versions { // few: holders keep close to the newest version
+		version = min(version, acted)
 	}
 	// A holder without a lease must get one before it acts, and no lease is granted below this version.
 	g.minimumVersion = max(g.minimumVersion, version)
@@ -194,8 +249,8 @@
 // Holders returns the holders whose leases have not ended, sorted by name.
 func (g *Granter) Holders(now time.Duration) []HolderInfo {
 	var infos []HolderInfo
-	for id, existing := range g.holders {
-		if now < existing.expires {
+	for id, listed := range g.holders {
+		if existing := listed.Value.(*grant); now < existing.expires {
 			infos = append(infos, HolderInfo{ID: id, Version: existing.version, Remaining: existing.expires - now})
 		}
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -201,3 +201,40 @@
 		}
 	}
 }
+
+// TestInForceEqualsTheOldestGrant checks the version in force against a look at all holders, for random renewals,
+// departures and expiries.
+func TestInForceEqualsTheOldestGrant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(0)
+		granter := NewGranter(now, Settings{}, 0)
+		now += time.Hour // no lease of an earlier leader is left
+		newest := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
+			holder := HolderID{Name: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "holder"), Incarnation: 1}
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				newest++
+				granter.RecordCommit(now, newest)
+			case 1:
+				granter.Leave(holder)
+			default:
+				granter.Renew(holder, now, newest-min(newest, uint64(rapid.IntRange(0, 3).Draw(t, "behind"))))
+			}
+			want := newest
+			for _, held := range granter.Holders(now) {
+				want = min(want, held.Version)
+				if !granter.MayHold(now, held.ID) {
+					t.Fatalf("%v is listed as a holder, but may not hold a lease", held.ID)
+				}
+			}
+			if got := granter.InForce(now); got != want {
+				t.Fatalf("version %d is in force, want %d", got, want)
+			}
+			if len(granter.holders) != granter.byExpiry.Len() {
+				t.Fatalf("%d holders and %d grants", len(granter.holders), granter.byExpiry.Len())
+			}
+		}
+	})
+}
