Gateways follow only the part of the table and of the members that they use

Cause: every process followed the whole table and every member.

Change: a session names a scope. In the scope for forwarding are all rows but the back ends of pools that no route forwards to, and of the members the control and storage nodes. The table knows the last version at which this part changed; holders with the scope are neither woken nor sent anything for other versions, and count as acting on the newest version that was read as long as nothing that they follow has changed. If rows join or leave the part without a change of their own, holders get the whole part. Only from the new level TableScopes on, so that no older leader sends a delta to a holder of a part. Members are found by name instead of by a walk over all of them for each renewal.

--- a/internal/compat/compat.go
+++ b/internal/compat/compat.go
@@ -25,6 +25,8 @@
 	// SnapshotParts adds snapshots whose state is split into several files, and jobs that carry the limit on what may
 	// be stored.
 	SnapshotParts
+	// TableScopes adds sessions that follow a part of the table and of the members.
+	TableScopes
 
 	// Newest is the level that this build speaks, which is the last one declared above. New levels are inserted
 	// before it.
--- a/internal/control/granting.go
+++ b/internal/control/granting.go
@@ -156,7 +156,7 @@
 	if !s.detector.ensureRegistered(pending) {
 		return // answered once the member is registered
 	}
-	if !s.leases.renew(term, holder, request.ActedVersion) {
+	if !s.leases.renew(term, holder, s.leases.coveredVersion(pending.session.scope(), request.ActedVersion)) {
 		pending.session.answerRenewal(request.Sequence, false, nil)
 		return
 	}
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -21,6 +21,7 @@
 	granter      *lease.Granter // nil when this node does not lead
 	allKnownFrom time.Duration  // time from which no lease of an earlier leader can be valid
 	current      uint64         // table version applied on this node
+	read         tableRead      // newest table that was read on this node; it may be older than current
 	progress     chan struct{}  // closed when a version may have come into force
 }
 
@@ -85,6 +86,31 @@
 	return l.granter != nil && l.term == term
 }
 
+// tableRead is a version of the table that was read, with the newest version up to it at which the part for forwarding
+// changed.
+type tableRead struct{ version, forwarding uint64 }
+
+// tableWasRead records a table version that was read on this node.
+func (l *leases) tableWasRead(read tableRead) {
+	l.tableApplied(read.version)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if read.version > l.read.version {
+		l.read = read
+	}
+}
+
+// coveredVersion returns the newest version on which a holder with the scope is known to act. Beyond the version that it
+// acted on, this is the newest one that was read, if nothing that the holder follows has changed up to there.
+func (l *leases) coveredVersion(scope wire.TableScope, acted uint64) uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if scope == wire.TableScope_TABLE_SCOPE_FORWARDING && l.read.forwarding <= acted {
+		return max(acted, l.read.version)
+	}
+	return acted
+}
+
 // renew grants holder a lease for the table version that it acts on, unless that version is too old or newer than the
 // one applied on this node. Call it only after a read round that began in term after the renewal arrived.
 func (l *leases) renew(term uint64, holder lease.HolderID, acted uint64) bool {
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -10,7 +10,6 @@
 
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
-	"github.com/tamarindring/tamarindring/internal/member"
 	"github.com/tamarindring/tamarindring/internal/pause"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -28,28 +27,39 @@
 	server *Server
 	wake   chan struct{} // capacity 1: something was applied
 
-	table *tableUpdates
+	table      *tableUpdates // of the whole table
+	forwarding *tableUpdates // of the part for forwarding
 
 	mutex       sync.Mutex
-	members     *wire.MembersView
-	failedReads map[string]uint64 // number of failed reads of the applied state, by kind: readOfTable and so on
-	// changedAt is the members version at which a change of a member was last seen, by member name.
-	changedAt    map[string]uint64
-	memberDeltas map[uint64]*wire.MembersView // by start version
+	members     *memberFeeds
+	failedReads map[string]uint64        // number of failed reads of the applied state, by kind: readOfTable and so on
+	unannounced map[wire.TableScope]bool // scopes with changes that the sessions have not been woken for
 }
 
 func newPublisher(server *Server) *publisher {
 	p := &publisher{
 		server: server, wake: make(chan struct{}, 1),
-		members:      &wire.MembersView{},
-		failedReads:  make(map[string]uint64),
-		changedAt:    make(map[string]uint64),
-		memberDeltas: make(map[uint64]*wire.MembersView),
-	}
-	p.table = newTableUpdates(p.queryTable)
+		members:     newMemberFeeds(),
+		failedReads: make(map[string]uint64),
+		unannounced: make(map[wire.TableScope]bool),
+	}
+	p.table = newTableUpdates(func(known uint64) (*wire.TableUpdate, error) {
+		return p.queryTable(wire.TableScope_TABLE_SCOPE_WHOLE, known)
+	})
+	p.forwarding = newForwardingUpdates(func(known uint64) (*wire.TableUpdate, error) {
+		return p.queryTable(wire.TableScope_TABLE_SCOPE_FORWARDING, known)
+	})
 	return p
 }
 
+// updates returns the updates for holders with a scope.
+func (p *publisher) updates(scope wire.TableScope) *tableUpdates {
+	if scope == wire.TableScope_TABLE_SCOPE_FORWARDING {
+		return p.forwarding
+	}
+	return p.table
+}
+
 // applied triggers a push. It is called after each applied table change and member update, and after a snapshot has
 // replaced the state of the control group.
 func (p *publisher) applied() {
@@ -59,7 +69,7 @@
 	}
 }
 
-// run pushes changes to all sessions until ctx ends.
+// run pushes changes to the sessions until ctx ends.
 func (p *publisher) run(ctx context.Context) {
 	for {
 		select {
@@ -75,15 +85,37 @@
 	}
 }
 
-// push wakes the sessions if there are changes. It returns false if part of the applied state could not be read.
+// push wakes the sessions that follow something that changed. It returns false if part of the applied state could not be
+// read.
 func (p *publisher) push() bool {
-	changed, err := p.refresh()
-	if changed {
-		p.server.sessions.each((*session).wakeUp)
+	_, err := p.refresh()
+	changed := p.takeUnannounced()
+	if len(changed) > 0 {
+		p.server.sessions.each(func(holder *session) {
+			if changed[holder.scope()] {
+				holder.wakeUp()
+			}
+		})
 	}
 	return err == nil
 }
 
+// takeUnannounced returns the scopes whose sessions have to be woken.
+func (p *publisher) takeUnannounced() map[wire.TableScope]bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	changed := p.unannounced
+	p.unannounced = make(map[wire.TableScope]bool)
+	return changed
+}
+
+// announce notes that the sessions with a scope have to be woken by the next push.
+func (p *publisher) announce(scope wire.TableScope) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.unannounced[scope] = true
+}
+
 // refresh reads the state applied on this node and reports whether it changed. After an error the cached state may be
 // out of date.
 func (p *publisher) refresh() (changed bool, err error) {
@@ -97,10 +129,16 @@
 	if err != nil {
 		p.noteReadFailure(readOfTable, version, err)
 	}
-	if newer {
-		p.server.leases.tableApplied(version)
+	if !newer {
+		return false, err
+	}
+	forwarding := p.table.forwardingVersion()
+	p.server.leases.tableWasRead(tableRead{version, forwarding})
+	p.announce(wire.TableScope_TABLE_SCOPE_WHOLE)
+	if p.forwarding.observe(forwarding) {
+		p.announce(wire.TableScope_TABLE_SCOPE_FORWARDING)
 	}
-	return newer, err
+	return true, err
 }
 
 func (p *publisher) refreshMembers() (changed bool, err error) {
@@ -110,18 +148,13 @@
 		p.noteReadFailure(readOfMembers, known, err)
 		return false, err
 	}
-	changes := view.GetMembers()
-	if changes.GetMembersVersion() <= known {
-		return false, nil
-	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.members = member.Merge(p.members, changes)
-	for _, changed := range changes.Members {
-		p.changedAt[changed.Name] = changes.MembersVersion
+	for _, scope := range p.members.merge(view.GetMembers()) {
+		p.unannounced[scope] = true
+		changed = true
 	}
-	clear(p.memberDeltas)
-	return true, nil
+	return changed, nil
 }
 
 // Kinds of reads of the applied state, as counted and logged by noteReadFailure.
@@ -153,15 +186,17 @@
 	return p.server.replicas.LocalQuery(ctx, controlGroup, query)
 }
 
-// queryTable returns the changes of the applied table since version known.
-func (p *publisher) queryTable(known uint64) (*wire.TableUpdate, error) {
-	view, err := p.queryLocal(&wire.Query{Kind: &wire.Query_Table{Table: &wire.TableQuery{KnownVersion: known}}})
+// queryTable returns the changes of the applied table since version known, as far as the scope covers them.
+func (p *publisher) queryTable(scope wire.TableScope, known uint64) (*wire.TableUpdate, error) {
+	query := &wire.TableQuery{KnownVersion: known, Scope: scope}
+	view, err := p.queryLocal(&wire.Query{Kind: &wire.Query_Table{Table: query}})
 	return view.GetTable(), err
 }
 
-// tableSince is queryTable for callers that retry on their own. It returns nil on errors.
+// tableSince returns the changes of the whole table since version known, for callers that retry on their own. It returns
+// nil on errors.
 func (p *publisher) tableSince(known uint64) *wire.TableUpdate {
-	update, err := p.queryTable(known)
+	update, err := p.queryTable(wire.TableScope_TABLE_SCOPE_WHOLE, known)
 	if err != nil {
 		p.noteReadFailure(readOfTable, known, err)
 		return nil
@@ -170,50 +205,34 @@
 }
 
 // updateFrom returns the update for a holder at version known, or nil if the holder is up to date.
-func (p *publisher) updateFrom(known uint64) *publishedUpdate {
-	published, err := p.table.updateFrom(known)
+func (p *publisher) updateFrom(scope wire.TableScope, known uint64) *publishedUpdate {
+	published, err := p.updates(scope).updateFrom(known)
 	if err != nil {
 		p.noteReadFailure(readOfTable, known, err)
 	}
 	if published != nil {
-		p.server.leases.tableApplied(published.update.ToVersion)
+		p.server.leases.tableWasRead(tableRead{published.update.ToVersion, published.update.ForwardingVersion})
 	}
 	return published
 }
 
-// membersAfter returns the members that changed after version known, or nil if none did.
-func (p *publisher) membersAfter(known uint64) *wire.MembersView {
+// membersAfter returns the members in the scope that changed after version known, or nil if none did.
+func (p *publisher) membersAfter(scope wire.TableScope, known uint64) *wire.MembersView {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if known >= p.members.MembersVersion {
-		return nil
-	}
-	if delta := p.memberDeltas[known]; delta != nil {
-		return delta
-	}
-	delta := &wire.MembersView{FromVersion: known, MembersVersion: p.members.MembersVersion}
-	for _, candidate := range p.members.Members {
-		if known == 0 || p.changedAt[candidate.Name] > known {
-			delta.Members = append(delta.Members, candidate)
-		}
-	}
-	p.memberDeltas[known] = delta
-	return delta
+	return p.members.after(scope, known)
 }
 
 // currentMembers returns the members as applied on this node. Callers must not modify them.
 func (p *publisher) currentMembers() *wire.MembersView {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.members
+	return p.members.view
 }
 
 // member returns the member with a name, or nil.
 func (p *publisher) member(name string) *wire.Member {
-	for _, candidate := range p.currentMembers().Members {
-		if candidate.Name == name {
-			return candidate
-		}
-	}
-	return nil
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.members.byName[name]
 }
--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -5,6 +5,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/compat"
 	"github.com/tamarindring/tamarindring/internal/lease"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -23,9 +24,10 @@
 type session struct {
 	server        *Server
 	stream        wire.DRPCControl_SessionStream
-	acceptsPacked bool          // the holder understands packed updates
-	wake          chan struct{} // capacity 1: a reply may be pending
-	ended         chan struct{} // closed when the stream has ended
+	acceptsPacked bool            // the holder understands packed updates
+	accepted      wire.TableScope // what the holder wants to follow
+	wake          chan struct{}   // capacity 1: a reply may be pending
+	ended         chan struct{}   // closed when the stream has ended
 
 	mutex            sync.Mutex
 	member           *wire.Member
@@ -52,7 +54,7 @@
 		return trace.Wrap(err)
 	}
 	holder := &session{
-		server: s, stream: stream, acceptsPacked: first.AcceptsPacked,
+		server: s, stream: stream, acceptsPacked: first.AcceptsPacked, accepted: first.Scope,
 		wake: make(chan struct{}, 1), ended: make(chan struct{}),
 		member:    first.Member,
 		holder:    lease.HolderID{Name: first.Member.Name, Incarnation: first.Member.Incarnation},
@@ -72,6 +74,15 @@
 	return endOfStream(err)
 }
 
+// scope returns what the holder follows. While older builds may lead, which send every holder the whole table, it is the
+// whole: a holder with a part of the table could not adopt their updates.
+func (s *session) scope() wire.TableScope {
+	if s.server.levels.agreed().Includes(compat.TableScopes) {
+		return s.accepted
+	}
+	return wire.TableScope_TABLE_SCOPE_WHOLE
+}
+
 func checkMember(member *wire.Member) error {
 	switch {
 	case member.GetName() == "" || len(member.Name) > maximumNameBytes:
@@ -221,15 +232,16 @@
 		s.answerSequence, s.supersededBy = 0, 0
 		hasContent = true
 	}
-	if published := s.server.publisher.updateFrom(s.sentTable); published != nil {
+	scope := s.scope()
+	if published := s.server.publisher.updateFrom(scope, s.sentTable); published != nil {
 		published.addTo(reply, s.acceptsPacked)
 		s.sentTable = published.update.ToVersion
 		hasContent = true
-		if s.sentTable < s.server.publisher.table.version() {
+		if s.sentTable < s.server.publisher.updates(scope).version() {
 			s.wakeUp() // the next reply carries the newer versions
 		}
 	}
-	if members := s.server.publisher.membersAfter(s.sentMembers); members != nil {
+	if members := s.server.publisher.membersAfter(scope, s.sentMembers); members != nil {
 		reply.Members = members
 		s.sentMembers = members.MembersVersion
 		hasContent = true
--- a/internal/controlclient/await.go
+++ b/internal/controlclient/await.go
@@ -79,7 +79,7 @@
 		return "", trace.Wrap(err)
 	}
 	request := &wire.SessionRequest{Member: s.member.Load(), Sequence: 1, ActedVersion: s.view.Load().Version(),
-		MembersVersion: s.Members().MembersVersion, AcceptsPacked: true}
+		MembersVersion: s.Members().MembersVersion, AcceptsPacked: true, Scope: s.client.config.Scope}
 	if err = stream.Send(request); err != nil {
 		return "", trace.Wrap(err)
 	}
--- a/internal/controlclient/config.go
+++ b/internal/controlclient/config.go
@@ -63,6 +63,8 @@
 	// defaults to the wall clock in milliseconds. If the control group holds a higher incarnation under this name,
 	// the process takes one above that. Member is required by StartSession and Register.
 	Member *wire.Member
+	// Scope is the part of the table and of the members that sessions follow. Default: the whole.
+	Scope wire.TableScope
 	// LedgerGroups is the number of ledger groups of the cluster. It must equal that of the control nodes. Default:
 	// DefaultLedgerGroups.
 	LedgerGroups int
--- a/internal/controlclient/session_run.go
+++ b/internal/controlclient/session_run.go
@@ -302,6 +302,7 @@
 
 		MembersVersion: s.Members().MembersVersion,
 		AcceptsPacked:  true,
+		Scope:          s.client.config.Scope,
 
 		Demands: encodeDemands(due), SharesFrom: a.sharesSequence,
 	}
--- a/internal/lease/granter.go
+++ b/internal/lease/granter.go
@@ -100,10 +100,10 @@
 type Granter struct {
 	unsafe               Unsafe
 	settings             Settings
-	predecessorLeasesEnd time.Duration // when all leases granted by the previous leader have ended
-	newestVersion        uint64        // newest committed table version
-	minimumVersion       uint64        // holders that act on an older version are not renewed
-	recentCommits        []commit      // commits less than Grace ago, oldest first
+	predecessorLeasesEnd time.Duration              // when all leases granted by the previous leader have ended
+	newestVersion        uint64                     // newest committed table version
+	minimumVersion       uint64                     // holders that act on an older version are not renewed
+	recentCommits        []commit                   // commits less than Grace ago, oldest first
 	holders              map[HolderID]*list.Element // of *grant, in byExpiry
 	byExpiry             *list.List                 // all grants, the one that ends first in front
 	versions             map[uint64]int             // number of grants by version
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -92,6 +92,14 @@
 	return m.table.UpdateSince(fromVersion)
 }
 
+// queryTable returns the update of the table that a query asks for.
+func (m *Machine) queryTable(query *wire.TableQuery) *wire.TableUpdate {
+	if query.GetScope() == wire.TableScope_TABLE_SCOPE_FORWARDING {
+		return m.table.ForwardingUpdateSince(query.GetKnownVersion())
+	}
+	return m.table.UpdateSince(query.GetKnownVersion())
+}
+
 // Members returns the list of members and its version.
 func (m *Machine) Members() *wire.MembersView { return m.members.View() }
 
@@ -247,7 +255,7 @@
 func (m *Machine) Query(query *wire.Query) *wire.View {
 	switch kind := query.GetKind().(type) {
 	case *wire.Query_Table:
-		return &wire.View{Kind: &wire.View_Table{Table: m.table.UpdateSince(kind.Table.GetKnownVersion())}}
+		return &wire.View{Kind: &wire.View_Table{Table: m.queryTable(kind.Table)}}
 	case *wire.Query_History:
 		entries := m.table.History(kind.History.GetRow(), kind.History.GetColumn(), int(kind.History.GetLimit()))
 		return &wire.View{Kind: &wire.View_History{History: &wire.HistoryView{Entries: entries}}}
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -15,7 +15,7 @@
 	if after.Len() > MaximumRows {
 		return refuseWholeChange("table would have too many rows")
 	}
-	before := t.current()
+	before := t.view
 	var refusals []*wire.CellRefusal
 	if d.changesOnlyLeaves(before, after) {
 		refusals = checkRows(d.changedRows(after), after)
@@ -28,18 +28,15 @@
 	return refusals
 }
 
-// current returns the table as typed rows, without rows of a kind that this build does not know.
-func (t *Table) current() *View {
-	if t.view == nil {
-		own := make(map[string]map[string]string, len(t.rows))
-		for name := range t.rows {
-			if cells := t.copyCells(name); isKnownKind(cells[ColumnKind]) {
-				own[name] = cells
-			}
+// buildView returns the stored rows as typed rows, without rows of a kind that this build does not know.
+func (t *Table) buildView() *View {
+	own := make(map[string]map[string]string, len(t.rows))
+	for name := range t.rows {
+		if cells := t.copyCells(name); isKnownKind(cells[ColumnKind]) {
+			own[name] = cells
 		}
-		t.view = NewView().withRows(t.version, own)
 	}
-	return t.view
+	return NewView().withRows(t.version, own)
 }
 
 // checkRows checks rows of a view in the given order.
--- a/internal/table/commit.go
+++ b/internal/table/commit.go
@@ -115,12 +115,20 @@
 	if fromVersion >= t.version && fromVersion > 0 {
 		return &wire.TableUpdate{FromVersion: fromVersion, ToVersion: fromVersion}
 	}
+	return t.updateSince(fromVersion, func(*Row) bool { return true })
+}
+
+// updateSince returns the update from fromVersion, which is 0 or below the current version, with the changed rows that
+// are covered. Removals are always included.
+func (t *Table) updateSince(fromVersion uint64, covers func(*Row) bool) *wire.TableUpdate {
 	if fromVersion < t.removalFloor {
 		fromVersion = 0
 	}
-	update := &wire.TableUpdate{FromVersion: fromVersion, ToVersion: t.version}
+	update := &wire.TableUpdate{FromVersion: fromVersion, ToVersion: t.version, ForwardingVersion: t.forwarding.version}
 	for _, stored := range t.recency.since(fromVersion) {
-		update.Rows = append(update.Rows, wireRow(stored.name, stored, false))
+		if row := t.view.Row(stored.name); row == nil || covers(row) {
+			update.Rows = append(update.Rows, wireRow(stored.name, stored, false))
+		}
 	}
 	if fromVersion == 0 {
 		return update
--- a/internal/table/growth_test.go
+++ b/internal/table/growth_test.go
@@ -57,7 +57,7 @@
 			next := change(fmt.Sprint(step), table.Version(), rapid.SliceOfN(rapid.SampledFrom(texts), 1, 6).Draw(t, "texts")...)
 			next.Note = ForceNote
 			table.Apply(next)
-			checkIndexes(t, table.current())
+			checkIndexes(t, table.view)
 		}
 	})
 }
--- a/internal/table/incremental_test.go
+++ b/internal/table/incremental_test.go
@@ -48,7 +48,7 @@
 				next.Note = ForceNote
 			}
 			if d, wrong := table.buildDraft(next); len(wrong) == 0 {
-				after := table.current().withRows(table.version+1, d.rows)
+				after := table.view.withRows(table.version+1, d.rows)
 				want, got := checkWholeTable(table, d, next), table.check(d, after, next)
 				if fmt.Sprint(got) != fmt.Sprint(want) {
 					t.Fatalf("change %v got refusals %v, want those of the whole table: %v", next, got, want)
@@ -63,7 +63,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if got, want := describe(table.current()), describe(fresh); got != want {
+			if got, want := describe(table.view), describe(fresh); got != want {
 				t.Fatalf("after the change:\n%s\nfresh:\n%s", got, want)
 			}
 		}
--- a/internal/table/snapshot.go
+++ b/internal/table/snapshot.go
@@ -55,6 +55,8 @@
 		}
 		restored.changes.put(record.GetDigest(), record.GetResult())
 	}
+	restored.view = restored.buildView()
+	restored.forwarding = newForwarding(restored.view)
 	*t = *restored
 	return nil
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -54,7 +54,8 @@
 	changes      changeMemory
 	level        compat.Level   // in force for the group
 	optional     map[string]int // number of rows with a cell of each optional column, including cleared cells
-	view         *View          // typed rows; nil after a restore until first used
+	view         *View          // typed rows
+	forwarding   *forwarding
 }
 
 // storedRow holds a row's cells with the change that set each. A cleared cell is kept with an empty value, so that a
@@ -83,7 +84,9 @@
 
 // NewUnsafe is New with safety checks disabled.
 func NewUnsafe(unsafe Unsafe) *Table {
-	return &Table{unsafe: unsafe, rows: map[string]*storedRow{}, recency: newRecency(nil), removals: map[string]removedRow{}, changes: newChangeMemory(), level: compat.Newest, optional: map[string]int{}}
+	empty := NewView()
+	return &Table{unsafe: unsafe, rows: map[string]*storedRow{}, recency: newRecency(nil), removals: map[string]removedRow{}, changes: newChangeMemory(),
+		level: compat.Newest, optional: map[string]int{}, view: empty, forwarding: newForwarding(empty)}
 }
 
 // Version returns the version of the last accepted change.
@@ -119,12 +122,13 @@
 	if len(refusals) > 0 {
 		return t.invalidResult(change, refusals)
 	}
-	after := t.current().withRows(t.version+1, draft.rows)
+	after := t.view.withRows(t.version+1, draft.rows)
 	if refusals = t.check(draft, after, change); len(refusals) > 0 {
 		return t.invalidResult(change, refusals)
 	}
+	part := t.forwarding.after(draft.rows, t.view, after)
 	t.commit(draft, change)
-	t.view = after
+	t.view, t.forwarding = after, part
 	return t.newResult(change, wire.TableOutcome_TABLE_OUTCOME_ACCEPTED, nil)
 }
 
