Pushes to the sessions are spaced by what they cost

Cause: every registration of a member pushed to every session by itself, and the publisher pushed again as soon as anything had been applied. When a fleet starts, or a third of it comes back, the leader spends its processor on waking each session for each change, and each of them answers with a renewal.

Change: a registration only reads the state that the leader needs to grant the lease. After a push the publisher pauses for 0.2 ms for each session that it woke, so that at most 5,000 a second are woken whatever the fleet's size; a push after rest goes out at once. With 2,000 sessions a change waits for 0.4 s at most, the grace after which a lease needs the new version.

--- a/internal/control/detector.go
+++ b/internal/control/detector.go
@@ -232,7 +232,7 @@
 	if !d.propose(ctx, member, wire.MemberState_MEMBER_STATE_ALIVE) {
 		return
 	}
-	d.server.publisher.push()
+	_, _ = d.server.publisher.refresh() // a failed read is logged, and repeated by the publisher
 	d.requeueRenewal(pending)
 }
 
--- a/internal/control/growth_test.go
+++ b/internal/control/growth_test.go
@@ -32,3 +32,14 @@
 		})
 	})
 }
+
+// TestRateOfPushesDoesNotGrowWithTheMembers guards against a leader that does nothing but push while changes keep coming, as
+// when a fleet starts: with every push it would wake every session.
+func TestRateOfPushesDoesNotGrowWithTheMembers(t *testing.T) {
+	growth.Check(t, "sessions woken a second under continuous changes", 0, memberCounts, func(members int) float64 {
+		return float64(members) / pushPause(members).Seconds()
+	})
+	if longest := pushPause(2000); longest > lease.DefaultGrace {
+		t.Errorf("with 2,000 sessions a change may wait %s for the next push, want at most the grace of %s", longest, lease.DefaultGrace)
+	}
+}
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -19,6 +19,9 @@
 	localTimeout = time.Second
 	// readRetryPause is the pause before a failed read of this state is retried.
 	readRetryPause = 20 * time.Millisecond
+	// pushInterval is the pause after a push for each session that it wakes. It bounds what pushes cost, whatever the number
+	// of sessions and changes: a session that adopts an update answers with a renewal.
+	pushInterval = 200 * time.Microsecond
 )
 
 // publisher distributes applied changes of the table and the members to the sessions. All holders at the same version
@@ -69,7 +72,8 @@
 	}
 }
 
-// run pushes changes to the sessions until ctx ends.
+// run pushes changes to the sessions until ctx ends. Changes that are applied soon after a push go out together in the
+// next one.
 func (p *publisher) run(ctx context.Context) {
 	for {
 		select {
@@ -77,27 +81,35 @@
 			return
 		case <-p.wake:
 		}
-		for !p.push() {
+		woken, done := p.push()
+		for ; !done; woken, done = p.push() {
 			if pause.For(ctx, readRetryPause) != nil {
 				return
 			}
 		}
+		if pause.For(ctx, pushPause(woken)) != nil {
+			return
+		}
 	}
 }
 
-// push wakes the sessions that follow something that changed. It returns false if part of the applied state could not be
-// read.
-func (p *publisher) push() bool {
+// pushPause returns the pause after a push that woke so many sessions.
+func pushPause(woken int) time.Duration { return time.Duration(woken) * pushInterval }
+
+// push wakes the sessions that follow something that changed, and returns their number. done is false if part of the
+// applied state could not be read.
+func (p *publisher) push() (woken int, done bool) {
 	_, err := p.refresh()
 	changed := p.takeUnannounced()
 	if len(changed) > 0 {
 		p.server.sessions.each(func(holder *session) {
 			if changed[holder.scope()] {
 				holder.wakeUp()
+				woken++
 			}
 		})
 	}
-	return err == nil
+	return woken, err == nil
 }
 
 // takeUnannounced returns the scopes whose sessions have to be woken.
