Loads of weights are planned and published by what has changed

Cause: several times a second the leader built maps of all replicas for each model, sorted their names, reported each to its planner, counted them by version and published copies of all; the node that runs batch jobs fetched the whole as JSON seven times a second and passed each entry to its scheduler. All of it grows with replicas times models, whether or not anything has changed.

Change: the driver reviews the replicas whose rows or reports have changed. A planner keeps its replicas in the order in which they get orders, and counts of their states; replicas without staging are ordered to load at once, in place of a stage order that is answered for them. What the replicas serve is a persistent map that knows its latest changes, so that readers are told what has changed since their last look. The scheduler's replicas count as reported until the reports end.

--- a/internal/batchrun/runner_test.go
+++ b/internal/batchrun/runner_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/registry"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/weights"
@@ -325,7 +326,7 @@
 	if calls := r.replicas.callsTo(""); len(calls) > 0 {
 		t.Fatalf("%d items were sent to replicas with unknown weights, want 0", len(calls))
 	}
-	serving.Store(&weights.Serving{Versions: map[string]map[string]uint64{"m": {"r1": 4, "r2": 5}}})
+	serving.Store(weights.NewServing(map[string][]registry.ModelVersion{"r1": {{Model: "m", Number: 4}}, "r2": {{Model: "m", Number: 5}}}))
 	r.await(t, "a", 6)
 	if calls := r.replicas.callsTo("r1"); len(calls) > 0 {
 		t.Fatalf("%d items were sent to a replica with too old weights, want 0", len(calls))
--- a/internal/batchrun/schedule/candidates.go
+++ b/internal/batchrun/schedule/candidates.go
@@ -177,7 +177,7 @@
 	var found fasterReplicas
 	for _, replica := range pool.replicas {
 		known := replica.versions[entry.job.Model]
-		usable := replica.pausedUntil <= now && !replica.onProbation && !replica.isTooOldFor(entry.job) && !(known.isFresh(now) && known.loading)
+		usable := replica.pausedUntil <= now && !replica.onProbation && !replica.isTooOldFor(entry.job) && !(s.isFresh(known, now) && known.loading)
 		if usable && replica.pace > 0 && replica.hasFreeSlot() {
 			found = append(found, replica)
 		}
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -66,8 +66,37 @@
 	replica.versions[model] = known
 }
 
-// isFresh reports whether the last report on the replica still counts.
-func (v version) isFresh(now time.Duration) bool { return v.reported > 0 && now < v.reported+reportTTL }
+// ConfirmServedVersions records that all versions that were set and not forgotten since are still reported.
+func (s *Scheduler) ConfirmServedVersions(now time.Duration) { s.confirmedAt = now }
+
+// ForgetServedVersion records that a replica's version of a model is no longer reported.
+func (s *Scheduler) ForgetServedVersion(instance, model string) {
+	if replica := s.replicas[instance]; replica != nil {
+		replica.forgetReport(model)
+	}
+}
+
+// ForgetServedVersions records that no version of any replica is reported any more.
+func (s *Scheduler) ForgetServedVersions() {
+	for _, replica := range s.replicas {
+		for model := range replica.versions {
+			replica.forgetReport(model)
+		}
+	}
+}
+
+// forgetReport forgets that the replica's version of a model was reported, but not the version.
+func (r *replica) forgetReport(model string) {
+	if known, listed := r.versions[model]; listed {
+		known.reported, known.loading = 0, false
+		r.versions[model] = known
+	}
+}
+
+// isFresh reports whether the last report of a version still counts.
+func (s *Scheduler) isFresh(known version, now time.Duration) bool {
+	return known.reported > 0 && now < max(known.reported, s.confirmedAt)+reportTTL
+}
 
 // pool is a pool with its replicas and the statistics of its answers.
 type pool struct {
@@ -112,9 +141,9 @@
 	return known.number > 0 && known.number < job.MinVersion
 }
 
-// Replicas replaces the set of replicas that accept new work. The state of remaining replicas is kept, and runs on
-// removed ones continue.
-func (s *Scheduler) Replicas(replicas []Replica) {
+// Replicas replaces the set of replicas that accept new work, and returns the instances that it did not know. The state
+// of remaining replicas is kept, and runs on removed ones continue.
+func (s *Scheduler) Replicas(replicas []Replica) (added []string) {
 	present := make(map[string]bool, len(replicas))
 	for _, pool := range s.pools {
 		pool.replicas, pool.paceStatisticsValid = nil, false
@@ -125,6 +154,7 @@
 		if known == nil {
 			known = &replica{versions: map[string]version{}, items: map[*item]struct{}{}}
 			s.replicas[described.Instance] = known
+			added = append(added, described.Instance)
 		}
 		known.Replica, known.draining = described, false
 		pool := s.poolNamed(described.Pool)
@@ -147,6 +177,7 @@
 			replica.index = position
 		}
 	}
+	return added
 }
 
 // poolNamed returns a pool, creating it on first use.
@@ -172,7 +203,7 @@
 	}
 	known := candidate.versions[entry.job.Model]
 	tooOld := candidate.isTooOldFor(entry.job)
-	if known.isFresh(now) && (tooOld || known.loading) {
+	if s.isFresh(known, now) && (tooOld || known.loading) {
 		return false // its weights are reported to be too old or loading
 	}
 	if (candidate.onProbation || tooOld) && candidate.probe != nil {
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -22,6 +22,7 @@
 	turns        Turns                   // basis of the present order
 	waitingOrder []*item                 // waiting items in order of work; nil: has to be sorted again
 	lengthLimits map[string]*lengthLimit // by model
+	confirmedAt  time.Duration           // when the reported versions of replicas were last confirmed
 	revision     uint64                  // increases with the progress of runs and with every end of a run
 }
 
--- a/internal/batchrun/schedule/reserve.go
+++ b/internal/batchrun/schedule/reserve.go
@@ -43,5 +43,5 @@
 // canStartReserved reports whether an item can start now on a replica with a slot reserved for it.
 func (s *Scheduler) canStartReserved(replica *replica, entry *item, now time.Duration) bool {
 	known := replica.versions[entry.job.Model]
-	return replica.running < replica.Slots && replica.pausedUntil <= now && !replica.onProbation && !replica.isTooOldFor(entry.job) && !(known.isFresh(now) && known.loading)
+	return replica.running < replica.Slots && replica.pausedUntil <= now && !replica.onProbation && !replica.isTooOldFor(entry.job) && !(s.isFresh(known, now) && known.loading)
 }
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -135,7 +135,7 @@
 	}
 	t.stopRunsOfEndedStarts(view)
 	replicas := replicasOf(view, pools)
-	t.scheduler.Replicas(replicas)
+	t.setServedOf(t.scheduler.Replicas(replicas))
 	targets := make([]replica.Target, 0, len(replicas))
 	for _, serving := range replicas {
 		targets = append(targets, replica.Target{Instance: serving.Instance, Address: serving.Address})
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -36,6 +36,7 @@
 	tenants         *tenant.Index    // tenants of view
 	ownersTakeTurns bool             // last logged state of the scheduler
 	serving         *weights.Serving // last serving report that the scheduler was updated from
+	servedModels    map[string]bool  // models in any of these reports
 	readyAt         time.Duration    // when this term could first have started items; 0: not yet
 
 	calls map[schedule.Key]*call
@@ -90,7 +91,7 @@
 	return &termRunner{
 		runner: r, config: &r.config, term: term, scheduler: schedule.New(r.config.Schedule),
 		committer: newCommitter(&r.config, r.metrics), jobs: map[string]*job{},
-		lastExpiryAt: r.config.Clock(), calls: map[schedule.Key]*call{}, stoppingCalls: map[string]int{}, endedCalls: make(chan *call, endedBuffer),
+		lastExpiryAt: r.config.Clock(), calls: map[schedule.Key]*call{}, servedModels: map[string]bool{}, stoppingCalls: map[string]int{}, endedCalls: make(chan *call, endedBuffer),
 		rewardCalls: map[schedule.Key]*rewardCall{}, endedRewardCalls: make(chan *rewardCall, endedBuffer),
 		condemnedItems: make(chan schedule.Key, endedBuffer),
 	}
@@ -346,10 +347,33 @@
 	if serving == nil || serving == t.serving || t.view == nil {
 		return
 	}
+	update := serving.UpdateFrom(t.serving.Position())
 	t.serving = serving
-	for model, replicas := range serving.Versions {
-		for replica, number := range replicas {
-			t.scheduler.SetServedVersion(replica, model, number, serving.Loading[replica] == model, now)
+	if update.IsWhole() {
+		t.scheduler.ForgetServedVersions()
+	}
+	update.Each(func(model, replica string, served weights.Served) {
+		t.servedModels[model] = true
+		t.setServed(model, replica, served, now)
+	})
+	t.scheduler.ConfirmServedVersions(now)
+}
+
+// setServed passes what a replica serves of a model to the scheduler.
+func (t *termRunner) setServed(model, replica string, served weights.Served, now time.Duration) {
+	if served.Version == 0 {
+		t.scheduler.ForgetServedVersion(replica, model)
+		return
+	}
+	t.scheduler.SetServedVersion(replica, model, served.Version, served.Loading, now)
+}
+
+// setServedOf passes what replicas that are new to the scheduler serve, since it may have been reported before.
+func (t *termRunner) setServedOf(added []string) {
+	now := t.config.Clock()
+	for model := range t.servedModels {
+		for _, replica := range added {
+			t.setServed(model, replica, t.serving.Replica(model, replica), now)
 		}
 	}
 }
--- a/internal/wave/planner.go
+++ b/internal/wave/planner.go
@@ -1,9 +1,9 @@
 package wave
 
 import (
-	"cmp"
-	"slices"
 	"time"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
 )
 
 // Planner plans the wave of one pool. It is not safe for concurrent use.
@@ -13,7 +13,9 @@
 	releasedAt       time.Duration
 	complete         bool // every replica has served the target
 	lastDuration     time.Duration
-	replicas         []*replica // sorted by name for reproducible runs
+	replicas         map[string]*replica
+	waiting          *iradix.Tree[*replica] // replicas that may get an order, in the order in which they get them
+	counts           counts
 	orders           map[uint64]*replica
 	lastOrder        uint64
 	stagesInFlight   int // stage orders in progress
@@ -38,12 +40,13 @@
 	hasAnswer     bool
 	retryAt       time.Duration
 	failures      int
+	indexed       indexEntry
 }
 
 // New returns a planner of a pool without replicas or releases.
 func New(config Config) *Planner {
 	config = config.WithDefaults()
-	return &Planner{config: config, stageLimit: config.MinStageLimit, orders: map[uint64]*replica{}}
+	return &Planner{config: config, stageLimit: config.MinStageLimit, replicas: map[string]*replica{}, waiting: iradix.New[*replica](), orders: map[uint64]*replica{}}
 }
 
 // Release makes a version the target that all replicas are to serve. It returns false and changes nothing if the
@@ -56,51 +59,44 @@
 	for _, one := range p.replicas {
 		one.failures, one.retryAt = 0, 0
 	}
+	p.indexAll()
 	return true
 }
 
 // SetReplicas sets the replicas of the pool. Those no longer in the list are forgotten together with their orders.
 func (p *Planner) SetReplicas(names []string) {
-	names = slices.Sorted(slices.Values(names))
-	if slices.EqualFunc(p.replicas, names, func(one *replica, name string) bool { return one.name == name }) {
-		return
-	}
-	replicas := make([]*replica, 0, len(names))
+	listed := make(map[string]bool, len(names))
 	for _, name := range names {
-		if position := p.findReplica(name); position >= 0 {
-			replicas = append(replicas, p.replicas[position])
-			continue
-		}
-		replicas = append(replicas, &replica{name: name})
-		p.complete = false
+		listed[name] = true
+		p.AddReplica(name)
 	}
-	for _, one := range p.replicas {
-		if _, listed := slices.BinarySearch(names, one.name); !listed {
-			p.clearOrder(one)
+	for name := range p.replicas {
+		if !listed[name] {
+			p.RemoveReplica(name)
 		}
 	}
-	p.replicas = replicas
 }
 
-func compare(first, second string) int {
-	switch {
-	case first < second:
-		return -1
-	case first > second:
-		return 1
+// AddReplica adds a replica to the pool, unless the pool has it.
+func (p *Planner) AddReplica(name string) {
+	if p.replicas[name] != nil {
+		return
 	}
-	return 0
+	added := &replica{name: name}
+	p.replicas[name] = added
+	p.complete = false
+	p.index(added)
 }
 
-// findReplica returns the index of a replica, or -1 if the pool has none of that name.
-func (p *Planner) findReplica(name string) int {
-	position, exists := slices.BinarySearchFunc(p.replicas, name, func(one *replica, name string) int {
-		return compare(one.name, name)
-	})
-	if !exists {
-		return -1
+// RemoveReplica forgets a replica together with its order.
+func (p *Planner) RemoveReplica(name string) {
+	removed := p.replicas[name]
+	if removed == nil {
+		return
 	}
-	return position
+	p.clearOrder(removed)
+	p.unindex(removed)
+	delete(p.replicas, name)
 }
 
 // clearOrder removes the order in progress of a replica, if any.
@@ -115,19 +111,20 @@
 	one.order = Order{}
 }
 
-// Report processes the status that a replica reports. Reports of unknown replicas are ignored.
-func (p *Planner) Report(now time.Duration, name string, report Report) {
-	position := p.findReplica(name)
-	if position < 0 {
-		return
+// Report processes the status that a replica reports. Reports of unknown replicas are ignored. It returns false if an
+// order in progress or a recent answer takes precedence, so that the same report may count later.
+func (p *Planner) Report(now time.Duration, name string, report Report) (counts bool) {
+	one := p.replicas[name]
+	if one == nil {
+		return true
 	}
-	one := p.replicas[position]
+	defer p.index(one)
 	if one.order.ID != 0 {
 		one.refusing = one.refusing && report.RefusesWork // once it no longer refuses work, its swap costs capacity
-		return
+		return false
 	}
 	if one.hasAnswer && now < one.answeredAt+p.config.ReportGrace && report.Version.Number != p.target.Number {
-		return
+		return false
 	}
 	one.hasReported, one.serving, one.refusing = true, report.Version.Number, report.RefusesWork
 	if report.Staged == 0 {
@@ -136,6 +133,7 @@
 		one.staged, one.stagedAt = report.Staged, now+p.config.StageTime
 	}
 	p.updateCompletion(now, one)
+	return true
 }
 
 // Answered processes the end of an order. Unknown orders are ignored.
@@ -146,6 +144,7 @@
 	}
 	order := one.order
 	p.clearOrder(one)
+	defer p.index(one)
 	switch answer.Outcome {
 	case Done:
 		p.completeOrder(now, one, order, answer.Serving)
@@ -211,7 +210,8 @@
 		return
 	}
 	one.highestServed = p.target.Number
-	if p.complete || slices.ContainsFunc(p.replicas, func(other *replica) bool { return !p.servesTarget(other) }) {
+	p.index(one)
+	if p.complete || p.counts.serving < len(p.replicas) {
 		return
 	}
 	p.complete = true
@@ -231,14 +231,18 @@
 	}
 	var orders []Order
 	available := p.availableSwaps()
-	for _, one := range p.replicasInOrder() {
-		if one.order.ID != 0 || p.servesTarget(one) || now < one.retryAt {
+	candidates := p.waiting.Root().Iterator()
+	for _, one, more := candidates.Next(); more; _, one, more = candidates.Next() {
+		if p.config.Unstaged && available <= 0 && p.counts.refusing == 0 {
+			break // no other replica can get an order
+		}
+		if now < one.retryAt {
 			continue
 		}
 		switch {
 		case one.refusing:
 			orders = append(orders, p.issueOrder(now, one, Swap)) // it serves no requests, so the swap costs no capacity
-		case one.staged == p.target.Number && now >= one.stagedAt:
+		case p.isReady(now, one):
 			if available > 0 {
 				available--
 				orders = append(orders, p.issueOrder(now, one, Swap))
@@ -250,14 +254,9 @@
 	return orders
 }
 
-// replicasInOrder returns the replicas in the order in which they get orders.
-func (p *Planner) replicasInOrder() []*replica {
-	if !p.config.OldestFirst {
-		return p.replicas
-	}
-	ordered := slices.Clone(p.replicas)
-	slices.SortStableFunc(ordered, func(first, second *replica) int { return cmp.Compare(first.serving, second.serving) })
-	return ordered
+// isReady reports whether a replica can swap at once.
+func (p *Planner) isReady(now time.Duration, one *replica) bool {
+	return p.config.Unstaged || one.staged == p.target.Number && now >= one.stagedAt
 }
 
 // SetMaxConcurrentSwaps replaces Config.MaxConcurrentSwaps. Swaps in progress continue.
@@ -273,22 +272,13 @@
 	if p.config.MaxConcurrentSwaps > 0 {
 		available = p.config.MaxConcurrentSwaps
 	}
-	for _, one := range p.replicas {
-		if one.order.Kind == Swap || one.refusing {
-			available--
-		}
-	}
-	if available <= 0 && !p.isSwapping() {
+	available -= p.counts.out
+	if available <= 0 && p.counts.swapping == 0 {
 		return 1 // the replicas that refuse work may never come back, so the others swap one at a time
 	}
 	return available
 }
 
-// isSwapping reports whether a replica that accepts work is being swapped.
-func (p *Planner) isSwapping() bool {
-	return slices.ContainsFunc(p.replicas, func(one *replica) bool { return one.order.Kind == Swap && !one.refusing })
-}
-
 // issueOrder creates an order for a replica and counts it as in progress.
 func (p *Planner) issueOrder(now time.Duration, one *replica, kind Kind) Order {
 	p.lastOrder++
@@ -302,6 +292,7 @@
 	if one.highestServed == p.target.Number && one.highestServed > 0 {
 		p.counters.Repairs++
 	}
+	p.index(one)
 	return one.order
 }
 
@@ -310,11 +301,5 @@
 
 // Status returns the state of the wave.
 func (p *Planner) Status() Status {
-	status := Status{Target: p.target, Replicas: len(p.replicas), LastDuration: p.lastDuration, Counters: p.counters}
-	for _, one := range p.replicas {
-		if p.servesTarget(one) {
-			status.Serving++
-		}
-	}
-	return status
+	return Status{Target: p.target, Replicas: len(p.replicas), Serving: p.counts.serving, LastDuration: p.lastDuration, Counters: p.counters}
 }
--- a/internal/wave/planner_test.go
+++ b/internal/wave/planner_test.go
@@ -39,6 +39,7 @@
 // replicas out of service by orders must be within the limit. A replica that refused work when it was ordered to
 // swap, and works again before it has, can't be recalled, so it counts only when later orders are sent.
 func (w *simulatedPool) next(t interface{ Fatalf(string, ...any) }) {
+	defer checkIndex(t, w.planner)
 	costs := false
 	for _, order := range w.planner.Next(w.now) {
 		costs = costs || order.Kind == Swap && !w.refuses[order.Replica]
@@ -83,7 +84,8 @@
 // low enough that this does not permit all of them to swap at once.
 func TestWaveCompletesDespiteFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newSimulatedPool(Config{QuickSwap: time.Nanosecond}, rapid.IntRange(1, 12).Draw(t, "replicas"))
+		w := newSimulatedPool(Config{QuickSwap: time.Nanosecond, Unstaged: rapid.Bool().Draw(t, "unstaged"), OldestFirst: rapid.Bool().Draw(t, "oldest first")},
+			rapid.IntRange(1, 12).Draw(t, "replicas"))
 		w.release(t)
 		for range rapid.IntRange(0, 150).Draw(t, "events") {
 			w.now += time.Duration(rapid.IntRange(0, 800).Draw(t, "elapsed")) * time.Millisecond
@@ -268,3 +270,22 @@
 		}
 	}
 }
+
+// checkIndex compares the planner's index with a look at every replica.
+func checkIndex(t interface{ Fatalf(string, ...any) }, p *Planner) {
+	want, waiting := counts{}, 0
+	for _, one := range p.replicas {
+		entry := p.indexEntryOf(one)
+		want.add(entry, 1)
+		if entry.key == nil {
+			continue
+		}
+		waiting++
+		if listed, ok := p.waiting.Get(entry.key); !ok || listed != one {
+			t.Fatalf("replica %s does not wait under the key of its state", one.name)
+		}
+	}
+	if p.counts != want || p.waiting.Len() != waiting {
+		t.Fatalf("counts %+v and %d waiting replicas, want %+v and %d", p.counts, p.waiting.Len(), want, waiting)
+	}
+}
--- a/internal/wave/types.go
+++ b/internal/wave/types.go
@@ -80,6 +80,8 @@
 	// OldestFirst gives orders to the replicas with the oldest version first, instead of by name. No replica is
 	// starved then when versions are released faster than all replicas can swap.
 	OldestFirst bool
+	// Unstaged is set for replicas that load a version only by a swap. They get no stage orders.
+	Unstaged bool
 	// QuickSwap is the swap time up to which all replicas may swap at the same time, because the gap in service is
 	// shorter than a few steps. Default: 50ms.
 	QuickSwap time.Duration
--- a/internal/weights/arrange.go
+++ b/internal/weights/arrange.go
@@ -31,13 +31,14 @@
 	supplies := make(map[string]supply, len(d.planners))
 	ratios := d.demandRatios()
 	for model, planner := range d.planners {
-		count, target := supply{replicas: len(d.serving[model]), demand: max(ratios[model], 1)}, planner.Target().Number
-		for _, number := range d.serving[model] {
+		count, target := supply{demand: max(ratios[model], 1)}, planner.Target().Number
+		for number, replicas := range d.served.counts[model] {
+			count.replicas += replicas
 			if number+usableStaleness >= target {
-				count.usable++
+				count.usable += replicas
 			}
 			if number >= target {
-				count.newest++
+				count.newest += replicas
 			}
 		}
 		supplies[model] = count
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -106,6 +106,7 @@
 	reportedVersions map[string][]registry.ModelVersion
 	reported         map[string]bool          // instances that have reported during this leadership
 	surveyedAt       map[string]time.Duration // time at which an instance was last surveyed during this leadership
+	changedReports   map[string]bool          // instances to review in the next cycle
 
 	// The following fields are accessed by Run only.
 
@@ -117,13 +118,16 @@
 	unconfirmed    acquisition
 	planners       map[string]*wave.Planner
 	queue          []queuedOrder
-	loadSlots      int                          // maximum number of replicas that load at the same time
-	loadingModels  map[string]string            // model of the order being executed, by replica
-	slotHolders    map[string]*load             // orders that occupy a load slot, by replica
-	activeLoads    map[string]*load             // orders that have not ended, by replica
-	recentLoads    loadTimes                    // times of the most recent loads
-	loadedVersions map[replicaModel]uint64      // versions loaded by orders of this leadership
-	serving        map[string]map[string]uint64 // version by model and replica, as far as it is known
+	loadSlots      int                     // maximum number of replicas that load at the same time
+	loadingModels  map[string]string       // model of the order being executed, by replica
+	slotHolders    map[string]*load        // orders that occupy a load slot, by replica
+	activeLoads    map[string]*load        // orders that have not ended, by replica
+	recentLoads    loadTimes               // times of the most recent loads
+	loadedVersions map[replicaModel]uint64 // versions loaded by orders of this leadership
+	served         *servingState           // what the replicas serve, as far as it is known
+	placed         map[string][]string     // models for which a replica gets orders, by instance of each active replica
+	seenRows       map[string][]*table.Row // back ends at the last review, by pool
+	modelPools     map[string]bool         // pools of replicas that serve a model
 
 	surveyStarted      bool          // a survey was started during this leadership
 	versionReadRunning bool          // a read of the registered versions is in progress
@@ -188,7 +192,8 @@
 	}
 	return &Driver{config: config, metrics: newDriverMetrics(), tenure: 1, pollNow: make(chan struct{}, 1), results: make(chan loadResult, maxLoadSlots),
 		slotReleases: make(chan *load, maxLoadSlots), versionReads: make(chan newestVersions, 1), loadSlots: config.MaxConcurrentLoads,
-		reportedVersions: map[string][]registry.ModelVersion{}, reported: map[string]bool{}, surveyedAt: map[string]time.Duration{}, loadingModels: map[string]string{}, slotHolders: map[string]*load{}, activeLoads: map[string]*load{}, loadedVersions: map[replicaModel]uint64{}}, nil
+		reportedVersions: map[string][]registry.ModelVersion{}, reported: map[string]bool{}, surveyedAt: map[string]time.Duration{}, changedReports: map[string]bool{}, loadingModels: map[string]string{}, slotHolders: map[string]*load{}, activeLoads: map[string]*load{}, loadedVersions: map[replicaModel]uint64{},
+		served: newServingState(), placed: map[string][]string{}, modelPools: map[string]bool{}}, nil
 }
 
 // OrderToken reports whether this process may send orders at this instant, and under which fencing token. Other work
@@ -328,10 +333,31 @@
 	return started
 }
 
+// setLoading records the model that a replica is loading, "" if none.
+func (d *Driver) setLoading(instance, model string) {
+	if before := d.loadingModels[instance]; before != "" {
+		d.served.setLoading(before, instance, false)
+	}
+	if model == "" {
+		delete(d.loadingModels, instance)
+		return
+	}
+	d.loadingModels[instance] = model
+	d.served.setLoading(model, instance, true)
+}
+
+// recordLoaded records the version that a replica serves according to a completed order.
+func (d *Driver) recordLoaded(instance, model string, version uint64) {
+	d.loadedVersions[replicaModel{instance, model}] = version
+	if known := d.served.get(model, instance).Version; known > 0 && known < version {
+		d.served.setVersion(model, instance, version)
+	}
+}
+
 // handleResult processes the outcome of an order. If the order was sent under an earlier token, only its load slot
 // and its load time are taken into account.
 func (d *Driver) handleResult(ended loadResult) {
-	delete(d.loadingModels, ended.order.Replica)
+	d.setLoading(ended.order.Replica, "")
 	delete(d.slotHolders, ended.order.Replica)
 	delete(d.activeLoads, ended.order.Replica)
 	if ended.loadTime > 0 {
@@ -348,7 +374,7 @@
 	}
 	answer := wave.Answer{Outcome: wave.Done, Serving: ended.serving}
 	if ended.err == nil {
-		d.loadedVersions[replicaModel{ended.order.Replica, ended.model}] = ended.serving
+		d.recordLoaded(ended.order.Replica, ended.model, ended.serving)
 	} else {
 		answer = wave.Answer{Outcome: wave.Failed}
 	}
--- a/internal/weights/incarnation_test.go
+++ b/internal/weights/incarnation_test.go
@@ -87,7 +87,7 @@
 	r.run(t)
 	r.put(2)
 	eventually(t, "timed out waiting for the first incarnation to serve version 2", func() bool {
-		return r.driver.Serving().HasVersions() && r.driver.Serving().Versions["m0"][instanceOf(1000)] == 2
+		return r.driver.Serving().Replicas("m0")[instanceOf(1000)].Version == 2
 	})
 	r.start(2000, 1)
 	eventually(t, "timed out waiting for the second incarnation to serve version 2", func() bool {
@@ -96,8 +96,8 @@
 		return r.sender.replicas[instanceOf(2000)].serving["m0"] == 2
 	})
 	eventually(t, "timed out waiting for Serving to contain only the second incarnation", func() bool {
-		versions := r.driver.Serving().Versions["m0"]
-		return len(versions) == 1 && versions[instanceOf(2000)] == 2
+		replicas := r.driver.Serving().Replicas("m0")
+		return len(replicas) == 1 && replicas[instanceOf(2000)].Version == 2
 	})
 	r.driver.mutex.Lock()
 	defer r.driver.mutex.Unlock()
@@ -147,8 +147,7 @@
 		return r.sender.replicas[instanceOf(2000)].serving["m0"] == 2
 	})
 	eventually(t, "timed out waiting for the load of the first incarnation to end", func() bool {
-		loading := r.driver.Serving().Loading
-		return len(loading) == 0
+		return countLoading(r.driver.Serving()) == 0
 	})
 }
 
--- a/internal/weights/load.go
+++ b/internal/weights/load.go
@@ -53,7 +53,8 @@
 	order.Instance, order.Address = row.Instance, row.Address
 	ctx, cancel := context.WithTimeout(ctx, d.config.LoadTimeout)
 	one := &load{driver: d, order: order, expectedTime: d.recentLoads.expected(), cancel: cancel}
-	d.loadingModels[row.Instance], d.slotHolders[row.Instance], d.activeLoads[row.Instance] = next.model, one, one
+	d.setLoading(row.Instance, next.model)
+	d.slotHolders[row.Instance], d.activeLoads[row.Instance] = one, one
 	began := d.config.Clock()
 	logging.Emit(d.config.Log, &events.OrderSent{Replica: row.Instance, Model: next.model, Version: order.Number, Token: d.token,
 		Loading: len(d.slotHolders), Most: d.loadSlots, Waiting: len(d.queue)})
--- a/internal/weights/survey.go
+++ b/internal/weights/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,14 +103,8 @@
 func (d *Driver) nextSurveyTargets(view *table.View) (targets []replica.Target, anyReported bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	pools := map[string]bool{}
-	for instance := range d.reportedVersions {
-		if row := view.Backend(instance); row != nil {
-			pools[row.Pool] = true
-		}
-	}
 	now := d.config.Clock()
-	for pool := range pools {
+	for pool := range d.modelPools {
 		for _, row := range view.Backends(pool) {
 			last, surveyed := d.surveyedAt[row.Instance]
 			if row.State != table.Active || d.reported[row.Instance] || surveyed && now < last+surveyRetryDelay {
@@ -122,7 +117,7 @@
 			targets = append(targets, replica.Target{Instance: row.Instance, Address: row.Address})
 		}
 	}
-	return targets, len(pools) > 0
+	return targets, len(d.modelPools) > 0
 }
 
 // recordReport merges the reported versions of an instance with those already known. Versions of an instance only
@@ -131,7 +126,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.reported[instance] = true
-	known := d.reportedVersions[instance]
+	known, listed := d.reportedVersions[instance]
 	merged := make([]registry.ModelVersion, 0, len(models))
 	for _, one := range models {
 		for _, other := range known {
@@ -142,6 +137,9 @@
 		merged = append(merged, one)
 	}
 	d.reportedVersions[instance] = merged
+	if !listed || !slices.Equal(known, merged) {
+		d.changedReports[instance] = true
+	}
 }
 
 // resetSurvey makes the next leadership survey the replicas again, since earlier reports may be long out of date.
--- a/internal/weights/survey_test.go
+++ b/internal/weights/survey_test.go
@@ -16,6 +16,7 @@
 	f.driver.reportedVersions, f.driver.reported = map[string][]registry.ModelVersion{}, map[string]bool{}
 	f.driver.ObserveHeartbeat(&registry.Registration{Instance: "i-0", Models: []registry.ModelVersion{{Model: "m0", Number: 1}}})
 	view := f.driver.config.View()
+	reviewedSlots(f.driver)
 	f.driver.surveyRunning.Store(true)
 	f.driver.survey(t.Context(), view)
 	f.driver.background.Wait()
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -238,12 +238,19 @@
 	}
 }
 
+// reviewedSlots returns the number of load slots after a review of all replicas.
+func reviewedSlots(d *Driver) int {
+	d.resetPlans()
+	d.reviewReplicas(d.config.View())
+	return d.loadSlots
+}
+
 // TestLoadSlotsScaleWithReplicas checks that the number of load slots grows with the fleet. With a fixed number a
 // large fleet falls behind its trainers.
 func TestLoadSlotsScaleWithReplicas(t *testing.T) {
 	for replicas, want := range map[int]int{1: 2, 5: 2, 9: 2, 11: 2, 30: 6, 45: 9, 48: 10} {
 		f := newFixture(t, replicas)
-		if got := f.driver.loadSlotsFor(f.driver.activeReplicas(f.driver.config.View())); got != want {
+		if got := reviewedSlots(f.driver); got != want {
 			t.Errorf("got %d load slots for %d replicas, want %d", got, replicas, want)
 		}
 	}
@@ -514,11 +521,11 @@
 	f.run(t)
 	known := func(number uint64) bool {
 		serving := f.driver.Serving()
-		if serving == nil || len(serving.Versions["m0"]) != 6 {
+		if len(serving.Replicas("m0")) != 6 {
 			return false
 		}
-		for _, version := range serving.Versions["m0"] {
-			if version != number {
+		for _, served := range serving.Replicas("m0") {
+			if served.Version != number {
 				return false
 			}
 		}
@@ -526,7 +533,7 @@
 	}
 	f.driver.ObserveHeartbeat(&registry.Registration{Instance: "i-0", Models: []registry.ModelVersion{{Model: "m0", Number: 3}}})
 	f.sender.waitForReports(5)
-	if serving := f.driver.Serving(); serving != nil && len(serving.Versions) > 0 {
+	if serving := f.driver.Serving(); serving.HasVersions() {
 		t.Error("versions are published after a report of one replica of six")
 	}
 	eventually(t, "timed out waiting for Serving to be nil during the survey", func() bool { return f.driver.Serving() == nil })
@@ -581,7 +588,15 @@
 			map[string]string{"i-0": "m0", "i-1": "m0"}, nil, []string{"m1", "m1", "m0", "m0"}},
 	} {
 		d := newFixture(t, 4).driver
-		d.planners, d.serving, d.loadingModels = map[string]*wave.Planner{}, one.serving, one.loading
+		d.resetPlans()
+		for model, versions := range one.serving {
+			for instance, version := range versions {
+				d.served.setVersion(model, instance, version)
+			}
+		}
+		for instance, model := range one.loading {
+			d.setLoading(instance, model)
+		}
 		d.config.Demand = func() map[string]uint64 { return one.demand }
 		for model, target := range map[string]uint64{"m0": 9, "m1": 11} {
 			d.planners[model] = wave.New(wave.Config{})
