A registered member costs no sorted copy of all members

Cause: for each member that registered, a control node sorted the names of all members in its state, merged the change into a sorted copy of all of them, and did so again at each look for changes.

Change: the list of members is sorted when it is read as a whole, and only changed names are sorted for a change.

--- a/internal/control/memberfeeds.go
+++ b/internal/control/memberfeeds.go
@@ -1,14 +1,17 @@
 package control
 
 import (
-	"github.com/tamarindring/tamarindring/internal/member"
+	"maps"
+	"slices"
+
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
 // memberFeeds holds the members as applied on this node, and what changed of them for the holders of each scope. It is not
 // safe for concurrent use.
 type memberFeeds struct {
-	view      *wire.MembersView
+	version   uint64
+	view      *wire.MembersView // the members in order of name; nil after a change until it is next needed
 	byName    map[string]*wire.Member
 	changedAt map[string]uint64 // members version at which a change of a member was last seen, by name
 	feeds     map[wire.TableScope]*memberFeed
@@ -28,7 +31,7 @@
 		return &memberFeed{includes: includes, deltas: make(map[uint64]*wire.MembersView)}
 	}
 	return &memberFeeds{
-		view: &wire.MembersView{}, byName: make(map[string]*wire.Member), changedAt: make(map[string]uint64),
+		byName: make(map[string]*wire.Member), changedAt: make(map[string]uint64),
 		feeds: map[wire.TableScope]*memberFeed{
 			wire.TableScope_TABLE_SCOPE_WHOLE:      feed(func(*wire.Member) bool { return true }),
 			wire.TableScope_TABLE_SCOPE_FORWARDING: feed(storesState),
@@ -43,10 +46,10 @@
 
 // merge applies changes and returns the scopes for which a member changed.
 func (f *memberFeeds) merge(changes *wire.MembersView) (changed []wire.TableScope) {
-	if changes.GetMembersVersion() <= f.view.MembersVersion {
+	if changes.GetMembersVersion() <= f.version || changes.GetFromVersion() > f.version {
 		return nil
 	}
-	f.view = member.Merge(f.view, changes)
+	f.version, f.view = changes.MembersVersion, nil
 	if changes.FromVersion == 0 {
 		clear(f.byName)
 	}
@@ -62,6 +65,17 @@
 	return changed
 }
 
+// current returns all members in order of name. Callers must not modify the result.
+func (f *memberFeeds) current() *wire.MembersView {
+	if f.view == nil {
+		f.view = &wire.MembersView{MembersVersion: f.version}
+		for _, name := range slices.Sorted(maps.Keys(f.byName)) {
+			f.view.Members = append(f.view.Members, f.byName[name])
+		}
+	}
+	return f.view
+}
+
 // merge notes changes and reports whether they concern a member of the feed.
 func (f *memberFeed) merge(changes *wire.MembersView) bool {
 	for _, one := range changes.Members {
@@ -87,8 +101,8 @@
 	if delta := feed.deltas[known]; delta != nil {
 		return delta
 	}
-	delta := &wire.MembersView{FromVersion: known, MembersVersion: f.view.MembersVersion}
-	for _, candidate := range f.view.Members {
+	delta := &wire.MembersView{FromVersion: known, MembersVersion: f.version}
+	for _, candidate := range f.current().Members {
 		if feed.includes(candidate) && (known == 0 || f.changedAt[candidate.Name] > known) {
 			delta.Members = append(delta.Members, candidate)
 		}
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -154,7 +154,7 @@
 }
 
 func (p *publisher) refreshMembers() (changed bool, err error) {
-	known := p.currentMembers().MembersVersion
+	known := p.membersVersion()
 	view, err := p.queryLocal(&wire.Query{Kind: &wire.Query_Members{Members: &wire.MembersQuery{KnownVersion: known}}})
 	if err != nil {
 		p.noteReadFailure(readOfMembers, known, err)
@@ -235,11 +235,18 @@
 	return p.members.after(scope, known)
 }
 
+// membersVersion returns the version of the members as applied on this node.
+func (p *publisher) membersVersion() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.members.version
+}
+
 // currentMembers returns the members as applied on this node. Callers must not modify them.
 func (p *publisher) currentMembers() *wire.MembersView {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.members.view
+	return p.members.current()
 }
 
 // member returns the member with a name, or nil.
--- a/internal/control/scope_test.go
+++ b/internal/control/scope_test.go
@@ -96,3 +96,20 @@
 		return float64(sent)
 	})
 }
+
+// TestCostOfARegisteredMemberDoesNotGrowWithTheMembers guards against a sorted copy of all members for each one that
+// registers.
+func TestCostOfARegisteredMemberDoesNotGrowWithTheMembers(t *testing.T) {
+	growth.Check(t, "bytes to note that a member has registered", 0, memberCounts, func(members int) float64 {
+		feeds, version := newMemberFeeds(), uint64(0)
+		register := func() {
+			version++
+			member := gatewayMember(fmt.Sprint("gateway-", version%uint64(members)))
+			feeds.merge(&wire.MembersView{FromVersion: version - 1, MembersVersion: version, Members: []*wire.Member{member}})
+		}
+		for range members {
+			register()
+		}
+		return growth.AllocatedBytes(register)
+	})
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -162,11 +162,16 @@
 // that were forgotten since are not included; all of them had gone.
 func (l *List) Changes(known uint64) *wire.MembersView {
 	view := &wire.MembersView{MembersVersion: l.version, FromVersion: known}
-	for _, name := range l.sortedNames() {
-		if entry := l.members[name]; entry.version > known {
-			view.Members = append(view.Members, proto.CloneOf(entry.member))
+	var changed []string
+	for name, entry := range l.members {
+		if entry.version > known {
+			changed = append(changed, name)
 		}
 	}
+	sort.Strings(changed)
+	for _, name := range changed {
+		view.Members = append(view.Members, proto.CloneOf(l.members[name].member))
+	}
 	return view
 }
 
