The scheduler of batch items is told which replicas have changed

Cause: for each version of the table the node that runs batch jobs built lists of all replicas of their pools, sorted them and gave the scheduler the whole set.

Change: it compares the lists of back ends with those of the last version, whose unchanged rows are the same, and passes only the replicas that were added, changed or removed. The targets of a survey are listed when a survey needs them.

--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -11,6 +11,7 @@
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -33,10 +34,10 @@
 type Runner struct {
 	config       Config
 	textCache    *textCache
-	hasOpenJobs  atomic.Bool                       // this node leads and has open jobs to run
-	demand       atomic.Pointer[map[string]uint64] // see Demand; nil while this node does not run the jobs
-	targets      atomic.Pointer[[]replica.Target]  // see Replicas
-	orderNumber  atomic.Uint64                     // last number given to a stream or an order to an executor
+	hasOpenJobs  atomic.Bool                             // this node leads and has open jobs to run
+	demand       atomic.Pointer[map[string]uint64]       // see Demand; nil while this node does not run the jobs
+	replicaRows  atomic.Pointer[map[string][]*table.Row] // back ends of the pools of open jobs, by pool; see Replicas
+	orderNumber  atomic.Uint64                           // last number given to a stream or an order to an executor
 	metrics      *runnerMetrics
 	rewardCaller *rewardCaller
 }
@@ -69,12 +70,19 @@
 }
 
 // Replicas returns the replicas that take items of the open jobs, according to the last table version that this node
-// applied as leader. It is safe for concurrent use. Callers must not change the slice.
+// applied as leader. It is safe for concurrent use.
 func (r *Runner) Replicas() []replica.Target {
-	if targets := r.targets.Load(); targets != nil {
-		return *targets
+	rows := r.replicaRows.Load()
+	if rows == nil {
+		return nil
 	}
-	return nil
+	var targets []replica.Target
+	for pool, backends := range *rows {
+		for _, serving := range replicasOf(pool, backends) {
+			targets = append(targets, replica.Target{Instance: serving.Instance, Address: serving.Address})
+		}
+	}
+	return targets
 }
 
 // Run runs the group's jobs whenever the node leads the group, until ctx ends. All calls have ended when it returns.
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -15,6 +15,7 @@
 	settings     Settings
 	jobs         map[string]*job
 	replicas     map[string]*replica // by instance
+	draining     map[string]*replica // those of replicas that accept no new work, by instance
 	pools        map[string]*pool
 	endedGroups  map[string]bool         // groups of jobs that have ended
 	suspended    []Suspension            // not yet returned by Suspended
@@ -97,7 +98,7 @@
 // New returns a scheduler without jobs and replicas.
 func New(settings Settings) *Scheduler {
 	return &Scheduler{
-		settings: settings.WithDefaults(), jobs: map[string]*job{}, replicas: map[string]*replica{},
+		settings: settings.WithDefaults(), jobs: map[string]*job{}, replicas: map[string]*replica{}, draining: map[string]*replica{},
 		pools: map[string]*pool{}, endedGroups: map[string]bool{},
 		usage: fairqueue.NewUsage(usageHalfLife),
 	}
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -134,13 +134,27 @@
 		}
 	}
 	t.stopRunsOfEndedStarts(view)
-	replicas := replicasOf(view, pools)
-	t.setServedOf(t.scheduler.Replicas(replicas))
-	targets := make([]replica.Target, 0, len(replicas))
-	for _, serving := range replicas {
-		targets = append(targets, replica.Target{Instance: serving.Instance, Address: serving.Address})
+	t.applyReplicas(view, pools)
+}
+
+// applyReplicas updates the scheduler with the replicas of the pools whose rows have changed since the last call.
+func (t *termRunner) applyReplicas(view *table.View, pools map[string]bool) {
+	rows := make(map[string][]*table.Row, len(pools))
+	for pool := range pools {
+		rows[pool] = view.Backends(pool)
+	}
+	var changed []schedule.Replica
+	var removed []string
+	for _, pool := range table.PoolsOf(t.replicaRows, rows) {
+		gone, added := table.DiffRows(t.replicaRows[pool], rows[pool])
+		for _, row := range gone {
+			removed = append(removed, row.Instance)
+		}
+		changed = append(changed, replicasOf(pool, added)...)
 	}
-	t.runner.targets.Store(&targets)
+	t.replicaRows = rows
+	t.setServedOf(t.scheduler.ChangeReplicas(changed, removed))
+	t.runner.replicaRows.Store(&rows)
 }
 
 // updateWeight passes the weight of a job's tenant to the scheduler. 0 stands for the default weight, for a tenant that
@@ -172,14 +186,12 @@
 	}
 }
 
-// replicasOf returns the replicas in the given pools that can take new items.
-func replicasOf(view *table.View, pools map[string]bool) []schedule.Replica {
+// replicasOf returns the replicas among the rows of a pool that can take new items.
+func replicasOf(pool string, rows []*table.Row) []schedule.Replica {
 	var replicas []schedule.Replica
-	for pool := range pools {
-		for _, row := range view.Backends(pool) {
-			if slots := slotsOf(row); row.Serving() && slots > 0 {
-				replicas = append(replicas, schedule.Replica{Instance: row.Instance, Address: row.Address, Pool: pool, Slots: slots, Memory: row.KVCapacity})
-			}
+	for _, row := range rows {
+		if slots := slotsOf(row); row.Serving() && slots > 0 {
+			replicas = append(replicas, schedule.Replica{Instance: row.Instance, Address: row.Address, Pool: pool, Slots: slots, Memory: row.KVCapacity})
 		}
 	}
 	return replicas
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -32,12 +32,13 @@
 	expiring       atomic.Bool   // a JobExpire command is in flight
 	fleetMetricsAt time.Duration // when the replica metrics were last updated
 
-	view            *table.View      // last table that the scheduler was updated from
-	tenants         *tenant.Index    // tenants of view
-	ownersTakeTurns bool             // last logged state of the scheduler
-	serving         *weights.Serving // last serving report that the scheduler was updated from
-	servedModels    map[string]bool  // models in any of these reports
-	readyAt         time.Duration    // when this term could first have started items; 0: not yet
+	view            *table.View             // last table that the scheduler was updated from
+	tenants         *tenant.Index           // tenants of view
+	ownersTakeTurns bool                    // last logged state of the scheduler
+	serving         *weights.Serving        // last serving report that the scheduler was updated from
+	servedModels    map[string]bool         // models in any of these reports
+	replicaRows     map[string][]*table.Row // back ends that the scheduler knows, by pool
+	readyAt         time.Duration           // when this term could first have started items; 0: not yet
 
 	calls map[schedule.Key]*call
 	// stoppingCalls counts, by item id, the calls of ended jobs that are being stopped and have not ended yet.
--- a/internal/weights/review.go
+++ b/internal/weights/review.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wave"
@@ -30,43 +29,16 @@
 		seen[pool.Name] = view.Backends(pool.Name)
 	}
 	var changed []string
-	for pool, before := range d.seenRows {
-		changed = append(changed, differingInstances(before, seen[pool])...)
-	}
-	for pool, after := range seen {
-		if d.seenRows[pool] == nil {
-			changed = append(changed, differingInstances(nil, after)...)
+	for _, pool := range table.PoolsOf(d.seenRows, seen) {
+		removed, added := table.DiffRows(d.seenRows[pool], seen[pool])
+		for _, row := range slices.Concat(removed, added) {
+			changed = append(changed, row.Instance)
 		}
 	}
 	d.seenRows = seen
 	d.markForReview(changed...)
 }
 
-// differingInstances returns the instances of the rows that stand in only one of two lists. Both are in order of name.
-// Rows that have not changed are shared between views, so that comparing them is cheap.
-func differingInstances(before, after []*table.Row) (differing []string) {
-	if len(before) == len(after) && (len(before) == 0 || &before[0] == &after[0]) {
-		return nil
-	}
-	for len(before) > 0 && len(after) > 0 {
-		switch order := strings.Compare(before[0].Name, after[0].Name); {
-		case before[0] == after[0]:
-			before, after = before[1:], after[1:]
-		case order < 0:
-			differing, before = append(differing, before[0].Instance), before[1:]
-		case order > 0:
-			differing, after = append(differing, after[0].Instance), after[1:]
-		default:
-			differing = append(differing, before[0].Instance, after[0].Instance)
-			before, after = before[1:], after[1:]
-		}
-	}
-	for _, row := range slices.Concat(before, after) {
-		differing = append(differing, row.Instance)
-	}
-	return differing
-}
-
 // markForReview makes the next reviewReplicas look at replicas.
 func (d *Driver) markForReview(instances ...string) {
 	d.mutex.Lock()
