Items that wait for weights look only at replicas that have them

Change: a pool finds its replicas by reported version. While all reports count, only those with a sufficient version are considered.

A property test checks that no replica is left out that could start the item.

--- a/internal/batchrun/schedule/candidates.go
+++ b/internal/batchrun/schedule/candidates.go
@@ -158,7 +158,7 @@
 		return candidates
 	}
 	candidates := &candidates{}
-	for _, replica := range pool.replicas {
+	for _, replica := range r.scheduler.mayStart(entry, pool, r.now) {
 		if r.scheduler.canStart(replica, entry, r.now) {
 			candidates.byLoad = append(candidates.byLoad, candidate{replica: replica, load: r.scheduler.loadWith(replica, pool, key)})
 		}
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/pace"
@@ -28,7 +27,8 @@
 	onProbation    bool               // one item at a time until a run that started after probationStart delivers an event
 	probationStart time.Duration      // start of the probation
 	probe          *item              // item that is tried on a replica on probation or with old weights
-	versions       map[string]version // by model
+	versions       map[string]version // by model; change them with setVersion
+	indexedVersion map[string]uint64  // reported versions under which the pool's index has the replica, by model
 	measuredPace   paceAverage
 	lastingPace    pace.LastingEstimator // long-term pace
 	pace           float64               // seconds between two events as measured; 0: unknown
@@ -36,72 +36,10 @@
 	memoryUsage    *memoryUsage          // memory used by its items; nil: not computed yet
 }
 
-// version is the last known state of a model's weights on a replica.
-type version struct {
-	number  uint64
-	tries   int           // runs started while the number was this one, for items that require a newer version
-	heardAt time.Duration // when the version was last heard, or when the last of these runs started
-	// reported is when the component that orders weight loads last reported the version; 0: never. loading is true if
-	// that report said that the replica is loading another version.
-	reported time.Duration
-	loading  bool
-}
-
-// reportTTL is how long a report of the component that orders weight loads counts. Afterwards replicas with old
-// weights are tried again.
-const reportTTL = 2 * time.Second
-
-// SetServedVersion records what the component that orders weight loads knows about a replica: the version of a model
-// that it serves, and whether it is loading another one. While a replica loads a version it starts no item of that
-// model.
-func (s *Scheduler) SetServedVersion(instance, model string, number uint64, loading bool, now time.Duration) {
-	replica := s.replicas[instance]
-	if replica == nil || number == 0 {
-		return
-	}
-	if known := replica.versions[model]; number > known.number {
-		s.noteVersion(replica, model, number, now)
-	}
-	known := replica.versions[model]
-	known.reported, known.loading = max(now, 1), loading
-	replica.versions[model] = known
-}
-
-// ConfirmServedVersions records that all versions that were set and not forgotten since are still reported.
-func (s *Scheduler) ConfirmServedVersions(now time.Duration) { s.confirmedAt = now }
-
-// ForgetServedVersion records that a replica's version of a model is no longer reported.
-func (s *Scheduler) ForgetServedVersion(instance, model string) {
-	if replica := s.replicas[instance]; replica != nil {
-		replica.forgetReport(model)
-	}
-}
-
-// ForgetServedVersions records that no version of any replica is reported any more.
-func (s *Scheduler) ForgetServedVersions() {
-	for _, replica := range s.replicas {
-		for model := range replica.versions {
-			replica.forgetReport(model)
-		}
-	}
-}
-
-// forgetReport forgets that the replica's version of a model was reported, but not the version.
-func (r *replica) forgetReport(model string) {
-	if known, listed := r.versions[model]; listed {
-		known.reported, known.loading = 0, false
-		r.versions[model] = known
-	}
-}
-
-// isFresh reports whether the last report of a version still counts.
-func (s *Scheduler) isFresh(known version, now time.Duration) bool {
-	return known.reported > 0 && now < max(known.reported, s.confirmedAt)+reportTTL
-}
-
 // pool is a pool with its replicas and the statistics of its answers.
 type pool struct {
 	replicas      []*replica // those that accept new work, by instance
+	reported      versionIndex
 	measuredPace  paceAverage
 	pace          float64           // seconds between two events as measured; 0: unknown
 	newestVersion map[string]uint64 // newest version heard, by model
@@ -120,120 +58,10 @@
 	meanFirstEventDelay float64                // seconds from the start of a run to its first event; 0: none was seen
 }
 
-// noteVersion records the weight version under which a replica answered; 0 is ignored.
-func (s *Scheduler) noteVersion(replica *replica, model string, number uint64, now time.Duration) {
-	if number == 0 {
-		return
-	}
-	if replica.versions[model].number == number {
-		known := replica.versions[model]
-		known.heardAt = max(known.heardAt, now)
-		replica.versions[model] = known
-		return
-	}
-	replica.versions[model] = version{number: number, heardAt: now, reported: replica.versions[model].reported, loading: replica.versions[model].loading}
-	pool := s.poolNamed(replica.Pool)
-	pool.newestVersion[model] = max(pool.newestVersion[model], number)
-}
-
-// isTooOldFor reports whether the replica's weights were too old for a job when their version was last heard.
-func (r *replica) isTooOldFor(job *job) bool {
-	known := r.versions[job.Model]
-	return known.number > 0 && known.number < job.MinVersion
-}
-
-// Replicas replaces the set of replicas that accept new work. See ChangeReplicas.
-func (s *Scheduler) Replicas(replicas []Replica) {
-	present := make(map[string]bool, len(replicas))
-	for _, described := range replicas {
-		present[described.Instance] = true
-	}
-	var removed []string
-	for instance := range s.replicas {
-		if !present[instance] {
-			removed = append(removed, instance)
-		}
-	}
-	s.ChangeReplicas(replicas, removed)
-}
-
-// ChangeReplicas changes the set of replicas that accept new work: it adds or updates those in changed, and removes the
-// instances in removed that are not in changed. It returns the instances that it did not know. The state of remaining
-// replicas is kept, and runs on removed ones continue.
-func (s *Scheduler) ChangeReplicas(changed []Replica, removed []string) (added []string) {
-	pools := map[string]bool{}
-	changing := make(map[string]bool, len(changed))
-	for _, described := range changed {
-		changing[described.Instance] = true
-	}
-	for _, instance := range removed {
-		if known := s.replicas[instance]; known != nil && !changing[instance] {
-			pools[known.Pool] = true
-			s.drain(known)
-		}
-	}
-	for _, described := range changed {
-		known := s.replicas[described.Instance]
-		if known == nil {
-			known = &replica{versions: map[string]version{}, items: map[*item]struct{}{}, draining: true}
-			s.replicas[described.Instance] = known
-			added = append(added, described.Instance)
-		}
-		pools[known.Pool], pools[described.Pool] = true, true
-		isListed := !known.draining && known.Pool == described.Pool
-		known.Replica, known.draining = described, false
-		if !isListed {
-			s.poolNamed(described.Pool).insert(known)
-		}
-	}
-	for name := range pools {
-		s.poolNamed(name).prune(name)
-	}
-	s.forgetDrained()
-	return added
-}
-
-// drain makes a replica accept no new work.
-func (s *Scheduler) drain(known *replica) {
-	known.draining = true
-	s.draining[known.Instance] = known
-}
-
-// forgetDrained forgets the draining replicas that have no runs any more.
-func (s *Scheduler) forgetDrained() {
-	for instance, known := range s.draining {
-		if known.draining && known.running > 0 {
-			continue
-		}
-		delete(s.draining, instance)
-		if known.draining && s.replicas[instance] == known {
-			delete(s.replicas, instance)
-		}
-	}
-}
-
-// insert adds a replica to the pool's list.
-func (p *pool) insert(added *replica) {
-	at, _ := slices.BinarySearchFunc(p.replicas, added.Instance, func(one *replica, instance string) int {
-		return strings.Compare(one.Instance, instance)
-	})
-	p.replicas = slices.Insert(p.replicas, at, added)
-}
-
-// prune removes the replicas from the pool's list that accept no new work or belong to another pool by now, and numbers
-// the others.
-func (p *pool) prune(name string) {
-	p.replicas = slices.DeleteFunc(p.replicas, func(one *replica) bool { return one.draining || one.Pool != name })
-	p.paceStatisticsValid = false
-	for position, one := range p.replicas {
-		one.index = position
-	}
-}
-
 // poolNamed returns a pool, creating it on first use.
 func (s *Scheduler) poolNamed(name string) *pool {
 	if s.pools[name] == nil {
-		s.pools[name] = &pool{newestVersion: map[string]uint64{}}
+		s.pools[name] = &pool{newestVersion: map[string]uint64{}, reported: versionIndex{}}
 	}
 	return s.pools[name]
 }
@@ -365,7 +193,8 @@
 		}
 		known.tries++
 		known.heardAt = now
-		replica.versions[model], replica.probe = known, entry
+		s.setVersion(replica, model, known)
+		replica.probe = entry
 	} else if replica.onProbation {
 		replica.probe = entry
 	}
--- a/internal/batchrun/schedule/replicas_test.go
+++ b/internal/batchrun/schedule/replicas_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -79,3 +80,66 @@
 		})
 	})
 }
+
+// TestReplicasWithOldVersionsAreLeftOutOnly checks the choice of replicas by their reported versions against a look at all
+// of them: it must have every replica that can start the item.
+func TestReplicasWithOldVersionsAreLeftOutOnly(t *testing.T) {
+	narrowed := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := New(Settings{}), time.Duration(0)
+		s.Open(Job{ID: "j", Model: "m", MinVersion: 5, Items: []Item{{ID: "i", Group: "g"}}}, nil, nil)
+		entry := s.jobs["j"].items["i"]
+		names := []string{"a", "b", "c", "d"}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond
+			name := rapid.SampledFrom(names).Draw(t, "replica")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				s.ChangeReplicas([]Replica{{Instance: name, Pool: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool"), Slots: 2}}, nil)
+			case 1:
+				s.ChangeReplicas(nil, []string{name})
+			case 2, 3:
+				s.SetServedVersion(name, "m", uint64(rapid.IntRange(3, 6).Draw(t, "version")), rapid.Bool().Draw(t, "loading"), now)
+			case 4:
+				s.ConfirmServedVersions(now)
+			case 5:
+				s.ForgetServedVersion(name, "m")
+			case 6:
+				if known := s.replicas[name]; known != nil {
+					s.noteVersion(known, "m", uint64(rapid.IntRange(3, 6).Draw(t, "answered")), now)
+				}
+			}
+			for _, pool := range s.pools {
+				chosen := map[*replica]bool{}
+				for _, one := range s.mayStart(entry, pool, now) {
+					chosen[one] = true
+				}
+				for _, one := range pool.replicas {
+					if s.canStart(one, entry, now) && !chosen[one] {
+						t.Fatalf("replica %s can start the item and is left out: %+v", one.Instance, one.versions)
+					}
+				}
+				if len(chosen) < len(pool.replicas) {
+					narrowed++
+				}
+			}
+		}
+	})
+	if narrowed == 0 {
+		t.Fatal("no choice was ever narrowed")
+	}
+}
+
+// TestCostOfWaitingItemsDoesNotGrowWithTheFleet guards against a look at all replicas, each time a run ends, for items that
+// wait for weights which few replicas have.
+func TestCostOfWaitingItemsDoesNotGrowWithTheFleet(t *testing.T) {
+	growth.Check(t, "replicas considered for an item", 0, []int{1000, 2000, 4000}, func(replicas int) float64 {
+		s := newLargeScheduler(replicas, 8)
+		s.jobs["job"].MinVersion = 2
+		for number := range 10 {
+			s.SetServedVersion(fmt.Sprintf("i-%05d", number), "m", 2, false, time.Second)
+		}
+		s.ConfirmServedVersions(time.Second)
+		return float64(len(s.mayStart(s.jobs["job"].items["item-1"], s.pools["pool"], time.Second)))
+	})
+}
