A holder of a part of the table is completed where parts are not in force

Cause, by reading: a control node that has just started does not know the level yet. A gateway with a part of the table that attached there would get deltas of the whole, and a route to a pool whose rows it lacks would leave it without back ends.

Change: such a session is sent the whole table, and a view adopts a whole table of its own version if it differs.

Measured: no figure; TestWholeTableCompletesAPart fails without the change.

--- a/internal/control/session.go
+++ b/internal/control/session.go
@@ -58,7 +58,7 @@
 		wake: make(chan struct{}, 1), ended: make(chan struct{}),
 		member:    first.Member,
 		holder:    lease.HolderID{Name: first.Member.Name, Incarnation: first.Member.Incarnation},
-		sentTable: first.ActedVersion, sentMembers: first.MembersVersion,
+		sentTable: s.firstTableVersion(first), sentMembers: first.MembersVersion,
 		ordinal: s.sessionsOpened.Add(1), shares: map[string]*wire.ResourceShare{},
 	}
 	s.sessions.add(holder)
@@ -74,6 +74,15 @@
 	return endOfStream(err)
 }
 
+// firstTableVersion returns the version from which a new session's holder is sent the table. A holder that may have a part
+// of it is sent all where parts are not in force yet, because it lacks rows that have not changed.
+func (s *Server) firstTableVersion(first *wire.SessionRequest) uint64 {
+	if first.Scope != wire.TableScope_TABLE_SCOPE_WHOLE && !s.levels.agreed().Includes(compat.TableScopes) {
+		return 0
+	}
+	return first.ActedVersion
+}
+
 // scope returns what the holder follows. While older builds may lead, which send every holder the whole table, it is the
 // whole: a holder with a part of the table could not adopt their updates.
 func (s *session) scope() wire.TableScope {
--- a/internal/table/scope_test.go
+++ b/internal/table/scope_test.go
@@ -77,6 +77,26 @@
 	}
 }
 
+// TestWholeTableCompletesAPart guards against a holder of a part that keeps lacking rows when it is sent the whole table of
+// the version that it has.
+func TestWholeTableCompletesAPart(t *testing.T) {
+	table := New()
+	if result := table.Apply(change("setup", 0, scopeSetup...)); result.GetOutcome() != wire.TableOutcome_TABLE_OUTCOME_ACCEPTED {
+		t.Fatal(result)
+	}
+	part, err := NewView().Apply(table.ForwardingUpdateSince(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := part.Apply(table.UpdateSince(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if part.Row("b") != nil || whole.Row("b") == nil || whole.Len() != len(table.rows) {
+		t.Fatalf("the part has %d rows and the completed table %d, want fewer than and all of %d", part.Len(), whole.Len(), len(table.rows))
+	}
+}
+
 // TestGatewaysGetNoRowsOfBatchPools guards against gateways whose memory and messages grow with replicas that only run
 // batch jobs.
 func TestGatewaysGetNoRowsOfBatchPools(t *testing.T) {
--- a/internal/table/view_apply.go
+++ b/internal/table/view_apply.go
@@ -10,11 +10,12 @@
 )
 
 // Apply returns the view after the update. The receiver is never modified. An update to a version that the view already
-// has changes nothing, so late and duplicate updates are harmless. Columns and kinds of row that this build does not
+// has changes nothing, so late and duplicate updates are harmless; but a whole table of the view's version replaces what
+// the view has, which may be a part of it. Columns and kinds of row that this build does not
 // know are skipped, because a newer control node may send updates to an older process during an upgrade. Apply fails
 // with *GapError, or with an error for a malformed row or value.
 func (v *View) Apply(update *wire.TableUpdate) (*View, error) {
-	if update == nil || update.GetToVersion() <= v.version {
+	if update == nil || update.GetToVersion() < v.version || update.GetToVersion() == v.version && update.GetFromVersion() > 0 {
 		return v, nil
 	}
 	if update.GetFromVersion() > v.version {
@@ -76,8 +77,11 @@
 // withRows returns the view with the changed rows replaced by the given cells; nil cells remove a row. It resolves only
 // rows that change themselves or whose pool changes, and shares the others with v.
 func (v *View) withRows(version uint64, changed map[string]map[string]string) *View {
-	next := v.edit(version)
 	differing := v.findDiffering(changed)
+	if version == v.version && len(differing) == 0 {
+		return v
+	}
+	next := v.edit(version)
 	for name, cells := range differing {
 		if previous := v.Row(name); previous != nil {
 			next.remove(previous)
--- a/internal/weights/driver.go
+++ b/internal/weights/driver.go
@@ -106,7 +106,7 @@
 	reportedVersions map[string][]registry.ModelVersion
 	reported         map[string]bool          // instances that have reported during this leadership
 	surveyedAt       map[string]time.Duration // time at which an instance was last surveyed during this leadership
-	changedReports   map[string]bool          // instances to review in the next cycle
+	toReview         map[string]bool          // instances to review in the next cycle
 
 	// The following fields are accessed by Run only.
 
@@ -192,7 +192,7 @@
 	}
 	return &Driver{config: config, metrics: newDriverMetrics(), tenure: 1, pollNow: make(chan struct{}, 1), results: make(chan loadResult, maxLoadSlots),
 		slotReleases: make(chan *load, maxLoadSlots), versionReads: make(chan newestVersions, 1), loadSlots: config.MaxConcurrentLoads,
-		reportedVersions: map[string][]registry.ModelVersion{}, reported: map[string]bool{}, surveyedAt: map[string]time.Duration{}, changedReports: map[string]bool{}, loadingModels: map[string]string{}, slotHolders: map[string]*load{}, activeLoads: map[string]*load{}, loadedVersions: map[replicaModel]uint64{},
+		reportedVersions: map[string][]registry.ModelVersion{}, reported: map[string]bool{}, surveyedAt: map[string]time.Duration{}, toReview: map[string]bool{}, loadingModels: map[string]string{}, slotHolders: map[string]*load{}, activeLoads: map[string]*load{}, loadedVersions: map[replicaModel]uint64{},
 		served: newServingState(), placed: map[string][]string{}, modelPools: map[string]bool{}}, nil
 }
 
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -55,7 +55,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for instance := range d.reportedVersions {
-		d.changedReports[instance] = true
+		d.toReview[instance] = true
 	}
 }
 
--- a/internal/weights/review.go
+++ b/internal/weights/review.go
@@ -12,7 +12,7 @@
 // since the last call, and reports whether it created a planner. Its cost is that of the changes.
 func (d *Driver) reviewReplicas(view *table.View) (added bool) {
 	d.findChangedRows(view)
-	for instance := range d.takeChangedReports() {
+	for instance := range d.takeMarked() {
 		added = d.reviewReplica(view, instance) || added
 	}
 	d.loadSlots = d.loadSlotsFor(len(d.placed))
@@ -44,16 +44,16 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, instance := range instances {
-		d.changedReports[instance] = true
+		d.toReview[instance] = true
 	}
 }
 
-// takeChangedReports returns the replicas that are marked for review, and unmarks them.
-func (d *Driver) takeChangedReports() map[string]bool {
+// takeMarked returns the replicas that are marked for review, and unmarks them.
+func (d *Driver) takeMarked() map[string]bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	changed := d.changedReports
-	d.changedReports = map[string]bool{}
+	changed := d.toReview
+	d.toReview = map[string]bool{}
 	return changed
 }
 
--- a/internal/weights/survey.go
+++ b/internal/weights/survey.go
@@ -138,7 +138,7 @@
 	}
 	d.reportedVersions[instance] = merged
 	if !listed || !slices.Equal(known, merged) {
-		d.changedReports[instance] = true
+		d.toReview[instance] = true
 	}
 }
 
