In a large fleet the control group's leader leads no ledger group

Change: a leader of the control group with 500 sessions or more transfers ledger groups to another control node that is not a standby. Smaller fleets keep both on one node, where what the replicas serve needs no message.

--- a/internal/control/session_set.go
+++ b/internal/control/session_set.go
@@ -25,6 +25,13 @@
 	delete(set.sessions, removed)
 }
 
+// count returns the number of sessions.
+func (set *sessionSet) count() int {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	return len(set.sessions)
+}
+
 // each calls visit for every session that is open at the time of the call. The mutex is not held during the calls.
 func (set *sessionSet) each(visit func(*session)) {
 	set.mutex.Lock()
--- a/internal/control/succession.go
+++ b/internal/control/succession.go
@@ -11,12 +11,17 @@
 // transfers its leadership. After this time an election is over, and most of a lease of 1.2 s has passed.
 const leaderUnknownLimit = 700 * time.Millisecond
 
+// separateSessions is the number of sessions from which on the leader of the control group leads no ledger group. With so
+// many, granting leases takes a good part of a processor.
+const separateSessions = 500
+
 // successionInput is the state that decides whether the leader of a group transfers the leadership, and to which voter.
 type successionInput struct {
 	group            uint32
 	self             uint64
 	controlLeader    uint64        // raft.None if no leader is known on this node
 	leaderUnknownFor time.Duration // how long no leader of the control group has been known
+	sessions         int           // lease holders with a session on this node
 	votersAhead      []uint64      // voters that have stored a write that is stuck on this node's disk
 	voters           []raft.Progress
 }
@@ -32,6 +37,9 @@
 // A node whose disk does not complete writes keeps its followers through heartbeats, but commits nothing of its own,
 // and entries that the others commit without it are not applied here. Reads wait, leases expire and nothing is served
 // until it steps down. It transfers its groups to a voter that has shown that its own disk works.
+//
+// The leader of the control group in a large fleet transfers ledger groups to other control nodes: the work of batch jobs
+// would delay its grants until leases expire.
 func (t *successionInput) successor() uint64 {
 	switch {
 	case len(t.votersAhead) > 0:
@@ -61,6 +69,13 @@
 			}
 			return 0
 		})
+	case t.group != controlGroup && t.controlLeader == t.self && t.sessions >= separateSessions:
+		return t.best(func(voter uint64) int {
+			if isStandby(voter) {
+				return unsuitable
+			}
+			return 0
+		})
 	}
 	return raft.None
 }
--- a/internal/control/succession_test.go
+++ b/internal/control/succession_test.go
@@ -47,6 +47,14 @@
 			successionInput{group: 1, self: self, votersAhead: []uint64{standby}, voters: []raft.Progress{heard(first, 9), heard(standby, 9)}}, standby},
 		"a leader with a stuck disk does not transfer to a silent voter": {
 			successionInput{group: 1, self: self, votersAhead: []uint64{second}, voters: []raft.Progress{heard(first, 9), {Node: second, Match: 9}}}, raft.None},
+		"the control group's leader with many sessions leads no ledger group": {
+			successionInput{group: 1, self: self, controlLeader: self, sessions: separateSessions, voters: []raft.Progress{heard(first, 9), heard(standby, 9)}}, first},
+		"the control group's leader with few sessions may lead ledger groups": {
+			successionInput{group: 1, self: self, controlLeader: self, sessions: separateSessions - 1, voters: []raft.Progress{heard(first, 9)}}, raft.None},
+		"the control group's leader with many sessions keeps the control group": {
+			successionInput{group: controlGroup, self: self, controlLeader: self, sessions: separateSessions, voters: []raft.Progress{heard(first, 9)}}, raft.None},
+		"the control group's leader with many sessions keeps ledger groups if there are only standbys": {
+			successionInput{group: 1, self: self, controlLeader: self, sessions: separateSessions, voters: []raft.Progress{heard(standby, 9)}}, raft.None},
 		"a standby keeps leading if all other voters are standbys": {
 			successionInput{group: 1, self: standby, controlLeader: standby, voters: []raft.Progress{heard(otherStandby, 9)}}, raft.None},
 	} {
--- a/internal/control/yield.go
+++ b/internal/control/yield.go
@@ -45,7 +45,8 @@
 	stuck := l.stuckWrite(ctx)
 	for _, group := range l.server.groups() {
 		if l.server.states[group].leader().Leading && !l.recentlyTransferred(group, now) {
-			l.transferGroup(ctx, &successionInput{group: group, controlLeader: controlLeader, leaderUnknownFor: l.leaderUnknownFor(now), votersAhead: stuck.Ahead}, stuck.Duration)
+			l.transferGroup(ctx, &successionInput{group: group, controlLeader: controlLeader, leaderUnknownFor: l.leaderUnknownFor(now),
+				sessions: l.server.sessions.count(), votersAhead: stuck.Ahead}, stuck.Duration)
 		}
 	}
 }
--- a/internal/table/diff.go
+++ b/internal/table/diff.go
@@ -10,11 +10,11 @@
 		return nil, nil
 	}
 	for len(before) > 0 && len(after) > 0 {
-		order := strings.Compare(before[0].Name, after[0].Name)
 		if before[0] == after[0] {
 			before, after = before[1:], after[1:]
 			continue
 		}
+		order := strings.Compare(before[0].Name, after[0].Name)
 		if order <= 0 {
 			removed, before = append(removed, before[0]), before[1:]
 		}
