The clock of a test of weight loads is read by several goroutines

A fault of the test. Change: an atomic clock. Measured: go test -race -short ./internal/weights passes; the check and its bound are as they were.

--- a/internal/weights/growth_test.go
+++ b/internal/weights/growth_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,9 +35,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := time.Hour
+	var now atomic.Int64 // in microseconds; the goroutines of the orders read the clock too
+	now.Store(time.Hour.Microseconds())
 	driver, err := NewDriver(Config{Control: &fakeControl{machine: state.New()}, Sender: unresponsive{}, View: func() *table.View { return view },
-		IsLeader: func() bool { return true }, Owner: "a", Clock: func() time.Duration { now += time.Microsecond; return now }})
+		IsLeader: func() bool { return true }, Owner: "a", Clock: func() time.Duration { return time.Duration(now.Add(1)) * time.Microsecond }})
 	if err != nil {
 		t.Fatal(err)
 	}
