--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 for program in target/tamarindring target/review-standin; do
 	[ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review-standin stop review/2/record.txt
+exec target/review-standin unsigned review/2/record.txt
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -23,10 +23,15 @@
 	Complete bool // the whole answer arrived
 	Stamp    string
 	Events   []int
+	Body     string // its first bytes
 	Err      string
 }
 
-const clientDeadline = 12 * time.Second
+const (
+	clientDeadline = 12 * time.Second
+	// shownBody bounds how much of an answer is kept.
+	shownBody = 200
+)
 
 // send sends one request on a new connection and reads the whole answer.
 func (w *world) send(ctx context.Context, gateway *process, host, path, kind, attempt string, asked work) *sent {
@@ -69,6 +74,9 @@
 	reader := bufio.NewReader(response.Body)
 	for {
 		line, err := reader.ReadString('\n')
+		if len(result.Body) < shownBody {
+			result.Body += line
+		}
 		if id, found := strings.CutPrefix(strings.TrimSpace(line), "id: "); found {
 			if number, err := strconv.Atoi(id); err == nil {
 				result.Events = append(result.Events, number)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,9 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
-	"spoil": runSpoilCase,
-	"stop":  runStopCase,
+	"spoil":    runSpoilCase,
+	"stop":     runStopCase,
+	"unsigned": runUnsignedCase,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,7 @@
 	slow     float64 // factor of the work's time; 0: 1
 	answers  int     // answers begun
 	spoil    int     // every so many answers one is spoiled; 0: none
+	spoilAs  string  // a spoiled answer, in which ATTEMPT stands for the attempt id
 	spoiled  int     // answers spoiled
 }
 
@@ -289,8 +291,16 @@
 	return true
 }
 
-// spoilAnswer sends the beginning of a stream whose status code is overwritten with zeros, which is no answer in the
-// protocol, and closes the connection.
+// Spoiled answers, which are no answers in the protocol.
+const (
+	// spoiledStatus begins like a stream, but its status code is overwritten with zeros.
+	spoiledStatus = "HTTP/1.1 000 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: ATTEMPT\r\nX-Server-Stamp: stamp\r\nConnection: close\r\n\r\n" +
+		"id: 0\ndata: ATTEMPT\n\n"
+	// spoiledHead has lost its header fields but the length: it has no signature and names no request.
+	spoiledHead = "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n################"
+)
+
+// spoilAnswer sends a spoiled answer and closes the connection.
 func (r *replica) spoilAnswer(w http.ResponseWriter, attempt string) {
 	r.world.record.write("answer spoiled", "attempt", attempt, "replica", r.id)
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -298,7 +308,14 @@
 		return
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "HTTP/1.1 000 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: stamp\r\nConnection: close\r\n\r\nid: 0\ndata: %s\n\n", attempt, attempt)
+	_, _ = io.WriteString(conn, strings.ReplaceAll(r.spoilAs, "ATTEMPT", attempt))
+}
+
+// setSpoil makes the replica spoil one in so many of its answers.
+func (r *replica) setSpoil(each int, as string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.spoil, r.spoilAs = each, as
 }
 
 // pause waits for the time of a piece of work. It returns false if the connection was closed or the replica crashed.
--- a/review/standin/spoil.go
+++ b/review/standin/spoil.go
@@ -78,9 +78,7 @@
 	}
 	time.Sleep(4 * time.Second) // longer than contact_ms
 	if trouble {
-		chatReplicas[0].mutex.Lock()
-		chatReplicas[0].spoil = spoilEach
-		chatReplicas[0].mutex.Unlock()
+		chatReplicas[0].setSpoil(spoilEach, spoiledStatus)
 	}
 
 	ctx, cancel := context.WithTimeout(context.Background(), spoilTime)
