--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target"
 cd "$root/review/standin"
-go build -o "$root/target/review-standin" .
+GOWORK=off go build -o "$root/target/review-standin" .
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit statuses.
@@ -48,6 +50,13 @@
 		return exitNotRun
 	}
 	defer w.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.write("case", "name", os.Args[1], "trouble", trouble)
 	broken, err := cases[os.Args[1]](w, trouble)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -27,16 +27,15 @@
 
 // Bounds of the deployment, as on the users' sheets.
 const (
-	graceSeconds  = 8
-	heartbeatMS   = 1200
-	callSilence   = time.Second
-	startTimeout  = 40 * time.Second
-	retryPause    = 100 * time.Millisecond
-	controls      = 3
-	gateways      = 3
-	stores        = 3
-	firstReplica  = 20
-	machinesInUse = 60
+	graceSeconds = 8
+	heartbeatMS  = 1200
+	callSilence  = time.Second
+	startTimeout = 40 * time.Second
+	retryPause   = 100 * time.Millisecond
+	controls     = 3
+	gateways     = 3
+	stores       = 3
+	firstReplica = 20
 )
 
 // world is the deployment with all its processes and stand-ins.
