--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -24,6 +25,14 @@
 	firstEnd = 6000 * time.Millisecond
 	endStep  = 150 * time.Millisecond
 	perKind  = 5
+	// laterAfter is how long after the SIGTERM further requests are sent, on connections that were open before it. Their
+	// replicas are done at laterEnd and each laterStep after it: at 6.8, 7.0 and 7.2 s.
+	laterAfter = 3200 * time.Millisecond
+	laterEnd   = 6800 * time.Millisecond
+	laterStep  = 200 * time.Millisecond
+	laterKind  = 3
+	// excusedUntil is how long after the SIGTERM a request may be sent for the excuse of the last sixth.
+	excusedUntil = 3 * time.Second
 )
 
 // appConfiguration is a configuration with one route of each kind for the application service.
@@ -69,18 +78,30 @@
 	var results []*sent
 	var mutex sync.Mutex
 	var clients sync.WaitGroup
+	ask := func(client *http.Client, kind, attempt string, take time.Duration) {
+		asked := work{TakeMS: int(take.Milliseconds())}
+		if kind == "stream" {
+			asked.Events = 40
+		}
+		clients.Go(func() {
+			result := w.sendOn(context.Background(), client, stopped, appHost, "/"+kind+"/a", kind, attempt, asked)
+			mutex.Lock()
+			defer mutex.Unlock()
+			results = append(results, result)
+		})
+	}
+	var kept []*http.Client // with an open connection each
+	for number := range 2 * laterKind {
+		client := keptConnection()
+		opened := w.sendOn(context.Background(), client, stopped, appHost, "/once/open", "non_idempotent", fmt.Sprintf("open-%d", number), work{TakeMS: 20})
+		if opened.Status != 200 {
+			return false, fmt.Errorf("a request before the trouble got status %d: %s", opened.Status, opened.Err)
+		}
+		kept = append(kept, client)
+	}
 	for number := range perKind {
 		for _, kind := range []string{"once", "stream"} {
-			asked := work{TakeMS: int((stopAfter + firstEnd + time.Duration(number)*endStep).Milliseconds())}
-			if kind == "stream" {
-				asked.Events = 40
-			}
-			clients.Go(func() {
-				result := w.send(context.Background(), stopped, appHost, "/"+kind+"/a", kind, fmt.Sprintf("%s-%d", kind, number), asked)
-				mutex.Lock()
-				defer mutex.Unlock()
-				results = append(results, result)
-			})
+			ask(newHTTPClient(0), kind, fmt.Sprintf("%s-%d", kind, number), stopAfter+firstEnd+time.Duration(number)*endStep)
 		}
 	}
 	time.Sleep(stopAfter)
@@ -89,6 +110,11 @@
 	if trouble {
 		stopping.Go(stopped.stop)
 	}
+	time.Sleep(laterAfter)
+	for number, client := range kept {
+		kind := []string{"once", "stream"}[number%2]
+		ask(client, kind, fmt.Sprintf("later-%s-%d", kind, number/2), laterEnd-laterAfter+time.Duration(number/2)*laterStep)
+	}
 	clients.Wait()
 	stopping.Wait()
 	time.Sleep(500 * time.Millisecond)
@@ -102,13 +128,15 @@
 	for _, result := range results {
 		made := runs[result.Attempt]
 		if len(made) == 0 {
-			return false, fmt.Errorf("%s reached no replica", result.Attempt)
+			w.record.write("not passed on", "attempt", result.Attempt, "status", result.Status, "error", result.Err)
+			continue
 		}
 		last := made[len(made)-1]
-		// Excuse of the rule: the replica was still at work in the last sixth of grace_s.
-		excused := last.Ended.After(stoppedAt.Add(lastSixth))
+		// Excuse of the rule: the request was sent no later than 3 s after the SIGTERM, and the replica was still at work
+		// in the last sixth of grace_s.
+		excused := result.Began.Before(stoppedAt.Add(excusedUntil)) && last.Ended.After(stoppedAt.Add(lastSixth))
 		lost := !result.Complete && !excused
-		w.record.write("judged", "attempt", result.Attempt, "complete", result.Complete, "ended_after_sigterm_ms", result.Ended.Sub(stoppedAt).Milliseconds(),
+		w.record.write("judged", "attempt", result.Attempt, "complete", result.Complete, "sent_after_sigterm_ms", result.Began.Sub(stoppedAt).Milliseconds(), "ended_after_sigterm_ms", result.Ended.Sub(stoppedAt).Milliseconds(),
 			"replica_ended_after_sigterm_ms", last.Ended.Sub(stoppedAt).Milliseconds(), "last_sixth_begins_ms", lastSixth.Milliseconds(), "lost", lost)
 		broken = broken || lost
 	}
