--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 // Exit statuses.
@@ -20,6 +21,9 @@
 	exitNotRun = 2
 )
 
+// longestCase is when a case is given up, so that it ends within 120 s.
+const longestCase = 110 * time.Second
+
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"spoil":    runSpoilCase,
@@ -53,7 +57,11 @@
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		<-stopped
+		select {
+		case <-stopped:
+		case <-time.After(longestCase):
+			record.write("not run", "because", "it took too long")
+		}
 		w.close()
 		os.Exit(exitNotRun)
 	}()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -97,6 +97,14 @@
 	mutex   sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
+	started time.Time
+}
+
+// lastStart returns when the process was last started.
+func (p *process) lastStart() time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.started
 }
 
 func zoneName(number int) string { return fmt.Sprintf("hall-%c", 'a'+number%3) }
@@ -223,7 +231,7 @@
 		close(ended)
 	}()
 	p.mutex.Lock()
-	p.command, p.ended = command, ended
+	p.command, p.ended, p.started = command, ended, time.Now()
 	p.mutex.Unlock()
 	p.world.record.write("process started", "process", p.name, "ip", p.ip)
 	return nil
