A success counts as an answer only if it names its request and is signed

Cause: replica.Client accepted a message that names no request as the first one on its connection, and nothing asked for the signature of a success. The gateway of the own interface accepted unnamed messages on new connections as well.

Change: internal/answercheck decides what an answer is, for all readers. replica.Client checks each head before anything is delivered, so calls, streams, items, reward calls and runs at executors follow. What fails the check may have run, whatever it says: requests that may be repeated go to another replica, others end with 502. In the own interface a back end that has named a request once must name each one.

--- /dev/null
+++ b/internal/answercheck/check.go
@@ -0,0 +1,59 @@
+// Package answercheck decides whether the head of a message that arrived on a connection to a replica belongs to the answer to
+// the request that was sent there. A faulty replica may send bytes that are no answer, or the answer to another request.
+// All readers of replicas' answers take the decision from here.
+//
+// The package has no clock, goroutines or I/O.
+package answercheck
+
+import "net/http"
+
+// Fault is the reason why a message is not the answer to a request. It is an error.
+type Fault uint8
+
+// The faults.
+const (
+	Foreign  Fault = iota + 1 // it belongs to another request
+	Unnamed                   // it does not name the request
+	Unsigned                  // a success without the signature of the replica that made it
+)
+
+// String returns the name of the fault in metrics.
+func (f Fault) String() string {
+	return [...]string{Foreign: "foreign", Unnamed: "unnamed", Unsigned: "unsigned"}[f]
+}
+
+// Error implements error.
+func (f Fault) Error() string {
+	return "not an answer: " + [...]string{Foreign: "it belongs to another request", Unnamed: "it does not name the request",
+		Unsigned: "a success without the replica's signature"}[f]
+}
+
+// Expected is what the answer to a request must carry.
+type Expected struct {
+	RequestID string // ID of the request, which the answer repeats; empty: the answer need not name a request
+	Signed    bool   // a success carries the signature of the replica that made it
+}
+
+// Head is the part of a message's head that identifies it as an answer.
+type Head struct {
+	Status    int
+	RequestID string // empty: none
+	Signature string // empty: none
+}
+
+// Check returns nil if a message with this head is the expected answer, and otherwise a Fault.
+func (e Expected) Check(head Head) error {
+	switch {
+	case e.RequestID != "" && head.RequestID == "":
+		return Unnamed
+	case e.RequestID != "" && head.RequestID != e.RequestID:
+		return Foreign
+	case e.Signed && isSuccess(head.Status) && head.Signature == "":
+		return Unsigned
+	}
+	return nil
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
--- a/internal/batchrun/rewards_test.go
+++ b/internal/batchrun/rewards_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/tamarindring/tamarindring/internal/answercheck"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 	"github.com/tamarindring/tamarindring/internal/wire"
@@ -108,7 +109,7 @@
 		return answerReward(call, sink, http.StatusOK, "")
 	}
 	foreign := func(context.Context, *replica.Call, replica.Sink) replica.Outcome {
-		return replica.Outcome{Verdict: verdict.MayHaveRun, Err: replica.ErrForeignAnswer}
+		return replica.Outcome{Verdict: verdict.MayHaveRun, Err: answercheck.Foreign}
 	}
 	other := func(_ context.Context, call *replica.Call, sink replica.Sink) replica.Outcome {
 		return answerReward(call, sink, http.StatusNotFound, "of a failure")
--- a/internal/gateway/foreign_test.go
+++ b/internal/gateway/foreign_test.go
@@ -173,3 +173,30 @@
 		})
 	}
 }
+
+// TestSpoiledSuccessIsNotDelivered guards against bytes that are no answer reaching a caller as a success. The back end
+// names its requests, but every second answer on a new connection is a success that names none.
+func TestSpoiledSuccessIsNotDelivered(t *testing.T) {
+	backend := newRawBackend(t, func(conn net.Conn, request *http.Request, n int64) {
+		if n%2 == 0 {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 7\r\nConnection: close\r\n\r\n\"wrong\"")
+			return
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%s: %s\r\nContent-Length: 7\r\nConnection: close\r\n\r\n\"right\"",
+			HeaderRequestID, request.Header.Get(HeaderRequestID))
+	})
+	f := newRawFixture(t, backend)
+	right := 0
+	for range 20 {
+		got := f.post(t, 0, "/v1/completions", completion(false))
+		if strings.Contains(got.body, "wrong") {
+			t.Fatalf("got bytes that are no answer with status %d: %s", got.status, got.body)
+		}
+		if got.status == http.StatusOK {
+			right++
+		}
+	}
+	if right < 5 {
+		t.Errorf("%d of 20 requests were answered, want at least 5", right)
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindring/tamarindring/internal/answercheck"
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -19,8 +20,8 @@
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// errForeignAnswer means that an answer, or a chunk of a stream, cannot be attributed to the request that was sent.
-var errForeignAnswer = errors.New("back end answer does not name the request that was sent")
+// errForeignChunk means that a chunk of a stream cannot be attributed to the request that was sent.
+var errForeignChunk = errors.New("chunk of the back end's answer does not name the request that was sent")
 
 // errUnframed means that an answer has neither a length nor chunks, so that its end looks the same as a cut
 // connection.
@@ -132,8 +133,8 @@
 	x.setHeaderTimeout(up, action.Kind)
 	err := up.response.ReadLimitBody(up.reader, 0)
 	x.stages.add(stageBackend, x.server.now()-began)
-	if err == nil && !x.isOwnAnswer(up) {
-		err = errForeignAnswer
+	if err == nil {
+		err = x.checkAnswer(up)
 	}
 	if err != nil {
 		x.failSend(true, err)
@@ -143,15 +144,23 @@
 	x.classify(up, action)
 }
 
-// isOwnAnswer reports whether the answer belongs to the request that was sent. An answer without a request ID is
-// accepted only as the first one on its connection, where no earlier request can have caused it.
-func (x *exchange) isOwnAnswer(up *upstream) bool {
-	echoed := up.response.Header.Peek(HeaderRequestID)
-	if len(echoed) == 0 {
-		return !up.namesRequests
-	}
-	up.namesRequests = true
-	return string(echoed) == x.streamID
+// checkAnswer returns nil if the answer belongs to the request that was sent, and otherwise an answercheck.Fault. An answer
+// that names no request is accepted from back ends that have never named one, where it must be the first on its
+// connection, so that no earlier request can have caused it.
+func (x *exchange) checkAnswer(up *upstream) error {
+	named := string(up.response.Header.Peek(HeaderRequestID))
+	var expected answercheck.Expected
+	if named != "" || x.server.transport.isNaming(up.address) {
+		expected.RequestID = x.streamID
+	}
+	if err := expected.Check(answercheck.Head{Status: up.response.StatusCode(), RequestID: named}); err != nil {
+		return err
+	}
+	if named != "" {
+		up.namesRequests = true
+		x.server.transport.noteNaming(up.address)
+	}
+	return nil
 }
 
 // setUpstream makes the connection visible to preempt and abandonBackend, which interrupt it. It returns false if
@@ -276,16 +285,16 @@
 		x.failSend(true, err)
 		return
 	}
-	answer := &wire.Answer{Status: uint32(status), ContentType: string(up.response.Header.ContentType()), Body: body}
+	whole := &wire.Answer{Status: uint32(status), ContentType: string(up.response.Header.ContentType()), Body: body}
 	backendVerdict, _ := verdict.Parse(string(up.response.Header.Peek(verdict.Header)))
 	retryAfter := parseRetryAfter(&up.response.Header)
 	x.releaseUpstream()
-	x.classifyAnswer(action, answer, backendVerdict, retryAfter)
+	x.classifyAnswer(action, whole, backendVerdict, retryAfter)
 }
 
 // classifyAnswer reports a whole answer to the machine and its outcome to routing and to the suspect guard.
-func (x *exchange) classifyAnswer(action *dispatch.Action, answer *wire.Answer, backendVerdict verdict.Verdict, retryAfter time.Duration) {
-	status := int(answer.Status)
+func (x *exchange) classifyAnswer(action *dispatch.Action, whole *wire.Answer, backendVerdict verdict.Verdict, retryAfter time.Duration) {
+	status := int(whole.Status)
 	if backendVerdict == verdict.DidNotRun || action.Kind == dispatch.Resume {
 		x.endRun(poisonguard.NotRun)
 	} else {
@@ -299,17 +308,17 @@
 	case backendVerdict == verdict.DidNotRun:
 		result := outcomeNeutral
 		var refusal refusalBody
-		if json.Unmarshal(answer.Body, &refusal) == nil && refusal.Error.Code == codeLeaving {
+		if json.Unmarshal(whole.Body, &refusal) == nil && refusal.Error.Code == codeLeaving {
 			result = outcomeLeaving
 		}
 		x.releaseBackend(result)
-		x.queueEvent(dispatch.Event{Kind: dispatch.RefusedByBackend, Status: status, RetryAfter: retryAfter, Answer: answer})
+		x.queueEvent(dispatch.Event{Kind: dispatch.RefusedByBackend, Status: status, RetryAfter: retryAfter, Answer: whole})
 	case status >= http.StatusInternalServerError:
 		x.releaseBackend(outcomeBad)
-		x.queueEvent(dispatch.Event{Kind: dispatch.Completed, Answer: answer})
+		x.queueEvent(dispatch.Event{Kind: dispatch.Completed, Answer: whole})
 	default:
 		x.releaseBackend(outcomeGood)
-		x.queueEvent(dispatch.Event{Kind: dispatch.Completed, Answer: answer})
+		x.queueEvent(dispatch.Event{Kind: dispatch.Completed, Answer: whole})
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -163,7 +163,7 @@
 		x.failStream(io.ErrUnexpectedEOF)
 		return
 	case !x.isOwnChunk(facts.id):
-		x.failStream(errForeignAnswer)
+		x.failStream(errForeignChunk)
 		return
 	}
 	if !facts.hasTokenFields {
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -16,6 +16,7 @@
 	mutex          sync.Mutex
 	idle           map[string][]*upstream
 	closed         bool
+	naming         map[string]bool // addresses of back ends that have named a request in an answer
 }
 
 const (
@@ -53,7 +54,7 @@
 }
 
 func newTransport(connectTimeout time.Duration) *transport {
-	return &transport{connectTimeout: connectTimeout, idle: map[string][]*upstream{}}
+	return &transport{connectTimeout: connectTimeout, idle: map[string][]*upstream{}, naming: map[string]bool{}}
 }
 
 // acquire returns an idle connection that is still usable, or dials a new one.
@@ -111,7 +112,22 @@
 	t.idle[up.address] = append(t.idle[up.address], up)
 }
 
-// closeIdleExcept closes the idle connections to all addresses except the given ones.
+// isNaming reports whether the back end at an address names requests in its answers, as far as is known.
+func (t *transport) isNaming(address string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.naming[address]
+}
+
+// noteNaming records that the back end at an address has named its request in an answer.
+func (t *transport) noteNaming(address string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.naming[address] = true
+}
+
+// closeIdleExcept closes the idle connections to all addresses except the given ones, and forgets what is known of the
+// back ends there.
 func (t *transport) closeIdleExcept(addresses map[string]bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -124,6 +140,11 @@
 		}
 		delete(t.idle, address)
 	}
+	for address := range t.naming {
+		if !addresses[address] {
+			delete(t.naming, address)
+		}
+	}
 }
 
 func (t *transport) close() {
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -10,8 +10,10 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tamarindring/tamarindring/internal/answercheck"
 	"github.com/tamarindring/tamarindring/internal/loadreport"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/verdict"
@@ -47,10 +49,9 @@
 
 // Errors in Outcome.Err.
 var (
-	ErrForeignAnswer = errors.New("replica: the answer belongs to another request")
-	ErrConnections   = errors.New("replica: all connections to the replica are in use")
-	ErrRefused       = errors.New("replica: the replica did not run the request")
-	ErrHeadTooLarge  = errors.New("replica: the head of the answer is too large")
+	ErrConnections  = errors.New("replica: all connections to the replica are in use")
+	ErrRefused      = errors.New("replica: the replica did not run the request")
+	ErrHeadTooLarge = errors.New("replica: the head of the answer is too large")
 )
 
 // Client calls replicas over persistent HTTP/1.1 connections with one request at a time on each. It is safe for
@@ -62,6 +63,7 @@
 	closed   bool                           // guarded by mu
 
 	unreadable unreadableReportLog
+	invalid    *invalidAnswers
 }
 
 // NewClient returns a client without connections.
@@ -80,9 +82,12 @@
 	if options.Dial == nil {
 		options.Dial = tcpDialer(options.DialTimeout, options.PeerTimeout)
 	}
-	return &Client{options: options, replicas: make(map[Target]*replicaConnections)}
+	return &Client{options: options, replicas: make(map[Target]*replicaConnections), invalid: newInvalidAnswers()}
 }
 
+// Collector returns the client's metrics.
+func (c *Client) Collector() prometheus.Collector { return c.invalid }
+
 func setDefault[T int | time.Duration](field *T, value T) {
 	if *field <= 0 {
 		*field = value
@@ -122,13 +127,7 @@
 	response, err := c.readHead(conn, call)
 	conn.markAnswered(sent)
 	if err != nil {
-		if failure := sent.writeError(); failure != nil {
-			err = failure
-		}
-		if sent.headUnsent() {
-			return Outcome{Verdict: verdict.DidNotRun, Refused: RefusedUnreachable, Err: err}, false
-		}
-		return Outcome{Verdict: verdict.MayHaveRun, Err: err}, false
+		return c.failedExchange(sent, err), false
 	}
 	outcome := Outcome{Status: response.StatusCode, Verdict: verdict.Ran, Answered: c.options.Now()}
 	outcome.Load = c.readLoadReport(call, response)
@@ -145,7 +144,24 @@
 	return outcome, ended && !response.Close && sent.isFinished() && conn.reader.Buffered() == 0
 }
 
-// readHead reads the head of the answer to a call and skips interim answers (status 1xx).
+// failedExchange returns the outcome of a call to which no answer came, for the reason err.
+func (c *Client) failedExchange(sent *upload, err error) Outcome {
+	var fault answercheck.Fault
+	if errors.As(err, &fault) {
+		c.invalid.count(fault)
+		return Outcome{Verdict: verdict.MayHaveRun, Err: fault}
+	}
+	if failure := sent.writeError(); failure != nil {
+		err = failure
+	}
+	if sent.headUnsent() {
+		return Outcome{Verdict: verdict.DidNotRun, Refused: RefusedUnreachable, Err: err}
+	}
+	return Outcome{Verdict: verdict.MayHaveRun, Err: err}
+}
+
+// readHead reads the head of the answer to a call and skips interim answers (status 1xx). The error is an answercheck.Fault if a
+// message came that is not the answer.
 func (c *Client) readHead(conn *connection, call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
 	for {
@@ -161,26 +177,19 @@
 			continue
 		}
 		conn.limitedReader.N = unlimited
-		if c.isForeignAnswer(conn, call, response) {
-			return nil, ErrForeignAnswer
-		}
-		conn.hasAnswered = true
-		return response, nil
+		return response, c.checkAnswer(call, response)
 	}
 }
 
-// isForeignAnswer reports whether an answer belongs to another request: a surplus answer to an earlier request that came
-// late. An answer that does not echo the attempt ID is accepted only as the first one on its connection.
-func (c *Client) isForeignAnswer(conn *connection, call *Call, response *http.Response) bool {
-	name := c.options.Names.AttemptID
-	if name == "" || call.AttemptID == "" {
-		return false
-	}
-	echoed := response.Header.Get(name)
-	if echoed == "" {
-		return conn.hasAnswered
+// checkAnswer returns nil if a message with this head is the answer to the call, and otherwise an answercheck.Fault.
+func (c *Client) checkAnswer(call *Call, response *http.Response) error {
+	names := &c.options.Names
+	expected := answercheck.Expected{Signed: names.Signature != ""}
+	if names.AttemptID != "" {
+		expected.RequestID = call.AttemptID
 	}
-	return echoed != call.AttemptID
+	return expected.Check(answercheck.Head{Status: response.StatusCode, RequestID: c.headerValue(response, names.AttemptID),
+		Signature: c.headerValue(response, names.Signature)})
 }
 
 // readRefusal returns the reason for which the replica did not run the request, or RefusedNone.
--- a/internal/replica/client_test.go
+++ b/internal/replica/client_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/answercheck"
 	"github.com/tamarindring/tamarindring/internal/loadreport"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
@@ -347,3 +348,45 @@
 		t.Errorf("%d connections were opened, want one for each start", got)
 	}
 }
+
+// TestSuccessWithoutProofIsNotDelivered guards against bytes that are no answer reaching a caller as a success: what does
+// not name the request, or is a success without a signature, is not delivered, and the request may have run. It also
+// checks that a failure needs no signature.
+func TestSuccessWithoutProofIsNotDelivered(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string // ATTEMPT stands for the field that echoes the attempt ID
+		fault  error  // nil: the answer is delivered
+	}{
+		"bare success":          {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", answercheck.Unnamed},
+		"bare 204":              {"HTTP/1.1 204 No Content\r\n\r\n", answercheck.Unnamed},
+		"bare refusal":          {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", answercheck.Unnamed},
+		"bare failure":          {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", answercheck.Unnamed},
+		"foreign success":       {"HTTP/1.1 200 OK\r\nAttempt: two\r\nSigned: s\r\nContent-Length: 0\r\n\r\n", answercheck.Foreign},
+		"unsigned success":      {"HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length: 2\r\n\r\nab", answercheck.Unsigned},
+		"unsigned 204":          {"HTTP/1.1 204 No Content\r\nATTEMPT\r\n\r\n", answercheck.Unsigned},
+		"unsigned event stream": {"HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", answercheck.Unsigned},
+		"signed success":        {"HTTP/1.1 200 OK\r\nATTEMPT\r\nSigned: s\r\nContent-Length: 2\r\n\r\nab", nil},
+		"unsigned failure":      {"HTTP/1.1 500 Failed\r\nATTEMPT\r\nContent-Length: 2\r\n\r\nab", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStandinReplica(t, func(conn net.Conn, request *http.Request, _ string, _ int) bool {
+				write(conn, strings.Replace(test.answer, "ATTEMPT", "Attempt: "+request.Header.Get("Attempt"), 1))
+				return false
+			})
+			names := testNames
+			names.Signature = "Signed"
+			client := NewClient(Options{Names: names})
+			t.Cleanup(client.Close)
+			outcome, sink := do(client, s.call("one"))
+			if test.fault == nil {
+				if !outcome.Complete || sink.body.String() != "ab" {
+					t.Fatalf("got outcome %+v and body %q, want the whole answer", outcome, sink.body.String())
+				}
+				return
+			}
+			if outcome.Verdict != verdict.MayHaveRun || outcome.Refused != RefusedNone || !errors.Is(outcome.Err, test.fault) || sink.heads != 0 {
+				t.Errorf("got outcome %+v and %d heads, want MayHaveRun with %v and nothing delivered", outcome, sink.heads, test.fault)
+			}
+		})
+	}
+}
--- a/internal/replica/connection.go
+++ b/internal/replica/connection.go
@@ -22,7 +22,6 @@
 	reader        *bufio.Reader
 	limitedReader *io.LimitedReader // source of reader; bounds the head of an answer
 	connections   *replicaConnections
-	hasAnswered   bool      // an answer was read on this connection
 	reuseUntil    time.Time // end of the time in which an idle connection may be reused
 	closeOnce     sync.Once
 	idleTimeout   time.Duration
--- a/internal/replica/names.go
+++ b/internal/replica/names.go
@@ -5,7 +5,8 @@
 // Names holds the names of the header fields that differ from site to site. A field with an empty name is neither sent
 // nor read.
 type Names struct {
-	AttemptID       string // ID of the attempt, which the replica echoes
+	AttemptID       string // ID of the attempt, which the replica echoes in every answer
+	Signature       string // the replica's signature, which every success carries
 	Deadline        string // remaining time in milliseconds
 	Target          string // instance that the call is for
 	Urgency         string // 0 (most urgent) to 9
