No status of a replica ends a process or passes as an answer, nor does a panic

Cause: bytes are used before anybody has checked what they are. http.ReadResponse takes any three digits as a status and net/http panics for those below 100, on the goroutine of a hedged attempt, where nothing recovers. Found beside it: fasthttp reports status 000 as 200. An order that nobody took counted as carried out (weights.AlreadyServing), a usage report as delivered, and the gateway of the own interface answered 200.

Change: answercheck takes statuses from 200 to 599 only, and at most 8 interim answers before them; replica.Client and the own interface's gateway ask it.

--- a/internal/answercheck/check.go
+++ b/internal/answercheck/check.go
@@ -12,19 +12,20 @@
 
 // The faults.
 const (
-	Foreign  Fault = iota + 1 // it belongs to another request
-	Unnamed                   // it does not name the request
-	Unsigned                  // a success without the signature of the replica that made it
+	BadStatus Fault = iota + 1 // its status is none of a final answer
+	Foreign                    // it belongs to another request
+	Unnamed                    // it does not name the request
+	Unsigned                   // a success without the signature of the replica that made it
 )
 
 // String returns the name of the fault in metrics.
 func (f Fault) String() string {
-	return [...]string{Foreign: "foreign", Unnamed: "unnamed", Unsigned: "unsigned"}[f]
+	return [...]string{BadStatus: "status", Foreign: "foreign", Unnamed: "unnamed", Unsigned: "unsigned"}[f]
 }
 
 // Error implements error.
 func (f Fault) Error() string {
-	return "not an answer: " + [...]string{Foreign: "it belongs to another request", Unnamed: "it does not name the request",
+	return "not an answer: " + [...]string{BadStatus: "its status is not between 200 and 599", Foreign: "it belongs to another request", Unnamed: "it does not name the request",
 		Unsigned: "a success without the replica's signature"}[f]
 }
 
@@ -44,6 +45,8 @@
 // Check returns nil if a message with this head is the expected answer, and otherwise a Fault.
 func (e Expected) Check(head Head) error {
 	switch {
+	case head.Status < minStatus || head.Status > maxStatus:
+		return BadStatus
 	case e.RequestID != "" && head.RequestID == "":
 		return Unnamed
 	case e.RequestID != "" && head.RequestID != e.RequestID:
@@ -54,6 +57,21 @@
 	return nil
 }
 
+// The statuses of final answers.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// maxInterim bounds the interim answers before a final one. None of the protocols in use needs more than one.
+const maxInterim = 8
+
+// IsInterim reports whether a message with this status may come before the final answer, after number other interim
+// answers. A switch of protocols (101) is never asked for.
+func IsInterim(status, number int) bool {
+	return status >= http.StatusContinue && status < minStatus && status != http.StatusSwitchingProtocols && number < maxInterim
+}
+
 func isSuccess(status int) bool {
-	return status >= http.StatusOK && status < http.StatusMultipleChoices
+	return status >= minStatus && status < http.StatusMultipleChoices
 }
--- a/internal/answercheck/check_test.go
+++ b/internal/answercheck/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 )
 
@@ -17,6 +18,12 @@
 		{Head{Status: 204, RequestID: "one", Signature: "s"}, nil},
 		{Head{Status: 404, RequestID: "one"}, nil},
 		{Head{Status: 503, RequestID: "one"}, nil},
+		{Head{Status: 599, RequestID: "one"}, nil},
+		{Head{Status: 0, RequestID: "one", Signature: "s"}, BadStatus},
+		{Head{Status: 99, RequestID: "one", Signature: "s"}, BadStatus},
+		{Head{Status: 101, RequestID: "one", Signature: "s"}, BadStatus},
+		{Head{Status: 600, RequestID: "one", Signature: "s"}, BadStatus},
+		{Head{Status: 999, RequestID: "one", Signature: "s"}, BadStatus},
 		{Head{Status: 200}, Unnamed},
 		{Head{Status: 204}, Unnamed},
 		{Head{Status: 404}, Unnamed},
@@ -33,3 +40,15 @@
 		t.Errorf("got %v for an answer of which neither a name nor a signature is expected, want nil", err)
 	}
 }
+
+// TestInterimAnswersAreBounded checks which statuses may come before the final answer, and how many.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	for status, want := range map[int]bool{0: false, 99: false, 100: true, 101: false, 102: true, 103: true, 199: true, 200: false} {
+		if got := IsInterim(status, 0); got != want {
+			t.Errorf("status %d: got %t, want %t", status, got, want)
+		}
+	}
+	if IsInterim(http.StatusProcessing, maxInterim) {
+		t.Error("the number of interim answers is not bounded")
+	}
+}
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -16,6 +16,7 @@
 	"github.com/tamarindring/tamarindring/internal/loadreport"
 	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/tenant"
@@ -249,7 +250,7 @@
 	t.routines.Go(func() {
 		defer t.runner.metrics.itemsRunning.Dec()
 		defer cancel(nil)
-		t.run(callContext, started)
+		t.runRecovered(callContext, started)
 		if started.ending == schedule.Completed {
 			started.result = batch.CompletedAfter(started.Item, started.text.data, started.text.committed, started.text.versions)
 		}
@@ -257,6 +258,14 @@
 	})
 }
 
+// runRecovered carries out a call. A panic in it becomes a broken run.
+func (t *termRunner) runRecovered(ctx context.Context, c *call) {
+	err := recovery.Do(t.config.Log, c.Item, "run of an item", func() { t.run(ctx, c) })
+	if err != nil {
+		c.outcome, c.ending = replica.Outcome{Verdict: verdict.MayHaveRun, Err: err}, schedule.Broken
+	}
+}
+
 // run carries out a call and records how it ended.
 func (t *termRunner) run(ctx context.Context, c *call) {
 	if c.text.whole {
--- a/internal/cli/metrics_page_test.go
+++ b/internal/cli/metrics_page_test.go
@@ -22,6 +22,7 @@
 	"github.com/tamarindring/tamarindring/internal/metering"
 	"github.com/tamarindring/tamarindring/internal/metrics"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/registry"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/sendbuffer"
@@ -85,7 +86,8 @@
 			names[name] = true
 		}
 	}
-	forwarder, err := forward.New(forward.Config{Control: noLease{}, Caller: replica.NewClient(replica.Options{})})
+	outgoing := replica.NewClient(replica.Options{})
+	forwarder, err := forward.New(forward.Config{Control: noLease{}, Caller: outgoing})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,7 +120,7 @@
 	budget := bytebudget.New(bytebudget.LimitFor(0))
 	callers := sendbuffer.NewSet(sendbuffer.Config{Budget: budget})
 	for _, collector := range []prometheus.Collector{budget, callers.Collector(), guard.Collector(), forwarder.Process().Collector(), runner.Collector(), driver.Collector(), reporter.Collector(),
-		replicas.Collector(), itemExecutor.Collector()} {
+		replicas.Collector(), itemExecutor.Collector(), outgoing.Collector(), recovery.Collector()} {
 		for name := range describedMetrics(collector) {
 			names[name] = true
 		}
--- a/internal/coordinator/generate.go
+++ b/internal/coordinator/generate.go
@@ -15,6 +15,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/rollout"
 )
 
@@ -74,15 +75,22 @@
 	cancel := r.cancel
 	s.start(func() {
 		defer cancel()
-		if err := s.generate(r); err != nil {
-			s.awaitTransfer(r)
+		if err := recovery.Do(s.config.Log, r.id.String(), "sample", func() { s.runSample(r) }); err != nil {
 			s.handleInterruption(r, err)
-			return
 		}
-		s.finish(r)
 	})
 }
 
+// runSample generates a sample and finishes it.
+func (s *Server) runSample(r *run) {
+	if err := s.generate(r); err != nil {
+		s.awaitTransfer(r)
+		s.handleInterruption(r, err)
+		return
+	}
+	s.finish(r)
+}
+
 // isCurrent reports whether the run still counts, which it does until it is dropped. The caller holds the mutex.
 func (r *run) isCurrent() bool { return r.pool.running[r.id] == r }
 
--- a/internal/events/catalog.go
+++ b/internal/events/catalog.go
@@ -17,7 +17,7 @@
 // Catalog returns all kinds of events, grouped by area.
 func Catalog() []Area {
 	return []Area{
-		{"Requests", []logging.Event{&RequestAnswered{}, &RequestFailed{}, &AdmissionRefused{}, &RequestRefused{}, &CallerCut{}, &AttemptFailed{}, &AttemptHedged{}, &RetryRefused{},
+		{"Requests", []logging.Event{&RequestAnswered{}, &RequestFailed{}, &AdmissionRefused{}, &RequestRefused{}, &RequestPanicked{}, &CallerCut{}, &AttemptFailed{}, &AttemptHedged{}, &RetryRefused{},
 			&ReplicaQuarantined{}, &ReplicaRestored{}, &LargeBodyCrash{}, &ShareShort{}, &LoadReportUnreadable{}, &SuspectChanged{}}},
 		{"Batch jobs", []logging.Event{&JobSubmitted{}, &JobCallFailed{}, &NearNodeRests{}, &JobEnded{}, &RunnerBegan{}, &RunnerEnded{}, &JobOpened{},
 			&JobClosed{}, &BatchTurns{}, &RunStarted{}, &RunEnded{}, &ItemFinished{}, &RewardBegan{}, &RewardTried{}, &RewardEnded{},
--- a/internal/events/request.go
+++ b/internal/events/request.go
@@ -94,6 +94,19 @@
 // Kind implements logging.Event.
 func (*RequestRefused) Kind() *logging.Kind { return &requestRefusedKind }
 
+// RequestPanicked reports that the work for a request panicked. The request failed, and the process goes on.
+type RequestPanicked struct {
+	Request string `json:"request,omitempty" doc:"id of the request or item"`
+	Place   string `json:"place" doc:"what was done for the request"`
+	Value   string `json:"value" doc:"what the panic says"`
+	Stack   string `json:"stack" doc:"stack of the goroutine, cut to its beginning"`
+}
+
+var requestPanickedKind = newKind("request_panicked", logrus.ErrorLevel, rareRate)
+
+// Kind implements logging.Event.
+func (*RequestPanicked) Kind() *logging.Kind { return &requestPanickedKind }
+
 // AttemptFailed reports that one send of a request brought no complete answer.
 type AttemptFailed struct {
 	Request       string  `json:"request" doc:"the caller's attempt id"`
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/loadreport"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/replica"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -80,7 +81,7 @@
 	defer cancel(errOtherAttemptWon)
 	ended := make(chan *attempt, 2)
 	start := func(a *attempt) {
-		go func() { a.run(raced); ended <- a }()
+		go func() { a.runRecovered(raced); ended <- a }()
 	}
 	start(first)
 	running := 1
@@ -166,6 +167,14 @@
 	a.forwarder.config.OnRunStarted(a.call.Tenant, at)
 }
 
+// runRecovered is run for a goroutine of its own. A panic in it becomes the failure of the attempt.
+func (a *attempt) runRecovered(ctx context.Context) {
+	err := recovery.Do(a.forwarder.config.Log, a.call.AttemptID, "attempt", func() { a.run(ctx) })
+	if err != nil {
+		a.outcome = replica.Outcome{Verdict: verdict.MayHaveRun, Err: err}
+	}
+}
+
 // run sends the request and receives the answer.
 func (a *attempt) run(ctx context.Context) {
 	ctx, stop := a.pool.trackSend(ctx, a)
--- a/internal/forward/serve.go
+++ b/internal/forward/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/admission"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/routing"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -77,12 +78,22 @@
 	f.metrics.inFlight.Inc()
 	defer f.metrics.inFlight.Dec()
 	x := f.newExchange(request, reply)
-	failure := x.serve(ctx)
+	var failure *Failure
+	if err := recovery.Do(f.config.Log, request.AttemptID, "request", func() { failure = x.serve(ctx) }); err != nil {
+		failure = x.failureOfPanic(err)
+	}
 	f.metrics.countRequest(x.routeKind(), failure, time.Since(request.Received))
 	x.logResult(failure)
 	return failure
 }
 
+// failureOfPanic returns the failure of a request whose work panicked. It may have run, and part of its answer may have
+// been forwarded.
+func (x *exchange) failureOfPanic(err error) *Failure {
+	x.mayHaveRun = true
+	return &Failure{Reason: Cut, Verdict: verdict.MayHaveRun, Cause: err}
+}
+
 func (f *Forwarder) newExchange(request *Request, reply Reply) *exchange {
 	x := &exchange{forwarder: f, request: request, reply: reply, id: f.nextID.Add(1), lastEventID: -1,
 		routingRequest: routing.Request{Work: request.Work, Urgent: true}}
--- a/internal/gateway/foreign_test.go
+++ b/internal/gateway/foreign_test.go
@@ -200,3 +200,22 @@
 		t.Errorf("%d of 20 requests were answered, want at least 5", right)
 	}
 }
+
+// TestInvalidStatusIsNoSuccess guards against a status that no answer has reaching a caller: fasthttp takes a status of
+// 000 for 200.
+func TestInvalidStatusIsNoSuccess(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		for name, streamed := range map[string]bool{"whole": false, "streamed": true} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				backend := newRawBackend(t, func(conn net.Conn, request *http.Request, _ int64) {
+					fmt.Fprintf(conn, "HTTP/1.1 %s OK\r\nContent-Type: %s\r\n%s: %s\r\nContent-Length: 7\r\n\r\n\"wrong\"",
+						status, eventStreamType, HeaderRequestID, request.Header.Get(HeaderRequestID))
+				})
+				got := newRawFixture(t, backend).post(t, 0, "/v1/completions", completion(streamed))
+				if got.status < http.StatusInternalServerError || got.status > 599 || strings.Contains(got.body, "wrong") {
+					t.Errorf("got status %d and %s, want a failure without the back end's bytes", got.status, got.body)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,11 +12,26 @@
 
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/metrics"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/table"
+	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
-// handle routes one HTTP request of a caller or an operator.
+// handle answers one HTTP request of a caller or an operator. A request whose work panics may have run.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	err := recovery.Do(s.config.Log, string(ctx.Request.Header.Peek(HeaderRequestID)), "request", func() { s.route(ctx) })
+	if err != nil {
+		ctx.Response.Reset()
+		ctx.SetConnectionClose()
+		outcome := dispatch.Outcome{Status: http.StatusBadGateway, Verdict: verdict.MayHaveRun, Code: CodeInternal, Reason: "the gateway failed"}
+		ctx.Response.Header.Set(verdict.Header, outcome.Verdict.String())
+		ctx.SetStatusCode(outcome.Status)
+		writeJSON(ctx, errorBodyOf(&outcome))
+	}
+}
+
+// route passes a request to the handler of its method and path.
+func (s *Server) route(ctx *fasthttp.RequestCtx) {
 	if !s.authorize(ctx) {
 		return
 	}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -20,6 +20,7 @@
 	CodeUnknownPool = "unknown_pool"
 	CodeMalformed   = "malformed_request"
 	CodeCallerGone  = "caller_gone"
+	CodeInternal    = "internal"
 )
 
 // ErrorBody is an error in the format of the OpenAI API.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -128,10 +128,8 @@
 		x.failSend(up.counter.written > 0, err)
 		return
 	}
-	up.response.Reset()
-	up.response.StreamBody = true
 	x.setHeaderTimeout(up, action.Kind)
-	err := up.response.ReadLimitBody(up.reader, 0)
+	err := up.readHead()
 	x.stages.add(stageBackend, x.server.now()-began)
 	if err == nil {
 		err = x.checkAnswer(up)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/poisonguard"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -68,7 +69,9 @@
 		if x.answered {
 			return 0, io.EOF
 		}
-		x.readUpstream()
+		if err := recovery.Do(x.server.config.Log, x.call.requestID, "stream", x.readUpstream); err != nil {
+			return 0, err // closes the caller's connection, so that the stream does not look complete
+		}
 	}
 	n := copy(p, s.output[s.outputSent:])
 	s.outputSent += n
@@ -319,15 +322,20 @@
 // answer.
 func (x *exchange) continueWithoutCaller() {
 	go func() {
-		for !x.answered && !x.machineFinished {
-			x.stream.output, x.stream.outputSent = x.stream.output[:0], 0
-			x.readUpstream()
-		}
-		x.drainUpstream()
-		x.finishExchange()
+		defer x.finishExchange()
+		_ = recovery.Do(x.server.config.Log, x.call.requestID, "stream without a caller", x.readToEnd)
 	}()
 }
 
+// readToEnd reads the rest of the answer and passes it to nobody.
+func (x *exchange) readToEnd() {
+	for !x.answered && !x.machineFinished {
+		x.stream.output, x.stream.outputSent = x.stream.output[:0], 0
+		x.readUpstream()
+	}
+	x.drainUpstream()
+}
+
 // drainUpstream reads the end of the body after the end mark, so that the connection can be reused. If anything
 // else follows the end mark, it closes the connection.
 func (x *exchange) drainUpstream() {
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindring/tamarindring/internal/answercheck"
 )
 
 // transport pools idle connections to back ends. It never retries a request. Only the dispatch machine decides
@@ -96,6 +99,32 @@
 	return up
 }
 
+// readHead reads the head of the final answer, whose body is then read from response.BodyStream. It skips interim answers.
+// The error is an answercheck.Fault if the status is none of an answer: fasthttp would report a status of 0 as 200.
+func (up *upstream) readHead() error {
+	up.response.Reset()
+	up.response.StreamBody = true
+	for interim := 0; ; interim++ {
+		status, err := answercheck.PeekStatus(up.reader)
+		if err != nil {
+			return err
+		}
+		if err = up.response.Header.Read(up.reader); err != nil {
+			return err
+		}
+		if answercheck.IsInterim(status, interim) {
+			continue
+		}
+		if err = (answercheck.Expected{}).Check(answercheck.Head{Status: status}); err != nil {
+			return err
+		}
+		if status == http.StatusNoContent || status == http.StatusNotModified {
+			return nil
+		}
+		return up.response.ReadBody(up.reader, 0)
+	}
+}
+
 // release returns a connection to the idle pool. The connection must have carried no request yet, or its last
 // answer must have been read to the end and have named its request. Bytes that arrive after the check by isReusable
 // would be taken for the next answer, unless that answer must name its request. A connection to a back end that
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,6 +10,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/tamarindring/tamarindring/internal/recovery"
 )
 
 // Namespace is the prefix of the names of all metrics of this project.
@@ -58,6 +60,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
 		collectors.NewGoCollector(),
+		recovery.Collector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		newBuildInfo(role, name),
 		newReadyGauge(ready),
--- a/internal/poisonguard/guard.go
+++ b/internal/poisonguard/guard.go
@@ -14,6 +14,7 @@
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
 	"github.com/tamarindring/tamarindring/internal/poison"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/table"
 )
 
@@ -87,7 +88,9 @@
 	g.notifyChanged()
 	g.mutex.Unlock()
 	for _, run := range crashed {
-		go run.recordEnding(context.Background(), Crashed)
+		go func() {
+			_ = recovery.Do(g.config.Log, "", "record of a crash", func() { run.recordEnding(context.Background(), Crashed) })
+		}()
 	}
 }
 
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -16,6 +16,7 @@
 	"github.com/tamarindring/tamarindring/internal/answercheck"
 	"github.com/tamarindring/tamarindring/internal/loadreport"
 	"github.com/tamarindring/tamarindring/internal/logging"
+	"github.com/tamarindring/tamarindring/internal/recovery"
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
@@ -39,6 +40,8 @@
 	// PeerTimeout is the time without an acknowledgement of sent bytes after which a connection is closed.
 	PeerTimeout  time.Duration
 	MaxHeadBytes int // bound of the head of an answer
+	// SkipsPeer leaves Outcome.Peer unknown, which saves a connection after each call that broke off.
+	SkipsPeer bool
 	// Dial opens a connection. Nil selects TCP.
 	Dial Dial
 	// Now is the clock. Nil selects time.Now.
@@ -107,7 +110,10 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, conn.abort)
-	outcome, reusable := c.exchange(conn, call, sink)
+	outcome, reusable := Outcome{Verdict: verdict.MayHaveRun}, false
+	if err := recovery.Do(c.options.Log, call.AttemptID, "call of a replica", func() { outcome, reusable = c.exchange(conn, call, sink) }); err != nil {
+		outcome.Err = err
+	}
 	if !stop() {
 		reusable = false
 		if outcome.Err != nil && ctx.Err() != nil {
@@ -115,7 +121,7 @@
 		}
 	}
 	c.release(conn, reusable)
-	if outcome.Verdict != verdict.DidNotRun && ctx.Err() == nil {
+	if !c.options.SkipsPeer && outcome.Verdict != verdict.DidNotRun && ctx.Err() == nil {
 		outcome.Peer = Examine(ctx, c.options.Dial, call.Address, outcome.Err)
 	}
 	return outcome
@@ -164,7 +170,7 @@
 // message came that is not the answer.
 func (c *Client) readHead(conn *connection, call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
-	for {
+	for interim := 0; ; interim++ {
 		conn.limitedReader.N = int64(c.options.MaxHeadBytes)
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
@@ -173,7 +179,7 @@
 			}
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
+		if answercheck.IsInterim(response.StatusCode, interim) {
 			continue
 		}
 		conn.limitedReader.N = unlimited
