Only a crash under a trial condemns a request, and an owed one is never given up

Reported: several replicas died while they ran the same sound item; afterwards there was room, but the item was never placed again. Seen here with three crashes within 4 s (nothing for 56 s), and a sound live stream beside such crashes was refused for 40 s.

Cause: a count of coincidences was taken for a proof. Everything that ran at a back end that crashed is blamed, and three crashes condemned by number for 10 min; nothing acquitted the condemned, since nothing of it ran.

Change: a crash condemns only if it came under a trial (one run by itself, after a rest); the first one that another serious suspect shares is left out. Items, reward calls and samples are owed: they rest 3.5 s and are tried one at a time, however many crashes there were. Their digests are their own, so that they and callers' requests don't condemn each other. The mark of a trial stands in the list of back ends, which older builds read as a name.

--- a/internal/batchrun/rewards.go
+++ b/internal/batchrun/rewards.go
@@ -83,7 +83,7 @@
 	answer := &rewardAnswer{scoreHeader: r.config.ScoreHeader}
 	failure := r.forwarder.Serve(ctx, &forward.Request{
 		AttemptID: call.request.GetId(), Method: http.MethodPost, Host: call.request.GetHost(), Path: call.request.GetPath(),
-		Body: call.request.GetBody(), Tenant: call.job.GetTenant(), Received: time.Now(), Deadline: r.config.Reward.Deadline,
+		Body: call.request.GetBody(), Tenant: call.job.GetTenant(), Owed: true, Received: time.Now(), Deadline: r.config.Reward.Deadline,
 		OnServerError: func(string) { tried.failures++ },
 	}, answer)
 	switch {
--- a/internal/batchrun/suspects.go
+++ b/internal/batchrun/suspects.go
@@ -11,7 +11,7 @@
 
 // identity returns the request properties that stay the same when the item runs again, in this job or a later one.
 func (c *call) identity() poison.Identity {
-	identity := poison.Identity{Tenant: c.tenant, Method: c.item.GetMethod(), Host: c.item.GetHost(), Path: c.item.GetPath(), Body: c.item.GetBody()}
+	identity := poison.Identity{Tenant: c.tenant, Method: c.item.GetMethod(), Host: c.item.GetHost(), Path: c.item.GetPath(), Body: c.item.GetBody(), Owed: true}
 	for _, field := range c.item.GetHeaders() {
 		identity.Header = append(identity.Header, poison.Field{Name: field.GetName(), Value: field.GetValue()})
 	}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -24,6 +24,8 @@
 	Deadline time.Duration
 	// Work is the expected work in tokens. 0: unknown.
 	Work float64
+	// Owed is set for requests that the deployment itself sends until they are answered, such as reward calls.
+	Owed bool
 	// OnServerError is called before Serve returns with each back end that answered status 500. May be nil. Set it for
 	// requests that may fail through their own fault: such an answer then counts as half a failure of the back end
 	// instead of a whole one.
--- a/internal/forward/suspects.go
+++ b/internal/forward/suspects.go
@@ -11,7 +11,7 @@
 
 // identityOf returns the parts of a request that stay the same when it is sent again.
 func identityOf(request *Request, tenant string) poison.Identity {
-	identity := poison.Identity{Tenant: tenant, Method: request.Method, Host: request.Host, Path: request.Path, Body: request.Body}
+	identity := poison.Identity{Tenant: tenant, Method: request.Method, Host: request.Host, Path: request.Path, Body: request.Body, Owed: request.Owed}
 	for _, field := range request.Header {
 		identity.Header = append(identity.Header, poison.Field(field))
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -15,7 +15,7 @@
 // requestIdentity returns the identity under which a request is recognized when it is sent again. It includes
 // neither the request ID nor the idempotency key, because those name a single arrival.
 func (x *exchange) requestIdentity() poison.Identity {
-	return poison.Identity{Host: x.call.pool, Path: x.call.path, Body: x.call.body}
+	return poison.Identity{Host: x.call.pool, Path: x.call.path, Body: x.call.body, Owed: x.call.class == ClassRollout}
 }
 
 // beginRun asks the suspect guard for one more run of the request. It returns false if the request must not run
--- a/internal/operator/suspects.go
+++ b/internal/operator/suspects.go
@@ -34,7 +34,7 @@
 	return &Plan{Base: sheet.Version, RemoveRows: []string{name}}, nil
 }
 
-// PlanSuspectCondemn plans to condemn a request, as its third crash would. The error is trace.BadParameter if the
+// PlanSuspectCondemn plans to condemn a request, as a crash under a trial would. The error is trace.BadParameter if the
 // digest is invalid.
 func PlanSuspectCondemn(sheet *Sheet, digest string) (*Plan, error) {
 	name, err := suspectRowName(digest)
@@ -43,8 +43,10 @@
 	}
 	plan := &Plan{Base: sheet.Version}
 	existing, _ := sheet.Row(name)
+	crashed := existing.Cells[table.ColumnCrashed].Value
 	plan.addEdit(existing, name, table.ColumnKind, string(table.Suspect))
-	plan.addEdit(existing, name, table.ColumnCrashes, fmt.Sprint(poison.CondemnedCrashes))
+	plan.addEdit(existing, name, table.ColumnCrashes, fmt.Sprint(condemnedCrashes))
+	plan.addEdit(existing, name, table.ColumnCrashed, poison.AddTrial(crashed, poison.OperatorTrial))
 	return plan, nil
 }
 
@@ -60,21 +62,24 @@
 		if crashes == "" {
 			crashes = "1"
 		}
-		fmt.Fprintf(writer, "%s\t%s\t%s\t%s\t%s\n", strings.TrimPrefix(row.Name, table.SuspectPrefix), crashes, describePermission(crashes),
+		fmt.Fprintf(writer, "%s\t%s\t%s\t%s\t%s\n", strings.TrimPrefix(row.Name, table.SuspectPrefix), crashes, describePermission(crashes, row.Cells[table.ColumnCrashed].Value),
 			valueOrDash(row.Cells[table.ColumnSubject].Value), valueOrDash(row.Cells[table.ColumnCrashed].Value))
 	}
 	return trace.Wrap(writer.Flush())
 }
 
-// describePermission returns how a suspect request may run after a number of crashes.
-func describePermission(crashes string) string {
-	switch crashes {
-	case "1":
+// condemnedCrashes is the number of crashes of a request that an operator condemns.
+const condemnedCrashes = poison.TrialCrashes + 1
+
+// describePermission returns how a suspect request may run after a number of crashes of the given back ends.
+func describePermission(crashes, crashed string) string {
+	switch {
+	case poison.HasTrial(crashed):
+		return "rests"
+	case crashes == "1":
 		return "runs apart"
-	case "2":
-		return "one run at a time"
 	}
-	return "rests"
+	return "one run at a time"
 }
 
 func valueOrDash(text string) string {
--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -10,6 +10,7 @@
 	Digest  Digest
 	Crashes uint32   // number of back ends that crashed under it; a claimed run counts until it ends
 	Crashed []string // instances of the most recent of these back ends
+	Trials  []string // those of Crashed that ran the request as a trial
 }
 
 // Permission says how a request may run now.
@@ -35,10 +36,11 @@
 	Recorded   uint32        // number of these that are on record
 	Unrecorded bool          // this process recently saw a crash that the control group has not accepted yet
 	Remaining  time.Duration // remaining time of a rest
+	Proven     uint32        // crashes that show the request to be the cause; see provenCrashes
 }
 
 // Condemned reports whether the request is considered the cause of the crashes and must rest.
-func (j Judgment) Condemned() bool { return j.Permission == Blocked && j.Crashes >= CondemnedCrashes }
+func (j Judgment) Condemned() bool { return j.Permission == Blocked && j.Proven > 0 }
 
 // Book holds what one process knows of suspects: the record as the process follows it, and crashes that the process
 // observed and that may not be on record yet. Rests are measured on the process's own clock from the time at which it
@@ -55,6 +57,7 @@
 	onRecord       bool            // the followed record has an entry for it
 	observed       []observedCrash // crashes that the followed record does not hold yet
 	countChangedAt time.Duration   // when the book learned of the present number of crashes
+	proven         uint32          // crashes on record that show the request to be the cause
 }
 
 // observedCrash is a crash that this process observed and that the record, as followed here, does not hold yet.
@@ -107,6 +110,9 @@
 			delete(b.suspects, digest)
 		}
 	}
+	for _, record := range records {
+		b.suspects[record.Digest].proven = provenCrashes(record, records)
+	}
 }
 
 // follow takes over the entry of one suspect and forgets the observed crashes that it includes.
@@ -169,17 +175,17 @@
 const UnrecordedRest = time.Second
 
 // Judge returns the permission of a request now.
-func (b *Book) Judge(now time.Duration, digest Digest) Judgment {
+func (b *Book) Judge(now time.Duration, digest Digest, owed bool) Judgment {
 	entry := b.suspects[digest]
 	if entry == nil {
 		return Judgment{}
 	}
-	judged := Judgment{Permission: Isolated, Crashes: entry.crashes(), Recorded: entry.Crashes, Unrecorded: entry.hasUnrecorded(now)}
+	judged := Judgment{Permission: Isolated, Crashes: entry.crashes(), Recorded: entry.Crashes, Unrecorded: entry.hasUnrecorded(now), Proven: entry.proven}
 	if judged.Crashes < TrialCrashes {
 		return judged
 	}
 	judged.Permission = Trial
-	left := entry.countChangedAt + b.settings.restAfter(judged.Crashes) - now
+	left := entry.countChangedAt + b.settings.restAfter(judged.Crashes, entry.proven, owed) - now
 	if len(entry.observed) > 0 {
 		left = max(left, UnrecordedRest) // a run cannot be claimed before the crashes are on record
 	}
@@ -193,7 +199,7 @@
 func (b *Book) Outdated(now time.Duration) []Record {
 	var outdated []Record
 	for _, entry := range b.suspects {
-		if entry.onRecord && now >= entry.countChangedAt+b.settings.retentionAfter(entry.crashes()) {
+		if entry.onRecord && now >= entry.countChangedAt+b.settings.retentionAfter(entry.crashes(), entry.proven) {
 			outdated = append(outdated, entry.Record)
 		}
 	}
--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -28,11 +28,17 @@
 	Path   string // including the query
 	Header []Field
 	Body   []byte
+	// Owed is set if the deployment itself sends the request until it is answered: an item of a batch job, its reward call,
+	// or a sample of a rollout. Its crashes are kept apart from those of callers' requests.
+	Owed bool
 }
 
 // callerFields are the header fields that identify the caller, in lower case.
 var callerFields = []string{"authorization", "cookie"}
 
+// owedPart distinguishes the digests of owed requests from those of callers' requests.
+const owedPart = "owed"
+
 // Digest is a 64-bit hash of an identity. Requests with equal digests are treated as the same request. With 1,000
 // digests on record, an unrelated request collides with one of them with a probability of about 1 in 10^16. The digest
 // is not secret. A caller cannot reach the digest of another tenant's request.
@@ -62,6 +68,9 @@
 	for _, name := range callerFields {
 		part(strings.Join(i.headerValues(name), "\x00"))
 	}
+	if i.Owed {
+		part(owedPart)
+	}
 	part("")
 	_, _ = hash.Write(i.Body)
 	return max(Digest(hash.Sum64()), 1)
--- a/internal/poison/plan.go
+++ b/internal/poison/plan.go
@@ -33,9 +33,18 @@
 	Instance string // for Report: the back end that crashed
 	Subject  string // for Report: human-readable description of the request, see Identity.Subject
 	Counted  bool   // for Report: the run was claimed, so the record counts it already
+	Trial    bool   // for Report: the run was a trial, so that its crash speaks against the request
 	Crashes  uint32 // for Claim, Return and Forget: the number of crashes on record that the step assumes
 }
 
+// entry returns the back end of a report as the table's list holds it.
+func (r *StepRequest) entry() string {
+	if r.Trial {
+		return trialMark + r.Instance
+	}
+	return r.Instance
+}
+
 // Outcome is the result of a step.
 type Outcome struct {
 	Done    bool   // the record is as wanted, or will be with the planned change
@@ -83,19 +92,13 @@
 		if err != nil {
 			continue // cannot happen: the table rejects such a row name
 		}
-		records = append(records, Record{Digest: Digest(digest), Crashes: row.Crashes, Crashed: parseCrashed(row)})
+		record := Record{Digest: Digest(digest), Crashes: row.Crashes}
+		record.Crashed, record.Trials = splitCrashed(listOf(row))
+		records = append(records, record)
 	}
 	return records
 }
 
-// parseCrashed returns the instances of the crashed back ends that a suspect's row names; nil if row is nil.
-func parseCrashed(row *table.Row) []string {
-	if row == nil || row.CrashedBackEnds == "" {
-		return nil
-	}
-	return strings.Split(row.CrashedBackEnds, ",")
-}
-
 // Planned is one change of the table that performs several steps.
 type Planned struct {
 	Change   *wire.TableChange // without id and operator; without cells and rows if there is nothing to change
@@ -170,12 +173,11 @@
 	if row == nil {
 		return p.add(name, request)
 	}
-	crashed := parseCrashed(row)
-	if slices.Contains(crashed, request.Instance) {
+	list := listOf(row)
+	if crashed, _ := splitCrashed(list); slices.Contains(crashed, request.Instance) {
 		return Outcome{Done: true, Crashes: row.Crashes}
 	}
-	crashed = append(crashed, request.Instance)
-	p.set(name, table.ColumnCrashed, formatCrashed(crashed))
+	p.set(name, table.ColumnCrashed, formatCrashed(append(list, request.entry())))
 	if request.Counted {
 		return Outcome{Done: true, Crashes: row.Crashes}
 	}
@@ -197,7 +199,7 @@
 	p.freeRows--
 	p.set(name, table.ColumnKind, string(table.Suspect))
 	p.set(name, table.ColumnCrashes, formatCount(1))
-	p.set(name, table.ColumnCrashed, formatCrashed([]string{request.Instance}))
+	p.set(name, table.ColumnCrashed, formatCrashed([]string{request.entry()}))
 	p.set(name, table.ColumnSubject, request.Subject)
 	return Outcome{Done: true, Crashes: 1}
 }
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -43,8 +43,10 @@
 	identify func() poison.Identity // must not be called after the run has ended, as the request may change then
 	digest   poison.Digest          // NoDigest until it is needed
 	subject  string                 // set together with digest
+	owed     bool                   // set together with digest; see poison.Identity.Owed
 	judged   poison.Judgment
 	claimed  uint32 // crashes on record including the claim; 0 if the run was not claimed
+	trial    bool   // the run was claimed, and its crash speaks against the request
 	instance string // empty until the back end is chosen
 	address  string
 	ownCrash string // name of its crash if the start of the back end is not known; empty until it is needed
@@ -61,7 +63,8 @@
 	if g.hasNoSuspects() {
 		return run, poison.Judgment{}
 	}
-	return run.begin(ctx, g.judgeRecorded(ctx, run.ensureDigest()))
+	digest := run.ensureDigest()
+	return run.begin(ctx, g.judgeRecorded(ctx, digest, run.owed))
 }
 
 // TryBegin is like Begin, but does not wait for the record. It is meant for a hedged run beside another one.
@@ -70,7 +73,8 @@
 	if g.hasNoSuspects() {
 		return run, poison.Judgment{}
 	}
-	judged, _ := g.judge(run.ensureDigest())
+	digest := run.ensureDigest()
+	judged, _ := g.judge(digest, run.owed)
 	return run.begin(ctx, judged)
 }
 
@@ -97,7 +101,7 @@
 		r.guard.counts.refused.WithLabelValues(poison.Trial.String()).Inc()
 		return nil, poison.Judgment{Permission: poison.Blocked, Crashes: r.judged.Crashes, Recorded: r.judged.Recorded, Remaining: failedClaimRest}
 	}
-	r.claimed = outcome.Crashes
+	r.claimed, r.trial = outcome.Crashes, !r.owed
 	return r, r.judged
 }
 
@@ -105,7 +109,7 @@
 func (r *Run) ensureDigest() poison.Digest {
 	if r.digest == poison.NoDigest {
 		identity := r.identify()
-		r.digest, r.subject = identity.Digest(), identity.Subject()
+		r.digest, r.subject, r.owed = identity.Digest(), identity.Subject(), identity.Owed
 	}
 	return r.digest
 }
@@ -203,7 +207,7 @@
 	switch ending {
 	case Crashed:
 		digest := r.ensureDigest() // also sets the subject
-		r.guard.deliver(ctx, poison.StepRequest{Step: poison.Report, Digest: digest, Instance: r.crashName(), Subject: r.subject, Counted: r.claimed > 0})
+		r.guard.deliver(ctx, poison.StepRequest{Step: poison.Report, Digest: digest, Instance: r.crashName(), Subject: r.subject, Counted: r.claimed > 0, Trial: r.trial})
 	case Answered:
 		r.guard.deliver(ctx, poison.StepRequest{Step: poison.Clear, Digest: r.ensureDigest()})
 	default:
