Bytes without an end neither hold a request nor fill a process

Seen: interim answers, bodies and events without an end were cut off only at the request's deadline, so that it ended unanswered.

Cause: the end of a message was left to its sender. The bound of a head began anew with each interim answer; a body that announces no length had none; an answer that had begun kept a second send away however long its body took; a refusal waited for the rest of its body; an event was held whole at a gateway.

Change: head and interim answers share one bound, a body without a length has one, an event has one; beyond them a message is no answer (answercheck.Endless). A second send is made beside a first one that has no usable answer yet. A refusal waits 50 ms for its body. An item whose text such bytes have filled begins anew.

--- a/internal/answercheck/check.go
+++ b/internal/answercheck/check.go
@@ -16,17 +16,18 @@
 	Foreign                    // it belongs to another request
 	Unnamed                    // it does not name the request
 	Unsigned                   // a success without the signature of the replica that made it
+	Endless                    // its head or body exceeds every size that an answer has
 )
 
 // String returns the name of the fault in metrics.
 func (f Fault) String() string {
-	return [...]string{BadStatus: "status", Foreign: "foreign", Unnamed: "unnamed", Unsigned: "unsigned"}[f]
+	return [...]string{BadStatus: "status", Foreign: "foreign", Unnamed: "unnamed", Unsigned: "unsigned", Endless: "endless"}[f]
 }
 
 // Error implements error.
 func (f Fault) Error() string {
 	return "not an answer: " + [...]string{BadStatus: "its status is not between 200 and 599", Foreign: "it belongs to another request", Unnamed: "it does not name the request",
-		Unsigned: "a success without the replica's signature"}[f]
+		Unsigned: "a success without the replica's signature", Endless: "it goes on without an end"}[f]
 }
 
 // Expected is what the answer to a request must carry.
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -293,6 +293,9 @@
 	if ctx.Err() != nil && c.ending != schedule.Completed {
 		c.ending = schedule.Broken // the loop stopped the run, and the scheduler knows why
 	}
+	if errors.Is(c.stream.fault, errTooLong) {
+		*c.text = *newText() // bytes that are no answer filled it, so no run could complete it
+	}
 	if errors.Is(c.stream.fault, errMixedVersion) || c.stream.singleVersion && request.ExpectedVersion > 0 && outcome.Refused == replica.RefusedWrongTarget {
 		*c.text = *newText() // the replica no longer has the weight version that generated it
 	}
--- a/internal/coordinator/finish.go
+++ b/internal/coordinator/finish.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -198,5 +199,5 @@
 	if response.StatusCode != http.StatusOK {
 		return newStatusError(response)
 	}
-	return trace.Wrap(json.NewDecoder(response.Body).Decode(answer))
+	return trace.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxCallAnswerBytes)).Decode(answer))
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -90,6 +90,7 @@
 	s.httpClient = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 	s.http = &http.Server{
 		Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
@@ -100,8 +101,10 @@
 }
 
 const (
-	connectTimeout  = 500 * time.Millisecond
-	idleConnections = 4096
+	connectTimeout = 500 * time.Millisecond
+	// maxCallAnswerBytes bounds the body of the answer to a JSON call.
+	maxCallAnswerBytes = 64 << 20
+	idleConnections    = 4096
 )
 
 // now returns the monotonic time since the coordinator started.
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -24,12 +24,15 @@
 	hedged               atomic.Bool // another attempt runs concurrently
 	replacementPermitted bool        // mayReplace permitted a replacement
 	headReceived         atomic.Bool
-	onHead               func(stream bool)
-	head                 replica.Head
-	buffer               answerBuffer
-	forwarding           bool // data is forwarded as it arrives
-	splitter             *eventSplitter
-	lastEventID          int64 // of the last event forwarded; -1: none
+	// usable is set once the head of an event stream was received, or other data is being forwarded. Until then a second
+	// attempt may still give the caller a whole answer sooner.
+	usable      atomic.Bool
+	onHead      func(stream bool)
+	head        replica.Head
+	buffer      answerBuffer
+	forwarding  bool // data is forwarded as it arrives
+	splitter    *eventSplitter
+	lastEventID int64 // of the last event forwarded; -1: none
 }
 
 // Head implements replica.Sink.
@@ -37,6 +40,7 @@
 	a.headReceived.Store(true)
 	a.head = head
 	stream := head.Stream && head.Status == http.StatusOK
+	a.usable.Store(stream)
 	if a.onHead != nil {
 		a.onHead(stream)
 	}
@@ -70,9 +74,9 @@
 func (a *answer) Body(chunk []byte) error {
 	switch {
 	case a.splitter != nil:
-		events := a.splitter.feed(chunk)
-		if len(events) == 0 {
-			return nil
+		events, err := a.splitter.feed(chunk)
+		if err != nil || len(events) == 0 {
+			return err
 		}
 		if err := a.pass(events); err != nil {
 			return err
@@ -101,6 +105,7 @@
 			return errOtherAttemptWon
 		}
 		a.forwarding = true
+		a.usable.Store(true)
 		if err := a.reply.Head(a.head); err != nil {
 			return errCallerGone
 		}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -74,7 +74,7 @@
 	return x.hedge(ctx, first)
 }
 
-// hedge runs an attempt, and a second one concurrently if the first has not begun to answer within the hedge delay. The
+// hedge runs an attempt, and a second one concurrently if the first has no usable answer within the hedge delay. The
 // first whole answer wins and the other attempt is cancelled.
 func (x *exchange) hedge(ctx context.Context, first *attempt) (failure *Failure, done bool) {
 	raced, cancel := context.WithCancelCause(ctx)
@@ -118,10 +118,10 @@
 	}()
 }
 
-// chooseHedge returns an attempt at a second back end for a request whose first back end has not begun to answer, or
-// nil if there is none. A suspect is not hedged, because it may run at only one back end at a time.
+// chooseHedge returns an attempt at a second back end for a request whose first back end has not begun to answer, or sends
+// a body that is still not whole, or nil if there is none. A suspect is not hedged, because it may run at only one back end at a time.
 func (x *exchange) chooseHedge(first *attempt) *attempt {
-	if first.answer.headReceived.Load() || !x.permitHedge() {
+	if first.answer.usable.Load() || !x.permitHedge() {
 		x.returnRun(context.Background())
 		return nil
 	}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/tamarindring/tamarindring/internal/answercheck"
+	"github.com/tamarindring/tamarindring/internal/eventstream"
 )
 
 // eventSplitter splits a stream of server-sent events after whole events and records the id of the last one.
@@ -13,22 +16,26 @@
 	initialized bool
 }
 
-// feed appends a chunk and returns the events that are now whole. The result is valid until the next call.
-func (s *eventSplitter) feed(chunk []byte) []byte {
+// feed appends a chunk and returns the events that are now whole. The result is valid until the next call. The error is
+// answercheck.Endless if an event exceeds eventstream.MaximumEventBytes.
+func (s *eventSplitter) feed(chunk []byte) ([]byte, error) {
 	if !s.initialized {
 		s.lastID, s.initialized = -1, true
 	}
 	s.pending = append(s.pending, chunk...)
 	end := wholeEvents(s.pending)
+	if len(s.pending)-end > eventstream.MaximumEventBytes {
+		return nil, answercheck.Endless
+	}
 	if end == 0 {
-		return nil
+		return nil, nil
 	}
 	if id, ok := lastEventID(s.pending[:end]); ok {
 		s.lastID = id
 	}
 	s.ready = append(s.ready[:0], s.pending[:end]...)
 	s.pending = append(s.pending[:0], s.pending[end:]...)
-	return s.ready
+	return s.ready, nil
 }
 
 // rest returns the bytes after the last whole event.
--- a/internal/gateway/cancels.go
+++ b/internal/gateway/cancels.go
@@ -10,11 +10,15 @@
 // connection.
 const cancelAttempts = 2
 
+// maxCancelAnswerBytes bounds the body of the answer to a cancel call.
+const maxCancelAnswerBytes = 64 << 10
+
 // newCancelClient returns the HTTP client for cancel calls. An engine closes kept connections when it restarts or
 // finds them idle. A cancel call that fails on such a connection is retried, which is always safe, after all idle
 // connections were closed.
 func newCancelClient() *fasthttp.Client {
-	client := &fasthttp.Client{NoDefaultUserAgentHeader: true, MaxConnsPerHost: maxConcurrentCancels, MaxIdemponentCallAttempts: cancelAttempts}
+	client := &fasthttp.Client{NoDefaultUserAgentHeader: true, MaxConnsPerHost: maxConcurrentCancels, MaxIdemponentCallAttempts: cancelAttempts,
+		MaxResponseBodySize: maxCancelAnswerBytes}
 	client.RetryIfErr = func(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
 		client.CloseIdleConnections()
 		return false, true
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -27,6 +27,7 @@
 	DefaultIdleTimeout    = 400 * time.Millisecond
 	DefaultPeerTimeout    = 2 * time.Second
 	DefaultMaxHeadBytes   = 64 << 10
+	DefaultMaxBodyBytes   = 256 << 20
 )
 
 // Options configures a Client. Zero fields take the defaults.
@@ -39,7 +40,9 @@
 	IdleTimeout time.Duration
 	// PeerTimeout is the time without an acknowledgement of sent bytes after which a connection is closed.
 	PeerTimeout  time.Duration
-	MaxHeadBytes int // bound of the head of an answer
+	MaxHeadBytes int // bound of the head of an answer, together with the interim answers before it
+	// MaxBodyBytes is the bound of a body that announces no length. A body that does is bounded by its length.
+	MaxBodyBytes int64
 	// SkipsPeer leaves Outcome.Peer unknown, which saves a connection after each call that broke off.
 	SkipsPeer bool
 	// Dial opens a connection. Nil selects TCP.
@@ -52,9 +55,8 @@
 
 // Errors in Outcome.Err.
 var (
-	ErrConnections  = errors.New("replica: all connections to the replica are in use")
-	ErrRefused      = errors.New("replica: the replica did not run the request")
-	ErrHeadTooLarge = errors.New("replica: the head of the answer is too large")
+	ErrConnections = errors.New("replica: all connections to the replica are in use")
+	ErrRefused     = errors.New("replica: the replica did not run the request")
 )
 
 // Client calls replicas over persistent HTTP/1.1 connections with one request at a time on each. It is safe for
@@ -76,6 +78,7 @@
 	setDefault(&options.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&options.PeerTimeout, DefaultPeerTimeout)
 	setDefault(&options.MaxHeadBytes, DefaultMaxHeadBytes)
+	setDefault(&options.MaxBodyBytes, DefaultMaxBodyBytes)
 	if options.Now == nil {
 		options.Now = time.Now
 	}
@@ -91,7 +94,7 @@
 // Collector returns the client's metrics.
 func (c *Client) Collector() prometheus.Collector { return c.invalid }
 
-func setDefault[T int | time.Duration](field *T, value T) {
+func setDefault[T int | int64 | time.Duration](field *T, value T) {
 	if *field <= 0 {
 		*field = value
 	}
@@ -140,9 +143,10 @@
 	var ended bool
 	if refusal := c.readRefusal(response); refusal != RefusedNone {
 		outcome.Verdict, outcome.Refused, outcome.Err = verdict.DidNotRun, refusal, ErrRefused
-		ended = discard(response.Body)
+		ended = conn.discard(response.Body)
 	} else {
 		outcome.Err = c.deliver(response, outcome.Load, sink)
+		c.countFault(outcome.Err)
 		outcome.Complete = outcome.Err == nil
 		ended = outcome.Complete
 	}
@@ -152,10 +156,8 @@
 
 // failedExchange returns the outcome of a call to which no answer came, for the reason err.
 func (c *Client) failedExchange(sent *upload, err error) Outcome {
-	var fault answercheck.Fault
-	if errors.As(err, &fault) {
-		c.invalid.count(fault)
-		return Outcome{Verdict: verdict.MayHaveRun, Err: fault}
+	if c.countFault(err) {
+		return Outcome{Verdict: verdict.MayHaveRun, Err: err}
 	}
 	if failure := sent.writeError(); failure != nil {
 		err = failure
@@ -166,16 +168,26 @@
 	return Outcome{Verdict: verdict.MayHaveRun, Err: err}
 }
 
+// countFault counts err if it is an answercheck.Fault, and reports whether it is one.
+func (c *Client) countFault(err error) bool {
+	var fault answercheck.Fault
+	if !errors.As(err, &fault) {
+		return false
+	}
+	c.invalid.count(fault)
+	return true
+}
+
 // readHead reads the head of the answer to a call and skips interim answers (status 1xx). The error is an answercheck.Fault if a
 // message came that is not the answer.
 func (c *Client) readHead(conn *connection, call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
+	conn.limitedReader.N = int64(c.options.MaxHeadBytes)
 	for interim := 0; ; interim++ {
-		conn.limitedReader.N = int64(c.options.MaxHeadBytes)
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
 			if conn.limitedReader.N <= 0 {
-				return nil, ErrHeadTooLarge
+				return nil, answercheck.Endless
 			}
 			return nil, err
 		}
@@ -226,8 +238,11 @@
 	}
 	buffer := buffers.Get().(*[bufferBytes]byte)
 	defer buffers.Put(buffer)
-	for {
+	for total := int64(0); ; {
 		n, err := response.Body.Read(buffer[:])
+		if total += int64(n); response.ContentLength < 0 && total > c.options.MaxBodyBytes {
+			return answercheck.Endless
+		}
 		if n > 0 {
 			if refused := sink.Body(buffer[:n]); refused != nil {
 				return refused
@@ -255,13 +270,21 @@
 	return head
 }
 
-// maxDiscardBytes bounds how much of a refusal's body is read so that the connection can be reused.
-const maxDiscardBytes = 4 << 10
+const (
+	// maxDiscardBytes bounds how much of a refusal's body is read so that the connection can be reused.
+	maxDiscardBytes = 4 << 10
+	// discardTimeout bounds how long that may take. The request does better to go elsewhere than to wait for more.
+	discardTimeout = 50 * time.Millisecond
+)
 
-// discard reads the body of a refusal. It returns false if the body is too long or broke off.
-func discard(body io.Reader) bool {
+// discard reads the body of a refusal. It returns false if the body is too long, late or broke off.
+func (c *connection) discard(body io.Reader) bool {
+	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes+1))
-	return err == nil && n <= maxDiscardBytes
+	if err != nil || n > maxDiscardBytes {
+		return false
+	}
+	return c.SetReadDeadline(time.Time{}) == nil
 }
 
 const bufferBytes = 8 << 10
