--- a/internal/answercheck/check.go
+++ b/internal/answercheck/check.go
@@ -1,5 +1,5 @@
-// Package answercheck decides whether the head of a message that arrived on a connection to a replica belongs to the answer to
-// the request that was sent there. A faulty replica may send bytes that are no answer, or the answer to another request.
+// Package answercheck decides whether the head of a message that arrived on a connection to a replica belongs to the
+// answer to the request that was sent there. A faulty replica may send bytes that are no answer, or the answer to another request.
 // All readers of replicas' answers take the decision from here.
 //
 // The package has no clock, goroutines or I/O.
@@ -26,7 +26,8 @@
 
 // Error implements error.
 func (f Fault) Error() string {
-	return "not an answer: " + [...]string{BadStatus: "its status is not between 200 and 599", Foreign: "it belongs to another request", Unnamed: "it does not name the request",
+	return "not an answer: " + [...]string{BadStatus: "its status is not between 200 and 599",
+		Foreign: "it belongs to another request", Unnamed: "it does not name the request",
 		Unsigned: "a success without the replica's signature", Endless: "it goes on without an end"}[f]
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -119,7 +119,8 @@
 }
 
 // chooseHedge returns an attempt at a second back end for a request whose first back end has not begun to answer, or sends
-// a body that is still not whole, or nil if there is none. A suspect is not hedged, because it may run at only one back end at a time.
+// a body that is still not whole. It returns nil if there is none. A suspect is not hedged, because it may run at only one
+// back end at a time.
 func (x *exchange) chooseHedge(first *attempt) *attempt {
 	if first.answer.usable.Load() || !x.permitHedge() {
 		x.returnRun(context.Background())
