--- a/internal/page/page_test.go
+++ b/internal/page/page_test.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for node.Ready(t.Context()) != nil { // Run must have begun before Close
+		time.Sleep(time.Millisecond)
+	}
 	lossy := &lossyControl{StatusControl: client}
 	server, err := Open(Config{Listen: "127.0.0.1:0", Control: lossy, StatusAge: time.Millisecond})
 	if err != nil {
