A line and metrics for items that wait beside idle replicas

Cause: nothing told that an item waits at no replica, since when or why, so that no hypothesis of the incident could be told from another. Change: once a second the leader logs the three longest waits over 2 s where less than half of the pool is in use (item_waits), with the hold, the crashes and what keeps each replica from starting the item; run_ended of a suspect has its crashes and rest; jobs that could not be read are a line of their own. No decision changes: canStart is obstacleAt == noObstacle.

--- a/internal/batchrun/log.go
+++ b/internal/batchrun/log.go
@@ -162,6 +162,7 @@
 		event.Why = whyNotPermitted
 	case c.judgment.Permission == poison.Blocked:
 		event.Why, event.Digest = whySuspected, c.digest().String()
+		event.Crashes, event.RestMs = int(c.judgment.Crashes), events.Millis(c.judgment.Remaining)
 	}
 	logging.Emit(t.config.Log, event)
 	for _, suspended := range t.scheduler.Suspended() {
--- a/internal/batchrun/metrics.go
+++ b/internal/batchrun/metrics.go
@@ -36,6 +36,8 @@
 	listingWait     *prometheus.HistogramVec
 	jobOverdue      *prometheus.HistogramVec
 	criticalPath    *prometheus.HistogramVec
+	idleWaits       *prometheus.CounterVec
+	longestIdleWait prometheus.Gauge
 	// Executors.
 	executors      prometheus.Gauge
 	ignoredReports prometheus.Counter
@@ -66,12 +68,14 @@
 		listingWait:     part.Latency("listing_wait_seconds", "Time for which the first of the results that are listed together waited for it."),
 		jobOverdue:      part.Latency("job_overdue_seconds", "Time by which jobs ended after their results were due; 0 for those in time."),
 		criticalPath:    part.Latency("critical_path_seconds", "Time of the item with which a job's desired groups were whole, by part: wait, running, between or after.", "part"),
+		idleWaits:       part.Counter("idle_waits_total", "Lines about items that wait at no back end while less than half of their pool is in use, by reason.", "reason"),
+		longestIdleWait: part.Gauge("longest_idle_wait_seconds", "Longest such wait of an item now, as the leader knows it; 0: none is over 2 s."),
 		textsUnscored:   part.Gauge("texts_unscored", "Whole texts that wait for the answer to their reward call."),
 		rewardDuration:  part.Latency("reward_duration_seconds", "Time from a whole text to the end of its reward call: scored, given_up or stopped.", "ending"),
 	}
 	c.Set = metrics.Set{c.results, c.itemsRunning, c.jobsOpen, c.ownersInTurns, c.runs, c.runDuration, c.firstRunWait,
 		c.itemDuration, c.commitDuration, c.listingWait, c.jobOverdue, c.criticalPath, c.textsUnscored, c.rewardDuration,
-		c.fastestPause, c.slowestPause, c.passingSlowness, c.memoryTaken, c.executors, ignored}
+		c.fastestPause, c.slowestPause, c.passingSlowness, c.memoryTaken, c.executors, ignored, c.idleWaits, c.longestIdleWait}
 	return c
 }
 
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -106,7 +106,7 @@
 	defer cancel()
 	work, err := r.queryOpenJobs(ctx, 0, r.config.Group.Query)
 	if err != nil {
-		r.config.Log.WithError(err).Debug("the open batch jobs could not be read")
+		logging.Emit(r.config.Log, &events.JobsUnread{Term: term, Cause: events.ErrorText(err)})
 		return
 	}
 	logging.Emit(r.config.Log, &events.RunnerBegan{Term: term, Open: len(work.GetOpen()), Revision: work.GetRevision()})
@@ -127,6 +127,7 @@
 	<-committed
 	r.metrics.jobsOpen.Set(0)
 	r.metrics.executors.Set(0)
+	r.metrics.longestIdleWait.Set(0)
 	r.hasOpenJobs.Store(false)
 	r.demand.Store(nil)
 	logging.Emit(r.config.Log, &ended)
--- a/internal/batchrun/schedule/outcome.go
+++ b/internal/batchrun/schedule/outcome.go
@@ -109,6 +109,9 @@
 	s.usage.Add(entry.job.owner().Name, s.completedWork(entry, ending), now)
 	s.endRun(entry)
 	entry.state, s.waitingOrder = waiting, nil
+	if ending.mayHaveRun() {
+		entry.lastAtReplica = now
+	}
 	if ending != Moved {
 		s.releaseReservation(entry)
 	}
@@ -129,12 +132,12 @@
 			entry.state = terminated
 			return GivenUp
 		}
-		entry.notBefore = now + s.settings.RetryPause
+		entry.hold(now+s.settings.RetryPause, HeldRetry)
 	case Changed:
 		entry.earlierEvents = 0 // the text starts over
-		entry.notBefore = now + s.settings.RetryPause
+		entry.hold(now+s.settings.RetryPause, HeldRetry)
 	case Lost:
-		entry.notBefore = now + s.settings.RetryPause // otherwise the same process could be chosen and lost again at once
+		entry.hold(now+s.settings.RetryPause, HeldRetry) // otherwise the same process could be chosen and lost again at once
 	}
 	if ending != Stopped && ending != Lost {
 		entry.avoidInstance = instance
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -74,20 +74,42 @@
 // slowness.
 const suspectLoad = 10
 
+// obstacle is what keeps a replica from starting an item.
+type obstacle uint8
+
+const (
+	noObstacle      obstacle = iota
+	obstacleFull             // all slots are in use or reserved
+	obstaclePaused           // see replica.pausedUntil
+	obstacleWeights          // its weights are reported to be too old or loading, or were tried too recently
+	obstacleProbe            // it is on probation or has old weights, and tries another item
+)
+
 // canStart reports whether a replica can start an item now, apart from its memory.
 func (s *Scheduler) canStart(candidate *replica, entry *item, now time.Duration) bool {
-	if candidate.running+candidate.reservedSlots >= candidate.Slots || candidate.pausedUntil > now {
-		return false
+	return s.obstacleAt(candidate, entry, now) == noObstacle
+}
+
+// obstacleAt returns what keeps a replica from starting an item now, apart from its memory.
+func (s *Scheduler) obstacleAt(candidate *replica, entry *item, now time.Duration) obstacle {
+	if candidate.running+candidate.reservedSlots >= candidate.Slots {
+		return obstacleFull
+	}
+	if candidate.pausedUntil > now {
+		return obstaclePaused
 	}
 	known := candidate.versions[entry.job.Model]
 	tooOld := candidate.isTooOldFor(entry.job)
 	if s.isFresh(known, now) && (tooOld || known.loading) {
-		return false // its weights are reported to be too old or loading
+		return obstacleWeights
 	}
 	if (candidate.onProbation || tooOld) && candidate.probe != nil {
-		return false
+		return obstacleProbe
+	}
+	if tooOld && now < known.heardAt+s.settings.VersionPause {
+		return obstacleWeights
 	}
-	return !tooOld || now >= known.heardAt+s.settings.VersionPause
+	return noObstacle
 }
 
 // loadWith returns the load of a replica with one more item, as a fraction of its slots, plus the cost of its pace. For
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -67,6 +67,8 @@
 	pools           []Share       // empty: the item can't run now
 	failures        int           // runs that ended as Failed
 	notBefore       time.Duration // earliest time of the next run
+	holdReason      HoldReason    // why notBefore was set
+	lastAtReplica   time.Duration // end of the last run at a replica; before the first one, when the job was opened
 	avoidInstance   string        // replica of the last run that ended badly or was moved
 	moving          bool          // the run is being stopped to continue on a faster replica
 	suspected       bool          // replicas crashed while running it
@@ -123,7 +125,7 @@
 			groups[name] = member
 			added.groups = append(added.groups, member)
 		}
-		entry := &item{Item: described, job: added, group: member}
+		entry := &item{Item: described, job: added, group: member, lastAtReplica: opened.OpenedAt}
 		switch {
 		case slices.Contains(done, described.ID):
 			entry.state = finished
@@ -223,12 +225,17 @@
 }
 
 // Hold prevents an item from starting before a given time.
-func (s *Scheduler) Hold(key Key, until time.Duration) {
+func (s *Scheduler) Hold(key Key, until time.Duration, reason HoldReason) {
 	if entry := s.find(key); entry != nil {
-		entry.notBefore = until
+		entry.hold(until, reason)
 	}
 }
 
+// hold prevents the item from starting before a given time.
+func (e *item) hold(until time.Duration, reason HoldReason) {
+	e.notBefore, e.holdReason = until, reason
+}
+
 // Condemn records that an item, or the call for its score, is considered the cause of crashes and is held for a long
 // time. Its group will not complete in time, so another group of the job is required in its place until the item runs
 // again.
--- a/internal/batchrun/schedule/suspect_test.go
+++ b/internal/batchrun/schedule/suspect_test.go
@@ -53,7 +53,7 @@
 	open(s, Job{ID: "j", Desired: 1}, "a:10", "b:10")
 	first := s.Starts(0)[0].Key
 	s.Ended(0, first, Stopped, 0)
-	s.Hold(first, 5*second)
+	s.Hold(first, 5*second, HeldSuspect)
 	s.Condemn(first)
 	starts := s.Starts(0)
 	if len(starts) != 1 || starts[0].Key == first || starts[0].Urgency == urgencySurplus {
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -37,6 +37,7 @@
 	Model      string // model that generates the tokens; a replica may serve several models
 	MinVersion uint64 // oldest weight version that may generate tokens; 0: any
 	Desired    int    // number of complete groups that the owner requires; 0: all
+	OpenedAt   time.Duration
 	Deadline   time.Duration
 	// GiveUp is when waiting items may be terminated; 0: never.
 	GiveUp      time.Duration
@@ -129,6 +130,15 @@
 		Stopped: "stopped", Lost: "lost"}[e]
 }
 
+// mayHaveRun reports whether an item may have been at the replica during a run that ended so.
+func (e Ending) mayHaveRun() bool {
+	switch e {
+	case Full, Unreachable, Misdirected, Stopped:
+		return false
+	}
+	return true
+}
+
 // Next is the state of an item after a run.
 type Next uint8
 
--- a/internal/batchrun/start.go
+++ b/internal/batchrun/start.go
@@ -99,7 +99,7 @@
 func (t *termRunner) postpone(key schedule.Key) {
 	now := t.config.Clock()
 	t.scheduler.Ended(now, key, schedule.Stopped, 0)
-	t.scheduler.Hold(key, now+stoppingPause)
+	t.scheduler.Hold(key, now+stoppingPause, schedule.HeldFormerRun)
 }
 
 // start starts a run of an item. The run resumes after the item's partial text, or after a cached one of an ended job,
--- a/internal/batchrun/suspects.go
+++ b/internal/batchrun/suspects.go
@@ -24,6 +24,12 @@
 	return identity.Digest()
 }
 
+// suspicion is a judgment of the guard that did not permit a run, and the digest of the item.
+type suspicion struct {
+	digest   poison.Digest
+	judgment poison.Judgment
+}
+
 // permit asks the guard whether the item may run now. If not, the call ends without being sent.
 func (t *termRunner) permit(ctx context.Context, c *call) bool {
 	if t.config.Guard == nil {
@@ -45,8 +51,11 @@
 // scheduler, and delays one that the guard did not permit.
 func (t *termRunner) reportToGuard(ctx context.Context, c *call) {
 	if c.judgment.Permission == poison.Blocked {
+		if openJob := t.jobs[c.Job]; openJob != nil {
+			openJob.items[c.Item].suspicion = suspicion{digest: c.digest(), judgment: c.judgment}
+		}
 		t.scheduler.Suspect(c.Key)
-		t.scheduler.Hold(c.Key, t.config.Clock()+min(c.judgment.Remaining, maximumHoldPause))
+		t.scheduler.Hold(c.Key, t.config.Clock()+min(c.judgment.Remaining, maximumHoldPause), schedule.HeldSuspect)
 		if c.judgment.Condemned() {
 			t.scheduler.Condemn(c.Key)
 		}
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/executorclient"
+	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/tenant"
 	"github.com/tamarindring/tamarindring/internal/weights"
@@ -31,6 +33,8 @@
 	lastExpiryAt   time.Duration // up to when elapsed time was reported to the group, which counts it for retention
 	expiring       atomic.Bool   // a JobExpire command is in flight
 	fleetMetricsAt time.Duration // when the replica metrics were last updated
+	// waitsReportedAt is when the items that wait beside idle replicas were last reported.
+	waitsReportedAt time.Duration
 
 	view            *table.View             // last table that the scheduler was updated from
 	tenants         *tenant.Index           // tenants of view
@@ -68,6 +72,8 @@
 	text   *text // nil until the first run; owned by the item's running call, if there is one
 	open   bool  // has no result yet
 	timing itemTiming
+	// suspicion is why the guard did not permit the item's last run. It is only valid while the item is held for that.
+	suspicion suspicion
 }
 
 // groupName returns the name of the item's group. An item without a group forms a group under its own id.
@@ -170,7 +176,7 @@
 func (t *termRunner) refresh(ctx context.Context) {
 	work, err := t.runner.queryOpenJobs(ctx, t.revision, t.config.Group.LocalQuery)
 	if err != nil {
-		t.config.Log.WithError(err).Debug("the open batch jobs could not be read")
+		logging.Emit(t.config.Log, &events.JobsUnread{Term: t.term, Revision: t.revision, Cause: events.ErrorText(err)})
 		return
 	}
 	t.applyOpenJobs(ctx, work)
@@ -203,7 +209,7 @@
 	added := &job{submit: submit, items: make(map[string]*item, len(submit.GetItems())), openedAt: now}
 	described := schedule.Job{
 		ID: submit.GetId(), Model: submit.GetModel(), MinVersion: submit.GetMinVersion(), Desired: int(submit.GetDesired()),
-		MaxAttempts: int(submit.GetMaxAttempts()), Deadline: now + millis(submit.GetDeadlineMillis()) - jobAge(submit),
+		MaxAttempts: int(submit.GetMaxAttempts()), OpenedAt: now, Deadline: now + millis(submit.GetDeadlineMillis()) - jobAge(submit),
 		Tenant: submit.GetTenant(),
 	}
 	if submit.GetQueueTtlMillis() > 0 {
@@ -316,6 +322,7 @@
 	t.runner.metrics.jobsOpen.Set(float64(len(t.jobs)))
 	now := t.config.Clock()
 	t.updateFleetMetrics(now)
+	t.reportWaits(now)
 	t.updateServing(now)
 	for _, running := range t.calls {
 		t.reportProgress(running)
--- a/internal/events/batch.go
+++ b/internal/events/batch.go
@@ -196,6 +196,8 @@
 	Cause    string  `json:"cause,omitempty" doc:"error of the call or of the answer"`
 	Digest   string  `json:"digest,omitempty" doc:"digest of the item that is the same when it runs again; present if the connection broke off or the item is suspected"`
 	Peer     string  `json:"peer,omitempty" doc:"whether the back end still listens: listening or gone (it crashed); present in the same cases as digest"`
+	Crashes  int     `json:"crashes,omitempty" doc:"for a suspected item: crashes under it that this node knows of"`
+	RestMs   float64 `json:"rest_ms,omitempty" doc:"for a suspected item: time until it is asked for again"`
 	TookMs   float64 `json:"took_ms" doc:"time since the run started"`
 	// The figures behind the decision to move a run.
 	PaceMs  float64 `json:"pace_ms,omitempty" doc:"for a moved run: time between two events at its back end"`
@@ -212,6 +214,44 @@
 // Kind implements logging.Event.
 func (*RunEnded) Kind() *logging.Kind { return &runEndedKind }
 
+// ItemWaits reports that an item waits at no back end although less than half of its pool is in use, and why. Only the
+// longest waits are reported.
+type ItemWaits struct {
+	Job        string  `json:"job" doc:"id of the batch job"`
+	Item       string  `json:"item" doc:"id of the item"`
+	WaitedMs   float64 `json:"waited_ms" doc:"time since the item was last at a back end, or since the job was opened by this leader"`
+	Why        string  `json:"why" doc:"suspected (back ends crashed under it), former_run (its run for an ended job has not ended yet), retry, no_route, no_replica (none can start it; see the counts), no_memory or order"`
+	HeldMs     float64 `json:"held_ms,omitempty" doc:"time until it may start, if it is held"`
+	Digest     string  `json:"digest,omitempty" doc:"for a suspected item: its digest"`
+	Crashes    int     `json:"crashes,omitempty" doc:"for a suspected item: crashes under it that this node knows of"`
+	Recorded   int     `json:"recorded,omitempty" doc:"for a suspected item: number of these that are on record"`
+	Replicas   int     `json:"replicas" doc:"back ends of its pool that accept new work"`
+	Full       int     `json:"full,omitempty" doc:"of these, without a free slot"`
+	Paused     int     `json:"paused,omitempty" doc:"of these, paused after failures or rejections"`
+	OldWeights int     `json:"old_weights,omitempty" doc:"of these, with weights that are too old or loading"`
+	Probing    int     `json:"probing,omitempty" doc:"of these, trying another item first"`
+	NoMemory   int     `json:"no_memory,omitempty" doc:"of these, without memory for the item"`
+	Running    int     `json:"running" doc:"runs at these back ends"`
+	Slots      int     `json:"slots" doc:"slots of these back ends"`
+}
+
+var itemWaitsKind = newKind("item_waits", logrus.WarnLevel, failureRate)
+
+// Kind implements logging.Event.
+func (*ItemWaits) Kind() *logging.Kind { return &itemWaitsKind }
+
+// JobsUnread reports that the leader could not read the open batch jobs. It reads them again.
+type JobsUnread struct {
+	Term     uint64 `json:"term" doc:"term in which the node leads"`
+	Revision uint64 `json:"revision,omitempty" doc:"revision of the group's state at which they were last read; absent if they were not read yet in this term"`
+	Cause    string `json:"cause" doc:"why they could not be read"`
+}
+
+var jobsUnreadKind = newKind("jobs_unread", logrus.WarnLevel, changeRate)
+
+// Kind implements logging.Event.
+func (*JobsUnread) Kind() *logging.Kind { return &jobsUnreadKind }
+
 // ItemFinished reports that an item has a result, which is about to be committed.
 type ItemFinished struct {
 	Job      string   `json:"job" doc:"id of the batch job"`
--- a/internal/events/catalog.go
+++ b/internal/events/catalog.go
@@ -20,7 +20,7 @@
 		{"Requests", []logging.Event{&RequestAnswered{}, &RequestFailed{}, &AdmissionRefused{}, &RequestRefused{}, &RequestPanicked{}, &CallerCut{}, &AttemptFailed{}, &AttemptHedged{}, &RetryRefused{},
 			&ReplicaQuarantined{}, &ReplicaRestored{}, &LargeBodyCrash{}, &ShareShort{}, &LoadReportUnreadable{}, &SuspectChanged{}}},
 		{"Batch jobs", []logging.Event{&JobSubmitted{}, &JobCallFailed{}, &NearNodeRests{}, &JobEnded{}, &RunnerBegan{}, &RunnerEnded{}, &JobOpened{},
-			&JobClosed{}, &BatchTurns{}, &RunStarted{}, &RunEnded{}, &ItemFinished{}, &RewardBegan{}, &RewardTried{}, &RewardEnded{},
+			&JobClosed{}, &BatchTurns{}, &RunStarted{}, &RunEnded{}, &ItemWaits{}, &JobsUnread{}, &ItemFinished{}, &RewardBegan{}, &RewardTried{}, &RewardEnded{},
 			&ResultsCommitted{}, &ReplicaSuspended{}, &ExecutorGreeted{}, &ExecutorLost{}, &RunTakenOver{}, &RunAbandoned{}}},
 		{"Samples", []logging.Event{&SampleStarted{}, &SampleInterrupted{}, &SampleGenerated{}}},
 		{"Weights", []logging.Event{&VersionReleased{}, &OrderSent{}, &OrderEnded{}, &OrdersTaken{}, &OrdersOffered{}, &OrdersSuperseded{}, &ReplicasSurveyed{}}},
