A rest begins with a crash, and a trial that harms nobody begins none

Cause: each change of the number on record began the rest anew, a claim and its return as well, so that a trial under which nothing crashed cost the rest of a crash; a claim whose answer was lost counted as a crash for good, and a late report began the rest at its commit. Class: a wait that is bounded in each place and not over all of them. Change: claims are named on record (claim:NAME in the list of back ends, which older builds read as a back end); a rest counts from the last crash, or from the last claim of another process until that is returned; a claim is conditional on the crashes and claims that the process knew of, own ones included; the crash of a claimed run counts from when it is seen. A trial of an item that brought no answer is followed by a pause of 250 ms. Tests of the plan name claims now and ask the same outcomes; the model notes crashes and claims in its books as the guard does.

--- a/internal/batchrun/suspects.go
+++ b/internal/batchrun/suspects.go
@@ -47,6 +47,10 @@
 // suspicion at any time.
 const maximumHoldPause = 5 * time.Second
 
+// trialPause is the pause after a trial that brought no answer. Each trial changes the table twice, so that one of an
+// item that all replicas reject must not follow another at once.
+const trialPause = 250 * time.Millisecond
+
 // reportToGuard reports the end of a run to the guard. It marks an item that is suspected of crashing replicas in the
 // scheduler, and delays one that the guard did not permit.
 func (t *termRunner) reportToGuard(ctx context.Context, c *call) {
@@ -68,6 +72,9 @@
 	if ending == poisonguard.Crashed {
 		t.scheduler.Suspect(c.Key)
 	}
+	if c.guardRun.Claimed() && c.ending != schedule.Completed {
+		t.scheduler.Hold(c.Key, t.config.Clock()+trialPause, schedule.HeldRetry)
+	}
 	settle := c.guardRun.NoteEnding(ending)
 	go settle(ctx) // the guard bounds its duration; the term's end doesn't wait for it
 }
--- a/internal/operator/suspects.go
+++ b/internal/operator/suspects.go
@@ -63,7 +63,7 @@
 			crashes = "1"
 		}
 		fmt.Fprintf(writer, "%s\t%s\t%s\t%s\t%s\n", strings.TrimPrefix(row.Name, table.SuspectPrefix), crashes, describePermission(crashes, row.Cells[table.ColumnCrashed].Value),
-			valueOrDash(row.Cells[table.ColumnSubject].Value), valueOrDash(row.Cells[table.ColumnCrashed].Value))
+			valueOrDash(row.Cells[table.ColumnSubject].Value), valueOrDash(poison.CrashedBackEnds(row.Cells[table.ColumnCrashed].Value)))
 	}
 	return trace.Wrap(writer.Flush())
 }
--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -11,6 +11,7 @@
 	Crashes uint32   // number of back ends that crashed under it; a claimed run counts until it ends
 	Crashed []string // instances of the most recent of these back ends
 	Trials  []string // those of Crashed that ran the request as a trial
+	Claims  []string // names of the claimed runs that have not ended
 }
 
 // Permission says how a request may run now.
@@ -34,8 +35,10 @@
 	Permission Permission
 	Crashes    uint32        // number of crashes that this process knows of
 	Recorded   uint32        // number of these that are on record
+	Basis      Basis         // what a claim of the run assumes to be on record
 	Unrecorded bool          // this process recently saw a crash that the control group has not accepted yet
 	Remaining  time.Duration // remaining time of a rest
+	Rested     time.Duration // time since the rest began: the last crash, or the last claim of a run that has not ended
 	Proven     uint32        // crashes that show the request to be the cause; see provenCrashes
 }
 
@@ -43,9 +46,10 @@
 func (j Judgment) Condemned() bool { return j.Permission == Blocked && j.Proven > 0 }
 
 // Book holds what one process knows of suspects: the record as the process follows it, and crashes that the process
-// observed and that may not be on record yet. Rests are measured on the process's own clock from the time at which it
-// learned of the last crash. This avoids comparing the clocks of two processes; a process that learns of a crash late
-// applies the rest for longer. Book is not safe for concurrent use.
+// observed and that may not be on record yet. A rest begins with a crash, or with a claim of another process until that
+// run has ended; a run that ends without a crash does not begin one. Rests are measured on the process's own clock from
+// the time at which it learned of the crash or claim. This avoids comparing the clocks of two processes; a process that
+// learns of a crash late applies the rest for longer. Book is not safe for concurrent use.
 type Book struct {
 	settings Settings
 	suspects map[Digest]*suspect
@@ -54,16 +58,25 @@
 // suspect is one entry of a book.
 type suspect struct {
 	Record
-	onRecord       bool            // the followed record has an entry for it
-	observed       []observedCrash // crashes that the followed record does not hold yet
-	countChangedAt time.Duration   // when the book learned of the present number of crashes
-	proven         uint32          // crashes on record that show the request to be the cause
+	onRecord  bool            // the followed record has an entry for it
+	observed  []observedCrash // crashes that the followed record does not name yet
+	crashedAt time.Duration   // when the book learned of the last crash
+	claims    []seenClaim     // claims on record that are not this process's own, and own runs that have not ended
+	ownClaims []string        // names of the last claims that this process asked for
+	proven    uint32          // crashes on record that show the request to be the cause
 }
 
-// observedCrash is a crash that this process observed and that the record, as followed here, does not hold yet.
+// seenClaim is a claimed run that may not have ended.
+type seenClaim struct {
+	name string
+	at   time.Duration // when the book learned of it
+}
+
+// observedCrash is a crash that this process observed and that the record, as followed here, does not name yet.
 type observedCrash struct {
 	instance string
 	at       time.Duration
+	counted  bool // the run was claimed, so that the record counts it already
 	accepted bool // the control group has accepted the report
 }
 
@@ -72,13 +85,46 @@
 // ever.
 const recordTimeout = 3 * time.Second
 
+// maximumOwnClaims bounds the names of own claims that are remembered for a suspect.
+const maximumOwnClaims = 8
+
 // hasUnrecorded reports whether a recent crash would be lost if this process ended now.
 func (s *suspect) hasUnrecorded(now time.Duration) bool {
-	return slices.ContainsFunc(s.observed, func(crash observedCrash) bool { return !crash.accepted && now < crash.at+recordTimeout })
+	return slices.ContainsFunc(s.observed, func(crash observedCrash) bool {
+		return !crash.accepted && !crash.counted && now < crash.at+recordTimeout
+	})
+}
+
+// awaitsRecord reports whether the record will name a crash that it does not name yet. The control group has not
+// accepted it, or has done so a moment ago.
+func (s *suspect) awaitsRecord() bool {
+	return slices.ContainsFunc(s.observed, func(crash observedCrash) bool { return !crash.counted })
 }
 
 // crashes returns the number of known crashes: those on record and those observed here that are not.
-func (s *suspect) crashes() uint32 { return s.Crashes + uint32(len(s.observed)) }
+func (s *suspect) crashes() uint32 {
+	crashes := s.Crashes
+	for _, crash := range s.observed {
+		if !crash.counted {
+			crashes++
+		}
+	}
+	return crashes
+}
+
+// basis returns what this process knows of the record.
+func (s *suspect) basis() Basis {
+	return Basis{Crashes: withoutClaims(s.Crashes, s.Claims), Claims: slices.Concat(s.Claims, s.ownClaims)}
+}
+
+// restBegan returns when the present rest began: with the last crash, or the last claim of a run that has not ended.
+func (s *suspect) restBegan() time.Duration {
+	began := s.crashedAt
+	for _, claim := range s.claims {
+		began = max(began, claim.at)
+	}
+	return began
+}
 
 // NewBook returns an empty book.
 func NewBook(settings Settings) *Book {
@@ -115,33 +161,83 @@
 	}
 }
 
-// follow takes over the entry of one suspect and forgets the observed crashes that it includes.
+// follow takes over the entry of one suspect and forgets the observed crashes that it names.
 func (b *Book) follow(now time.Duration, record Record) {
 	entry := b.suspects[record.Digest]
 	if entry == nil {
-		b.suspects[record.Digest] = &suspect{Record: record, onRecord: true, countChangedAt: now}
-		return
+		entry = &suspect{crashedAt: now}
+		b.suspects[record.Digest] = entry
+	}
+	before := entry.Record
+	if entry.showsCrash(record) {
+		entry.crashedAt = now
 	}
-	before := entry.crashes()
 	entry.Record, entry.onRecord = record, true
 	entry.observed = slices.DeleteFunc(entry.observed, func(crash observedCrash) bool { return slices.Contains(record.Crashed, crash.instance) })
-	if entry.crashes() != before {
-		entry.countChangedAt = now
+	entry.followClaims(now, before.Claims)
+}
+
+// showsCrash reports whether a newer record of the suspect shows a crash that the book does not know of. Builds that
+// name no claims only raise the number of crashes with a claim, which counts as a crash here.
+func (s *suspect) showsCrash(record Record) bool {
+	for _, instance := range record.Crashed {
+		if !slices.Contains(s.Record.Crashed, instance) && !s.hasObserved(instance) {
+			return true
+		}
+	}
+	explained := len(record.Claims) != len(s.Record.Claims) || len(record.Crashed) != len(s.Record.Crashed)
+	return record.Crashes > s.Record.Crashes && !explained
+}
+
+// hasObserved reports whether this process observed the crash of a back end that the record does not name yet.
+func (s *suspect) hasObserved(instance string) bool {
+	return slices.ContainsFunc(s.observed, func(crash observedCrash) bool { return crash.instance == instance })
+}
+
+// followClaims takes over the claims of other processes that the record names now and did not name before, and forgets
+// those that have ended.
+func (s *suspect) followClaims(now time.Duration, before []string) {
+	s.claims = slices.DeleteFunc(s.claims, func(claim seenClaim) bool {
+		return !slices.Contains(s.ownClaims, claim.name) && !slices.Contains(s.Claims, claim.name)
+	})
+	for _, name := range s.Claims {
+		if !slices.Contains(before, name) && !slices.Contains(s.ownClaims, name) {
+			s.claims = append(s.claims, seenClaim{name: name, at: now})
+		}
+	}
+}
+
+// ClaimSent notes that this process asks for the claim of a run. Until ClaimEnded, the run may be in progress.
+func (b *Book) ClaimSent(now time.Duration, digest Digest, name string) {
+	entry := b.suspects[digest]
+	if entry == nil {
+		return
+	}
+	entry.claims = append(entry.claims, seenClaim{name: name, at: now})
+	entry.ownClaims = append(entry.ownClaims, name)
+	entry.ownClaims = entry.ownClaims[max(len(entry.ownClaims)-maximumOwnClaims, 0):]
+}
+
+// ClaimEnded notes that a claimed run of this process has ended, or was not begun. If the record still names the claim,
+// no run stands behind it.
+func (b *Book) ClaimEnded(digest Digest, name string) {
+	if entry := b.suspects[digest]; entry != nil {
+		entry.claims = slices.DeleteFunc(entry.claims, func(claim seenClaim) bool { return claim.name == name })
 	}
 }
 
-// Crashed notes that a back end crashed under a request. The crash counts here until the record includes it. Crashed
-// returns the number of crashes of the request that the book knows of.
-func (b *Book) Crashed(now time.Duration, digest Digest, instance string) uint32 {
+// Crashed notes that a back end crashed under a request. The crash counts here until the record includes it. counted is
+// set if the run was claimed, so that the record counts it already. Crashed returns the number of crashes of the request
+// that the book knows of.
+func (b *Book) Crashed(now time.Duration, digest Digest, instance string, counted bool) uint32 {
 	entry := b.suspects[digest]
 	if entry == nil {
 		entry = &suspect{Record: Record{Digest: digest}}
 		b.suspects[digest] = entry
 	}
-	noted := slices.ContainsFunc(entry.observed, func(crash observedCrash) bool { return crash.instance == instance })
-	if !noted && !slices.Contains(entry.Record.Crashed, instance) {
-		entry.observed = append(entry.observed, observedCrash{instance: instance, at: now})
-		entry.countChangedAt = now
+	if !entry.hasObserved(instance) && !slices.Contains(entry.Record.Crashed, instance) {
+		entry.observed = append(entry.observed, observedCrash{instance: instance, at: now, counted: counted && entry.onRecord})
+		entry.crashedAt = now
 	}
 	return entry.crashes()
 }
@@ -180,13 +276,14 @@
 	if entry == nil {
 		return Judgment{}
 	}
-	judged := Judgment{Permission: Isolated, Crashes: entry.crashes(), Recorded: entry.Crashes, Unrecorded: entry.hasUnrecorded(now), Proven: entry.proven}
+	judged := Judgment{Permission: Isolated, Crashes: entry.crashes(), Recorded: entry.Crashes, Unrecorded: entry.hasUnrecorded(now), Proven: entry.proven,
+		Rested: now - entry.restBegan(), Basis: entry.basis()}
 	if judged.Crashes < TrialCrashes {
 		return judged
 	}
 	judged.Permission = Trial
-	left := entry.countChangedAt + b.settings.restAfter(judged.Crashes, entry.proven, owed) - now
-	if len(entry.observed) > 0 {
+	left := b.settings.restAfter(judged.Crashes, entry.proven, owed) - judged.Rested
+	if entry.awaitsRecord() {
 		left = max(left, UnrecordedRest) // a run cannot be claimed before the crashes are on record
 	}
 	if left > 0 {
@@ -199,7 +296,7 @@
 func (b *Book) Outdated(now time.Duration) []Record {
 	var outdated []Record
 	for _, entry := range b.suspects {
-		if entry.onRecord && now >= entry.countChangedAt+b.settings.retentionAfter(entry.crashes(), entry.proven) {
+		if entry.onRecord && now >= entry.restBegan()+b.settings.retentionAfter(entry.crashes(), entry.proven) {
 			outdated = append(outdated, entry.Record)
 		}
 	}
--- a/internal/poison/book_test.go
+++ b/internal/poison/book_test.go
@@ -64,7 +64,7 @@
 	book := NewBook(Settings{})
 	const digest = Digest(7)
 	for _, instance := range []string{"a", "a", "b"} {
-		book.Crashed(0, digest, instance)
+		book.Crashed(0, digest, instance, false)
 	}
 	if judged := book.Judge(time.Hour, digest, false); judged.Crashes != 2 || judged.Permission != Blocked {
 		t.Fatalf("got %+v, want 2 crashes and a rest until they are on record", judged)
@@ -99,7 +99,7 @@
 	if !book.Empty() {
 		t.Error("a suspect that was cleared is still suspected")
 	}
-	book.Crashed(0, digest, "c")
+	book.Crashed(0, digest, "c", false)
 	book.Lost(digest, "c")
 	if !book.Empty() {
 		t.Error("a crash that the full record cannot hold still counts")
@@ -187,12 +187,13 @@
 	step(StepRequest{Step: Report, Instance: "a"}, true, 1)
 	step(StepRequest{Step: Report, Instance: "a"}, true, 1)
 	step(StepRequest{Step: Report, Instance: "b"}, true, 2)
-	step(StepRequest{Step: Claim, Crashes: 2}, true, 3)
-	step(StepRequest{Step: Claim, Crashes: 2}, false, 3)
-	step(StepRequest{Step: Return, Crashes: 3}, true, 2)
-	step(StepRequest{Step: Claim, Crashes: 2}, true, 3)
-	step(StepRequest{Step: Report, Instance: "c", Counted: true}, true, 3)
-	step(StepRequest{Step: Return, Crashes: 2}, false, 3)
+	step(StepRequest{Step: Claim, Claim: "one", Basis: Basis{Crashes: 2}}, true, 3)
+	step(StepRequest{Step: Claim, Claim: "one", Basis: Basis{Crashes: 2}}, true, 3) // its answer was lost
+	step(StepRequest{Step: Claim, Claim: "two", Basis: Basis{Crashes: 2}}, false, 3)
+	step(StepRequest{Step: Return, Claim: "one"}, true, 2)
+	step(StepRequest{Step: Claim, Claim: "two", Basis: Basis{Crashes: 2}}, true, 3)
+	step(StepRequest{Step: Report, Instance: "c", Claim: "two"}, true, 3)
+	step(StepRequest{Step: Return, Claim: "two"}, false, 3)
 	step(StepRequest{Step: Forget, Crashes: 2}, false, 3)
 	records := Records(record.view(t))
 	if len(records) != 1 || records[0].Digest != 0xabc || records[0].Crashes != 3 || fmt.Sprint(records[0].Crashed) != "[a b c]" {
@@ -200,7 +201,7 @@
 	}
 	step(StepRequest{Step: Clear}, true, 0)
 	step(StepRequest{Step: Clear}, true, 0)
-	step(StepRequest{Step: Claim, Crashes: 3}, true, 0)
+	step(StepRequest{Step: Claim, Claim: "three", Basis: Basis{Crashes: 3}}, true, 0)
 	step(StepRequest{Step: Report, Instance: "d"}, true, 1)
 }
 
@@ -212,8 +213,8 @@
 		record.apply(Plan(record.view(t), []StepRequest{{Step: Report, Digest: 1, Instance: instance}}, Settings{}))
 	}
 	view := record.view(t)
-	first := Plan(view, []StepRequest{{Step: Claim, Digest: 1, Crashes: 2}}, Settings{})
-	second := Plan(view, []StepRequest{{Step: Claim, Digest: 1, Crashes: 2}}, Settings{})
+	first := Plan(view, []StepRequest{{Step: Claim, Digest: 1, Claim: "one", Basis: Basis{Crashes: 2}}}, Settings{})
+	second := Plan(view, []StepRequest{{Step: Claim, Digest: 1, Claim: "two", Basis: Basis{Crashes: 2}}}, Settings{})
 	if !record.apply(first) || record.apply(second) {
 		t.Error("the table did not accept exactly the first of two claims")
 	}
@@ -308,18 +309,21 @@
 	settle func(*Book, StepRequest) Outcome, trials, cleared *int) {
 	digest := Digest(rapid.IntRange(1, 4).Draw(t, "request"))
 	judged := book.Judge(now, digest, false)
-	claimed := uint32(0)
+	claim := ""
 	switch judged.Permission {
 	case Blocked:
 		return
 	case Trial:
-		outcome := settle(book, StepRequest{Step: Claim, Digest: digest, Crashes: judged.Recorded})
-		if !outcome.Done {
+		*starts++
+		claim = fmt.Sprintf("claim-%d", *starts)
+		book.ClaimSent(now, digest, claim)
+		if outcome := settle(book, StepRequest{Step: Claim, Digest: digest, Claim: claim, Basis: judged.Basis}); !outcome.Done {
+			book.ClaimEnded(digest, claim)
 			return
 		}
-		claimed = outcome.Crashes
 		*trials++
 	}
+	defer book.ClaimEnded(digest, claim)
 	if !guilty(digest) {
 		if judged.Permission != Free { // a process that does not know of the crash does not clear the suspect
 			settle(book, StepRequest{Step: Clear, Digest: digest})
@@ -331,7 +335,8 @@
 	*starts++
 	instance := fmt.Sprintf("i-%d", *starts)
 	crashes[digest]++
-	settle(book, StepRequest{Step: Report, Digest: digest, Instance: instance, Counted: claimed > 0, Trial: claimed > 0})
+	book.Crashed(now, digest, instance, claim != "")
+	settle(book, StepRequest{Step: Report, Digest: digest, Instance: instance, Claim: claim, Trial: claim != ""})
 	if rapid.Bool().Draw(t, "beside") {
 		bystander := Digest(rapid.IntRange(3, 4).Draw(t, "bystander"))
 		if book.Judge(now, bystander, false).Permission <= Isolated {
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -7,22 +7,41 @@
 	"github.com/tamarindring/tamarindring/internal/table"
 )
 
-// trialMark precedes a back end in the table's list of those that crashed if the run was a trial.
-const trialMark = "trial:"
+// The marks of entries in the table's list. An entry without one is a back end that crashed.
+const (
+	trialMark = "trial:" // a back end that crashed under a trial
+	claimMark = "claim:" // a claimed run that has not ended yet
+)
 
 // OperatorTrial stands in the list for an operator who condemns a request, as if a trial had crashed a back end.
 const OperatorTrial = "operator"
 
-// splitCrashed returns the back ends in a list of the table, and those of them that crashed under trials.
-func splitCrashed(list []string) (crashed, trials []string) {
+// entries holds the entries of a table's list by kind.
+type entries struct {
+	crashed []string // back ends that crashed
+	trials  []string // those of crashed that ran the request as a trial
+	claims  []string // claimed runs that have not ended
+}
+
+// parseEntries sorts the entries of a table's list by kind. Builds that know no claims there take them for back ends.
+func parseEntries(list []string) (parsed entries) {
 	for _, entry := range list {
+		if claim, is := strings.CutPrefix(entry, claimMark); is {
+			parsed.claims = append(parsed.claims, claim)
+			continue
+		}
 		instance, trial := strings.CutPrefix(entry, trialMark)
-		crashed = append(crashed, instance)
+		parsed.crashed = append(parsed.crashed, instance)
 		if trial {
-			trials = append(trials, instance)
+			parsed.trials = append(parsed.trials, instance)
 		}
 	}
-	return crashed, trials
+	return parsed
+}
+
+// CrashedBackEnds returns a list of the table without the claimed runs.
+func CrashedBackEnds(list string) string {
+	return strings.Join(slices.DeleteFunc(splitList(list), func(entry string) bool { return strings.HasPrefix(entry, claimMark) }), ",")
 }
 
 // AddTrial returns the table's list of the back ends that crashed with one more that crashed under a trial.
@@ -32,8 +51,7 @@
 
 // HasTrial reports whether a list of the table contains a back end that crashed under a trial.
 func HasTrial(list string) bool {
-	_, trials := splitCrashed(splitList(list))
-	return len(trials) > 0
+	return len(parseEntries(splitList(list)).trials) > 0
 }
 
 // provenCrashes returns how many of a suspect's crashes show that it is the cause. A crash that many requests share says
--- a/internal/poison/plan.go
+++ b/internal/poison/plan.go
@@ -16,7 +16,7 @@
 const (
 	Report Step = iota // a back end crashed under the request
 	Claim              // a run is about to begin; it counts as a crash until it is returned or the suspect is cleared
-	Return             // a claimed run has ended without a crash and without a complete answer
+	Return             // a claimed run has ended, or was never sent, without a crash and without a complete answer
 	Clear              // the request was answered completely, so it need not have caused the crashes
 	Forget             // its retention on record has ended
 )
@@ -32,9 +32,28 @@
 	Digest   Digest
 	Instance string // for Report: the back end that crashed
 	Subject  string // for Report: human-readable description of the request, see Identity.Subject
-	Counted  bool   // for Report: the run was claimed, so the record counts it already
 	Trial    bool   // for Report: the run was a trial, so that its crash speaks against the request
-	Crashes  uint32 // for Claim, Return and Forget: the number of crashes on record that the step assumes
+	Claim    string // for Claim and Return: name of the claimed run. For Report: the same, if the run was claimed
+	Basis    Basis  // for Claim: what the claim assumes to be on record
+	Crashes  uint32 // for Forget: the number of crashes on record that the step assumes
+}
+
+// Basis is what a process knew of the record of a suspect when it judged the request. A claim is conditional on it, so
+// that it fails after a crash or a claim that the process did not know of.
+type Basis struct {
+	Crashes uint32   // number of crashes on record, without the claims that the record names
+	Claims  []string // names of all claims that the process knows of, whether they are on record or not
+}
+
+// holdsFor reports whether the record of a suspect shows nothing that the process did not know of.
+func (b *Basis) holdsFor(crashes uint32, claims []string) bool {
+	unknown := slices.ContainsFunc(claims, func(claim string) bool { return !slices.Contains(b.Claims, claim) })
+	return !unknown && withoutClaims(crashes, claims) == b.Crashes
+}
+
+// withoutClaims returns the number of crashes on record without the claims that the record names.
+func withoutClaims(crashes uint32, claims []string) uint32 {
+	return crashes - min(uint32(len(claims)), crashes)
 }
 
 // entry returns the back end of a report as the table's list holds it.
@@ -93,7 +112,8 @@
 			continue // cannot happen: the table rejects such a row name
 		}
 		record := Record{Digest: Digest(digest), Crashes: row.Crashes}
-		record.Crashed, record.Trials = splitCrashed(listOf(row))
+		parsed := parseEntries(listOf(row))
+		record.Crashed, record.Trials, record.Claims = parsed.crashed, parsed.trials, parsed.claims
 		records = append(records, record)
 	}
 	return records
@@ -154,35 +174,71 @@
 	if row == nil { // the suspect was cleared or forgotten: the request is free
 		return Outcome{Done: true}
 	}
+	switch request.Step {
+	case Claim:
+		return p.claim(name, row, request)
+	case Return:
+		return p.returnClaim(name, row, request)
+	}
+	if request.Step == Forget && row.Crashes != request.Crashes {
+		return Outcome{Crashes: row.Crashes} // another process has changed the number of crashes
+	}
+	p.planned.Change.RemoveRows = append(p.planned.Change.RemoveRows, name)
+	return Outcome{Done: true}
+}
+
+// claim counts a run that is about to begin. It fails if the record shows a crash or a claim that the process did not
+// know of.
+func (p *planner) claim(name string, row *table.Row, request StepRequest) Outcome {
+	list, entry := listOf(row), claimMark+request.Claim
 	switch {
-	case request.Step == Clear || request.Step == Forget && row.Crashes == request.Crashes:
-		p.planned.Change.RemoveRows = append(p.planned.Change.RemoveRows, name)
-		return Outcome{Done: true}
-	case request.Step == Claim && row.Crashes == request.Crashes:
-		p.set(name, table.ColumnCrashes, formatCount(row.Crashes+1))
-		return Outcome{Done: true, Crashes: row.Crashes + 1}
-	case request.Step == Return && row.Crashes == request.Crashes && row.Crashes > 1:
-		p.set(name, table.ColumnCrashes, formatCount(row.Crashes-1))
-		return Outcome{Done: true, Crashes: row.Crashes - 1}
+	case slices.Contains(list, entry):
+		return Outcome{Done: true, Crashes: row.Crashes}
+	case !request.Basis.holdsFor(row.Crashes, parseEntries(list).claims):
+		return Outcome{Crashes: row.Crashes}
 	}
-	return Outcome{Crashes: row.Crashes} // another process has changed the number of crashes
+	p.set(name, table.ColumnCrashed, formatCrashed(append(list, entry)))
+	p.set(name, table.ColumnCrashes, formatCount(row.Crashes+1))
+	return Outcome{Done: true, Crashes: row.Crashes + 1}
+}
+
+// returnClaim takes back a claim, if it is on record.
+func (p *planner) returnClaim(name string, row *table.Row, request StepRequest) Outcome {
+	list := listOf(row)
+	position := slices.Index(list, claimMark+request.Claim)
+	if position < 0 {
+		return Outcome{Crashes: row.Crashes}
+	}
+	crashes := max(row.Crashes-1, 1)
+	p.set(name, table.ColumnCrashed, formatCrashed(slices.Delete(list, position, position+1)))
+	p.set(name, table.ColumnCrashes, formatCount(crashes))
+	return Outcome{Done: true, Crashes: crashes}
 }
 
-// report counts a crash, unless the record names the back end already.
+// report counts a crash, unless the record names the back end already. The claim of the run, which counts already,
+// gives its place to the back end.
 func (p *planner) report(name string, row *table.Row, request StepRequest) Outcome {
 	if row == nil {
 		return p.add(name, request)
 	}
-	list := listOf(row)
-	if crashed, _ := splitCrashed(list); slices.Contains(crashed, request.Instance) {
-		return Outcome{Done: true, Crashes: row.Crashes}
+	list, crashes := listOf(row), row.Crashes
+	named := slices.Contains(parseEntries(list).crashed, request.Instance)
+	claim := slices.Index(list, claimMark+request.Claim)
+	if claim >= 0 {
+		list = slices.Delete(list, claim, claim+1)
 	}
-	p.set(name, table.ColumnCrashed, formatCrashed(append(list, request.entry())))
-	if request.Counted {
-		return Outcome{Done: true, Crashes: row.Crashes}
+	switch {
+	case named && claim < 0:
+		return Outcome{Done: true, Crashes: crashes}
+	case !named:
+		list = append(list, request.entry())
 	}
-	p.set(name, table.ColumnCrashes, formatCount(row.Crashes+1))
-	return Outcome{Done: true, Crashes: row.Crashes + 1}
+	if claim < 0 {
+		crashes++
+		p.set(name, table.ColumnCrashes, formatCount(crashes))
+	}
+	p.set(name, table.ColumnCrashed, formatCrashed(list))
+	return Outcome{Done: true, Crashes: crashes}
 }
 
 // add puts a new suspect on record. If the record is full, the new suspect replaces one with a single crash: during a
@@ -210,7 +266,7 @@
 
 func formatCount(crashes uint32) string { return strconv.FormatUint(uint64(crashes), 10) }
 
-// formatCrashed returns the cell that names the crashed back ends: the most recent ones that fit into it.
+// formatCrashed returns the cell that names the crashed back ends and the claims: the most recent ones that fit into it.
 func formatCrashed(crashed []string) string {
 	crashed = crashed[max(len(crashed)-maximumCrashed, 0):]
 	text := strings.Join(crashed, ",")
--- a/internal/poisonguard/guard.go
+++ b/internal/poisonguard/guard.go
@@ -160,6 +160,21 @@
 	g.notifyChanged()
 }
 
+// noteClaimSent notes that this process asks for a claim.
+func (g *Guard) noteClaimSent(digest poison.Digest, name string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.book.ClaimSent(g.config.Clock(), digest, name)
+}
+
+// noteClaimEnded notes that no run of this process stands behind a claim any more.
+func (g *Guard) noteClaimEnded(digest poison.Digest, name string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.book.ClaimEnded(digest, name)
+	g.notifyChanged()
+}
+
 // postpone queues a step to be sent again by Run, or drops it if too many are queued.
 func (g *Guard) postpone(request poison.StepRequest) {
 	g.mutex.Lock()
--- a/internal/poisonguard/guard_test.go
+++ b/internal/poisonguard/guard_test.go
@@ -164,7 +164,13 @@
 // run begins a run, sends it to a back end unless it is refused, ends it and returns the judgment of Begin.
 func run(t *testing.T, guard *Guard, body, instance string, ending Ending) poison.Judgment {
 	t.Helper()
-	made, judged := guard.Begin(t.Context(), identify(body))
+	return runAs(t, guard, identify(body), instance, ending)
+}
+
+// runAs is run for a request with the given identity.
+func runAs(t *testing.T, guard *Guard, identity func() poison.Identity, instance string, ending Ending) poison.Judgment {
+	t.Helper()
+	made, judged := guard.Begin(t.Context(), identity)
 	if made == nil {
 		return judged
 	}
--- a/internal/poisonguard/judge.go
+++ b/internal/poisonguard/judge.go
@@ -29,11 +29,12 @@
 	return judged, g.changed
 }
 
-// judgeRecorded is like judge, but waits until the crashes observed here are on record, for maximumRecordWait at most.
+// judgeRecorded is like judge, but if the request rests only because crashes observed here are not on record, it waits
+// until they are, for maximumRecordWait at most.
 func (g *Guard) judgeRecorded(ctx context.Context, digest poison.Digest, owed bool) poison.Judgment {
 	judged, changed := g.judge(digest, owed)
-	if judged.Permission != poison.Blocked || !judged.Unrecorded {
-		return judged
+	if judged.Permission != poison.Blocked || !judged.Unrecorded || judged.Remaining > poison.UnrecordedRest {
+		return judged // the record would not permit the run yet
 	}
 	limit := time.NewTimer(maximumRecordWait)
 	defer limit.Stop()
--- a/internal/poisonguard/late.go
+++ b/internal/poisonguard/late.go
@@ -46,7 +46,7 @@
 		holder := servingAt(g.view, one.run.address)
 		ended := g.view.HasRestarted(one.run.instance) || holder != "" && holder != one.run.instance
 		if ended {
-			g.book.Crashed(now, one.run.ensureDigest(), one.run.crashName())
+			g.book.Crashed(now, one.run.ensureDigest(), one.run.crashName(), false)
 			g.counts.crashes.WithLabelValues().Inc()
 			crashed = append(crashed, one.run)
 		}
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -45,7 +45,7 @@
 	subject  string                 // set together with digest
 	owed     bool                   // set together with digest; see poison.Identity.Owed
 	judged   poison.Judgment
-	claimed  uint32 // crashes on record including the claim; 0 if the run was not claimed
+	claim    string // name of the run's claim; empty if the run was not claimed
 	trial    bool   // the run was claimed, and its crash speaks against the request
 	instance string // empty until the back end is chosen
 	address  string
@@ -86,7 +86,7 @@
 		r.guard.counts.refused.WithLabelValues(judged.Permission.String()).Inc()
 		return nil, judged
 	case poison.Trial:
-		return r.claim(ctx)
+		return r.claimRun(ctx)
 	}
 	return r, judged
 }
@@ -94,17 +94,29 @@
 // failedClaimRest is the rest of a request whose run another process has just claimed, or whose claim was not answered.
 const failedClaimRest = time.Second
 
-// claim claims the only run of a suspect that is permitted at a time in the whole deployment.
-func (r *Run) claim(ctx context.Context) (*Run, poison.Judgment) {
-	outcome, err := r.guard.send(ctx, poison.StepRequest{Step: poison.Claim, Digest: r.digest, Crashes: r.judged.Recorded})
+// claimRun claims the only run of a suspect that is permitted at a time in the whole deployment.
+func (r *Run) claimRun(ctx context.Context) (*Run, poison.Judgment) {
+	name := rand.Text()[:claimNameLength]
+	r.guard.noteClaimSent(r.digest, name)
+	outcome, err := r.guard.send(ctx, poison.StepRequest{Step: poison.Claim, Digest: r.digest, Claim: name, Basis: r.judged.Basis})
 	if err != nil || !outcome.Done {
+		r.guard.noteClaimEnded(r.digest, name)
+		if err != nil {
+			r.guard.postpone(poison.StepRequest{Step: poison.Return, Digest: r.digest, Claim: name}) // it may be taken later
+		}
 		r.guard.counts.refused.WithLabelValues(poison.Trial.String()).Inc()
 		return nil, poison.Judgment{Permission: poison.Blocked, Crashes: r.judged.Crashes, Recorded: r.judged.Recorded, Remaining: failedClaimRest}
 	}
-	r.claimed, r.trial = outcome.Crashes, !r.owed
+	r.trial = !r.owed
+	if outcome.Crashes > 0 {
+		r.claim = name
+	}
 	return r, r.judged
 }
 
+// claimNameLength is enough to distinguish the claims of one request, of which few are on record at a time.
+const claimNameLength = 8
+
 // ensureDigest returns the digest of the run's request and computes it on the first call, together with the subject.
 func (r *Run) ensureDigest() poison.Digest {
 	if r.digest == poison.NoDigest {
@@ -119,7 +131,7 @@
 
 // Claimed reports whether the run holds the claim of its request. A claimed run stays permitted regardless of what
 // other processes do. Any other run must be requested again before it is sent under a newer table.
-func (r *Run) Claimed() bool { return r.claimed > 0 }
+func (r *Run) Claimed() bool { return r.claim != "" }
 
 // SetBackEnd notes the back end to which the run is sent.
 func (r *Run) SetBackEnd(instance, address string) {
@@ -161,13 +173,16 @@
 	case ending == Interrupted:
 		r.ensureDigest()
 		unclaimed := *r // the claim is returned now, so a crash that is detected later must be counted
-		unclaimed.claimed = 0
+		unclaimed.claim = ""
 		r.guard.rememberBroken(&unclaimed)
 	}
 	if ending == Crashed {
 		r.noteCrash()
 	}
-	if ending != Crashed && r.claimed == 0 && (ending != Answered || !r.Suspected()) {
+	if r.Claimed() {
+		r.guard.noteClaimEnded(r.ensureDigest(), r.claim)
+	}
+	if ending != Crashed && !r.Claimed() && (ending != Answered || !r.Suspected()) {
 		return func(context.Context) {}
 	}
 	return func(ctx context.Context) { r.recordEnding(ctx, ending) }
@@ -179,9 +194,7 @@
 	r.guard.counts.crashes.WithLabelValues().Inc()
 	r.guard.mutex.Lock()
 	defer r.guard.mutex.Unlock()
-	if r.claimed == 0 { // a claimed run counts as a crash already
-		r.guard.book.Crashed(r.guard.config.Clock(), digest, r.crashName())
-	}
+	r.guard.book.Crashed(r.guard.config.Clock(), digest, r.crashName(), r.Claimed())
 }
 
 // crashName returns the name under which the crash of the run's back end is recorded. It is the instance, so that all
@@ -207,10 +220,10 @@
 	switch ending {
 	case Crashed:
 		digest := r.ensureDigest() // also sets the subject
-		r.guard.deliver(ctx, poison.StepRequest{Step: poison.Report, Digest: digest, Instance: r.crashName(), Subject: r.subject, Counted: r.claimed > 0, Trial: r.trial})
+		r.guard.deliver(ctx, poison.StepRequest{Step: poison.Report, Digest: digest, Instance: r.crashName(), Subject: r.subject, Claim: r.claim, Trial: r.trial})
 	case Answered:
 		r.guard.deliver(ctx, poison.StepRequest{Step: poison.Clear, Digest: r.ensureDigest()})
 	default:
-		r.guard.deliver(ctx, poison.StepRequest{Step: poison.Return, Digest: r.ensureDigest(), Crashes: r.claimed})
+		r.guard.deliver(ctx, poison.StepRequest{Step: poison.Return, Digest: r.ensureDigest(), Claim: r.claim})
 	}
 }
