An owed request that has rested runs without an answer to its claim

Cause: the run of a suspect depended on the control group's answer without a bound; a claim that was not answered was refused and counted all the same. Change: where the claim of an owed request is not answered, its run begins after the rest all the same, under the name that it asked for; crashes that this process observed and that are not on record hold an owed request for its rest and no longer. Callers' requests stay held. Tests: TestOwedRequestRunsWithoutAnAnswerToItsClaim and TestOwedRequestRunsWhileNoRecordIsKept failed on the code before (rest for 1 s, again and again).

--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -270,7 +270,8 @@
 // UnrecordedRest is the rest of a suspect with crashes that were observed here and are not on record.
 const UnrecordedRest = time.Second
 
-// Judge returns the permission of a request now.
+// Judge returns the permission of a request now. An owed request never rests for longer than its rest after the last
+// crash or claim, whatever the record holds.
 func (b *Book) Judge(now time.Duration, digest Digest, owed bool) Judgment {
 	entry := b.suspects[digest]
 	if entry == nil {
@@ -283,7 +284,7 @@
 	}
 	judged.Permission = Trial
 	left := b.settings.restAfter(judged.Crashes, entry.proven, owed) - judged.Rested
-	if entry.awaitsRecord() {
+	if !owed && entry.awaitsRecord() {
 		left = max(left, UnrecordedRest) // a run cannot be claimed before the crashes are on record
 	}
 	if left > 0 {
--- a/internal/poisonguard/metrics.go
+++ b/internal/poisonguard/metrics.go
@@ -14,6 +14,8 @@
 	refused  *prometheus.CounterVec
 	steps    *prometheus.CounterVec
 	dropped  *prometheus.CounterVec
+	// unclaimed counts owed runs whose claim was not answered in time.
+	unclaimed *prometheus.CounterVec
 }
 
 func newCounts() *counts {
@@ -25,6 +27,7 @@
 		steps:    part.Counter("steps_total", "Steps on the record of suspects, by step and outcome: taken, overtaken by another process, or failed.", "step", "outcome"),
 		dropped:  part.Counter("steps_dropped_total", "Steps that are not on record because there is no room for them, by step.", "step"),
 	}
-	c.Set = metrics.Set{c.suspects, c.crashes, c.refused, c.steps, c.dropped}
+	c.unclaimed = part.Counter("runs_unclaimed_total", "Runs of owed requests that began although the claim was not answered in time.")
+	c.Set = metrics.Set{c.suspects, c.crashes, c.refused, c.steps, c.dropped, c.unclaimed}
 	return c
 }
--- a/internal/poisonguard/owed_test.go
+++ b/internal/poisonguard/owed_test.go
@@ -121,6 +121,25 @@
 	})
 }
 
+// TestOwedRequestRunsWithoutAnAnswerToItsClaim guards against an owed request that never runs, because each claim is
+// answered later than it is waited for, and counts all the same.
+func TestOwedRequestRunsWithoutAnAnswerToItsClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.newGuard()
+		crashTwice(t, g, one, "item")
+		g.commit = 2 * sendTimeout
+		time.Sleep(poison.DefaultOwedRest)
+		for range 4 {
+			if judged := runOwed(t, one, "item", "c", NotRun); judged.Permission != poison.Trial {
+				t.Fatalf("with slow commits: got %+v, want a trial", judged)
+			}
+			time.Sleep(2 * g.commit)
+			g.follow()
+		}
+	})
+}
+
 // TestLateClaimOfARefusedRunIsReturned guards against a claim that is taken after its run was refused for want of an
 // answer, so that other processes wait for a run that never was.
 func TestLateClaimOfARefusedRunIsReturned(t *testing.T) {
@@ -147,6 +166,25 @@
 	})
 }
 
+// TestOwedRequestRunsWhileNoRecordIsKept guards against an owed request that waits for the end of an upgrade: while some
+// process may not understand rows of suspects, no crash is recorded and no run can be claimed.
+func TestOwedRequestRunsWhileNoRecordIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.newGuard()
+		one.config.Recorded = func() bool { return false }
+		runOwed(t, one, "item", "a", Crashed)
+		runOwed(t, one, "item", "b", Crashed)
+		if judged := runOwed(t, one, "item", "c", NotRun); judged.Permission != poison.Blocked {
+			t.Fatalf("after two crashes: got %+v, want a rest", judged)
+		}
+		time.Sleep(poison.DefaultOwedRest)
+		if judged := runOwed(t, one, "item", "c", NotRun); judged.Permission != poison.Trial {
+			t.Errorf("after the rest: got %+v, want a trial", judged)
+		}
+	})
+}
+
 // TestLateReportBeginsNoRest guards against a rest that begins anew when a crash comes on record: the control group had
 // no leader when the back end crashed.
 func TestLateReportBeginsNoRest(t *testing.T) {
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -94,12 +94,17 @@
 // failedClaimRest is the rest of a request whose run another process has just claimed, or whose claim was not answered.
 const failedClaimRest = time.Second
 
-// claimRun claims the only run of a suspect that is permitted at a time in the whole deployment.
+// claimRun claims the only run of a suspect that is permitted at a time in the whole deployment. An owed request runs
+// also if its claim is not answered in time: it has rested, and must not wait for the control group without end.
 func (r *Run) claimRun(ctx context.Context) (*Run, poison.Judgment) {
 	name := rand.Text()[:claimNameLength]
 	r.guard.noteClaimSent(r.digest, name)
 	outcome, err := r.guard.send(ctx, poison.StepRequest{Step: poison.Claim, Digest: r.digest, Claim: name, Basis: r.judged.Basis})
-	if err != nil || !outcome.Done {
+	unanswered := err != nil && r.owed
+	if unanswered {
+		r.guard.counts.unclaimed.WithLabelValues().Inc()
+	}
+	if !unanswered && (err != nil || !outcome.Done) {
 		r.guard.noteClaimEnded(r.digest, name)
 		if err != nil {
 			r.guard.postpone(poison.StepRequest{Step: poison.Return, Digest: r.digest, Claim: name}) // it may be taken later
@@ -108,7 +113,7 @@
 		return nil, poison.Judgment{Permission: poison.Blocked, Crashes: r.judged.Crashes, Recorded: r.judged.Recorded, Remaining: failedClaimRest}
 	}
 	r.trial = !r.owed
-	if outcome.Crashes > 0 {
+	if unanswered || outcome.Crashes > 0 {
 		r.claim = name
 	}
 	return r, r.judged
