Crashes of a suspect that was cleared meanwhile are forgotten

What callers would see: a request rests for ever at one process, until that process ends. Cause: two crashes observed and accepted, and the suspect cleared before the process followed a table that named it: the observed crashes were dropped by nothing, and their number blocked. Change: an accepted crash that the followed record does not name 3 s later is forgotten. Tests: TestClearedCrashesDoNotBlock failed on the code before (rest after a minute, owed and not).

--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -74,15 +74,16 @@
 
 // observedCrash is a crash that this process observed and that the record, as followed here, does not name yet.
 type observedCrash struct {
-	instance string
-	at       time.Duration
-	counted  bool // the run was claimed, so that the record counts it already
-	accepted bool // the control group has accepted the report
+	instance   string
+	at         time.Duration
+	counted    bool          // the run was claimed, so that the record counts it already
+	accepted   bool          // the control group has accepted the report
+	acceptedAt time.Duration // set with accepted
 }
 
 // recordTimeout is how long an observed crash counts as one that will be on record soon. If the control group has no
 // leader for longer, the leases have ended. A crash whose report is refused repeatedly must not block its request for
-// ever.
+// ever. An accepted report is followed within this time, unless the suspect was cleared since.
 const recordTimeout = 3 * time.Second
 
 // maximumOwnClaims bounds the names of own claims that are remembered for a suspect.
@@ -126,6 +127,12 @@
 	return began
 }
 
+// forgetSettled forgets the observed crashes whose reports were accepted so long ago that the followed record would
+// name them, if the suspect had not been cleared or the names had not become too many.
+func (s *suspect) forgetSettled(now time.Duration) {
+	s.observed = slices.DeleteFunc(s.observed, func(crash observedCrash) bool { return crash.accepted && now >= crash.acceptedAt+recordTimeout })
+}
+
 // NewBook returns an empty book.
 func NewBook(settings Settings) *Book {
 	return &Book{settings: settings.WithDefaults(), suspects: map[Digest]*suspect{}}
@@ -152,6 +159,7 @@
 		if named[digest] {
 			continue
 		}
+		entry.forgetSettled(now)
 		if entry.onRecord || len(entry.observed) == 0 {
 			delete(b.suspects, digest)
 		}
@@ -174,6 +182,7 @@
 	}
 	entry.Record, entry.onRecord = record, true
 	entry.observed = slices.DeleteFunc(entry.observed, func(crash observedCrash) bool { return slices.Contains(record.Crashed, crash.instance) })
+	entry.forgetSettled(now)
 	entry.followClaims(now, before.Claims)
 }
 
@@ -243,14 +252,14 @@
 }
 
 // Recorded notes that the control group has accepted the report of a crash that was noted with Crashed.
-func (b *Book) Recorded(digest Digest, instance string) {
+func (b *Book) Recorded(now time.Duration, digest Digest, instance string) {
 	entry := b.suspects[digest]
 	if entry == nil {
 		return
 	}
 	for position := range entry.observed {
-		if entry.observed[position].instance == instance {
-			entry.observed[position].accepted = true
+		if crash := &entry.observed[position]; crash.instance == instance && !crash.accepted {
+			crash.accepted, crash.acceptedAt = true, now
 		}
 	}
 }
@@ -277,6 +286,11 @@
 	if entry == nil {
 		return Judgment{}
 	}
+	entry.forgetSettled(now)
+	if !entry.onRecord && len(entry.observed) == 0 {
+		delete(b.suspects, digest)
+		return Judgment{}
+	}
 	judged := Judgment{Permission: Isolated, Crashes: entry.crashes(), Recorded: entry.Crashes, Unrecorded: entry.hasUnrecorded(now), Proven: entry.proven,
 		Rested: now - entry.restBegan(), Basis: entry.basis()}
 	if judged.Crashes < TrialCrashes {
--- a/internal/poison/book_test.go
+++ b/internal/poison/book_test.go
@@ -75,11 +75,11 @@
 	if judged := book.Judge(recordTimeout, digest, false); judged.Unrecorded {
 		t.Errorf("got %+v after the record timeout, want Unrecorded false", judged)
 	}
-	book.Recorded(digest, "a")
+	book.Recorded(0, digest, "a")
 	if judged := book.Judge(0, digest, false); !judged.Unrecorded || judged.Crashes != 2 {
 		t.Errorf("got %+v with one of two crashes accepted, want 2 crashes and Unrecorded", judged)
 	}
-	book.Recorded(digest, "b")
+	book.Recorded(0, digest, "b")
 	if judged := book.Judge(0, digest, false); judged.Unrecorded || judged.Crashes != 2 {
 		t.Errorf("got %+v with both crashes accepted, want 2 crashes and Unrecorded false", judged)
 	}
@@ -345,3 +345,79 @@
 		}
 	}
 }
+
+// TestOwedRequestsRestForOneRestAtMost simulates processes that learn of the record late, lose claims and reports, and
+// restart, while back ends crash under an owed request, other trials of it are turned away, and it is cleared. Whatever
+// happened before, every process must permit it once its rest has passed since the last crash, the last claim and the
+// last restart, and the record has been followed.
+func TestOwedRequestsRestForOneRestAtMost(t *testing.T) {
+	const digest, lag = Digest(1), 200 * time.Millisecond
+	var permitted int
+	rapid.Check(t, func(t *rapid.T) {
+		record := &recordTable{held: table.New()}
+		settings := Settings{}
+		books := []*Book{NewBook(settings), NewBook(settings)}
+		now, calmSince, number := time.Hour, time.Hour, 0
+		apply := func(want StepRequest) Outcome {
+			want.Digest = digest
+			planned := Plan(record.view(t), []StepRequest{want}, settings)
+			if !record.apply(planned) {
+				t.Fatal("the table rejected a step planned on its newest version")
+			}
+			return planned.Outcomes[0]
+		}
+		follow := func(book *Book) { book.Follow(now, Records(record.view(t))) }
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond
+			book := books[rapid.IntRange(0, len(books)-1).Draw(t, "process")]
+			judged := book.Judge(now, digest, true)
+			if judged.Permission == Blocked {
+				if now >= calmSince+DefaultOwedRest+lag {
+					t.Fatalf("%v after the last crash, claim or restart: got %+v, want permitted", now-calmSince, judged)
+				}
+				continue
+			}
+			permitted++
+			claim := ""
+			if judged.Permission == Trial {
+				number++
+				claim = fmt.Sprintf("claim-%d", number)
+				book.ClaimSent(now, digest, claim)
+				if rapid.IntRange(0, 3).Draw(t, "claim lost") > 0 { // otherwise it never reaches the control group
+					apply(StepRequest{Step: Claim, Claim: claim, Basis: judged.Basis})
+				}
+				calmSince = now
+			}
+			reports := rapid.IntRange(0, 3).Draw(t, "report lost") > 0
+			switch rapid.IntRange(0, 4).Draw(t, "ending") {
+			case 0, 1:
+				number++
+				instance := fmt.Sprintf("i-%d", number)
+				book.Crashed(now, digest, instance, claim != "")
+				calmSince = now
+				if reports {
+					apply(StepRequest{Step: Report, Instance: instance, Claim: claim})
+					book.Recorded(now, digest, instance)
+				}
+			case 2, 3: // turned away
+				if reports {
+					apply(StepRequest{Step: Return, Claim: claim})
+				}
+			default:
+				apply(StepRequest{Step: Clear})
+			}
+			book.ClaimEnded(digest, claim)
+			now += lag
+			for position := range books {
+				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+					books[position] = NewBook(settings)
+					calmSince = now
+				}
+				follow(books[position])
+			}
+		}
+	})
+	if permitted == 0 {
+		t.Error("no run was permitted: nothing was checked")
+	}
+}
--- a/internal/poisonguard/guard.go
+++ b/internal/poisonguard/guard.go
@@ -156,7 +156,7 @@
 func (g *Guard) noteRecorded(request poison.StepRequest) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.book.Recorded(request.Digest, request.Instance)
+	g.book.Recorded(g.config.Clock(), request.Digest, request.Instance)
 	g.notifyChanged()
 }
 
--- a/internal/poisonguard/owed_test.go
+++ b/internal/poisonguard/owed_test.go
@@ -185,6 +185,33 @@
 	})
 }
 
+// TestClearedCrashesDoNotBlock guards against a request that rests for ever: this process observed two crashes, the
+// control group accepted the reports, and the suspect was cleared before the process followed a table with it.
+func TestClearedCrashesDoNotBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.newGuard()
+		for _, identity := range []func() poison.Identity{identify("bad"), identifyOwed("bad")} {
+			for _, instance := range []string{"a@1", "b@1"} {
+				made, _ := one.Begin(t.Context(), identity)
+				made.SetBackEnd(instance, "10.0.0.1:1")
+				made.End(t.Context(), Crashed)
+			}
+			cleared := identity()
+			other, err := New(Config{Control: g})
+			if err != nil {
+				t.Fatal(err)
+			}
+			other.deliver(t.Context(), poison.StepRequest{Step: poison.Clear, Digest: cleared.Digest()})
+			g.follow()
+			time.Sleep(time.Minute)
+			if made, judged := one.Begin(t.Context(), identity); made == nil || judged.Permission != poison.Free {
+				t.Errorf("owed %t, a minute after the suspect was cleared: got %+v, want free", cleared.Owed, judged)
+			}
+		}
+	})
+}
+
 // TestLateReportBeginsNoRest guards against a rest that begins anew when a crash comes on record: the control group had
 // no leader when the back end crashed.
 func TestLateReportBeginsNoRest(t *testing.T) {
