The first trial of an owed request needs no rest in a large pool

Cause: the rest is there for crashed replicas to return before a guilty request takes the next one, and was the same in a pool that hardly misses them. Change: with two crashes in all, none of them under a trial, and four times as many serving replicas, the first trial of an item begins at once; a crash under it, or any third one, begins the rest. Trials of an item that brought no answer are 50 ms apart, doubling up to 250 ms, and an item in a rest is looked at once a second, since the rest may end early.

--- a/internal/batchrun/suspects.go
+++ b/internal/batchrun/suspects.go
@@ -35,7 +35,7 @@
 	if t.config.Guard == nil {
 		return true
 	}
-	c.guardRun, c.judgment = t.config.Guard.Begin(ctx, c.identity)
+	c.guardRun, c.judgment = t.config.Guard.BeginInPool(ctx, c.Pool, c.identity)
 	if c.guardRun == nil {
 		return false
 	}
@@ -43,13 +43,42 @@
 	return true
 }
 
-// maximumHoldPause bounds the pause before an item that must not run yet is checked again, because it may be cleared of
-// suspicion at any time.
-const maximumHoldPause = 5 * time.Second
+const (
+	// maximumHoldPause bounds the pause before an item that must not run yet is checked again, because it may be cleared
+	// of suspicion at any time. shortHoldPause bounds it during a rest, which may end early with another process's run.
+	maximumHoldPause = 5 * time.Second
+	shortHoldPause   = time.Second
+)
+
+// holdPause returns the pause before an item is checked again whose rest has some time left.
+func holdPause(remaining time.Duration) time.Duration {
+	if remaining > maximumHoldPause {
+		return maximumHoldPause
+	}
+	return min(remaining, shortHoldPause)
+}
+
+// The pause after a trial that brought no answer and harmed nobody. Each trial changes the table twice, so that the
+// trials of an item that all replicas reject must not follow each other at once.
+const (
+	trialPause        = 50 * time.Millisecond // doubles with each further one in a row
+	maximumTrialPause = 250 * time.Millisecond
+)
 
-// trialPause is the pause after a trial that brought no answer. Each trial changes the table twice, so that one of an
-// item that all replicas reject must not follow another at once.
-const trialPause = 250 * time.Millisecond
+// pauseAfterTrial delays an item whose trial brought no answer. After a crash the guard does that.
+func (t *termRunner) pauseAfterTrial(c *call, ending poisonguard.Ending) {
+	openJob := t.jobs[c.Job]
+	if openJob == nil || !c.guardRun.Claimed() {
+		return
+	}
+	entry := openJob.items[c.Item]
+	if ending == poisonguard.Answered || ending == poisonguard.Crashed {
+		entry.trialPause = 0
+		return
+	}
+	entry.trialPause = min(max(2*entry.trialPause, trialPause), maximumTrialPause)
+	t.scheduler.Hold(c.Key, t.config.Clock()+entry.trialPause, schedule.HeldRetry)
+}
 
 // reportToGuard reports the end of a run to the guard. It marks an item that is suspected of crashing replicas in the
 // scheduler, and delays one that the guard did not permit.
@@ -59,7 +88,7 @@
 			openJob.items[c.Item].suspicion = suspicion{digest: c.digest(), judgment: c.judgment}
 		}
 		t.scheduler.Suspect(c.Key)
-		t.scheduler.Hold(c.Key, t.config.Clock()+min(c.judgment.Remaining, maximumHoldPause), schedule.HeldSuspect)
+		t.scheduler.Hold(c.Key, t.config.Clock()+holdPause(c.judgment.Remaining), schedule.HeldSuspect)
 		if c.judgment.Condemned() {
 			t.scheduler.Condemn(c.Key)
 		}
@@ -72,9 +101,7 @@
 	if ending == poisonguard.Crashed {
 		t.scheduler.Suspect(c.Key)
 	}
-	if c.guardRun.Claimed() && c.ending != schedule.Completed {
-		t.scheduler.Hold(c.Key, t.config.Clock()+trialPause, schedule.HeldRetry)
-	}
+	t.pauseAfterTrial(c, ending)
 	settle := c.guardRun.NoteEnding(ending)
 	go settle(ctx) // the guard bounds its duration; the term's end doesn't wait for it
 }
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -74,6 +74,8 @@
 	timing itemTiming
 	// suspicion is why the guard did not permit the item's last run. It is only valid while the item is held for that.
 	suspicion suspicion
+	// trialPause is the pause after the item's last trial, if that brought no answer and harmed nobody.
+	trialPause time.Duration
 }
 
 // groupName returns the name of the item's group. An item without a group forms a group under its own id.
--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -282,6 +282,15 @@
 // Judge returns the permission of a request now. An owed request never rests for longer than its rest after the last
 // crash or claim, whatever the record holds.
 func (b *Book) Judge(now time.Duration, digest Digest, owed bool) Judgment {
+	return b.judge(now, digest, owed, 0)
+}
+
+// JudgeOwed is Judge for an owed request that would run in a pool of the given number of replicas.
+func (b *Book) JudgeOwed(now time.Duration, digest Digest, replicas int) Judgment {
+	return b.judge(now, digest, true, replicas)
+}
+
+func (b *Book) judge(now time.Duration, digest Digest, owed bool, replicas int) Judgment {
 	entry := b.suspects[digest]
 	if entry == nil {
 		return Judgment{}
@@ -301,12 +310,27 @@
 	if !owed && entry.awaitsRecord() {
 		left = max(left, UnrecordedRest) // a run cannot be claimed before the crashes are on record
 	}
+	if owed && entry.mayBeTriedAtOnce(replicas) {
+		left = 0
+	}
 	if left > 0 {
 		judged.Permission, judged.Remaining = Blocked, left
 	}
 	return judged
 }
 
+// spareShare is one in how many replicas of a pool may have crashed under an owed request for its first trial to begin
+// without a rest.
+const spareShare = 4
+
+// mayBeTriedAtOnce reports whether an owed request may have its first trial without a rest. The rest gives the crashed
+// replicas time to return before the request may take another one, which a pool needs that has few others. After a crash
+// under a trial, or beside one, the request rests.
+func (s *suspect) mayBeTriedAtOnce(replicas int) bool {
+	crashes := int(withoutClaims(s.Crashes, s.Claims)) + len(s.observed)
+	return s.proven == 0 && len(s.claims) == 0 && crashes <= TrialCrashes && spareShare*crashes <= replicas
+}
+
 // Outdated returns the entries on record whose retention has ended, sorted by digest.
 func (b *Book) Outdated(now time.Duration) []Record {
 	var outdated []Record
--- a/internal/poison/book_test.go
+++ b/internal/poison/book_test.go
@@ -421,3 +421,34 @@
 		t.Error("no run was permitted: nothing was checked")
 	}
 }
+
+// TestFirstTrialNeedsNoRestInALargePool checks when an owed request is tried at once after two crashes: a pool that has
+// lost a quarter of its replicas at most bears one more, and the request has had no trial yet.
+func TestFirstTrialNeedsNoRestInALargePool(t *testing.T) {
+	const digest = Digest(1)
+	two := Record{Digest: digest, Crashes: 2, Crashed: []string{"a", "b"}}
+	for _, test := range []struct {
+		name     string
+		record   Record
+		observed string // a further crash under a claimed run of this process; empty: none
+		replicas int
+		want     Permission
+	}{
+		{name: "two of eight", record: two, replicas: 8, want: Trial},
+		{name: "two of seven", record: two, replicas: 7, want: Blocked},
+		{name: "pool not known", record: two, want: Blocked},
+		{name: "three of a hundred", record: Record{Digest: digest, Crashes: 3, Crashed: []string{"a", "b", "c"}}, replicas: 100, want: Blocked},
+		{name: "another process's trial", record: Record{Digest: digest, Crashes: 3, Crashed: []string{"a", "b"}, Claims: []string{"x"}}, replicas: 8, want: Blocked},
+		{name: "after a crash under the first trial", record: two, observed: "c", replicas: 100, want: Blocked},
+		{name: "condemned by an operator", record: Record{Digest: digest, Crashes: 2, Crashed: []string{"a", OperatorTrial}, Trials: []string{OperatorTrial}}, replicas: 8, want: Blocked},
+	} {
+		book := NewBook(Settings{})
+		book.Follow(0, []Record{test.record})
+		if test.observed != "" {
+			book.Crashed(0, digest, test.observed, true)
+		}
+		if judged := book.JudgeOwed(time.Millisecond, digest, test.replicas); judged.Permission != test.want {
+			t.Errorf("%s: got %+v, want %s", test.name, judged, test.want)
+		}
+	}
+}
--- a/internal/poisonguard/judge.go
+++ b/internal/poisonguard/judge.go
@@ -17,22 +17,41 @@
 	return g.book.Empty()
 }
 
-// judge returns the permission of a request now. changed is closed when the permission may have changed. A suspect that
-// may run without a claim rests while a crash observed here is not on record, unless no suspects may be recorded.
-func (g *Guard) judge(digest poison.Digest, owed bool) (judged poison.Judgment, changed <-chan struct{}) {
+// judge returns the permission of the run's request now. changed is closed when the permission may have changed. A
+// suspect that may run without a claim rests while a crash observed here is not on record, unless no suspects may be
+// recorded.
+func (r *Run) judge() (judged poison.Judgment, changed <-chan struct{}) {
+	g := r.guard
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	judged = g.book.Judge(g.config.Clock(), digest, owed)
+	if r.owed {
+		judged = g.book.JudgeOwed(g.config.Clock(), r.digest, g.countServing(r.pool))
+	} else {
+		judged = g.book.Judge(g.config.Clock(), r.digest, false)
+	}
 	if judged.Permission == poison.Isolated && judged.Unrecorded && g.canRecord(g.view) {
 		judged.Permission, judged.Remaining = poison.Blocked, poison.UnrecordedRest
 	}
 	return judged, g.changed
 }
 
+// countServing returns the number of serving back ends of a pool; 0 if the pool is not known. The caller holds the mutex.
+func (g *Guard) countServing(pool string) (serving int) {
+	if g.view == nil {
+		return 0
+	}
+	for _, row := range g.view.Backends(pool) {
+		if row.Serving() {
+			serving++
+		}
+	}
+	return serving
+}
+
 // judgeRecorded is like judge, but if the request rests only because crashes observed here are not on record, it waits
 // until they are, for maximumRecordWait at most.
-func (g *Guard) judgeRecorded(ctx context.Context, digest poison.Digest, owed bool) poison.Judgment {
-	judged, changed := g.judge(digest, owed)
+func (r *Run) judgeRecorded(ctx context.Context) poison.Judgment {
+	judged, changed := r.judge()
 	if judged.Permission != poison.Blocked || !judged.Unrecorded || judged.Remaining > poison.UnrecordedRest {
 		return judged // the record would not permit the run yet
 	}
@@ -46,7 +65,7 @@
 		case <-ctx.Done():
 			return judged
 		}
-		judged, changed = g.judge(digest, owed)
+		judged, changed = r.judge()
 	}
 	return judged
 }
--- a/internal/poisonguard/owed_test.go
+++ b/internal/poisonguard/owed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -243,3 +245,33 @@
 		<-ended
 	})
 }
+
+// TestGuiltyOwedRequestCrashesOneReplicaInARest guards a large pool against an owed request that does crash replicas: its
+// first trial comes at once, and each further one a rest after the crash before it.
+func TestGuiltyOwedRequestCrashesOneReplicaInARest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := []string{"large kind pool"}
+		for _, name := range strings.Split("d e f g h i j k l m", " ") {
+			rows = append(rows, name+" kind backend", name+" pool large", name+" address 10.0.1.1:"+strconv.Itoa(len(rows)), name+" start_unix_millis 1")
+		}
+		g := newGroup(t, rows...)
+		one := g.newGuard()
+		var crashes []time.Duration
+		began := time.Now()
+		for number := 0; time.Since(began) < 10*time.Second; {
+			made, judged := one.BeginInPool(t.Context(), "large", identifyOwed("guilty"))
+			if made == nil {
+				time.Sleep(min(judged.Remaining, 100*time.Millisecond))
+				continue
+			}
+			crashes = append(crashes, time.Since(began))
+			made.SetBackEnd(string(rune('d'+number))+"@1", "10.0.1.1:1")
+			number++
+			made.End(t.Context(), Crashed)
+			g.follow()
+		}
+		if len(crashes) != 5 || crashes[2] != 0 || crashes[3] != poison.DefaultOwedRest || crashes[4] != 2*poison.DefaultOwedRest {
+			t.Errorf("got crashes after %v, want three at once and then one in each rest", crashes)
+		}
+	})
+}
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -44,6 +44,7 @@
 	digest   poison.Digest          // NoDigest until it is needed
 	subject  string                 // set together with digest
 	owed     bool                   // set together with digest; see poison.Identity.Owed
+	pool     string                 // in which the request will run; empty: not known yet
 	judged   poison.Judgment
 	claim    string // name of the run's claim; empty if the run was not claimed
 	trial    bool   // the run was claimed, and its crash speaks against the request
@@ -59,12 +60,17 @@
 // waits until it is, for maximumRecordWait at most and no longer than ctx. A run before that could crash another back
 // end of which only this process would know.
 func (g *Guard) Begin(ctx context.Context, identify func() poison.Identity) (*Run, poison.Judgment) {
-	run := &Run{guard: g, identify: identify}
+	return g.BeginInPool(ctx, "", identify)
+}
+
+// BeginInPool is like Begin for a request that will run in a pool that is known already.
+func (g *Guard) BeginInPool(ctx context.Context, pool string, identify func() poison.Identity) (*Run, poison.Judgment) {
+	run := &Run{guard: g, identify: identify, pool: pool}
 	if g.hasNoSuspects() {
 		return run, poison.Judgment{}
 	}
-	digest := run.ensureDigest()
-	return run.begin(ctx, g.judgeRecorded(ctx, digest, run.owed))
+	run.ensureDigest()
+	return run.begin(ctx, run.judgeRecorded(ctx))
 }
 
 // TryBegin is like Begin, but does not wait for the record. It is meant for a hedged run beside another one.
@@ -73,8 +79,8 @@
 	if g.hasNoSuspects() {
 		return run, poison.Judgment{}
 	}
-	digest := run.ensureDigest()
-	judged, _ := g.judge(digest, run.owed)
+	run.ensureDigest()
+	judged, _ := run.judge()
 	return run.begin(ctx, judged)
 }
 
