Open jobs that could not be read are read again

What callers would see: a step whose submission was the group's last change is never opened, though replicas are idle. Cause: the leader reads the open jobs when the group says that they changed; a read that failed was logged at debug level and not made again. Class: a wait for an event that may already have passed. Change: it is made again at each tick until it succeeds.

--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -41,8 +41,12 @@
 	leading     bool
 	changed     chan struct{}
 	beforeApply func(command *wire.Command) // may change the command; may be nil
+	// failedReads is how many of the next local queries fail.
+	failedReads int
 }
 
+var errUnread = errors.New("the state cannot be read")
+
 func newFakeGroup() *fakeGroup {
 	return &fakeGroup{machine: state.New(), term: 1, leading: true, changed: make(chan struct{}, 1)}
 }
@@ -69,6 +73,13 @@
 }
 
 func (g *fakeGroup) LocalQuery(ctx context.Context, query *wire.Query) (*wire.View, error) {
+	g.mutex.Lock()
+	fails := g.failedReads > 0
+	g.failedReads = max(g.failedReads-1, 0)
+	g.mutex.Unlock()
+	if fails {
+		return nil, errUnread
+	}
 	return g.Query(ctx, query)
 }
 
--- a/internal/batchrun/tenure.go
+++ b/internal/batchrun/tenure.go
@@ -28,6 +28,7 @@
 	committer *committer
 	jobs      map[string]*job // open jobs by id
 	revision  uint64          // of the group's jobs that were read last
+	unread    bool            // the last attempt to read them failed
 
 	hasStoredJobs  bool          // the group's state holds jobs, open or ended
 	lastExpiryAt   time.Duration // up to when elapsed time was reported to the group, which counts it for retention
@@ -177,6 +178,7 @@
 // refresh reads which jobs were submitted and which have ended since the last time.
 func (t *termRunner) refresh(ctx context.Context) {
 	work, err := t.runner.queryOpenJobs(ctx, t.revision, t.config.Group.LocalQuery)
+	t.unread = err != nil
 	if err != nil {
 		logging.Emit(t.config.Log, &events.JobsUnread{Term: t.term, Revision: t.revision, Cause: events.ErrorText(err)})
 		return
@@ -323,6 +325,9 @@
 func (t *termRunner) tick(ctx context.Context) {
 	t.runner.metrics.jobsOpen.Set(float64(len(t.jobs)))
 	now := t.config.Clock()
+	if t.unread {
+		t.refresh(ctx)
+	}
 	t.updateFleetMetrics(now)
 	t.reportWaits(now)
 	t.updateServing(now)
