An item that no idle replica has memory for starts after four seconds

What callers would see: an item with a large estimate is never placed while each replica of its pool always runs some small item, though less than half of the slots are in use. Cause: the memory that runs are expected to use forbids a start without a bound; only a replica without runs takes any item. Change: after 4 s beside idle replicas such an item is placed by slots alone; the replica itself rejects what it cannot hold. Replicas count as idle once a round, and only items that were rejected for memory ask for it. Test: TestLargeItemStartsBesideIdleReplicas, not started after 4 s before.

--- a/internal/batchrun/schedule/candidates.go
+++ b/internal/batchrun/schedule/candidates.go
@@ -30,11 +30,12 @@
 	scheduler  *Scheduler
 	now        time.Duration
 	candidates map[placementKey]*candidates
+	idle       map[*pool]bool // see isIdle
 }
 
 // newPlacementRound starts a placement round at the given time.
 func (s *Scheduler) newPlacementRound(now time.Duration) *placementRound {
-	return &placementRound{scheduler: s, now: now, candidates: map[placementKey]*candidates{}}
+	return &placementRound{scheduler: s, now: now, candidates: map[placementKey]*candidates{}, idle: map[*pool]bool{}}
 }
 
 // candidate is a replica with its load when that was last computed. The load may have grown since.
@@ -91,6 +92,45 @@
 			best, found = preferred, true
 		}
 	}
+	if !found && r.mustPlaceBySlots(entry, pool, key) {
+		return r.leastLoadedBySlots(entry, pool, key)
+	}
+	return best.replica
+}
+
+// memoryPatience is how long an item waits beside idle replicas until its expected memory no longer counts. The memory
+// of a replica that always runs something may never suffice for it. The replica itself rejects what it can't hold.
+const memoryPatience = 4 * time.Second
+
+// mustPlaceBySlots reports whether an item that no replica has memory for has waited for so long beside idle replicas
+// that it is placed by slots alone.
+func (r *placementRound) mustPlaceBySlots(entry *item, pool *pool, key placementKey) bool {
+	return r.now-entry.lastAtReplica >= memoryPatience && r.candidates[key].memoryRejected && r.isIdle(pool)
+}
+
+// isIdle reports whether less than half of the slots of the pool's replicas were in use when that was first asked for in
+// this round.
+func (r *placementRound) isIdle(pool *pool) bool {
+	idle, known := r.idle[pool]
+	if !known {
+		idle = pool.isIdle()
+		r.idle[pool] = idle
+	}
+	return idle
+}
+
+// leastLoadedBySlots returns the replica with the lowest load that can start the item, apart from its memory, or nil.
+func (r *placementRound) leastLoadedBySlots(entry *item, pool *pool, key placementKey) *replica {
+	var best candidate
+	for _, replica := range pool.replicas {
+		if !r.scheduler.canStart(replica, entry, r.now) {
+			continue
+		}
+		possible := candidate{replica: replica, load: r.scheduler.loadWith(replica, pool, key)}
+		if best.replica == nil || possible.compare(best) < 0 {
+			best = possible
+		}
+	}
 	return best.replica
 }
 
--- a/internal/batchrun/schedule/memory_test.go
+++ b/internal/batchrun/schedule/memory_test.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// TestLargeItemStartsBesideIdleReplicas guards against an item that never starts, because each replica always runs some
+// small item, beside which the large one is not expected to fit.
+func TestLargeItemStartsBesideIdleReplicas(t *testing.T) {
+	s := newMemoryLimited(1000, 3, 950)
+	large := Key{"j", "i0"}
+	s.Hold(large, second, HeldRetry)
+	open(s, Job{ID: "k", Deadline: time.Minute}, "a:60", "b:60", "c:60")
+	if started := len(s.Starts(0)); started != 3 {
+		t.Fatalf("%d small items started, want one on each of three replicas", started)
+	}
+	if starts := s.Starts(second); len(starts) != 0 {
+		t.Fatalf("%+v started although no replica has memory for it", starts)
+	}
+	if starts := s.Starts(memoryPatience); len(starts) != 1 || starts[0].Key != large {
+		t.Errorf("%+v started after %v beside idle replicas, want the large item", starts, memoryPatience)
+	}
+}
+
 // TestNoMemoryLimitWithoutEstimates: memory does not limit starts on replicas of unknown memory, in pools that report
 // no pace, or for items whose lengths are upper bounds.
 func TestNoMemoryLimitWithoutEstimates(t *testing.T) {
