--- a/internal/batchrun/config.go
+++ b/internal/batchrun/config.go
@@ -19,6 +19,7 @@
 	"github.com/tamarindring/tamarindring/internal/batchrun/listing"
 	"github.com/tamarindring/tamarindring/internal/batchrun/reward"
 	"github.com/tamarindring/tamarindring/internal/batchrun/schedule"
+	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/executorclient"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/monotonic"
@@ -119,15 +120,9 @@
 	if c.Route == nil {
 		c.Route = TableRoutes()
 	}
-	if c.Retention == 0 {
-		c.Retention = DefaultRetention
-	}
-	if c.Checkpoint == 0 {
-		c.Checkpoint = DefaultCheckpoint
-	}
-	if c.ListInterval == 0 {
-		c.ListInterval = listing.DefaultInterval
-	}
+	defaults.Set(&c.Retention, DefaultRetention)
+	defaults.Set(&c.Checkpoint, DefaultCheckpoint)
+	defaults.Set(&c.ListInterval, listing.DefaultInterval)
 	c.Reward = c.Reward.WithDefaults()
 	if c.Serving == nil {
 		c.Serving = func() *weights.Serving { return nil }
--- a/internal/batchrun/log.go
+++ b/internal/batchrun/log.go
@@ -67,10 +67,7 @@
 func (j *job) countGroups() (all, whole int) {
 	open := map[string]bool{}
 	for _, entry := range j.items {
-		name := entry.wire.GetGroup()
-		if name == "" {
-			name = entry.wire.GetId()
-		}
+		name := entry.groupName()
 		open[name] = open[name] || entry.open
 	}
 	for _, unfinished := range open {
--- a/internal/batchrun/reward/reward.go
+++ b/internal/batchrun/reward/reward.go
@@ -4,7 +4,11 @@
 // The package has no clock, goroutines or I/O. Random numbers are passed in as arguments.
 package reward
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/defaults"
+)
 
 // Ending is how one attempt to get a score ended.
 type Ending uint8
@@ -47,15 +51,9 @@
 
 // WithDefaults returns s with the defaults in place of zero fields.
 func (s Settings) WithDefaults() Settings {
-	if s.Pause == 0 {
-		s.Pause = DefaultPause
-	}
-	if s.MaximumPause == 0 {
-		s.MaximumPause = DefaultMaximumPause
-	}
-	if s.Deadline == 0 {
-		s.Deadline = DefaultDeadline
-	}
+	defaults.Set(&s.Pause, DefaultPause)
+	defaults.Set(&s.MaximumPause, DefaultMaximumPause)
+	defaults.Set(&s.Deadline, DefaultDeadline)
 	return s
 }
 
--- a/internal/batchrun/schedule/types.go
+++ b/internal/batchrun/schedule/types.go
@@ -12,7 +12,11 @@
 // up the capacity of the others.
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/defaults"
+)
 
 // Key identifies an item. Item ids are unique only within a job.
 type Key struct{ Job, Item string }
@@ -229,28 +233,22 @@
 
 // WithDefaults returns the settings with zero fields replaced by their defaults.
 func (s Settings) WithDefaults() Settings {
-	setDefault(&s.FirstEvent, DefaultFirstEvent)
-	setDefault(&s.MinimumStall, DefaultMinimumStall)
-	setDefault(&s.StallFactor, DefaultStallFactor)
-	setDefault(&s.FullPause, DefaultFullPause)
-	setDefault(&s.MaximumFullPause, DefaultMaximumFullPause)
-	setDefault(&s.FailurePause, DefaultFailurePause)
-	setDefault(&s.MaximumPause, DefaultMaximumPause)
-	setDefault(&s.VersionPause, DefaultVersionPause)
-	setDefault(&s.RetryPause, DefaultRetryPause)
-	setDefault(&s.AffinityBonus, DefaultAffinityBonus)
-	setDefault(&s.SlownessCost, DefaultSlownessCost)
-	setDefault(&s.ExcessSpeedCost, DefaultExcessSpeedCost)
-	setDefault(&s.InterferenceCost, DefaultInterferenceCost)
-	setDefault(&s.MoveRatio, DefaultMoveRatio)
-	setDefault(&s.MovePause, DefaultMovePause)
-	setDefault(&s.MoveGain, DefaultMoveGain)
-	setDefault(&s.MinimumRemaining, DefaultMinimumRemaining)
+	defaults.Set(&s.FirstEvent, DefaultFirstEvent)
+	defaults.Set(&s.MinimumStall, DefaultMinimumStall)
+	defaults.Set(&s.StallFactor, DefaultStallFactor)
+	defaults.Set(&s.FullPause, DefaultFullPause)
+	defaults.Set(&s.MaximumFullPause, DefaultMaximumFullPause)
+	defaults.Set(&s.FailurePause, DefaultFailurePause)
+	defaults.Set(&s.MaximumPause, DefaultMaximumPause)
+	defaults.Set(&s.VersionPause, DefaultVersionPause)
+	defaults.Set(&s.RetryPause, DefaultRetryPause)
+	defaults.Set(&s.AffinityBonus, DefaultAffinityBonus)
+	defaults.Set(&s.SlownessCost, DefaultSlownessCost)
+	defaults.Set(&s.ExcessSpeedCost, DefaultExcessSpeedCost)
+	defaults.Set(&s.InterferenceCost, DefaultInterferenceCost)
+	defaults.Set(&s.MoveRatio, DefaultMoveRatio)
+	defaults.Set(&s.MovePause, DefaultMovePause)
+	defaults.Set(&s.MoveGain, DefaultMoveGain)
+	defaults.Set(&s.MinimumRemaining, DefaultMinimumRemaining)
 	return s
 }
-
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/internal/poison/settings.go
+++ b/internal/poison/settings.go
@@ -1,6 +1,10 @@
 package poison
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamarindring/tamarindring/internal/defaults"
+)
 
 // The numbers of crashes at which the restrictions of a suspect become stricter.
 const (
@@ -35,18 +39,10 @@
 
 // WithDefaults returns a copy in which unset fields have their default values.
 func (s Settings) WithDefaults() Settings {
-	if s.TrialRest == 0 {
-		s.TrialRest = DefaultTrialRest
-	}
-	if s.OwedRest == 0 {
-		s.OwedRest = DefaultOwedRest
-	}
-	if s.CondemnedRest == 0 {
-		s.CondemnedRest = DefaultCondemnedRest
-	}
-	if s.Maximum == 0 {
-		s.Maximum = DefaultMaximum
-	}
+	defaults.Set(&s.TrialRest, DefaultTrialRest)
+	defaults.Set(&s.OwedRest, DefaultOwedRest)
+	defaults.Set(&s.CondemnedRest, DefaultCondemnedRest)
+	defaults.Set(&s.Maximum, DefaultMaximum)
 	return s
 }
 
--- a/internal/poisonguard/guard_test.go
+++ b/internal/poisonguard/guard_test.go
@@ -155,6 +155,20 @@
 	return made
 }
 
+// runGuard starts the guard's Run. The returned function stops it.
+func runGuard(t *testing.T, guard *Guard) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		guard.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
 func identify(body string) func() poison.Identity {
 	return func() poison.Identity {
 		return poison.Identity{Method: "POST", Host: "h", Path: "/x", Body: []byte(body)}
@@ -269,9 +283,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
 		one := g.newGuard()
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() { one.Run(ctx); close(ended) }()
+		defer runGuard(t, one)()
 		g.setLeaderless(true)
 		began := time.Now()
 		run(t, one, "bad", "a", Crashed)
@@ -293,8 +305,6 @@
 		if records := g.records(); len(records) != 1 || records[0].Crashes != 1 {
 			t.Errorf("with a leader again: got records %+v, want one with one crash", records)
 		}
-		cancel()
-		<-ended
 	})
 }
 
@@ -305,9 +315,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
 		one := g.newGuard()
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() { one.Run(ctx); close(ended) }()
+		defer runGuard(t, one)()
 		g.setLeaderless(true)
 		run(t, one, "good", "a", Crashed)
 		if made, judged := one.TryBegin(t.Context(), identify("good")); made != nil || judged.Permission != poison.Blocked {
@@ -321,8 +329,6 @@
 		if len(g.records()) != 0 {
 			t.Errorf("after its answer: got records %+v, want none", g.records())
 		}
-		cancel()
-		<-ended
 	})
 }
 
@@ -449,9 +455,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
 		one := g.newGuard()
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() { one.Run(ctx); close(ended) }()
+		defer runGuard(t, one)()
 		run(t, one, "good", "a", Crashed)
 		g.follow()
 		time.Sleep(poison.DefaultCondemnedRest - time.Second)
@@ -462,8 +466,6 @@
 		if records := g.records(); len(records) != 0 {
 			t.Errorf("after the retention: got records %+v, want none", records)
 		}
-		cancel()
-		<-ended
 	})
 }
 
--- a/internal/poisonguard/owed_test.go
+++ b/internal/poisonguard/owed_test.go
@@ -1,7 +1,6 @@
 package poisonguard
 
 import (
-	"context"
 	"strconv"
 	"strings"
 	"testing"
@@ -220,9 +219,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t)
 		one := g.newGuard()
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() { one.Run(ctx); close(ended) }()
+		defer runGuard(t, one)()
 		crashTwice(t, g, one, "item")
 		time.Sleep(poison.DefaultOwedRest)
 		trial, _ := one.Begin(t.Context(), identifyOwed("item"))
@@ -241,8 +238,6 @@
 		if judged := runOwed(t, one, "item", "a", NotRun); judged.Permission != poison.Blocked || judged.Remaining != poison.DefaultOwedRest-time.Since(crashedAt) {
 			t.Errorf("after the report: got %+v %v after the crash, want the rest since the crash", judged, time.Since(crashedAt))
 		}
-		cancel()
-		<-ended
 	})
 }
 
--- a/internal/sim/fleet.go
+++ b/internal/sim/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -144,40 +145,28 @@
 	return change
 }
 
-func (f *fleet) hostByID(id uint64) *host {
-	for _, h := range f.hosts {
-		if h.id == id {
-			return h
-		}
+// find returns the first element for which matches is true, or nil.
+func find[T any](elements []*T, matches func(*T) bool) *T {
+	if position := slices.IndexFunc(elements, matches); position >= 0 {
+		return elements[position]
 	}
 	return nil
 }
 
+func (f *fleet) hostByID(id uint64) *host {
+	return find(f.hosts, func(h *host) bool { return h.id == id })
+}
+
 func (f *fleet) hostByName(name string) *host {
-	for _, h := range f.hosts {
-		if h.name == name {
-			return h
-		}
-	}
-	return nil
+	return find(f.hosts, func(h *host) bool { return h.name == name })
 }
 
 func (f *fleet) backendByName(name string) *backend {
-	for _, b := range f.backends {
-		if b.name == name {
-			return b
-		}
-	}
-	return nil
+	return find(f.backends, func(b *backend) bool { return b.name == name })
 }
 
 func (f *fleet) engineByName(name string) *modelEngine {
-	for _, e := range f.engines {
-		if e.name == name {
-			return e
-		}
-	}
-	return nil
+	return find(f.engines, func(e *modelEngine) bool { return e.name == name })
 }
 
 // processes returns all processes that faults can hit.
