A sample that rests under suspicion holds no other sample back

What callers would see: while one sample of the own interface rests because back ends crashed under it, its whole pool starts little or nothing, beside idle back ends. Cause: the gateway refuses it with a Retry-After; the coordinator took that as a rejection for want of capacity, paused the pool, shrank its capacity, and asked for the same sample first again, since it is the longest. Class: what is known of one request is charged to all. Change: such a refusal holds the sample alone, for its Retry-After and a second at most; others of its step start meanwhile. Test: TestSuspectedSampleHoldsNoOtherBack; before, the pool was paused and the same sample came next.

--- a/internal/coordinator/config.go
+++ b/internal/coordinator/config.go
@@ -47,7 +47,10 @@
 	maxHeaderBytes    = 16 << 10
 	scheduleInterval  = 50 * time.Millisecond
 	minRetryDelay     = 50 * time.Millisecond
-	maxRetryDelay     = 2 * time.Second
+	// maxHold bounds how long a sample waits that back ends crashed under, until its gateway is asked again. It may be
+	// cleared of suspicion at any time.
+	maxHold       = time.Second
+	maxRetryDelay = 2 * time.Second
 )
 
 // Config holds a coordinator's settings. Name and Control are required. All other fields have defaults.
--- a/internal/coordinator/generate.go
+++ b/internal/coordinator/generate.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/dispatch"
 	"github.com/tamarindring/tamarindring/internal/events"
 	"github.com/tamarindring/tamarindring/internal/logging"
 	"github.com/tamarindring/tamarindring/internal/recovery"
@@ -97,6 +98,7 @@
 // statusError is an answer with a status other than 200, by which a gateway or another server rejected a request.
 type statusError struct {
 	status     int
+	code       string // error code in the body; empty if it has none
 	retryAfter time.Duration
 	body       string
 }
@@ -140,6 +142,8 @@
 	}
 	var refused *statusError
 	switch {
+	case errors.As(cause, &refused) && refused.code == dispatch.CodeSuspected:
+		r.pool.scheduler.Hold(r.id, now+min(max(refused.retryAfter, minRetryDelay), maxHold)) // says nothing about the pool
 	case errors.As(cause, &refused):
 		r.pool.recordRejection(now, max(refused.retryAfter, minRetryDelay))
 	case errors.Is(cause, errNoGateway):
@@ -240,5 +244,7 @@
 func newStatusError(response *http.Response) error {
 	content, _ := io.ReadAll(io.LimitReader(response.Body, errorBodyBytes))
 	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
-	return &statusError{status: response.StatusCode, retryAfter: time.Duration(seconds) * time.Second, body: string(content)}
+	var parsed errorBody
+	_ = json.Unmarshal(content, &parsed) // another body has no code
+	return &statusError{status: response.StatusCode, code: parsed.Error.Code, retryAfter: time.Duration(seconds) * time.Second, body: string(content)}
 }
--- a/internal/rollout/events.go
+++ b/internal/rollout/events.go
@@ -191,6 +191,13 @@
 	return one.generated
 }
 
+// Hold prevents a waiting sample from starting before a given time. Other samples of its step start meanwhile.
+func (s *Scheduler) Hold(id SampleID, until time.Duration) {
+	if one := s.samples[id]; one != nil {
+		one.notBefore = until
+	}
+}
+
 // Discarded records that a sample was discarded for its staleness. Its tokens are dropped, and it waits again under
 // the given edition.
 func (s *Scheduler) Discarded(_ time.Duration, id SampleID, edition uint32) {
@@ -309,6 +316,15 @@
 	s.step.estimate.valid = false
 }
 
+// firstReady returns the first of the waiting samples that may start now, or nil.
+func (s *openStep) firstReady(now time.Duration) *sample {
+	position := slices.IndexFunc(s.waiting, func(one *sample) bool { return one.notBefore <= now })
+	if position < 0 {
+		return nil
+	}
+	return s.waiting[position]
+}
+
 // dequeue removes a sample from the waiting ones, if it is among them.
 func (s *openStep) dequeue(one *sample) {
 	if position := slices.Index(s.waiting, one); position >= 0 {
--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -24,7 +24,8 @@
 	hasVersion    bool
 	oldestVersion uint64
 	startedAt     time.Duration
-	tokensAtStart int // tokens kept when the current attempt started
+	tokensAtStart int           // tokens kept when the current attempt started
+	notBefore     time.Duration // earliest time of the next attempt
 }
 
 // openStep is a step that has not been delivered.
--- a/internal/rollout/scheduler.go
+++ b/internal/rollout/scheduler.go
@@ -176,7 +176,10 @@
 			continue
 		}
 		s.sortWaiting(step)
-		first := step.waiting[0]
+		first := step.firstReady(now)
+		if first == nil {
+			continue
+		}
 		if s.policy.IsEligible(now, s.stepView(trainer, step, rank, staleness, capacity), s.sampleView(first)) {
 			return first
 		}
@@ -290,9 +293,9 @@
 	return view
 }
 
-// markStarted counts the first waiting sample of its step as running.
+// markStarted counts a waiting sample as running.
 func (s *Scheduler) markStarted(now time.Duration, one *sample) Start {
-	one.step.waiting = slices.Delete(one.step.waiting, 0, 1)
+	one.step.dequeue(one)
 	one.phase = running
 	one.startedAt = now
 	one.tokensAtStart = one.generated
