--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -2,7 +2,8 @@
 // matter how often and through which process they are sent again, and decides which of their runs are still permitted.
 //
 // A suspect is a request under which a back end crashed. The record is the set of rows of suspects in the table of the
-// control group, which all processes follow. A request is condemned when CondemnedCrashes back ends crashed under it.
+// control group, which all processes follow. A request is condemned when a back end crashed under a run that it had by
+// itself; see provenCrashes.
 //
 // The package uses no clock, goroutine or I/O. Times are durations since an arbitrary start.
 package poison
