Lost claims push no crash off the record of a suspect

Cause: a claim whose process is lost stays in the list of back ends, which has room for six entries; with enough of them a trial's crash would fall out of it and a condemned request be free again after seconds. Found by reading the change. Change: a claim takes the place of the earlier ones that its process knew of, which have rested out. Test: TestLostClaimsPushNoCrashOffTheRecord, which failed without the replacement (the list held six claims).

--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -38,7 +38,6 @@
 	Basis      Basis         // what a claim of the run assumes to be on record
 	Unrecorded bool          // this process recently saw a crash that the control group has not accepted yet
 	Remaining  time.Duration // remaining time of a rest
-	Rested     time.Duration // time since the rest began: the last crash, or the last claim of a run that has not ended
 	Proven     uint32        // crashes that show the request to be the cause; see provenCrashes
 }
 
@@ -193,12 +192,12 @@
 		return Judgment{}
 	}
 	judged := Judgment{Permission: Isolated, Crashes: entry.crashes(), Recorded: entry.Crashes, Unrecorded: entry.hasUnrecorded(now), Proven: entry.proven,
-		Rested: now - entry.restBegan(), Basis: entry.basis()}
+		Basis: entry.basis()}
 	if judged.Crashes < TrialCrashes {
 		return judged
 	}
 	judged.Permission = Trial
-	left := b.settings.restAfter(judged.Crashes, entry.proven, owed) - judged.Rested
+	left := entry.restBegan() + b.settings.restAfter(judged.Crashes, entry.proven, owed) - now
 	if !owed && entry.awaitsRecord() {
 		left = max(left, UnrecordedRest) // a run cannot be claimed before the crashes are on record
 	}
--- a/internal/poison/book_test.go
+++ b/internal/poison/book_test.go
@@ -220,6 +220,32 @@
 	}
 }
 
+// TestLostClaimsPushNoCrashOffTheRecord guards against a record that forgets which back ends crashed, because the list
+// has room for few entries and claims whose processes were lost fill it.
+func TestLostClaimsPushNoCrashOffTheRecord(t *testing.T) {
+	record := &recordTable{held: table.New()}
+	step := func(want StepRequest) {
+		t.Helper()
+		want.Digest = 1
+		planned := Plan(record.view(t), []StepRequest{want}, Settings{})
+		if !planned.Outcomes[0].Done || !record.apply(planned) {
+			t.Fatalf("%s: got %+v, want done and accepted", want.Step, planned.Outcomes[0])
+		}
+	}
+	step(StepRequest{Step: Report, Instance: "a"})
+	step(StepRequest{Step: Report, Instance: "b", Trial: true})
+	basis := Basis{Crashes: 2}
+	for number := range 2 * maximumCrashed {
+		claim := fmt.Sprintf("lost-%d", number)
+		step(StepRequest{Step: Claim, Claim: claim, Basis: basis})
+		basis.Claims = append(basis.Claims, claim)
+	}
+	held := Records(record.view(t))[0]
+	if fmt.Sprint(held.Crashed, held.Trials) != "[a b] [b]" || held.Crashes != 3 || len(held.Claims) != 1 {
+		t.Errorf("got %+v, want both crashes, the trial, and the last claim", held)
+	}
+}
+
 // TestRecordIsBounded reports a thousand different suspects with one crash each. The record must stay within its
 // maximum and keep the suspect with two crashes.
 func TestRecordIsBounded(t *testing.T) {
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -41,7 +41,12 @@
 
 // CrashedBackEnds returns a list of the table without the claimed runs.
 func CrashedBackEnds(list string) string {
-	return strings.Join(slices.DeleteFunc(splitList(list), func(entry string) bool { return strings.HasPrefix(entry, claimMark) }), ",")
+	return strings.Join(withoutMarked(splitList(list), claimMark), ",")
+}
+
+// withoutMarked returns the entries of a list without those that have a mark.
+func withoutMarked(list []string, mark string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(entry string) bool { return strings.HasPrefix(entry, mark) })
 }
 
 // AddTrial returns the table's list of the back ends that crashed with one more that crashed under a trial.
--- a/internal/poison/plan.go
+++ b/internal/poison/plan.go
@@ -188,18 +188,20 @@
 }
 
 // claim counts a run that is about to begin. It fails if the record shows a crash or a claim that the process did not
-// know of.
+// know of. An earlier claim that it knew of has rested out, so that its process is lost; the new one takes its place.
 func (p *planner) claim(name string, row *table.Row, request StepRequest) Outcome {
 	list, entry := listOf(row), claimMark+request.Claim
+	claims := parseEntries(list).claims
 	switch {
 	case slices.Contains(list, entry):
 		return Outcome{Done: true, Crashes: row.Crashes}
-	case !request.Basis.holdsFor(row.Crashes, parseEntries(list).claims):
+	case !request.Basis.holdsFor(row.Crashes, claims):
 		return Outcome{Crashes: row.Crashes}
 	}
-	p.set(name, table.ColumnCrashed, formatCrashed(append(list, entry)))
-	p.set(name, table.ColumnCrashes, formatCount(row.Crashes+1))
-	return Outcome{Done: true, Crashes: row.Crashes + 1}
+	crashes := withoutClaims(row.Crashes, claims) + 1
+	p.set(name, table.ColumnCrashed, formatCrashed(append(withoutMarked(list, claimMark), entry)))
+	p.set(name, table.ColumnCrashes, formatCount(crashes))
+	return Outcome{Done: true, Crashes: crashes}
 }
 
 // returnClaim takes back a claim, if it is on record.
