A crash that shows late rests from its run, not from when it shows

Cause: a crash was dated by when it became known. Change: it is dated by the end of the run under which the replica crashed; what becomes known late still counts, and waits for the record, from when it is known. Test: TestCrashThatShowsLateBeginsNoRestThen (3.4 s of rest left before).

--- a/internal/poison/book.go
+++ b/internal/poison/book.go
@@ -126,18 +126,26 @@
 	}
 }
 
-// Crashed notes that a back end crashed under a request. The crash counts here until the record includes it. counted is
-// set if the run was claimed, so that the record counts it already. Crashed returns the number of crashes of the request
-// that the book knows of.
-func (b *Book) Crashed(now time.Duration, digest Digest, instance string, counted bool) uint32 {
+// Crash is a crash of a back end that this process observed.
+type Crash struct {
+	Instance string
+	// EndedAt is when the run under which the back end crashed ended. The rest counts from then, and not from when the
+	// crash became known, by which time the back end may be back.
+	EndedAt time.Duration
+	Counted bool // the run was claimed, so that the record counts the crash already
+}
+
+// Crashed notes that a back end crashed under a request. The crash counts here until the record includes it. Crashed
+// returns the number of crashes of the request that the book knows of.
+func (b *Book) Crashed(now time.Duration, digest Digest, crash Crash) uint32 {
 	entry := b.suspects[digest]
 	if entry == nil {
 		entry = &suspect{Record: Record{Digest: digest}}
 		b.suspects[digest] = entry
 	}
-	if !entry.hasObserved(instance) && !slices.Contains(entry.Record.Crashed, instance) {
-		entry.observed = append(entry.observed, observedCrash{instance: instance, at: now, counted: counted && entry.onRecord})
-		entry.crashedAt = now
+	if !entry.hasObserved(crash.Instance) && !slices.Contains(entry.Record.Crashed, crash.Instance) {
+		entry.observed = append(entry.observed, observedCrash{instance: crash.Instance, at: now, counted: crash.Counted && entry.onRecord})
+		entry.crashedAt = max(entry.crashedAt, crash.EndedAt)
 	}
 	return entry.crashes()
 }
--- a/internal/poison/book_test.go
+++ b/internal/poison/book_test.go
@@ -64,7 +64,7 @@
 	book := NewBook(Settings{})
 	const digest = Digest(7)
 	for _, instance := range []string{"a", "a", "b"} {
-		book.Crashed(0, digest, instance, false)
+		book.Crashed(0, digest, Crash{Instance: instance})
 	}
 	if judged := book.Judge(time.Hour, digest, false); judged.Crashes != 2 || judged.Permission != Blocked {
 		t.Fatalf("got %+v, want 2 crashes and a rest until they are on record", judged)
@@ -99,7 +99,7 @@
 	if !book.Empty() {
 		t.Error("a suspect that was cleared is still suspected")
 	}
-	book.Crashed(0, digest, "c", false)
+	book.Crashed(0, digest, Crash{Instance: "c"})
 	book.Lost(digest, "c")
 	if !book.Empty() {
 		t.Error("a crash that the full record cannot hold still counts")
@@ -361,7 +361,7 @@
 	*starts++
 	instance := fmt.Sprintf("i-%d", *starts)
 	crashes[digest]++
-	book.Crashed(now, digest, instance, claim != "")
+	book.Crashed(now, digest, Crash{Instance: instance, EndedAt: now, Counted: claim != ""})
 	settle(book, StepRequest{Step: Report, Digest: digest, Instance: instance, Claim: claim, Trial: claim != ""})
 	if rapid.Bool().Draw(t, "beside") {
 		bystander := Digest(rapid.IntRange(3, 4).Draw(t, "bystander"))
@@ -419,7 +419,7 @@
 			case 0, 1:
 				number++
 				instance := fmt.Sprintf("i-%d", number)
-				book.Crashed(now, digest, instance, claim != "")
+				book.Crashed(now, digest, Crash{Instance: instance, EndedAt: now, Counted: claim != ""})
 				calmSince = now
 				if reports {
 					apply(StepRequest{Step: Report, Instance: instance, Claim: claim})
@@ -471,7 +471,7 @@
 		book := NewBook(Settings{})
 		book.Follow(0, []Record{test.record})
 		if test.observed != "" {
-			book.Crashed(0, digest, test.observed, true)
+			book.Crashed(0, digest, Crash{Instance: test.observed, Counted: true})
 		}
 		if judged := book.JudgeOwed(time.Millisecond, digest, test.replicas); judged.Permission != test.want {
 			t.Errorf("%s: got %+v, want %s", test.name, judged, test.want)
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -10,7 +10,7 @@
 	Record
 	onRecord  bool            // the followed record has an entry for it
 	observed  []observedCrash // crashes that the followed record does not name yet
-	crashedAt time.Duration   // when the book learned of the last crash
+	crashedAt time.Duration   // end of the last run that crashed here; of another process, when the book learned of it
 	claims    []seenClaim     // claims on record that are not this process's own, and own runs that have not ended
 	ownClaims []string        // names of the last claims that this process asked for
 	proven    uint32          // crashes on record that show the request to be the cause
@@ -25,7 +25,7 @@
 // observedCrash is a crash that this process observed and that the record, as followed here, does not name yet.
 type observedCrash struct {
 	instance   string
-	at         time.Duration
+	at         time.Duration // when the crash became known
 	counted    bool          // the run was claimed, so that the record counts it already
 	accepted   bool          // the control group has accepted the report
 	acceptedAt time.Duration // set with accepted
--- a/internal/poisonguard/late.go
+++ b/internal/poisonguard/late.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarindring/tamarindring/internal/poison"
 	"github.com/tamarindring/tamarindring/internal/table"
 )
 
@@ -46,7 +47,7 @@
 		holder := servingAt(g.view, one.run.address)
 		ended := g.view.HasRestarted(one.run.instance) || holder != "" && holder != one.run.instance
 		if ended {
-			g.book.Crashed(now, one.run.ensureDigest(), one.run.crashName(), false)
+			g.book.Crashed(now, one.run.ensureDigest(), poison.Crash{Instance: one.run.crashName(), EndedAt: one.at})
 			g.counts.crashes.WithLabelValues().Inc()
 			crashed = append(crashed, one.run)
 		}
--- a/internal/poisonguard/owed_test.go
+++ b/internal/poisonguard/owed_test.go
@@ -241,6 +241,29 @@
 	})
 }
 
+// TestCrashThatShowsLateBeginsNoRestThen guards against a rest that begins when the table shows, seconds after a run broke
+// off, that its back end has restarted. An item was at no replica for 6.3 s beside idle ones: a replica hung under it, two
+// others crashed, and the first one came back shortly before the rest was over.
+func TestCrashThatShowsLateBeginsNoRestThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.newGuard()
+		runOwed(t, one, "item", "c", Interrupted)
+		crashTwice(t, g, one, "item")
+		time.Sleep(poison.DefaultOwedRest - 100*time.Millisecond)
+		g.put("c start_unix_millis 9")
+		synctest.Wait()
+		g.follow()
+		if records := g.records(); len(records) != 1 || records[0].Crashes != 3 {
+			t.Fatalf("got records %+v, want one with 3 crashes", records)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if judged := runOwed(t, one, "item", "a", NotRun); judged.Permission != poison.Trial {
+			t.Errorf("after the rest since the runs: got %+v, want a trial", judged)
+		}
+	})
+}
+
 // TestGuiltyOwedRequestCrashesOneReplicaInARest guards a large pool against an owed request that does crash replicas: its
 // first trial comes at once, and each further one a rest after the crash before it.
 func TestGuiltyOwedRequestCrashesOneReplicaInARest(t *testing.T) {
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -205,7 +205,8 @@
 	r.guard.counts.crashes.WithLabelValues().Inc()
 	r.guard.mutex.Lock()
 	defer r.guard.mutex.Unlock()
-	r.guard.book.Crashed(r.guard.config.Clock(), digest, r.crashName(), r.Claimed())
+	now := r.guard.config.Clock()
+	r.guard.book.Crashed(now, digest, poison.Crash{Instance: r.crashName(), EndedAt: now, Counted: r.Claimed()})
 }
 
 // crashName returns the name under which the crash of the run's back end is recorded. It is the instance, so that all
