Items without a route are among the waits that are reported

Cause: only items of pools with idle replicas were looked at, so that the reason no_route could not show. Change: an item without a pool counts as waiting beside idle replicas. Test: the case of TestIdleWaitsNameTheirReason goes through IdleWaits like the others, and failed before; a pool without replicas is asked in the other test.

--- a/internal/batchrun/schedule/waits.go
+++ b/internal/batchrun/schedule/waits.go
@@ -56,10 +56,10 @@
 }
 
 // IdleWaits returns the items that have waited for at least minimum while less than half of their pool's slots are in
-// use, at most maximum of them, the longest wait first.
+// use, or without a pool, at most maximum of them, the longest wait first.
 func (s *Scheduler) IdleWaits(now, minimum time.Duration, maximum int) []Wait {
 	var long []*item
-	idle := map[string]bool{}
+	idle := map[string]bool{"": true} // an item without a pool
 	for name, pool := range s.pools {
 		idle[name] = pool.isIdle()
 	}
--- a/internal/batchrun/schedule/waits_test.go
+++ b/internal/batchrun/schedule/waits_test.go
@@ -21,7 +21,7 @@
 	}{
 		{"suspected", func(s *Scheduler) { s.Hold(key, 10*second, HeldSuspect) }, WaitSuspect, func(w Wait) bool { return w.HeldFor == 7*second }},
 		{"former run", func(s *Scheduler) { s.Hold(key, 10*second, HeldFormerRun) }, WaitFormerRun, func(w Wait) bool { return w.Replicas == 2 }},
-		{"no route", func(s *Scheduler) { s.Route(key, []Share{{Pool: "other", Weight: 1}}) }, WaitRoute, func(w Wait) bool { return w.Replicas == 0 }},
+		{"no route", func(s *Scheduler) { s.Route(key, nil) }, WaitRoute, func(w Wait) bool { return w.Replicas == 0 }},
 		{"paused", func(s *Scheduler) {
 			for range 12 {
 				reject(s, Unreachable)
@@ -40,18 +40,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newScheduler(2, 4)
-			s.poolNamed("other")
 			open(s, Job{ID: "j"}, "a:10")
 			test.play(s)
-			if test.reason == WaitRoute {
-				if len(s.IdleWaits(3*second, 2*second, 3)) != 0 {
-					t.Error("a pool without slots is reported as idle")
-				}
-				if wait := s.explainWait(s.find(key), 3*second); wait.Reason != test.reason || !test.check(wait) {
-					t.Errorf("got %+v, want reason %s", wait, test.reason)
-				}
-				return
-			}
 			waits := s.IdleWaits(3*second, 2*second, 3)
 			if len(waits) != 1 || waits[0].Key != key || waits[0].Reason != test.reason || waits[0].Duration != 3*second || !test.check(waits[0]) {
 				t.Errorf("got %+v, want one wait of 3s with reason %s", waits, test.reason)
@@ -84,4 +74,8 @@
 	if waits := s.IdleWaits(20*second, 2*second, 3); len(waits) != 0 {
 		t.Errorf("beside replicas that are half full: got %+v, want none", waits)
 	}
+	s.Route(key, []Share{{Pool: "empty", Weight: 1}})
+	if waits := s.IdleWaits(20*second, 2*second, 3); len(waits) != 0 {
+		t.Errorf("in a pool without replicas: got %+v, want none", waits)
+	}
 }
