A claim of a suspect that was cleared holds nothing back; a stopped run asks for none

Cause: where the suspect had been cleared when a process asked for its claim, the book of that process kept the claim that was never made, and rested beside it; an owed run that was stopped while it waited for the answer to its claim went on as if that had not come in time. Change: such a claim is forgotten; a stopped run is refused. Test: TestClaimOfAClearedSuspectHoldsNothing failed before (rest for 3.5 s).

--- a/internal/poisonguard/owed_test.go
+++ b/internal/poisonguard/owed_test.go
@@ -241,6 +241,26 @@
 	})
 }
 
+// TestClaimOfAClearedSuspectHoldsNothing guards against a rest beside a claim that was never made, because the suspect had
+// been cleared when this process asked for it.
+func TestClaimOfAClearedSuspectHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		one := g.newGuard()
+		crashTwice(t, g, one, "item")
+		time.Sleep(poison.DefaultOwedRest)
+		identity := identifyOwed("item")()
+		if _, err := one.applySteps(t.Context(), []poison.StepRequest{{Step: poison.Clear, Digest: identity.Digest()}}); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 { // the process does not follow that yet
+			if judged := runOwed(t, one, "item", "c", NotRun); judged.Permission != poison.Trial {
+				t.Errorf("got %+v, want a trial", judged)
+			}
+		}
+	})
+}
+
 // TestCrashThatShowsLateBeginsNoRestThen guards against a rest that begins when the table shows, seconds after a run broke
 // off, that its back end has restarted. An item was at no replica for 6.3 s beside idle ones: a replica hung under it, two
 // others crashed, and the first one came back shortly before the rest was over.
--- a/internal/poisonguard/run.go
+++ b/internal/poisonguard/run.go
@@ -106,25 +106,32 @@
 	name := rand.Text()[:claimNameLength]
 	r.guard.noteClaimSent(r.digest, name)
 	outcome, err := r.guard.send(ctx, poison.StepRequest{Step: poison.Claim, Digest: r.digest, Claim: name, Basis: r.judged.Basis})
-	unanswered := err != nil && r.owed
-	if unanswered {
-		r.guard.counts.unclaimed.WithLabelValues().Inc()
-	}
-	if !unanswered && (err != nil || !outcome.Done) {
+	switch granted := err == nil && outcome.Done; {
+	case granted && outcome.Crashes == 0: // the suspect was cleared meanwhile, so that there is nothing to claim
 		r.guard.noteClaimEnded(r.digest, name)
-		if err != nil {
-			r.guard.postpone(poison.StepRequest{Step: poison.Return, Digest: r.digest, Claim: name}) // it may be taken later
-		}
-		r.guard.counts.refused.WithLabelValues(poison.Trial.String()).Inc()
-		return nil, poison.Judgment{Permission: poison.Blocked, Crashes: r.judged.Crashes, Recorded: r.judged.Recorded, Remaining: failedClaimRest}
-	}
-	r.trial = !r.owed
-	if unanswered || outcome.Crashes > 0 {
+	case granted:
+		r.claim = name
+	case err != nil && r.owed && ctx.Err() == nil:
+		r.guard.counts.unclaimed.WithLabelValues().Inc()
 		r.claim = name
+	default:
+		return nil, r.refuseClaim(name, err)
 	}
+	r.trial = !r.owed
 	return r, r.judged
 }
 
+// refuseClaim returns the judgment of a run whose claim was overtaken, or failed with err. In the latter case the claim
+// may be taken later, and is returned then.
+func (r *Run) refuseClaim(name string, err error) poison.Judgment {
+	r.guard.noteClaimEnded(r.digest, name)
+	if err != nil {
+		r.guard.postpone(poison.StepRequest{Step: poison.Return, Digest: r.digest, Claim: name})
+	}
+	r.guard.counts.refused.WithLabelValues(poison.Trial.String()).Inc()
+	return poison.Judgment{Permission: poison.Blocked, Crashes: r.judged.Crashes, Recorded: r.judged.Recorded, Remaining: failedClaimRest}
+}
+
 // claimNameLength is enough to distinguish the claims of one request, of which few are on record at a time.
 const claimNameLength = 8
 
