Lines that tell a full heap from garbage, and how far a lagging node is

Change: process_memory has the live heap, the goal and the collector's processor time; snapshot_sent and snapshot_received tell each transfer. No logic changes.

--- a/internal/consensus/exchange.go
+++ b/internal/consensus/exchange.go
@@ -41,6 +41,7 @@
 	host      *Host
 	from      uint64 // node ID of the sender; raft.None before the greeting
 	assembler assembler
+	began     time.Time // when the first chunk of the last snapshot arrived
 }
 
 // receive processes one batch. An error ends the stream.
@@ -70,7 +71,7 @@
 			if encoded.Snapshot.PartsAgreed {
 				r.host.partsAgreed.Store(true)
 			}
-			if message.Snapshot = r.assembler.add(encoded.Group, encoded.Snapshot); message.Snapshot == nil {
+			if message.Snapshot = r.assemble(encoded.Group, encoded.Snapshot); message.Snapshot == nil {
 				continue
 			}
 		}
@@ -80,6 +81,19 @@
 	return nil
 }
 
+// assemble adds a chunk and returns the snapshot once it is complete, otherwise nil.
+func (r *receiver) assemble(group uint32, chunk *wire.RaftSnapshot) *raft.Snapshot {
+	if chunk.Chunk == 0 {
+		r.began = time.Now()
+	}
+	snapshot := r.assembler.add(group, chunk)
+	if snapshot != nil {
+		logging.Emit(r.host.config.Log, &events.SnapshotReceived{Group: group, Peer: r.from, Index: snapshot.Index,
+			Bytes: snapshot.Data.Size(), TookMs: events.Millis(time.Since(r.began))})
+	}
+	return snapshot
+}
+
 // handleGreeting records the sender of an accepted greeting. Otherwise it records the refusal and returns the error
 // that ends the stream. It stops this host if the greeting shows that this node must not participate.
 func (r *receiver) handleGreeting(greeting *wire.RaftBatch) error {
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -39,7 +39,9 @@
 func (s *sender) enqueue(group uint32, message *raft.Message) {
 	s.mutex.Lock()
 	if message.Snapshot != nil {
-		s.queue.addChunks(snapshotChunks(group, message, s.host.canStoreParts()))
+		queued := s.queue.addChunks(snapshotChunks(group, message, s.host.canStoreParts()))
+		logging.Emit(s.host.config.Log, &events.SnapshotSent{Group: group, Peer: s.node, Index: message.Snapshot.Index,
+			Bytes: message.Snapshot.Data.Size(), Dropped: !queued})
 	} else {
 		s.queue.add(toWire(group, message))
 	}
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -108,14 +108,16 @@
 	q.bytes += size
 }
 
-// addChunks queues the chunks of a snapshot, or drops them while another snapshot of the same group is queued.
-func (q *queue) addChunks(chunks []*wire.RaftMessage) {
+// addChunks queues the chunks of a snapshot. It drops them, and returns false, while another snapshot of the same group is
+// queued.
+func (q *queue) addChunks(chunks []*wire.RaftMessage) bool {
 	for _, waiting := range q.chunks {
 		if waiting.Group == chunks[0].Group {
-			return
+			return false
 		}
 	}
 	q.chunks = append(q.chunks, chunks...)
+	return true
 }
 
 // fill moves messages from the queue to a batch and reports whether the batch has any.
--- a/internal/events/catalog.go
+++ b/internal/events/catalog.go
@@ -26,7 +26,7 @@
 		{"Weights", []logging.Event{&VersionReleased{}, &OrderSent{}, &OrderEnded{}, &OrdersTaken{}, &OrdersOffered{}, &OrdersSuperseded{}, &ReplicasSurveyed{}}},
 		{"Usage", []logging.Event{&UsageSealed{}, &UsageReported{}, &UsageLate{}}},
 		{"Control", []logging.Event{&LeaderChanged{}, &GroupWithoutLeader{}, &GroupLeaderKnown{}, &VotersSilent{}, &GreetingRefused{}, &StreamRefused{},
-			&LeadershipYielded{}, &GroupChanged{}, &PeerLost{}, &PeerFound{}, &DiskChanged{}, &SnapshotLeftOut{}, &GroupHoldings{}, &JobsFull{}, &MemberChanged{}, &MemberOutranked{}, &StartRenumbered{}, &StartSuperseded{}, &ControlFound{}, &ControlLost{}, &LeaseLost{},
+			&LeadershipYielded{}, &GroupChanged{}, &PeerLost{}, &PeerFound{}, &DiskChanged{}, &SnapshotLeftOut{}, &SnapshotSent{}, &SnapshotReceived{}, &GroupHoldings{}, &JobsFull{}, &MemberChanged{}, &MemberOutranked{}, &StartRenumbered{}, &StartSuperseded{}, &ControlFound{}, &ControlLost{}, &LeaseLost{},
 			&LeaseRegained{}, &TableAdopted{}, &StateUnread{}, &OperatorCall{}, &ReplicaRegistered{}, &ReplicaRestarted{}, &EntrySkipped{}, &ReplicaDeferred{},
 			&ReplicasSilent{}, &HeartbeatsRejected{}, &LevelRaised{}, &LevelKnown{}}},
 		{"Processes", []logging.Event{&ProcessStarted{}, &ProcessMemory{}, &ProcessServing{}, &ProcessStopping{}, &ProcessStopped{}, &SettingsReloaded{},
--- a/internal/events/control.go
+++ b/internal/events/control.go
@@ -131,6 +131,34 @@
 // Kind implements logging.Event.
 func (*SnapshotLeftOut) Kind() *logging.Kind { return &snapshotLeftOutKind }
 
+// SnapshotSent reports that a leader sends its snapshot to a node that lags too far behind the log.
+type SnapshotSent struct {
+	Group   uint32 `json:"group" doc:"consensus group; 0 is the control group, others are ledger groups"`
+	Peer    uint64 `json:"peer" doc:"id of the node"`
+	Index   uint64 `json:"index" doc:"index of the last log entry that the snapshot covers"`
+	Bytes   int    `json:"bytes" doc:"size of the snapshot"`
+	Dropped bool   `json:"dropped,omitempty" doc:"true if nothing was queued, since an earlier snapshot of the group is still being sent to the node"`
+}
+
+var snapshotSentKind = newKind("snapshot_sent", logrus.InfoLevel, changeRate)
+
+// Kind implements logging.Event.
+func (*SnapshotSent) Kind() *logging.Kind { return &snapshotSentKind }
+
+// SnapshotReceived reports that a node has received the whole snapshot of a leader. It is not on the disk yet.
+type SnapshotReceived struct {
+	Group  uint32  `json:"group" doc:"consensus group; 0 is the control group, others are ledger groups"`
+	Peer   uint64  `json:"peer" doc:"id of the leader"`
+	Index  uint64  `json:"index" doc:"index of the last log entry that the snapshot covers"`
+	Bytes  int     `json:"bytes" doc:"size of the snapshot"`
+	TookMs float64 `json:"took_ms" doc:"time since its first chunk"`
+}
+
+var snapshotReceivedKind = newKind("snapshot_received", logrus.InfoLevel, changeRate)
+
+// Kind implements logging.Event.
+func (*SnapshotReceived) Kind() *logging.Kind { return &snapshotReceivedKind }
+
 // MemberChanged reports the new state of a member, as the control group's leader recorded it.
 type MemberChanged struct {
 	Member string `json:"member" doc:"name and incarnation of the process"`
--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -27,6 +27,9 @@
 	ResidentMB float64 `json:"resident_mb,omitempty" doc:"resident memory of the process, including mapped files"`
 	LimitMB    int     `json:"limit_mb,omitempty" doc:"memory that the process may use"`
 	Collects   uint64  `json:"collects" doc:"number of garbage collections since the start"`
+	LiveMB     float64 `json:"live_mb" doc:"heap that the last collection found in use; near goal_mb, the process collects all the time"`
+	GoalMB     float64 `json:"goal_mb" doc:"heap size at which the next collection is due"`
+	CollectMs  float64 `json:"collect_ms" doc:"processor time that collections have taken since the start"`
 }
 
 var processMemoryKind = newKind("process_memory", logrus.InfoLevel, rareRate)
--- a/internal/memlimit/report.go
+++ b/internal/memlimit/report.go
@@ -24,6 +24,9 @@
 	metricTotal    = "/memory/classes/total:bytes"
 	metricReleased = "/memory/classes/heap/released:bytes"
 	metricCollects = "/gc/cycles/total:gc-cycles"
+	metricLive     = "/gc/heap/live:bytes"
+	metricGoal     = "/gc/heap/goal:bytes"
+	metricCPU      = "/cpu/classes/gc/total:cpu-seconds"
 )
 
 // Report logs the memory use of the process every reportInterval until ctx is done. limitBytes is its memory limit.
@@ -32,11 +35,14 @@
 }
 
 func read(limitBytes int64) *events.ProcessMemory {
-	samples := []metrics.Sample{{Name: metricObjects}, {Name: metricTotal}, {Name: metricReleased}, {Name: metricCollects}}
+	samples := []metrics.Sample{{Name: metricObjects}, {Name: metricTotal}, {Name: metricReleased}, {Name: metricCollects},
+		{Name: metricLive}, {Name: metricGoal}, {Name: metricCPU}}
 	metrics.Read(samples)
 	return &events.ProcessMemory{
 		HeapMB: events.Megabytes(samples[0].Value.Uint64()), RuntimeMB: events.Megabytes(samples[1].Value.Uint64() - samples[2].Value.Uint64()),
 		ResidentMB: events.Megabytes(ResidentBytes()), LimitMB: int(limitBytes >> 20), Collects: samples[3].Value.Uint64(),
+		LiveMB: events.Megabytes(samples[4].Value.Uint64()), GoalMB: events.Megabytes(samples[5].Value.Uint64()),
+		CollectMs: events.Millis(time.Duration(samples[6].Value.Float64() * float64(time.Second))),
 	}
 }
 
