--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -16,6 +16,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/storage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -110,7 +111,7 @@
 	for _, group := range backup.Groups {
 		batch = append(batch, storage.GroupWrite{
 			Group: group.Group,
-			Snapshot: &raft.Snapshot{Index: group.Index, Term: restoredTerm, Data: raft.Parts{group.Data},
+			Snapshot: &raft.Snapshot{Index: group.Index, Term: restoredTerm, Data: statepart.NewParts(group.Data),
 				Configuration: raft.Configuration{Voters: []uint64{options.NodeID}}},
 			HardState: &raft.HardState{Term: restoredTerm, Commit: group.Index},
 		})
--- a/internal/batch/history_test.go
+++ b/internal/batch/history_test.go
@@ -78,7 +78,7 @@
 	case 4:
 		return h.expire(rapid.Bool().Draw(t, "new leader"))
 	case 5:
-		return h.restore()
+		return h.restore(t)
 	case 6:
 		if len(h.late) == 0 {
 			return nil
@@ -221,12 +221,12 @@
 }
 
 // restore replaces the store with one restored from its snapshot.
-func (h *history) restore() error {
+func (h *history) restore(t *rapid.T) error {
 	restored := NewUnsafe(h.store.unsafe)
-	if err := restored.Restore(h.store.Snapshot()); err != nil {
+	if err := restored.Restore(mustSnapshot(t, h.store)); err != nil {
 		return err
 	}
-	if !proto.Equal(restored.Snapshot(), h.store.Snapshot()) || restored.heldBytes != h.store.heldBytes {
+	if !proto.Equal(mustSnapshot(t, restored), mustSnapshot(t, h.store)) || restored.heldBytes != h.store.heldBytes {
 		return trace.Errorf("the restored store differs from the original")
 	}
 	h.store = restored
@@ -279,7 +279,10 @@
 // check compares all jobs of the store with what their callers know.
 func (h *history) check() error {
 	for id, known := range h.jobs {
-		view := h.store.Results(&wire.JobResultsQuery{Job: id})
+		view, err := h.store.Results(&wire.JobResultsQuery{Job: id}).Now()
+		if err != nil {
+			return err
+		}
 		if !view.GetKnown() && known.ended && h.now-known.sent > historyRetention {
 			delete(h.jobs, id)
 			continue
--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -6,32 +6,58 @@
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
+// Reading returns the answer to a query, or nil and a function that reads it where the content may not be in memory. The
+// function may run concurrently with later commands.
+type Reading[View any] struct {
+	View View
+	Load func() (View, error) // nil: View is the answer
+}
+
+// Now returns the answer, and reads it if necessary.
+func (r Reading[View]) Now() (View, error) {
+	if r.Load == nil {
+		return r.View, nil
+	}
+	return r.Load()
+}
+
 // Results returns the results of a job from a position on: at least one if there is one. MaxBytes limits the texts by
 // their decompressed length, as the caller reads them.
-func (s *Store) Results(query *wire.JobResultsQuery) *wire.JobResultsView {
+func (s *Store) Results(query *wire.JobResultsQuery) Reading[*wire.JobResultsView] {
 	held := s.jobOfTenant(query.GetJob(), query.GetTenant())
 	if held == nil {
-		return &wire.JobResultsView{}
+		return Reading[*wire.JobResultsView]{View: &wire.JobResultsView{}}
 	}
 	view := &wire.JobResultsView{
 		Known: true, Ended: held.ended, Total: uint64(held.itemCount()), Next: query.GetSince(), Listed: uint64(held.resultCount()),
 	}
 	if query.GetCountOnly() {
-		return view
+		return Reading[*wire.JobResultsView]{View: view}
+	}
+	if sealed := held.sealed; sealed != nil && query.GetSince() < uint64(sealed.results) {
+		return Reading[*wire.JobResultsView]{Load: func() (*wire.JobResultsView, error) {
+			err := sealed.eachResult(query.GetSince(), addWithinBudget(view, query))
+			return view, err
+		}}
 	}
+	held.eachResult(query.GetSince(), addWithinBudget(view, query))
+	return Reading[*wire.JobResultsView]{View: view}
+}
+
+// addWithinBudget returns a function that adds results to a view. It returns false once the view is full.
+func addWithinBudget(view *wire.JobResultsView, query *wire.JobResultsQuery) func(*wire.JobResult) bool {
 	budget := MaximumReplyBytes
 	if limit := int(query.GetMaxBytes()); limit > 0 {
 		budget = min(budget, limit)
 	}
-	held.eachResult(query.GetSince(), func(result *wire.JobResult) bool {
+	return func(result *wire.JobResult) bool {
 		if budget -= proto.Size(result) - storedBytes(result) + textBytes(result); budget < 0 && len(view.Results) > 0 {
 			return false
 		}
 		view.Results = append(view.Results, result)
 		view.Next++
 		return true
-	})
-	return view
+	}
 }
 
 // Room returns whether a job is stored, the size of all jobs, and the time until the next one is removed.
@@ -42,16 +68,22 @@
 }
 
 // Item returns the state of an item of a job. The body is included only while the job is open.
-func (s *Store) Item(query *wire.JobItemQuery) *wire.JobItemView {
+func (s *Store) Item(query *wire.JobItemQuery) Reading[*wire.JobItemView] {
 	held := s.jobOfTenant(query.GetJob(), query.GetTenant())
 	if held == nil {
-		return &wire.JobItemView{}
+		return Reading[*wire.JobItemView]{View: &wire.JobItemView{}}
+	}
+	if sealed := held.sealed; sealed != nil {
+		return Reading[*wire.JobItemView]{Load: func() (*wire.JobItemView, error) {
+			known, listed, err := sealed.hasItem(query.GetItem())
+			return &wire.JobItemView{Known: known, Listed: listed}, err
+		}}
 	}
-	known, listed := held.hasItem(query.GetItem())
-	if !known {
-		return &wire.JobItemView{}
+	item := held.items[query.GetItem()]
+	if item == nil {
+		return Reading[*wire.JobItemView]{View: &wire.JobItemView{}}
 	}
-	return &wire.JobItemView{Known: true, Listed: listed, Held: !held.ended, Body: held.items[query.GetItem()].GetBody()}
+	return Reading[*wire.JobItemView]{View: &wire.JobItemView{Known: true, Listed: held.listed[query.GetItem()], Held: !held.ended, Body: item.GetBody()}}
 }
 
 // Work returns the open jobs that were stored after a revision, with their finished items and stored texts, and the ids
--- a/internal/batch/sealed_test.go
+++ b/internal/batch/sealed_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -36,19 +38,19 @@
 	if sealed.jobs["a"].sealed == nil || plain.jobs["a"].sealed != nil {
 		t.Fatal("want the job sealed in the first store only")
 	}
-	if !proto.Equal(sealed.Snapshot(), plain.Snapshot()) || sealed.HeldBytes() != plain.HeldBytes() {
-		t.Errorf("snapshot of the sealed job: %v, want %v", sealed.Snapshot(), plain.Snapshot())
+	if !proto.Equal(mustSnapshot(t, sealed), mustSnapshot(t, plain)) || sealed.HeldBytes() != plain.HeldBytes() {
+		t.Errorf("snapshot of the sealed job: %v, want %v", mustSnapshot(t, sealed), mustSnapshot(t, plain))
 	}
 	for since := range uint64(6) {
 		for _, query := range []*wire.JobResultsQuery{{Job: "a", Since: since}, {Job: "a", Since: since, MaxBytes: 30}, {Job: "a", Since: since, CountOnly: true}, {Job: "a", Tenant: "other"}} {
-			if got, want := sealed.Results(query), plain.Results(query); !proto.Equal(got, want) {
+			if got, want := readNow(t, sealed.Results(query)), readNow(t, plain.Results(query)); !proto.Equal(got, want) {
 				t.Errorf("query %v: %v, want %v", query, got, want)
 			}
 		}
 	}
 	for _, item := range []string{"i0", "i4", "none"} {
 		query := &wire.JobItemQuery{Job: "a", Item: item}
-		if got, want := sealed.Item(query), plain.Item(query); !proto.Equal(got, want) {
+		if got, want := readNow(t, sealed.Item(query)), readNow(t, plain.Item(query)); !proto.Equal(got, want) {
 			t.Errorf("query %v: %v, want %v", query, got, want)
 		}
 	}
@@ -60,7 +62,7 @@
 	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_OTHER_CONTENT)
 }
 
-// TestSealedJobsShareTheirPart: a sealed job must use the same bytes in every snapshot, also after a restore, so that
+// TestSealedJobsShareTheirPart: a sealed job must use the same part in every snapshot, also after a restore, so that
 // its texts are in memory once.
 func TestSealedJobsShareTheirPart(t *testing.T) {
 	store := New()
@@ -71,20 +73,56 @@
 	if err != nil || len(parts) != 2 {
 		t.Fatalf("%d parts (%v), want 2", len(parts), err)
 	}
-	record := store.jobs["a"].sealed.Record
 	restored := New()
-	rest, err := encodePart(store.jobs["b"].record())
+	rest, err := proto.Marshal(store.jobs["b"].record())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := restored.RestoreRecords(store.Capture().Head(), []Record{record, {Encoded: rest.Encoded}}); err != nil {
+	if err := restored.RestoreRecords(store.Capture().Head(), []Record{{Part: store.jobs["a"].sealed.part}, {Encoded: rest}}); err != nil {
 		t.Fatal(err)
 	}
 	again, err := restored.Capture().Parts()
-	if err != nil || len(again) != 2 || &again[0][0] != &parts[0][0] || !bytes.Equal(again[1], parts[1]) {
+	if err != nil || len(again) != 2 || again[0] != parts[0] || !bytes.Equal(mustContent(t, again[1]), mustContent(t, parts[1])) {
 		t.Fatalf("%d parts after the restore (%v), want the same 2", len(again), err)
 	}
-	if restored.HeldBytes() != store.HeldBytes() || !proto.Equal(restored.Snapshot(), store.Snapshot()) {
+	if restored.HeldBytes() != store.HeldBytes() || !proto.Equal(mustSnapshot(t, restored), mustSnapshot(t, store)) {
 		t.Error("the restored state differs from the original")
 	}
 }
+
+func mustContent(t *testing.T, part *statepart.Part) []byte {
+	t.Helper()
+	content, err := part.Content()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return content
+}
+
+// lostSource is a source whose content is gone.
+type lostSource struct{}
+
+func (lostSource) Content() ([]byte, error) { return nil, errLost }
+
+var errLost = errors.New("the file is gone")
+
+// TestResultsThatCannotBeReadAreAnError: an ended job whose part can't be read must give an error. Without one its caller
+// would take the job for one without results.
+func TestResultsThatCannotBeReadAreAnError(t *testing.T) {
+	store := New()
+	endedJob(t, store)
+	store.jobs["a"].sealed.part.MoveTo(lostSource{}, 0)
+	if view, err := store.Results(&wire.JobResultsQuery{Job: "a"}).Now(); !errors.Is(err, errLost) {
+		t.Errorf("results %v and error %v, want the error of the part", view, err)
+	}
+	if view, err := store.Item(&wire.JobItemQuery{Job: "a", Item: "i0"}).Now(); !errors.Is(err, errLost) {
+		t.Errorf("item %v and error %v, want the error of the part", view, err)
+	}
+	if _, err := store.Snapshot(); !errors.Is(err, errLost) {
+		t.Errorf("snapshot with error %v, want the error of the part", err)
+	}
+	count, err := store.Results(&wire.JobResultsQuery{Job: "a", CountOnly: true}).Now()
+	if err != nil || count.GetListed() != 4 {
+		t.Errorf("count %v (%v), want 4 results without reading the part", count, err)
+	}
+}
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -41,16 +42,16 @@
 func (c *Captured) Head() *wire.JobSnapshot { return c.head }
 
 // Parts encodes the jobs as parts, each a wire.MachineSnapshot that contains nothing else. Merging the parts in order
-// gives all jobs. A sealed job is a part of its own, which shares its bytes with the store.
-func (c *Captured) Parts() ([][]byte, error) {
-	var parts [][]byte
+// gives all jobs. A sealed job is a part of its own, which the store shares.
+func (c *Captured) Parts() (statepart.Parts, error) {
+	var parts statepart.Parts
 	var open *wire.JobSnapshot // adjacent jobs that are not sealed
 	flush := func() error {
 		if open == nil {
 			return nil
 		}
 		part, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.MachineSnapshot{Jobs: open})
-		open, parts = nil, append(parts, part)
+		open, parts = nil, append(parts, statepart.New(part))
 		return trace.Wrap(err, "encoding batch jobs")
 	}
 	for _, captured := range c.jobs {
@@ -64,23 +65,28 @@
 		if err := flush(); err != nil {
 			return nil, err
 		}
-		parts = append(parts, captured.sealed.Part)
+		parts = append(parts, captured.sealed.part)
 	}
 	return parts, flush()
 }
 
-// Snapshot returns the whole state as a message. Equal stores give equal messages.
-func (s *Store) Snapshot() *wire.JobSnapshot {
+// Snapshot returns the whole state as a message. Equal stores give equal messages. The error is that of reading a part
+// that is not in memory.
+func (s *Store) Snapshot() (*wire.JobSnapshot, error) {
 	captured := s.Capture()
 	snapshot := captured.head
 	snapshot.Jobs = make([]*wire.JobRecord, 0, len(captured.jobs))
 	for _, held := range captured.jobs {
 		if held.sealed != nil {
-			held.record = held.sealed.decode()
+			record, err := Record{Part: held.sealed.part}.read()
+			if err != nil {
+				return nil, err
+			}
+			held.record = record
 		}
 		snapshot.Jobs = append(snapshot.Jobs, held.record)
 	}
-	return snapshot
+	return snapshot, nil
 }
 
 // Restore replaces the state with that of a snapshot. On an error the store is unchanged.
@@ -97,22 +103,22 @@
 }
 
 // RestoreRecords replaces the state with the head of a snapshot and the records of its jobs, in order. On an error the
-// store is unchanged. The store retains the bytes of the parts of sealed jobs.
+// store is unchanged. The store retains the parts of sealed jobs.
 func (s *Store) RestoreRecords(head *wire.JobSnapshot, records []Record) error {
 	restored := NewUnsafe(s.unsafe)
 	restored.revision, restored.clock = head.GetRevision(), head.GetClockMillis()
 	last := uint64(0)
 	for _, encoded := range records {
-		record := &wire.JobRecord{}
-		if err := proto.Unmarshal(encoded.Encoded, record); err != nil {
-			return trace.BadParameter("snapshot has a record that is none: %v", err)
+		record, err := encoded.read()
+		if err != nil {
+			return err
 		}
 		held, err := restored.restoreJob(record, last)
 		if err != nil {
 			return trace.Wrap(err)
 		}
 		if held.ended && held.countedFrom != 0 && encoded.Part != nil && !s.unsafe.ListAfterEnd {
-			restored.sealAs(held, encoded)
+			restored.sealAs(held, encoded.Part)
 		}
 		restored.seal(held)
 		last = record.GetRevision()
--- a/internal/batch/store_test.go
+++ b/internal/batch/store_test.go
@@ -147,21 +147,21 @@
 	if _, err := store.Store(stored("a", &wire.JobResult{Item: "i0", State: wire.JobItemState_JOB_ITEM_STATE_TERMINATED}, completed("i1", "z"))); err != nil {
 		t.Fatal(err)
 	}
-	view := store.Results(&wire.JobResultsQuery{Job: "a", MaxBytes: 1})
+	view := readNow(t, store.Results(&wire.JobResultsQuery{Job: "a", MaxBytes: 1}))
 	if !view.GetKnown() || view.GetTotal() != 3 || view.GetNext() != 1 || string(view.GetResults()[0].GetText()) != "one" {
 		t.Fatalf("results for a limit of 1 byte: %v, want 1 of 3", view)
 	}
-	view = store.Results(&wire.JobResultsQuery{Job: "a", Since: 1})
+	view = readNow(t, store.Results(&wire.JobResultsQuery{Job: "a", Since: 1}))
 	if view.GetNext() != 2 || view.GetResults()[0].GetItem() != "i0" {
 		t.Fatalf("results from position 1: %v, want item i0", view)
 	}
-	if view = store.Results(&wire.JobResultsQuery{Job: "a", Since: 9}); view.GetNext() != 9 || len(view.GetResults()) != 0 {
+	if view = readNow(t, store.Results(&wire.JobResultsQuery{Job: "a", Since: 9})); view.GetNext() != 9 || len(view.GetResults()) != 0 {
 		t.Fatalf("results after the end of the list: %v, want none", view)
 	}
-	if store.Results(&wire.JobResultsQuery{Job: "b"}).GetKnown() {
+	if readNow(t, store.Results(&wire.JobResultsQuery{Job: "b"})).GetKnown() {
 		t.Fatal("an unknown job is reported as known")
 	}
-	item := store.Item(&wire.JobItemQuery{Job: "a", Item: "i2"})
+	item := readNow(t, store.Item(&wire.JobItemQuery{Job: "a", Item: "i2"}))
 	if !item.GetHeld() || item.GetListed() || !bytes.Equal(item.GetBody(), []byte{2, 255}) {
 		t.Fatalf("unfinished item: %v, want its body", item)
 	}
@@ -236,7 +236,7 @@
 
 func (c *checkedStore) check(t *rapid.T) {
 	for _, id := range []string{"a", "b", "c"} {
-		view := c.store.Results(&wire.JobResultsQuery{Job: id})
+		view := readNow(t, c.store.Results(&wire.JobResultsQuery{Job: id}))
 		seen := map[string]bool{}
 		for position, result := range view.GetResults() {
 			if position < len(c.read[id]) && !proto.Equal(result, c.read[id][position]) {
@@ -269,10 +269,10 @@
 			continue
 		}
 		restored := New()
-		if err := restored.Restore(checked.store.Snapshot()); err != nil {
+		if err := restored.Restore(mustSnapshot(t, checked.store)); err != nil {
 			t.Fatal(err)
 		}
-		if !proto.Equal(restored.Snapshot(), checked.store.Snapshot()) || restored.heldBytes != checked.store.heldBytes {
+		if !proto.Equal(mustSnapshot(t, restored), mustSnapshot(t, checked.store)) || restored.heldBytes != checked.store.heldBytes {
 			t.Fatal("the restored store differs from the original")
 		}
 		checked.store = restored
@@ -289,7 +289,7 @@
 	if _, err := store.Store(stored("a", completed("i0", "x"))); err != nil {
 		f.Fatal(err)
 	}
-	data, err := proto.Marshal(store.Snapshot())
+	data, err := proto.Marshal(mustSnapshot(f, store))
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -311,7 +311,7 @@
 				t.Fatal(err)
 			}
 		}
-		if err := second.Restore(first.Snapshot()); err != nil || !proto.Equal(first.Snapshot(), second.Snapshot()) {
+		if err := second.Restore(mustSnapshot(t, first)); err != nil || !proto.Equal(mustSnapshot(t, first), mustSnapshot(t, second)) {
 			t.Fatalf("the store differs after a second restore (%v)", err)
 		}
 	})
--- a/internal/batch/tenant_test.go
+++ b/internal/batch/tenant_test.go
@@ -22,8 +22,8 @@
 	wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_OTHER_CONTENT)
 	for _, ended := range []bool{false, true} {
 		for tenant, known := range map[string]bool{"One": true, "Two": false, "": false} {
-			results := held.Results(&wire.JobResultsQuery{Job: "j", Tenant: tenant})
-			item := held.Item(&wire.JobItemQuery{Job: "j", Item: "i0", Tenant: tenant})
+			results := readNow(t, held.Results(&wire.JobResultsQuery{Job: "j", Tenant: tenant}))
+			item := readNow(t, held.Item(&wire.JobItemQuery{Job: "j", Item: "i0", Tenant: tenant}))
 			if results.GetKnown() != known || item.GetKnown() != known || (results.GetTotal() == 2) != known {
 				t.Errorf("ended %v, tenant %q: results %v, item %v", ended, tenant, results, item)
 			}
@@ -39,8 +39,8 @@
 		wantOutcome(t, reply, err, wire.JobOutcome_JOB_OUTCOME_ACCEPTED)
 	}
 	restored := New()
-	if err = restored.Restore(held.Snapshot()); err != nil || restored.Results(&wire.JobResultsQuery{Job: "j", Tenant: "Two"}).GetKnown() ||
-		!restored.Results(&wire.JobResultsQuery{Job: "j", Tenant: "One"}).GetKnown() {
+	if err = restored.Restore(mustSnapshot(t, held)); err != nil || readNow(t, restored.Results(&wire.JobResultsQuery{Job: "j", Tenant: "Two"})).GetKnown() ||
+		!readNow(t, restored.Results(&wire.JobResultsQuery{Job: "j", Tenant: "One"})).GetKnown() {
 		t.Errorf("the restore failed (%v), or the job is known to the wrong tenant after it", err)
 	}
 }
--- a/internal/batch/text_test.go
+++ b/internal/batch/text_test.go
@@ -70,7 +70,7 @@
 	if _, err := store.Store(&wire.JobStore{Jobs: []*wire.JobResults{results}}); err != nil {
 		t.Fatal(err)
 	}
-	if view := store.Results(&wire.JobResultsQuery{Job: "j", MaxBytes: 2100}); len(view.Results) != 2 {
+	if view := readNow(t, store.Results(&wire.JobResultsQuery{Job: "j", MaxBytes: 2100})); len(view.Results) != 2 {
 		t.Errorf("%d results of 1000 bytes for a limit of 2100 bytes, want 2", len(view.Results))
 	}
 }
--- a/internal/batch/unscored_test.go
+++ b/internal/batch/unscored_test.go
@@ -44,11 +44,11 @@
 	if len(work.GetUnscored()) != 1 || string(work.GetUnscored()[0].GetText()) != "text" || len(work.GetPartials()) != 0 || len(work.GetFinished()) != 0 {
 		t.Fatalf("work for the next leader: %v, want only the first text, unscored", work)
 	}
-	if item := store.Item(&wire.JobItemQuery{Job: "a", Item: "i0"}); item.GetListed() || len(item.GetBody()) == 0 {
+	if item := readNow(t, store.Item(&wire.JobItemQuery{Job: "a", Item: "i0"})); item.GetListed() || len(item.GetBody()) == 0 {
 		t.Fatalf("item that waits for its score: %v, want it unlisted with its body", item)
 	}
 	restored := New()
-	if err := restored.Restore(store.Snapshot()); err != nil {
+	if err := restored.Restore(mustSnapshot(t, store)); err != nil {
 		t.Fatal(err)
 	}
 	if restored.heldBytes != store.heldBytes {
@@ -56,7 +56,7 @@
 	}
 	mustStore(t, restored, scored("a", "i0", "s"), 1)
 	mustStore(t, restored, scored("a", "i0", "s2"), 0)
-	results := restored.Results(&wire.JobResultsQuery{Job: "a"}).GetResults()
+	results := readNow(t, restored.Results(&wire.JobResultsQuery{Job: "a"})).GetResults()
 	if len(results) != 1 || results[0].GetScore() != "s" || string(results[0].GetText()) != "text" || results[0].GetVersions()[0] != 3 {
 		t.Fatalf("results %v, want the first text with the first score", results)
 	}
@@ -100,7 +100,7 @@
 	}
 	mustStore(t, store, scored("a", "i0", "s"), 0)
 	restored := New()
-	if err := restored.Restore(store.Snapshot()); err != nil || restored.heldBytes != store.heldBytes {
+	if err := restored.Restore(mustSnapshot(t, store)); err != nil || restored.heldBytes != store.heldBytes {
 		t.Fatalf("restore: %v; %d bytes are stored, want %d", err, restored.heldBytes, store.heldBytes)
 	}
 }
--- a/internal/batchclient/client_test.go
+++ b/internal/batchclient/client_test.go
@@ -41,11 +41,11 @@
 	if l.failure != nil {
 		return nil, l.failure
 	}
-	view := l.machine.Query(query)
+	view, err := l.machine.Query(query)
 	if l.seen != nil {
 		l.seen(query, view)
 	}
-	return view, nil
+	return view, err
 }
 
 func newClient(t *testing.T) (*Client, *fakeLedger) {
@@ -95,7 +95,7 @@
 	if err := store.Submit(t.Context(), other); !trace.IsBadParameter(err) {
 		t.Fatalf("submit of other content: %v, want BadParameter", err)
 	}
-	work := ledger.machine.Query(&wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}}).GetJobWork()
+	work := mustQuery(t, ledger.machine, &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}}).GetJobWork()
 	job := work.GetJobs()[0].GetJob()
 	if job.GetMaxAttempts() != 3 || job.GetQueueTtlMillis() != 40_000 || job.GetDeadlineMillis() != 7500 || !job.GetSingleVersion() ||
 		job.GetTableVersion() != 7 || job.GetSentUnixMillis() != 5000 || job.GetItems()[0].GetHost() != "h.example" {
@@ -129,7 +129,7 @@
 		if err := store.Submit(t.Context(), job); !test.want(err) {
 			t.Errorf("%s: %v", name, err)
 		}
-		jobs := ledger.machine.Query(&wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}}).GetJobWork().GetJobs()
+		jobs := mustQuery(t, ledger.machine, &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}}).GetJobWork().GetJobs()
 		if taken := len(jobs) > 0; taken != test.taken {
 			t.Errorf("%s: stored %v, want the opposite", name, taken)
 			continue
@@ -202,3 +202,13 @@
 		t.Fatal(err)
 	}
 }
+
+// mustQuery answers a query and fails the test if the answer can't be read.
+func mustQuery(t *testing.T, machine *state.Machine, query *wire.Query) *wire.View {
+	t.Helper()
+	view, err := machine.Query(query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return view
+}
--- a/internal/batchclient/near_test.go
+++ b/internal/batchclient/near_test.go
@@ -32,7 +32,7 @@
 	if address != nearAddress || group != Group {
 		return nil, fmt.Errorf("query to %s for group %d, want the near node and the group of the batch jobs", address, group)
 	}
-	return n.machine.Query(query), nil
+	return n.machine.Query(query)
 }
 
 func (n *nearLedger) Leader(uint32) string { return n.leader }
--- a/internal/batchrun/fixture_test.go
+++ b/internal/batchrun/fixture_test.go
@@ -69,7 +69,7 @@
 func (g *fakeGroup) Query(_ context.Context, query *wire.Query) (*wire.View, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.machine.Query(query), nil
+	return g.machine.Query(query)
 }
 
 func (g *fakeGroup) LocalQuery(ctx context.Context, query *wire.Query) (*wire.View, error) {
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -17,6 +16,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/storage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -36,24 +36,28 @@
 	return &wire.Result{Kind: &wire.Result_Fence{Fence: &wire.FenceResult{Token: index, Owner: command.RequestId}}}
 }
 
-func (j *journal) Query(*wire.Query) *wire.View {
+func (j *journal) Prepare(*wire.Query) (*wire.View, func() (*wire.View, error)) {
 	text, err := json.Marshal(j.applied)
 	if err != nil {
-		return nil
+		return nil, nil
 	}
-	return &wire.View{Kind: &wire.View_Trainer{Trainer: &wire.TrainerView{Trainer: string(text)}}}
+	return &wire.View{Kind: &wire.View_Trainer{Trainer: &wire.TrainerView{Trainer: string(text)}}}, nil
 }
 
-func (j *journal) Capture() func() ([][]byte, error) {
+func (j *journal) Capture() func() (statepart.Parts, error) {
 	applied := slices.Clone(j.applied)
-	return func() ([][]byte, error) {
+	return func() (statepart.Parts, error) {
 		data, err := json.Marshal(applied)
-		return [][]byte{data}, err
+		return statepart.NewParts(data), err
 	}
 }
 
-func (j *journal) RestoreParts(parts [][]byte) error {
-	return json.Unmarshal(bytes.Join(parts, nil), &j.applied)
+func (j *journal) RestoreParts(parts statepart.Parts) error {
+	data, err := parts.Join()
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, &j.applied)
 }
 
 // decodeList returns the request IDs in a view of a journal.
--- a/internal/consensus/compaction.go
+++ b/internal/consensus/compaction.go
@@ -1,9 +1,13 @@
 package consensus
 
 import (
+	"errors"
+	"io/fs"
+
 	"github.com/gravitational/trace"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 )
 
 // minCostedSnapshotBytes is the size in bytes up to which Config.SnapshotCost does not delay a snapshot.
@@ -24,7 +28,7 @@
 type encodedState struct {
 	group *hostedGroup
 	index uint64
-	parts raft.Parts
+	parts statepart.Parts
 	err   error
 }
 
@@ -104,10 +108,20 @@
 		stored, err := h.config.Store.LoadSnapshot(group)
 		switch {
 		case err != nil:
-			h.fail(trace.Wrap(err, "consensus: group %d cannot read its snapshot", group))
+			h.snapshotUnreadable(group, err)
 		case stored.Index == message.Snapshot.Index:
 			message.Snapshot = &stored
 			h.peers.send(group, &message)
 		}
 	})
 }
+
+// snapshotUnreadable handles a stored snapshot that can't be read. A missing file belongs to a snapshot that was replaced
+// meanwhile, and raft sends the newer one. After any other error the disk can't be relied upon, and the host stops.
+func (h *Host) snapshotUnreadable(group uint32, err error) {
+	if errors.Is(err, fs.ErrNotExist) {
+		h.config.Log.Debugf("group %d: a snapshot was replaced while it was sent: %v", group, err)
+		return
+	}
+	h.fail(trace.Wrap(err, "consensus: group %d cannot read its snapshot", group))
+}
--- a/internal/consensus/compaction_test.go
+++ b/internal/consensus/compaction_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"testing"
+
+	"github.com/tamarindring/tamarindring/internal/statepart"
 )
 
 // blockingEncodeJournal blocks the encoding of a captured state until allowEncode is closed.
@@ -14,9 +16,9 @@
 	allowEncode chan struct{}
 }
 
-func (j *blockingEncodeJournal) Capture() func() ([][]byte, error) {
+func (j *blockingEncodeJournal) Capture() func() (statepart.Parts, error) {
 	encode := j.journal.Capture()
-	return func() ([][]byte, error) {
+	return func() (statepart.Parts, error) {
 		select {
 		case j.captured <- struct{}{}:
 		default:
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -12,6 +12,7 @@
 	"github.com/tamarindring/tamarindring/internal/compat"
 	"github.com/tamarindring/tamarindring/internal/defaults"
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/storage"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -31,15 +32,15 @@
 	CheckReadable(command *wire.Command) error
 	// Apply executes the command at a log index.
 	Apply(index uint64, command *wire.Command) *wire.Result
-	// Query answers a query from the applied state.
-	Query(query *wire.Query) *wire.View
+	// Prepare answers a query from the applied state. If the answer needs content that is not in memory, view is nil and
+	// load reads it. load is called from another goroutine while further commands are applied.
+	Prepare(query *wire.Query) (view *wire.View, load func() (*wire.View, error))
 	// Capture takes a consistent view of the whole current state. The returned function encodes that view. It is
 	// called from another goroutine while further commands are applied. A part that is unchanged since an earlier
-	// encoding may be returned as the same memory and is then not written to disk again.
-	Capture() (encode func() ([][]byte, error))
-	// RestoreParts replaces the state by a decoded snapshot. The state may keep references to the memory of the
-	// parts.
-	RestoreParts(parts [][]byte) error
+	// encoding may be returned as the same part and is then not written to disk again.
+	Capture() (encode func() (statepart.Parts, error))
+	// RestoreParts replaces the state by a decoded snapshot. The state may keep references to the parts.
+	RestoreParts(parts statepart.Parts) error
 }
 
 // Store is the durable state of a node. It is implemented by *storage.Store and by simulated disks.
@@ -56,9 +57,12 @@
 	// FreeSpace returns which kinds of work the free disk space allows. All are allowed while the headroom is free.
 	FreeSpace() storage.FreeSpace
 	// HasSpaceFor reports whether a snapshot of a group fits while leaving the space that votes need.
-	HasSpaceFor(group uint32, snapshot raft.Parts) bool
+	HasSpaceFor(group uint32, snapshot statepart.Parts) bool
 	// UnstoredBytes returns the number of bytes that storing a snapshot of a group would add to the disk.
-	UnstoredBytes(group uint32, snapshot raft.Parts) int
+	UnstoredBytes(group uint32, snapshot statepart.Parts) int
+	// RemoveReplaced frees the disk space of a group's state from before a snapshot of the leader. It is called once the
+	// state machine has the new state.
+	RemoveReplaced(group uint32)
 	// Peers and PutPeer read and durably write the records of other nodes.
 	Peers() ([]storage.PeerRecord, error)
 	PutPeer(record storage.PeerRecord) error
--- a/internal/consensus/fuzz_test.go
+++ b/internal/consensus/fuzz_test.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -18,8 +19,8 @@
 		toWire(3, &raft.Message{Kind: raft.MessageAppend, To: 1, From: 2, Term: 2, Index: 6, LogTerm: 1, Entries: entries, Commit: 5}),
 		toWire(0, &raft.Message{Kind: raft.MessageVoteReply, To: 1, From: 2, Term: 9, Reject: true}),
 	}
-	snapshot := raft.Snapshot{Index: 3, Term: 1, Configuration: raft.Configuration{Voters: []uint64{1, 2}}, Data: raft.Parts{make([]byte, 2*chunkBytes+1), {1}}}
-	messages = append(messages, snapshotChunks(0, &raft.Message{Kind: raft.MessageSnapshot, To: 1, From: 2, Term: 2, Snapshot: &snapshot}, true)[2])
+	snapshot := raft.Snapshot{Index: 3, Term: 1, Configuration: raft.Configuration{Voters: []uint64{1, 2}}, Data: statepart.NewParts(make([]byte, 2*chunkBytes+1), []byte{1})}
+	messages = append(messages, allChunks(f, newSnapshotTransfer(0, &raft.Message{Kind: raft.MessageSnapshot, To: 1, From: 2, Term: 2, Snapshot: &snapshot}, true))[2])
 	for _, message := range messages {
 		data, err := proto.Marshal(message)
 		if err != nil {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -112,6 +112,7 @@
 	if err := g.machine.RestoreParts(snapshot.Data); err != nil {
 		return trace.Wrap(err, "consensus: group %d cannot restore a snapshot at %d", g.id, snapshot.Index)
 	}
+	g.config.Store.RemoveReplaced(g.id)
 	g.applied = snapshot.Index
 	g.snapshots.recordReceived(snapshot)
 	if g.config.OnRestore != nil {
--- a/internal/consensus/partsagreed_test.go
+++ b/internal/consensus/partsagreed_test.go
@@ -8,27 +8,28 @@
 
 	"github.com/tamarindring/tamarindring/internal/compat"
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 )
 
 // largeStateJournal is a journal with two additional large parts that never change.
 type largeStateJournal struct {
 	journal
-	large [][]byte
+	large statepart.Parts
 }
 
 func newLargeStateJournal() *largeStateJournal {
-	return &largeStateJournal{large: [][]byte{bytes.Repeat([]byte{'a'}, 1<<20), bytes.Repeat([]byte{'b'}, 1<<20)}}
+	return &largeStateJournal{large: statepart.NewParts(bytes.Repeat([]byte{'a'}, 1<<20), bytes.Repeat([]byte{'b'}, 1<<20))}
 }
 
-func (j *largeStateJournal) Capture() func() ([][]byte, error) {
+func (j *largeStateJournal) Capture() func() (statepart.Parts, error) {
 	encode := j.journal.Capture()
-	return func() ([][]byte, error) {
+	return func() (statepart.Parts, error) {
 		parts, err := encode()
 		return append(parts, j.large...), err
 	}
 }
 
-func (j *largeStateJournal) RestoreParts(parts [][]byte) error {
+func (j *largeStateJournal) RestoreParts(parts statepart.Parts) error {
 	j.large = parts[len(parts)-2:]
 	return j.journal.RestoreParts(parts[:len(parts)-2])
 }
--- a/internal/consensus/reads.go
+++ b/internal/consensus/reads.go
@@ -78,5 +78,10 @@
 		request.answer(nil, nil)
 		return
 	}
-	request.answer(g.machine.Query(request.query), nil)
+	view, load := g.machine.Prepare(request.query)
+	if load == nil {
+		request.answer(view, nil)
+		return
+	}
+	go func() { request.answer(load()) }() // reads a disk, for which the loop must not wait
 }
--- a/internal/consensus/requests.go
+++ b/internal/consensus/requests.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -127,7 +128,7 @@
 // Errors: those of Status, and that of the state machine if its state cannot be encoded.
 func (h *Host) Capture(ctx context.Context, group uint32) (index uint64, data []byte, err error) {
 	type captured struct {
-		encode func() ([][]byte, error)
+		encode func() (statepart.Parts, error)
 		index  uint64
 	}
 	state, err := callWithResult(ctx, h, group, func(g *hostedGroup) (captured, error) {
@@ -137,7 +138,11 @@
 		return 0, nil, err
 	}
 	parts, err := state.encode()
-	return state.index, raft.Parts(parts).Join(), err
+	if err != nil {
+		return 0, nil, err
+	}
+	data, err = parts.Join()
+	return state.index, data, err
 }
 
 // AddLearner adds a node that receives the log but has no vote. The node must run with Config.Join. Errors:
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -39,7 +39,7 @@
 func (s *sender) enqueue(group uint32, message *raft.Message) {
 	s.mutex.Lock()
 	if message.Snapshot != nil {
-		queued := s.queue.addChunks(snapshotChunks(group, message, s.host.canStoreParts()))
+		queued := s.queue.addTransfer(newSnapshotTransfer(group, message, s.host.canStoreParts()))
 		logging.Emit(s.host.config.Log, &events.SnapshotSent{Group: group, Peer: s.node, Index: message.Snapshot.Index,
 			Bytes: message.Snapshot.Data.Size(), Dropped: !queued})
 	} else {
@@ -203,7 +203,12 @@
 			batch = s.newGreeting()
 		}
 		hasMessages := s.queue.fill(batch)
+		transfer := s.queue.nextTransfer()
 		s.mutex.Unlock()
+		if transfer != nil {
+			s.addChunk(batch, transfer)
+			hasMessages = true
+		}
 		if !hasMessages && batch.ClusterId == "" && !batch.KeepAlive {
 			select {
 			case <-ctx.Done():
@@ -221,6 +226,24 @@
 	}
 }
 
+// addChunk adds the next chunk of a snapshot to a batch. It ends a transfer that is complete, or of which a part can't be
+// read. The lock is not held meanwhile, since the loop must not wait for a disk.
+func (s *sender) addChunk(batch *wire.RaftBatch, transfer *snapshotTransfer) {
+	chunk, err := transfer.next()
+	if err == nil {
+		batch.Messages = append(batch.Messages, chunk)
+		if !transfer.isDone() {
+			return
+		}
+	}
+	s.mutex.Lock()
+	s.queue.removeTransfer(transfer)
+	s.mutex.Unlock()
+	if err != nil {
+		s.host.snapshotUnreadable(transfer.group, err)
+	}
+}
+
 func (s *sender) newGreeting() *wire.RaftBatch {
 	return &wire.RaftBatch{
 		ClusterId:     s.host.config.ClusterID,
--- a/internal/consensus/sender_test.go
+++ b/internal/consensus/sender_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -36,22 +37,34 @@
 	}
 }
 
+// allChunks returns the messages of a transfer.
+func allChunks(t testing.TB, transfer *snapshotTransfer) []*wire.RaftMessage {
+	t.Helper()
+	var chunks []*wire.RaftMessage
+	for !transfer.isDone() {
+		chunk, err := transfer.next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		chunks = append(chunks, chunk)
+	}
+	return chunks
+}
+
 // TestSentSnapshotIsReleased guards against a queue that keeps the data of a sent snapshot in memory for as long as
 // the connection lasts.
 func TestSentSnapshotIsReleased(t *testing.T) {
 	waiting := &queue{}
 	data := func() weak.Pointer[byte] {
-		snapshot := &raft.Snapshot{Index: 7, Term: 1, Data: raft.Parts{make([]byte, 3*chunkBytes+1)}}
-		waiting.addChunks(snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: snapshot}, true))
-		return weak.Make(&snapshot.Data[0][0])
+		content := make([]byte, 3*chunkBytes+1)
+		snapshot := &raft.Snapshot{Index: 7, Term: 1, Data: statepart.NewParts(content)}
+		waiting.addTransfer(newSnapshotTransfer(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: snapshot}, true))
+		return weak.Make(&content[0])
 	}()
 	taken := 0
-	for {
-		batch := &wire.RaftBatch{}
-		if !waiting.fill(batch) {
-			break
-		}
-		taken += len(batch.Messages)
+	for transfer := waiting.nextTransfer(); transfer != nil; transfer = waiting.nextTransfer() {
+		taken += len(allChunks(t, transfer))
+		waiting.removeTransfer(transfer)
 	}
 	if taken != 4 {
 		t.Fatalf("%d chunks were taken from the queue, want 4", taken)
@@ -63,24 +76,58 @@
 	runtime.KeepAlive(waiting)
 }
 
+// countingSource counts how often its content is read, and holds it in memory.
+type countingSource struct {
+	content []byte
+	reads   int
+}
+
+func (s *countingSource) Content() ([]byte, error) {
+	s.reads++
+	return s.content, nil
+}
+
+// TestSentStateIsReadPartByPart guards against a leader that reads its whole state into memory for each lagging node.
+func TestSentStateIsReadPartByPart(t *testing.T) {
+	var sources []*countingSource
+	var parts statepart.Parts
+	for range 3 {
+		source := &countingSource{content: make([]byte, 2*chunkBytes)}
+		sources = append(sources, source)
+		parts = append(parts, statepart.NewStored(len(source.content), 0, source))
+	}
+	transfer := newSnapshotTransfer(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: &raft.Snapshot{Index: 7, Data: parts}}, true)
+	for chunk := 0; !transfer.isDone(); chunk++ {
+		if _, err := transfer.next(); err != nil {
+			t.Fatal(err)
+		}
+		for position, source := range sources {
+			if due := position <= chunk/2; (source.reads == 1) != due || source.reads > 1 {
+				t.Errorf("after chunk %d part %d was read %d times", chunk, position, source.reads)
+			}
+		}
+	}
+}
+
 // TestSnapshotPartsRoundTrip: the parts of a snapshot must arrive as they were sent, or as one part if the sender or
 // the receiver is a build that does not support parts.
 func TestSnapshotPartsRoundTrip(t *testing.T) {
-	parts := raft.Parts{[]byte("head"), bytes.Repeat([]byte{1}, 2*chunkBytes+1), bytes.Repeat([]byte{2}, chunkBytes), []byte("end")}
-	chunks := snapshotChunks(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: &raft.Snapshot{Index: 7, Term: 1, Data: parts}}, true)
-	receive := func() raft.Parts {
+	contents := [][]byte{[]byte("head"), bytes.Repeat([]byte{1}, 2*chunkBytes+1), bytes.Repeat([]byte{2}, chunkBytes), []byte("end")}
+	snapshot := &raft.Snapshot{Index: 7, Term: 1, Data: statepart.NewParts(contents...)}
+	chunks := allChunks(t, newSnapshotTransfer(1, &raft.Message{Kind: raft.MessageSnapshot, Snapshot: snapshot}, true))
+	receive := func() [][]byte {
 		receiving := assembler{partial: map[uint32]*partialSnapshot{}}
 		for _, chunk := range chunks {
 			chunk = proto.CloneOf(chunk)
 			if whole := receiving.add(1, chunk.Snapshot); whole != nil {
-				return whole.Data
+				return contentsOf(t, whole.Data)
 			}
 		}
 		return nil
 	}
 	got := receive()
-	if !reflect.DeepEqual(got, parts) {
-		t.Errorf("got %d parts of %d bytes in all, want the parts that were sent", len(got), got.Size())
+	if !reflect.DeepEqual(got, contents) {
+		t.Errorf("got %d parts, want those that were sent", len(got))
 	}
 	for position, part := range got {
 		if cap(part) > len(part)+len(part)/maxUnusedShare {
@@ -92,10 +139,24 @@
 		older = append(older, chunk.Snapshot.Data...)
 		chunk.Snapshot.BeginsPart = false
 	}
-	if !bytes.Equal(older, parts.Join()) {
+	if !bytes.Equal(older, bytes.Join(contents, nil)) {
 		t.Error("a receiver without support for parts gets another state")
 	}
 	if got := receive(); len(got) != 1 || !bytes.Equal(got[0], older) {
 		t.Errorf("got %d parts from a sender without support for parts, want one with the whole state", len(got))
 	}
 }
+
+// contentsOf returns the content of each part.
+func contentsOf(t *testing.T, parts statepart.Parts) [][]byte {
+	t.Helper()
+	var contents [][]byte
+	for _, part := range parts {
+		content, err := part.Content()
+		if err != nil {
+			t.Fatal(err)
+		}
+		contents = append(contents, content)
+	}
+	return contents
+}
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
@@ -85,12 +86,12 @@
 	}
 }
 
-// queue holds the messages and snapshot chunks that wait to be sent to one peer.
+// queue holds the messages and snapshots that wait to be sent to one peer.
 type queue struct {
 	messages   []*wire.RaftMessage
 	sizes      []int
 	bytes      int
-	chunks     []*wire.RaftMessage // chunks of snapshots; each batch carries one
+	transfers  []*snapshotTransfer // snapshots to be sent; each batch carries one chunk of the first
 	greetAgain bool                // the next batch repeats the greeting
 }
 
@@ -108,18 +109,30 @@
 	q.bytes += size
 }
 
-// addChunks queues the chunks of a snapshot. It drops them, and returns false, while another snapshot of the same group is
-// queued.
-func (q *queue) addChunks(chunks []*wire.RaftMessage) bool {
-	for _, waiting := range q.chunks {
-		if waiting.Group == chunks[0].Group {
+// addTransfer queues a snapshot. It drops it, and returns false, while another snapshot of the same group is queued.
+func (q *queue) addTransfer(added *snapshotTransfer) bool {
+	for _, waiting := range q.transfers {
+		if waiting.group == added.group {
 			return false
 		}
 	}
-	q.chunks = append(q.chunks, chunks...)
+	q.transfers = append(q.transfers, added)
 	return true
 }
 
+// nextTransfer returns the snapshot of which the next batch carries a chunk, or nil.
+func (q *queue) nextTransfer() *snapshotTransfer {
+	if len(q.transfers) == 0 {
+		return nil
+	}
+	return q.transfers[0]
+}
+
+// removeTransfer removes a snapshot that was sent or can't be read.
+func (q *queue) removeTransfer(ended *snapshotTransfer) {
+	q.transfers = slices.DeleteFunc(q.transfers, func(waiting *snapshotTransfer) bool { return waiting == ended })
+}
+
 // fill moves messages from the queue to a batch and reports whether the batch has any.
 func (q *queue) fill(batch *wire.RaftBatch) bool {
 	size, count := 0, 0
@@ -133,13 +146,5 @@
 	if len(q.messages) == 0 {
 		q.messages, q.sizes = nil, nil
 	}
-	if len(q.chunks) > 0 {
-		batch.Messages = append(batch.Messages, q.chunks[0])
-		q.chunks[0] = nil // the chunk refers to the memory of the whole snapshot
-		q.chunks = q.chunks[1:]
-	}
-	if len(q.chunks) == 0 {
-		q.chunks = nil
-	}
 	return len(batch.Messages) > 0
 }
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -38,8 +38,8 @@
 	// jobDiskShare is the number of sixteenths of DiskBytes in the default of JobBytes. The rest of the disk is for the
 	// headroom, the log, and the parts that two snapshots do not have in common.
 	jobDiskShare = 11
-	// jobMemoryShare is the divisor of MemoryBytes that yields the default of JobBytes. A leader uses about as much
-	// memory again for its sessions and runs, and the garbage collector keeps the total below 60%.
+	// jobMemoryShare is the divisor of MemoryBytes that yields the default of JobBytes. A node that receives the state of
+	// a group holds it in memory until it is stored, beside its sessions and runs.
 	jobMemoryShare = 3
 )
 
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -174,7 +174,7 @@
 func (f *fakeControl) Query(_ context.Context, _ uint32, query *wire.Query) (*wire.View, error) {
 	f.cluster.mutex.Lock()
 	defer f.cluster.mutex.Unlock()
-	return f.cluster.ledger.Query(query), nil
+	return f.cluster.ledger.Query(query)
 }
 
 // fixture is a small fleet on the loopback interface.
--- a/internal/raft/checker_test.go
+++ b/internal/raft/checker_test.go
@@ -62,7 +62,7 @@
 func (c *checker) checkSnapshot(node uint64, snapshot *Snapshot) {
 	c.snapshots++
 	known, ok := c.log[snapshot.Index]
-	if !ok || known.term != snapshot.Term || known.digest != string(snapshot.Data.Join()) {
+	if !ok || known.term != snapshot.Term || known.digest != string(mustJoin(snapshot.Data)) {
 		c.fail("state machine safety: node %d installed a snapshot at %d of term %d that is not the committed state", node, snapshot.Index, snapshot.Term)
 	}
 }
--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand"
 	"slices"
+
+	"github.com/tamarindring/tamarindring/internal/statepart"
 )
 
 // disk is the synced storage of a machine.
@@ -86,7 +88,7 @@
 		c.check.fail("node %d rejected the state on its own disk: %v", m.id, err)
 		return
 	}
-	m.node, m.ready, m.state, m.appliedIndex = node, nil, m.disk.snapshot.Data.Join(), m.disk.snapshot.Index
+	m.node, m.ready, m.state, m.appliedIndex = node, nil, mustJoin(m.disk.snapshot.Data), m.disk.snapshot.Index
 	m.reads = nil
 }
 
@@ -175,7 +177,7 @@
 
 func (c *cluster) apply(m *machine, ready Ready) {
 	if ready.Snapshot != nil {
-		m.state, m.appliedIndex = ready.Snapshot.Data.Join(), ready.Snapshot.Index
+		m.state, m.appliedIndex = mustJoin(ready.Snapshot.Data), ready.Snapshot.Index
 		c.check.checkSnapshot(m.id, ready.Snapshot)
 	}
 	c.applyEntries(m, ready.Committed...)
@@ -236,7 +238,7 @@
 	if m.node == nil || m.ready != nil || m.node.log.applied <= m.node.snapshot.Index {
 		return
 	}
-	snapshot, err := m.node.Compact(m.node.log.applied, Parts{m.state})
+	snapshot, err := m.node.Compact(m.node.log.applied, statepart.NewParts(m.state))
 	if err != nil {
 		c.check.fail("compaction: %v", err)
 		return
@@ -288,3 +290,12 @@
 	}
 	return text
 }
+
+// mustJoin returns the encoding of a state whose parts are in memory.
+func mustJoin(parts statepart.Parts) []byte {
+	data, err := parts.Join()
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -1,12 +1,16 @@
 package raft
 
-import "github.com/gravitational/trace"
+import (
+	"github.com/gravitational/trace"
+
+	"github.com/tamarindring/tamarindring/internal/statepart"
+)
 
 // Compact records data as the state machine's state at index, which must be applied, and drops the log before index
 // except for what Config retains. The driver has to store the returned snapshot. The node sends it to members that
 // have fallen behind the log, and holds its data until ReleaseSnapshot. It returns trace.BadParameter if index is not
 // applied yet or not after the last snapshot.
-func (n *Node) Compact(index uint64, data Parts) (Snapshot, error) {
+func (n *Node) Compact(index uint64, data statepart.Parts) (Snapshot, error) {
 	if index > n.log.applied || index <= n.snapshot.Index {
 		return Snapshot{}, trace.BadParameter("raft: cannot compact at %d: the last snapshot is at %d, applied is %d",
 			index, n.snapshot.Index, n.log.applied)
@@ -44,7 +48,7 @@
 func (n *Node) LogBytes() int { return n.log.dataSize(n.log.firstIndex(), n.log.lastIndex()) }
 
 // SnapshotBytes returns the size in bytes of the snapshot data in memory.
-func (n *Node) SnapshotBytes() int { return n.snapshot.Data.Size() }
+func (n *Node) SnapshotBytes() int { return n.snapshot.Data.MemoryBytes() }
 
 // sendSnapshot sends the last snapshot to a member that needs entries from before the log. An inactive member gets
 // none, because a snapshot that it does not store would only fill the connection.
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -22,7 +22,11 @@
 // The log since the last compaction is held in memory. On a restart New receives it from the driver's storage.
 package raft
 
-import "math/rand"
+import (
+	"math/rand"
+
+	"github.com/tamarindring/tamarindring/internal/statepart"
+)
 
 // None is the zero ID, which no node has.
 const None uint64 = 0
@@ -82,7 +86,7 @@
 	Index         uint64
 	Term          uint64
 	Configuration Configuration
-	Data          Parts
+	Data          statepart.Parts
 }
 
 // MessageKind is the kind of a protocol message.
--- a/internal/sim/control.go
+++ b/internal/sim/control.go
@@ -240,7 +240,11 @@
 			answer(c.failureReply(request.Group, err))
 			return
 		}
-		view := c.host.groups[request.Group].machine.Query(request.Query)
+		view, err := c.host.groups[request.Group].machine.Query(request.Query)
+		if err != nil {
+			answer(c.failureReply(request.Group, err))
+			return
+		}
 		answer(&wire.ExecuteReply{Status: wire.ExecuteStatus_EXECUTE_STATUS_OK, View: view})
 	})
 }
--- a/internal/sim/group.go
+++ b/internal/sim/group.go
@@ -11,6 +11,7 @@
 	"github.com/tamarindring/tamarindring/internal/durable"
 	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -249,7 +250,7 @@
 	if g.host.world.hasMutation(SnapshotForgetsChangeIDs) && g.id == state.ControlGroup {
 		data = withoutChangeIDs(data)
 	}
-	snapshot, err := g.node.Compact(g.applied, raft.Parts{data})
+	snapshot, err := g.node.Compact(g.applied, statepart.NewParts(data))
 	if err != nil {
 		g.host.world.truth.reportFailure("node %d cannot compact: %v", g.host.id, err)
 		return
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -250,9 +250,49 @@
 	return &wire.Result{Kind: &wire.Result_Invalid{Invalid: err.Error()}}
 }
 
-// Query answers from the current state. A caller that needs a linearizable answer must pass a read barrier first. A
-// query of an unknown kind gets an empty View. A StatusView has only the fields that the state machine knows.
-func (m *Machine) Query(query *wire.Query) *wire.View {
+// Query answers from the current state, and reads what is not in memory. A caller that needs a linearizable answer must
+// pass a read barrier first. A query of an unknown kind gets an empty View. A StatusView has only the fields that the state
+// machine knows.
+func (m *Machine) Query(query *wire.Query) (*wire.View, error) {
+	view, load := m.Prepare(query)
+	if load == nil {
+		return view, nil
+	}
+	return load()
+}
+
+// Prepare is Query without reading. Where the answer may need content that is not in memory, view is nil and load reads
+// it; load may run concurrently with later commands.
+func (m *Machine) Prepare(query *wire.Query) (view *wire.View, load func() (*wire.View, error)) {
+	switch kind := query.GetKind().(type) {
+	case *wire.Query_JobResults:
+		return answer(m.jobs.Results(kind.JobResults), func(view *wire.JobResultsView) *wire.View {
+			return &wire.View{Kind: &wire.View_JobResults{JobResults: view}}
+		})
+	case *wire.Query_JobItem:
+		return answer(m.jobs.Item(kind.JobItem), func(view *wire.JobItemView) *wire.View {
+			return &wire.View{Kind: &wire.View_JobItem{JobItem: view}}
+		})
+	}
+	return m.queryMemory(query), nil
+}
+
+// answer returns the answer to a query of batch jobs as a view of the whole machine.
+func answer[V any](reading batch.Reading[V], wrap func(V) *wire.View) (*wire.View, func() (*wire.View, error)) {
+	if reading.Load == nil {
+		return wrap(reading.View), nil
+	}
+	return nil, func() (*wire.View, error) {
+		view, err := reading.Load()
+		if err != nil {
+			return nil, err
+		}
+		return wrap(view), nil
+	}
+}
+
+// queryMemory answers a query whose answer is always in memory.
+func (m *Machine) queryMemory(query *wire.Query) *wire.View {
 	switch kind := query.GetKind().(type) {
 	case *wire.Query_Table:
 		return &wire.View{Kind: &wire.View_Table{Table: m.queryTable(kind.Table)}}
@@ -277,10 +317,6 @@
 		return &wire.View{Kind: &wire.View_Trainers{Trainers: &wire.TrainersView{OpenTrainers: m.ledger.OpenTrainers()}}}
 	case *wire.Query_Fence:
 		return &wire.View{Kind: &wire.View_Fence{Fence: m.fences.Current(kind.Fence.GetResource())}}
-	case *wire.Query_JobResults:
-		return &wire.View{Kind: &wire.View_JobResults{JobResults: m.jobs.Results(kind.JobResults)}}
-	case *wire.Query_JobItem:
-		return &wire.View{Kind: &wire.View_JobItem{JobItem: m.jobs.Item(kind.JobItem)}}
 	case *wire.Query_JobWork:
 		return &wire.View{Kind: &wire.View_JobWork{JobWork: m.jobs.Work(kind.JobWork)}}
 	case *wire.Query_JobRoom:
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tamarindring/tamarindring/internal/claim"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -62,23 +63,23 @@
 	if machine.TableVersion() != 2 {
 		t.Fatalf("table version %d, want 2", machine.TableVersion())
 	}
-	fence := machine.Query(&wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: "nobody's"}}}).GetFence()
+	fence := mustQuery(t, machine, &wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: "nobody's"}}}).GetFence()
 	if fence == nil || fence.GetToken() != 0 {
 		t.Fatalf("fence of an unused resource is %v, want token 0", fence)
 	}
-	versions := machine.Query(&wire.Query{Kind: &wire.Query_Versions{Versions: &wire.VersionsQuery{Pool: "chat"}}}).GetVersions()
+	versions := mustQuery(t, machine, &wire.Query{Kind: &wire.Query_Versions{Versions: &wire.VersionsQuery{Pool: "chat"}}}).GetVersions()
 	if len(versions.GetVersions()) != 1 || versions.GetVersions()[0].GetVersion() != "t-v1" {
 		t.Fatalf("weight versions %v, want t-v1 only", versions)
 	}
-	claim := machine.Query(&wire.Query{Kind: &wire.Query_Claim{Claim: &wire.ClaimQuery{Key: "k"}}}).GetClaim()
+	claim := mustQuery(t, machine, &wire.Query{Kind: &wire.Query_Claim{Claim: &wire.ClaimQuery{Key: "k"}}}).GetClaim()
 	if claim.GetState() != wire.ClaimState_CLAIM_STATE_DONE || string(claim.GetAnswer().GetBody()) != "ok" {
 		t.Fatalf("claim %v, want DONE with answer ok", claim)
 	}
-	trainer := machine.Query(&wire.Query{Kind: &wire.Query_Trainer{Trainer: &wire.TrainerQuery{Trainer: "t"}}}).GetTrainer()
+	trainer := mustQuery(t, machine, &wire.Query{Kind: &wire.Query_Trainer{Trainer: &wire.TrainerQuery{Trainer: "t"}}}).GetTrainer()
 	if trainer.GetDeliveredSamples() != 1 || trainer.GetAcknowledgedCursor() != 1 || len(trainer.GetSteps()) != 0 {
 		t.Fatalf("trainer %v, want one delivered sample, cursor 1 acknowledged and no open step", trainer)
 	}
-	results := machine.Query(&wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: "j"}}}).GetJobResults()
+	results := mustQuery(t, machine, &wire.Query{Kind: &wire.Query_JobResults{JobResults: &wire.JobResultsQuery{Job: "j"}}}).GetJobResults()
 	if results.GetTotal() != 2 || results.GetNext() != 1 || string(results.GetResults()[0].GetText()) != "t" {
 		t.Fatalf("job results %v, want a total of 2 and text t of the first", results)
 	}
@@ -204,9 +205,13 @@
 }
 
 // decodeAndEncode decodes an encoded state in one piece, as builds from before parts do, and encodes it again.
-func decodeAndEncode(t interface{ Fatal(...any) }, parts [][]byte) []byte {
+func decodeAndEncode(t interface{ Fatal(...any) }, parts statepart.Parts) []byte {
+	encoded, err := parts.Join()
+	if err != nil {
+		t.Fatal(err)
+	}
 	whole := &wire.MachineSnapshot{}
-	if err := proto.Unmarshal(bytes.Join(parts, nil), whole); err != nil {
+	if err := proto.Unmarshal(encoded, whole); err != nil {
 		t.Fatal(err)
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(whole)
@@ -222,7 +227,7 @@
 func TestCaptureIsUnaffectedByLaterCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		machine := New()
-		var encoders []func() ([][]byte, error)
+		var encoders []func() (statepart.Parts, error)
 		var wanted [][]byte
 		for index := range rapid.IntRange(1, 60).Draw(t, "commands") {
 			machine.Apply(uint64(index+1), proto.CloneOf(drawCommand(t, index)))
@@ -276,3 +281,13 @@
 		}
 	})
 }
+
+// mustQuery answers a query and fails the test if the answer can't be read.
+func mustQuery(t *testing.T, machine *Machine, query *wire.Query) *wire.View {
+	t.Helper()
+	view, err := machine.Query(query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return view
+}
--- a/internal/state/parts.go
+++ b/internal/state/parts.go
@@ -5,12 +5,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindring/tamarindring/internal/batch"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// decodeParts decodes a snapshot. The records of its batch jobs are returned undecoded and share the memory of the
-// parts.
-func decodeParts(parts [][]byte) (*wire.MachineSnapshot, []batch.Record, error) {
+// decodeParts decodes a snapshot. The records of its batch jobs are returned undecoded; those that are a part of their
+// own are not held in memory.
+func decodeParts(parts statepart.Parts) (*wire.MachineSnapshot, []batch.Record, error) {
 	var found partsContent
 	for _, part := range parts {
 		if err := found.addPart(part); err != nil {
@@ -37,8 +38,12 @@
 
 // addPart adds the fields of a part. If the part consists of one record of a batch job, it is kept with the record, so
 // that later snapshots can reuse it.
-func (c *partsContent) addPart(part []byte) error {
-	fields, err := splitFields(part)
+func (c *partsContent) addPart(part *statepart.Part) error {
+	content, err := part.Content()
+	if err != nil {
+		return err
+	}
+	fields, err := splitFields(content)
 	if err != nil {
 		return err
 	}
@@ -53,7 +58,7 @@
 			return err
 		}
 		if onlyRecords && len(fields) == 1 && len(c.records) == records+1 {
-			c.records[records].Part = part
+			c.records[records] = batch.Record{Part: part}
 		}
 	}
 	return nil
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/compat"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -34,7 +35,11 @@
 	}
 	whole := &wire.MachineSnapshot{}
 	for _, part := range parts {
-		if err := (proto.UnmarshalOptions{Merge: true}).Unmarshal(part, whole); err != nil {
+		content, err := part.Content()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if err := (proto.UnmarshalOptions{Merge: true}).Unmarshal(content, whole); err != nil {
 			return nil, trace.Wrap(err)
 		}
 	}
@@ -49,7 +54,7 @@
 // Each encoded part is a wire.MachineSnapshot with some of the state. The concatenation of the parts is one with all of
 // it, which builds from before parts can read. Every batch job that no longer changes is a part of its own, which is
 // the same in each encoding.
-func (m *Machine) Capture() (encode func() ([][]byte, error)) {
+func (m *Machine) Capture() (encode func() (statepart.Parts, error)) {
 	jobs := m.jobs.Capture()
 	snapshot := &wire.MachineSnapshot{
 		Format:       m.format(),
@@ -65,24 +70,23 @@
 	}
 	snapshot.ProtoReflect().SetUnknown(m.unknownFields)
 	claims := m.claims.Capture()
-	return func() ([][]byte, error) {
+	return func() (statepart.Parts, error) {
 		snapshot.Claims = claims.Message()
 		head, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 		if err != nil {
 			return nil, trace.Wrap(err, "encoding a snapshot")
 		}
 		parts, err := jobs.Parts()
-		return append([][]byte{head}, parts...), trace.Wrap(err)
+		return append(statepart.NewParts(head), parts...), trace.Wrap(err)
 	}
 }
 
 // Restore replaces the state with that of a snapshot. It fails as RestoreParts does.
-func (m *Machine) Restore(data []byte) error { return m.RestoreParts([][]byte{data}) }
+func (m *Machine) Restore(data []byte) error { return m.RestoreParts(statepart.NewParts(data)) }
 
-// RestoreParts replaces the state with that of a snapshot. The Machine may retain the parts, so the caller must not
-// modify them. It fails, without changing the Machine, if the data is not a valid snapshot or is of a format or level
+// RestoreParts replaces the state with that of a snapshot. The Machine may retain the parts. It fails, without changing the Machine, if the data is not a valid snapshot or is of a format or level
 // that this build does not support.
-func (m *Machine) RestoreParts(parts [][]byte) error {
+func (m *Machine) RestoreParts(parts statepart.Parts) error {
 	snapshot, records, err := decodeParts(parts)
 	if err != nil {
 		return trace.BadParameter("data is not a snapshot: %v", err)
--- a/internal/storage/check.go
+++ b/internal/storage/check.go
@@ -124,7 +124,7 @@
 }
 
 func (r *Report) checkGroup(tx *bbolt.Tx, group uint32) {
-	restored, err := loadGroup(tx, group, newPartCache())
+	restored, err := loadGroup(tx, group)
 	if err != nil {
 		r.addDamage(err)
 		return
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -33,8 +33,12 @@
 type DamageError struct {
 	Record string // for example "group 3 entry 17"
 	Reason string
+	Cause  error // of the operating system; nil if there is none
 }
 
+// Unwrap returns the cause.
+func (e *DamageError) Unwrap() error { return e.Cause }
+
 // Error returns the error as one line.
 func (e *DamageError) Error() string {
 	return fmt.Sprintf("storage: %s is damaged: %s; replace this node as a learner under a new node ID, or restore a backup",
--- a/internal/storage/fuzz_test.go
+++ b/internal/storage/fuzz_test.go
@@ -30,7 +30,7 @@
 		if _, err := decodeHardState("hard state", record); err == nil && len(record) != hardStateBytes {
 			t.Fatalf("a hard state of %d bytes was accepted, want 24 bytes", len(record))
 		}
-		if state, err := decodeSnapshot("snapshot", record); err == nil {
+		if state, err := decodeSnapshot("", "snapshot", record); err == nil {
 			if _, err := encodeSnapshot(key, &state.Snapshot, state.files); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/storage/load.go
+++ b/internal/storage/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"path/filepath"
 
 	"go.etcd.io/bbolt"
 
@@ -21,7 +20,7 @@
 	err := catchPanics(dataFile, func() error {
 		return s.database.View(func(tx *bbolt.Tx) error {
 			var err error
-			restored, err = loadGroup(tx, group, s.parts)
+			restored, err = loadGroup(tx, group)
 			return err
 		})
 	})
@@ -29,7 +28,7 @@
 }
 
 // LoadSnapshot returns the stored snapshot of a group, or the zero value if none is stored. It returns a *DamageError
-// for a damaged record or snapshot file.
+// for a damaged record or small snapshot file. Large files are verified when their parts are read.
 func (s *Store) LoadSnapshot(group uint32) (raft.Snapshot, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -40,16 +39,15 @@
 	err := catchPanics(dataFile, func() error {
 		return s.database.View(func(tx *bbolt.Tx) error {
 			var err error
-			snapshot, err = loadSnapshot(tx, group, s.parts)
+			snapshot, err = loadSnapshot(tx, group)
 			return err
 		})
 	})
 	return snapshot, err
 }
 
-// loadSnapshot returns a group's snapshot. Large parts are added to the cache: the state machine shares their memory,
-// and they are sent to a lagging node without another copy.
-func loadSnapshot(tx *bbolt.Tx, group uint32, cache *partCache) (raft.Snapshot, error) {
+// loadSnapshot returns a group's snapshot, whose large parts stay in their files.
+func loadSnapshot(tx *bbolt.Tx, group uint32) (raft.Snapshot, error) {
 	key := groupKey(group)
 	record := tx.Bucket(bucketSnapshots).Get(key)
 	if record == nil {
@@ -59,19 +57,16 @@
 	if err != nil {
 		return raft.Snapshot{}, err
 	}
-	stored, err := decodeSnapshot(snapshotRecordName(group), payload)
+	stored, err := decodeSnapshot(snapshotFolder(tx), snapshotRecordName(group), payload)
 	if err != nil {
 		return raft.Snapshot{}, err
 	}
 	snapshot := stored.Snapshot
 	for _, file := range stored.files {
-		part := cache.lookup(file)
-		if part == nil {
-			if part, err = file.read(filepath.Dir(tx.DB().Path()), snapshotRecordName(group)); err != nil {
-				return raft.Snapshot{}, err
-			}
+		part, err := file.part()
+		if err != nil {
+			return raft.Snapshot{}, err
 		}
-		cache.add(file, part)
 		snapshot.Data = append(snapshot.Data, part)
 	}
 	return snapshot, nil
@@ -114,7 +109,17 @@
 	return groups
 }
 
-func loadGroup(tx *bbolt.Tx, group uint32, cache *partCache) (raft.Restored, error) {
+// verifyParts reads all parts of a snapshot, one at a time, and returns a *DamageError if one is damaged.
+func verifyParts(snapshot raft.Snapshot) error {
+	for _, part := range snapshot.Data {
+		if _, err := part.Content(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func loadGroup(tx *bbolt.Tx, group uint32) (raft.Restored, error) {
 	var restored raft.Restored
 	key := groupKey(group)
 	if record := tx.Bucket(bucketHardStates).Get(key); record != nil {
@@ -127,7 +132,10 @@
 		}
 	}
 	var err error
-	if restored.Snapshot, err = loadSnapshot(tx, group, cache); err != nil {
+	if restored.Snapshot, err = loadSnapshot(tx, group); err != nil {
+		return raft.Restored{}, err
+	}
+	if err := verifyParts(restored.Snapshot); err != nil {
 		return raft.Restored{}, err
 	}
 	restored.Entries, err = loadEntries(tx, group, restored.Snapshot.Index)
--- a/internal/storage/record.go
+++ b/internal/storage/record.go
@@ -148,14 +148,15 @@
 	}
 }
 
-func decodeSnapshot(name string, payload []byte) (storedSnapshot, error) {
+// decodeSnapshot decodes a snapshot record. folder holds the files that it refers to.
+func decodeSnapshot(folder, name string, payload []byte) (storedSnapshot, error) {
 	message, err := decodeSnapshotMessage(name, payload)
 	if err != nil {
 		return storedSnapshot{}, err
 	}
 	snapshot := storedSnapshot{Snapshot: snapshotMetadata(message)}
 	for _, named := range message.Files {
-		file := &snapshotFile{name: named.Name, size: named.Size, checksum: named.Checksum}
+		file := &snapshotFile{folder: folder, name: named.Name, size: named.Size, checksum: named.Checksum}
 		if err := file.check(name); err != nil {
 			return storedSnapshot{}, err
 		}
@@ -164,7 +165,7 @@
 	if len(snapshot.files) > 0 || len(message.Data) == 0 {
 		return snapshot, nil
 	}
-	file, err := decodeSnapshotFile(name, message.Data)
+	file, err := decodeSnapshotFile(folder, name, message.Data)
 	if err != nil {
 		return storedSnapshot{}, err
 	}
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 )
 
 // The state of a snapshot is stored in files beside the data file. In the data file it would be copied into a record
@@ -34,8 +36,10 @@
 // parts share a file, which every snapshot writes anew.
 const minOwnFileBytes = 256 << 10
 
-// snapshotFile is the reference in a snapshot's record to a file that holds one or more parts of its state.
+// snapshotFile is the reference in a snapshot's record to a file that holds one or more parts of its state. It is the
+// source of a part that has a file of its own.
 type snapshotFile struct {
+	folder   string
 	name     string
 	size     uint64 // bytes
 	checksum uint64 // xxhash of the content
@@ -58,11 +62,11 @@
 	return append(reference, f.name...)
 }
 
-func decodeSnapshotFile(record string, reference []byte) (*snapshotFile, error) {
+func decodeSnapshotFile(folder, record string, reference []byte) (*snapshotFile, error) {
 	if len(reference) <= referenceHeaderBytes {
 		return nil, &DamageError{Record: record, Reason: "it names no file"}
 	}
-	file := &snapshotFile{name: string(reference[referenceHeaderBytes:]), size: binary.BigEndian.Uint64(reference),
+	file := &snapshotFile{folder: folder, name: string(reference[referenceHeaderBytes:]), size: binary.BigEndian.Uint64(reference),
 		checksum: binary.BigEndian.Uint64(reference[8:])}
 	return file, file.check(record)
 }
@@ -75,20 +79,30 @@
 	return nil
 }
 
-// read returns the content of the file, or a *DamageError if its size or checksum is wrong.
-func (f *snapshotFile) read(folder, record string) ([]byte, error) {
-	state, err := os.ReadFile(filepath.Join(folder, f.name))
+// Content implements statepart.Source. It returns a *DamageError if the size or the checksum of the file is wrong, or if
+// the file is missing: after a newer snapshot without the part, or because it was lost.
+func (f *snapshotFile) Content() ([]byte, error) {
+	content, err := os.ReadFile(filepath.Join(f.folder, f.name))
 	switch {
 	case err != nil:
-		return nil, &DamageError{Record: record, Reason: err.Error()}
-	case uint64(len(state)) != f.size || xxhash.Sum64(state) != f.checksum:
-		return nil, &DamageError{Record: record, Reason: "the file " + f.name + " does not hold what was written"}
+		return nil, &DamageError{Record: f.name, Reason: err.Error(), Cause: err}
+	case uint64(len(content)) != f.size || xxhash.Sum64(content) != f.checksum:
+		return nil, &DamageError{Record: f.name, Reason: "it does not hold what was written"}
 	}
-	return state, nil
+	return content, nil
+}
+
+// part returns the content of the file as a part. A large part stays in the file.
+func (f *snapshotFile) part() (*statepart.Part, error) {
+	if f.size >= minOwnFileBytes {
+		return statepart.NewStored(int(f.size), f.checksum, f), nil
+	}
+	content, err := f.Content()
+	return statepart.New(content), err
 }
 
 // writeSnapshotFile writes parts of a state to a new file and syncs it. The caller must sync the folder.
-func writeSnapshotFile(folder string, group uint32, index uint64, parts raft.Parts) (*snapshotFile, error) {
+func writeSnapshotFile(folder string, group uint32, index uint64, parts statepart.Parts) (*snapshotFile, error) {
 	file, err := os.CreateTemp(folder, fmt.Sprintf("%s%d-%d-*", snapshotPrefix, group, index))
 	if err != nil {
 		return nil, err
@@ -96,7 +110,7 @@
 	digest := xxhash.New()
 	for _, part := range parts {
 		if err == nil {
-			_, err = io.MultiWriter(file, digest).Write(part)
+			err = writePart(io.MultiWriter(file, digest), part)
 		}
 	}
 	if err == nil {
@@ -105,7 +119,16 @@
 	if err = errors.Join(err, file.Close()); err != nil {
 		return nil, errors.Join(err, os.Remove(file.Name()))
 	}
-	return &snapshotFile{name: filepath.Base(file.Name()), size: uint64(parts.Size()), checksum: digest.Sum64()}, nil
+	return &snapshotFile{folder: folder, name: filepath.Base(file.Name()), size: uint64(parts.Size()), checksum: digest.Sum64()}, nil
+}
+
+func writePart(to io.Writer, part *statepart.Part) error {
+	content, err := part.Content()
+	if err != nil {
+		return err
+	}
+	_, err = to.Write(content)
+	return err
 }
 
 // snapshotFiles lists the files of one snapshot in the order of its parts.
@@ -113,20 +136,27 @@
 
 // snapshotWrite holds the snapshot files of one write.
 type snapshotWrite struct {
-	byGroup map[uint32]snapshotFiles // all files of each group's new snapshot, including files that it keeps
-	created snapshotFiles            // files that this write created
-	parts   map[string]weakPart      // large parts by file name
+	byGroup  map[uint32]snapshotFiles // all files of each group's new snapshot, including files that it keeps
+	created  snapshotFiles            // files that this write created
+	received map[uint32]bool          // groups whose state is replaced by that of the leader
+	large    []storedPart             // parts with a file of their own
+}
+
+// storedPart is a part with the file that holds it.
+type storedPart struct {
+	part *statepart.Part
+	file *snapshotFile
 }
 
 // writeSnapshotFiles writes the states of the snapshots in a batch. On an error it removes the files that it created.
 func (s *Store) writeSnapshotFiles(batch []GroupWrite) (*snapshotWrite, error) {
-	files := &snapshotWrite{byGroup: map[uint32]snapshotFiles{}, parts: map[string]weakPart{}}
+	files := &snapshotWrite{byGroup: map[uint32]snapshotFiles{}, received: map[uint32]bool{}}
 	for i := range batch {
 		if batch[i].newestSnapshot() == nil {
 			continue
 		}
 		if err := s.writeStateFiles(&batch[i], files); err != nil {
-			files.created.remove(s.options.Folder)
+			files.created.remove()
 			return nil, err
 		}
 	}
@@ -134,7 +164,7 @@
 		return files, nil
 	}
 	if err := syncFolder(s.options.Folder); err != nil {
-		files.created.remove(s.options.Folder)
+		files.created.remove()
 		return nil, err
 	}
 	return files, nil
@@ -145,10 +175,11 @@
 func (s *Store) writeStateFiles(write *GroupWrite, files *snapshotWrite) error {
 	snapshot := write.newestSnapshot()
 	files.byGroup[write.Group] = nil
-	inParts := write.AllowMultipleFiles || s.parts.hasSeveralFiles(write.Group)
+	files.received[write.Group] = write.Snapshot != nil
+	inParts := write.AllowMultipleFiles || s.files.hasSeveralFiles(write.Group)
 	for _, parts := range assignPartsToFiles(snapshot.Data, inParts) {
-		file := s.parts.findFile(write.Group, parts)
-		if file == nil {
+		file := s.files.find(write.Group, parts)
+		if file == nil || !file.holds(parts[0]) {
 			created, err := writeSnapshotFile(s.options.Folder, write.Group, snapshot.Index, parts)
 			if err != nil {
 				return err
@@ -157,8 +188,8 @@
 			file, files.created = created, append(files.created, created)
 		}
 		files.byGroup[write.Group] = append(files.byGroup[write.Group], file)
-		if len(parts) == 1 && len(parts[0]) >= minOwnFileBytes {
-			files.parts[file.name] = newWeakPart(parts[0])
+		if len(parts) == 1 && parts[0].Size() >= minOwnFileBytes {
+			files.large = append(files.large, storedPart{part: parts[0], file: file})
 		}
 	}
 	return nil
@@ -166,24 +197,24 @@
 
 // assignPartsToFiles returns the parts of a state grouped by the file that holds them. Unless inParts is set, all parts
 // go into one file, which builds that do not support states in parts can read.
-func assignPartsToFiles(state raft.Parts, inParts bool) []raft.Parts {
+func assignPartsToFiles(state statepart.Parts, inParts bool) []statepart.Parts {
 	if len(state) == 0 {
 		return nil
 	}
 	if !inParts {
-		return []raft.Parts{state}
+		return []statepart.Parts{state}
 	}
-	var arranged []raft.Parts
-	var small raft.Parts
+	var arranged []statepart.Parts
+	var small statepart.Parts
 	for _, part := range state {
-		if len(part) < minOwnFileBytes {
+		if part.Size() < minOwnFileBytes {
 			small = append(small, part)
 			continue
 		}
 		if len(small) > 0 {
 			arranged, small = append(arranged, small), nil
 		}
-		arranged = append(arranged, raft.Parts{part})
+		arranged = append(arranged, statepart.Parts{part})
 	}
 	if len(small) > 0 {
 		arranged = append(arranged, small)
@@ -200,12 +231,28 @@
 }
 
 // remove removes the files, which no record may refer to. If a removal fails, the next Open removes the file.
-func (f snapshotFiles) remove(folder string) {
+func (f snapshotFiles) remove() {
 	for _, file := range f {
-		_ = os.Remove(filepath.Join(folder, file.name))
+		_ = os.Remove(filepath.Join(file.folder, file.name))
+	}
+}
+
+// holds reports whether the content of the file is that of the part. A file whose reference a part has needs no look.
+func (f *snapshotFile) holds(part *statepart.Part) bool {
+	if !part.InMemory() {
+		return true
+	}
+	content, err := part.Content()
+	if err != nil {
+		return false
 	}
+	stored, err := f.Content()
+	return err == nil && bytes.Equal(stored, content)
 }
 
+// snapshotFolder returns the folder of the snapshot files that the records of a data file refer to.
+func snapshotFolder(tx *bbolt.Tx) string { return filepath.Dir(tx.DB().Path()) }
+
 // loadSnapshotFiles returns, by group, the files that the snapshot records refer to.
 func loadSnapshotFiles(tx *bbolt.Tx) (map[uint32]snapshotFiles, error) {
 	files := map[uint32]snapshotFiles{}
@@ -216,7 +263,7 @@
 		if err != nil {
 			return nil, err
 		}
-		snapshot, err := decodeSnapshot(name, payload)
+		snapshot, err := decodeSnapshot(snapshotFolder(tx), name, payload)
 		if err != nil {
 			return nil, err
 		}
@@ -236,7 +283,7 @@
 	if err != nil {
 		return nil // Load reports the damaged record of a group; its files must not be removed
 	}
-	s.parts.setFiles(named)
+	s.files.set(named)
 	known := map[string]bool{}
 	for _, files := range named {
 		for _, file := range files {
@@ -275,7 +322,7 @@
 		}
 		snapshot := snapshotMetadata(message)
 		if len(message.Data) > 0 {
-			snapshot.Data = raft.Parts{message.Data}
+			snapshot.Data = statepart.NewParts(message.Data)
 		}
 		moved[groupOf(key)] = &snapshot
 	}
--- a/internal/storage/snapshotfile_test.go
+++ b/internal/storage/snapshotfile_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -32,9 +33,19 @@
 	return names
 }
 
+// mustJoin returns the encoding of a state.
+func mustJoin(t *testing.T, parts statepart.Parts) string {
+	t.Helper()
+	data, err := parts.Join()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
 // compaction returns the write of a snapshot of group 3 with a state of one part.
 func compaction(index uint64, state string) GroupWrite {
-	return GroupWrite{Group: 3, Compaction: &raft.Snapshot{Index: index, Term: 1, Data: raft.Parts{[]byte(state)},
+	return GroupWrite{Group: 3, Compaction: &raft.Snapshot{Index: index, Term: 1, Data: statepart.NewParts([]byte(state)),
 		Configuration: raft.Configuration{Voters: []uint64{1, 2}}}}
 }
 
@@ -46,7 +57,7 @@
 		func() (raft.Snapshot, error) { restored, err := store.Load(3); return restored.Snapshot, err },
 	} {
 		snapshot, err := load()
-		if err != nil || snapshot.Index != index || string(snapshot.Data.Join()) != state || len(snapshot.Configuration.Voters) != 2 {
+		if err != nil || snapshot.Index != index || mustJoin(t, snapshot.Data) != state || len(snapshot.Configuration.Voters) != 2 {
 			t.Fatalf("got snapshot %+v, error %v; want index %d with state %q", snapshot, err, index, state)
 		}
 	}
@@ -58,14 +69,14 @@
 	options := testOptions(t.TempDir())
 	store := mustOpen(t, options)
 	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
-	mustWrite(t, store, compaction(5, "five"), GroupWrite{Group: 4, Snapshot: &raft.Snapshot{Index: 2, Term: 1, Data: raft.Parts{[]byte("other")}}})
+	mustWrite(t, store, compaction(5, "five"), GroupWrite{Group: 4, Snapshot: &raft.Snapshot{Index: 2, Term: 1, Data: statepart.NewParts([]byte("other"))}})
 	mustWrite(t, store, compaction(9, "nine"))
 	wantState(t, store, 9, "nine")
 	if names := listSnapshotFiles(t, options.Folder); len(names) != 2 {
 		t.Fatalf("got files %v, want 2", names)
 	}
 	received := compaction(15, "both")
-	received.Snapshot = &raft.Snapshot{Index: 12, Term: 1, Data: raft.Parts{[]byte("received")}}
+	received.Snapshot = &raft.Snapshot{Index: 12, Term: 1, Data: statepart.NewParts([]byte("received"))}
 	mustWrite(t, store, received)
 	store.Close()
 	stray := filepath.Join(options.Folder, snapshotPrefix+"3-99-1")
@@ -136,7 +147,11 @@
 // inlineSnapshot returns a snapshot record of format 2, which contains the state itself. Without its checksum it is a
 // record of format 1.
 func inlineSnapshot(key []byte, snapshot *raft.Snapshot) ([]byte, error) {
-	payload, err := proto.Marshal(&wire.RaftSnapshot{Index: snapshot.Index, Term: snapshot.Term, Data: snapshot.Data.Join(),
+	data, err := snapshot.Data.Join()
+	if err != nil {
+		return nil, err
+	}
+	payload, err := proto.Marshal(&wire.RaftSnapshot{Index: snapshot.Index, Term: snapshot.Term, Data: data,
 		Configuration: &wire.RaftConfiguration{Voters: snapshot.Configuration.Voters, Learners: snapshot.Configuration.Learners}})
 	return encodeRecord(key, payload), err
 }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 )
 
 // Options configures Open: which folder to open and which node it must belong to.
@@ -60,7 +61,7 @@
 	database  *bbolt.DB
 	commits   atomic.Uint64 // durable transactions since the folder was opened
 	fileBytes atomic.Uint64 // bytes written to snapshot files since the folder was opened
-	parts     *partCache
+	files     *storedFiles
 
 	mutex    sync.Mutex // guards poisoned and closed, and serializes reads and writes
 	poisoned error      // the first failure whose effect on the disk is unknown
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := &Store{options: options, lock: lock, parts: newPartCache()}
+	store := &Store{options: options, lock: lock, files: newStoredFiles()}
 	if err := store.open(); err != nil {
 		store.Close()
 		return nil, err
@@ -279,17 +280,21 @@
 
 // HasSpaceFor reports whether the disk can hold a new snapshot of a group beside the present one and still has the free
 // space that is reserved for votes.
-func (s *Store) HasSpaceFor(group uint32, snapshot raft.Parts) bool {
+func (s *Store) HasSpaceFor(group uint32, snapshot statepart.Parts) bool {
 	free, err := s.measureFreeBytes()
 	return err != nil || free >= uint64(s.UnstoredBytes(group, snapshot))+s.options.HeadroomBytes/voteReserveDivisor
 }
 
 // UnstoredBytes returns the size in bytes of those parts of a group's snapshot that no file of its stored snapshot
 // holds.
-func (s *Store) UnstoredBytes(group uint32, snapshot raft.Parts) int {
-	return s.parts.unstoredBytes(group, snapshot)
+func (s *Store) UnstoredBytes(group uint32, snapshot statepart.Parts) int {
+	return s.files.unstoredBytes(group, snapshot)
 }
 
+// RemoveReplaced removes the files of a group's snapshots that a snapshot of the leader has replaced. It is called when
+// nothing reads the state from before that snapshot any more.
+func (s *Store) RemoveReplaced(group uint32) { s.files.removeReplaced(group) }
+
 // FreeBytes returns the free space of the folder's disk in bytes.
 func (s *Store) FreeBytes() (uint64, error) { return s.measureFreeBytes() }
 
--- a/internal/storage/store_test.go
+++ b/internal/storage/store_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
 )
 
 func testOptions(folder string) Options {
@@ -59,7 +60,7 @@
 	store := mustOpen(t, options)
 	mustWrite(t, store,
 		GroupWrite{Group: 0, Entries: entriesFrom(1, 5, 1), HardState: &raft.HardState{Term: 1, Vote: 2, Commit: 3}},
-		GroupWrite{Group: 7, Snapshot: &raft.Snapshot{Index: 9, Term: 4, Data: raft.Parts{[]byte("state")},
+		GroupWrite{Group: 7, Snapshot: &raft.Snapshot{Index: 9, Term: 4, Data: statepart.NewParts([]byte("state")),
 			Configuration: raft.Configuration{Voters: []uint64{1, 2, 3}, Learners: []uint64{4}}}})
 	mustWrite(t, store, GroupWrite{Group: 0, Entries: entriesFrom(4, 1, 2)})
 	store.Close()
@@ -69,7 +70,7 @@
 		t.Fatalf("group 0 was loaded as %+v", zero)
 	}
 	seven := mustLoad(t, store, 7)
-	if seven.Snapshot.Index != 9 || string(seven.Snapshot.Data.Join()) != "state" || len(seven.Snapshot.Configuration.Learners) != 1 {
+	if seven.Snapshot.Index != 9 || mustJoin(t, seven.Snapshot.Data) != "state" || len(seven.Snapshot.Configuration.Learners) != 1 {
 		t.Fatalf("group 7 was loaded as %+v", seven)
 	}
 	if store.Starts() != 2 {
@@ -371,7 +372,7 @@
 			t.Fatalf("%d free bytes are classified as %v, want %v", free, store.FreeSpace(), want.room)
 		}
 	}
-	if free = defaultHeadroomBytes/2 + 100; !store.HasSpaceFor(0, raft.Parts{make([]byte, 100)}) || store.HasSpaceFor(0, raft.Parts{make([]byte, 100), {1}}) {
+	if free = defaultHeadroomBytes/2 + 100; !store.HasSpaceFor(0, statepart.NewParts(make([]byte, 100))) || store.HasSpaceFor(0, statepart.NewParts(make([]byte, 100), []byte{1})) {
 		t.Fatal("with 100 bytes more than half the headroom free, a snapshot of 100 bytes must fit and one of 101 must not")
 	}
 	if found := mustLoad(t, store, 0); len(found.Entries) != 2 || found.Entries[1].Term != 1 {
@@ -389,7 +390,7 @@
 func TestUpgradeFromFormat1(t *testing.T) {
 	options := testOptions(t.TempDir())
 	store := mustOpen(t, options)
-	want := raft.Snapshot{Index: 5, Term: 2, Data: raft.Parts{[]byte("old state")}}
+	want := raft.Snapshot{Index: 5, Term: 2, Data: statepart.NewParts([]byte("old state"))}
 	record, err := inlineSnapshot(groupKey(4), &want)
 	if err != nil {
 		t.Fatal(err)
@@ -412,7 +413,7 @@
 		}
 		store = mustOpen(t, options)
 		found := mustLoad(t, store, 4)
-		if found.Snapshot.Index != want.Index || string(found.Snapshot.Data.Join()) != string(want.Data.Join()) {
+		if found.Snapshot.Index != want.Index || mustJoin(t, found.Snapshot.Data) != mustJoin(t, want.Data) {
 			t.Fatalf("the upgraded snapshot is %+v, want the one that was stored in format 1", found.Snapshot)
 		}
 		store.Close()
--- a/internal/storage/write.go
+++ b/internal/storage/write.go
@@ -54,10 +54,10 @@
 	})
 	switch {
 	case err == nil:
-		s.parts.commit(s.options.Folder, files)
+		s.files.commit(files)
 	case errors.Is(err, ErrNoSpace):
 		// After any other error the transaction may have become durable and refer to the files.
-		files.created.remove(s.options.Folder)
+		files.created.remove()
 	}
 	return err
 }
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -48,7 +48,7 @@
 	f.queries.Add(1)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.machine.Query(query), nil
+	return f.machine.Query(query)
 }
 
 // fakeSender simulates replicas that execute orders immediately, and checks the orders that they get.
