--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -59,6 +59,7 @@
 	if !h.book.canParticipate() {
 		return
 	}
+	h.peers.eachProgress(func(node uint64, group uint32) { h.groupByID[group].node.ReportSnapshotProgress(node) })
 	for _, g := range h.groups {
 		g.node.Tick()
 	}
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,12 +30,14 @@
 	notify chan struct{} // has a token when the queue may have messages
 	wake   chan struct{} // has a token when the node was heard from and should be dialed at once
 
-	mutex sync.Mutex
-	queue queue
+	mutex      sync.Mutex
+	queue      queue
+	progressed map[uint32]bool // groups of which a chunk of a snapshot was sent since takeProgress
 }
 
 func newSender(host *Host, nonce, node uint64) *sender {
-	return &sender{host: host, nonce: nonce, node: node, notify: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
+	return &sender{host: host, nonce: nonce, node: node, notify: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+		progressed: map[uint32]bool{}}
 }
 
 func (s *sender) enqueue(group uint32, message *raft.Message) {
@@ -223,7 +227,29 @@
 			<-ctx.Done() // waitForEnd supplies the reason
 			return context.Cause(ctx)
 		}
+		if transfer != nil {
+			s.recordProgress(transfer.group)
+		}
+	}
+}
+
+// recordProgress records that a chunk of a group's snapshot was sent.
+func (s *sender) recordProgress(group uint32) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.progressed[group] = true
+}
+
+// takeProgress returns the groups of which a chunk of a snapshot was sent since the last call.
+func (s *sender) takeProgress() []uint32 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.progressed) == 0 {
+		return nil
 	}
+	groups := slices.Collect(maps.Keys(s.progressed))
+	clear(s.progressed)
+	return groups
 }
 
 // addChunk adds the next chunk of a snapshot to a batch. It ends a transfer that is complete, or of which a part can't be
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
@@ -78,6 +79,18 @@
 	}
 }
 
+// eachProgress calls report for each node and group of which a chunk of a snapshot was sent since the last call.
+func (p *peerSet) eachProgress(report func(node uint64, group uint32)) {
+	p.mutex.Lock()
+	senders := slices.Collect(maps.Values(p.senders))
+	p.mutex.Unlock()
+	for _, sender := range senders {
+		for _, group := range sender.takeProgress() {
+			report(sender.node, group)
+		}
+	}
+}
+
 // noteGreeting makes the sender to a node that has just greeted dial at once. If the node was unknown before, the
 // sender greets it again, so that the node learns that it is known now.
 func (p *peerSet) noteGreeting(node uint64, isNew bool) {
--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -58,6 +58,7 @@
 	isolated     map[uint64]bool // machines that can neither send nor receive
 	nextProposal uint64          // content of the last proposal
 	check        checker
+	hold         func(Message) bool // keeps a message off the network if it returns true; may be nil
 }
 
 func newCluster(random *rand.Rand, base Config, voters int) *cluster {
@@ -219,6 +220,9 @@
 	if !keep {
 		c.network = slices.Delete(c.network, i, i+1)
 	}
+	if c.hold != nil && c.hold(message) {
+		return
+	}
 	m := c.machine(message.To)
 	if m == nil || m.node == nil || c.isolated[message.To] || c.isolated[message.From] {
 		return
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -98,12 +98,15 @@
 			*option.value = option.defaultValue
 		}
 	}
+	if c.TransferRetainedBytes == 0 {
+		c.TransferRetainedBytes = 4 * c.RetainedBytes
+	}
 	if c.SnapshotRetryTicks == 0 {
 		c.SnapshotRetryTicks = 5 * c.ElectionTicks
 	}
-	if c.ElectionTicks <= c.HeartbeatTicks || c.SnapshotRetryTicks < 0 || c.CampaignDelayTicks < 0 {
+	if c.ElectionTicks <= c.HeartbeatTicks || c.SnapshotRetryTicks < 0 || c.CampaignDelayTicks < 0 || c.TransferRetainedBytes < 0 {
 		return c, trace.BadParameter(
-			"raft: %d election ticks must exceed %d heartbeat ticks, and the snapshot retry and campaign delay must not be negative",
+			"raft: %d election ticks must exceed %d heartbeat ticks, and the snapshot retry, the campaign delay and the entries retained for a transfer must not be negative",
 			c.ElectionTicks, c.HeartbeatTicks)
 	}
 	return c, nil
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -22,7 +22,8 @@
 	ticksSinceReply        int    // ticks since any reply of the node
 	ticksSinceDurableReply int    // ticks since a reply that waits for the node's disk
 	repliedInTerm          bool   // a reply that waits for its disk came since the leadership began
-	snapshotTicks          int    // ticks since the snapshot was sent
+	snapshotTicks          int    // ticks since the snapshot was sent, or since the last progress of sending it
+	snapshotTries          int    // snapshots sent since the node last acknowledged anything new
 	snapshotIndex          uint64
 	readRound              uint64 // latest read round that the node confirmed
 	inflight               inflight
@@ -53,7 +54,7 @@
 	if index <= p.match {
 		return false
 	}
-	p.match = index
+	p.match, p.snapshotTries = index, 0
 	p.next = max(p.next, index+1)
 	return true
 }
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -24,8 +24,24 @@
 }
 
 // compactionOffset returns the index after which entries stay in memory when the log is compacted at index. It
-// retains the newest entries that fit both RetainedEntries and RetainedBytes.
+// retains the newest entries that fit both RetainedEntries and RetainedBytes, and all that follow a snapshot on its way
+// to a member if they fit TransferRetainedBytes. Without them a member would be sent snapshots for ever, each too old by
+// the time that it arrived.
 func (n *Node) compactionOffset(index uint64) uint64 {
+	offset := n.retainedOffset(index)
+	for _, p := range n.progress {
+		if n.role != Leader || p.state != snapshotting || !n.isReachable(p) || p.snapshotIndex < n.log.offset || p.snapshotIndex >= offset {
+			continue
+		}
+		if n.log.dataSize(p.snapshotIndex+1, index) <= n.config.TransferRetainedBytes {
+			offset = p.snapshotIndex
+		}
+	}
+	return offset
+}
+
+// retainedOffset returns the index after which the newest entries fit both RetainedEntries and RetainedBytes.
+func (n *Node) retainedOffset(index uint64) uint64 {
 	oldest := max(n.log.offset, index-min(index, uint64(n.config.RetainedEntries)))
 	for size := 0; index > oldest; index-- {
 		if size += n.log.dataSize(index, index); size > n.config.RetainedBytes {
@@ -58,17 +74,31 @@
 	}
 	p.become(snapshotting)
 	p.snapshotIndex = n.snapshot.Index
+	p.snapshotTries++
 	snapshot := n.snapshot
 	n.sendEarly(Message{Kind: MessageSnapshot, To: p.node, Snapshot: &snapshot, Commit: n.log.commit})
 }
 
-// retrySnapshot returns to probing if the snapshot was not acknowledged within SnapshotRetryTicks.
+// maxSnapshotRetryDoublings bounds how often the delay before a snapshot is sent again is doubled.
+const maxSnapshotRetryDoublings = 2
+
+// ReportSnapshotProgress tells a leader that a part of its snapshot was sent to a member. The snapshot is sent again only
+// after SnapshotRetryTicks without such progress: how long a transfer takes depends on the size of the state.
+func (n *Node) ReportSnapshotProgress(member uint64) {
+	if p := n.progressOf(member); p != nil && p.state == snapshotting {
+		p.snapshotTicks = 0
+	}
+}
+
+// retrySnapshot returns to probing if a snapshot was neither acknowledged nor made progress for long enough.
 func (n *Node) retrySnapshot(p *progress) {
 	if p.state != snapshotting {
 		return
 	}
 	p.snapshotTicks++
-	if p.snapshotTicks >= n.config.SnapshotRetryTicks {
+	// There was no try if the member acknowledged an older snapshot meanwhile.
+	doublings := min(max(p.snapshotTries-1, 0), maxSnapshotRetryDoublings)
+	if p.snapshotTicks >= n.config.SnapshotRetryTicks<<doublings {
 		p.become(probing)
 		n.flushNeeded = true
 	}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -162,8 +162,13 @@
 	RetainedEntries int
 	// RetainedBytes bounds the data of these entries. Default 16 MiB.
 	RetainedBytes int
-	// SnapshotRetryTicks is the number of ticks after which a snapshot that was not acknowledged is sent
-	// again. Large snapshots may need more than the default of five times ElectionTicks.
+	// TransferRetainedBytes bounds the data of the entries that stay in memory for members that are being sent a
+	// snapshot. A member whose snapshot takes longer to arrive than a group needs to produce these entries is sent
+	// another snapshot. Default four times RetainedBytes.
+	TransferRetainedBytes int
+	// SnapshotRetryTicks is the number of ticks without progress after which a snapshot that was not acknowledged is
+	// sent again, see ReportSnapshotProgress. It doubles with each further try, up to maxSnapshotRetryDoublings times.
+	// Default five times ElectionTicks.
 	SnapshotRetryTicks int
 	// Random draws election timeouts. It is required, so that a simulated run can be reproduced.
 	Random *rand.Rand
