A signed success whose end is not marked is no answer

What callers would see: a 200 with an empty or short body, framed as whole, of a replica that stopped in the middle of its answer. Cause: a success without a length and without chunks ends with its connection, which a replica that stops closes as well; the front gave it a length and passed it on. Heads that are cut, after each of their bytes, were no answer before either: calls, orders, reports, usage reports, calls between control nodes, the own interface.

Change: where successes are signed, one whose end only the close of the connection marks is an answercheck.Fault ("unframed"), and the request fails as one that may have run, or goes to another replica. Sites without signatures keep HTTP's rule (TestAnswerWithoutLengthEndsWithItsConnection).

--- a/internal/answercheck/check.go
+++ b/internal/answercheck/check.go
@@ -17,24 +17,27 @@
 	Unnamed                    // it does not name the request
 	Unsigned                   // a success without the signature of the replica that made it
 	Endless                    // its head or body exceeds every size that an answer has
+	Unframed                   // a signed success whose end nothing but the close of the connection marks
 )
 
 // String returns the name of the fault in metrics.
 func (f Fault) String() string {
-	return [...]string{BadStatus: "status", Foreign: "foreign", Unnamed: "unnamed", Unsigned: "unsigned", Endless: "endless"}[f]
+	return [...]string{BadStatus: "status", Foreign: "foreign", Unnamed: "unnamed", Unsigned: "unsigned", Endless: "endless",
+		Unframed: "unframed"}[f]
 }
 
 // Error implements error.
 func (f Fault) Error() string {
 	return "not an answer: " + [...]string{BadStatus: "its status is not between 200 and 599",
 		Foreign: "it belongs to another request", Unnamed: "it does not name the request",
-		Unsigned: "a success without the replica's signature", Endless: "it goes on without an end"}[f]
+		Unsigned: "a success without the replica's signature", Endless: "it goes on without an end",
+		Unframed: "a success whose end is not marked"}[f]
 }
 
 // Expected is what the answer to a request must carry.
 type Expected struct {
 	RequestID string // ID of the request, which the answer repeats; empty: the answer need not name a request
-	Signed    bool   // a success carries the signature of the replica that made it
+	Signed    bool   // a success carries the signature of the replica that made it, and marks its end
 }
 
 // Head is the part of a message's head that identifies it as an answer.
@@ -42,6 +45,9 @@
 	Status    int
 	RequestID string // empty: none
 	Signature string // empty: none
+	// Unframed is set if the head announces neither a length nor chunks. A body that ends with its connection can't be
+	// told from one that was cut.
+	Unframed bool
 }
 
 // Check returns nil if a message with this head is the expected answer, and otherwise a Fault.
@@ -55,6 +61,8 @@
 		return Foreign
 	case e.Signed && isSuccess(head.Status) && head.Signature == "":
 		return Unsigned
+	case e.Signed && isSuccess(head.Status) && head.Unframed:
+		return Unframed
 	}
 	return nil
 }
--- a/internal/answercheck/check_test.go
+++ b/internal/answercheck/check_test.go
@@ -31,6 +31,8 @@
 		{Head{Status: 503, RequestID: "two"}, Foreign},
 		{Head{Status: 200, RequestID: "one"}, Unsigned},
 		{Head{Status: 204, RequestID: "one"}, Unsigned},
+		{Head{Status: 200, RequestID: "one", Signature: "s", Unframed: true}, Unframed},
+		{Head{Status: 503, RequestID: "one", Unframed: true}, nil},
 	} {
 		if got := expected.Check(test.head); !errors.Is(got, test.want) {
 			t.Errorf("%+v: got %v, want %v", test.head, got, test.want)
--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -52,7 +52,12 @@
 		expected.RequestID = call.AttemptID
 	}
 	return expected.Check(answercheck.Head{Status: response.StatusCode, RequestID: c.headerValue(response, names.AttemptID),
-		Signature: c.headerValue(response, names.Signature)})
+		Signature: c.headerValue(response, names.Signature), Unframed: isUnframed(response)})
+}
+
+// isUnframed reports whether the body of an answer has neither a length nor chunks.
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 // readRefusal returns the reason for which the replica did not run the request, or RefusedNone.
