At most four answers of a group read parts of the state at a time

Cause: by reading: after a loss of all machines many callers read the results of ended jobs at once, and each read holds a part of up to 2 MB, so that a node could hold more than it did with all texts in memory. Change: slots, per group; the loop waits for none of them.

--- a/internal/batch/query.go
+++ b/internal/batch/query.go
@@ -6,11 +6,10 @@
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
-// Reading returns the answer to a query, or nil and a function that reads it where the content may not be in memory. The
-// function may run concurrently with later commands.
+// Reading is the answer to a query. An answer that needs a part of the state which may not be in memory is read by Load.
 type Reading[View any] struct {
-	View View
-	Load func() (View, error) // nil: View is the answer
+	View View                 // the answer, unless Load is set
+	Load func() (View, error) // reads the answer; may run concurrently with later commands
 }
 
 // Now returns the answer, and reads it if necessary.
--- a/internal/consensus/compaction.go
+++ b/internal/consensus/compaction.go
@@ -108,7 +108,7 @@
 		stored, err := h.config.Store.LoadSnapshot(group)
 		switch {
 		case err != nil:
-			h.snapshotUnreadable(group, err)
+			h.handleUnreadableSnapshot(group, err)
 		case stored.Index == message.Snapshot.Index:
 			message.Snapshot = &stored
 			h.peers.send(group, &message)
@@ -116,9 +116,9 @@
 	})
 }
 
-// snapshotUnreadable handles a stored snapshot that can't be read. A missing file belongs to a snapshot that was replaced
+// handleUnreadableSnapshot handles a stored snapshot that can't be read. A missing file belongs to a snapshot that was replaced
 // meanwhile, and raft sends the newer one. After any other error the disk can't be relied upon, and the host stops.
-func (h *Host) snapshotUnreadable(group uint32, err error) {
+func (h *Host) handleUnreadableSnapshot(group uint32, err error) {
 	if errors.Is(err, fs.ErrNotExist) {
 		h.config.Log.Debugf("group %d: a snapshot was replaced while it was sent: %v", group, err)
 		return
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -30,6 +30,8 @@
 
 	pending map[uint64]*proposal // proposed commands by log index
 	reads   readQueue
+
+	loadSlots chan struct{} // holds an entry for each answer that reads parts of the state
 }
 
 func newGroup(config *Config, id uint32, restored raft.Restored) (*hostedGroup, error) {
@@ -40,6 +42,7 @@
 		applied:   restored.Snapshot.Index,
 		snapshots: snapshotSchedule{index: restored.Snapshot.Index, size: restored.Snapshot.Data.Size()},
 		pending:   map[uint64]*proposal{},
+		loadSlots: make(chan struct{}, maxConcurrentLoads),
 	}
 	if len(restored.Snapshot.Data) > 0 {
 		if err := g.machine.RestoreParts(restored.Snapshot.Data); err != nil {
--- a/internal/consensus/reads.go
+++ b/internal/consensus/reads.go
@@ -6,6 +6,10 @@
 	"github.com/tamarindring/tamarindring/internal/raft"
 )
 
+// maxConcurrentLoads limits the answers of one group that read parts of the state at the same time. Each of them holds a
+// part in memory.
+const maxConcurrentLoads = 4
+
 // readQueue tracks linearizable reads. The reads of one round of the loop share one raft read context.
 type readQueue struct {
 	lastContext uint64
@@ -83,5 +87,9 @@
 		request.answer(view, nil)
 		return
 	}
-	go func() { request.answer(load()) }() // reads a disk, for which the loop must not wait
+	go func() { // reads a disk, for which the loop must not wait
+		g.loadSlots <- struct{}{}
+		defer func() { <-g.loadSlots }()
+		request.answer(load())
+	}()
 }
--- a/internal/consensus/sender.go
+++ b/internal/consensus/sender.go
@@ -266,7 +266,7 @@
 	s.queue.removeTransfer(transfer)
 	s.mutex.Unlock()
 	if err != nil {
-		s.host.snapshotUnreadable(transfer.group, err)
+		s.host.handleUnreadableSnapshot(transfer.group, err)
 	}
 }
 
