Large requests leave no large buffers at control nodes

Cause: the same class elsewhere, found by the heap profile: the buffers of the streams at a leader grew from 2 to 15 MB over 80 s, since each connection keeps a buffer that has held its largest frame, and gateways submit large jobs in turn. Change: clients split requests into frames of 16 KB.

--- a/internal/controlclient/connection.go
+++ b/internal/controlclient/connection.go
@@ -23,7 +23,7 @@
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maximumMessageBytes},
-		Stream: drpcstream.Options{ManualFlush: true, MaximumBufferSize: wire.MaximumRetainedBufferBytes},
+		Stream: drpcstream.Options{ManualFlush: true, MaximumBufferSize: wire.MaximumRetainedBufferBytes, SplitSize: wire.RequestFrameBytes},
 	}
 }
 
