Tests of transfers and of state machines share their set-up

Change: addLaggingLearner and mustPropose in raft's tests, servertest.MustQuery; no assertion changes.

--- a/internal/batchclient/client_test.go
+++ b/internal/batchclient/client_test.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/tamarindring/tamarindring/internal/replica"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 	"github.com/tamarindring/tamarindring/internal/state"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/verdict"
@@ -95,7 +96,7 @@
 	if err := store.Submit(t.Context(), other); !trace.IsBadParameter(err) {
 		t.Fatalf("submit of other content: %v, want BadParameter", err)
 	}
-	work := mustQuery(t, ledger.machine, &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}}).GetJobWork()
+	work := servertest.MustQuery(t, ledger.machine, &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}}).GetJobWork()
 	job := work.GetJobs()[0].GetJob()
 	if job.GetMaxAttempts() != 3 || job.GetQueueTtlMillis() != 40_000 || job.GetDeadlineMillis() != 7500 || !job.GetSingleVersion() ||
 		job.GetTableVersion() != 7 || job.GetSentUnixMillis() != 5000 || job.GetItems()[0].GetHost() != "h.example" {
@@ -129,7 +130,7 @@
 		if err := store.Submit(t.Context(), job); !test.want(err) {
 			t.Errorf("%s: %v", name, err)
 		}
-		jobs := mustQuery(t, ledger.machine, &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}}).GetJobWork().GetJobs()
+		jobs := servertest.MustQuery(t, ledger.machine, &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}}).GetJobWork().GetJobs()
 		if taken := len(jobs) > 0; taken != test.taken {
 			t.Errorf("%s: stored %v, want the opposite", name, taken)
 			continue
@@ -202,13 +203,3 @@
 		t.Fatal(err)
 	}
 }
-
-// mustQuery answers a query and fails the test if the answer can't be read.
-func mustQuery(t *testing.T, machine *state.Machine, query *wire.Query) *wire.View {
-	t.Helper()
-	view, err := machine.Query(query)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return view
-}
--- a/internal/raft/transfer_test.go
+++ b/internal/raft/transfer_test.go
@@ -50,25 +50,41 @@
 	}
 }
 
-// TestLearnerIsSentSnapshotsThatAreTooOld guards against a learner that never catches up. Its snapshot takes longer to
-// arrive than the group needs to produce the entries that a compaction retains, so that the entry after the snapshot is
-// gone when it arrives, and the next snapshot has the same fate.
-func TestLearnerIsSentSnapshotsThatAreTooOld(t *testing.T) {
-	const delay, rounds = 30, 400
-	c := testCluster(t, 3, Unsafe{})
-	leader := c.mustElectLeader(t, 60)
-	for range 50 {
+// mustPropose commits a number of commands.
+func mustPropose(t *testing.T, c *cluster, leader *machine, commands int) {
+	t.Helper()
+	for range commands {
 		if err := c.propose(leader); err != nil {
 			t.Fatal(err)
 		}
 		c.drain()
 	}
+}
+
+// learnerID is the node that tests add as a learner.
+const learnerID = 9
+
+// addLaggingLearner compacts the log and adds a learner, whose snapshots take delay ticks to arrive.
+func addLaggingLearner(t *testing.T, c *cluster, leader *machine, delay int) *delayedSnapshots {
+	t.Helper()
 	c.compact(leader)
-	c.add(9, Snapshot{})
+	c.add(learnerID, Snapshot{})
 	snapshots := delaySnapshots(c, delay)
-	if _, _, err := leader.node.ProposeChange(ConfigurationChange{Kind: AddLearner, Node: 9}); err != nil {
+	if _, _, err := leader.node.ProposeChange(ConfigurationChange{Kind: AddLearner, Node: learnerID}); err != nil {
 		t.Fatal(err)
 	}
+	return snapshots
+}
+
+// TestLearnerIsSentSnapshotsThatAreTooOld guards against a learner that never catches up. Its snapshot takes longer to
+// arrive than the group needs to produce the entries that a compaction retains, so that the entry after the snapshot is
+// gone when it arrives, and the next snapshot has the same fate.
+func TestLearnerIsSentSnapshotsThatAreTooOld(t *testing.T) {
+	const delay, rounds = 30, 400
+	c := testCluster(t, 3, Unsafe{})
+	leader := c.mustElectLeader(t, 60)
+	mustPropose(t, c, leader, 50)
+	snapshots := addLaggingLearner(t, c, leader, delay)
 	for range rounds {
 		if err := c.propose(leader); err != nil {
 			t.Fatal(err)
@@ -76,7 +92,7 @@
 		snapshots.tick(t)
 		c.compact(leader)
 	}
-	behind := leader.node.log.commit - c.machine(9).node.log.commit
+	behind := leader.node.log.commit - c.machine(learnerID).node.log.commit
 	if behind > delay || snapshots.sent != 1 {
 		t.Errorf("after %d ticks the learner is %d entries behind and was sent %d snapshots, want 1 snapshot and at most %d entries", rounds, behind, snapshots.sent, delay)
 	}
@@ -87,20 +103,12 @@
 func TestSnapshotOnItsWayIsSentAgain(t *testing.T) {
 	c := testCluster(t, 3, Unsafe{})
 	leader := c.mustElectLeader(t, 60)
-	if err := c.propose(leader); err != nil {
-		t.Fatal(err)
-	}
-	c.drain()
-	c.compact(leader)
-	c.add(9, Snapshot{})
-	snapshots := delaySnapshots(c, never)
-	if _, _, err := leader.node.ProposeChange(ConfigurationChange{Kind: AddLearner, Node: 9}); err != nil {
-		t.Fatal(err)
-	}
+	mustPropose(t, c, leader, 1)
+	snapshots := addLaggingLearner(t, c, leader, never)
 	retry := leader.node.config.SnapshotRetryTicks
 	for range 4 * retry {
 		snapshots.tick(t)
-		leader.node.ReportSnapshotProgress(9)
+		leader.node.ReportSnapshotProgress(learnerID)
 	}
 	if snapshots.sent != 1 {
 		t.Errorf("%d snapshots were sent while the first one made progress, want 1", snapshots.sent)
@@ -124,21 +132,11 @@
 func TestOldAcknowledgementDuringATransfer(t *testing.T) {
 	c := testCluster(t, 3, Unsafe{})
 	leader := c.mustElectLeader(t, 60)
-	for range 3 {
-		if err := c.propose(leader); err != nil {
-			t.Fatal(err)
-		}
-		c.drain()
-	}
-	c.compact(leader)
-	c.add(9, Snapshot{})
-	snapshots := delaySnapshots(c, never)
-	if _, _, err := leader.node.ProposeChange(ConfigurationChange{Kind: AddLearner, Node: 9}); err != nil {
-		t.Fatal(err)
-	}
+	mustPropose(t, c, leader, 3)
+	snapshots := addLaggingLearner(t, c, leader, never)
 	snapshots.tick(t)
-	progress := leader.node.progressOf(9)
-	old := Message{Kind: MessageAppendReply, From: 9, To: leader.id, Term: leader.node.term, Index: 1}
+	progress := leader.node.progressOf(learnerID)
+	old := Message{Kind: MessageAppendReply, From: learnerID, To: leader.id, Term: leader.node.term, Index: 1}
 	if progress.state != snapshotting || old.Index > progress.snapshotIndex {
 		t.Fatalf("no snapshot is on its way: %+v", progress)
 	}
@@ -160,18 +158,8 @@
 	const most = 30 * 8 // bytes of 30 entries
 	c := newCluster(rand.New(rand.NewSource(1)), Config{RetainedEntries: 1, TransferRetainedBytes: most}, 3)
 	leader := c.mustElectLeader(t, 60)
-	for range 20 {
-		if err := c.propose(leader); err != nil {
-			t.Fatal(err)
-		}
-		c.drain()
-	}
-	c.compact(leader)
-	c.add(9, Snapshot{})
-	snapshots := delaySnapshots(c, never)
-	if _, _, err := leader.node.ProposeChange(ConfigurationChange{Kind: AddLearner, Node: 9}); err != nil {
-		t.Fatal(err)
-	}
+	mustPropose(t, c, leader, 20)
+	snapshots := addLaggingLearner(t, c, leader, never)
 	for range 300 {
 		if err := c.propose(leader); err != nil {
 			t.Fatal(err)
--- a/internal/weights/takeover_test.go
+++ b/internal/weights/takeover_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/tamarindring/tamarindring/internal/state"
+	"github.com/tamarindring/tamarindring/internal/servertest"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
 
@@ -45,7 +45,7 @@
 	if f.driver.takeOver(t.Context()) {
 		t.Fatal("acquired the orders although another machine acquired them after the read")
 	}
-	held := mustQuery(t, f.control.machine, &wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: fenceResource}}}).GetFence()
+	held := servertest.MustQuery(t, f.control.machine, &wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: fenceResource}}}).GetFence()
 	if held.GetOwner() != "other" || held.GetToken() != 1 {
 		t.Fatalf("fence is %v, want owner other with token 1", held)
 	}
@@ -100,17 +100,7 @@
 	}
 	f.driver.RequestVersionRead()
 	eventually(t, "timed out waiting for all replicas to serve version 2", func() bool { return f.sender.serve("m0", 2) })
-	if token := mustQuery(t, f.control.machine, &wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: fenceResource}}}).GetFence().GetToken(); token != 1 {
+	if token := servertest.MustQuery(t, f.control.machine, &wire.Query{Kind: &wire.Query_Fence{Fence: &wire.FenceQuery{Resource: fenceResource}}}).GetFence().GetToken(); token != 1 {
 		t.Errorf("fence token is %d, want 1", token)
 	}
 }
-
-// mustQuery answers a query and fails the test if the answer can't be read.
-func mustQuery(t *testing.T, machine *state.Machine, query *wire.Query) *wire.View {
-	t.Helper()
-	view, err := machine.Query(query)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return view
-}
