--- a/internal/consensus/assembler.go
+++ b/internal/consensus/assembler.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// maxUnusedShare limits the unused capacity of a received part to its length divided by this number. The state keeps
-// the part for as long as the batch job exists, so unused capacity would be held that long too.
+// maxUnusedShare limits the unused capacity of a received part to its length divided by this number. A receiver holds all
+// parts until they are stored, and unused capacity as long.
 const maxUnusedShare = 8
 
 // trim reallocates the newest part if growing it left too much unused capacity.
