Many small ended jobs leave the memory, as large ones do

Cause: parts below 256 KB shared one file per run of adjacent parts.

Change: recurring parts (the records of ended jobs) share files of their own, whose boundaries depend on content only and so stay where they are when older jobs leave. Such a part is read from its section of the file. A file that was loaded as one part is split into sections, so that a restart holds no texts either. A part that moves to another file while it is read is read again there. The format on disk and between nodes is unchanged.

Measured: TestHeapGrowsWithEndedJobs/small_jobs failed before (163 MB more on three nodes for 40 MB of jobs of 128 KB, most 30 MB) and passes; with the records of shared parts decoded as before, the leg after a restart fails (164 MB). Mutants found by the tests of storage and statepart: boundaries that do not depend on content (312 MB written in 50 rounds, most 200), recurring parts that share with others, a damaged file that is kept, no second read.

--- a/internal/batch/sealed.go
+++ b/internal/batch/sealed.go
@@ -110,6 +110,7 @@
 
 // sealAs replaces the messages of a job by the part that contains its record.
 func (s *Store) sealAs(j *job, part *statepart.Part) {
+	part.MarkRecurring()
 	j.sealed = &sealedJob{part: part, items: len(j.items), results: len(j.results)}
 	j.submit = &wire.JobSubmit{Id: j.submit.GetId(), Digest: j.submit.GetDigest(), Tenant: j.submit.GetTenant()}
 	j.results, j.listed, j.partials, j.unscored, j.items = nil, nil, nil, nil, nil
--- a/internal/batch/sealed_test.go
+++ b/internal/batch/sealed_test.go
@@ -104,6 +104,8 @@
 
 func (lostSource) Content() ([]byte, error) { return nil, errLost }
 
+func (s lostSource) Section(int, int, uint64) statepart.Source { return s }
+
 var errLost = errors.New("the file is gone")
 
 // TestResultsThatCannotBeReadAreAnError: an ended job whose part can't be read must give an error. Without one its caller
@@ -111,7 +113,7 @@
 func TestResultsThatCannotBeReadAreAnError(t *testing.T) {
 	store := New()
 	endedJob(t, store)
-	store.jobs["a"].sealed.part.MoveTo(lostSource{}, 0)
+	store.jobs["a"].sealed.part.MoveTo(lostSource{})
 	if view, err := store.Results(&wire.JobResultsQuery{Job: "a"}).Now(); !errors.Is(err, errLost) {
 		t.Errorf("results %v and error %v, want the error of the part", view, err)
 	}
--- a/internal/consensus/sender_test.go
+++ b/internal/consensus/sender_test.go
@@ -87,6 +87,10 @@
 	return s.content, nil
 }
 
+func (s *countingSource) Section(offset, size int, _ uint64) statepart.Source {
+	return &countingSource{content: s.content[offset : offset+size]}
+}
+
 // TestSentStateIsReadPartByPart guards against a leader that reads its whole state into memory for each lagging node.
 func TestSentStateIsReadPartByPart(t *testing.T) {
 	var sources []*countingSource
--- a/internal/control/manyjobs_test.go
+++ b/internal/control/manyjobs_test.go
@@ -29,11 +29,12 @@
 	client  *controlclient.Client
 	random  *rand.Rand
 	next    int
+	items   int // of each job
 }
 
 func newJobSubmitter(t *testing.T) *jobSubmitter {
 	c := startConfiguredCluster(t, func(config *Config) { config.DiskBytes, config.LedgerGroups = smallDisk, 1 })
-	return &jobSubmitter{cluster: c, client: c.client(controlclient.Config{LedgerGroups: 1}), random: rand.New(rand.NewSource(1))}
+	return &jobSubmitter{cluster: c, client: c.client(controlclient.Config{LedgerGroups: 1}), random: rand.New(rand.NewSource(1)), items: jobResultsBytes / resultBytes}
 }
 
 func (m *jobSubmitter) execute(command *wire.Command) *wire.JobReply {
@@ -50,7 +51,7 @@
 	m.cluster.t.Helper()
 	m.next++
 	job := &wire.JobSubmit{Id: fmt.Sprint("job-", m.next), Digest: []byte{1}}
-	for number := range jobResultsBytes / resultBytes {
+	for number := range m.items {
 		job.Items = append(job.Items, &wire.JobItem{Id: fmt.Sprint("item-", number), Body: []byte("prompt")})
 	}
 	return job, m.execute(&wire.Command{Kind: &wire.Command_JobSubmit{JobSubmit: job}}).GetOutcome()
--- a/internal/state/parts.go
+++ b/internal/state/parts.go
@@ -36,8 +36,8 @@
 	records  []batch.Record
 }
 
-// addPart adds the fields of a part. If the part consists of one record of a batch job, it is kept with the record, so
-// that later snapshots can reuse it.
+// addPart adds the fields of a part. The section that consists of one record of a batch job is kept with the record as a
+// part, so that later snapshots can reuse it.
 func (c *partsContent) addPart(part *statepart.Part) error {
 	content, err := part.Content()
 	if err != nil {
@@ -47,20 +47,31 @@
 	if err != nil {
 		return err
 	}
+	offset := 0
 	for _, field := range fields {
-		if field.number != batch.JobsField || !field.delimited {
-			c.head = append(c.head, field.encoded...)
-			continue
-		}
-		records := len(c.records)
-		onlyRecords, err := c.addJobs(field.value)
-		if err != nil {
+		if err := c.addField(part, offset, field); err != nil {
 			return err
 		}
-		if onlyRecords && len(fields) == 1 && len(c.records) == records+1 {
-			c.records[records] = batch.Record{Part: part}
-		}
+		offset += len(field.encoded)
+	}
+	return nil
+}
+
+// addField adds the field of a part that begins at offset.
+func (c *partsContent) addField(part *statepart.Part, offset int, field encodedField) error {
+	if field.number != batch.JobsField || !field.delimited {
+		c.head = append(c.head, field.encoded...)
+		return nil
+	}
+	records := len(c.records)
+	onlyRecords, err := c.addJobs(field.value)
+	if err != nil || !onlyRecords || len(c.records) != records+1 {
+		return err
+	}
+	if len(field.encoded) < part.Size() {
+		part = part.Section(offset, field.encoded)
 	}
+	c.records[records] = batch.Record{Part: part}
 	return nil
 }
 
--- /dev/null
+++ b/internal/storage/sharedfiles_test.go
@@ -0,0 +1,198 @@
+package storage
+
+import (
+	"bytes"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tamarindring/tamarindring/internal/raft"
+	"github.com/tamarindring/tamarindring/internal/statepart"
+)
+
+// smallPartBytes is the size of the recurring parts of these tests, of which many share a file.
+const smallPartBytes = 64 << 10
+
+// recurringParts returns small parts with different contents that later states contain, too.
+func recurringParts(count int) statepart.Parts {
+	random := rand.New(rand.NewSource(1))
+	var parts statepart.Parts
+	for range count {
+		content := make([]byte, smallPartBytes)
+		random.Read(content)
+		part := statepart.New(content)
+		part.MarkRecurring()
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// stateWith returns a state that begins with a part which no other state contains.
+func stateWith(head string, parts statepart.Parts) statepart.Parts {
+	return append(statepart.NewParts([]byte(head)), parts...)
+}
+
+// mustCompact stores a snapshot of group 3 and returns the number of bytes written to its files.
+func mustCompact(t *testing.T, store *Store, index uint64, state statepart.Parts) uint64 {
+	t.Helper()
+	announced := store.UnstoredBytes(3, state)
+	before := store.fileBytes.Load()
+	mustWrite(t, store, GroupWrite{Group: 3, AllowMultipleFiles: true, Compaction: &raft.Snapshot{
+		Index: index, Term: 1, Data: state, Configuration: raft.Configuration{Voters: []uint64{1, 2}},
+	}})
+	written := store.fileBytes.Load() - before
+	if uint64(announced) != written {
+		t.Errorf("%d bytes were written, but %d were not stored before", written, announced)
+	}
+	return written
+}
+
+// wantLargeState fails the test unless the snapshot of group 3 has this state, of which it prints only the size.
+func wantLargeState(t *testing.T, store *Store, state string) {
+	t.Helper()
+	snapshot, err := store.LoadSnapshot(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if loaded := mustJoin(t, snapshot.Data); loaded != state {
+		t.Errorf("a state of %d bytes was loaded, want another one of %d bytes", len(loaded), len(state))
+	}
+}
+
+// TestManySmallPartsAreNotInMemory guards against control nodes whose memory is filled by many small ended jobs: parts
+// that share a file stayed in memory, and every snapshot wrote all of them again.
+func TestManySmallPartsAreNotInMemory(t *testing.T) {
+	options := testOptions(t.TempDir())
+	store := mustOpen(t, options)
+	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
+	parts := recurringParts(200)
+	want := mustJoin(t, parts)
+	mustCompact(t, store, 5, stateWith("head", parts))
+	if size := parts.MemoryBytes(); size != 0 {
+		t.Errorf("%d bytes of %d are in memory after they were stored", size, parts.Size())
+	}
+	if files, most := len(listSnapshotFiles(t, options.Folder)), 1+2*parts.Size()/meanSharedFileBytes; files > most {
+		t.Errorf("the parts are in %d files, want at most %d", files, most)
+	}
+	if written := mustCompact(t, store, 6, stateWith("head 2", parts)); written != uint64(len("head 2")) {
+		t.Errorf("%d bytes were written for a state of which only the head is new", written)
+	}
+	wantLargeState(t, store, "head 2"+want)
+}
+
+// TestPartsThatLeaveTheStateMoveFewOthers: the oldest parts leave the state and new ones come, as with jobs after their
+// retention. Only the files at both ends may be written anew, and all parts must stay readable.
+func TestPartsThatLeaveTheStateMoveFewOthers(t *testing.T) {
+	store := mustOpen(t, testOptions(t.TempDir()))
+	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 200, 1)})
+	const held, rounds = 100, 50
+	parts := recurringParts(held + rounds)
+	mustCompact(t, store, 1, stateWith("head", parts[:held]))
+	rewritten := uint64(0)
+	for round := 1; round <= rounds; round++ {
+		current := parts[round : round+held]
+		rewritten += mustCompact(t, store, uint64(1+round), stateWith("head", current))
+		if current.MemoryBytes() != 0 {
+			t.Fatalf("round %d: %d bytes are in memory", round, current.MemoryBytes())
+		}
+	}
+	if most := uint64(rounds * 4 * meanSharedFileBytes); rewritten > most {
+		t.Errorf("%d MB were written in %d rounds, want at most %d MB", rewritten>>20, rounds, most>>20)
+	}
+	wantLargeState(t, store, "head"+mustJoin(t, parts[rounds:]))
+}
+
+// TestSharedFilesAreKeptAfterRestart: after a restart the sections of a file that was loaded as one part must be neither
+// in memory nor written anew.
+func TestSharedFilesAreKeptAfterRestart(t *testing.T) {
+	options := testOptions(t.TempDir())
+	store := mustOpen(t, options)
+	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
+	parts := recurringParts(200)
+	want := mustJoin(t, parts)
+	mustCompact(t, store, 5, stateWith("head", parts))
+	store.Close()
+	store = mustOpen(t, options)
+	loaded, err := store.LoadSnapshot(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := sectionsOfSize(t, loaded.Data[1:], smallPartBytes)
+	if size, most := again.MemoryBytes(), again.Size()/10; size > most {
+		t.Errorf("%d bytes are in memory after the restart, want at most %d, those of the smallest files", size, most)
+	}
+	if written := mustCompact(t, store, 6, stateWith("head 2", again)); written != uint64(len("head 2")) {
+		t.Errorf("%d bytes were written for a state of which only the head is new", written)
+	}
+	if size := again.MemoryBytes(); size != 0 {
+		t.Errorf("%d bytes are in memory after the next snapshot", size)
+	}
+	wantLargeState(t, store, "head 2"+want)
+}
+
+// sectionsOfSize splits parts into recurring sections of a size in bytes, as the state machine splits a part into the
+// records of jobs.
+func sectionsOfSize(t *testing.T, parts statepart.Parts, size int) statepart.Parts {
+	t.Helper()
+	var sections statepart.Parts
+	for _, part := range parts {
+		content, err := part.Content()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for offset := 0; offset < len(content); offset += size {
+			section := part.Section(offset, content[offset:offset+size])
+			section.MarkRecurring()
+			sections = append(sections, section)
+		}
+	}
+	return sections
+}
+
+// TestDamageInASharedFileIsAnError: no part may be read from a file that holds something else, and the next snapshot must
+// not keep such a file for content that is in memory.
+func TestDamageInASharedFileIsAnError(t *testing.T) {
+	options := testOptions(t.TempDir())
+	store := mustOpen(t, options)
+	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
+	parts := recurringParts(3)
+	inMemory := statepart.NewParts()
+	for _, part := range parts {
+		content, _ := part.Content()
+		copied := statepart.New(bytes.Clone(content))
+		copied.MarkRecurring()
+		inMemory = append(inMemory, copied)
+	}
+	mustCompact(t, store, 5, stateWith("head", parts))
+	for _, name := range listSnapshotFiles(t, options.Folder) {
+		path := filepath.Join(options.Folder, name)
+		content, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		content[len(content)/2] ^= 1
+		if err := os.WriteFile(path, content, fileMode); err != nil {
+			t.Fatal(err)
+		}
+	}
+	damaged := 0
+	for _, part := range parts {
+		if content, err := part.Content(); err != nil {
+			damaged++
+		} else if xxhash.Sum64(content) != part.Checksum() {
+			t.Error("a part was read with other content")
+		}
+	}
+	if damaged == 0 {
+		t.Error("no part of the damaged files is an error")
+	}
+	mustWrite(t, store, GroupWrite{Group: 3, AllowMultipleFiles: true, Compaction: &raft.Snapshot{
+		Index: 6, Term: 1, Data: stateWith("head 2", inMemory), Configuration: raft.Configuration{Voters: []uint64{1, 2}},
+	}})
+	if got := mustJoin(t, inMemory); len(got) != inMemory.Size() {
+		t.Errorf("%d bytes were read, want %d", len(got), inMemory.Size())
+	}
+}
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -22,8 +22,8 @@
 // The state of a snapshot is stored in files beside the data file. In the data file it would be copied into a record
 // and again into the pages of the transaction, each copy as large as the state, and the data file would keep that size.
 //
-// Each large part of a state has a file of its own. A part that is unchanged since the previous snapshot keeps its
-// file, so that a snapshot writes, and needs free space for, only what has changed.
+// Each large part of a state has a file of its own, and small parts share files. Parts that are unchanged since the
+// previous snapshot keep their file, so that a snapshot writes, and needs free space for, only what has changed.
 //
 // The durable steps have this order: the new files and their directory entries are synced, then the transaction that
 // refers to them commits, then the files that no record refers to any more are removed. An unreferenced file is left by
@@ -32,12 +32,7 @@
 // snapshotPrefix is the prefix of the names of snapshot files.
 const snapshotPrefix = "snapshot-"
 
-// minOwnFileBytes is the size from which a part has a file of its own. Each file costs a sync, so adjacent smaller
-// parts share a file, which every snapshot writes anew.
-const minOwnFileBytes = 256 << 10
-
-// snapshotFile is the reference in a snapshot's record to a file that holds one or more parts of its state. It is the
-// source of a part that has a file of its own.
+// snapshotFile is the reference in a snapshot's record to a file that holds one or more parts of its state.
 type snapshotFile struct {
 	folder   string
 	name     string
@@ -79,25 +74,17 @@
 	return nil
 }
 
-// Content implements statepart.Source. It returns a *DamageError if the size or the checksum of the file is wrong, or if
-// the file is missing: after a newer snapshot without the part, or because it was lost.
-func (f *snapshotFile) Content() ([]byte, error) {
-	content, err := os.ReadFile(filepath.Join(f.folder, f.name))
-	switch {
-	case err != nil:
-		return nil, &DamageError{Record: f.name, Reason: err.Error(), Cause: err}
-	case uint64(len(content)) != f.size || xxhash.Sum64(content) != f.checksum:
-		return nil, &DamageError{Record: f.name, Reason: "it does not hold what was written"}
-	}
-	return content, nil
+// whole returns the section that is the whole content of the file.
+func (f *snapshotFile) whole() *fileSection {
+	return &fileSection{file: f, size: int(f.size), checksum: f.checksum}
 }
 
-// part returns the content of the file as a part. A large part stays in the file.
+// part returns the content of the file as a part. The content of a large file stays there.
 func (f *snapshotFile) part() (*statepart.Part, error) {
 	if f.size >= minOwnFileBytes {
-		return statepart.NewStored(int(f.size), f.checksum, f), nil
+		return statepart.NewStored(int(f.size), f.checksum, f.whole()), nil
 	}
-	content, err := f.Content()
+	content, err := f.whole().Content()
 	return statepart.New(content), err
 }
 
@@ -139,13 +126,13 @@
 	byGroup  map[uint32]snapshotFiles // all files of each group's new snapshot, including files that it keeps
 	created  snapshotFiles            // files that this write created
 	received map[uint32]bool          // groups whose state is replaced by that of the leader
-	large    []storedPart             // parts with a file of their own
+	stored   []storedPart             // parts that leave the memory
 }
 
-// storedPart is a part with the file that holds it.
+// storedPart is a part with the section of the file that holds it.
 type storedPart struct {
-	part *statepart.Part
-	file *snapshotFile
+	part    *statepart.Part
+	section *fileSection
 }
 
 // writeSnapshotFiles writes the states of the snapshots in a batch. On an error it removes the files that it created.
@@ -179,7 +166,7 @@
 	inParts := write.AllowMultipleFiles || s.files.hasSeveralFiles(write.Group)
 	for _, parts := range assignPartsToFiles(snapshot.Data, inParts) {
 		file := s.files.find(write.Group, parts)
-		if file == nil || !file.holds(parts[0]) {
+		if file == nil || !file.holds(parts) {
 			created, err := writeSnapshotFile(s.options.Folder, write.Group, snapshot.Index, parts)
 			if err != nil {
 				return err
@@ -188,38 +175,21 @@
 			file, files.created = created, append(files.created, created)
 		}
 		files.byGroup[write.Group] = append(files.byGroup[write.Group], file)
-		if len(parts) == 1 && parts[0].Size() >= minOwnFileBytes {
-			files.large = append(files.large, storedPart{part: parts[0], file: file})
+		if inParts || len(parts) == 1 {
+			files.addStored(file, parts)
 		}
 	}
 	return nil
 }
 
-// assignPartsToFiles returns the parts of a state grouped by the file that holds them. Unless inParts is set, all parts
-// go into one file, which builds that do not support states in parts can read.
-func assignPartsToFiles(state statepart.Parts, inParts bool) []statepart.Parts {
-	if len(state) == 0 {
-		return nil
-	}
-	if !inParts {
-		return []statepart.Parts{state}
-	}
-	var arranged []statepart.Parts
-	var small statepart.Parts
-	for _, part := range state {
-		if part.Size() < minOwnFileBytes {
-			small = append(small, part)
-			continue
-		}
-		if len(small) > 0 {
-			arranged, small = append(arranged, small), nil
+// addStored adds those parts of a file that leave the memory: large ones, and recurring ones, which are many. The other
+// small parts would be read again soon, for messages.
+func (w *snapshotWrite) addStored(file *snapshotFile, parts statepart.Parts) {
+	for position, section := range sectionsOf(file, parts) {
+		if part := parts[position]; part.Size() >= minOwnFileBytes || part.IsRecurring() {
+			w.stored = append(w.stored, storedPart{part: part, section: section})
 		}
-		arranged = append(arranged, statepart.Parts{part})
 	}
-	if len(small) > 0 {
-		arranged = append(arranged, small)
-	}
-	return arranged
 }
 
 // newestSnapshot returns the snapshot that the group has after the write, or nil if the write contains none.
@@ -237,17 +207,23 @@
 	}
 }
 
-// holds reports whether the content of the file is that of the part. A file whose reference a part has needs no look.
-func (f *snapshotFile) holds(part *statepart.Part) bool {
-	if !part.InMemory() {
+// holds reports whether the content of the file is that of parts. Parts that refer to the file need no look.
+func (f *snapshotFile) holds(parts statepart.Parts) bool {
+	if areInOrderIn(f.name, parts) {
 		return true
 	}
-	content, err := part.Content()
+	stored, err := f.whole().Content()
 	if err != nil {
 		return false
 	}
-	stored, err := f.Content()
-	return err == nil && bytes.Equal(stored, content)
+	for _, part := range parts {
+		content, err := part.Content()
+		if err != nil || !bytes.HasPrefix(stored, content) {
+			return false
+		}
+		stored = stored[len(content):]
+	}
+	return len(stored) == 0
 }
 
 // snapshotFolder returns the folder of the snapshot files that the records of a data file refer to.
--- a/internal/storage/storedfiles.go
+++ b/internal/storage/storedfiles.go
@@ -20,20 +20,35 @@
 	return &storedFiles{files: map[uint32]snapshotFiles{}, replaced: map[uint32]snapshotFiles{}}
 }
 
-// find returns the file of the group's stored snapshot that has the size and checksum of parts. It finds only files of a
-// single part, and returns nil if there is none.
+// find returns the file of the group's stored snapshot that holds parts, or one with their size and checksum. It returns
+// nil if there is none.
 func (s *storedFiles) find(group uint32, parts statepart.Parts) *snapshotFile {
-	if len(parts) != 1 || parts[0].Size() == 0 {
+	size := uint64(parts.Size())
+	if size == 0 {
 		return nil
 	}
+	for _, file := range s.ofSize(group, size) {
+		if areInOrderIn(file.name, parts) {
+			return file
+		}
+		if checksum, err := parts.Checksum(); err == nil && file.checksum == checksum {
+			return file
+		}
+	}
+	return nil
+}
+
+// ofSize returns the files of the group's stored snapshot that have a size in bytes.
+func (s *storedFiles) ofSize(group uint32, size uint64) snapshotFiles {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	var found snapshotFiles
 	for _, file := range s.files[group] {
-		if file.size == uint64(parts[0].Size()) && file.checksum == parts[0].Checksum() {
-			return file
+		if file.size == size {
+			found = append(found, file)
 		}
 	}
-	return nil
+	return found
 }
 
 // hasSeveralFiles reports whether the group's stored snapshot is in several files.
@@ -46,9 +61,9 @@
 // unstoredBytes returns the size of those parts of a new snapshot that no file of the group's stored snapshot holds.
 func (s *storedFiles) unstoredBytes(group uint32, snapshot statepart.Parts) int {
 	size := 0
-	for _, part := range snapshot {
-		if s.find(group, statepart.Parts{part}) == nil {
-			size += part.Size()
+	for _, parts := range assignPartsToFiles(snapshot, true) {
+		if s.find(group, parts) == nil {
+			size += parts.Size()
 		}
 	}
 	return size
@@ -61,11 +76,14 @@
 	s.files = files
 }
 
-// commit records the files of snapshots that became durable, and moves their large parts out of memory. It removes the
-// files that no record names any more, except where the state machine still has the state that they belong to.
+// commit records the files of snapshots that became durable, and moves parts out of memory. It removes the files that no
+// record names any more, except where the state machine still has the state that they belong to.
 func (s *storedFiles) commit(written *snapshotWrite) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	for _, stored := range written.stored { // before the files that they were in are removed
+		stored.part.MoveTo(stored.section)
+	}
 	for group, files := range written.byGroup {
 		unnamed := s.files[group].without(files)
 		s.files[group] = files
@@ -75,9 +93,6 @@
 		}
 		unnamed.remove()
 	}
-	for _, large := range written.large {
-		large.part.MoveTo(large.file, large.file.checksum)
-	}
 }
 
 // removeReplaced removes the files of a group's snapshots that were replaced by one of the leader.
