--- a/internal/storage/sharedfiles_test.go
+++ b/internal/storage/sharedfiles_test.go
@@ -1,7 +1,6 @@
 package storage
 
 import (
-	"bytes"
 	"math/rand"
 	"os"
 	"path/filepath"
@@ -9,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/tamarindring/tamarindring/internal/raft"
 	"github.com/tamarindring/tamarindring/internal/statepart"
 )
 
@@ -35,14 +33,19 @@
 	return append(statepart.NewParts([]byte(head)), parts...)
 }
 
+// compactionOf returns the write of a snapshot of group 3 whose state may be stored in several files.
+func compactionOf(index uint64, state statepart.Parts) GroupWrite {
+	write := compactionInParts(index)
+	write.Compaction.Data = state
+	return write
+}
+
 // mustCompact stores a snapshot of group 3 and returns the number of bytes written to its files.
 func mustCompact(t *testing.T, store *Store, index uint64, state statepart.Parts) uint64 {
 	t.Helper()
 	announced := store.UnstoredBytes(3, state)
 	before := store.fileBytes.Load()
-	mustWrite(t, store, GroupWrite{Group: 3, AllowMultipleFiles: true, Compaction: &raft.Snapshot{
-		Index: index, Term: 1, Data: state, Configuration: raft.Configuration{Voters: []uint64{1, 2}},
-	}})
+	mustWrite(t, store, compactionOf(index, state))
 	written := store.fileBytes.Load() - before
 	if uint64(announced) != written {
 		t.Errorf("%d bytes were written, but %d were not stored before", written, announced)
@@ -50,6 +53,15 @@
 	return written
 }
 
+// mustOpenWith opens a store and stores a snapshot of group 3 with parts.
+func mustOpenWith(t *testing.T, options Options, parts statepart.Parts) *Store {
+	t.Helper()
+	store := mustOpen(t, options)
+	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 200, 1)})
+	mustCompact(t, store, 1, stateWith("head", parts))
+	return store
+}
+
 // wantLargeState fails the test unless the snapshot of group 3 has this state, of which it prints only the size.
 func wantLargeState(t *testing.T, store *Store, state string) {
 	t.Helper()
@@ -66,11 +78,9 @@
 // that share a file stayed in memory, and every snapshot wrote all of them again.
 func TestManySmallPartsAreNotInMemory(t *testing.T) {
 	options := testOptions(t.TempDir())
-	store := mustOpen(t, options)
-	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
 	parts := recurringParts(200)
 	want := mustJoin(t, parts)
-	mustCompact(t, store, 5, stateWith("head", parts))
+	store := mustOpenWith(t, options, parts)
 	if size := parts.MemoryBytes(); size != 0 {
 		t.Errorf("%d bytes of %d are in memory after they were stored", size, parts.Size())
 	}
@@ -86,11 +96,9 @@
 // TestPartsThatLeaveTheStateMoveFewOthers: the oldest parts leave the state and new ones come, as with jobs after their
 // retention. Only the files at both ends may be written anew, and all parts must stay readable.
 func TestPartsThatLeaveTheStateMoveFewOthers(t *testing.T) {
-	store := mustOpen(t, testOptions(t.TempDir()))
-	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 200, 1)})
 	const held, rounds = 100, 50
 	parts := recurringParts(held + rounds)
-	mustCompact(t, store, 1, stateWith("head", parts[:held]))
+	store := mustOpenWith(t, testOptions(t.TempDir()), parts[:held])
 	rewritten := uint64(0)
 	for round := 1; round <= rounds; round++ {
 		current := parts[round : round+held]
@@ -109,11 +117,9 @@
 // in memory nor written anew.
 func TestSharedFilesAreKeptAfterRestart(t *testing.T) {
 	options := testOptions(t.TempDir())
-	store := mustOpen(t, options)
-	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
 	parts := recurringParts(200)
 	want := mustJoin(t, parts)
-	mustCompact(t, store, 5, stateWith("head", parts))
+	store := mustOpenWith(t, options, parts)
 	store.Close()
 	store = mustOpen(t, options)
 	loaded, err := store.LoadSnapshot(3)
@@ -156,27 +162,10 @@
 // not keep such a file for content that is in memory.
 func TestDamageInASharedFileIsAnError(t *testing.T) {
 	options := testOptions(t.TempDir())
-	store := mustOpen(t, options)
-	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 20, 1)})
-	parts := recurringParts(3)
-	inMemory := statepart.NewParts()
-	for _, part := range parts {
-		content, _ := part.Content()
-		copied := statepart.New(bytes.Clone(content))
-		copied.MarkRecurring()
-		inMemory = append(inMemory, copied)
-	}
-	mustCompact(t, store, 5, stateWith("head", parts))
+	parts, inMemory := recurringParts(3), recurringParts(3)
+	store := mustOpenWith(t, options, parts)
 	for _, name := range listSnapshotFiles(t, options.Folder) {
-		path := filepath.Join(options.Folder, name)
-		content, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		content[len(content)/2] ^= 1
-		if err := os.WriteFile(path, content, fileMode); err != nil {
-			t.Fatal(err)
-		}
+		flipBit(t, filepath.Join(options.Folder, name))
 	}
 	damaged := 0
 	for _, part := range parts {
@@ -189,10 +178,21 @@
 	if damaged == 0 {
 		t.Error("no part of the damaged files is an error")
 	}
-	mustWrite(t, store, GroupWrite{Group: 3, AllowMultipleFiles: true, Compaction: &raft.Snapshot{
-		Index: 6, Term: 1, Data: stateWith("head 2", inMemory), Configuration: raft.Configuration{Voters: []uint64{1, 2}},
-	}})
+	mustWrite(t, store, compactionOf(6, stateWith("head 2", inMemory)))
 	if got := mustJoin(t, inMemory); len(got) != inMemory.Size() {
 		t.Errorf("%d bytes were read, want %d", len(got), inMemory.Size())
 	}
 }
+
+// flipBit changes a bit in the middle of a file.
+func flipBit(t *testing.T, path string) {
+	t.Helper()
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	content[len(content)/2] ^= 1
+	if err := os.WriteFile(path, content, fileMode); err != nil {
+		t.Fatal(err)
+	}
+}
