The test of former leaders waits for the end of the stream itself

An executor that is only late is not chosen either, so the choice does not say that the stream has ended. 1,200 of 1,200 plays pass (race detector, 8 at a time).

--- a/internal/executorclient/fixture_test.go
+++ b/internal/executorclient/fixture_test.go
@@ -203,6 +203,13 @@
 	}
 }
 
+// isOpen reports whether the link has a stream.
+func (l *link) isOpen() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.open
+}
+
 // otherOrder returns the order of a run of another item.
 func otherOrder(item string) *wire.RunStart {
 	order := startOrder()
--- a/internal/executorclient/fleet_test.go
+++ b/internal/executorclient/fleet_test.go
@@ -100,6 +100,9 @@
 	former := startLeader(t, 1, p)
 	run := former.start(t)
 	chosen := former.ChooseExecutor("a", "r1")
+	if chosen == nil {
+		t.Fatal("no executor accepts the run")
+	}
 	p.replica.parts <- "one "
 	until(t, "the first part", func() bool { return run.sink.text() == "one " })
 	next := startLeader(t, 2, p)
@@ -115,7 +118,7 @@
 	if !lost && !refused {
 		t.Errorf("outcome %+v, want that the order was refused, or lost with its stream", outcome)
 	}
-	until(t, "the end of the former leader's stream", func() bool { return former.ChooseExecutor("a", "r1") == nil })
+	until(t, "the end of the former leader's stream", func() bool { return !chosen.link.isOpen() })
 	outcome = chosen.Do(context.Background(), otherOrder("after the end of the stream"), &collectingSink{})
 	if outcome.Verdict != verdict.DidNotRun || !errors.Is(outcome.Err, ErrLost) {
 		t.Errorf("outcome %+v, want that the order was not sent", outcome)
