--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -89,6 +89,9 @@
 	loading  bool
 	orders   uint64
 	fence    uint64
+	gone     bool
+	refuses  func(request *http.Request) bool                               // reports whether a request is rejected as by a full replica; nil: none
+	dark     chan struct{}                                                  // closed when the replica ends; nil: it is not dark
 	answerBy func(w http.ResponseWriter, r *http.Request, body []byte) bool // takes over the answer to a request that runs; nil: none
 }
 
@@ -96,12 +99,19 @@
 func (w *world) addReplica(id, service string, slots int) *replica {
 	listener, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", w.network, 200+len(w.replicas)))
 	must(err)
+	return w.startReplica(id, service, slots, zones[len(w.replicas)%len(zones)], listener)
+}
+
+// startReplica starts a replica at a listener.
+func (w *world) startReplica(id, service string, slots int, zone string, listener net.Listener) *replica {
 	ctx, cancel := context.WithCancel(context.Background())
-	one := &replica{w: w, id: id, service: service, zone: zones[len(w.replicas)%len(zones)], born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), listener: listener, stop: cancel,
+	one := &replica{w: w, id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), listener: listener, stop: cancel,
 		work: 25 * time.Millisecond, events: 10, eventPause: 40 * time.Millisecond, version: 1}
 	one.server = &http.Server{Handler: one, IdleTimeout: time.Minute}
 	go func() { _ = one.server.Serve(listener) }()
 	one.beating.Go(func() { one.heartbeats(ctx) })
+	w.startingReplicas.Lock()
+	defer w.startingReplicas.Unlock()
 	w.replicas = append(w.replicas, one)
 	return one
 }
@@ -111,6 +121,12 @@
 	r.stop()
 	r.beating.Wait()
 	_ = r.server.Close()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.dark != nil && !r.gone {
+		close(r.dark)
+	}
+	r.gone = true
 }
 
 func (r *replica) heartbeats(ctx context.Context) {
@@ -164,6 +180,13 @@
 
 // ServeHTTP implements http.Handler.
 func (r *replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.mutex.Lock()
+	dark := r.dark
+	r.mutex.Unlock()
+	if dark != nil {
+		<-dark // says nothing
+		return
+	}
 	attempt := request.Header.Get("X-Attempt-Id")
 	if attempt != "" {
 		w.Header().Set("X-Attempt-Id", attempt)
@@ -237,6 +260,11 @@
 		reject(w, http.StatusBadRequest)
 		return
 	}
+	if r.refuses != nil && r.refuses(request) {
+		r.w.refusals.Add(1)
+		reject(w, http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case r.slots <- struct{}{}:
 		defer func() { <-r.slots }()
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -72,12 +73,15 @@
 	stores   []*machine
 	gateways []*machine
 	proxies  []*proxy
-	replicas []*replica
+
+	startingReplicas sync.Mutex // guards replicas while some are started in the middle of a case
+	replicas         []*replica
 
 	recording sync.Mutex
 	record    *os.File
 
-	runs runLog
+	runs     runLog
+	refusals atomic.Int64 // requests that replicas rejected as too large
 }
 
 // newWorld prepares a deployment with a temporary folder and a loopback network that is not in use.
