--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -63,8 +65,13 @@
 		w.note("the rule held")
 		result <- exitHeld
 	}()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	select {
 	case code = <-result:
+	case what := <-ended:
+		w.note("the case could not run: it got %v", what)
+		code = exitCannotRun
 	case <-time.After(longestRun):
 		w.note("the case could not run: it took too long")
 		code = exitCannotRun
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -212,6 +212,7 @@
 	command.Dir = w.root
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder, "TAMARINDRING_CONFIG=" + settings}
 	command.Stdout, command.Stderr = output, output
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with this program, however that ends
 	must(command.Start())
 	m.process, m.ended = command, make(chan struct{})
 	go func(ended chan struct{}) {
