Items that no replica can run no longer take the turns of others

Cause: a rejection as full, and a run that broke off, counted against the replica and never against the item. The replica then takes one item at a time, and the longest one comes first: the one that was just rejected elsewhere. So every turn of every replica went to items that it can't run.

Evidence: TestUnfitItemsStarveOthers on the code before finishes 52 of the 196 items that fit, in each of four variants (size known, unknown, answers broken at once, broken after 300 ms). That rules out that it is about the memory that is planned for (unknown there), or about rejections only.

Change: a rejection by a replica that is smaller than the item does not suspend it; the item is oversized: last in order, tried again after 0.5 to 4 s, its group counts as one that can't be completed, and it runs at once when a larger replica appears. A replica on probation tries first an item whose last run was not in vain. After three runs in vain an item is held before each further one.

Why it works: all 196 items finish in all four variants, none waits beside idle replicas; the others are still tried (100 to 280 times in 12 s).

--- a/internal/batchrun/schedule/candidates.go
+++ b/internal/batchrun/schedule/candidates.go
@@ -14,6 +14,7 @@
 	minVersion  uint64
 	critical    bool
 	suspected   bool
+	doubted     bool // see placementRound.canStart
 	// paceClass is how fast a replica must be for the item to be in time; see Scheduler.requiredPaceClass.
 	paceClass paceClass
 }
@@ -21,7 +22,7 @@
 // placementKeyOf returns the placement key of an item in a pool.
 func (s *Scheduler) placementKeyOf(entry *item, pool string, now time.Duration) placementKey {
 	return placementKey{pool: pool, model: entry.job.Model, minVersion: entry.job.MinVersion, critical: entry.critical,
-		suspected: entry.suspected, paceClass: s.requiredPaceClass(entry, s.pools[pool], now)}
+		suspected: entry.suspected, doubted: entry.isDoubted(), paceClass: s.requiredPaceClass(entry, s.pools[pool], now)}
 }
 
 // placementRound places items at one point in time. Replicas only fill up during a round, so candidates that were
@@ -31,6 +32,13 @@
 	now        time.Duration
 	candidates map[placementKey]*candidates
 	idle       map[*pool]bool // see isIdle
+	lastResort bool           // replicas on probation try doubted items too
+}
+
+// canStart reports whether a replica can start an item now, apart from its memory. A doubted item does not take the turn
+// of others at a replica on probation, because a further failure would keep the replica there.
+func (r *placementRound) canStart(candidate *replica, entry *item) bool {
+	return r.scheduler.canStart(candidate, entry, r.now) && (r.lastResort || !candidate.onProbation || !entry.isDoubted())
 }
 
 // newPlacementRound starts a placement round at the given time.
@@ -123,7 +131,7 @@
 func (r *placementRound) leastLoadedBySlots(entry *item, pool *pool, key placementKey) *replica {
 	var best candidate
 	for _, replica := range pool.replicas {
-		if !r.scheduler.canStart(replica, entry, r.now) {
+		if !r.canStart(replica, entry) || r.scheduler.hasLargerFor(replica, entry) {
 			continue
 		}
 		possible := candidate{replica: replica, load: r.scheduler.loadWith(replica, pool, key)}
@@ -138,7 +146,7 @@
 // is false if the replica can't run the item now.
 func (r *placementRound) candidateOn(entry *item, pool *pool, instance string, key placementKey) (found candidate, fits bool) {
 	replica := r.scheduler.replicas[instance]
-	if instance == "" || replica == nil || replica.draining || r.scheduler.pools[replica.Pool] != pool || !r.scheduler.canStart(replica, entry, r.now) ||
+	if instance == "" || replica == nil || replica.draining || r.scheduler.pools[replica.Pool] != pool || !r.canStart(replica, entry) ||
 		!r.scheduler.hasMemoryFor(replica, entry) {
 		return candidate{}, false
 	}
@@ -168,11 +176,14 @@
 	for candidates.Len() > 0 && !found {
 		top := candidates.byLoad[0]
 		switch load := r.scheduler.loadWith(top.replica, pool, key); {
-		case !r.scheduler.canStart(top.replica, entry, r.now):
+		case !r.canStart(top.replica, entry):
 			heap.Pop(candidates)
 		case load != top.load:
 			candidates.byLoad[0].load = load
 			heap.Fix(candidates, 0)
+		case r.scheduler.hasLargerFor(top.replica, entry):
+			skipped = append(skipped, top)
+			heap.Pop(candidates)
 		case !r.scheduler.hasMemoryFor(top.replica, entry):
 			skipped, memoryRejected = append(skipped, top), true
 			heap.Pop(candidates)
@@ -199,7 +210,7 @@
 	}
 	candidates := &candidates{}
 	for _, replica := range r.scheduler.mayStart(entry, pool, r.now) {
-		if r.scheduler.canStart(replica, entry, r.now) {
+		if r.canStart(replica, entry) {
 			candidates.byLoad = append(candidates.byLoad, candidate{replica: replica, load: r.scheduler.loadWith(replica, pool, key)})
 		}
 	}
--- a/internal/batchrun/schedule/memory.go
+++ b/internal/batchrun/schedule/memory.go
@@ -127,9 +127,12 @@
 }
 
 // hasMemoryFor reports whether a replica's memory is expected to suffice for an item until it completes. An idle
-// replica accepts any item and itself rejects those that it can't hold. Items in pools without reported paces are
-// placed by slots alone.
+// replica accepts any item and itself rejects those that it can't hold, unless a larger replica can hold them. Items in
+// pools without reported paces are placed by slots alone.
 func (s *Scheduler) hasMemoryFor(replica *replica, entry *item) bool {
+	if s.hasLargerFor(replica, entry) {
+		return false
+	}
 	if replica.Memory == 0 || !entry.Estimated || len(replica.items) == 0 || !s.poolNamed(replica.Pool).reportsPace {
 		return true
 	}
--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -12,14 +12,26 @@
 	if s.waitingOrder == nil {
 		s.sortWaiting(now)
 	}
-	var starts []Start
-	round := s.newPlacementRound(now)
+	starts, doubted := s.startWaiting(nil, s.newPlacementRound(now))
+	if doubted {
+		lastResort := s.newPlacementRound(now)
+		lastResort.lastResort = true
+		starts, _ = s.startWaiting(starts, lastResort)
+	}
+	return starts
+}
+
+// startWaiting appends the runs that start in a placement round to starts. doubted reports that a doubted item was not
+// placed.
+func (s *Scheduler) startWaiting(starts []Start, round *placementRound) (all []Start, doubted bool) {
+	now := round.now
 	unplaced := s.waitingOrder[:0]
 	for _, entry := range s.waitingOrder {
 		var chosen *replica
 		if entry.notBefore <= now {
 			entry.markCritical(now)
 			chosen = round.place(entry)
+			doubted = doubted || chosen == nil && entry.isDoubted()
 		}
 		if chosen == nil {
 			unplaced = append(unplaced, entry)
@@ -36,17 +48,17 @@
 	}
 	clear(s.waitingOrder[len(unplaced):])
 	s.waitingOrder = unplaced
-	return starts
+	return starts, doubted
 }
 
 // sortWaiting sorts the waiting items of all jobs. Items of required groups come first, by latest start, then all
-// others. If some items are already late, owners may take turns; see takeTurns.
+// others, and last the oversized ones. If some items are already late, owners may take turns; see takeTurns.
 //
 // The order is by item and not by group, because a step ends with its longest answers. These have to start before the
 // short ones of their own group take the slots on replicas whose weights the job allows.
 func (s *Scheduler) sortWaiting(now time.Duration) {
 	s.waitingOrder = []*item{}
-	var surplus []*item
+	var surplus, oversized []*item
 	for _, job := range s.jobs {
 		required := job.Desired
 		if required <= 0 {
@@ -64,10 +76,26 @@
 			}
 		}
 	}
+	s.waitingOrder, oversized = splitOversized(s.waitingOrder, oversized)
+	surplus, oversized = splitOversized(surplus, oversized)
 	s.sortByLatestStart(s.waitingOrder)
 	s.waitingOrder = s.takeTurns(s.waitingOrder, now)
 	s.sortByLatestStart(surplus)
-	s.waitingOrder = append(s.waitingOrder, surplus...)
+	s.sortByLatestStart(oversized)
+	s.waitingOrder = slices.Concat(s.waitingOrder, surplus, oversized)
+}
+
+// splitOversized removes the oversized items from a list of items, and appends them to those of other lists.
+func splitOversized(items, oversized []*item) (others, allOversized []*item) {
+	others = items[:0]
+	for _, entry := range items {
+		if entry.oversized {
+			oversized = append(oversized, entry)
+		} else {
+			others = append(others, entry)
+		}
+	}
+	return others, oversized
 }
 
 // criticalMargin is how many times longer than expected an answer is assumed to become. Length estimates are right in
@@ -150,10 +178,10 @@
 	}
 }
 
-// cannotComplete reports whether an item of the group is terminated, or is condemned and not finished.
+// cannotComplete reports whether an item of the group is terminated, or is condemned or oversized and not finished.
 func (g *group) cannotComplete() bool {
 	return slices.ContainsFunc(g.items, func(entry *item) bool {
-		return entry.state == terminated || entry.condemned && entry.state != finished
+		return entry.state == terminated || (entry.condemned || entry.oversized) && entry.state != finished
 	})
 }
 
--- a/internal/batchrun/schedule/outcome.go
+++ b/internal/batchrun/schedule/outcome.go
@@ -20,6 +20,7 @@
 	}
 	entry.run.events, entry.run.lastEvent = events, last
 	s.revision++
+	entry.vainRuns, entry.oversized = 0, false
 	replica.endProbation(entry)
 	s.noteVersion(replica, entry.job.Model, version, last)
 }
@@ -138,6 +139,8 @@
 		entry.hold(now+s.settings.RetryPause, HeldRetry)
 	case Lost:
 		entry.hold(now+s.settings.RetryPause, HeldRetry) // otherwise the same process could be chosen and lost again at once
+	case Full, Broken:
+		s.holdUnfit(entry, replica, ending, now)
 	}
 	if ending != Stopped && ending != Lost {
 		entry.avoidInstance = instance
@@ -154,6 +157,9 @@
 		s.poolNamed(replica.Pool).noteAnswer(entry.earlierEvents+entry.run.events, entry.Length)
 		s.noteLength(entry.job.Model, entry.earlierEvents+entry.run.events)
 	case Full:
+		if replica.isTooSmallFor(entry) {
+			return // the rejection says nothing about other items
+		}
 		s.suspend(replica, &replica.refusalsInRow, s.settings.FullPause, s.settings.MaximumFullPause, now, entry, ending)
 	case Broken, Unreachable, Misdirected:
 		s.suspend(replica, &replica.failuresInRow, s.settings.FailurePause, s.settings.MaximumPause, now, entry, ending)
@@ -173,7 +179,7 @@
 	if replica.pausedUntil > now {
 		return
 	}
-	replica.pausedUntil = now + min(pause<<min(*count, 10), maximum)
+	replica.pausedUntil = now + doubled(pause, *count, maximum)
 	*count++
 	replica.onProbation, replica.probationStart = true, now
 	s.suspended = append(s.suspended, Suspension{Key: Key{Job: entry.job.ID, Item: entry.ID}, Instance: replica.Instance, Ending: ending,
--- a/internal/batchrun/schedule/place.go
+++ b/internal/batchrun/schedule/place.go
@@ -50,6 +50,7 @@
 	cachedFastestPace   float64   // of the fastest replica; 0: no pace is known
 	cachedMedianPace    float64   // of the replicas whose pace is known; 0: no pace is known
 	paceStatisticsValid bool      // the cached paces are up to date
+	largestMemory       uint64    // of its replicas; unknownMemory if one is unknown, 0 without replicas
 	paces               []float64 // buffer for sorting paces
 
 	reportsPace         bool                   // replicas report their current pace
--- a/internal/batchrun/schedule/replicas.go
+++ b/internal/batchrun/schedule/replicas.go
@@ -53,7 +53,11 @@
 		}
 	}
 	for name := range pools {
-		s.poolNamed(name).prune(name)
+		changedPool := s.poolNamed(name)
+		changedPool.prune(name)
+		if changedPool.updateLargestMemory() {
+			s.reconsiderOversized(name, changedPool)
+		}
 	}
 	s.forgetDrained()
 	return added
--- a/internal/batchrun/schedule/waits.go
+++ b/internal/batchrun/schedule/waits.go
@@ -15,6 +15,8 @@
 	HeldRetry                // a run has failed a moment ago
 	HeldSuspect              // replicas crashed while running the item
 	HeldFormerRun            // the item's run for an ended job is still being stopped
+	HeldOversized            // a replica rejected it that it is larger than
+	HeldUnfit                // several runs in a row were rejected or broke off without an event
 )
 
 // WaitReason is why a waiting item does not start.
@@ -25,6 +27,8 @@
 	WaitRetry     WaitReason = iota // see HeldRetry
 	WaitSuspect                     // see HeldSuspect
 	WaitFormerRun                   // see HeldFormerRun
+	WaitOversized                   // see HeldOversized
+	WaitUnfit                       // see HeldUnfit
 	WaitRoute                       // the item has no pool, or its pool has no replicas
 	WaitReplicas                    // no replica can start it now
 	WaitMemory                      // of those that could start it, none has memory for it
@@ -33,7 +37,8 @@
 
 // String returns the name of the reason as used in logs and metrics.
 func (r WaitReason) String() string {
-	return [...]string{WaitRetry: "retry", WaitSuspect: "suspected", WaitFormerRun: "former_run", WaitRoute: "no_route", WaitReplicas: "no_replica",
+	return [...]string{WaitRetry: "retry", WaitSuspect: "suspected", WaitFormerRun: "former_run", WaitOversized: "oversized",
+		WaitUnfit: "unfit", WaitRoute: "no_route", WaitReplicas: "no_replica",
 		WaitMemory: "no_memory", WaitOrder: "order"}[r]
 }
 
@@ -129,6 +134,10 @@
 		return WaitSuspect
 	case HeldFormerRun:
 		return WaitFormerRun
+	case HeldOversized:
+		return WaitOversized
+	case HeldUnfit:
+		return WaitUnfit
 	}
 	return WaitRetry
 }
