A refusal without proof does not reach callers whose requests run once

Cause: between replica and gateway only the refusal's own header says that a request did not run; between gateway and caller 408, 421, 429 and 503 promise it. The forwarder knew the verdict (ran) and passed the status on all the same.

Change: for requests that must not run twice (routes that allow one run, streams that can't be resumed) such an answer is withheld, and the gateway answers 502 of its own without the replica's signature. Others are unchanged.

Metric: tamarindring_forward_sends_total with unproven; the cause stands in attempt_failed.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -18,6 +18,7 @@
 	replaceable bool // another attempt may run concurrently, or replace the answer before its first byte
 	resuming    bool // continues a stream that another attempt left incomplete
 	resumable   bool // a stream can be continued by another attempt
+	runsOnce    bool // the request must not run again once it may have run
 	// mayReplace asks for permission to send a replacement when no other attempt runs concurrently. nil: always
 	// permitted.
 	mayReplace           func() bool
@@ -45,6 +46,8 @@
 		a.onHead(stream)
 	}
 	switch {
+	case a.runsOnce && promisesNotRun(head.Status):
+		return unprovenRefusal{status: head.Status}
 	case a.resuming && !stream:
 		return errNotResumed
 	case a.resuming:
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,7 +50,8 @@
 func (x *exchange) newAttempt(chosen choice, owner *atomic.Pointer[answer], replaceable bool) *attempt {
 	config := &x.forwarder.config
 	sink := &answer{owner: owner, reply: x.reply, buffer: answerBuffer{budget: config.Budget, maxBytes: config.MaxBufferedAnswer}, replaceable: replaceable,
-		resuming: x.partForwarded, resumable: x.route.Resumable && x.route.Kind == table.Stream, lastEventID: x.lastEventID}
+		resuming: x.partForwarded, resumable: x.route.Resumable && x.route.Kind == table.Stream, runsOnce: !x.canRepeat(),
+		lastEventID: x.lastEventID}
 	x.sends++
 	created := &attempt{forwarder: x.forwarder, pool: x.pool, target: chosen.target, chosen: chosen, sendNumber: x.sends, routingRequest: x.routingRequest,
 		started: x.forwarder.config.Now(), call: x.newCall(chosen), answer: sink, requestMayFail: x.request.OnServerError != nil, permittedRun: x.permittedRun}
@@ -221,6 +222,8 @@
 		return healthDoubtful
 	case outcome.Refused == replica.RefusedWrongTarget:
 		return healthLeaving
+	case errors.As(outcome.Err, new(unprovenRefusal)) && outcome.Status < http.StatusInternalServerError:
+		return healthGood // as for any other answer with such a status
 	case outcome.Refused == replica.RefusedFull, errors.Is(outcome.Err, errTableChanged), errors.Is(outcome.Err, errNoLease),
 		errors.Is(outcome.Err, errCallerGone), errors.Is(outcome.Err, errOtherAttemptWon):
 		return healthNeutral
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -187,6 +187,12 @@
 		{"failed, then good", "repeatable", []step{answers(500, false, true, "no"), good}, 2, "good", 0, 0},
 		{"failed twice", "repeatable", []step{answers(500, false, true, "no")}, 2, "no", 0, 0},
 		{"failed once", "once", []step{answers(500, false, true, "no"), good}, 1, "no", 0, 0},
+		{"503 after it ran, once", "once", []step{answers(503, false, true, "no"), good}, 1, "", Broken, verdict.MayHaveRun},
+		{"429 after it ran, once", "once", []step{answers(429, false, true, "no"), good}, 1, "", Broken, verdict.MayHaveRun},
+		{"408 after it ran, once", "once", []step{answers(408, false, true, "no"), good}, 1, "", Broken, verdict.MayHaveRun},
+		{"full, then 503 after it ran, once", "once", []step{full, answers(503, false, true, "no")}, 2, "", Broken, verdict.MayHaveRun},
+		{"503 after it ran, stream", "stream", []step{answers(503, false, true, "no"), good}, 1, "", Broken, verdict.MayHaveRun},
+		{"503 after it ran, twice", "repeatable", []step{answers(503, false, true, "no")}, 2, "no", 0, 0},
 		{"cut stream", "stream", []step{answers(200, true, false, "id: 1\n\n"), good}, 1, "", Cut, verdict.MayHaveRun},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -19,8 +19,9 @@
 
 // Outcomes of sends in addition to refusalNames.
 const (
-	sendWhole  = "whole"
-	sendFailed = "failed"
+	sendWhole    = "whole"
+	sendFailed   = "failed"
+	sendUnproven = "unproven" // see unprovenRefusal
 )
 
 // forwarderMetrics holds the forwarder's metrics.
@@ -50,7 +51,7 @@
 		requests:    part.Counter("requests_total", "Requests by kind of route (empty: no route) and outcome: answered, or the reason why not.", "kind", "outcome"),
 		inFlight:    part.Gauge("requests_in_flight", "Requests that are being answered."),
 		latency:     part.Latency("request_duration_seconds", "Time from a request's arrival to its end.", "kind"),
-		sends:       part.Counter("sends_total", "Sends to back ends by outcome: whole, failed, or why it did not run there.", "outcome"),
+		sends:       part.Counter("sends_total", "Sends to back ends by outcome: whole, failed, unproven (a refusal that does not say that the request did not run), or why it did not run there.", "outcome"),
 		sendLatency: part.Latency("send_duration_seconds", "Time from a send to its end, by outcome.", "outcome"),
 		hedges:      part.Counter("hedges_total", "Second sends beside a slow first one."),
 		retries:     part.Counter("retries_total", "Sends of requests after their first one, by kind and by whether the pool's retry budget permitted them.", "kind", "outcome"),
@@ -119,6 +120,8 @@
 	switch {
 	case a.outcome.Complete:
 		outcome = sendWhole
+	case errors.As(a.outcome.Err, new(unprovenRefusal)):
+		outcome = sendUnproven
 	case outcome == "":
 		outcome = sendFailed
 	}
