An answer whose head has lines that are no fields is no answer

What callers saw (MIXED, on the users' machines): an answer in whose head the name of a field holds a blank passes as an answer, with that line, or with a body that was not the replica's (Content-Length and Transfer-Encoding with a blank before the colon).

Cause: the readers left the meaning of a head to net/http and fasthttp, which take names that are none, and join lines that begin with a blank.

Change: answercheck.HeadScanner checks the bytes of a head (status line, names, values) before a library sees them; answerconn puts it between connection and library for every reader: replica.Client (calls, streams, items, reward calls, executors, orders, reports, usage), the own interface's gateway with its polls and cancels, the calls between control nodes; the coordinator and the operator's reports check what net/http has read. A line that continues the one before is no answer either: RFC 9112 (5.2) lets a gateway discard such a message.

--- a/internal/answercheck/check.go
+++ b/internal/answercheck/check.go
@@ -18,12 +18,13 @@
 	Unsigned                   // a success without the signature of the replica that made it
 	Endless                    // its head or body exceeds every size that an answer has
 	Unframed                   // a signed success whose end nothing but the close of the connection marks
+	BadField                   // its head has a line that is no field
 )
 
 // String returns the name of the fault in metrics.
 func (f Fault) String() string {
 	return [...]string{BadStatus: "status", Foreign: "foreign", Unnamed: "unnamed", Unsigned: "unsigned", Endless: "endless",
-		Unframed: "unframed"}[f]
+		Unframed: "unframed", BadField: "field"}[f]
 }
 
 // Error implements error.
@@ -31,7 +32,7 @@
 	return "not an answer: " + [...]string{BadStatus: "its status is not between 200 and 599",
 		Foreign: "it belongs to another request", Unnamed: "it does not name the request",
 		Unsigned: "a success without the replica's signature", Endless: "it goes on without an end",
-		Unframed: "a success whose end is not marked"}[f]
+		Unframed: "a success whose end is not marked", BadField: "its head has a line that is no field"}[f]
 }
 
 // Expected is what the answer to a request must carry.
@@ -53,7 +54,7 @@
 // Check returns nil if a message with this head is the expected answer, and otherwise a Fault.
 func (e Expected) Check(head Head) error {
 	switch {
-	case head.Status < minStatus || head.Status > maxStatus:
+	case !isFinal(head.Status):
 		return BadStatus
 	case e.RequestID != "" && head.RequestID == "":
 		return Unnamed
@@ -82,6 +83,9 @@
 	return status >= http.StatusContinue && status < minStatus && status != http.StatusSwitchingProtocols && number < maxInterim
 }
 
+// isFinal reports whether a final answer may have the status.
+func isFinal(status int) bool { return status >= minStatus && status <= maxStatus }
+
 func isSuccess(status int) bool {
 	return status >= minStatus && status < http.StatusMultipleChoices
 }
--- a/internal/coordinator/server.go
+++ b/internal/coordinator/server.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/tamarindring/tamarindring/internal/answerconn"
 	"github.com/tamarindring/tamarindring/internal/controlclient"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -87,11 +88,11 @@
 		trainers: map[string]*trainerState{}, pools: map[string]*pool{}, gateways: map[string]*gatewayState{}, receivedPartials: map[string]*receivedPartials{},
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
-	s.httpClient = &http.Client{Transport: &http.Transport{
+	s.httpClient = &http.Client{Transport: &answerconn.Transport{Base: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	}}}
 	s.http = &http.Server{
 		Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: newDebugLogger(config.Log),
--- a/internal/gateway/cancels.go
+++ b/internal/gateway/cancels.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/valyala/fasthttp"
+import (
+	"github.com/valyala/fasthttp"
+
+	"github.com/tamarindring/tamarindring/internal/answerconn"
+)
 
 // maxConcurrentCancels bounds concurrent cancel calls to engines. Further calls are dropped, and the engine then
 // detects by itself that the stream has no reader.
@@ -17,7 +21,7 @@
 // finds them idle. A cancel call that fails on such a connection is retried, which is always safe, after all idle
 // connections were closed.
 func newCancelClient() *fasthttp.Client {
-	client := &fasthttp.Client{NoDefaultUserAgentHeader: true, MaxConnsPerHost: maxConcurrentCancels, MaxIdemponentCallAttempts: cancelAttempts,
+	client := &fasthttp.Client{Dial: answerconn.Dial(fasthttp.Dial), NoDefaultUserAgentHeader: true, MaxConnsPerHost: maxConcurrentCancels, MaxIdemponentCallAttempts: cancelAttempts,
 		MaxResponseBodySize: maxCancelAnswerBytes}
 	client.RetryIfErr = func(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
 		client.CloseIdleConnections()
--- /dev/null
+++ b/internal/gateway/field_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/tamarindring/tamarindring/internal/standin/spoiled"
+	"github.com/tamarindring/tamarindring/internal/verdict"
+)
+
+// fieldKinds are the kinds of spoiled answers of which a line of the head is no field.
+var fieldKinds = []spoiled.Kind{spoiled.BlankInName, spoiled.BlankBeforeColon, spoiled.ControlInName, spoiled.FoldedField, spoiled.MisspelledLength,
+	spoiled.MisspelledChunks}
+
+// TestLineThatIsNoFieldIsNoAnswer guards against a back end's answer with a field whose name is none, of which the caller
+// gets a body with another length than the back end meant.
+func TestLineThatIsNoFieldIsNoAnswer(t *testing.T) {
+	for _, kind := range fieldKinds {
+		t.Run(kind.String(), func(t *testing.T) {
+			backend := newRawBackend(t, func(conn net.Conn, request *http.Request, _ int64) {
+				_ = spoiled.Write(conn, kind, spoiled.Names{RequestID: HeaderRequestID, Signature: "Signed"}, request.Header.Get(HeaderRequestID), rand.New(rand.NewPCG(1, 1)))
+				_ = conn.Close()
+			})
+			f := newRawFixture(t, backend)
+			got := f.push(t, 0, "k", "{}")
+			if got.status != http.StatusBadGateway || got.header.Get(verdict.Header) != "may-have-run" || strings.Contains(got.body, "wrong") {
+				t.Errorf("got %+v, want status 502 with the verdict may-have-run", got)
+			}
+		})
+	}
+}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/tamarindring/tamarindring/internal/answerconn"
 	"github.com/tamarindring/tamarindring/internal/routing"
 )
 
@@ -54,7 +55,7 @@
 // pollLoads polls the back ends until ctx ends.
 func (s *Server) pollLoads(ctx context.Context) error {
 	pollers := &loadPollers{server: s, cancels: map[loadSource]context.CancelFunc{},
-		client: &fasthttp.Client{MaxResponseBodySize: maxLoadBytes, ReadTimeout: loadTimeout, WriteTimeout: loadTimeout,
+		client: &fasthttp.Client{Dial: answerconn.Dial(fasthttp.Dial), MaxResponseBodySize: maxLoadBytes, ReadTimeout: loadTimeout, WriteTimeout: loadTimeout,
 			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true}}
 	defer pollers.client.CloseIdleConnections()
 	defer pollers.polls.Wait()
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/tamarindring/tamarindring/internal/answercheck"
+	"github.com/tamarindring/tamarindring/internal/answerconn"
 )
 
 // transport pools idle connections to back ends. It never retries a request. Only the dispatch machine decides
@@ -35,6 +36,7 @@
 	address       string
 	conn          net.Conn
 	reader        *bufio.Reader
+	answers       *answerconn.Reader // source of reader; checks the heads of answers
 	writer        *bufio.Writer
 	counter       *countingWriter
 	response      fasthttp.Response
@@ -81,9 +83,9 @@
 	if err != nil {
 		return nil, err
 	}
-	counter := &countingWriter{conn: conn}
-	return &upstream{address: address, conn: conn, counter: counter,
-		reader: bufio.NewReaderSize(conn, upstreamReadBuffer),
+	counter, answers := &countingWriter{conn: conn}, answerconn.NewReader(conn)
+	return &upstream{address: address, conn: conn, counter: counter, answers: answers,
+		reader: bufio.NewReaderSize(answers, upstreamReadBuffer),
 		writer: bufio.NewWriterSize(counter, upstreamWriteBuffer)}, nil
 }
 
@@ -100,22 +102,28 @@
 }
 
 // readHead reads the head of the final answer, whose body is then read from response.BodyStream. It skips interim answers.
-// The error is an answercheck.Fault if the status is none of an answer: fasthttp would report a status of 0 as 200.
+// The error is an answercheck.Fault if the status is none of an answer or a line of the head is no field.
 func (up *upstream) readHead() error {
+	up.answers.Begin()
+	err := up.readFinalHead()
+	if fault := up.answers.Fault(); fault != nil {
+		return fault
+	}
+	return err
+}
+
+func (up *upstream) readFinalHead() error {
 	up.response.Reset()
 	up.response.StreamBody = true
 	for interim := 0; ; interim++ {
-		status, err := answercheck.PeekStatus(up.reader)
-		if err != nil {
-			return err
-		}
-		if err = up.response.Header.Read(up.reader); err != nil {
+		if err := up.response.Header.Read(up.reader); err != nil {
 			return err
 		}
+		status := up.response.StatusCode()
 		if answercheck.IsInterim(status, interim) {
 			continue
 		}
-		if err = (answercheck.Expected{}).Check(answercheck.Head{Status: status}); err != nil {
+		if err := (answercheck.Expected{}).Check(answercheck.Head{Status: status}); err != nil {
 			return err
 		}
 		if status == http.StatusNoContent || status == http.StatusNotModified {
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/answerconn"
 	"github.com/tamarindring/tamarindring/internal/table"
 	"github.com/tamarindring/tamarindring/internal/wire"
 )
@@ -157,7 +158,7 @@
 func newReportFetcher() *reportFetcher {
 	// Each server gets one request, so keeping connections alive is of no use, nor is a client with background
 	// goroutines.
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &answerconn.Transport{Base: &http.Transport{DisableKeepAlives: true}}
 	return &reportFetcher{client: &http.Client{Transport: transport, Timeout: reportTimeout}, slots: make(chan struct{}, maxParallelRequests)}
 }
 
--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -28,12 +28,15 @@
 func (c *Client) readHead(conn *connection, call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
 	conn.limitedReader.N = int64(c.options.MaxHeadBytes)
+	conn.answers.Begin()
 	for interim := 0; ; interim++ {
 		response, err := http.ReadResponse(conn.reader, request)
-		if err != nil {
-			if conn.limitedReader.N <= 0 {
-				return nil, answercheck.Endless
-			}
+		switch {
+		case conn.answers.Fault() != nil:
+			return nil, conn.answers.Fault()
+		case err != nil && conn.limitedReader.N <= 0:
+			return nil, answercheck.Endless
+		case err != nil:
 			return nil, err
 		}
 		if answercheck.IsInterim(response.StatusCode, interim) {
--- a/internal/replica/connection.go
+++ b/internal/replica/connection.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/tamarindring/tamarindring/internal/answerconn"
 )
 
 const unlimited = math.MaxInt64
@@ -20,7 +22,8 @@
 type connection struct {
 	net.Conn
 	reader        *bufio.Reader
-	limitedReader *io.LimitedReader // source of reader; bounds the head of an answer
+	answers       *answerconn.Reader // source of reader; checks the heads of answers
+	limitedReader *io.LimitedReader  // source of answers; bounds the head of an answer
 	connections   *replicaConnections
 	reuseUntil    time.Time // end of the time in which an idle connection may be reused
 	closeOnce     sync.Once
@@ -77,7 +80,8 @@
 		return nil, RefusedUnreachable, err
 	}
 	limited := &io.LimitedReader{R: raw, N: unlimited}
-	return &connection{Conn: raw, limitedReader: limited, reader: bufio.NewReaderSize(limited, 4<<10), connections: connections,
+	answers := answerconn.NewReader(limited)
+	return &connection{Conn: raw, limitedReader: limited, answers: answers, reader: bufio.NewReaderSize(answers, 4<<10), connections: connections,
 		idleTimeout: c.options.IdleTimeout, peerTimeout: c.options.PeerTimeout}, RefusedNone, nil
 }
 
--- a/internal/standin/spoiled/spoiled.go
+++ b/internal/standin/spoiled/spoiled.go
@@ -31,6 +31,13 @@
 	CutHead                        // ends within the head
 	CutBody                        // ends within the body
 	Silent                         // nothing at all, with the connection left open
+	BlankInName                    // a signed success with a blank in the name of a field
+	BlankBeforeColon               // a signed success with a blank after the name of a field
+	ControlInName                  // a signed success with a control byte in the name of a field
+	FoldedField                    // a signed success with a line that continues the one before
+	MisspelledLength               // a signed success with a second length, whose name ends with a blank
+	MisspelledChunks               // a signed success in chunks, of which a name that ends with a blank tells
+	ResetUnframed                  // a signed success without a length, reset within the body
 	EndlessInterim                 // interim answers
 	EndlessLine                    // one header line
 	EndlessHead                    // header lines
@@ -58,6 +65,8 @@
 func (k Kind) String() string {
 	return [...]string{BadStatus: "bad status", Unnamed: "unnamed", Unsigned: "unsigned", UnsignedStream: "unsigned stream", BareNoContent: "bare 204",
 		Foreign: "foreign", UnnamedRefusal: "unnamed refusal", Garbage: "garbage", CutHead: "cut head", CutBody: "cut body", Silent: "silent",
+		BlankInName: "blank in a name", BlankBeforeColon: "blank before a colon", ControlInName: "control byte in a name", FoldedField: "folded field",
+		MisspelledLength: "misspelled length", MisspelledChunks: "misspelled chunks", ResetUnframed: "reset without a length",
 		EndlessInterim: "endless interim answers", EndlessLine: "endless line", EndlessHead: "endless head", EndlessBody: "endless body",
 		EndlessExtension: "endless chunk extension", EndlessTrailer: "endless trailer", EndlessEvent: "endless event",
 		EndlessEmptyEvents: "endless empty events"}[k]
@@ -66,6 +75,9 @@
 // badStatuses are what BadStatus draws from.
 var badStatuses = []string{"000", "001", "099", "101", "199", "600", "999"}
 
+// controlBytes are what ControlInName draws from.
+var controlBytes = []string{"\x00", "\x01", "\t", "\r", "\x1f", "\x7f"}
+
 const (
 	success   = "HTTP/1.1 200 OK\r\n"
 	chunked   = "Transfer-Encoding: chunked\r\n"
@@ -73,6 +85,9 @@
 	wrongBody = "Content-Length: 5\r\n\r\nwrong"
 	// pieceBytes is the size of the repeated piece of an endless kind.
 	pieceBytes = 256
+	// misspelledLength and misspelledChunks frame the body in two ways, of which one has a name that is none.
+	misspelledLength = "Content-Length : 2\r\n" + wrongBody
+	misspelledChunks = "Transfer-Encoding : chunked\r\nContent-Length: 5\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"
 	// garbageBytes is the largest number of random bytes.
 	garbageBytes = 512
 )
@@ -109,6 +124,21 @@
 		return write(out, success+named[:len(named)/2])
 	case CutBody:
 		return write(out, success+signed+"Content-Length: 500\r\n\r\nwrong")
+	case BlankInName:
+		return write(out, success+signed+"X Odd: v\r\n"+wrongBody)
+	case BlankBeforeColon:
+		return write(out, success+signed+"X-Odd : v\r\n"+wrongBody)
+	case ControlInName:
+		return write(out, success+signed+"X-O"+controlBytes[random.IntN(len(controlBytes))]+"dd: v\r\n"+wrongBody)
+	case FoldedField:
+		return write(out, success+signed+"X-Odd: v\r\n folded: w\r\n"+wrongBody)
+	case MisspelledLength:
+		return write(out, success+signed+misspelledLength)
+	case MisspelledChunks:
+		return write(out, success+signed+misspelledChunks)
+	case ResetUnframed:
+		resetOnClose(out)
+		return write(out, success+signed+"\r\nwrong")
 	case EndlessInterim:
 		return repeat(out, "", "HTTP/1.1 102 Processing\r\n\r\n")
 	case EndlessLine:
@@ -129,6 +159,13 @@
 	return nil // Silent
 }
 
+// resetOnClose makes the end of a connection a reset.
+func resetOnClose(out io.Writer) {
+	if connection, ok := out.(interface{ SetLinger(seconds int) error }); ok {
+		_ = connection.SetLinger(0)
+	}
+}
+
 func write(out io.Writer, text string) error {
 	_, err := io.WriteString(out, text)
 	return err
