A part of an answer without a length is not whole after a reset

What callers saw (MIXED, on the users' machines): a replica answers a long upload at once, without a length, sends a part of its body and resets the connection while the upload is still being written; the client gets the part as the complete answer.

Cause: the kernel reports a reset once. If the write meets it, the read finds only the end of the connection, which ends an answer without a length.

Change: such an answer is whole only if the request was written to its end without an error when the read found the end.

Signed successes without a length were refused already.

--- a/internal/gateway/field_test.go
+++ b/internal/gateway/field_test.go
@@ -32,3 +32,37 @@
 		})
 	}
 }
+
+// TestAnswerResetDuringUploadIsNotWhole guards against a part of an answer without a length that counts as all of it,
+// because the back end reset the connection while the request was still being written.
+func TestAnswerResetDuringUploadIsNotWhole(t *testing.T) {
+	for _, status := range []string{"200 OK", "500 No"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					_, _ = conn.Read(make([]byte, 4<<10))
+					_, _ = conn.Write([]byte("HTTP/1.1 " + status + "\r\n\r\npart"))
+					_ = conn.(*net.TCPConn).SetLinger(0)
+					_ = conn.Close()
+				}()
+			}
+		}()
+		f := newRawFixture(t, &rawBackend{listener: listener})
+		body := `{"text":"` + strings.Repeat("x", 1<<20) + `"}`
+		for number := range 10 {
+			got := f.push(t, 0, "k"+string(rune('a'+number)), body)
+			if got.status != http.StatusBadGateway || strings.Contains(got.body, "part") {
+				t.Fatalf("after %q: got %+v, want status 502", status, got)
+			}
+		}
+	}
+}
--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -82,8 +83,12 @@
 	return response.Header.Get(name)
 }
 
-// deliver passes the answer to the sink as it arrives. It returns nil if the whole answer was passed.
-func (c *Client) deliver(response *http.Response, load *loadreport.Report, sink Sink) error {
+// errCutDuringUpload means that the connection of an answer without a length ended before the request was sent whole. A
+// reset that a write has met looks like a plain end to the read.
+var errCutDuringUpload = fmt.Errorf("replica: the connection of an answer without a length ended while the request was being sent: %w", io.ErrUnexpectedEOF)
+
+// deliver passes the answer to the sink as it arrives. It returns nil if the whole answer was passed. sent is the request.
+func (c *Client) deliver(response *http.Response, load *loadreport.Report, sent *upload, sink Sink) error {
 	head := c.buildHead(response)
 	head.Load = load
 	if err := sink.Head(head); err != nil {
@@ -101,6 +106,9 @@
 				return refused
 			}
 		}
+		if err == io.EOF && isUnframed(response) && !sent.isWhole() {
+			return errCutDuringUpload
+		}
 		if err == io.EOF {
 			return nil
 		}
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -140,7 +140,7 @@
 		outcome.Verdict, outcome.Refused, outcome.Err = verdict.DidNotRun, refusal, ErrRefused
 		ended = conn.discard(response.Body)
 	} else {
-		outcome.Err = c.deliver(response, outcome.Load, sink)
+		outcome.Err = c.deliver(response, outcome.Load, sent, sink)
 		c.countFault(outcome.Err)
 		outcome.Complete = outcome.Err == nil
 		ended = outcome.Complete
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -128,6 +128,9 @@
 	return true
 }
 
+// isWhole reports whether all bytes of the request were written without an error.
+func (s *upload) isWhole() bool { return s.done.Load() && s.err.Load() == nil }
+
 // isAnswered reports whether the answer to a long request has begun, or none will come.
 func (s *upload) isAnswered() bool {
 	select {
