An answer without a length waits for the record of its request's end

Cause: the writing goroutine records that the request is sent after the write has returned; an answer to it that had ended by then counted as one that was cut during the upload. TestAnswerWithoutLengthToAnUploadIsWhole failed once in a run of packages beside each other.

--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -106,7 +106,7 @@
 				return refused
 			}
 		}
-		if err == io.EOF && isUnframed(response) && !sent.isWhole() {
+		if err == io.EOF && isUnframed(response) && !sent.awaitWhole() {
 			return errCutDuringUpload
 		}
 		if err == io.EOF {
--- a/internal/replica/request.go
+++ b/internal/replica/request.go
@@ -128,8 +128,17 @@
 	return true
 }
 
-// isWhole reports whether all bytes of the request were written without an error.
-func (s *upload) isWhole() bool { return s.done.Load() && s.err.Load() == nil }
+// awaitWhole reports whether all bytes of the request were written without an error. The connection has ended, so that a
+// write still under way returns soon; one that a peer holds up counts as failed after failedWriteWait.
+func (s *upload) awaitWhole() bool {
+	if s.writerDone != nil {
+		select {
+		case <-s.writerDone:
+		case <-time.After(failedWriteWait):
+		}
+	}
+	return s.done.Load() && s.err.Load() == nil
+}
 
 // isAnswered reports whether the answer to a long request has begun, or none will come.
 func (s *upload) isAnswered() bool {
