An item can't hold a second request

Change: a job with such an item is rejected with 400 and a cause that names the item; replica.Client sends no call whose texts would be more than one request.

--- a/internal/batchclient/client.go
+++ b/internal/batchclient/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/tamarindring/tamarindring/internal/answercheck"
 	"github.com/tamarindring/tamarindring/internal/batch"
 	"github.com/tamarindring/tamarindring/internal/route"
 	"github.com/tamarindring/tamarindring/internal/table"
@@ -71,6 +72,9 @@
 	if row == nil || row.Kind != table.Route {
 		return verdict.New(verdict.DidNotRun, "the table has no route %q any more", job.Route)
 	}
+	if err := checkItems(job); err != nil {
+		return err
+	}
 	if err := checkRewards(job, view); err != nil {
 		return err
 	}
@@ -94,6 +98,25 @@
 	return verdict.New(verdict.MayHaveRun, "batch job %q was not taken: %s", job.ID, reply.GetOutcome())
 }
 
+// checkItems checks that the texts of each item that go into the head of its request leave it one request.
+func checkItems(job *Job) error {
+	for position := range job.Items {
+		item := &job.Items[position]
+		if !answercheck.IsFieldValue(item.ID) {
+			return trace.BadParameter("the id of item %q must have no control characters", item.ID)
+		}
+		if !answercheck.IsRequestTarget(item.Path) {
+			return trace.BadParameter("the path of item %q must begin with a slash, and have neither blanks nor control characters", item.ID)
+		}
+		for _, field := range item.Header {
+			if !answercheck.IsFieldName(field.Name) || !answercheck.IsFieldValue(field.Value) {
+				return trace.BadParameter("item %q: %q is no header field", item.ID, field.Name+": "+field.Value)
+			}
+		}
+	}
+	return nil
+}
+
 // checkRewards rejects a job with an invalid reward call. If only the route of a call is missing, the error is
 // DidNotRun, because the route may be added soon and the job can be submitted again.
 func checkRewards(job *Job, view *table.View) error {
@@ -103,8 +126,9 @@
 		if reward == nil {
 			continue
 		}
-		if reward.ID == "" || reward.Host == "" || !strings.HasPrefix(reward.Path, "/") {
-			return trace.BadParameter("item %q: the reward call needs an id, a host and a path that begins with a slash", job.Items[position].ID)
+		if reward.ID == "" || reward.Host == "" || !answercheck.IsRequestTarget(reward.Path) ||
+			!answercheck.IsFieldValue(reward.ID) || !answercheck.IsFieldValue(reward.Host) {
+			return trace.BadParameter("item %q: the reward call needs an id, a host and a path that begins with a slash, without line breaks and without blanks in the path", job.Items[position].ID)
 		}
 		if routes == nil {
 			routes = route.NewTable(view)
--- a/internal/batchclient/client_test.go
+++ b/internal/batchclient/client_test.go
@@ -203,3 +203,36 @@
 		t.Fatal(err)
 	}
 }
+
+// TestItemsThatHoldAnotherRequestAreRejected guards against an item of which a line break, or a blank in its path, puts a
+// second request before a replica.
+func TestItemsThatHoldAnotherRequestAreRejected(t *testing.T) {
+	const request = "x\r\n\r\nPOST /a/second HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, change := range map[string]func(item *Item){
+		"value":            func(item *Item) { item.Header[0].Value = request },
+		"name":             func(item *Item) { item.Header[0].Name = "X: y\r\nZ" },
+		"name with blank":  func(item *Item) { item.Header[0].Name = "X-Odd " },
+		"no name":          func(item *Item) { item.Header[0].Name = "" },
+		"bare line feed":   func(item *Item) { item.Header[0].Value = "x\ny" },
+		"id":               func(item *Item) { item.ID = "i\r\nX: y" },
+		"path":             func(item *Item) { item.Path = "/a/x HTTP/1.1\r\nHost: h\r\n\r\nPOST /a/second" },
+		"blank in path":    func(item *Item) { item.Path = "/a/x y" },
+		"relative path":    func(item *Item) { item.Path = "a/x" },
+		"reward call's id": func(item *Item) { item.Reward = &Reward{ID: "c\r\nX: y", Host: "h.example", Path: "/a/score"} },
+		"reward call's path": func(item *Item) {
+			item.Reward = &Reward{ID: "c", Host: "h.example", Path: "/a/score HTTP/1.1\r\n\r\n"}
+		},
+		"reward call's host": func(item *Item) { item.Reward = &Reward{ID: "c", Host: "h\r\nX: y", Path: "/a/score"} },
+	} {
+		store, ledger := newClient(t)
+		job := exampleBatch(replica.Header{Name: "X-Model", Value: "m \u00e4\t"})
+		change(&job.Items[0])
+		if err := store.Submit(t.Context(), job); !trace.IsBadParameter(err) {
+			t.Errorf("%s: got %v, want BadParameter", name, err)
+		}
+		view := servertest.MustQuery(t, ledger.machine, &wire.Query{Kind: &wire.Query_JobWork{JobWork: &wire.JobWorkQuery{}}})
+		if stored := view.GetJobWork().GetJobs(); len(stored) > 0 {
+			t.Errorf("%s: stored %v", name, stored)
+		}
+	}
+}
--- a/internal/batchrun/stream.go
+++ b/internal/batchrun/stream.go
@@ -201,6 +201,8 @@
 		return schedule.Misdirected
 	}
 	switch {
+	case errors.Is(outcome.Err, replica.ErrInvalidCall):
+		return schedule.Impossible
 	case errors.Is(s.fault, errOldVersion):
 		return schedule.OldVersion
 	case errors.Is(s.fault, errMixedVersion):
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -96,6 +96,9 @@
 
 // Do implements Caller.
 func (c *Client) Do(ctx context.Context, call *Call, sink Sink) Outcome {
+	if !call.isSendable() {
+		return Outcome{Verdict: verdict.DidNotRun, Err: ErrInvalidCall}
+	}
 	conn, refused, err := c.acquire(ctx, call)
 	if err != nil {
 		return Outcome{Verdict: verdict.DidNotRun, Refused: refused, Err: err}
