--- a/internal/storage/sharedfiles_test.go
+++ b/internal/storage/sharedfiles_test.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"fmt"
 	"math/rand"
 	"os"
 	"path/filepath"
@@ -142,6 +143,12 @@
 // sectionsOfSize splits parts into recurring sections of a size in bytes, as the state machine splits a part into the
 // records of jobs.
 func sectionsOfSize(t *testing.T, parts statepart.Parts, size int) statepart.Parts {
+	t.Helper()
+	return sectionsFrom(t, parts, 0, size)
+}
+
+// sectionsFrom is sectionsOfSize without the first bytes of each part.
+func sectionsFrom(t *testing.T, parts statepart.Parts, first, size int) statepart.Parts {
 	t.Helper()
 	var sections statepart.Parts
 	for _, part := range parts {
@@ -149,7 +156,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for offset := 0; offset < len(content); offset += size {
+		for offset := first; offset < len(content); offset += size {
 			section := part.Section(offset, content[offset:offset+size])
 			section.MarkRecurring()
 			sections = append(sections, section)
@@ -229,3 +236,43 @@
 		t.Errorf("a part was read %d times, want 0", source.reads)
 	}
 }
+
+// TestPartsOutliveTheFileThatTheyWereReadFrom guards against a node that ends by itself again and again: after a restart its
+// state is held by the only file of its snapshot, and the next snapshot, which is one file too, removed that file while the
+// state still referred to it.
+func TestPartsOutliveTheFileThatTheyWereReadFrom(t *testing.T) {
+	const headBytes, restarts, snapshots = 6, 3, 3
+	options := testOptions(t.TempDir())
+	parts := recurringParts(200)
+	want := mustJoin(t, parts)
+	store := mustOpen(t, options)
+	mustWrite(t, store, GroupWrite{Group: 3, Entries: entriesFrom(1, 200, 1)})
+	index := uint64(0)
+	writeOneFile := func(state statepart.Parts) {
+		t.Helper()
+		index++
+		write := compaction(index, "")
+		write.Compaction.Data = stateWith(fmt.Sprintf("head%02d", index), state)
+		mustWrite(t, store, write)
+	}
+	writeOneFile(parts)
+	for restart := range restarts {
+		store.Close()
+		store = mustOpen(t, options)
+		loaded, err := store.LoadSnapshot(3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sections := sectionsFrom(t, loaded.Data, headBytes, smallPartBytes)
+		for snapshot := range snapshots {
+			writeOneFile(sections)
+			if got := mustJoin(t, sections); got != want {
+				t.Fatalf("restart %d, snapshot %d: the state has %d bytes, want the %d that were stored", restart, snapshot, len(got), len(want))
+			}
+		}
+	}
+	wantLargeState(t, store, fmt.Sprintf("head%02d", index)+want)
+	if files := listSnapshotFiles(t, options.Folder); len(files) != 1 {
+		t.Errorf("got files %v, want one: builds that do not support states in parts may read the folder", files)
+	}
+}
--- a/internal/storage/snapshotfile.go
+++ b/internal/storage/snapshotfile.go
@@ -175,18 +175,18 @@
 			file, files.created = created, append(files.created, created)
 		}
 		files.byGroup[write.Group] = append(files.byGroup[write.Group], file)
-		if inParts || len(parts) == 1 {
-			files.addStored(file, parts)
-		}
+		files.addStored(file, parts, inParts || len(parts) == 1)
 	}
 	return nil
 }
 
-// addStored adds those parts of a file that leave the memory: large ones, and recurring ones, which are many. The other
-// small parts would be read again soon, for messages.
-func (w *snapshotWrite) addStored(file *snapshotFile, parts statepart.Parts) {
+// addStored adds those parts of a file that are held by a file already, which may be removed with the snapshot that it
+// belongs to. If leaveMemory is set, it also adds those that leave the memory: large ones, and recurring ones, which are
+// many. The other small parts would be read again soon, for messages.
+func (w *snapshotWrite) addStored(file *snapshotFile, parts statepart.Parts, leaveMemory bool) {
 	for position, section := range sectionsOf(file, parts) {
-		if part := parts[position]; part.Size() >= minOwnFileBytes || part.IsRecurring() {
+		part := parts[position]
+		if !part.InMemory() || leaveMemory && (part.Size() >= minOwnFileBytes || part.IsRecurring()) {
 			w.stored = append(w.stored, storedPart{part: part, section: section})
 		}
 	}
