schedule: items whose last run failed, by the field's names

Read as a newcomer: "vain", "doubted" and "unfit" become eventless runs, an item whose last run failed, and failing. A run that broke off after events no longer counts among those without one, as the comment said. The scanner's positions stand in their order.

--- a/internal/answercheck/scanner.go
+++ b/internal/answercheck/scanner.go
@@ -94,12 +94,12 @@
 		if !isDigit(next) {
 			s.fail(BadStatus)
 		}
-	case position >= statusPosition && position < statusEnd:
-		s.scanStatus(next, position == statusEnd-1)
 	case position == versionPosition+1:
 		if next != ' ' {
 			s.fail(BadStatus)
 		}
+	case position < statusEnd:
+		s.scanStatus(next, position == statusEnd-1)
 	case position == statusEnd && next != ' ' && next != '\r' && next != '\n':
 		s.fail(BadStatus)
 	default:
--- a/internal/batchrun/schedule/candidates.go
+++ b/internal/batchrun/schedule/candidates.go
@@ -10,11 +10,11 @@
 // placementKey holds everything about an item that determines which replicas may run it and their order. Items with
 // equal keys share one set of candidates.
 type placementKey struct {
-	pool, model string
-	minVersion  uint64
-	critical    bool
-	suspected   bool
-	doubted     bool // see placementRound.canStart
+	pool, model   string
+	minVersion    uint64
+	critical      bool
+	suspected     bool
+	lastRunFailed bool // see placementRound.canStart
 	// paceClass is how fast a replica must be for the item to be in time; see Scheduler.requiredPaceClass.
 	paceClass paceClass
 }
@@ -22,7 +22,7 @@
 // placementKeyOf returns the placement key of an item in a pool.
 func (s *Scheduler) placementKeyOf(entry *item, pool string, now time.Duration) placementKey {
 	return placementKey{pool: pool, model: entry.job.Model, minVersion: entry.job.MinVersion, critical: entry.critical,
-		suspected: entry.suspected, doubted: entry.isDoubted(), paceClass: s.requiredPaceClass(entry, s.pools[pool], now)}
+		suspected: entry.suspected, lastRunFailed: entry.lastRunFailed(), paceClass: s.requiredPaceClass(entry, s.pools[pool], now)}
 }
 
 // placementRound places items at one point in time. Replicas only fill up during a round, so candidates that were
@@ -32,13 +32,13 @@
 	now        time.Duration
 	candidates map[placementKey]*candidates
 	idle       map[*pool]bool // see isIdle
-	lastResort bool           // replicas on probation try doubted items too
+	lastResort bool           // replicas on probation try items whose last run failed, too
 }
 
-// canStart reports whether a replica can start an item now, apart from its memory. A doubted item does not take the turn
-// of others at a replica on probation, because a further failure would keep the replica there.
+// canStart reports whether a replica can start an item now, apart from its memory. An item whose last run failed does not
+// take the turn of others at a replica on probation, because a further failure would keep the replica there.
 func (r *placementRound) canStart(candidate *replica, entry *item) bool {
-	return r.scheduler.canStart(candidate, entry, r.now) && (r.lastResort || !candidate.onProbation || !entry.isDoubted())
+	return r.scheduler.canStart(candidate, entry, r.now) && (r.lastResort || !candidate.onProbation || !entry.lastRunFailed())
 }
 
 // newPlacementRound starts a placement round at the given time.
@@ -181,7 +181,7 @@
 		case load != top.load:
 			candidates.byLoad[0].load = load
 			heap.Fix(candidates, 0)
-		case r.scheduler.hasLargerFor(top.replica, entry):
+		case r.scheduler.hasLargerFor(top.replica, entry): // which says nothing about free memory
 			skipped = append(skipped, top)
 			heap.Pop(candidates)
 		case !r.scheduler.hasMemoryFor(top.replica, entry):
--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -12,8 +12,8 @@
 	if s.waitingOrder == nil {
 		s.sortWaiting(now)
 	}
-	starts, doubted := s.startWaiting(nil, s.newPlacementRound(now))
-	if doubted {
+	starts, failedWait := s.startWaiting(nil, s.newPlacementRound(now))
+	if failedWait {
 		lastResort := s.newPlacementRound(now)
 		lastResort.lastResort = true
 		starts, _ = s.startWaiting(starts, lastResort)
@@ -21,9 +21,9 @@
 	return starts
 }
 
-// startWaiting appends the runs that start in a placement round to starts. doubted reports that a doubted item was not
-// placed.
-func (s *Scheduler) startWaiting(starts []Start, round *placementRound) (all []Start, doubted bool) {
+// startWaiting appends the runs that start in a placement round to starts. failedWait reports that an item whose last run
+// failed was not placed.
+func (s *Scheduler) startWaiting(starts []Start, round *placementRound) (all []Start, failedWait bool) {
 	now := round.now
 	unplaced := s.waitingOrder[:0]
 	for _, entry := range s.waitingOrder {
@@ -31,7 +31,7 @@
 		if entry.notBefore <= now {
 			entry.markCritical(now)
 			chosen = round.place(entry)
-			doubted = doubted || chosen == nil && entry.isDoubted()
+			failedWait = failedWait || chosen == nil && entry.lastRunFailed()
 		}
 		if chosen == nil {
 			unplaced = append(unplaced, entry)
@@ -48,7 +48,7 @@
 	}
 	clear(s.waitingOrder[len(unplaced):])
 	s.waitingOrder = unplaced
-	return starts, doubted
+	return starts, failedWait
 }
 
 // sortWaiting sorts the waiting items of all jobs. Items of required groups come first, by latest start, then all
--- a/internal/batchrun/schedule/outcome.go
+++ b/internal/batchrun/schedule/outcome.go
@@ -20,7 +20,7 @@
 	}
 	entry.run.events, entry.run.lastEvent = events, last
 	s.revision++
-	entry.vainRuns, entry.oversized = 0, false
+	entry.eventlessRuns, entry.oversized = 0, false
 	replica.endProbation(entry)
 	s.noteVersion(replica, entry.job.Model, version, last)
 }
@@ -108,6 +108,7 @@
 	}
 	s.revision++
 	s.usage.Add(entry.job.owner().Name, s.completedWork(entry, ending), now)
+	isEventless := entry.run.events == 0
 	s.endRun(entry)
 	entry.state, s.waitingOrder = waiting, nil
 	if ending.mayHaveRun() {
@@ -140,7 +141,9 @@
 	case Lost:
 		entry.hold(now+s.settings.RetryPause, HeldRetry) // otherwise the same process could be chosen and lost again at once
 	case Full, Broken:
-		s.holdUnfit(entry, replica, ending, now)
+		if isEventless {
+			s.holdAfterFailure(entry, replica, ending, now)
+		}
 	}
 	if ending != Stopped && ending != Lost {
 		entry.avoidInstance = instance
--- a/internal/batchrun/schedule/oversized.go
+++ b/internal/batchrun/schedule/oversized.go
@@ -9,22 +9,22 @@
 // may break its answer at every replica. Such an item must not take the turns of others again and again, nor have sound
 // replicas suspended. It is still tried, because only a replica knows what it can run.
 
-// vainRunsBeforeHold is the number of consecutive runs without an event after which an item is held before each further
-// run. Before that, the fault may as well be the replicas'.
-const vainRunsBeforeHold = 3
+// eventlessRunsBeforeHold is the number of consecutive runs without an event after which an item is held before each further
+// run. Before that, the fault is more likely the replicas'.
+const eventlessRunsBeforeHold = 3
 
-// isDoubted reports whether the item's last run was rejected or broke off without an event. The fault may be the item's.
-func (e *item) isDoubted() bool { return e.vainRuns > 0 }
+// lastRunFailed reports whether the item's last run was rejected or broke off without an event. The fault may be the item's.
+func (e *item) lastRunFailed() bool { return e.eventlessRuns > 0 }
 
 const (
 	// oversizedPause is the pause before an item runs again that was rejected by a replica too small for it. It doubles
 	// with each further rejection up to maximumOversizedPause.
 	oversizedPause        = 500 * time.Millisecond
 	maximumOversizedPause = 4 * time.Second
-	// maximumRejectedPause and maximumVainPause bound the pause of an item that replicas reject, and of one whose runs
-	// break off without an event. Its replicas may recover.
+	// maximumRejectedPause and maximumBrokenPause bound the pauses of an item that replicas reject, and of one whose runs
+	// break off without an event. They are short, because the replicas may be at fault after all and recover.
 	maximumRejectedPause = time.Second
-	maximumVainPause     = 2 * time.Second
+	maximumBrokenPause   = 2 * time.Second
 )
 
 // maximumSize returns the tokens of the item's prompt and of its longest answer; 0 if they are unknown.
@@ -73,19 +73,19 @@
 	}
 }
 
-// holdUnfit holds an item whose run was rejected or broke off, if it may be the item that does not fit rather than the
-// replica that has failed.
-func (s *Scheduler) holdUnfit(entry *item, at *replica, ending Ending, now time.Duration) {
-	entry.vainRuns++
+// holdAfterFailure holds an item whose run was rejected or broke off without an event, once the fault may be the item's rather
+// than the replica's.
+func (s *Scheduler) holdAfterFailure(entry *item, at *replica, ending Ending, now time.Duration) {
+	entry.eventlessRuns++
 	switch {
 	case ending == Full && at != nil && at.isTooSmallFor(entry):
 		entry.oversized = true
-		entry.hold(now+doubled(oversizedPause, entry.vainRuns-1, maximumOversizedPause), HeldOversized)
-	case entry.vainRuns < vainRunsBeforeHold:
+		entry.hold(now+doubled(oversizedPause, entry.eventlessRuns-1, maximumOversizedPause), HeldOversized)
+	case entry.eventlessRuns < eventlessRunsBeforeHold:
 	case ending == Full:
-		entry.hold(now+doubled(s.settings.FullPause, entry.vainRuns-vainRunsBeforeHold, maximumRejectedPause), HeldUnfit)
+		entry.hold(now+doubled(s.settings.FullPause, entry.eventlessRuns-eventlessRunsBeforeHold, maximumRejectedPause), HeldFailing)
 	default:
-		entry.hold(now+doubled(s.settings.FailurePause, entry.vainRuns-vainRunsBeforeHold, maximumVainPause), HeldUnfit)
+		entry.hold(now+doubled(s.settings.FailurePause, entry.eventlessRuns-eventlessRunsBeforeHold, maximumBrokenPause), HeldFailing)
 	}
 }
 
--- a/internal/batchrun/schedule/queue.go
+++ b/internal/batchrun/schedule/queue.go
@@ -73,7 +73,7 @@
 	moving          bool          // the run is being stopped to continue on a faster replica
 	suspected       bool          // replicas crashed while running it
 	condemned       bool          // considered the cause of crashes and held for a long time
-	vainRuns        int           // consecutive runs that were rejected or broke off without an event
+	eventlessRuns   int           // consecutive runs that were rejected or broke off without an event
 	oversized       bool          // rejected by a replica that it is larger than
 	run             run           // the present run
 	reservedReplica *replica      // replica with a slot reserved for the item to continue on; nil: none
--- a/internal/batchrun/schedule/waits.go
+++ b/internal/batchrun/schedule/waits.go
@@ -16,7 +16,7 @@
 	HeldSuspect              // replicas crashed while running the item
 	HeldFormerRun            // the item's run for an ended job is still being stopped
 	HeldOversized            // a replica rejected it that it is larger than
-	HeldUnfit                // several runs in a row were rejected or broke off without an event
+	HeldFailing              // several runs in a row were rejected or broke off without an event
 )
 
 // WaitReason is why a waiting item does not start.
@@ -28,7 +28,7 @@
 	WaitSuspect                     // see HeldSuspect
 	WaitFormerRun                   // see HeldFormerRun
 	WaitOversized                   // see HeldOversized
-	WaitUnfit                       // see HeldUnfit
+	WaitFailing                     // see HeldFailing
 	WaitRoute                       // the item has no pool, or its pool has no replicas
 	WaitReplicas                    // no replica can start it now
 	WaitMemory                      // of those that could start it, none has memory for it
@@ -38,7 +38,7 @@
 // String returns the name of the reason as used in logs and metrics.
 func (r WaitReason) String() string {
 	return [...]string{WaitRetry: "retry", WaitSuspect: "suspected", WaitFormerRun: "former_run", WaitOversized: "oversized",
-		WaitUnfit: "unfit", WaitRoute: "no_route", WaitReplicas: "no_replica",
+		WaitFailing: "failing", WaitRoute: "no_route", WaitReplicas: "no_replica",
 		WaitMemory: "no_memory", WaitOrder: "order"}[r]
 }
 
@@ -136,8 +136,8 @@
 		return WaitFormerRun
 	case HeldOversized:
 		return WaitOversized
-	case HeldUnfit:
-		return WaitUnfit
+	case HeldFailing:
+		return WaitFailing
 	}
 	return WaitRetry
 }
--- a/internal/events/batch.go
+++ b/internal/events/batch.go
@@ -220,7 +220,7 @@
 	Job        string  `json:"job" doc:"id of the batch job"`
 	Item       string  `json:"item" doc:"id of the item"`
 	WaitedMs   float64 `json:"waited_ms" doc:"time since the item was last at a back end, or since the job was opened by this leader"`
-	Why        string  `json:"why" doc:"suspected (back ends crashed under it), former_run (its run for an ended job has not ended yet), oversized (a replica rejected it that it is larger than), unfit (several runs in a row were rejected or broke off without an event), retry, no_route, no_replica (none can start it; see the counts), no_memory or order"`
+	Why        string  `json:"why" doc:"suspected (back ends crashed under it), former_run (its run for an ended job has not ended yet), oversized (a replica rejected it that it is larger than), failing (several runs in a row were rejected or broke off without an event), retry, no_route, no_replica (none can start it; see the counts), no_memory or order"`
 	HeldMs     float64 `json:"held_ms,omitempty" doc:"time until it may start, if it is held"`
 	Digest     string  `json:"digest,omitempty" doc:"for a suspected item: its digest"`
 	Crashes    int     `json:"crashes,omitempty" doc:"for a suspected item: crashes under it that this node knows of"`
