schedule: a placement round of last resort looks at failed items only

Cause: when an item whose last run failed could not be placed, the whole order was tried a second time, though the others had just been tried; in overload that doubled the work of placing.

Change: the second pass places only items whose last run failed. What is placed is the same: replicas only fill up during a round.

--- a/internal/batchrun/schedule/order.go
+++ b/internal/batchrun/schedule/order.go
@@ -21,14 +21,14 @@
 	return starts
 }
 
-// startWaiting appends the runs that start in a placement round to starts. failedWait reports that an item whose last run
-// failed was not placed.
+// startWaiting appends the runs that start in a placement round to starts. A round of last resort places only items whose
+// last run failed, since the others have just been tried. failedWait reports that such an item was not placed.
 func (s *Scheduler) startWaiting(starts []Start, round *placementRound) (all []Start, failedWait bool) {
 	now := round.now
 	unplaced := s.waitingOrder[:0]
 	for _, entry := range s.waitingOrder {
 		var chosen *replica
-		if entry.notBefore <= now {
+		if entry.notBefore <= now && (!round.lastResort || entry.lastRunFailed()) {
 			entry.markCritical(now)
 			chosen = round.place(entry)
 			failedWait = failedWait || chosen == nil && entry.lastRunFailed()
