--- a/internal/gateway/backend_test.go
+++ b/internal/gateway/backend_test.go
@@ -22,12 +22,19 @@
 
 // newRawBackend starts a back end that calls answer with the number of each request, from 1.
 func newRawBackend(t *testing.T, answer func(conn net.Conn, request *http.Request, n int64)) *rawBackend {
+	t.Helper()
+	backend := &rawBackend{}
+	backend.listener = serveConnections(t, func(conn net.Conn) { backend.serve(conn, answer) })
+	return backend
+}
+
+// serveConnections accepts connections until the test ends, and has each served by a goroutine of its own.
+func serveConnections(t *testing.T, serve func(conn net.Conn)) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	backend := &rawBackend{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -35,10 +42,10 @@
 			if err != nil {
 				return
 			}
-			go backend.serve(conn, answer)
+			go serve(conn)
 		}
 	}()
-	return backend
+	return listener
 }
 
 func (b *rawBackend) serve(conn net.Conn, answer func(net.Conn, *http.Request, int64)) {
--- a/internal/gateway/field_test.go
+++ b/internal/gateway/field_test.go
@@ -11,14 +11,10 @@
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
-// fieldKinds are the kinds of spoiled answers of which a line of the head is no field.
-var fieldKinds = []spoiled.Kind{spoiled.BlankInName, spoiled.BlankBeforeColon, spoiled.ControlInName, spoiled.FoldedField, spoiled.MisspelledLength,
-	spoiled.MisspelledChunks}
-
 // TestLineThatIsNoFieldIsNoAnswer guards against a back end's answer with a field whose name is none, of which the caller
 // gets a body with another length than the back end meant.
 func TestLineThatIsNoFieldIsNoAnswer(t *testing.T) {
-	for _, kind := range fieldKinds {
+	for _, kind := range spoiled.FieldKinds() {
 		t.Run(kind.String(), func(t *testing.T) {
 			backend := newRawBackend(t, func(conn net.Conn, request *http.Request, _ int64) {
 				_ = spoiled.Write(conn, kind, spoiled.Names{RequestID: HeaderRequestID, Signature: "Signed"}, request.Header.Get(HeaderRequestID), rand.New(rand.NewPCG(1, 1)))
@@ -37,26 +33,12 @@
 // because the back end reset the connection while the request was still being written.
 func TestAnswerResetDuringUploadIsNotWhole(t *testing.T) {
 	for _, status := range []string{"200 OK", "500 No"} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = listener.Close() })
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					_, _ = conn.Read(make([]byte, 4<<10))
-					_, _ = conn.Write([]byte("HTTP/1.1 " + status + "\r\n\r\npart"))
-					_ = conn.(*net.TCPConn).SetLinger(0)
-					_ = conn.Close()
-				}()
-			}
-		}()
-		f := newRawFixture(t, &rawBackend{listener: listener})
+		f := newRawFixture(t, &rawBackend{listener: serveConnections(t, func(conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 4<<10))
+			_, _ = conn.Write([]byte("HTTP/1.1 " + status + "\r\n\r\npart"))
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		})})
 		body := `{"text":"` + strings.Repeat("x", 1<<20) + `"}`
 		for number := range 10 {
 			got := f.push(t, 0, "k"+string(rune('a'+number)), body)
--- a/internal/replica/field_test.go
+++ b/internal/replica/field_test.go
@@ -13,15 +13,11 @@
 	"github.com/tamarindring/tamarindring/internal/verdict"
 )
 
-// fieldKinds are the kinds of spoiled answers of which a line of the head is no field.
-var fieldKinds = []spoiled.Kind{spoiled.BlankInName, spoiled.BlankBeforeColon, spoiled.ControlInName, spoiled.FoldedField, spoiled.MisspelledLength,
-	spoiled.MisspelledChunks}
-
 // TestLineThatIsNoFieldIsNoAnswer guards against an answer with a field whose name is none: the line is passed on, or the
 // body is read with a length or chunks that the replica did not mean. Sites with and without signatures.
 func TestLineThatIsNoFieldIsNoAnswer(t *testing.T) {
 	for name, names := range map[string]Names{"signed": spoiledNames(), "unsigned": testNames, "without names": {}} {
-		for _, kind := range fieldKinds {
+		for _, kind := range spoiled.FieldKinds() {
 			t.Run(name+"/"+kind.String(), func(t *testing.T) {
 				s := newStandinReplica(t, func(conn net.Conn, request *http.Request, _ string, _ int) bool {
 					_ = spoiled.Write(conn, kind, spoiled.Names{RequestID: "Attempt", Signature: "Signed"}, request.Header.Get("Attempt"), rand.New(rand.NewPCG(1, 1)))
@@ -42,26 +38,12 @@
 // body is still being written. It returns the replica's address.
 func earlyReset(t *testing.T, answer string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.ReadFull(conn, make([]byte, 16<<10))
-				write(conn, answer)
-				resetOnClose(conn)
-				_ = conn.Close()
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return serveConnections(t, func(conn net.Conn) {
+		_, _ = io.ReadFull(conn, make([]byte, 16<<10))
+		write(conn, answer)
+		resetOnClose(conn)
+		_ = conn.Close()
+	})
 }
 
 // earlyResets is how often an answer is reset in TestAnswerResetDuringUploadIsNotWhole. The write and the read of the client
--- a/internal/replica/slow_test.go
+++ b/internal/replica/slow_test.go
@@ -15,21 +15,8 @@
 // callWithPause returns a call with a body of this size to a replica that reads 1 KiB of the body, pauses, reads the rest
 // and answers.
 func callWithPause(t *testing.T, bytes int, pause time.Duration) *Call {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveWithPause(conn, pause)
-		}
-	}()
-	return &Call{Target: Target{Instance: "i-1", Address: listener.Addr().String()}, AttemptID: "a", Method: "POST", Path: "/", Host: "h",
+	address := serveConnections(t, func(conn net.Conn) { serveWithPause(conn, pause) })
+	return &Call{Target: Target{Instance: "i-1", Address: address}, AttemptID: "a", Method: "POST", Path: "/", Host: "h",
 		Body: make([]byte, bytes), Urgency: -1, ResumeAfter: -1}
 }
 
--- a/internal/replica/standin_test.go
+++ b/internal/replica/standin_test.go
@@ -48,6 +48,26 @@
 	return s
 }
 
+// serveConnections accepts connections until the test ends, has each served by a goroutine of its own, and returns the address.
+func serveConnections(t *testing.T, serve func(conn net.Conn)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
 func (s *standinReplica) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
--- a/internal/standin/spoiled/spoiled.go
+++ b/internal/standin/spoiled/spoiled.go
@@ -58,6 +58,11 @@
 	return all
 }
 
+// FieldKinds returns the kinds of which a line of the head is no field.
+func FieldKinds() []Kind {
+	return []Kind{BlankInName, BlankBeforeColon, ControlInName, FoldedField, MisspelledLength, MisspelledChunks}
+}
+
 // IsEndless reports whether the bytes of the kind have no end.
 func (k Kind) IsEndless() bool { return k >= EndlessInterim }
 
